--- /dev/null
+++ b/cmd/parsleygate/cmds/cmds.go
@@ -0,0 +1,30 @@
+// Package cmds holds the commands of parsleygate, one file each.
+package cmds
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Execute runs the command that args name and returns the exit status.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+
+	if err := root.Execute(); err != nil {
+		return 1
+	}
+
+	return 0
+}
+
+func newRoot() *cobra.Command {
+	return &cobra.Command{
+		Use:          "parsleygate",
+		Short:        "Load balancer for expert-parallel model groups",
+		SilenceUsage: true,
+	}
+}
