--- /dev/null
+++ b/internal/journal/frame.go
@@ -0,0 +1,127 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A file is a head and frames. The head holds the kind of file and the birth of
+// its owner. A frame holds one payload:
+//
+//	magic u32, length u32, sequence u64, xxhash64 of these   (head of the frame)
+//	payload
+//	xxhash64 of sequence and payload, end mark               (tail of the frame)
+//
+// Only one frame is ever unsynced: the next one is written after it is synced.
+const (
+	frameMagic    uint32 = 0x50474a31
+	frameHeadSize int    = 24
+	frameTailSize int    = 9
+	fileHeadSize  int    = 24
+	// endMark is never zero, so that a frame whose last block was never written
+	// can be told from one that was written and then damaged.
+	endMark byte = 0xe5
+)
+
+// kind says what a file holds.
+type kind uint64
+
+const (
+	kindIdentity kind = 0x5047_4944_0000_0001
+	kindLog      kind = 0x5047_4c4f_0000_0001
+	kindSnapshot kind = 0x5047_534e_0000_0001
+)
+
+func fileHead(k kind, birth uint64) []byte {
+	b := binary.LittleEndian.AppendUint64(nil, uint64(k))
+	b = binary.LittleEndian.AppendUint64(b, birth)
+
+	return binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
+}
+
+// readFileHead returns the birth in the head of a file.
+func readFileHead(name string, k kind, b []byte) (uint64, error) {
+	if len(b) < fileHeadSize || binary.LittleEndian.Uint64(b[16:]) != xxhash.Sum64(b[:16]) {
+		return 0, &DamageError{File: name, What: "head of file"}
+	}
+
+	if binary.LittleEndian.Uint64(b) != uint64(k) {
+		return 0, &DamageError{File: name, What: "kind of file"}
+	}
+
+	return binary.LittleEndian.Uint64(b[8:]), nil
+}
+
+func appendFrame(b []byte, seq uint64, payload []byte) []byte {
+	start := len(b)
+	b = binary.LittleEndian.AppendUint32(b, frameMagic)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint64(b, seq)
+	b = binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b[start:]))
+	b = append(b, payload...)
+	b = binary.LittleEndian.AppendUint64(b, payloadSum(seq, payload))
+
+	return append(b, endMark)
+}
+
+func payloadSum(seq uint64, payload []byte) uint64 {
+	d := xxhash.NewWithSeed(seq)
+	_, _ = d.Write(payload)
+
+	return d.Sum64()
+}
+
+// frames returns the payloads in b, which begins at offset in the file name. A
+// torn last frame is left out only where its sync cannot have returned: the
+// file ends within it, or its last bytes were never written. Any other fault
+// may hide what this replica has acknowledged, and is an error.
+func frames(name string, offset int, b []byte) ([][]byte, error) {
+	var out [][]byte
+
+	for seq := uint64(1); len(b) > 0; seq++ {
+		damage := &DamageError{File: name, Offset: offset, What: "frame"}
+
+		if !isFrameHead(b) {
+			if len(bytes.TrimRight(b, "\x00")) < frameHeadSize {
+				return out, nil
+			}
+
+			return nil, damage
+		}
+
+		n := int(binary.LittleEndian.Uint32(b[4:]))
+		end := frameHeadSize + n + frameTailSize
+
+		if binary.LittleEndian.Uint64(b[8:]) != seq {
+			return nil, damage
+		}
+
+		if end > len(b) {
+			return out, nil
+		}
+
+		payload := b[frameHeadSize : frameHeadSize+n]
+
+		if b[end-1] != endMark || binary.LittleEndian.Uint64(b[frameHeadSize+n:]) != payloadSum(seq, payload) {
+			if end == len(b) && b[end-1] == 0 {
+				return out, nil
+			}
+
+			return nil, damage
+		}
+
+		out = append(out, payload)
+		b = b[end:]
+		offset += end
+	}
+
+	return out, nil
+}
+
+func isFrameHead(b []byte) bool {
+	return len(b) >= frameHeadSize &&
+		binary.LittleEndian.Uint32(b) == frameMagic &&
+		binary.LittleEndian.Uint64(b[16:]) == xxhash.Sum64(b[:16])
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,272 @@
+// Package journal keeps a replica's term, vote, log and snapshot on disk.
+package journal
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Names within the data folder.
+const (
+	lockName     = "lock"
+	identityName = "identity"
+	logName      = "log"
+	snapshotName = "snapshot"
+	tmpSuffix    = ".tmp"
+)
+
+// Stats count what was made durable since Open.
+type Stats struct {
+	Syncs uint64
+	Bytes uint64
+}
+
+// Journal is one replica's data folder. Its methods are not safe for concurrent use.
+type Journal struct {
+	Dir     string
+	Cluster string
+	ID      string
+	// NewBirth returns a random number other than 0, for an empty data folder.
+	NewBirth func() uint64
+	// Files are the file operations; the zero value stands for OSFiles.
+	Files Files
+
+	birth   uint64
+	hard    quorum.HardState
+	log     *File
+	seq     uint64
+	failed  error
+	release func() error
+	stats   Stats
+}
+
+// Open reads the data folder, or fills an empty one. The log is written anew
+// and synced: after a failed sync the operating system may show what the disk
+// does not hold, and a replica that restarts must not vouch for that.
+func (j *Journal) Open() (quorum.Stored, error) {
+	if j.Files.Read == nil {
+		j.Files = OSFiles()
+	}
+
+	if err := j.Files.MakeDir(j.Dir); err != nil {
+		return quorum.Stored{}, &WriteError{What: "make data folder", Err: err}
+	}
+
+	release, err := j.Files.Lock(j.path(lockName))
+	if err != nil {
+		return quorum.Stored{}, &WriteError{What: "lock data folder", Err: err}
+	}
+
+	j.release = release
+
+	stored, err := j.load()
+	if err == nil {
+		j.hard = stored.State
+		err = j.rewriteLog(stored.Entries)
+	}
+
+	if err == nil {
+		err = j.writeIdentity()
+	}
+
+	if err != nil {
+		return quorum.Stored{}, errors.Join(err, j.Close())
+	}
+
+	return stored, nil
+}
+
+// Birth returns the random number made with the data folder. It is known after Open.
+func (j *Journal) Birth() uint64 { return j.birth }
+
+// Stats returns what was made durable since Open.
+func (j *Journal) Stats() Stats { return j.stats }
+
+// Close releases the data folder. It makes nothing durable.
+func (j *Journal) Close() error {
+	var errs []error
+
+	if j.log != nil {
+		errs = append(errs, j.log.Close())
+		j.log = nil
+	}
+
+	if j.release != nil {
+		errs = append(errs, j.release())
+		j.release = nil
+	}
+
+	return errors.Join(errs...)
+}
+
+// Write makes p durable. After an error the journal refuses all further writes.
+func (j *Journal) Write(p quorum.Persist) error {
+	if j.failed != nil {
+		return j.failed
+	}
+
+	if p.Empty() {
+		return nil
+	}
+
+	if p.State != nil {
+		j.hard = *p.State
+	}
+
+	if p.Snapshot == nil {
+		j.failed = j.appendLog(p.Entries)
+
+		return j.failed
+	}
+
+	j.failed = j.writeSnapshot(*p.Snapshot)
+	if j.failed == nil {
+		j.failed = j.rewriteLog(p.Entries)
+	}
+
+	return j.failed
+}
+
+func (j *Journal) appendLog(entries []quorum.Entry) error {
+	b, err := j.batch(nil, entries)
+	if err != nil {
+		return err
+	}
+
+	return j.writeSynced(j.log, b)
+}
+
+// batch appends to b the next frame of the log.
+func (j *Journal) batch(b []byte, entries []quorum.Entry) ([]byte, error) {
+	j.seq++
+
+	payload, err := proto.Marshal(&wire.JournalBatch{
+		Term: j.hard.Term, Vote: j.hard.Vote, Entries: quorum.EntriesToWire(entries),
+	})
+	if err != nil {
+		return nil, &WriteError{What: "encode batch", Err: err}
+	}
+
+	return appendFrame(b, j.seq, payload), nil
+}
+
+// rewriteLog replaces the log by one that holds just entries.
+func (j *Journal) rewriteLog(entries []quorum.Entry) error {
+	j.seq = 0
+
+	b, err := j.batch(fileHead(kindLog, j.birth), entries)
+	if err != nil {
+		return err
+	}
+
+	f, err := j.replace(logName, b)
+	if err != nil {
+		return err
+	}
+
+	old := j.log
+	j.log = f
+
+	if old == nil {
+		return nil
+	}
+
+	if err := old.Close(); err != nil {
+		return &WriteError{What: "close former log", Err: err}
+	}
+
+	return nil
+}
+
+func (j *Journal) writeSnapshot(s quorum.Snapshot) error {
+	payload, err := proto.Marshal(&wire.JournalSnapshot{
+		Index: s.Index, Term: s.Term, MembersIndex: s.MembersIndex, Members: quorum.MembersToWire(s.Members), Data: s.Data,
+	})
+	if err != nil {
+		return &WriteError{What: "encode snapshot", Err: err}
+	}
+
+	return j.replaceClosed(snapshotName, appendFrame(fileHead(kindSnapshot, j.birth), 1, payload))
+}
+
+// writeIdentity comes last for an empty data folder, so that a folder with an
+// identity and without a log has lost it.
+func (j *Journal) writeIdentity() error {
+	if _, err := j.Files.Read(j.path(identityName)); !errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+
+	payload, err := proto.Marshal(&wire.JournalIdentity{Cluster: j.Cluster, ID: j.ID, Birth: j.birth})
+	if err != nil {
+		return &WriteError{What: "encode identity", Err: err}
+	}
+
+	return j.replaceClosed(identityName, appendFrame(fileHead(kindIdentity, j.birth), 1, payload))
+}
+
+// replace puts a file that holds b under name, in one step and durably, and
+// returns it open for appending.
+func (j *Journal) replace(name string, b []byte) (*File, error) {
+	f, err := j.Files.Create(j.path(name + tmpSuffix))
+	if err != nil {
+		return nil, &WriteError{What: "create " + name, Err: err}
+	}
+
+	err = j.writeSynced(f, b)
+	if err == nil {
+		err = j.Files.Rename(j.path(name+tmpSuffix), j.path(name))
+	}
+
+	if err == nil {
+		err = j.Files.SyncDir(j.Dir)
+	}
+
+	if err != nil {
+		return nil, &WriteError{What: "replace " + name, Err: errors.Join(err, f.Close())}
+	}
+
+	return f, nil
+}
+
+func (j *Journal) replaceClosed(name string, b []byte) error {
+	f, err := j.replace(name, b)
+	if err != nil {
+		return err
+	}
+
+	if err := f.Close(); err != nil {
+		return &WriteError{What: "close " + name, Err: err}
+	}
+
+	return nil
+}
+
+func (j *Journal) writeSynced(f *File, b []byte) error {
+	n, err := f.Write(b)
+	if err == nil && n < len(b) {
+		err = errShortWrite
+	}
+
+	if err != nil {
+		return &WriteError{What: "write", Err: err}
+	}
+
+	if err := f.Sync(); err != nil {
+		return &WriteError{What: "sync", Err: err}
+	}
+
+	j.stats.Syncs++
+	j.stats.Bytes += uint64(len(b))
+
+	return nil
+}
+
+func (j *Journal) path(name string) string {
+	return filepath.Join(j.Dir, name)
+}
--- /dev/null
+++ b/internal/journal/load.go
@@ -0,0 +1,216 @@
+package journal
+
+import (
+	"errors"
+	"io/fs"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+var errShortWrite = errors.New("short write")
+
+// load reads the data folder, and makes a birth for an empty one.
+func (j *Journal) load() (quorum.Stored, error) {
+	identity, err := j.readOne(identityName, kindIdentity)
+	if errors.Is(err, fs.ErrNotExist) {
+		return j.loadEmpty()
+	}
+
+	if err != nil {
+		return quorum.Stored{}, err
+	}
+
+	var id wire.JournalIdentity
+	if err := proto.Unmarshal(identity, &id); err != nil {
+		return quorum.Stored{}, &DamageError{File: identityName, What: err.Error()}
+	}
+
+	if id.GetCluster() != j.Cluster || id.GetID() != j.ID {
+		return quorum.Stored{}, &IdentityError{
+			Cluster: id.GetCluster(), ID: id.GetID(), WantCluster: j.Cluster, WantID: j.ID,
+		}
+	}
+
+	j.birth = id.GetBirth()
+
+	stored, err := j.loadSnapshot()
+	if err != nil {
+		return quorum.Stored{}, err
+	}
+
+	err = j.loadLog(&stored)
+
+	return stored, err
+}
+
+// loadEmpty accepts a folder that never got as far as an identity. Nothing was
+// promised from it, so there can be no more than an empty log.
+func (j *Journal) loadEmpty() (quorum.Stored, error) {
+	if _, err := j.Files.Read(j.path(snapshotName)); !errors.Is(err, fs.ErrNotExist) {
+		return quorum.Stored{}, &MissingError{File: identityName}
+	}
+
+	payloads, err := j.read(logName, kindLog)
+	if errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+
+	if err != nil {
+		return quorum.Stored{}, err
+	}
+
+	if len(payloads) > 1 || len(payloads) == 1 && len(payloads[0]) > 0 {
+		return quorum.Stored{}, &MissingError{File: identityName}
+	}
+
+	j.birth = j.NewBirth()
+
+	return quorum.Stored{}, nil
+}
+
+func (j *Journal) loadSnapshot() (quorum.Stored, error) {
+	var stored quorum.Stored
+
+	payload, err := j.readOne(snapshotName, kindSnapshot)
+	if errors.Is(err, fs.ErrNotExist) {
+		return stored, nil
+	}
+
+	if err != nil {
+		return stored, err
+	}
+
+	var s wire.JournalSnapshot
+	if err := proto.Unmarshal(payload, &s); err != nil {
+		return stored, &DamageError{File: snapshotName, What: err.Error()}
+	}
+
+	members, err := quorum.MembersFromWire(s.GetMembers())
+	if err != nil {
+		return stored, &DamageError{File: snapshotName, What: err.Error()}
+	}
+
+	stored.Snapshot = quorum.Snapshot{
+		Index: s.GetIndex(), Term: s.GetTerm(), MembersIndex: s.GetMembersIndex(), Members: members, Data: s.GetData(),
+	}
+
+	return stored, nil
+}
+
+func (j *Journal) loadLog(stored *quorum.Stored) error {
+	payloads, err := j.read(logName, kindLog)
+	if errors.Is(err, fs.ErrNotExist) {
+		return &MissingError{File: logName}
+	}
+
+	if err != nil {
+		return err
+	}
+
+	// The log is only ever put in place with its first frame in it.
+	if len(payloads) == 0 {
+		return &DamageError{File: logName, Offset: fileHeadSize, What: "first frame"}
+	}
+
+	for _, payload := range payloads {
+		if err := replay(stored, payload); err != nil {
+			return err
+		}
+	}
+
+	if len(stored.Entries) > 0 && stored.Entries[0].Index > stored.Snapshot.Index+1 {
+		return &DamageError{File: snapshotName, What: "gap between snapshot and log"}
+	}
+
+	stored.Entries = usable(stored.Entries, stored.Snapshot)
+
+	return nil
+}
+
+// replay adds one batch to what is known.
+func replay(stored *quorum.Stored, payload []byte) error {
+	var b wire.JournalBatch
+	if err := proto.Unmarshal(payload, &b); err != nil {
+		return &DamageError{File: logName, What: err.Error()}
+	}
+
+	stored.State = quorum.HardState{Term: b.GetTerm(), Vote: b.GetVote()}
+
+	entries, err := quorum.EntriesFromWire(b.GetEntries())
+	if err != nil {
+		return &DamageError{File: logName, What: err.Error()}
+	}
+
+	if len(entries) == 0 {
+		return nil
+	}
+
+	if len(stored.Entries) > 0 {
+		first := stored.Entries[0].Index
+		last := first + uint64(len(stored.Entries)) - 1
+
+		if entries[0].Index < first || entries[0].Index > last+1 {
+			return &DamageError{File: logName, What: "gap between entries"}
+		}
+
+		stored.Entries = stored.Entries[:entries[0].Index-first]
+	}
+
+	stored.Entries = append(stored.Entries, entries...)
+
+	return nil
+}
+
+// usable returns the entries that go with the snapshot. After a crash between
+// the two renames the snapshot is the newer one; a log that does not reach it,
+// or contradicts it, is what the snapshot replaced.
+func usable(entries []quorum.Entry, s quorum.Snapshot) []quorum.Entry {
+	if len(entries) == 0 || s.Index == 0 || entries[0].Index == s.Index+1 {
+		return entries
+	}
+
+	first := entries[0].Index
+	last := first + uint64(len(entries)) - 1
+
+	if s.Index > last || entries[s.Index-first].Term != s.Term {
+		return nil
+	}
+
+	return entries
+}
+
+// readOne reads a file that holds one frame.
+func (j *Journal) readOne(name string, k kind) ([]byte, error) {
+	payloads, err := j.read(name, k)
+	if err != nil {
+		return nil, err
+	}
+
+	if len(payloads) != 1 {
+		return nil, &DamageError{File: name, Offset: fileHeadSize, What: "frame"}
+	}
+
+	return payloads[0], nil
+}
+
+// read reads a file and checks that it belongs to this data folder.
+func (j *Journal) read(name string, k kind) ([][]byte, error) {
+	b, err := j.Files.Read(j.path(name))
+	if err != nil {
+		return nil, err //nolint:wrapcheck // callers look for fs.ErrNotExist
+	}
+
+	birth, err := readFileHead(name, k, b)
+	if err != nil {
+		return nil, err
+	}
+
+	if j.birth != 0 && birth != j.birth {
+		return nil, &DamageError{File: name, What: "it belongs to another data folder"}
+	}
+
+	return frames(name, fileHeadSize, b[fileHeadSize:])
+}
--- /dev/null
+++ b/internal/quorum/core.go
@@ -0,0 +1,342 @@
+// Package quorum is the consensus core of the replicated log: elections,
+// replication, snapshots, membership and reads. It has no goroutine, reads no
+// clock, file or socket: events and the time go in, a Batch of actions comes out.
+package quorum
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeat   = 250 * time.Millisecond
+	DefaultElection    = 1500 * time.Millisecond
+	DefaultChunkBytes  = 256 << 10
+	DefaultAppendBytes = 512 << 10
+	DefaultKeep        = 1024
+	MaxCommandBytes    = 4 << 20
+	maxAppendEntries   = 512
+	maxInFlight        = 2048
+	maxPending         = 8192
+	maxWaitingReads    = 8192
+)
+
+// Config is what a Core needs to know.
+type Config struct {
+	ID    string
+	Birth uint64
+	// Founders are the members of a group that has yet to be formed. A replica
+	// that joins a formed group has none.
+	Founders []Member
+	// Heartbeat is how often a leader is heard from; Election is after how long a
+	// silent leader is given up, at the earliest, and twice that at the latest.
+	Heartbeat time.Duration
+	Election  time.Duration
+	// ChunkBytes bounds one piece of a snapshot, AppendBytes the commands of one Append.
+	ChunkBytes  int
+	AppendBytes int
+	// Keep is how many entries stay in the log behind a snapshot, for followers
+	// that are only a little behind.
+	Keep uint64
+	// Rand returns a random number in [0, n).
+	Rand func(n int64) int64
+}
+
+// state is what the core is doing.
+type state uint8
+
+const (
+	follower state = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// String returns the name of s, as dumps show it.
+func (s state) String() string {
+	return [...]string{"Follower", "PreCandidate", "Candidate", "Leader"}[s]
+}
+
+// Core is one replica's part in the agreement.
+type Core struct {
+	cfg Config
+	now time.Time
+
+	hard    HardState
+	log     entryLog
+	members []membersAt // oldest first; the last one rules, committed or not
+	snap    Snapshot
+	commit  uint64
+	stable  uint64 // entries up to here are synced
+
+	state       state
+	leader      string
+	leaderUntil time.Time // before this, a leader was heard from too lately to vote for another
+	electAt     time.Time
+	votes       map[string]bool
+
+	forming  *forming
+	lead     *leadership
+	incoming *incoming
+	asking   asking
+
+	hardDirty bool
+	snapDirty bool
+	fault     error
+	out       Batch
+}
+
+// New returns a core that continues from stored.
+func New(cfg Config, stored Stored, now time.Time) (*Core, error) {
+	setDefaults(&cfg)
+
+	if cfg.ID == "" || cfg.Birth == 0 || cfg.Rand == nil {
+		return nil, errors.New("quorum: ID, Birth and Rand must be set")
+	}
+
+	c := &Core{cfg: cfg, now: now, hard: stored.State, snap: stored.Snapshot}
+	if err := c.load(stored); err != nil {
+		return nil, err
+	}
+
+	c.asking.last = uint64(cfg.Rand(1 << 62))
+	c.resetElection()
+
+	switch {
+	case c.ruling().isVoter(cfg.ID, cfg.Birth) && c.ruling().Voters() == 1:
+		c.electAt = now
+	case len(c.ruling()) == 0 && len(cfg.Founders) > 0:
+		c.startForming()
+	}
+
+	return c, nil
+}
+
+func setDefaults(cfg *Config) {
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = DefaultHeartbeat
+	}
+
+	if cfg.Election == 0 {
+		cfg.Election = DefaultElection
+	}
+
+	if cfg.ChunkBytes == 0 {
+		cfg.ChunkBytes = DefaultChunkBytes
+	}
+
+	if cfg.AppendBytes == 0 {
+		cfg.AppendBytes = DefaultAppendBytes
+	}
+
+	if cfg.Keep == 0 {
+		cfg.Keep = DefaultKeep
+	}
+}
+
+func (c *Core) load(stored Stored) error {
+	c.members = []membersAt{{Index: c.snap.MembersIndex, Members: c.snap.Members}}
+	c.commit = c.snap.Index
+	c.log.reset(c.snap.Index, c.snap.Term)
+
+	entries := stored.Entries
+	if len(entries) > 0 && entries[0].Index <= c.snap.Index {
+		c.log.reset(entries[0].Index, entries[0].Term)
+		entries = entries[1:]
+	}
+
+	for _, e := range entries {
+		if e.Index != c.log.last()+1 {
+			return &GapError{After: c.log.last(), Index: e.Index}
+		}
+
+		c.log.add(e)
+
+		if e.Kind == EntryMembers && e.Index > c.snap.Index {
+			c.members = append(c.members, membersAt{Index: e.Index, Members: e.Members})
+		}
+	}
+
+	if c.log.last() < c.snap.Index {
+		return &GapError{After: c.log.last(), Index: c.snap.Index}
+	}
+
+	c.stable = c.log.last()
+
+	if c.snap.Index > 0 {
+		c.out.Restore = &c.snap
+	}
+
+	return nil
+}
+
+// Step takes in one event. What it leads to is fetched with Take.
+func (c *Core) Step(now time.Time, ev Event) {
+	if now.After(c.now) {
+		c.now = now
+	}
+
+	if c.fault != nil {
+		c.refuse(ev)
+
+		return
+	}
+
+	switch ev := ev.(type) {
+	case Tick:
+		c.tick()
+	case Received:
+		c.receive(ev.Message)
+	case Proposed:
+		c.propose(ev)
+	case Changed:
+		c.change(ev)
+	case TransferAsked:
+		c.transfer(ev)
+	case ReadAsked:
+		c.readAsked(ev)
+	case Compacted:
+		c.compacted(ev)
+	}
+}
+
+// refuse answers the events of callers once this replica has stopped taking part.
+func (c *Core) refuse(ev Event) {
+	switch ev := ev.(type) {
+	case Proposed:
+		c.notRun(ev.ID, ReasonFaulty)
+	case Changed:
+		c.notRun(ev.ID, ReasonFaulty)
+	case TransferAsked:
+		c.notRun(ev.ID, ReasonFaulty)
+	case ReadAsked:
+		c.out.Reads = append(c.out.Reads, ReadDone{ID: ev.ID, Failed: true})
+	}
+}
+
+// Take returns what the events since the last Take led to.
+func (c *Core) Take() Batch {
+	c.flush()
+	c.flushReads()
+	c.startRound()
+	c.releaseReads()
+
+	b := c.out
+	c.out = Batch{}
+
+	if c.hardDirty || c.snapDirty {
+		hard := c.hard
+		b.Persist.State = &hard
+	}
+
+	if c.snapDirty {
+		snap := c.snap
+		b.Persist.Snapshot = &snap
+		c.stable = c.log.base
+	}
+
+	if c.stable < c.log.last() {
+		b.Persist.Entries = c.log.from(c.stable+1, int(c.log.last()), 1<<62)
+	}
+
+	return b
+}
+
+// Synced says that Persist of the last batch is synced. It may lead to a next batch.
+func (c *Core) Synced() {
+	c.hardDirty = false
+	c.snapDirty = false
+	c.stable = c.log.last()
+
+	switch {
+	case c.state == leader:
+		c.advanceCommit()
+	case c.state == candidate && c.wins():
+		c.becomeLeader()
+	}
+}
+
+// Err returns why this replica has stopped taking part, or nil.
+func (c *Core) Err() error {
+	return c.fault
+}
+
+// Deadline returns when a Tick is due.
+func (c *Core) Deadline() time.Time {
+	at := c.electAt
+
+	switch {
+	case c.forming != nil:
+		at = c.forming.helloAt
+	case c.state == leader:
+		at = c.lead.heartbeatAt
+	}
+
+	if !c.asking.againAt.IsZero() && c.asking.againAt.Before(at) {
+		return c.asking.againAt
+	}
+
+	return at
+}
+
+func (c *Core) tick() {
+	c.tickReads()
+
+	switch {
+	case c.forming != nil:
+		c.tickForming()
+	case c.state == leader:
+		c.tickLeader()
+	case !c.now.Before(c.electAt):
+		c.resetElection()
+
+		if c.ruling().isVoter(c.cfg.ID, c.cfg.Birth) {
+			c.campaign(true, false)
+		} else if !c.now.Before(c.leaderUntil) {
+			c.leader = ""
+		}
+	}
+}
+
+// ruling returns the members that rule now: the latest in the log, committed or not.
+func (c *Core) ruling() Members {
+	return c.members[len(c.members)-1].Members
+}
+
+// send addresses body to the member or stranger named to.
+func (c *Core) send(to string, birth, term uint64, body Body) Message {
+	return Message{From: c.cfg.ID, FromBirth: c.cfg.Birth, To: to, ToBirth: birth, Term: term, Body: body}
+}
+
+// reply answers m, after what it depends on is synced.
+func (c *Core) reply(m Message, term uint64, body Body) {
+	c.out.Send = append(c.out.Send, c.send(m.From, m.FromBirth, term, body))
+}
+
+func (c *Core) resetElection() {
+	c.electAt = c.now.Add(c.cfg.Election + time.Duration(c.cfg.Rand(int64(c.cfg.Election))))
+}
+
+// GapError says that stored entries do not follow each other.
+type GapError struct {
+	After uint64
+	Index uint64
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("stored log: entry %d follows entry %d", e.Index, e.After)
+}
+
+// ConflictError says that the leader's log contradicts a committed entry. It
+// cannot happen unless some replica forgot what it had synced.
+type ConflictError struct {
+	Index uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("entry %d contradicts a committed one", e.Index)
+}
--- /dev/null
+++ b/internal/quorum/status.go
@@ -0,0 +1,94 @@
+package quorum
+
+import "fmt"
+
+// MemberStatus is what a leader knows of a member. On a follower only Member is set.
+type MemberStatus struct {
+	Member Member
+	// Match is the last entry that it is known to have synced, Lag how many
+	// committed ones it lacks.
+	Match uint64
+	Lag   uint64
+	// Active says that it answered lately, UpToDate that it then lacked nothing.
+	Active   bool
+	UpToDate bool
+}
+
+// Status is a core's state for dumps.
+type Status struct {
+	ID       string
+	Birth    uint64
+	State    string
+	Term     uint64
+	Leader   string
+	Commit   uint64
+	Last     uint64
+	Snapshot uint64
+	Members  []MemberStatus
+	// SafeToStop says that any one more voter may be stopped; Reason says why not.
+	SafeToStop bool
+	Reason     string
+}
+
+// Status returns the state for dumps. Only a leader can say that a stop is safe.
+func (c *Core) Status() Status {
+	s := Status{
+		ID: c.cfg.ID, Birth: c.cfg.Birth, State: c.state.String(), Term: c.hard.Term, Leader: c.leader,
+		Commit: c.commit, Last: c.log.last(), Snapshot: c.snap.Index,
+	}
+
+	for _, m := range c.ruling() {
+		s.Members = append(s.Members, c.memberStatus(m))
+	}
+
+	s.Reason = c.unsafeReason()
+	s.SafeToStop = s.Reason == ""
+
+	return s
+}
+
+func (c *Core) memberStatus(m Member) MemberStatus {
+	s := MemberStatus{Member: m}
+
+	switch {
+	case m.ID == c.cfg.ID:
+		s.Match, s.Active, s.UpToDate = c.stable, true, true
+	case c.lead != nil:
+		p := c.lead.peers[m.ID]
+		s.Match, s.Active, s.UpToDate = p.match, c.now.Before(p.activeUntil), c.isUpToDate(p)
+	}
+
+	if s.Match < c.commit {
+		s.Lag = c.commit - s.Match
+	}
+
+	return s
+}
+
+// unsafeReason says why another voter must not be stopped now, or nothing.
+func (c *Core) unsafeReason() string {
+	switch {
+	case c.fault != nil:
+		return c.fault.Error()
+	case c.forming != nil && c.forming.lost:
+		return "this replica lost its disk: remove it and add it again"
+	case c.forming != nil:
+		return "waiting for all founders"
+	case c.state != leader:
+		return "only the leader can tell"
+	case c.commit < c.lead.first:
+		return "the term has committed nothing yet"
+	}
+
+	current := c.countVoters(c.isUpToDate)
+	if need := c.ruling().Quorum(); current-1 < need {
+		return fmt.Sprintf("%d of %d voters are up to date, and %d must remain", current, c.ruling().Voters(), need)
+	}
+
+	return ""
+}
+
+// Members returns the members that rule now. They must not be changed.
+func (c *Core) Members() Members {
+	return c.ruling()
+}
--- /dev/null
+++ b/internal/replica/handler.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Handler answers the other replicas. It is to be served under wire.PeerPathPrefix.
+func (r *Replica) Handler() http.Handler {
+	return wire.NewPeerServer(r)
+}
+
+// Deliver takes in messages of another replica. When this one is busy they are
+// dropped: the core sends again what matters.
+func (r *Replica) Deliver(_ context.Context, env *wire.PeerEnvelope) (*wire.PeerDelivered, error) {
+	if reason := r.refuses(env.GetCluster()); reason != quorum.ReasonNone {
+		return nil, twirp.NewError(twirp.FailedPrecondition, string(reason)) //nolint:wrapcheck // the server looks for its own type
+	}
+
+	select {
+	case r.inbox <- env:
+	default:
+	}
+
+	return &wire.PeerDelivered{}, nil
+}
+
+// Give takes in an order that a follower hands to the leader. It is never
+// handed on again.
+func (r *Replica) Give(ctx context.Context, o *wire.PeerOrder) (*wire.PeerOrderAnswer, error) {
+	if reason := r.refuses(o.GetCluster()); reason != quorum.ReasonNone {
+		return &wire.PeerOrderAnswer{NotRun: true, Reason: string(reason)}, nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.GetRemainingMillis())*time.Millisecond)
+	defer cancel()
+
+	out := r.give(ctx, o)
+
+	return &wire.PeerOrderAnswer{
+		Done: out.done, Index: out.index, Result: out.result,
+		NotRun: !out.done && out.verdict == verdict.NotRun, Reason: string(out.reason),
+	}, nil
+}
+
+// refuses returns why nothing from a peer is taken in.
+func (r *Replica) refuses(cluster string) quorum.Reason {
+	r.prepare()
+
+	if cluster != r.Cluster {
+		return reasonCluster
+	}
+
+	select {
+	case <-r.stopped:
+		return reasonStopped
+	default:
+		return quorum.ReasonNone
+	}
+}
+
+// sendAll hands messages to Send, those for one receiver together.
+func (r *Replica) sendAll(ms []quorum.Message) {
+	envs := map[string]*wire.PeerEnvelope{}
+
+	for _, m := range ms {
+		env := envs[m.To]
+		if env == nil {
+			env = &wire.PeerEnvelope{Cluster: r.Cluster, Address: r.addr()}
+			envs[m.To] = env
+		}
+
+		env.Messages = append(env.Messages, m.ToWire())
+	}
+
+	for id, env := range envs {
+		addr := r.learned[id]
+		if m, ok := r.member(id); ok {
+			addr = m.Addr
+		}
+
+		if addr.IsValid() {
+			r.Send(addr, env)
+		}
+	}
+}
+
+func (r *Replica) addr() string {
+	if r.Addr.IsValid() {
+		return r.Addr.String()
+	}
+
+	return ""
+}
