--- a/internal/quorum/codec.go
+++ b/internal/quorum/codec.go
@@ -119,7 +119,7 @@
 		}}
 	case AppendAnswer:
 		w.Body = &wire.QuorumMessage_AppendAnswer{AppendAnswer: &wire.QuorumAppendAnswer{
-			Rejected: b.Rejected, Index: b.Index, Round: b.Round,
+			Rejected: b.Rejected, Index: b.Index, PrevIndex: b.PrevIndex, Round: b.Round,
 		}}
 	case Chunk:
 		w.Body = &wire.QuorumMessage_Chunk{Chunk: &wire.QuorumChunk{
@@ -164,7 +164,9 @@
 		m.Body, err = appendFromWire(b.Append)
 	case *wire.QuorumMessage_AppendAnswer:
 		a := b.AppendAnswer
-		m.Body = AppendAnswer{Rejected: a.GetRejected(), Index: a.GetIndex(), Round: a.GetRound()}
+		m.Body = AppendAnswer{
+			Rejected: a.GetRejected(), Index: a.GetIndex(), PrevIndex: a.GetPrevIndex(), Round: a.GetRound(),
+		}
 	case *wire.QuorumMessage_Chunk:
 		m.Body, err = chunkFromWire(b.Chunk)
 	case *wire.QuorumMessage_ChunkAnswer:
--- a/internal/quorum/message.go
+++ b/internal/quorum/message.go
@@ -54,7 +54,9 @@
 	// Index is the last entry that matches the leader's, or with Rejected the
 	// entry after which the leader should try next.
 	Index uint64
-	Round uint64
+	// PrevIndex repeats that of a rejected Append.
+	PrevIndex uint64
+	Round     uint64
 }
 
 // Chunk is a piece of a snapshot. Without Data it asks how far the receiver is.
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -23,7 +23,7 @@
 	}
 
 	var entries []Entry
-	if !p.waiting && p.next-p.match <= maxInFlight && c.now.Before(p.activeUntil) {
+	if !p.waiting && (p.probing || p.next-p.match <= maxInFlight) && c.now.Before(p.activeUntil) {
 		entries = c.log.from(p.next, maxAppendEntries, c.cfg.AppendBytes)
 	}
 
@@ -33,8 +33,11 @@
 
 	prev := p.next - 1
 	prevTerm, _ := c.log.term(prev)
-	p.next += uint64(len(entries))
-	p.waiting = p.probing && len(entries) > 0
+	if p.probing {
+		p.waiting = len(entries) > 0
+	} else {
+		p.next += uint64(len(entries))
+	}
 
 	c.sendNow(p, Append{
 		PrevIndex: prev, PrevTerm: prevTerm, Commit: c.commit, Round: c.lead.present(), Entries: entries,
@@ -61,7 +64,9 @@
 	}
 
 	if t, ok := c.log.term(body.PrevIndex); !ok || t != body.PrevTerm {
-		c.reply(m, c.hard.Term, AppendAnswer{Rejected: true, Index: c.hint(body), Round: body.Round})
+		c.reply(m, c.hard.Term, AppendAnswer{
+			Rejected: true, Index: c.hint(body), PrevIndex: body.PrevIndex, Round: body.Round,
+		})
 
 		return
 	}
@@ -152,7 +157,7 @@
 
 	if body.Rejected {
 		c.answered(p, body.Round)
-		c.retry(p, body.Index)
+		c.retry(p, body)
 		c.confirmReads()
 
 		return
@@ -174,15 +179,16 @@
 	c.sendTimeoutNow()
 }
 
-// retry goes back to the entry after index. Of several answers to Appends under
-// way at once only the first one starts a retry.
-func (c *Core) retry(p *progress, index uint64) {
-	next := max(p.match, index) + 1
-	if p.probing && p.waiting || next > p.next {
+// retry goes back to the entry after which p says that the logs may agree.
+// Several Appends may have been under way, and answers may be late or doubled:
+// only the one that answers the latest probe leads to another one.
+func (c *Core) retry(p *progress, body AppendAnswer) {
+	if body.PrevIndex <= p.match || (p.probing && body.PrevIndex != p.next-1) {
 		return
 	}
 
-	p.next = next
+	p.next = min(max(p.match, body.Index)+1, p.next)
 	p.probing = true
+	p.waiting = false
 	c.sendAppend(p, false)
 }
--- /dev/null
+++ b/internal/quorum/schedule_test.go
@@ -0,0 +1,207 @@
+package quorum_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+)
+
+// TestMain fixes the seed. Other ones: go test -rapid.seed=N -rapid.checks=N.
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+
+	os.Exit(m.Run())
+}
+
+// schedule does one random thing after another to the world.
+type schedule struct {
+	*world
+	t *rapid.T
+	n int
+}
+
+func (s *schedule) pick() *host {
+	return s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(s.t, "host")]
+}
+
+func (s *schedule) command() string {
+	s.n++
+
+	return fmt.Sprint("c", s.n)
+}
+
+// act is one line of a fault schedule.
+func (s *schedule) act() {
+	switch rapid.IntRange(0, 17).Draw(s.t, "act") {
+	case 0, 1, 2:
+		s.run(time.Duration(rapid.IntRange(1, 4000).Draw(s.t, "ms")) * time.Millisecond)
+	case 3, 4:
+		if h := s.leader(); h != nil {
+			for range rapid.IntRange(1, 30).Draw(s.t, "burst") {
+				s.propose(h, s.command())
+			}
+		}
+	case 5:
+		s.propose(s.pick(), s.command())
+	case 6, 7:
+		s.read(s.pick())
+	case 8:
+		s.kill(s.pick())
+	case 9:
+		s.pick().crash = crashPoint(rapid.IntRange(1, 2).Draw(s.t, "point"))
+	case 10:
+		if h := s.pick(); h.core == nil {
+			s.restart(h)
+		}
+	case 11:
+		s.cut[[2]string{s.pick().id, s.pick().id}] = true
+	case 12:
+		s.isolate(s.pick().id, true)
+	case 13:
+		s.drop = rapid.Float64Range(0, 0.4).Draw(s.t, "drop")
+		s.dup = rapid.Float64Range(0, 0.4).Draw(s.t, "dup")
+		s.delay = time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "delay")) * time.Millisecond
+	case 14:
+		s.heal()
+		s.run(2 * time.Second)
+	case 15:
+		s.compact(s.pick())
+	case 16:
+		h := s.pick()
+		h.stalled = s.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(s.t, "stall")) * time.Millisecond)
+	case 17:
+		s.operate()
+	}
+}
+
+// operate is what operators do: replace a VM, or hand leadership over.
+func (s *schedule) operate() {
+	h := s.pick()
+
+	switch rapid.IntRange(0, 6).Draw(s.t, "operate") {
+	case 0:
+		if s.mayLose() {
+			s.wipe(h)
+			s.restart(h)
+		}
+	case 1:
+		s.change(quorum.Remove, h.id)
+	case 2:
+		s.change(quorum.AddLearner, h.id)
+	case 3:
+		s.change(quorum.Promote, h.id)
+	case 4:
+		if len(s.hosts) < 6 {
+			h = s.add(fmt.Sprint("vm", len(s.hosts)), nil)
+			s.grow(h)
+		}
+	case 5:
+		if l := s.leader(); l != nil {
+			id, _ := s.newOp(l, "members")
+			s.step(l, quorum.TransferAsked{ID: id, To: rapid.SampledFrom([]string{"", h.id}).Draw(s.t, "to")})
+		}
+	case 6:
+		s.change(quorum.Remove, h.id)
+		s.run(time.Second)
+		s.grow(h)
+	}
+}
+
+func (s *schedule) grow(h *host) {
+	s.change(quorum.AddLearner, h.id)
+	s.run(time.Duration(rapid.IntRange(1, 3000).Draw(s.t, "ms")) * time.Millisecond)
+	s.change(quorum.Promote, h.id)
+}
+
+// mayLose says that another VM may be lost for good: the leader says that it is
+// safe, and no voter is lost that is not yet replaced.
+func (s *schedule) mayLose() bool {
+	l := s.leader()
+	if l == nil || !l.core.Status().SafeToStop {
+		return false
+	}
+
+	for _, m := range l.core.Members() {
+		if m.Role == quorum.Voter && m.Birth != s.host(m.ID).birth {
+			return false
+		}
+	}
+
+	return true
+}
+
+// finish heals everything and checks that the group goes on as one.
+func (s *schedule) finish() {
+	s.heal()
+	s.run(20 * time.Second)
+
+	l := s.leader()
+	if l == nil {
+		s.fail("no leader after healing")
+
+		return
+	}
+
+	last := s.propose(l, "last")
+	s.run(5 * time.Second)
+
+	if last.ret == 0 {
+		s.fail("no commit after healing")
+
+		return
+	}
+
+	for _, m := range l.core.Members() {
+		h := s.host(m.ID)
+		if m.Birth != 0 && m.Birth != h.birth {
+			continue // its disk is lost and nobody has replaced it yet
+		}
+
+		s.read(h)
+		s.run(2 * time.Second)
+
+		if fmt.Sprint(h.state) != fmt.Sprint(l.state) {
+			s.fail("%s ends with other state than %s: %+v, %+v", h.id, l.id, h.core.Status(), l.core.Status())
+		}
+	}
+
+	for id, o := range s.ops {
+		if index := s.seen[o.command]; o.notRun && index != 0 && o.command != "members" {
+			s.fail("operation %d was refused as not run and ran at %d", id, index)
+		}
+	}
+}
+
+// Whatever happens to messages, processes and disks, in whatever order: one
+// leader a term, one log, one state, nothing acknowledged is lost, nothing
+// refused runs, no read is stale, and clients see one copy.
+func TestFaultSchedules(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		s := &schedule{t: t, world: newWorld(rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "founders"))}
+		s.run(5 * time.Second)
+
+		for range rapid.IntRange(10, 60).Draw(t, "acts") {
+			s.act()
+		}
+
+		if len(s.broken) == 0 {
+			s.finish()
+		}
+
+		require.Empty(t, s.broken)
+		require.NotEqual(t, porcupine.Illegal, s.history())
+	})
+}
