Let a lagging member follow a leader whose VM was replaced under its old name

Change: births are compared only where an answer counts; a vote names the birth too; a stopped leader counts as none.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -147,7 +147,7 @@
 	j.seq++
 
 	payload, err := proto.Marshal(&wire.JournalBatch{
-		Term: j.hard.Term, Vote: j.hard.Vote, Entries: quorum.EntriesToWire(entries),
+		Term: j.hard.Term, Vote: j.hard.Vote, VoteBirth: j.hard.VoteBirth, Entries: quorum.EntriesToWire(entries),
 	})
 	if err != nil {
 		return nil, &WriteError{What: "encode batch", Err: err}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -30,10 +30,10 @@
 	return []quorum.Persist{
 		{State: &quorum.HardState{Term: 1, Vote: "vm0"}, Snapshot: &quorum.Snapshot{Members: quorum.Members{{ID: "vm0", Birth: 7}}}},
 		{Entries: []quorum.Entry{entry(1, 1, "a"), entry(2, 1, "b"), entry(3, 1, "c")}},
-		{State: &quorum.HardState{Term: 3, Vote: "vm1"}},
+		{State: &quorum.HardState{Term: 3, Vote: "vm1", VoteBirth: 5}},
 		{Entries: []quorum.Entry{entry(3, 3, "d"), entry(4, 3, "e")}},
 		{
-			State: &quorum.HardState{Term: 3, Vote: "vm1"}, Snapshot: &quorum.Snapshot{Index: 3, Term: 3, Data: []byte("abd")},
+			State: &quorum.HardState{Term: 3, Vote: "vm1", VoteBirth: 5}, Snapshot: &quorum.Snapshot{Index: 3, Term: 3, Data: []byte("abd")},
 			Entries: []quorum.Entry{entry(3, 3, "d"), entry(4, 3, "e")},
 		},
 		{Entries: []quorum.Entry{entry(5, 3, "f")}},
--- a/internal/journal/load.go
+++ b/internal/journal/load.go
@@ -137,7 +137,7 @@
 		return &DamageError{File: logName, What: err.Error()}
 	}
 
-	stored.State = quorum.HardState{Term: b.GetTerm(), Vote: b.GetVote()}
+	stored.State = quorum.HardState{Term: b.GetTerm(), Vote: b.GetVote(), VoteBirth: b.GetVoteBirth()}
 
 	entries, err := quorum.EntriesFromWire(b.GetEntries())
 	if err != nil {
--- a/internal/quorum/batch.go
+++ b/internal/quorum/batch.go
@@ -5,7 +5,9 @@
 // HardState is what a replica must never forget: its term, and whom it voted for in it.
 type HardState struct {
 	Term uint64
-	Vote string
+	// Vote and VoteBirth name the candidate; Vote is empty if there is none.
+	Vote      string
+	VoteBirth uint64
 }
 
 // EntryKind tells commands from changes of the members.
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -5,7 +5,7 @@
 // higher term and unseat a leader that serves everybody else.
 func (c *Core) campaign(pre, transfer bool) {
 	if !pre {
-		c.hard = HardState{Term: c.hard.Term + 1, Vote: c.cfg.ID}
+		c.hard = HardState{Term: c.hard.Term + 1, Vote: c.cfg.ID, VoteBirth: c.cfg.Birth}
 		c.hardDirty = true
 	}
 
@@ -55,10 +55,11 @@
 		return
 	}
 
-	granted = granted && (c.hard.Vote == "" || c.hard.Vote == m.From)
+	vote := HardState{Term: c.hard.Term, Vote: m.From, VoteBirth: m.FromBirth}
+	granted = granted && (c.hard.Vote == "" || c.hard == vote)
 
 	if granted {
-		c.hard.Vote = m.From
+		c.hard = vote
 		c.hardDirty = true
 		c.resetElection()
 	}
--- a/internal/quorum/receive.go
+++ b/internal/quorum/receive.go
@@ -25,19 +25,21 @@
 // accepts guards against replicas that lost their disk and, with it, their
 // votes: they answer under the same ID with another birth. Counting such a
 // replica as the voter it was could elect a leader without committed entries.
+// Who asks or leads is not compared: a member that lags behind may know it by
+// the name only, and its own log made it a voter with the birth that it has.
 func (c *Core) accepts(m Message) bool {
 	if m.ToBirth != 0 && m.ToBirth != c.cfg.Birth {
 		return false
 	}
 
 	switch m.Body.(type) {
-	case Hello, HelloAnswer:
+	case VoteAnswer, AppendAnswer, ChunkAnswer:
+		known, ok := c.ruling().Find(m.From)
+
+		return ok && (known.Birth == 0 || known.Birth == m.FromBirth)
+	default:
 		return true
 	}
-
-	known, ok := c.ruling().Find(m.From)
-
-	return !ok || known.Birth == 0 || known.Birth == m.FromBirth
 }
 
 func isFromLeader(m Message) bool {
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -70,7 +70,8 @@
 	tick             int64
 	acked            uint64
 	committed        map[uint64]string
-	seen             map[string]uint64
+	seen             map[string]uint64 // index at which each command was applied
+	places           map[string]int    // and as the how manieth
 	leaders          map[uint64]string
 	broken           []string
 	messages, chunks int
@@ -79,7 +80,7 @@
 func newWorld(seed uint64, founders int) *world {
 	w := &world{
 		start: time.Unix(1e9, 0), rng: rand.New(rand.NewPCG(seed, 7)), cut: map[[2]string]bool{}, delay: time.Millisecond,
-		ops: map[uint64]*op{}, committed: map[uint64]string{}, seen: map[string]uint64{}, leaders: map[uint64]string{},
+		ops: map[uint64]*op{}, committed: map[uint64]string{}, seen: map[string]uint64{}, leaders: map[uint64]string{}, places: map[string]int{},
 	}
 	w.now = w.start
 
@@ -271,6 +272,7 @@
 
 		w.seen[command] = c.Entry.Index
 		h.state = append(h.state, command)
+		w.places[command] = len(h.state)
 	}
 
 	if o := w.ops[c.ProposalID]; o != nil {
@@ -465,14 +467,14 @@
 }
 
 // history checks that what clients saw is what one copy would have shown them.
-// Commands without an answer count if they were ever applied.
+// A command without an answer counts if it was ever applied, at its place then.
 func (w *world) history() porcupine.CheckResult {
 	var ops []porcupine.Operation
 
 	for _, o := range w.ops {
 		ret := o.ret
-		if ret == 0 && w.seen[o.command] != 0 {
-			ret = w.tick + 1
+		if place := w.places[o.command]; ret == 0 && place != 0 {
+			ret, o.place = w.tick+1, place
 		}
 
 		if ret != 0 && o.command != "members" {
@@ -499,7 +501,7 @@
 				return o.place == l.n && o.value == l.last, l
 			}
 
-			return o.ret == 0 || o.place == l.n+1, list{n: l.n + 1, last: o.command}
+			return o.place == l.n+1, list{n: l.n + 1, last: o.command}
 		},
 	}
 }
--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -242,6 +242,11 @@
 		out.verdict = verdict.NotRun
 	}
 
+	// The leader has stopped since this replica last heard of it. Another one follows.
+	if out.reason == reasonStopped {
+		out.reason = quorum.ReasonNotLeader
+	}
+
 	return out
 }
 
