Stop a lone founder that lost its disk from founding a second group

Cause: a founder of a group of one that had grown formed a new group after its disk was lost, and passed its empty state off as the group's (found by the schedules at rapid of the former test). A follower with a committed entry that contradicts the leader's was probed for ever. Change: a lone founder listens for two heartbeats first, and stops when it is addressed by another birth; a contradiction stops the replica. Directed tests for guards that random schedules missed when they were taken out.

--- a/internal/quorum/cases_test.go
+++ b/internal/quorum/cases_test.go
@@ -146,8 +146,7 @@
 	case "compact":
 		w.compact(h)
 	case "transfer":
-		id, o := w.newOp(h, "members")
-		w.step(h, quorum.TransferAsked{ID: id})
+		o := w.transfer(h)
 		w.run(time.Second)
 
 		return fmt.Sprintf("transfer: %v", o.answer)
--- /dev/null
+++ b/internal/quorum/core_test.go
@@ -0,0 +1,188 @@
+package quorum_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// solo is one core whose peers are played by the test.
+type solo struct {
+	*quorum.Core
+	now time.Time
+}
+
+func (s *solo) step(ev quorum.Event) {
+	s.Step(s.now, ev)
+
+	for b := s.Take(); !b.Empty(); b = s.Take() {
+		s.Synced()
+	}
+}
+
+func (s *solo) from(id string, term uint64, body quorum.Body) {
+	s.step(quorum.Received{Message: quorum.Message{From: id, FromBirth: 2, To: "a", ToBirth: 1, Term: term, Body: body}})
+}
+
+func least(int64) int64 { return 0 }
+
+// newSolo returns a core named a, with two more voters, that continues from stored.
+func newSolo(t *testing.T, stored quorum.Stored, random func(int64) int64) *solo {
+	for _, id := range []string{"b", "c"} {
+		stored.Snapshot.Members = stored.Snapshot.Members.With(quorum.Member{ID: id, Birth: 2})
+	}
+
+	stored.Snapshot.Members = stored.Snapshot.Members.With(quorum.Member{ID: "a", Birth: 1})
+	now := time.Unix(1e9, 0)
+	c, err := quorum.New(quorum.Config{ID: "a", Birth: 1, Rand: random}, stored, now)
+	require.NoError(t, err)
+
+	return &solo{Core: c, now: now}
+}
+
+// A leader sends an entry of a former term to a majority and dies. A replica
+// with an entry of a term between may be elected next and replace it, so that
+// a caller's answer would have been a lie.
+func TestEarlierTermsCommitThroughThisOne(t *testing.T) {
+	t.Parallel()
+
+	s := newSolo(t, quorum.Stored{
+		State:   quorum.HardState{Term: 3},
+		Entries: []quorum.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 2}},
+	}, least)
+	s.now = s.Deadline()
+	s.step(quorum.Tick{})
+	s.from("b", 4, quorum.VoteAnswer{Pre: true, Granted: true})
+	s.from("b", 4, quorum.VoteAnswer{Granted: true})
+	require.Equal(t, "Leader", s.Status().State)
+
+	s.from("b", 4, quorum.AppendAnswer{Index: 2})
+	require.Zero(t, s.Status().Commit)
+	s.from("c", 4, quorum.AppendAnswer{Index: 2})
+	require.Zero(t, s.Status().Commit)
+	s.from("c", 4, quorum.AppendAnswer{Index: 3})
+	require.Equal(t, uint64(3), s.Status().Commit)
+}
+
+// Two leaders, or one in a hurry, could each change the members by one. Two
+// majorities of sets that differ by two need not share a voter.
+func TestMembersChangeOneAtATime(t *testing.T) {
+	t.Parallel()
+
+	s := newSolo(t, quorum.Stored{State: quorum.HardState{Term: 1}}, least)
+	s.now = s.Deadline()
+	s.step(quorum.Tick{})
+	s.from("b", 2, quorum.VoteAnswer{Pre: true, Granted: true})
+	s.from("b", 2, quorum.VoteAnswer{Granted: true})
+
+	add := func(id string) []quorum.Answer {
+		s.Step(s.now, quorum.Changed{ID: 1, Kind: quorum.AddLearner, Member: quorum.Member{ID: id, Addr: address()}})
+		b := s.Take()
+		s.Synced()
+
+		return b.Answers
+	}
+	busy := []quorum.Answer{{ID: 1, Verdict: verdict.NotRun, Reason: quorum.ReasonBusy}}
+
+	require.Equal(t, busy, add("d"), "before the term has committed")
+	s.from("b", 2, quorum.AppendAnswer{Index: 1})
+	require.Empty(t, add("d"))
+	require.Equal(t, busy, add("e"), "before the first change is committed")
+	s.from("b", 2, quorum.AppendAnswer{Index: 2})
+	require.Empty(t, add("e"))
+}
+
+// A leader contradicts what this replica knows as committed: some replica has
+// forgotten what it acknowledged. Going on could only spread the damage.
+func TestContradictionStopsTheReplica(t *testing.T) {
+	t.Parallel()
+
+	s := newSolo(t, quorum.Stored{State: quorum.HardState{Term: 1}}, least)
+	first := quorum.Append{Commit: 2, Entries: []quorum.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}}}
+	s.from("b", 1, first)
+	require.Equal(t, uint64(2), s.Status().Commit)
+
+	s.from("c", 5, quorum.Append{PrevIndex: 2, PrevTerm: 5, Entries: []quorum.Entry{{Index: 3, Term: 5}}})
+	require.Equal(t, uint64(2), s.Status().Last)
+
+	var conflict *quorum.ConflictError
+
+	require.ErrorAs(t, s.Err(), &conflict)
+
+	s.Step(s.now, quorum.Proposed{ID: 1})
+	require.Equal(t, []quorum.Answer{{ID: 1, Verdict: verdict.NotRun, Reason: quorum.ReasonFaulty}}, s.Take().Answers)
+}
+
+// A replica asks for a read, dies and starts again, and the answer to its former
+// self arrives late. It was confirmed before the new read was asked.
+func TestAnswerToAFormerRunIsIgnored(t *testing.T) {
+	t.Parallel()
+
+	asks := map[uint64]bool{}
+
+	for run := range int64(2) {
+		s := newSolo(t, quorum.Stored{State: quorum.HardState{Term: 1}}, func(n int64) int64 { return n/2 + run })
+		s.from("b", 1, quorum.Append{})
+		s.Step(s.now, quorum.ReadAsked{ID: 1})
+
+		for _, m := range s.Take().SendNow {
+			ask := m.Body.(quorum.Read).Ask
+			require.False(t, asks[ask])
+			require.Greater(t, ask, uint64(1)<<32)
+
+			asks[ask] = true
+		}
+	}
+
+	require.Len(t, asks, 2)
+}
+
+// The log on disk lacks an entry in the middle.
+func TestGapIsRefused(t *testing.T) {
+	t.Parallel()
+
+	var gap *quorum.GapError
+
+	_, err := quorum.New(quorum.Config{ID: "a", Birth: 1, Rand: least}, quorum.Stored{
+		Entries: []quorum.Entry{{Index: 1, Term: 1}, {Index: 3, Term: 1}},
+	}, time.Unix(1e9, 0))
+	require.ErrorAs(t, err, &gap)
+}
+
+// A newcomer's first group: one founder decides at once.
+func ExampleCore() {
+	now := time.Unix(1e9, 0)
+	c, err := quorum.New(quorum.Config{
+		ID: "vm0", Birth: 1, Rand: func(int64) int64 { return 0 }, Founders: []quorum.Member{{ID: "vm0"}},
+	}, quorum.Stored{}, now)
+	if err != nil {
+		fmt.Println(err)
+
+		return
+	}
+
+	// It first listens whether a group of this name is there already.
+	now = c.Deadline()
+	c.Step(now, quorum.Tick{})
+	c.Step(now, quorum.Tick{})
+
+	for b := c.Take(); !b.Empty(); b = c.Take() {
+		c.Synced() // after b.Persist was written and synced
+	}
+
+	c.Step(now, quorum.Proposed{ID: 1, Command: []byte("take zone muscat-a out")})
+
+	for b := c.Take(); !b.Empty(); b = c.Take() {
+		c.Synced()
+
+		for _, done := range b.Apply {
+			fmt.Println(done.Entry.Index, string(done.Entry.Command))
+		}
+	}
+	// Output: 2 take zone muscat-a out
+}
--- a/internal/quorum/forming.go
+++ b/internal/quorum/forming.go
@@ -1,6 +1,12 @@
 package quorum
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
+
+// listenHeartbeats is for how many heartbeats a lone founder listens at first.
+const listenHeartbeats = 2
 
 // forming is the state of a founder whose data folder is empty. It cannot tell a
 // group that was never formed from one that it belonged to before it lost its
@@ -13,7 +19,13 @@
 
 func (c *Core) startForming() {
 	c.forming = &forming{helloAt: c.now, births: map[string]uint64{c.cfg.ID: c.cfg.Birth}}
-	c.form()
+
+	// A lone founder has nobody to ask. If its group has grown since, and its disk
+	// was lost, the others still send to the replica that it was: it listens for
+	// that before it forms a second group under the same name.
+	if len(c.cfg.Founders) == 1 {
+		c.forming.helloAt = c.now.Add(listenHeartbeats * c.cfg.Heartbeat)
+	}
 }
 
 func (c *Core) tickForming() {
@@ -28,6 +40,32 @@
 			c.out.Send = append(c.out.Send, c.send(m.ID, 0, 0, Hello{}))
 		}
 	}
+
+	c.form()
+}
+
+// misaddressed takes note of a message to a replica of this name with another
+// data folder: there was one, and its disk is lost. A replica that has formed a
+// group of its own meanwhile must stop before it passes that off as the group.
+func (c *Core) misaddressed() {
+	switch {
+	case c.forming != nil:
+		c.forming.lost = true
+	case len(c.ruling()) == 1 && c.ruling().isVoter(c.cfg.ID, c.cfg.Birth):
+		c.fault = &LostDiskError{ID: c.cfg.ID}
+	}
+}
+
+// LostDiskError says that this replica formed a group of its own although it
+// belonged to one before its disk was lost. Its data folder is to be cleared,
+// and the replica to be removed from the group and added again.
+type LostDiskError struct {
+	ID string
+}
+
+// Error implements error.
+func (e *LostDiskError) Error() string {
+	return fmt.Sprintf("replica %s lost its disk: clear its data folder, remove it from its group and add it again", e.ID)
 }
 
 func (c *Core) hello(m Message) {
--- a/internal/quorum/receive.go
+++ b/internal/quorum/receive.go
@@ -29,6 +29,8 @@
 // the name only, and its own log made it a voter with the birth that it has.
 func (c *Core) accepts(m Message) bool {
 	if m.ToBirth != 0 && m.ToBirth != c.cfg.Birth {
+		c.misaddressed()
+
 		return false
 	}
 
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -48,7 +48,9 @@
 	c.out.SendNow = append(c.out.SendNow, c.send(p.member.ID, p.member.Birth, c.hard.Term, body))
 }
 
-// append takes in entries of the leader.
+// append takes in entries of the leader. It stops this replica where the leader
+// contradicts a committed entry: then some replica has forgotten what it had
+// acknowledged, and going on could only spread the damage.
 func (c *Core) append(m Message, body Append) {
 	for i, e := range body.Entries {
 		if e.Index != body.PrevIndex+1+uint64(i) {
@@ -64,6 +66,12 @@
 	}
 
 	if t, ok := c.log.term(body.PrevIndex); !ok || t != body.PrevTerm {
+		if body.PrevIndex == c.commit {
+			c.fault = &ConflictError{Index: c.commit}
+
+			return
+		}
+
 		c.reply(m, c.hard.Term, AppendAnswer{
 			Rejected: true, Index: c.hint(body), PrevIndex: body.PrevIndex, Round: body.Round,
 		})
@@ -77,8 +85,8 @@
 			continue
 		}
 
-		if ok && !c.truncate(e.Index) {
-			return
+		if ok {
+			c.truncate(e.Index)
 		}
 
 		c.adopt(body.Entries[i:])
@@ -110,24 +118,14 @@
 	}
 }
 
-// truncate drops the entries from index on, with the members that they set. It
-// refuses to drop a committed one: then some replica has forgotten what it had
-// acknowledged, and going on could only spread the damage.
-func (c *Core) truncate(index uint64) bool {
-	if index <= c.commit {
-		c.fault = &ConflictError{Index: index}
-
-		return false
-	}
-
+// truncate drops the entries from index on, with the members that they set.
+func (c *Core) truncate(index uint64) {
 	c.log.truncate(index)
 	c.stable = min(c.stable, index-1)
 
 	for len(c.members) > 1 && c.members[len(c.members)-1].Index >= index {
 		c.members = c.members[:len(c.members)-1]
 	}
-
-	return true
 }
 
 // hint returns where the logs may still agree: the last entry before PrevIndex
--- a/internal/quorum/schedule_test.go
+++ b/internal/quorum/schedule_test.go
@@ -94,6 +94,10 @@
 	switch rapid.IntRange(0, 6).Draw(s.t, "operate") {
 	case 0:
 		if s.mayLose() {
+			if len(h.found) == 1 {
+				h.found = nil // as the operators' page asks for once a group of one has grown
+			}
+
 			s.wipe(h)
 			s.restart(h)
 		}
@@ -191,8 +195,13 @@
 	founders := rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "founders")
 	s := &schedule{t: t, world: newWorld(rapid.Uint64().Draw(t, "seed"), founders)}
 
+	// With small messages an older entry can reach others before the leader's own.
+	s.appendBytes = rapid.SampledFrom([]int{0, 1}).Draw(t, "appendBytes")
+
 	for _, h := range s.hosts {
 		tune(h)
+		s.kill(h)
+		s.restart(h)
 	}
 
 	s.run(5 * time.Second)
@@ -274,5 +283,35 @@
 	require.NotEmpty(t, w.broken)
 }
 
+// A caller has its answer, and the leader dies before the others hear that the
+// entry is committed. The next leader holds it without knowing so. A read that
+// it answers before its own term has committed something would miss it.
+func TestReadWaitsForTheTerm(t *testing.T) {
+	t.Parallel()
+
+	for seed := range uint64(maxSeeds / 4) {
+		w := newWorld(seed, 3)
+		w.run(5 * time.Second)
+
+		old := w.leader()
+		for answered := w.propose(old, "answered"); answered.ret == 0; {
+			w.run(100 * time.Microsecond)
+		}
+
+		w.kill(old)
+
+		w.net = nil
+		for w.leader() == nil {
+			w.run(100 * time.Microsecond)
+		}
+
+		w.delay = 800 * time.Millisecond
+		read := w.read(w.leader())
+		w.run(20 * time.Second)
+		require.Empty(t, w.broken)
+		require.Equal(t, "answered", read.value)
+	}
+}
+
 // maxSeeds is how many schedules may be needed to catch a broken promise.
 const maxSeeds = 60
--- a/internal/replica/handler.go
+++ b/internal/replica/handler.go
@@ -14,7 +14,7 @@
 
 // Handler answers the other replicas. It is to be served under wire.PeerPathPrefix.
 func (r *Replica) Handler() http.Handler {
-	return wire.NewPeerServer(r)
+	return http.MaxBytesHandler(wire.NewPeerServer(r), maxBody)
 }
 
 // Deliver takes in messages of another replica. When this one is busy they are
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,9 +23,9 @@
 // Defaults and limits of a Replica.
 const (
 	DefaultSnapshotEvery = 4096
+	DefaultMaxBatch      = 512
 	DefaultTimeout       = 10 * time.Second
 	maxQueued            = 1024
-	maxBatch             = 512
 )
 
 // Replica is one control VM's copy of the state. Its exported fields are set
@@ -61,6 +61,9 @@
 	SnapshotEvery uint64
 	// Keep is how many entries stay in the log behind a snapshot.
 	Keep uint64
+	// MaxBatch is how many requests and messages may share one sync, and
+	// DefaultMaxBatch if 0. More would keep ticks waiting.
+	MaxBatch int
 	// Files are the disk; the zero value stands for the operating system's.
 	Files journal.Files
 	// Rand returns a random number in [0, n). Tests set it.
@@ -109,6 +112,10 @@
 			r.SnapshotEvery = DefaultSnapshotEvery
 		}
 
+		if r.MaxBatch == 0 {
+			r.MaxBatch = DefaultMaxBatch
+		}
+
 		if r.Heartbeat == 0 {
 			r.Heartbeat = quorum.DefaultHeartbeat
 		}
@@ -203,7 +210,7 @@
 
 // drain takes in what else is waiting, up to a limit that keeps ticks on time.
 func (r *Replica) drain() {
-	for range maxBatch {
+	for range r.MaxBatch - 1 {
 		select {
 		case req := <-r.requests:
 			r.request(req)
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -21,7 +22,10 @@
 	// queuePerPeer bounds the envelopes that wait for one peer; more are dropped.
 	queuePerPeer = 64
 	idleTimeout  = 2 * time.Second
-	idlePerPeer  = 16
+	// maxMerged bounds what is sent in one call, maxBody what is read from one.
+	maxMerged   = 2 << 20
+	maxBody     = 16 << 20
+	idlePerPeer = 16
 )
 
 // transport sends by HTTP, to each peer over a connection of its own, one call
@@ -106,7 +110,7 @@
 
 // merge adds to env what else is waiting for the same peer.
 func merge(env *wire.PeerEnvelope, queue chan *wire.PeerEnvelope) {
-	for range queuePerPeer {
+	for proto.Size(env) < maxMerged {
 		select {
 		case more, ok := <-queue:
 			if !ok {
