--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -5,45 +5,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"time"
 )
 
-// Defaults of Config.
-const (
-	DefaultHeartbeat   = 250 * time.Millisecond
-	DefaultElection    = 1500 * time.Millisecond
-	DefaultChunkBytes  = 256 << 10
-	DefaultAppendBytes = 512 << 10
-	DefaultKeep        = 1024
-	MaxCommandBytes    = 4 << 20
-	maxAppendEntries   = 512
-	maxInFlight        = 2048
-	maxPending         = 8192
-	maxWaitingReads    = 8192
-)
-
-// Config is what a Core needs to know.
-type Config struct {
-	ID    string
-	Birth uint64
-	// Founders are the members of a group that has yet to be formed. A replica
-	// that joins a formed group has none.
-	Founders []Member
-	// Heartbeat is how often a leader is heard from; Election is after how long a
-	// silent leader is given up, at the earliest, and twice that at the latest.
-	Heartbeat time.Duration
-	Election  time.Duration
-	// ChunkBytes bounds one piece of a snapshot, AppendBytes the commands of one Append.
-	ChunkBytes  int
-	AppendBytes int
-	// Keep is how many entries stay in the log behind a snapshot, for followers
-	// that are only a little behind.
-	Keep uint64
-	// Rand returns a random number in [0, n).
-	Rand func(n int64) int64
-}
-
 // state is what the core is doing.
 type state uint8
 
@@ -114,28 +78,6 @@
 	return c, nil
 }
 
-func setDefaults(cfg *Config) {
-	if cfg.Heartbeat == 0 {
-		cfg.Heartbeat = DefaultHeartbeat
-	}
-
-	if cfg.Election == 0 {
-		cfg.Election = DefaultElection
-	}
-
-	if cfg.ChunkBytes == 0 {
-		cfg.ChunkBytes = DefaultChunkBytes
-	}
-
-	if cfg.AppendBytes == 0 {
-		cfg.AppendBytes = DefaultAppendBytes
-	}
-
-	if cfg.Keep == 0 {
-		cfg.Keep = DefaultKeep
-	}
-}
-
 func (c *Core) load(stored Stored) error {
 	c.members = []membersAt{{Index: c.snap.MembersIndex, Members: c.snap.Members}}
 	c.commit = c.snap.Index
@@ -318,25 +260,3 @@
 func (c *Core) resetElection() {
 	c.electAt = c.now.Add(c.cfg.Election + time.Duration(c.cfg.Rand(int64(c.cfg.Election))))
 }
-
-// GapError says that stored entries do not follow each other.
-type GapError struct {
-	After uint64
-	Index uint64
-}
-
-// Error implements error.
-func (e *GapError) Error() string {
-	return fmt.Sprintf("stored log: entry %d follows entry %d", e.Index, e.After)
-}
-
-// ConflictError says that the leader's log contradicts a committed entry. It
-// cannot happen unless some replica forgot what it had synced.
-type ConflictError struct {
-	Index uint64
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("entry %d contradicts a committed one", e.Index)
-}
--- a/internal/quorum/forming.go
+++ b/internal/quorum/forming.go
@@ -1,7 +1,6 @@
 package quorum
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -56,18 +55,6 @@
 	}
 }
 
-// LostDiskError says that this replica formed a group of its own although it
-// belonged to one before its disk was lost. Its data folder is to be cleared,
-// and the replica to be removed from the group and added again.
-type LostDiskError struct {
-	ID string
-}
-
-// Error implements error.
-func (e *LostDiskError) Error() string {
-	return fmt.Sprintf("replica %s lost its disk: clear its data folder, remove it from its group and add it again", e.ID)
-}
-
 func (c *Core) hello(m Message) {
 	c.reply(m, 0, HelloAnswer{Members: c.ruling()})
 }
