--- a/internal/quorum/codec.go
+++ b/internal/quorum/codec.go
@@ -106,7 +106,9 @@
 	case Hello:
 		w.Body = &wire.QuorumMessage_Hello{Hello: &wire.QuorumHello{}}
 	case HelloAnswer:
-		w.Body = &wire.QuorumMessage_HelloAnswer{HelloAnswer: &wire.QuorumHelloAnswer{Members: MembersToWire(b.Members)}}
+		w.Body = &wire.QuorumMessage_HelloAnswer{HelloAnswer: &wire.QuorumHelloAnswer{
+			Members: MembersToWire(b.Members), MembersIndex: b.MembersIndex,
+		}}
 	case Vote:
 		w.Body = &wire.QuorumMessage_Vote{Vote: &wire.QuorumVote{
 			Pre: b.Pre, Transfer: b.Transfer, LastIndex: b.LastIndex, LastTerm: b.LastTerm,
@@ -154,7 +156,7 @@
 	case *wire.QuorumMessage_HelloAnswer:
 		var ms Members
 		ms, err = MembersFromWire(b.HelloAnswer.GetMembers())
-		m.Body = HelloAnswer{Members: ms}
+		m.Body = HelloAnswer{Members: ms, MembersIndex: b.HelloAnswer.GetMembersIndex()}
 	case *wire.QuorumMessage_Vote:
 		v := b.Vote
 		m.Body = Vote{Pre: v.GetPre(), Transfer: v.GetTransfer(), LastIndex: v.GetLastIndex(), LastTerm: v.GetLastTerm()}
--- a/internal/quorum/config.go
+++ b/internal/quorum/config.go
@@ -18,7 +18,7 @@
 	AppendBytes int
 	// Keep is how many entries stay in the log behind a snapshot, for followers
 	// that are only a little behind.
-	Keep uint64
+	Keep uint64 // and at most 8 MiB of commands
 	// Rand returns a random number in [0, n).
 	Rand func(n int64) int64
 }
@@ -52,6 +52,7 @@
 	DefaultChunkBytes  = 256 << 10
 	DefaultAppendBytes = 512 << 10
 	DefaultKeep        = 1024
+	keepBytes          = 8 << 20
 	MaxCommandBytes    = 4 << 20
 	maxAppendEntries   = 512
 	maxInFlight        = 2048
--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -142,6 +142,25 @@
 	require.Len(t, asks, 2)
 }
 
+// A VM is taken out while it is cut off. When it is back it would ask for votes
+// for ever without an answer, and operators would see a replica without leader.
+func TestRemovedReplicaIsTold(t *testing.T) {
+	t.Parallel()
+
+	w := newWorld(1, 3)
+	w.run(5 * time.Second)
+
+	away := w.hosts[2]
+	require.NotEqual(t, away, w.leader())
+	w.isolate(away.id, true)
+	w.change(quorum.Remove, away.id)
+	w.run(10 * time.Second)
+	w.isolate(away.id, false)
+	w.run(10 * time.Second)
+	require.NotZero(t, w.told)
+	require.Empty(t, w.broken)
+}
+
 // The log on disk lacks an entry in the middle.
 func TestGapIsRefused(t *testing.T) {
 	t.Parallel()
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -43,6 +43,10 @@
 	granted := m.ToBirth == c.cfg.Birth && c.isCurrent(body) && (body.Transfer || !c.hearsLeader())
 
 	if body.Pre {
+		if c.tellRemoved(m) {
+			return
+		}
+
 		granted = granted && m.Term > c.hard.Term
 		term := c.hard.Term
 
--- a/internal/quorum/errors.go
+++ b/internal/quorum/errors.go
@@ -35,3 +35,13 @@
 func (e *LostDiskError) Error() string {
 	return fmt.Sprintf("replica %s lost its disk: clear its data folder, remove it from its group and add it again", e.ID)
 }
+
+// RemovedError says that this replica was taken out of its group.
+type RemovedError struct {
+	ID string
+}
+
+// Error implements error.
+func (e *RemovedError) Error() string {
+	return fmt.Sprintf("replica %s was removed from its group", e.ID)
+}
--- a/internal/quorum/forming.go
+++ b/internal/quorum/forming.go
@@ -64,6 +64,8 @@
 // vote, and waits to be removed and added again as a learner.
 func (c *Core) helloAnswer(m Message, body HelloAnswer) {
 	if c.forming == nil {
+		c.removed(body)
+
 		return
 	}
 
@@ -115,3 +117,26 @@
 		c.electAt = c.now
 	}
 }
+
+// tellRemoved tells a candidate that it was taken out while it could not hear.
+// It would else ask for votes for ever, and nobody could see why.
+func (c *Core) tellRemoved(m Message) bool {
+	last := c.members[len(c.members)-1]
+	if _, ok := last.Members.Find(m.From); ok || len(last.Members) == 0 || last.Index > c.commit {
+		return false
+	}
+
+	c.reply(m, 0, HelloAnswer{Members: last.Members, MembersIndex: last.Index})
+
+	return true
+}
+
+// removed stops this replica if later members than it knows of do not include it.
+func (c *Core) removed(body HelloAnswer) {
+	_, ok := body.Members.Find(c.cfg.ID)
+	if ok || len(body.Members) == 0 || body.MembersIndex <= c.members[len(c.members)-1].Index {
+		return
+	}
+
+	c.fault = &RemovedError{ID: c.cfg.ID}
+}
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -71,6 +71,17 @@
 	l.baseTerm = t
 }
 
+// tail returns the index after which the entries up to last hold maxBytes at most.
+func (l *entryLog) tail(last uint64, maxBytes int) uint64 {
+	for i := last; i > l.base; i-- {
+		if maxBytes -= len(l.entries[i-l.base-1].Command); maxBytes < 0 {
+			return i
+		}
+	}
+
+	return l.base
+}
+
 // reset forgets everything and continues after the entry index.
 func (l *entryLog) reset(index, term uint64) {
 	*l = entryLog{base: index, baseTerm: term}
--- a/internal/quorum/message.go
+++ b/internal/quorum/message.go
@@ -21,6 +21,9 @@
 // HelloAnswer holds the members if the sender belongs to a formed group.
 type HelloAnswer struct {
 	Members Members
+	// MembersIndex is the entry that set Members. It is committed unless the
+	// receiver is one of them.
+	MembersIndex uint64
 }
 
 // Vote asks for a vote, or with Pre for the word that a vote would be given.
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -166,4 +166,6 @@
 	if ev.Index > c.cfg.Keep {
 		c.log.compact(ev.Index - c.cfg.Keep)
 	}
+
+	c.log.compact(c.log.tail(ev.Index, keepBytes))
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -136,6 +136,7 @@
 	if c.Entry.Kind == quorum.EntryCommand {
 		out.result = r.Apply(c.Entry.Index, c.Entry.Command)
 		r.commits++
+		r.unsaved += len(c.Entry.Command)
 	}
 
 	r.applied = c.Entry.Index
@@ -154,11 +155,12 @@
 
 // compact takes a snapshot if one is due.
 func (r *Replica) compact() bool {
-	if r.applied-r.snapshot < r.SnapshotEvery {
+	if r.applied-r.snapshot < r.SnapshotEvery && r.unsaved < snapshotBytes {
 		return false
 	}
 
 	r.snapshot = r.applied
+	r.unsaved = 0
 	r.core.Step(time.Now(), quorum.Compacted{Index: r.applied, Data: r.Snapshot()})
 
 	return true
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,7 @@
 const (
 	DefaultSnapshotEvery = 4096
 	DefaultMaxBatch      = 512
+	snapshotBytes        = 16 << 20
 	DefaultTimeout       = 10 * time.Second
 	maxQueued            = 1024
 )
@@ -57,7 +58,8 @@
 	// Heartbeat and Election are as in quorum.Config.
 	Heartbeat time.Duration
 	Election  time.Duration
-	// SnapshotEvery is after how many entries a snapshot is taken.
+	// SnapshotEvery is after how many entries a snapshot is taken, or sooner after
+	// 16 MiB of commands.
 	SnapshotEvery uint64
 	// Keep is how many entries stay in the log behind a snapshot.
 	Keep uint64
@@ -83,6 +85,7 @@
 	applied  uint64
 	snapshot uint64
 	commits  uint64
+	unsaved  int // bytes of commands since the snapshot
 	logged   Status
 
 	forwarder *http.Client
