--- /dev/null
+++ b/internal/control/fresh.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// freshness says that the state applied on this VM was current at asOf.
+type freshness struct {
+	asOf time.Time
+}
+
+// applyCheck is how often a read looks whether the log's commands reached the state.
+const applyCheck = 2 * time.Millisecond
+
+// keepFresh shows every ReadEvery, for all polls together, that the state is
+// current. It guards against a control VM that a silent partition has cut off:
+// it would go on telling readers that an old configuration holds. Its reads
+// fail, asOf stays where it was, and its polls soon answer Stale.
+func (s *Server) keepFresh(ctx context.Context) {
+	ticker := time.NewTicker(s.Settings.ReadEvery)
+	defer ticker.Stop()
+
+	for {
+		s.readOnce(ctx)
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) readOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.Lease)
+	defer cancel()
+
+	asOf, index, err := s.Read(ctx)
+	if err != nil {
+		s.Logger.Debug("read failed", "error", err)
+		return
+	}
+
+	if s.awaitApplied(ctx, index) {
+		s.fresh.Store(&freshness{asOf: asOf})
+	}
+}
+
+func (s *Server) awaitApplied(ctx context.Context, index uint64) bool {
+	for s.applied.Load() < index {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(applyCheck):
+		}
+	}
+
+	return true
+}
+
+// age returns how long ago the state was known to be current, and whether that
+// is recent enough to give readers any freshness.
+func (s *Server) age(now time.Time) (age time.Duration, fresh bool) {
+	f := s.fresh.Load()
+	if f == nil {
+		return 0, false
+	}
+
+	age = max(now.Sub(f.asOf), 0)
+
+	return age, age < s.Settings.Lease
+}
--- /dev/null
+++ b/internal/control/published.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// published is an immutable picture of the state, which polls and operators'
+// questions read.
+type published struct {
+	records   ledger.Records
+	decisions []*wire.DecisionEntry
+	floor     uint64
+	claims    int
+	tickIndex uint64
+	changes   uint64
+	learnt    []learning
+	// replaced is closed once a later picture is published.
+	replaced chan struct{}
+	full     func() ledger.Delta
+}
+
+// learning is when this VM applied a version. It is never earlier than the
+// commit, so that counting a lease from it is cautious.
+type learning struct {
+	version uint64
+	at      time.Time
+}
+
+// maxLearnings bounds how many versions' times are kept.
+const maxLearnings = 4096
+
+// publish replaces the picture. Only the goroutine that owns the ledger calls it.
+func (s *Server) publish(now time.Time) {
+	records := s.state.Records()
+	entries, floor := s.state.Decisions()
+	next := &published{
+		records:   records,
+		decisions: entries,
+		floor:     floor,
+		claims:    s.state.Claims(),
+		tickIndex: s.state.TickIndex(),
+		changes:   s.state.Changes(),
+		learnt:    s.learn(records.Version, now),
+		replaced:  make(chan struct{}),
+		full:      sync.OnceValue(func() ledger.Delta { return records.DeltaSince(0) }),
+	}
+
+	before := s.published.Swap(next)
+	if before != nil {
+		close(before.replaced)
+	}
+}
+
+func (s *Server) learn(version uint64, now time.Time) []learning {
+	before := s.published.Load()
+	if before == nil {
+		return []learning{{version: version, at: now}}
+	}
+
+	learnt := before.learnt
+	if last := learnt[len(learnt)-1]; last.version >= version {
+		return learnt
+	}
+
+	if len(learnt) >= maxLearnings {
+		learnt = slices.Clone(learnt[maxLearnings/2:])
+	}
+
+	return append(learnt, learning{version: version, at: now})
+}
+
+// since returns what changed after version. The full answer is built once for
+// all readers that need it, since after a fault they all do.
+func (p *published) since(version uint64) ledger.Delta {
+	if version != 0 {
+		if d := p.records.DeltaSince(version); !d.Full {
+			return d
+		}
+	}
+
+	return p.full()
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,166 @@
+// Package control is the shell of a control VM around the replicated state: it
+// answers the polls of entries and agents, their claims, and the operators. The
+// log calls Apply, Snapshot and Restore from one goroutine, which owns the
+// ledger; polls read immutable snapshots of it. A second goroutine owns what
+// this VM has heard from processes.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Server is one control VM's state and services. Set its exported fields before
+// Run, and connect Apply, Snapshot and Restore to the log before it starts.
+type Server struct {
+	// Cluster names the deployment; polls of another are refused.
+	Cluster string
+	// VM is this control VM's name, for dumps and logs.
+	VM string
+
+	// Propose commits a command and returns its index and result. An error
+	// leaves the command's fate unknown, unless NotProposed says otherwise.
+	Propose func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
+	// NotProposed reports whether err shows that the command was not and will
+	// not be committed. Nil means that no error shows it.
+	NotProposed func(err error) bool
+	// Read returns an instant of this VM's clock, and an index that no command
+	// committed before that instant exceeds.
+	Read func(ctx context.Context) (asOf time.Time, index uint64, err error)
+	// Leads reports whether this VM leads the log; nil means always.
+	Leads func() bool
+	// Peers are the other control VMs.
+	Peers []Peer
+	// StopUnsafe says why stopping the control VM with that name is not safe
+	// yet, or "" where it is safe or no control VM has that name.
+	StopUnsafe func(name string) string
+
+	// Settings holds the intervals; the zero value stands for DefaultSettings.
+	Settings Settings
+	// Limits bounds the state and must be equal on all control VMs.
+	Limits ledger.Limits
+	Logger *slog.Logger
+
+	state     *ledger.Ledger
+	published atomic.Pointer[published]
+	applied   atomic.Uint64
+	fresh     atomic.Pointer[freshness]
+	events    chan event
+	started   time.Time
+}
+
+// Peer is another control VM.
+type Peer struct {
+	Name string
+	// Heard asks it which processes polled it.
+	Heard func(ctx context.Context) (*wire.HeardResponse, error)
+}
+
+// Settings are the intervals of a control VM.
+type Settings struct {
+	// Lease is how long a process may act on a view after it was current.
+	Lease time.Duration
+	// Margin is added to Lease before the state counts as in force by time, for
+	// clocks that run at unequal rates.
+	Margin time.Duration
+	// ReadEvery is how often this VM shows that its state is current.
+	ReadEvery time.Duration
+	// MaxWait bounds how long a poll is held.
+	MaxWait time.Duration
+	// BatchEvery is how long reports of processes are gathered into one command.
+	BatchEvery time.Duration
+	// ExpireAfter is how long a process may be silent before it is expired.
+	ExpireAfter time.Duration
+	// TickEvery is how often the clock of the state is moved.
+	TickEvery time.Duration
+	// ProposeTimeout bounds one proposal of this VM's own.
+	ProposeTimeout time.Duration
+}
+
+// DefaultSettings returns the intervals for the size that parsleygate is designed for.
+func DefaultSettings() Settings {
+	return Settings{
+		Lease:          4 * time.Second,
+		Margin:         500 * time.Millisecond,
+		ReadEvery:      300 * time.Millisecond,
+		MaxWait:        2 * time.Second,
+		BatchEvery:     50 * time.Millisecond,
+		ExpireAfter:    10 * time.Second,
+		TickEvery:      5 * time.Second,
+		ProposeTimeout: 2 * time.Second,
+	}
+}
+
+// Init prepares the server for Apply, Restore and Run. It must be called once,
+// after the exported fields are set.
+func (s *Server) Init() {
+	if s.Settings == (Settings{}) {
+		s.Settings = DefaultSettings()
+	}
+
+	if s.Limits == (ledger.Limits{}) {
+		s.Limits = ledger.DefaultLimits()
+	}
+
+	if s.Logger == nil {
+		s.Logger = slog.New(slog.DiscardHandler)
+	}
+
+	s.Logger = s.Logger.With("part", "control")
+	s.state = ledger.New(s.Limits)
+	s.events = make(chan event, eventBuffer)
+	s.started = time.Now()
+	s.publish(time.Now())
+}
+
+// Run keeps the server current until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+
+	g.Go(func() error {
+		s.keepFresh(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		s.keepDirectory(ctx)
+		return nil
+	})
+
+	return eris.Wrap(g.Wait(), "run the control VM")
+}
+
+// Apply carries out a committed command. The log calls it in order of index.
+func (s *Server) Apply(index uint64, command []byte) []byte {
+	before := s.published.Load()
+	result := s.state.Apply(index, command)
+	s.applied.Store(index)
+
+	if s.state.Changes() != before.changes {
+		s.publish(time.Now())
+	}
+
+	return result
+}
+
+// Snapshot returns the whole state, for the log to store.
+func (s *Server) Snapshot() []byte { return s.state.Snapshot() }
+
+// Restore replaces the state by a snapshot.
+func (s *Server) Restore(data []byte) error {
+	if err := s.state.Restore(data); err != nil {
+		return err
+	}
+
+	s.applied.Store(s.state.Index())
+	s.publish(time.Now())
+
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/capacity.go
@@ -0,0 +1,119 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Bearing is how many requests at once the usable targets of a service in a zone bear when warm.
+type Bearing struct {
+	Service, Zone string
+	Requests      uint32
+	Targets       uint32
+}
+
+// Overlay returns records as they would be after changes.
+func Overlay(records []*wire.Record, changes []*wire.Change) []*wire.Record {
+	changed := map[string]bool{}
+	for _, c := range changes {
+		changed[c.GetKey()] = true
+	}
+
+	out := make([]*wire.Record, 0, len(records)+len(changes))
+
+	for _, r := range records {
+		if !changed[r.GetKey()] {
+			out = append(out, r)
+		}
+	}
+
+	for _, c := range changes {
+		if c.GetKind() == wire.ChangeKind_ChangePut {
+			out = append(out, c.GetAfter())
+		}
+	}
+
+	return out
+}
+
+// Usable returns the agents in records that may get new work: in a zone in use,
+// with a target that announced itself, neither leaving, retired nor stopping.
+func Usable(records []*wire.Record) []*wire.Node {
+	barred := map[string]bool{}
+	zones := map[string]bool{}
+
+	for _, r := range records {
+		switch v := r.GetValue().(type) {
+		case *wire.Record_Zone:
+			zones[v.Zone.GetName()] = !v.Zone.GetOut()
+		case *wire.Record_TargetPolicy:
+			barred[v.TargetPolicy.GetAgentID()] = barred[v.TargetPolicy.GetAgentID()] || v.TargetPolicy.GetRetired()
+		case *wire.Record_Stop:
+			barred[v.Stop.GetNodeID()] = true
+		}
+	}
+
+	var out []*wire.Node
+
+	for _, r := range records {
+		node := r.GetNode()
+		if node.GetKind() != wire.NodeKind_NodeAgent || node.GetLeaving() || node.GetBootID() == "" {
+			continue
+		}
+
+		if zones[node.GetZone()] && !barred[node.GetID()] {
+			out = append(out, node)
+		}
+	}
+
+	return out
+}
+
+// Bears sums the usable targets of records by service and zone, in that order.
+func Bears(records []*wire.Record) []Bearing {
+	warm := map[string]uint32{}
+
+	for _, r := range records {
+		if service := r.GetService(); service != nil {
+			warm[service.GetName()] = service.GetWarmLimit()
+		}
+	}
+
+	sums := map[[2]string]Bearing{}
+
+	for _, node := range Usable(records) {
+		at := [2]string{node.GetService(), node.GetZone()}
+		sum := sums[at]
+		sum.Service, sum.Zone = node.GetService(), node.GetZone()
+		sum.Targets++
+		sum.Requests += WarmCapacity(node, warm[node.GetService()])
+		sums[at] = sum
+	}
+
+	out := make([]Bearing, 0, len(sums))
+	for _, sum := range sums {
+		out = append(out, sum)
+	}
+
+	slices.SortFunc(out, func(a, b Bearing) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+
+	return out
+}
+
+// WarmCapacity returns what one target bears warm: the smaller of what it says
+// and what the service's declaration allows, where each is given.
+func WarmCapacity(node *wire.Node, warmLimit uint32) uint32 {
+	if warmLimit == 0 {
+		return node.GetCapacity()
+	}
+
+	if node.GetCapacity() == 0 {
+		return warmLimit
+	}
+
+	return min(node.GetCapacity(), warmLimit)
+}
--- /dev/null
+++ b/internal/ledger/claims.go
@@ -0,0 +1,209 @@
+package ledger
+
+import (
+	"bytes"
+	"container/list"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// claimKey names one non-idempotent request of a caller.
+type claimKey struct {
+	workspace, service, key string
+}
+
+// claimTable holds the claims of non-idempotent requests. A claim leaves it
+// only when its attempt is shown not to have run, or when its window has ended;
+// where the table is full, new claims are refused, and none is dropped early.
+type claimTable struct {
+	limits  Limits
+	entries map[claimKey]*list.Element
+	// order holds the *wire.ClaimEntry values by the end of their windows.
+	order *list.List
+	bytes int
+}
+
+func newClaimTable(limits Limits) claimTable {
+	return claimTable{limits: limits, entries: map[claimKey]*list.Element{}, order: list.New()}
+}
+
+func (t *claimTable) get(key claimKey) *wire.ClaimEntry {
+	element, ok := t.entries[key]
+	if !ok {
+		return nil
+	}
+
+	return element.Value.(*wire.ClaimEntry)
+}
+
+// claim grants the key to the attempt that r names, or says who holds it.
+func (t *claimTable) claim(now time.Time, r *wire.ClaimRequest) *wire.ClaimResponse {
+	key := claimKey{workspace: r.GetWorkspace(), service: r.GetService(), key: r.GetKey()}
+
+	entry := t.get(key)
+	if entry == nil {
+		return t.open(now, key, r)
+	}
+
+	if !bytes.Equal(entry.GetBodyDigest(), r.GetBodyDigest()) {
+		return t.answer(wire.ClaimState_ClaimConflict, entry)
+	}
+
+	switch entry.GetState() {
+	case wire.ClaimEntryState_ClaimEntryRecorded:
+		return t.answer(wire.ClaimState_ClaimRecorded, entry)
+	case wire.ClaimEntryState_ClaimEntryLost:
+		return t.answer(wire.ClaimState_ClaimLost, entry)
+	}
+
+	return t.contend(entry, r)
+}
+
+// contend decides between the attempt that holds an open claim and another.
+// The same attempt is granted again, since its first grant may have been lost on
+// the way. Another is granted only if it names the holder as closed: the claim
+// may have moved on since the asker looked, and then a second attempt would run.
+func (t *claimTable) contend(entry *wire.ClaimEntry, r *wire.ClaimRequest) *wire.ClaimResponse {
+	held := entry.GetHolder().GetAttemptID()
+
+	if r.GetHolder().GetAttemptID() == held {
+		return t.answer(wire.ClaimState_ClaimGranted, entry)
+	}
+
+	if r.GetReplaces() == "" || r.GetReplaces() != held {
+		return t.answer(wire.ClaimState_ClaimOpen, entry)
+	}
+
+	entry.Holder = proto.CloneOf(r.GetHolder())
+
+	return t.answer(wire.ClaimState_ClaimGranted, entry)
+}
+
+func (t *claimTable) open(now time.Time, key claimKey, r *wire.ClaimRequest) *wire.ClaimResponse {
+	if len(t.entries) >= t.limits.Claims || t.bytes >= t.limits.ClaimBytes {
+		return t.answer(wire.ClaimState_ClaimFull, nil)
+	}
+
+	entry := &wire.ClaimEntry{
+		Workspace:    key.workspace,
+		Service:      key.service,
+		Key:          key.key,
+		BodyDigest:   bytes.Clone(r.GetBodyDigest()),
+		Holder:       proto.CloneOf(r.GetHolder()),
+		EndsAtMillis: millis(now.Add(t.limits.ClaimWindow)),
+	}
+	t.add(entry)
+
+	return t.answer(wire.ClaimState_ClaimGranted, entry)
+}
+
+func (t *claimTable) add(entry *wire.ClaimEntry) {
+	key := claimKey{workspace: entry.GetWorkspace(), service: entry.GetService(), key: entry.GetKey()}
+	t.entries[key] = t.order.PushBack(entry)
+	t.bytes += answerBytes(entry.GetAnswer())
+}
+
+func (t *claimTable) drop(key claimKey) {
+	element := t.entries[key]
+	t.bytes -= answerBytes(element.Value.(*wire.ClaimEntry).GetAnswer())
+	t.order.Remove(element)
+	delete(t.entries, key)
+}
+
+// settle records what became of an attempt. Only the holder's word counts, and
+// a recorded answer is never changed; a loss gives way to the holder's answer,
+// should that still be found.
+func (t *claimTable) settle(r *wire.SettleRequest) *wire.SettleResponse {
+	key := claimKey{workspace: r.GetWorkspace(), service: r.GetService(), key: r.GetKey()}
+
+	entry := t.get(key)
+	if entry == nil {
+		return &wire.SettleResponse{State: wire.ClaimState_ClaimUnknown}
+	}
+
+	if entry.GetHolder().GetAttemptID() == r.GetAttemptID() {
+		t.settleHeld(key, entry, r)
+	}
+
+	if t.get(key) == nil {
+		return &wire.SettleResponse{State: wire.ClaimState_ClaimUnknown}
+	}
+
+	return &wire.SettleResponse{State: stateOf(entry)}
+}
+
+func (t *claimTable) settleHeld(key claimKey, entry *wire.ClaimEntry, r *wire.SettleRequest) {
+	if entry.GetState() == wire.ClaimEntryState_ClaimEntryRecorded {
+		return
+	}
+
+	switch r.GetVerdict() {
+	case wire.Verdict_Ran:
+		t.record(entry, r.GetAnswer())
+	case wire.Verdict_NotRun:
+		// A loss is not undone by a late NotRun: whoever recorded it knew more.
+		if entry.GetState() == wire.ClaimEntryState_ClaimEntryOpen {
+			t.drop(key)
+		}
+	default:
+		entry.State = wire.ClaimEntryState_ClaimEntryLost
+	}
+}
+
+func (t *claimTable) record(entry *wire.ClaimEntry, answer *wire.Answer) {
+	if answer == nil || answerBytes(answer) > t.limits.AnswerBytes {
+		entry.State = wire.ClaimEntryState_ClaimEntryLost
+		return
+	}
+
+	entry.State = wire.ClaimEntryState_ClaimEntryRecorded
+	entry.Answer = proto.CloneOf(answer)
+	t.bytes += answerBytes(answer)
+}
+
+// expire drops the claims whose window has ended.
+func (t *claimTable) expire(now time.Time) {
+	for element := t.order.Front(); element != nil; element = t.order.Front() {
+		entry := element.Value.(*wire.ClaimEntry)
+		if now.Before(fromMillis(entry.GetEndsAtMillis())) {
+			return
+		}
+
+		t.drop(claimKey{workspace: entry.GetWorkspace(), service: entry.GetService(), key: entry.GetKey()})
+	}
+}
+
+func (t *claimTable) answer(state wire.ClaimState, entry *wire.ClaimEntry) *wire.ClaimResponse {
+	out := &wire.ClaimResponse{
+		State:        state,
+		Holder:       entry.GetHolder(),
+		WindowMillis: uint64(t.limits.ClaimWindow / time.Millisecond),
+	}
+	if state == wire.ClaimState_ClaimRecorded {
+		out.Answer = entry.GetAnswer()
+	}
+
+	return out
+}
+
+func stateOf(entry *wire.ClaimEntry) wire.ClaimState {
+	switch entry.GetState() {
+	case wire.ClaimEntryState_ClaimEntryRecorded:
+		return wire.ClaimState_ClaimRecorded
+	case wire.ClaimEntryState_ClaimEntryLost:
+		return wire.ClaimState_ClaimLost
+	default:
+		return wire.ClaimState_ClaimOpen
+	}
+}
+
+func answerBytes(answer *wire.Answer) int {
+	if answer == nil {
+		return 0
+	}
+
+	return proto.Size(answer)
+}
--- /dev/null
+++ b/internal/ledger/decisions.go
@@ -0,0 +1,200 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// decisionTable keeps the plans that wait for confirmation, and the decisions
+// with their answers. Numbers are shared by all operators, so that two of them
+// who race under one number cannot both win.
+type decisionTable struct {
+	limits   Limits
+	plans    []*wire.Plan
+	byNumber map[uint64]*wire.DecisionEntry
+	// entries holds the decisions in the order in which they were made. It only
+	// grows at the end or is replaced, so that readers can share it.
+	entries []*wire.DecisionEntry
+	// floor is the largest number whose answer is no longer kept. A number up
+	// to it is refused, since nobody can tell any more whether it was decided.
+	floor uint64
+}
+
+func newDecisionTable(limits Limits) decisionTable {
+	return decisionTable{limits: limits, byNumber: map[uint64]*wire.DecisionEntry{}}
+}
+
+// store keeps a plan under an ID that no other plan ever has.
+func (t *decisionTable) store(index uint64, plan *wire.Plan) string {
+	kept := proto.CloneOf(plan)
+	kept.ID = fmt.Sprintf("P%d", index)
+	t.plans = append(t.plans, kept)
+
+	if len(t.plans) > t.limits.Plans {
+		t.plans = slices.Clone(t.plans[1:])
+	}
+
+	return kept.GetID()
+}
+
+func (t *decisionTable) plan(id string) *wire.Plan {
+	for _, plan := range t.plans {
+		if plan.GetID() == id {
+			return plan
+		}
+	}
+
+	return nil
+}
+
+// repeat answers a number that was decided or forgotten; nil means it is free.
+// The content is the plan, or another plan of the same intent: an operator whose
+// answer was lost may plan again before confirming again. Who sent it first is
+// in the answer.
+func (t *decisionTable) repeat(d *wire.Decision, plan *wire.Plan) *wire.DecisionAnswer {
+	if d.GetNumber() <= t.floor {
+		return &wire.DecisionAnswer{State: wire.DecisionState_DecisionForgotten, Floor: t.floor}
+	}
+
+	entry := t.byNumber[d.GetNumber()]
+	if entry == nil {
+		return nil
+	}
+
+	if !sameContent(entry, d, plan) {
+		return &wire.DecisionAnswer{State: wire.DecisionState_DecisionConflict, Winner: entry, Floor: t.floor}
+	}
+
+	answer := answerOf(entry)
+	answer.Repeated = true
+
+	return answer
+}
+
+func sameContent(entry *wire.DecisionEntry, d *wire.Decision, plan *wire.Plan) bool {
+	if entry.GetPlanID() == d.GetPlanID() {
+		return true
+	}
+
+	return plan != nil && bytes.Equal(plan.GetIntentDigest(), entry.GetIntentDigest())
+}
+
+func answerOf(entry *wire.DecisionEntry) *wire.DecisionAnswer {
+	return &wire.DecisionAnswer{
+		State:   entry.GetState(),
+		Version: entry.GetVersion(),
+		Details: entry.GetDetails(),
+		Winner:  entry,
+	}
+}
+
+// keep records the first answer to a number. The smallest number is dropped
+// above the limit and raises the floor, so that it can never be decided again.
+func (t *decisionTable) keep(entry *wire.DecisionEntry) {
+	t.byNumber[entry.GetNumber()] = entry
+	t.entries = append(t.entries, entry)
+
+	if len(t.byNumber) <= t.limits.Decisions {
+		return
+	}
+
+	smallest := slices.Min(slices.Collect(maps.Keys(t.byNumber)))
+	t.floor = smallest
+	t.entries = slices.DeleteFunc(slices.Clone(t.entries), func(e *wire.DecisionEntry) bool {
+		return e.GetNumber() == smallest
+	})
+
+	delete(t.byNumber, smallest)
+}
+
+// last returns the log index of the latest decision.
+func (t *decisionTable) last() uint64 {
+	if len(t.entries) == 0 {
+		return 0
+	}
+
+	return t.entries[len(t.entries)-1].GetIndex()
+}
+
+// decide carries out the plan that d confirms, once, and keeps the answer.
+func (l *Ledger) decide(index uint64, d *wire.Decision) *wire.DecisionAnswer {
+	plan := l.decisions.plan(d.GetPlanID())
+
+	if answer := l.decisions.repeat(d, plan); answer != nil {
+		return answer
+	}
+
+	if plan == nil {
+		return &wire.DecisionAnswer{State: wire.DecisionState_DecisionNoPlan}
+	}
+
+	entry := &wire.DecisionEntry{
+		Operator:     d.GetOperator(),
+		Number:       d.GetNumber(),
+		PlanID:       d.GetPlanID(),
+		IntentDigest: plan.GetIntentDigest(),
+		AtUnixMillis: d.GetAtUnixMillis(),
+		Source:       plan.GetSource(),
+		Index:        index,
+	}
+	entry.State, entry.Details = l.judge(plan)
+
+	if entry.GetState() == wire.DecisionState_DecisionMade {
+		l.carryOut(index, plan)
+		entry.Details = texts(plan.GetChanges())
+	}
+
+	entry.Version = l.records.version
+	l.decisions.keep(entry)
+
+	return answerOf(entry)
+}
+
+// judge says whether plan may still be carried out, and why not.
+func (l *Ledger) judge(plan *wire.Plan) (state wire.DecisionState, details []string) {
+	if details = l.baseChanges(plan); len(details) > 0 {
+		return wire.DecisionState_DecisionBaseChanged, details
+	}
+
+	if plan.GetOverride() {
+		return wire.DecisionState_DecisionMade, nil
+	}
+
+	if len(plan.GetRefusals()) > 0 {
+		return wire.DecisionState_DecisionRefused, plan.GetRefusals()
+	}
+
+	if details = l.shortfalls(plan); len(details) > 0 {
+		return wire.DecisionState_DecisionBaseChanged, details
+	}
+
+	return wire.DecisionState_DecisionMade, nil
+}
+
+func (l *Ledger) carryOut(index uint64, plan *wire.Plan) {
+	for _, c := range plan.GetChanges() {
+		if c.GetKind() == wire.ChangeKind_ChangeRemove {
+			l.records.remove(index, c.GetKey())
+			continue
+		}
+
+		record := proto.CloneOf(c.GetAfter())
+		record.Key = c.GetKey()
+		l.records.put(index, record)
+	}
+}
+
+func texts(changes []*wire.Change) []string {
+	out := make([]string, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, c.GetText())
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,125 @@
+// Package ledger is the replicated state of parsleygate: services, zones, target
+// policies, workspaces, expert maps, planned stops, the directory of processes,
+// the claims of non-idempotent requests, and the operators' decisions. It is a
+// deterministic state machine over committed commands: it reads no clock, starts
+// no goroutine, and equal commands give equal states, results and snapshots.
+package ledger
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Ledger is the whole replicated state. One goroutine owns it. Limits must be
+// equal on all control VMs, since they decide results.
+type Ledger struct {
+	Limits Limits
+
+	index     uint64
+	changes   uint64
+	clock     clock
+	records   recordTable
+	directory directory
+	claims    claimTable
+	decisions decisionTable
+}
+
+// New returns an empty ledger.
+func New(limits Limits) *Ledger {
+	l := &Ledger{Limits: limits}
+	l.reset()
+
+	return l
+}
+
+func (l *Ledger) reset() {
+	l.index = 0
+	l.clock = clock{}
+	l.records = newRecordTable(l.Limits.Tombstones)
+	l.directory = newDirectory(l.Limits)
+	l.claims = newClaimTable(l.Limits)
+	l.decisions = newDecisionTable(l.Limits)
+}
+
+// Index returns the log index of the last command that was applied.
+func (l *Ledger) Index() uint64 { return l.index }
+
+// Now returns the clock of the state, which only ticks move. It starts at the
+// Unix epoch and says nothing of the time of day.
+func (l *Ledger) Now() time.Time { return l.clock.now() }
+
+// Apply carries out the command that was committed at index and returns its
+// result. A command at an index that was applied before changes nothing.
+func (l *Ledger) Apply(index uint64, command []byte) []byte {
+	if index <= l.index {
+		return encode(&wire.Result{Fault: "the index was applied before"})
+	}
+
+	l.index = index
+
+	cmd := &wire.Command{}
+	if err := proto.Unmarshal(command, cmd); err != nil {
+		return encode(&wire.Result{Fault: "the command cannot be read"})
+	}
+
+	version, decided, tick := l.records.version, l.decisions.last(), l.clock.tickIndex
+	result := encode(l.dispatch(index, cmd))
+
+	if l.records.version != version || l.decisions.last() != decided || l.clock.tickIndex != tick {
+		l.changes++
+	}
+
+	return result
+}
+
+func (l *Ledger) dispatch(index uint64, cmd *wire.Command) *wire.Result {
+	switch kind := cmd.Kind.(type) {
+	case *wire.Command_Tick:
+		l.tick(index, kind.Tick)
+		return &wire.Result{}
+	case *wire.Command_NodeReports:
+		return &wire.Result{Count: l.report(index, kind.NodeReports)}
+	case *wire.Command_Expiry:
+		return &wire.Result{Count: l.expire(index, kind.Expiry)}
+	case *wire.Command_Claim:
+		return &wire.Result{Claim: l.claims.claim(l.clock.now(), kind.Claim)}
+	case *wire.Command_Settle:
+		return &wire.Result{Settle: l.claims.settle(kind.Settle)}
+	case *wire.Command_StorePlan:
+		return &wire.Result{PlanID: l.decisions.store(index, kind.StorePlan)}
+	case *wire.Command_Decision:
+		return &wire.Result{Decision: l.decide(index, kind.Decision)}
+	case *wire.Command_ExpertMap:
+		return &wire.Result{Map: l.putMap(index, kind.ExpertMap)}
+	default:
+		return &wire.Result{Fault: "the command has no known kind"}
+	}
+}
+
+// Records returns the configuration as it is now, as an immutable value.
+func (l *Ledger) Records() Records { return l.records.view() }
+
+// Decisions returns the kept decisions, the earliest first, and the number up
+// to which answers are no longer kept.
+func (l *Ledger) Decisions() (entries []*wire.DecisionEntry, floor uint64) {
+	return l.decisions.entries, l.decisions.floor
+}
+
+// Changes grows when a command changes what Records, Decisions or TickIndex return.
+func (l *Ledger) Changes() uint64 { return l.changes }
+
+// Claims returns how many claims are held.
+func (l *Ledger) Claims() int { return len(l.claims.entries) }
+
+func encode(m proto.Message) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		// Results hold only valid UTF-8 and no required field; Marshal has nothing to refuse.
+		panic(err)
+	}
+
+	return data
+}
--- /dev/null
+++ b/internal/ledger/maps.go
@@ -0,0 +1,54 @@
+package ledger
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// putMap stages an expert map, or commits the staged one. The committed map of
+// the group stays in force, and is kept, while another is staged. The fencing
+// number is the log index, so that it grows with each change of any map and a
+// late order of an earlier one is known as such.
+func (l *Ledger) putMap(index uint64, m *wire.ExpertMap) *wire.MapAnswer {
+	committed := l.records.get(ExpertMapPrefix + m.GetGroup()).GetExpertMap()
+	staged := l.records.get(StagedMapPrefix + m.GetGroup()).GetExpertMap()
+
+	if cause := mapFault(committed, staged, m); cause != "" {
+		return &wire.MapAnswer{Current: committed, Cause: cause}
+	}
+
+	next := proto.CloneOf(m)
+	next.FencingNumber = index
+
+	if m.GetCommitted() {
+		next.Placement = staged.GetPlacement()
+		l.records.remove(index, mapKey(staged))
+	}
+
+	l.records.put(index, &wire.Record{Key: mapKey(next), Value: &wire.Record_ExpertMap{ExpertMap: next}})
+
+	return &wire.MapAnswer{Accepted: true, Current: next}
+}
+
+// mapFault guards one map for all ranks: a version once staged never changes
+// its placement, so ranks that staged it hold the same one when it is committed.
+func mapFault(committed, staged, m *wire.ExpertMap) string {
+	if m.GetGroup() == "" {
+		return "the map names no group"
+	}
+
+	if m.GetCommitted() {
+		if staged == nil || staged.GetMapVersion() != m.GetMapVersion() {
+			return "the version to commit is not the staged one"
+		}
+
+		return ""
+	}
+
+	if m.GetMapVersion() <= max(committed.GetMapVersion(), staged.GetMapVersion()) {
+		return "the version to stage is not newer than the held one"
+	}
+
+	return ""
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,118 @@
+package ledger
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Snapshot returns the whole state. Equal states give equal bytes.
+func (l *Ledger) Snapshot() []byte {
+	s := &wire.LedgerSnapshot{
+		Index:        l.index,
+		Version:      l.records.version,
+		Horizon:      l.records.horizon,
+		ClockMillis:  millis(l.clock.now()),
+		TickIndex:    l.clock.tickIndex,
+		Departed:     l.directory.sorted(),
+		ExpiryWindow: l.directory.window,
+		Plans:        l.decisions.plans,
+		Decisions:    l.decisions.entries,
+		NumberFloor:  l.decisions.floor,
+	}
+
+	l.records.compact()
+
+	for _, c := range l.records.changes {
+		if c.record == nil {
+			s.Tombstones = append(s.Tombstones, &wire.Tombstone{Key: c.key, Version: c.version})
+			continue
+		}
+
+		s.Records = append(s.Records, c.record)
+	}
+
+	for element := l.claims.order.Front(); element != nil; element = element.Next() {
+		s.Claims = append(s.Claims, element.Value.(*wire.ClaimEntry))
+	}
+
+	return encode(s)
+}
+
+// Restore replaces the state by a snapshot. An error leaves the state as it was.
+func (l *Ledger) Restore(data []byte) error {
+	s := &wire.LedgerSnapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return eris.Wrap(err, "read the snapshot")
+	}
+
+	l.reset()
+	l.index = s.GetIndex()
+	l.clock = clock{at: time.Duration(s.GetClockMillis()) * time.Millisecond, tickIndex: s.GetTickIndex()}
+	l.records.restore(s)
+	l.directory.restore(s)
+	l.claims.restore(s)
+	l.decisions.restore(s)
+
+	return nil
+}
+
+// restore merges records and tombstones, each in order of version. Within one
+// version the order has no meaning, as a key occurs once.
+func (t *recordTable) restore(s *wire.LedgerSnapshot) {
+	tombstones := s.GetTombstones()
+
+	for _, record := range s.GetRecords() {
+		for len(tombstones) > 0 && tombstones[0].GetVersion() <= record.GetVersion() {
+			t.restoreRemoval(tombstones[0])
+			tombstones = tombstones[1:]
+		}
+
+		t.live[record.GetKey()] = record
+		t.changes = append(t.changes, change{version: record.GetVersion(), key: record.GetKey(), record: record})
+	}
+
+	for _, tombstone := range tombstones {
+		t.restoreRemoval(tombstone)
+	}
+
+	t.version = s.GetVersion()
+	t.horizon = s.GetHorizon()
+}
+
+func (t *recordTable) restoreRemoval(tombstone *wire.Tombstone) {
+	t.removed[tombstone.GetKey()] = tombstone.GetVersion()
+	t.changes = append(t.changes, change{version: tombstone.GetVersion(), key: tombstone.GetKey()})
+}
+
+func (d *directory) restore(s *wire.LedgerSnapshot) {
+	for _, departed := range s.GetDeparted() {
+		d.departed[departed.GetID()] = departed
+	}
+
+	if s.GetExpiryWindow() != nil {
+		d.window = s.GetExpiryWindow()
+	}
+}
+
+func (t *claimTable) restore(s *wire.LedgerSnapshot) {
+	t.order = list.New()
+
+	for _, entry := range s.GetClaims() {
+		t.add(entry)
+	}
+}
+
+func (t *decisionTable) restore(s *wire.LedgerSnapshot) {
+	t.plans = s.GetPlans()
+	t.floor = s.GetNumberFloor()
+
+	t.entries = s.GetDecisions()
+	for _, entry := range t.entries {
+		t.byNumber[entry.GetNumber()] = entry
+	}
+}
--- /dev/null
+++ b/internal/view/reader.go
@@ -0,0 +1,208 @@
+// Package view is the side of entries and agents in following the replicated
+// state: it polls the control VMs, holds what they answer as an immutable
+// snapshot, and knows until when that may be acted on. Nothing is kept on disk;
+// a process that restarts gets everything anew.
+package view
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Reader follows the replicated state. Set its exported fields before Run.
+type Reader struct {
+	// Cluster names the deployment.
+	Cluster string
+	// Controls are the addresses of the control VMs.
+	Controls []netip.AddrPort
+	// Poll sends one poll to a control VM. It must end when ctx does.
+	Poll func(ctx context.Context, control netip.AddrPort, r *wire.PollRequest) (*wire.PollResponse, error)
+	// Self says what this process is now; Report is filled in by the reader.
+	Self func() *wire.Node
+	// Load says what this process has in hand; nil leaves it out.
+	Load func() *wire.NodeLoad
+	// OnChange is called from the goroutine of Run after each change of the
+	// configuration, with the new snapshot; nil means none.
+	OnChange func(*Snapshot)
+	// Settings holds the intervals; the zero value stands for DefaultSettings.
+	Settings Settings
+	Logger   *slog.Logger
+
+	core    *core
+	current atomic.Pointer[Snapshot]
+	control int
+	fails   int
+}
+
+// Settings are the intervals of a reader.
+type Settings struct {
+	// Lease is how long the process may act on a view after it was current. It
+	// must not exceed the control VMs' own.
+	Lease time.Duration
+	// Wait is how long a control VM may hold a poll.
+	Wait time.Duration
+	// Timeout is how long a control VM may take beyond Wait.
+	Timeout time.Duration
+	// BackoffMin and BackoffMax bound the pause after a poll that failed.
+	BackoffMin, BackoffMax time.Duration
+	// PollGap is the least time between two polls.
+	PollGap time.Duration
+}
+
+// DefaultSettings returns the intervals for the size that parsleygate is designed for.
+func DefaultSettings() Settings {
+	return Settings{
+		Lease:      4 * time.Second,
+		Wait:       time.Second,
+		Timeout:    700 * time.Millisecond,
+		BackoffMin: 20 * time.Millisecond,
+		BackoffMax: 500 * time.Millisecond,
+		PollGap:    20 * time.Millisecond,
+	}
+}
+
+// Init prepares the reader for Snapshot and Run. It must be called once, after
+// the exported fields are set.
+func (r *Reader) Init() {
+	if r.Settings == (Settings{}) {
+		r.Settings = DefaultSettings()
+	}
+
+	if r.Logger == nil {
+		r.Logger = slog.New(slog.DiscardHandler)
+	}
+
+	r.Logger = r.Logger.With("part", "view")
+	r.core = newCore(r.Settings.Lease)
+	r.current.Store(r.core.snapshot)
+}
+
+// Snapshot returns the configuration in force. It is never nil after Init, and
+// has version 0 until the first answer.
+func (r *Reader) Snapshot() *Snapshot { return r.current.Load() }
+
+// Run polls until ctx ends.
+func (r *Reader) Run(ctx context.Context) error {
+	if len(r.Controls) == 0 {
+		return eris.New("no control VM is set")
+	}
+
+	r.control = rand.IntN(len(r.Controls))
+
+	for ctx.Err() == nil {
+		err := r.pollOnce(ctx)
+		r.pause(ctx, err)
+	}
+
+	return nil
+}
+
+// Leave tells a control VM that this process has finished its work. Call it
+// after Run has returned; an error leaves the process to be expired.
+func (r *Reader) Leave(ctx context.Context) error {
+	request := r.request()
+	request.Gone = true
+	request.WaitMillis = 0
+
+	var err error
+
+	for range r.Controls {
+		_, err = r.Poll(ctx, r.Controls[r.control], request)
+		if err == nil {
+			return nil
+		}
+
+		r.control = (r.control + 1) % len(r.Controls)
+	}
+
+	return err
+}
+
+func (r *Reader) request() *wire.PollRequest {
+	request := &wire.PollRequest{
+		Cluster:      r.Cluster,
+		Node:         r.core.self(r.Self()),
+		KnownVersion: r.core.snapshot.Version,
+		WaitMillis:   uint64(r.Settings.Wait.Milliseconds()),
+	}
+
+	if r.Load != nil {
+		request.Load = r.Load()
+	}
+
+	if r.fails > 0 || !r.core.snapshot.Fresh(time.Now()) {
+		request.WaitMillis = 0
+	}
+
+	return request
+}
+
+// errStale says that a control VM is not current, and another may be.
+var errStale = eris.New("the control VM is not current")
+
+// pollOnce sends one poll. Its deadline guards against a connection that went
+// silent: the poll is given up and the next control VM is tried.
+func (r *Reader) pollOnce(ctx context.Context) error {
+	request := r.request()
+	wait := time.Duration(request.GetWaitMillis()) * time.Millisecond
+
+	ctx, cancel := context.WithTimeout(ctx, wait+r.Settings.Timeout)
+	defer cancel()
+
+	sent := time.Now()
+
+	response, err := r.Poll(ctx, r.Controls[r.control], request)
+	if err != nil {
+		return err
+	}
+
+	return r.take(sent, request.GetKnownVersion(), response)
+}
+
+func (r *Reader) take(sent time.Time, known uint64, response *wire.PollResponse) error {
+	result := r.core.answered(sent, known, response)
+	r.current.Store(r.core.snapshot)
+
+	if result == outcomeChanged && r.OnChange != nil {
+		r.OnChange(r.core.snapshot)
+	}
+
+	if response.GetStale() || result == outcomeIgnored {
+		return errStale
+	}
+
+	return nil
+}
+
+// pause waits before the next poll: shortly after success, longer and with
+// jitter after failures, so that readers do not return all at once.
+func (r *Reader) pause(ctx context.Context, err error) {
+	wait := r.Settings.PollGap
+
+	if err == nil {
+		r.fails = 0
+	} else {
+		r.Logger.Debug("poll failed", "control", r.Controls[r.control], "error", err)
+
+		limit := min(r.Settings.BackoffMin<<min(r.fails, 10), r.Settings.BackoffMax)
+		wait = limit/2 + rand.N(limit/2+1)
+		r.fails++
+		r.control = (r.control + 1) % len(r.Controls)
+	}
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/view/snapshot.go
@@ -0,0 +1,140 @@
+package view
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Snapshot is the configuration that this process has in force. It is
+// immutable, as are the messages that it returns.
+type Snapshot struct {
+	// Version is the log index that last changed the configuration; zero means
+	// that the process has none yet.
+	Version uint64
+	// FreshUntil is when the freshness lease ends. Until then no decision that
+	// this snapshot lacks is said to be in force anywhere.
+	FreshUntil time.Time
+
+	content *content
+	targets func() map[string][]Target
+}
+
+func newSnapshot(version uint64, freshUntil time.Time, c *content) *Snapshot {
+	s := &Snapshot{Version: version, FreshUntil: freshUntil, content: c}
+	s.targets = sync.OnceValue(s.listTargets)
+
+	return s
+}
+
+// extended returns the same configuration with a later end of its lease.
+func (s *Snapshot) extended(freshUntil time.Time) *Snapshot {
+	return &Snapshot{Version: s.Version, FreshUntil: freshUntil, content: s.content, targets: s.targets}
+}
+
+// Fresh reports whether the freshness lease still holds at now.
+func (s *Snapshot) Fresh(now time.Time) bool { return now.Before(s.FreshUntil) }
+
+// Service returns the declaration of a service.
+func (s *Snapshot) Service(name string) (*wire.Service, bool) {
+	v, ok := s.content.services[name]
+	return v, ok
+}
+
+// Services returns all services, by name.
+func (s *Snapshot) Services() []*wire.Service { return sorted(s.content.services) }
+
+// Zone returns an availability zone.
+func (s *Snapshot) Zone(name string) (*wire.Zone, bool) {
+	v, ok := s.content.zones[name]
+	return v, ok
+}
+
+// Zones returns all availability zones, by name.
+func (s *Snapshot) Zones() []*wire.Zone { return sorted(s.content.zones) }
+
+// ZoneInUse reports whether new work may go into the zone. An undeclared zone
+// is not in use.
+func (s *Snapshot) ZoneInUse(name string) bool {
+	zone, ok := s.content.zones[name]
+	return ok && !zone.GetOut()
+}
+
+// Retired reports whether the operators retired the target of an agent.
+func (s *Snapshot) Retired(agentID string) bool { return s.content.policies[agentID].GetRetired() }
+
+// Stopping reports whether the operators plan to stop the process.
+func (s *Snapshot) Stopping(nodeID string) bool {
+	_, ok := s.content.stops[nodeID]
+	return ok
+}
+
+// Workspace returns a workspace's share.
+func (s *Snapshot) Workspace(name string) (*wire.Workspace, bool) {
+	v, ok := s.content.workspaces[name]
+	return v, ok
+}
+
+// Node returns a process of the directory.
+func (s *Snapshot) Node(id string) (*wire.Node, bool) {
+	v, ok := s.content.nodes[id]
+	return v, ok
+}
+
+// Nodes returns the directory, by ID.
+func (s *Snapshot) Nodes() []*wire.Node { return sorted(s.content.nodes) }
+
+// ExpertMap returns the committed map of a group.
+func (s *Snapshot) ExpertMap(group string) (*wire.ExpertMap, bool) {
+	v, ok := s.content.maps[group]
+	return v, ok
+}
+
+// StagedMap returns the map that the ranks of a group are to stage.
+func (s *Snapshot) StagedMap(group string) (*wire.ExpertMap, bool) {
+	v, ok := s.content.staged[group]
+	return v, ok
+}
+
+// Group returns the declaration of an expert group.
+func (s *Snapshot) Group(name string) (*wire.Group, bool) {
+	v, ok := s.content.groups[name]
+	return v, ok
+}
+
+// Target is one target of a service, and why it may not get new work.
+type Target struct {
+	Node *wire.Node
+	// ZoneOut: its availability zone is out, or not declared.
+	ZoneOut  bool
+	Retired  bool
+	Stopping bool
+}
+
+// Admissible reports whether the target may get new work.
+func (t Target) Admissible() bool {
+	return !t.ZoneOut && !t.Retired && !t.Stopping && !t.Node.GetLeaving() && t.Node.GetBootID() != ""
+}
+
+// Targets returns the targets of a service, by agent ID. Callers must not alter it.
+func (s *Snapshot) Targets(service string) []Target { return s.targets()[service] }
+
+func (s *Snapshot) listTargets() map[string][]Target {
+	out := map[string][]Target{}
+
+	for _, node := range s.Nodes() {
+		if node.GetKind() != wire.NodeKind_NodeAgent {
+			continue
+		}
+
+		out[node.GetService()] = append(out[node.GetService()], Target{
+			Node:     node,
+			ZoneOut:  !s.ZoneInUse(node.GetZone()),
+			Retired:  s.Retired(node.GetID()),
+			Stopping: s.Stopping(node.GetID()),
+		})
+	}
+
+	return out
+}
--- a/internal/wire/path.twirp.go
+++ b/internal/wire/path.twirp.go
@@ -1061,7 +1061,7 @@
 }
 
 func (s *agentServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *agentServer) ProtocGenTwirpVersion() string {
@@ -1075,7 +1075,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Agent")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1270 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x57, 0xcd, 0x72, 0x1b, 0x37,
 	0x12, 0xd6, 0xf0, 0x4f, 0x64, 0x53, 0xa4, 0xb9, 0xb0, 0xd6, 0x3b, 0xeb, 0xf5, 0x3a, 0x2c, 0x96,
