Add plans, decisions, expiry and the operators' service

Operators need a plan with capacity, drains and cost before anything happens, and one answer to each number. Plans live in the replicated state, decisions share one space of numbers, silent processes are expired within a bound, and status says in force only on acknowledgements or run-out leases.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -4,46 +4,34 @@
 	"context"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// eventBuffer bounds how many polls wait for the goroutine that owns what was heard.
+// eventBuffer bounds how many polls wait for the goroutine that hears them.
 const eventBuffer = 4096
 
-// event is a poll, or a question to the goroutine that owns what was heard.
+// event is a poll, or a question to the goroutine that hears polls.
 type event struct {
 	poll *wire.PollRequest
 	at   time.Time
-	ask  func(*reports)
+	ask  func(*hearing)
 }
 
-// post hands an event over. A poll is dropped where the buffer is full: the
-// process polls again, and its silence is counted in many polls.
 func (s *Server) post(ctx context.Context, e event) {
-	if e.ask == nil {
-		select {
-		case s.events <- e:
-		default:
-		}
-
-		return
-	}
-
 	select {
 	case s.events <- e:
 	case <-ctx.Done():
 	}
 }
 
-// keepDirectory owns what this VM has heard, and proposes reports, expiries and
-// ticks. One goroutine beside it waits for the log, so that a lost quorum does
-// not keep it from hearing.
-func (s *Server) keepDirectory(ctx context.Context) {
-	d := &directory{reports: newReports()}
-	idle := make(chan struct{}, 1)
-	idle <- struct{}{}
-
+// hear owns what this VM has heard. It never waits for the log, so that a lost
+// quorum does not keep it from hearing.
+func (s *Server) hear(ctx context.Context) {
+	core := newHearing()
+	committer := make(chan struct{}, 1)
 	batch := time.NewTicker(s.Settings.BatchEvery)
+
 	defer batch.Stop()
 
 	for {
@@ -51,66 +39,120 @@
 		case <-ctx.Done():
 			return
 		case e := <-s.events:
-			d.refresh(s.published.Load())
-			d.handle(e)
+			core.refresh(s.published.Load().records)
+			handle(core, e)
 		case <-batch.C:
-			s.startCommit(ctx, d, idle)
+			core.refresh(s.published.Load().records)
+			s.hearSelf(core)
+			core.forget(time.Now())
+			s.startCommit(ctx, core, committer)
 		}
 	}
 }
 
+// hearSelf makes this VM a process of the directory. It holds what it applied.
+func (s *Server) hearSelf(core *hearing) {
+	if s.Self == nil {
+		return
+	}
+
+	core.polled(time.Now(), &wire.PollRequest{Node: s.Self(), KnownVersion: core.version})
+}
+
+// StopPlanned reports whether the operators plan to stop the process with that
+// ID, in the incarnation that the directory holds.
+func (s *Server) StopPlanned(id string) bool {
+	return s.published.Load().records.Get(ledger.StopPrefix+id) != nil
+}
+
+func handle(core *hearing, e event) {
+	if e.ask != nil {
+		e.ask(core)
+		return
+	}
+
+	core.polled(e.at, e.poll)
+}
+
 // startCommit proposes what is pending, unless the last proposal still waits.
-func (s *Server) startCommit(ctx context.Context, d *directory, idle chan struct{}) {
+func (s *Server) startCommit(ctx context.Context, core *hearing, committer chan struct{}) {
+	if len(core.pending) == 0 {
+		return
+	}
+
 	select {
-	case <-idle:
+	case committer <- struct{}{}:
 	default:
 		return
 	}
 
-	batch := d.reports.take()
+	batch := core.take()
 
 	go func() {
-		defer func() { idle <- struct{}{} }()
+		defer func() { <-committer }()
 
-		s.commitReports(ctx, batch)
+		s.proposeOwn(ctx, &wire.Command{
+			Kind: &wire.Command_NodeReports{NodeReports: &wire.NodeReports{Reports: batch}},
+		})
 	}()
 }
 
-// directory is what the goroutine that hears polls owns.
-type directory struct {
-	reports *reports
-	version uint64
-	nodes   map[string]*wire.Node
-}
+// proposeOwn commits a command that no caller waits for.
+func (s *Server) proposeOwn(ctx context.Context, command *wire.Command) {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.ProposeTimeout)
+	defer cancel()
 
-func (d *directory) refresh(p *published) {
-	if d.nodes != nil && p.records.Version == d.version {
-		return
+	if _, err := s.propose(ctx, command); err != nil && ctx.Err() == nil {
+		s.Logger.Warn("proposal failed", "error", err)
 	}
+}
+
+// tend moves the clock of the state and expires silent processes, while this VM leads.
+func (s *Server) tend(ctx context.Context) {
+	core := newSilence(s.Settings.ExpireAfter)
+	watch := time.NewTicker(s.Settings.WatchEvery)
 
-	d.version = p.records.Version
-	d.nodes = nodesOf(p.records)
+	defer watch.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-watch.C:
+		}
+
+		if s.Leads != nil && !s.Leads() {
+			core.idle()
+			continue
+		}
+
+		s.tickState(ctx)
+		s.expireSilent(ctx, core)
+	}
 }
 
-func (d *directory) handle(e event) {
-	if e.ask != nil {
-		e.ask(d.reports)
+func (s *Server) tickState(ctx context.Context) {
+	p := s.published.Load()
+
+	elapsed := time.Since(p.tickLearnt)
+	if elapsed < s.Settings.TickEvery {
 		return
 	}
 
-	d.reports.polled(e.at, e.poll, d.nodes)
+	s.proposeOwn(ctx, &wire.Command{Kind: &wire.Command_Tick{Tick: &wire.Tick{
+		After:         p.tickIndex,
+		ElapsedMillis: uint64(elapsed.Milliseconds()),
+	}}})
 }
 
-func (s *Server) commitReports(ctx context.Context, batch []*wire.NodeReport) {
-	if len(batch) == 0 {
+func (s *Server) expireSilent(ctx context.Context, core *silence) {
+	all := s.gather(ctx)
+
+	silent := core.watch(time.Now(), nodesOf(s.published.Load().records), all.sightings)
+	if len(silent) == 0 {
 		return
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, s.Settings.ProposeTimeout)
-	defer cancel()
-
-	command := &wire.Command{Kind: &wire.Command_NodeReports{NodeReports: &wire.NodeReports{Reports: batch}}}
-	if _, err := s.propose(ctx, command); err != nil {
-		s.Logger.Warn("reports not committed", "count", len(batch), "error", err)
-	}
+	s.Logger.Info("silent processes", "count", len(silent), "first", silent[0].GetID())
+	s.proposeOwn(ctx, &wire.Command{Kind: &wire.Command_Expiry{Expiry: &wire.Expiry{Nodes: silent}}})
 }
--- /dev/null
+++ b/internal/control/dump.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Dump returns this VM's state as text.
+func (s *Server) Dump(ctx context.Context, _ *wire.DumpRequest) (*wire.DumpResponse, error) {
+	p := s.published.Load()
+	age, fresh := s.age(time.Now())
+	heard, err := s.heardHere(ctx)
+
+	var b strings.Builder
+
+	fmt.Fprintf(&b, "VM %s\nCluster %s\nApplied %d\nVersion %d\nAge %s\nFresh %t\nClaims %d\nDecisions %d\nNumberFloor %d\n",
+		s.VM, s.Cluster, s.applied.Load(), p.records.Version, age, fresh, s.claims.Load(), len(p.decisions), p.floor)
+
+	for _, r := range p.records.All() {
+		fmt.Fprintf(&b, "Record %d %s %s\n", r.GetVersion(), r.GetKey(), oneLine(r))
+	}
+
+	if err != nil {
+		return &wire.DumpResponse{Text: b.String()}, err
+	}
+
+	slices.SortFunc(heard.GetNodes(), func(x, y *wire.HeardNode) int { return strings.Compare(x.GetID(), y.GetID()) })
+
+	for _, node := range heard.GetNodes() {
+		fmt.Fprintf(&b, "Heard %s Incarnation %d KnownVersion %d AgeMillis %d\n",
+			node.GetID(), node.GetIncarnation(), node.GetKnownVersion(), node.GetAgeMillis())
+	}
+
+	return &wire.DumpResponse{Text: b.String()}, nil
+}
+
+// oneLine writes a record's value for people, without its key and version.
+func oneLine(r *wire.Record) string {
+	text := fmt.Sprint(r.ProtoReflect().Interface())
+	_, value, _ := strings.Cut(text, fmt.Sprintf("Version:%d", r.GetVersion()))
+
+	return strings.Join(strings.Fields(value), " ")
+}
--- a/internal/control/heard.go
+++ b/internal/control/heard.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,57 +10,86 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// heard is the last poll of one process at this VM or a peer.
-type heard struct {
+// process is one incarnation of an entry or agent.
+type process struct {
+	id          string
 	incarnation uint64
-	known       uint64
-	at          time.Time
-	load        *wire.NodeLoad
 }
 
-// reports is the core that decides, without I/O, which processes' own words
-// must go into the log.
-type reports struct {
-	heard   map[string]heard
-	pending map[string]*wire.NodeReport
+// heard is the last poll of one process.
+type heard struct {
+	known uint64
+	at    time.Time
+	load  *wire.NodeLoad
 }
 
-func newReports() *reports {
-	return &reports{heard: map[string]heard{}, pending: map[string]*wire.NodeReport{}}
+// forgetAfter is how long a process that left stays in what was heard. It is
+// longer than any freshness lease, so that whoever may still act is named.
+const forgetAfter = time.Minute
+
+// hearing is the core that knows, without I/O, which processes polled this VM
+// and which of their reports must go into the log.
+type hearing struct {
+	heard   map[process]heard
+	pending map[string]*wire.NodeReport
+	version uint64
+	nodes   map[string]*wire.Node
 }
 
-// polled takes in a poll. What the directory already holds is not reported again.
-func (c *reports) polled(now time.Time, r *wire.PollRequest, directory map[string]*wire.Node) {
-	node := r.GetNode()
-	known := c.heard[node.GetID()]
+func newHearing() *hearing {
+	return &hearing{
+		heard:   map[process]heard{},
+		pending: map[string]*wire.NodeReport{},
+		nodes:   map[string]*wire.Node{},
+	}
+}
 
-	if node.GetIncarnation() < known.incarnation {
+// refresh takes in the directory as the log has it.
+func (c *hearing) refresh(records ledger.Records) {
+	if records.Version == c.version {
 		return
 	}
 
-	if node.GetIncarnation() == known.incarnation {
-		now = later(now, known.at)
+	d := records.DeltaSince(c.version)
+	if d.Full {
+		c.nodes = map[string]*wire.Node{}
 	}
 
-	c.heard[node.GetID()] = heard{
-		incarnation: node.GetIncarnation(),
-		known:       r.GetKnownVersion(),
-		at:          now,
-		load:        r.GetLoad(),
+	for _, key := range d.Removed {
+		if id, ok := strings.CutPrefix(key, ledger.NodePrefix); ok {
+			delete(c.nodes, id)
+		}
+	}
+
+	for _, r := range d.Changed {
+		if node := r.GetNode(); node != nil {
+			c.nodes[node.GetID()] = node
+		}
 	}
 
-	if r.GetGone() {
-		delete(c.heard, node.GetID())
+	c.version = records.Version
+}
+
+// polled takes in a poll. What the directory already holds is not reported again.
+func (c *hearing) polled(now time.Time, r *wire.PollRequest) {
+	node := r.GetNode()
+	name := process{id: node.GetID(), incarnation: node.GetIncarnation()}
+	before := c.heard[name]
+
+	c.heard[name] = heard{
+		known: max(r.GetKnownVersion(), before.known),
+		at:    later(now, before.at),
+		load:  r.GetLoad(),
 	}
 
-	if r.GetGone() || !proto.Equal(directory[node.GetID()], node) {
-		c.add(&wire.NodeReport{Node: node, Gone: r.GetGone()})
+	if r.GetGone() || !proto.Equal(c.nodes[node.GetID()], node) {
+		c.report(&wire.NodeReport{Node: node, Gone: r.GetGone()})
 	}
 }
 
-func (c *reports) add(r *wire.NodeReport) {
+func (c *hearing) report(r *wire.NodeReport) {
 	waiting := c.pending[r.GetNode().GetID()].GetNode()
-	if waiting != nil && waiting.GetIncarnation() > r.GetNode().GetIncarnation() {
+	if waiting.GetIncarnation() > r.GetNode().GetIncarnation() {
 		return
 	}
 
@@ -72,7 +102,7 @@
 
 // take returns the next reports to commit, and forgets them: a process whose
 // report is lost with a failed command polls again and is reported again.
-func (c *reports) take() []*wire.NodeReport {
+func (c *hearing) take() []*wire.NodeReport {
 	var out []*wire.NodeReport
 
 	for id, r := range c.pending {
@@ -87,6 +117,33 @@
 	return out
 }
 
+// forget drops processes that have long been silent and are not in the directory.
+func (c *hearing) forget(now time.Time) {
+	for name, h := range c.heard {
+		current := c.nodes[name.id].GetIncarnation() == name.incarnation
+		if !current && now.Sub(h.at) > forgetAfter {
+			delete(c.heard, name)
+		}
+	}
+}
+
+// list returns what was heard, for another control VM or for this one.
+func (c *hearing) list(now time.Time) *wire.HeardResponse {
+	out := &wire.HeardResponse{Version: c.version}
+
+	for name, h := range c.heard {
+		out.Nodes = append(out.Nodes, &wire.HeardNode{
+			ID:           name.id,
+			Incarnation:  name.incarnation,
+			KnownVersion: h.known,
+			AgeMillis:    uint64(now.Sub(h.at).Milliseconds()),
+			Load:         h.load,
+		})
+	}
+
+	return out
+}
+
 func nodesOf(records ledger.Records) map[string]*wire.Node {
 	out := map[string]*wire.Node{}
 
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -67,6 +67,8 @@
 		Stale:      !fresh,
 		AgeMillis:  uint64(age.Milliseconds()) + 1,
 		HeldMillis: uint64(now.Sub(received).Milliseconds()),
+
+		LeaseMillis: uint64(s.Settings.Lease.Milliseconds()),
 	}
 
 	if p.records.Version <= r.GetKnownVersion() && r.GetKnownVersion() != 0 {
--- a/internal/control/published.go
+++ b/internal/control/published.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -15,10 +16,11 @@
 	records   ledger.Records
 	decisions []*wire.DecisionEntry
 	floor     uint64
-	claims    int
 	tickIndex uint64
-	changes   uint64
-	learnt    []learning
+	// tickLearnt is when this VM applied the last tick, or later.
+	tickLearnt time.Time
+	changes    uint64
+	learnt     []learning
 	// replaced is closed once a later picture is published.
 	replaced chan struct{}
 	full     func() ledger.Delta
@@ -34,6 +36,19 @@
 // maxLearnings bounds how many versions' times are kept.
 const maxLearnings = 4096
 
+// learntAt returns when this VM applied version. For versions from before its
+// start it is the time of the start.
+func (p *published) learntAt(version uint64, started time.Time) time.Time {
+	i, found := slices.BinarySearchFunc(p.learnt, version, func(l learning, v uint64) int {
+		return cmp.Compare(l.version, v)
+	})
+	if !found {
+		return started
+	}
+
+	return p.learnt[i].at
+}
+
 // publish replaces the picture. Only the goroutine that owns the ledger calls it.
 func (s *Server) publish(now time.Time) {
 	records := s.state.Records()
@@ -42,7 +57,6 @@
 		records:   records,
 		decisions: entries,
 		floor:     floor,
-		claims:    s.state.Claims(),
 		tickIndex: s.state.TickIndex(),
 		changes:   s.state.Changes(),
 		learnt:    s.learn(records.Version, now),
@@ -50,7 +64,15 @@
 		full:      sync.OnceValue(func() ledger.Delta { return records.DeltaSince(0) }),
 	}
 
-	before := s.published.Swap(next)
+	next.tickLearnt = now
+
+	before := s.published.Load()
+	if before != nil && before.tickIndex == next.tickIndex {
+		next.tickLearnt = before.tickLearnt
+	}
+
+	s.published.Store(next)
+
 	if before != nil {
 		close(before.replaced)
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -43,6 +43,10 @@
 	// yet, or "" where it is safe or no control VM has that name.
 	StopUnsafe func(name string) string
 
+	// Self says what this control VM is as a process of the directory; nil leaves
+	// it out, and stops of it cannot be planned.
+	Self func() *wire.Node
+
 	// Settings holds the intervals; the zero value stands for DefaultSettings.
 	Settings Settings
 	// Limits bounds the state and must be equal on all control VMs.
@@ -52,6 +56,7 @@
 	state     *ledger.Ledger
 	published atomic.Pointer[published]
 	applied   atomic.Uint64
+	claims    atomic.Int64
 	fresh     atomic.Pointer[freshness]
 	events    chan event
 	started   time.Time
@@ -79,6 +84,8 @@
 	BatchEvery time.Duration
 	// ExpireAfter is how long a process may be silent before it is expired.
 	ExpireAfter time.Duration
+	// WatchEvery is how often the leading VM looks for silent processes.
+	WatchEvery time.Duration
 	// TickEvery is how often the clock of the state is moved.
 	TickEvery time.Duration
 	// ProposeTimeout bounds one proposal of this VM's own.
@@ -94,6 +101,7 @@
 		MaxWait:        2 * time.Second,
 		BatchEvery:     50 * time.Millisecond,
 		ExpireAfter:    10 * time.Second,
+		WatchEvery:     2500 * time.Millisecond,
 		TickEvery:      5 * time.Second,
 		ProposeTimeout: 2 * time.Second,
 	}
@@ -130,7 +138,11 @@
 		return nil
 	})
 	g.Go(func() error {
-		s.keepDirectory(ctx)
+		s.hear(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		s.tend(ctx)
 		return nil
 	})
 
@@ -142,6 +154,7 @@
 	before := s.published.Load()
 	result := s.state.Apply(index, command)
 	s.applied.Store(index)
+	s.claims.Store(int64(s.state.Claims()))
 
 	if s.state.Changes() != before.changes {
 		s.publish(time.Now())
@@ -160,6 +173,7 @@
 	}
 
 	s.applied.Store(s.state.Index())
+	s.claims.Store(int64(s.state.Claims()))
 	s.publish(time.Now())
 
 	return nil
--- /dev/null
+++ b/internal/intent/declaration.go
@@ -0,0 +1,232 @@
+// Package intent reads the operators' declarations and works out plans: what a
+// declaration would change in the state, and what that costs.
+//
+// What a declaration does not mention stays as it is: a section that is missing
+// leaves its record, a key that is missing leaves its value. A record goes only
+// by Removed = true in its section, so that a file cut short removes nothing,
+// and an urgent change needs no more than the one section that it is about.
+package intent
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Declaration is a declaration that was read and checked.
+type Declaration struct {
+	Source   string
+	sections []section
+}
+
+// section is one section with a known kind.
+type section struct {
+	kind     *kind
+	name     string
+	line     int
+	removed  bool
+	settings []setting
+}
+
+type setting struct {
+	field field
+	value string
+	line  int
+}
+
+func (s *section) head() string { return fmt.Sprintf("%s %q", s.kind.section, s.name) }
+
+func (s *section) key() string { return s.kind.prefix + s.name }
+
+// nameRule is what the names of zones, services, processes and so on look like.
+var nameRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+const allowedName = "1 to 63 letters, digits, dots, dashes and underscores, beginning with a letter or digit"
+
+// Parse reads a declaration in INI. Source names it in errors, which are of
+// type *Error.
+func Parse(source string, data []byte) (*Declaration, error) {
+	if len(data) > MaxBytes {
+		return nil, &Error{Source: source, Problem: "the declaration is too long", Allowed: fmt.Sprintf("%d bytes", MaxBytes)}
+	}
+
+	lines, err := scan(source, data)
+	if err != nil {
+		return nil, err
+	}
+
+	file, err := load(source, data)
+	if err != nil {
+		return nil, err
+	}
+
+	d := &Declaration{Source: source}
+
+	for _, name := range file.SectionStrings() {
+		if name == "DEFAULT" && lines[place{section: name}] == 0 {
+			continue
+		}
+
+		s, err := parseSection(name, lines[place{section: name}])
+		if err != nil {
+			return nil, d.at(err)
+		}
+
+		for _, key := range file.Section(name).Keys() {
+			if err := s.add(key.Name(), key.Value(), lines[place{section: name, key: key.Name()}]); err != nil {
+				return nil, d.at(err)
+			}
+		}
+
+		if s.removed && len(s.settings) > 0 {
+			return nil, d.at(&Error{Line: s.line, Section: name, Key: removedKey, Problem: "stands beside other keys", Allowed: "alone"})
+		}
+
+		d.sections = append(d.sections, *s)
+	}
+
+	return d, d.complete(lines)
+}
+
+// complete guards against settings that the INI library dropped or renamed:
+// each line that was scanned must have become a section or a setting.
+func (d *Declaration) complete(lines map[place]int) error {
+	read := len(d.sections)
+
+	for _, s := range d.sections {
+		read += len(s.settings)
+		if s.removed {
+			read++
+		}
+	}
+
+	if read != len(lines) {
+		return &Error{Source: d.Source, Problem: fmt.Sprintf("%d of %d lines were understood", read, len(lines))}
+	}
+
+	return nil
+}
+
+func (d *Declaration) at(err *Error) error {
+	err.Source = d.Source
+	return err
+}
+
+func parseSection(head string, line int) (*section, *Error) {
+	word, quoted, _ := strings.Cut(head, " ")
+	quoted = strings.TrimSpace(quoted)
+
+	for _, k := range kinds {
+		if k.section != word {
+			continue
+		}
+
+		name := strings.Trim(quoted, `"`)
+		if quoted != `"`+name+`"` || !nameRule.MatchString(name) {
+			return nil, &Error{Line: line, Section: head, Problem: "has no proper name", Allowed: allowedName + ", in double quotes"}
+		}
+
+		return &section{kind: k, name: name, line: line}, nil
+	}
+
+	return nil, &Error{Line: line, Section: head, Problem: "is no known section", Allowed: sectionNames()}
+}
+
+func sectionNames() string {
+	names := make([]string, 0, len(kinds))
+	for _, k := range kinds {
+		names = append(names, fmt.Sprintf(`[%s "name"]`, k.section))
+	}
+
+	return strings.Join(names, ", ")
+}
+
+func (s *section) add(key, value string, line int) *Error {
+	fault := &Error{Line: line, Section: s.head(), Key: key}
+
+	if key == removedKey && s.kind.fresh != nil {
+		if value != "true" {
+			fault.Problem, fault.Allowed = "has a bad value", "true, or leave the key out"
+			return fault
+		}
+
+		s.removed = true
+
+		return nil
+	}
+
+	f, ok := s.kind.field(key)
+	if !ok {
+		fault.Problem, fault.Allowed = "is no known key", s.kind.keys()
+		return fault
+	}
+
+	s.settings = append(s.settings, setting{field: f, value: value, line: line})
+
+	if s.kind.fresh == nil {
+		return s.try(&wire.Record{Value: &wire.Record_Service{Service: &wire.Service{}}}, fault, f, value)
+	}
+
+	return s.try(s.kind.fresh(s.name), fault, f, value)
+}
+
+func (s *section) try(r *wire.Record, fault *Error, f field, value string) *Error {
+	if err := f.set(r, value); err != nil {
+		fault.Problem, fault.Allowed = fmt.Sprintf("has the bad value %q", value), f.allowed
+		return fault
+	}
+
+	return nil
+}
+
+// Digest returns the SHA-256 of what was declared. Order, comments, blank lines
+// and the source's name do not count.
+func (d *Declaration) Digest(override bool) []byte {
+	lines := []string{fmt.Sprintf("override %t", override)}
+
+	for _, s := range d.sections {
+		lines = append(lines, fmt.Sprintf("%s removed %t", s.head(), s.removed))
+
+		for _, set := range s.settings {
+			lines = append(lines, fmt.Sprintf("%s %s %q", s.head(), set.field.name, set.value))
+		}
+	}
+
+	slices.Sort(lines)
+
+	sum := sha256.Sum256([]byte(strings.Join(lines, "\n")))
+
+	return sum[:]
+}
+
+// overlay returns held as the section declares it, or nil where it is removed.
+func (s *section) overlay(held *wire.Record) (*wire.Record, *Error) {
+	if s.removed {
+		return nil, nil
+	}
+
+	next := proto.CloneOf(held)
+	if held == nil {
+		if s.kind.fresh == nil {
+			return nil, &Error{Line: s.line, Section: s.head(), Problem: "names an unknown service", Allowed: "a declared service"}
+		}
+
+		next = s.kind.fresh(s.name)
+	}
+
+	for _, set := range s.settings {
+		if err := set.field.set(next, set.value); err != nil {
+			return nil, &Error{Line: set.line, Section: s.head(), Key: set.field.name, Problem: err.Error(), Allowed: set.field.allowed}
+		}
+	}
+
+	next.Key = s.key()
+
+	return next, nil
+}
--- /dev/null
+++ b/internal/intent/plan.go
@@ -0,0 +1,286 @@
+package intent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// spareShare is the part of the load that should be left to spare after a plan;
+// below it the plan warns.
+const spareShare = 4
+
+// Plan works out what the declaration would change against base, and what that
+// costs. An error is of type *Error.
+func (d *Declaration) Plan(base Base, operator string, override bool) (*wire.Plan, error) {
+	changes, err := d.Changes(base)
+	if err != nil {
+		return nil, err
+	}
+
+	p := &wire.Plan{
+		BaseVersion:  base.Version,
+		Operator:     operator,
+		Changes:      changes,
+		Override:     override,
+		IntentDigest: d.Digest(override),
+		Source:       d.Source,
+	}
+
+	newEstimate(base, changes).fill(p)
+	checkNames(base, p)
+
+	return p, nil
+}
+
+// estimate compares the targets before and after the changes.
+type estimate struct {
+	base   Base
+	after  []*wire.Record
+	before map[string]*wire.Node
+	usable map[string]*wire.Node
+	// models are the services whose model changes, so that all targets load anew.
+	models map[string]bool
+	// services are the declarations after the changes.
+	services map[string]*wire.Service
+}
+
+func newEstimate(base Base, changes []*wire.Change) *estimate {
+	e := &estimate{
+		base:     base,
+		after:    ledger.Overlay(base.Records, changes),
+		before:   byID(ledger.Usable(base.Records)),
+		models:   map[string]bool{},
+		services: map[string]*wire.Service{},
+	}
+	e.usable = byID(ledger.Usable(e.after))
+
+	for _, r := range e.after {
+		if service := r.GetService(); service != nil {
+			e.services[service.GetName()] = service
+		}
+	}
+
+	for _, c := range changes {
+		was, is := c.GetBefore().GetService(), c.GetAfter().GetService()
+		if was != nil && is != nil && was.GetModel() != is.GetModel() {
+			e.models[is.GetName()] = true
+		}
+	}
+
+	return e
+}
+
+func byID(nodes []*wire.Node) map[string]*wire.Node {
+	out := make(map[string]*wire.Node, len(nodes))
+	for _, node := range nodes {
+		out[node.GetID()] = node
+	}
+
+	return out
+}
+
+func (e *estimate) fill(p *wire.Plan) {
+	p.Capacity = e.capacity()
+	p.Drains = e.drains(p.GetChanges())
+	p.Cost = e.cost()
+	p.Needs = e.needs(p.GetCapacity())
+	p.Warnings, p.Refusals = e.judge(p.GetNeeds())
+}
+
+// capacity sums what targets bear by service and zone.
+func (e *estimate) capacity() []*wire.CapacityLine {
+	lines := map[[2]string]*wire.CapacityLine{}
+
+	at := func(service, zone string) *wire.CapacityLine {
+		key := [2]string{service, zone}
+		if lines[key] == nil {
+			lines[key] = &wire.CapacityLine{Service: service, Zone: zone}
+		}
+
+		return lines[key]
+	}
+
+	for _, sum := range ledger.Bears(e.base.Records) {
+		at(sum.Service, sum.Zone).Before = sum.Requests
+	}
+
+	for _, sum := range ledger.Bears(e.after) {
+		at(sum.Service, sum.Zone).After = sum.Requests
+	}
+
+	for _, node := range e.usable {
+		at(node.GetService(), node.GetZone()).During += e.during(node)
+	}
+
+	out := make([]*wire.CapacityLine, 0, len(lines))
+	for _, line := range lines {
+		out = append(out, line)
+	}
+
+	slices.SortFunc(out, func(a, b *wire.CapacityLine) int {
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetZone(), b.GetZone()))
+	})
+
+	return out
+}
+
+// during is what a target can be relied on to bear right after the change: its
+// cold limit where it starts cold.
+func (e *estimate) during(node *wire.Node) uint32 {
+	service := e.services[node.GetService()]
+	warm := ledger.WarmCapacity(node, service.GetWarmLimit())
+
+	if load := e.base.Loads[node.GetID()]; load.GetCold() {
+		return min(warm, load.GetLimit())
+	}
+
+	if e.startsCold(node) {
+		return min(warm, max(service.GetColdLimit(), 1))
+	}
+
+	return warm
+}
+
+func (e *estimate) startsCold(node *wire.Node) bool {
+	return e.before[node.GetID()] == nil || e.models[node.GetService()]
+}
+
+// drains lists the processes that leave and what they must finish first.
+func (e *estimate) drains(changes []*wire.Change) []*wire.DrainLine {
+	leaving := map[string]*wire.Node{}
+
+	for id, node := range e.before {
+		if e.usable[id] == nil {
+			leaving[id] = node
+		}
+	}
+
+	for _, c := range changes {
+		if stop := c.GetAfter().GetStop(); stop != nil {
+			for _, r := range e.base.Records {
+				if r.GetNode().GetID() == stop.GetNodeID() {
+					leaving[stop.GetNodeID()] = r.GetNode()
+				}
+			}
+		}
+	}
+
+	out := make([]*wire.DrainLine, 0, len(leaving))
+	for _, node := range leaving {
+		out = append(out, e.drain(node))
+	}
+
+	slices.SortFunc(out, func(a, b *wire.DrainLine) int { return cmp.Compare(a.GetNodeID(), b.GetNodeID()) })
+
+	return out
+}
+
+func (e *estimate) drain(node *wire.Node) *wire.DrainLine {
+	load := e.base.Loads[node.GetID()]
+	line := &wire.DrainLine{
+		NodeID:        node.GetID(),
+		Service:       node.GetService(),
+		Zone:          node.GetZone(),
+		InFlight:      load.GetInFlight() + load.GetQueued(),
+		LongestMillis: load.GetLongestMillis(),
+	}
+
+	if line.InFlight > 0 && line.LongestMillis == 0 {
+		line.LongestMillis = e.services[node.GetService()].GetLongestMillis()
+	}
+
+	return line
+}
+
+func (e *estimate) cost() *wire.Cost {
+	out := &wire.Cost{}
+
+	for _, node := range e.usable {
+		if !e.startsCold(node) {
+			continue
+		}
+
+		bytes := e.services[node.GetService()].GetWeightBytes()
+		out.ColdStarts++
+		out.WeightBytes += bytes
+		out.WeightsUnknown = out.WeightsUnknown || bytes == 0
+	}
+
+	return out
+}
+
+// needs compares, for each service whose capacity changes, what remains with
+// what its targets have in hand now.
+func (e *estimate) needs(capacity []*wire.CapacityLine) []*wire.NeedLine {
+	needed := map[string]uint32{}
+	for id, node := range e.before {
+		needed[node.GetService()] += e.base.Loads[id].GetInFlight() + e.base.Loads[id].GetQueued()
+	}
+
+	var out []*wire.NeedLine
+
+	before := map[string]uint32{}
+
+	for _, line := range capacity {
+		if len(out) == 0 || out[len(out)-1].GetService() != line.GetService() {
+			out = append(out, &wire.NeedLine{Service: line.GetService(), Needed: needed[line.GetService()]})
+		}
+
+		need := out[len(out)-1]
+		need.During += line.GetDuring()
+		need.After += line.GetAfter()
+		before[line.GetService()] += line.GetBefore()
+	}
+
+	out = slices.DeleteFunc(out, func(n *wire.NeedLine) bool {
+		was := before[n.GetService()]
+		n.Reduces = n.GetDuring() < was || n.GetAfter() < was
+
+		return n.GetDuring() == was && n.GetAfter() == was
+	})
+
+	return out
+}
+
+func (e *estimate) judge(needs []*wire.NeedLine) (warnings, refusals []string) {
+	for _, n := range needs {
+		if !n.GetReduces() {
+			continue
+		}
+
+		left := min(n.GetDuring(), n.GetAfter())
+
+		switch {
+		case left == 0:
+			refusals = append(refusals, fmt.Sprintf("%s would have no target left", n.GetService()))
+		case left < n.GetNeeded():
+			refusals = append(refusals, fmt.Sprintf("%s would bear %d requests at once and has %d in hand now",
+				n.GetService(), left, n.GetNeeded()))
+		case left-n.GetNeeded() < n.GetNeeded()/spareShare:
+			warnings = append(warnings, fmt.Sprintf("%s would have only %d requests to spare over the %d in hand now",
+				n.GetService(), left-n.GetNeeded(), n.GetNeeded()))
+		}
+	}
+
+	if unheard := e.unheard(); unheard > 0 && len(needs) > 0 {
+		warnings = append(warnings, fmt.Sprintf("the load of %d of %d targets is not known", unheard, len(e.before)))
+	}
+
+	return warnings, refusals
+}
+
+func (e *estimate) unheard() int {
+	n := 0
+
+	for id := range e.before {
+		if e.base.Loads[id] == nil {
+			n++
+		}
+	}
+
+	return n
+}
--- a/internal/ledger/base.go
+++ b/internal/ledger/base.go
@@ -55,7 +55,7 @@
 
 	for _, need := range plan.GetNeeds() {
 		left := bears[need.GetService()]
-		if left < need.GetNeeded() && need.GetAfter() >= need.GetNeeded() {
+		if need.GetReduces() && left < need.GetNeeded() && need.GetAfter() >= need.GetNeeded() {
 			out = append(out, fmt.Sprintf("targets left since the plan: %s would bear %d requests, needs %d",
 				need.GetService(), left, need.GetNeeded()))
 		}
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -69,11 +69,20 @@
 	}
 
 	delete(l.directory.departed, node.GetID())
+	l.endStop(index, next)
 	l.records.put(index, &wire.Record{Key: NodePrefix + node.GetID(), Value: &wire.Record_Node{Node: next}})
 
 	return true
 }
 
+// endStop removes the planned stop of an earlier incarnation: it was carried out.
+func (l *Ledger) endStop(index uint64, node *wire.Node) {
+	stop := l.records.get(StopPrefix + node.GetID()).GetStop()
+	if stop != nil && stop.GetIncarnation() != 0 && stop.GetIncarnation() < node.GetIncarnation() {
+		l.records.remove(index, StopPrefix+node.GetID())
+	}
+}
+
 // follows guards against late reports: one of an earlier incarnation, or an
 // earlier one of the same, would bring back an address or a boot id that is
 // gone. Incarnations and reports only grow, so the newer one is known.
--- /dev/null
+++ b/internal/ledger/history_test.go
@@ -0,0 +1,121 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// copyOf is a reader's copy of the records, which follows by deltas.
+type copyOf struct {
+	version uint64
+	records map[string]*wire.Record
+}
+
+func (c *copyOf) follow(records ledger.Records) {
+	d := records.DeltaSince(c.version)
+	if d.Full {
+		c.records = map[string]*wire.Record{}
+	}
+
+	for _, key := range d.Removed {
+		delete(c.records, key)
+	}
+
+	for _, r := range d.Changed {
+		c.records[r.GetKey()] = r
+	}
+
+	c.version = d.Version
+}
+
+// A reader misses any number of changes, among them removals that are no longer
+// kept, and control VMs take snapshots and restart at different times. Every
+// reader must end with the same records, whichever VM it asks, and the VMs must
+// give the same results and the same snapshots.
+func TestReadersAndReplicasConverge(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		limits := ledger.DefaultLimits()
+		limits.Tombstones = 3
+		limits.Decisions = 4
+		limits.Plans = 3
+		limits.Departed = 3
+		limits.Claims = 5
+
+		steady, restarting := newBed(rt, limits), newBed(rt, limits)
+		readers := []*copyOf{{}, {}, {}}
+
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			cmd := drawCommand(rt, steady)
+			require.True(rt, proto.Equal(steady.apply(cmd), restarting.apply(cmd)))
+
+			if rapid.Bool().Draw(rt, "restart") {
+				restarting.restart(limits)
+			}
+
+			i := rapid.IntRange(0, 5).Draw(rt, "reader")
+			if i < len(readers) {
+				readers[i].follow(restarting.ledger.Records())
+			}
+		}
+
+		require.Equal(rt, steady.ledger.Snapshot(), restarting.ledger.Snapshot())
+
+		fresh := &copyOf{}
+		fresh.follow(steady.ledger.Records())
+
+		for _, r := range readers {
+			r.follow(restarting.ledger.Records())
+			require.Len(rt, r.records, len(fresh.records))
+
+			for key, record := range fresh.records {
+				require.True(rt, proto.Equal(record, r.records[key]), key)
+			}
+		}
+	})
+}
+
+func drawCommand(rt *rapid.T, b *bed) *wire.Command {
+	name := fmt.Sprint(rapid.IntRange(0, 4).Draw(rt, "name"))
+	n := rapid.Uint64Range(1, 6).Draw(rt, "n")
+	node := agent(name, n/3, n)
+
+	switch rapid.IntRange(0, 6).Draw(rt, "kind") {
+	case 0:
+		return &wire.Command{Kind: &wire.Command_Tick{Tick: &wire.Tick{After: b.ledger.TickIndex(), ElapsedMillis: n * 9000}}}
+	case 1:
+		return &wire.Command{Kind: &wire.Command_NodeReports{NodeReports: &wire.NodeReports{
+			Reports: []*wire.NodeReport{{Node: node, Gone: n == 6}},
+		}}}
+	case 2:
+		return &wire.Command{Kind: &wire.Command_Expiry{Expiry: &wire.Expiry{
+			Nodes: []*wire.NodeName{{ID: name, Incarnation: n / 3}},
+		}}}
+	case 3:
+		plan := b.zonePlan(name, n%2 == 0)
+		if n > 4 {
+			plan.Changes[0].Kind = wire.ChangeKind_ChangeRemove
+		}
+
+		return &wire.Command{Kind: &wire.Command_StorePlan{StorePlan: plan}}
+	case 4:
+		return &wire.Command{Kind: &wire.Command_Decision{Decision: &wire.Decision{
+			Operator: name, Number: n + b.index/8, PlanID: fmt.Sprintf("P%d", b.index),
+		}}}
+	case 5:
+		return &wire.Command{Kind: &wire.Command_Claim{Claim: &wire.ClaimRequest{
+			Key: name, BodyDigest: []byte("b"), Holder: &wire.ClaimHolder{AttemptID: fmt.Sprint(n)},
+		}}}
+	default:
+		return &wire.Command{Kind: &wire.Command_ExpertMap{ExpertMap: &wire.ExpertMap{
+			Group: name, MapVersion: n, Committed: n%2 == 0,
+		}}}
+	}
+}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -150,6 +150,17 @@
 	return d
 }
 
+// Get returns the record at key, or nil.
+func (r Records) Get(key string) *wire.Record {
+	for _, c := range slices.Backward(r.changes) {
+		if c.key == key {
+			return c.record
+		}
+	}
+
+	return nil
+}
+
 // All returns every record, in order of version.
 func (r Records) All() []*wire.Record { return r.DeltaSince(0).Changed }
 
--- a/internal/view/core.go
+++ b/internal/view/core.go
@@ -83,14 +83,20 @@
 	return r.GetVersion() == held || r.GetFull() || known == held
 }
 
-// freshUntil counts the lease from when the state was surely current. The held
-// time cannot exceed the time since sent, whatever the control VM says, as the
-// answer has come.
+// freshUntil counts the lease from when the state was surely current: the
+// control VM received the poll no earlier than sent, held it, and knew the state
+// to be current no longer ago than its age. A message late on the way only
+// shortens the lease.
 func (c *core) freshUntil(sent time.Time, r *wire.PollResponse) time.Time {
 	age := time.Duration(r.GetAgeMillis()) * time.Millisecond
 	held := time.Duration(r.GetHeldMillis()) * time.Millisecond
 
-	return sent.Add(held).Add(-age).Add(c.lease)
+	lease := c.lease
+	if given := time.Duration(r.GetLeaseMillis()) * time.Millisecond; given > 0 {
+		lease = min(lease, given)
+	}
+
+	return sent.Add(held).Add(-age).Add(lease)
 }
 
 func outcomeOf(r *wire.PollResponse, o outcome) outcome {
