--- a/internal/intent/changes.go
+++ b/internal/intent/changes.go
@@ -142,13 +142,7 @@
 
 	for name, value := range is {
 		if was[name] != value {
-			out = append(out, fmt.Sprintf("%s %s -> %s", name, orNone(was[name]), value))
-		}
-	}
-
-	for name, value := range was {
-		if _, ok := is[name]; !ok {
-			out = append(out, fmt.Sprintf("%s %s -> none", name, value))
+			out = append(out, fmt.Sprintf("%s %s -> %s", name, orNone(was[name]), orNone(value)))
 		}
 	}
 
--- /dev/null
+++ b/internal/intent/declaration_test.go
@@ -0,0 +1,97 @@
+package intent_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/intent"
+)
+
+func ExampleParse() {
+	_, err := intent.Parse("trust.ini", []byte("[Zone \"ayutthaya\"]\nOut = yes\n"))
+	fmt.Println(err)
+	// Output: trust.ini:2: [Zone "ayutthaya"] Out: has the bad value "yes"; allowed: true, false
+}
+
+// An operator mistypes a declaration. If a line were dropped without a word, a
+// zone would stay in use though the file says that it is out; so each fault is
+// refused with its place and what is allowed.
+func TestFaultyDeclarations(t *testing.T) {
+	t.Parallel()
+
+	cases := map[string]struct {
+		text string
+		want []string
+	}{
+		"unknown section":        {"[Zones \"a\"]\nOut = true", []string{"f.ini:1", "no known section", `[Zone "name"]`}},
+		"unknown key":            {"[Zone \"a\"]\n\nout = true", []string{"f.ini:3", `[Zone "a"] out`, "Region, Out, Removed"}},
+		"doubled section":        {"[Zone \"a\"]\nOut = true\n[Zone \"a\"]\nRegion = x", []string{"f.ini:3", "already given in line 1"}},
+		"doubled key":            {"[Zone \"a\"]\nOut = true\nOut = false", []string{"f.ini:3", "Out", "already given in line 2"}},
+		"key before any section": {"Out = true", []string{"f.ini:1", "before the first section"}},
+		"no setting":             {"[Zone \"a\"]\nOut", []string{"f.ini:2", "Key = value"}},
+		"open head":              {"[Zone \"a\"", []string{"f.ini:1", "not closed"}},
+		"comment after a head":   {"[Zone \"a\"] ; out", []string{"f.ini:1", "not closed"}},
+		"no name":                {"[Zone]\nOut = true", []string{"f.ini:1", "no proper name"}},
+		"name without quotes":    {"[Zone a]\nOut = true", []string{"f.ini:1", "double quotes"}},
+		"bad name":               {"[Zone \"a/b\"]\nOut = true", []string{"f.ini:1", "no proper name"}},
+		"default section":        {"[DEFAULT]\nOut = true", []string{"f.ini:1", "no known section"}},
+		"bad number":             {"[Workspace \"w\"]\nWeight = -1", []string{"f.ini:2", "whole number"}},
+		"bad priority":           {"[Workspace \"w\"]\nPriority = 1001", []string{"f.ini:2", "-1000 to 1000"}},
+		"bad call":               {"[Service \"s\"]\nIdempotentCalls = GET /a, post /b", []string{"f.ini:2", "METHOD /path"}},
+		"bad time":               {"[Service \"s\"]\nLongestRun = 90", []string{"f.ini:2", "90s"}},
+		"bad bytes":              {"[Service \"s\"]\nWeightBytes = 12GB", []string{"f.ini:2", "bytes"}},
+		"quoted value":           {"[Zone \"a\"]\nRegion = \"x\"", []string{"f.ini:2", "without quotes"}},
+		"comment after a value":  {"[Zone \"a\"]\nOut = true ; for the storm", []string{"f.ini:2", "true, false"}},
+		"removed and more":       {"[Zone \"a\"]\nRemoved = true\nOut = true", []string{"f.ini:1", "alone"}},
+		"not removed":            {"[Zone \"a\"]\nRemoved = false", []string{"f.ini:2", "leave the key out"}},
+		"removed cold limit":     {"[ColdLimit \"s\"]\nRemoved = true", []string{"f.ini:2", "Cold, Warm"}},
+		"dash key":               {"[Zone \"a\"]\n- = true", []string{"f.ini"}},
+		"too long":               {strings.Repeat("#", intent.MaxBytes+1), []string{"too long"}},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			_, err := intent.Parse("f.ini", []byte(c.text))
+
+			var fault *intent.Error
+
+			require.ErrorAs(t, err, &fault)
+
+			for _, want := range c.want {
+				require.Contains(t, err.Error(), want)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("[Zone \"a\"]\nOut = true\n")
+	f.Add("[Service \"s\"]\r\nModel = %(x)s \\\n; c\n\xef\xbb\xbf[Zone \"b\"]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		d, err := intent.Parse("f.ini", []byte(text))
+		if err == nil {
+			require.NotNil(t, d)
+		}
+	})
+}
+
+// Order and comments are no content: the same number with them moved is the same decision.
+func TestDigest(t *testing.T) {
+	t.Parallel()
+
+	digest := func(text string) []byte {
+		d, err := intent.Parse("f.ini", []byte(text))
+		require.NoError(t, err)
+
+		return d.Digest(false)
+	}
+
+	one := digest("[Zone \"a\"]\nOut = true\nRegion = r\n[Zone \"b\"]\nOut = false")
+	require.Equal(t, one, digest("# storm\n[Zone \"b\"]\nOut = false\n\n[Zone \"a\"]\nRegion = r\nOut = true"))
+	require.NotEqual(t, one, digest("[Zone \"a\"]\nOut = true\nRegion = r\n[Zone \"b\"]\nOut = true"))
+}
--- a/internal/intent/names.go
+++ b/internal/intent/names.go
@@ -58,24 +58,36 @@
 	return out
 }
 
-// fieldsOf returns the set fields of a record's value, for people to read.
+// fieldsOf returns the fields of a record's value, for people to read. Those of
+// a record that does not exist are empty.
 func fieldsOf(r *wire.Record) map[string]string {
 	out := map[string]string{}
+	value := valueOf(r)
 
-	r.ProtoReflect().Range(func(fd protoreflect.FieldDescriptor, v protoreflect.Value) bool {
-		if fd.ContainingOneof() != nil {
-			v.Message().Range(func(fd protoreflect.FieldDescriptor, v protoreflect.Value) bool {
-				out[string(fd.Name())] = valueText(fd, v)
-				return true
-			})
-		}
+	if value == nil {
+		return out
+	}
 
-		return true
-	})
+	fields := value.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		out[string(fd.Name())] = valueText(fd, value.Get(fd))
+	}
 
 	return out
 }
 
+func valueOf(r *wire.Record) protoreflect.Message {
+	message := r.ProtoReflect()
+
+	fd := message.WhichOneof(message.Descriptor().Oneofs().ByName("Value"))
+	if fd == nil {
+		return nil
+	}
+
+	return message.Get(fd).Message()
+}
+
 func valueText(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
 	if !fd.IsList() {
 		return v.String()
