--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,341 @@
+// Package exchange holds the course of one request at an entry, from choosing a
+// target to the last word to the caller, as a core without I/O. The shell does
+// what an Action says and reports what came of it; each report returns the next
+// Action. Two rules decide everything: only a request that did not run, or an
+// idempotent one, is sent again, and NotRun is said only when it is known.
+package exchange
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+const (
+	// maxTries bounds the attempts of one request, whatever the budget allows.
+	maxTries = 4
+	// firstAskWait and maxAskWait bound the wait between two asks about one attempt.
+	firstAskWait = 50 * time.Millisecond
+	maxAskWait   = time.Second
+	// maxAsks bounds the asks to an agent that does not answer.
+	maxAsks = 4
+	// busyRetry is when a caller whose key is in use elsewhere may come back.
+	busyRetry = time.Second
+)
+
+// Exchange is the aggregate of one request. Its fields are set before Start.
+type Exchange struct {
+	// Idempotent says that the service declares this call repeatable.
+	Idempotent bool
+	// Keyed says that the caller gave an idempotency key.
+	Keyed bool
+	// Resumable says that engines continue this answer after Last-Event-ID.
+	Resumable bool
+	// Deadline is the caller's.
+	Deadline time.Time
+	// Retry asks the entry's retry budget for one more attempt.
+	Retry func(now time.Time) bool
+
+	tries   int
+	own     *wire.ClaimHolder
+	asked   *wire.ClaimHolder
+	claimed string
+	granted bool
+	looked  bool
+	relayed bool
+	unsure  bool
+	asks    int
+	wait    time.Duration
+	last    *verdict.Error
+}
+
+// Start returns the first action.
+func (e *Exchange) Start(now time.Time) Action {
+	return e.choose(now)
+}
+
+// Tries returns how many attempts have been chosen.
+func (e *Exchange) Tries() int { return e.tries }
+
+// Chosen reports the attempt that is to be sent, with its target and credit.
+func (e *Exchange) Chosen(holder *wire.ClaimHolder) Action {
+	e.own = holder
+	e.asked = nil
+	e.tries++
+
+	if e.Keyed && !e.Idempotent {
+		return Action{Kind: Claim, Replaces: e.claimed}
+	}
+
+	return Action{Kind: Send, Resume: e.relayed}
+}
+
+// NoTarget reports that no target could be chosen.
+func (e *Exchange) NoTarget(err *verdict.Error) Action {
+	if e.relayed {
+		return e.broken(err)
+	}
+
+	return e.refuse(err)
+}
+
+// Claimed reports what the control VMs answered to a claim.
+func (e *Exchange) Claimed(now time.Time, r *wire.ClaimResponse) Action {
+	switch r.GetState() {
+	case wire.ClaimState_ClaimGranted:
+		e.claimed = e.own.GetAttemptID()
+		e.granted = true
+
+		return Action{Kind: Send}
+	case wire.ClaimState_ClaimOpen:
+		return e.askOther(now, r.GetHolder())
+	case wire.ClaimState_ClaimRecorded:
+		return Action{Kind: Deliver, Answer: r.GetAnswer()}
+	case wire.ClaimState_ClaimConflict:
+		return finish(verdict.Refuse(verdict.CauseKeyConflict, time.Time{}))
+	case wire.ClaimState_ClaimLost:
+		return finish(&verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseKeyLost})
+	case wire.ClaimState_ClaimFull:
+		return finish(verdict.Refuse(verdict.CauseClaims, now.Add(busyRetry)))
+	default:
+		return e.ClaimFailed(now)
+	}
+}
+
+// ClaimFailed reports that no control VM answered a claim or a look-up. This
+// exchange sends nothing, but an earlier send of the same key may have run, so
+// NotRun would be a guess. A resend under the same key stays safe.
+func (e *Exchange) ClaimFailed(now time.Time) Action {
+	return finish(&verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseClaims, RetryAt: now.Add(busyRetry)})
+}
+
+// LookedUp reports what a key stands for that this exchange is about to refuse.
+func (e *Exchange) LookedUp(now time.Time, r *wire.ClaimResponse) Action {
+	if r.GetState() == wire.ClaimState_ClaimFree {
+		return finish(e.last)
+	}
+
+	return e.Claimed(now, r)
+}
+
+// Ended reports how the attempt that was sent ended.
+func (e *Exchange) Ended(now time.Time, end End) Action {
+	e.relayed = e.relayed || end.Relayed
+
+	switch {
+	case end.Whole && e.granted:
+		return e.settleRan(end.Answer)
+	case end.Whole:
+		return Action{Kind: Finish}
+	case end.CallerGone && !e.granted:
+		return finish(&verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCancelled, Err: end.Err})
+	case e.relayed:
+		return e.resume(now, end.Err)
+	case end.Err.Verdict == verdict.NotRun:
+		return e.again(now, end.Err)
+	case e.Idempotent:
+		e.unsure = true
+
+		return e.again(now, end.Err)
+	default:
+		return e.askOwn(now, end.Err)
+	}
+}
+
+// Asked reports what an agent said of the attempt that Ask named.
+func (e *Exchange) Asked(now time.Time, r *wire.AskResponse) Action {
+	switch r.GetState() {
+	case wire.AskState_AskRunning:
+		e.asks = 0
+
+		return e.askAgain(now, verdict.CauseKeyBusy)
+	case wire.AskState_AskRan:
+		return e.askedRan(r.GetAnswer())
+	case wire.AskState_AskClosed:
+		return e.askedClosed(now)
+	default:
+		return e.lost()
+	}
+}
+
+// AskFailed reports that the agent could not be asked. That says nothing of the
+// attempt, so a claim stays open for a later resend to ask again.
+func (e *Exchange) AskFailed(now time.Time) Action {
+	e.asks++
+	if e.asks >= maxAsks {
+		return finish(&verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseSilent, RetryAt: now.Add(busyRetry)})
+	}
+
+	return e.askAgain(now, verdict.CauseSilent)
+}
+
+func (e *Exchange) choose(now time.Time) Action {
+	if !now.Before(e.Deadline) {
+		return e.NoTarget(verdict.Refuse(verdict.CauseDeadline, time.Time{}))
+	}
+
+	return Action{Kind: Choose}
+}
+
+// again sends the request once more, if the cause, the budget and the deadline
+// leave room. err is NotRun, or the call is idempotent.
+func (e *Exchange) again(now time.Time, err *verdict.Error) Action {
+	e.last = err
+
+	if !retryable(err.Cause) || e.tries >= maxTries || !now.Before(e.Deadline) {
+		return e.refuse(err)
+	}
+
+	if e.Retry != nil && !e.Retry(now) {
+		return e.refuse(err)
+	}
+
+	return Action{Kind: Choose}
+}
+
+// resume continues a stream of which the caller has some.
+func (e *Exchange) resume(now time.Time, err *verdict.Error) Action {
+	if !e.Resumable || !e.Idempotent || e.tries >= maxTries || !now.Before(e.Deadline) {
+		return e.broken(err)
+	}
+
+	if e.Retry != nil && !e.Retry(now) {
+		return e.broken(err)
+	}
+
+	return Action{Kind: Choose, Resume: true}
+}
+
+func (e *Exchange) askOwn(now time.Time, err *verdict.Error) Action {
+	e.last = err
+	e.asked = e.own
+	e.wait = firstAskWait
+
+	return Action{Kind: Ask, Holder: e.asked, At: now}
+}
+
+func (e *Exchange) askOther(now time.Time, holder *wire.ClaimHolder) Action {
+	e.asked = holder
+	e.wait = firstAskWait
+
+	return Action{Kind: Ask, Holder: holder, At: now}
+}
+
+func (e *Exchange) askAgain(now time.Time, cause verdict.Cause) Action {
+	at := now.Add(e.wait)
+	e.wait = min(2*e.wait, maxAskWait)
+
+	if at.After(e.Deadline) {
+		return finish(&verdict.Error{Verdict: verdict.MayHaveRun, Cause: cause, RetryAt: now.Add(busyRetry)})
+	}
+
+	return Action{Kind: Ask, Holder: e.asked, At: at}
+}
+
+func (e *Exchange) askedRan(answer *wire.Answer) Action {
+	if answer != nil && e.Keyed {
+		return e.settleRan(answer)
+	}
+
+	if answer != nil {
+		return Action{Kind: Deliver, Answer: answer}
+	}
+
+	err := &verdict.Error{Verdict: verdict.Ran, Cause: verdict.CauseKeyLost}
+
+	return e.settleThen(verdict.MayHaveRun, finish(err))
+}
+
+// askedClosed goes on with a request whose attempt is now known never to run.
+func (e *Exchange) askedClosed(now time.Time) Action {
+	if e.asked != e.own {
+		// Another entry's attempt is closed: this exchange may take its claim over.
+		e.claimed = e.asked.GetAttemptID()
+		if e.looked {
+			return finish(e.last)
+		}
+
+		return e.choose(now)
+	}
+
+	err := *e.last
+	err.Verdict = verdict.NotRun
+
+	return e.again(now, &err)
+}
+
+// lost ends an exchange whose agent cannot tell, because its incarnation is gone.
+func (e *Exchange) lost() Action {
+	err := &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseKeyLost}
+
+	return e.settleThen(verdict.MayHaveRun, finish(err))
+}
+
+// refuse ends an exchange without an answer. A claim that it holds is freed.
+func (e *Exchange) refuse(err *verdict.Error) Action {
+	e.last = err
+
+	switch {
+	case err.Verdict != verdict.NotRun:
+		return finish(err)
+	case e.unsure:
+		// An earlier attempt of this idempotent request may have run: that the last
+		// one did not is no ground for telling the caller NotRun.
+		return e.broken(err)
+	case e.granted:
+		return e.settleThen(verdict.NotRun, finish(err))
+	case e.Keyed && !e.Idempotent && !e.looked:
+		// A resend refused here (overload, no target) may be of a key that ran before:
+		// its caller would take NotRun as leave to book under a new key.
+		e.looked = true
+
+		return Action{Kind: LookUp}
+	default:
+		return finish(err)
+	}
+}
+
+// broken ends an answer of which the caller has some. It is never ended as if whole.
+func (e *Exchange) broken(err *verdict.Error) Action {
+	broken := *err
+	broken.Verdict = verdict.MayHaveRun
+
+	return finish(&broken)
+}
+
+func (e *Exchange) settleRan(answer *wire.Answer) Action {
+	a := e.settleThen(verdict.Ran, Action{Kind: Deliver, Answer: answer})
+	a.Answer = answer
+
+	return a
+}
+
+// settleThen records v for the claim that was asked about or is held, if any.
+func (e *Exchange) settleThen(v verdict.Verdict, then Action) Action {
+	if !e.Keyed || e.Idempotent {
+		return then
+	}
+
+	attempt := e.claimed
+	if e.asked != nil {
+		attempt = e.asked.GetAttemptID()
+	}
+
+	return Action{Kind: Settle, Verdict: v, Attempt: attempt, Then: &then}
+}
+
+func finish(err *verdict.Error) Action {
+	return Action{Kind: Finish, Err: err}
+}
+
+// retryable reports whether another attempt can fare better after this cause.
+func retryable(c verdict.Cause) bool {
+	switch c {
+	case verdict.CauseDeadline, verdict.CauseMalformed, verdict.CauseTooLarge, verdict.CauseUnknownService,
+		verdict.CauseKeyConflict, verdict.CauseKeyLost, verdict.CauseCancelled, verdict.CauseStale:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,206 @@
+package exchange_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/parsleygate/parsleygate/internal/exchange"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// script drives one exchange by the lines of a test file. Each line is one
+// report; its output is the action that follows.
+type script struct {
+	start  time.Time
+	now    time.Time
+	budget int
+	e      *exchange.Exchange
+}
+
+func TestExchange(t *testing.T) {
+	t.Parallel()
+
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{start: time.Unix(1000, 0)}
+
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "request":
+				return s.request(d)
+			case "reports":
+				return s.reports(t, d.Input)
+			default:
+				t.Fatalf("unknown command %s", d.Cmd)
+
+				return ""
+			}
+		})
+	})
+}
+
+func (s *script) request(d *datadriven.TestData) string {
+	s.now = s.start
+	s.budget = 10
+
+	if d.HasArg("no-budget") {
+		s.budget = 0
+	}
+
+	s.e = &exchange.Exchange{
+		Idempotent: d.HasArg("idempotent"),
+		Keyed:      d.HasArg("keyed"),
+		Resumable:  d.HasArg("resumable"),
+		Deadline:   s.start.Add(10 * time.Second),
+		Retry: func(time.Time) bool {
+			s.budget--
+
+			return s.budget >= 0
+		},
+	}
+
+	return s.text(s.e.Start(s.now))
+}
+
+func (s *script) reports(t *testing.T, input string) string {
+	t.Helper()
+
+	var out strings.Builder
+	for line := range strings.Lines(input) {
+		out.WriteString(s.text(s.report(t, strings.Fields(line))))
+	}
+
+	return out.String()
+}
+
+func (s *script) report(t *testing.T, f []string) exchange.Action {
+	t.Helper()
+
+	arg := func(n int) string {
+		if n < len(f) {
+			return f[n]
+		}
+
+		return ""
+	}
+
+	switch f[0] {
+	case "after":
+		d, err := time.ParseDuration(arg(1))
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		s.now = s.now.Add(d)
+
+		return s.report(t, f[2:])
+	case "chosen":
+		return s.e.Chosen(&wire.ClaimHolder{AttemptID: arg(1)})
+	case "no-target":
+		return s.e.NoTarget(verdict.Refuse(verdict.CauseNoTarget, time.Time{}))
+	case "claimed":
+		return s.e.Claimed(s.now, claim(arg(1), arg(2)))
+	case "looked-up":
+		return s.e.LookedUp(s.now, claim(arg(1), arg(2)))
+	case "claim-failed":
+		return s.e.ClaimFailed(s.now)
+	case "ended":
+		return s.e.Ended(s.now, end(f[1:]))
+	case "asked":
+		return s.e.Asked(s.now, asked(arg(1), arg(2)))
+	case "ask-failed":
+		return s.e.AskFailed(s.now)
+	default:
+		t.Fatalf("unknown report %v", f)
+
+		return exchange.Action{}
+	}
+}
+
+func claim(state, arg string) *wire.ClaimResponse {
+	r := &wire.ClaimResponse{State: wire.ClaimState(wire.ClaimState_value["Claim"+state])}
+
+	switch r.State {
+	case wire.ClaimState_ClaimOpen:
+		r.Holder = &wire.ClaimHolder{AttemptID: arg}
+	case wire.ClaimState_ClaimRecorded:
+		r.Answer = &wire.Answer{Body: []byte(arg)}
+	default:
+	}
+
+	return r
+}
+
+func asked(state, answer string) *wire.AskResponse {
+	r := &wire.AskResponse{State: wire.AskState(wire.AskState_value["Ask"+state])}
+	if answer != "" {
+		r.Answer = &wire.Answer{Body: []byte(answer)}
+	}
+
+	return r
+}
+
+func end(f []string) exchange.End {
+	e := exchange.End{Err: &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseSilent}}
+
+	for _, word := range f {
+		switch word {
+		case "whole":
+			e.Whole = true
+			e.Err = nil
+			e.Answer = &wire.Answer{Body: []byte("fresh")}
+		case "relayed":
+			e.Relayed = true
+		case "caller-gone":
+			e.CallerGone = true
+		case "silent":
+		default:
+			e.Err = verdict.Refuse(verdict.Cause(word), time.Time{})
+		}
+	}
+
+	return e
+}
+
+func (s *script) text(a exchange.Action) string {
+	return s.words(a) + "\n"
+}
+
+func (s *script) words(a exchange.Action) string {
+	switch a.Kind {
+	case exchange.Choose:
+		return fmt.Sprintf("Choose%s", when(a.Resume, " to resume"))
+	case exchange.Claim:
+		return fmt.Sprintf("Claim replacing %q", a.Replaces)
+	case exchange.Send:
+		return fmt.Sprintf("Send%s", when(a.Resume, " to resume"))
+	case exchange.Ask:
+		return fmt.Sprintf("Ask %s at %s", a.Holder.GetAttemptID(), a.At.Sub(s.start))
+	case exchange.LookUp:
+		return "LookUp"
+	case exchange.Settle:
+		return fmt.Sprintf("Settle %s %s, then %s", a.Attempt, a.Verdict, s.words(*a.Then))
+	case exchange.Deliver:
+		return fmt.Sprintf("Deliver %q", a.Answer.GetBody())
+	case exchange.Finish:
+		if a.Err == nil {
+			return "Finish whole"
+		}
+
+		return fmt.Sprintf("Finish %v", a.Err)
+	default:
+		return "nothing"
+	}
+}
+
+func when(b bool, s string) string {
+	if b {
+		return s
+	}
+
+	return ""
+}
--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Announcement is what a target tells the agent in its slot, again each second.
+type Announcement struct {
+	BootID   string
+	Address  netip.AddrPort
+	Service  string
+	Capacity int
+	Cold     bool
+	Group    string `json:",omitempty"`
+	Rank     int    `json:",omitempty"`
+}
+
+// Announcer repeats a target's announcement to its agent.
+type Announcer struct {
+	// Agent is the address of the agent beside the target.
+	Agent netip.AddrPort
+	// Take returns the announcement as of now.
+	Take func() Announcement
+	// Every is the time between two announcements.
+	Every time.Duration
+}
+
+// Run announces until ctx ends. A failed try is repeated at the next turn.
+func (a *Announcer) Run(ctx context.Context) {
+	client := &http.Client{Timeout: a.Every}
+	tick := time.NewTicker(a.Every)
+
+	defer tick.Stop()
+
+	for {
+		a.once(ctx, client)
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (a *Announcer) once(ctx context.Context, client *http.Client) {
+	body, err := json.Marshal(a.Take())
+	if err != nil {
+		return
+	}
+
+	url := "http://" + a.Agent.String() + "/v1/announce"
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+
+	r.Header.Set("Content-Type", "application/json")
+
+	resp, err := client.Do(r)
+	if err != nil {
+		return
+	}
+
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/standin/desk.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+)
+
+// Booking is the request body of the stand-in booking service.
+type Booking struct {
+	// Ref is the caller's own reference; two runs of one Ref are a doubled booking.
+	Ref  string
+	Slot string
+}
+
+// Booked is its answer.
+type Booked struct {
+	BookingID string
+	Ref       string
+	Slot      string
+}
+
+// Desk is a plain booking service. A booking must not be repeated: each run
+// makes another one.
+type Desk struct {
+	mu   sync.Mutex
+	boot string
+	runs map[string]int
+	made map[string]Booked
+}
+
+// Runs returns how often each Ref was booked.
+func (d *Desk) Runs() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	out := make(map[string]int, len(d.runs))
+	for ref, n := range d.runs {
+		out[ref] = n
+	}
+
+	return out
+}
+
+// BootID returns an id that is fresh at each start.
+func (d *Desk) BootID() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.boot == "" {
+		d.boot = uuid.NewString()
+	}
+
+	return d.boot
+}
+
+// Handler returns the desk's HTTP interface.
+func (d *Desk) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/v1/bookings", d.book)
+	r.Get("/v1/bookings/{id}", d.show)
+	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, d.Runs()) })
+
+	return r
+}
+
+func (d *Desk) book(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+
+	var b Booking
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || b.Slot == "" {
+		http.Error(w, "a booking needs Ref and Slot", http.StatusBadRequest)
+
+		return
+	}
+
+	writeJSON(w, http.StatusCreated, d.run(b))
+}
+
+func (d *Desk) run(b Booking) Booked {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.runs == nil {
+		d.runs = make(map[string]int)
+		d.made = make(map[string]Booked)
+	}
+
+	d.runs[b.Ref]++
+	done := Booked{BookingID: uuid.NewString(), Ref: b.Ref, Slot: b.Slot}
+	d.made[done.BookingID] = done
+
+	return done
+}
+
+func (d *Desk) show(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	d.mu.Lock()
+	b, ok := d.made[chi.URLParam(r, "id")]
+	d.mu.Unlock()
+
+	if !ok {
+		http.Error(w, "no such booking", http.StatusNotFound)
+
+		return
+	}
+
+	writeJSON(w, http.StatusOK, b)
+}
