Let the retry policy decide on every further attempt

Cause: the exchange held its own list of final causes and a bound of tries, beside the retry budget that routing brings. Change: one seam, Retry. Conclusion: one place for the policy; table tests green.

--- a/internal/exchange/action.go
+++ b/internal/exchange/action.go
@@ -12,7 +12,7 @@
 
 // The kinds of Action.
 const (
-	// Choose picks a target and gets a credit from its agent.
+	// Choose picks a target, not before At, and gets a credit from its agent.
 	Choose Kind = iota + 1
 	// Claim commits a claim for the chosen attempt, replacing Replaces.
 	Claim
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxTries bounds the attempts of one request, whatever the budget allows.
-	maxTries = 4
 	// firstAskWait and maxAskWait bound the wait between two asks about one attempt.
 	firstAskWait = 50 * time.Millisecond
 	maxAskWait   = time.Second
@@ -34,8 +32,9 @@
 	Resumable bool
 	// Deadline is the caller's.
 	Deadline time.Time
-	// Retry asks the entry's retry budget for one more attempt.
-	Retry func(now time.Time) bool
+	// Retry asks the entry's retry budget whether the request, after so many tries
+	// of which the last ended with err, may be tried again, and from when on.
+	Retry func(now time.Time, err *verdict.Error, tries int) (at time.Time, ok bool)
 
 	tries   int
 	own     *wire.ClaimHolder
@@ -175,36 +174,32 @@
 		return e.NoTarget(verdict.Refuse(verdict.CauseDeadline, time.Time{}))
 	}
 
-	return Action{Kind: Choose}
+	return Action{Kind: Choose, At: now}
 }
 
-// again sends the request once more, if the cause, the budget and the deadline
-// leave room. err is NotRun, or the call is idempotent.
+// again sends the request once more, if the retry budget leaves room. err is
+// NotRun, or the call is idempotent.
 func (e *Exchange) again(now time.Time, err *verdict.Error) Action {
-	e.last = err
-
-	if !retryable(err.Cause) || e.tries >= maxTries || !now.Before(e.Deadline) {
-		return e.refuse(err)
-	}
-
-	if e.Retry != nil && !e.Retry(now) {
+	at, ok := e.Retry(now, err, e.tries)
+	if !ok {
 		return e.refuse(err)
 	}
 
-	return Action{Kind: Choose}
+	return Action{Kind: Choose, At: at}
 }
 
 // resume continues a stream of which the caller has some.
 func (e *Exchange) resume(now time.Time, err *verdict.Error) Action {
-	if !e.Resumable || !e.Idempotent || e.tries >= maxTries || !now.Before(e.Deadline) {
+	if !e.Resumable || !e.Idempotent {
 		return e.broken(err)
 	}
 
-	if e.Retry != nil && !e.Retry(now) {
+	at, ok := e.Retry(now, err, e.tries)
+	if !ok {
 		return e.broken(err)
 	}
 
-	return Action{Kind: Choose, Resume: true}
+	return Action{Kind: Choose, At: at, Resume: true}
 }
 
 func (e *Exchange) askOwn(now time.Time, err *verdict.Error) Action {
@@ -328,14 +323,3 @@
 func finish(err *verdict.Error) Action {
 	return Action{Kind: Finish, Err: err}
 }
-
-// retryable reports whether another attempt can fare better after this cause.
-func retryable(c verdict.Cause) bool {
-	switch c {
-	case verdict.CauseDeadline, verdict.CauseMalformed, verdict.CauseTooLarge, verdict.CauseUnknownService,
-		verdict.CauseKeyConflict, verdict.CauseKeyLost, verdict.CauseCancelled, verdict.CauseStale:
-		return false
-	default:
-		return true
-	}
-}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -56,10 +56,10 @@
 		Keyed:      d.HasArg("keyed"),
 		Resumable:  d.HasArg("resumable"),
 		Deadline:   s.start.Add(10 * time.Second),
-		Retry: func(time.Time) bool {
+		Retry: func(now time.Time, _ *verdict.Error, tries int) (time.Time, bool) {
 			s.budget--
 
-			return s.budget >= 0
+			return now, s.budget >= 0 && tries < 4 && now.Before(s.start.Add(10*time.Second))
 		},
 	}
 
