--- /dev/null
+++ b/internal/fairness/estimate.go
@@ -0,0 +1,172 @@
+package fairness
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// wait estimates how long a new item of f waits behind that much work of its
+// own workspace: until the fair queueing clock reaches its virtual start, but
+// no longer than all that waits takes.
+func (q *Queue) wait(f *flow, ahead float64) time.Duration {
+	if q.capacity <= 0 {
+		return q.Settings.LongestRetry
+	}
+
+	weights := q.weights
+	if f.index < 0 {
+		weights += f.weight
+	}
+
+	slots := float64(q.capacity)
+	due := max(f.start, q.virtual) + ahead/f.weight - q.virtual
+	wait := min(due*weights, q.work) / slots
+	// The next slot frees after a share of one usual request.
+	wait += q.service.mean / slots
+
+	return time.Duration(wait)
+}
+
+// late reports whether an item behind that much work would end after its
+// deadline, and by how much.
+func (q *Queue) late(now time.Time, e *entry, ahead float64) (time.Duration, bool) {
+	if e.latestStart.IsZero() {
+		return 0, false
+	}
+
+	excess := now.Add(q.wait(e.flow, ahead)).Sub(e.latestStart)
+
+	return excess, excess > 0
+}
+
+// refusal gives e up; the caller may retry when what is in its way has gone.
+// Callers refused together come back spread over half that time again.
+func (q *Queue) refusal(now time.Time, e *entry, excess time.Duration) Action {
+	pause := min(max(excess, q.Settings.ShortestRetry), q.Settings.LongestRetry)
+	pause += time.Duration(q.Rand.Float64() * float64(pause) / 2)
+
+	return Action{ID: e.ID, Kind: Refuse, Cause: verdict.CauseOverload, RetryAt: now.Add(pause)}
+}
+
+// refuse gives a waiting item up.
+func (q *Queue) refuse(now time.Time, e *entry, excess time.Duration) {
+	q.dequeue(e)
+	delete(q.entries, e.ID)
+	q.actions = append(q.actions, q.refusal(now, e, excess))
+	q.forget(e.flow)
+}
+
+// expire refuses what can no longer end in time even if it started now. A
+// hopeless item that is kept makes those behind it hopeless too: under twice
+// the load all would be answered just too late.
+func (q *Queue) expire(now time.Time) {
+	for len(q.expiring) > 0 && now.After(q.expiring[0].latestStart) {
+		e := q.expiring[0]
+		q.refuse(now, e, q.wait(e.flow, 0))
+	}
+}
+
+// recheck refuses what the present rate cannot reach in time: after a loss of
+// capacity its callers hear so now, not at their deadline.
+func (q *Queue) recheck(now time.Time) {
+	q.expire(now)
+
+	flows := append([]*flow(nil), q.backlog...)
+	for _, f := range flows {
+		q.recheckFlow(now, f)
+	}
+}
+
+func (q *Queue) recheckFlow(now time.Time, f *flow) {
+	ahead := 0.0
+
+	for l := levels - 1; l >= 0; l-- {
+		for e := f.lines[l].first; e != nil; {
+			next := e.next
+			if excess, late := q.late(now, e, ahead); late {
+				q.refuse(now, e, excess)
+			} else {
+				ahead += e.work
+			}
+
+			e = next
+		}
+	}
+}
+
+// makePlace makes room for one more item of f in a full queue, by giving up
+// the last item of a workspace that has more waiting for its weight. A flood
+// of one workspace then costs the others no place.
+func (q *Queue) makePlace(now time.Time, f *flow) bool {
+	if q.waiting < q.Settings.Most {
+		return true
+	}
+
+	longest := q.longest()
+	if longest == nil || float64(longest.waiting)/longest.weight <= float64(f.waiting+1)/f.weight {
+		return false
+	}
+
+	q.refuse(now, longest.tail(), q.wait(longest, longest.workAhead(0)))
+
+	return true
+}
+
+// looks is how many flows are compared for the longest one.
+const looks = 16
+
+// longest returns the flow with most waiting for its weight among a few taken at random.
+func (q *Queue) longest() *flow {
+	var found *flow
+
+	for range min(looks, len(q.backlog)) {
+		f := q.backlog[q.Rand.IntN(len(q.backlog))]
+		if found == nil || float64(f.waiting)/f.weight > float64(found.waiting)/found.weight {
+			found = f
+		}
+	}
+
+	return found
+}
+
+// flowOf returns the item's flow, made when it has none.
+func (q *Queue) flowOf(it *Item) *flow {
+	f := q.flows[it.Workspace]
+	if f == nil {
+		f = &flow{name: it.Workspace, index: -1, start: q.virtual, weight: 1}
+		q.flows[it.Workspace] = f
+		q.sweep()
+	}
+
+	if w := float64(max(it.Weight, 1)); w != f.weight {
+		if f.index >= 0 {
+			q.weights += w - f.weight
+		}
+
+		f.weight = w
+	}
+
+	return f
+}
+
+// forget drops a flow that neither waits nor runs nor owes anything.
+func (q *Queue) forget(f *flow) {
+	if f.waiting == 0 && f.running == 0 && f.start <= q.virtual {
+		delete(q.flows, f.name)
+	}
+}
+
+// sweep forgets idle flows whose debt is over, now and then, so that memory
+// follows the workspaces in use and not all that were ever seen.
+func (q *Queue) sweep() {
+	if len(q.flows) <= q.sweepAt {
+		return
+	}
+
+	for _, f := range q.flows {
+		q.forget(f)
+	}
+
+	q.sweepAt = 2*len(q.flows) + 64
+}
--- /dev/null
+++ b/internal/fairness/flow.go
@@ -0,0 +1,168 @@
+package fairness
+
+import "time"
+
+// levels is how many priorities are told apart.
+const levels = 4
+
+// levelOf maps a priority to its level; level 0 is served last.
+func levelOf(priority int) int { return min(max(priority, -1), levels-2) + 1 }
+
+// entry is one item in the queue or running.
+type entry struct {
+	Item
+
+	flow  *flow
+	level int
+	// work is the expected time in a slot, in nanoseconds.
+	work float64
+	// latestStart is the last time at which starting is of use; zero for none.
+	latestStart time.Time
+	startedAt   time.Time
+	running     bool
+
+	prev, next  *entry
+	expiryIndex int
+}
+
+// line is the first-in-first-out line of one priority.
+type line struct {
+	first, last *entry
+	work        float64
+}
+
+func (l *line) push(e *entry) {
+	e.prev, e.next = l.last, nil
+	if l.last == nil {
+		l.first = e
+	} else {
+		l.last.next = e
+	}
+
+	l.last = e
+	l.work += e.work
+}
+
+func (l *line) remove(e *entry) {
+	if e.prev == nil {
+		l.first = e.next
+	} else {
+		e.prev.next = e.next
+	}
+
+	if e.next == nil {
+		l.last = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+
+	e.prev, e.next = nil, nil
+	l.work -= e.work
+
+	if l.first == nil {
+		l.work = 0
+	}
+}
+
+// flow is one workspace that waits, runs, or has used its share ahead of time.
+type flow struct {
+	name   string
+	weight float64
+	// start is the virtual time at which the next item of the flow is due.
+	start   float64
+	lines   [levels]line
+	waiting int
+	running int
+	// index is the flow's place in the heap of those that wait, or -1.
+	index int
+}
+
+// head returns the item to be served next.
+func (f *flow) head() *entry {
+	for l := levels - 1; l >= 0; l-- {
+		if f.lines[l].first != nil {
+			return f.lines[l].first
+		}
+	}
+
+	return nil
+}
+
+// tail returns the item that is served last.
+func (f *flow) tail() *entry {
+	for l := range f.lines {
+		if f.lines[l].last != nil {
+			return f.lines[l].last
+		}
+	}
+
+	return nil
+}
+
+// workAhead is the waiting work served before a new item of that level.
+func (f *flow) workAhead(level int) float64 {
+	work := 0.0
+	for l := level; l < levels; l++ {
+		work += f.lines[l].work
+	}
+
+	return work
+}
+
+// flowHeap orders flows by the virtual time at which they are due.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int           { return len(h) }
+func (h flowHeap) Less(i, j int) bool { return h[i].start < h[j].start }
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f, _ := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	f := old[n]
+	old[n] = nil
+	*h = old[:n]
+	f.index = -1
+
+	return f
+}
+
+// expiryHeap orders waiting items by the last time at which starting is of use.
+type expiryHeap []*entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiryIndex, h[j].expiryIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	e, _ := x.(*entry)
+	e.expiryIndex = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	e := old[n]
+	old[n] = nil
+	*h = old[:n]
+	e.expiryIndex = -1
+
+	return e
+}
--- /dev/null
+++ b/internal/fairness/queue.go
@@ -0,0 +1,354 @@
+// Package fairness decides at an entry which requests start, wait or are
+// refused when a service has less room than its callers ask for: each workspace
+// gets its weighted share, and what cannot end in time is refused at once.
+package fairness
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Queue is one service's queue at one entry: start-time fair queueing over
+// workspaces, in time spent in a slot. All methods may be called concurrently;
+// each holds one lock for about a microsecond, but for Tick and SetCapacity,
+// which may pass over all that wait.
+type Queue struct {
+	// Settings and Rand are set before the first call. Nothing else may use Rand.
+	Settings Settings
+	Rand     *rand.Rand
+
+	mu       sync.Mutex
+	ready    bool
+	capacity int
+	running  int
+	// virtual is the fair queueing clock: work per weight given to the flow served last.
+	virtual float64
+	// weights is the sum of the weights of the flows that wait.
+	weights float64
+	// work is the sum of the work that waits.
+	work    float64
+	waiting int
+
+	flows    map[string]*flow
+	entries  map[uint64]*entry
+	backlog  flowHeap
+	expiring expiryHeap
+	service  service
+	sweepAt  int
+	actions  []Action
+}
+
+// Settings are the tunable numbers of a Queue. The zero value of each field
+// stands for the default named beside it.
+type Settings struct {
+	// Most bounds what waits in all (8,192), MostOfOne what waits of one workspace (512).
+	Most      int
+	MostOfOne int
+	// Service is what a request is thought to take before any has ended (1 s).
+	Service time.Duration
+	// Margin is how many mean deviations of the service time a deadline must leave (0.5).
+	Margin float64
+	// ShortestRetry and LongestRetry bound the time until a refused caller's retry (200 ms, 30 s).
+	ShortestRetry time.Duration
+	LongestRetry  time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Most == 0 {
+		s.Most = 8192
+	}
+
+	if s.MostOfOne == 0 {
+		s.MostOfOne = 512
+	}
+
+	if s.Service == 0 {
+		s.Service = time.Second
+	}
+
+	if s.Margin == 0 {
+		s.Margin = 0.5
+	}
+
+	if s.ShortestRetry == 0 {
+		s.ShortestRetry = 200 * time.Millisecond
+	}
+
+	if s.LongestRetry == 0 {
+		s.LongestRetry = 30 * time.Second
+	}
+
+	return s
+}
+
+// start fills in the defaults. It needs the lock.
+func (q *Queue) start() {
+	if q.ready {
+		return
+	}
+
+	q.ready = true
+	q.Settings = q.Settings.withDefaults()
+	q.flows = map[string]*flow{}
+	q.entries = map[uint64]*entry{}
+	q.service.mean = float64(q.Settings.Service)
+	q.service.deviation = q.service.mean / 2
+}
+
+// taken returns the actions gathered for others. It needs the lock.
+func (q *Queue) taken() []Action {
+	a := q.actions
+	q.actions = nil
+
+	return a
+}
+
+// SetCapacity says how many requests may run at once. What can no longer end in
+// time is refused at once.
+func (q *Queue) SetCapacity(now time.Time, n int) []Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.start()
+
+	less := n < q.capacity
+	q.capacity = n
+
+	if less {
+		q.recheck(now)
+	}
+
+	q.dispatch(now)
+
+	return q.taken()
+}
+
+// Offer brings in a new item. The first action is its own; others follow.
+func (q *Queue) Offer(now time.Time, it Item) (Action, []Action) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.start()
+
+	e := q.newEntry(it)
+	f := q.flowOf(&e.Item)
+	e.flow = f
+
+	if !it.Deadline.IsZero() && now.After(e.latestStart) {
+		q.forget(f)
+
+		return q.refusal(now, e, 0), nil
+	}
+
+	if q.running < q.capacity && q.waiting == 0 {
+		q.run(now, e)
+
+		return Action{ID: it.ID, Kind: Start}, nil
+	}
+
+	if excess, late := q.late(now, e, f.workAhead(e.level)); late {
+		q.forget(f)
+
+		return q.refusal(now, e, excess), nil
+	}
+
+	if f.waiting >= q.Settings.MostOfOne || !q.makePlace(now, f) {
+		q.forget(f)
+
+		return q.refusal(now, e, q.wait(f, f.workAhead(0))), nil
+	}
+
+	q.enqueue(e)
+	q.dispatch(now)
+
+	if e.running {
+		return Action{ID: it.ID, Kind: Start}, q.without(it.ID)
+	}
+
+	return Action{ID: it.ID, Kind: Wait}, q.taken()
+}
+
+// without returns the actions gathered, but for that of one item.
+func (q *Queue) without(id uint64) []Action {
+	all := q.taken()
+	kept := all[:0]
+
+	for _, a := range all {
+		if a.ID != id {
+			kept = append(kept, a)
+		}
+	}
+
+	return kept
+}
+
+// Finish ends a running item that ran to its end, and learns from it.
+func (q *Queue) Finish(now time.Time, id uint64) []Action { return q.end(now, id, true) }
+
+// Cancel frees what a waiting or running item holds, at once: its caller has
+// gone, or it was not run after all. Nothing is learned from it.
+func (q *Queue) Cancel(now time.Time, id uint64) []Action { return q.end(now, id, false) }
+
+func (q *Queue) end(now time.Time, id uint64, whole bool) []Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.start()
+
+	e := q.entries[id]
+	if e == nil {
+		return nil
+	}
+
+	if e.running {
+		q.stop(now, e, whole)
+	} else {
+		q.dequeue(e)
+		delete(q.entries, id)
+		q.forget(e.flow)
+	}
+
+	q.dispatch(now)
+
+	return q.taken()
+}
+
+// Tick refuses what can no longer end in time. A shell calls it some ten times
+// a second, and at the time that Next returns.
+func (q *Queue) Tick(now time.Time) []Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.start()
+	q.recheck(now)
+	q.dispatch(now)
+
+	return q.taken()
+}
+
+// Next returns when the next waiting item becomes hopeless; zero for none.
+func (q *Queue) Next() time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if len(q.expiring) == 0 {
+		return time.Time{}
+	}
+
+	return q.expiring[0].latestStart
+}
+
+// State returns the queue's state.
+func (q *Queue) State() State {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return State{
+		Capacity: q.capacity, Running: q.running, Waiting: q.waiting,
+		Workspaces: len(q.flows), Service: time.Duration(q.service.mean),
+	}
+}
+
+func (q *Queue) newEntry(it Item) *entry {
+	if it.Cost <= 0 {
+		it.Cost = 1
+	}
+
+	e := &entry{Item: it, level: levelOf(it.Priority), expiryIndex: -1}
+	e.work = q.service.work(it.Cost)
+
+	if !it.Deadline.IsZero() {
+		e.latestStart = it.Deadline.Add(-q.service.needs(it.Cost, q.Settings.Margin))
+	}
+
+	return e
+}
+
+// enqueue puts e at the end of its line.
+func (q *Queue) enqueue(e *entry) {
+	f := e.flow
+	f.lines[e.level].push(e)
+	f.waiting++
+	q.waiting++
+	q.work += e.work
+	q.entries[e.ID] = e
+
+	if !e.latestStart.IsZero() {
+		heap.Push(&q.expiring, e)
+	}
+
+	if f.index < 0 {
+		f.start = max(f.start, q.virtual)
+		q.weights += f.weight
+		heap.Push(&q.backlog, f)
+	}
+}
+
+// dequeue takes e out of its line.
+func (q *Queue) dequeue(e *entry) {
+	f := e.flow
+	f.lines[e.level].remove(e)
+	f.waiting--
+	q.waiting--
+	q.work -= e.work
+
+	if e.expiryIndex >= 0 {
+		heap.Remove(&q.expiring, e.expiryIndex)
+	}
+
+	if f.waiting == 0 {
+		heap.Remove(&q.backlog, f.index)
+		q.weights -= f.weight
+	}
+
+	if q.waiting == 0 {
+		q.work, q.weights = 0, 0
+	}
+}
+
+// dispatch starts what there is room for.
+func (q *Queue) dispatch(now time.Time) {
+	q.expire(now)
+
+	for q.running < q.capacity && len(q.backlog) > 0 {
+		f := q.backlog[0]
+		e := f.head()
+		q.virtual = max(q.virtual, f.start)
+		q.dequeue(e)
+		q.run(now, e)
+		q.actions = append(q.actions, Action{ID: e.ID, Kind: Start})
+	}
+}
+
+// run starts e and charges its flow with the work expected.
+func (q *Queue) run(now time.Time, e *entry) {
+	f := e.flow
+	e.running = true
+	e.startedAt = now
+	q.running++
+	f.running++
+	q.entries[e.ID] = e
+	q.charge(f, max(f.start, q.virtual)+e.work/f.weight)
+}
+
+// charge moves a flow's virtual time.
+func (q *Queue) charge(f *flow, start float64) {
+	f.start = start
+	if f.index >= 0 {
+		heap.Fix(&q.backlog, f.index)
+	}
+}
+
+// stop ends a running item and corrects its flow's charge to the work done.
+func (q *Queue) stop(now time.Time, e *entry, whole bool) {
+	f := e.flow
+	took := now.Sub(e.startedAt)
+	q.running--
+	f.running--
+	delete(q.entries, e.ID)
+
+	if whole {
+		q.service.learn(took, e.Cost)
+	}
+
+	q.charge(f, f.start+(float64(took)-e.work)/f.weight)
+	q.forget(f)
+}
--- /dev/null
+++ b/internal/fairness/queue_test.go
@@ -0,0 +1,133 @@
+package fairness_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/fairness"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newQueue(seed uint64) *fairness.Queue {
+	return &fairness.Queue{Rand: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// checker holds what the outside of a queue knows, and checks each action.
+type checker struct {
+	q       *fairness.Queue
+	cap     int
+	waiting map[uint64]time.Time
+	running map[uint64]bool
+	maxRun  int
+}
+
+func (c *checker) take(t require.TestingT, now time.Time, actions []fairness.Action) {
+	for _, a := range actions {
+		_, waits := c.waiting[a.ID]
+		require.True(t, waits, "action for an item that does not wait")
+
+		if a.Kind == fairness.Start {
+			deadline := c.waiting[a.ID]
+			require.True(t, deadline.IsZero() || now.Before(deadline), "started after its deadline")
+			c.running[a.ID] = true
+		} else {
+			require.Equal(t, fairness.Refuse, a.Kind)
+			require.True(t, a.RetryAt.After(now))
+		}
+
+		delete(c.waiting, a.ID)
+	}
+
+	require.LessOrEqual(t, len(c.running), max(c.cap, c.maxRun))
+}
+
+// Whatever comes, each item gets one end, no more run than the capacity lets
+// start, nothing starts after its deadline, and no place leaks.
+func TestQueueKeepsItsBooks(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		c := &checker{q: newQueue(rapid.Uint64().Draw(t, "seed")), waiting: map[uint64]time.Time{}, running: map[uint64]bool{}}
+		c.q.Settings.Most = 20
+		c.q.Settings.MostOfOne = 8
+		now := epoch
+		n := rapid.IntRange(20, 300).Draw(t, "n")
+
+		for id := uint64(1); id <= uint64(n); id++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				c.cap = rapid.IntRange(0, 6).Draw(t, "cap")
+				c.maxRun = len(c.running)
+				c.take(t, now, c.q.SetCapacity(now, c.cap))
+			case 1:
+				c.take(t, now, c.q.Tick(now))
+			case 2:
+				c.end(t, now, c.q.Finish)
+			case 3:
+				c.end(t, now, c.q.Cancel)
+			default:
+				c.offer(t, now, id)
+			}
+
+			s := c.q.State()
+			require.Equal(t, len(c.running), s.Running)
+			require.Equal(t, len(c.waiting), s.Waiting)
+			require.LessOrEqual(t, s.Waiting, 20)
+		}
+
+		for len(c.running)+len(c.waiting) > 0 {
+			c.end(t, now, c.q.Cancel)
+
+			for id := range c.waiting {
+				delete(c.waiting, id)
+				c.take(t, now, c.q.Cancel(now, id))
+
+				break
+			}
+		}
+
+		require.Zero(t, c.q.State().Running+c.q.State().Waiting)
+	})
+}
+
+func (c *checker) end(t require.TestingT, now time.Time, f func(time.Time, uint64) []fairness.Action) {
+	for id := range c.running {
+		delete(c.running, id)
+		c.maxRun = max(c.cap, len(c.running))
+		c.take(t, now, f(now, id))
+
+		return
+	}
+}
+
+func (c *checker) offer(t *rapid.T, now time.Time, id uint64) {
+	it := fairness.Item{
+		ID: id, Workspace: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "ws"),
+		Weight: rapid.IntRange(0, 3).Draw(t, "weight"), Priority: rapid.IntRange(-2, 3).Draw(t, "prio"),
+	}
+
+	if ms := rapid.IntRange(0, 5000).Draw(t, "deadline"); ms > 0 {
+		it.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+
+	own, others := c.q.Offer(now, it)
+	require.Equal(t, id, own.ID)
+
+	switch own.Kind {
+	case fairness.Start:
+		c.running[id] = true
+	case fairness.Wait:
+		c.waiting[id] = it.Deadline
+	default:
+		require.True(t, own.RetryAt.After(now))
+	}
+
+	c.take(t, now, others)
+}
--- /dev/null
+++ b/internal/retries/budget.go
@@ -0,0 +1,205 @@
+// Package retries decides whether a failed request is sent again, and when.
+// Only what did not run, or is idempotent, is; a budget keeps all retries of an
+// entry a small share of its fresh requests.
+package retries
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Budget decides on retries. All methods may be called concurrently; each
+// holds one lock for a few dozen nanoseconds.
+type Budget struct {
+	// Settings and Rand are set before the first call. Nothing else may use Rand.
+	Settings Settings
+	Rand     *rand.Rand
+
+	mu     sync.Mutex
+	ready  bool
+	tokens float64
+	last   time.Time
+}
+
+// Settings are the tunable numbers of a Budget. The zero value of each field
+// stands for the default named beside it.
+type Settings struct {
+	// Ratio is how many retries a fresh request pays for (0.1).
+	Ratio float64
+	// FloorPerSecond is how many retries are paid for without any request (0.2),
+	// so that an entry with few requests can still retry one.
+	FloorPerSecond float64
+	// Most bounds what is saved up (10).
+	Most float64
+	// MostTries bounds the tries of one request, its first included (3).
+	MostTries int
+	// FirstPause is the mean pause before a second try at a broken target; it doubles (25 ms).
+	FirstPause time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Ratio == 0 {
+		s.Ratio = 0.1
+	}
+
+	if s.FloorPerSecond == 0 {
+		s.FloorPerSecond = 0.2
+	}
+
+	if s.Most == 0 {
+		s.Most = 10
+	}
+
+	if s.MostTries == 0 {
+		s.MostTries = 3
+	}
+
+	if s.FirstPause == 0 {
+		s.FirstPause = 25 * time.Millisecond
+	}
+
+	return s
+}
+
+// Failure is one try that brought no whole answer.
+type Failure struct {
+	Verdict verdict.Verdict
+	Cause   verdict.Cause
+	// RetryAt is when the refusing side expects room; zero when it did not say.
+	RetryAt    time.Time
+	Idempotent bool
+	// Tries is how many tries were made, this one included.
+	Tries int
+	// Deadline is the caller's; zero for none.
+	Deadline time.Time
+	// Needs is how long a try usually takes.
+	Needs time.Duration
+	// OtherTargets says that a target not yet tried may take the request.
+	OtherTargets bool
+}
+
+// Reason says why a request is not retried.
+type Reason string
+
+// The reasons against a retry.
+const (
+	ReasonNone      Reason = ""
+	ReasonMayRun    Reason = "MayHaveRun"
+	ReasonFinal     Reason = "FinalCause"
+	ReasonTries     Reason = "TooManyTries"
+	ReasonDeadline  Reason = "DeadlineTooNear"
+	ReasonBudget    Reason = "BudgetSpent"
+	ReasonNoTargets Reason = "NoOtherTarget"
+)
+
+// Decision says whether and when to retry.
+type Decision struct {
+	Retry bool
+	At    time.Time
+	// Reason is set when Retry is false.
+	Reason Reason
+}
+
+// Fresh records one new request of a caller. Retries are not fresh.
+func (b *Budget) Fresh(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens = min(b.tokens+b.Settings.Ratio, b.Settings.Most)
+}
+
+// Decide says whether the request behind f is sent again, and takes the retry
+// from the budget if so.
+func (b *Budget) Decide(now time.Time, f Failure) Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+
+	if r := against(&f, b.Settings.MostTries); r != ReasonNone {
+		return Decision{Reason: r}
+	}
+
+	at := now.Add(b.pause(now, &f))
+	if !f.Deadline.IsZero() && at.Add(f.Needs).After(f.Deadline) {
+		return Decision{Reason: ReasonDeadline}
+	}
+
+	if b.tokens < 1 {
+		return Decision{Reason: ReasonBudget}
+	}
+
+	b.tokens--
+
+	return Decision{Retry: true, At: at}
+}
+
+func (b *Budget) refill(now time.Time) {
+	if !b.ready {
+		b.ready = true
+		b.Settings = b.Settings.withDefaults()
+		b.tokens = b.Settings.Most
+		b.last = now
+	}
+
+	if d := now.Sub(b.last); d > 0 {
+		b.tokens = min(b.tokens+d.Seconds()*b.Settings.FloorPerSecond, b.Settings.Most)
+		b.last = now
+	}
+}
+
+// against returns the reason that the failure itself gives against a retry.
+func against(f *Failure, mostTries int) Reason {
+	switch {
+	case !f.Verdict.MayRepeat(f.Idempotent):
+		return ReasonMayRun
+	case final(f.Cause):
+		return ReasonFinal
+	case f.Tries >= mostTries:
+		return ReasonTries
+	case !f.OtherTargets && f.RetryAt.IsZero() && elsewhere(f.Cause):
+		return ReasonNoTargets
+	default:
+		return ReasonNone
+	}
+}
+
+// final reports whether a second try cannot end otherwise, or nobody waits for it.
+func final(c verdict.Cause) bool {
+	switch c {
+	case verdict.CauseDeadline, verdict.CauseMalformed, verdict.CauseTooLarge,
+		verdict.CauseUnknownService, verdict.CauseKeyConflict, verdict.CauseKeyLost,
+		verdict.CauseKeyBusy, verdict.CauseCancelled, verdict.CauseDuplicate, verdict.CauseClaims:
+		return true
+	default:
+		return false
+	}
+}
+
+// elsewhere reports whether only another target can help soon.
+func elsewhere(c verdict.Cause) bool {
+	switch c {
+	case verdict.CauseZoneOut, verdict.CauseLeaving, verdict.CauseOverload,
+		verdict.CauseColdLimit, verdict.CauseTargetDown, verdict.CauseStopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause returns how long to wait: nothing when another target is ready to take
+// the request, else what the refusing side said or a growing pause, jittered.
+func (b *Budget) pause(now time.Time, f *Failure) time.Duration {
+	if f.OtherTargets {
+		return 0
+	}
+
+	mean := b.Settings.FirstPause << max(0, f.Tries-1)
+	if said := f.RetryAt.Sub(now); !f.RetryAt.IsZero() && said > mean {
+		return said + time.Duration(b.Rand.Float64()*float64(mean))
+	}
+
+	return mean/2 + time.Duration(b.Rand.Float64()*float64(mean))
+}
--- /dev/null
+++ b/internal/retries/budget_test.go
@@ -0,0 +1,82 @@
+package retries_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newBudget(seed uint64) *retries.Budget {
+	return &retries.Budget{Rand: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func TestDecide(t *testing.T) {
+	t.Parallel()
+
+	deadline := epoch.Add(time.Second)
+	tests := []struct {
+		name string
+		f    retries.Failure
+		want retries.Reason
+	}{
+		{"refused elsewhere", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseOverload, OtherTargets: true}, retries.ReasonNone},
+		{"agent stops", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseStopping, OtherTargets: true}, retries.ReasonNone},
+		{"closed attempt", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseClosed}, retries.ReasonNone},
+		{"may have run", retries.Failure{Cause: verdict.CauseSilent, OtherTargets: true}, retries.ReasonMayRun},
+		{"may have run, idempotent", retries.Failure{Cause: verdict.CauseSilent, Idempotent: true, OtherTargets: true}, retries.ReasonNone},
+		{"ran", retries.Failure{Verdict: verdict.Ran, Cause: verdict.CauseBroken, OtherTargets: true}, retries.ReasonMayRun},
+		{"deadline", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseDeadline, OtherTargets: true}, retries.ReasonFinal},
+		{"malformed", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, OtherTargets: true}, retries.ReasonFinal},
+		{"key conflict", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseKeyConflict, OtherTargets: true}, retries.ReasonFinal},
+		{"caller gone", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseCancelled, Idempotent: true}, retries.ReasonFinal},
+		{"third try", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseOverload, Tries: 3, OtherTargets: true}, retries.ReasonTries},
+		{"no time left", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseOverload, Deadline: deadline, Needs: 2 * time.Second, OtherTargets: true}, retries.ReasonDeadline},
+		{"room only after the deadline", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseOverload, Deadline: deadline, RetryAt: epoch.Add(2 * time.Second)}, retries.ReasonDeadline},
+		{"all full", retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseOverload}, retries.ReasonNoTargets},
+	}
+
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+
+			d := newBudget(1).Decide(epoch, tc.f)
+			require.Equal(t, tc.want, d.Reason)
+			require.Equal(t, tc.want == retries.ReasonNone, d.Retry)
+			require.Equal(t, d.Retry, !d.At.IsZero())
+		})
+	}
+}
+
+// Callers of a service whose targets are all gone see each request fail at
+// once. Were each failure retried, the entries would send several times the
+// callers' load just when targets come back, and knock them down again.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBudget(rapid.Uint64().Draw(t, "seed"))
+		now := epoch
+		fresh, retried := 0, 0
+
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 200), 1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(step) * time.Millisecond)
+			fresh++
+			b.Fresh(now)
+
+			for tries := 1; b.Decide(now, retries.Failure{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, OtherTargets: true, Tries: tries}).Retry; tries++ {
+				retried++
+			}
+
+			bound := 10 + 0.1*float64(fresh) + 0.2*now.Sub(epoch).Seconds()
+			require.LessOrEqual(t, float64(retried), bound+1e-6)
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/settings.go
@@ -0,0 +1,80 @@
+package routing
+
+import "time"
+
+// Settings are the tunable numbers of a Chooser. The zero value of each field
+// stands for the default named beside it.
+type Settings struct {
+	// Candidates is how many random targets are compared for one request (3).
+	Candidates int
+	// NearEqual is the difference of cost below which the pick is random (0.02).
+	NearEqual float64
+	// OtherZone and OtherRegion are added to the cost of far targets (0.05, 0.5).
+	OtherZone   float64
+	OtherRegion float64
+	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.5).
+	PrefixGain float64
+	// FirstContact is how many requests a warm target without a credit may get (2).
+	FirstContact int
+	// ReportLife is how long a report counts fully against the pool's mean (2 s).
+	ReportLife time.Duration
+	// FailureRun is how many failures in a row set a target aside (3).
+	FailureRun int
+	// FailureShare is the share of recent requests failed that sets a target aside (0.5).
+	FailureShare float64
+	// SlowRatio is how many times the median first byte sets a target aside (4).
+	SlowRatio float64
+	// SetAsideShare is the largest share of a pool that may be set aside (0.34).
+	SetAsideShare float64
+	// ProbeAfter is the first pause before a probe; it doubles up to ProbeAtMost (1 s, 30 s).
+	ProbeAfter  time.Duration
+	ProbeAtMost time.Duration
+	// ProbesNeeded is how many probes in a row must succeed (2).
+	ProbesNeeded int
+	// SilentLimit is how many silent connections without a success between set a target aside (3).
+	SilentLimit int
+	// WarmUpEvery is how often an entry gives an idle cold target work that a warm one could take (500 ms).
+	WarmUpEvery time.Duration
+	// RenewBefore is how long before its end a credit is asked for anew (1 s).
+	RenewBefore time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	orInt(&s.Candidates, 3)
+	orFloat(&s.NearEqual, 0.02)
+	orFloat(&s.OtherZone, 0.05)
+	orFloat(&s.OtherRegion, 0.5)
+	orFloat(&s.PrefixGain, 0.5)
+	orInt(&s.FirstContact, 2)
+	orTime(&s.ReportLife, 2*time.Second)
+	orInt(&s.FailureRun, 3)
+	orFloat(&s.FailureShare, 0.5)
+	orFloat(&s.SlowRatio, 4)
+	orFloat(&s.SetAsideShare, 0.34)
+	orTime(&s.ProbeAfter, time.Second)
+	orTime(&s.ProbeAtMost, 30*time.Second)
+	orInt(&s.ProbesNeeded, 2)
+	orInt(&s.SilentLimit, 3)
+	orTime(&s.WarmUpEvery, 500*time.Millisecond)
+	orTime(&s.RenewBefore, time.Second)
+
+	return s
+}
+
+func orInt(p *int, d int) {
+	if *p == 0 {
+		*p = d
+	}
+}
+
+func orFloat(p *float64, d float64) {
+	if *p == 0 {
+		*p = d
+	}
+}
+
+func orTime(p *time.Duration, d time.Duration) {
+	if *p == 0 {
+		*p = d
+	}
+}
