--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// The headers that callers and entries exchange.
+const (
+	HeaderRequestID = "Parsleygate-Request-Id"
+	HeaderWorkspace = "Parsleygate-Workspace"
+	// HeaderTimeout is what the caller waits, in milliseconds from sending.
+	HeaderTimeout  = "Parsleygate-Timeout-Ms"
+	HeaderPriority = "Parsleygate-Priority"
+	HeaderKey      = "Idempotency-Key"
+	HeaderVerdict  = "Parsleygate-Verdict"
+	HeaderCause    = "Parsleygate-Cause"
+	headerPrefix   = "Parsleygate-"
+	lastEventID    = "Last-Event-ID"
+)
+
+// maxIDLength bounds request ids, keys and workspace names, in bytes.
+const maxIDLength = 128
+
+// call is one caller's request, read whole.
+type call struct {
+	id         string
+	service    *wire.Service
+	workspace  string
+	method     string
+	path       string
+	headers    []*wire.Header
+	body       []byte
+	bodyDigest uint64
+	deadline   time.Time
+	idempotent bool
+	key        string
+	priority   int
+}
+
+// read reads a call from r, or returns why it is refused.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) (*call, *verdict.Error) {
+	now := time.Now()
+	c := &call{
+		id:        r.Header.Get(HeaderRequestID),
+		workspace: r.Header.Get(HeaderWorkspace),
+		key:       r.Header.Get(HeaderKey),
+		method:    r.Method,
+		path:      "/" + chi.URLParam(r, "*"),
+	}
+	if c.id == "" {
+		c.id = uuid.NewString()
+	}
+
+	w.Header().Set(HeaderRequestID, c.id)
+
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+
+	if err := c.readNumbers(r, now, e.Limits); err != nil {
+		return c, malformed(err)
+	}
+
+	known := e.Known()
+
+	name := chi.URLParam(r, "service")
+	if c.service = known.Service(name); c.service == nil {
+		return c, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseUnknownService, Err: eris.Errorf("no service %q", name)}
+	}
+
+	c.idempotent = idempotent(c.service, c.method, "/"+chi.URLParam(r, "*"))
+	c.headers = forwarded(r.Header)
+
+	return c, c.readBody(w, r, e.Limits.MaxBodyBytes)
+}
+
+func malformed(err error) *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, Err: err}
+}
+
+func (c *call) readNumbers(r *http.Request, now time.Time, limits Limits) error {
+	if len(c.id) > maxIDLength || len(c.key) > maxIDLength || len(c.workspace) > maxIDLength {
+		return eris.Errorf("request id, key and workspace have at most %d bytes", maxIDLength)
+	}
+
+	timeout := limits.DefaultTimeout
+
+	if s := r.Header.Get(HeaderTimeout); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 32)
+		if err != nil || ms < 1 {
+			return eris.Errorf("%s is no number of milliseconds above 0: %q", HeaderTimeout, s)
+		}
+
+		timeout = min(time.Duration(ms)*time.Millisecond, limits.MaxTimeout)
+	}
+
+	c.deadline = now.Add(timeout)
+
+	if s := r.Header.Get(HeaderPriority); s != "" {
+		p, err := strconv.Atoi(s)
+		if err != nil || p < -1 || p > 2 {
+			return eris.Errorf("%s is no number from -1 to 2: %q", HeaderPriority, s)
+		}
+
+		c.priority = p
+	}
+
+	return nil
+}
+
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64) *verdict.Error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return &verdict.Error{
+			Verdict: verdict.NotRun, Cause: verdict.CauseTooLarge,
+			Err: eris.Errorf("a body has at most %d bytes", limit),
+		}
+	}
+
+	if err != nil {
+		return malformed(eris.Wrap(err, "read body"))
+	}
+
+	c.body = body
+	c.bodyDigest = xxhash.Sum64(body)
+
+	return nil
+}
+
+// digest identifies what the call asks for, against use of one key for two things.
+func (c *call) digest() []byte {
+	h := sha256.New()
+	for _, s := range []string{c.method, c.path} {
+		_, _ = io.WriteString(h, strconv.Itoa(len(s))+":"+s)
+	}
+
+	_, _ = h.Write(c.body)
+
+	return h.Sum(nil)
+}
+
+// idempotent reports whether the service declares the call repeatable. What is
+// not declared may not be repeated, whatever its method.
+func idempotent(s *wire.Service, method, p string) bool {
+	for _, pattern := range s.GetIdempotentCalls() {
+		m, want, ok := strings.Cut(pattern, " ")
+		if !ok || m != method {
+			continue
+		}
+
+		if hit, err := path.Match(want, p); err == nil && hit {
+			return true
+		}
+	}
+
+	return false
+}
+
+// hopByHop are the headers that concern one connection alone.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwarded returns the headers that go on to the target.
+func forwarded(h http.Header) []*wire.Header {
+	h = h.Clone()
+	for _, line := range h.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+
+	var out []*wire.Header
+
+	for name, values := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			continue
+		}
+
+		for _, v := range values {
+			out = append(out, &wire.Header{Name: name, Value: v})
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// stoppingRetry is when a caller refused by a leaving entry may try another.
+const stoppingRetry = time.Second
+
+func (e *Entry) handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/ready", e.ready)
+
+	if e.Routes != nil {
+		r.Mount("/admin", e.Routes)
+	}
+
+	r.HandleFunc("/{service}", e.serve)
+	r.HandleFunc("/{service}/*", e.serve)
+
+	return r
+}
+
+// ready tells the platform's balancer whether to send callers here.
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if e.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+
+		return
+	}
+
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+
+	e.counters.begin()
+	defer e.counters.end()
+
+	c, refused := e.read(w, r)
+	if refused == nil && e.stopping.Load() {
+		refused = e.refuseStopping(w)
+	}
+
+	if refused != nil {
+		e.counters.refused(refused)
+		writeRefusal(w, c.id, refused)
+
+		return
+	}
+
+	e.Budget.Fresh(time.Now())
+	e.run(w, r, c)
+}
+
+func (e *Entry) refuseStopping(w http.ResponseWriter) *verdict.Error {
+	w.Header().Set("Connection", "close")
+
+	return verdict.Refuse(verdict.CauseStopping, time.Now().Add(stoppingRetry))
+}
--- /dev/null
+++ b/internal/entry/queue.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/fairness"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// queue joins one service's fairness core with the requests that wait in it.
+type queue struct {
+	core *fairness.Queue
+
+	mu      sync.Mutex
+	waiting map[uint64]chan fairness.Action
+}
+
+func (e *Entry) queue(service string) *queue {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	if q := e.queues[service]; q != nil {
+		return q
+	}
+
+	if e.queues == nil {
+		e.queues = make(map[string]*queue)
+	}
+
+	q := &queue{
+		core:    &fairness.Queue{Rand: e.newRand(uint64(len(e.queues)) + 1)},
+		waiting: make(map[uint64]chan fairness.Action),
+	}
+	q.core.SetCapacity(time.Now(), e.Chooser.Room(time.Now(), service).Slots)
+	e.queues[service] = q
+
+	return q
+}
+
+func (e *Entry) tickQueues(now time.Time) {
+	e.mu.Lock()
+	queues := make(map[string]*queue, len(e.queues))
+
+	for name, q := range e.queues {
+		queues[name] = q
+	}
+	e.mu.Unlock()
+
+	for name, q := range queues {
+		q.deliver(q.core.SetCapacity(now, e.Chooser.Room(now, name).Slots))
+		q.deliver(q.core.Tick(now))
+	}
+}
+
+// enter waits for the turn of an item. It returns the refusal of an item that
+// the queue gave up, or that its caller did.
+func (q *queue) enter(ctx context.Context, it fairness.Item) *verdict.Error {
+	turn := make(chan fairness.Action, 1)
+
+	q.mu.Lock()
+	q.waiting[it.ID] = turn
+	q.mu.Unlock()
+
+	first, others := q.core.Offer(time.Now(), it)
+	if first.Kind != fairness.Wait {
+		others = append(others, first)
+	}
+
+	q.deliver(others)
+
+	select {
+	case a := <-turn:
+		return refusalOf(a)
+	case <-ctx.Done():
+	}
+
+	q.mu.Lock()
+	delete(q.waiting, it.ID)
+	q.mu.Unlock()
+	q.leave(it.ID, false)
+
+	return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseCancelled, Err: ctx.Err()}
+}
+
+func refusalOf(a fairness.Action) *verdict.Error {
+	if a.Kind == fairness.Refuse {
+		return a.Refusal()
+	}
+
+	return nil
+}
+
+// leave frees the place of an item; ran says that it ran to its end.
+func (q *queue) leave(id uint64, ran bool) {
+	if ran {
+		q.deliver(q.core.Finish(time.Now(), id))
+
+		return
+	}
+
+	q.deliver(q.core.Cancel(time.Now(), id))
+}
+
+func (q *queue) deliver(actions []fairness.Action) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, a := range actions {
+		turn, ok := q.waiting[a.ID]
+		if !ok || a.Kind == fairness.Wait {
+			continue
+		}
+
+		delete(q.waiting, a.ID)
+		turn <- a
+	}
+}
--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Refusal is the body of an answer that says why there is none.
+type Refusal struct {
+	RequestID string
+	// Verdict is NotRun, MayHaveRun or Ran.
+	Verdict string
+	Cause   verdict.Cause
+	// RetryAfterSeconds is when another try makes sense; 0 where it does not.
+	RetryAfterSeconds int    `json:",omitempty"`
+	Detail            string `json:",omitempty"`
+}
+
+// statusOf names the HTTP status of each cause.
+func statusOf(err *verdict.Error) int {
+	switch err.Cause {
+	case verdict.CauseUnknownService:
+		return http.StatusNotFound
+	case verdict.CauseMalformed:
+		return http.StatusBadRequest
+	case verdict.CauseTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.CauseKeyConflict:
+		return http.StatusUnprocessableEntity
+	case verdict.CauseKeyBusy:
+		return http.StatusConflict
+	case verdict.CauseOverload, verdict.CauseColdLimit:
+		return http.StatusTooManyRequests
+	case verdict.CauseDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return statusOfVerdict(err.Verdict)
+	}
+}
+
+func statusOfVerdict(v verdict.Verdict) int {
+	if v == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+
+	return http.StatusBadGateway
+}
+
+func writeRefusal(w http.ResponseWriter, id string, err *verdict.Error) {
+	body := Refusal{RequestID: id, Verdict: err.Verdict.String(), Cause: err.Cause}
+	if err.Err != nil {
+		body.Detail = err.Err.Error()
+	}
+
+	h := w.Header()
+	h.Set(HeaderVerdict, body.Verdict)
+	h.Set(HeaderCause, string(err.Cause))
+	h.Set("Content-Type", "application/json")
+
+	if !err.RetryAt.IsZero() {
+		wait := math.Ceil(time.Until(err.RetryAt).Seconds())
+		body.RetryAfterSeconds = max(1, int(wait))
+		h.Set("Retry-After", strconv.Itoa(body.RetryAfterSeconds))
+	}
+
+	w.WriteHeader(statusOf(err))
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/entry/reply.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/agentlink"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// reply is the entry's side of one answer to a caller.
+type reply struct {
+	w    http.ResponseWriter
+	ctrl *http.ResponseController
+	slow time.Duration
+
+	headed bool
+	sent   uint64
+	// gone says that the caller no longer takes the answer.
+	gone bool
+	// events is set for a stream that another target can continue.
+	events *eventBuffer
+}
+
+func newReply(w http.ResponseWriter, slow time.Duration) *reply {
+	return &reply{w: w, ctrl: http.NewResponseController(w), slow: slow}
+}
+
+// relay passes an answer on as it comes. resuming says that the caller has its
+// beginning already.
+func (p *reply) relay(resumable, resuming bool) agentlink.Receiver {
+	return agentlink.Receiver{
+		Head: func(h *wire.Head) error {
+			if resuming {
+				return p.resumeHead(h)
+			}
+
+			if resumable && isEventStream(h.GetHeaders()) {
+				p.events = &eventBuffer{}
+			}
+
+			return p.head(h.GetStatus(), h.GetHeaders())
+		},
+		Data: p.data,
+	}
+}
+
+// resumeHead guards against a target that answers a resumption with something
+// else, an error page say: the caller would take it for the rest of its draft.
+func (p *reply) resumeHead(h *wire.Head) error {
+	if h.GetStatus() == http.StatusOK && isEventStream(h.GetHeaders()) {
+		return nil
+	}
+
+	return eris.Errorf("target did not resume: status %d", h.GetStatus())
+}
+
+func (p *reply) head(status int32, headers []*wire.Header) error {
+	id := p.w.Header().Get(HeaderRequestID)
+	for _, h := range headers {
+		if !strings.HasPrefix(h.GetName(), headerPrefix) {
+			p.w.Header().Add(h.GetName(), h.GetValue())
+		}
+	}
+
+	p.w.Header().Set(HeaderRequestID, id)
+	p.w.Header().Set(HeaderVerdict, verdict.Ran.String())
+	p.headed = true
+	p.w.WriteHeader(int(status))
+
+	return p.flush()
+}
+
+func (p *reply) data(b []byte) error {
+	if p.events != nil {
+		b = p.events.whole(b)
+	}
+
+	if len(b) == 0 {
+		return nil
+	}
+
+	_ = p.ctrl.SetWriteDeadline(time.Now().Add(p.slow))
+
+	if _, err := p.w.Write(b); err != nil {
+		return p.callerGone(err)
+	}
+
+	p.sent += uint64(len(b))
+
+	return p.flush()
+}
+
+func (p *reply) flush() error {
+	if err := p.ctrl.Flush(); err != nil {
+		return p.callerGone(err)
+	}
+
+	return nil
+}
+
+func (p *reply) callerGone(err error) error {
+	p.gone = true
+
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCancelled, Err: err}
+}
+
+// deliver gives a whole answer at once.
+func (p *reply) deliver(a *wire.Answer) {
+	if err := p.head(a.GetStatus(), a.GetHeaders()); err != nil {
+		return
+	}
+
+	p.events = nil
+	_ = p.data(a.GetBody())
+}
+
+// abort breaks the connection, or resets the HTTP/2 stream, so that the caller
+// sees a cut answer as cut and never as ended.
+func (p *reply) abort() {
+	panic(http.ErrAbortHandler)
+}
+
+// end gives what is left of an event stream that ended whole.
+func (p *reply) end() {
+	if p.events == nil {
+		return
+	}
+
+	rest := p.events.rest
+	p.events = nil
+	_ = p.data(rest)
+}
+
+// resumable reports whether another target can continue what the caller has: a
+// stream of numbered events, or one of which no event has been passed on. Going
+// on with anything else would give the caller its beginning twice.
+func (p *reply) resumable() bool {
+	return p.events != nil && (p.sent == 0 || p.events.lastID != "")
+}
+
+func isEventStream(headers []*wire.Header) bool {
+	for _, h := range headers {
+		if strings.EqualFold(h.GetName(), "Content-Type") {
+			return strings.HasPrefix(h.GetValue(), "text/event-stream")
+		}
+	}
+
+	return false
+}
+
+// eventBuffer holds back the unfinished last event of a stream. A stream that
+// breaks inside an event would otherwise be continued in the middle of it.
+type eventBuffer struct {
+	rest []byte
+	// lastID is the id of the last event passed on.
+	lastID string
+}
+
+// whole takes in b and returns the events that are whole now.
+func (v *eventBuffer) whole(b []byte) []byte {
+	v.rest = append(v.rest, b...)
+
+	end := bytes.LastIndex(v.rest, []byte("\n\n"))
+	if end < 0 {
+		return nil
+	}
+
+	out := bytes.Clone(v.rest[:end+2])
+	v.rest = append(v.rest[:0], v.rest[end+2:]...)
+	v.note(out)
+
+	return out
+}
+
+func (v *eventBuffer) note(events []byte) {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			v.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// collector keeps a whole answer, to be recorded before the caller gets it. One
+// that grows too large to be recorded is relayed from then on.
+type collector struct {
+	answer *wire.Answer
+	most   int
+	spill  *reply
+}
+
+func (c *collector) receiver() agentlink.Receiver {
+	return agentlink.Receiver{
+		Head: func(h *wire.Head) error {
+			c.answer = &wire.Answer{Status: h.GetStatus(), Headers: h.GetHeaders()}
+
+			return nil
+		},
+		Data: c.data,
+	}
+}
+
+func (c *collector) data(b []byte) error {
+	if c.spill.headed {
+		return c.spill.data(b)
+	}
+
+	c.answer.Body = append(c.answer.Body, b...)
+	if len(c.answer.GetBody()) <= c.most {
+		return nil
+	}
+
+	if err := c.spill.head(c.answer.GetStatus(), c.answer.GetHeaders()); err != nil {
+		return err
+	}
+
+	return c.spill.data(c.answer.GetBody())
+}
--- /dev/null
+++ b/internal/entry/steps.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/parsleygate/parsleygate/internal/exchange"
+	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+const (
+	// claimTimeout bounds a claim or a settlement, so that a caller is not held by
+	// control VMs that are away.
+	claimTimeout = 3 * time.Second
+	// maxLooks bounds how often one turn looks for a target again while all are full.
+	maxLooks = 4
+)
+
+// choose waits for the request's turn, then for a target and its credit.
+func (k *course) choose(ctx context.Context, at time.Time) exchange.Action {
+	wait(ctx, at)
+
+	if !k.queued {
+		if err := k.queue.enter(ctx, k.item); err != nil {
+			return k.ex.NoTarget(err)
+		}
+
+		k.queued = true
+	}
+
+	for look := 1; ; look++ {
+		none := k.look(ctx)
+		if none == nil {
+			return k.ex.Chosen(k.attempt)
+		}
+
+		if look == maxLooks || ctx.Err() != nil || !worthWaiting(none, k.call.deadline) {
+			return k.ex.NoTarget(none)
+		}
+
+		wait(ctx, none.RetryAt)
+	}
+}
+
+// worthWaiting reports whether a target that is full now may soon have room.
+func worthWaiting(err *verdict.Error, deadline time.Time) bool {
+	full := err.Cause == verdict.CauseOverload || err.Cause == verdict.CauseColdLimit
+
+	return full && !err.RetryAt.IsZero() && err.RetryAt.Before(deadline)
+}
+
+// look chooses a target and makes sure of a credit.
+func (k *course) look(ctx context.Context) *verdict.Error {
+	e := k.entry
+
+	for {
+		choice, none := e.Chooser.Choose(time.Now(), routing.Ask{
+			Service: k.call.service.GetName(), Zone: e.Zone, Region: e.Region,
+			Excluded: k.excluded, Idempotent: k.call.idempotent, Prefixes: k.call.prefixes(),
+		})
+		if none != nil {
+			return none.Refusal()
+		}
+
+		credit, err := k.credit(ctx, choice)
+		if err == nil {
+			k.accept(choice, credit)
+
+			return nil
+		}
+
+		e.Chooser.Finish(time.Now(), routing.Finished{
+			AgentID: choice.AgentID, Incarnation: choice.Incarnation,
+			Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown,
+		})
+		k.excluded = append(k.excluded, choice.AgentID)
+	}
+}
+
+// credit returns the credit in force for a choice, asking for one if need be.
+func (k *course) credit(ctx context.Context, c routing.Choice) (*wire.Credit, error) {
+	if c.NeedsCredit {
+		ask := routing.CreditAsk{AgentID: c.AgentID, Addr: c.Addr, Incarnation: c.Incarnation, Wanted: 1}
+		if err := k.entry.credit(ctx, ask); err != nil {
+			return nil, err
+		}
+	}
+
+	v, ok := k.entry.credits.Load(c.AgentID)
+	if !ok {
+		return nil, verdict.Refuse(verdict.CauseCredit, time.Time{})
+	}
+
+	return v.(*wire.Credit), nil
+}
+
+func (k *course) accept(c routing.Choice, credit *wire.Credit) {
+	k.choice = c
+	k.attempt = &wire.ClaimHolder{
+		AttemptID: uuid.NewString(), EntryID: k.entry.ID,
+		AgentID: c.AgentID, AgentAddress: c.Addr.String(),
+		Incarnation: credit.GetIncarnation(), CreditExpiresAtTick: credit.GetExpiresAtTick(),
+	}
+}
+
+func (k *course) claim(ctx context.Context, replaces string) exchange.Action {
+	r, err := k.claimRequest(ctx, k.attempt, replaces)
+	if err != nil {
+		k.free(verdict.CauseClaims)
+
+		return k.ex.ClaimFailed(time.Now())
+	}
+
+	if r.GetState() != wire.ClaimState_ClaimGranted {
+		k.free(verdict.CauseClaims)
+	}
+
+	return k.ex.Claimed(time.Now(), r)
+}
+
+func (k *course) lookUp(ctx context.Context) exchange.Action {
+	r, err := k.claimRequest(ctx, nil, "")
+	if err != nil {
+		return k.ex.ClaimFailed(time.Now())
+	}
+
+	return k.ex.LookedUp(time.Now(), r)
+}
+
+func (k *course) claimRequest(ctx context.Context, h *wire.ClaimHolder, replaces string) (*wire.ClaimResponse, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+
+	return k.entry.Claim(ctx, &wire.ClaimRequest{
+		Workspace: k.call.workspace, Service: k.call.service.GetName(), Key: k.call.key,
+		BodyDigest: k.call.digest(), Holder: h, Replaces: replaces,
+	})
+}
+
+// free gives back the place that Choose counted, when nothing was sent.
+func (k *course) free(cause verdict.Cause) {
+	k.entry.Chooser.Finish(time.Now(), routing.Finished{
+		AgentID: k.choice.AgentID, Incarnation: k.choice.Incarnation, Verdict: verdict.NotRun, Cause: cause,
+	})
+}
+
+func (k *course) ask(ctx context.Context, a exchange.Action) exchange.Action {
+	wait(ctx, a.At)
+
+	address, err := k.holderAddress(a.Holder)
+	if err != nil {
+		return k.ex.AskFailed(time.Now())
+	}
+
+	// The ask outlives the caller's deadline by its own short timeout: a truthful
+	// last word is worth more than a prompt guess.
+	r, err := k.entry.Link.Ask(context.WithoutCancel(ctx), address, &wire.AskRequest{
+		AttemptID: a.Holder.GetAttemptID(), Incarnation: a.Holder.GetIncarnation(),
+		CreditExpiresAtTick: a.Holder.GetCreditExpiresAtTick(), Close: true,
+	})
+	if err != nil {
+		return k.ex.AskFailed(time.Now())
+	}
+
+	return k.ex.Asked(time.Now(), r)
+}
+
+// settle records an outcome. If that fails the claim stays open, and a resend
+// asks the agent instead, so the exchange goes on either way.
+func (k *course) settle(ctx context.Context, a exchange.Action) exchange.Action {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
+	defer cancel()
+
+	_, err := k.entry.Settle(ctx, &wire.SettleRequest{
+		Workspace: k.call.workspace, Service: k.call.service.GetName(), Key: k.call.key,
+		AttemptID: a.Attempt, Verdict: wire.Verdict(a.Verdict), Answer: a.Answer,
+	})
+	if err != nil {
+		k.entry.Logger.Warn("claim not settled", "key", k.call.key, "verdict", a.Verdict.String(), "error", err)
+	}
+
+	return *a.Then
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -28,7 +28,8 @@
 	Idempotent bool
 	// Keyed says that the caller gave an idempotency key.
 	Keyed bool
-	// Resumable says that engines continue this answer after Last-Event-ID.
+	// Resumable says that another target can continue what was relayed of this
+	// answer; it is set before Ended.
 	Resumable bool
 	// Deadline is the caller's.
 	Deadline time.Time
@@ -123,6 +124,9 @@
 	e.relayed = e.relayed || end.Relayed
 
 	switch {
+	case end.Whole && e.granted && end.Relayed:
+		// The answer was too large to be recorded: resends learn that it is lost.
+		return e.settleThen(verdict.MayHaveRun, Action{Kind: Finish})
 	case end.Whole && e.granted:
 		return e.settleRan(end.Answer)
 	case end.Whole:
