--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The bounds of the latency histograms, in microseconds.
+const (
+	shortestMicros = 1
+	longestMicros  = 600_000_000
+	digits         = 3
+)
+
+// Row counts the outcomes of one kind of request in one phase.
+type Row struct {
+	Phase string
+	Kind  string
+	// Counts is how many requests had each outcome, Causes why some were refused.
+	Counts map[string]int
+	Causes map[string]int
+	// First and Total are the waits of answered requests, in microseconds.
+	First *hdrhistogram.Histogram
+	Total *hdrhistogram.Histogram
+}
+
+// Report is what came of a run.
+type Report struct {
+	Rows []*Row
+	// Doubled bookings ran more than once. Lied ones ran after their last word was
+	// NotRun. Lost ones were answered and did not run.
+	Doubled []string
+	Lied    []string
+	Lost    []string
+}
+
+func newReport() *Report { return &Report{} }
+
+// Broken reports whether a promise to a caller was broken.
+func (r *Report) Broken() bool {
+	n := len(r.Doubled) + len(r.Lied) + len(r.Lost)
+	for _, row := range r.Rows {
+		n += row.Counts[string(wrong)]
+	}
+
+	return n > 0
+}
+
+// Count returns how many requests had an outcome, over all rows.
+func (r *Report) Count(name string) int {
+	n := 0
+	for _, row := range r.Rows {
+		n += row.Counts[name]
+	}
+
+	return n
+}
+
+func (r *Report) row(phase, kind string) *Row {
+	for _, row := range r.Rows {
+		if row.Phase == phase && row.Kind == kind {
+			return row
+		}
+	}
+
+	row := &Row{
+		Phase: phase, Kind: kind, Counts: make(map[string]int), Causes: make(map[string]int),
+		First: hdrhistogram.New(shortestMicros, longestMicros, digits),
+		Total: hdrhistogram.New(shortestMicros, longestMicros, digits),
+	}
+	r.Rows = append(r.Rows, row)
+
+	return row
+}
+
+func (l *Load) tally(q *request, res result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	kind := "Draft"
+	if q.booking {
+		kind = "Booking"
+		l.sent[q.ref] = res.outcome
+	}
+
+	row := l.report.row(q.phase, kind)
+	row.Counts[string(res.outcome)]++
+
+	if res.cause != "" {
+		row.Causes[res.cause]++
+	}
+
+	if res.outcome != answered {
+		return
+	}
+
+	_ = row.Total.RecordValue(max(1, res.total.Microseconds()))
+	if res.first > 0 {
+		_ = row.First.RecordValue(res.first.Microseconds())
+	}
+}
+
+// judge holds what callers were told against what the back ends did.
+func (l *Load) judge(runs map[string]int) {
+	for ref, out := range l.sent {
+		switch n := runs[ref]; {
+		case n > 1:
+			l.report.Doubled = append(l.report.Doubled, ref)
+		case n == 1 && out == notRun:
+			l.report.Lied = append(l.report.Lied, ref)
+		case n == 0 && out == answered:
+			l.report.Lost = append(l.report.Lost, ref)
+		}
+	}
+
+	slices.Sort(l.report.Doubled)
+	slices.Sort(l.report.Lied)
+	slices.Sort(l.report.Lost)
+}
+
+var columns = []outcome{answered, notRun, unsure, cut, wrong, failed, notSent}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprint(t, "Phase\tKind\t")
+
+	for _, c := range columns {
+		_, _ = fmt.Fprintf(t, "%s\t", c)
+	}
+
+	_, _ = fmt.Fprint(t, "FirstP50\tFirstP95\tTotalP50\tTotalP95\tTotalP99\t\n")
+
+	for _, row := range r.Rows {
+		row.print(t)
+	}
+
+	_ = t.Flush()
+	r.printCauses(w)
+	_, _ = fmt.Fprintf(w, "Bookings: %d doubled, %d ran after NotRun, %d answered but not run\n",
+		len(r.Doubled), len(r.Lied), len(r.Lost))
+}
+
+func (row *Row) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%s\t%s\t", row.Phase, row.Kind)
+	for _, c := range columns {
+		_, _ = fmt.Fprintf(w, "%d\t", row.Counts[string(c)])
+	}
+
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t\n",
+		millis(row.First, 50), millis(row.First, 95), millis(row.Total, 50), millis(row.Total, 95), millis(row.Total, 99))
+}
+
+func millis(h *hdrhistogram.Histogram, q float64) string {
+	if h.TotalCount() == 0 {
+		return "-"
+	}
+
+	return fmt.Sprintf("%.1fms", float64(h.ValueAtQuantile(q))/1000)
+}
+
+func (r *Report) printCauses(w io.Writer) {
+	for _, row := range r.Rows {
+		for _, cause := range slices.Sorted(maps.Keys(row.Causes)) {
+			_, _ = fmt.Fprintf(w, "%s %s refused for %s: %d\n", row.Phase, row.Kind, cause, row.Causes[cause])
+		}
+	}
+}
