Add the agent's path: admission, relay, credits, ask

Cause: the thin path needs an agent to send requests through. Change: admission core (credits, memory, ramp, view, unknown work) and the agent's shell: framed requests, twirp Grant and Ask, announcements, dump, drain. Orders are refused as unimplemented.

--- /dev/null
+++ b/internal/admission/core.go
@@ -0,0 +1,336 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Core decides about all work of one target. Set the exported fields before the
+// first event. It is not safe for concurrent use.
+type Core struct {
+	AgentID     string
+	Incarnation uint64
+	// Started is when the incarnation began: tick 0 of its credits.
+	Started  time.Time
+	Settings Settings
+
+	ready      bool
+	view       View
+	leaving    bool
+	target     target
+	ramp       ramp
+	memory     memory
+	share      share
+	unknown    unknownWork
+	running    map[string]*attempt
+	meanTime   time.Duration
+	lastExpiry time.Time
+}
+
+// target is what the target last said of itself.
+type target struct {
+	up          bool
+	seen        bool
+	bootID      string
+	service     string
+	capacity    uint32
+	announcedAt time.Time
+}
+
+// prepare fills what the caller left out, at the first event.
+func (c *Core) prepare() {
+	if c.ready {
+		return
+	}
+
+	c.ready = true
+	c.Settings.fill()
+	c.running = make(map[string]*attempt)
+	c.share.entries = make(map[string]*entry)
+	c.ramp.bounds(0, 0, 0)
+	c.ramp.fall(c.Started, c.Settings.RampInterval)
+}
+
+// ChangeView takes the control configuration into account. A version that is
+// older than the known one is ignored, so that the view never reverts.
+func (c *Core) ChangeView(now time.Time, v View) {
+	c.prepare()
+
+	if v == c.view || v.Version < c.view.Version {
+		return
+	}
+
+	c.view = v
+	c.setBounds(now)
+}
+
+func (c *Core) setBounds(now time.Time) {
+	floor := c.ramp.floor
+	c.ramp.bounds(c.view.ColdLimit, c.view.WarmLimit, c.target.capacity)
+
+	if c.ramp.epoch == 1 && floor != c.ramp.floor {
+		c.ramp.fall(now, c.Settings.RampInterval)
+	}
+}
+
+// Announce takes the target's own word.
+func (c *Core) Announce(now time.Time, a Announcement) {
+	c.prepare()
+	c.Tick(now)
+
+	first := !c.target.seen
+	cold := !c.target.up || a.BootID != c.target.bootID || (a.Cold && !c.ramp.held)
+	before := c.target.announcedAt
+
+	c.target = target{up: true, seen: true, bootID: a.BootID, service: a.Service, capacity: a.Capacity, announcedAt: now}
+	c.setBounds(now)
+	c.ramp.held = a.Cold
+
+	if cold {
+		c.ramp.fall(now, c.Settings.RampInterval)
+	}
+
+	if first {
+		c.unknown.inherit(c.Started, now.Add(c.Settings.UnknownFor))
+	}
+
+	if a.Counted {
+		c.unknown.reported(int(a.InFlight), before, c.runningSince(before))
+	}
+}
+
+// runningSince counts the running attempts that were admitted before at.
+func (c *Core) runningSince(at time.Time) int {
+	n := 0
+
+	for _, a := range c.running {
+		if a.admittedAt.Before(at) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// TargetDown takes a sign that the target is gone.
+func (c *Core) TargetDown(now time.Time) {
+	c.prepare()
+
+	if !c.target.up {
+		return
+	}
+
+	c.target.up = false
+	c.ramp.fall(now, c.Settings.RampInterval)
+}
+
+// Leave stops grants and admissions for good; work in flight finishes.
+func (c *Core) Leave() {
+	c.prepare()
+	c.leaving = true
+}
+
+// Drained reports whether the agent is leaving and nothing is in flight.
+func (c *Core) Drained() bool { return c.leaving && len(c.running) == 0 }
+
+// Tick drops what has expired and looks for a target that has gone silent or cold.
+func (c *Core) Tick(now time.Time) {
+	c.prepare()
+	c.memory.forget(now)
+	c.unknown.expire(now)
+	c.share.expire(now)
+
+	if c.target.up && !now.Before(c.target.announcedAt.Add(c.Settings.AnnounceSilence)) {
+		c.TargetDown(now)
+	}
+
+	if !c.ramp.ramping() && c.overdue(now) {
+		c.ramp.fall(now, c.Settings.RampInterval)
+	}
+}
+
+// overdue reports whether first tokens are missing on so many requests, for so
+// long, that the target must have turned cold. Without it a cold target would be
+// found out only once its late first tokens have come, and be filled until then.
+func (c *Core) overdue(now time.Time) bool {
+	if c.ramp.norm.bound == 0 {
+		return false
+	}
+
+	late, waiting := 0, 0
+
+	for _, a := range c.running {
+		if a.answered {
+			continue
+		}
+
+		waiting++
+
+		if c.ramp.norm.isSlow(now.Sub(a.admittedAt)) {
+			late++
+		}
+	}
+
+	return late >= slowInRow && 2*late > waiting
+}
+
+// FirstToken takes the first byte of an attempt's answer.
+func (c *Core) FirstToken(now time.Time, attemptID string) {
+	c.prepare()
+
+	a := c.running[attemptID]
+	if a == nil || a.answered {
+		return
+	}
+
+	a.answered = true
+	d := now.Sub(a.admittedAt)
+	a.slow = c.ramp.norm.isSlow(d)
+
+	switch {
+	case c.ramp.ramping():
+		c.ramp.norm.observeRamping(d)
+	case c.ramp.norm.observe(d):
+		c.ramp.fall(now, c.Settings.RampInterval)
+	}
+}
+
+// Finish takes the end of an admitted attempt.
+func (c *Core) Finish(now time.Time, attemptID string, o Outcome) {
+	c.prepare()
+
+	a := c.running[attemptID]
+	if a == nil {
+		return
+	}
+
+	if o.Verdict == verdict.Ran {
+		c.ramp.completed(now, a, len(c.running), c.Settings.RampInterval)
+		c.observeTime(now.Sub(a.admittedAt))
+	}
+
+	if o.Abandoned && c.ramp.ramping() {
+		c.unknown.abandon(a.admittedAt, now.Add(c.Settings.SettleFor))
+	}
+
+	delete(c.running, attemptID)
+	c.share.finished(a.entryID)
+	c.memory.end(a, endState(o.Verdict), c.forgetAt(now, a), o.Answer, c.Settings.MaxAnswerBytes)
+}
+
+func endState(v verdict.Verdict) attemptState {
+	switch v {
+	case verdict.Ran:
+		return stateRan
+	case verdict.NotRun:
+		return stateClosed
+	default:
+		return stateLost
+	}
+}
+
+func (c *Core) forgetAt(now time.Time, a *attempt) time.Time {
+	if a.expiresAt.After(now) {
+		now = a.expiresAt
+	}
+
+	return now.Add(c.Settings.RememberFor)
+}
+
+// observeTime learns how long requests take, for Retry-After.
+func (c *Core) observeTime(d time.Duration) {
+	if c.meanTime == 0 {
+		c.meanTime = d
+		return
+	}
+
+	c.meanTime += (d - c.meanTime) / 16
+}
+
+// Ask answers what became of an attempt, and closes it where q asks for that.
+func (c *Core) Ask(now time.Time, q Question) Fate {
+	c.prepare()
+	c.memory.forget(now)
+
+	if q.Incarnation != c.Incarnation || q.AttemptID == "" {
+		return Fate{State: wire.AskState_AskUnknown}
+	}
+
+	if a := c.memory.byID[q.AttemptID]; a != nil {
+		return Fate{State: askState(a.state), Answer: a.answer}
+	}
+
+	expiresAt := c.tickTime(q.CreditExpiresAtTick)
+
+	switch {
+	case c.memory.mayHaveForgotten(expiresAt):
+		return Fate{State: wire.AskState_AskUnknown}
+	case c.expired(now, expiresAt):
+		return Fate{State: wire.AskState_AskClosed}
+	case !q.Close || expiresAt.After(c.lastExpiry):
+		return Fate{State: wire.AskState_AskUnknown}
+	}
+
+	c.close(q.AttemptID, expiresAt)
+
+	return Fate{State: wire.AskState_AskClosed}
+}
+
+func askState(s attemptState) wire.AskState {
+	switch s {
+	case stateRunning:
+		return wire.AskState_AskRunning
+	case stateRan:
+		return wire.AskState_AskRan
+	case stateClosed:
+		return wire.AskState_AskClosed
+	default:
+		return wire.AskState_AskUnknown
+	}
+}
+
+// close marks an attempt that has not run, so that it never will.
+func (c *Core) close(id string, expiresAt time.Time) {
+	if len(c.memory.byID) >= c.Settings.MaxAttempts {
+		c.memory.revoke(expiresAt)
+		return
+	}
+
+	c.memory.add(&attempt{id: id, state: stateClosed, expiresAt: expiresAt})
+}
+
+// tickTime is the instant of a tick of this incarnation.
+func (c *Core) tickTime(tick uint64) time.Time {
+	const maxTick = uint64(1<<63-1) / uint64(time.Millisecond)
+
+	return c.Started.Add(time.Duration(min(tick, maxTick)) * time.Millisecond)
+}
+
+// expired reports whether a credit with this expiry lets nothing in any more.
+func (c *Core) expired(now, expiresAt time.Time) bool {
+	return !expiresAt.After(now) || !expiresAt.After(c.memory.revokedUpTo)
+}
+
+// Load reports on the target.
+func (c *Core) Load() Load {
+	c.prepare()
+
+	return Load{
+		InFlight: uint32(len(c.running)),
+		Limit:    uint32(c.limit()),
+		Cold:     c.ramp.ramping(),
+		Leaving:  c.leaving || c.view.Retired,
+		Unknown:  uint32(c.unknown.count()),
+	}
+}
+
+// limit is how many requests the target may hold now.
+func (c *Core) limit() int {
+	if !c.target.up {
+		return 0
+	}
+
+	return c.ramp.current()
+}
--- /dev/null
+++ b/internal/admission/norm.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// normSamples is how many first-token times the norm is learnt from.
+	normSamples = 64
+	// normNeeded is how many samples there must be before any is judged.
+	normNeeded = 16
+	// normRefresh is after how many samples the bound is worked out anew.
+	normRefresh = 8
+	// slowInRow is how many slow answers in a row are a sign of cold.
+	slowInRow = 4
+	// relearnAfter is how many slow answers at a ramping target make the norm forgotten.
+	relearnAfter = 32
+	// A first token is slow past medianFactor times the median and tailFactor times the 90th percentile.
+	medianFactor = 4
+	tailFactor   = 2
+)
+
+// norm learns the usual first-token time and tells when answers are far off it.
+//
+// It guards against a target that turned cold without a word: first tokens then
+// come many times later than usual. One outlier doesn't count (slowInRow), nor
+// does a mix of short and long prompts (the 90th percentile is part of the
+// bound), nor a slow drift of load (the samples follow it).
+type norm struct {
+	samples [normSamples]time.Duration
+	n       int
+	// bound is past what a first token is slow; 0 while there are too few samples.
+	bound   time.Duration
+	unfresh int
+	// row counts slow answers in a row, pending holds them until it's clear whether they belong to the norm.
+	row     int
+	pending [slowInRow]time.Duration
+	ramping int
+}
+
+// isSlow reports whether d is far off the norm.
+func (m *norm) isSlow(d time.Duration) bool {
+	return m.bound > 0 && d > m.bound
+}
+
+// observe takes one first-token time of a warm target, and reports whether it is a sign of cold.
+func (m *norm) observe(d time.Duration) bool {
+	if !m.isSlow(d) {
+		for _, p := range m.pending[:m.row] {
+			m.learn(p)
+		}
+
+		m.row = 0
+		m.learn(d)
+
+		return false
+	}
+
+	m.pending[m.row] = d
+	m.row++
+
+	if m.row < slowInRow {
+		return false
+	}
+
+	m.row = 0
+	m.ramping = 0
+
+	return true
+}
+
+// observeRamping takes one first-token time of a target that is ramping. When the
+// slow ones don't end, they are no cold start but how the target now works, and
+// the norm is learnt anew; without that the limit would stay at its floor for good.
+func (m *norm) observeRamping(d time.Duration) {
+	if !m.isSlow(d) {
+		m.learn(d)
+		return
+	}
+
+	m.ramping++
+	if m.ramping >= relearnAfter {
+		*m = norm{}
+	}
+}
+
+func (m *norm) learn(d time.Duration) {
+	m.samples[m.n%normSamples] = d
+	m.n++
+	m.unfresh++
+
+	if m.n >= normNeeded && (m.bound == 0 || m.unfresh >= normRefresh) {
+		m.refresh()
+	}
+}
+
+// refresh works the bound out.
+func (m *norm) refresh() {
+	sorted := m.samples
+	count := min(m.n, normSamples)
+	s := sorted[:count]
+	slices.Sort(s)
+	m.bound = max(medianFactor*s[count/2], tailFactor*s[count*9/10])
+	m.unfresh = 0
+}
--- /dev/null
+++ b/internal/admission/settings.go
@@ -0,0 +1,60 @@
+package admission
+
+import "time"
+
+// Settings tune a Core. Zero fields take their defaults.
+type Settings struct {
+	// CreditLife is how long a credit holds; ContendedLife applies while entries wait for one.
+	CreditLife    time.Duration
+	ContendedLife time.Duration
+	// WaitLife is for how long a waiting entry that doesn't ask again keeps its turn.
+	WaitLife time.Duration
+	// RememberFor is how long an ended attempt is remembered after its credit's expiry.
+	RememberFor time.Duration
+	// MaxAttempts bounds the remembered attempts, MaxAnswerBytes the recorded answers.
+	MaxAttempts    int
+	MaxAnswerBytes int
+	// AnnounceSilence is how long the target may stay silent before it counts as down.
+	AnnounceSilence time.Duration
+	// UnknownFor is how long work of an earlier agent incarnation is counted
+	// where the target doesn't report what it holds.
+	UnknownFor time.Duration
+	// SettleFor is the same for a request that was cancelled on a cold target.
+	SettleFor time.Duration
+	// RampInterval is the shortest time in which the limit may double.
+	RampInterval time.Duration
+}
+
+// The defaults of Settings.
+const (
+	DefaultCreditLife      = 2 * time.Second
+	DefaultContendedLife   = 250 * time.Millisecond
+	DefaultWaitLife        = 100 * time.Millisecond
+	DefaultRememberFor     = time.Minute
+	DefaultMaxAttempts     = 1 << 16
+	DefaultMaxAnswerBytes  = 8 << 20
+	DefaultAnnounceSilence = 3 * time.Second
+	DefaultUnknownFor      = 10 * time.Second
+	DefaultSettleFor       = time.Second
+	DefaultRampInterval    = time.Second
+)
+
+func orDefault[T int | time.Duration](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// fill puts the defaults into zero fields.
+func (s *Settings) fill() {
+	orDefault(&s.CreditLife, DefaultCreditLife)
+	orDefault(&s.ContendedLife, DefaultContendedLife)
+	orDefault(&s.WaitLife, DefaultWaitLife)
+	orDefault(&s.RememberFor, DefaultRememberFor)
+	orDefault(&s.MaxAttempts, DefaultMaxAttempts)
+	orDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	orDefault(&s.AnnounceSilence, DefaultAnnounceSilence)
+	orDefault(&s.UnknownFor, DefaultUnknownFor)
+	orDefault(&s.SettleFor, DefaultSettleFor)
+	orDefault(&s.RampInterval, DefaultRampInterval)
+}
--- /dev/null
+++ b/internal/admission/unknown.go
@@ -0,0 +1,75 @@
+package admission
+
+import "time"
+
+// unknownWork counts requests that the target may hold and the agent can't
+// account for: those of an earlier agent incarnation, and those cancelled on a
+// cold target that may still work on them. They count against the limit, which
+// a restart or a wave of cancelled callers would else push the target over.
+type unknownWork struct {
+	items []unknownItem
+}
+
+// unknownItem is one or more requests with the same history.
+type unknownItem struct {
+	n         int
+	sentAt    time.Time
+	expiresAt time.Time
+}
+
+// unbounded stands for an unknown number of requests; it is above any limit.
+const unbounded = 1 << 30
+
+// inherit counts the work of an earlier incarnation of the agent, assuming the worst.
+func (u *unknownWork) inherit(sentAt, expiresAt time.Time) {
+	u.items = append(u.items, unknownItem{n: unbounded, sentAt: sentAt, expiresAt: expiresAt})
+}
+
+// abandon counts one request that was cancelled.
+func (u *unknownWork) abandon(sentAt, expiresAt time.Time) {
+	u.items = append(u.items, unknownItem{n: 1, sentAt: sentAt, expiresAt: expiresAt})
+}
+
+// reported takes the target's own count. The count is as old as the previous
+// announcement at worst, so it only tells about work sent before that: known
+// such requests are still in it, and what remains bounds the unknown ones. At the
+// first announcement there is no previous one, and only inherited work is there.
+func (u *unknownWork) reported(count int, previous time.Time, known int) {
+	room := max(count-known, 0)
+	kept := u.items[:0]
+
+	for _, it := range u.items {
+		if previous.IsZero() || it.sentAt.Before(previous) {
+			it.n = min(it.n, room)
+			room -= it.n
+		}
+
+		if it.n > 0 {
+			kept = append(kept, it)
+		}
+	}
+
+	u.items = kept
+}
+
+// expire drops what can't be on the target any more.
+func (u *unknownWork) expire(now time.Time) {
+	kept := u.items[:0]
+
+	for _, it := range u.items {
+		if it.expiresAt.After(now) {
+			kept = append(kept, it)
+		}
+	}
+
+	u.items = kept
+}
+
+func (u *unknownWork) count() int {
+	n := 0
+	for _, it := range u.items {
+		n += it.n
+	}
+
+	return n
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,257 @@
+// Package agent is the process beside each target: its single door. It lets
+// requests through to the target, relays their answers, remembers attempts, and
+// passes orders on to the engine.
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Agent is the single door of one target. Set the exported fields before Run.
+type Agent struct {
+	// ID names the agent and its target; it outlives restarts.
+	ID   string
+	Zone string
+	// Incarnation is fresh at each start, and higher than any earlier one.
+	Incarnation uint64
+	// Address is where the agent listens, unless Listener is set.
+	Address  netip.AddrPort
+	Listener net.Listener
+	// View returns what the control configuration says now. It is called for each
+	// request, from many goroutines, and must not block.
+	View func() admission.View
+	// Logger is optional.
+	Logger *slog.Logger
+	// Metrics is optional.
+	Metrics  metrics.Registry
+	Settings Settings
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+
+	once     sync.Once
+	door     door
+	target   targetState
+	counters counters
+	dialer   targetDialer
+	server   *http.Server
+	bound    netip.AddrPort
+	listened chan struct{}
+	drained  chan struct{}
+	leave    sync.Once
+}
+
+// prepare fills what the caller left out.
+func (a *Agent) prepare() {
+	a.once.Do(func() {
+		if a.Now == nil {
+			a.Now = time.Now
+		}
+
+		if a.Logger == nil {
+			a.Logger = slog.New(slog.DiscardHandler)
+		}
+
+		a.Logger = a.Logger.With("part", "agent", "agent", a.ID)
+
+		if a.Metrics == nil {
+			a.Metrics = metrics.NewRegistry()
+		}
+
+		a.Settings.fill()
+		a.counters = newCounters(a.Metrics)
+		a.dialer = newTargetDialer(a.Settings)
+		a.listened = make(chan struct{})
+		a.drained = make(chan struct{})
+		a.door.view = a.View
+		a.door.core = admission.Core{
+			AgentID:     a.ID,
+			Incarnation: a.Incarnation,
+			Started:     a.Now(),
+			Settings:    a.Settings.Admission,
+		}
+	})
+}
+
+// Run serves until Drain has finished or ctx ends. An ended ctx cuts off what is in flight.
+func (a *Agent) Run(ctx context.Context) error {
+	a.prepare()
+
+	ln, err := a.listen(ctx)
+	if err != nil {
+		return err
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	a.server = &http.Server{
+		Handler:           a.routes(),
+		ReadHeaderTimeout: a.Settings.ReadTimeout,
+		IdleTimeout:       a.Settings.IdleTimeout,
+		MaxHeaderBytes:    a.Settings.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(a.Logger.Handler(), slog.LevelDebug),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	close(a.listened)
+	a.Logger.Info("Agent listens.", "address", a.bound, "incarnation", a.Incarnation)
+
+	served := make(chan error, 1)
+	go func() { served <- a.server.Serve(ln) }()
+
+	ticked := make(chan struct{})
+
+	go func() {
+		defer close(ticked)
+		a.tick(ctx)
+	}()
+
+	err = a.wait(ctx, served)
+
+	cancel()
+	<-ticked
+	a.dialer.close()
+
+	return err
+}
+
+// wait returns when the server has ended, by Drain, by ctx or by a fault.
+func (a *Agent) wait(ctx context.Context, served <-chan error) error {
+	select {
+	case err := <-served:
+		if !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+
+		<-a.drained
+
+		return nil
+	case <-ctx.Done():
+		_ = a.server.Close()
+
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+
+		return nil
+	}
+}
+
+func (a *Agent) listen(ctx context.Context) (net.Listener, error) {
+	ln := a.Listener
+
+	if ln == nil {
+		var lc net.ListenConfig
+
+		var err error
+		if ln, err = lc.Listen(ctx, "tcp", a.Address.String()); err != nil {
+			return nil, eris.Wrapf(err, "listen on %s", a.Address)
+		}
+	}
+
+	a.bound = a.Address
+	if addr, ok := ln.Addr().(*net.TCPAddr); ok {
+		a.bound = addr.AddrPort()
+	}
+
+	return ln, nil
+}
+
+// tick lets the core look at the time.
+func (a *Agent) tick(ctx context.Context) {
+	t := time.NewTicker(a.Settings.TickEvery)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			a.door.tick(a.Now())
+		}
+	}
+}
+
+// Drain refuses new work as not run, lets all in flight finish, and then ends
+// Run. An ended ctx gives up waiting and returns its error; Run goes on then.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.prepare()
+	a.door.leave()
+	a.Logger.Info("Agent is leaving.")
+
+	t := time.NewTicker(a.Settings.TickEvery)
+	defer t.Stop()
+
+	for !a.door.drained(a.Now()) {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "requests are still in flight")
+		case <-t.C:
+		}
+	}
+
+	var err error
+
+	a.leave.Do(func() {
+		<-a.listened
+
+		err = a.server.Shutdown(ctx)
+		close(a.drained)
+	})
+
+	return eris.Wrap(err, "shut the server down")
+}
+
+// Node reports the agent for the membership.
+func (a *Agent) Node() *wire.Node {
+	a.prepare()
+
+	t := a.target.load()
+	n := &wire.Node{
+		ID:          a.ID,
+		Kind:        wire.NodeKind_NodeAgent,
+		Zone:        a.Zone,
+		Address:     a.address().String(),
+		Incarnation: a.Incarnation,
+		Leaving:     a.door.leaving(),
+	}
+
+	if t != nil {
+		n.Service = t.Service
+		n.BootID = t.BootID
+		n.Capacity = t.Capacity
+		n.Group = t.Group
+		n.Rank = t.Rank
+	}
+
+	return n
+}
+
+// address is where the agent listens, or is set to listen.
+func (a *Agent) address() netip.AddrPort {
+	select {
+	case <-a.listened:
+		return a.bound
+	default:
+		return a.Address
+	}
+}
+
+// Ready is closed once the agent listens and its address is known.
+func (a *Agent) Ready() <-chan struct{} {
+	a.prepare()
+
+	return a.listened
+}
--- /dev/null
+++ b/internal/agent/fields.go
@@ -0,0 +1,33 @@
+package agent
+
+import "strings"
+
+// fieldMarks are the characters of an HTTP header name beside letters and digits.
+const fieldMarks = "!#$%&'*+-.^_`|~"
+
+// isToken reports whether s may be a header name or a method.
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if !isAlphanumeric(c) && strings.IndexByte(fieldMarks, c) < 0 {
+			return false
+		}
+	}
+
+	return s != ""
+}
+
+func isAlphanumeric(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+}
+
+// isFieldValue reports whether s may be a header's value: no control characters but tabs.
+func isFieldValue(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+
+	return true
+}
--- /dev/null
+++ b/internal/agent/fixture_test.go
@@ -0,0 +1,307 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+const (
+	testService = "assist"
+	testEntry   = "entry-1"
+)
+
+// rig is an agent with a target, and a client that acts as an entry.
+type rig struct {
+	t      testing.TB
+	agent  *Agent
+	client *http.Client
+	rpc    wire.Agent
+	view   atomic.Pointer[admission.View]
+	stop   context.CancelFunc
+	done   chan error
+	serial atomic.Uint64
+	// target is where the announcement points; announce repeats it.
+	target netip.AddrPort
+	bootID string
+}
+
+// newRig starts an agent before target. change may alter the agent before it runs.
+func newRig(t testing.TB, target netip.AddrPort, change func(*Agent)) *rig {
+	t.Helper()
+
+	r := &rig{t: t, target: target, bootID: "boot-1", done: make(chan error, 1)}
+	r.view.Store(&admission.View{Version: 7, FreshUntil: time.Now().Add(time.Hour), ColdLimit: 64, WarmLimit: 64})
+	r.agent = &Agent{
+		ID:          "agent-1",
+		Zone:        "muscat-a",
+		Incarnation: 3,
+		Address:     netip.MustParseAddrPort("127.0.0.1:0"),
+		View:        func() admission.View { return *r.view.Load() },
+	}
+	r.agent.Settings.Admission.AnnounceSilence = time.Hour
+
+	if change != nil {
+		change(r.agent)
+	}
+
+	r.start()
+
+	return r
+}
+
+func (r *rig) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	done := r.done
+	a := r.agent
+
+	go func() { done <- a.Run(ctx) }()
+
+	<-a.Ready()
+
+	r.rpc = wire.NewAgentProtobufClient(r.url(""), r.client)
+	r.announce(r.bootID)
+	r.t.Cleanup(func() {
+		cancel()
+		r.client.CloseIdleConnections()
+	})
+}
+
+func (r *rig) url(path string) string { return "http://" + r.agent.address().String() + path }
+
+// announce posts the target's word, with nothing in flight.
+func (r *rig) announce(bootID string) {
+	r.t.Helper()
+	r.post(AnnouncePath, `{"BootID":"`+bootID+`","Address":"`+r.target.String()+`","Service":"`+testService+
+		`","Capacity":64,"InFlight":0}`, http.StatusNoContent)
+}
+
+func (r *rig) post(path, body string, status int) {
+	r.t.Helper()
+
+	resp, err := r.client.Post(r.url(path), "application/json", strings.NewReader(body))
+	require.NoError(r.t, err)
+
+	said, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	require.Equal(r.t, status, resp.StatusCode, "%s", said)
+}
+
+// credit asks for a credit with one slot or more.
+func (r *rig) credit() *wire.Credit {
+	r.t.Helper()
+
+	g, err := r.rpc.Grant(context.Background(), &wire.GrantRequest{EntryID: testEntry, Wanted: 8})
+	require.NoError(r.t, err)
+
+	return g.GetCredit()
+}
+
+// request makes an idempotent request with a fresh credit and a fresh attempt ID.
+func (r *rig) request(path, body string) *wire.Request {
+	r.t.Helper()
+
+	return &wire.Request{
+		ID:              "caller-id",
+		AttemptID:       "attempt-" + strconv.FormatUint(r.serial.Add(1), 10),
+		Credit:          r.credit(),
+		Service:         testService,
+		Method:          http.MethodPost,
+		Path:            path,
+		Body:            []byte(body),
+		BodyDigest:      xxhash.Sum64String(body),
+		Idempotent:      true,
+		RemainingMillis: 20_000,
+		ViewVersion:     7,
+		ViewFresh:       true,
+	}
+}
+
+// booking makes a request that must not be repeated.
+func (r *rig) booking(path, body string) *wire.Request {
+	r.t.Helper()
+
+	req := r.request(path, body)
+	req.Idempotent = false
+
+	return req
+}
+
+// answer is what an entry made of an answer stream.
+type answer struct {
+	head    *wire.Head
+	body    string
+	beats   int
+	end     *wire.End
+	refusal *wire.Refusal
+	err     error
+}
+
+// open sends req and returns a reader of its frames.
+func (r *rig) open(ctx context.Context, req *wire.Request) (*http.Response, *bufio.Reader) {
+	r.t.Helper()
+
+	raw, err := proto.Marshal(req)
+	require.NoError(r.t, err)
+
+	return r.openRaw(ctx, raw)
+}
+
+func (r *rig) openRaw(ctx context.Context, raw []byte) (*http.Response, *bufio.Reader) {
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url(RequestPath), bytes.NewReader(raw))
+	require.NoError(r.t, err)
+
+	resp, err := r.client.Do(hr)
+	require.NoError(r.t, err)
+
+	return resp, bufio.NewReader(resp.Body)
+}
+
+// do sends req and collects its answer.
+func (r *rig) do(req *wire.Request) answer {
+	r.t.Helper()
+
+	resp, frames := r.open(context.Background(), req)
+	defer resp.Body.Close()
+
+	var a answer
+	for a.end == nil && a.refusal == nil && a.err == nil {
+		a.add(frames)
+	}
+
+	return a
+}
+
+// add reads one frame.
+func (a *answer) add(frames *bufio.Reader) {
+	var f wire.Frame
+	if a.err = protodelim.UnmarshalFrom(frames, &f); a.err != nil {
+		return
+	}
+
+	switch k := f.GetKind().(type) {
+	case *wire.Frame_Head:
+		a.head = k.Head
+	case *wire.Frame_Data:
+		a.body += string(k.Data)
+	case *wire.Frame_Heartbeat:
+		a.beats++
+	case *wire.Frame_End:
+		a.end = k.End
+	case *wire.Frame_Refusal:
+		a.refusal = k.Refusal
+	}
+}
+
+// requireWhole checks that a is the whole answer body.
+func (a *answer) requireWhole(t testing.TB, body string) {
+	t.Helper()
+	require.NotNil(t, a.end, "refusal %v, error %v", a.refusal, a.err)
+	require.Equal(t, body, a.body)
+	require.EqualValues(t, len(body), a.end.GetLength())
+	require.Equal(t, xxhash.Sum64String(body), a.end.GetDigest())
+}
+
+// requireRefused checks the verdict and cause of a refusal, and that the answer was not ended as whole.
+func (a *answer) requireRefused(t testing.TB, v wire.Verdict, cause string) {
+	t.Helper()
+	require.NotNil(t, a.refusal, "answer %+v", a)
+	require.Nil(t, a.end)
+	require.Equal(t, cause, a.refusal.GetCause())
+	require.Equal(t, v.String(), a.refusal.GetVerdict().String())
+}
+
+// ask asks what became of req.
+func (r *rig) ask(req *wire.Request, closeIt bool) *wire.AskResponse {
+	r.t.Helper()
+
+	resp, err := r.rpc.Ask(context.Background(), &wire.AskRequest{
+		AttemptID:           req.GetAttemptID(),
+		Incarnation:         req.GetCredit().GetIncarnation(),
+		CreditExpiresAtTick: req.GetCredit().GetExpiresAtTick(),
+		Close:               closeIt,
+	})
+	require.NoError(r.t, err)
+
+	return resp
+}
+
+// httpTarget serves h as the target, with the echo of the request ID.
+func httpTarget(t testing.TB, h http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+		h(w, r)
+	}))
+	t.Cleanup(srv.Close)
+
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+// rawTarget speaks bytes: script gets each connection and the request ID read from it.
+type rawTarget struct {
+	ln    net.Listener
+	conns atomic.Int64
+	wg    sync.WaitGroup
+}
+
+func newRawTarget(t testing.TB, script func(c net.Conn, id string)) *rawTarget {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	rt := &rawTarget{ln: ln}
+
+	rt.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+
+			rt.conns.Add(1)
+			rt.wg.Go(func() {
+				defer c.Close()
+
+				in := bufio.NewReader(c)
+				for {
+					hr, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+
+					_, _ = io.Copy(io.Discard, hr.Body)
+					script(c, hr.Header.Get(RequestIDHeader))
+				}
+			})
+		}
+	})
+	t.Cleanup(func() { _ = ln.Close() })
+
+	return rt
+}
+
+func (rt *rawTarget) addr() netip.AddrPort { return netip.MustParseAddrPort(rt.ln.Addr().String()) }
--- /dev/null
+++ b/internal/agent/frames.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// FramesType is the content type of an answer stream: wire.Frame messages, each
+// behind its length as a varint.
+const FramesType = "application/x-parsleygate-frames"
+
+// frameWriter writes frames to an entry, each flushed at once. It is used by one
+// goroutine at a time.
+type frameWriter struct {
+	w     http.ResponseWriter
+	rc    *http.ResponseController
+	stall time.Duration
+	begun bool
+}
+
+func newFrameWriter(w http.ResponseWriter, stall time.Duration) *frameWriter {
+	return &frameWriter{w: w, rc: http.NewResponseController(w), stall: stall}
+}
+
+// write sends one frame. It blocks while the entry reads slowly, which is what
+// slows the target down; an entry that takes nothing for stall is given up.
+func (f *frameWriter) write(frame *wire.Frame) error {
+	if !f.begun {
+		f.begun = true
+		f.w.Header().Set("Content-Type", FramesType)
+		f.w.WriteHeader(http.StatusOK)
+	}
+
+	if err := f.rc.SetWriteDeadline(time.Now().Add(f.stall)); err != nil {
+		return eris.Wrap(err, "set the write deadline")
+	}
+
+	if _, err := protodelim.MarshalTo(f.w, frame); err != nil {
+		return eris.Wrap(err, "write a frame")
+	}
+
+	return eris.Wrap(f.rc.Flush(), "flush a frame")
+}
--- /dev/null
+++ b/internal/agent/request.go
@@ -0,0 +1,171 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// refusal is why a request gets no answer, and what the caller may conclude.
+type refusal struct {
+	verdict verdict.Verdict
+	cause   verdict.Cause
+	retryAt time.Time
+}
+
+// serveRequest takes one request of an entry and answers with frames.
+func (a *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
+	out := newFrameWriter(w, a.Settings.WriteStall)
+
+	req, bad := a.readRequest(w, r)
+	if req == nil {
+		a.refuse(out, "", *bad)
+		return
+	}
+
+	arrival := arrivalOf(req)
+	now := a.Now()
+
+	var d admission.Decision
+	if bad != nil {
+		d = a.door.reject(now, arrival, bad)
+	} else {
+		d = a.door.arrive(now, arrival)
+	}
+
+	if !d.Admitted {
+		a.refuse(out, req.GetAttemptID(), refusal{verdict: d.Verdict, cause: d.Cause, retryAt: d.RetryAt})
+		return
+	}
+
+	a.counters.admitted.Inc(1)
+	newExchange(a, req, out, now).run(r.Context())
+}
+
+// refuse ends a request without an answer.
+func (a *Agent) refuse(out *frameWriter, attemptID string, f refusal) {
+	now := a.Now()
+	a.counters.refused.Inc(1)
+
+	_ = out.write(refusalFrame(attemptID, f, now, loadToWire(a.door.load(now))))
+}
+
+func refusalFrame(attemptID string, f refusal, now time.Time, load *wire.Load) *wire.Frame {
+	body := &wire.Refusal{
+		AttemptID: attemptID,
+		Verdict:   wire.Verdict(f.verdict),
+		Cause:     string(f.cause),
+		Load:      load,
+	}
+
+	if f.retryAt.After(now) {
+		body.RetryAfterMillis = uint64(f.retryAt.Sub(now)+time.Millisecond-1) / uint64(time.Millisecond)
+	}
+
+	return &wire.Frame{Kind: &wire.Frame_Refusal{Refusal: body}}
+}
+
+// readRequest reads a request within its limits. Without a request there is none
+// that can be named; with both, the request is known and unfit.
+func (a *Agent) readRequest(w http.ResponseWriter, r *http.Request) (*wire.Request, *refusal) {
+	s := a.Settings
+	limit := int64(s.MaxBodyBytes + s.MaxHeaderBytes)
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+
+	raw, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &refusal{verdict: verdict.NotRun, cause: verdict.CauseTooLarge}
+	}
+
+	req := new(wire.Request)
+	if err != nil || proto.Unmarshal(raw, req) != nil || req.GetAttemptID() == "" {
+		return nil, &refusal{verdict: verdict.NotRun, cause: verdict.CauseMalformed}
+	}
+
+	_ = rc.SetReadDeadline(time.Time{})
+
+	if cause := unfit(req, s); cause != "" {
+		return req, &refusal{cause: cause}
+	}
+
+	return req, nil
+}
+
+// readBody reads all of r; size is the announced length or -1.
+func readBody(r io.Reader, size, limit int64) ([]byte, error) {
+	if size < 0 || size > limit {
+		return io.ReadAll(r) //nolint:wrapcheck // the caller looks at the type only
+	}
+
+	raw := make([]byte, size)
+	_, err := io.ReadFull(r, raw)
+
+	return raw, err //nolint:wrapcheck // the caller looks at the type only
+}
+
+// unfit says why a request can't go to a target, or "".
+func unfit(req *wire.Request, s Settings) verdict.Cause {
+	if len(req.GetBody()) > s.MaxBodyBytes {
+		return verdict.CauseTooLarge
+	}
+
+	size := len(req.GetPath()) + len(req.GetMethod())
+	for _, h := range req.GetHeaders() {
+		size += len(h.GetName()) + len(h.GetValue())
+
+		if !isToken(h.GetName()) || !isFieldValue(h.GetValue()) {
+			return verdict.CauseMalformed
+		}
+	}
+
+	if size > s.MaxHeaderBytes {
+		return verdict.CauseTooLarge
+	}
+
+	if xxhash.Sum64(req.GetBody()) != req.GetBodyDigest() || !fitTarget(req) || !fitID(req.GetAttemptID()) {
+		return verdict.CauseMalformed
+	}
+
+	return ""
+}
+
+// fitTarget reports whether method and path can be put on a request line.
+func fitTarget(req *wire.Request) bool {
+	if !isToken(req.GetMethod()) || req.GetMethod() == http.MethodConnect {
+		return false
+	}
+
+	_, err := url.ParseRequestURI(req.GetPath())
+
+	return err == nil && strings.HasPrefix(req.GetPath(), "/")
+}
+
+// maxIDBytes bounds the ID of an attempt, which is kept in memory.
+const maxIDBytes = 128
+
+func fitID(id string) bool {
+	return len(id) <= maxIDBytes && isFieldValue(id)
+}
+
+func arrivalOf(req *wire.Request) admission.Arrival {
+	return admission.Arrival{
+		AttemptID:   req.GetAttemptID(),
+		Credit:      creditFromWire(req.GetCredit()),
+		Service:     req.GetService(),
+		ViewVersion: req.GetViewVersion(),
+		ViewFresh:   req.GetViewFresh(),
+	}
+}
--- /dev/null
+++ b/internal/agent/routes.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Paths of the agent's interface, beside those of the twirp service.
+const (
+	RequestPath  = "/v1/request"
+	AnnouncePath = "/v1/announce"
+	DumpPath     = "/v1/dump"
+)
+
+// maxAnnouncement bounds the body of an announcement, in bytes.
+const maxAnnouncement = 4 << 10
+
+// Announcement is what the target posts about itself once a second, as JSON.
+type Announcement struct {
+	// BootID is fresh at each start of the target.
+	BootID string
+	// Address is where the target takes requests.
+	Address netip.AddrPort
+	Service string
+	// Capacity is how many requests the warm target bears at once.
+	Capacity uint32
+	// Cold is the engine's own word.
+	Cold bool
+	// InFlight is how many requests the target holds. A target that leaves it out
+	// waits longer for its first work after the agent restarts.
+	InFlight *uint32 `json:",omitempty"`
+	// Group and Rank are set for a target in an expert group.
+	Group string `json:",omitempty"`
+	Rank  uint32 `json:",omitempty"`
+	// FencingNumber is the highest that the engine has seen, where it keeps one.
+	FencingNumber *uint64 `json:",omitempty"`
+}
+
+// targetState holds the latest announcement.
+type targetState struct {
+	p atomic.Pointer[Announcement]
+}
+
+func (t *targetState) load() *Announcement { return t.p.Load() }
+
+func (a *Agent) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Post(RequestPath, a.serveRequest)
+	r.Post(AnnouncePath, a.serveAnnounce)
+	r.Get(DumpPath, a.serveDump)
+	r.Mount(wire.AgentPathPrefix, wire.NewAgentServer(&service{agent: a}))
+
+	return r
+}
+
+// serveAnnounce takes the target's word on itself. Only a process on the same VM
+// may speak for the target.
+func (a *Agent) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil || !from.Addr().Unmap().IsLoopback() {
+		http.Error(w, "announcements come over loopback only", http.StatusForbidden)
+		return
+	}
+
+	var an Announcement
+
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncement)
+	if err := json.NewDecoder(body).Decode(&an); err != nil {
+		http.Error(w, "announcement is no JSON: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+
+	if an.BootID == "" || an.Service == "" || !an.Address.IsValid() || an.Address.Port() == 0 {
+		http.Error(w, "BootID, Service and Address (IP:port) are needed", http.StatusBadRequest)
+		return
+	}
+
+	a.announce(&an)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *Agent) announce(an *Announcement) {
+	old := a.target.p.Swap(an)
+	if old == nil || old.BootID != an.BootID {
+		a.Logger.Info("Target announced itself.", "boot", an.BootID, "service", an.Service, "address", an.Address)
+		a.counters.boots.Inc(1)
+	}
+
+	ev := admission.Announcement{
+		BootID:   an.BootID,
+		Service:  an.Service,
+		Capacity: an.Capacity,
+		Cold:     an.Cold,
+	}
+
+	if an.InFlight != nil {
+		ev.InFlight = *an.InFlight
+		ev.Counted = true
+	}
+
+	a.door.announce(a.Now(), ev)
+}
+
+// Dump is the agent's state as GET /v1/dump shows it.
+type Dump struct {
+	ID          string
+	Zone        string
+	Incarnation uint64
+	Address     netip.AddrPort
+	Target      *Announcement
+	View        admission.View
+	Load        admission.Load
+}
+
+func (a *Agent) serveDump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+
+	if err := enc.Encode(a.Dump()); err != nil {
+		a.Logger.Debug("Dump was not taken.", "err", err)
+	}
+}
+
+// Dump returns the state of the agent.
+func (a *Agent) Dump() Dump {
+	a.prepare()
+
+	return Dump{
+		ID:          a.ID,
+		Zone:        a.Zone,
+		Incarnation: a.Incarnation,
+		Address:     a.address(),
+		Target:      a.target.load(),
+		View:        a.View(),
+		Load:        a.door.load(a.Now()),
+	}
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// service is the agent's twirp interface.
+type service struct {
+	agent *Agent
+}
+
+// Grant gives an entry a credit.
+func (s *service) Grant(_ context.Context, r *wire.GrantRequest) (*wire.GrantResponse, error) {
+	if r.GetEntryID() == "" {
+		return nil, twirp.RequiredArgumentError("EntryID") //nolint:wrapcheck // the caller of twirp gets it as it is
+	}
+
+	a := s.agent
+	now := a.Now()
+	g, l := a.door.grant(now, admission.GrantAsk{EntryID: r.GetEntryID(), Wanted: r.GetWanted()})
+	a.counters.granted.Inc(1)
+
+	return &wire.GrantResponse{Credit: creditToWire(g, now), Load: loadToWire(l)}, nil
+}
+
+// Ask says what became of an attempt.
+func (s *service) Ask(_ context.Context, r *wire.AskRequest) (*wire.AskResponse, error) {
+	if r.GetAttemptID() == "" {
+		return nil, twirp.RequiredArgumentError("AttemptID") //nolint:wrapcheck // the caller of twirp gets it as it is
+	}
+
+	a := s.agent
+	a.counters.asked.Inc(1)
+	f := a.door.ask(a.Now(), admission.Question{
+		AttemptID:           r.GetAttemptID(),
+		Incarnation:         r.GetIncarnation(),
+		CreditExpiresAtTick: r.GetCreditExpiresAtTick(),
+		Close:               r.GetClose(),
+	})
+
+	return &wire.AskResponse{State: f.State, Incarnation: a.Incarnation, Answer: f.Answer}, nil
+}
+
+// Give passes an order on to the engine.
+func (s *service) Give(_ context.Context, _ *wire.Order) (*wire.OrderResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "orders are not served yet") //nolint:wrapcheck // the caller of twirp gets it as it is
+}
+
+func creditToWire(g admission.Grant, now time.Time) *wire.Credit {
+	return &wire.Credit{
+		AgentID:         g.Credit.AgentID,
+		Incarnation:     g.Credit.Incarnation,
+		EntryID:         g.Credit.EntryID,
+		Serial:          g.Credit.Serial,
+		ExpiresAtTick:   g.Credit.ExpiresAtTick,
+		Slots:           g.Credit.Slots,
+		RemainingMillis: uint64(max(g.ExpiresAt.Sub(now), 0) / time.Millisecond),
+	}
+}
+
+func creditFromWire(c *wire.Credit) admission.Credit {
+	return admission.Credit{
+		AgentID:       c.GetAgentID(),
+		Incarnation:   c.GetIncarnation(),
+		EntryID:       c.GetEntryID(),
+		Serial:        c.GetSerial(),
+		ExpiresAtTick: c.GetExpiresAtTick(),
+		Slots:         c.GetSlots(),
+	}
+}
+
+func loadToWire(l admission.Load) *wire.Load {
+	return &wire.Load{
+		InFlight: l.InFlight,
+		Limit:    l.Limit,
+		Cold:     l.Cold,
+		Leaving:  l.Leaving,
+	}
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+)
+
+// Settings tune an Agent. Zero fields take their defaults.
+type Settings struct {
+	Admission admission.Settings
+	// MaxBodyBytes bounds a request's body, MaxHeaderBytes the headers of requests and answers.
+	MaxBodyBytes   int
+	MaxHeaderBytes int
+	// MaxAnswerBytes bounds one recorded answer.
+	MaxAnswerBytes int
+	// ReadTimeout is how long an entry may take to send a request whole.
+	ReadTimeout time.Duration
+	// IdleTimeout closes an entry's connection that carries nothing.
+	IdleTimeout time.Duration
+	// WriteStall is how long an entry may take nothing of an answer.
+	WriteStall time.Duration
+	// DialTimeout bounds a connect to the target.
+	DialTimeout time.Duration
+	// TargetSilence is how long the target may send nothing of an answer.
+	TargetSilence time.Duration
+	// MaxRunning ends requests that bring no deadline.
+	MaxRunning time.Duration
+	// HeartbeatEvery is how often the entry hears of a request while there is nothing to relay.
+	HeartbeatEvery time.Duration
+	// TickEvery is how often the core looks at the time.
+	TickEvery time.Duration
+	// OrderTimeout bounds one order to the engine.
+	OrderTimeout time.Duration
+}
+
+// The defaults of Settings.
+const (
+	DefaultMaxBodyBytes   = 16 << 20
+	DefaultMaxHeaderBytes = 64 << 10
+	DefaultMaxAnswerBytes = 256 << 10
+	DefaultReadTimeout    = 10 * time.Second
+	DefaultIdleTimeout    = 90 * time.Second
+	DefaultWriteStall     = 30 * time.Second
+	DefaultDialTimeout    = time.Second
+	DefaultTargetSilence  = time.Minute
+	DefaultMaxRunning     = 10 * time.Minute
+	DefaultHeartbeatEvery = time.Second
+	DefaultTickEvery      = 100 * time.Millisecond
+	DefaultOrderTimeout   = 5 * time.Minute
+)
+
+func orDefault[T int | time.Duration](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// fill puts the defaults into zero fields.
+func (s *Settings) fill() {
+	orDefault(&s.MaxBodyBytes, DefaultMaxBodyBytes)
+	orDefault(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	orDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	orDefault(&s.ReadTimeout, DefaultReadTimeout)
+	orDefault(&s.IdleTimeout, DefaultIdleTimeout)
+	orDefault(&s.WriteStall, DefaultWriteStall)
+	orDefault(&s.DialTimeout, DefaultDialTimeout)
+	orDefault(&s.TargetSilence, DefaultTargetSilence)
+	orDefault(&s.MaxRunning, DefaultMaxRunning)
+	orDefault(&s.HeartbeatEvery, DefaultHeartbeatEvery)
+	orDefault(&s.TickEvery, DefaultTickEvery)
+	orDefault(&s.OrderTimeout, DefaultOrderTimeout)
+}
