Run the whole path in one process: parsleygate local

Cause: the path must be served end to end before it is hardened. Change: roles put reader, entry, agent and control together; local runs one control VM, an entry a zone, and agents with stand-in engines and desks on loopback. A key can be looked up without claiming it.

--- a/cmd/parsleygate/cmds/cmds.go
+++ b/cmd/parsleygate/cmds/cmds.go
@@ -2,6 +2,7 @@
 package cmds
 
 import (
+	"context"
 	"io"
 
 	"github.com/spf13/cobra"
@@ -14,7 +15,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		return 1
 	}
 
@@ -22,9 +23,12 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:          "parsleygate",
 		Short:        "Load balancer for expert-parallel model groups",
 		SilenceUsage: true,
 	}
+	root.AddCommand(newLocal())
+
+	return root
 }
--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -13,10 +13,14 @@
 // error with FateUnknown may have granted the claim; asking again for the same
 // attempt is safe.
 func (s *Server) Claim(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimResponse, error) {
-	if err := checkKey(r.GetService(), r.GetKey(), r.GetHolder().GetAttemptID()); err != nil {
+	if err := checkKey(r.GetService(), r.GetKey()); err != nil {
 		return nil, err
 	}
 
+	if r.GetHolder() != nil && r.GetHolder().GetAttemptID() == "" {
+		return nil, missing("Holder.AttemptID")
+	}
+
 	if len(r.GetBodyDigest()) == 0 {
 		return nil, missing("BodyDigest")
 	}
@@ -32,10 +36,14 @@
 // Settle records what became of the attempt that holds a claim. It may be sent
 // again after any error.
 func (s *Server) Settle(ctx context.Context, r *wire.SettleRequest) (*wire.SettleResponse, error) {
-	if err := checkKey(r.GetService(), r.GetKey(), r.GetAttemptID()); err != nil {
+	if err := checkKey(r.GetService(), r.GetKey()); err != nil {
 		return nil, err
 	}
 
+	if r.GetAttemptID() == "" {
+		return nil, missing("AttemptID")
+	}
+
 	result, err := s.propose(ctx, &wire.Command{Kind: &wire.Command_Settle{Settle: r}})
 	if err != nil {
 		return nil, err
@@ -44,14 +52,12 @@
 	return result.GetSettle(), nil
 }
 
-func checkKey(service, key, attempt string) error {
+func checkKey(service, key string) error {
 	switch "" {
 	case service:
 		return missing("Service")
 	case key:
 		return missing("Key")
-	case attempt:
-		return missing("AttemptID")
 	}
 
 	return nil
--- /dev/null
+++ b/internal/dump/dump.go
@@ -0,0 +1,89 @@
+// Package dump serves the state of a process to its operators: a dump of every
+// part, and the metrics, both as JSON.
+package dump
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+)
+
+// Part is one part's state.
+type Part struct {
+	Name  string
+	State any
+}
+
+// State is a dump of a process.
+type State struct {
+	Role  string
+	ID    string
+	Taken time.Time
+	Parts []Part
+}
+
+// Dump takes dumps of one process. Its fields are set before use.
+type Dump struct {
+	Role    string
+	ID      string
+	Metrics metrics.Registry
+
+	mu    sync.Mutex
+	parts []source
+}
+
+// source is one part and how its state is read.
+type source struct {
+	name string
+	take func() any
+}
+
+// Add adds a part. take may be called at any time, from any goroutine.
+func (d *Dump) Add(name string, take func() any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.parts = append(d.parts, source{name: name, take: take})
+}
+
+// Take returns the state of all parts as of now.
+func (d *Dump) Take() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	s := State{Role: d.Role, ID: d.ID, Taken: time.Now()}
+	for _, p := range d.parts {
+		s.Parts = append(s.Parts, Part{Name: p.name, State: p.take()})
+	}
+
+	return s
+}
+
+// Write writes a dump as indented JSON.
+func (d *Dump) Write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+
+	return eris.Wrap(enc.Encode(d.Take()), "write dump")
+}
+
+// Handler serves /dump and /metrics.
+func (d *Dump) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = d.Write(w)
+	})
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(d.Metrics, w)
+	})
+
+	return r
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,12 +75,9 @@
 	Limits   Limits
 	// Leave is how long the entry goes on taking requests after it said on
 	// /ready that it leaves, so that the platform's balancer can notice.
-	Leave  time.Duration
-	Logger *slog.Logger
-	Seed   uint64
-	// Routes are further routes, such as the dump, beside the callers' own.
-	Routes http.Handler
-
+	Leave    time.Duration
+	Logger   *slog.Logger
+	Seed     uint64
 	mu       sync.Mutex
 	queues   map[string]*queue
 	credits  sync.Map // agent id to the *wire.Credit granted last
@@ -127,6 +124,9 @@
 	return e.drain(server)
 }
 
+// Stopping reports whether the entry refuses new requests.
+func (e *Entry) Stopping() bool { return e.stopping.Load() }
+
 func (e *Entry) drain(server *http.Server) error {
 	e.stopping.Store(true)
 	e.Logger.Info("leaving", "inFlight", e.counters.inFlight.Load())
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -16,10 +16,6 @@
 	r := chi.NewRouter()
 	r.Get("/ready", e.ready)
 
-	if e.Routes != nil {
-		r.Mount("/admin", e.Routes)
-	}
-
 	r.HandleFunc("/{service}", e.serve)
 	r.HandleFunc("/{service}/*", e.serve)
 
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,25 @@
 	}
 }
 
+// QueueState is one service's queue in a dump.
+type QueueState struct {
+	Service string
+	State   fairness.State
+}
+
+// Queues returns the state of each service's queue, by name.
+func (e *Entry) Queues() []QueueState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	var out []QueueState
+	for _, name := range slices.Sorted(maps.Keys(e.queues)) {
+		out = append(out, QueueState{Service: name, State: e.queues[name].core.State()})
+	}
+
+	return out
+}
+
 // enter waits for the turn of an item. It returns the refusal of an item that
 // the queue gave up, or that its caller did.
 func (q *queue) enter(ctx context.Context, it fairness.Item) *verdict.Error {
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -39,11 +39,16 @@
 	return element.Value.(*wire.ClaimEntry)
 }
 
-// claim grants the key to the attempt that r names, or says who holds it.
+// claim grants the key to the attempt that r names, or says who holds it. A
+// request without a holder looks the key up and claims nothing.
 func (t *claimTable) claim(now time.Time, r *wire.ClaimRequest) *wire.ClaimResponse {
 	key := claimKey{workspace: r.GetWorkspace(), service: r.GetService(), key: r.GetKey()}
 
 	entry := t.get(key)
+	if entry == nil && r.GetHolder() == nil {
+		return t.answer(wire.ClaimState_ClaimFree, nil)
+	}
+
 	if entry == nil {
 		return t.open(now, key, r)
 	}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,357 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/entry"
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/role"
+	"github.com/parsleygate/parsleygate/internal/standin"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// announceEvery is the time between a stand-in's announcements.
+const announceEvery = time.Second
+
+// Local is one running deployment. Its exported fields are set before Run.
+type Local struct {
+	Deployment Deployment
+	Logs       logs.Output
+	// EntryPort is the port of the first entry, the others follow; 0 for any.
+	EntryPort uint16
+	// OperatorPort is the port of the control VM; 0 for any.
+	OperatorPort uint16
+
+	control  *role.Control
+	operator netip.AddrPort
+	entries  []netip.AddrPort
+	engines  []*Target
+	desks    []*Target
+	logger   *slog.Logger
+}
+
+// Target is one stand-in with its agent.
+type Target struct {
+	AgentID string
+	Zone    string
+	Service Service
+	// Engine or Desk is set.
+	Engine *standin.Engine
+	Desk   *standin.Desk
+}
+
+// Entries returns the callers' base URLs. It is empty before Start has returned.
+func (l *Local) Entries() []string {
+	var out []string
+	for _, a := range l.entries {
+		out = append(out, "http://"+a.String())
+	}
+
+	return out
+}
+
+// Operator returns the operators' address.
+func (l *Local) Operator() netip.AddrPort { return l.operator }
+
+// Engines returns the model engines, and Desks the booking desks.
+func (l *Local) Engines() []*Target { return l.engines }
+
+// Desks returns the booking desks.
+func (l *Local) Desks() []*Target { return l.desks }
+
+// Start starts everything in g, and returns once callers are welcome. All ends,
+// gracefully, after ctx does.
+func (l *Local) Start(ctx context.Context, g *errgroup.Group) error {
+	l.logger = l.Logs.Logger("local")
+
+	// Entries leave first, then agents, then control, so that nobody is refused by
+	// the order in which the parts end.
+	stopAgents, agentsCtx := after(ctx)
+	stopControl, controlCtx := after(ctx)
+
+	if err := l.startControl(controlCtx, g); err != nil {
+		return err
+	}
+
+	var agents, entries errgroup.Group
+
+	for _, z := range l.Deployment.Zones {
+		for _, s := range l.Deployment.Services {
+			for n := range s.PerZone {
+				if err := l.startTarget(agentsCtx, g, &agents, z, s, n); err != nil {
+					return err
+				}
+			}
+		}
+	}
+
+	for i, z := range l.Deployment.Zones {
+		if err := l.startEntry(ctx, &entries, z, i); err != nil {
+			return err
+		}
+	}
+
+	g.Go(func() error {
+		defer stopControl()
+		defer stopAgents()
+
+		if err := entries.Wait(); err != nil {
+			return eris.Wrap(err, "run entries")
+		}
+
+		stopAgents()
+
+		return eris.Wrap(agents.Wait(), "run agents")
+	})
+
+	return l.awaitTargets(ctx)
+}
+
+// after returns a context that outlives ctx until stop is called.
+func after(ctx context.Context) (stop context.CancelFunc, later context.Context) {
+	later, stop = context.WithCancel(context.WithoutCancel(ctx))
+
+	return stop, later
+}
+
+func listen(ctx context.Context, port uint16) (net.Listener, error) {
+	var lc net.ListenConfig
+
+	l, err := lc.Listen(ctx, "tcp", fmt.Sprintf("127.0.0.1:%d", port))
+
+	return l, eris.Wrapf(err, "listen on port %d", port)
+}
+
+func (l *Local) startControl(ctx context.Context, g *errgroup.Group) error {
+	listener, err := listen(ctx, l.OperatorPort)
+	if err != nil {
+		return err
+	}
+
+	l.operator = listener.Addr().(*net.TCPAddr).AddrPort()
+	l.control = &role.Control{
+		VM: "control-1", Cluster: l.Deployment.Cluster, Listener: listener, Logs: l.Logs,
+		Dump: &dump.Dump{Role: "control", ID: "control-1"},
+	}
+	l.control.Build()
+	g.Go(func() error { return l.control.Run(ctx) })
+
+	return l.declare(ctx)
+}
+
+// declare commits the configuration that the deployment starts with, as an
+// operator's plan and its confirmation.
+func (l *Local) declare(ctx context.Context) error {
+	plan := &wire.Plan{ID: "local", Operator: "local", Source: "local"}
+	for _, r := range l.Deployment.records() {
+		r.Key = ledger.KeyOf(r)
+		plan.Changes = append(plan.Changes, &wire.Change{Key: r.Key, After: r})
+	}
+
+	stored, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_StorePlan{StorePlan: plan}})
+	if err != nil {
+		return err
+	}
+
+	r, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_Decision{
+		Decision: &wire.Decision{Operator: "local", Number: 1, PlanID: stored.GetPlanID()},
+	}})
+	if err != nil {
+		return err
+	}
+
+	if d := r.GetDecision(); d.GetState() != wire.DecisionState_DecisionMade {
+		return eris.Errorf("not decided: %s %v", d.GetState(), d.GetDetails())
+	}
+
+	return nil
+}
+
+func (l *Local) propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, eris.Wrap(err, "write command")
+	}
+
+	_, result, err := l.control.Server().Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+
+	r := &wire.Result{}
+	if err := proto.Unmarshal(result, r); err != nil {
+		return nil, eris.Wrap(err, "read result")
+	}
+
+	if r.GetFault() != "" {
+		return nil, eris.New(r.GetFault())
+	}
+
+	return r, nil
+}
+
+func (l *Local) startEntry(ctx context.Context, g *errgroup.Group, zone string, n int) error {
+	port := uint16(0)
+	if l.EntryPort != 0 {
+		port = l.EntryPort + uint16(n)
+	}
+
+	listener, err := listen(ctx, port)
+	if err != nil {
+		return err
+	}
+
+	id := "entry-" + zone
+	l.entries = append(l.entries, listener.Addr().(*net.TCPAddr).AddrPort())
+	e := &role.Entry{
+		ID: id, Cluster: l.Deployment.Cluster, Zone: zone, Region: l.Deployment.Region,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: listener,
+		Controls: role.NewControls([]netip.AddrPort{l.operator}), Limits: entry.DefaultLimits(),
+		Logs: l.Logs, Dump: &dump.Dump{Role: "entry", ID: id},
+	}
+	g.Go(func() error { return e.Run(ctx) })
+
+	return nil
+}
+
+func (l *Local) startTarget(ctx context.Context, g, agents *errgroup.Group, zone string, s Service, n int) error {
+	door, err := listen(ctx, 0)
+	if err != nil {
+		return err
+	}
+
+	back, err := listen(ctx, 0)
+	if err != nil {
+		return err
+	}
+
+	t := &Target{AgentID: fmt.Sprintf("%s-%s-%d", s.Name, zone, n+1), Zone: zone, Service: s}
+	handler := l.newStandin(t)
+	web := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+
+	g.Go(func() error {
+		_ = web.Serve(back)
+
+		return nil
+	})
+
+	announcer := &standin.Announcer{
+		Agent: door.Addr().(*net.TCPAddr).AddrPort(), Every: announceEvery,
+		Take: func() standin.Announcement { return t.announcement(back) },
+	}
+
+	g.Go(func() error {
+		announcer.Run(ctx)
+
+		return eris.Wrap(web.Close(), "close stand-in")
+	})
+
+	a := &role.Agent{
+		ID: t.AgentID, Cluster: l.Deployment.Cluster, Zone: zone,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: door,
+		Controls: role.NewControls([]netip.AddrPort{l.operator}),
+		Logs:     l.Logs, Dump: &dump.Dump{Role: "agent", ID: t.AgentID},
+	}
+	agents.Go(func() error { return a.Run(ctx) })
+
+	return nil
+}
+
+func (l *Local) newStandin(t *Target) http.Handler {
+	if t.Service.Model {
+		t.Engine = &standin.Engine{
+			StepBase: l.Deployment.StepBase, StepEach: l.Deployment.StepEach,
+			ColdLimit: int(t.Service.ColdLimit), WarmAfter: 4 * int(t.Service.ColdLimit),
+		}
+		l.engines = append(l.engines, t)
+
+		return t.Engine.Handler()
+	}
+
+	t.Desk = &standin.Desk{}
+	l.desks = append(l.desks, t)
+
+	return t.Desk.Handler()
+}
+
+func (t *Target) announcement(back net.Listener) standin.Announcement {
+	a := standin.Announcement{
+		Address: back.Addr().(*net.TCPAddr).AddrPort(), Service: t.Service.Name,
+		Capacity: int(t.Service.WarmLimit),
+	}
+
+	inFlight := uint32(0)
+	a.InFlight = &inFlight
+
+	if t.Engine == nil {
+		// A desk answers at once: what it had in hand when its agent stopped is done.
+		a.BootID = t.Desk.BootID()
+
+		return a
+	}
+
+	s := t.Engine.State()
+	inFlight = uint32(s.InFlight)
+	a.BootID, a.Cold = s.BootID, s.Cold
+
+	return a
+}
+
+// awaitTargets waits until every entry takes callers.
+func (l *Local) awaitTargets(ctx context.Context) error {
+	for _, base := range l.Entries() {
+		if err := awaitService(ctx, base+"/"+l.deskService()+"/v1/runs"); err != nil {
+			return err
+		}
+	}
+
+	l.logger.Info("deployment is up", "entries", len(l.entries), "targets", len(l.engines)+len(l.desks))
+
+	return nil
+}
+
+func (l *Local) deskService() string {
+	for _, s := range l.Deployment.Services {
+		if !s.Model {
+			return s.Name
+		}
+	}
+
+	return ""
+}
+
+func awaitService(ctx context.Context, url string) error {
+	for {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return eris.Wrap(err, "probe entry")
+		}
+
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = resp.Body.Close()
+
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "deployment did not come up")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/role/agent.go
@@ -0,0 +1,114 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/agent"
+	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/view"
+)
+
+// Agent is the agent role. Its fields are set before Run.
+type Agent struct {
+	ID          string
+	Cluster     string
+	Zone        string
+	Incarnation uint64
+	Listener    net.Listener
+	Controls    *Controls
+	Settings    agent.Settings
+	Logs        logs.Output
+	Dump        *dump.Dump
+
+	reader *view.Reader
+	shell  *agent.Agent
+}
+
+// Run runs the role until ctx ends and every request in flight has its answer.
+func (r *Agent) Run(ctx context.Context) error {
+	r.build()
+
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	var g errgroup.Group
+
+	g.Go(func() error { return r.reader.Run(work) })
+	g.Go(func() error {
+		defer stop()
+
+		return r.shell.Run(work)
+	})
+
+	select {
+	case <-ctx.Done():
+		// Every request has a deadline, so draining ends by itself.
+		if err := r.shell.Drain(context.WithoutCancel(ctx)); err != nil {
+			r.Logs.Logger("agent").Warn("drain failed", slog.Any("error", err))
+		}
+	case <-work.Done():
+	}
+
+	err := g.Wait()
+
+	r.sayGone()
+
+	return eris.Wrap(err, "run agent")
+}
+
+func (r *Agent) build() {
+	if r.Dump.Metrics == nil {
+		r.Dump.Metrics = metrics.NewRegistry()
+	}
+
+	r.shell = &agent.Agent{
+		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation, Listener: r.Listener,
+		View: r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
+	}
+	r.reader = &view.Reader{
+		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
+		Self: r.shell.Node, Logger: r.Logs.Logger("view"),
+	}
+	r.reader.Init()
+	r.Dump.Add("View", func() any { return viewState(r.reader.Snapshot()) })
+	r.Dump.Add("Agent", func() any { return r.shell.Dump() })
+}
+
+// view tells the agent's door what the configuration says of its target.
+func (r *Agent) view() admission.View {
+	s := r.reader.Snapshot()
+	v := admission.View{
+		Version: s.Version, FreshUntil: s.FreshUntil,
+		ZoneOut: !s.ZoneInUse(r.Zone), Retired: s.Retired(r.ID) || s.Stopping(r.ID),
+	}
+
+	if service, ok := s.Service(r.shell.Node().GetService()); ok {
+		v.ColdLimit = service.GetColdLimit()
+		v.WarmLimit = service.GetWarmLimit()
+	}
+
+	return v
+}
+
+func (r *Agent) sayGone() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+
+	if err := r.reader.Leave(ctx); err != nil {
+		r.Logs.Logger("agent").Info("control VMs not told of the end", slog.Any("error", err))
+	}
+}
+
+// IncarnationAt returns an incarnation number for a process that starts at now.
+// It grows from one start to the next as long as the VM's clock is not set back
+// by more than the time between them.
+func IncarnationAt(now time.Time) uint64 { return uint64(now.UnixNano()) }
--- /dev/null
+++ b/internal/role/controls.go
@@ -0,0 +1,114 @@
+// Package role puts the parts of each process together: entry, agent and
+// control. Subcommands and the local mode run the same roles.
+package role
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+const (
+	// controlDial bounds a dial to a control VM.
+	controlDial = 500 * time.Millisecond
+	// controlTry bounds one try of a claim at one control VM.
+	controlTry = 1200 * time.Millisecond
+	// controlIdle bounds how long an idle connection to a control VM is kept.
+	controlIdle = 15 * time.Second
+)
+
+// Controls is the way of an entry or agent to the control VMs.
+type Controls struct {
+	// Addresses are those of all control VMs.
+	Addresses []netip.AddrPort
+
+	client *http.Client
+	last   atomic.Uint32
+}
+
+// NewControls returns the way to the control VMs at addresses.
+func NewControls(addresses []netip.AddrPort) *Controls {
+	dialer := &net.Dialer{Timeout: controlDial}
+
+	return &Controls{
+		Addresses: addresses,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, IdleConnTimeout: controlIdle,
+			MaxIdleConnsPerHost: 4, DisableCompression: true,
+		}},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Controls) Close() { c.client.CloseIdleConnections() }
+
+func (c *Controls) at(address netip.AddrPort) wire.Control {
+	return wire.NewControlProtobufClient("http://"+address.String(), c.client)
+}
+
+// Poll sends one poll to one control VM. A poll that failed may have met a
+// connection that went silent, so its idle sisters are dropped too.
+func (c *Controls) Poll(ctx context.Context, address netip.AddrPort, r *wire.PollRequest) (*wire.PollResponse, error) {
+	resp, err := c.at(address).Poll(ctx, r)
+	if err != nil {
+		c.client.CloseIdleConnections()
+	}
+
+	return resp, eris.Wrap(err, "poll control VM")
+}
+
+// Claim claims a key at any control VM. A claim whose answer was lost is asked
+// for again at the next: the same attempt is granted again.
+func (c *Controls) Claim(ctx context.Context, r *wire.ClaimRequest) (resp *wire.ClaimResponse, err error) {
+	err = c.each(ctx, func(ctx context.Context, control wire.Control) error {
+		resp, err = control.Claim(ctx, r)
+
+		return err
+	})
+
+	return resp, err
+}
+
+// Settle settles a claim at any control VM.
+func (c *Controls) Settle(ctx context.Context, r *wire.SettleRequest) (resp *wire.SettleResponse, err error) {
+	err = c.each(ctx, func(ctx context.Context, control wire.Control) error {
+		resp, err = control.Settle(ctx, r)
+
+		return err
+	})
+
+	return resp, err
+}
+
+// each tries one control VM after the other, the one that answered last first.
+func (c *Controls) each(ctx context.Context, try func(context.Context, wire.Control) error) error {
+	first := int(c.last.Load())
+
+	var err error
+
+	for i := range c.Addresses {
+		n := (first + i) % len(c.Addresses)
+
+		tryCtx, cancel := context.WithTimeout(ctx, controlTry)
+		err = try(tryCtx, c.at(c.Addresses[n]))
+
+		cancel()
+
+		if err == nil {
+			c.last.Store(uint32(n))
+
+			return nil
+		}
+
+		c.client.CloseIdleConnections()
+	}
+
+	return eris.Wrap(err, "no control VM answered")
+}
--- /dev/null
+++ b/internal/role/entry.go
@@ -0,0 +1,217 @@
+package role
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/agentlink"
+	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/entry"
+	"github.com/parsleygate/parsleygate/internal/events"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// leaveTimeout bounds the last word of a process that ends to the control VMs.
+const leaveTimeout = 2 * time.Second
+
+// The entry's connections to agents: heartbeats come each second.
+const (
+	agentSilence = 3 * time.Second
+	agentDial    = 500 * time.Millisecond
+	agentIdle    = 20 * time.Second
+)
+
+// Entry is the entry role. Its fields are set before Run.
+type Entry struct {
+	ID      string
+	Cluster string
+	Zone    string
+	Region  string
+	// Incarnation is fresh at each start.
+	Incarnation uint64
+	// Listener takes callers.
+	Listener net.Listener
+	Controls *Controls
+	Limits   entry.Limits
+	// Leave is how long the entry goes on after it said that it leaves.
+	Leave time.Duration
+	Logs  logs.Output
+	Dump  *dump.Dump
+
+	reader *view.Reader
+	shell  *entry.Entry
+	bus    *events.Bus
+}
+
+// Run runs the role until ctx ends and every request in flight has its answer.
+func (r *Entry) Run(ctx context.Context) error {
+	if err := r.build(); err != nil {
+		return err
+	}
+
+	// The configuration is followed until the last request in flight has ended.
+	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+
+	var g errgroup.Group
+
+	g.Go(func() error { return r.bus.Run(follow) })
+	<-r.bus.Running()
+	g.Go(func() error { return r.reader.Run(follow) })
+
+	err := r.shell.Run(ctx)
+
+	stopFollowing()
+
+	if waitErr := g.Wait(); err == nil {
+		err = waitErr
+	}
+
+	r.sayGone()
+
+	return err
+}
+
+func (r *Entry) build() error {
+	bus, err := events.NewBus(r.Logs.Logger("events"))
+	if err != nil {
+		return err
+	}
+
+	r.bus = bus
+	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0))}
+	r.reader = r.newReader()
+	r.bus.OnConfigurationChanged("ChangeTargets", func(events.ConfigurationChanged) {
+		chooser.ChangeTargets(targetsOf(r.reader.Snapshot()))
+	})
+	r.shell = &entry.Entry{
+		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.Listener,
+		Link:    &agentlink.Link{Silence: agentSilence, DialTimeout: agentDial, IdleFor: agentIdle},
+		Chooser: chooser,
+		Budget:  &retries.Budget{Rand: rand.New(rand.NewPCG(r.Incarnation, 1))},
+		Known:   r.known,
+		Claim:   r.Controls.Claim, Settle: r.Controls.Settle,
+		Limits: r.Limits, Leave: r.Leave, Logger: r.Logs.Logger("entry"), Seed: r.Incarnation,
+	}
+
+	return r.describe()
+}
+
+func (r *Entry) describe() error {
+	if r.Dump.Metrics == nil {
+		r.Dump.Metrics = metrics.NewRegistry()
+	}
+
+	r.Dump.Add("View", func() any { return viewState(r.reader.Snapshot()) })
+	r.Dump.Add("Requests", func() any { return r.shell.Counts() })
+	r.Dump.Add("Queues", func() any { return r.shell.Queues() })
+
+	return eris.Wrap(r.shell.Register(r.Dump.Metrics), "register metrics")
+}
+
+func (r *Entry) newReader() *view.Reader {
+	reader := &view.Reader{
+		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
+		Self: r.self, Logger: r.Logs.Logger("view"),
+		OnChange: func(s *view.Snapshot) { r.announce(s) },
+	}
+	reader.Init()
+
+	return reader
+}
+
+func (r *Entry) announce(s *view.Snapshot) {
+	if err := r.bus.ConfigurationChanged(events.ConfigurationChanged{Version: s.Version}); err != nil {
+		r.Logs.Logger("events").Warn("event lost", slog.Any("error", err))
+	}
+}
+
+func (r *Entry) self() *wire.Node {
+	return &wire.Node{
+		ID: r.ID, Kind: wire.NodeKind_NodeEntry, Zone: r.Zone,
+		Address: r.Listener.Addr().String(), Incarnation: r.Incarnation,
+		Leaving: r.shell != nil && r.shell.Stopping(),
+	}
+}
+
+func (r *Entry) known() entry.Known {
+	s := r.reader.Snapshot()
+
+	return entry.Known{
+		Version: s.Version, FreshUntil: s.FreshUntil,
+		Service:   func(name string) *wire.Service { v, _ := s.Service(name); return v },
+		Workspace: func(name string) *wire.Workspace { v, _ := s.Workspace(name); return v },
+		Agent:     func(id string) *wire.Node { v, _ := s.Node(id); return v },
+	}
+}
+
+func (r *Entry) sayGone() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+
+	if err := r.reader.Leave(ctx); err != nil {
+		r.Logs.Logger("entry").Info("control VMs not told of the end", slog.Any("error", err))
+	}
+}
+
+// targetsOf lists the targets of all services for the chooser.
+func targetsOf(s *view.Snapshot) routing.TargetsChanged {
+	var ev routing.TargetsChanged
+
+	for _, service := range s.Services() {
+		for _, t := range s.Targets(service.GetName()) {
+			address, err := netip.ParseAddrPort(t.Node.GetAddress())
+			if err != nil {
+				continue
+			}
+
+			ev.Targets = append(ev.Targets, routing.Target{
+				AgentID: t.Node.GetID(), Service: service.GetName(), Addr: address,
+				Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone()),
+				Capacity: int(t.Node.GetCapacity()), Incarnation: t.Node.GetIncarnation(),
+				Leaving: !t.Admissible(), ZoneOut: t.ZoneOut,
+			})
+		}
+	}
+
+	return ev
+}
+
+func regionOf(s *view.Snapshot, zone string) string {
+	z, _ := s.Zone(zone)
+
+	return z.GetRegion()
+}
+
+// ViewState is a view in a dump.
+type ViewState struct {
+	Version    uint64
+	FreshUntil time.Time
+	Fresh      bool
+	Nodes      int
+	ZonesOut   []string
+}
+
+func viewState(s *view.Snapshot) ViewState {
+	v := ViewState{Version: s.Version, FreshUntil: s.FreshUntil, Fresh: s.Fresh(time.Now()), Nodes: len(s.Nodes())}
+
+	for _, z := range s.Zones() {
+		if z.GetOut() {
+			v.ZonesOut = append(v.ZonesOut, z.GetName())
+		}
+	}
+
+	return v
+}
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -16,8 +16,10 @@
 	Service  string
 	Capacity int
 	Cold     bool
-	Group    string `json:",omitempty"`
-	Rank     int    `json:",omitempty"`
+	// InFlight is what the target has in hand; nil where it does not count.
+	InFlight *uint32 `json:",omitempty"`
+	Group    string  `json:",omitempty"`
+	Rank     int     `json:",omitempty"`
 }
 
 // Announcer repeats a target's announcement to its agent.
--- a/internal/standin/desk.go
+++ b/internal/standin/desk.go
@@ -60,6 +60,7 @@
 // Handler returns the desk's HTTP interface.
 func (d *Desk) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(echoRequestID)
 	r.Post("/v1/bookings", d.book)
 	r.Get("/v1/bookings/{id}", d.show)
 	r.Get("/v1/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, d.Runs()) })
@@ -68,8 +69,6 @@
 }
 
 func (d *Desk) book(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
-
 	var b Booking
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil || b.Slot == "" {
 		http.Error(w, "a booking needs Ref and Slot", http.StatusBadRequest)
@@ -97,7 +96,6 @@
 }
 
 func (d *Desk) show(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	d.mu.Lock()
 	b, ok := d.made[chi.URLParam(r, "id")]
 	d.mu.Unlock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -78,6 +78,7 @@
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(echoRequestID)
 	r.Post("/v1/drafts", e.draft)
 	r.Get("/v1/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.State()) })
 	r.Post("/v1/cold", func(w http.ResponseWriter, _ *http.Request) {
@@ -88,6 +89,14 @@
 	return r
 }
 
+// echoRequestID lets the agent match answers to requests.
+func echoRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Engine) bootLocked() {
 	if e.bootID == "" {
 		e.bootID = uuid.NewString()
@@ -113,7 +122,6 @@
 	e.begin()
 	defer e.end()
 
-	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	e.stream(r.Context(), w, d, from)
