--- a/internal/wire/quorum.twirp.go
+++ b/internal/wire/quorum.twirp.go
@@ -782,7 +782,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -796,7 +796,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Peer")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1188 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x57, 0xdd, 0x6e, 0x1b, 0x45,
 	0x14, 0xf6, 0xda, 0x1b, 0xff, 0x9c, 0x38, 0xf1, 0x76, 0x5a, 0xc2, 0x2a, 0xa4, 0x21, 0x5d, 0xb8,
