Add the operators' commands

plan, confirm, status, history, diff, zone, target and stop speak to the control VMs in turn; a decision's number is shown before it is sent, so that it can be sent again.

--- /dev/null
+++ b/cmd/parsleygate/cmds/operator.go
@@ -0,0 +1,156 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// operatorCommands returns the commands by which operators plan, confirm and look.
+func operatorCommands() []*cobra.Command {
+	return []*cobra.Command{
+		newPlan(), newConfirm(), newStatus(), newHistory(), newDiff(),
+		newZone(), newTarget(), newStop(),
+	}
+}
+
+const (
+	defaultControl = "127.0.0.1:8600"
+	defaultTry     = 5 * time.Second
+)
+
+// operatorFlags are the flags of all operators' commands.
+type operatorFlags struct {
+	controls []string
+	operator string
+	try      time.Duration
+}
+
+func (f *operatorFlags) add(c *cobra.Command) {
+	c.Flags().StringSliceVar(&f.controls, "control", []string{defaultControl}, "addresses of control VMs, as IP:port; they are tried in order")
+	c.Flags().DurationVar(&f.try, "try", defaultTry, "how long to wait for each control VM")
+}
+
+func (f *operatorFlags) addOperator(c *cobra.Command) {
+	c.Flags().StringVar(&f.operator, "operator", os.Getenv("USER"), "your name, as history shows it")
+}
+
+// clients returns a client for each control VM.
+func (f *operatorFlags) clients() ([]wire.Operator, error) {
+	if len(f.controls) == 0 {
+		return nil, eris.New("--control names no address")
+	}
+
+	out := make([]wire.Operator, 0, len(f.controls))
+
+	for _, text := range f.controls {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, eris.Wrapf(err, "--control %q; allowed: IP:port", text)
+		}
+
+		out = append(out, wire.NewOperatorProtobufClient("http://"+address.String(), &http.Client{Timeout: f.try}))
+	}
+
+	return out, nil
+}
+
+// ask asks the control VMs in order until one answers. Asking the next is safe:
+// plans change nothing, and a decision is made once under its number.
+func ask[T any](ctx context.Context, f *operatorFlags, question func(context.Context, wire.Operator) (T, error)) (T, error) {
+	var none T
+
+	clients, err := f.clients()
+	if err != nil {
+		return none, err
+	}
+
+	var faults []error
+
+	for i, client := range clients {
+		answer, err := question(ctx, client)
+		if err == nil {
+			return answer, nil
+		}
+
+		if refused(err) {
+			return none, err
+		}
+
+		faults = append(faults, eris.Wrapf(err, "control VM %s", f.controls[i]))
+	}
+
+	return none, eris.Wrap(errors.Join(faults...), "no control VM answered")
+}
+
+// refused reports whether err is an answer that another control VM would give too.
+func refused(err error) bool {
+	var fault twirp.Error
+	if !errors.As(err, &fault) {
+		return false
+	}
+
+	switch fault.Code() {
+	case twirp.InvalidArgument, twirp.NotFound, twirp.PermissionDenied, twirp.Unauthenticated:
+		return true
+	default:
+		return false
+	}
+}
+
+// errNotDecided is the error of a decision that was not made.
+var errNotDecided = errors.New("nothing was changed by this confirmation")
+
+func printAnswer(c *cobra.Command, number uint64, a *wire.DecisionAnswer) error {
+	winner := a.GetWinner()
+
+	switch a.GetState() {
+	case wire.DecisionState_DecisionMade:
+		c.Printf("decision %d is made by %s: version %d%s\n", number, winner.GetOperator(), a.GetVersion(), again(a))
+	case wire.DecisionState_DecisionBaseChanged:
+		c.Printf("decision %d is refused, since the plan's base changed%s; plan again\n", number, again(a))
+	case wire.DecisionState_DecisionRefused:
+		c.Printf("decision %d is refused%s; plan again with --override to do it all the same\n", number, again(a))
+	case wire.DecisionState_DecisionConflict:
+		c.Printf("number %d belongs to another decision: %s by %s, from %s\n",
+			number, winner.GetPlanID(), winner.GetOperator(), winner.GetSource())
+	case wire.DecisionState_DecisionNoPlan:
+		c.Println("no such plan is kept; plan again. The number is still free")
+	case wire.DecisionState_DecisionForgotten:
+		c.Printf("what became of number %d is no longer kept; use a number above %d\n", number, a.GetFloor())
+	default:
+		c.Println("the control VM's answer is not understood; is this command older than the control VM?")
+	}
+
+	for _, detail := range a.GetDetails() {
+		c.Printf("  %s\n", detail)
+	}
+
+	if a.GetState() != wire.DecisionState_DecisionMade {
+		return errNotDecided
+	}
+
+	return nil
+}
+
+func again(a *wire.DecisionAnswer) string {
+	if a.GetRepeated() {
+		return " (the first answer again)"
+	}
+
+	return ""
+}
+
+func millis(ms uint64) string {
+	return fmt.Sprint((time.Duration(ms) * time.Millisecond).Round(time.Second))
+}
--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // Claim claims the key of a non-idempotent request in the replicated state. An
@@ -53,10 +54,11 @@
 }
 
 func checkKey(service, key string) error {
-	switch "" {
-	case service:
+	if service == "" {
 		return missing("Service")
-	case key:
+	}
+
+	if key == "" {
 		return missing("Key")
 	}
 
@@ -89,7 +91,7 @@
 }
 
 func (s *Server) proposeError(err error) error {
-	if s.NotProposed != nil && s.NotProposed(err) {
+	if verdict.Of(err) == verdict.NotRun {
 		return proposalFault(twirp.Unavailable, "nothing was committed: "+err.Error(), FateNotDone)
 	}
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -27,11 +27,8 @@
 	VM string
 
 	// Propose commits a command and returns its index and result. An error
-	// leaves the command's fate unknown, unless NotProposed says otherwise.
+	// leaves the command's fate unknown, unless its verdict is NotRun.
 	Propose func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
-	// NotProposed reports whether err shows that the command was not and will
-	// not be committed. Nil means that no error shows it.
-	NotProposed func(err error) bool
 	// Read returns an instant of this VM's clock, and an index that no command
 	// committed before that instant exceeds.
 	Read func(ctx context.Context) (asOf time.Time, index uint64, err error)
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -74,6 +74,10 @@
 func (t *claimTable) contend(entry *wire.ClaimEntry, r *wire.ClaimRequest) *wire.ClaimResponse {
 	held := entry.GetHolder().GetAttemptID()
 
+	if r.GetHolder() == nil {
+		return t.answer(wire.ClaimState_ClaimOpen, entry)
+	}
+
 	if r.GetHolder().GetAttemptID() == held {
 		return t.answer(wire.ClaimState_ClaimGranted, entry)
 	}
--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -31,6 +31,10 @@
 		return func(b *bed) wire.ClaimState { return b.settle("k", attempt, v, answer) }
 	}
 
+	look := func(body string) func(*bed) wire.ClaimState {
+		return func(b *bed) wire.ClaimState { return b.look("k", body).GetState() }
+	}
+
 	const (
 		granted  = wire.ClaimState_ClaimGranted
 		open     = wire.ClaimState_ClaimOpen
@@ -74,6 +78,9 @@
 		"a recorded answer never changes": {
 			{claim("a1", "b", ""), granted}, {settle("a1", ran, "slot 4"), recorded}, {settle("a1", mayHave, ""), recorded}, {settle("a1", notRun, ""), recorded},
 		},
+		"a look claims nothing": {
+			{look("b"), wire.ClaimState_ClaimFree}, {claim("a1", "b", ""), granted}, {look("b"), open}, {look("c"), conflict}, {claim("a2", "b", ""), open},
+		},
 		"an answer too large to keep is lost": {
 			{claim("a1", "b", ""), granted}, {settle("a1", ran, strings.Repeat("x", 1<<20)), lost},
 		},
--- a/internal/ledger/helper_test.go
+++ b/internal/ledger/helper_test.go
@@ -105,6 +105,12 @@
 	}}}).GetClaim()
 }
 
+func (b *bed) look(key, body string) *wire.ClaimResponse {
+	return b.apply(&wire.Command{Kind: &wire.Command_Claim{Claim: &wire.ClaimRequest{
+		Workspace: "w", Service: "job-desk", Key: key, BodyDigest: []byte(body),
+	}}}).GetClaim()
+}
+
 func (b *bed) settle(key, attempt string, verdict wire.Verdict, answer string) wire.ClaimState {
 	r := &wire.SettleRequest{Workspace: "w", Service: "job-desk", Key: key, AttemptID: attempt, Verdict: verdict}
 	if verdict == wire.Verdict_Ran {
