--- /dev/null
+++ b/internal/control/group_test.go
@@ -0,0 +1,327 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+var errCut = errors.New("no quorum")
+
+// group is several control VMs over one log in memory. A VM that is cut off
+// gets no commands, and its proposals and reads fail; healed, it catches up.
+type group struct {
+	servers []*control.Server
+
+	mu  sync.Mutex
+	log [][]byte
+	at  []int
+	cut []bool
+	// slow VMs apply nothing, though they are not cut off.
+	slow []bool
+	// lose makes proposals commit and their answers get lost.
+	lose bool
+}
+
+func newGroup(t testing.TB, n int) *group {
+	t.Helper()
+
+	g := &group{at: make([]int, n), cut: make([]bool, n), slow: make([]bool, n)}
+
+	for i := range n {
+		g.servers = append(g.servers, g.build(i, n))
+	}
+
+	for _, s := range g.servers {
+		run(t, s.Run)
+	}
+
+	// The first reads must have shown that the VMs are current.
+	time.Sleep(20 * time.Millisecond)
+
+	return g
+}
+
+func (g *group) build(i, n int) *control.Server {
+	s := &control.Server{
+		Cluster: cluster, VM: fmt.Sprintf("control-%d", i+1),
+		Propose: func(_ context.Context, command []byte) (uint64, []byte, error) { return g.propose(i, command) },
+		Read:    func(context.Context) (time.Time, uint64, error) { return g.read(i) },
+		Leads:   func() bool { return g.leader() == i },
+	}
+
+	for j := range n {
+		if j != i {
+			s.Peers = append(s.Peers, control.Peer{
+				Name:  fmt.Sprintf("control-%d", j+1),
+				Heard: func(ctx context.Context) (*wire.HeardResponse, error) { return g.heard(ctx, i, j) },
+			})
+		}
+	}
+
+	s.Init()
+
+	return s
+}
+
+func (g *group) server(i int) *control.Server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.servers[i]
+}
+
+// restart replaces a VM by one that starts from its snapshot.
+func (g *group) restart(t testing.TB, i int) {
+	t.Helper()
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	next := g.build(i, len(g.servers))
+	require.NoError(t, next.Restore(g.servers[i].Snapshot()))
+	require.Equal(t, g.servers[i].Snapshot(), next.Snapshot())
+	g.servers[i] = next
+	run(t, next.Run)
+}
+
+func (g *group) leader() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	for i, cut := range g.cut {
+		if !cut {
+			return i
+		}
+	}
+
+	return -1
+}
+
+func (g *group) isolate(i int, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.cut[i] = cut
+	g.catchUp(i)
+}
+
+func (g *group) slowDown(i int, slow bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.slow[i] = slow
+	g.catchUp(i)
+}
+
+func (g *group) catchUp(i int) []byte {
+	var result []byte
+
+	for !g.cut[i] && !g.slow[i] && g.at[i] < len(g.log) {
+		command := g.log[g.at[i]]
+		g.at[i]++
+		result = g.servers[i].Apply(uint64(g.at[i]), command)
+	}
+
+	return result
+}
+
+func (g *group) propose(i int, command []byte) (index uint64, result []byte, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.cut[i] {
+		return 0, nil, &verdict.Error{Verdict: verdict.NotRun, Err: errCut}
+	}
+
+	g.log = append(g.log, command)
+
+	for j := range g.servers {
+		out := g.catchUp(j)
+		if j == i {
+			result = out
+		}
+	}
+
+	if g.lose {
+		return 0, nil, errCut
+	}
+
+	return uint64(len(g.log)), result, nil
+}
+
+func (g *group) read(i int) (asOf time.Time, index uint64, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.cut[i] {
+		return time.Time{}, 0, errCut
+	}
+
+	return time.Now(), uint64(len(g.log)), nil
+}
+
+func (g *group) heard(ctx context.Context, from, to int) (*wire.HeardResponse, error) {
+	g.mu.Lock()
+	cut := g.cut[from] || g.cut[to]
+	g.mu.Unlock()
+
+	if cut {
+		return nil, errCut
+	}
+
+	return g.server(to).Heard(ctx, &wire.HeardRequest{Cluster: cluster})
+}
+
+// fleet is a set of readers whose ways to the control VMs can be cut silently.
+type fleet struct {
+	t       testing.TB
+	group   *group
+	mu      sync.Mutex
+	cut     map[string]bool
+	readers map[string]*view.Reader
+	ends    map[string]func()
+}
+
+func newFleet(t testing.TB, g *group) *fleet {
+	return &fleet{
+		t: t, group: g,
+		cut: map[string]bool{}, readers: map[string]*view.Reader{}, ends: map[string]func(){},
+	}
+}
+
+// start runs one more process. It polls only the control VMs that are named.
+func (f *fleet) start(node *wire.Node, controls ...int) *view.Reader {
+	r := &view.Reader{
+		Cluster: cluster,
+		Self:    func() *wire.Node { return node },
+		Poll: func(ctx context.Context, at netip.AddrPort, r *wire.PollRequest) (*wire.PollResponse, error) {
+			return f.poll(ctx, node.GetID(), int(at.Port())-1, r)
+		},
+	}
+
+	for _, i := range controls {
+		r.Controls = append(r.Controls, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)))
+	}
+
+	r.Init()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() { done <- r.Run(ctx) }()
+
+	f.readers[node.GetID()] = r
+	f.ends[node.GetID()] = func() {
+		cancel()
+		require.NoError(f.t, <-done)
+	}
+
+	return r
+}
+
+func (f *fleet) end(id string) {
+	f.ends[id]()
+	delete(f.ends, id)
+	delete(f.readers, id)
+}
+
+func (f *fleet) endAll() {
+	for id := range f.ends {
+		f.end(id)
+	}
+}
+
+func (f *fleet) silence(id string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.cut[id] = cut
+}
+
+func (f *fleet) silent(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.cut[id]
+}
+
+// poll loses the question or the answer without a word where the way is cut.
+func (f *fleet) poll(ctx context.Context, id string, to int, r *wire.PollRequest) (*wire.PollResponse, error) {
+	if f.silent(id) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+
+	answer, err := f.group.server(to).Poll(ctx, r)
+
+	if f.silent(id) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+
+	return answer, err
+}
+
+func entry(id string, incarnation uint64) *wire.Node {
+	return &wire.Node{ID: id, Kind: wire.NodeKind_NodeEntry, Zone: "saraburi", Incarnation: incarnation}
+}
+
+func target(id, zone string, incarnation uint64) *wire.Node {
+	return &wire.Node{
+		ID: id, Kind: wire.NodeKind_NodeAgent, Zone: zone, Service: "cooper-assist",
+		BootID: "b", Capacity: 10, Incarnation: incarnation,
+	}
+}
+
+// decide plans and confirms a declaration at one control VM.
+func (g *group) decide(t testing.TB, i int, number uint64, declaration string) *wire.DecisionAnswer {
+	t.Helper()
+
+	ctx := context.Background()
+
+	plan, err := g.servers[i].Plan(ctx, &wire.PlanRequest{Operator: "may", Source: "test", Declaration: []byte(declaration), Override: true})
+	require.NoError(t, err)
+
+	answer, err := g.servers[i].Confirm(ctx, &wire.ConfirmRequest{Operator: "may", Number: number, PlanID: plan.GetPlan().GetID()})
+	require.NoError(t, err)
+
+	return answer.GetAnswer()
+}
+
+func (g *group) status(t testing.TB, i int, number uint64) *wire.DecisionStatus {
+	t.Helper()
+
+	status, err := g.servers[i].Status(context.Background(), &wire.StatusRequest{Number: number})
+	require.NoError(t, err)
+
+	return status.GetDecisions()[0]
+}
+
+// made decides at VM i if that is current, and returns how many decisions were made.
+func made(g *group, i int, number uint64, declaration string) uint64 {
+	ctx := context.Background()
+
+	plan, err := g.servers[i].Plan(ctx, &wire.PlanRequest{Operator: "may", Source: "test", Declaration: []byte(declaration), Override: true})
+	if err != nil {
+		return 0
+	}
+
+	answer, err := g.servers[i].Confirm(ctx, &wire.ConfirmRequest{Operator: "may", Number: number, PlanID: plan.GetPlan().GetID()})
+	if err != nil || answer.GetAnswer().GetState() != wire.DecisionState_DecisionMade {
+		return 0
+	}
+
+	return 1
+}
--- /dev/null
+++ b/internal/control/storm_test.go
@@ -0,0 +1,266 @@
+package control_test
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// A switch comes back and 300 processes restart and poll at once. Each must be
+// in the directory under its new incarnation within a second or two, and they
+// must not cost a command of the log each.
+func TestThunderingReturn(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const processes = 300
+
+		g := newGroup(t, 3)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		for i := range processes {
+			f.start(entry(fmt.Sprint(i), 1), 0, 1, 2)
+		}
+
+		time.Sleep(2 * time.Second)
+
+		commands := len(g.log)
+
+		for i := range processes {
+			f.end(fmt.Sprint(i))
+			f.start(entry(fmt.Sprint(i), 2), 0, 1, 2)
+		}
+
+		time.Sleep(2 * time.Second)
+		require.Less(t, len(g.log)-commands, 30)
+
+		for id, r := range f.readers {
+			require.True(t, r.Snapshot().Fresh(time.Now()))
+
+			node, ok := r.Snapshot().Node(id)
+			require.True(t, ok)
+			require.EqualValues(t, 2, node.GetIncarnation())
+			require.Len(t, r.Snapshot().Nodes(), processes)
+		}
+	})
+}
+
+// An agent dies without a word, another is cut off for a while, a third ends in
+// order. The first two leave the directory after the bound, the third at once,
+// and the second comes back by itself.
+func TestSilentProcessesAreExpired(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		watcher := f.start(entry("watcher", 1), 0, 1, 2)
+		for _, id := range []string{"dead", "cut-off", "ended"} {
+			f.start(target(id, "ayutthaya", 1), 0, 1, 2)
+		}
+
+		time.Sleep(2 * time.Second)
+		require.Len(t, watcher.Snapshot().Nodes(), 4)
+
+		ended := f.readers["ended"]
+		f.end("ended")
+		require.NoError(t, ended.Leave(t.Context()))
+		f.end("dead")
+		f.silence("cut-off", true)
+		time.Sleep(time.Second)
+		require.Len(t, watcher.Snapshot().Nodes(), 3)
+
+		time.Sleep(14 * time.Second)
+		require.Len(t, watcher.Snapshot().Nodes(), 1)
+
+		f.silence("cut-off", false)
+		time.Sleep(2 * time.Second)
+		require.Len(t, watcher.Snapshot().Nodes(), 2)
+	})
+}
+
+// The control VMs' network fails towards all processes. Only a share of the
+// directory may be believed dead each minute, and it is whole again soon after.
+func TestControlFaultDoesNotEmptyTheDirectory(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const processes = 80
+
+		g := newGroup(t, 3)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		for i := range processes {
+			f.start(entry(fmt.Sprint(i), 1), 0, 1, 2)
+		}
+
+		time.Sleep(3 * time.Second)
+
+		for i := range processes {
+			f.silence(fmt.Sprint(i), true)
+		}
+
+		time.Sleep(50 * time.Second)
+		require.Len(t, nodes(t, g), processes*3/4)
+
+		for i := range processes {
+			f.silence(fmt.Sprint(i), false)
+		}
+
+		time.Sleep(2 * time.Second)
+		require.Len(t, nodes(t, g), processes)
+	})
+}
+
+// nodes returns the directory as a new process gets it.
+func nodes(t *testing.T, g *group) []*wire.Record {
+	t.Helper()
+
+	answer, err := g.servers[0].Poll(t.Context(), &wire.PollRequest{Cluster: cluster, Node: entry("0", 1)})
+	require.NoError(t, err)
+
+	var out []*wire.Record
+
+	for _, r := range answer.GetChanged() {
+		if r.GetNode() != nil {
+			out = append(out, r)
+		}
+	}
+
+	return out
+}
+
+// Operators on two control VMs confirm different plans under one number at the
+// same moment, several times each. Exactly one plan is carried out, and each of
+// them is told so.
+func TestRacingOperatorsOnTwoControlVMs(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		plans := make([]string, 2)
+
+		for i, declaration := range []string{"[Zone \"a\"]\nOut = true\n", "[Zone \"b\"]\nOut = true\n"} {
+			plan, err := g.servers[i].Plan(t.Context(), &wire.PlanRequest{Operator: "may", Declaration: []byte(declaration)})
+			require.NoError(t, err)
+			plans[i] = plan.GetPlan().GetID()
+		}
+
+		answers := make([]*wire.DecisionAnswer, 8)
+
+		var wg sync.WaitGroup
+
+		for i := range answers {
+			wg.Go(func() {
+				r := &wire.ConfirmRequest{Operator: fmt.Sprint(i % 2), Number: 5, PlanID: plans[i%2]}
+				if answer, err := g.servers[i%3].Confirm(t.Context(), r); err == nil {
+					answers[i] = answer.GetAnswer()
+				}
+			})
+		}
+
+		wg.Wait()
+
+		winner := answers[0].GetWinner().GetPlanID()
+
+		for i, a := range answers {
+			require.Equal(t, winner, a.GetWinner().GetPlanID())
+
+			want := wire.DecisionState_DecisionConflict
+			if plans[i%2] == winner {
+				want = wire.DecisionState_DecisionMade
+			}
+
+			require.Equal(t, want, a.GetState())
+		}
+	})
+}
+
+// A claim is committed and its answer lost on the way. The error must not read
+// as a refusal; asked again for the same attempt, the claim is granted, and for
+// another it is held. Where nothing was proposed, the error says that.
+func TestFateOfProposals(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 2)
+		claim := func(attempt string) (*wire.ClaimResponse, error) {
+			return g.servers[0].Claim(t.Context(), &wire.ClaimRequest{
+				Service: "job-desk", Key: "k", BodyDigest: []byte("d"), Holder: &wire.ClaimHolder{AttemptID: attempt},
+			})
+		}
+
+		g.isolate(0, true)
+
+		_, err := claim("a1")
+		require.Equal(t, control.FateNotDone, fateOf(err))
+		g.isolate(0, false)
+
+		g.lose = true
+
+		_, err = claim("a1")
+		require.Equal(t, control.FateUnknown, fateOf(err))
+
+		g.lose = false
+
+		got, err := claim("a2")
+		require.NoError(t, err)
+		require.Equal(t, wire.ClaimState_ClaimOpen, got.GetState())
+
+		got, err = claim("a1")
+		require.NoError(t, err)
+		require.Equal(t, wire.ClaimState_ClaimGranted, got.GetState())
+	})
+}
+
+func fateOf(err error) string {
+	var fault twirp.Error
+	if !errors.As(err, &fault) {
+		return ""
+	}
+
+	return fault.Meta(control.FateKey)
+}
+
+// A control VM restarts from its snapshot, in a group that took hundreds of
+// decisions. Resent decisions get their first answers, and readers go on from
+// the version that they hold.
+func TestControlVMRestartsFromItsSnapshot(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		r := f.start(entry("entry-1", 1), 0)
+
+		for n := range uint64(200) {
+			g.decide(t, 0, n+1, fmt.Sprintf("[Workspace \"w%d\"]\nWeight = %d\n", n%9, n))
+		}
+
+		time.Sleep(time.Second)
+
+		held := r.Snapshot().Version
+		g.restart(t, 0)
+		time.Sleep(2 * time.Second)
+
+		again := g.decide(t, 0, 150, "[Workspace \"w5\"]\nWeight = 149\n")
+		require.True(t, again.GetRepeated())
+		require.Equal(t, held, r.Snapshot().Version)
+		require.True(t, r.Snapshot().Fresh(time.Now()))
+
+		g.decide(t, 0, 201, "[Workspace \"w5\"]\nWeight = 7\n")
+		time.Sleep(time.Second)
+
+		w, _ := r.Snapshot().Workspace("w5")
+		require.EqualValues(t, 7, w.GetWeight())
+	})
+}
