Encode full answers once for all readers

On 2 cores, 1010 processes that started at once with 13,000 workspaces never got their first answer within a minute: encoding everything for each took longer than the 700 ms they waited, and they asked again. Full answers now hold one shared, compressed base with the changes since beside it, and a first poll waits 5 s.

--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,344 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// web is three control VMs over HTTP on loopback, with a state of the size that
+// parsleygate is designed for, and readers of it in this process. Bytes are
+// counted on the readers' connections, headers included.
+type web struct {
+	b        *testing.B
+	group    *group
+	controls []netip.AddrPort
+	client   *http.Client
+	bytes    atomic.Int64
+	// full makes the poll of every reader ask for everything: the baseline.
+	full bool
+
+	mu     sync.Mutex
+	silent map[int]bool
+	ends   sync.WaitGroup
+	cancel context.CancelFunc
+	number uint64
+	views  []*view.Reader
+}
+
+const benchWorkspaces = 13000
+
+func newWeb(b *testing.B, readers int, full bool) *web {
+	b.Helper()
+
+	w := &web{b: b, group: newGroup(b, 3), full: full, silent: map[int]bool{}}
+	w.fill()
+
+	for _, s := range w.group.servers {
+		mux := http.NewServeMux()
+		mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(s))
+
+		server := httptest.NewServer(mux)
+		b.Cleanup(server.Close)
+
+		w.controls = append(w.controls, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	}
+
+	dialer := &net.Dialer{}
+	w.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: readers,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			return &countedConn{Conn: conn, bytes: &w.bytes}, err
+		},
+	}}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+
+	for i := range readers {
+		w.start(ctx, i)
+	}
+
+	b.Cleanup(func() {
+		w.cancel()
+		w.ends.Wait()
+		w.client.CloseIdleConnections()
+	})
+	require.Eventually(b, func() bool { return w.behind() == 0 }, time.Minute, 50*time.Millisecond)
+	time.Sleep(3 * time.Second)
+
+	return w
+}
+
+// fill puts 13,000 workspaces into the state.
+func (w *web) fill() {
+	var text strings.Builder
+
+	text.WriteString(zonesIn)
+
+	for i := range benchWorkspaces {
+		fmt.Fprintf(&text, "[Workspace \"workspace-%d\"]\nWeight = 3\n", i)
+	}
+
+	w.decide(text.String())
+}
+
+func (w *web) decide(declaration string) uint64 {
+	w.number++
+	return w.group.decide(w.b, 0, w.number, declaration).GetVersion()
+}
+
+// toggle takes a zone out, or brings it back.
+func (w *web) toggle() { w.decide([]string{zoneIn, zoneOut}[w.number%2]) }
+
+type countedConn struct {
+	net.Conn
+
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func (w *web) start(ctx context.Context, i int) {
+	node := target(fmt.Sprintf("agent-%d", i), []string{"ayutthaya", "saraburi"}[i%2], 1)
+	node.Address = "10.0.0.1:8610"
+	r := &view.Reader{
+		Cluster: cluster, Controls: w.controls,
+		Self: func() *wire.Node { return node },
+		Poll: func(ctx context.Context, at netip.AddrPort, r *wire.PollRequest) (*wire.PollResponse, error) {
+			return w.poll(ctx, i, at, r)
+		},
+	}
+	r.Init()
+	w.views = append(w.views, r)
+
+	w.ends.Go(func() { _ = r.Run(ctx) })
+}
+
+func (w *web) poll(ctx context.Context, i int, at netip.AddrPort, r *wire.PollRequest) (*wire.PollResponse, error) {
+	if w.cutOff(i) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+
+	client := wire.NewControlProtobufClient("http://"+at.String(), w.client)
+
+	answer, err := client.Poll(ctx, r)
+	if w.cutOff(i) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+
+	if w.full && err == nil && len(answer.GetChanged()) > 0 {
+		r = proto.CloneOf(r)
+		r.KnownVersion = 0
+
+		return client.Poll(ctx, r)
+	}
+
+	return answer, err
+}
+
+func (w *web) cutOff(i int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.silent[i]
+}
+
+// behind returns how many readers that are not cut off lack the last decision.
+func (w *web) behind() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	n := 0
+
+	for i, r := range w.views {
+		if !w.silent[i] && r.Snapshot().Version < w.group.decided(w.b) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// decided returns the version of the last decision.
+func (g *group) decided(b *testing.B) uint64 {
+	history, err := g.servers[0].History(context.Background(), &wire.HistoryRequest{Limit: 1})
+	require.NoError(b, err)
+
+	return history.GetEntries()[0].GetVersion()
+}
+
+func cpu() time.Duration {
+	var usage syscall.Rusage
+
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkInForce measures from confirm until status says in force, and until
+// the last reader that is not cut off holds the decision.
+func BenchmarkInForce(b *testing.B) {
+	const readers = 1010
+
+	for _, silent := range []int{0, 50} {
+		b.Run(fmt.Sprintf("readers=%d/silent=%d", readers, silent), func(b *testing.B) {
+			w := newWeb(b, readers, false)
+
+			var held, force time.Duration
+
+			for b.Loop() {
+				h, f := w.measure(silent)
+				held, force = held+h, force+f
+			}
+
+			b.ReportMetric(held.Seconds()*1000/float64(b.N), "ms-to-last-reader/op")
+			b.ReportMetric(force.Seconds()*1000/float64(b.N), "ms-to-in-force/op")
+		})
+	}
+}
+
+func (w *web) measure(silent int) (held, force time.Duration) {
+	w.silence(silent)
+
+	begin := time.Now()
+	w.toggle()
+
+	for w.behind() > 0 {
+		time.Sleep(2 * time.Millisecond)
+	}
+
+	held = time.Since(begin)
+
+	for !w.group.status(w.b, 1, w.number).GetInForce() {
+		time.Sleep(20 * time.Millisecond)
+	}
+
+	force = time.Since(begin)
+
+	w.silence(0)
+	time.Sleep(3 * time.Second)
+
+	return held, force
+}
+
+func (w *web) silence(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	for i := range w.views {
+		w.silent[i] = i < n
+	}
+}
+
+const (
+	idleTime     = 10 * time.Second
+	benchChanges = 30
+)
+
+// BenchmarkReaders measures bytes and processor time of readers and control VMs
+// together, per reader: a second in the quiet, and a change, against readers
+// that get the full state at each change.
+func BenchmarkReaders(b *testing.B) {
+	for _, readers := range []int{250, 1010} {
+		for _, full := range []bool{false, true} {
+			if full && readers > 250 {
+				continue
+			}
+
+			b.Run(fmt.Sprintf("readers=%d/full=%t", readers, full), func(b *testing.B) {
+				w := newWeb(b, readers, full)
+				for b.Loop() {
+					w.costs(readers)
+				}
+			})
+		}
+	}
+}
+
+func (w *web) costs(readers int) {
+	perReader := func(v float64) float64 { return v / float64(readers) }
+
+	bytes, used := w.bytes.Load(), cpu()
+
+	time.Sleep(idleTime)
+
+	idleBytes := float64(w.bytes.Load()-bytes) / idleTime.Seconds()
+	idleCPU := (cpu() - used).Seconds() / idleTime.Seconds()
+
+	bytes, used = w.bytes.Load(), cpu()
+	begin := time.Now()
+
+	changes := benchChanges
+	if w.full {
+		changes = benchChanges / 10
+	}
+
+	for range changes {
+		w.toggle()
+
+		for w.behind() > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		time.Sleep(200 * time.Millisecond)
+	}
+
+	took := time.Since(begin).Seconds()
+	changeBytes := (float64(w.bytes.Load()-bytes) - idleBytes*took) / float64(changes)
+	changeCPU := ((cpu() - used).Seconds() - idleCPU*took) / float64(changes)
+
+	w.b.ReportMetric(perReader(idleBytes), "idle-B/s/reader")
+	w.b.ReportMetric(perReader(idleCPU)*1e6, "idle-cpu-µs/s/reader")
+	w.b.ReportMetric(perReader(changeBytes), "B/change/reader")
+	w.b.ReportMetric(perReader(changeCPU)*1e6, "cpu-µs/change/reader")
+}
+
+// BenchmarkFirstAnswer measures the full answer that a process gets at its start.
+func BenchmarkFirstAnswer(b *testing.B) {
+	w := newWeb(b, 1010, false)
+
+	var size int
+
+	for b.Loop() {
+		answer, err := w.group.servers[0].Poll(context.Background(), &wire.PollRequest{Cluster: cluster, Node: entry("agent-0", 1)})
+		require.NoError(b, err)
+
+		data, err := proto.Marshal(answer)
+		require.NoError(b, err)
+
+		size = len(data)
+	}
+
+	b.ReportMetric(float64(size), "B")
+}
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -75,8 +75,13 @@
 		return out
 	}
 
-	d := p.since(r.GetKnownVersion())
-	out.Full = d.Full
+	d := p.records.DeltaSince(r.GetKnownVersion())
+	if d.Full {
+		out.Base, d = s.full(p)
+		out.Version = d.Version
+		out.Full = true
+	}
+
 	out.Changed = d.Changed
 	out.Removed = d.Removed
 
--- a/internal/control/published.go
+++ b/internal/control/published.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/ledger"
@@ -23,7 +22,6 @@
 	learnt     []learning
 	// replaced is closed once a later picture is published.
 	replaced chan struct{}
-	full     func() ledger.Delta
 }
 
 // learning is when this VM applied a version. It is never earlier than the
@@ -61,7 +59,6 @@
 		changes:   s.state.Changes(),
 		learnt:    s.learn(records.Version, now),
 		replaced:  make(chan struct{}),
-		full:      sync.OnceValue(func() ledger.Delta { return records.DeltaSince(0) }),
 	}
 
 	next.tickLearnt = now
@@ -95,15 +92,3 @@
 
 	return append(learnt, learning{version: version, at: now})
 }
-
-// since returns what changed after version. The full answer is built once for
-// all readers that need it, since after a fault they all do.
-func (p *published) since(version uint64) ledger.Delta {
-	if version != 0 {
-		if d := p.records.DeltaSince(version); !d.Full {
-			return d
-		}
-	}
-
-	return p.full()
-}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,8 @@
 	applied   atomic.Uint64
 	claims    atomic.Int64
 	fresh     atomic.Pointer[freshness]
+	base      atomic.Pointer[base]
+	baseMu    sync.Mutex
 	events    chan event
 	started   time.Time
 }
--- a/internal/view/content.go
+++ b/internal/view/content.go
@@ -1,10 +1,16 @@
 package view
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"maps"
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -28,12 +34,21 @@
 	owned map[string]bool
 }
 
-func (c *content) apply(r *wire.PollResponse) *content {
+func (c *content) apply(r *wire.PollResponse) (*content, error) {
 	e := &edit{owned: map[string]bool{}}
 	if !r.GetFull() {
 		e.content = *c
 	}
 
+	records, err := decodeBase(r.GetBase())
+	if err != nil {
+		return nil, err
+	}
+
+	for _, record := range records {
+		e.put(record)
+	}
+
 	for _, key := range r.GetRemoved() {
 		e.remove(key)
 	}
@@ -42,7 +57,32 @@
 		e.put(record)
 	}
 
-	return &e.content
+	return &e.content, nil
+}
+
+// maxBase bounds what one base may unpack to.
+const maxBase = 64 << 20
+
+func decodeBase(data []byte) ([]*wire.Record, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxBase+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "unpack the base")
+	}
+
+	if len(plain) > maxBase {
+		return nil, eris.Errorf("the base unpacks to more than %d bytes", maxBase)
+	}
+
+	set := &wire.RecordSet{}
+	if err := proto.Unmarshal(plain, set); err != nil {
+		return nil, eris.Wrap(err, "read the base")
+	}
+
+	return set.GetRecords(), nil
 }
 
 func (e *edit) put(record *wire.Record) {
--- a/internal/view/core.go
+++ b/internal/view/core.go
@@ -39,7 +39,7 @@
 type outcome uint8
 
 const (
-	// outcomeIgnored: the answer is older than what is held, or cannot follow it.
+	// outcomeIgnored: the answer is older than what is held, cannot follow it, or is damaged.
 	outcomeIgnored outcome = iota
 	// outcomeStale: the control VM cannot show that its state is current.
 	outcomeStale
@@ -66,7 +66,12 @@
 		return outcomeOf(r, outcomeSame)
 	}
 
-	c.snapshot = newSnapshot(r.GetVersion(), until, c.snapshot.content.apply(r))
+	next, err := c.snapshot.content.apply(r)
+	if err != nil {
+		return outcomeIgnored
+	}
+
+	c.snapshot = newSnapshot(r.GetVersion(), until, next)
 
 	return outcomeOf(r, outcomeChanged)
 }
--- a/internal/view/reader.go
+++ b/internal/view/reader.go
@@ -51,6 +51,8 @@
 	Wait time.Duration
 	// Timeout is how long a control VM may take beyond Wait.
 	Timeout time.Duration
+	// FirstTimeout is Timeout for a poll whose answer holds everything.
+	FirstTimeout time.Duration
 	// BackoffMin and BackoffMax bound the pause after a poll that failed.
 	BackoffMin, BackoffMax time.Duration
 	// PollGap is the least time between two polls.
@@ -60,12 +62,13 @@
 // DefaultSettings returns the intervals for the size that parsleygate is designed for.
 func DefaultSettings() Settings {
 	return Settings{
-		Lease:      4 * time.Second,
-		Wait:       time.Second,
-		Timeout:    700 * time.Millisecond,
-		BackoffMin: 20 * time.Millisecond,
-		BackoffMax: 500 * time.Millisecond,
-		PollGap:    20 * time.Millisecond,
+		Lease:        4 * time.Second,
+		Wait:         time.Second,
+		Timeout:      700 * time.Millisecond,
+		FirstTimeout: 5 * time.Second,
+		BackoffMin:   20 * time.Millisecond,
+		BackoffMax:   500 * time.Millisecond,
+		PollGap:      20 * time.Millisecond,
 	}
 }
 
@@ -152,9 +155,13 @@
 // silent: the poll is given up and the next control VM is tried.
 func (r *Reader) pollOnce(ctx context.Context) error {
 	request := r.request()
-	wait := time.Duration(request.GetWaitMillis()) * time.Millisecond
+	limit := time.Duration(request.GetWaitMillis())*time.Millisecond + r.Settings.Timeout
 
-	ctx, cancel := context.WithTimeout(ctx, wait+r.Settings.Timeout)
+	if request.GetKnownVersion() == 0 {
+		limit = max(limit, r.Settings.FirstTimeout)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 
 	sent := time.Now()
