Run three control VMs with their own log in local mode

Cause: the log in memory lost everything at the end of the process. Change: the control role drives internal/replica; local starts a control VM in each availability zone, each with its data folder, and writes all dumps on SIGUSR1. A fault found on the way: the chooser heard of configuration changes over the bus, whose handlers run side by side, so an older list of targets could be applied last and rule until the next change. It is told by the reader's own goroutine now. Open: an entry may wait seconds for credits of cold targets that idle entries hold; the cores that share them out are being changed.

--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -42,21 +44,31 @@
 }
 
 func runLocal(ctx context.Context, c *cobra.Command, out logs.Output) error {
+	dir, err := os.MkdirTemp("", "parsleygate-local-")
+	if err != nil {
+		return eris.Wrap(err, "make data folder")
+	}
+
+	defer func() { _ = os.RemoveAll(dir) }()
+
 	l := &local.Local{
 		Deployment: local.Trust(), Logs: out,
-		EntryPort: localEntryPort, OperatorPort: localOperatorPort,
+		Dir: dir, EntryPort: localEntryPort, OperatorPort: localOperatorPort,
 	}
 
+	stopDumps := dumpOnSignal(l.WriteDumps, c.ErrOrStderr())
+	defer stopDumps()
+
 	g, gctx := errgroup.WithContext(ctx)
 	if err := l.Start(gctx, g); err != nil {
-		return err
+		return errors.Join(err, g.Wait())
 	}
 
 	for i, base := range l.Entries() {
 		c.Printf("callers:   %s (%s)\n", base, l.Deployment.Zones[i])
 	}
 
-	c.Printf("operators: %s\n\n", l.Operator())
+	c.Printf("operators: %s\n\n", l.Operators()[0])
 	c.Println(localHint(l.Entries()[0]))
 
 	return eris.Wrap(g.Wait(), "run local deployment")
--- a/internal/events/bus.go
+++ b/internal/events/bus.go
@@ -1,6 +1,7 @@
 // Package events is the bus inside each process: parts tell what happened, and
 // others handle it in a goroutine of their own, over watermill's router and Go
-// channels. Nothing on the bus leaves the process or is needed to keep a promise.
+// channels. Handlers may run side by side and out of order, so nothing that a
+// promise rests on goes over the bus, and nothing on it leaves the process.
 package events
 
 import (
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +21,7 @@
 	"github.com/parsleygate/parsleygate/internal/entry"
 	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/role"
 	"github.com/parsleygate/parsleygate/internal/standin"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -29,17 +34,22 @@
 type Local struct {
 	Deployment Deployment
 	Logs       logs.Output
+	// Dir holds the control VMs' data folders.
+	Dir string
 	// EntryPort is the port of the first entry, the others follow; 0 for any.
 	EntryPort uint16
-	// OperatorPort is the port of the control VM; 0 for any.
+	// OperatorPort is the port of the first control VM; 0 for any.
 	OperatorPort uint16
 
-	control  *role.Control
-	operator netip.AddrPort
-	entries  []netip.AddrPort
-	engines  []*Target
-	desks    []*Target
-	logger   *slog.Logger
+	controls  []*role.Control
+	operators []netip.AddrPort
+	entries   []netip.AddrPort
+	engines   []*Target
+	desks     []*Target
+	logger    *slog.Logger
+
+	mu    sync.Mutex
+	dumps []*dump.Dump
 }
 
 // Target is one stand-in with its agent.
@@ -62,8 +72,32 @@
 	return out
 }
 
-// Operator returns the operators' address.
-func (l *Local) Operator() netip.AddrPort { return l.operator }
+// Operators returns the addresses of the control VMs, which operators use.
+func (l *Local) Operators() []netip.AddrPort { return l.operators }
+
+func (l *Local) newDump(kind, id string) *dump.Dump {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	d := &dump.Dump{Role: kind, ID: id}
+	l.dumps = append(l.dumps, d)
+
+	return d
+}
+
+// WriteDumps writes the state of every role.
+func (l *Local) WriteDumps(w io.Writer) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, d := range l.dumps {
+		if err := d.Write(w); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
 
 // Engines returns the model engines, and Desks the booking desks.
 func (l *Local) Engines() []*Target { return l.engines }
@@ -134,19 +168,41 @@
 	return l, eris.Wrapf(err, "listen on port %d", port)
 }
 
+// startControl starts a control VM in each availability zone.
 func (l *Local) startControl(ctx context.Context, g *errgroup.Group) error {
-	listener, err := listen(ctx, l.OperatorPort)
-	if err != nil {
-		return err
+	var (
+		listeners []net.Listener
+		members   []quorum.Member
+	)
+
+	for i := range l.Deployment.Zones {
+		port := uint16(0)
+		if l.OperatorPort != 0 && i == 0 {
+			port = l.OperatorPort
+		}
+
+		listener, err := listen(ctx, port)
+		if err != nil {
+			return err
+		}
+
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		listeners = append(listeners, listener)
+		members = append(members, quorum.Member{ID: fmt.Sprintf("control-%d", i+1), Addr: address})
+		l.operators = append(l.operators, address)
 	}
 
-	l.operator = listener.Addr().(*net.TCPAddr).AddrPort()
-	l.control = &role.Control{
-		VM: "control-1", Cluster: l.Deployment.Cluster, Listener: listener, Logs: l.Logs,
-		Dump: &dump.Dump{Role: "control", ID: "control-1"},
+	for i, m := range members {
+		c := &role.Control{
+			VM: m.ID, Cluster: l.Deployment.Cluster, Listener: listeners[i],
+			Dir: filepath.Join(l.Dir, m.ID), Founders: members,
+			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: l.Logs,
+			Dump: l.newDump("control", m.ID),
+		}
+		c.Build()
+		l.controls = append(l.controls, c)
+		g.Go(func() error { return c.Run(ctx) })
 	}
-	l.control.Build()
-	g.Go(func() error { return l.control.Run(ctx) })
 
 	return l.declare(ctx)
 }
@@ -185,7 +241,7 @@
 		return nil, eris.Wrap(err, "write command")
 	}
 
-	_, result, err := l.control.Server().Propose(ctx, data)
+	_, result, err := l.controls[0].Server().Propose(ctx, data)
 	if err != nil {
 		return nil, err
 	}
@@ -218,8 +274,8 @@
 	e := &role.Entry{
 		ID: id, Cluster: l.Deployment.Cluster, Zone: zone, Region: l.Deployment.Region,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: listener,
-		Controls: role.NewControls([]netip.AddrPort{l.operator}), Limits: entry.DefaultLimits(),
-		Logs: l.Logs, Dump: &dump.Dump{Role: "entry", ID: id},
+		Controls: role.NewControls(l.operators), Limits: entry.DefaultLimits(),
+		Logs: l.Logs, Dump: l.newDump("entry", id),
 	}
 	g.Go(func() error { return e.Run(ctx) })
 
@@ -261,8 +317,8 @@
 	a := &role.Agent{
 		ID: t.AgentID, Cluster: l.Deployment.Cluster, Zone: zone,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: door,
-		Controls: role.NewControls([]netip.AddrPort{l.operator}),
-		Logs:     l.Logs, Dump: &dump.Dump{Role: "agent", ID: t.AgentID},
+		Controls: role.NewControls(l.operators),
+		Logs:     l.Logs, Dump: l.newDump("agent", t.AgentID),
 	}
 	agents.Go(func() error { return a.Run(ctx) })
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,49 +15,118 @@
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/replica"
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
-// Control is the control role. Its fields are set before Run.
+const (
+	// stopTimeout bounds how long a stopping control VM waits for polls in hand.
+	stopTimeout = 3 * time.Second
+	// handOverTimeout bounds the hand-over of leadership on a planned stop.
+	handOverTimeout = 3 * time.Second
+)
+
+// Control is the control role. Its fields are set before Build.
 type Control struct {
 	VM       string
 	Cluster  string
 	Listener net.Listener
-	Logs     logs.Output
-	Dump     *dump.Dump
-
-	server *control.Server
+	// Dir is the data folder, which this VM alone uses.
+	Dir string
+	// Founders are the first control VMs of a new deployment, the same list at each.
+	Founders []quorum.Member
+	// Peers are the other control VMs.
+	Peers []quorum.Member
+	Logs  logs.Output
+	Dump  *dump.Dump
+
+	server  *control.Server
+	replica *replica.Replica
+	client  *http.Client
 }
 
-// stopTimeout bounds how long a stopping control VM waits for polls in hand.
-const stopTimeout = 3 * time.Second
-
 // Server returns the server, which exists after Build.
 func (r *Control) Server() *control.Server { return r.server }
 
+// Replica returns the replica, which exists after Build.
+func (r *Control) Replica() *replica.Replica { return r.replica }
+
 // Build puts the role together. It is called once, before Run.
 func (r *Control) Build() {
 	if r.Dump.Metrics == nil {
 		r.Dump.Metrics = metrics.NewRegistry()
 	}
 
-	log := &control.MemoryLog{}
+	address, _ := netip.ParseAddrPort(r.Listener.Addr().String())
+	r.client = NewControls(nil).client
+	r.replica = &replica.Replica{
+		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Addr: address, Founders: r.Founders,
+		Logger: r.Logs.Logger("replica"),
+	}
 	r.server = &control.Server{
-		Cluster: r.Cluster, VM: r.VM, Propose: log.Propose, Read: log.Read, Logger: r.Logs.Logger("control"),
+		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
+		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
+		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(),
+		Logger: r.Logs.Logger("control"),
 	}
 	r.server.Init()
-	log.Apply = r.server.Apply
+	r.replica.Apply = r.server.Apply
+	r.replica.Snapshot = r.server.Snapshot
+	r.replica.Restore = r.server.Restore
+	r.Dump.Add("Replica", func() any { return r.replica.Status() })
 }
 
-// Run runs the role until ctx ends.
+// read leaves the index out: the replica has applied it when Read returns, and
+// entries of its own in the log never reach the ledger's count.
+func (r *Control) read(ctx context.Context) (time.Time, uint64, error) {
+	asOf, _, err := r.replica.Read(ctx)
+
+	return asOf, 0, err
+}
+
+func (r *Control) leads() bool { return r.replica.Status().Leader == r.VM }
+
+// stopUnsafe says why the control VM with that name should not be stopped now.
+func (r *Control) stopUnsafe(name string) string {
+	s := r.replica.Status()
+	if s.SafeToStop {
+		return ""
+	}
+
+	for _, m := range s.Members {
+		if m.Member.ID == name {
+			return s.Reason
+		}
+	}
+
+	return ""
+}
+
+func (r *Control) peers() []control.Peer {
+	var out []control.Peer
+
+	for _, m := range r.Peers {
+		client := wire.NewControlPeerProtobufClient("http://"+m.Addr.String(), r.client)
+		out = append(out, control.Peer{Name: m.ID, Heard: func(ctx context.Context) (*wire.HeardResponse, error) {
+			return client.Heard(ctx, &wire.HeardRequest{Cluster: r.Cluster})
+		}})
+	}
+
+	return out
+}
+
+// Run runs the role until ctx ends, then hands leadership over and stops.
 func (r *Control) Run(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 
-	web := &http.Server{Handler: mux, ReadHeaderTimeout: controlTry}
+	web := &http.Server{Handler: r.handler(), ReadHeaderTimeout: controlTry}
 
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return r.server.Run(ctx) })
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return r.replica.Run(work) })
+	g.Go(func() error { return r.server.Run(work) })
 	g.Go(func() error {
 		if err := web.Serve(r.Listener); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
@@ -65,13 +135,51 @@
 		return nil
 	})
 	g.Go(func() error {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+			r.handOver()
+		case <-work.Done():
+		}
 
-		stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
+		defer stop()
 
-		return eris.Wrap(web.Shutdown(stop), "stop control")
+		return shutDown(web)
 	})
 
 	return eris.Wrap(g.Wait(), "run control VM")
 }
+
+func shutDown(web *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+
+	if err := web.Shutdown(ctx); err != nil {
+		// Polls that are held are asked again elsewhere; nothing of a caller is cut.
+		return eris.Wrap(web.Close(), "close control")
+	}
+
+	return nil
+}
+
+// handOver gives leadership to another control VM, so that a planned stop costs
+// no election.
+func (r *Control) handOver() {
+	if !r.leads() || len(r.Peers) == 0 {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+
+	if err := r.replica.TransferLeadership(ctx, ""); err != nil {
+		r.Logs.Logger("control").Warn("leadership not handed over", "error", err)
+	}
+}
+
+func (r *Control) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
+	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
+
+	return mux
+}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -91,11 +91,10 @@
 	}
 
 	r.bus = bus
+	r.bus.OnConfigurationChanged("LogConfiguration", r.logConfiguration)
+
 	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0))}
-	r.reader = r.newReader()
-	r.bus.OnConfigurationChanged("ChangeTargets", func(events.ConfigurationChanged) {
-		chooser.ChangeTargets(targetsOf(r.reader.Snapshot()))
-	})
+	r.reader = r.newReader(chooser)
 	r.shell = &entry.Entry{
 		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.Listener,
 		Link:    &agentlink.Link{Silence: agentSilence, DialTimeout: agentDial, IdleFor: agentIdle},
@@ -116,16 +115,23 @@
 
 	r.Dump.Add("View", func() any { return viewState(r.reader.Snapshot()) })
 	r.Dump.Add("Requests", func() any { return r.shell.Counts() })
+	r.Dump.Add("Room", func() any { return r.rooms() })
 	r.Dump.Add("Queues", func() any { return r.shell.Queues() })
 
 	return eris.Wrap(r.shell.Register(r.Dump.Metrics), "register metrics")
 }
 
-func (r *Entry) newReader() *view.Reader {
+func (r *Entry) newReader(chooser *routing.Chooser) *view.Reader {
 	reader := &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
 		Self: r.self, Logger: r.Logs.Logger("view"),
-		OnChange: func(s *view.Snapshot) { r.announce(s) },
+		// The chooser is told here, by the reader's one goroutine, and not over the
+		// bus: its handlers run side by side, and an older list of targets, applied
+		// last, would rule until the next change.
+		OnChange: func(s *view.Snapshot) {
+			chooser.ChangeTargets(targetsOf(s))
+			r.announce(s)
+		},
 	}
 	reader.Init()
 
@@ -138,6 +144,26 @@
 	}
 }
 
+// ServiceRoom is what this entry may send to one service's targets, in a dump.
+type ServiceRoom struct {
+	Service string
+	Room    routing.Room
+}
+
+func (r *Entry) rooms() []ServiceRoom {
+	var out []ServiceRoom
+	for _, s := range r.reader.Snapshot().Services() {
+		out = append(out, ServiceRoom{Service: s.GetName(), Room: r.shell.Chooser.Room(time.Now(), s.GetName())})
+	}
+
+	return out
+}
+
+func (r *Entry) logConfiguration(ev events.ConfigurationChanged) {
+	v := viewState(r.reader.Snapshot())
+	r.Logs.Logger("entry").Debug("configuration changed", "version", ev.Version, "nodes", v.Nodes, "zonesOut", v.ZonesOut)
+}
+
 func (r *Entry) self() *wire.Node {
 	return &wire.Node{
 		ID: r.ID, Kind: wire.NodeKind_NodeEntry, Zone: r.Zone,
