Share credits without parking, and test the admission core

Change: reservations lapse after 250 ms (50 ms while others wait), a free place is kept for waiting entries for 10 ms, answers renew no idle reservation while others wait, Grant advises when to ask again (GrantResponse.RetryAfterMillis).

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -10,6 +10,8 @@
 const (
 	minRetry = 50 * time.Millisecond
 	maxRetry = 5 * time.Second
+	minTurn  = 5 * time.Millisecond
+	maxTurn  = time.Second
 )
 
 // Arrive decides about one request.
@@ -28,11 +30,11 @@
 	}
 
 	if cause, refused := c.refuse(now, r); refused {
-		c.close(r.AttemptID, expiresAt)
+		c.close(now, r.AttemptID, expiresAt)
 		return Decision{Verdict: verdict.NotRun, Cause: cause, RetryAt: c.retryAt(now, cause)}
 	}
 
-	if len(c.memory.byID) >= c.Settings.MaxAttempts {
+	if !c.memory.hasRoom(now, c.Settings.MaxAttempts) {
 		c.memory.revoke(expiresAt)
 		return Decision{Verdict: verdict.NotRun, Cause: verdict.CauseOverload, RetryAt: now.Add(c.Settings.CreditLife)}
 	}
@@ -47,7 +49,7 @@
 	}
 	c.memory.add(a)
 	c.running[a.id] = a
-	c.share.of(a.entryID).inFlight++
+	c.share.started(a.entryID)
 
 	return Decision{Admitted: true}
 }
@@ -67,7 +69,7 @@
 		return d
 	}
 
-	c.close(r.AttemptID, expiresAt)
+	c.close(now, r.AttemptID, expiresAt)
 
 	return Decision{Verdict: verdict.NotRun, Cause: cause}
 }
@@ -155,24 +157,21 @@
 		cause = verdict.CauseColdLimit
 	}
 
-	free := c.limit() - len(c.running) - c.unknown.count()
+	free := c.limit() - len(c.running) - c.unknownCount()
 	if free <= 0 {
 		return cause, true
 	}
 
+	c.share.sweep(now)
+
 	e := c.share.entries[cr.EntryID]
 	if e == nil {
 		e = &entry{}
 	}
 
-	e.lapse(now)
+	c.share.lapse(e, now)
 
-	if e.inFlight < e.slots {
-		return "", false
-	}
-
-	st := c.share.standing(e, now)
-	if c.limit()-c.unknown.count()-st.reserved-st.ahead-e.inFlight > 0 {
+	if e.inFlight < e.slots || c.share.open(now, e, c.limit()-c.unknownCount()) {
 		return "", false
 	}
 
@@ -197,70 +196,87 @@
 func (c *Core) Grant(now time.Time, q GrantAsk) Grant {
 	c.prepare()
 	c.unknown.expire(now)
+	c.share.sweep(now)
 	c.share.serial++
 
-	e := c.share.of(q.EntryID)
-	e.lapse(now)
-	e.wanted = int(q.Wanted)
+	g := Grant{ExpiresAt: c.tickTime(uint64(now.Add(c.Settings.CreditLife).Sub(c.Started) / time.Millisecond))}
+	c.lastExpiry = g.ExpiresAt
 
-	st := c.share.standing(e, now)
-	slots := 0
+	var e *entry
 
-	if !c.leaving && !c.view.ZoneOut && !c.view.Retired {
-		slots = st.allot(e.wanted, c.limit()-c.unknown.count())
+	if !c.share.full(q.EntryID) {
+		e = c.share.of(q.EntryID)
+		c.share.lapse(e, now)
+		e.wanted = int(q.Wanted)
+		g.RetryAt = c.allot(now, e, q.renewal)
 	}
 
-	life := c.Settings.CreditLife
-	if st.waiting > 0 {
-		life = c.Settings.ContendedLife
+	g.Credit = c.credit(q.EntryID, e, g.ExpiresAt)
+
+	return g
+}
+
+// credit writes a credit of e, which is nil for an entry too many.
+func (c *Core) credit(id string, e *entry, expiresAt time.Time) Credit {
+	cr := Credit{
+		AgentID:       c.AgentID,
+		Incarnation:   c.Incarnation,
+		EntryID:       id,
+		Serial:        c.share.serial,
+		ExpiresAtTick: uint64(expiresAt.Sub(c.Started) / time.Millisecond),
 	}
 
-	c.note(now, e, slots, life, !q.renewal)
+	if e != nil {
+		cr.Slots = uint32(e.slots)
+	}
 
-	return c.grant(q.EntryID, e)
+	return cr
 }
 
-// note records what e got, and its turn if it asked itself and got nothing.
-func (c *Core) note(now time.Time, e *entry, slots int, life time.Duration, asked bool) {
-	e.slots = slots
-	e.expiresAt = c.tickTime(uint64(now.Add(life).Sub(c.Started) / time.Millisecond))
-
-	if !asked {
-		return
+// allot gives e its slots, and a turn if it asked itself and got nothing. It
+// returns when e should ask again.
+func (c *Core) allot(now time.Time, e *entry, renewal bool) time.Time {
+	slots := 0
+	if !c.leaving && !c.view.ZoneOut && !c.view.Retired {
+		slots = c.share.allot(now, e, c.limit()-c.unknownCount())
 	}
 
-	if slots > 0 || e.wanted == 0 {
-		e.waitsSince = time.Time{}
-		e.asks = 0
+	reserveFor := c.Settings.ReserveFor
+
+	if c.share.othersWait(e) {
+		reserveFor /= 5
 
-		return
+		if renewal {
+			slots = min(slots, e.inFlight)
+		}
 	}
 
-	if e.waitsSince.IsZero() {
-		e.waitsSince = now
+	more := slots > e.inFlight
+	c.share.change(e, func(e *entry) { e.slots = slots })
+	e.reservedUntil = now.Add(reserveFor)
+
+	switch {
+	case more:
+		c.share.served(e)
+	case !renewal && e.wanted > 0:
+		retryAt := now.Add(c.turnIn(e))
+		c.share.wait(e, retryAt.Add(c.Settings.WaitLife))
+
+		return retryAt
+	case e.asks > 0 && e.wanted == 0:
+		c.share.stopWaiting(e)
 	}
 
-	e.asks++
-	e.waitsUntil = now.Add(c.Settings.WaitLife)
+	return time.Time{}
 }
 
-// grant writes the credit of e.
-func (c *Core) grant(id string, e *entry) Grant {
-	if e.expiresAt.After(c.lastExpiry) {
-		c.lastExpiry = e.expiresAt
-	}
+// turnIn advises how long a waiting entry should leave the agent alone: half of
+// the time in which those before it will be served, so that it's early.
+func (c *Core) turnIn(e *entry) time.Duration {
+	places := c.share.position(e)
+	d := c.meanTime * time.Duration(places) / time.Duration(2*max(c.limit(), 1))
 
-	return Grant{
-		Credit: Credit{
-			AgentID:       c.AgentID,
-			Incarnation:   c.Incarnation,
-			EntryID:       id,
-			Serial:        c.share.serial,
-			ExpiresAtTick: uint64(e.expiresAt.Sub(c.Started) / time.Millisecond),
-			Slots:         uint32(e.slots),
-		},
-		ExpiresAt: e.expiresAt,
-	}
+	return min(max(d, minTurn), maxTurn)
 }
 
 // Renew gives the entry of an answer a new credit, so that a busy entry seldom asks.
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -66,11 +66,11 @@
 	c.setBounds(now)
 }
 
+// setBounds takes the limits over. A target that is still ramping must not keep
+// a limit that came from a floor which the operators have lowered since.
 func (c *Core) setBounds(now time.Time) {
-	floor := c.ramp.floor
-	c.ramp.bounds(c.view.ColdLimit, c.view.WarmLimit, c.target.capacity)
-
-	if c.ramp.epoch == 1 && floor != c.ramp.floor {
+	ramping := c.ramp.ramping()
+	if c.ramp.bounds(c.view.ColdLimit, c.view.WarmLimit, c.target.capacity) && ramping {
 		c.ramp.fall(now, c.Settings.RampInterval)
 	}
 }
@@ -81,6 +81,7 @@
 	c.Tick(now)
 
 	first := !c.target.seen
+	counted := a.Counted && a.BootID == c.target.bootID
 	cold := !c.target.up || a.BootID != c.target.bootID || (a.Cold && !c.ramp.held)
 	before := c.target.announcedAt
 
@@ -96,7 +97,8 @@
 		c.unknown.inherit(c.Started, now.Add(c.Settings.UnknownFor))
 	}
 
-	if a.Counted {
+	// A first count may have been taken before the work was sent that it would deny.
+	if counted {
 		c.unknown.reported(int(a.InFlight), before, c.runningSince(before))
 	}
 }
@@ -140,13 +142,13 @@
 	c.prepare()
 	c.memory.forget(now)
 	c.unknown.expire(now)
-	c.share.expire(now)
+	c.share.sweep(now)
 
 	if c.target.up && !now.Before(c.target.announcedAt.Add(c.Settings.AnnounceSilence)) {
 		c.TargetDown(now)
 	}
 
-	if !c.ramp.ramping() && c.overdue(now) {
+	if c.ramp.limit > c.ramp.floor && c.overdue(now) {
 		c.ramp.fall(now, c.Settings.RampInterval)
 	}
 }
@@ -189,10 +191,7 @@
 	d := now.Sub(a.admittedAt)
 	a.slow = c.ramp.norm.isSlow(d)
 
-	switch {
-	case c.ramp.ramping():
-		c.ramp.norm.observeRamping(d)
-	case c.ramp.norm.observe(d):
+	if c.ramp.norm.observe(d, c.ramp.ramping()) {
 		c.ramp.fall(now, c.Settings.RampInterval)
 	}
 }
@@ -211,12 +210,12 @@
 		c.observeTime(now.Sub(a.admittedAt))
 	}
 
-	if o.Abandoned && c.ramp.ramping() {
+	if o.Abandoned {
 		c.unknown.abandon(a.admittedAt, now.Add(c.Settings.SettleFor))
 	}
 
 	delete(c.running, attemptID)
-	c.share.finished(a.entryID)
+	c.share.finished(a.entryID, now)
 	c.memory.end(a, endState(o.Verdict), c.forgetAt(now, a), o.Answer, c.Settings.MaxAnswerBytes)
 }
 
@@ -273,7 +272,7 @@
 		return Fate{State: wire.AskState_AskUnknown}
 	}
 
-	c.close(q.AttemptID, expiresAt)
+	c.close(now, q.AttemptID, expiresAt)
 
 	return Fate{State: wire.AskState_AskClosed}
 }
@@ -292,8 +291,8 @@
 }
 
 // close marks an attempt that has not run, so that it never will.
-func (c *Core) close(id string, expiresAt time.Time) {
-	if len(c.memory.byID) >= c.Settings.MaxAttempts {
+func (c *Core) close(now time.Time, id string, expiresAt time.Time) {
+	if !c.memory.hasRoom(now, c.Settings.MaxAttempts) {
 		c.memory.revoke(expiresAt)
 		return
 	}
@@ -322,10 +321,16 @@
 		Limit:    uint32(c.limit()),
 		Cold:     c.ramp.ramping(),
 		Leaving:  c.leaving || c.view.Retired,
-		Unknown:  uint32(c.unknown.count()),
+		Unknown:  uint32(c.unknownCount()),
 	}
 }
 
+// unknownCount is how much unknown work counts against the limit now. On a warm
+// target cancelled work frees its place at once.
+func (c *Core) unknownCount() int {
+	return c.unknown.count(c.ramp.ramping())
+}
+
 // limit is how many requests the target may hold now.
 func (c *Core) limit() int {
 	if !c.target.up {
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -80,6 +80,9 @@
 type Grant struct {
 	Credit    Credit
 	ExpiresAt time.Time
+	// RetryAt is when an entry that got no slots should ask again to keep its turn;
+	// zero where waiting is of no use.
+	RetryAt time.Time
 }
 
 // Question asks what became of an attempt.
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -46,8 +46,10 @@
 // from then on the expiry itself refuses a duplicate, so memory is bounded and
 // still safe against duplicates of any age.
 type memory struct {
-	byID  map[string]*attempt
-	ended endedQueue
+	byID map[string]*attempt
+	// closed holds the closed attempts, ended those that ran or may have.
+	closed endedQueue
+	ended  endedQueue
 	// forgottenUpTo is the latest credit expiry of a forgotten attempt that may have
 	// run. Of an unknown attempt with a later credit it is certain that it didn't.
 	forgottenUpTo time.Time
@@ -68,14 +70,23 @@
 
 	if a.state == stateClosed {
 		a.forgetAt = a.expiresAt
-		heap.Push(&m.ended, a)
+		heap.Push(&m.closed, a)
 	}
 }
 
-// end moves a running attempt to state. Its answer is kept within maxBytes for all answers.
+// end moves a running attempt to state. A closed one is remembered like any
+// closed one, until its credit expires; else forgetAt says how long. Its answer is kept within maxBytes for all answers.
 func (m *memory) end(a *attempt, state attemptState, forgetAt time.Time, answer *wire.Answer, maxBytes int) {
 	a.state = state
 	a.forgetAt = forgetAt
+
+	if state == stateClosed {
+		a.forgetAt = a.expiresAt
+		heap.Push(&m.closed, a)
+
+		return
+	}
+
 	heap.Push(&m.ended, a)
 
 	if answer == nil {
@@ -103,20 +114,43 @@
 	}
 }
 
+// hasRoom reports whether one more attempt may be remembered. Where needed it
+// forgets ended ones early, but none whose credit still holds.
+func (m *memory) hasRoom(now time.Time, maxAttempts int) bool {
+	for len(m.byID) >= maxAttempts {
+		if len(m.ended) == 0 || m.ended[0].expiresAt.After(now) {
+			return false
+		}
+
+		m.forgetEnded()
+	}
+
+	return true
+}
+
+// forgetEnded drops the ended attempt whose time comes first.
+func (m *memory) forgetEnded() {
+	a := heap.Pop(&m.ended).(*attempt)
+	delete(m.byID, a.id)
+
+	if a.expiresAt.After(m.forgottenUpTo) {
+		m.forgottenUpTo = a.expiresAt
+	}
+
+	if a.answer != nil {
+		m.answerBytes -= answerSize(a.answer)
+		a.answer = nil
+	}
+}
+
 // forget drops the attempts whose time has come.
 func (m *memory) forget(now time.Time) {
-	for len(m.ended) > 0 && !m.ended[0].forgetAt.After(now) {
-		a := heap.Pop(&m.ended).(*attempt)
-		delete(m.byID, a.id)
-
-		if a.state != stateClosed && a.expiresAt.After(m.forgottenUpTo) {
-			m.forgottenUpTo = a.expiresAt
-		}
+	for m.closed.due(now) {
+		delete(m.byID, heap.Pop(&m.closed).(*attempt).id)
+	}
 
-		if a.answer != nil {
-			m.answerBytes -= answerSize(a.answer)
-			a.answer = nil
-		}
+	for m.ended.due(now) {
+		m.forgetEnded()
 	}
 
 	for len(m.answers) > 0 && m.answers[0].answer == nil {
@@ -153,6 +187,11 @@
 // endedQueue orders ended attempts by forgetAt.
 type endedQueue []*attempt
 
+// due reports whether the first attempt is to be forgotten at now.
+func (q endedQueue) due(now time.Time) bool {
+	return len(q) > 0 && !q[0].forgetAt.After(now)
+}
+
 // Len implements heap.Interface.
 func (q endedQueue) Len() int { return len(q) }
 
--- a/internal/admission/norm.go
+++ b/internal/admission/norm.go
@@ -44,19 +44,32 @@
 	return m.bound > 0 && d > m.bound
 }
 
-// observe takes one first-token time of a warm target, and reports whether it is a sign of cold.
-func (m *norm) observe(d time.Duration) bool {
-	if !m.isSlow(d) {
-		for _, p := range m.pending[:m.row] {
-			m.learn(p)
-		}
+// observe takes one first-token time and reports whether it is a sign of cold.
+//
+// At a ramping target slow answers that don't end are no cold start but how the
+// target now works, and the norm is learnt anew; without that the limit would
+// stay at its floor for good.
+func (m *norm) observe(d time.Duration, ramping bool) bool {
+	if !ramping {
+		m.ramping = 0
+	}
 
-		m.row = 0
+	if !m.isSlow(d) {
+		m.settle()
 		m.learn(d)
 
 		return false
 	}
 
+	if ramping {
+		m.ramping++
+	}
+
+	if m.ramping >= relearnAfter {
+		*m = norm{}
+		return false
+	}
+
 	m.pending[m.row] = d
 	m.row++
 
@@ -65,24 +78,17 @@
 	}
 
 	m.row = 0
-	m.ramping = 0
 
 	return true
 }
 
-// observeRamping takes one first-token time of a target that is ramping. When the
-// slow ones don't end, they are no cold start but how the target now works, and
-// the norm is learnt anew; without that the limit would stay at its floor for good.
-func (m *norm) observeRamping(d time.Duration) {
-	if !m.isSlow(d) {
-		m.learn(d)
-		return
+// settle learns the slow answers that turned out to be single ones.
+func (m *norm) settle() {
+	for _, p := range m.pending[:m.row] {
+		m.learn(p)
 	}
 
-	m.ramping++
-	if m.ramping >= relearnAfter {
-		*m = norm{}
-	}
+	m.row = 0
 }
 
 func (m *norm) learn(d time.Duration) {
--- /dev/null
+++ b/internal/admission/property_test.go
@@ -0,0 +1,269 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// modelTarget is what really goes on at the target, beside what the agent knows.
+type modelTarget struct {
+	bootID string
+	cold   bool
+	// running maps each request that the target works on to when it drops it by
+	// itself; zero while the agent's connection is open.
+	running map[string]time.Time
+	// reported is the target's count at some moment since its last announcement.
+	reported int
+}
+
+// schedule drives one core, its successors after restarts, and the target, by seed.
+type schedule struct {
+	t       *rapid.T
+	now     time.Time
+	core    Core
+	view    View
+	target  modelTarget
+	credits []Credit
+	sent    []Arrival
+	// open are attempts that the present incarnation has admitted and not ended.
+	open []string
+	// ran and never record what is true for good; admitted counts per attempt.
+	admitted map[string]int
+	never    map[string]bool
+	n        int
+}
+
+func newSchedule(t *rapid.T) *schedule {
+	s := &schedule{t: t, now: start, admitted: map[string]int{}, never: map[string]bool{}}
+	s.view = View{Version: 1, FreshUntil: start.Add(time.Hour), ColdLimit: 2, WarmLimit: 12}
+	s.target = modelTarget{bootID: "boot-0", running: map[string]time.Time{}}
+	s.core = Core{AgentID: "agent-1", Incarnation: 1, Started: start}
+	s.core.ChangeView(s.now, s.view)
+
+	return s
+}
+
+func (s *schedule) pick(n int, what string) int { return rapid.IntRange(0, n-1).Draw(s.t, what) }
+
+func (s *schedule) pass() {
+	d := time.Duration(rapid.SampledFrom([]int{1, 10, 60, 300, 1100, 2500}).Draw(s.t, "ms")) * time.Millisecond
+	s.now = s.now.Add(d)
+	s.settleTarget()
+
+	if s.pick(3, "tick") > 0 {
+		s.core.Tick(s.now)
+	}
+}
+
+// settleTarget drops requests that the target stopped by itself.
+func (s *schedule) settleTarget() {
+	for id, until := range s.target.running {
+		if !until.IsZero() && !until.After(s.now) {
+			delete(s.target.running, id)
+		}
+	}
+}
+
+func (s *schedule) announce() {
+	s.core.Announce(s.now, Announcement{
+		BootID: s.target.bootID, Service: "assist", Cold: s.target.cold,
+		InFlight: uint32(s.target.reported), Counted: s.pick(4, "counted") > 0,
+	})
+	s.count()
+}
+
+// count takes the number that the next announcement will carry.
+func (s *schedule) count() { s.target.reported = len(s.target.running) }
+
+func (s *schedule) grant() {
+	id := fmt.Sprintf("entry-%d", s.pick(20, "entry"))
+	g := s.core.Grant(s.now, GrantAsk{EntryID: id, Wanted: uint32(s.pick(6, "wanted"))})
+	s.credits = append(s.credits, g.Credit)
+}
+
+// send sends a new request on some credit, or an old message once more.
+func (s *schedule) send() {
+	if len(s.credits) == 0 {
+		return
+	}
+
+	var r Arrival
+	if len(s.sent) > 0 && s.pick(4, "again") == 0 {
+		r = s.sent[len(s.sent)-1-s.pick(min(len(s.sent), 20), "old")]
+	} else {
+		s.n++
+		c := s.credits[len(s.credits)-1-s.pick(min(len(s.credits), 4), "credit")]
+		r = Arrival{AttemptID: fmt.Sprint(s.n), Credit: c, Service: "assist", ViewVersion: s.view.Version}
+		s.sent = append(s.sent, r)
+	}
+
+	s.arrive(r)
+}
+
+func (s *schedule) arrive(r Arrival) {
+	id := r.AttemptID
+	cold := s.core.Load().Cold
+	d := s.core.Arrive(s.now, r)
+
+	if !d.Admitted {
+		sameAgent := r.Credit.Incarnation == s.core.Incarnation
+		if d.Verdict == verdict.NotRun && sameAgent {
+			require.Zero(s.t, s.admitted[id]*s.bool(!s.never[id]), "NotRun said of an attempt that was let in")
+			s.never[id] = true
+		}
+
+		return
+	}
+
+	require.False(s.t, s.never[id], "attempt let in after NotRun was said of it")
+	s.admitted[id]++
+	require.Equal(s.t, 1, s.admitted[id], "attempt let in twice")
+	require.False(s.t, s.view.ZoneOut)
+
+	s.target.running[id] = time.Time{}
+	s.open = append(s.open, id)
+	s.checkLimit(cold)
+}
+
+func (s *schedule) bool(b bool) int {
+	if b {
+		return 1
+	}
+
+	return 0
+}
+
+// checkLimit holds what was just let in against the limit.
+func (s *schedule) checkLimit(cold bool) {
+	l := s.core.Load()
+	require.LessOrEqual(s.t, l.InFlight, l.Limit)
+	require.LessOrEqual(s.t, l.Limit, s.view.WarmLimit)
+
+	if cold {
+		require.LessOrEqual(s.t, len(s.target.running), int(l.Limit), "a ramping target holds more than its limit")
+	}
+
+	if s.target.cold && s.core.ramp.held {
+		require.LessOrEqual(s.t, l.Limit, s.view.ColdLimit)
+	}
+}
+
+// finish ends an open attempt: whole, refused by the target, or cut off.
+func (s *schedule) finish() {
+	if len(s.open) == 0 {
+		return
+	}
+
+	i := s.pick(len(s.open), "open")
+	id := s.open[i]
+	s.open = append(s.open[:i], s.open[i+1:]...)
+
+	switch s.pick(6, "how") {
+	case 0:
+		s.core.Finish(s.now, id, Outcome{Abandoned: true})
+		s.target.running[id] = s.now.Add(time.Duration(s.pick(1000, "lingers")) * time.Millisecond)
+	case 1:
+		s.core.Finish(s.now, id, Outcome{Verdict: verdict.NotRun})
+		delete(s.target.running, id)
+		s.never[id] = true
+	default:
+		s.core.FirstToken(s.now, id)
+		s.core.Finish(s.now, id, Outcome{Verdict: verdict.Ran})
+		delete(s.target.running, id)
+	}
+
+	s.settleTarget()
+}
+
+func (s *schedule) ask() {
+	if len(s.credits) == 0 {
+		return
+	}
+
+	var r Arrival
+	if len(s.sent) > 0 && s.pick(2, "known") == 0 {
+		r = s.sent[s.pick(len(s.sent), "sent")]
+	} else {
+		s.n++
+		r = Arrival{AttemptID: fmt.Sprint(s.n), Credit: s.credits[len(s.credits)-1], Service: "assist"}
+		s.sent = append(s.sent, r)
+	}
+
+	f := s.core.Ask(s.now, Question{
+		AttemptID: r.AttemptID, Incarnation: r.Credit.Incarnation,
+		CreditExpiresAtTick: r.Credit.ExpiresAtTick, Close: s.pick(2, "close") == 0,
+	})
+
+	switch f.State {
+	case wire.AskState_AskClosed:
+		require.Zero(s.t, s.admitted[r.AttemptID]*s.bool(!s.never[r.AttemptID]), "closed, but it was let in")
+		s.never[r.AttemptID] = true
+	case wire.AskState_AskRan, wire.AskState_AskRunning:
+		require.Equal(s.t, 1, s.admitted[r.AttemptID])
+	}
+}
+
+// boot replaces the target by a cold one.
+func (s *schedule) boot() {
+	s.target.bootID += "+"
+	s.target.cold = s.pick(2, "cold") == 0
+	s.target.running = map[string]time.Time{}
+	s.target.reported = 0
+
+	for _, id := range s.open {
+		s.core.Finish(s.now, id, Outcome{Abandoned: true})
+	}
+
+	s.open = nil
+	s.announce()
+}
+
+// restart replaces the agent. The target drops the connections of the old one in its own time.
+func (s *schedule) restart() {
+	for _, id := range s.open {
+		s.target.running[id] = s.now.Add(time.Duration(s.pick(10_000, "lingers")) * time.Millisecond)
+	}
+
+	s.open = nil
+	s.now = s.now.Add(time.Millisecond)
+	s.core = Core{AgentID: "agent-1", Incarnation: s.core.Incarnation + 1, Started: s.now}
+	s.core.ChangeView(s.now, s.view)
+	s.announce()
+}
+
+func (s *schedule) changeView() {
+	s.view.Version++
+	s.view.ZoneOut = s.pick(3, "out") == 0
+	s.view.ColdLimit = uint32(1 + s.pick(4, "cold limit"))
+	s.view.WarmLimit = uint32(1 + s.pick(16, "warm limit"))
+	s.core.ChangeView(s.now, s.view)
+}
+
+// A cold target would be pushed over, or a booking made twice or denied, under any
+// order of events: sudden cold, restarts of agent and target with work in flight,
+// many entries, lowered limits, a zone that leaves and returns, late copies.
+func TestAdmissionHoldsUnderSchedules(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSchedule(t)
+		s.announce()
+
+		weighted := []func(){
+			s.send, s.send, s.send, s.send, s.send, s.send, s.grant, s.grant, s.grant,
+			s.finish, s.finish, s.finish, s.pass, s.pass, s.announce, s.announce, s.count,
+			s.ask, s.changeView, s.boot, s.restart,
+		}
+
+		for range 300 {
+			weighted[s.pick(len(weighted), "event")]()
+		}
+	})
+}
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -24,8 +24,9 @@
 	norm        norm
 }
 
-// bounds sets floor and top. A top of 0 leaves the target at its floor.
-func (r *ramp) bounds(cold, warm, capacity uint32) {
+// bounds sets floor and top, and reports whether the floor is lower than before.
+// Without a warm limit and a capacity one request is let through at a time.
+func (r *ramp) bounds(cold, warm, capacity uint32) bool {
 	top := warm
 	if capacity > 0 && (top == 0 || capacity < top) {
 		top = capacity
@@ -34,9 +35,12 @@
 	floor := max(cold, 1)
 	top = max(top, 1)
 	floor = min(floor, top)
+	fell := float64(floor) < r.floor
 	r.floor = float64(floor)
 	r.top = float64(top)
 	r.limit = min(max(r.limit, r.floor), r.top)
+
+	return fell
 }
 
 // ramping reports whether the target isn't yet trusted with its warm limit.
@@ -58,7 +62,6 @@
 	r.windowLimit = r.floor
 	r.windowEnds = now.Add(interval)
 	r.norm.row = 0
-	r.norm.ramping = 0
 }
 
 // completed takes one whole answer; inFlight counts it still.
@@ -72,5 +75,5 @@
 		r.windowLimit = 2 * r.limit
 	}
 
-	r.limit = min(r.limit+growth, r.windowLimit, r.top)
+	r.limit = max(r.limit, min(r.limit+growth, r.windowLimit, r.top))
 }
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -4,9 +4,11 @@
 
 // Settings tune a Core. Zero fields take their defaults.
 type Settings struct {
-	// CreditLife is how long a credit holds; ContendedLife applies while entries wait for one.
-	CreditLife    time.Duration
-	ContendedLife time.Duration
+	// CreditLife is how long a credit holds. Its slots are reserved for ReserveFor
+	// only, and for a fifth of that while other entries wait; after that a request on
+	// it is let in where there is room.
+	CreditLife time.Duration
+	ReserveFor time.Duration
 	// WaitLife is for how long a waiting entry that doesn't ask again keeps its turn.
 	WaitLife time.Duration
 	// RememberFor is how long an ended attempt is remembered after its credit's expiry.
@@ -28,7 +30,7 @@
 // The defaults of Settings.
 const (
 	DefaultCreditLife      = 2 * time.Second
-	DefaultContendedLife   = 250 * time.Millisecond
+	DefaultReserveFor      = 250 * time.Millisecond
 	DefaultWaitLife        = 100 * time.Millisecond
 	DefaultRememberFor     = time.Minute
 	DefaultMaxAttempts     = 1 << 16
@@ -48,7 +50,7 @@
 // fill puts the defaults into zero fields.
 func (s *Settings) fill() {
 	orDefault(&s.CreditLife, DefaultCreditLife)
-	orDefault(&s.ContendedLife, DefaultContendedLife)
+	orDefault(&s.ReserveFor, DefaultReserveFor)
 	orDefault(&s.WaitLife, DefaultWaitLife)
 	orDefault(&s.RememberFor, DefaultRememberFor)
 	orDefault(&s.MaxAttempts, DefaultMaxAttempts)
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -2,37 +2,104 @@
 
 import "time"
 
+const (
+	// maxEntries bounds the entries that are known at a time.
+	maxEntries = 4096
+	// sweepEvery is how often lapsed reservations are looked for, at most.
+	sweepEvery = 10 * time.Millisecond
+	// window is how many of the longest waiting entries may take the next free place.
+	// Held for the first alone, the place would stay empty until that one asks again.
+	window = 8
+	// maxFree is how long a place is kept for those that wait; then whoever asks gets
+	// it. Entries that went elsewhere seem to wait for a while, and a target would
+	// idle for their sake.
+	maxFree = 10 * time.Millisecond
+	// maxPassed is how many others may be served before the longest waiting entry;
+	// then a place is kept for it.
+	maxPassed = 32
+)
+
 // share divides the limit among the entries that ask for credits.
 //
-// Slots are reservations: their sum over unexpired credits stays within the
-// limit, so that a request on a credit is seldom refused. A request beyond its
-// slots is let in where nobody else's reservation is touched.
+// Slots are short reservations: their sum stays within the limit, so that a
+// request on a fresh credit is seldom refused. A request beyond its slots is let
+// in where nobody else's reservation is touched.
 //
 // It guards against parked capacity and starved entries where hundreds share a
-// limit of two: while others wait, credits are short and aren't renewed past the
-// fair share, and an entry that asks again and again is served before those that
-// were served since.
+// limit of two: reservations that aren't used lapse soon, while others wait none
+// is renewed by an answer alone, and entries that ask again and again are served
+// in about the order in which they came.
 type share struct {
 	entries map[string]*entry
-	serial  uint64
+	// queue holds the entries that asked in vain more than once, longest waiting first.
+	queue  []*entry
+	serial uint64
+	// sum is over all entries.
+	sum     standing
+	sweepAt time.Time
+	// freeSince is since when there has been a free place, or zero.
+	freeSince time.Time
+}
+
+// standing is what a group of entries holds and wants.
+type standing struct {
+	reserved int
+	active   int
+	waiting  int
 }
 
 // entry is the standing of one entry.
 type entry struct {
-	slots     int
-	expiresAt time.Time
-	inFlight  int
-	wanted    int
-	// waitsSince is when the entry first asked in vain, zero while it doesn't wait;
-	// waitsUntil is when its turn lapses unless it asks again.
-	waitsSince time.Time
-	waitsUntil time.Time
+	// slots are reserved until reservedUntil.
+	slots         int
+	reservedUntil time.Time
+	inFlight      int
+	wanted        int
+	// asks counts how often the entry asked in vain; at waitsUntil its turn lapses.
 	asks       int
+	waitsUntil time.Time
+	queued     bool
+	passed     int
 }
 
 // held is how much of the limit is reserved for e.
 func (e *entry) held() int { return max(e.slots, e.inFlight) }
 
+// standing is what e adds to the sum.
+func (e *entry) standing() standing {
+	st := standing{reserved: e.held()}
+
+	if e.asks > 0 {
+		st.waiting = 1
+	}
+
+	if st.reserved > 0 || st.waiting > 0 {
+		st.active = 1
+	}
+
+	return st
+}
+
+// minus returns st without other.
+func (st standing) minus(other standing) standing {
+	return standing{
+		reserved: st.reserved - other.reserved,
+		active:   st.active - other.active,
+		waiting:  st.waiting - other.waiting,
+	}
+}
+
+// change alters e and keeps the sum right.
+func (s *share) change(e *entry, alter func(e *entry)) {
+	s.sum = s.sum.minus(e.standing())
+	alter(e)
+
+	st := e.standing()
+	s.sum.reserved += st.reserved
+	s.sum.active += st.active
+	s.sum.waiting += st.waiting
+}
+
 // of returns the standing of an entry.
 func (s *share) of(id string) *entry {
 	e := s.entries[id]
@@ -44,93 +111,172 @@
 	return e
 }
 
-// expire drops lapsed reservations and turns, and entries that hold nothing.
-func (s *share) expire(now time.Time) {
+// full reports whether there is no place for one more entry with this ID.
+func (s *share) full(id string) bool {
+	return s.entries[id] == nil && len(s.entries) >= maxEntries
+}
+
+// sweep drops lapsed reservations and turns, and entries that hold nothing. Between
+// sweeps a lapsed one counts still, which refuses a little too much.
+func (s *share) sweep(now time.Time) {
+	if now.Before(s.sweepAt) {
+		return
+	}
+
+	s.sweepAt = now.Add(sweepEvery)
+
 	for id, e := range s.entries {
-		if !e.expiresAt.After(now) {
-			e.slots = 0
-		}
+		s.lapse(e, now)
 
-		if !e.waitsUntil.After(now) {
-			e.waitsSince = time.Time{}
-			e.asks = 0
+		if e.standing() == (standing{}) {
+			delete(s.entries, id)
 		}
+	}
 
-		if e.held() == 0 && e.waitsSince.IsZero() {
-			delete(s.entries, id)
+	kept := s.queue[:0]
+
+	for _, e := range s.queue {
+		if e.queued {
+			kept = append(kept, e)
 		}
 	}
+
+	clear(s.queue[len(kept):])
+	s.queue = kept
 }
 
-// standing sums up the other entries, as seen by one that asks.
-type standing struct {
-	reserved int
-	// ahead counts those that have waited longer and asked more than once.
-	ahead   int
-	waiting int
-	active  int
+// lapse drops what of e has expired.
+func (s *share) lapse(e *entry, now time.Time) {
+	if e.slots > 0 && !e.reservedUntil.After(now) {
+		s.change(e, func(e *entry) { e.slots = 0 })
+	}
+
+	if e.asks > 0 && !e.waitsUntil.After(now) {
+		s.stopWaiting(e)
+	}
 }
 
-func (s *share) standing(self *entry, now time.Time) standing {
-	st := standing{active: 1}
+func (s *share) stopWaiting(e *entry) {
+	s.change(e, func(e *entry) {
+		e.asks = 0
+		e.queued = false
+		e.passed = 0
+	})
+}
 
-	for _, e := range s.entries {
-		if e == self {
-			continue
-		}
+// wait records that e asked in vain.
+func (s *share) wait(e *entry, until time.Time) {
+	s.change(e, func(e *entry) { e.asks++ })
+	e.waitsUntil = until
 
-		e.lapse(now)
-		st.reserved += e.held()
+	if e.asks > 1 && !e.queued {
+		e.queued = true
+		s.queue = append(s.queue, e)
+	}
+}
 
-		if e.waitsSince.IsZero() {
-			if e.held() > 0 {
-				st.active++
-			}
+// served records that e got a place, before others that wait for one.
+func (s *share) served(e *entry) {
+	s.freeSince = time.Time{}
 
-			continue
-		}
+	if first := s.first(); first != nil && first != e {
+		first.passed++
+	}
 
-		st.active++
-		st.waiting++
+	if e.asks > 0 {
+		s.stopWaiting(e)
+	}
+}
 
-		if e.asks > 1 && (self.waitsSince.IsZero() || e.waitsSince.Before(self.waitsSince)) {
-			st.ahead++
+// first is the longest waiting entry, or nil.
+func (s *share) first() *entry {
+	for _, e := range s.queue {
+		if e.queued {
+			return e
 		}
 	}
 
-	return st
+	return nil
 }
 
-// lapse drops what of e has expired.
-func (e *entry) lapse(now time.Time) {
-	if e.slots > 0 && !e.expiresAt.After(now) {
-		e.slots = 0
+// ahead counts the places, of the room that is free now, that are kept for entries before e.
+func (s *share) ahead(now time.Time, e *entry, room int) int {
+	if room <= 0 {
+		return 0
 	}
 
-	if !e.waitsSince.IsZero() && !e.waitsUntil.After(now) {
-		e.waitsSince = time.Time{}
-		e.asks = 0
+	if s.freeSince.IsZero() {
+		s.freeSince = now
+	}
+
+	if now.Sub(s.freeSince) >= maxFree {
+		return 0
+	}
+
+	older := 0
+
+	for _, other := range s.queue {
+		if other == e || older >= window+room {
+			break
+		}
+
+		if other.queued {
+			older++
+		}
+	}
+
+	n := max(older-window, 0)
+
+	if first := s.first(); n == 0 && first != nil && first != e && first.passed >= maxPassed {
+		n = 1
 	}
+
+	return n
 }
 
-// finished takes the end of one request of an entry.
-func (s *share) finished(id string) {
-	if e := s.entries[id]; e != nil && e.inFlight > 0 {
-		e.inFlight--
+// position is how many entries have waited longer than e.
+func (s *share) position(e *entry) int {
+	n := 0
+
+	for _, other := range s.queue {
+		if other == e {
+			break
+		}
+
+		if other.queued {
+			n++
+		}
 	}
+
+	return n
 }
 
-// spare is an eighth of the limit, left for entries that come next, so that one
-// that took all doesn't keep them waiting for its credit to expire.
-func spare(limit int) int { return limit / 8 }
+// started and finished count the requests in flight of an entry.
+func (s *share) started(id string) {
+	s.freeSince = time.Time{}
+	s.change(s.of(id), func(e *entry) { e.inFlight++ })
+}
 
-// allot returns how many slots an entry gets that wants some.
-func (st standing) allot(wanted, limit int) int {
-	room := limit - st.reserved - st.ahead
-	fair := max(limit/st.active, 1)
-	n := min(wanted, room)
+func (s *share) finished(id string, now time.Time) {
+	if s.freeSince.IsZero() {
+		s.freeSince = now
+	}
+
+	if e := s.entries[id]; e != nil && e.inFlight > 0 {
+		s.change(e, func(e *entry) { e.inFlight-- })
+	}
+}
 
-	if st.waiting > 0 {
+// allot returns how many slots e gets of limit.
+func (s *share) allot(now time.Time, e *entry, limit int) int {
+	others := s.sum.minus(e.standing())
+	room := limit - others.reserved
+	room -= s.ahead(now, e, room)
+	// One more than there are may come, and shall find its part.
+	fair := max(limit/(others.active+2), 1)
+	n := min(e.wanted, room)
+
+	if others.waiting > 0 {
 		n = min(n, fair)
 	} else {
 		n = min(n, max(fair, room-spare(limit)))
@@ -138,3 +284,20 @@
 
 	return max(n, 0)
 }
+
+// othersWait reports whether other entries than e wait.
+func (s *share) othersWait(e *entry) bool {
+	return s.sum.waiting > e.standing().waiting
+}
+
+// spare is an eighth of the limit, left for entries that come next, so that one
+// that took all doesn't keep them waiting for its credit to expire.
+func spare(limit int) int { return limit / 8 }
+
+// open reports whether e may have one more request than its slots: where there is
+// room that nobody else has reserved or waits for.
+func (s *share) open(now time.Time, e *entry, limit int) bool {
+	room := limit - s.sum.minus(e.standing()).reserved - e.inFlight
+
+	return room-s.ahead(now, e, room) > 0
+}
--- a/internal/admission/unknown.go
+++ b/internal/admission/unknown.go
@@ -13,6 +13,7 @@
 // unknownItem is one or more requests with the same history.
 type unknownItem struct {
 	n         int
+	inherited bool
 	sentAt    time.Time
 	expiresAt time.Time
 }
@@ -22,7 +23,7 @@
 
 // inherit counts the work of an earlier incarnation of the agent, assuming the worst.
 func (u *unknownWork) inherit(sentAt, expiresAt time.Time) {
-	u.items = append(u.items, unknownItem{n: unbounded, sentAt: sentAt, expiresAt: expiresAt})
+	u.items = append(u.items, unknownItem{n: unbounded, inherited: true, sentAt: sentAt, expiresAt: expiresAt})
 }
 
 // abandon counts one request that was cancelled.
@@ -30,16 +31,15 @@
 	u.items = append(u.items, unknownItem{n: 1, sentAt: sentAt, expiresAt: expiresAt})
 }
 
-// reported takes the target's own count. The count is as old as the previous
-// announcement at worst, so it only tells about work sent before that: known
-// such requests are still in it, and what remains bounds the unknown ones. At the
-// first announcement there is no previous one, and only inherited work is there.
+// reported takes the target's own count, taken since the previous announcement
+// came. It so tells only about work sent before that one: what the agent still has
+// running of that work is in the count, and the rest bounds the unknown work.
 func (u *unknownWork) reported(count int, previous time.Time, known int) {
 	room := max(count-known, 0)
 	kept := u.items[:0]
 
 	for _, it := range u.items {
-		if previous.IsZero() || it.sentAt.Before(previous) {
+		if it.sentAt.Before(previous) {
 			it.n = min(it.n, room)
 			room -= it.n
 		}
@@ -65,10 +65,14 @@
 	u.items = kept
 }
 
-func (u *unknownWork) count() int {
+// count sums the inherited work up, and with cancelled that of cancelled callers.
+func (u *unknownWork) count(cancelled bool) int {
 	n := 0
+
 	for _, it := range u.items {
-		n += it.n
+		if it.inherited || cancelled {
+			n += it.n
+		}
 	}
 
 	return n
--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -82,6 +82,7 @@
 
 	r.rpc = wire.NewAgentProtobufClient(r.url(""), r.client)
 	r.announce(r.bootID)
+	r.announce(r.bootID) // the first count isn't relied on
 	r.t.Cleanup(func() {
 		cancel()
 		r.client.CloseIdleConnections()
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -61,18 +61,13 @@
 }
 
 func refusalFrame(attemptID string, f refusal, now time.Time, load *wire.Load) *wire.Frame {
-	body := &wire.Refusal{
-		AttemptID: attemptID,
-		Verdict:   wire.Verdict(f.verdict),
-		Cause:     string(f.cause),
-		Load:      load,
-	}
-
-	if f.retryAt.After(now) {
-		body.RetryAfterMillis = uint64(f.retryAt.Sub(now)+time.Millisecond-1) / uint64(time.Millisecond)
-	}
-
-	return &wire.Frame{Kind: &wire.Frame_Refusal{Refusal: body}}
+	return &wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{
+		AttemptID:        attemptID,
+		Verdict:          wire.Verdict(f.verdict),
+		Cause:            string(f.cause),
+		RetryAfterMillis: millisUntil(f.retryAt, now),
+		Load:             load,
+	}}}
 }
 
 // readRequest reads a request within its limits. Without a request there is none
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -26,7 +26,11 @@
 	g, l := a.door.grant(now, admission.GrantAsk{EntryID: r.GetEntryID(), Wanted: r.GetWanted()})
 	a.counters.granted.Inc(1)
 
-	return &wire.GrantResponse{Credit: creditToWire(g, now), Load: loadToWire(l)}, nil
+	return &wire.GrantResponse{
+		Credit:           creditToWire(g, now),
+		Load:             loadToWire(l),
+		RetryAfterMillis: millisUntil(g.RetryAt, now),
+	}, nil
 }
 
 // Ask says what became of an attempt.
@@ -52,6 +56,15 @@
 	return nil, twirp.NewError(twirp.Unimplemented, "orders are not served yet") //nolint:wrapcheck // the caller of twirp gets it as it is
 }
 
+// millisUntil is the time from now to at, rounded up; 0 for an instant that has passed.
+func millisUntil(at, now time.Time) uint64 {
+	if !at.After(now) {
+		return 0
+	}
+
+	return uint64((at.Sub(now) + time.Millisecond - 1) / time.Millisecond)
+}
+
 func creditToWire(g admission.Grant, now time.Time) *wire.Credit {
 	return &wire.Credit{
 		AgentID:         g.Credit.AgentID,
