Compare all of a subset, and trust reports only shortly

Change: compare 32 targets; a report counts half at 100 ms of age; what this entry had in flight is taken off as of the report's date (history). Conclusion: own requests in flight are the best signal; keep.

--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -109,7 +109,7 @@
 		return
 	}
 
-	t.reported = max(0, ev.InFlight+ev.Queued-t.own)
+	t.reported = max(0, ev.InFlight+ev.Queued-t.history.at(ev.TakenAt))
 	t.reportedAt = ev.TakenAt
 	t.limit = ev.Limit
 	t.Cold = ev.Cold
@@ -155,7 +155,7 @@
 		return
 	}
 
-	t.own = max(0, t.own-1)
+	t.count(now, max(0, t.own-1))
 	c.learn(now, p, t, ev)
 }
 
@@ -294,7 +294,7 @@
 		t.health.probing++
 	}
 
-	t.own++
+	t.count(now, t.own+1)
 
 	return Choice{
 		AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation, Cold: t.Cold,
@@ -314,10 +314,11 @@
 	}
 }
 
-// pick compares a few random targets, and those that hold a prefix.
+// pick compares targets from a random place on, and takes the first of those
+// whose costs are nearly equal.
 func (c *Chooser) pick(now time.Time, p *pool, ask *Ask) *target {
 	n := len(p.targets)
-	start, left := c.Rand.IntN(n), n
+	first := c.Rand.IntN(n)
 
 	var (
 		best     *target
@@ -325,21 +326,21 @@
 		seen     int
 	)
 
-	for left > 0 && seen < c.Settings.Candidates {
-		t := p.targets[start%n]
-		start += 1 + c.Rand.IntN(3)
-		left--
-
+	for i := range n {
+		t := p.targets[(first+i)%n]
 		if !c.usable(now, t, ask) {
 			continue
 		}
 
-		seen++
-
 		cost := c.cost(now, p, t, ask)
 		if best == nil || cost < bestCost-c.Settings.NearEqual {
 			best, bestCost = t, cost
 		}
+
+		seen++
+		if seen == c.Settings.Candidates {
+			break
+		}
 	}
 
 	return best
--- /dev/null
+++ b/internal/routing/load_bench_test.go
@@ -0,0 +1,118 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/routing"
+)
+
+// way is one way of choosing, by name.
+type way struct {
+	name string
+	make func(*rand.Rand, []routing.Target, []int) picker
+}
+
+// ways are the baselines and ours. Former is ours as it was before the last change.
+func ways() []way {
+	return []way{
+		{"RoundRobin", roundRobin},
+		{"LeastReported", leastReported},
+		{"TwoChoices", twoChoices},
+		{"Former", ours(routing.Settings{Candidates: 3, NearEqual: 0.02, OtherZone: 0.05, ReportLife: 2 * time.Second})},
+		{"Ours", ours(routing.Settings{})},
+	}
+}
+
+// size is a deployment's size in the model.
+type size struct {
+	name             string
+	entries, targets int
+	limit            int
+	degree           int
+	seconds          int
+}
+
+var sizes = []size{
+	{"Today", 3, 12, 8, 12, 120},
+	{"Large", 410, 600, 64, 30, 20},
+}
+
+func newModel(seed uint64, s size, w way, lag time.Duration) *model {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	m := &model{rng: rng, base: 2 * time.Second, lag: lag, deadline: time.Minute, horizon: time.Duration(s.seconds) * time.Second}
+	m.results.answeredAt, m.results.offeredAt = map[int]int{}, map[int]int{}
+	zones := []string{"ayutthaya", "ang-thong", "saraburi"}
+
+	var list []routing.Target
+
+	for i := range s.targets {
+		d := routing.Target{AgentID: fmt.Sprintf("t%03d", i), Service: service, Zone: zones[i%3], Region: "central-th", Capacity: s.limit, Incarnation: 1}
+		list = append(list, d)
+		m.targets = append(m.targets, &modelTarget{Target: d, warmLimit: s.limit, limit: s.limit, slow: 1, granted: map[int]grant{}})
+	}
+
+	for e := range s.entries {
+		subset := rng.Perm(s.targets)[:s.degree]
+		m.entries = append(m.entries, &modelEntry{index: e, zone: zones[e%3], subset: subset, picker: w.make(rng, list, subset)})
+	}
+
+	return m
+}
+
+// perSecond is the rate that fills that share of all targets.
+func perSecond(s size, share float64) float64 {
+	return share * float64(s.targets*s.limit) / 2
+}
+
+func report(b *testing.B, m *model) {
+	r := &m.results
+	b.ReportMetric(mean(r.imbalance), "imbalance")
+	b.ReportMetric(quantile(r.latencies, 0.95), "p95-s")
+	b.ReportMetric(quantile(r.latencies, 0.99), "p99-s")
+	b.ReportMetric(100*float64(r.refused)/float64(r.offered), "refused-%")
+	b.ReportMetric(float64(r.tries)/float64(r.offered), "tries/req")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkLaggedReports measures balance and latency under reports of 500 ms of age.
+func BenchmarkLaggedReports(b *testing.B) {
+	for _, s := range sizes {
+		for _, lag := range []time.Duration{0, 500 * time.Millisecond} {
+			for _, load := range []float64{0.6, 0.9} {
+				for _, w := range ways() {
+					b.Run(fmt.Sprintf("%s/lag=%v/load=%.1f/%s", s.name, lag, load, w.name), func(b *testing.B) {
+						for range b.N {
+							m := newModel(1, s, w, lag)
+							m.watch(5 * time.Second)
+							m.arrivals(perSecond(s, load), m.horizon, func(e *modelEntry) { m.try(m.newJob(e)) })
+							m.run()
+							report(b, m)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkChoose is the cost of one choice and its end with 30 and 600 targets.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{12, 30, 600} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			c := newChooser(1, targets(n)...)
+			for i := range n {
+				credit(c, fmt.Sprintf("t%02d", i), 64, epoch.Add(time.Hour))
+			}
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				got, _ := c.Choose(epoch, routing.Ask{Service: service, Zone: "ang-thong", Region: "central-th"})
+				c.Finish(epoch, routing.Finished{AgentID: got.AgentID, Incarnation: 1})
+			}
+		})
+	}
+}
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -5,18 +5,21 @@
 // Settings are the tunable numbers of a Chooser. The zero value of each field
 // stands for the default named beside it.
 type Settings struct {
-	// Candidates is how many random targets are compared for one request (3).
+	// Candidates is how many targets are compared for one request (32): all of a
+	// subset, a random part of a longer list.
 	Candidates int
-	// NearEqual is the difference of cost below which the pick is random (0.02).
+	// NearEqual is the difference of cost below which the pick is random (0.005).
 	NearEqual float64
-	// OtherZone and OtherRegion are added to the cost of far targets (0.05, 0.5).
+	// OtherZone and OtherRegion are added to the cost of far targets (0.02, 0.5).
 	OtherZone   float64
 	OtherRegion float64
 	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.5).
 	PrefixGain float64
 	// FirstContact is how many requests a warm target without a credit may get (2).
 	FirstContact int
-	// ReportLife is how long a report counts fully against the pool's mean (2 s).
+	// ReportLife is the age at which a report counts half against the pool's mean
+	// (100 ms). Short on purpose: what this entry has in flight is exact, and a
+	// long trust in the same old report makes all entries send to the same targets.
 	ReportLife time.Duration
 	// FailureRun is how many failures in a row set a target aside (3).
 	FailureRun int
@@ -40,13 +43,13 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	orInt(&s.Candidates, 3)
-	orFloat(&s.NearEqual, 0.02)
-	orFloat(&s.OtherZone, 0.05)
+	orInt(&s.Candidates, 32)
+	orFloat(&s.NearEqual, 0.005)
+	orFloat(&s.OtherZone, 0.02)
 	orFloat(&s.OtherRegion, 0.5)
 	orFloat(&s.PrefixGain, 0.5)
 	orInt(&s.FirstContact, 2)
-	orTime(&s.ReportLife, 2*time.Second)
+	orTime(&s.ReportLife, 100*time.Millisecond)
 	orInt(&s.FailureRun, 3)
 	orFloat(&s.FailureShare, 0.5)
 	orFloat(&s.SlowRatio, 4)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -7,7 +7,8 @@
 	Target
 
 	// own is what this entry has in flight there.
-	own int
+	own     int
+	history history
 	// reported is the target's load by its last report, without what this
 	// entry itself had there; reportedAt is zero before the first report.
 	reported   int
@@ -73,3 +74,9 @@
 
 	return weight*float64(t.reported) + (1-weight)*mean
 }
+
+// count sets what this entry has in flight there.
+func (t *target) count(now time.Time, n int) {
+	t.own = n
+	t.history.set(now, n)
+}
