Add expert placement and popularity estimation, first version

Cause: yesterday's expert map is wrong today, and a rank that carries popular experts or is slow holds back all others in every layer. Change: a local search for each layer (drop, replicate, move, swap on the slowest rank) that keeps the prefix with the highest net gain; layers are taken by time saved for each copy while the whole still gains; transfers are scheduled within the store's and each rank's rate. Popularity, its life and rank speeds are estimated from growing counters, so lost, late and doubled reports do no harm.

--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,68 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/parsleygate/parsleygate/internal/placement"
+)
+
+func policies() []policy {
+	packed := false
+	return []policy{
+		{name: "even", decide: func(*placement.Group) *placement.Map { return nil }},
+		{name: "static", instant: true, decide: func(g *placement.Group) *placement.Map {
+			if packed {
+				return nil
+			}
+			packed = true
+
+			return greedy(g)
+		}},
+		{name: "scratch-instant", decide: greedy, instant: true},
+		{name: "scratch", decide: greedy},
+		{name: "planner", decide: planned(newPlanner())},
+	}
+}
+
+func planned(p *placement.Planner) func(*placement.Group) *placement.Map {
+	return func(g *placement.Group) *placement.Map {
+		d, err := p.Decide(g)
+		if err != nil {
+			panic(err)
+		}
+
+		return d.Map
+	}
+}
+
+// BenchmarkSkew plays every policy through every scene of four hours.
+func BenchmarkSkew(b *testing.B) {
+	for _, s := range scenes() {
+		for _, p := range policies() {
+			b.Run(s.name+"/"+p.name, func(b *testing.B) {
+				var o outcome
+				for b.Loop() {
+					o = play(s, 1, p)
+				}
+				b.ReportMetric(o.quantile(0.5), "skew-p50")
+				b.ReportMetric(o.quantile(0.95), "skew-p95")
+				b.ReportMetric(o.quantile(0.99), "skew-p99")
+				b.ReportMetric(mean(o.ideals), "time/ideal")
+				b.ReportMetric(float64(o.bytes)/(1<<30), "GiB")
+				b.ReportMetric(float64(o.rebalances), "rebalances")
+				b.ReportMetric(o.slowed/max(1, float64(o.rebalances)), "slowed-steps/rebalance")
+				b.ReportMetric(float64(o.decided.Nanoseconds())/periods, "decide-ns")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+
+	return sum / float64(len(values))
+}
--- /dev/null
+++ b/internal/placement/group_test.go
@@ -0,0 +1,282 @@
+package placement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/placement"
+	"github.com/parsleygate/parsleygate/internal/popularity"
+)
+
+// The modelled group: sizes of the plan, a store share that its 150 groups could get.
+const (
+	period       = time.Minute
+	samples      = 6 // skew samples in each period
+	periods      = 240
+	reporters    = 6 // ranks that count tokens; all ranks report their speed
+	stepMillis   = 40
+	tokensAStep  = 4096
+	lostReports  = 0.05
+	twiceReports = 0.03
+	lateReports  = 0.03
+)
+
+var shape = placement.Shape{Layers: 60, Ranks: 32, SlotsPerRank: 6, Experts: 128}
+
+// scene is one course of popularity and speed.
+type scene struct {
+	name string
+	// sigma is the spread of the experts' log popularity, or zipf its exponent.
+	sigma, zipf float64
+	// life is the time in which popularity drifts away.
+	life time.Duration
+	// shiftAt is the period of a sudden shift, 0 for none.
+	shiftAt int
+	// speed gives a rank's speed in a period.
+	speed func(rank, period int) float64
+}
+
+func even(int, int) float64 { return 1 }
+
+func scenes() []scene {
+	return []scene{
+		{name: "drift", sigma: 0.7, life: 3 * time.Hour, speed: even},
+		{name: "zipf", zipf: 0.7, life: 12 * time.Hour, speed: even},
+		{name: "shift", sigma: 0.7, life: 12 * time.Hour, shiftAt: periods / 2, speed: even},
+		{name: "slow-rank", sigma: 0.7, life: 3 * time.Hour, speed: slowRank},
+		{name: "stalled-rank", sigma: 0.7, life: 3 * time.Hour, speed: stalledRank},
+	}
+}
+
+func slowRank(rank, period int) float64 {
+	if rank == 7 && period >= periods/4 {
+		return 0.6
+	}
+
+	return 1
+}
+
+func stalledRank(rank, period int) float64 {
+	if rank == 11 && (period/20)%4 == 1 && period%20 < 3 {
+		return 0.1
+	}
+
+	return 1
+}
+
+// group models one group: true popularity, counters, map and transfers.
+type group struct {
+	scene   scene
+	rng     *rand.Rand
+	base    []float64 // log popularity towards which z returns
+	z       []float64 // log popularity
+	tokens  []float64
+	speed   []float64
+	counts  [][]uint64
+	busy    []time.Duration
+	work    []uint64
+	seq     uint64
+	tracker *popularity.Tracker
+	late    []popularity.Report
+}
+
+func newGroup(s scene, seed uint64) *group {
+	n := shape.Layers * shape.Experts
+	g := &group{
+		scene: s, rng: rand.New(rand.NewPCG(seed, 5)),
+		base: make([]float64, n), z: make([]float64, n), tokens: make([]float64, n),
+		speed: make([]float64, shape.Ranks), counts: make([][]uint64, shape.Ranks),
+		busy: make([]time.Duration, shape.Ranks), work: make([]uint64, shape.Ranks),
+		tracker: newTracker(),
+	}
+	for r := range reporters {
+		g.counts[r] = make([]uint64, n)
+	}
+	g.reset()
+
+	return g
+}
+
+func newTracker() *popularity.Tracker {
+	return &popularity.Tracker{
+		Layers: shape.Layers, Experts: shape.Experts, Ranks: shape.Ranks,
+		Gain: 0.4, SpeedGain: 0.3, MaxLife: 6 * time.Hour,
+	}
+}
+
+// reset draws every expert's popularity anew.
+func (g *group) reset() {
+	for l := range shape.Layers {
+		order := g.rng.Perm(shape.Experts)
+		for e, place := range order {
+			i := l*shape.Experts + e
+			if g.scene.zipf > 0 {
+				g.base[i] = -g.scene.zipf * math.Log(float64(place+1))
+				g.z[i] = g.base[i]
+			} else {
+				g.z[i] = g.scene.sigma * g.rng.NormFloat64()
+			}
+		}
+	}
+}
+
+// advance moves popularity on by one sample and counts its tokens.
+func (g *group) advance(k int) {
+	if g.scene.shiftAt > 0 && k == g.scene.shiftAt*samples {
+		g.reset()
+	}
+	step := (period / samples).Seconds() / g.scene.life.Seconds()
+	sigma := max(g.scene.sigma, 0.5)
+	for i := range g.z {
+		g.z[i] += (g.base[i]-g.z[i])*step + sigma*math.Sqrt(2*step)*g.rng.NormFloat64()
+	}
+	for i := range g.tokens {
+		g.tokens[i] = math.Exp(g.z[i] + 0.1*g.rng.NormFloat64())
+	}
+	for r := range g.speed {
+		g.speed[r] = g.scene.speed(r, k/samples)
+	}
+	g.count()
+}
+
+func (g *group) count() {
+	steps := (period / samples).Milliseconds() / stepMillis
+	for l := range shape.Layers {
+		layer := g.tokens[l*shape.Experts : (l+1)*shape.Experts]
+		sum := 0.0
+		for _, t := range layer {
+			sum += t
+		}
+		for e, t := range layer {
+			for r := range reporters {
+				g.counts[r][l*shape.Experts+e] += uint64(t / sum * float64(steps*tokensAStep) / float64(shape.Ranks) * (0.95 + 0.1*g.rng.Float64()))
+			}
+		}
+	}
+	for r := range g.speed {
+		work := float64(steps) * tokensAStep / float64(shape.Ranks)
+		g.work[r] += uint64(work)
+		g.busy[r] += time.Duration(work / g.speed[r] / 1e4 * (0.97 + 0.06*g.rng.Float64()) * float64(time.Second))
+	}
+}
+
+// report hands the counters to the tracker, some lost, doubled or a period late.
+func (g *group) report(now time.Time) {
+	g.seq++
+	late := g.late
+	g.late = nil
+	for r := range shape.Ranks {
+		rep := popularity.Report{Rank: r, Incarnation: 1, Seq: g.seq, Busy: g.busy[r], Work: g.work[r], Tokens: g.counts[r]}
+		switch x := g.rng.Float64(); {
+		case x < lostReports:
+		case x < lostReports+lateReports:
+			rep.Tokens = slices.Clone(rep.Tokens)
+			g.late = append(g.late, rep)
+		case x < lostReports+lateReports+twiceReports:
+			g.observe(&rep)
+			g.observe(&rep)
+		default:
+			g.observe(&rep)
+		}
+	}
+	for i := range late {
+		g.observe(&late[i])
+	}
+	g.tracker.Close(now)
+}
+
+func (g *group) observe(r *popularity.Report) {
+	if _, err := g.tracker.Observe(r); err != nil {
+		panic(err)
+	}
+}
+
+// policy gives a new map or nil.
+type policy struct {
+	name   string
+	decide func(g *placement.Group) *placement.Map
+	// instant maps are in use at once, without waiting for the store.
+	instant bool
+}
+
+// outcome is what one policy did in one scene.
+type outcome struct {
+	skews      []float64
+	ideals     []float64
+	bytes      int64
+	rebalances int
+	slowed     float64
+	decided    time.Duration
+}
+
+func (o *outcome) quantile(q float64) float64 {
+	s := slices.Sorted(slices.Values(o.skews))
+
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
+
+func newPlanner() *placement.Planner {
+	return &placement.Planner{
+		ExpertBytes: 20 << 20, StoreRate: 512 << 20, RankRate: 256 << 20,
+		Slowdown: 0.05, SwitchPause: 50 * time.Millisecond, ExpertFraction: 0.6,
+	}
+}
+
+// play runs one policy through one scene.
+func play(s scene, seed uint64, p policy) outcome {
+	g := newGroup(s, seed)
+	costs := newPlanner()
+	now := time.Unix(0, 0)
+	current, err := placement.NewMap(shape)
+	if err != nil {
+		panic(err)
+	}
+	next, left := (*placement.Map)(nil), time.Duration(0)
+	var out outcome
+	for k := range periods * samples {
+		g.advance(k)
+		now = now.Add(period / samples)
+		if k >= samples*warmup {
+			t := placement.Evaluate(current, &placement.Load{Tokens: g.tokens, Speed: g.speed})
+			out.skews = append(out.skews, t.Skew())
+			out.ideals = append(out.ideals, t.Slowest/t.Ideal)
+		}
+		if left > 0 {
+			out.slowed += min(left, period/samples).Seconds() * 1000 / stepMillis
+		}
+		if left -= period / samples; left <= 0 && next != nil {
+			current, next = next, nil
+		}
+		if (k+1)%samples != 0 {
+			continue
+		}
+		g.report(now)
+		if next != nil || k+1 < samples*2 {
+			continue
+		}
+		began := time.Now()
+		m := p.decide(&placement.Group{Map: current, Load: placement.Load{Tokens: g.tracker.Tokens(), Speed: g.tracker.Speeds()}, Life: g.tracker.Life()})
+		out.decided += time.Since(began)
+		if m == nil {
+			continue
+		}
+		moves := placement.Moves(current, m)
+		out.rebalances++
+		out.bytes += int64(len(moves)) * costs.ExpertBytes
+		if next = m; p.instant {
+			current, next = m, nil
+
+			continue
+		}
+		for _, t := range placement.Schedule(moves, costs.ExpertBytes, costs.Rates(), now) {
+			left = max(left, t.End.Sub(now))
+		}
+	}
+
+	return out
+}
+
+// warmup is how many periods pass before skew counts, so that every policy has had time for its first map.
+const warmup = 12
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,290 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Planner decides whether a group's map changes. Set the exported fields before
+// the first Decide. One goroutine uses a Planner; it keeps no state between
+// decisions but memory to reuse.
+type Planner struct {
+	// ExpertBytes is the size of one expert's weights in one layer.
+	ExpertBytes int64
+	// StoreRate is the group's share of the weight store, in bytes a second.
+	StoreRate float64
+	// RankRate is what one rank can fetch, in bytes a second.
+	RankRate float64
+	// Slowdown is the fraction by which steps take longer while ranks fetch.
+	Slowdown float64
+	// SwitchPause is what the switch itself costs the group.
+	SwitchPause time.Duration
+	// ExpertFraction is the part of a balanced step that expert layers take.
+	ExpertFraction float64
+
+	work    layer
+	scratch scratch
+	results []result
+}
+
+// Group is what a decision is made from.
+type Group struct {
+	Map  *Map
+	Load Load
+	// Life is how long the popularity is expected to stay as it is: after Life,
+	// 1/e of a gain made now is left.
+	Life time.Duration
+}
+
+// Why says what led to a decision.
+type Why uint8
+
+// The reasons of a decision.
+const (
+	// WhyBalanced: no change gains anything.
+	WhyBalanced Why = iota
+	// WhyCost: what could be gained does not cover its cost.
+	WhyCost
+	// WhyGain: the change saves more than it costs.
+	WhyGain
+	// WhyRepair: ranks that are out held experts that no live rank held.
+	WhyRepair
+)
+
+// String returns the reason's name.
+func (y Why) String() string {
+	return [...]string{"Balanced", "Cost", "Gain", "Repair"}[y]
+}
+
+// Decision is the outcome of Decide. Map is nil where the present one stays.
+type Decision struct {
+	Map   *Map
+	Moves []Move
+	Why   Why
+	// Saved and Cost are the group's working time saved over the expected life
+	// of the map, and lost to fetching and switching. Of these, a repair's cost is always paid.
+	Saved, Cost time.Duration
+	// Transfer is how long the fetching takes.
+	Transfer time.Duration
+	// Bytes is what is fetched from the weight store.
+	Bytes int64
+	// Before and After are the step times under the present and the new map.
+	Before, After StepTime
+	// Stranded says that too few slots are left for all experts on live ranks.
+	Stranded bool
+}
+
+// LoadError says that a Group's parts do not belong together.
+type LoadError struct {
+	What      string
+	Got, Want int
+}
+
+// Error implements error.
+func (e *LoadError) Error() string {
+	return fmt.Sprintf("%s: got %d values, want %d", e.What, e.Got, e.Want)
+}
+
+// ValueError says that a measured value is negative or no finite number.
+type ValueError struct {
+	What  string
+	Index int
+}
+
+// Error implements error.
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("%s: value %d is no usable number", e.What, e.Index)
+}
+
+// result is what the search found for one layer.
+type result struct {
+	Layer  int
+	Saved  float64
+	Copies int
+	// Forced copies repair the layer and are not weighed.
+	Forced int
+	slots  []Expert
+}
+
+// perCopy is the time saved for each copy.
+func (x *result) perCopy() float64 {
+	return x.Saved / math.Max(freeCost, float64(x.Copies))
+}
+
+// Decide weighs the group's present map against what a local search finds from
+// it. The error is a *ShapeError, *MapError, *LoadError or *ValueError.
+func (p *Planner) Decide(g *Group) (Decision, error) {
+	if err := check(g); err != nil {
+		return Decision{}, err
+	}
+
+	before := Evaluate(g.Map, &g.Load)
+	d := Decision{Before: before, After: before, Stranded: !fits(g.Map.Shape, &g.Load)}
+	pr := p.price(g, before)
+	p.results = p.results[:0]
+	forced := 0
+	for l := range g.Map.Shape.Layers {
+		x, changed := p.search(g, l, pr)
+		if changed {
+			p.results = append(p.results, x)
+			forced += x.Forced
+		}
+	}
+	p.choose(g, forced, pr, &d)
+
+	return d, nil
+}
+
+func check(g *Group) error {
+	s := g.Map.Shape
+	if err := g.Map.Validate(); err != nil {
+		return err
+	}
+	if n := s.Layers * s.Experts; len(g.Load.Tokens) != n {
+		return &LoadError{What: "Tokens", Got: len(g.Load.Tokens), Want: n}
+	}
+	if len(g.Load.Speed) != s.Ranks {
+		return &LoadError{What: "Speed", Got: len(g.Load.Speed), Want: s.Ranks}
+	}
+	if err := usable("Tokens", g.Load.Tokens); err != nil {
+		return err
+	}
+
+	return usable("Speed", g.Load.Speed)
+}
+
+// usable refuses values with which every comparison of the search would be false.
+func usable(what string, values []float64) error {
+	for i, v := range values {
+		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			return &ValueError{What: what, Index: i}
+		}
+	}
+
+	return nil
+}
+
+// price turns layer time and copies into seconds of the group's working time.
+func (p *Planner) price(g *Group, now StepTime) price {
+	step := p.ExpertFraction*now.Slowest + (1-p.ExpertFraction)*now.Ideal
+	perLayer := p.ExpertFraction / float64(g.Map.Shape.Layers) / math.Max(step, noise)
+	fetch := float64(p.ExpertBytes) / p.StoreRate
+	// All gains wait for the last copy, so each copy costs the gain of its own
+	// fetching time: half of what is in reach, as gains shrink along the way.
+	wait := p.ExpertFraction * (now.Slowest - now.Ideal) / math.Max(step, noise) / 2
+
+	return price{
+		Gain: perLayer * g.Life.Seconds(),
+		Copy: fetch * (p.Slowdown + wait),
+	}
+}
+
+// search improves layer l and reports whether its slots changed.
+func (p *Planner) search(g *Group, l int, pr price) (result, bool) {
+	w := &p.work
+	w.load(g.Map, &g.Load, l)
+	x := result{Layer: l, Forced: w.repair()}
+	x.Saved, x.Copies = w.improve(pr, &p.scratch)
+	if x.Saved == 0 && equal(w.slots, g.Map.Layer(l)) {
+		return x, false
+	}
+	x.slots = append([]Expert(nil), w.slots...)
+
+	return x, true
+}
+
+func equal(a, b []Expert) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+
+	return true
+}
+
+// choose takes the layers that gain most for each copy while the whole still
+// gains by taking more, and fills in d.
+func (p *Planner) choose(g *Group, forced int, pr price, d *Decision) {
+	byGain(p.results)
+	life := g.Life.Seconds()
+	saved, copies := 0.0, forced
+	bestNet, taken := 0.0, 0
+	for i := range p.results {
+		x := &p.results[i]
+		saved += x.Saved * pr.Gain
+		copies += x.Copies
+		net := saved*p.discount(copies, life) - p.cost(copies)
+		if net > bestNet {
+			bestNet, taken = net, i+1
+		}
+	}
+	if taken == 0 && forced == 0 {
+		if len(p.results) > 0 {
+			d.Why = WhyCost
+		}
+
+		return
+	}
+	p.build(g, taken, forced, d)
+}
+
+// discount is the part of a gain that is left after waiting for the copies.
+func (p *Planner) discount(copies int, life float64) float64 {
+	return math.Exp(-p.fetchTime(copies) / math.Max(life, noise))
+}
+
+// fetchTime is how long the store takes for the copies, in seconds.
+func (p *Planner) fetchTime(copies int) float64 {
+	return float64(copies) * float64(p.ExpertBytes) / p.StoreRate
+}
+
+// transferTime is how long the scheduled moves take.
+func (p *Planner) transferTime(moves []Move) time.Duration {
+	var last time.Duration
+	var start time.Time
+	for _, t := range Schedule(moves, p.ExpertBytes, p.Rates(), start) {
+		last = max(last, t.End.Sub(start))
+	}
+
+	return last
+}
+
+// Rates returns what Schedule is to keep to.
+func (p *Planner) Rates() Rates { return Rates{Store: p.StoreRate, Rank: p.RankRate} }
+
+// cost is the working time lost to fetching and switching, in seconds.
+func (p *Planner) cost(copies int) float64 {
+	return p.fetchTime(copies)*p.Slowdown + p.SwitchPause.Seconds()
+}
+
+// build makes the new map of the first taken results and of all repairs.
+func (p *Planner) build(g *Group, taken, forced int, d *Decision) {
+	m := g.Map.Clone()
+	for i := range p.results {
+		x := &p.results[i]
+		if i < taken {
+			copy(m.Layer(x.Layer), x.slots)
+		} else if x.Forced > 0 {
+			p.work.load(g.Map, &g.Load, x.Layer)
+			p.work.repair()
+			copy(m.Layer(x.Layer), p.work.slots)
+		}
+	}
+
+	d.Map, d.Why = m, WhyGain
+	if forced > 0 {
+		d.Why = WhyRepair
+	}
+	d.Moves = Moves(g.Map, m)
+	d.After = Evaluate(m, &g.Load)
+	d.Bytes = int64(len(d.Moves)) * p.ExpertBytes
+	d.Transfer = p.transferTime(d.Moves)
+	d.Cost = seconds(d.Transfer.Seconds()*p.Slowdown) + p.SwitchPause
+	step := p.ExpertFraction*d.Before.Slowest + (1-p.ExpertFraction)*d.Before.Ideal
+	share := p.ExpertFraction * (d.Before.Slowest - d.After.Slowest) / math.Max(step, noise)
+	d.Saved = seconds(share * g.Life.Seconds() * p.discount(len(d.Moves), g.Life.Seconds()))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/placement/planner_test.go
@@ -0,0 +1,208 @@
+package placement_test
+
+import (
+	"math"
+	"math/bits"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/placement"
+)
+
+// drawGroup draws a small group, with some ranks out and some experts idle.
+func drawGroup(t *rapid.T) *placement.Group {
+	s := placement.Shape{
+		Layers:       rapid.IntRange(1, 3).Draw(t, "layers"),
+		Ranks:        rapid.IntRange(2, 6).Draw(t, "ranks"),
+		SlotsPerRank: rapid.IntRange(1, 4).Draw(t, "slots"),
+	}
+	s.Experts = rapid.IntRange(1, s.Ranks*s.SlotsPerRank).Draw(t, "experts")
+	m, err := placement.NewMap(s)
+	require.NoError(t, err)
+	g := &placement.Group{Map: m, Life: time.Duration(rapid.IntRange(0, 1e5).Draw(t, "life")) * time.Second}
+	for range s.Layers * s.Experts {
+		g.Load.Tokens = append(g.Load.Tokens, rapid.SampledFrom([]float64{0, 0, 1, 2, 10, 100}).Draw(t, "tokens"))
+	}
+	for range s.Ranks {
+		g.Load.Speed = append(g.Load.Speed, rapid.SampledFrom([]float64{0, 0.05, 0.5, 1, 1, 1}).Draw(t, "speed"))
+	}
+
+	return g
+}
+
+// liveReplicas is the set of live ranks that hold e in layer l.
+func liveReplicas(m *placement.Map, d *placement.Load, l int, e placement.Expert) uint64 {
+	var held uint64
+	for r := range m.Shape.Ranks {
+		for _, x := range m.Rank(l, r) {
+			if x == e && d.Live(r) {
+				held |= 1 << r
+			}
+		}
+	}
+
+	return held
+}
+
+func TestDecideHolds(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		g := drawGroup(t)
+		kept := g.Map.Clone()
+		for range 3 {
+			d, err := newPlanner().Decide(g)
+			require.NoError(t, err)
+			again, err := newPlanner().Decide(g)
+			require.NoError(t, err)
+			require.Equal(t, d, again, "the same input gives the same decision")
+			require.Equal(t, kept, g.Map, "the present map is not changed")
+			if d.Map == nil {
+				require.Empty(t, d.Moves)
+
+				return
+			}
+			checkDecision(t, g, &d)
+			g.Map, kept = d.Map, d.Map.Clone()
+		}
+	})
+}
+
+func checkDecision(t *rapid.T, g *placement.Group, d *placement.Decision) {
+	require.NoError(t, d.Map.Validate())
+	require.Equal(t, placement.Moves(g.Map, d.Map), d.Moves)
+	if d.Why == placement.WhyGain {
+		require.Greater(t, d.Saved, d.Cost)
+		require.Less(t, d.After.Slowest, d.Before.Slowest)
+	}
+	if d.Stranded {
+		return
+	}
+	for l := range g.Map.Shape.Layers {
+		for e := range g.Map.Shape.Experts {
+			require.NotZero(t, liveReplicas(d.Map, &g.Load, l, placement.Expert(e)), "layer %d expert %d", l, e)
+		}
+	}
+}
+
+// A rank dies, and the tokens of experts that only it held have nowhere to go:
+// callers wait for drafts that never come. Its experts must be fetched by live
+// ranks whatever that costs, and the rank must not count as a holder until it is back.
+func TestRankOutIsRepaired(t *testing.T) {
+	t.Parallel()
+
+	s := placement.Shape{Layers: 2, Ranks: 4, SlotsPerRank: 3, Experts: 8}
+	m, err := placement.NewMap(s)
+	require.NoError(t, err)
+	g := &placement.Group{Map: m, Load: placement.Load{Tokens: make([]float64, 16), Speed: []float64{1, 0, 1, 1}}}
+	d, err := newPlanner().Decide(g)
+	require.NoError(t, err)
+	require.Equal(t, placement.WhyRepair, d.Why)
+	require.NotEmpty(t, d.Moves)
+	for l := range s.Layers {
+		require.Equal(t, []placement.Expert{none, none, none}, d.Map.Rank(l, 1))
+	}
+
+	g.Map, g.Load.Speed = d.Map, []float64{1, 0, 0, 1}
+	d, err = newPlanner().Decide(g)
+	require.NoError(t, err)
+	require.True(t, d.Stranded, "six slots cannot hold eight experts")
+	require.NoError(t, d.Map.Validate())
+}
+
+// Popularity estimates are noisy. A planner that follows noise moves weights
+// back and forth, and callers see slow steps all day for nothing.
+func TestNoThrash(t *testing.T) {
+	t.Parallel()
+
+	g := newGroup(scene{sigma: 0.7, life: time.Hour, speed: even}, 3)
+	g.advance(1)
+	m, err := placement.NewMap(shape)
+	require.NoError(t, err)
+	group := &placement.Group{Map: m, Load: placement.Load{Tokens: g.tokens, Speed: g.speed}, Life: time.Hour}
+	rebalances := 0
+	for range 10 {
+		d, err := newPlanner().Decide(group)
+		require.NoError(t, err)
+		if d.Map != nil {
+			group.Map = d.Map
+			rebalances++
+		}
+	}
+	require.Positive(t, rebalances)
+	d, err := newPlanner().Decide(group)
+	require.NoError(t, err)
+	require.Nil(t, d.Map, "an unchanged popularity leaves nothing to do")
+
+	group.Life = time.Second
+	group.Map = m
+	d, err = newPlanner().Decide(group)
+	require.NoError(t, err)
+	require.Nil(t, d.Map, "popularity that lasts a second is not worth following")
+	require.Equal(t, placement.WhyBalanced, d.Why)
+}
+
+func TestDecideRefuses(t *testing.T) {
+	t.Parallel()
+
+	m, err := placement.NewMap(shape)
+	require.NoError(t, err)
+	whole := placement.Load{Tokens: make([]float64, shape.Layers*shape.Experts), Speed: make([]float64, shape.Ranks)}
+	cases := []struct {
+		name string
+		g    placement.Group
+		want string
+	}{
+		{"tokens", placement.Group{Map: m, Load: placement.Load{Speed: whole.Speed}}, "Tokens: got 0 values, want 7680"},
+		{"speed", placement.Group{Map: m, Load: placement.Load{Tokens: whole.Tokens}}, "Speed: got 0 values, want 32"},
+		{"not a number", placement.Group{Map: m, Load: placement.Load{Tokens: nan(whole.Tokens), Speed: whole.Speed}}, "Tokens: value 0 is no usable number"},
+	}
+	for _, c := range cases {
+		_, err := newPlanner().Decide(&c.g)
+		require.EqualError(t, err, c.want, c.name)
+	}
+}
+
+func nan(s []float64) []float64 {
+	s = append([]float64(nil), s...)
+	s[0] = math.NaN()
+
+	return s
+}
+
+// The weight store limits its rate. Transfers beyond it slow down loads of
+// other groups, and a rank that fetches beyond its own share stalls its steps.
+func TestScheduleHoldsRates(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		rates := placement.Rates{
+			Store: float64(rapid.IntRange(1, 1000).Draw(t, "store")),
+			Rank:  float64(rapid.IntRange(1, 1000).Draw(t, "rank")),
+		}
+		size := int64(rapid.IntRange(1, 10000).Draw(t, "size"))
+		var moves []placement.Move
+		for range rapid.IntRange(0, 40).Draw(t, "moves") {
+			moves = append(moves, placement.Move{Expert: placement.Expert(len(moves)), Rank: rapid.IntRange(0, 7).Draw(t, "to")})
+		}
+		transfers := placement.Schedule(moves, size, rates, time.Unix(0, 0))
+		require.Len(t, transfers, len(moves))
+		for _, a := range transfers {
+			used, ranks := 0.0, uint64(0)
+			for _, b := range transfers {
+				if b.Start.After(a.Start) || !b.End.After(a.Start) {
+					continue
+				}
+				require.Zero(t, ranks&(1<<b.Rank), "a rank fetches one expert at a time")
+				ranks |= 1 << b.Rank
+				rate := float64(size) / b.End.Sub(b.Start).Seconds()
+				require.LessOrEqual(t, rate, rates.Rank*(1+1e-6))
+				used += rate
+			}
+			require.LessOrEqual(t, used, rates.Store*(1+1e-6), "%d at once", bits.OnesCount64(ranks))
+		}
+	})
+}
--- /dev/null
+++ b/internal/placement/transfer.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"time"
+)
+
+// Transfer is a Move with the time in which it may use the weight store.
+type Transfer struct {
+	Move
+	Start, End time.Time
+}
+
+// Rates bounds what transfers use at once.
+type Rates struct {
+	// Store is the group's share of the weight store, in bytes a second.
+	Store float64
+	// Rank is what one rank can fetch, in bytes a second.
+	Rank float64
+}
+
+// Schedule spreads moves of size bytes each over time so that a rank fetches
+// one expert at a time at no more than rates.Rank, and all ranks together use
+// no more than rates.Store. Ranks with most left to fetch go first, so that no
+// rank alone holds up the switch.
+func Schedule(moves []Move, size int64, rates Rates, now time.Time) []Transfer {
+	s := newSchedule(moves, size, rates)
+	transfers := make([]Transfer, 0, len(moves))
+	for round := 0; len(transfers) < len(moves); round++ {
+		start := now.Add(time.Duration(round) * s.each)
+		for _, r := range s.longest() {
+			queue := s.queues[r]
+			transfers = append(transfers, Transfer{Move: queue[0], Start: start, End: start.Add(s.each)})
+			s.queues[r] = queue[1:]
+		}
+	}
+
+	return transfers
+}
+
+// schedule holds what is left to fetch, rank by rank. All transfers are of
+// equal size and rate, so they run in rounds of equal length.
+type schedule struct {
+	queues [MaxRanks][]Move
+	// lanes is how many ranks fetch at once, each for the time of one round.
+	lanes int
+	each  time.Duration
+}
+
+func newSchedule(moves []Move, size int64, rates Rates) *schedule {
+	s := &schedule{lanes: max(1, int(rates.Store/rates.Rank))}
+	rate := min(rates.Rank, rates.Store/float64(s.lanes))
+	// Rounded up to whole nanoseconds, so that no rate is exceeded.
+	s.each = seconds(float64(size)/rate) + time.Nanosecond
+	for _, m := range moves {
+		s.queues[m.Rank] = append(s.queues[m.Rank], m)
+	}
+
+	return s
+}
+
+// longest returns up to lanes ranks with most left to fetch, lower numbers first among equals.
+func (s *schedule) longest() []int {
+	var picked []int
+	var taken uint64
+	for len(picked) < s.lanes {
+		best := -1
+		for r := range s.queues {
+			if len(s.queues[r]) == 0 || taken&(1<<r) != 0 {
+				continue
+			}
+			if best < 0 || len(s.queues[r]) > len(s.queues[best]) {
+				best = r
+			}
+		}
+		if best < 0 {
+			break
+		}
+		taken |= 1 << best
+		picked = append(picked, best)
+	}
+
+	return picked
+}
--- /dev/null
+++ b/internal/popularity/tracker.go
@@ -0,0 +1,261 @@
+// Package popularity estimates, for one expert-parallel group, how many tokens
+// each expert will get and how fast each rank works, from reports that are
+// lagged, lost, late or doubled.
+//
+// Reports carry counters that only grow while a rank's engine lives. So a lost
+// report is made good by the next, a doubled one adds nothing, and a late one
+// is superseded. The package is a core without I/O and reads no clock.
+package popularity
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Report is what one rank's agent reads from its engine.
+type Report struct {
+	Rank int
+	// Incarnation is fresh at each start of the rank's engine.
+	Incarnation uint64
+	// Seq grows with each report of an incarnation.
+	Seq uint64
+	// Busy is the time spent in expert layers since the engine's start, and
+	// Work the tokens computed there.
+	Busy time.Duration
+	Work uint64
+	// Tokens counts tokens since the engine's start, layer by layer, expert by
+	// expert, as this rank has routed them. It is read, not kept. Each rank's
+	// routing is a sample of the group's, so a few ranks may count for all; the
+	// others leave Tokens empty and report their speed alone.
+	Tokens []uint64
+}
+
+// Tracker holds the estimates of one group. Set the exported fields before the
+// first Observe. One goroutine uses it.
+type Tracker struct {
+	Layers, Experts, Ranks int
+	// Gain is the weight of a new window's shares against the estimate, in
+	// (0, 1], while popularity moves as usual. It grows up to 1 with a window
+	// that differs far more than usual.
+	Gain float64
+	// SpeedGain is the weight of a newly measured rank speed.
+	SpeedGain float64
+	// MaxLife bounds Life where popularity does not move at all.
+	MaxLife time.Duration
+
+	ranks  []rankState
+	window []float64
+	shares []float64
+	layers []layerState
+	life   lifeEstimate
+	closed time.Time
+}
+
+// rankState is what is known of one rank.
+type rankState struct {
+	Incarnation, Seq uint64
+	Known            bool
+	Busy             time.Duration
+	Work             uint64
+	Tokens           []uint64
+	// Speed is the estimate in tokens a second of busy time; zero before the first measurement.
+	Speed float64
+}
+
+// layerState is what is known of one layer's movement.
+type layerState struct {
+	Known bool
+	// Usual is the usual squared distance between a window and the estimate.
+	Usual float64
+}
+
+// ReportError says that a report does not fit the group.
+type ReportError struct {
+	What      string
+	Got, Want int
+}
+
+// Error implements error.
+func (e *ReportError) Error() string {
+	return fmt.Sprintf("report with %s %d, want %d", e.What, e.Got, e.Want)
+}
+
+// MinSpeed bounds a measured speed from below, relative to the median rank, so
+// that one stalled window does not count as a rank that never works.
+const MinSpeed = 0.05
+
+// Observe takes in a report and returns whether it was news. A report that is
+// not newer than one already seen is dropped: its successor has counted its
+// tokens. The error is a *ReportError.
+func (t *Tracker) Observe(r *Report) (bool, error) {
+	t.init()
+	if r.Rank < 0 || r.Rank >= t.Ranks {
+		return false, &ReportError{What: "Rank", Got: r.Rank, Want: t.Ranks}
+	}
+	if len(r.Tokens) != 0 && len(r.Tokens) != len(t.window) {
+		return false, &ReportError{What: "Tokens", Got: len(r.Tokens), Want: len(t.window)}
+	}
+
+	s := &t.ranks[r.Rank]
+	switch {
+	case !s.Known || r.Incarnation > s.Incarnation:
+		// Nothing tells when the counters of a first report began, so it only sets the base.
+		s.Tokens = s.Tokens[:0]
+		s.rebase(r)
+
+		return true, nil
+	case r.Incarnation < s.Incarnation || r.Seq <= s.Seq:
+		return false, nil
+	}
+	t.add(s, r)
+
+	return true, nil
+}
+
+func (s *rankState) rebase(r *Report) {
+	s.Known, s.Incarnation, s.Seq = true, r.Incarnation, r.Seq
+	s.Busy, s.Work = r.Busy, r.Work
+	if len(r.Tokens) != 0 {
+		s.Tokens = append(s.Tokens[:0], r.Tokens...)
+	}
+}
+
+// add counts what came since the rank's last report.
+func (t *Tracker) add(s *rankState, r *Report) {
+	for i := range min(len(r.Tokens), len(s.Tokens)) {
+		n := r.Tokens[i]
+		// An engine that counts down is at fault; it must not add a wrapped number.
+		if n > s.Tokens[i] {
+			t.window[i] += float64(n - s.Tokens[i])
+		}
+	}
+	if r.Busy > s.Busy && r.Work > s.Work {
+		speed := float64(r.Work-s.Work) / (r.Busy - s.Busy).Seconds()
+		if s.Speed == 0 {
+			s.Speed = speed
+		}
+		// Averaged as time for each token, in which a stall shows at once.
+		s.Speed = 1 / ((1-t.SpeedGain)/s.Speed + t.SpeedGain/speed)
+	}
+	s.rebase(r)
+}
+
+func (t *Tracker) init() {
+	if t.window != nil {
+		return
+	}
+	t.window = make([]float64, t.Layers*t.Experts)
+	t.shares = make([]float64, t.Layers*t.Experts)
+	t.layers = make([]layerState, t.Layers)
+	t.ranks = make([]rankState, t.Ranks)
+}
+
+// Close ends the window at now and folds it into the estimate. A layer without
+// tokens in the window, for want of reports, keeps its estimate.
+func (t *Tracker) Close(now time.Time) {
+	t.init()
+	interval := now.Sub(t.closed)
+	var c correlation
+	for l := range t.layers {
+		t.fold(l, &c)
+	}
+	if !t.closed.IsZero() {
+		t.life.observe(c, averageAge(interval, t.Gain), t.MaxLife)
+	}
+	t.closed = now
+	clear(t.window)
+}
+
+// fold takes one layer's window into its estimate.
+func (t *Tracker) fold(l int, c *correlation) {
+	window := t.window[l*t.Experts : (l+1)*t.Experts]
+	shares := t.shares[l*t.Experts : (l+1)*t.Experts]
+	sum := 0.0
+	for _, n := range window {
+		sum += n
+	}
+	if sum <= 0 {
+		return
+	}
+
+	s := &t.layers[l]
+	if !s.Known {
+		s.Known = true
+		for i, n := range window {
+			shares[i] = n / sum
+		}
+
+		return
+	}
+	distance := 0.0
+	for i, n := range window {
+		x := n / sum
+		c.add(shares[i]*float64(t.Experts)-1, x*float64(t.Experts)-1)
+		distance += (x - shares[i]) * (x - shares[i])
+	}
+	gain := s.gain(distance, t.Gain)
+	for i, n := range window {
+		shares[i] += gain * (n/sum - shares[i])
+	}
+}
+
+// Shape of the reaction to unusual movement.
+const (
+	// usualGain is the weight of a new distance in the usual one.
+	usualGain = 0.2
+	// usualBound bounds how far one window may raise the usual distance.
+	usualBound = 4
+)
+
+// gain returns the weight of a window at this squared distance. After a sudden
+// shift the old estimate is worthless and averaging with it would place
+// experts by a popularity that no longer exists; so the weight grows with the
+// distance, up to 1.
+func (s *layerState) gain(distance, base float64) float64 {
+	if s.Usual <= 0 {
+		s.Usual = distance
+
+		return base
+	}
+	ratio := distance / s.Usual
+	s.Usual += usualGain * (math.Min(distance, usualBound*s.Usual) - s.Usual)
+
+	return math.Min(1, base*math.Max(1, ratio))
+}
+
+// Tokens returns the expected share of tokens, layer by layer, expert by
+// expert; each known layer sums to 1. The slice is valid until the next Close.
+func (t *Tracker) Tokens() []float64 {
+	t.init()
+
+	return t.shares
+}
+
+// Life returns how long a difference in popularity is expected to last: after
+// Life, 1/e of it is left.
+func (t *Tracker) Life() time.Duration { return t.life.value(t.MaxLife) }
+
+// Speeds returns each rank's speed relative to the median of those measured.
+// A rank that was never measured counts as 1; none is below MinSpeed, since
+// only the group's membership says that a rank is out.
+func (t *Tracker) Speeds() []float64 {
+	t.init()
+	var known []float64
+	for i := range t.ranks {
+		if v := t.ranks[i].Speed; v > 0 {
+			known = append(known, v)
+		}
+	}
+	slices.Sort(known)
+	speeds := make([]float64, t.Ranks)
+	for i := range speeds {
+		speeds[i] = 1
+		if v := t.ranks[i].Speed; v > 0 {
+			speeds[i] = math.Max(MinSpeed, v/known[len(known)/2])
+		}
+	}
+
+	return speeds
+}
