--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
-	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // Claim claims the key of a non-idempotent request in the replicated state. An
@@ -91,7 +90,7 @@
 }
 
 func (s *Server) proposeError(err error) error {
-	if verdict.Of(err) == verdict.NotRun {
+	if s.NotProposed(err) {
 		return proposalFault(twirp.Unavailable, "nothing was committed: "+err.Error(), FateNotDone)
 	}
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // Server is one control VM's state and services. Set its exported fields before
@@ -28,8 +29,11 @@
 	VM string
 
 	// Propose commits a command and returns its index and result. An error
-	// leaves the command's fate unknown, unless its verdict is NotRun.
+	// leaves the command's fate unknown, unless NotProposed says otherwise.
 	Propose func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
+	// NotProposed reports whether err shows that the command was not and will
+	// not be committed. Nil stands for errors whose verdict is NotRun.
+	NotProposed func(err error) bool
 	// Read returns an instant of this VM's clock, and an index that no command
 	// committed before that instant exceeds.
 	Read func(ctx context.Context) (asOf time.Time, index uint64, err error)
@@ -122,6 +126,10 @@
 		s.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	if s.NotProposed == nil {
+		s.NotProposed = func(err error) bool { return verdict.Of(err) == verdict.NotRun }
+	}
+
 	s.Logger = s.Logger.With("part", "control")
 	s.state = ledger.New(s.Limits)
 	s.events = make(chan event, eventBuffer)
