--- a/internal/control/force_test.go
+++ b/internal/control/force_test.go
@@ -174,6 +174,34 @@
 	})
 }
 
+// A control VM was far behind and catches up by a snapshot that holds two
+// decisions of the last second. It skips the version of the first; if that
+// counted from the VM's start, hours ago, status would say that every lease has
+// run out since, while a cut-off entry still sends into the zone.
+func TestInForceAfterCatchingUpBySnapshot(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		cutOff := f.start(entry("entry-1", 1), 0, 1, 2)
+		g.decide(t, 0, 1, zonesIn)
+		time.Sleep(time.Hour)
+		g.isolate(2, true)
+		f.silence("entry-1", true)
+		g.decide(t, 0, 2, zoneOut)
+		g.decide(t, 0, 3, "[Workspace \"w\"]\nWeight = 2\n")
+		time.Sleep(time.Second)
+		g.install(t, 0, 2)
+
+		require.True(t, actsBefore(cutOff, g.status(t, 2, 2).GetEntry().GetVersion()))
+		require.False(t, g.status(t, 2, 2).GetInForce())
+		time.Sleep(5 * time.Second)
+		require.True(t, g.status(t, 2, 2).GetInForce())
+	})
+}
+
 // What operators rely on: whenever any control VM says that a decision is in
 // force, no process that could act still holds an earlier version. Processes
 // start, restart and are cut off, control VMs are isolated and heal, decisions
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -96,6 +96,18 @@
 	run(t, next.Run)
 }
 
+// install lets VM to catch up by a snapshot of VM from, and heals it.
+func (g *group) install(t testing.TB, from, to int) {
+	t.Helper()
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	require.NoError(t, g.servers[to].Restore(g.servers[from].Snapshot()))
+	g.at[to] = g.at[from]
+	g.cut[to] = false
+}
+
 func (g *group) leader() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -76,7 +76,7 @@
 	}
 
 	d := p.records.DeltaSince(r.GetKnownVersion())
-	if d.Full {
+	if d.Full || len(d.Changed)+len(d.Removed) > maxRest {
 		out.Base, d = s.full(p)
 		out.Version = d.Version
 		out.Full = true
--- a/internal/control/published.go
+++ b/internal/control/published.go
@@ -34,17 +34,15 @@
 // maxLearnings bounds how many versions' times are kept.
 const maxLearnings = 4096
 
-// learntAt returns when this VM applied version. For versions from before its
-// start it is the time of the start.
-func (p *published) learntAt(version uint64, started time.Time) time.Time {
-	i, found := slices.BinarySearchFunc(p.learnt, version, func(l learning, v uint64) int {
+// learntAt returns when this VM applied version, or a later time. It guards
+// against a VM that caught up by a snapshot, which skips versions: those count
+// from the snapshot, not from a time at which this VM could not know them.
+func (p *published) learntAt(version uint64) time.Time {
+	i, _ := slices.BinarySearchFunc(p.learnt, version, func(l learning, v uint64) int {
 		return cmp.Compare(l.version, v)
 	})
-	if !found {
-		return started
-	}
 
-	return p.learnt[i].at
+	return p.learnt[min(i, len(p.learnt)-1)].at
 }
 
 // publish replaces the picture. Only the goroutine that owns the ledger calls it.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -63,7 +63,6 @@
 	base      atomic.Pointer[base]
 	baseMu    sync.Mutex
 	events    chan event
-	started   time.Time
 }
 
 // Peer is another control VM.
@@ -103,7 +102,7 @@
 		Margin:         500 * time.Millisecond,
 		ReadEvery:      300 * time.Millisecond,
 		MaxWait:        2 * time.Second,
-		BatchEvery:     50 * time.Millisecond,
+		BatchEvery:     200 * time.Millisecond,
 		ExpireAfter:    10 * time.Second,
 		WatchEvery:     2500 * time.Millisecond,
 		TickEvery:      5 * time.Second,
@@ -133,7 +132,6 @@
 	s.Logger = s.Logger.With("part", "control")
 	s.state = ledger.New(s.Limits)
 	s.events = make(chan event, eventBuffer)
-	s.started = time.Now()
 	s.publish(time.Now())
 }
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -41,7 +41,7 @@
 	reach := newReach(g, nodesOf(p.records))
 
 	for _, entry := range entries {
-		settled := now.Sub(p.learntAt(entry.GetVersion(), s.started)) > s.Settings.Lease+s.Settings.Margin
+		settled := now.Sub(p.learntAt(entry.GetVersion())) > s.Settings.Lease+s.Settings.Margin
 		out.Decisions = append(out.Decisions, reach.status(now, entry, settled))
 	}
 
--- a/internal/ledger/decisions.go
+++ b/internal/ledger/decisions.go
@@ -15,9 +15,10 @@
 // with their answers. Numbers are shared by all operators, so that two of them
 // who race under one number cannot both win.
 type decisionTable struct {
-	limits   Limits
-	plans    []*wire.Plan
-	byNumber map[uint64]*wire.DecisionEntry
+	limits    Limits
+	plans     []*wire.Plan
+	planBytes int
+	byNumber  map[uint64]*wire.DecisionEntry
 	// entries holds the decisions in the order in which they were made. It only
 	// grows at the end or is replaced, so that readers can share it.
 	entries []*wire.DecisionEntry
@@ -35,14 +36,20 @@
 	kept := proto.CloneOf(plan)
 	kept.ID = fmt.Sprintf("P%d", index)
 	t.plans = append(t.plans, kept)
+	t.planBytes += proto.Size(kept)
 
-	if len(t.plans) > t.limits.Plans {
-		t.plans = slices.Clone(t.plans[1:])
+	for len(t.plans) > t.limits.Plans || len(t.plans) > 1 && t.planBytes > t.limits.PlanBytes {
+		t.dropPlan(0)
 	}
 
 	return kept.GetID()
 }
 
+func (t *decisionTable) dropPlan(i int) {
+	t.planBytes -= proto.Size(t.plans[i])
+	t.plans = slices.Delete(t.plans, i, i+1)
+}
+
 func (t *decisionTable) plan(id string) *wire.Plan {
 	for _, plan := range t.plans {
 		if plan.GetID() == id {
@@ -122,7 +129,8 @@
 	return t.entries[len(t.entries)-1].GetIndex()
 }
 
-// decide carries out the plan that d confirms, once, and keeps the answer.
+// decide carries out the plan that d confirms, once, and keeps the answer. The
+// plan itself is dropped then: it may be large, and the answer names it.
 func (l *Ledger) decide(index uint64, d *wire.Decision) *wire.DecisionAnswer {
 	plan := l.decisions.plan(d.GetPlanID())
 
@@ -152,6 +160,7 @@
 
 	entry.Version = l.records.version
 	l.decisions.keep(entry)
+	l.decisions.dropPlan(slices.Index(l.decisions.plans, plan))
 
 	return answerOf(entry)
 }
@@ -190,9 +199,17 @@
 	}
 }
 
+// maxDetails bounds the lines that are kept of one decision.
+const maxDetails = 40
+
 func texts(changes []*wire.Change) []string {
-	out := make([]string, 0, len(changes))
-	for _, c := range changes {
+	var out []string
+
+	for i, c := range changes {
+		if i == maxDetails {
+			return append(out, fmt.Sprintf("and %d more changes", len(changes)-i))
+		}
+
 		out = append(out, c.GetText())
 	}
 
--- a/internal/ledger/decisions_test.go
+++ b/internal/ledger/decisions_test.go
@@ -139,3 +139,25 @@
 	require.EqualValues(t, 2, got.GetFloor())
 	require.Equal(t, wire.DecisionState_DecisionNoPlan, b.decide("may", 9, "P999").GetState())
 }
+
+// Large plans that nobody confirms would fill the memory of the control VMs; the
+// oldest are dropped, and a plan is dropped once it is decided.
+func TestPlansAreBounded(t *testing.T) {
+	t.Parallel()
+
+	limits := ledger.DefaultLimits()
+	limits.PlanBytes = 300
+	b := newBed(t, limits)
+	first := b.plan(b.zonePlan("ayutthaya", true))
+
+	for range 5 {
+		b.plan(b.zonePlan("saraburi", true))
+	}
+
+	last := b.plan(b.zonePlan("saraburi", true))
+	b.restart(limits)
+	require.Equal(t, wire.DecisionState_DecisionNoPlan, b.decide("may", 1, first).GetState())
+	require.Equal(t, wire.DecisionState_DecisionMade, b.decide("may", 1, last).GetState())
+	require.Equal(t, wire.DecisionState_DecisionNoPlan, b.decide("may", 2, last).GetState())
+	require.True(t, b.decide("may", 1, last).GetRepeated())
+}
--- a/internal/ledger/limits.go
+++ b/internal/ledger/limits.go
@@ -14,8 +14,10 @@
 	ClaimWindow time.Duration
 	// Decisions is how many decisions are kept for resends.
 	Decisions int
-	// Plans is how many plans are kept for confirmation.
-	Plans int
+	// Plans is how many plans are kept for confirmation, and PlanBytes how large
+	// they are together; the latest one is kept whatever its size.
+	Plans     int
+	PlanBytes int
 	// Tombstones is how many removals are kept for deltas.
 	Tombstones int
 	// Departed is how many processes that left are remembered.
@@ -35,6 +37,7 @@
 		ClaimWindow:     24 * time.Hour,
 		Decisions:       2048,
 		Plans:           64,
+		PlanBytes:       16 << 20,
 		Tombstones:      4096,
 		Departed:        8192,
 		ExpiriesAtLeast: 8,
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -109,6 +109,10 @@
 
 func (t *decisionTable) restore(s *wire.LedgerSnapshot) {
 	t.plans = s.GetPlans()
+	for _, plan := range t.plans {
+		t.planBytes += proto.Size(plan)
+	}
+
 	t.floor = s.GetNumberFloor()
 
 	t.entries = s.GetDecisions()
