--- a/cmd/parsleygate/cmds/cmds.go
+++ b/cmd/parsleygate/cmds/cmds.go
@@ -29,6 +29,7 @@
 		SilenceUsage: true,
 	}
 	root.AddCommand(newLocal())
+	root.AddCommand(operatorCommands()...)
 
 	return root
 }
--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -59,8 +59,13 @@
 	stopDumps := dumpOnSignal(l.WriteDumps, c.ErrOrStderr())
 	defer stopDumps()
 
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+
 	g, gctx := errgroup.WithContext(ctx)
 	if err := l.Start(gctx, g); err != nil {
+		stop()
+
 		return errors.Join(err, g.Wait())
 	}
 
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -4,9 +4,9 @@
 package local
 
 import (
+	"fmt"
+	"strings"
 	"time"
-
-	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 // Service is one service of a deployment.
@@ -56,24 +56,22 @@
 	return d
 }
 
-// records returns the configuration that the deployment starts with.
-func (d *Deployment) records() []*wire.Record {
-	var out []*wire.Record
+// Declaration returns the operators' declaration of the deployment.
+func (d *Deployment) Declaration() string {
+	var b strings.Builder
 	for _, z := range d.Zones {
-		out = append(out, &wire.Record{Value: &wire.Record_Zone{Zone: &wire.Zone{Name: z, Region: d.Region}}})
+		fmt.Fprintf(&b, "[Zone %q]\nRegion = %s\n", z, d.Region)
 	}
 
 	for _, s := range d.Services {
-		svc := &wire.Service{Name: s.Name, ColdLimit: s.ColdLimit, WarmLimit: s.WarmLimit}
+		calls, resumable := "GET /v1/bookings/*, GET /v1/runs", false
 		if s.Model {
-			svc.IdempotentCalls = []string{"POST /v1/drafts"}
-			svc.Resumable = true
-		} else {
-			svc.IdempotentCalls = []string{"GET /v1/bookings/*", "GET /v1/runs"}
+			calls, resumable = "POST /v1/drafts", true
 		}
 
-		out = append(out, &wire.Record{Value: &wire.Record_Service{Service: svc}})
+		fmt.Fprintf(&b, "[Service %q]\nIdempotentCalls = %s\nResumable = %t\n", s.Name, calls, resumable)
+		fmt.Fprintf(&b, "[ColdLimit %q]\nCold = %d\nWarm = %d\n", s.Name, s.ColdLimit, s.WarmLimit)
 	}
 
-	return out
+	return b.String()
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -15,11 +15,10 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
+	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/entry"
-	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/role"
@@ -194,7 +193,8 @@
 
 	for i, m := range members {
 		c := &role.Control{
-			VM: m.ID, Cluster: l.Deployment.Cluster, Listener: listeners[i],
+			VM: m.ID, Cluster: l.Deployment.Cluster, Zone: l.Deployment.Zones[i],
+			Incarnation: role.IncarnationAt(time.Now()), Listener: listeners[i],
 			Dir: filepath.Join(l.Dir, m.ID), Founders: members,
 			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: l.Logs,
 			Dump: l.newDump("control", m.ID),
@@ -210,52 +210,43 @@
 // declare commits the configuration that the deployment starts with, as an
 // operator's plan and its confirmation.
 func (l *Local) declare(ctx context.Context) error {
-	plan := &wire.Plan{ID: "local", Operator: "local", Source: "local"}
-	for _, r := range l.Deployment.records() {
-		r.Key = ledger.KeyOf(r)
-		plan.Changes = append(plan.Changes, &wire.Change{Key: r.Key, After: r})
-	}
+	server := l.controls[0].Server()
 
-	stored, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_StorePlan{StorePlan: plan}})
+	planned, err := l.plan(ctx, server)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "plan the deployment")
 	}
 
-	r, err := l.propose(ctx, &wire.Command{Kind: &wire.Command_Decision{
-		Decision: &wire.Decision{Operator: "local", Number: 1, PlanID: stored.GetPlanID()},
-	}})
+	r, err := server.Confirm(ctx, &wire.ConfirmRequest{Operator: "local", Number: 1, PlanID: planned.GetPlan().GetID()})
 	if err != nil {
-		return err
+		return eris.Wrap(err, "confirm the deployment")
 	}
 
-	if d := r.GetDecision(); d.GetState() != wire.DecisionState_DecisionMade {
-		return eris.Errorf("not decided: %s %v", d.GetState(), d.GetDetails())
+	if a := r.GetAnswer(); a.GetState() != wire.DecisionState_DecisionMade {
+		return eris.Errorf("not decided: %s %v", a.GetState(), a.GetDetails())
 	}
 
 	return nil
 }
 
-func (l *Local) propose(ctx context.Context, c *wire.Command) (*wire.Result, error) {
-	data, err := proto.Marshal(c)
-	if err != nil {
-		return nil, eris.Wrap(err, "write command")
-	}
+// planTries bounds how often a plan is asked for while the control VMs elect a
+// leader; planPause is the time between two asks.
+const (
+	planTries = 200
+	planPause = 50 * time.Millisecond
+)
 
-	_, result, err := l.controls[0].Server().Propose(ctx, data)
-	if err != nil {
-		return nil, err
-	}
+func (l *Local) plan(ctx context.Context, server *control.Server) (*wire.PlanResponse, error) {
+	request := &wire.PlanRequest{Operator: "local", Source: "local", Declaration: []byte(l.Deployment.Declaration())}
 
-	r := &wire.Result{}
-	if err := proto.Unmarshal(result, r); err != nil {
-		return nil, eris.Wrap(err, "read result")
-	}
+	for try := 1; ; try++ {
+		r, err := server.Plan(ctx, request)
+		if err == nil || try == planTries || ctx.Err() != nil {
+			return r, err
+		}
 
-	if r.GetFault() != "" {
-		return nil, eris.New(r.GetFault())
+		time.Sleep(planPause)
 	}
-
-	return r, nil
 }
 
 func (l *Local) startEntry(ctx context.Context, g *errgroup.Group, zone string, n int) error {
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -31,10 +31,14 @@
 
 	reader *view.Reader
 	shell  *agent.Agent
+	stop   context.CancelFunc
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
 func (r *Agent) Run(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	defer r.stop()
+
 	r.build()
 
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -77,6 +81,7 @@
 	r.reader = &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
 		Self: r.shell.Node, Logger: r.Logs.Logger("view"),
+		OnChange: func(s *view.Snapshot) { stopIfPlanned(s, r.ID, r.stop) },
 	}
 	r.reader.Init()
 	r.Dump.Add("View", func() any { return viewState(r.reader.Snapshot()) })
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -18,7 +18,6 @@
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
 	"github.com/parsleygate/parsleygate/internal/wire"
-	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 const (
@@ -30,9 +29,12 @@
 
 // Control is the control role. Its fields are set before Build.
 type Control struct {
-	VM       string
-	Cluster  string
-	Listener net.Listener
+	VM      string
+	Cluster string
+	Zone    string
+	// Incarnation is fresh at each start.
+	Incarnation uint64
+	Listener    net.Listener
 	// Dir is the data folder, which this VM alone uses.
 	Dir string
 	// Founders are the first control VMs of a new deployment, the same list at each.
@@ -67,8 +69,7 @@
 	}
 	r.server = &control.Server{
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
-		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
-		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(),
+		Leads: r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
 		Logger: r.Logs.Logger("control"),
 	}
 	r.server.Init()
@@ -86,6 +87,13 @@
 	return asOf, 0, err
 }
 
+func (r *Control) self() *wire.Node {
+	return &wire.Node{
+		ID: r.VM, Kind: wire.NodeKind_NodeControl, Zone: r.Zone,
+		Address: r.Listener.Addr().String(), Incarnation: r.Incarnation,
+	}
+}
+
 func (r *Control) leads() bool { return r.replica.Status().Leader == r.VM }
 
 // stopUnsafe says why the control VM with that name should not be stopped now.
@@ -179,6 +187,8 @@
 func (r *Control) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
+	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer(r.server))
+	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
 
 	return mux
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -53,10 +53,14 @@
 	reader *view.Reader
 	shell  *entry.Entry
 	bus    *events.Bus
+	stop   context.CancelFunc
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
 func (r *Entry) Run(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	defer r.stop()
+
 	if err := r.build(); err != nil {
 		return err
 	}
@@ -131,6 +135,7 @@
 		OnChange: func(s *view.Snapshot) {
 			chooser.ChangeTargets(targetsOf(s))
 			r.announce(s)
+			stopIfPlanned(s, r.ID, r.stop)
 		},
 	}
 	reader.Init()
@@ -192,6 +197,13 @@
 	}
 }
 
+// stopIfPlanned begins the graceful stop of a process that the operators stop.
+func stopIfPlanned(s *view.Snapshot, id string, stop context.CancelFunc) {
+	if s.Stopping(id) {
+		stop()
+	}
+}
+
 // targetsOf lists the targets of all services for the chooser.
 func targetsOf(s *view.Snapshot) routing.TargetsChanged {
 	var ev routing.TargetsChanged
