Add the core that fences and serialises orders to an engine

Cause: engines that ignore fencing numbers would carry out late or doubled orders. Change: internal/orders checks numbers, incarnations and content, sends one order at a time, bars the next one while an unanswered one may still be worked on, and takes none after a restart until the highest number is learnt.

--- /dev/null
+++ b/internal/orders/core.go
@@ -0,0 +1,197 @@
+package orders
+
+import "time"
+
+// Core decides about the orders of one engine. Set the exported fields before the
+// first event. It is not safe for concurrent use.
+type Core struct {
+	AgentID     string
+	Incarnation uint64
+	// SettleFor is how long an order that got no answer, or one that an earlier agent
+	// may have sent, bars later ones at an engine that ignores numbers.
+	SettleFor time.Duration
+
+	learnt  bool
+	highest uint64
+	// last is the order with the highest number, state says how far it has come.
+	last   Order
+	state  state
+	result Result
+	// running is the number of the order at the engine, 0 for none.
+	running  uint64
+	bootID   string
+	enforces bool
+	leaving  bool
+	// unsettledUntil is until when the engine may still carry out an order that
+	// nobody waits for any more.
+	unsettledUntil time.Time
+	started        bool
+}
+
+// Give decides about one order.
+func (c *Core) Give(now time.Time, o Order) Decision {
+	c.start(now)
+
+	if cause := c.refuse(o); cause != CauseNone {
+		return c.refused(cause)
+	}
+
+	if o.FencingNumber == c.highest {
+		if d, known := c.again(o); known {
+			return d
+		}
+	}
+
+	c.highest = o.FencingNumber
+	c.last = o
+	c.state = stateSeen
+
+	switch {
+	case c.running != 0:
+		return c.refused(CauseBusy)
+	case !c.enforces && now.Before(c.unsettledUntil):
+		return c.refused(CauseUnsettled)
+	}
+
+	c.state = stateRunning
+	c.running = o.FencingNumber
+
+	return Decision{Action: ActionSend, Highest: c.highest}
+}
+
+// start assumes the worst about an agent's predecessor: that its last order is
+// still worked on.
+func (c *Core) start(now time.Time) {
+	if c.started {
+		return
+	}
+
+	c.started = true
+	if c.SettleFor == 0 {
+		c.SettleFor = DefaultSettleFor
+	}
+
+	c.unsettledUntil = now.Add(c.SettleFor)
+}
+
+// refuse says why o is not even looked at, or CauseNone.
+func (c *Core) refuse(o Order) Cause {
+	switch {
+	case o.FencingNumber == 0 || o.Kind == KindNone || o.Kind > KindSwitchMap:
+		return CauseMalformed
+	case o.AgentID != c.AgentID || o.Incarnation != c.Incarnation:
+		return CauseIncarnation
+	case !c.learnt:
+		return CauseUnlearnt
+	case o.FencingNumber < c.highest:
+		return CauseFenced
+	case c.leaving && o.FencingNumber != c.running:
+		return CauseLeaving
+	default:
+		return CauseNone
+	}
+}
+
+func (c *Core) refused(cause Cause) Decision {
+	return Decision{Action: ActionRefuse, Result: Result{Cause: cause}, Highest: c.highest}
+}
+
+// again answers an order with the highest number; it isn't known if that one came
+// and wasn't sent yet.
+func (c *Core) again(o Order) (Decision, bool) {
+	switch {
+	case c.state == stateForeign:
+		return c.refused(CauseAnswerLost), true
+	case o != c.last:
+		return c.refused(CauseConflict), true
+	case c.state == stateRunning:
+		return Decision{Action: ActionJoin, Highest: c.highest}, true
+	case c.state == stateEnded:
+		return Decision{Action: ActionAnswer, Result: c.result, Highest: c.highest}, true
+	default:
+		return Decision{}, false
+	}
+}
+
+// Completed takes the engine's answer to the order with this number.
+//
+// An answer to any other order than the one at the engine changes nothing: it
+// comes late, of an order that was given up, and a later one may be in force.
+func (c *Core) Completed(now time.Time, number uint64, r Result) {
+	if !c.end(number, r) {
+		return
+	}
+
+	c.unsettledUntil = now
+}
+
+// Lost takes the end of an order without the engine's answer. The engine may
+// still carry it out, so one that ignores numbers gets no other order for a while:
+// the late effect of this one would undo the later one's.
+func (c *Core) Lost(now time.Time, number uint64) {
+	c.start(now)
+
+	if c.end(number, Result{Cause: CauseLost}) {
+		c.unsettledUntil = now.Add(c.SettleFor)
+	}
+}
+
+// end clears the engine of the order with this number.
+func (c *Core) end(number uint64, r Result) bool {
+	if number == 0 || number != c.running {
+		return false
+	}
+
+	c.running = 0
+
+	if number == c.highest {
+		c.state = stateEnded
+		c.result = r
+	}
+
+	return true
+}
+
+// Report takes the engine's word on itself.
+func (c *Core) Report(now time.Time, r Report) {
+	c.start(now)
+
+	if c.bootID != "" && r.BootID != c.bootID {
+		// What the former process worked on is gone with it.
+		c.end(c.running, Result{Cause: CauseEngineRestarted})
+		c.unsettledUntil = now
+	}
+
+	c.bootID = r.BootID
+	c.enforces = r.Enforces
+
+	if r.Counts {
+		c.Learn(r.Highest)
+	}
+
+	if r.Idle && c.running == 0 {
+		c.unsettledUntil = now
+	}
+}
+
+// Learn takes a number that was used before, from the engine or from the control
+// configuration. Until then a restarted agent takes no order: it could be one that
+// a later one has replaced.
+func (c *Core) Learn(number uint64) {
+	c.learnt = true
+
+	if number > c.highest {
+		c.highest = number
+		c.last = Order{}
+		c.state = stateForeign
+	}
+}
+
+// Leave refuses new orders for good; a running one ends.
+func (c *Core) Leave() { c.leaving = true }
+
+// Running is the number of the order at the engine, 0 for none.
+func (c *Core) Running() uint64 { return c.running }
+
+// Highest is the highest number seen.
+func (c *Core) Highest() uint64 { return c.highest }
