Trust an engine's idle word only after another report

Cause: a report that was on its way could say idle of an engine that had since got an order, and lift the bar on the next one. Change: the word counts from the second report since the order was lost.

--- a/internal/orders/core.go
+++ b/internal/orders/core.go
@@ -24,7 +24,9 @@
 	leaving  bool
 	// unsettledUntil is until when the engine may still carry out an order that
 	// nobody waits for any more.
+	unsettledSince time.Time
 	unsettledUntil time.Time
+	reportedAt     time.Time
 	started        bool
 }
 
@@ -71,6 +73,12 @@
 		c.SettleFor = DefaultSettleFor
 	}
 
+	c.unsettle(now)
+}
+
+// unsettle bars other orders, as the engine may work on one that nobody waits for.
+func (c *Core) unsettle(now time.Time) {
+	c.unsettledSince = now
 	c.unsettledUntil = now.Add(c.SettleFor)
 }
 
@@ -132,7 +140,7 @@
 	c.start(now)
 
 	if c.end(number, Result{Cause: CauseLost}) {
-		c.unsettledUntil = now.Add(c.SettleFor)
+		c.unsettle(now)
 	}
 }
 
@@ -169,9 +177,13 @@
 		c.Learn(r.Highest)
 	}
 
-	if r.Idle && c.running == 0 {
+	// A report that was on its way may be older than the order. The engine writes one
+	// after the other, so only one that follows another since then tells.
+	if r.Idle && c.running == 0 && !c.reportedAt.Before(c.unsettledSince) {
 		c.unsettledUntil = now
 	}
+
+	c.reportedAt = now
 }
 
 // Learn takes a number that was used before, from the engine or from the control
--- a/internal/orders/core_test.go
+++ b/internal/orders/core_test.go
@@ -24,6 +24,7 @@
 func newCore() *Core {
 	c := &Core{AgentID: "agent-1", Incarnation: 3}
 	c.Report(start, Report{BootID: "boot-1", Idle: true})
+	c.Report(start, Report{BootID: "boot-1", Idle: true})
 
 	return c
 }
@@ -117,11 +118,17 @@
 			running(c)
 			c.Lost(start, 5)
 		}, start, order(5, "v5"), Decision{Action: ActionAnswer, Result: Result{Cause: CauseLost}, Highest: 5}},
+		{"no answer, and a report on its way says idle", func(c *Core) {
+			running(c)
+			c.Lost(start.Add(1), 5)
+			c.Report(start.Add(2), Report{BootID: "boot-1", Idle: true})
+		}, start.Add(2), order(6, "v6"), refused(CauseUnsettled, 6)},
 		{"no answer, but the engine says it is idle", func(c *Core) {
 			running(c)
-			c.Lost(start, 5)
-			c.Report(start, Report{BootID: "boot-1", Idle: true})
-		}, start, order(6, "v6"), Decision{Action: ActionSend, Highest: 6}},
+			c.Lost(start.Add(1), 5)
+			c.Report(start.Add(2), Report{BootID: "boot-1", Idle: true})
+			c.Report(start.Add(3), Report{BootID: "boot-1", Idle: true})
+		}, start.Add(3), order(6, "v6"), Decision{Action: ActionSend, Highest: 6}},
 		{"no answer, but the engine refuses old numbers", func(c *Core) {
 			running(c)
 			c.Lost(start, 5)
@@ -185,6 +192,7 @@
 			atEngine   []uint64 // sent, not carried out
 			inForce    uint64
 			lostAt     time.Time
+			idle       bool // what the next report will say
 			incarnates = uint64(3)
 		)
 
@@ -203,7 +211,7 @@
 		}
 
 		for range 100 {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "s")) * time.Second)
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "s")) * time.Second)
 			// An order that nobody waits for is carried out within SettleFor, or never.
 			if len(atEngine) > 0 && c.Running() == 0 && now.Sub(lostAt) >= DefaultSettleFor {
 				atEngine = nil
@@ -226,7 +234,8 @@
 					lostAt = now
 				}
 			case 8:
-				c.Report(now, Report{BootID: "boot-1", Idle: len(atEngine) == 0})
+				c.Report(now, Report{BootID: "boot-1", Idle: idle})
+				idle = len(atEngine) == 0
 			default:
 				// The agent restarts and learns the number from control.
 				if c.Running() != 0 {
