--- a/internal/orders/core_test.go
+++ b/internal/orders/core_test.go
@@ -245,7 +245,8 @@
 				highest := c.Highest()
 				incarnates++
 				c = &Core{AgentID: "agent-1", Incarnation: incarnates}
-				c.Report(now, Report{BootID: "boot-1"})
+				c.Report(now, Report{BootID: "boot-1", Idle: idle})
+				idle = len(atEngine) == 0
 				c.Learn(highest)
 			}
 		}
