Carry orders to the engine; keep a leaving agent for asks

Cause: Give was refused; a leaving agent took answers with it that had not reached their entry. Change: the agent serialises orders through the core and posts them as JSON; Drain waits for a running order and 5 s for asks after an undelivered answer.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -325,6 +325,18 @@
 	}
 }
 
+// Memory reports what is remembered.
+func (c *Core) Memory() MemoryUse {
+	c.prepare()
+
+	return MemoryUse{
+		Attempts:    len(c.memory.byID),
+		AnswerBytes: c.memory.answerBytes,
+		Entries:     len(c.share.entries),
+		Waiting:     c.share.sum.waiting,
+	}
+}
+
 // unknownCount is how much unknown work counts against the limit now. On a warm
 // target cancelled work frees its place at once.
 func (c *Core) unknownCount() int {
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -121,3 +121,12 @@
 	// Unknown is how many requests the target may hold that the agent can't account for.
 	Unknown uint32
 }
+
+// MemoryUse is what the core remembers.
+type MemoryUse struct {
+	Attempts    int
+	AnswerBytes int
+	// Entries have a credit or wait for one; Waiting counts the latter.
+	Entries int
+	Waiting int
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,12 +11,14 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/orders"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -33,6 +35,12 @@
 	// View returns what the control configuration says now. It is called for each
 	// request, from many goroutines, and must not block.
 	View func() admission.View
+	// HighestOrder returns the highest fencing number that the control configuration
+	// knows to have been given to this target before; nil where it keeps none.
+	HighestOrder func() (number uint64, known bool)
+	// SendOrder carries an order to the engine; nil posts it as JSON. An error whose
+	// verdict is NotRun says that the order never reached the engine.
+	SendOrder func(ctx context.Context, to netip.AddrPort, o orders.Order) (orders.Result, error)
 	// Logger is optional.
 	Logger *slog.Logger
 	// Metrics is optional.
@@ -43,6 +51,7 @@
 
 	once     sync.Once
 	door     door
+	desk     orderDesk
 	target   targetState
 	counters counters
 	dialer   targetDialer
@@ -50,7 +59,9 @@
 	bound    netip.AddrPort
 	listened chan struct{}
 	drained  chan struct{}
-	leave    sync.Once
+	// keepUntil is until when a leaving agent still answers asks, in Unix nanoseconds.
+	keepUntil atomic.Int64
+	leave     sync.Once
 }
 
 // prepare fills what the caller left out.
@@ -82,6 +93,7 @@
 			Started:     a.Now(),
 			Settings:    a.Settings.Admission,
 		}
+		a.desk.core = orders.Core{AgentID: a.ID, Incarnation: a.Incarnation, SettleFor: a.Settings.OrderSettle}
 	})
 }
 
@@ -189,12 +201,13 @@
 func (a *Agent) Drain(ctx context.Context) error {
 	a.prepare()
 	a.door.leave()
+	a.desk.leave()
 	a.Logger.Info("Agent is leaving.")
 
 	t := time.NewTicker(a.Settings.TickEvery)
 	defer t.Stop()
 
-	for !a.door.drained(a.Now()) {
+	for !a.idle() {
 		select {
 		case <-ctx.Done():
 			return eris.Wrap(ctx.Err(), "requests are still in flight")
@@ -214,6 +227,22 @@
 	return eris.Wrap(err, "shut the server down")
 }
 
+// idle reports whether a leaving agent may go: nothing is in flight, no order is at
+// the engine, and no entry may still ask for an answer that didn't reach it.
+func (a *Agent) idle() bool {
+	_, order := a.desk.state()
+	now := a.Now()
+
+	return order == 0 && a.door.drained(now) && now.UnixNano() >= a.keepUntil.Load()
+}
+
+// undelivered notes that an answer didn't reach its entry, which may ask for it
+// over another connection. An agent that left at once would make a booking that
+// ran into one that may have run.
+func (a *Agent) undelivered(now time.Time) {
+	a.keepUntil.Store(now.Add(a.Settings.AskWait).UnixNano())
+}
+
 // Node reports the agent for the membership.
 func (a *Agent) Node() *wire.Node {
 	a.prepare()
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -86,6 +86,15 @@
 	return d.lock(now).Load()
 }
 
+// state is what a dump shows of the core.
+func (d *door) state(now time.Time) (admission.Load, admission.MemoryUse) {
+	defer d.mu.Unlock()
+
+	c := d.lock(now)
+
+	return c.Load(), c.Memory()
+}
+
 func (d *door) leave() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -199,6 +199,10 @@
 		Digest:    x.digest.Sum64(),
 		Load:      load,
 	}}})
+
+	if x.record != nil && x.entryGone {
+		a.undelivered(now)
+	}
 }
 
 // fail ends a request that got no answer, or a cut one.
--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -41,6 +41,10 @@
 	Rank  uint32 `json:",omitempty"`
 	// FencingNumber is the highest that the engine has seen, where it keeps one.
 	FencingNumber *uint64 `json:",omitempty"`
+	// Fences says that the engine itself refuses an old fencing number.
+	Fences bool `json:",omitempty"`
+	// OrdersIdle says that the engine works on no order.
+	OrdersIdle bool `json:",omitempty"`
 }
 
 // targetState holds the latest announcement.
@@ -105,7 +109,9 @@
 		ev.Counted = true
 	}
 
-	a.door.announce(a.Now(), ev)
+	now := a.Now()
+	a.door.announce(now, ev)
+	a.desk.report(now, an)
 }
 
 // Dump is the agent's state as GET /v1/dump shows it.
@@ -117,6 +123,10 @@
 	Target      *Announcement
 	View        admission.View
 	Load        admission.Load
+	Memory      admission.MemoryUse
+	// HighestOrder is the highest fencing number seen, RunningOrder that of the order at the engine.
+	HighestOrder uint64
+	RunningOrder uint64
 }
 
 func (a *Agent) serveDump(w http.ResponseWriter, _ *http.Request) {
@@ -134,13 +144,19 @@
 func (a *Agent) Dump() Dump {
 	a.prepare()
 
+	highest, running := a.desk.state()
+	load, memory := a.door.state(a.Now())
+
 	return Dump{
-		ID:          a.ID,
-		Zone:        a.Zone,
-		Incarnation: a.Incarnation,
-		Address:     a.address(),
-		Target:      a.target.load(),
-		View:        a.View(),
-		Load:        a.door.load(a.Now()),
+		ID:           a.ID,
+		Zone:         a.Zone,
+		Incarnation:  a.Incarnation,
+		Address:      a.address(),
+		Target:       a.target.load(),
+		View:         a.View(),
+		Load:         load,
+		Memory:       memory,
+		HighestOrder: highest,
+		RunningOrder: running,
 	}
 }
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -51,9 +51,19 @@
 	return &wire.AskResponse{State: f.State, Incarnation: a.Incarnation, Answer: f.Answer}, nil
 }
 
-// Give passes an order on to the engine.
-func (s *service) Give(_ context.Context, _ *wire.Order) (*wire.OrderResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "orders are not served yet") //nolint:wrapcheck // the caller of twirp gets it as it is
+// Give passes an order on to the engine and answers when it has been carried out.
+func (s *service) Give(ctx context.Context, o *wire.Order) (*wire.OrderResponse, error) {
+	r, highest, err := s.agent.give(ctx, orderFromWire(o))
+	if err != nil {
+		return nil, twirp.NewError(twirp.DeadlineExceeded, err.Error()) //nolint:wrapcheck // the caller of twirp gets it as it is
+	}
+
+	cause := string(r.Cause)
+	if r.Detail != "" {
+		cause += ": " + r.Detail
+	}
+
+	return &wire.OrderResponse{Done: r.Done, Cause: cause, HighestFencingNumber: highest}, nil
 }
 
 // millisUntil is the time from now to at, rounded up; 0 for an instant that has passed.
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/orders"
 )
 
 // Settings tune an Agent. Zero fields take their defaults.
@@ -30,8 +31,13 @@
 	HeartbeatEvery time.Duration
 	// TickEvery is how often the core looks at the time.
 	TickEvery time.Duration
-	// OrderTimeout bounds one order to the engine.
+	// OrderTimeout bounds one order to the engine; OrderSettle is how long an order
+	// without an answer bars the next one at an engine that ignores fencing numbers.
 	OrderTimeout time.Duration
+	OrderSettle  time.Duration
+	// AskWait is how long a leaving agent waits to be asked for an answer that didn't
+	// reach its entry.
+	AskWait time.Duration
 }
 
 // The defaults of Settings.
@@ -48,6 +54,8 @@
 	DefaultHeartbeatEvery = time.Second
 	DefaultTickEvery      = 100 * time.Millisecond
 	DefaultOrderTimeout   = 5 * time.Minute
+	DefaultOrderSettle    = orders.DefaultSettleFor
+	DefaultAskWait        = 5 * time.Second
 )
 
 func orDefault[T int | time.Duration](v *T, def T) {
@@ -70,4 +78,6 @@
 	orDefault(&s.HeartbeatEvery, DefaultHeartbeatEvery)
 	orDefault(&s.TickEvery, DefaultTickEvery)
 	orDefault(&s.OrderTimeout, DefaultOrderTimeout)
+	orDefault(&s.OrderSettle, DefaultOrderSettle)
+	orDefault(&s.AskWait, DefaultAskWait)
 }
