Test the agent's faults towards entries, engines and services

Cause: the path's promises were untested under faults. Change: fault tables for entry-agent, agent-engine and agent-service; drain with streams, restart in the middle, orders. A request without a body no longer goes out as an empty chunked one.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,8 +7,12 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 )
 
+// TestMain also looks for goroutines that the agents left behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestRelaysRequestAndAnswer(t *testing.T) {
 	t.Parallel()
 
--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -75,8 +75,13 @@
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	done := r.done
 	a := r.agent
+	ended := make(chan struct{})
 
-	go func() { done <- a.Run(ctx) }()
+	go func() {
+		defer close(ended)
+
+		done <- a.Run(ctx)
+	}()
 
 	<-a.Ready()
 
@@ -86,6 +91,7 @@
 	r.t.Cleanup(func() {
 		cancel()
 		r.client.CloseIdleConnections()
+		<-ended
 	})
 }
 
@@ -300,7 +306,10 @@
 			})
 		}
 	})
-	t.Cleanup(func() { _ = ln.Close() })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		rt.wg.Wait()
+	})
 
 	return rt
 }
--- /dev/null
+++ b/internal/agent/order_test.go
@@ -0,0 +1,247 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// engine carries orders out and remembers them.
+type engine struct {
+	mu  sync.Mutex
+	got []EngineOrder
+	// hold, if set, keeps each order until it is closed.
+	hold chan struct{}
+	// answer, if set, writes the answer.
+	answer func(w http.ResponseWriter, o EngineOrder)
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	var o EngineOrder
+	_ = json.NewDecoder(r.Body).Decode(&o)
+
+	e.mu.Lock()
+	e.got = append(e.got, o)
+	e.mu.Unlock()
+
+	if e.hold != nil {
+		<-e.hold
+	}
+
+	if e.answer != nil {
+		e.answer(w, o)
+		return
+	}
+
+	_ = json.NewEncoder(w).Encode(EngineAnswer{FencingNumber: o.FencingNumber, Done: true})
+}
+
+func (e *engine) orders() []EngineOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return append([]EngineOrder(nil), e.got...)
+}
+
+func orderRig(t *testing.T, e *engine) *rig {
+	t.Helper()
+
+	return newRig(t, httpTarget(t, e.serve), func(a *Agent) {
+		a.HighestOrder = func() (uint64, bool) { return 4, true }
+		a.Settings.OrderSettle = time.Nanosecond
+		a.Settings.OrderTimeout = 200 * time.Millisecond
+	})
+}
+
+func loadOrder(number uint64, version string) *wire.Order {
+	return &wire.Order{
+		AgentID: "agent-1", Incarnation: 3, FencingNumber: number, Kind: wire.OrderKind_OrderLoadAdapter,
+		Subject: "staves", Version: version, Payload: []byte{0, 1},
+	}
+}
+
+func (r *rig) give(o *wire.Order) *wire.OrderResponse {
+	r.t.Helper()
+
+	resp, err := r.rpc.Give(context.Background(), o)
+	require.NoError(r.t, err)
+
+	return resp
+}
+
+// An engine that ignores fencing numbers would load an old adapter. Orders come
+// again, late, and for an earlier incarnation; the engine sees each at most once.
+func TestOrdersReachTheEngineOnce(t *testing.T) {
+	t.Parallel()
+
+	e := &engine{}
+	r := orderRig(t, e)
+
+	var known atomic.Uint64
+
+	r.agent.HighestOrder = func() (uint64, bool) { return known.Load(), true }
+
+	require.True(t, r.give(loadOrder(5, "v5")).GetDone())
+	require.True(t, r.give(loadOrder(5, "v5")).GetDone(), "the first answer again")
+
+	require.Equal(t, "FencedOff", r.give(loadOrder(4, "v4")).GetCause())
+	known.Store(6)
+	require.Equal(t, "AnswerLost", r.give(loadOrder(6, "v6")).GetCause())
+
+	former := loadOrder(7, "v7")
+	former.Incarnation = 2
+	require.Equal(t, "EarlierIncarnation", r.give(former).GetCause())
+
+	got := e.orders()
+	require.Len(t, got, 1)
+	require.Equal(t, EngineOrder{FencingNumber: 5, Kind: "LoadAdapter", Subject: "staves", Version: "v5", Payload: []byte{0, 1}}, got[0])
+}
+
+// Two orders would overlap at the engine, or a resend would be carried out again,
+// while the first takes long and its giver has lost patience.
+func TestOrdersAreSerialised(t *testing.T) {
+	t.Parallel()
+
+	e := &engine{hold: make(chan struct{})}
+	r := orderRig(t, e)
+	ctx, cancel := context.WithCancel(context.Background())
+	first := make(chan error, 1)
+
+	go func() {
+		_, err := r.rpc.Give(ctx, loadOrder(5, "v5"))
+		first <- err
+	}()
+
+	require.Eventually(t, func() bool { return len(e.orders()) == 1 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, "Busy", r.give(loadOrder(6, "v6")).GetCause())
+	cancel()
+	require.Error(t, <-first)
+	close(e.hold)
+	require.Eventually(t, func() bool { return r.agent.Dump().RunningOrder == 0 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, "FencedOff", r.give(loadOrder(5, "v5")).GetCause())
+	require.True(t, r.give(loadOrder(6, "v6")).GetDone())
+	require.Len(t, e.orders(), 2)
+}
+
+// An order would count as done that wasn't, or be given up for good. The engine's
+// answer is lost, crossed, half or empty, or the engine is gone.
+func TestEngineAnswerFaults(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		name   string
+		answer func(w http.ResponseWriter, o EngineOrder)
+		cause  string
+	}{
+		{"refused by the engine", func(w http.ResponseWriter, o EngineOrder) {
+			_ = json.NewEncoder(w).Encode(EngineAnswer{FencingNumber: o.FencingNumber, Cause: "NoSpace"})
+		}, "NoSpace"},
+		{"answer to another order", func(w http.ResponseWriter, o EngineOrder) {
+			_ = json.NewEncoder(w).Encode(EngineAnswer{FencingNumber: o.FencingNumber - 1, Done: true})
+		}, "EngineSilent"},
+		{"answer to another request", func(w http.ResponseWriter, o EngineOrder) {
+			w.Header().Set(RequestIDHeader, "other")
+			_ = json.NewEncoder(w).Encode(EngineAnswer{FencingNumber: o.FencingNumber, Done: true})
+		}, "EngineSilent"},
+		{"half an answer", func(w http.ResponseWriter, _ EngineOrder) { _, _ = io.WriteString(w, `{"FencingNumber":5,"Do`) }, "EngineSilent"},
+		{"empty answer", func(w http.ResponseWriter, o EngineOrder) {
+			fmt.Fprintf(w, `{"FencingNumber":%d}`, o.FencingNumber)
+		}, "EngineSilent"},
+		{"cut off", func(http.ResponseWriter, EngineOrder) { panic(http.ErrAbortHandler) }, "EngineSilent"},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+
+			e := &engine{answer: tc.answer}
+			r := orderRig(t, e)
+			resp := r.give(loadOrder(5, "v5"))
+			require.False(t, resp.GetDone())
+			require.True(t, strings.HasPrefix(resp.GetCause(), tc.cause), resp.GetCause())
+			require.EqualValues(t, 5, resp.GetHighestFencingNumber())
+		})
+	}
+
+	t.Run("takes too long", func(t *testing.T) {
+		t.Parallel()
+
+		e := &engine{hold: make(chan struct{})}
+		r := orderRig(t, e)
+
+		require.Contains(t, r.give(loadOrder(5, "v5")).GetCause(), "EngineSilent")
+		close(e.hold)
+	})
+	t.Run("engine gone", func(t *testing.T) {
+		t.Parallel()
+
+		r := orderRig(t, &engine{})
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+
+		gone := *r.agent.target.load()
+		gone.Address = ln.Addr().(*net.TCPAddr).AddrPort()
+		r.agent.target.p.Store(&gone)
+		ln.Close()
+		require.Contains(t, r.give(loadOrder(5, "v5")).GetCause(), "EngineDown")
+	})
+	t.Run("number not known after a restart", func(t *testing.T) {
+		t.Parallel()
+
+		r := newRig(t, httpTarget(t, ok), nil)
+		require.Equal(t, "HighestNumberUnknown", r.give(loadOrder(5, "v5")).GetCause())
+	})
+}
+
+// Somebody else would speak for the target, or a broken announcement would count.
+func TestAnnouncements(t *testing.T) {
+	t.Parallel()
+
+	r := newRig(t, httpTarget(t, ok), nil)
+
+	for _, body := range []string{
+		"", "no JSON", `{"BootID":"b"}`, `{"BootID":"b","Service":"s","Address":"elsewhere:80"}`,
+		`{"BootID":"b","Service":"s","Address":"127.0.0.1:0"}`, `{"BootID":"` + strings.Repeat("x", maxAnnouncement) + `"}`,
+	} {
+		r.post(AnnouncePath, body, http.StatusBadRequest)
+	}
+
+	hr := httptest.NewRequest(http.MethodPost, AnnouncePath, strings.NewReader(`{}`))
+	hr.RemoteAddr = "10.0.0.7:1000"
+	w := httptest.NewRecorder()
+	r.agent.serveAnnounce(w, hr)
+	require.Equal(t, http.StatusForbidden, w.Code)
+
+	n := r.agent.Node()
+	require.Equal(t, []string{"agent-1", "muscat-a", testService, "boot-1"}, []string{n.GetID(), n.GetZone(), n.GetService(), n.GetBootID()})
+	require.Equal(t, r.agent.address().String(), n.GetAddress())
+	require.EqualValues(t, 64, n.GetCapacity())
+
+	_, err := r.rpc.Grant(context.Background(), &wire.GrantRequest{})
+	require.ErrorContains(t, err, "invalid_argument")
+	_, err = r.rpc.Ask(context.Background(), &wire.AskRequest{})
+	require.ErrorContains(t, err, "invalid_argument")
+
+	resp, err := r.client.Get(r.url(DumpPath))
+	require.NoError(t, err)
+
+	defer resp.Body.Close()
+
+	var d Dump
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&d))
+	require.Equal(t, "boot-1", d.Target.BootID)
+	require.EqualValues(t, 7, d.View.Version)
+}
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -165,7 +165,7 @@
 
 // request builds the HTTP request for the target.
 func (d targetDialer) request(ctx context.Context, to netip.AddrPort, req *wire.Request) (*http.Request, error) {
-	hr, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+to.String()+req.GetPath(), sentOnce(req.GetBody()))
+	hr, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+to.String()+req.GetPath(), sentOnce(req))
 	if err != nil {
 		return nil, eris.Wrap(err, "build the request")
 	}
@@ -182,11 +182,27 @@
 	return hr, nil
 }
 
-// sentOnce hides from the transport that the body could be read again. The
-// transport would else send a request anew by itself when a kept connection
-// breaks, also one with an Idempotency-Key header, and it could run twice.
-func sentOnce(body []byte) io.Reader {
-	return struct{ io.Reader }{bytes.NewReader(body)}
+// sentOnce returns the body of req and hides from the transport that it could be
+// read again. The transport would else send a request anew by itself when a kept
+// connection breaks, also one with an Idempotency-Key header, and it could run twice.
+func sentOnce(req *wire.Request) io.Reader {
+	if len(req.GetBody()) == 0 && !lacksBody[req.GetMethod()] {
+		// Hidden, no body would go out as an empty chunked one. On a connection of its
+		// own such a request isn't sent anew, and on a kept one it may be.
+		return http.NoBody
+	}
+
+	return struct{ io.Reader }{bytes.NewReader(req.GetBody())}
+}
+
+// lacksBody are the methods for which the transport looks whether there is a body.
+var lacksBody = map[string]bool{
+	http.MethodGet:     true,
+	http.MethodHead:    true,
+	http.MethodDelete:  true,
+	http.MethodOptions: true,
+	"PROPFIND":         true,
+	"SEARCH":           true,
 }
 
 // hopByHop are the headers that end at each connection, and those that the agent sets itself.
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -1,9 +1,16 @@
 package agent
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -70,3 +77,261 @@
 		})
 	}
 }
+
+// A caller would wait for good, or be told "not run" of a request that ran. The
+// target is gone, or takes the request and stays silent, or answers past the deadline.
+func TestTargetSilence(t *testing.T) {
+	t.Parallel()
+
+	hang := func(c net.Conn, _ string) { _, _ = io.Copy(io.Discard, c) }
+	half := func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 9\r\n\r\nhalf", RequestIDHeader, id)
+		hang(c, id)
+	}
+	silence := func(a *Agent) { a.Settings.TargetSilence = 30 * time.Millisecond }
+
+	cases := []struct {
+		name   string
+		script func(c net.Conn, id string)
+		change func(*Agent)
+		millis uint64
+		cause  string
+	}{
+		{"silent", hang, silence, 20_000, "ConnectionSilent"},
+		{"silent after half an answer", half, silence, 20_000, "ConnectionSilent"},
+		{"past the deadline", hang, nil, 30, "DeadlinePassed"},
+		{"past the deadline with half an answer", half, nil, 30, "DeadlinePassed"},
+		{"no deadline", hang, func(a *Agent) { a.Settings.MaxRunning = 30 * time.Millisecond }, 0, "DeadlinePassed"},
+	}
+
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+
+			r := newRig(t, newRawTarget(t, tc.script).addr(), tc.change)
+			req := r.booking("/book", "x")
+			req.RemainingMillis = tc.millis
+			a := r.do(req)
+			a.requireRefused(t, wire.Verdict_MayHaveRun, tc.cause)
+			require.Equal(t, wire.AskState_AskUnknown, r.ask(req, true).GetState())
+		})
+	}
+
+	t.Run("gone", func(t *testing.T) {
+		t.Parallel()
+
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+
+		addr := netip.MustParseAddrPort(ln.Addr().String())
+		ln.Close()
+
+		r := newRig(t, addr, nil)
+		req := r.booking("/book", "x")
+		a := r.do(req)
+		a.requireRefused(t, wire.Verdict_NotRun, "TargetDown")
+		require.Equal(t, wire.AskState_AskClosed, r.ask(req, false).GetState())
+	})
+	t.Run("announcements stop", func(t *testing.T) {
+		t.Parallel()
+
+		r := newRig(t, httpTarget(t, ok), func(a *Agent) { a.Settings.Admission.AnnounceSilence = time.Millisecond })
+		time.Sleep(2 * time.Millisecond)
+
+		a := r.do(r.booking("/book", "x"))
+		a.requireRefused(t, wire.Verdict_NotRun, "TargetDown")
+	})
+}
+
+// A booking would be made twice: the service closes a kept connection as the
+// booking is written, and the HTTP client sends it again by itself, all the more
+// with an Idempotency-Key header.
+func TestBookingIsSentOnce(t *testing.T) {
+	t.Parallel()
+
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+
+			var reads atomic.Int64
+
+			target := newRawTarget(t, func(c net.Conn, id string) {
+				if reads.Add(1) == 1 {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", RequestIDHeader, id)
+					return
+				}
+
+				c.Close()
+			})
+			r := newRig(t, target.addr(), nil)
+
+			a := r.do(r.request("/draft", "x"))
+			a.requireWhole(t, "ok")
+
+			for _, body := range []string{"x", "x", "", ""} {
+				req := r.booking("/book", body)
+				req.Method = method
+				req.Idempotent = body != "" // the first uses the kept connection
+				req.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}
+				before := reads.Load()
+				a = r.do(req)
+				a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+				require.Equal(t, before+1, reads.Load(), "the request was read more than once")
+			}
+		})
+	}
+}
+
+// A booking's answer would be lost to an entry that asks, or a large one would
+// fill the agent's memory. What is kept is whole, or not kept at all.
+func TestRecordedAnswers(t *testing.T) {
+	t.Parallel()
+
+	r := newRig(t, httpTarget(t, ok), func(a *Agent) { a.Settings.MaxAnswerBytes = 64 })
+
+	small := r.booking("/book", "slot 4")
+	a := r.do(small)
+	a.requireWhole(t, "slot 4")
+	require.Equal(t, "slot 4", string(r.ask(small, false).GetAnswer().GetBody()))
+
+	large := r.booking("/book", strings.Repeat("x", 65))
+	a = r.do(large)
+	a.requireWhole(t, strings.Repeat("x", 65))
+	require.Equal(t, wire.AskState_AskRan, r.ask(large, false).GetState())
+	require.Nil(t, r.ask(large, false).GetAnswer())
+
+	draft := r.request("/draft", "x")
+	a = r.do(draft)
+	a.requireWhole(t, "x")
+	require.Nil(t, r.ask(draft, false).GetAnswer(), "a draft may be repeated, it isn't kept")
+}
+
+// A target or a caller would read headers that were meant for one connection, and
+// mistake the bounds of a message.
+func TestHopByHopHeaders(t *testing.T) {
+	t.Parallel()
+
+	var got atomic.Pointer[http.Request]
+
+	target := httpTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		got.Store(r)
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "a")
+		w.Header().Set("X-Kept", "b")
+		w.Header().Set("Keep-Alive", "c")
+		ok(w, r)
+	})
+	r := newRig(t, target, nil)
+	req := r.request("/draft", "body")
+	req.Headers = []*wire.Header{
+		{Name: "Connection", Value: "x-secret, close"},
+		{Name: "X-Secret", Value: "a"},
+		{Name: "Transfer-Encoding", Value: "chunked"},
+		{Name: "Content-Length", Value: "999"},
+		{Name: "Upgrade", Value: "h2c"},
+		{Name: RequestIDHeader, Value: "forged"},
+		{Name: "X-Kept", Value: "b"},
+		{Name: "X-Kept", Value: "c"},
+	}
+	a := r.do(req)
+	a.requireWhole(t, "body")
+
+	hr := got.Load()
+	require.Equal(t, []string{"b", "c"}, hr.Header["X-Kept"])
+	require.Equal(t, []string{req.GetAttemptID()}, hr.Header[http.CanonicalHeaderKey(RequestIDHeader)])
+	require.EqualValues(t, 4, hr.ContentLength)
+
+	for _, name := range []string{"X-Secret", "Upgrade", "Connection"} {
+		require.Empty(t, hr.Header.Get(name), name)
+	}
+
+	names := map[string]bool{}
+	for _, h := range a.head.GetHeaders() {
+		names[h.GetName()] = true
+	}
+
+	require.True(t, names["X-Kept"] && names["Content-Length"])
+	require.False(t, names["X-Private"] || names["Keep-Alive"] || names["Connection"])
+}
+
+// A caller would be cut off by a planned stop. Streams are open when the agent is
+// told to leave; new work is refused as not run, and the agent goes when all are done.
+func TestDrainFinishesStreams(t *testing.T) {
+	t.Parallel()
+
+	const streams = 8
+
+	g := newGate()
+	r := newRig(t, httpTarget(t, g.serve("text/event-stream")), nil)
+	drained := make(chan error, 1)
+
+	type open struct {
+		resp   *http.Response
+		answer answer
+		read   func(a *answer)
+	}
+
+	var opens []*open
+
+	late := r.booking("/book", "late")
+
+	for range streams {
+		resp, frames := r.open(context.Background(), r.request("/draft", "x")) //nolint:bodyclose // closed below
+		opens = append(opens, &open{resp: resp, read: func(a *answer) { a.add(frames) }})
+		<-g.started
+	}
+
+	go func() { drained <- r.agent.Drain(context.Background()) }()
+
+	require.Eventually(t, func() bool { return r.agent.Node().GetLeaving() }, 5*time.Second, time.Millisecond)
+	a := r.do(late)
+	a.requireRefused(t, wire.Verdict_NotRun, "Stopping")
+	require.Zero(t, r.credit().GetSlots())
+	require.Empty(t, drained)
+	close(g.release)
+
+	for _, o := range opens {
+		for o.answer.end == nil && o.answer.err == nil {
+			o.read(&o.answer)
+		}
+
+		o.answer.requireWhole(t, "first last")
+		o.resp.Body.Close()
+	}
+
+	r.client.CloseIdleConnections()
+	require.NoError(t, <-drained)
+	require.NoError(t, <-r.done)
+}
+
+// A booking that ran would be reported as one that may have run: its entry's
+// connection broke, and the agent left before the entry could ask.
+func TestDrainWaitsForAsks(t *testing.T) {
+	t.Parallel()
+
+	g := newGate()
+	r := newRig(t, httpTarget(t, g.serve("text/plain")), func(a *Agent) {
+		a.Settings.AskWait = 200 * time.Millisecond
+	})
+	req := r.booking("/book", "x")
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, frames := r.open(ctx, req)
+
+	var a answer
+	a.add(frames)
+	<-g.started
+	cancel()
+	resp.Body.Close()
+
+	drained := make(chan error, 1)
+
+	go func() { drained <- r.agent.Drain(context.Background()) }()
+
+	time.Sleep(20 * time.Millisecond) // lets the agent notice that the entry is gone
+	close(g.release)
+	require.Eventually(t, func() bool { return r.agent.Dump().Load.InFlight == 0 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, "first last", string(r.ask(req, true).GetAnswer().GetBody()))
+	r.client.CloseIdleConnections()
+	require.NoError(t, <-drained)
+	require.NoError(t, <-r.done)
+}
