Set bad targets aside, warm cold ones up, ask for fitting credits

Cause: targets that fail fast, stall or vanish kept drawing work; cold ones got none while warm ones idled, so that their ramp stood still; credits larger than what was in use parked room that other entries needed. Change: faults down, silent, failing, slow, each with its own way back (a granted credit for those that could not be reached, probes for the rest, at most a third of a pool set aside); cold targets get a request now and then, and all their credits allow from half load on; warm targets are asked for one slot; Queue.PutBack for a request that found no room after all; deadlines must leave two deviations of the service time (was half of one).

--- a/internal/fairness/flow.go
+++ b/internal/fairness/flow.go
@@ -43,6 +43,18 @@
 	l.work += e.work
 }
 
+func (l *line) pushFirst(e *entry) {
+	e.prev, e.next = nil, l.first
+	if l.first == nil {
+		l.last = e
+	} else {
+		l.first.prev = e
+	}
+
+	l.first = e
+	l.work += e.work
+}
+
 func (l *line) remove(e *entry) {
 	if e.prev == nil {
 		l.first = e.next
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -48,7 +48,7 @@
 	MostOfOne int
 	// Service is what a request is thought to take before any has ended (1 s).
 	Service time.Duration
-	// Margin is how many mean deviations of the service time a deadline must leave (0.5).
+	// Margin is how many mean deviations of the service time a deadline must leave (2).
 	Margin float64
 	// ShortestRetry and LongestRetry bound the time until a refused caller's retry (200 ms, 30 s).
 	ShortestRetry time.Duration
@@ -69,7 +69,7 @@
 	}
 
 	if s.Margin == 0 {
-		s.Margin = 0.5
+		s.Margin = 2
 	}
 
 	if s.ShortestRetry == 0 {
@@ -158,7 +158,7 @@
 		return q.refusal(now, e, q.wait(f, f.workAhead(0))), nil
 	}
 
-	q.enqueue(e)
+	q.enqueue(e, false)
 	q.dispatch(now)
 
 	if e.running {
@@ -189,6 +189,38 @@
 // gone, or it was not run after all. Nothing is learned from it.
 func (q *Queue) Cancel(now time.Time, id uint64) []Action { return q.end(now, id, false) }
 
+// PutBack lets a running item that was not run after all, for want of room at
+// the targets, wait again before the others of its workspace and priority. Its
+// action comes with the rest: it may start again at once, or be refused.
+func (q *Queue) PutBack(now time.Time, id uint64) []Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.start()
+
+	e := q.entries[id]
+	if e == nil || !e.running {
+		return nil
+	}
+
+	f := e.flow
+	e.running = false
+	q.running--
+	f.running--
+	// The room was not there. Without this the next would start at once, be
+	// refused too, and so on until the next SetCapacity.
+	q.capacity = min(q.capacity, q.running)
+	q.charge(f, f.start-e.work/f.weight)
+	q.enqueue(e, true)
+
+	if excess, late := q.late(now, e, 0); late {
+		q.refuse(now, e, excess)
+	}
+
+	q.dispatch(now)
+
+	return q.taken()
+}
+
 func (q *Queue) end(now time.Time, id uint64, whole bool) []Action {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -262,10 +294,15 @@
 	return e
 }
 
-// enqueue puts e at the end of its line.
-func (q *Queue) enqueue(e *entry) {
+// enqueue puts e at the end of its line, or first.
+func (q *Queue) enqueue(e *entry, first bool) {
 	f := e.flow
-	f.lines[e.level].push(e)
+	if first {
+		f.lines[e.level].pushFirst(e)
+	} else {
+		f.lines[e.level].push(e)
+	}
+
 	f.waiting++
 	q.waiting++
 	q.work += e.work
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -22,7 +22,7 @@
 	q       *fairness.Queue
 	cap     int
 	waiting map[uint64]time.Time
-	running map[uint64]bool
+	running map[uint64]time.Time
 	maxRun  int
 }
 
@@ -34,7 +34,7 @@
 		if a.Kind == fairness.Start {
 			deadline := c.waiting[a.ID]
 			require.True(t, deadline.IsZero() || now.Before(deadline), "started after its deadline")
-			c.running[a.ID] = true
+			c.running[a.ID] = deadline
 		} else {
 			require.Equal(t, fairness.Refuse, a.Kind)
 			require.True(t, a.RetryAt.After(now))
@@ -52,7 +52,7 @@
 	t.Parallel()
 
 	rapid.Check(t, func(t *rapid.T) {
-		c := &checker{q: newQueue(rapid.Uint64().Draw(t, "seed")), waiting: map[uint64]time.Time{}, running: map[uint64]bool{}}
+		c := &checker{q: newQueue(rapid.Uint64().Draw(t, "seed")), waiting: map[uint64]time.Time{}, running: map[uint64]time.Time{}}
 		c.q.Settings.Most = 20
 		c.q.Settings.MostOfOne = 8
 		now := epoch
@@ -61,7 +61,7 @@
 		for id := uint64(1); id <= uint64(n); id++ {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
 
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
 				c.cap = rapid.IntRange(0, 6).Draw(t, "cap")
 				c.maxRun = len(c.running)
@@ -72,6 +72,8 @@
 				c.end(t, now, c.q.Finish)
 			case 3:
 				c.end(t, now, c.q.Cancel)
+			case 4:
+				c.putBack(t, now)
 			default:
 				c.offer(t, now, id)
 			}
@@ -122,7 +124,7 @@
 
 	switch own.Kind {
 	case fairness.Start:
-		c.running[id] = true
+		c.running[id] = it.Deadline
 	case fairness.Wait:
 		c.waiting[id] = it.Deadline
 	default:
@@ -131,3 +133,14 @@
 
 	c.take(t, now, others)
 }
+
+func (c *checker) putBack(t require.TestingT, now time.Time) {
+	for id, deadline := range c.running {
+		delete(c.running, id)
+		c.waiting[id] = deadline
+		c.maxRun = max(c.cap, len(c.running))
+		c.take(t, now, c.q.PutBack(now, id))
+
+		return
+	}
+}
--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -82,9 +83,7 @@
 	}
 
 	p.targets = append(p.targets, t)
-	if t.health.aside {
-		p.aside++
-	}
+	p.count(t.health.aside)
 }
 
 // find returns the target when it is still of that incarnation.
@@ -129,10 +128,11 @@
 
 	t.slots = ev.Slots
 	t.creditEnds = ev.ExpiresAt
+	t.reached()
 }
 
 // Begin takes in the time to an answer's first byte.
-func (c *Chooser) Begin(ev FirstByte) {
+func (c *Chooser) Begin(now time.Time, ev FirstByte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -143,6 +143,10 @@
 
 	t.health.waited(ev.Wait)
 	p.changed()
+
+	if !t.Cold {
+		c.judge(now, p, t)
+	}
 }
 
 // Finish takes in a request's end and frees its place.
@@ -173,105 +177,6 @@
 	c.judge(now, p, t)
 }
 
-// learn reads what an end says about the target.
-func (c *Chooser) learn(now time.Time, p *pool, t *target, ev Finished) {
-	wasProbe := t.health.aside
-	if wasProbe {
-		t.health.probing = max(0, t.health.probing-1)
-	}
-
-	switch judgeEnd(ev) {
-	case endGood:
-		t.health.succeeded()
-		if wasProbe {
-			c.probeSucceeded(p, t)
-		}
-	case endBad:
-		t.health.failed()
-		c.judge(now, p, t)
-	case endFull:
-		t.fullUntil = c.fullUntil(now, ev.RetryAt)
-	case endStopped:
-		t.Leaving = true
-	case endCredit:
-		t.creditEnds = time.Time{}
-	}
-}
-
-// The bounds of the pause after a refusal for want of room.
-const (
-	shortestFull = 20 * time.Millisecond
-	longestFull  = time.Second
-)
-
-// fullUntil bounds what an agent said, so that one wrong word parks no target for long.
-func (c *Chooser) fullUntil(now, said time.Time) time.Time {
-	pause := min(max(said.Sub(now), shortestFull), longestFull)
-
-	return now.Add(pause + time.Duration(c.Rand.Float64()*float64(pause)/2))
-}
-
-func (c *Chooser) probeSucceeded(p *pool, t *target) {
-	t.health.probesTaken++
-	if t.health.probesTaken < c.Settings.ProbesNeeded {
-		return
-	}
-
-	t.health.takeBack()
-	p.aside--
-}
-
-// judge sets a suspect target aside, within the bound of the pool.
-func (c *Chooser) judge(now time.Time, p *pool, t *target) {
-	if !t.health.suspect(&c.Settings, p.medianWait) {
-		return
-	}
-
-	if !t.health.aside {
-		if !p.maySetAside(c.Settings.SetAsideShare) {
-			return
-		}
-
-		p.aside++
-	}
-
-	t.health.setAside(now, &c.Settings, c.Rand.Float64())
-}
-
-// end is what a request's end says about its target.
-type end uint8
-
-const (
-	// endNeutral says nothing: the caller or this entry ended it.
-	endNeutral end = iota
-	endGood
-	endBad
-	endFull
-	endStopped
-	endCredit
-)
-
-func judgeEnd(ev Finished) end {
-	switch ev.Cause {
-	case "":
-		if ev.ServerError {
-			return endBad
-		}
-
-		return endGood
-	case verdict.CauseOverload, verdict.CauseColdLimit:
-		return endFull
-	case verdict.CauseLeaving, verdict.CauseZoneOut, verdict.CauseStopping:
-		return endStopped
-	case verdict.CauseCredit, verdict.CauseIncarnation:
-		return endCredit
-	case verdict.CauseTargetDown, verdict.CauseBroken, verdict.CauseCrossed:
-		return endBad
-	default:
-		return endNeutral
-	}
-}
-
 // Choose returns a target and counts the request as in flight there. Each
 // Choice must be ended by Finish.
 func (c *Chooser) Choose(now time.Time, ask Ask) (Choice, *NoTarget) {
@@ -289,11 +194,15 @@
 		return Choice{}, c.why(now, p)
 	}
 
-	probe := t.health.aside
+	probe := t.health.aside != faultNone
 	if probe {
 		t.health.probing++
 	}
 
+	if t.Cold {
+		t.warmUpAt = now.Add(c.Settings.WarmUpEvery)
+	}
+
 	t.count(now, t.own+1)
 
 	return Choice{
@@ -303,11 +212,11 @@
 }
 
 // usable reports whether ask may go to t now.
-func (c *Chooser) usable(now time.Time, t *target, ask *Ask) bool {
+func (c *Chooser) usable(now time.Time, p *pool, t *target, ask *Ask) bool {
 	switch {
-	case !t.takesNew(), t.room(now, c.Settings.FirstContact) <= 0:
+	case !t.takesNew(), t.room(now, &c.Settings, p.meanLoad) <= 0:
 		return false
-	case t.health.aside && (t.health.probing > 0 || now.Before(t.health.asideUntil)):
+	case t.health.aside != faultNone && !t.health.mayProbe(now, ask.Idempotent):
 		return false
 	default:
 		return !slices.Contains(ask.Excluded, t.AgentID)
@@ -315,7 +224,7 @@
 }
 
 // pick compares targets from a random place on, and takes the first of those
-// whose costs are nearly equal.
+// whose costs are nearly equal. A target whose probe is due goes before all.
 func (c *Chooser) pick(now time.Time, p *pool, ask *Ask) *target {
 	n := len(p.targets)
 	first := c.Rand.IntN(n)
@@ -328,10 +237,14 @@
 
 	for i := range n {
 		t := p.targets[(first+i)%n]
-		if !c.usable(now, t, ask) {
+		if !c.usable(now, p, t, ask) {
 			continue
 		}
 
+		if t.health.aside != faultNone {
+			return t
+		}
+
 		cost := c.cost(now, p, t, ask)
 		if best == nil || cost < bestCost-c.Settings.NearEqual {
 			best, bestCost = t, cost
@@ -354,30 +267,15 @@
 	return c.Prefixes.Match(t.AgentID, ask.Prefixes).Blocks
 }
 
-// cost estimates how dear it is to send ask to t; 1 is a warm target that is full.
-func (c *Chooser) cost(now time.Time, p *pool, t *target, ask *Ask) float64 {
-	load := t.others(now, c.Settings.ReportLife, p.meanLoad) + float64(t.own) + 1
-	cost := load / float64(t.bears())
-
-	if p.medianWait > 0 && t.health.waits >= waitsNeeded {
-		cost *= max(1, t.health.wait/p.medianWait)
-	}
-
-	cost += 0.5*t.health.failures + 0.25*float64(t.health.silences)
-
-	switch {
-	case t.Region != ask.Region:
-		cost += c.Settings.OtherRegion
-	case t.Zone != ask.Zone:
-		cost += c.Settings.OtherZone
-	}
-
-	if c.Prefixes != nil && len(ask.Prefixes) > 0 {
-		m := c.Prefixes.Match(t.AgentID, ask.Prefixes)
-		cost -= c.Settings.PrefixGain * m.Certainty * float64(m.Blocks) / float64(len(ask.Prefixes))
-	}
+// The mean pauses before asking again where nothing says when.
+const (
+	waitForRoom    = 300 * time.Millisecond
+	waitForTargets = 3 * time.Second
+)
 
-	return cost
+// jitter returns between half of d and one and a half of it.
+func (c *Chooser) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(c.Rand.Float64()*float64(d))
 }
 
 // why says why no target could be picked.
@@ -401,16 +299,21 @@
 		}
 	}
 
+	if cause != verdict.CauseOverload && cause != verdict.CauseColdLimit {
+		return &NoTarget{Cause: cause, RetryAt: now.Add(c.jitter(waitForTargets))}
+	}
+
 	at := p.earliest(now)
 	if at.IsZero() {
-		at = now.Add(shortestFull + time.Duration(c.Rand.Float64()*float64(longestFull)))
+		at = now.Add(c.jitter(waitForRoom))
 	}
 
 	return &NoTarget{Cause: cause, RetryAt: at}
 }
 
-// CreditAsks returns the credits to ask for now: those that end soon, and
-// first ones. A shell calls it a few times a second.
+// CreditAsks returns the credits to ask for now: first ones, those that end
+// soon, and those that no longer fit what this entry needs. Answers renew a
+// credit only by what was last asked. A shell calls it some five times a second.
 func (c *Chooser) CreditAsks(now time.Time) []CreditAsk {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -418,24 +321,21 @@
 
 	var asks []CreditAsk
 
-	for _, t := range c.byID {
-		if !t.takesNew() || t.creditEnds.After(now.Add(c.Settings.RenewBefore)) {
-			continue
+	for _, p := range c.pools {
+		for _, t := range p.targets {
+			wanted := t.wants(&c.Settings)
+			if !t.takesNew() || !t.shouldAsk(now, wanted, c.Settings.RenewBefore) {
+				continue
+			}
+
+			t.asked(now, wanted, &c.Settings)
+			asks = append(asks, CreditAsk{
+				AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation, Wanted: wanted, Using: t.own,
+			})
 		}
-
-		asks = append(asks, CreditAsk{
-			AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation,
-			Wanted: t.own + c.Settings.FirstContact, Using: t.own,
-		})
 	}
 
-	slices.SortFunc(asks, func(a, b CreditAsk) int {
-		if a.AgentID < b.AgentID {
-			return -1
-		}
-
-		return 1
-	})
+	slices.SortFunc(asks, func(a, b CreditAsk) int { return strings.Compare(a.AgentID, b.AgentID) })
 
 	return asks
 }
@@ -455,12 +355,13 @@
 
 	for _, t := range p.targets {
 		r.InFlight += t.own
-		if !t.takesNew() {
+		r.Slots += t.own
+		if !t.takesNew() || t.health.aside != faultNone {
 			continue
 		}
 
 		r.Targets++
-		r.Slots += t.own + max(0, t.room(now, c.Settings.FirstContact))
+		r.Slots += max(0, t.room(now, &c.Settings, p.meanLoad))
 	}
 
 	return r
--- /dev/null
+++ b/internal/routing/cost.go
@@ -0,0 +1,56 @@
+package routing
+
+import "time"
+
+// cost estimates how dear it is to send ask to t; 1 is a warm target that is full.
+func (c *Chooser) cost(now time.Time, p *pool, t *target, ask *Ask) float64 {
+	s := &c.Settings
+	load := t.others(now, s.ReportLife, p.meanLoad) + float64(t.own) + 1
+	cost := load / float64(t.bears())
+
+	if t.Cold {
+		cost = c.coldCost(now, p, t, ask, load)
+	}
+
+	if p.medianWait > 0 && t.health.waits >= waitsNeeded {
+		cost *= max(1, t.health.wait/p.medianWait)
+	}
+
+	return cost + t.health.penalty() + c.distance(t, ask) - c.prefixGain(t, ask)
+}
+
+// coldCost is the cost of a cold target that has a free slot for this entry.
+// Under load it is compared by its warm capacity, so that it gets all that it
+// may have and its ramp goes on. While warm targets idle it gets a request now
+// and then, one that may be repeated, and else only what is no dearer there.
+func (c *Chooser) coldCost(now time.Time, p *pool, t *target, ask *Ask, load float64) float64 {
+	warmUp := ask.Idempotent && !now.Before(t.warmUpAt)
+	if warmUp || p.fullness > c.Settings.WarmUpAbove {
+		return load / float64(max(t.bears(), t.Capacity)) / 2
+	}
+
+	return load / float64(t.bears())
+}
+
+// distance is the cost of leaving the caller's zone or region.
+func (c *Chooser) distance(t *target, ask *Ask) float64 {
+	switch {
+	case t.Region != ask.Region:
+		return c.Settings.OtherRegion
+	case t.Zone != ask.Zone:
+		return c.Settings.OtherZone
+	default:
+		return 0
+	}
+}
+
+// prefixGain is what the target's cache is worth for the ask.
+func (c *Chooser) prefixGain(t *target, ask *Ask) float64 {
+	if c.Prefixes == nil || len(ask.Prefixes) == 0 {
+		return 0
+	}
+
+	m := c.Prefixes.Match(t.AgentID, ask.Prefixes)
+
+	return c.Settings.PrefixGain * m.Certainty * float64(m.Blocks) / float64(len(ask.Prefixes))
+}
--- /dev/null
+++ b/internal/routing/decisions_test.go
@@ -0,0 +1,181 @@
+package routing_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// script drives a Chooser by the tables under testdata.
+type script struct {
+	c   *routing.Chooser
+	now time.Time
+}
+
+// TestDecisions runs the tables. Each says in its comment what a caller would see.
+func TestDecisions(t *testing.T) {
+	t.Parallel()
+
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		t.Helper()
+
+		s := &script{c: newChooser(1), now: epoch}
+
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			t.Helper()
+
+			return s.run(t, d)
+		})
+	})
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+
+	n, ms := 1, 0
+	d.MaybeScanArgs(t, "n", &n)
+	d.MaybeScanArgs(t, "ms", &ms)
+
+	wait := time.Duration(ms) * time.Millisecond
+
+	switch d.Cmd {
+	case "targets":
+		s.targets(d.Input)
+	case "wait":
+		s.now = s.now.Add(wait)
+	case "credit":
+		return s.credit(t, d, n, wait)
+	case "report":
+		s.report(t, d)
+	case "choose":
+		return s.choose(d, n)
+	case "end":
+		s.end(t, d, n)
+	case "begin":
+		for range n {
+			s.c.Begin(s.now, routing.FirstByte{AgentID: d.CmdArgs[0].Key, Incarnation: 1, Wait: wait})
+		}
+	case "silence":
+		for range n {
+			s.c.Silence(s.now, routing.TargetSilent{AgentID: d.CmdArgs[0].Key, Incarnation: 1})
+		}
+	case "asks":
+		return s.asks()
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+
+	return ""
+}
+
+func (s *script) targets(input string) {
+	var list []routing.Target
+
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		list = append(list, routing.Target{
+			AgentID: f[0], Service: service, Zone: f[1], Region: "central-th", Capacity: 8, Incarnation: 1,
+			Cold: slices.Contains(f, "cold"), Leaving: slices.Contains(f, "leaving"), ZoneOut: slices.Contains(f, "out"),
+		})
+	}
+
+	s.c.ChangeTargets(routing.TargetsChanged{Targets: list})
+}
+
+func (s *script) credit(t *testing.T, d *datadriven.TestData, slots int, life time.Duration) string {
+	t.Helper()
+
+	for _, id := range d.CmdArgs {
+		if len(id.Vals) == 0 {
+			s.c.Credit(routing.CreditChanged{AgentID: id.Key, Incarnation: 1, Slots: slots, ExpiresAt: s.now.Add(life)})
+		}
+	}
+
+	return ""
+}
+
+func (s *script) report(t *testing.T, d *datadriven.TestData) {
+	t.Helper()
+
+	ev := routing.ReportReceived{AgentID: d.CmdArgs[0].Key, Incarnation: 1, TakenAt: s.now}
+	d.ScanArgs(t, "in-flight", &ev.InFlight)
+	d.ScanArgs(t, "limit", &ev.Limit)
+
+	ev.Cold = d.HasArg("cold")
+	s.c.Report(ev)
+}
+
+// choose makes n choices that stay in flight, or that end at once with "ends".
+func (s *script) choose(d *datadriven.TestData, n int) string {
+	counts := map[string]int{}
+	ask := routing.Ask{Service: service, Zone: "ayutthaya", Region: "central-th", Idempotent: !d.HasArg("booking")}
+
+	for range n {
+		got, none := s.c.Choose(s.now, ask)
+		if none != nil {
+			counts[fmt.Sprintf("none: %s, again in %v", none.Cause, none.RetryAt.Sub(s.now).Round(10*time.Millisecond))]++
+
+			break
+		}
+
+		name := got.AgentID
+		if got.Probe {
+			name += " (probe)"
+		}
+
+		counts[name]++
+
+		if d.HasArg("ends") {
+			s.c.Finish(s.now, routing.Finished{AgentID: got.AgentID, Incarnation: 1, Verdict: verdict.Ran})
+		}
+	}
+
+	return lines(counts)
+}
+
+func lines(counts map[string]int) string {
+	var b strings.Builder
+
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+
+	slices.Sort(names)
+
+	for _, name := range names {
+		fmt.Fprintf(&b, "%s: %d\n", name, counts[name])
+	}
+
+	return b.String()
+}
+
+func (s *script) end(t *testing.T, d *datadriven.TestData, n int) {
+	t.Helper()
+
+	var cause string
+
+	d.MaybeScanArgs(t, "cause", &cause)
+
+	for range n {
+		s.c.Finish(s.now, routing.Finished{
+			AgentID: d.CmdArgs[0].Key, Incarnation: 1, Cause: verdict.Cause(cause), ServerError: d.HasArg("server-error"),
+		})
+	}
+}
+
+func (s *script) asks() string {
+	var b strings.Builder
+	for _, a := range s.c.CreditAsks(s.now) {
+		fmt.Fprintf(&b, "%s wanted=%d using=%d\n", a.AgentID, a.Wanted, a.Using)
+	}
+
+	return b.String()
+}
--- a/internal/routing/load_bench_test.go
+++ b/internal/routing/load_bench_test.go
@@ -43,7 +43,7 @@
 func newModel(seed uint64, s size, w way, lag time.Duration) *model {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	m := &model{rng: rng, base: 2 * time.Second, lag: lag, deadline: time.Minute, horizon: time.Duration(s.seconds) * time.Second}
-	m.results.answeredAt, m.results.offeredAt = map[int]int{}, map[int]int{}
+	m.results.answeredAt, m.results.offeredAt, m.results.endedAt = map[int]int{}, map[int]int{}, map[int]int{}
 	zones := []string{"ayutthaya", "ang-thong", "saraburi"}
 
 	var list []routing.Target
@@ -51,7 +51,7 @@
 	for i := range s.targets {
 		d := routing.Target{AgentID: fmt.Sprintf("t%03d", i), Service: service, Zone: zones[i%3], Region: "central-th", Capacity: s.limit, Incarnation: 1}
 		list = append(list, d)
-		m.targets = append(m.targets, &modelTarget{Target: d, warmLimit: s.limit, limit: s.limit, slow: 1, granted: map[int]grant{}})
+		m.targets = append(m.targets, &modelTarget{Target: d, warmLimit: s.limit, limit: float64(s.limit), slow: 1, shares: make([]share, s.entries)})
 	}
 
 	for e := range s.entries {
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -47,35 +47,42 @@
 	routing.Target
 
 	warmLimit int
-	limit     int
+	limit     float64
 	inFlight  int
-	slow      float64
-	failFast  bool
-	down      bool
+	// doubled is the limit that the ramp may reach before doubleAt.
+	doubled  float64
+	doubleAt time.Duration
+	slow     float64
+	failFast bool
+	down     bool
 	// lagged is the load last reported by the engine.
 	lagged   int
 	laggedAt time.Duration
-	granted  map[int]grant
+	shares   []share
 	served   int
-	done     int
 	worst    int
 	cache    []uint64
 }
 
-type grant struct {
-	slots int
-	ends  time.Duration
+// share is what an agent holds for one entry.
+type share struct {
+	slots    int
+	wanted   int
+	inFlight int
+	ends     time.Duration
 }
 
 // picker is a way of choosing, at one entry. Target numbers are the model's.
 type picker struct {
 	choose func(now time.Time, ask routing.Ask) (target int, retryAt time.Time)
 	report func(taken time.Time, target, inFlight, limit int, cold bool)
-	credit func(target, slots int, ends time.Time)
-	begin  func(target int, wait time.Duration)
+	credit func(now time.Time, target, slots int, ends time.Time)
+	begin  func(now time.Time, target int, wait time.Duration)
 	finish func(now time.Time, target int, ev routing.Finished)
 	change func(list []routing.Target)
-	room   func(now time.Time) int
+	room   func(now time.Time) routing.Room
+	asks   func(now time.Time) []routing.CreditAsk
+	silent func(now time.Time, target int)
 }
 
 type modelEntry struct {
@@ -110,8 +117,10 @@
 	latencies                               []float64
 	imbalance                               []float64
 	hits, blocks                            int
-	// answeredAt counts what was answered in time, by second of its end.
+	// By the second of arrival: what was offered, and answered in time. By that
+	// of the end: what was answered in time.
 	answeredAt, offeredAt map[int]int
+	endedAt               map[int]int
 }
 
 func (m *model) clock() time.Time { return epoch.Add(m.now) }
@@ -155,6 +164,7 @@
 	tries    int
 	ask      routing.Ask
 	ended    func(inTime bool)
+	noRoom   func()
 }
 
 func (m *model) newJob(e *modelEntry) *job {
@@ -182,9 +192,19 @@
 // try sends a job to a target, and again after a refusal.
 func (m *model) try(j *job) {
 	j.tries++
-	m.results.tries++
 
 	i, retryAt := j.entry.choose(m.clock(), j.ask)
+	if i >= 0 {
+		m.results.tries++
+	}
+
+	if i < 0 && j.noRoom != nil {
+		j.ask.Excluded = nil
+		m.after(max(retryAt.Sub(m.clock()), hop), j.noRoom)
+
+		return
+	}
+
 	if i < 0 {
 		m.again(j, max(retryAt.Sub(m.clock()), 10*time.Millisecond))
 
@@ -192,11 +212,24 @@
 	}
 
 	sent := m.now
+	if m.targets[i].down {
+		m.after(silence, func() { m.refuse(j, i, verdict.CauseTargetDown, sent) })
+
+		return
+	}
+
 	m.after(hop, func() { m.arrive(j, m.targets[i], i, sent) })
 }
 
 // again tries once more after a pause, or gives up.
 func (m *model) again(j *job, pause time.Duration) {
+	if j.tries >= mostTries && j.noRoom != nil {
+		j.ask.Excluded, j.tries = nil, 0
+		m.after(max(pause, 10*time.Millisecond), j.noRoom)
+
+		return
+	}
+
 	if j.tries >= mostTries || m.now+pause > j.deadline {
 		m.results.refused++
 		m.end(j, false)
@@ -218,24 +251,20 @@
 	cause := verdict.Cause("")
 
 	switch {
-	case t.down:
-		cause = verdict.CauseTargetDown
 	case t.ZoneOut:
 		cause = verdict.CauseZoneOut
-	case t.inFlight >= t.limit && t.Cold:
+	case t.full(m.now, j.entry.index) && t.Cold:
 		cause = verdict.CauseColdLimit
-	case t.inFlight >= t.limit:
+	case t.full(m.now, j.entry.index):
 		cause = verdict.CauseOverload
 	case t.failFast:
 		cause = verdict.CauseBroken
 	}
 
 	if cause != "" {
-		j.ask.Excluded = append(j.ask.Excluded, t.AgentID)
 		m.after(hop, func() {
 			m.tell(j.entry, i)
-			j.entry.finish(m.clock(), i, routing.Finished{Verdict: verdict.NotRun, Cause: cause, Duration: m.now - sent})
-			m.again(j, 0)
+			m.refuse(j, i, cause, sent)
 		})
 
 		return
@@ -244,12 +273,19 @@
 	m.serve(j, t, i, sent)
 }
 
+func (m *model) refuse(j *job, i int, cause verdict.Cause, sent time.Duration) {
+	j.ask.Excluded = append(j.ask.Excluded, m.targets[i].AgentID)
+	j.entry.finish(m.clock(), i, routing.Finished{Verdict: verdict.NotRun, Cause: cause, Duration: m.now - sent})
+	m.again(j, 0)
+}
+
 func (m *model) serve(j *job, t *modelTarget, i int, sent time.Duration) {
 	t.inFlight++
 	t.served++
+	t.shares[j.entry.index].inFlight++
 
 	if t.Cold {
-		t.worst = max(t.worst, t.inFlight-t.limit)
+		t.worst = max(t.worst, t.inFlight-int(t.limit))
 	}
 
 	held := t.lookUp(j.ask.Prefixes)
@@ -271,26 +307,50 @@
 	took := time.Duration(factor * j.size * float64(m.base))
 	incarnation := t.Incarnation
 
-	m.after(took/10+hop, func() { j.entry.begin(i, m.now-sent) })
+	m.after(took/10+hop, func() {
+		if !t.down {
+			j.entry.begin(m.clock(), i, m.now-sent)
+		}
+	})
 	m.after(took, func() {
-		t.inFlight--
 		m.ramp(t, incarnation)
+		t.inFlight--
+		t.shares[j.entry.index].inFlight--
+
+		if t.down {
+			m.after(silence, func() { m.silent(j, i) })
+
+			return
+		}
+
+		m.after(hop, func() { m.answered(j, i, sent) })
 	})
-	m.after(took+hop, func() { m.answered(j, i, sent) })
 }
 
-// ramp grows a cold target's limit by what it has completed.
+// silence is how long an entry waits for a heartbeat, or for a dial.
+const silence = time.Second
+
+// silent is the end of a request whose connection went silent.
+func (m *model) silent(j *job, i int) {
+	j.entry.silent(m.clock(), i)
+	j.entry.finish(m.clock(), i, routing.Finished{Verdict: verdict.MayHaveRun, Cause: verdict.CauseSilent})
+	j.ask.Excluded = append(j.ask.Excluded, m.targets[i].AgentID)
+	m.again(j, 0)
+}
+
+// ramp grows a cold target's limit by a quarter for each completion while the
+// limit is in use; it at most doubles in a second.
 func (m *model) ramp(t *modelTarget, incarnation uint64) {
-	if !t.Cold || t.Incarnation != incarnation {
+	if !t.Cold || t.Incarnation != incarnation || 2*t.inFlight < int(t.limit) {
 		return
 	}
 
-	t.done++
-	t.limit = min(1+t.done/2, t.warmLimit)
-
-	if t.limit == t.warmLimit {
-		t.Cold = false
+	if m.now >= t.doubleAt {
+		t.doubleAt, t.doubled = m.now+time.Second, 2*t.limit
 	}
+
+	t.limit = min(t.limit+0.25, t.doubled, float64(t.warmLimit))
+	t.Cold = t.limit < float64(t.warmLimit)
 }
 
 func (m *model) answered(j *job, i int, sent time.Duration) {
@@ -300,7 +360,8 @@
 	inTime := m.now <= j.deadline
 	if inTime {
 		m.results.answered++
-		m.results.answeredAt[int(m.now/time.Second)]++
+		m.results.answeredAt[int(j.arrived/time.Second)]++
+		m.results.endedAt[int(m.now/time.Second)]++
 	} else {
 		m.results.late++
 	}
@@ -312,36 +373,69 @@
 // tell gives an entry an agent's report and credit.
 func (m *model) tell(e *modelEntry, i int) {
 	t := m.targets[i]
+	if t.down {
+		return
+	}
+
 	load, at := t.lagged, t.laggedAt
 
 	if m.lag == 0 {
 		load, at = t.inFlight, m.now
 	}
 
-	e.report(epoch.Add(at), i, load, t.limit, t.Cold)
-	slots := t.grant(m.now, e.index, len(m.entries))
-	e.credit(i, slots, epoch.Add(m.now+creditLife))
+	e.report(epoch.Add(at), i, load, int(t.limit), t.Cold)
+
+	if sh := &t.shares[e.index]; sh.wanted > 0 {
+		t.grant(m.now, e.index, sh.wanted)
+		e.credit(m.clock(), i, sh.slots, epoch.Add(sh.ends))
+	}
 }
 
 const creditLife = 2 * time.Second
 
-// grant shares the limit among the entries: a warm one generously, a cold one exactly.
-func (t *modelTarget) grant(now time.Duration, entry, entries int) int {
-	if !t.Cold {
-		return max(2, 2*t.limit/min(entries, 4))
-	}
+// reserved is what the agent holds for other entries than one, and how many they are.
+func (t *modelTarget) reserved(now time.Duration, entry int) (held, active int) {
+	for e := range t.shares {
+		sh := &t.shares[e]
+		if sh.ends <= now {
+			sh.slots = 0
+		}
 
-	free := t.limit
-	for e, g := range t.granted {
-		if e != entry && g.ends > now {
-			free -= g.slots
+		if n := max(sh.slots, sh.inFlight); e != entry && n > 0 {
+			held += n
+			active++
 		}
 	}
 
-	slots := max(0, min(free, (t.limit+min(entries, 4)-1)/min(entries, 4)))
-	t.granted[entry] = grant{slots: slots, ends: now + creditLife}
+	return held, active
+}
+
+// grant reserves slots for an entry; all reservations stay within the limit.
+func (t *modelTarget) grant(now time.Duration, entry, wanted int) {
+	held, active := t.reserved(now, entry)
+	limit := int(t.limit)
+	room, fair := limit-held, max(limit/(active+2), 1)
+	slots := max(0, min(wanted, room, max(fair, room-limit/8)))
 
-	return slots
+	if t.ZoneOut {
+		slots = 0
+	}
+
+	sh := &t.shares[entry]
+	sh.slots, sh.wanted, sh.ends = slots, wanted, now+creditLife
+}
+
+// full reports whether an entry has no place: its own slots are used, and the
+// rest is used or reserved.
+func (t *modelTarget) full(now time.Duration, entry int) bool {
+	if t.inFlight >= int(t.limit) {
+		return true
+	}
+
+	sh := &t.shares[entry]
+	held, _ := t.reserved(now, entry)
+
+	return sh.inFlight >= sh.slots && int(t.limit)-held-sh.inFlight <= 0
 }
 
 // lookUp returns how many blocks are cached, and caches all, oldest out first.
@@ -393,6 +487,8 @@
 				m.every(time.Second, func() { m.tell(e, i) })
 			})
 		}
+
+		m.every(200*time.Millisecond, func() { m.askCredits(e) })
 	}
 
 	m.every(100*time.Millisecond, func() {
@@ -402,6 +498,22 @@
 	})
 }
 
+// askCredits asks for what an entry wants; a target that is down does not answer.
+func (m *model) askCredits(e *modelEntry) {
+	for _, a := range e.asks(m.clock()) {
+		i := slices.IndexFunc(m.targets, func(t *modelTarget) bool { return t.AgentID == a.AgentID })
+		m.after(2*hop, func() {
+			t := m.targets[i]
+			if t.down {
+				return
+			}
+
+			t.grant(m.now, e.index, a.Wanted)
+			e.credit(m.clock(), i, t.shares[e.index].slots, epoch.Add(t.shares[e.index].ends))
+		})
+	}
+}
+
 // spread is the standard deviation of the targets' fullness over its mean.
 func (m *model) spread() float64 {
 	sum, squares, n := 0.0, 0.0, 0.0
@@ -411,7 +523,7 @@
 			continue
 		}
 
-		x := float64(t.inFlight) / float64(t.limit)
+		x := float64(t.inFlight) / t.limit
 		sum += x
 		squares += x * x
 		n++
--- a/internal/routing/pickers_test.go
+++ b/internal/routing/pickers_test.go
@@ -40,11 +40,13 @@
 			return i, time.Time{}
 		},
 		report: func(_ time.Time, i, inFlight, _ int, _ bool) { p.reported[i] = inFlight },
-		credit: func(int, int, time.Time) {},
-		begin:  func(int, time.Duration) {},
+		credit: func(time.Time, int, int, time.Time) {},
+		begin:  func(time.Time, int, time.Duration) {},
 		finish: func(_ time.Time, i int, _ routing.Finished) { p.own[i]-- },
 		change: func(list []routing.Target) { p.list = list },
-		room:   func(time.Time) int { return 0 },
+		room:   func(time.Time) routing.Room { return routing.Room{} },
+		asks:   func(time.Time) []routing.CreditAsk { return nil },
+		silent: func(time.Time, int) {},
 	}
 }
 
@@ -142,18 +144,22 @@
 					InFlight: inFlight, Limit: limit, Cold: cold,
 				})
 			},
-			credit: func(i, slots int, ends time.Time) {
+			credit: func(_ time.Time, i, slots int, ends time.Time) {
 				c.Credit(routing.CreditChanged{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Slots: slots, ExpiresAt: ends})
 			},
-			begin: func(i int, wait time.Duration) {
-				c.Begin(routing.FirstByte{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Wait: wait})
+			begin: func(now time.Time, i int, wait time.Duration) {
+				c.Begin(now, routing.FirstByte{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Wait: wait})
 			},
 			finish: func(now time.Time, i int, ev routing.Finished) {
 				ev.AgentID, ev.Incarnation = known[i].AgentID, known[i].Incarnation
 				c.Finish(now, ev)
 			},
 			change: change,
-			room:   func(now time.Time) int { return c.Room(now, service).Slots },
+			room:   func(now time.Time) routing.Room { return c.Room(now, service) },
+			asks:   c.CreditAsks,
+			silent: func(now time.Time, i int) {
+				c.Silence(now, routing.TargetSilent{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation})
+			},
 		}
 	}
 }
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -12,9 +12,12 @@
 	medianWait float64
 	// meanLoad is the mean share of capacity that other entries use.
 	meanLoad float64
-	// changes counts events since both were worked out.
+	// fullness is the share of the warm targets' capacity in use, this entry's included.
+	fullness float64
+	// changes counts events since these were worked out.
 	changes int
-	aside   int
+	// aside counts the targets set aside that could be reached.
+	aside int
 }
 
 // refreshEvery is how many events a pool's medians and means may be behind.
@@ -23,7 +26,7 @@
 // changed counts an event and refreshes the derived numbers when due.
 func (p *pool) changed() {
 	p.changes++
-	if p.changes < refreshEvery && p.changes < len(p.targets) {
+	if p.changes < min(refreshEvery, len(p.targets)) {
 		return
 	}
 
@@ -33,28 +36,44 @@
 func (p *pool) refresh() {
 	p.changes = 0
 	waits := make([]float64, 0, len(p.targets))
-	load, capacity := 0.0, 0.0
+	load, capacity, used, warm := 0.0, 0.0, 0.0, 0.0
 
 	for _, t := range p.targets {
-		if t.health.waits >= waitsNeeded && !t.health.aside {
+		if !t.takesNew() || t.health.aside != faultNone {
+			continue
+		}
+
+		if t.health.waits >= waitsNeeded && !t.Cold {
 			waits = append(waits, t.health.wait)
 		}
 
-		if !t.reportedAt.IsZero() && t.takesNew() && !t.health.aside {
-			load += float64(t.reported)
-			capacity += float64(t.bears())
+		if t.reportedAt.IsZero() {
+			continue
+		}
+
+		load += float64(t.reported)
+		capacity += float64(t.bears())
+
+		if !t.Cold {
+			used += float64(t.reported + t.own)
+			warm += float64(t.bears())
 		}
 	}
 
 	p.medianWait = median(waits)
-	p.meanLoad = 0
+	p.meanLoad = ratio(load, capacity)
+	p.fullness = ratio(used, warm)
+}
 
-	if capacity > 0 {
-		p.meanLoad = load / capacity
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
 	}
+
+	return a / b
 }
 
-// medianOf needs this many targets: with fewer, nobody can say which is slow.
+// fewestForMedian: with fewer targets nobody can say which is slow.
 const fewestForMedian = 3
 
 func median(v []float64) float64 {
@@ -67,14 +86,35 @@
 	return v[len(v)/2]
 }
 
-// maySetAside reports whether one more target may be set aside. When many
-// targets look bad at once the fault is likelier between them and this entry,
-// and the few left would be overloaded.
-func (p *pool) maySetAside(share float64) bool {
-	return float64(p.aside+1) <= share*float64(len(p.targets))
+// reserve reports whether one more target may be set aside, and counts it. When
+// many reachable targets look bad at once the fault is likelier in the requests
+// or in this entry, and the few left would be overloaded. Targets that can't be
+// reached are no loss.
+func (p *pool) reserve(why fault, share float64) bool {
+	if !why.unreachable() && float64(p.aside+1) > share*float64(len(p.targets)) {
+		return false
+	}
+
+	p.count(why)
+
+	return true
+}
+
+func (p *pool) count(why fault) {
+	if !why.unreachable() && why != faultNone {
+		p.aside++
+	}
 }
 
-// earliest returns the later-than-now time at which the pool may have room.
+// release undoes reserve.
+func (p *pool) release(why fault) {
+	if !why.unreachable() && why != faultNone {
+		p.aside--
+	}
+}
+
+// earliest returns the earliest time after now at which the pool may have
+// room, or zero when nothing says so.
 func (p *pool) earliest(now time.Time) time.Time {
 	var at time.Time
 
@@ -83,10 +123,13 @@
 			continue
 		}
 
-		for _, c := range []time.Time{t.fullUntil, t.health.asideUntil} {
-			if c.After(now) && (at.IsZero() || c.Before(at)) {
-				at = c
-			}
+		c := t.fullUntil
+		if t.health.aside != faultNone {
+			c = t.health.asideUntil
+		}
+
+		if c.After(now) && (at.IsZero() || c.Before(at)) {
+			at = c
 		}
 	}
 
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -23,6 +23,8 @@
 	ReportLife time.Duration
 	// FailureRun is how many failures in a row set a target aside (3).
 	FailureRun int
+	// DownRun is how many failures to reach it set a target aside as down (2).
+	DownRun int
 	// FailureShare is the share of recent requests failed that sets a target aside (0.5).
 	FailureShare float64
 	// SlowRatio is how many times the median first byte sets a target aside (4).
@@ -32,12 +34,19 @@
 	// ProbeAfter is the first pause before a probe; it doubles up to ProbeAtMost (1 s, 30 s).
 	ProbeAfter  time.Duration
 	ProbeAtMost time.Duration
+	// AskEvery is the shortest time between two asks for a credit of one target
+	// (200 ms), AskDownEvery the same for one that can't be reached (1 s).
+	AskEvery     time.Duration
+	AskDownEvery time.Duration
 	// ProbesNeeded is how many probes in a row must succeed (2).
 	ProbesNeeded int
 	// SilentLimit is how many silent connections without a success between set a target aside (3).
 	SilentLimit int
 	// WarmUpEvery is how often an entry gives an idle cold target work that a warm one could take (500 ms).
 	WarmUpEvery time.Duration
+	// WarmUpAbove is the share of the warm capacity in use from which cold targets
+	// get all that their credits allow (0.5).
+	WarmUpAbove float64
 	// RenewBefore is how long before its end a credit is asked for anew (1 s).
 	RenewBefore time.Duration
 }
@@ -51,6 +60,10 @@
 	orInt(&s.FirstContact, 2)
 	orTime(&s.ReportLife, 100*time.Millisecond)
 	orInt(&s.FailureRun, 3)
+	orInt(&s.DownRun, 2)
+	orTime(&s.AskEvery, 200*time.Millisecond)
+	orTime(&s.AskDownEvery, time.Second)
+	orFloat(&s.WarmUpAbove, 0.5)
 	orFloat(&s.FailureShare, 0.5)
 	orFloat(&s.SlowRatio, 4)
 	orFloat(&s.SetAsideShare, 0.34)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -17,8 +17,13 @@
 
 	slots      int
 	creditEnds time.Time
+	// wanted is how many slots were last asked for.
+	wanted int
+	askAt  time.Time
 	// fullUntil is set by a refusal for want of room.
 	fullUntil time.Time
+	// warmUpAt is when the cold target may next get work that a warm one could take.
+	warmUpAt time.Time
 
 	health health
 }
@@ -30,17 +35,25 @@
 func (t *target) credited(now time.Time) bool { return now.Before(t.creditEnds) }
 
 // room returns how many more requests this entry may send to the target. A cold
-// target without a credit gets none: only its agent knows what it can bear.
-func (t *target) room(now time.Time, firstContact int) int {
-	switch {
-	case now.Before(t.fullUntil):
+// target gets only what its agent reserved for this entry. A warm one may get
+// more where it seems to have room: its agent refuses what it can't take.
+func (t *target) room(now time.Time, s *Settings, meanLoad float64) int {
+	if now.Before(t.fullUntil) {
 		return 0
-	case t.credited(now):
-		return t.slots - t.own
+	}
+
+	reserved := 0
+	if t.credited(now) {
+		reserved = t.slots - t.own
+	}
+
+	switch {
 	case t.Cold:
-		return 0
+		return reserved
+	case t.reportedAt.IsZero():
+		return max(reserved, s.FirstContact-t.own)
 	default:
-		return firstContact - t.own
+		return max(reserved, int(float64(t.bears()-t.own)-t.others(now, s.ReportLife, meanLoad)))
 	}
 }
 
@@ -80,3 +93,33 @@
 	t.own = n
 	t.history.set(now, n)
 }
+
+// wants is how many slots this entry asks for. At a cold target they are all it
+// may use. At a warm one a reservation only parks room that other entries could
+// use, and what is in flight counts there anyway: one will do.
+func (t *target) wants(s *Settings) int {
+	if !t.Cold {
+		return 1
+	}
+
+	return min(t.own+max(s.FirstContact, t.own/2), max(t.bears(), t.own+1))
+}
+
+// shouldAsk reports whether a new credit is due.
+func (t *target) shouldAsk(now time.Time, wanted int, renewBefore time.Duration) bool {
+	if now.Before(t.askAt) {
+		return false
+	}
+
+	return !t.creditEnds.After(now.Add(renewBefore)) || wanted > t.wanted || 2*wanted < t.wanted
+}
+
+// asked records an ask.
+func (t *target) asked(now time.Time, wanted int, s *Settings) {
+	t.wanted = wanted
+	t.askAt = now.Add(s.AskEvery)
+
+	if t.health.aside.unreachable() {
+		t.askAt = now.Add(s.AskDownEvery)
+	}
+}
