--- /dev/null
+++ b/internal/admission/arrive.go
@@ -0,0 +1,292 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Bounds of the advice on when to try again.
+const (
+	minRetry = 50 * time.Millisecond
+	maxRetry = 5 * time.Second
+	minTurn  = 5 * time.Millisecond
+	maxTurn  = time.Second
+)
+
+// Arrive decides about one request.
+func (c *Core) Arrive(now time.Time, r Arrival) Decision {
+	c.prepare()
+	c.memory.forget(now)
+	c.unknown.expire(now)
+
+	if d, known := c.duplicate(r.AttemptID); known {
+		return d
+	}
+
+	expiresAt := c.tickTime(r.Credit.ExpiresAtTick)
+	if d, bad := c.badCredit(now, r, expiresAt); bad {
+		return d
+	}
+
+	if cause, refused := c.refuse(now, r); refused {
+		c.close(now, r.AttemptID, expiresAt)
+		return Decision{Verdict: verdict.NotRun, Cause: cause, RetryAt: c.retryAt(now, cause)}
+	}
+
+	if !c.memory.hasRoom(now, c.Settings.MaxAttempts) {
+		c.memory.revoke(expiresAt)
+		return Decision{Verdict: verdict.NotRun, Cause: verdict.CauseOverload, RetryAt: now.Add(c.Settings.CreditLife)}
+	}
+
+	a := &attempt{
+		id:         r.AttemptID,
+		state:      stateRunning,
+		entryID:    r.Credit.EntryID,
+		expiresAt:  expiresAt,
+		admittedAt: now,
+		epoch:      c.ramp.epoch,
+	}
+	c.memory.add(a)
+	c.running[a.id] = a
+	c.share.started(a.entryID)
+
+	return Decision{Admitted: true}
+}
+
+// Reject refuses a request that the shell found unfit, for the given cause. It
+// goes through the core so that a fit duplicate of it isn't let in later.
+func (c *Core) Reject(now time.Time, r Arrival, cause verdict.Cause) Decision {
+	c.prepare()
+	c.memory.forget(now)
+
+	if d, known := c.duplicate(r.AttemptID); known {
+		return d
+	}
+
+	expiresAt := c.tickTime(r.Credit.ExpiresAtTick)
+	if d, bad := c.badCredit(now, r, expiresAt); bad {
+		return d
+	}
+
+	c.close(now, r.AttemptID, expiresAt)
+
+	return Decision{Verdict: verdict.NotRun, Cause: cause}
+}
+
+// duplicate answers an attempt that is remembered. Only a closed one did not run.
+func (c *Core) duplicate(id string) (Decision, bool) {
+	a := c.memory.byID[id]
+	if a == nil {
+		return Decision{}, false
+	}
+
+	switch a.state {
+	case stateClosed:
+		return Decision{Verdict: verdict.NotRun, Cause: verdict.CauseClosed}, true
+	case stateRan:
+		return Decision{Verdict: verdict.Ran, Cause: verdict.CauseDuplicate}, true
+	default:
+		return Decision{Verdict: verdict.MayHaveRun, Cause: verdict.CauseDuplicate}, true
+	}
+}
+
+// badCredit refuses what this incarnation never granted or no longer honours.
+func (c *Core) badCredit(now time.Time, r Arrival, expiresAt time.Time) (Decision, bool) {
+	cr := r.Credit
+
+	switch {
+	case cr.AgentID != c.AgentID || cr.Incarnation != c.Incarnation:
+		return Decision{Verdict: verdict.NotRun, Cause: verdict.CauseIncarnation, RetryAt: now}, true
+	case c.memory.mayHaveForgotten(expiresAt):
+		// So old that its attempt may have run and been forgotten.
+		return Decision{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCredit}, true
+	case c.expired(now, expiresAt):
+		return Decision{Verdict: verdict.NotRun, Cause: verdict.CauseCredit, RetryAt: now}, true
+	case expiresAt.After(c.lastExpiry):
+		// Never granted. It isn't remembered, so nothing is promised about a duplicate.
+		return Decision{Verdict: verdict.MayHaveRun, Cause: verdict.CauseMalformed}, true
+	}
+
+	return Decision{}, false
+}
+
+// refuse says why a request with a good credit is not let in.
+func (c *Core) refuse(now time.Time, r Arrival) (verdict.Cause, bool) {
+	switch {
+	case c.leaving:
+		return verdict.CauseStopping, true
+	case c.view.ZoneOut:
+		return verdict.CauseZoneOut, true
+	case c.view.Retired:
+		return verdict.CauseLeaving, true
+	case !c.fresh(now, r):
+		return verdict.CauseStale, true
+	case !c.target.up || c.silent(now):
+		return verdict.CauseTargetDown, true
+	case r.Service != c.target.service:
+		return verdict.CauseUnknownService, true
+	}
+
+	return c.full(now, r.Credit)
+}
+
+// fresh reports whether the configuration is known well enough to let work in.
+//
+// It guards against an agent that a silent partition keeps from learning that its
+// zone was taken out. A stale agent relies on the entry's word, which can't be
+// older than the credit that the agent itself dated; where both are stale nobody
+// can tell, and the request is refused.
+func (c *Core) fresh(now time.Time, r Arrival) bool {
+	if now.Before(c.view.FreshUntil) {
+		return true
+	}
+
+	return r.ViewFresh && r.ViewVersion >= c.view.Version
+}
+
+// silent reports whether the target's announcements have stopped.
+func (c *Core) silent(now time.Time) bool {
+	return !now.Before(c.target.announcedAt.Add(c.Settings.AnnounceSilence))
+}
+
+// full reports whether the target has no room for a request on this credit.
+func (c *Core) full(now time.Time, cr Credit) (verdict.Cause, bool) {
+	cause := verdict.CauseOverload
+	if c.ramp.ramping() {
+		cause = verdict.CauseColdLimit
+	}
+
+	free := c.limit() - len(c.running) - c.unknownCount()
+	if free <= 0 {
+		return cause, true
+	}
+
+	c.share.sweep(now)
+
+	e := c.share.entries[cr.EntryID]
+	if e == nil {
+		e = &entry{}
+	}
+
+	c.share.lapse(e, now)
+
+	if e.inFlight < e.slots || c.share.open(now, e, c.limit()-c.unknownCount()) {
+		return "", false
+	}
+
+	return cause, true
+}
+
+// retryAt advises when a refused request may find room.
+func (c *Core) retryAt(now time.Time, cause verdict.Cause) time.Time {
+	switch cause {
+	case verdict.CauseOverload, verdict.CauseColdLimit:
+		wait := c.meanTime / time.Duration(max(c.limit(), 1))
+		return now.Add(min(max(wait, minRetry), maxRetry))
+	case verdict.CauseTargetDown, verdict.CauseStale:
+		return now.Add(time.Second)
+	default:
+		return time.Time{}
+	}
+}
+
+// Grant gives an entry a credit. Without room the credit has no slots; a request
+// on it is let in only where room turns up that nobody else has reserved.
+func (c *Core) Grant(now time.Time, q GrantAsk) Grant {
+	c.prepare()
+	c.unknown.expire(now)
+	c.share.sweep(now)
+	c.share.serial++
+
+	g := Grant{ExpiresAt: c.tickTime(uint64(now.Add(c.Settings.CreditLife).Sub(c.Started) / time.Millisecond))}
+	c.lastExpiry = g.ExpiresAt
+
+	var e *entry
+
+	if !c.share.full(q.EntryID) {
+		e = c.share.of(q.EntryID)
+		c.share.lapse(e, now)
+		e.wanted = int(q.Wanted)
+		g.RetryAt = c.allot(now, e, q.renewal)
+	}
+
+	g.Credit = c.credit(q.EntryID, e, g.ExpiresAt)
+
+	return g
+}
+
+// credit writes a credit of e, which is nil for an entry too many.
+func (c *Core) credit(id string, e *entry, expiresAt time.Time) Credit {
+	cr := Credit{
+		AgentID:       c.AgentID,
+		Incarnation:   c.Incarnation,
+		EntryID:       id,
+		Serial:        c.share.serial,
+		ExpiresAtTick: uint64(expiresAt.Sub(c.Started) / time.Millisecond),
+	}
+
+	if e != nil {
+		cr.Slots = uint32(e.slots)
+	}
+
+	return cr
+}
+
+// allot gives e its slots, and a turn if it asked itself and got nothing. It
+// returns when e should ask again.
+func (c *Core) allot(now time.Time, e *entry, renewal bool) time.Time {
+	slots := 0
+	if !c.leaving && !c.view.ZoneOut && !c.view.Retired {
+		slots = c.share.allot(now, e, c.limit()-c.unknownCount())
+	}
+
+	reserveFor := c.Settings.ReserveFor
+
+	if c.share.othersWait(e) {
+		reserveFor /= 5
+
+		if renewal {
+			slots = min(slots, e.inFlight)
+		}
+	}
+
+	more := slots > e.inFlight
+	c.share.change(e, func(e *entry) { e.slots = slots })
+	e.reservedUntil = now.Add(reserveFor)
+
+	switch {
+	case more:
+		c.share.served(e)
+	case !renewal && e.wanted > 0:
+		retryAt := now.Add(c.turnIn(e))
+		c.share.wait(e, retryAt.Add(c.Settings.WaitLife))
+
+		return retryAt
+	case e.asks > 0 && e.wanted == 0:
+		c.share.stopWaiting(e)
+	}
+
+	return time.Time{}
+}
+
+// turnIn advises how long a waiting entry should leave the agent alone: half of
+// the time in which those before it will be served, so that it's early.
+func (c *Core) turnIn(e *entry) time.Duration {
+	places := c.share.position(e)
+	d := c.meanTime * time.Duration(places) / time.Duration(2*max(c.limit(), 1))
+
+	return min(max(d, minTurn), maxTurn)
+}
+
+// Renew gives the entry of an answer a new credit, so that a busy entry seldom asks.
+func (c *Core) Renew(now time.Time, entryID string) Grant {
+	c.prepare()
+
+	wanted := 1
+	if e := c.share.entries[entryID]; e != nil {
+		wanted = max(e.wanted, 1)
+	}
+
+	return c.Grant(now, GrantAsk{EntryID: entryID, Wanted: uint32(wanted), renewal: true})
+}
