--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -112,7 +112,12 @@
 	t.reportedAt = ev.TakenAt
 	t.limit = ev.Limit
 	t.Cold = ev.Cold
-	t.Leaving = t.Leaving || ev.Leaving
+
+	t.stoppedUntil = time.Time{}
+	if ev.Leaving {
+		t.stoppedUntil = ev.TakenAt.Add(c.Settings.StoppedFor)
+	}
+
 	p.changed()
 }
 
@@ -132,7 +137,7 @@
 }
 
 // Begin takes in the time to an answer's first byte.
-func (c *Chooser) Begin(now time.Time, ev FirstByte) {
+func (c *Chooser) Begin(ev FirstByte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -143,10 +148,6 @@
 
 	t.health.waited(ev.Wait)
 	p.changed()
-
-	if !t.Cold {
-		c.judge(now, p, t)
-	}
 }
 
 // Finish takes in a request's end and frees its place.
@@ -214,7 +215,7 @@
 // usable reports whether ask may go to t now.
 func (c *Chooser) usable(now time.Time, p *pool, t *target, ask *Ask) bool {
 	switch {
-	case !t.takesNew(), t.room(now, &c.Settings, p.meanLoad) <= 0:
+	case !t.takesNew(), now.Before(t.stoppedUntil), t.room(now, &c.Settings, p.meanLoad) <= 0:
 		return false
 	case t.health.aside != faultNone && !t.health.mayProbe(now, ask.Idempotent):
 		return false
@@ -356,7 +357,7 @@
 	for _, t := range p.targets {
 		r.InFlight += t.own
 		r.Slots += t.own
-		if !t.takesNew() || t.health.aside != faultNone {
+		if !t.takesNew() || now.Before(t.stoppedUntil) || t.health.aside != faultNone {
 			continue
 		}
 
--- a/internal/routing/decisions_test.go
+++ b/internal/routing/decisions_test.go
@@ -60,7 +60,7 @@
 		s.end(t, d, n)
 	case "begin":
 		for range n {
-			s.c.Begin(s.now, routing.FirstByte{AgentID: d.CmdArgs[0].Key, Incarnation: 1, Wait: wait})
+			s.c.Begin(routing.FirstByte{AgentID: d.CmdArgs[0].Key, Incarnation: 1, Wait: wait})
 		}
 	case "silence":
 		for range n {
--- a/internal/routing/learn.go
+++ b/internal/routing/learn.go
@@ -51,6 +51,7 @@
 	switch judgeEnd(ev) {
 	case endGood:
 		h.succeeded()
+		c.judge(now, p, t)
 		c.probeSucceeded(now, p, t)
 	case endBad:
 		h.failed()
@@ -62,7 +63,7 @@
 	case endFull:
 		t.fullUntil = c.fullUntil(now, ev.RetryAt)
 	case endStopped:
-		t.Leaving = true
+		t.stoppedUntil = now.Add(c.Settings.StoppedFor)
 	case endCredit:
 		t.creditEnds = time.Time{}
 	}
--- a/internal/routing/pickers_test.go
+++ b/internal/routing/pickers_test.go
@@ -147,8 +147,8 @@
 			credit: func(_ time.Time, i, slots int, ends time.Time) {
 				c.Credit(routing.CreditChanged{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Slots: slots, ExpiresAt: ends})
 			},
-			begin: func(now time.Time, i int, wait time.Duration) {
-				c.Begin(now, routing.FirstByte{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Wait: wait})
+			begin: func(_ time.Time, i int, wait time.Duration) {
+				c.Begin(routing.FirstByte{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Wait: wait})
 			},
 			finish: func(now time.Time, i int, ev routing.Finished) {
 				ev.AgentID, ev.Incarnation = known[i].AgentID, known[i].Incarnation
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -15,7 +15,7 @@
 	OtherRegion float64
 	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.5).
 	PrefixGain float64
-	// FirstContact is how many requests a warm target without a credit may get (2).
+	// FirstContact is how many requests a warm target may get before its first report, and how many more a cold one is asked for (1).
 	FirstContact int
 	// ReportLife is the age at which a report counts half against the pool's mean
 	// (100 ms). Short on purpose: what this entry has in flight is exact, and a
@@ -47,6 +47,9 @@
 	// WarmUpAbove is the share of the warm capacity in use from which cold targets
 	// get all that their credits allow (0.5).
 	WarmUpAbove float64
+	// StoppedFor is how long an agent's word that it is leaving, or in a zone that
+	// is out, is believed without the configuration saying so (2 s).
+	StoppedFor time.Duration
 	// RenewBefore is how long before its end a credit is asked for anew (1 s).
 	RenewBefore time.Duration
 }
@@ -57,7 +60,7 @@
 	orFloat(&s.OtherZone, 0.02)
 	orFloat(&s.OtherRegion, 0.5)
 	orFloat(&s.PrefixGain, 0.5)
-	orInt(&s.FirstContact, 2)
+	orInt(&s.FirstContact, 1)
 	orTime(&s.ReportLife, 100*time.Millisecond)
 	orInt(&s.FailureRun, 3)
 	orInt(&s.DownRun, 2)
@@ -72,6 +75,7 @@
 	orInt(&s.ProbesNeeded, 2)
 	orInt(&s.SilentLimit, 3)
 	orTime(&s.WarmUpEvery, 500*time.Millisecond)
+	orTime(&s.StoppedFor, 2*time.Second)
 	orTime(&s.RenewBefore, time.Second)
 
 	return s
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -22,6 +22,9 @@
 	askAt  time.Time
 	// fullUntil is set by a refusal for want of room.
 	fullUntil time.Time
+	// stoppedUntil is set by the agent's word that it takes nothing new. It runs
+	// out, for an agent whose configuration lags would park its target for good.
+	stoppedUntil time.Time
 	// warmUpAt is when the cold target may next get work that a warm one could take.
 	warmUpAt time.Time
 
