--- a/internal/retries/budget.go
+++ b/internal/retries/budget.go
@@ -27,7 +27,7 @@
 // Settings are the tunable numbers of a Budget. The zero value of each field
 // stands for the default named beside it.
 type Settings struct {
-	// Ratio is how many retries a fresh request pays for (0.1).
+	// Ratio is how many retries a fresh request pays for (0.2).
 	Ratio float64
 	// FloorPerSecond is how many retries are paid for without any request (0.2),
 	// so that an entry with few requests can still retry one.
@@ -42,7 +42,7 @@
 
 func (s Settings) withDefaults() Settings {
 	if s.Ratio == 0 {
-		s.Ratio = 0.1
+		s.Ratio = 0.2
 	}
 
 	if s.FloorPerSecond == 0 {
