Give each entry an even, near and stable subset of targets

Cause: 410 entries cannot hold connections to 600 targets each. Change: Subsets, a stable matching by one hash in three stages (own zone, own region, any), the same in every process whatever the order of its lists.

--- a/internal/routing/load_bench_test.go
+++ b/internal/routing/load_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,14 +55,48 @@
 		m.targets = append(m.targets, &modelTarget{Target: d, warmLimit: s.limit, limit: float64(s.limit), slow: 1, shares: make([]share, s.entries)})
 	}
 
-	for e := range s.entries {
-		subset := rng.Perm(s.targets)[:s.degree]
+	for e, subset := range subsetsOf(s, list) {
 		m.entries = append(m.entries, &modelEntry{index: e, zone: zones[e%3], subset: subset, picker: w.make(rng, list, subset)})
 	}
 
 	return m
 }
 
+// subsetCache keeps the subsets of each size, for they take seconds to work out
+// for all entries.
+var subsetCache sync.Map
+
+// subsetsOf returns the numbers of each entry's targets.
+func subsetsOf(s size, list []routing.Target) [][]int {
+	if known, ok := subsetCache.Load(s.name); ok {
+		return known.([][]int)
+	}
+
+	number := map[string]int{}
+	targets := make([]routing.Place, len(list))
+
+	for i, t := range list {
+		number[t.AgentID] = i
+		targets[i] = routing.Place{ID: t.AgentID, Zone: t.Zone, Region: t.Region}
+	}
+
+	entries := make([]routing.Place, s.entries)
+	for e := range entries {
+		entries[e] = routing.Place{ID: fmt.Sprintf("e%d", e), Zone: list[e%3].Zone, Region: list[0].Region}
+	}
+
+	out := make([][]int, s.entries)
+	for e, self := range entries {
+		for _, id := range (routing.Subsets{Degree: s.degree}).Of(self, entries, targets) {
+			out[e] = append(out[e], number[id])
+		}
+	}
+
+	subsetCache.Store(s.name, out)
+
+	return out
+}
+
 // perSecond is the rate that fills that share of all targets.
 func perSecond(s size, share float64) float64 {
 	return share * float64(s.targets*s.limit) / 2
--- /dev/null
+++ b/internal/routing/subset_test.go
@@ -0,0 +1,213 @@
+package routing_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/routing"
+)
+
+// places makes a large deployment: seven zones in two regions.
+func places(kind string, n int) []routing.Place {
+	out := make([]routing.Place, n)
+	for i := range out {
+		z := i % 7
+		out[i] = routing.Place{ID: fmt.Sprintf("%s-%03d", kind, i), Zone: fmt.Sprintf("z%d", z), Region: fmt.Sprintf("r%d", z/4)}
+	}
+
+	return out
+}
+
+func TestSubset(t *testing.T) {
+	t.Parallel()
+
+	entries, all := places("e", 40), places("t", 70)
+	held := map[string]int{}
+
+	for _, e := range entries {
+		got := routing.Subsets{}.Of(e, entries, all)
+		require.Len(t, slices.Compact(got), 30)
+
+		for _, id := range got {
+			held[id]++
+		}
+	}
+
+	for _, p := range all {
+		require.InDelta(t, 30.0*40/70, held[p.ID], 3, p.ID)
+	}
+
+	// The same lists in another order give the same answer.
+	want := routing.Subsets{}.Of(entries[5], entries, all)
+	shuffled, others := slices.Clone(all), slices.Clone(entries)
+	r := rand.New(rand.NewPCG(1, 1))
+	r.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	r.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	require.Equal(t, want, routing.Subsets{}.Of(entries[5], others, shuffled))
+
+	// An entry that is not in the list yet has targets too; few targets are all kept.
+	require.Len(t, routing.Subsets{}.Of(routing.Place{ID: "new", Zone: "z1", Region: "r0"}, entries, all), 30)
+	require.Len(t, routing.Subsets{}.Of(entries[0], entries, all[:12]), 12)
+}
+
+// assignment is every entry's targets.
+type assignment map[string][]string
+
+func ours30(slack float64) func(entries, targets []routing.Place) assignment {
+	return func(entries, targets []routing.Place) assignment {
+		out := assignment{}
+		for _, e := range entries {
+			out[e.ID] = routing.Subsets{Slack: slack}.Of(e, entries, targets)
+		}
+
+		return out
+	}
+}
+
+// highestHash is plain rendezvous hashing, without regard to load or zone.
+func highestHash(entries, targets []routing.Place) assignment {
+	out := assignment{}
+
+	for _, e := range entries {
+		score := func(id string) uint64 {
+			h := fnv.New64a()
+			_, _ = h.Write([]byte(e.ID + "/" + id))
+
+			return h.Sum64() * 0x9e3779b97f4a7c15
+		}
+		ids := make([]string, len(targets))
+
+		for i, t := range targets {
+			ids[i] = t.ID
+		}
+
+		slices.SortFunc(ids, func(a, b string) int {
+			if score(a) > score(b) {
+				return -1
+			}
+
+			return 1
+		})
+		out[e.ID] = ids[:30]
+	}
+
+	return out
+}
+
+// shuffledRounds deals the targets out in rounds, each shuffled anew.
+func shuffledRounds(entries, targets []routing.Place) assignment {
+	out := assignment{}
+	perRound := len(targets) / 30
+
+	for i, e := range entries {
+		order := rand.New(rand.NewPCG(uint64(i/perRound), 3)).Perm(len(targets))
+		for _, k := range order[i%perRound*30 : (i%perRound+1)*30] {
+			out[e.ID] = append(out[e.ID], targets[k].ID)
+		}
+	}
+
+	return out
+}
+
+// moves counts the pairs of b that a lacks, among entries that are in both.
+func moves(a, b assignment) int {
+	n := 0
+
+	for e, list := range b {
+		old, ok := a[e]
+		if !ok {
+			continue
+		}
+
+		for _, id := range list {
+			if !slices.Contains(old, id) {
+				n++
+			}
+		}
+	}
+
+	return n
+}
+
+// BenchmarkSubset measures evenness, near share, and moved pairs (of 12,300) when
+// one target goes, one entry goes, and 41 of 410 entries go at once.
+func BenchmarkSubset(b *testing.B) {
+	ways := []struct {
+		name   string
+		assign func(entries, targets []routing.Place) assignment
+	}{
+		{"HighestHash", highestHash},
+		{"ShuffledRounds", shuffledRounds},
+		{"Ours/slack=0.01", ours30(0.01)},
+		{"Ours/slack=0.05", ours30(0.05)},
+		{"Ours/slack=0.20", ours30(0.2)},
+	}
+
+	for _, w := range ways {
+		b.Run(w.name, func(b *testing.B) {
+			for range b.N {
+				entries, all := places("e", 410), places("t", 600)
+				first := w.assign(entries, all)
+				reportEvenness(b, entries, all, first)
+				b.ReportMetric(float64(moves(first, w.assign(entries, without(all, 300)))), "moved-target")
+				b.ReportMetric(float64(moves(first, w.assign(without(entries, 200), all))), "moved-entry")
+				b.ReportMetric(float64(moves(first, w.assign(entries[41:], all))), "moved-41-entries")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+func without(list []routing.Place, i int) []routing.Place {
+	return slices.Delete(slices.Clone(list), i, i+1)
+}
+
+func reportEvenness(b *testing.B, entries, all []routing.Place, a assignment) {
+	b.Helper()
+
+	zone := map[string]string{}
+	for _, t := range all {
+		zone[t.ID] = t.Zone
+	}
+
+	held := map[string]float64{}
+	near, pairs := 0.0, 0.0
+
+	for _, e := range entries {
+		for _, id := range a[e.ID] {
+			held[id]++
+			pairs++
+
+			if zone[id] == e.Zone {
+				near++
+			}
+		}
+	}
+
+	most, least := 0.0, math.Inf(1)
+	for _, t := range all {
+		most, least = max(most, held[t.ID]), min(least, held[t.ID])
+	}
+
+	mean := pairs / float64(len(all))
+	b.ReportMetric(most/mean, "max/mean")
+	b.ReportMetric(least/mean, "min/mean")
+	b.ReportMetric(100*near/pairs, "near-%")
+}
+
+// BenchmarkSubsetOf is the cost for one entry at 410 entries and 600 targets.
+func BenchmarkSubsetOf(b *testing.B) {
+	entries, all := places("e", 410), places("t", 600)
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		routing.Subsets{}.Of(entries[0], entries, all)
+	}
+}
