Know the prefixes of each target by events, and give prompts a home

Cause: affinity knew this entry's own routing only, unbounded and for ever; three entries kept three copies of each conversation. Change: prefix.Index takes cache events by sequence number (doubled, late, missing), fades its own guesses, is bounded in two generations; the Chooser feeds and bounds it; a prompt's opening has a home target by hash, worth a little. Files split by job; no other change in them.

--- /dev/null
+++ b/internal/fairness/settings.go
@@ -0,0 +1,48 @@
+package fairness
+
+import (
+	"time"
+)
+
+// Settings are the tunable numbers of a Queue. The zero value of each field
+// stands for the default named beside it.
+type Settings struct {
+	// Most bounds what waits in all (8,192), MostOfOne what waits of one workspace (512).
+	Most      int
+	MostOfOne int
+	// Service is what a request is thought to take before any has ended (1 s).
+	Service time.Duration
+	// Margin is how many mean deviations of the service time a deadline must leave (2).
+	Margin float64
+	// ShortestRetry and LongestRetry bound the time until a refused caller's retry (200 ms, 30 s).
+	ShortestRetry time.Duration
+	LongestRetry  time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Most == 0 {
+		s.Most = 8192
+	}
+
+	if s.MostOfOne == 0 {
+		s.MostOfOne = 512
+	}
+
+	if s.Service == 0 {
+		s.Service = time.Second
+	}
+
+	if s.Margin == 0 {
+		s.Margin = 2
+	}
+
+	if s.ShortestRetry == 0 {
+		s.ShortestRetry = 200 * time.Millisecond
+	}
+
+	if s.LongestRetry == 0 {
+		s.LongestRetry = 30 * time.Second
+	}
+
+	return s
+}
--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -6,7 +6,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -42,142 +41,6 @@
 	c.byID = map[string]*target{}
 }
 
-// ChangeTargets takes in the configuration's targets.
-func (c *Chooser) ChangeTargets(ev TargetsChanged) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.start()
-
-	former := c.byID
-	c.pools = map[string]*pool{}
-	c.byID = make(map[string]*target, len(ev.Targets))
-
-	for _, d := range ev.Targets {
-		t := former[d.AgentID]
-		if t == nil || t.Incarnation != d.Incarnation {
-			t = &target{}
-		}
-
-		if t.reportedAt.IsZero() || !t.Cold {
-			t.Target = d
-		} else {
-			cold := t.Cold
-			t.Target = d
-			t.Cold = cold
-		}
-
-		c.byID[d.AgentID] = t
-		c.add(t)
-	}
-
-	for _, p := range c.pools {
-		p.refresh()
-	}
-}
-
-func (c *Chooser) add(t *target) {
-	p := c.pools[t.Service]
-	if p == nil {
-		p = &pool{}
-		c.pools[t.Service] = p
-	}
-
-	p.targets = append(p.targets, t)
-	p.count(t.health.aside)
-}
-
-// find returns the target when it is still of that incarnation.
-func (c *Chooser) find(agentID string, incarnation uint64) (*target, *pool) {
-	c.start()
-
-	t := c.byID[agentID]
-	if t == nil || t.Incarnation != incarnation {
-		return nil, nil
-	}
-
-	return t, c.pools[t.Service]
-}
-
-// Report takes in a load report. One older than the last is dropped.
-func (c *Chooser) Report(ev ReportReceived) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	t, p := c.find(ev.AgentID, ev.Incarnation)
-	if t == nil || ev.TakenAt.Before(t.reportedAt) {
-		return
-	}
-
-	t.reported = max(0, ev.InFlight+ev.Queued-t.history.at(ev.TakenAt))
-	t.reportedAt = ev.TakenAt
-	t.limit = ev.Limit
-	t.Cold = ev.Cold
-
-	t.stoppedUntil = time.Time{}
-	if ev.Leaving {
-		t.stoppedUntil = ev.TakenAt.Add(c.Settings.StoppedFor)
-	}
-
-	p.changed()
-}
-
-// Credit takes in a credit.
-func (c *Chooser) Credit(ev CreditChanged) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	t, _ := c.find(ev.AgentID, ev.Incarnation)
-	if t == nil {
-		return
-	}
-
-	t.slots = ev.Slots
-	t.creditEnds = ev.ExpiresAt
-	t.reached()
-}
-
-// Begin takes in the time to an answer's first byte.
-func (c *Chooser) Begin(ev FirstByte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	t, p := c.find(ev.AgentID, ev.Incarnation)
-	if t == nil {
-		return
-	}
-
-	t.health.waited(ev.Wait)
-	p.changed()
-}
-
-// Finish takes in a request's end and frees its place.
-func (c *Chooser) Finish(now time.Time, ev Finished) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	t, p := c.find(ev.AgentID, ev.Incarnation)
-	if t == nil {
-		return
-	}
-
-	t.count(now, max(0, t.own-1))
-	c.learn(now, p, t, ev)
-}
-
-// Silence takes in that a connection went silent.
-func (c *Chooser) Silence(now time.Time, ev TargetSilent) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	t, p := c.find(ev.AgentID, ev.Incarnation)
-	if t == nil {
-		return
-	}
-
-	t.health.silences++
-	c.judge(now, p, t)
-}
-
 // Choose returns a target and counts the request as in flight there. Each
 // Choice must be ended by Finish.
 func (c *Chooser) Choose(now time.Time, ask Ask) (Choice, *NoTarget) {
@@ -208,7 +71,7 @@
 
 	return Choice{
 		AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation, Cold: t.Cold,
-		NeedsCredit: !t.credited(now), Probe: probe, Matched: c.matched(t, &ask),
+		NeedsCredit: !t.credited(now), Probe: probe, Matched: c.route(now, t, &ask),
 	}, nil
 }
 
@@ -260,110 +123,14 @@
 	return best
 }
 
-func (c *Chooser) matched(t *target, ask *Ask) int {
+// route records the prompt's prefixes, and returns how many t held before.
+func (c *Chooser) route(now time.Time, t *target, ask *Ask) int {
 	if c.Prefixes == nil || len(ask.Prefixes) == 0 {
 		return 0
 	}
 
-	return c.Prefixes.Match(t.AgentID, ask.Prefixes).Blocks
-}
-
-// The mean pauses before asking again where nothing says when.
-const (
-	waitForRoom    = 300 * time.Millisecond
-	waitForTargets = 3 * time.Second
-)
-
-// jitter returns between half of d and one and a half of it.
-func (c *Chooser) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(c.Rand.Float64()*float64(d))
-}
-
-// why says why no target could be picked.
-func (c *Chooser) why(now time.Time, p *pool) *NoTarget {
-	cause := verdict.CauseNoTarget
-
-	for _, t := range p.targets {
-		switch {
-		case t.takesNew() && t.Cold:
-			cause = verdict.CauseColdLimit
-		case t.takesNew():
-			cause = verdict.CauseOverload
-		case cause == verdict.CauseNoTarget && t.ZoneOut:
-			cause = verdict.CauseZoneOut
-		case cause == verdict.CauseNoTarget && t.Leaving:
-			cause = verdict.CauseLeaving
-		}
-
-		if cause == verdict.CauseOverload {
-			break
-		}
-	}
-
-	if cause != verdict.CauseOverload && cause != verdict.CauseColdLimit {
-		return &NoTarget{Cause: cause, RetryAt: now.Add(c.jitter(waitForTargets))}
-	}
-
-	at := p.earliest(now)
-	if at.IsZero() {
-		at = now.Add(c.jitter(waitForRoom))
-	}
-
-	return &NoTarget{Cause: cause, RetryAt: at}
-}
-
-// CreditAsks returns the credits to ask for now: first ones, those that end
-// soon, and those that no longer fit what this entry needs. Answers renew a
-// credit only by what was last asked. A shell calls it some five times a second.
-func (c *Chooser) CreditAsks(now time.Time) []CreditAsk {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.start()
-
-	var asks []CreditAsk
-
-	for _, p := range c.pools {
-		for _, t := range p.targets {
-			wanted := t.wants(&c.Settings)
-			if !t.takesNew() || !t.shouldAsk(now, wanted, c.Settings.RenewBefore) {
-				continue
-			}
-
-			t.asked(now, wanted, &c.Settings)
-			asks = append(asks, CreditAsk{
-				AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation, Wanted: wanted, Using: t.own,
-			})
-		}
-	}
-
-	slices.SortFunc(asks, func(a, b CreditAsk) int { return strings.Compare(a.AgentID, b.AgentID) })
-
-	return asks
-}
-
-// Room returns what this entry may have in flight at a service's targets.
-func (c *Chooser) Room(now time.Time, service string) Room {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.start()
-
-	var r Room
-
-	p := c.pools[service]
-	if p == nil {
-		return r
-	}
-
-	for _, t := range p.targets {
-		r.InFlight += t.own
-		r.Slots += t.own
-		if !t.takesNew() || now.Before(t.stoppedUntil) || t.health.aside != faultNone {
-			continue
-		}
-
-		r.Targets++
-		r.Slots += max(0, t.room(now, &c.Settings, p.meanLoad))
-	}
+	held := c.Prefixes.Match(now, t.AgentID, ask.Prefixes).Blocks
+	c.Prefixes.Routed(now, t.AgentID, t.Incarnation, ask.Prefixes)
 
-	return r
+	return held
 }
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -16,7 +16,7 @@
 		cost *= max(1, t.health.wait/p.medianWait)
 	}
 
-	return cost + t.health.penalty() + c.distance(t, ask) - c.prefixGain(t, ask)
+	return cost + t.health.penalty() + c.distance(t, ask) - c.prefixGain(now, t, ask)
 }
 
 // coldCost is the cost of a cold target that has a free slot for this entry.
@@ -44,13 +44,25 @@
 	}
 }
 
-// prefixGain is what the target's cache is worth for the ask.
-func (c *Chooser) prefixGain(t *target, ask *Ask) float64 {
+// prefixGain is what the target's cache is worth for the ask, and a little for
+// the target that is the opening's home.
+func (c *Chooser) prefixGain(now time.Time, t *target, ask *Ask) float64 {
 	if c.Prefixes == nil || len(ask.Prefixes) == 0 {
 		return 0
 	}
 
-	m := c.Prefixes.Match(t.AgentID, ask.Prefixes)
+	m := c.Prefixes.Match(now, t.AgentID, ask.Prefixes)
+	gain := c.Settings.PrefixGain * m.Certainty * float64(m.Blocks) / float64(len(ask.Prefixes))
 
-	return c.Settings.PrefixGain * m.Certainty * float64(m.Blocks) / float64(len(ask.Prefixes))
+	return gain + c.Settings.HomeGain*t.homeliness(ask.Prefixes[min(c.Settings.HomeBlocks, len(ask.Prefixes))-1])
+}
+
+// homeliness is between 0 and 1, and near 1 at one of many targets for each
+// opening. The mixing is that of Subsets.
+func (t *target) homeliness(opening uint64) float64 {
+	x := float64(mix(opening, t.hash)>>11) / (1 << 53)
+	x *= x
+	x *= x
+
+	return x * x
 }
--- /dev/null
+++ b/internal/routing/model_results_test.go
@@ -0,0 +1,102 @@
+package routing_test
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// results are what a run measures.
+type results struct {
+	offered, answered, late, refused, tries int
+	latencies                               []float64
+	imbalance                               []float64
+	hits, blocks                            int
+	// By the second of arrival: what was offered, and answered in time. By that
+	// of the end: what was answered in time.
+	answeredAt, offeredAt map[int]int
+	endedAt               map[int]int
+}
+
+// every repeats do until the horizon.
+func (m *model) every(d time.Duration, do func()) {
+	m.after(d, func() {
+		do()
+		m.every(d, do)
+	})
+}
+
+// watch samples the imbalance, keeps the lagged reports and renews credits.
+func (m *model) watch(from time.Duration) {
+	if m.lag > 0 {
+		for _, t := range m.targets {
+			m.after(time.Duration(m.rng.Int64N(int64(m.lag))), func() {
+				m.every(m.lag, func() { t.lagged, t.laggedAt = t.inFlight, m.now })
+			})
+		}
+	}
+
+	for _, e := range m.entries {
+		for _, i := range e.subset {
+			m.after(time.Duration(m.rng.Int64N(int64(time.Second))), func() {
+				m.every(time.Second, func() { m.tell(e, i) })
+			})
+		}
+
+		m.every(200*time.Millisecond, func() { m.askCredits(e) })
+	}
+
+	m.every(100*time.Millisecond, func() {
+		if m.now >= from {
+			m.results.imbalance = append(m.results.imbalance, m.spread())
+		}
+	})
+}
+
+// spread is the standard deviation of the targets' fullness over its mean.
+func (m *model) spread() float64 {
+	sum, squares, n := 0.0, 0.0, 0.0
+
+	for _, t := range m.targets {
+		if t.ZoneOut || t.down {
+			continue
+		}
+
+		x := float64(t.inFlight) / t.limit
+		sum += x
+		squares += x * x
+		n++
+	}
+
+	if sum == 0 {
+		return 0
+	}
+
+	mean := sum / n
+
+	return math.Sqrt(max(0, squares/n-mean*mean)) / mean
+}
+
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+
+	s := slices.Clone(v)
+	slices.Sort(s)
+
+	return s[int(q*float64(len(s)-1))]
+}
+
+func mean(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+
+	return sum / float64(len(v))
+}
--- a/internal/routing/pickers_test.go
+++ b/internal/routing/pickers_test.go
@@ -47,6 +47,7 @@
 		room:   func(time.Time) routing.Room { return routing.Room{} },
 		asks:   func(time.Time) []routing.CreditAsk { return nil },
 		silent: func(time.Time, int) {},
+		cache:  func(prefix.Event) {},
 	}
 }
 
@@ -157,6 +158,7 @@
 			change: change,
 			room:   func(now time.Time) routing.Room { return c.Room(now, service) },
 			asks:   c.CreditAsks,
+			cache:  c.Cache,
 			silent: func(now time.Time, i int) {
 				c.Silence(now, routing.TargetSilent{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation})
 			},
--- /dev/null
+++ b/internal/routing/prefix_bench_test.go
@@ -0,0 +1,53 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/routing"
+)
+
+// conversations draws prompts of eight blocks: two that all share, four of one of
+// 200 conversations, a few of which are most of the traffic, and two new ones.
+func conversations(rng *rand.Rand) func() []uint64 {
+	zipf := rand.NewZipf(rng, 1.1, 4, 199)
+
+	return func() []uint64 {
+		c := 1000 * (1 + zipf.Uint64())
+
+		return []uint64{1, 2, c, c + 1, c + 2, c + 3, rng.Uint64(), rng.Uint64()}
+	}
+}
+
+// BenchmarkPrefix measures how many of the blocks that can be held are found,
+// against balance and latency.
+func BenchmarkPrefix(b *testing.B) {
+	list := []way{{"RoundRobin", roundRobin}, {"TwoChoices", twoChoices}}
+	list = append(list,
+		way{"NoAffinity", ours(routing.Settings{PrefixGain: 1e-9, HomeGain: 1e-9})},
+		way{"Former", ours(routing.Settings{PrefixGain: 0.5, HomeGain: 1e-9})},
+		way{"Ours", ours(routing.Settings{})},
+	)
+
+	for _, load := range []float64{0.5, 0.8} {
+		for _, events := range []bool{false, true} {
+			for _, w := range list {
+				b.Run(fmt.Sprintf("load=%.1f/events=%v/%s", load, events, w.name), func(b *testing.B) {
+					for range b.N {
+						m := newModel(9, sizes[0], w, 0)
+						m.prefixOf, m.cacheEvents = conversations(m.rng), events
+						m.watch(5 * time.Second)
+						m.arrivals(perSecond(sizes[0], load), m.horizon, func(e *modelEntry) { m.try(m.newJob(e)) })
+						m.run()
+						report(b, m)
+						// Two blocks of eight are always new.
+						b.ReportMetric(100*float64(m.results.hits)/(0.75*float64(m.results.blocks)), "hit-%")
+						b.ReportMetric(mean(m.results.latencies), "mean-s")
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/refusal.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// The mean pauses before asking again where nothing says when.
+const (
+	waitForRoom    = 300 * time.Millisecond
+	waitForTargets = 3 * time.Second
+)
+
+// jitter returns between half of d and one and a half of it.
+func (c *Chooser) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(c.Rand.Float64()*float64(d))
+}
+
+// why says why no target could be picked.
+func (c *Chooser) why(now time.Time, p *pool) *NoTarget {
+	cause := verdict.CauseNoTarget
+
+	for _, t := range p.targets {
+		switch {
+		case t.takesNew() && t.Cold:
+			cause = verdict.CauseColdLimit
+		case t.takesNew():
+			cause = verdict.CauseOverload
+		case cause == verdict.CauseNoTarget && t.ZoneOut:
+			cause = verdict.CauseZoneOut
+		case cause == verdict.CauseNoTarget && t.Leaving:
+			cause = verdict.CauseLeaving
+		}
+
+		if cause == verdict.CauseOverload {
+			break
+		}
+	}
+
+	if cause != verdict.CauseOverload && cause != verdict.CauseColdLimit {
+		return &NoTarget{Cause: cause, RetryAt: now.Add(c.jitter(waitForTargets))}
+	}
+
+	at := p.earliest(now)
+	if at.IsZero() {
+		at = now.Add(c.jitter(waitForRoom))
+	}
+
+	return &NoTarget{Cause: cause, RetryAt: at}
+}
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -13,8 +13,14 @@
 	// OtherZone and OtherRegion are added to the cost of far targets (0.02, 0.5).
 	OtherZone   float64
 	OtherRegion float64
-	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.5).
+	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.75).
 	PrefixGain float64
+	// HomeGain is taken off the cost of the target that a prompt's opening hashes
+	// to, so that entries that know nothing of each other send it to the same (0.4).
+	HomeGain float64
+	// HomeBlocks is how many blocks are a prompt's opening (4): long enough to
+	// tell conversations with a common system prompt apart.
+	HomeBlocks int
 	// FirstContact is how many requests a warm target may get before its first report, and how many more a cold one is asked for (1).
 	FirstContact int
 	// ReportLife is the age at which a report counts half against the pool's mean
@@ -59,7 +65,9 @@
 	orFloat(&s.NearEqual, 0.005)
 	orFloat(&s.OtherZone, 0.02)
 	orFloat(&s.OtherRegion, 0.5)
-	orFloat(&s.PrefixGain, 0.5)
+	orFloat(&s.PrefixGain, 0.75)
+	orFloat(&s.HomeGain, 0.4)
+	orInt(&s.HomeBlocks, 4)
 	orInt(&s.FirstContact, 1)
 	orTime(&s.ReportLife, 100*time.Millisecond)
 	orInt(&s.FailureRun, 3)
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -123,10 +123,12 @@
 	return out
 }
 
-// rank is how much entry e and target t like each other. The mixing step is that
-// of the splitmix64 generator.
-func (m *matching) rank(e, t int) uint64 {
-	x := m.entryHash[e] ^ (m.targetHash[t]*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
+// rank is how much entry e and target t like each other.
+func (m *matching) rank(e, t int) uint64 { return mix(m.entryHash[e], m.targetHash[t]) }
+
+// mix joins two hashes into one by the mixing step of the splitmix64 generator.
+func mix(a, b uint64) uint64 {
+	x := a ^ (b*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -6,6 +6,8 @@
 type target struct {
 	Target
 
+	// hash is that of AgentID.
+	hash uint64
 	// own is what this entry has in flight there.
 	own     int
 	history history
