Send less to full targets, and wait out a passing loss of all room

Cause: under overload each request was sent 1.8 to 3 times, for a refusal was forgotten after 20 ms; a capacity of 0 for a moment refused all that came. Change: an agent's advice on when to come again is kept, and dropped when one of this entry's own requests there ends; a capacity of 0 counts as passing for 2 s; one failed dial sets a target aside (was two), as a granted credit takes it back; Gone tells a service without any target before its callers wait.

--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -9,8 +9,9 @@
 // wait estimates how long a new item of f waits behind that much work of its
 // own workspace: until the fair queueing clock reaches its virtual start, but
 // no longer than all that waits takes.
-func (q *Queue) wait(f *flow, ahead float64) time.Duration {
-	if q.capacity <= 0 {
+func (q *Queue) wait(now time.Time, f *flow, ahead float64) time.Duration {
+	slots := q.slots(now)
+	if slots == 0 {
 		return q.Settings.LongestRetry
 	}
 
@@ -19,7 +20,6 @@
 		weights += f.weight
 	}
 
-	slots := float64(q.capacity)
 	due := max(f.start, q.virtual) + ahead/f.weight - q.virtual
 	wait := min(due*weights, q.work) / slots
 	// The next slot frees after a share of one usual request.
@@ -28,6 +28,19 @@
 	return time.Duration(wait)
 }
 
+// slots is the capacity that estimates go by. Without any, as at the start or
+// while all targets restart, the last one is expected back, for a short time.
+func (q *Queue) slots(now time.Time) float64 {
+	switch {
+	case q.capacity > 0:
+		return float64(q.capacity)
+	case q.emptySince.IsZero() || now.Sub(q.emptySince) < q.Settings.EmptyFor:
+		return float64(q.lastCapacity)
+	default:
+		return 0
+	}
+}
+
 // late reports whether an item behind that much work would end after its
 // deadline, and by how much.
 func (q *Queue) late(now time.Time, e *entry, ahead float64) (time.Duration, bool) {
@@ -35,7 +48,7 @@
 		return 0, false
 	}
 
-	excess := now.Add(q.wait(e.flow, ahead)).Sub(e.latestStart)
+	excess := now.Add(q.wait(now, e.flow, ahead)).Sub(e.latestStart)
 
 	return excess, excess > 0
 }
@@ -63,7 +76,7 @@
 func (q *Queue) expire(now time.Time) {
 	for len(q.expiring) > 0 && now.After(q.expiring[0].latestStart) {
 		e := q.expiring[0]
-		q.refuse(now, e, q.wait(e.flow, 0))
+		q.refuse(now, e, q.wait(now, e.flow, 0))
 	}
 }
 
@@ -108,7 +121,7 @@
 		return false
 	}
 
-	q.refuse(now, longest.tail(), q.wait(longest, longest.workAhead(0)))
+	q.refuse(now, longest.tail(), q.wait(now, longest, longest.workAhead(0)))
 
 	return true
 }
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -22,6 +22,9 @@
 	ready    bool
 	capacity int
 	running  int
+	// lastCapacity is the last one above 0, emptySince when it fell to 0.
+	lastCapacity int
+	emptySince   time.Time
 	// virtual is the fair queueing clock: work per weight given to the flow served last.
 	virtual float64
 	// weights is the sum of the weights of the flows that wait.
@@ -39,6 +42,9 @@
 	actions  []Action
 }
 
+// firstCapacity is what is expected before the first SetCapacity.
+const firstCapacity = 8
+
 // start fills in the defaults. It needs the lock.
 func (q *Queue) start() {
 	if q.ready {
@@ -49,6 +55,7 @@
 	q.Settings = q.Settings.withDefaults()
 	q.flows = map[string]*flow{}
 	q.entries = map[uint64]*entry{}
+	q.lastCapacity = firstCapacity
 	q.service.mean = float64(q.Settings.Service)
 	q.service.deviation = q.service.mean / 2
 }
@@ -63,6 +70,13 @@
 	less := n < q.capacity
 	q.capacity = n
 
+	switch {
+	case n > 0:
+		q.lastCapacity, q.emptySince = n, time.Time{}
+	case q.emptySince.IsZero():
+		q.emptySince = now
+	}
+
 	if less {
 		q.recheck(now)
 	}
@@ -103,7 +117,7 @@
 	if f.waiting >= q.Settings.MostOfOne || !q.makePlace(now, f) {
 		q.forget(f)
 
-		return q.refusal(now, e, q.wait(f, f.workAhead(0))), nil
+		return q.refusal(now, e, q.wait(now, f, f.workAhead(0))), nil
 	}
 
 	q.enqueue(e, false)
--- a/internal/fairness/settings.go
+++ b/internal/fairness/settings.go
@@ -14,6 +14,9 @@
 	Service time.Duration
 	// Margin is how many mean deviations of the service time a deadline must leave (2).
 	Margin float64
+	// EmptyFor is how long a capacity of 0 is taken to be passing (2 s). After that
+	// what waits is refused, and what comes too.
+	EmptyFor time.Duration
 	// ShortestRetry and LongestRetry bound the time until a refused caller's retry (200 ms, 30 s).
 	ShortestRetry time.Duration
 	LongestRetry  time.Duration
@@ -36,6 +39,10 @@
 		s.Margin = 2
 	}
 
+	if s.EmptyFor == 0 {
+		s.EmptyFor = 2 * time.Second
+	}
+
 	if s.ShortestRetry == 0 {
 		s.ShortestRetry = 200 * time.Millisecond
 	}
--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -50,7 +50,7 @@
 
 	p := c.pools[ask.Service]
 	if p == nil {
-		return Choice{}, &NoTarget{Cause: verdict.CauseNoTarget}
+		return Choice{}, &NoTarget{Cause: verdict.CauseNoTarget, RetryAt: now.Add(c.jitter(waitForTargets))}
 	}
 
 	t := c.pick(now, p, &ask)
--- a/internal/routing/learn.go
+++ b/internal/routing/learn.go
@@ -50,6 +50,8 @@
 
 	switch judgeEnd(ev) {
 	case endGood:
+		// Its own place is free again, whatever was said before.
+		t.fullUntil = time.Time{}
 		h.succeeded()
 		c.judge(now, p, t)
 		c.probeSucceeded(now, p, t)
--- a/internal/routing/refusal.go
+++ b/internal/routing/refusal.go
@@ -49,3 +49,25 @@
 
 	return &NoTarget{Cause: cause, RetryAt: at}
 }
+
+// Gone says why none of a service's targets takes new work, as when all are in
+// zones that are out; nil when one does, however full. A request that meets it
+// need not wait in a queue for room.
+func (c *Chooser) Gone(now time.Time, service string) *NoTarget {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.start()
+
+	p := c.pools[service]
+	if p == nil {
+		return &NoTarget{Cause: verdict.CauseNoTarget, RetryAt: now.Add(c.jitter(waitForTargets))}
+	}
+
+	for _, t := range p.targets {
+		if t.takesNew() {
+			return nil
+		}
+	}
+
+	return c.why(now, p)
+}
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -29,7 +29,7 @@
 	ReportLife time.Duration
 	// FailureRun is how many failures in a row set a target aside (3).
 	FailureRun int
-	// DownRun is how many failures to reach it set a target aside as down (2).
+	// DownRun is how many failures to reach it set a target aside as down (1).
 	DownRun int
 	// FailureShare is the share of recent requests failed that sets a target aside (0.5).
 	FailureShare float64
@@ -71,7 +71,7 @@
 	orInt(&s.FirstContact, 1)
 	orTime(&s.ReportLife, 100*time.Millisecond)
 	orInt(&s.FailureRun, 3)
-	orInt(&s.DownRun, 2)
+	orInt(&s.DownRun, 1)
 	orTime(&s.AskEvery, 200*time.Millisecond)
 	orTime(&s.AskDownEvery, time.Second)
 	orFloat(&s.WarmUpAbove, 0.5)
