--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -4,7 +4,6 @@
 package fairness
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,6 +22,9 @@
 	ready    bool
 	capacity int
 	running  int
+	// lastCapacity is the last one above 0, emptySince when it fell to 0.
+	lastCapacity int
+	emptySince   time.Time
 	// virtual is the fair queueing clock: work per weight given to the flow served last.
 	virtual float64
 	// weights is the sum of the weights of the flows that wait.
@@ -40,48 +42,8 @@
 	actions  []Action
 }
 
-// Settings are the tunable numbers of a Queue. The zero value of each field
-// stands for the default named beside it.
-type Settings struct {
-	// Most bounds what waits in all (8,192), MostOfOne what waits of one workspace (512).
-	Most      int
-	MostOfOne int
-	// Service is what a request is thought to take before any has ended (1 s).
-	Service time.Duration
-	// Margin is how many mean deviations of the service time a deadline must leave (0.5).
-	Margin float64
-	// ShortestRetry and LongestRetry bound the time until a refused caller's retry (200 ms, 30 s).
-	ShortestRetry time.Duration
-	LongestRetry  time.Duration
-}
-
-func (s Settings) withDefaults() Settings {
-	if s.Most == 0 {
-		s.Most = 8192
-	}
-
-	if s.MostOfOne == 0 {
-		s.MostOfOne = 512
-	}
-
-	if s.Service == 0 {
-		s.Service = time.Second
-	}
-
-	if s.Margin == 0 {
-		s.Margin = 0.5
-	}
-
-	if s.ShortestRetry == 0 {
-		s.ShortestRetry = 200 * time.Millisecond
-	}
-
-	if s.LongestRetry == 0 {
-		s.LongestRetry = 30 * time.Second
-	}
-
-	return s
-}
+// firstCapacity is what is expected before the first SetCapacity.
+const firstCapacity = 8
 
 // start fills in the defaults. It needs the lock.
 func (q *Queue) start() {
@@ -93,18 +55,11 @@
 	q.Settings = q.Settings.withDefaults()
 	q.flows = map[string]*flow{}
 	q.entries = map[uint64]*entry{}
+	q.lastCapacity = firstCapacity
 	q.service.mean = float64(q.Settings.Service)
 	q.service.deviation = q.service.mean / 2
 }
 
-// taken returns the actions gathered for others. It needs the lock.
-func (q *Queue) taken() []Action {
-	a := q.actions
-	q.actions = nil
-
-	return a
-}
-
 // SetCapacity says how many requests may run at once. What can no longer end in
 // time is refused at once.
 func (q *Queue) SetCapacity(now time.Time, n int) []Action {
@@ -115,6 +70,13 @@
 	less := n < q.capacity
 	q.capacity = n
 
+	switch {
+	case n > 0:
+		q.lastCapacity, q.emptySince = n, time.Time{}
+	case q.emptySince.IsZero():
+		q.emptySince = now
+	}
+
 	if less {
 		q.recheck(now)
 	}
@@ -155,10 +117,10 @@
 	if f.waiting >= q.Settings.MostOfOne || !q.makePlace(now, f) {
 		q.forget(f)
 
-		return q.refusal(now, e, q.wait(f, f.workAhead(0))), nil
+		return q.refusal(now, e, q.wait(now, f, f.workAhead(0))), nil
 	}
 
-	q.enqueue(e)
+	q.enqueue(e, false)
 	q.dispatch(now)
 
 	if e.running {
@@ -168,20 +130,6 @@
 	return Action{ID: it.ID, Kind: Wait}, q.taken()
 }
 
-// without returns the actions gathered, but for that of one item.
-func (q *Queue) without(id uint64) []Action {
-	all := q.taken()
-	kept := all[:0]
-
-	for _, a := range all {
-		if a.ID != id {
-			kept = append(kept, a)
-		}
-	}
-
-	return kept
-}
-
 // Finish ends a running item that ran to its end, and learns from it.
 func (q *Queue) Finish(now time.Time, id uint64) []Action { return q.end(now, id, true) }
 
@@ -189,6 +137,38 @@
 // gone, or it was not run after all. Nothing is learned from it.
 func (q *Queue) Cancel(now time.Time, id uint64) []Action { return q.end(now, id, false) }
 
+// PutBack lets a running item that was not run after all, for want of room at
+// the targets, wait again before the others of its workspace and priority. Its
+// action comes with the rest: it may start again at once, or be refused.
+func (q *Queue) PutBack(now time.Time, id uint64) []Action {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.start()
+
+	e := q.entries[id]
+	if e == nil || !e.running {
+		return nil
+	}
+
+	f := e.flow
+	e.running = false
+	q.running--
+	f.running--
+	// The room was not there. Without this the next would start at once, be
+	// refused too, and so on until the next SetCapacity.
+	q.capacity = min(q.capacity, q.running)
+	q.charge(f, f.start-e.work/f.weight)
+	q.enqueue(e, true)
+
+	if excess, late := q.late(now, e, 0); late {
+		q.refuse(now, e, excess)
+	}
+
+	q.dispatch(now)
+
+	return q.taken()
+}
+
 func (q *Queue) end(now time.Time, id uint64, whole bool) []Action {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -246,109 +226,3 @@
 		Workspaces: len(q.flows), Service: time.Duration(q.service.mean),
 	}
 }
-
-func (q *Queue) newEntry(it Item) *entry {
-	if it.Cost <= 0 {
-		it.Cost = 1
-	}
-
-	e := &entry{Item: it, level: levelOf(it.Priority), expiryIndex: -1}
-	e.work = q.service.work(it.Cost)
-
-	if !it.Deadline.IsZero() {
-		e.latestStart = it.Deadline.Add(-q.service.needs(it.Cost, q.Settings.Margin))
-	}
-
-	return e
-}
-
-// enqueue puts e at the end of its line.
-func (q *Queue) enqueue(e *entry) {
-	f := e.flow
-	f.lines[e.level].push(e)
-	f.waiting++
-	q.waiting++
-	q.work += e.work
-	q.entries[e.ID] = e
-
-	if !e.latestStart.IsZero() {
-		heap.Push(&q.expiring, e)
-	}
-
-	if f.index < 0 {
-		f.start = max(f.start, q.virtual)
-		q.weights += f.weight
-		heap.Push(&q.backlog, f)
-	}
-}
-
-// dequeue takes e out of its line.
-func (q *Queue) dequeue(e *entry) {
-	f := e.flow
-	f.lines[e.level].remove(e)
-	f.waiting--
-	q.waiting--
-	q.work -= e.work
-
-	if e.expiryIndex >= 0 {
-		heap.Remove(&q.expiring, e.expiryIndex)
-	}
-
-	if f.waiting == 0 {
-		heap.Remove(&q.backlog, f.index)
-		q.weights -= f.weight
-	}
-
-	if q.waiting == 0 {
-		q.work, q.weights = 0, 0
-	}
-}
-
-// dispatch starts what there is room for.
-func (q *Queue) dispatch(now time.Time) {
-	q.expire(now)
-
-	for q.running < q.capacity && len(q.backlog) > 0 {
-		f := q.backlog[0]
-		e := f.head()
-		q.virtual = max(q.virtual, f.start)
-		q.dequeue(e)
-		q.run(now, e)
-		q.actions = append(q.actions, Action{ID: e.ID, Kind: Start})
-	}
-}
-
-// run starts e and charges its flow with the work expected.
-func (q *Queue) run(now time.Time, e *entry) {
-	f := e.flow
-	e.running = true
-	e.startedAt = now
-	q.running++
-	f.running++
-	q.entries[e.ID] = e
-	q.charge(f, max(f.start, q.virtual)+e.work/f.weight)
-}
-
-// charge moves a flow's virtual time.
-func (q *Queue) charge(f *flow, start float64) {
-	f.start = start
-	if f.index >= 0 {
-		heap.Fix(&q.backlog, f.index)
-	}
-}
-
-// stop ends a running item and corrects its flow's charge to the work done.
-func (q *Queue) stop(now time.Time, e *entry, whole bool) {
-	f := e.flow
-	took := now.Sub(e.startedAt)
-	q.running--
-	f.running--
-	delete(q.entries, e.ID)
-
-	if whole {
-		q.service.learn(took, e.Cost)
-	}
-
-	q.charge(f, f.start+(float64(took)-e.work)/f.weight)
-	q.forget(f)
-}
