Switch expert maps through holds and the replicated log

Cause: a rank that computes a step with another map than its peers garbles every answer of that step, and a decision that nobody makes stops the group. Change: a coordinator core stages a map, has every engine hold at one named step, and lets the replicated log alone decide; a participant core at each agent carries this to its engine, refuses old fencing numbers and other incarnations, and asks its peers while a decision is missing. A rank that does not know which map rules is told only after a log entry proposed after it asked.

--- /dev/null
+++ b/internal/expertmap/coordinator.go
@@ -0,0 +1,361 @@
+package expertmap
+
+import (
+	"fmt"
+	"time"
+)
+
+// Coordinator is the core at each control VM for one group. On every VM it
+// follows the log; on the leader it also drives the switches. Set the exported
+// fields before the first event. One goroutine uses it.
+type Coordinator struct {
+	// Ranks is how many ranks the group has.
+	Ranks int
+	// Margin is how many steps ahead a switch is named. Where the decision
+	// reaches all ranks within Margin steps, no step waits for it.
+	Margin Step
+	// StageFor bounds the staging of a map, PrepareFor the time from then to the decision.
+	StageFor, PrepareFor time.Duration
+	// ResendEvery is how often unanswered orders and entries are repeated.
+	ResendEvery time.Duration
+
+	record  Record
+	leading bool
+	ranks   []rankView
+	job     job
+	tickAt  time.Time
+}
+
+// rankView is what the leader has heard of a rank. It is empty after a change of lead.
+type rankView struct {
+	heard  bool
+	status Status
+	// confirming is the incarnation for which a confirming entry is under way.
+	confirming uint64
+}
+
+// phase is how far a switch is.
+type phase uint8
+
+const (
+	phaseIdle phase = iota
+	phaseBeginning
+	phaseStaging
+	phasePreparing
+	phaseCommitting
+	phaseAborting
+)
+
+// job is the switch that this leader drives.
+type job struct {
+	phase   phase
+	version Version
+	fence   Fence
+	step    Step
+	by      time.Time
+}
+
+// ProposeError says why a proposal was not taken up.
+type ProposeError struct {
+	Version Version
+	Reason  string
+}
+
+// Error implements error.
+func (e *ProposeError) Error() string {
+	return fmt.Sprintf("expert map %d: %s", e.Version, e.Reason)
+}
+
+// Record returns what this VM knows of the log.
+func (c *Coordinator) Record() Record { return c.record }
+
+// Start sets the record of a group from a snapshot, or its first ruling. It
+// comes before any other event.
+func (c *Coordinator) Start(r Record) { c.record = r }
+
+// Lead takes in that this VM leads and has applied all earlier entries. A
+// switch that an earlier leader left open is aborted: its promises are not in
+// the log, and waiting for them would hold the group.
+func (c *Coordinator) Lead(now time.Time) []Action {
+	c.leading = true
+	c.ranks = make([]rankView, c.Ranks)
+	c.job = job{}
+	c.tickAt = now
+	if c.record.Open.Fence != 0 {
+		c.job = job{phase: phaseAborting, version: c.record.Open.Version, fence: c.record.Open.Fence}
+	}
+
+	return c.Tick(now)
+}
+
+// Follow takes in that this VM no longer leads.
+func (c *Coordinator) Follow() []Action {
+	c.leading = false
+	c.ranks = nil
+	if c.job.phase == phaseIdle {
+		return nil
+	}
+	v := c.job.version
+	c.job = job{}
+
+	return []Action{{Kind: ActionDone, Version: v, Outcome: Unknown}}
+}
+
+// Propose begins the switch to v. The error is a *ProposeError.
+func (c *Coordinator) Propose(now time.Time, v Version) ([]Action, error) {
+	switch {
+	case !c.leading:
+		return nil, &ProposeError{Version: v, Reason: "this VM does not lead"}
+	case c.job.phase != phaseIdle || c.record.Open.Fence != 0:
+		return nil, &ProposeError{Version: v, Reason: "another switch is open"}
+	case v <= c.record.Ruling.Version:
+		return nil, &ProposeError{Version: v, Reason: "not newer than the ruling map"}
+	}
+	c.job = job{phase: phaseBeginning, version: v, by: now.Add(c.StageFor)}
+	c.tickAt = now
+
+	return c.Tick(now), nil
+}
+
+// Apply takes in the entry at index of the log, on every VM, in order.
+func (c *Coordinator) Apply(now time.Time, index Fence, e Entry) []Action {
+	was := c.record
+	c.record.Apply(index, e)
+	if !c.leading {
+		return nil
+	}
+
+	var out []Action
+	if was.Open != c.record.Open {
+		out = c.moved(now, was)
+	}
+	if e.Kind == EntryConfirm && e.Rank < len(c.ranks) {
+		out = c.confirmed(index, e, out)
+	}
+
+	return out
+}
+
+// moved follows a switch that opened or ended in the log.
+func (c *Coordinator) moved(now time.Time, was Record) []Action {
+	open := c.record.Open
+	c.tickAt = now
+	switch {
+	case open.Fence != 0 && c.job.phase == phaseBeginning && c.job.version == open.Version:
+		c.job.phase, c.job.fence = phaseStaging, open.Fence
+	case open.Fence != 0:
+		// An entry of an earlier lead arrived late. Nobody waits for it.
+		c.job = job{phase: phaseAborting, version: open.Version, fence: open.Fence}
+	default:
+		return c.ended(now, was.Open)
+	}
+
+	return c.Tick(now)
+}
+
+func (c *Coordinator) ended(now time.Time, open Switch) []Action {
+	outcome := Aborted
+	if c.record.Ruling.Fence == open.Fence {
+		outcome = Committed
+	}
+	var out []Action
+	if c.job.fence == open.Fence {
+		c.job = job{}
+		out = append(out, Action{Kind: ActionDone, Version: open.Version, Outcome: outcome})
+	}
+
+	return append(out, c.Tick(now)...)
+}
+
+// confirmed tells a rank which map rules. That the entry was applied shows that
+// this VM led after the rank asked. A deposed leader cannot get here, so what it
+// believes to rule never reaches a rank that could not know better.
+func (c *Coordinator) confirmed(index Fence, e Entry, out []Action) []Action {
+	v := &c.ranks[e.Rank]
+	if v.confirming == e.Incarnation {
+		v.confirming = 0
+	}
+	if c.record.Open.Fence != 0 || v.status.Incarnation != e.Incarnation || v.status.Known {
+		return out
+	}
+
+	return append(out, c.order(OrderConfirm, e.Rank, index))
+}
+
+// Receive takes in a rank's status.
+func (c *Coordinator) Receive(now time.Time, s Status) []Action {
+	if !c.leading || s.Rank < 0 || s.Rank >= c.Ranks {
+		return nil
+	}
+	v := &c.ranks[s.Rank]
+	if v.heard && s.Incarnation < v.status.Incarnation {
+		return nil
+	}
+	if s.Incarnation > v.status.Incarnation {
+		*v = rankView{}
+	}
+	v.merge(s)
+
+	return c.advance(now)
+}
+
+// merge takes the newer of each field: statuses may overtake each other.
+func (v *rankView) merge(s Status) {
+	if !v.heard {
+		v.heard, v.status = true, s
+
+		return
+	}
+	w := &v.status
+	w.Known = s.Known || (w.Known && s.AsOf < w.AsOf)
+	w.Joined = max(w.Joined, s.Joined)
+	w.Staged = max(w.Staged, s.Staged)
+	w.Promised = max(w.Promised, s.Promised)
+	w.Refused = max(w.Refused, s.Refused)
+	w.AsOf = max(w.AsOf, s.AsOf)
+	w.Highest = max(w.Highest, s.Highest)
+}
+
+// advance moves the switch on as far as the ranks' statuses allow.
+func (c *Coordinator) advance(now time.Time) []Action {
+	switch c.job.phase {
+	case phaseStaging, phasePreparing:
+		if c.lost() {
+			c.job.phase = phaseAborting
+			c.tickAt = now
+		}
+	case phaseIdle, phaseBeginning, phaseCommitting, phaseAborting:
+	}
+	if c.job.phase == phaseStaging && c.all(func(s *Status) bool { return s.Staged == c.job.fence }) {
+		c.job.phase, c.job.by = phasePreparing, now.Add(c.PrepareFor)
+		c.job.step = c.joined() + max(1, c.Margin)
+		c.tickAt = now
+	}
+	if c.job.phase == phasePreparing && c.all(func(s *Status) bool { return s.Promised == c.job.fence }) {
+		c.job.phase = phaseCommitting
+		c.tickAt = now
+	}
+
+	return c.Tick(now)
+}
+
+// lost reports whether a rank refused the switch or forgot what it staged.
+func (c *Coordinator) lost() bool {
+	for i := range c.ranks {
+		s := &c.ranks[i].status
+		if s.Refused == c.job.fence || (c.ranks[i].heard && !s.Known) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (c *Coordinator) all(done func(*Status) bool) bool {
+	for i := range c.ranks {
+		if !c.ranks[i].heard || !done(&c.ranks[i].status) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// joined returns the latest step that any rank is known to have begun, or that
+// the present ruling begins at.
+func (c *Coordinator) joined() Step {
+	s := c.record.Ruling.Step
+	for i := range c.ranks {
+		s = max(s, c.ranks[i].status.Joined)
+	}
+
+	return s
+}
+
+// Tick repeats what is unanswered and ends what takes too long.
+func (c *Coordinator) Tick(now time.Time) []Action {
+	if !c.leading {
+		return nil
+	}
+	out := c.expire(now)
+	if now.Before(c.tickAt) {
+		return out
+	}
+	c.tickAt = now.Add(c.ResendEvery)
+	out = c.appendAgain(out)
+	for r := range c.ranks {
+		out = c.orderAgain(r, out)
+	}
+
+	return out
+}
+
+// expire aborts a switch that has used up its time. A switch whose commit is
+// under way is left to the log.
+func (c *Coordinator) expire(now time.Time) []Action {
+	if c.job.phase == phaseIdle || c.job.by.IsZero() || now.Before(c.job.by) {
+		return nil
+	}
+	v := c.job.version
+	switch c.job.phase {
+	case phaseBeginning:
+		c.job = job{}
+
+		return []Action{{Kind: ActionDone, Version: v, Outcome: Aborted}}
+	case phaseStaging, phasePreparing:
+		c.job.phase = phaseAborting
+		c.tickAt = now
+	case phaseIdle, phaseCommitting, phaseAborting:
+	}
+
+	return nil
+}
+
+// appendAgain proposes the entry that the switch waits for.
+func (c *Coordinator) appendAgain(out []Action) []Action {
+	e := Entry{Fence: c.job.fence}
+	switch c.job.phase {
+	case phaseBeginning:
+		e = Entry{Kind: EntryBegin, Version: c.job.version}
+	case phaseCommitting:
+		e.Kind, e.Step = EntryCommit, c.job.step
+	case phaseAborting:
+		e.Kind = EntryAbort
+	case phaseIdle, phaseStaging, phasePreparing:
+		return out
+	}
+
+	return append(out, Action{Kind: ActionAppend, Entry: e})
+}
+
+// orderAgain sends rank r what it lacks.
+func (c *Coordinator) orderAgain(r int, out []Action) []Action {
+	v := &c.ranks[r]
+	s := &v.status
+	switch {
+	case !v.heard:
+		return out
+	case !s.Known:
+		if c.record.Open.Fence != 0 {
+			return out // the switch ends first
+		}
+		v.confirming = s.Incarnation
+
+		return append(out, Action{Kind: ActionAppend, Entry: Entry{Kind: EntryConfirm, Rank: r, Incarnation: s.Incarnation}})
+	case c.record.Open.Fence == 0 && s.AsOf < c.record.AsOf:
+		return append(out, c.order(OrderInform, r, c.record.AsOf))
+	case c.job.phase == phaseStaging && s.Staged != c.job.fence:
+		return append(out, c.order(OrderStage, r, c.job.fence))
+	case c.job.phase == phasePreparing && s.Promised != c.job.fence:
+		return append(out, c.order(OrderPrepare, r, c.job.fence))
+	}
+
+	return out
+}
+
+func (c *Coordinator) order(k OrderKind, r int, f Fence) Action {
+	return Action{Kind: ActionOrder, Order: Order{
+		Kind: k, Rank: r, Incarnation: c.ranks[r].status.Incarnation,
+		Fence: f, Version: c.record.Open.Version, Step: c.job.step, Record: c.record,
+	}}
+}
--- /dev/null
+++ b/internal/expertmap/group_test.go
@@ -0,0 +1,328 @@
+package expertmap
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// group is a whole group in virtual time: engines in lock-step, agents, control
+// VMs with a log that only its leader can append to, and a bad network.
+type group struct {
+	rng     *rand.Rand
+	now     time.Time
+	events  events
+	nodes   []*Coordinator
+	applied []int
+	log     []Entry
+	leader  int // -1: none
+	ranks   []*rank
+	step    Step
+	// rules is the map with which the present step was begun first.
+	rules Version
+	sent  []func()
+	// drop, twice and slow are the network's faults, each as a probability.
+	drop, twice, slow float64
+	// isolated control VMs hear nothing of the log until then, but still reach the ranks.
+	isolated [3]time.Time
+	done     []Action
+	fault    error
+}
+
+// rank is one engine and its agent.
+type rank struct {
+	id      int
+	agent   *Participant
+	boots   uint64
+	ruling  *Ruling
+	hold    Step
+	loaded  map[Version]bool
+	begun   bool
+	silent  time.Time // neither engine nor agent does anything until then
+	version Version   // of the last step begun
+}
+
+type event struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || (q[i].at.Equal(q[j].at) && q[i].n < q[j].n)
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+
+	return x
+}
+
+const tick = 5 * time.Millisecond
+
+func newGroup(seed uint64, ranks int) *group {
+	g := &group{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1, 0), leader: -1, step: 1}
+	for i := range 3 {
+		g.nodes, g.applied = append(g.nodes, nil), append(g.applied, 0)
+		g.restartControl(i)
+	}
+	for i := range ranks {
+		g.ranks = append(g.ranks, &rank{id: i, loaded: map[Version]bool{}})
+		g.restartAgent(i)
+	}
+	g.lead(0)
+
+	return g
+}
+
+func (g *group) restartControl(i int) {
+	g.nodes[i] = &Coordinator{
+		Ranks: 4, Margin: 20, StageFor: 3 * time.Second, PrepareFor: 2 * time.Second, ResendEvery: 50 * time.Millisecond,
+	}
+	g.nodes[i].Start(Record{Ruling: Ruling{Version: 1, Before: 1}})
+	g.applied[i] = 0
+	if g.leader == i {
+		g.leader = -1
+	}
+}
+
+func (g *group) restartAgent(i int) {
+	r := g.ranks[i]
+	r.boots++
+	r.agent = &Participant{Rank: i, Incarnation: r.boots << 32, StatusEvery: 100 * time.Millisecond, AskAfter: 200 * time.Millisecond}
+}
+
+func (g *group) restartEngine(i int) {
+	r := g.ranks[i]
+	r.ruling, r.hold, r.begun, r.loaded = nil, 0, false, map[Version]bool{}
+	g.rankActs(r, r.agent.EngineRestarted(g.now))
+}
+
+// lead makes node i the leader; the former one learns that late.
+func (g *group) lead(i int) {
+	former := g.leader
+	if former == i {
+		return
+	}
+	if g.leader = i; i >= 0 {
+		g.isolated[i] = time.Time{}
+		g.catchUp(i)
+		g.nodeActs(i, g.nodes[i].Lead(g.now))
+	}
+	if former >= 0 {
+		c := g.nodes[former]
+		late := max(g.isolated[former].Sub(g.now), 0) + g.upTo(time.Second)
+		g.after(late, func() {
+			if g.nodes[former] == c && g.leader != former {
+				g.nodeActs(former, c.Follow())
+			}
+		})
+	}
+}
+
+// isolate cuts the leader off from the log without a word; node i takes over.
+func (g *group) isolate(i int, d time.Duration) {
+	if g.leader >= 0 && g.leader != i {
+		g.isolated[g.leader] = g.now.Add(d)
+	}
+	g.lead(i)
+}
+
+func (g *group) catchUp(i int) {
+	if g.now.Before(g.isolated[i]) {
+		return
+	}
+	for g.applied[i] < len(g.log) {
+		g.applied[i]++
+		g.nodeActs(i, g.nodes[i].Apply(g.now, Fence(g.applied[i]), g.log[g.applied[i]-1]))
+	}
+}
+
+func (g *group) after(d time.Duration, do func()) {
+	heap.Push(&g.events, event{at: g.now.Add(d), n: g.rng.Int(), do: do})
+}
+
+func (g *group) upTo(d time.Duration) time.Duration { return time.Duration(g.rng.Int64N(int64(d))) }
+
+// send delivers by the network's will: never, once, twice, soon or very late.
+func (g *group) send(deliver func()) {
+	g.sent = append(g.sent, deliver)
+	if g.rng.Float64() < g.drop {
+		return
+	}
+	delay := g.upTo(4 * time.Millisecond)
+	if g.rng.Float64() < g.slow {
+		delay = g.upTo(4 * time.Second)
+	}
+	g.after(delay, deliver)
+	if g.rng.Float64() < g.twice {
+		g.after(g.upTo(4*time.Second), deliver)
+	}
+}
+
+// replay delivers everything that was ever sent once more.
+func (g *group) replay() {
+	for _, deliver := range g.sent {
+		g.after(g.upTo(2*time.Second), deliver)
+	}
+}
+
+func (g *group) nodeActs(i int, actions []Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case ActionAppend:
+			// The entry of a deposed leader is never committed.
+			delay := g.upTo(4 * time.Millisecond)
+			if g.rng.Float64() < g.slow {
+				delay = g.upTo(time.Second)
+			}
+			g.after(delay, func() {
+				if g.leader == i {
+					g.log = append(g.log, a.Entry)
+				}
+			})
+		case ActionOrder:
+			g.send(func() {
+				r := g.ranks[a.Order.Rank]
+				if !g.now.Before(r.silent) {
+					g.rankActs(r, r.agent.Receive(g.now, a.Order))
+				}
+			})
+		case ActionDone:
+			g.done = append(g.done, a)
+		}
+	}
+}
+
+func (g *group) rankActs(r *rank, actions []Action) {
+	agent := r.agent
+	boots, loads := agent.Incarnation, r.loaded
+	for _, a := range actions {
+		switch a.Kind {
+		case ActionStatus:
+			g.send(func() {
+				for i := range g.nodes {
+					g.nodeActs(i, g.nodes[i].Receive(g.now, a.Status))
+				}
+			})
+		case ActionAsk:
+			for _, peer := range g.ranks {
+				g.send(func() { g.rankActs(peer, peer.agent.Asked(r.id)) })
+			}
+		case ActionTell:
+			to := g.ranks[a.Peer]
+			g.send(func() { g.rankActs(to, to.agent.Told(g.now, a.Record)) })
+		case ActionLoad:
+			g.after(g.upTo(100*time.Millisecond), func() {
+				loads[a.Version] = true
+				if r.agent == agent && agent.Incarnation == boots {
+					g.rankActs(r, agent.Loaded(g.now, a.Version, true))
+				}
+			})
+		case ActionDrop:
+			delete(r.loaded, a.Version)
+		case ActionHold:
+			g.holdEngine(r, a)
+		case ActionRun:
+			r.hold, r.ruling = 0, &a.Ruling
+			for v := range r.loaded {
+				if v != a.Ruling.Version && v != a.Ruling.Before {
+					delete(r.loaded, v)
+				}
+			}
+		}
+	}
+}
+
+func (g *group) holdEngine(r *rank, a Action) {
+	next := g.step
+	if r.begun {
+		next++
+	}
+	at := max(a.Step, next)
+	ok := a.Step == 0 || a.Step >= next
+	if ok {
+		r.hold = at
+	}
+	g.rankActs(r, r.agent.Held(g.now, a.Fence, ok))
+}
+
+// begin lets an engine begin the group's present step if its orders allow.
+func (g *group) begin(r *rank) {
+	if r.begun || r.ruling == nil || (r.hold != 0 && g.step >= r.hold) || g.now.Before(r.silent) {
+		return
+	}
+	v := r.ruling.At(g.step)
+	if !r.loaded[v] {
+		g.rankActs(r, r.agent.Missing(v))
+
+		return
+	}
+	if g.rules != 0 && g.rules != v && g.fault == nil {
+		g.fault = fmt.Errorf("step %d: rank %d computes with map %d, another with %d", g.step, r.id, v, g.rules)
+	}
+	g.rules, r.begun, r.version = v, true, v
+	g.rankActs(r, r.agent.Joined(g.step))
+}
+
+// run passes d of virtual time, or less once until holds.
+func (g *group) run(d time.Duration, until func() bool) bool {
+	for end := g.now.Add(d); g.now.Before(end) && g.fault == nil; g.now = g.now.Add(tick) {
+		for len(g.events) > 0 && !g.events[0].at.After(g.now) {
+			heap.Pop(&g.events).(event).do()
+			if until != nil && until() {
+				return true
+			}
+		}
+		for i := range g.nodes {
+			if i == g.leader || g.rng.Float64() < 0.2 {
+				g.catchUp(i)
+			}
+			g.nodeActs(i, g.nodes[i].Tick(g.now))
+		}
+		g.lockStep()
+		if until != nil && until() {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (g *group) lockStep() {
+	all := true
+	for _, i := range g.rng.Perm(len(g.ranks)) {
+		r := g.ranks[i]
+		if !g.now.Before(r.silent) {
+			g.rankActs(r, r.agent.Tick(g.now))
+		}
+		if g.rng.Float64() < 0.7 {
+			g.begin(r)
+		}
+		all = all && r.begun
+	}
+	if !all {
+		return
+	}
+	for _, r := range g.ranks {
+		r.begun = false
+	}
+	g.step++
+	g.rules = 0
+}
+
+// propose asks the leader for version v.
+func (g *group) propose(v Version) {
+	if g.leader < 0 {
+		return
+	}
+	if out, err := g.nodes[g.leader].Propose(g.now, v); err == nil {
+		g.nodeActs(g.leader, out)
+	}
+}
--- /dev/null
+++ b/internal/expertmap/participant.go
@@ -0,0 +1,323 @@
+package expertmap
+
+import (
+	"time"
+)
+
+// Participant is the core at one rank's agent. Set the exported fields before
+// the first event. One goroutine uses it. The shell carries out ActionHold,
+// ActionRun and ActionDrop in the order given; an ActionLoad may take its time beside them.
+type Participant struct {
+	Rank int
+	// Incarnation is fresh and higher at each start of the agent, with its low
+	// 32 bits zero: EngineRestarted counts there.
+	Incarnation uint64
+	// StatusEvery is how often the rank reports without being asked.
+	StatusEvery time.Duration
+	// AskAfter is how long the rank waits for the end of a switch that it
+	// promised before it asks its peers.
+	AskAfter time.Duration
+
+	// known says that record is good enough to run by.
+	known  bool
+	record Record
+	// highest is the highest fencing number of an accepted order.
+	highest Fence
+	joined  Step
+	// loaded are the versions that the engine holds, wanted those asked for.
+	loaded, wanted versions
+	// promise is the switch whose hold the engine was asked for.
+	promise promise
+	refused Fence
+	// running is the ruling that the engine was given last.
+	running  Ruling
+	statusAt time.Time
+	askAt    time.Time
+}
+
+// promise is a hold that the engine stands by once Held.
+type promise struct {
+	Fence   Fence
+	Version Version
+	Step    Step
+	Held    bool
+}
+
+// kept reports whether r came from the switch that was promised.
+func (m promise) kept(r Ruling) bool {
+	return m.Held && r.Fence == m.Fence && r.Version == m.Version && r.Step == m.Step
+}
+
+// Receive takes in an order.
+func (p *Participant) Receive(now time.Time, o Order) []Action {
+	if o.Rank != p.Rank || o.Incarnation != p.Incarnation {
+		// Meant for an earlier life of this rank, which knew other things.
+		return p.report(now, nil)
+	}
+	// A lower number comes from a leader that has been replaced or from a
+	// message that was under way for long. Engines that ignore fencing numbers
+	// would obey it, so it ends here.
+	if o.Fence < p.highest {
+		return p.report(now, nil)
+	}
+	p.highest = o.Fence
+
+	var out []Action
+	if o.Kind == OrderConfirm {
+		out = p.confirm(o, out)
+	}
+	out = p.absorb(o.Record, out)
+	if !p.known {
+		return p.report(now, out)
+	}
+	switch o.Kind {
+	case OrderStage:
+		out = p.stage(o, out)
+	case OrderPrepare:
+		out = p.prepare(now, o, out)
+	case OrderInform, OrderConfirm:
+	}
+
+	return p.report(now, out)
+}
+
+// confirm lets a rank that does not know which map rules run by the order's
+// record. The record is as new as the confirming entry, which was proposed
+// after this incarnation asked; no switch can have passed this rank since.
+func (p *Participant) confirm(o Order, out []Action) []Action {
+	if p.known || o.Record.AsOf < o.Fence || o.Record.Open.Fence != 0 {
+		return out
+	}
+	p.known, p.record = true, o.Record
+
+	return p.run(out)
+}
+
+// run hands the ruling to the engine, which keeps no other maps.
+func (p *Participant) run(out []Action) []Action {
+	p.running = p.record.Ruling
+	p.wanted.keep(p.running.Version, p.running.Before)
+	p.loaded.keep(p.running.Version, p.running.Before)
+
+	return append(out, Action{Kind: ActionRun, Fence: p.highest, Ruling: p.running})
+}
+
+// absorb takes in a newer record, and with it the end of a promised switch.
+func (p *Participant) absorb(r Record, out []Action) []Action {
+	if !p.known || r.AsOf <= p.record.AsOf {
+		return out
+	}
+	promised := p.promise
+	if r.Ruling != p.record.Ruling && !promised.kept(r.Ruling) {
+		// No switch commits without this rank's promise. That one did means that
+		// this rank's memory is not to be trusted: it must not go on by it.
+		p.known, p.promise = false, promise{}
+
+		return append(out, Action{Kind: ActionHold, Fence: p.highest})
+	}
+	p.record = r
+	if promised.Fence == 0 || !r.settled(promised.Fence) {
+		return out
+	}
+	p.promise = promise{}
+
+	return p.run(out)
+}
+
+func (p *Participant) stage(o Order, out []Action) []Action {
+	if p.record.Open.Fence != o.Fence || p.loaded.has(o.Version) || p.wanted.has(o.Version) {
+		return out
+	}
+
+	return p.load(o.Version, out)
+}
+
+func (p *Participant) load(v Version, out []Action) []Action {
+	p.wanted.add(v)
+
+	return append(out, Action{Kind: ActionLoad, Fence: p.highest, Version: v})
+}
+
+func (p *Participant) drop(v Version, out []Action) []Action {
+	p.wanted.remove(v)
+	if !p.loaded.has(v) {
+		return out
+	}
+	p.loaded.remove(v)
+
+	return append(out, Action{Kind: ActionDrop, Version: v})
+}
+
+// prepare asks the engine to hold at the switch's step.
+func (p *Participant) prepare(now time.Time, o Order, out []Action) []Action {
+	open := p.record.Open
+	if open.Fence != o.Fence || p.promise.Fence == o.Fence || p.refused == o.Fence {
+		return out
+	}
+	// Until the engine has begun a step by the present ruling, Before is still
+	// in use, and a second switch would make it forgotten.
+	if !p.loaded.has(open.Version) || p.joined < p.record.Ruling.Step {
+		return out
+	}
+	p.promise = promise{Fence: o.Fence, Version: open.Version, Step: o.Step}
+	p.askAt = now.Add(p.AskAfter)
+
+	return append(out, Action{Kind: ActionHold, Fence: o.Fence, Step: o.Step})
+}
+
+// Held takes in whether the engine holds for the switch f. An engine that has
+// already begun the step cannot, and the switch is refused.
+func (p *Participant) Held(now time.Time, f Fence, ok bool) []Action {
+	if p.promise.Fence != f || f == 0 {
+		return nil
+	}
+	if ok {
+		p.promise.Held = true
+	} else {
+		p.promise, p.refused = promise{}, f
+	}
+
+	return p.report(now, nil)
+}
+
+// Loaded takes in whether the engine has fetched v.
+func (p *Participant) Loaded(now time.Time, v Version, ok bool) []Action {
+	if !p.wanted.has(v) {
+		// It was dropped while it was being fetched.
+		if ok && !p.loaded.has(v) {
+			return []Action{{Kind: ActionDrop, Version: v}}
+		}
+
+		return nil
+	}
+	p.wanted.remove(v)
+	if ok {
+		p.loaded.add(v)
+	}
+
+	return p.report(now, nil)
+}
+
+// Missing takes in that the engine's next step needs v, which it has not loaded.
+func (p *Participant) Missing(v Version) []Action {
+	p.loaded.remove(v)
+	if !p.known || p.wanted.has(v) {
+		return nil
+	}
+
+	return p.load(v, nil)
+}
+
+// Joined takes in that the engine has begun step s with the map that rules there.
+func (p *Participant) Joined(s Step) []Action {
+	p.joined = max(p.joined, s)
+	if !p.known {
+		return nil
+	}
+	p.loaded.add(p.running.At(s))
+	if before := p.running.Before; before != 0 && s >= p.running.Step && before != p.running.Version {
+		return p.drop(before, nil)
+	}
+
+	return nil
+}
+
+// EngineRestarted takes in that the engine has lost its maps and standing
+// orders. The rank no longer knows which map rules and asks as a new incarnation.
+func (p *Participant) EngineRestarted(now time.Time) []Action {
+	*p = Participant{
+		Rank: p.Rank, Incarnation: p.Incarnation + 1,
+		StatusEvery: p.StatusEvery, AskAfter: p.AskAfter,
+	}
+
+	return p.report(now, nil)
+}
+
+// Asked answers a peer that waits for the end of a switch.
+func (p *Participant) Asked(peer int) []Action {
+	if !p.known {
+		return nil
+	}
+
+	return []Action{{Kind: ActionTell, Peer: peer, Record: p.record}}
+}
+
+// Told takes in a peer's answer. It may end a promised switch, but never tells
+// a rank that does not know which map rules: the peer's word may be old.
+func (p *Participant) Told(now time.Time, r Record) []Action {
+	if out := p.absorb(r, nil); out != nil {
+		return p.report(now, out)
+	}
+
+	return nil
+}
+
+// Tick reports when it is time, and asks the peers while a promised switch stays open.
+func (p *Participant) Tick(now time.Time) []Action {
+	var out []Action
+	if p.promise.Fence != 0 && !now.Before(p.askAt) {
+		p.askAt = now.Add(p.AskAfter)
+		out = append(out, Action{Kind: ActionAsk, Fence: p.promise.Fence})
+	}
+	if now.Before(p.statusAt) {
+		return out
+	}
+
+	return p.report(now, out)
+}
+
+// report adds the rank's status to out.
+func (p *Participant) report(now time.Time, out []Action) []Action {
+	p.statusAt = now.Add(p.StatusEvery)
+	s := Status{
+		Rank: p.Rank, Incarnation: p.Incarnation, Known: p.known,
+		Joined: p.joined, Refused: p.refused, AsOf: p.record.AsOf, Highest: p.highest,
+	}
+	if open := p.record.Open; open.Fence != 0 && p.loaded.has(open.Version) {
+		s.Staged = open.Fence
+	}
+	if p.promise.Held {
+		s.Promised = p.promise.Fence
+	}
+
+	return append(out, Action{Kind: ActionStatus, Status: s})
+}
+
+// versions is a small set of map versions: an engine holds two or three.
+type versions []Version
+
+func (s *versions) has(v Version) bool {
+	for _, x := range *s {
+		if x == v {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (s *versions) add(v Version) {
+	if !s.has(v) {
+		*s = append(*s, v)
+	}
+}
+
+func (s *versions) keep(a, b Version) {
+	had := *s
+	*s = nil
+	for _, x := range had {
+		if x == a || x == b {
+			s.add(x)
+		}
+	}
+}
+
+func (s *versions) remove(v Version) {
+	for i, x := range *s {
+		if x == v {
+			*s = append((*s)[:i], (*s)[i+1:]...)
+
+			return
+		}
+	}
+}
