--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -23,7 +24,7 @@
 )
 
 func newLocal() *cobra.Command {
-	var logOutput string
+	var flags localFlags
 
 	c := &cobra.Command{
 		Use:   "local",
@@ -33,17 +34,44 @@
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 
-			out := logs.Output{Writer: c.ErrOrStderr(), Debug: logs.ParseDebug(logOutput)}
-
-			return runLocal(ctx, c, out)
+			return flags.run(ctx, c)
 		},
 	}
-	c.Flags().StringVar(&logOutput, "log-output", "", "parts whose debug lines are written, with commas between them, or all")
+	c.Flags().StringVar(&flags.logOutput, "log-output", "", "parts whose debug lines are written, with commas between them, or all")
+	c.Flags().StringVar(&flags.deployment, "deployment", "trust", "whose deployment of today: trust or qurum")
+	c.Flags().DurationVar(&flags.exercise, "exercise", 0, "drive load for this long while a zone leaves and returns and a target turns cold, then stop")
+	c.Flags().Float64Var(&flags.rate, "rate", 150, "requests a second of the exercise")
+	c.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the exercise's load")
 
 	return c
 }
 
-func runLocal(ctx context.Context, c *cobra.Command, out logs.Output) error {
+// localFlags are the flags of the local command.
+type localFlags struct {
+	logOutput  string
+	deployment string
+	exercise   time.Duration
+	rate       float64
+	seed       uint64
+}
+
+func (f *localFlags) shape() (local.Deployment, error) {
+	switch f.deployment {
+	case "trust":
+		return local.Trust(), nil
+	case "qurum":
+		return local.Qurum(), nil
+	default:
+		return local.Deployment{}, eris.Errorf("--deployment %q; allowed: trust, qurum", f.deployment)
+	}
+}
+
+func (f *localFlags) run(ctx context.Context, c *cobra.Command) error {
+	shape, err := f.shape()
+	if err != nil {
+		return err
+	}
+
 	dir, err := os.MkdirTemp("", "parsleygate-local-")
 	if err != nil {
 		return eris.Wrap(err, "make data folder")
@@ -52,7 +80,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 
 	l := &local.Local{
-		Deployment: local.Trust(), Logs: out,
+		Deployment: shape, Logs: logs.Output{Writer: c.ErrOrStderr(), Debug: logs.ParseDebug(f.logOutput)},
 		Dir: dir, EntryPort: localEntryPort, OperatorPort: localOperatorPort,
 	}
 
@@ -74,14 +102,24 @@
 	}
 
 	c.Printf("operators: %s\n\n", l.Operators()[0])
-	c.Println(localHint(l.Entries()[0]))
+	c.Println(localHint(l.Entries()[0], shape.Services[0].Name, shape.Services[1].Name))
+
+	if f.exercise > 0 {
+		g.Go(func() error {
+			defer stop()
+
+			x := &local.Exercise{Local: l, Duration: f.exercise, Rate: f.rate, Seed: f.seed, Out: c.OutOrStdout()}
+
+			return x.Run(gctx)
+		})
+	}
 
 	return eris.Wrap(g.Wait(), "run local deployment")
 }
 
-func localHint(base string) string {
+func localHint(base, model, desk string) string {
 	return fmt.Sprintf(`Try:
-  curl -N %[1]s/cooper-assist/v1/drafts -d '{"Prompt":"stave 4 leaks","Tokens":12}'
-  curl %[1]s/job-desk/v1/bookings -H 'Idempotency-Key: cask-17' -d '{"Ref":"cask-17","Slot":"kiln-2 10:00"}'
-Stop with Ctrl-C.`, base)
+  curl -N %[1]s/%[2]s/v1/drafts -d '{"Prompt":"stave 4 leaks","Tokens":12}'
+  curl %[1]s/%[3]s/v1/bookings -H 'Idempotency-Key: cask-17' -d '{"Ref":"cask-17","Slot":"kiln-2 10:00"}'
+Stop with Ctrl-C.`, base, model, desk)
 }
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -75,3 +75,14 @@
 
 	return b.String()
 }
+
+// service returns the name of the first service of a kind.
+func (d *Deployment) service(model bool) string {
+	for _, s := range d.Services {
+		if s.Model == model {
+			return s.Name
+		}
+	}
+
+	return ""
+}
--- /dev/null
+++ b/internal/local/exercise.go
@@ -0,0 +1,244 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/load"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// The phases of an exercise; each takes a share of its time.
+const (
+	phaseBefore = "1-before"
+	phaseOut    = "2-zone-out"
+	phaseBack   = "3-zone-back"
+	phaseCold   = "4-sudden-cold"
+)
+
+// settleTime is how long a zone that was taken out may still get new work.
+const settleTime = 5 * time.Second
+
+// Exercise drives load at a running deployment while a zone leaves and returns
+// and a target turns cold. Its fields are set before Run.
+type Exercise struct {
+	Local *Local
+	// Duration is the time of the whole exercise.
+	Duration time.Duration
+	// Rate is requests a second.
+	Rate float64
+	Seed uint64
+	Out  io.Writer
+
+	phase  atomic.Value
+	broken []string
+}
+
+// Run runs the exercise and returns an error where a promise broke.
+func (x *Exercise) Run(ctx context.Context) error {
+	x.phase.Store(phaseBefore)
+
+	l := x.load()
+	done := make(chan error, 1)
+
+	go func() { done <- x.script(ctx) }()
+
+	report, err := l.Run(ctx)
+	if scriptErr := <-done; err == nil {
+		err = scriptErr
+	}
+
+	if report != nil {
+		report.Print(x.Out)
+	}
+
+	if err != nil {
+		return err
+	}
+
+	x.judge(report)
+
+	for _, line := range x.broken {
+		_, _ = fmt.Fprintln(x.Out, "BROKEN:", line)
+	}
+
+	if len(x.broken) > 0 {
+		return eris.Errorf("%d promises broke", len(x.broken))
+	}
+
+	_, _ = fmt.Fprintln(x.Out, "every promise held")
+
+	return nil
+}
+
+func (x *Exercise) load() *load.Load {
+	d := &x.Local.Deployment
+
+	return &load.Load{
+		Entries: x.Local.Entries(), DraftService: d.service(true), BookingService: d.service(false),
+		Rate: x.Rate, Duration: x.Duration, BookingShare: 0.2, Tokens: 40, Workspaces: 10,
+		Timeout: 10 * time.Second, Seed: x.Seed, MostInFlight: 4096,
+		Phase: func() string { return x.phase.Load().(string) },
+		Runs:  x.Local.Runs,
+	}
+}
+
+// Runs returns how often each booking ran, from all desks.
+func (l *Local) Runs(context.Context) (map[string]int, error) {
+	all := make(map[string]int)
+
+	for _, t := range l.desks {
+		for ref, n := range t.Desk.Runs() {
+			all[ref] += n
+		}
+	}
+
+	return all, nil
+}
+
+// script is what happens to the deployment while the load runs.
+func (x *Exercise) script(ctx context.Context) error {
+	quarter := x.Duration / 4
+	zone := x.Local.Deployment.Zones[0]
+
+	if !sleep(ctx, quarter) {
+		return nil
+	}
+
+	x.phase.Store(phaseOut)
+
+	if err := x.decide(ctx, 2, zone, true); err != nil {
+		return err
+	}
+
+	if err := x.watchZone(ctx, zone, quarter); err != nil {
+		return err
+	}
+
+	x.phase.Store(phaseBack)
+	x.restart(zone)
+
+	if err := x.decide(ctx, 3, zone, false); err != nil {
+		return err
+	}
+
+	if !sleep(ctx, quarter) {
+		return nil
+	}
+
+	x.phase.Store(phaseCold)
+	engines := x.Local.engines
+	engines[len(engines)-1].Engine.TurnCold()
+	engines[len(engines)-2].Engine.Restart()
+
+	return nil
+}
+
+// decide takes a zone out or brings it back, as an operator does.
+func (x *Exercise) decide(ctx context.Context, number uint64, zone string, out bool) error {
+	server := x.Local.controls[0].Server()
+
+	planned, err := server.Plan(ctx, &wire.PlanRequest{
+		Operator: "exercise", Source: "exercise", Override: true,
+		Declaration: fmt.Appendf(nil, "[Zone %q]\nOut = %t\n", zone, out),
+	})
+	if err != nil {
+		return eris.Wrap(err, "plan")
+	}
+
+	r, err := server.Confirm(ctx, &wire.ConfirmRequest{Operator: "exercise", Number: number, PlanID: planned.GetPlan().GetID()})
+	if err != nil {
+		return eris.Wrap(err, "confirm")
+	}
+
+	if s := r.GetAnswer().GetState(); s != wire.DecisionState_DecisionMade {
+		return eris.Errorf("decision %d: %s %v", number, s, r.GetAnswer().GetDetails())
+	}
+
+	return nil
+}
+
+// watchZone checks that a zone that is out gets no new work once it has settled.
+func (x *Exercise) watchZone(ctx context.Context, zone string, d time.Duration) error {
+	if !sleep(ctx, min(settleTime, d/2)) {
+		return nil
+	}
+
+	before := x.begun(zone)
+
+	if !sleep(ctx, d-min(settleTime, d/2)) {
+		return nil
+	}
+
+	if after := x.begun(zone); after != before {
+		x.broken = append(x.broken, fmt.Sprintf("%d requests began in zone %s after it was taken out", after-before, zone))
+	}
+
+	return nil
+}
+
+func (x *Exercise) begun(zone string) int {
+	n := 0
+
+	for _, t := range x.Local.engines {
+		if t.Zone == zone {
+			n += t.Engine.State().Begun
+		}
+	}
+
+	for _, t := range x.Local.desks {
+		if t.Zone == zone {
+			n += len(t.Desk.Runs())
+		}
+	}
+
+	return n
+}
+
+// restart starts the engines of a zone anew, as those of a zone that returns are.
+func (x *Exercise) restart(zone string) {
+	for _, t := range x.Local.engines {
+		if t.Zone == zone {
+			t.Engine.Restart()
+		}
+	}
+}
+
+func (x *Exercise) judge(r *load.Report) {
+	if r.Broken() {
+		x.broken = append(x.broken, fmt.Sprintf("wrong answers %d, doubled %v, ran after NotRun %v, answered but not run %v",
+			r.Count("Wrong"), r.Doubled, r.Lied, r.Lost))
+	}
+
+	if n := r.Count("Cut"); n > 0 {
+		x.broken = append(x.broken, fmt.Sprintf("%d answers cut by planned changes", n))
+	}
+
+	for _, t := range x.Local.engines {
+		s := t.Engine.State()
+		if s.Early > 0 {
+			_, _ = fmt.Fprintf(x.Out, "%s began %d requests above its cold limit before its agent could know\n", t.AgentID, s.Early)
+		}
+
+		if s.Overruns > 0 {
+			x.broken = append(x.broken, fmt.Sprintf("%s had %d requests while cold and bears %d", t.AgentID, s.PeakCold, t.Service.ColdLimit))
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -298,6 +298,7 @@
 		Agent: door.Addr().(*net.TCPAddr).AddrPort(), Every: announceEvery,
 		Take: func() standin.Announcement { return t.announcement(back) },
 	}
+	t.connect(announcer)
 
 	g.Go(func() error {
 		announcer.Run(ctx)
@@ -333,6 +334,23 @@
 	return t.Desk.Handler()
 }
 
+// connect lets an engine announce a restart at once, and take work only then.
+func (t *Target) connect(a *standin.Announcer) {
+	if t.Engine == nil {
+		return
+	}
+
+	again := make(chan struct{}, 1)
+	a.Again = again
+	a.Announced = t.Engine.Announced
+	t.Engine.Restarted = func() {
+		select {
+		case again <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func (t *Target) announcement(back net.Listener) standin.Announcement {
 	a := standin.Announcement{
 		Address: back.Addr().(*net.TCPAddr).AddrPort(), Service: t.Service.Name,
@@ -359,7 +377,7 @@
 // awaitTargets waits until every entry takes callers.
 func (l *Local) awaitTargets(ctx context.Context) error {
 	for _, base := range l.Entries() {
-		if err := awaitService(ctx, base+"/"+l.deskService()+"/v1/runs"); err != nil {
+		if err := awaitService(ctx, base+"/"+l.Deployment.service(false)+"/v1/runs"); err != nil {
 			return err
 		}
 	}
@@ -369,16 +387,6 @@
 	return nil
 }
 
-func (l *Local) deskService() string {
-	for _, s := range l.Deployment.Services {
-		if !s.Model {
-			return s.Name
-		}
-	}
-
-	return ""
-}
-
 func awaitService(ctx context.Context, url string) error {
 	for {
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -18,6 +18,7 @@
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 const (
@@ -69,7 +70,8 @@
 	}
 	r.server = &control.Server{
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
-		Leads: r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
+		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
+		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
 		Logger: r.Logs.Logger("control"),
 	}
 	r.server.Init()
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -30,6 +30,10 @@
 	Take func() Announcement
 	// Every is the time between two announcements.
 	Every time.Duration
+	// Again is read for an announcement between two turns; may be nil.
+	Again <-chan struct{}
+	// Announced is called after the agent took an announcement; may be nil.
+	Announced func(bootID string)
 }
 
 // Run announces until ctx ends. A failed try is repeated at the next turn.
@@ -45,13 +49,16 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.Again:
 		case <-tick.C:
 		}
 	}
 }
 
 func (a *Announcer) once(ctx context.Context, client *http.Client) {
-	body, err := json.Marshal(a.Take())
+	announcement := a.Take()
+
+	body, err := json.Marshal(announcement)
 	if err != nil {
 		return
 	}
@@ -71,4 +78,8 @@
 	}
 
 	_ = resp.Body.Close()
+
+	if resp.StatusCode == http.StatusNoContent && a.Announced != nil {
+		a.Announced(announcement.BootID)
+	}
 }
