Run each role as a process of its own from checked settings

Cause: the roles ran only inside the local mode. Change: entry, agent, control, check, load and standin commands; settings in INI, strict, each error with file, line, key and what is allowed; example settings of both deployments. Open: TLS is read and checked but not spoken; such settings are refused.

--- a/cmd/parsleygate/cmds/cmds.go
+++ b/cmd/parsleygate/cmds/cmds.go
@@ -28,7 +28,8 @@
 		Short:        "Load balancer for expert-parallel model groups",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newLocal())
+	root.AddCommand(newLocal(), newLoad(), newStandin())
+	root.AddCommand(processCommands()...)
 	root.AddCommand(operatorCommands()...)
 
 	return root
--- /dev/null
+++ b/cmd/parsleygate/cmds/load.go
@@ -0,0 +1,97 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/parsleygate/parsleygate/internal/load"
+)
+
+func newLoad() *cobra.Command {
+	var (
+		l     load.Load
+		desks []string
+	)
+
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Send seeded drafts and bookings to entries at a fixed rate, and check every answer",
+		Long: "Send seeded drafts and bookings to entries at a fixed rate, and check every answer.\n\n" +
+			"With --desk, the booking desks' own addresses, it also checks that no booking ran twice, and none after NotRun.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+
+			if len(desks) > 0 {
+				l.Runs = func(ctx context.Context) (map[string]int, error) { return deskRuns(ctx, desks) }
+			}
+
+			report, err := l.Run(ctx)
+			report.Print(c.OutOrStdout())
+
+			if err == nil && report.Broken() {
+				err = eris.New("a promise broke")
+			}
+
+			return err
+		},
+	}
+	f := c.Flags()
+	f.StringSliceVar(&l.Entries, "entry", []string{"http://127.0.0.1:8601", "http://127.0.0.1:8602", "http://127.0.0.1:8603"}, "base URLs of the entries")
+	f.StringVar(&l.DraftService, "drafts", "cooper-assist", "the model service")
+	f.StringVar(&l.BookingService, "bookings", "job-desk", "the booking service")
+	f.StringSliceVar(&desks, "desk", nil, "base URLs of the stand-in booking desks themselves")
+	f.Float64Var(&l.Rate, "rate", 100, "requests a second")
+	f.DurationVar(&l.Duration, "duration", 10*time.Second, "how long requests are sent")
+	f.Float64Var(&l.BookingShare, "booking-share", 0.2, "share of bookings among the requests")
+	f.IntVar(&l.Tokens, "tokens", 40, "mean length of a draft, in tokens")
+	f.IntVar(&l.Workspaces, "workspaces", 10, "how many workspaces the callers belong to")
+	f.DurationVar(&l.Timeout, "timeout", 10*time.Second, "each caller's deadline")
+	f.Uint64Var(&l.Seed, "seed", 1, "the same seed sends the same requests")
+	f.IntVar(&l.MostInFlight, "most-in-flight", 4096, "requests at once; those above are counted as not sent")
+
+	return c
+}
+
+// deskRuns asks the stand-in desks how often each booking ran.
+func deskRuns(ctx context.Context, desks []string) (map[string]int, error) {
+	all := make(map[string]int)
+
+	for _, base := range desks {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/v1/runs", nil)
+		if err != nil {
+			return nil, eris.Wrap(err, "ask desk")
+		}
+
+		runs, err := oneDesk(r)
+		if err != nil {
+			return nil, err
+		}
+
+		for ref, n := range runs {
+			all[ref] += n
+		}
+	}
+
+	return all, nil
+}
+
+func oneDesk(r *http.Request) (map[string]int, error) {
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, eris.Wrap(err, "ask desk")
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	var runs map[string]int
+
+	return runs, eris.Wrap(json.NewDecoder(resp.Body).Decode(&runs), "read desk's runs")
+}
--- /dev/null
+++ b/cmd/parsleygate/cmds/process.go
@@ -0,0 +1,196 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/agent"
+	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/entry"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/role"
+	"github.com/parsleygate/parsleygate/internal/settings"
+)
+
+// process is one process of a role, made from its settings.
+type process struct {
+	settings *settings.Settings
+	logs     logs.Output
+	dump     *dump.Dump
+	listener net.Listener
+}
+
+// processCommands returns the commands that run one role each, and check.
+func processCommands() []*cobra.Command {
+	return []*cobra.Command{
+		newProcess(settings.RoleEntry, "Run an entry: it takes callers' requests and passes them to targets", runEntry),
+		newProcess(settings.RoleAgent, "Run an agent: the single door of the target on its VM", runAgent),
+		newProcess(settings.RoleControl, "Run a control VM: it keeps a replica of the system's own state", runControl),
+		newCheck(),
+	}
+}
+
+func newProcess(r settings.Role, short string, run func(context.Context, *process) error) *cobra.Command {
+	var logOutput string
+
+	c := &cobra.Command{
+		Use:   string(r) + " FILE",
+		Short: short,
+		Long:  short + ".\n\nFILE holds its settings. SIGTERM stops it gracefully; SIGUSR1 writes a dump of its state to standard error.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := loadFor(r, args[0])
+			if err != nil {
+				return err
+			}
+
+			if logOutput != "" {
+				s.Process.LogOutput = logOutput
+			}
+
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+
+			return startProcess(ctx, s, c.ErrOrStderr(), run)
+		},
+	}
+	c.Flags().StringVar(&logOutput, "log-output", "", "parts whose debug lines are written, with commas between them, or all")
+
+	return c
+}
+
+func loadFor(r settings.Role, path string) (*settings.Settings, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+
+	if s.Process.Role != r {
+		return nil, eris.Errorf("%s: [Process] Role is %s; this command runs %s", path, s.Process.Role, r)
+	}
+
+	return s, nil
+}
+
+func startProcess(ctx context.Context, s *settings.Settings, stderr io.Writer, run func(context.Context, *process) error) error {
+	if s.TLS != (settings.TLS{}) {
+		return eris.New("[TLS] is read and checked, but this version cannot speak it yet; it runs on loopback only")
+	}
+
+	var lc net.ListenConfig
+
+	listener, err := lc.Listen(ctx, "tcp", s.Process.Address.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Process.Address)
+	}
+
+	p := &process{
+		settings: s, listener: listener,
+		logs: logs.Output{Writer: stderr, Debug: logs.ParseDebug(s.Process.LogOutput)},
+		dump: &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID},
+	}
+
+	stopDumps := dumpOnSignal(p.dump.Write, stderr)
+	defer stopDumps()
+
+	stopAdmin, err := p.serveAdmin(ctx)
+	if err != nil {
+		return err
+	}
+	defer stopAdmin()
+
+	return run(ctx, p)
+}
+
+// serveAdmin serves the dump and the metrics, until stop is called.
+func (p *process) serveAdmin(ctx context.Context) (stop func(), err error) {
+	if !p.settings.Process.AdminAddress.IsValid() {
+		return func() {}, nil
+	}
+
+	var lc net.ListenConfig
+
+	listener, err := lc.Listen(ctx, "tcp", p.settings.Process.AdminAddress.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", p.settings.Process.AdminAddress)
+	}
+
+	web := &http.Server{Handler: p.dump.Handler(), ReadHeaderTimeout: time.Second}
+
+	go func() {
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.logs.Logger("admin").Error("not served", "error", err)
+		}
+	}()
+
+	return func() { _ = web.Close() }, nil
+}
+
+func runEntry(ctx context.Context, p *process) error {
+	s := p.settings
+	limits := entry.Limits{
+		MaxHeaderBytes: s.Entry.MaxHeaderBytes, MaxBodyBytes: int64(s.Entry.MaxBodyBytes),
+		MaxRecordedBytes: s.Entry.MaxRecordedBytes, DefaultTimeout: s.Entry.DefaultTimeout,
+		MaxTimeout: s.Entry.MaxTimeout, SlowReader: s.Entry.SlowReader,
+	}
+	e := &role.Entry{
+		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Region: s.Process.Region,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener,
+		Controls: role.NewControls(s.ControlAddresses()), Limits: limits, Leave: s.Entry.Leave,
+		Logs: p.logs, Dump: p.dump,
+	}
+
+	return e.Run(ctx)
+}
+
+func runAgent(ctx context.Context, p *process) error {
+	s := p.settings
+	a := &role.Agent{
+		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener,
+		Controls: role.NewControls(s.ControlAddresses()),
+		Settings: agent.Settings{
+			Admission:      admission.Settings{CreditLife: s.Agent.CreditLife, AnnounceSilence: s.Agent.AnnounceLimit},
+			MaxAnswerBytes: s.Agent.MaxAnswerBytes, TargetSilence: s.Agent.TargetSilence,
+		},
+		Logs: p.logs, Dump: p.dump,
+	}
+
+	return a.Run(ctx)
+}
+
+func runControl(ctx context.Context, p *process) error {
+	s := p.settings
+	c := &role.Control{
+		VM: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener,
+		Dir: filepath.Clean(s.Control.DataFolder), Logs: p.logs, Dump: p.dump,
+	}
+
+	for _, vm := range s.Controls {
+		m := quorum.Member{ID: vm.ID, Addr: vm.Address}
+		if vm.ID != s.Process.ID {
+			c.Peers = append(c.Peers, m)
+		}
+
+		if !s.Control.Join {
+			c.Founders = append(c.Founders, m)
+		}
+	}
+
+	c.Build()
+
+	return c.Run(ctx)
+}
--- /dev/null
+++ b/cmd/parsleygate/cmds/standin.go
@@ -0,0 +1,117 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/parsleygate/parsleygate/internal/standin"
+)
+
+// standinFlags are the flags of the standin command.
+type standinFlags struct {
+	address  string
+	agent    string
+	service  string
+	model    bool
+	capacity int
+	cold     int
+	step     time.Duration
+}
+
+func newStandin() *cobra.Command {
+	var flags standinFlags
+
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in target, a model engine or a booking desk, beside an agent",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+
+			return flags.run(ctx)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&flags.address, "address", "127.0.0.1:8701", "where the stand-in listens")
+	f.StringVar(&flags.agent, "agent", "127.0.0.1:8651", "the agent on the same VM")
+	f.StringVar(&flags.service, "service", "cooper-assist", "the service that it carries")
+	f.BoolVar(&flags.model, "model", true, "a model engine; else a booking desk")
+	f.IntVar(&flags.capacity, "capacity", 16, "how many requests it bears at once when warm")
+	f.IntVar(&flags.cold, "cold", 2, "how many requests it bears at once when cold")
+	f.DurationVar(&flags.step, "step", 20*time.Millisecond, "time between two tokens")
+
+	return c
+}
+
+func (f *standinFlags) run(ctx context.Context) error {
+	address, err := netip.ParseAddrPort(f.address)
+	if err != nil {
+		return eris.Wrapf(err, "--address %q; allowed: IP:port", f.address)
+	}
+
+	agent, err := netip.ParseAddrPort(f.agent)
+	if err != nil {
+		return eris.Wrapf(err, "--agent %q; allowed: IP:port", f.agent)
+	}
+
+	var lc net.ListenConfig
+
+	listener, err := lc.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+
+	handler, take := f.target(address)
+	announcer := &standin.Announcer{Agent: agent, Every: time.Second, Take: take}
+
+	go announcer.Run(ctx)
+
+	web := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+
+	go func() {
+		<-ctx.Done()
+
+		_ = web.Close()
+	}()
+
+	if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "serve stand-in")
+	}
+
+	return nil
+}
+
+func (f *standinFlags) target(address netip.AddrPort) (http.Handler, func() standin.Announcement) {
+	if !f.model {
+		desk := &standin.Desk{}
+
+		return desk.Handler(), func() standin.Announcement {
+			inFlight := uint32(0)
+
+			return standin.Announcement{
+				BootID: desk.BootID(), Address: address, Service: f.service, Capacity: f.capacity, InFlight: &inFlight,
+			}
+		}
+	}
+
+	e := &standin.Engine{StepBase: f.step, ColdLimit: f.cold, WarmAfter: 4 * f.cold}
+
+	return e.Handler(), func() standin.Announcement {
+		s := e.State()
+		inFlight := uint32(s.InFlight)
+
+		return standin.Announcement{
+			BootID: s.BootID, Address: address, Service: f.service, Capacity: f.capacity, Cold: s.Cold, InFlight: &inFlight,
+		}
+	}
+}
--- /dev/null
+++ b/internal/inifile/inifile.go
@@ -0,0 +1,169 @@
+// Package inifile reads INI files strictly: what the INI library would merge or
+// drop without a word is an error that says where it is and what is allowed.
+package inifile
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Error says what is wrong in a file, where, and what is allowed.
+type Error struct {
+	Source string
+	// Line is the line number from 1, or 0 where no line is to blame.
+	Line    int
+	Section string
+	Key     string
+	Problem string
+	// Allowed says what would be right.
+	Allowed string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	var b strings.Builder
+
+	b.WriteString(e.Source)
+
+	if e.Line > 0 {
+		fmt.Fprintf(&b, ":%d", e.Line)
+	}
+
+	if e.Section != "" {
+		fmt.Fprintf(&b, ": [%s]", e.Section)
+	}
+
+	if e.Key != "" {
+		fmt.Fprintf(&b, " %s", e.Key)
+	}
+
+	fmt.Fprintf(&b, ": %s", e.Problem)
+
+	if e.Allowed != "" {
+		fmt.Fprintf(&b, "; allowed: %s", e.Allowed)
+	}
+
+	return b.String()
+}
+
+// Setting is one key with its value, in the order of the file.
+type Setting struct {
+	Key   string
+	Value string
+	Line  int
+}
+
+// Section is one section of a file.
+type Section struct {
+	// Name is the whole head, such as `Zone "ayutthaya"`.
+	Name     string
+	Line     int
+	Settings []Setting
+}
+
+// File is a file that was read.
+type File struct {
+	Source   string
+	Sections []Section
+}
+
+// place names a section, or a key of one.
+type place struct {
+	section, key string
+}
+
+// Read reads data. Source names it in errors, which are of type *Error.
+func Read(source string, data []byte, maxBytes int) (*File, error) {
+	if len(data) > maxBytes {
+		return nil, &Error{Source: source, Problem: "the file is too long", Allowed: fmt.Sprintf("%d bytes", maxBytes)}
+	}
+
+	lines, err := scan(source, data)
+	if err != nil {
+		return nil, err
+	}
+
+	parsed, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreInlineComment: true, IgnoreContinuation: true, KeyValueDelimiters: "=",
+	}, data)
+	if err != nil {
+		return nil, &Error{Source: source, Problem: err.Error(), Allowed: "INI"}
+	}
+
+	f := &File{Source: source}
+
+	for _, s := range parsed.Sections() {
+		line := lines[place{section: s.Name()}]
+		if line == 0 {
+			continue
+		}
+
+		section := Section{Name: s.Name(), Line: line}
+		for _, k := range s.Keys() {
+			section.Settings = append(section.Settings, Setting{
+				Key: k.Name(), Value: k.Value(), Line: lines[place{section: s.Name(), key: k.Name()}],
+			})
+		}
+
+		f.Sections = append(f.Sections, section)
+	}
+
+	return f, nil
+}
+
+// scan finds the line of each section and key, and refuses doubled sections and
+// keys, lines before the first section, and lines that are neither.
+func scan(source string, data []byte) (map[place]int, error) {
+	lines := make(map[place]int)
+	section := ""
+
+	for i, raw := range bytes.Split(data, []byte("\n")) {
+		line := strings.TrimSpace(string(raw))
+		if line == "" || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+
+		at, err := scanLine(line, section)
+		if err == nil && lines[at] != 0 {
+			err = &Error{Problem: fmt.Sprintf("already given in line %d", lines[at]), Allowed: "one of each"}
+		}
+
+		if err != nil {
+			err.Source, err.Line, err.Section, err.Key = source, i+1, at.section, at.key
+
+			return nil, err
+		}
+
+		section = at.section
+		lines[at] = i + 1
+	}
+
+	return lines, nil
+}
+
+func scanLine(line, section string) (place, *Error) {
+	if line[0] == '[' {
+		if line[len(line)-1] != ']' {
+			return place{}, &Error{Problem: "the section's head is not closed", Allowed: `[Section] or [Kind "name"]`}
+		}
+
+		return place{section: strings.TrimSpace(line[1 : len(line)-1])}, nil
+	}
+
+	key, value, ok := strings.Cut(line, "=")
+	at := place{section: section, key: strings.TrimSpace(key)}
+
+	switch {
+	case section == "":
+		return at, &Error{Problem: "stands before the first section", Allowed: "a section first"}
+	case !ok || at.key == "":
+		return at, &Error{Problem: "is no setting", Allowed: "Key = value"}
+	case strings.ContainsAny(value, "\"`") || strings.ContainsAny(at.key, "\"`:"):
+		return at, &Error{Problem: "holds a quote", Allowed: "plain text without quotes, on one line"}
+	}
+
+	return at, nil
+}
