Test the entry against callers and agents that fail

Cause: the entry's promises stood only in its core's table. Each booking case resends its key and counts sends.

--- /dev/null
+++ b/internal/entry/booking_fault_test.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+func booked(_ *fakeAgent, s *sender) {
+	s.head(http.StatusCreated, "application/json")
+	s.data("booked")
+	s.end()
+}
+
+func refusing(v verdict.Verdict, cause verdict.Cause) behaviour {
+	return func(_ *fakeAgent, s *sender) {
+		s.frame(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{
+			AttemptID: s.request.GetAttemptID(), Verdict: wire.Verdict(v), Cause: string(cause),
+		}}})
+	}
+}
+
+var (
+	askRan     = &wire.AskResponse{State: wire.AskState_AskRan, Answer: &wire.Answer{Status: http.StatusCreated, Body: []byte("kept")}}
+	askRanLost = &wire.AskResponse{State: wire.AskState_AskRan}
+	askRunning = &wire.AskResponse{State: wire.AskState_AskRunning}
+	askClosed  = &wire.AskResponse{State: wire.AskState_AskClosed}
+	askUnknown = &wire.AskResponse{State: wire.AskState_AskUnknown}
+)
+
+// A buyer books a showroom, and the connection between entry and agent fails in
+// every way it can. The buyer must get the one booking, or a truthful word, and
+// a resend under the same key must get the same and never a second booking.
+func TestBookingFaults(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		name   string
+		script []behaviour
+		asked  []*wire.AskResponse
+		want   said
+		// sends is how many attempts reach agents, the resend included.
+		sends int
+	}{
+		{
+			name: "whole", script: []behaviour{booked},
+			want: said{status: 201, verdict: "Ran", body: "booked"}, sends: 1,
+		},
+		{
+			name: "silent before the answer, it ran", script: []behaviour{func(_ *fakeAgent, s *sender) { s.silent() }},
+			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+		{
+			name: "silent within the answer, still running, then it ran",
+			script: []behaviour{func(_ *fakeAgent, s *sender) {
+				s.head(http.StatusCreated, "application/json")
+				s.data("boo")
+				s.silent()
+			}},
+			asked: []*wire.AskResponse{askRunning, askRunning, askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+		{
+			name: "never arrived, and is closed", script: []behaviour{func(_ *fakeAgent, s *sender) { s.cut() }, booked},
+			asked: []*wire.AskResponse{askClosed}, want: said{status: 201, verdict: "Ran", body: "booked"}, sends: 2,
+		},
+		{
+			name: "cut before the end", script: []behaviour{func(_ *fakeAgent, s *sender) {
+				s.head(http.StatusCreated, "application/json")
+				s.data("booked")
+				s.cut()
+			}},
+			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+		{
+			name: "crossed: another request's answer", script: []behaviour{func(_ *fakeAgent, s *sender) {
+				s.frame(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{AttemptID: "other", Status: 201}}})
+				s.data("somebody else's room")
+				s.end()
+			}},
+			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+		{
+			name: "altered: the digest is not that of the answer", script: []behaviour{func(_ *fakeAgent, s *sender) {
+				s.head(http.StatusCreated, "application/json")
+				s.data("booked")
+				_, _ = s.digest.WriteString("more")
+				s.end()
+			}},
+			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+		{
+			name: "no frames at all", script: []behaviour{func(_ *fakeAgent, s *sender) { _, _ = s.w.Write([]byte("\xff\xff\xff\xff\xff")) }},
+			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+		{
+			name: "the agent restarted", script: []behaviour{func(_ *fakeAgent, s *sender) { s.cut() }},
+			asked: []*wire.AskResponse{askUnknown}, want: said{status: 502, verdict: "MayHaveRun", cause: "AnswerLost"}, sends: 1,
+		},
+		{
+			name: "it ran and the agent no longer has the answer", script: []behaviour{func(_ *fakeAgent, s *sender) { s.cut() }},
+			asked: []*wire.AskResponse{askRanLost}, want: said{status: 502, verdict: "Ran", cause: "AnswerLost"}, sends: 1,
+		},
+		{
+			name: "refused as not run, then taken", script: []behaviour{refusing(verdict.NotRun, verdict.CauseOverload), booked},
+			want: said{status: 201, verdict: "Ran", body: "booked"}, sends: 2,
+		},
+		{
+			name: "a duplicate of a running attempt", script: []behaviour{refusing(verdict.MayHaveRun, verdict.CauseDuplicate)},
+			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
+		},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			// Two agents with one script between them, so that a retry finds a target.
+			shared := newFakeAgent(t, "agent-1", c.script...)
+			shared.asked = c.asked
+			r := newRig(t, bookingService, nil, shared, shared.sibling(t, "agent-2"))
+
+			first := r.book("cask-17")
+			require.Equal(t, c.want, first)
+
+			again := r.book("cask-17")
+			require.Equal(t, c.want.body, again.body)
+			require.NotEqual(t, "NotRun", again.verdict)
+			require.Len(t, shared.got(), c.sends)
+		})
+	}
+}
+
+// A buyer's app gives one key to two bookings by mistake. The second must be
+// refused clearly, and must not be answered with the first one's room.
+func TestKeyWithAnotherBody(t *testing.T) {
+	t.Parallel()
+
+	a := newFakeAgent(t, "agent-1", booked)
+	r := newRig(t, bookingService, nil, a)
+
+	require.Equal(t, 201, r.book("cask-17").status)
+
+	got := r.post(bookingService+"/v1/bookings", `{"Slot":"kiln-3"}`, HeaderKey, "cask-17")
+	require.Equal(t, 422, got.status)
+	require.Equal(t, "KeyConflict", got.cause)
+	require.Len(t, a.got(), 1)
+}
+
+// A booking without a key: the connection breaks after it was sent, and the
+// agent cannot tell what became of it. It must not be sent a second time.
+func TestBookingWithoutKeyIsSentOnce(t *testing.T) {
+	t.Parallel()
+
+	a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *sender) { s.cut() })
+	a.asked = []*wire.AskResponse{askUnknown}
+	r := newRig(t, bookingService, nil, a)
+
+	got := r.post(bookingService+"/v1/bookings", `{}`)
+	require.Equal(t, "MayHaveRun", got.verdict)
+	require.Len(t, a.got(), 1)
+}
--- /dev/null
+++ b/internal/entry/caller_test.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Callers send what no entry can serve. Each gets a clear refusal that says the
+// request did not run, and nothing reaches an agent.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+
+	small := func(e *Entry) { e.Limits.MaxBodyBytes = 10 }
+	cases := []struct {
+		name    string
+		path    string
+		body    string
+		headers []string
+		status  int
+		cause   string
+	}{
+		{name: "unknown service", path: "nobody/v1/x", status: 404, cause: "UnknownService"},
+		{name: "body too large", path: "desk/v1/bookings", body: strings.Repeat("x", 11), status: 413, cause: "TooLarge"},
+		{name: "timeout no number", path: "desk/v1/bookings", headers: []string{HeaderTimeout, "soon"}, status: 400, cause: "Malformed"},
+		{name: "timeout of nothing", path: "desk/v1/bookings", headers: []string{HeaderTimeout, "0"}, status: 400, cause: "Malformed"},
+		{name: "priority out of range", path: "desk/v1/bookings", headers: []string{HeaderPriority, "9"}, status: 400, cause: "Malformed"},
+		{name: "key too long", path: "desk/v1/bookings", headers: []string{HeaderKey, strings.Repeat("k", 129)}, status: 400, cause: "Malformed"},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			a := newFakeAgent(t, "agent-1", booked)
+			r := newRig(t, bookingService, small, a)
+			got := r.post(c.path, c.body, c.headers...)
+			require.Equal(t, c.status, got.status)
+			require.Equal(t, "NotRun", got.verdict)
+			require.Equal(t, c.cause, got.cause)
+			require.Empty(t, a.got())
+		})
+	}
+}
+
+// A head that is too long, or no HTTP at all, is refused by status, and the
+// entry goes on serving others.
+func TestMalformedHeads(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		name   string
+		text   string
+		status int
+	}{
+		{name: "head too long", text: "POST /desk/v1/bookings HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 128<<10) + "\r\n\r\n", status: 431},
+		{name: "no HTTP", text: "hello, is anybody there today?\r\n\r\n", status: 400},
+		{name: "two lengths", text: "POST /desk/v1/bookings HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", status: 400},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			r := newRig(t, bookingService, nil, newFakeAgent(t, "agent-1", booked))
+
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.entry.Listener.Addr().String())
+			require.NoError(t, err)
+
+			defer conn.Close()
+
+			_, _ = fmt.Fprint(conn, c.text)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, c.status, resp.StatusCode)
+			require.Equal(t, 201, r.book("cask-1").status)
+		})
+	}
+}
+
+// What concerns one connection alone, or the system, does not go on to targets.
+func TestForwardedHeaders(t *testing.T) {
+	t.Parallel()
+
+	h := http.Header{}
+	h.Set("Connection", "X-Private, keep-alive")
+	h.Set("X-Private", "1")
+	h.Set("Upgrade", "websocket")
+	h.Set(HeaderWorkspace, "cooperage")
+	h.Set("Accept", "text/plain")
+
+	out := forwarded(h)
+	require.Len(t, out, 1)
+	require.Equal(t, "Accept", out[0].GetName())
+}
+
+// Only what a service declares is repeatable, whatever the method.
+func TestIdempotentCalls(t *testing.T) {
+	t.Parallel()
+
+	s := testServices[bookingService]
+	require.True(t, idempotent(s, "GET", "/v1/bookings"))
+	require.False(t, idempotent(s, "GET", "/v2/bookings"))
+	require.False(t, idempotent(s, "POST", "/v1/bookings"))
+	require.False(t, idempotent(s, "HEAD", "/v1/bookings"))
+}
--- /dev/null
+++ b/internal/entry/fixture_test.go
@@ -0,0 +1,310 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/agentlink"
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// testSilence is how long a fake agent may send nothing.
+const testSilence = 200 * time.Millisecond
+
+// fakeAgent answers requests by a script: one behaviour for each request that it
+// or one of its siblings gets.
+type fakeAgent struct {
+	id     string
+	server *httptest.Server
+	*scripted
+}
+
+// scripted is what siblings share.
+type scripted struct {
+	mu       sync.Mutex
+	script   []behaviour
+	requests []*wire.Request
+	// asked is what Ask answers, one for each; the last goes on.
+	asked []*wire.AskResponse
+	asks  int
+}
+
+// behaviour is what a fake agent does with one request.
+type behaviour func(a *fakeAgent, s *sender)
+
+// sender writes the frames of one answer.
+type sender struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	request *wire.Request
+	digest  *xxhash.Digest
+	length  uint64
+}
+
+func newFakeAgent(t testing.TB, id string, script ...behaviour) *fakeAgent {
+	t.Helper()
+
+	return (&scripted{script: script}).agent(t, id)
+}
+
+// sibling returns another agent with the same script.
+func (a *fakeAgent) sibling(t testing.TB, id string) *fakeAgent { return a.agent(t, id) }
+
+func (x *scripted) agent(t testing.TB, id string) *fakeAgent {
+	t.Helper()
+
+	a := &fakeAgent{id: id, scripted: x}
+	mux := http.NewServeMux()
+	mux.HandleFunc(agentlink.RequestPath, a.serve)
+	mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a))
+	a.server = httptest.NewServer(mux)
+	t.Cleanup(func() {
+		a.server.CloseClientConnections()
+		a.server.Close()
+	})
+
+	return a
+}
+
+func (a *fakeAgent) address() netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(a.server.URL, "http://"))
+}
+
+func (a *fakeAgent) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	req := &wire.Request{}
+	_ = proto.Unmarshal(body, req)
+
+	a.mu.Lock()
+	n := len(a.requests)
+	a.requests = append(a.requests, req)
+	do := a.script[min(n, len(a.script)-1)]
+	a.mu.Unlock()
+
+	do(a, &sender{w: w, r: r, request: req, digest: xxhash.New()})
+}
+
+func (a *fakeAgent) got() []*wire.Request {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.requests
+}
+
+// Grant gives every entry a credit.
+func (a *fakeAgent) Grant(_ context.Context, r *wire.GrantRequest) (*wire.GrantResponse, error) {
+	return &wire.GrantResponse{Credit: &wire.Credit{
+		AgentID: a.id, Incarnation: 1, EntryID: r.GetEntryID(), Serial: 1, ExpiresAtTick: 1000, Slots: 64, RemainingMillis: 60_000,
+	}}, nil
+}
+
+// Ask answers from the script.
+func (a *fakeAgent) Ask(context.Context, *wire.AskRequest) (*wire.AskResponse, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	r := a.asked[min(a.asks, len(a.asked)-1)]
+	a.asks++
+
+	return r, nil
+}
+
+// Give refuses every order.
+func (a *fakeAgent) Give(context.Context, *wire.Order) (*wire.OrderResponse, error) {
+	return &wire.OrderResponse{Cause: "no engine"}, nil
+}
+
+func (s *sender) frame(f *wire.Frame) {
+	_, _ = protodelim.MarshalTo(s.w, f)
+	_ = http.NewResponseController(s.w).Flush()
+}
+
+func (s *sender) head(status int32, contentType string) {
+	s.frame(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{
+		AttemptID: s.request.GetAttemptID(), Status: status,
+		Headers: []*wire.Header{{Name: "Content-Type", Value: contentType}},
+	}}})
+}
+
+func (s *sender) data(text string) {
+	_, _ = s.digest.WriteString(text)
+	s.length += uint64(len(text))
+	s.frame(&wire.Frame{Kind: &wire.Frame_Data{Data: []byte(text)}})
+}
+
+func (s *sender) end() {
+	s.frame(&wire.Frame{Kind: &wire.Frame_End{End: &wire.End{
+		AttemptID: s.request.GetAttemptID(), Length: s.length, Digest: s.digest.Sum64(),
+	}}})
+}
+
+// silent sends nothing more until the entry gives the connection up.
+func (s *sender) silent() { <-s.r.Context().Done() }
+
+// cut breaks the connection.
+func (s *sender) cut() { panic(http.ErrAbortHandler) }
+
+// rig is an entry before fake agents, with control's claims in memory.
+type rig struct {
+	t     testing.TB
+	entry *Entry
+	base  string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+const (
+	draftService   = "assist"
+	bookingService = "desk"
+)
+
+var testServices = map[string]*wire.Service{
+	draftService:   {Name: draftService, IdempotentCalls: []string{"POST /v1/drafts"}, Resumable: true},
+	bookingService: {Name: bookingService, IdempotentCalls: []string{"GET /v1/*"}},
+}
+
+// newRig starts an entry whose targets are agents, each carrying service.
+func newRig(t testing.TB, service string, change func(*Entry), agents ...*fakeAgent) *rig {
+	t.Helper()
+
+	var lc net.ListenConfig
+
+	listener, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	claims := newClaims()
+	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(1, 1))}
+	e := &Entry{
+		ID: "entry-1", Zone: "muscat-a", Listener: listener, Seed: 1,
+		Link:    &agentlink.Link{Silence: testSilence, DialTimeout: time.Second, IdleFor: time.Second},
+		Chooser: chooser, Budget: &retries.Budget{Rand: rand.New(rand.NewPCG(1, 2))},
+		Claim: claims.Claim, Settle: claims.Settle, Limits: DefaultLimits(), Logger: logs.Discard(),
+		Known: func() Known {
+			return Known{
+				Version: 7, FreshUntil: time.Now().Add(time.Hour),
+				Service:   func(name string) *wire.Service { return testServices[name] },
+				Workspace: func(string) *wire.Workspace { return nil },
+				Agent:     func(string) *wire.Node { return nil },
+			}
+		},
+	}
+
+	if change != nil {
+		change(e)
+	}
+
+	chooser.ChangeTargets(targetsOf(service, agents))
+
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{t: t, entry: e, base: "http://" + listener.Addr().String(), stop: cancel, done: make(chan error, 1)}
+
+	go func() { r.done <- e.Run(ctx) }()
+
+	t.Cleanup(cancel)
+
+	return r
+}
+
+func newClaims() *control.Server {
+	log := &control.MemoryLog{}
+	s := &control.Server{Propose: log.Propose, Read: log.Read}
+	s.Init()
+	log.Apply = s.Apply
+
+	return s
+}
+
+func targetsOf(service string, agents []*fakeAgent) routing.TargetsChanged {
+	var ev routing.TargetsChanged
+
+	for _, a := range agents {
+		ev.Targets = append(ev.Targets, routing.Target{
+			AgentID: a.id, Service: service, Addr: a.address(), Zone: "muscat-a", Capacity: 64, Incarnation: 1,
+		})
+	}
+
+	return ev
+}
+
+// said is what a caller got.
+type said struct {
+	status  int
+	verdict string
+	cause   string
+	retry   string
+	body    string
+	// cut says that the answer broke off.
+	cut bool
+}
+
+func (r *rig) post(path, body string, headers ...string) said {
+	r.t.Helper()
+
+	q, err := http.NewRequest(http.MethodPost, r.base+"/"+path, strings.NewReader(body))
+	require.NoError(r.t, err)
+
+	for i := 0; i < len(headers); i += 2 {
+		q.Header.Set(headers[i], headers[i+1])
+	}
+
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	require.NoError(r.t, err)
+
+	defer resp.Body.Close()
+
+	text, err := io.ReadAll(bufio.NewReader(resp.Body))
+
+	if resp.Header.Get(HeaderCause) != "" {
+		// A refusal names the request; its other words are in the headers too.
+		require.Contains(r.t, string(text), resp.Header.Get(HeaderRequestID))
+
+		text = nil
+	}
+
+	return said{
+		status: resp.StatusCode, verdict: resp.Header.Get(HeaderVerdict), cause: resp.Header.Get(HeaderCause),
+		retry: resp.Header.Get("Retry-After"), body: string(text), cut: err != nil,
+	}
+}
+
+func (r *rig) book(key string) said {
+	r.t.Helper()
+
+	return r.post(bookingService+"/v1/bookings", `{"Slot":"kiln-2"}`, HeaderKey, key)
+}
+
+func (r *rig) draft() said {
+	r.t.Helper()
+
+	return r.post(draftService+"/v1/drafts", `{"Prompt":"stave 4"}`)
+}
+
+// events returns the events from first to last of a test stream.
+func events(first, last int) string {
+	var b strings.Builder
+	for n := first; n <= last; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: word%d\n\n", n, n)
+	}
+
+	return b.String()
+}
