Test quorum loss, a vanished zone and the stop of a control VM

A loss of 2 s costs nothing, one of a minute 55 to 58 s of refusals; 40 of 100 processes that vanish leave the directory within 2 minutes, and nobody else.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,3 +113,38 @@
 	require.Equal(t, wire.ClaimState_ClaimRecorded, got.GetState())
 	require.Equal(t, []byte("slot 4"), got.GetAnswer().GetBody())
 }
+
+// A control VM is itself a process of the directory: its stop can be planned,
+// and is over once it runs again, so that it does not stop a second time.
+func TestStopOfAControlVM(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		var self atomic.Pointer[wire.Node]
+
+		self.Store(&wire.Node{ID: "control-9", Kind: wire.NodeKind_NodeControl, Incarnation: 1})
+
+		log := g.servers[0]
+		s := &control.Server{
+			Cluster: cluster, VM: "control-9", Propose: log.Propose, Read: log.Read,
+			Self: self.Load,
+		}
+		s.Init()
+		g.servers[0] = s
+		run(t, s.Run)
+		time.Sleep(time.Second)
+
+		g.decide(t, 0, 1, "[Stop \"control-9\"]\nReason = new disk\n")
+		require.True(t, s.StopPlanned("control-9"))
+		time.Sleep(time.Second)
+		self.Store(&wire.Node{ID: "control-9", Kind: wire.NodeKind_NodeControl, Incarnation: 2})
+		time.Sleep(time.Second)
+		require.False(t, s.StopPlanned("control-9"))
+		require.True(t, g.status(t, 0, 1).GetInForce())
+
+		dump, err := s.Dump(t.Context(), &wire.DumpRequest{})
+		require.NoError(t, err)
+		require.Contains(t, dump.GetText(), "Node/control-9")
+		require.Contains(t, dump.GetText(), "Heard control-9 Incarnation 2")
+	})
+}
--- a/internal/control/storm_test.go
+++ b/internal/control/storm_test.go
@@ -170,6 +170,75 @@
 	})
 }
 
+// A zone goes dark with 40 of 100 processes. The directory must lose them in
+// bounded time, though not all at once, and must lose nobody else.
+func TestVanishedZoneLeavesTheDirectory(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		for i := range 100 {
+			f.start(target(fmt.Sprint(i), []string{"ayutthaya", "saraburi"}[i/60], 1), 0, 1, 2)
+		}
+
+		time.Sleep(3 * time.Second)
+
+		for i := 60; i < 100; i++ {
+			f.silence(fmt.Sprint(i), true)
+		}
+
+		time.Sleep(2 * time.Minute)
+		require.Len(t, f.readers["0"].Snapshot().Nodes(), 60)
+	})
+}
+
+// The control VMs lose their quorum. A loss as short as an election must cost no
+// request; in a longer one processes refuse, since they cannot know what is
+// decided elsewhere, and go on soon after it ends.
+func TestQuorumLoss(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		f := newFleet(t, g)
+		defer f.endAll()
+
+		r := f.start(entry("entry-1", 1), 0, 1, 2)
+		time.Sleep(3 * time.Second)
+
+		refused := func(loss time.Duration) time.Duration {
+			var out time.Duration
+
+			for i := range g.servers {
+				g.isolate(i, true)
+			}
+
+			for at := time.Duration(0); at < loss+10*time.Second; at += 10 * time.Millisecond {
+				if at == loss {
+					for i := range g.servers {
+						g.isolate(i, false)
+					}
+				}
+
+				if !r.Snapshot().Fresh(time.Now()) {
+					out += 10 * time.Millisecond
+				}
+
+				time.Sleep(10 * time.Millisecond)
+			}
+
+			return out
+		}
+
+		require.Zero(t, refused(2*time.Second))
+
+		long := refused(time.Minute)
+		require.Greater(t, long, 55*time.Second)
+		require.Less(t, long, 58*time.Second)
+	})
+}
+
 // Operators on two control VMs confirm different plans under one number at the
 // same moment, several times each. Exactly one plan is carried out, and each of
 // them is told so.
@@ -212,6 +281,15 @@
 
 			require.Equal(t, want, a.GetState())
 		}
+
+		g.isolate(0, true)
+
+		for i, plan := range plans {
+			again, err := g.servers[1].Confirm(t.Context(), &wire.ConfirmRequest{Operator: "may", Number: 5, PlanID: plan})
+			require.NoError(t, err)
+			require.Equal(t, answers[i].GetState(), again.GetAnswer().GetState(), "after a change of leader")
+			require.Equal(t, answers[i].GetVersion(), again.GetAnswer().GetVersion())
+		}
 	})
 }
 
