Reserve only slots that an entry asked for

Cause: slots of credits that ride on answers were reserved for 250 ms; with 410 busy entries at limit 64 the core refused 84% of requests with nothing in flight (BenchmarkAdmitFinish/entries=410, 0.8428 refused/op). Change: a credit's slots advise; only those that Grant gave are reserved, for 50 ms or until used. A refusal brings a new credit along. A request whose deadline has passed is refused.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -171,7 +171,7 @@
 
 	c.share.lapse(e, now)
 
-	if e.inFlight < e.slots || c.share.open(now, e, c.limit()-c.unknownCount()) {
+	if e.reserved > 0 || c.share.open(now, e, c.limit()-c.unknownCount()) {
 		return "", false
 	}
 
@@ -202,68 +202,62 @@
 	g := Grant{ExpiresAt: c.tickTime(uint64(now.Add(c.Settings.CreditLife).Sub(c.Started) / time.Millisecond))}
 	c.lastExpiry = g.ExpiresAt
 
-	var e *entry
+	slots := 0
 
 	if !c.share.full(q.EntryID) {
-		e = c.share.of(q.EntryID)
+		e := c.share.of(q.EntryID)
 		c.share.lapse(e, now)
+		c.share.see(e, now.Add(c.Settings.ActiveFor))
 		e.wanted = int(q.Wanted)
-		g.RetryAt = c.allot(now, e, q.renewal)
-	}
-
-	g.Credit = c.credit(q.EntryID, e, g.ExpiresAt)
+		slots = c.allot(now, e, q.renewal)
 
-	return g
-}
+		if !q.renewal {
+			g.RetryAt = c.reserve(now, e, slots)
+		}
+	}
 
-// credit writes a credit of e, which is nil for an entry too many.
-func (c *Core) credit(id string, e *entry, expiresAt time.Time) Credit {
-	cr := Credit{
+	g.Credit = Credit{
 		AgentID:       c.AgentID,
 		Incarnation:   c.Incarnation,
-		EntryID:       id,
+		EntryID:       q.EntryID,
 		Serial:        c.share.serial,
-		ExpiresAtTick: uint64(expiresAt.Sub(c.Started) / time.Millisecond),
-	}
-
-	if e != nil {
-		cr.Slots = uint32(e.slots)
+		ExpiresAtTick: uint64(g.ExpiresAt.Sub(c.Started) / time.Millisecond),
+		Slots:         uint32(slots),
 	}
 
-	return cr
+	return g
 }
 
-// allot gives e its slots, and a turn if it asked itself and got nothing. It
-// returns when e should ask again.
-func (c *Core) allot(now time.Time, e *entry, renewal bool) time.Time {
-	slots := 0
-	if !c.leaving && !c.view.ZoneOut && !c.view.Retired {
-		slots = c.share.allot(now, e, c.limit()-c.unknownCount())
+// allot returns the slots that e may use now. While others wait, an answer gives
+// an entry no more than it has in flight already.
+func (c *Core) allot(now time.Time, e *entry, renewal bool) int {
+	if c.leaving || c.view.ZoneOut || c.view.Retired {
+		return 0
 	}
 
-	reserveFor := c.Settings.ReserveFor
-
-	if c.share.othersWait(e) {
-		reserveFor /= 5
-
-		if renewal {
-			slots = min(slots, e.inFlight)
-		}
+	slots := c.share.allot(now, e, c.limit()-c.unknownCount())
+	if renewal && c.share.othersWait(e) {
+		slots = min(slots, e.inFlight)
 	}
 
-	more := slots > e.inFlight
-	c.share.change(e, func(e *entry) { e.slots = slots })
-	e.reservedUntil = now.Add(reserveFor)
+	return slots
+}
+
+// reserve keeps the slots that e asked for, or gives it a turn if it got none; it
+// returns when e should ask again.
+func (c *Core) reserve(now time.Time, e *entry, slots int) time.Time {
+	c.share.change(e, func(e *entry) { e.reserved = max(slots-e.inFlight, 0) })
+	e.reservedUntil = now.Add(c.Settings.ReserveFor)
 
 	switch {
-	case more:
+	case slots > e.inFlight:
 		c.share.served(e)
-	case !renewal && e.wanted > 0:
+	case e.wanted > 0:
 		retryAt := now.Add(c.turnIn(e))
 		c.share.wait(e, retryAt.Add(c.Settings.WaitLife))
 
 		return retryAt
-	case e.asks > 0 && e.wanted == 0:
+	case e.asks > 0:
 		c.share.stopWaiting(e)
 	}
 
--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -4,11 +4,12 @@
 
 // Settings tune a Core. Zero fields take their defaults.
 type Settings struct {
-	// CreditLife is how long a credit holds. Its slots are reserved for ReserveFor
-	// only, and for a fifth of that while other entries wait; after that a request on
-	// it is let in where there is room.
+	// CreditLife is how long a credit holds. Slots that an entry asked for are
+	// reserved for ReserveFor only; after that a request is let in where there is room.
 	CreditLife time.Duration
 	ReserveFor time.Duration
+	// ActiveFor is how long an entry counts in the fair shares after it was heard of.
+	ActiveFor time.Duration
 	// WaitLife is for how long a waiting entry that doesn't ask again keeps its turn.
 	WaitLife time.Duration
 	// RememberFor is how long an ended attempt is remembered after its credit's expiry.
@@ -30,7 +31,8 @@
 // The defaults of Settings.
 const (
 	DefaultCreditLife      = 2 * time.Second
-	DefaultReserveFor      = 250 * time.Millisecond
+	DefaultReserveFor      = 50 * time.Millisecond
+	DefaultActiveFor       = time.Second
 	DefaultWaitLife        = 100 * time.Millisecond
 	DefaultRememberFor     = time.Minute
 	DefaultMaxAttempts     = 1 << 16
@@ -51,6 +53,7 @@
 func (s *Settings) fill() {
 	orDefault(&s.CreditLife, DefaultCreditLife)
 	orDefault(&s.ReserveFor, DefaultReserveFor)
+	orDefault(&s.ActiveFor, DefaultActiveFor)
 	orDefault(&s.WaitLife, DefaultWaitLife)
 	orDefault(&s.RememberFor, DefaultRememberFor)
 	orDefault(&s.MaxAttempts, DefaultMaxAttempts)
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -21,14 +21,14 @@
 
 // share divides the limit among the entries that ask for credits.
 //
-// Slots are short reservations: their sum stays within the limit, so that a
-// request on a fresh credit is seldom refused. A request beyond its slots is let
-// in where nobody else's reservation is touched.
+// The slots of a credit advise an entry how much to send. Those that an entry has
+// asked for are reserved for a moment, so that the request it asked for is let in;
+// then, and for credits that ride on answers, a request is let in wherever there
+// is room that nobody has reserved.
 //
 // It guards against parked capacity and starved entries where hundreds share a
-// limit of two: reservations that aren't used lapse soon, while others wait none
-// is renewed by an answer alone, and entries that ask again and again are served
-// in about the order in which they came.
+// limit of two: reservations lapse soon, an answer reserves nothing, and entries
+// that ask again and again are served in about the order in which they came.
 type share struct {
 	entries map[string]*entry
 	// queue holds the entries that asked in vain more than once, longest waiting first.
@@ -50,11 +50,14 @@
 
 // entry is the standing of one entry.
 type entry struct {
-	// slots are reserved until reservedUntil.
-	slots         int
+	// reserved slots are not in use yet; they lapse at reservedUntil.
+	reserved      int
 	reservedUntil time.Time
 	inFlight      int
 	wanted        int
+	// seen says that the entry used or asked for a credit until seenUntil.
+	seen      bool
+	seenUntil time.Time
 	// asks counts how often the entry asked in vain; at waitsUntil its turn lapses.
 	asks       int
 	waitsUntil time.Time
@@ -62,8 +65,8 @@
 	passed     int
 }
 
-// held is how much of the limit is reserved for e.
-func (e *entry) held() int { return max(e.slots, e.inFlight) }
+// held is how much of the limit is reserved for e or in use by it.
+func (e *entry) held() int { return e.reserved + e.inFlight }
 
 // standing is what e adds to the sum.
 func (e *entry) standing() standing {
@@ -73,7 +76,7 @@
 		st.waiting = 1
 	}
 
-	if st.reserved > 0 || st.waiting > 0 {
+	if e.seen || st.reserved > 0 || st.waiting > 0 {
 		st.active = 1
 	}
 
@@ -145,10 +148,23 @@
 	s.queue = kept
 }
 
+// see notes that e is active.
+func (s *share) see(e *entry, until time.Time) {
+	e.seenUntil = until
+
+	if !e.seen {
+		s.change(e, func(e *entry) { e.seen = true })
+	}
+}
+
 // lapse drops what of e has expired.
 func (s *share) lapse(e *entry, now time.Time) {
-	if e.slots > 0 && !e.reservedUntil.After(now) {
-		s.change(e, func(e *entry) { e.slots = 0 })
+	if e.reserved > 0 && !e.reservedUntil.After(now) {
+		s.change(e, func(e *entry) { e.reserved = 0 })
+	}
+
+	if e.seen && !e.seenUntil.After(now) {
+		s.change(e, func(e *entry) { e.seen = false })
 	}
 
 	if e.asks > 0 && !e.waitsUntil.After(now) {
@@ -254,7 +270,10 @@
 // started and finished count the requests in flight of an entry.
 func (s *share) started(id string) {
 	s.freeSince = time.Time{}
-	s.change(s.of(id), func(e *entry) { e.inFlight++ })
+	s.change(s.of(id), func(e *entry) {
+		e.inFlight++
+		e.reserved = max(e.reserved-1, 0)
+	})
 }
 
 func (s *share) finished(id string, now time.Time) {
@@ -267,7 +286,8 @@
 	}
 }
 
-// allot returns how many slots e gets of limit.
+// allot returns how many slots of limit e gets: its fair share at least, more
+// where the others leave room, and no more than there is room for now.
 func (s *share) allot(now time.Time, e *entry, limit int) int {
 	others := s.sum.minus(e.standing())
 	room := limit - others.reserved
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -140,6 +140,26 @@
 		b.requireRefused(b.arrival(one), verdict.NotRun, verdict.CauseOverload)
 		require.True(t, b.core.Arrive(b.now, b.arrival(two)).Admitted, "reserved for the other entry")
 	})
+	t.Run("credits that ride on answers keep nobody else out", func(t *testing.T) {
+		t.Parallel()
+
+		b := newBench(t, 64, 64)
+		credits := map[string]Credit{}
+
+		for i := range 2 * 410 {
+			id := fmt.Sprint(i % 410)
+			if i < 410 {
+				credits[id] = b.core.Renew(b.now, id).Credit
+			}
+
+			r := b.arrival(credits[id])
+			require.True(t, b.core.Arrive(b.now, r).Admitted, "refused with nothing in flight")
+			b.ran(r, nil)
+			credits[id] = b.core.Renew(b.now, id).Credit
+			require.Positive(t, credits[id].Slots)
+			b.pass(time.Millisecond)
+		}
+	})
 	t.Run("a flood of entry IDs is bounded", func(t *testing.T) {
 		t.Parallel()
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -268,6 +268,16 @@
 	return n
 }
 
+// Service is what the target carries; empty while none has announced itself. It is
+// cheap enough to be called by View.
+func (a *Agent) Service() string {
+	if t := a.target.load(); t != nil {
+		return t.Service
+	}
+
+	return ""
+}
+
 // address is where the agent listens, or is set to listen.
 func (a *Agent) address() netip.AddrPort {
 	select {
--- /dev/null
+++ b/internal/agent/bench_test.go
@@ -0,0 +1,176 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+)
+
+// cpu is the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// measure runs do at each concurrency, and reports time and processor time for one call.
+func measure(n, workers int, do func()) (each, used time.Duration) {
+	var wg sync.WaitGroup
+
+	start, cpuStart := time.Now(), cpu()
+
+	for range workers {
+		wg.Go(func() {
+			for range n / workers {
+				do()
+			}
+		})
+	}
+
+	wg.Wait()
+
+	calls := time.Duration(max(n/workers*workers, 1))
+
+	return time.Since(start) * time.Duration(workers) / calls, (cpu() - cpuStart) / calls
+}
+
+// BenchmarkAddedByAgent compares a call through the agent with a direct call to the
+// same target, in the same run. The processor time counts client, agent and target.
+func BenchmarkAddedByAgent(b *testing.B) {
+	target := httpTarget(b, ok)
+	r := newRig(b, target, func(a *Agent) {
+		a.Settings.Admission.MaxAttempts = 1 << 20
+		a.View = func() admission.View {
+			return admission.View{Version: 7, FreshUntil: time.Now().Add(time.Hour), ColdLimit: 1024, WarmLimit: 1024}
+		}
+		a.Settings.Admission.RememberFor = time.Second
+	})
+	r.post(AnnouncePath, `{"BootID":"boot-1","Address":"`+target.String()+`","Service":"`+testService+`","Capacity":1024,"InFlight":0}`, 204)
+
+	body := bytes.Repeat([]byte("x"), 512)
+
+	for _, workers := range []int{1, 16, 64} {
+		for _, kind := range []string{"idempotent", "booking"} {
+			b.Run(kind+"/workers="+strconv.Itoa(workers), func(b *testing.B) {
+				direct := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers, DisableKeepAlives: kind == "booking"}}
+				defer direct.CloseIdleConnections()
+
+				plain := func() {
+					hr, _ := http.NewRequest(http.MethodPost, "http://"+target.String()+"/x", bytes.NewReader(body))
+
+					resp, err := direct.Do(hr)
+					if err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
+					}
+				}
+				through := func() {
+					req := r.request("/x", string(body))
+					req.Idempotent = kind == "idempotent"
+
+					if a := r.do(req); a.end == nil {
+						b.Errorf("no whole answer: %+v", a)
+					}
+				}
+
+				measure(workers*4, workers, plain)
+				b.ResetTimer()
+
+				dEach, dCPU := measure(b.N, workers, plain)
+				tEach, tCPU := measure(b.N, workers, through)
+
+				b.ReportMetric(float64(dEach.Microseconds()), "direct-µs")
+				b.ReportMetric(float64(tEach.Microseconds()), "agent-µs")
+				b.ReportMetric(float64(tEach)/float64(dEach), "latency-ratio")
+				b.ReportMetric(float64(tCPU)/float64(dCPU), "cpu-ratio")
+				b.ReportMetric(float64(dCPU.Microseconds()), "direct-cpu-µs")
+				b.ReportMetric(float64(tCPU.Microseconds()), "agent-cpu-µs")
+			})
+		}
+	}
+}
+
+// BenchmarkOpenStream reports goroutines and bytes of one open stream. The process
+// holds client, agent and target; the same streams opened directly are taken off.
+func BenchmarkOpenStream(b *testing.B) {
+	const streams = 400
+
+	for range b.N {
+		g := newGate()
+		g.started = make(chan struct{}, 3*streams)
+		g.gone = make(chan struct{}, 3*streams)
+		target := httpTarget(b, g.serve("text/event-stream"))
+		r := newRig(b, target, func(a *Agent) {
+			a.View = func() admission.View {
+				return admission.View{Version: 7, FreshUntil: time.Now().Add(time.Hour), ColdLimit: 1024, WarmLimit: 1024}
+			}
+		})
+		r.post(AnnouncePath, `{"BootID":"boot-1","Address":"`+target.String()+`","Service":"`+testService+`","Capacity":1024,"InFlight":0}`, 204)
+
+		direct := openMany(b, streams, g, func() io.Closer {
+			resp, err := http.Post("http://"+target.String(), "text/plain", nil)
+			require.NoError(b, err)
+
+			return resp.Body
+		})
+		through := openMany(b, streams, g, func() io.Closer {
+			resp, _ := r.open(context.Background(), r.request("/x", "x"))
+			return resp.Body
+		})
+
+		b.ReportMetric(through.goroutines-direct.goroutines, "goroutines/stream")
+		b.ReportMetric(through.bytes-direct.bytes, "bytes/stream")
+		close(g.release)
+	}
+}
+
+type use struct{ goroutines, bytes float64 }
+
+func openMany(b *testing.B, n int, g *gate, open func() io.Closer) use {
+	b.Helper()
+
+	sample := func() (int, uint64) {
+		var m runtime.MemStats
+
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+
+		return runtime.NumGoroutine(), m.HeapAlloc + m.StackInuse
+	}
+	g0, b0 := sample()
+
+	var cs []io.Closer
+	for range n {
+		cs = append(cs, open())
+	}
+
+	for range n {
+		<-g.started
+	}
+
+	g1, b1 := sample()
+
+	for _, c := range cs {
+		c.Close()
+	}
+
+	for range n {
+		<-g.gone
+	}
+
+	return use{float64(g1-g0) / float64(n), float64(b1-b0) / float64(n)}
+}
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -68,6 +68,14 @@
 	return c.Renew(now, entryID), c.Load()
 }
 
+func (d *door) renew(now time.Time, entryID string) (admission.Grant, admission.Load) {
+	defer d.mu.Unlock()
+
+	c := d.lock(now)
+
+	return c.Renew(now, entryID), c.Load()
+}
+
 func (d *door) announce(now time.Time, a admission.Announcement) {
 	defer d.mu.Unlock()
 
--- a/internal/agent/entry_fault_test.go
+++ b/internal/agent/entry_fault_test.go
@@ -62,6 +62,7 @@
 		{"attempt ID too long", func(_ *rig, req *wire.Request) {
 			req.AttemptID = strings.Repeat("x", maxIDBytes+1)
 		}, wire.Verdict_NotRun, "Malformed"},
+		{"deadline passed", func(_ *rig, req *wire.Request) { req.RemainingMillis = 0 }, wire.Verdict_NotRun, "DeadlinePassed"},
 		{"no credit", func(_ *rig, req *wire.Request) { req.Credit = nil }, wire.Verdict_NotRun, "EarlierIncarnation"},
 		{"earlier incarnation", func(_ *rig, req *wire.Request) { req.Credit.Incarnation-- }, wire.Verdict_NotRun, "EarlierIncarnation"},
 		{"expired credit", func(_ *rig, req *wire.Request) { req.Credit.ExpiresAtTick = 0 }, wire.Verdict_NotRun, "CreditExpired"},
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -41,7 +41,7 @@
 	x.digest.Reset()
 
 	const maxMillis = uint64(1 << 40)
-	if left := req.GetRemainingMillis(); left > 0 && left < maxMillis {
+	if left := req.GetRemainingMillis(); left < maxMillis {
 		if at := now.Add(time.Duration(left) * time.Millisecond); at.Before(x.until) {
 			x.until = at
 		}
@@ -222,10 +222,8 @@
 
 func (x *exchange) finish(now time.Time, o admission.Outcome) *wire.Load {
 	g, l := x.agent.door.finish(now, x.call.attemptID, x.req.GetCredit().GetEntryID(), o)
-	load := loadToWire(l)
-	load.Credit = creditToWire(g, now)
 
-	return load
+	return loadToWire(l, creditToWire(g, now))
 }
 
 // send writes a frame unless the entry is gone.
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -29,7 +29,7 @@
 
 	req, bad := a.readRequest(w, r)
 	if req == nil {
-		a.refuse(out, "", *bad)
+		a.refuse(out, &wire.Request{}, *bad)
 		return
 	}
 
@@ -44,7 +44,7 @@
 	}
 
 	if !d.Admitted {
-		a.refuse(out, req.GetAttemptID(), refusal{verdict: d.Verdict, cause: d.Cause, retryAt: d.RetryAt})
+		a.refuse(out, req, refusal{verdict: d.Verdict, cause: d.Cause, retryAt: d.RetryAt})
 		return
 	}
 
@@ -52,12 +52,22 @@
 	newExchange(a, req, out, now).run(r.Context())
 }
 
-// refuse ends a request without an answer.
-func (a *Agent) refuse(out *frameWriter, attemptID string, f refusal) {
+// refuse ends a request without an answer. Its entry gets a new credit, so that
+// one that came with an expired credit need not ask for one.
+func (a *Agent) refuse(out *frameWriter, req *wire.Request, f refusal) {
 	now := a.Now()
 	a.counters.refused.Inc(1)
 
-	_ = out.write(refusalFrame(attemptID, f, now, loadToWire(a.door.load(now))))
+	load, credit := a.door.load(now), (*wire.Credit)(nil)
+
+	if id := req.GetCredit().GetEntryID(); id != "" {
+		var g admission.Grant
+
+		g, load = a.door.renew(now, id)
+		credit = creditToWire(g, now)
+	}
+
+	_ = out.write(refusalFrame(req.GetAttemptID(), f, now, loadToWire(load, credit)))
 }
 
 func refusalFrame(attemptID string, f refusal, now time.Time, load *wire.Load) *wire.Frame {
@@ -134,6 +144,10 @@
 		return verdict.CauseMalformed
 	}
 
+	if req.GetRemainingMillis() == 0 {
+		return verdict.CauseDeadline
+	}
+
 	return ""
 }
 
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -26,9 +26,11 @@
 	g, l := a.door.grant(now, admission.GrantAsk{EntryID: r.GetEntryID(), Wanted: r.GetWanted()})
 	a.counters.granted.Inc(1)
 
+	credit := creditToWire(g, now)
+
 	return &wire.GrantResponse{
-		Credit:           creditToWire(g, now),
-		Load:             loadToWire(l),
+		Credit:           credit,
+		Load:             loadToWire(l, credit),
 		RetryAfterMillis: millisUntil(g.RetryAt, now),
 	}, nil
 }
@@ -98,11 +100,12 @@
 	}
 }
 
-func loadToWire(l admission.Load) *wire.Load {
+func loadToWire(l admission.Load, credit *wire.Credit) *wire.Load {
 	return &wire.Load{
 		InFlight: l.InFlight,
 		Limit:    l.Limit,
 		Cold:     l.Cold,
 		Leaving:  l.Leaving,
+		Credit:   credit,
 	}
 }
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -25,7 +25,7 @@
 	DialTimeout time.Duration
 	// TargetSilence is how long the target may send nothing of an answer.
 	TargetSilence time.Duration
-	// MaxRunning ends requests that bring no deadline.
+	// MaxRunning bounds a request, whatever its deadline.
 	MaxRunning time.Duration
 	// HeartbeatEvery is how often the entry hears of a request while there is nothing to relay.
 	HeartbeatEvery time.Duration
