Keep granted credits valid, and learn first tokens by depth

Cause: concurrent events reach the core with times out of order; an earlier one set back the latest granted expiry, and good credits were refused as malformed (seen in BenchmarkAddedByAgent at 16 workers). Bursts, and jitter of quick services, looked like a cold target and dropped the limit. Change: the latest expiry only grows, the door hands events over in order; a first token is held against the norm for its depth, and below 100 ms is never slow; a whole answer is flushed once.

--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -46,6 +46,7 @@
 		expiresAt:  expiresAt,
 		admittedAt: now,
 		epoch:      c.ramp.epoch,
+		depth:      len(c.running) + 1,
 	}
 	c.memory.add(a)
 	c.running[a.id] = a
@@ -200,7 +201,11 @@
 	c.share.serial++
 
 	g := Grant{ExpiresAt: c.tickTime(uint64(now.Add(c.Settings.CreditLife).Sub(c.Started) / time.Millisecond))}
-	c.lastExpiry = g.ExpiresAt
+
+	// Events of several goroutines may come with times that are not in order.
+	if g.ExpiresAt.After(c.lastExpiry) {
+		c.lastExpiry = g.ExpiresAt
+	}
 
 	slots := 0
 
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -16,16 +16,17 @@
 	Started  time.Time
 	Settings Settings
 
-	ready      bool
-	view       View
-	leaving    bool
-	target     target
-	ramp       ramp
-	memory     memory
-	share      share
-	unknown    unknownWork
-	running    map[string]*attempt
-	meanTime   time.Duration
+	ready    bool
+	view     View
+	leaving  bool
+	target   target
+	ramp     ramp
+	memory   memory
+	share    share
+	unknown  unknownWork
+	running  map[string]*attempt
+	meanTime time.Duration
+	// lastExpiry is the latest expiry of a credit that was granted.
 	lastExpiry time.Time
 }
 
@@ -170,7 +171,7 @@
 
 		waiting++
 
-		if c.ramp.norm.isSlow(now.Sub(a.admittedAt)) {
+		if c.ramp.norm.isSlow(a.firstToken(now)) {
 			late++
 		}
 	}
@@ -188,10 +189,10 @@
 	}
 
 	a.answered = true
-	d := now.Sub(a.admittedAt)
-	a.slow = c.ramp.norm.isSlow(d)
+	f := a.firstToken(now)
+	a.slow = c.ramp.norm.isSlow(f)
 
-	if c.ramp.norm.observe(d, c.ramp.ramping()) {
+	if c.ramp.norm.observe(f, c.ramp.ramping()) {
 		c.ramp.fall(now, c.Settings.RampInterval)
 	}
 }
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -31,14 +31,20 @@
 	// forgetAt is when an ended attempt leaves the memory.
 	forgetAt   time.Time
 	admittedAt time.Time
-	// epoch is the ramp's at admission.
+	// epoch is the ramp's at admission, depth counts the requests in flight then.
 	epoch uint64
+	depth int
 	// answered says that the first byte of the answer was seen; slow that it came late.
 	answered bool
 	slow     bool
 	answer   *wire.Answer
 }
 
+// firstToken is how long a has waited for its first token at now.
+func (a *attempt) firstToken(now time.Time) firstToken {
+	return firstToken{wait: now.Sub(a.admittedAt), depth: a.depth}
+}
+
 // memory remembers attempts, so that a duplicate is refused and an entry can ask.
 //
 // It guards against a second run of a request whose message was duplicated or
--- a/internal/admission/norm.go
+++ b/internal/admission/norm.go
@@ -19,6 +19,11 @@
 	// A first token is slow past medianFactor times the median and tailFactor times the 90th percentile.
 	medianFactor = 4
 	tailFactor   = 2
+	// minSlow is a first-token time that is never slow: a cold start takes longer, and
+	// on quick services the scheduler's jitter is many times the median.
+	minSlow = 100 * time.Millisecond
+	// maxDepthFactor bounds how much longer a first token may take in a burst.
+	maxDepthFactor = 16
 )
 
 // norm learns the usual first-token time and tells when answers are far off it.
@@ -26,22 +31,38 @@
 // It guards against a target that turned cold without a word: first tokens then
 // come many times later than usual. One outlier doesn't count (slowInRow), nor
 // does a mix of short and long prompts (the 90th percentile is part of the
-// bound), nor a slow drift of load (the samples follow it).
+// bound), nor a slow drift of load (the samples follow it), nor a burst (where
+// requests queue, a first token takes longer by as much as there are more of them).
 type norm struct {
 	samples [normSamples]time.Duration
 	n       int
 	// bound is past what a first token is slow; 0 while there are too few samples.
 	bound   time.Duration
 	unfresh int
+	// depth is the mean number of requests in flight behind the samples.
+	depth float64
 	// row counts slow answers in a row, pending holds them until it's clear whether they belong to the norm.
 	row     int
-	pending [slowInRow]time.Duration
+	pending [slowInRow]firstToken
 	ramping int
 }
 
-// isSlow reports whether d is far off the norm.
-func (m *norm) isSlow(d time.Duration) bool {
-	return m.bound > 0 && d > m.bound
+// firstToken is the wait for one first token, and how many requests were in flight
+// when it began.
+type firstToken struct {
+	wait  time.Duration
+	depth int
+}
+
+// isSlow reports whether f is far off the norm.
+func (m *norm) isSlow(f firstToken) bool {
+	if m.bound == 0 {
+		return false
+	}
+
+	factor := min(max(float64(f.depth)/m.depth, 1), maxDepthFactor)
+
+	return float64(f.wait) > float64(m.bound)*factor
 }
 
 // observe takes one first-token time and reports whether it is a sign of cold.
@@ -49,14 +70,14 @@
 // At a ramping target slow answers that don't end are no cold start but how the
 // target now works, and the norm is learnt anew; without that the limit would
 // stay at its floor for good.
-func (m *norm) observe(d time.Duration, ramping bool) bool {
+func (m *norm) observe(f firstToken, ramping bool) bool {
 	if !ramping {
 		m.ramping = 0
 	}
 
-	if !m.isSlow(d) {
+	if !m.isSlow(f) {
 		m.settle()
-		m.learn(d)
+		m.learn(f)
 
 		return false
 	}
@@ -70,7 +91,7 @@
 		return false
 	}
 
-	m.pending[m.row] = d
+	m.pending[m.row] = f
 	m.row++
 
 	if m.row < slowInRow {
@@ -91,8 +112,13 @@
 	m.row = 0
 }
 
-func (m *norm) learn(d time.Duration) {
-	m.samples[m.n%normSamples] = d
+func (m *norm) learn(f firstToken) {
+	if m.n == 0 {
+		m.depth = float64(f.depth)
+	}
+
+	m.depth += (float64(f.depth) - m.depth) / normSamples
+	m.samples[m.n%normSamples] = f.wait
 	m.n++
 	m.unfresh++
 
@@ -107,6 +133,6 @@
 	count := min(m.n, normSamples)
 	s := sorted[:count]
 	slices.Sort(s)
-	m.bound = max(medianFactor*s[count/2], tailFactor*s[count*9/10])
+	m.bound = max(minSlow, medianFactor*s[count/2], tailFactor*s[count*9/10])
 	m.unfresh = 0
 }
--- a/internal/admission/ramp_test.go
+++ b/internal/admission/ramp_test.go
@@ -54,6 +54,30 @@
 				b.serve(slowInRow, usual)
 			}
 		}, false},
+		{"jitter of a quick service", func(b *bench) {
+			b.core.ramp.norm = norm{}
+			for range 8 {
+				b.serve(8, time.Millisecond)
+			}
+			b.serve(8, minSlow)
+		}, false},
+		{"burst at a target that serves one by one", func(b *bench) {
+			b.core.ramp.norm = norm{}
+			for range 32 {
+				b.serve(1, usual)
+			}
+
+			var in []Arrival
+			for range 32 {
+				in = append(in, b.admit())
+			}
+
+			for _, r := range in {
+				b.pass(usual)
+				b.core.FirstToken(b.now, r.AttemptID)
+				b.ran(r, nil)
+			}
+		}, false},
 		{"slow drift of load", func(b *bench) {
 			for d := usual; d < 20*usual; d += d / 20 {
 				b.serve(8, d)
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -160,6 +160,14 @@
 			b.pass(time.Millisecond)
 		}
 	})
+	t.Run("a credit holds although a later event came with an earlier time", func(t *testing.T) {
+		t.Parallel()
+
+		b := newBench(t, 4, 4)
+		r := b.arrival(b.grant("entry-1", 1))
+		b.core.Grant(b.now.Add(-time.Millisecond), GrantAsk{EntryID: "entry-2", Wanted: 1})
+		require.True(t, b.core.Arrive(b.now, r).Admitted)
+	})
 	t.Run("a flood of entry IDs is bounded", func(t *testing.T) {
 		t.Parallel()
 
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 // cpu is the processor time that this process has used.
@@ -28,15 +29,15 @@
 }
 
 // measure runs do at each concurrency, and reports time and processor time for one call.
-func measure(n, workers int, do func()) (each, used time.Duration) {
+func measure(n, workers int, do func(worker int)) (each, used time.Duration) {
 	var wg sync.WaitGroup
 
 	start, cpuStart := time.Now(), cpu()
 
-	for range workers {
+	for w := range workers {
 		wg.Go(func() {
 			for range n / workers {
-				do()
+				do(w)
 			}
 		})
 	}
@@ -69,7 +70,7 @@
 				direct := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers, DisableKeepAlives: kind == "booking"}}
 				defer direct.CloseIdleConnections()
 
-				plain := func() {
+				plain := func(int) {
 					hr, _ := http.NewRequest(http.MethodPost, "http://"+target.String()+"/x", bytes.NewReader(body))
 
 					resp, err := direct.Do(hr)
@@ -78,13 +79,25 @@
 						resp.Body.Close()
 					}
 				}
-				through := func() {
-					req := r.request("/x", string(body))
-					req.Idempotent = kind == "idempotent"
+				// Each worker has a connection and a credit of its own, and goes on with
+				// the credit that rode on the last answer, as an entry does.
+				requests := make([]*wire.Request, workers)
+				for w := range requests {
+					requests[w] = r.request("/x", string(body))
+					requests[w].Idempotent = kind == "idempotent"
+				}
+
+				through := func(w int) {
+					req := requests[w]
+					req.AttemptID = strconv.FormatUint(r.serial.Add(1), 10)
 
-					if a := r.do(req); a.end == nil {
-						b.Errorf("no whole answer: %+v", a)
+					a := r.do(req)
+					if a.end == nil {
+						b.Errorf("no whole answer: %v", a.refusal)
+						return
 					}
+
+					req.Credit = a.end.GetLoad().GetCredit()
 				}
 
 				measure(workers*4, workers, plain)
@@ -172,5 +185,5 @@
 		<-g.gone
 	}
 
-	return use{float64(g1-g0) / float64(n), float64(b1-b0) / float64(n)}
+	return use{float64(g1-g0) / float64(n), float64(int64(b1)-int64(b0)) / float64(n)}
 }
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -14,34 +14,48 @@
 	mu   sync.Mutex
 	core admission.Core
 	view func() admission.View
+	// last is the time of the latest event.
+	last time.Time
 }
 
-// lock opens the core for one event at now; the caller unlocks mu.
-func (d *door) lock(now time.Time) *admission.Core {
+// lock opens the core for one event at about now, and returns its time; the caller
+// unlocks mu. Goroutines read the clock before they wait for mu, so that an event
+// could come with a time before the last one's; the core gets times in order.
+func (d *door) lock(now time.Time) (*admission.Core, time.Time) {
 	v := d.view()
 
 	d.mu.Lock()
+
+	if now.Before(d.last) {
+		now = d.last
+	}
+
+	d.last = now
 	d.core.ChangeView(now, v)
 
-	return &d.core
+	return &d.core, now
 }
 
 func (d *door) arrive(now time.Time, r admission.Arrival) admission.Decision {
 	defer d.mu.Unlock()
 
-	return d.lock(now).Arrive(now, r)
+	c, now := d.lock(now)
+
+	return c.Arrive(now, r)
 }
 
 func (d *door) reject(now time.Time, r admission.Arrival, refusal *refusal) admission.Decision {
 	defer d.mu.Unlock()
 
-	return d.lock(now).Reject(now, r, refusal.cause)
+	c, now := d.lock(now)
+
+	return c.Reject(now, r, refusal.cause)
 }
 
 func (d *door) grant(now time.Time, q admission.GrantAsk) (admission.Grant, admission.Load) {
 	defer d.mu.Unlock()
 
-	c := d.lock(now)
+	c, now := d.lock(now)
 
 	return c.Grant(now, q), c.Load()
 }
@@ -49,20 +63,23 @@
 func (d *door) ask(now time.Time, q admission.Question) admission.Fate {
 	defer d.mu.Unlock()
 
-	return d.lock(now).Ask(now, q)
+	c, now := d.lock(now)
+
+	return c.Ask(now, q)
 }
 
 func (d *door) firstToken(now time.Time, attemptID string) {
 	defer d.mu.Unlock()
 
-	d.lock(now).FirstToken(now, attemptID)
+	c, now := d.lock(now)
+	c.FirstToken(now, attemptID)
 }
 
 // finish ends an attempt and renews its entry's credit in one step.
 func (d *door) finish(now time.Time, attemptID, entryID string, o admission.Outcome) (admission.Grant, admission.Load) {
 	defer d.mu.Unlock()
 
-	c := d.lock(now)
+	c, now := d.lock(now)
 	c.Finish(now, attemptID, o)
 
 	return c.Renew(now, entryID), c.Load()
@@ -71,7 +88,7 @@
 func (d *door) renew(now time.Time, entryID string) (admission.Grant, admission.Load) {
 	defer d.mu.Unlock()
 
-	c := d.lock(now)
+	c, now := d.lock(now)
 
 	return c.Renew(now, entryID), c.Load()
 }
@@ -79,26 +96,30 @@
 func (d *door) announce(now time.Time, a admission.Announcement) {
 	defer d.mu.Unlock()
 
-	d.lock(now).Announce(now, a)
+	c, now := d.lock(now)
+	c.Announce(now, a)
 }
 
 func (d *door) tick(now time.Time) {
 	defer d.mu.Unlock()
 
-	d.lock(now).Tick(now)
+	c, now := d.lock(now)
+	c.Tick(now)
 }
 
 func (d *door) load(now time.Time) admission.Load {
 	defer d.mu.Unlock()
 
-	return d.lock(now).Load()
+	c, _ := d.lock(now)
+
+	return c.Load()
 }
 
 // state is what a dump shows of the core.
 func (d *door) state(now time.Time) (admission.Load, admission.MemoryUse) {
 	defer d.mu.Unlock()
 
-	c := d.lock(now)
+	c, _ := d.lock(now)
 
 	return c.Load(), c.Memory()
 }
@@ -120,5 +141,7 @@
 func (d *door) drained(now time.Time) bool {
 	defer d.mu.Unlock()
 
-	return d.lock(now).Drained()
+	c, _ := d.lock(now)
+
+	return c.Drained()
 }
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -63,6 +63,8 @@
 	defer abort(nil)
 
 	r := newRelay(ctx, abort, x)
+	defer r.release()
+
 	go r.read()
 
 	beat := time.NewTicker(x.agent.Settings.HeartbeatEvery)
@@ -110,14 +112,15 @@
 		return true
 	case p.head != nil:
 		x.head(p.head)
-	case p.end:
-		x.end()
-		return true
 	default:
-		x.data(p.data)
+		x.data(p)
+	}
+
+	if p.end {
+		x.end()
 	}
 
-	return false
+	return p.end
 }
 
 func (x *exchange) head(resp *http.Response) {
@@ -129,7 +132,8 @@
 		x.record.Headers = h.Headers
 	}
 
-	x.send(&wire.Frame{Kind: &wire.Frame_Head{Head: h}})
+	// Of an answer with a length the body is there, or about to be.
+	x.sendSoon(&wire.Frame{Kind: &wire.Frame_Head{Head: h}}, resp.ContentLength >= 0)
 }
 
 // answerHeaders returns the headers that go back to the entry, in a fixed order.
@@ -155,7 +159,12 @@
 	return out
 }
 
-func (x *exchange) data(b []byte) {
+func (x *exchange) data(p piece) {
+	b := p.data
+	if len(b) == 0 {
+		return
+	}
+
 	if !x.begun {
 		x.begun = true
 		x.agent.door.firstToken(x.agent.Now(), x.call.attemptID)
@@ -164,7 +173,7 @@
 	_, _ = x.digest.Write(b)
 	x.length += uint64(len(b))
 	x.keep(b)
-	x.send(&wire.Frame{Kind: &wire.Frame_Data{Data: b}})
+	x.sendSoon(&wire.Frame{Kind: &wire.Frame_Data{Data: b}}, p.end)
 }
 
 // keep records b, up to the bound of one recorded answer.
@@ -227,12 +236,21 @@
 }
 
 // send writes a frame unless the entry is gone.
-func (x *exchange) send(f *wire.Frame) {
+func (x *exchange) send(f *wire.Frame) { x.sendSoon(f, false) }
+
+// sendSoon writes a frame; with more, the next frame or heartbeat takes it along,
+// which saves a small answer two system calls of three.
+func (x *exchange) sendSoon(f *wire.Frame, more bool) {
 	if x.entryGone {
 		return
 	}
 
-	if err := x.out.write(f); err != nil {
+	write := x.out.write
+	if more {
+		write = x.out.add
+	}
+
+	if err := write(f); err != nil {
 		x.entryGone = true
 	}
 }
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -14,8 +14,7 @@
 // behind its length as a varint.
 const FramesType = "application/x-parsleygate-frames"
 
-// frameWriter writes frames to an entry, each flushed at once. It is used by one
-// goroutine at a time.
+// frameWriter writes frames to an entry. It is used by one goroutine at a time.
 type frameWriter struct {
 	w     http.ResponseWriter
 	rc    *http.ResponseController
@@ -27,9 +26,19 @@
 	return &frameWriter{w: w, rc: http.NewResponseController(w), stall: stall}
 }
 
-// write sends one frame. It blocks while the entry reads slowly, which is what
-// slows the target down; an entry that takes nothing for stall is given up.
+// write sends one frame, and what add kept back. It blocks while the entry reads
+// slowly, which is what slows the target down; an entry that takes nothing for
+// stall is given up.
 func (f *frameWriter) write(frame *wire.Frame) error {
+	if err := f.add(frame); err != nil {
+		return err
+	}
+
+	return eris.Wrap(f.rc.Flush(), "flush a frame")
+}
+
+// add writes one frame that may wait for the next one.
+func (f *frameWriter) add(frame *wire.Frame) error {
 	if !f.begun {
 		f.begun = true
 		f.w.Header().Set("Content-Type", FramesType)
@@ -40,9 +49,7 @@
 		return eris.Wrap(err, "set the write deadline")
 	}
 
-	if _, err := protodelim.MarshalTo(f.w, frame); err != nil {
-		return eris.Wrap(err, "write a frame")
-	}
+	_, err := protodelim.MarshalTo(f.w, frame)
 
-	return eris.Wrap(f.rc.Flush(), "flush a frame")
+	return eris.Wrap(err, "write a frame")
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -17,7 +17,8 @@
 // buffers holds the buffers of ended relays.
 var buffers = sync.Pool{New: func() any { return new([2 * pieceBytes]byte) }}
 
-// piece is one step of an answer: its head, some data, its end or its failure.
+// piece is one step of an answer: its head, some data, its end, both of these, or
+// its failure.
 type piece struct {
 	head *http.Response
 	data []byte
@@ -31,12 +32,19 @@
 	abort  context.CancelCauseFunc
 	x      *exchange
 	pieces chan piece
+	buf    *[2 * pieceBytes]byte
 }
 
 func newRelay(ctx context.Context, abort context.CancelCauseFunc, x *exchange) *relay {
-	return &relay{ctx: ctx, abort: abort, x: x, pieces: make(chan piece)}
+	return &relay{
+		ctx: ctx, abort: abort, x: x, pieces: make(chan piece),
+		buf: buffers.Get().(*[2 * pieceBytes]byte),
+	}
 }
 
+// release gives the buffer back, once the receiver is done with the last piece.
+func (r *relay) release() { buffers.Put(r.buf) }
+
 // read sends the pieces of the answer; the last has end or err set. The receiver
 // takes them all.
 func (r *relay) read() {
@@ -65,21 +73,17 @@
 		return
 	}
 
-	buf := buffers.Get().(*[2 * pieceBytes]byte)
-
 	r.pieces <- piece{head: resp}
-	r.pieces <- r.body(resp.Body, buf, watch)
-
-	// The receiver has written all data before it takes the last piece.
-	buffers.Put(buf)
+	r.pieces <- r.body(resp.Body, watch)
 }
 
 // body sends the data of the answer and returns the last piece. Of the two halves
 // of the buffer one is read into while the other is being written to the entry.
-func (r *relay) body(body io.ReadCloser, buf *[2 * pieceBytes]byte, watch *time.Timer) piece {
+func (r *relay) body(body io.ReadCloser, watch *time.Timer) piece {
 	// A body that isn't read to its end closes its connection, so nobody reuses it.
 	defer func() { _ = body.Close() }()
 
+	buf := r.buf
 	half := 0
 
 	for {
@@ -88,6 +92,10 @@
 		b := buf[half*pieceBytes : (half+1)*pieceBytes]
 		n, err := body.Read(b)
 
+		if n > 0 && errors.Is(err, io.EOF) {
+			return piece{data: b[:n], end: true}
+		}
+
 		if n > 0 {
 			watch.Stop()
 			r.pieces <- piece{data: b[:n]}
