Refuse by better estimates, and let short requests teach

Cause: the wait of an item counted what waits behind it; an idle service refused requests with short deadlines by a first guess that nothing could correct.

--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -8,7 +8,7 @@
 
 // wait estimates how long a new item of f waits behind that much work of its
 // own workspace: until the fair queueing clock reaches its virtual start, but
-// no longer than all that waits takes.
+// no longer than that work and all that waits of the others take.
 func (q *Queue) wait(now time.Time, f *flow, ahead float64) time.Duration {
 	slots := q.slots(now)
 	if slots == 0 {
@@ -21,7 +21,8 @@
 	}
 
 	due := max(f.start, q.virtual) + ahead/f.weight - q.virtual
-	wait := min(due*weights, q.work) / slots
+	all := ahead + q.work - f.workAhead(0)
+	wait := min(due*weights, all) / slots
 	// The next slot frees after a share of one usual request.
 	wait += q.service.mean / slots
 
@@ -53,10 +54,18 @@
 	return excess, excess > 0
 }
 
+// emptyRetry is the shortest time after which callers come back while nothing
+// has room at all: nobody can tell when that ends.
+const emptyRetry = 5 * time.Second
+
 // refusal gives e up; the caller may retry when what is in its way has gone.
 // Callers refused together come back spread over half that time again.
 func (q *Queue) refusal(now time.Time, e *entry, excess time.Duration) Action {
 	pause := min(max(excess, q.Settings.ShortestRetry), q.Settings.LongestRetry)
+	if q.slots(now) == 0 {
+		pause = emptyRetry
+	}
+
 	pause += time.Duration(q.Rand.Float64() * float64(pause) / 2)
 
 	return Action{ID: e.ID, Kind: Refuse, Cause: verdict.CauseOverload, RetryAt: now.Add(pause)}
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -39,6 +39,7 @@
 	expiring expiryHeap
 	service  service
 	sweepAt  int
+	hopeless int
 	actions  []Action
 }
 
@@ -96,16 +97,8 @@
 	f := q.flowOf(&e.Item)
 	e.flow = f
 
-	if !it.Deadline.IsZero() && now.After(e.latestStart) {
-		q.forget(f)
-
-		return q.refusal(now, e, 0), nil
-	}
-
 	if q.running < q.capacity && q.waiting == 0 {
-		q.run(now, e)
-
-		return Action{ID: it.ID, Kind: Start}, nil
+		return q.startOrRefuse(now, e), nil
 	}
 
 	if excess, late := q.late(now, e, f.workAhead(e.level)); late {
@@ -130,6 +123,27 @@
 	return Action{ID: it.ID, Kind: Wait}, q.taken()
 }
 
+// tryOneIn: of the requests that are too short of time by what others took, one
+// in so many is let in where there is room, so that the estimate can be corrected.
+const tryOneIn = 16
+
+// startOrRefuse decides about an item that need not wait.
+func (q *Queue) startOrRefuse(now time.Time, e *entry) Action {
+	if !e.Deadline.IsZero() && now.Add(q.service.needs(e.Cost, -1)).After(e.Deadline) {
+		q.hopeless++
+
+		if !now.Before(e.Deadline) || q.hopeless%tryOneIn != 0 {
+			q.forget(e.flow)
+
+			return q.refusal(now, e, 0)
+		}
+	}
+
+	q.run(now, e)
+
+	return Action{ID: e.ID, Kind: Start}
+}
+
 // Finish ends a running item that ran to its end, and learns from it.
 func (q *Queue) Finish(now time.Time, id uint64) []Action { return q.end(now, id, true) }
 
--- a/internal/fairness/service.go
+++ b/internal/fairness/service.go
@@ -33,8 +33,17 @@
 // work is the expected time in a slot, in nanoseconds.
 func (s *service) work(cost float64) float64 { return s.mean * cost }
 
-// needs is the time that a request should have left when it starts: most
-// requests of its cost then end before their deadline.
+// samplesNeeded is how many requests must have ended before any is given up for
+// what they took. A first guess that is too long would else refuse all requests
+// with short deadlines, and never be corrected.
+const samplesNeeded = 5
+
+// needs is the time that a request should have left when it starts: that many
+// mean deviations beyond the mean.
 func (s *service) needs(cost, margin float64) time.Duration {
-	return time.Duration((s.mean + margin*s.deviation) * cost)
+	if s.samples < samplesNeeded {
+		return 0
+	}
+
+	return time.Duration(max(0, s.mean+margin*s.deviation) * cost)
 }
--- a/internal/fairness/settings.go
+++ b/internal/fairness/settings.go
@@ -12,7 +12,9 @@
 	MostOfOne int
 	// Service is what a request is thought to take before any has ended (1 s).
 	Service time.Duration
-	// Margin is how many mean deviations of the service time a deadline must leave (2).
+	// Margin is how many mean deviations of the service time beyond its mean a
+	// deadline must leave to what has to wait (3). What can start at once is let
+	// in while an ordinary fast request would still end in time.
 	Margin float64
 	// EmptyFor is how long a capacity of 0 is taken to be passing (2 s). After that
 	// what waits is refused, and what comes too.
@@ -36,7 +38,7 @@
 	}
 
 	if s.Margin == 0 {
-		s.Margin = 2
+		s.Margin = 3
 	}
 
 	if s.EmptyFor == 0 {
