--- a/internal/routing/model_agent_test.go
+++ b/internal/routing/model_agent_test.go
@@ -26,6 +26,7 @@
 	lagged   int
 	laggedAt time.Duration
 	shares   []share
+	faults   int
 	served   int
 	worst    int
 	sequence uint64
@@ -52,6 +53,7 @@
 	case t.full(m.now, j.entry.index):
 		cause = verdict.CauseOverload
 	case t.failFast:
+		t.faults++
 		cause = verdict.CauseBroken
 	}
 
