Suspect the zone of a target that is lost

Cause: a zone lost without notice was found target by target, a dial each. Change: a failed dial counts a silence against the other targets of the zone.

--- a/internal/routing/learn.go
+++ b/internal/routing/learn.go
@@ -129,6 +129,10 @@
 	if why.unreachable() {
 		t.askAt = now
 	}
+
+	if why == faultDown {
+		p.suspectZone(t)
+	}
 }
 
 // reached takes in that the target's agent granted a credit: it can be reached
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -135,3 +135,15 @@
 
 	return at
 }
+
+// suspectZone counts a silence against the others of a lost target's zone: a
+// zone that is lost without notice shows first at one of its targets. They come
+// after those of other zones, and are set aside with their next silence after
+// the third; any success or credit clears them.
+func (p *pool) suspectZone(lost *target) {
+	for _, t := range p.targets {
+		if t != lost && t.Zone == lost.Zone && t.Region == lost.Region {
+			t.health.silences++
+		}
+	}
+}
