--- a/internal/control/published.go
+++ b/internal/control/published.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/ledger"
@@ -23,7 +22,6 @@
 	learnt     []learning
 	// replaced is closed once a later picture is published.
 	replaced chan struct{}
-	full     func() ledger.Delta
 }
 
 // learning is when this VM applied a version. It is never earlier than the
@@ -36,17 +34,15 @@
 // maxLearnings bounds how many versions' times are kept.
 const maxLearnings = 4096
 
-// learntAt returns when this VM applied version. For versions from before its
-// start it is the time of the start.
-func (p *published) learntAt(version uint64, started time.Time) time.Time {
-	i, found := slices.BinarySearchFunc(p.learnt, version, func(l learning, v uint64) int {
+// learntAt returns when this VM applied version, or a later time. It guards
+// against a VM that caught up by a snapshot, which skips versions: those count
+// from the snapshot, not from a time at which this VM could not know them.
+func (p *published) learntAt(version uint64) time.Time {
+	i, _ := slices.BinarySearchFunc(p.learnt, version, func(l learning, v uint64) int {
 		return cmp.Compare(l.version, v)
 	})
-	if !found {
-		return started
-	}
 
-	return p.learnt[i].at
+	return p.learnt[min(i, len(p.learnt)-1)].at
 }
 
 // publish replaces the picture. Only the goroutine that owns the ledger calls it.
@@ -61,7 +57,6 @@
 		changes:   s.state.Changes(),
 		learnt:    s.learn(records.Version, now),
 		replaced:  make(chan struct{}),
-		full:      sync.OnceValue(func() ledger.Delta { return records.DeltaSince(0) }),
 	}
 
 	next.tickLearnt = now
@@ -95,15 +90,3 @@
 
 	return append(learnt, learning{version: version, at: now})
 }
-
-// since returns what changed after version. The full answer is built once for
-// all readers that need it, since after a fault they all do.
-func (p *published) since(version uint64) ledger.Delta {
-	if version != 0 {
-		if d := p.records.DeltaSince(version); !d.Full {
-			return d
-		}
-	}
-
-	return p.full()
-}
