Try only the ranks that finish first as receivers

Cause: a decision took 20 ms, most of it for changes towards busy ranks that could not win. Change: the eight live ranks that finish first receive; shares are counted once for each change; a change is weighed in full only if it can beat the best.

--- /dev/null
+++ b/internal/placement/decide_bench_test.go
@@ -0,0 +1,38 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/placement"
+)
+
+// decision returns a group whose map was made for a popularity of minutes ago.
+func decision(minutes int) *placement.Group {
+	g := newGroup(scene{sigma: 0.7, life: 3 * time.Hour, speed: even}, 1)
+	g.advance(1)
+	group := &placement.Group{Load: placement.Load{Tokens: g.tokens, Speed: g.speed}, Life: 3 * time.Hour}
+	group.Map = greedy(group)
+	for range minutes * samples {
+		g.advance(1)
+	}
+
+	return group
+}
+
+// BenchmarkDecide measures one decision of the full size.
+func BenchmarkDecide(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		group *placement.Group
+	}{{"usual", decision(5)}, {"after-shift", decision(600)}} {
+		for _, p := range []policy{{name: "scratch", decide: greedy}, {name: "planner", decide: planned(newPlanner())}} {
+			b.Run(c.name+"/"+p.name, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p.decide(c.group)
+				}
+			})
+		}
+	}
+}
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -15,6 +15,8 @@
 	// freeCost stands for the copies of a change that fetches nothing, so that
 	// gains per copy stay finite.
 	freeCost = 0.25
+	// maxReceivers is how many ranks are tried as receivers of the slowest rank's work.
+	maxReceivers = 8
 	// noise is the smallest gain that counts, against rounding.
 	noise = 1e-9
 )
@@ -64,7 +66,7 @@
 	s.best = append(s.best[:0], w.slots...)
 	net, since := 0.0, 0
 	for range maxChanges {
-		c := w.bestChange()
+		c := w.bestChange(s)
 		if c.Kind == changeNone {
 			break
 		}
@@ -89,84 +91,128 @@
 // scratch is memory that improve reuses.
 type scratch struct {
 	old, best []Expert
+	shares    []float64
+	receivers []int
+}
+
+// view is what bestChange looks at: the slowest rank and the limits of its relief.
+type view struct {
+	rank  int
+	most  float64
+	ideal float64
+	best  change
 }
 
 // bestChange returns the change that takes most time off the slowest rank for
-// each copy, without making any other rank as slow.
-func (w *layer) bestChange() change {
+// each copy, without making any other rank as slow. Only the ranks that finish
+// first are tried as receivers.
+func (w *layer) bestChange(s *scratch) change {
 	rank, most := w.slowest()
-	best := change{Score: noise}
+	v := view{rank: rank, most: most, ideal: w.ideal(), best: change{Score: noise}}
+	w.setShares(s)
+	w.setReceivers(s, rank)
 	for i := rank * w.slotsPerRank; i < (rank+1)*w.slotsPerRank; i++ {
 		if w.slots[i] == None {
 			continue
 		}
-		w.tryDrop(i, rank, most, &best)
-		for r := range w.ranks {
-			if r == rank || w.live&(1<<r) == 0 || w.at(r, 0) >= most {
-				continue
-			}
-			w.tryRank(i, rank, r, most, &best)
+		w.tryDrop(i, s, &v)
+		for _, r := range s.receivers {
+			w.tryRank(i, r, s, &v)
 		}
 	}
 
-	return best
+	return v.best
 }
 
-// consider keeps c if it is better; reached is the slowest of the ranks that c touches.
-func (w *layer) consider(c change, most, reached, copies float64, best *change) {
-	gain := most - math.Max(reached, w.ideal())
-	if c.Score = gain / copies; c.Score > best.Score {
-		*best = c
+// setShares sets each expert's work on each of its holders.
+func (w *layer) setShares(s *scratch) {
+	s.shares = resize(s.shares, len(w.tokens))
+	for e, h := range w.holders {
+		if h != 0 {
+			s.shares[e] = w.tokens[e] / float64(replicas(h))
+		}
+	}
+}
+
+// setReceivers sets the live ranks that finish first, without the slowest.
+func (w *layer) setReceivers(s *scratch, slowest int) {
+	s.receivers = s.receivers[:0]
+	for r := range w.ranks {
+		if r == slowest || w.live&(1<<r) == 0 {
+			continue
+		}
+		t := w.at(r, 0)
+		i := len(s.receivers)
+		for i > 0 && w.at(s.receivers[i-1], 0) > t {
+			i--
+		}
+		if i >= maxReceivers {
+			continue
+		}
+		s.receivers = slices.Insert(s.receivers, i, r)
+		s.receivers = s.receivers[:min(len(s.receivers), maxReceivers)]
 	}
 }
 
-func (w *layer) tryDrop(i, rank int, most float64, best *change) {
+// beats reports whether a change that leaves its ranks at reached is better than the best.
+func (v *view) beats(reached, copies float64) bool {
+	return v.most-max(reached, v.ideal) > v.best.Score*copies
+}
+
+// take makes c the best change.
+func (v *view) take(c change, reached, copies float64) {
+	c.Score = (v.most - max(reached, v.ideal)) / copies
+	v.best = c
+}
+
+func (w *layer) tryDrop(i int, s *scratch, v *view) {
 	e := w.slots[i]
 	n := replicas(w.holders[e])
 	if n < 2 {
 		return
 	}
-	lost := w.tokens[e] / float64(n)
-	reached := w.at(rank, -lost)
-	reached = w.worst(w.holders[e]&^(1<<rank), lost/float64(n-1), reached)
-	w.consider(change{Kind: changeDrop, From: i}, most, reached, freeCost, best)
+	lost := s.shares[e]
+	reached := w.worst(w.holders[e]&^(1<<v.rank), lost/float64(n-1), w.at(v.rank, -lost))
+	if v.beats(reached, freeCost) {
+		v.take(change{Kind: changeDrop, From: i}, reached, freeCost)
+	}
 }
 
 // tryRank tries every change between slot i of the slowest rank and the slots of rank r.
-func (w *layer) tryRank(i, rank, r int, most float64, best *change) {
+func (w *layer) tryRank(i, r int, s *scratch, v *view) {
 	a := w.slots[i]
-	n := replicas(w.holders[a])
-	share := w.tokens[a] / float64(n)
-	next := w.tokens[a] / float64(n+1)
-	held := w.holders[a]&(1<<r) != 0
+	if w.holders[a]&(1<<r) != 0 {
+		return
+	}
+	t := try{From: i, Other: r, Share: s.shares[a]}
+	n := float64(replicas(w.holders[a]))
+	t.Next = t.Share * n / (n + 1)
 	for j := r * w.slotsPerRank; j < (r+1)*w.slotsPerRank; j++ {
+		t.To = j
 		b := w.slots[j]
-		freed, others := 0.0, uint64(0)
-		perOther := 0.0
-		if b != None {
-			k := replicas(w.holders[b])
-			freed = w.tokens[b] / float64(k)
-			if w.holders[b]&(1<<rank) == 0 && !held {
-				reached := math.Max(w.at(rank, freed-share), w.at(r, share-freed))
-				w.consider(change{Kind: changeSwap, From: i, To: j}, most, reached, 2, best)
-			}
-			if k < 2 {
-				continue
-			}
-			others = w.holders[b] &^ (1 << r)
-			perOther = freed / float64(k-1)
-		}
-		if held {
+		if b == None {
+			t.Freed, t.Others = 0, 0
+			w.tryCopy(&t, v)
+
 			continue
 		}
-		w.tryCopy(copyTry{From: i, To: j, Rank: rank, Other: r, Share: share, Next: next, Freed: freed, Others: others, PerOther: perOther}, most, best)
+		t.Freed = s.shares[b]
+		if t.Freed >= t.Share {
+			continue // the receiver would only hand work back
+		}
+		if w.holders[b]&(1<<v.rank) == 0 {
+			w.trySwap(&t, v)
+		}
+		if k := replicas(w.holders[b]); k > 1 {
+			t.Others, t.PerOther = w.holders[b]&^(1<<r), t.Freed/float64(k-1)
+			w.tryCopy(&t, v)
+		}
 	}
 }
 
-// copyTry describes fetching the expert of slot From into slot To, over a
-// replica that can be spared or into an empty slot.
-type copyTry struct {
-	From, To, Rank, Other int
+// try describes fetching the expert of slot From into slot To of rank Other.
+type try struct {
+	From, To, Other int
 	// Share and Next are the expert's work on each holder before and after one more replica.
 	Share, Next float64
 	// Freed is the work that To's former expert leaves, PerOther what it adds to each of Others.
@@ -175,34 +221,39 @@
 	PerOther float64
 }
 
-// tryCopy tries the fetch as one more replica and as a move.
-func (w *layer) tryCopy(t copyTry, most float64, best *change) {
-	extra := func(r int) float64 {
-		if t.Others&(1<<r) != 0 {
-			return t.PerOther
-		}
-
-		return 0
+func (w *layer) trySwap(t *try, v *view) {
+	d := t.Share - t.Freed
+	reached := max(w.at(v.rank, -d), w.at(t.Other, d))
+	if v.beats(reached, 2) {
+		v.take(change{Kind: changeSwap, From: t.From, To: t.To}, reached, 2)
 	}
-	onRank := extra(t.Rank)
+}
 
-	moved := math.Max(w.at(t.Rank, onRank-t.Share), w.at(t.Other, t.Share-t.Freed))
-	if (most - moved) > best.Score {
-		moved = w.worst(t.Others&^(1<<t.Rank), t.PerOther, moved)
-		w.consider(change{Kind: changeMove, From: t.From, To: t.To}, most, moved, 1, best)
+// tryCopy tries the fetch into an empty slot, or over a replica that can be
+// spared, as one more replica and as a move.
+func (w *layer) tryCopy(t *try, v *view) {
+	onRank := 0.0
+	if t.Others&(1<<v.rank) != 0 {
+		onRank = t.PerOther
 	}
-
-	copied := math.Max(w.at(t.Rank, onRank-t.Share+t.Next), w.at(t.Other, t.Next-t.Freed))
-	if (most - copied) > best.Score {
-		copied = w.worst(t.Others&^(1<<t.Rank), t.PerOther, copied)
-		w.consider(change{Kind: changeReplicate, From: t.From, To: t.To}, most, copied, 1, best)
+	moved := max(w.at(v.rank, onRank-t.Share), w.at(t.Other, t.Share-t.Freed))
+	copied := max(w.at(v.rank, onRank-t.Share+t.Next), w.at(t.Other, t.Next-t.Freed))
+	if !v.beats(min(moved, copied), 1) {
+		return
+	}
+	others := w.worst(t.Others&^(1<<v.rank), t.PerOther, 0)
+	if moved = max(moved, others); v.beats(moved, 1) {
+		v.take(change{Kind: changeMove, From: t.From, To: t.To}, moved, 1)
+	}
+	if copied = max(copied, others); v.beats(copied, 1) {
+		v.take(change{Kind: changeReplicate, From: t.From, To: t.To}, copied, 1)
 	}
 }
 
 // worst returns the slowest of the given ranks with extra work each, or floor.
 func (w *layer) worst(ranks uint64, extra, floor float64) float64 {
 	for ; ranks != 0; ranks &= ranks - 1 {
-		floor = math.Max(floor, w.at(bits.TrailingZeros64(ranks), extra))
+		floor = max(floor, w.at(bits.TrailingZeros64(ranks), extra))
 	}
 
 	return floor
