Count gains only for as long as they were seen to last

Change: the last change taken in each layer is looked at again one decision later; what is left of its gain, q, gives the horizon interval*q/(1-q). The store's rate has a price for what else it could carry (0.1 in the benchmark).

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/parsleygate/parsleygate/internal/placement"
 )
@@ -9,14 +10,14 @@
 func policies() []policy {
 	packed := false
 	return []policy{
-		{name: "even", decide: func(*placement.Group) *placement.Map { return nil }},
-		{name: "static", instant: true, decide: func(g *placement.Group) *placement.Map {
+		{name: "even", decide: func(time.Time, *placement.Group) *placement.Map { return nil }},
+		{name: "static", instant: true, decide: func(now time.Time, g *placement.Group) *placement.Map {
 			if packed {
 				return nil
 			}
 			packed = true
 
-			return greedy(g)
+			return greedy(now, g)
 		}},
 		{name: "scratch-instant", decide: greedy, instant: true},
 		{name: "scratch", decide: greedy},
@@ -24,9 +25,9 @@
 	}
 }
 
-func planned(p *placement.Planner) func(*placement.Group) *placement.Map {
-	return func(g *placement.Group) *placement.Map {
-		d, err := p.Decide(g)
+func planned(p *placement.Planner) func(time.Time, *placement.Group) *placement.Map {
+	return func(now time.Time, g *placement.Group) *placement.Map {
+		d, err := p.Decide(now, g)
 		if err != nil {
 			panic(err)
 		}
@@ -47,7 +48,7 @@
 				b.ReportMetric(o.quantile(0.5), "skew-p50")
 				b.ReportMetric(o.quantile(0.95), "skew-p95")
 				b.ReportMetric(o.quantile(0.99), "skew-p99")
-				b.ReportMetric(mean(o.ideals), "time/ideal")
+				b.ReportMetric(o.stepTime(), "step/ideal")
 				b.ReportMetric(float64(o.bytes)/(1<<30), "GiB")
 				b.ReportMetric(float64(o.rebalances), "rebalances")
 				b.ReportMetric(o.slowed/max(1, float64(o.rebalances)), "slowed-steps/rebalance")
@@ -57,12 +58,3 @@
 		}
 	}
 }
-
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v
-	}
-
-	return sum / float64(len(values))
-}
--- a/internal/placement/decide_bench_test.go
+++ b/internal/placement/decide_bench_test.go
@@ -12,7 +12,7 @@
 	g := newGroup(scene{sigma: 0.7, life: 3 * time.Hour, speed: even}, 1)
 	g.advance(1)
 	group := &placement.Group{Load: placement.Load{Tokens: g.tokens, Speed: g.speed}, Life: 3 * time.Hour}
-	group.Map = greedy(group)
+	group.Map = greedy(epoch, group)
 	for range minutes * samples {
 		g.advance(1)
 	}
@@ -30,7 +30,7 @@
 			b.Run(c.name+"/"+p.name, func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
-					p.decide(c.group)
+					p.decide(epoch, c.group)
 				}
 			})
 		}
--- a/internal/placement/example_test.go
+++ b/internal/placement/example_test.go
@@ -13,7 +13,7 @@
 		ExpertBytes: 20 << 20, StoreRate: 512 << 20, RankRate: 256 << 20,
 		Slowdown: 0.05, SwitchPause: 50 * time.Millisecond, ExpertFraction: 0.6,
 	}
-	d, _ := p.Decide(&placement.Group{
+	d, _ := p.Decide(time.Unix(0, 0), &placement.Group{
 		Map:  m,
 		Load: placement.Load{Tokens: []float64{0.4, 0.1, 0.4, 0.1}, Speed: []float64{1, 1}},
 		Life: time.Hour,
--- a/internal/placement/greedy_test.go
+++ b/internal/placement/greedy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/parsleygate/parsleygate/internal/placement"
 )
@@ -9,7 +10,7 @@
 // greedy replicates and packs every layer from scratch: spare slots go to the
 // expert with most work for each replica, and replicas, heaviest first, to the
 // rank that then takes least time.
-func greedy(g *placement.Group) *placement.Map {
+func greedy(_ time.Time, g *placement.Group) *placement.Map {
 	m, err := placement.NewMap(shape)
 	if err != nil {
 		panic(err)
--- a/internal/placement/group_test.go
+++ b/internal/placement/group_test.go
@@ -196,7 +196,7 @@
 // policy gives a new map or nil.
 type policy struct {
 	name   string
-	decide func(g *placement.Group) *placement.Map
+	decide func(now time.Time, g *placement.Group) *placement.Map
 	// instant maps are in use at once, without waiting for the store.
 	instant bool
 }
@@ -211,6 +211,21 @@
 	decided    time.Duration
 }
 
+// stepTime is the mean time of a step against one without skew, transfers and
+// switches: what the policy is worth to callers in the end.
+func (o *outcome) stepTime() float64 {
+	p := newPlanner()
+	expert := 0.0
+	for _, t := range o.ideals {
+		expert += t / float64(len(o.ideals))
+	}
+	whole := periods * period.Seconds()
+	slowed := o.slowed * stepMillis / 1000 / whole
+	paused := float64(o.rebalances) * p.SwitchPause.Seconds() / whole
+
+	return (p.ExpertFraction*expert+1-p.ExpertFraction)*(1+slowed*p.Slowdown) + paused
+}
+
 func (o *outcome) quantile(q float64) float64 {
 	s := slices.Sorted(slices.Values(o.skews))
 
@@ -220,7 +235,7 @@
 func newPlanner() *placement.Planner {
 	return &placement.Planner{
 		ExpertBytes: 20 << 20, StoreRate: 512 << 20, RankRate: 256 << 20,
-		Slowdown: 0.05, SwitchPause: 50 * time.Millisecond, ExpertFraction: 0.6,
+		Slowdown: 0.05, StorePrice: 0.1, SwitchPause: 50 * time.Millisecond, ExpertFraction: 0.6,
 	}
 }
 
@@ -257,7 +272,7 @@
 			continue
 		}
 		began := time.Now()
-		m := p.decide(&placement.Group{Map: current, Load: placement.Load{Tokens: g.tracker.Tokens(), Speed: g.tracker.Speeds()}, Life: g.tracker.Life()})
+		m := p.decide(now, &placement.Group{Map: current, Load: placement.Load{Tokens: g.tracker.Tokens(), Speed: g.tracker.Speeds()}, Life: g.tracker.Life()})
 		out.decided += time.Since(began)
 		if m == nil {
 			continue
--- a/internal/placement/layer.go
+++ b/internal/placement/layer.go
@@ -25,9 +25,14 @@
 // load sets w to layer l of m under d. Slots of ranks that are out keep their
 // experts in w.slots, but hold nothing as far as holders and work go.
 func (w *layer) load(m *Map, d *Load, l int) {
-	w.ranks, w.slotsPerRank = m.Shape.Ranks, m.Shape.SlotsPerRank
-	w.slots = append(w.slots[:0], m.Layer(l)...)
-	w.scaleTokens(d.Tokens[l*m.Shape.Experts : (l+1)*m.Shape.Experts])
+	w.loadSlots(m.Layer(l), m.Shape, d, l)
+}
+
+// loadSlots sets w to layer l under d, with these slots in place of a map's.
+func (w *layer) loadSlots(slots []Expert, s Shape, d *Load, l int) {
+	w.ranks, w.slotsPerRank = s.Ranks, s.SlotsPerRank
+	w.slots = append(w.slots[:0], slots...)
+	w.scaleTokens(d.Tokens[l*s.Experts : (l+1)*s.Experts])
 	w.setSpeeds(d)
 	w.count()
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -7,8 +7,8 @@
 )
 
 // Planner decides whether a group's map changes. Set the exported fields before
-// the first Decide. One goroutine uses a Planner; it keeps no state between
-// decisions but memory to reuse.
+// the first Decide. One goroutine uses a Planner, for one group: it looks back
+// on what its former decisions gained. A new Planner only has to learn that anew.
 type Planner struct {
 	// ExpertBytes is the size of one expert's weights in one layer.
 	ExpertBytes int64
@@ -18,6 +18,10 @@
 	RankRate float64
 	// Slowdown is the fraction by which steps take longer while ranks fetch.
 	Slowdown float64
+	// StorePrice is what else the store's rate is worth: the part of the group's
+	// working time that may be spent for all of the group's share of the rate.
+	// It stands for the other groups and the loads of models that share it.
+	StorePrice float64
 	// SwitchPause is what the switch itself costs the group.
 	SwitchPause time.Duration
 	// ExpertFraction is the part of a balanced step that expert layers take.
@@ -26,6 +30,9 @@
 	work    layer
 	scratch scratch
 	results []result
+	past    persistence
+	// horizon is how long gains count in the present decision, in seconds.
+	horizon float64
 }
 
 // Group is what a decision is made from.
@@ -105,6 +112,9 @@
 	// Forced copies repair the layer and are not weighed.
 	Forced int
 	slots  []Expert
+	// previous are the slots without the last change, and Last what that saved.
+	previous []Expert
+	Last     float64
 }
 
 // perCopy is the time saved for each copy.
@@ -114,11 +124,13 @@
 
 // Decide weighs the group's present map against what a local search finds from
 // it. The error is a *ShapeError, *MapError, *LoadError or *ValueError.
-func (p *Planner) Decide(g *Group) (Decision, error) {
+func (p *Planner) Decide(now time.Time, g *Group) (Decision, error) {
 	if err := check(g); err != nil {
 		return Decision{}, err
 	}
 
+	p.past.observe(now, g, &p.work)
+	p.horizon = p.past.horizon(g.Life)
 	before := Evaluate(g.Map, &g.Load)
 	d := Decision{Before: before, After: before, Stranded: !fits(g.Map.Shape, &g.Load)}
 	pr := p.price(g, before)
@@ -175,8 +187,8 @@
 	wait := p.ExpertFraction * (now.Slowest - now.Ideal) / math.Max(step, noise) / 2
 
 	return price{
-		Gain: perLayer * g.Life.Seconds(),
-		Copy: fetch * (p.Slowdown + wait),
+		Gain: perLayer * p.horizon,
+		Copy: fetch * (p.Slowdown + p.StorePrice + wait),
 	}
 }
 
@@ -190,6 +202,9 @@
 		return x, false
 	}
 	x.slots = append([]Expert(nil), w.slots...)
+	if x.Saved > 0 {
+		x.Last, x.previous = p.scratch.last, append([]Expert(nil), p.scratch.previous...)
+	}
 
 	return x, true
 }
@@ -208,14 +223,13 @@
 // gains by taking more, and fills in d.
 func (p *Planner) choose(g *Group, forced int, pr price, d *Decision) {
 	byGain(p.results)
-	life := g.Life.Seconds()
 	saved, copies := 0.0, forced
 	bestNet, taken := 0.0, 0
 	for i := range p.results {
 		x := &p.results[i]
 		saved += x.Saved * pr.Gain
 		copies += x.Copies
-		net := saved*p.discount(copies, life) - p.cost(copies)
+		net := saved*p.discount(copies) - p.cost(copies)
 		if net > bestNet {
 			bestNet, taken = net, i+1
 		}
@@ -231,8 +245,8 @@
 }
 
 // discount is the part of a gain that is left after waiting for the copies.
-func (p *Planner) discount(copies int, life float64) float64 {
-	return math.Exp(-p.fetchTime(copies) / math.Max(life, noise))
+func (p *Planner) discount(copies int) float64 {
+	return math.Exp(-p.fetchTime(copies) / math.Max(p.horizon, noise))
 }
 
 // fetchTime is how long the store takes for the copies, in seconds.
@@ -256,7 +270,7 @@
 
 // cost is the working time lost to fetching and switching, in seconds.
 func (p *Planner) cost(copies int) float64 {
-	return p.fetchTime(copies)*p.Slowdown + p.SwitchPause.Seconds()
+	return p.fetchTime(copies)*(p.Slowdown+p.StorePrice) + p.SwitchPause.Seconds()
 }
 
 // build makes the new map of the first taken results and of all repairs.
@@ -265,6 +279,11 @@
 	for i := range p.results {
 		x := &p.results[i]
 		if i < taken {
+			if x.Forced == 0 && i >= taken-trialsEach {
+				// The last ones taken were worth least: what is left of their gain says
+				// where to stop.
+				p.past.remember(x.Layer, x.previous, x.slots, x.Last)
+			}
 			copy(m.Layer(x.Layer), x.slots)
 		} else if x.Forced > 0 {
 			p.work.load(g.Map, &g.Load, x.Layer)
@@ -281,10 +300,10 @@
 	d.After = Evaluate(m, &g.Load)
 	d.Bytes = int64(len(d.Moves)) * p.ExpertBytes
 	d.Transfer = p.transferTime(d.Moves)
-	d.Cost = seconds(d.Transfer.Seconds()*p.Slowdown) + p.SwitchPause
+	d.Cost = seconds(d.Transfer.Seconds()*p.Slowdown+p.fetchTime(len(d.Moves))*p.StorePrice) + p.SwitchPause
 	step := p.ExpertFraction*d.Before.Slowest + (1-p.ExpertFraction)*d.Before.Ideal
 	share := p.ExpertFraction * (d.Before.Slowest - d.After.Slowest) / math.Max(step, noise)
-	d.Saved = seconds(share * g.Life.Seconds() * p.discount(len(d.Moves), g.Life.Seconds()))
+	d.Saved = seconds(share * p.horizon * p.discount(len(d.Moves)))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -12,6 +12,8 @@
 	"github.com/parsleygate/parsleygate/internal/placement"
 )
 
+var epoch = time.Unix(0, 0)
+
 // drawGroup draws a small group, with some ranks out and some experts idle.
 func drawGroup(t *rapid.T) *placement.Group {
 	s := placement.Shape{
@@ -54,9 +56,9 @@
 		g := drawGroup(t)
 		kept := g.Map.Clone()
 		for range 3 {
-			d, err := newPlanner().Decide(g)
+			d, err := newPlanner().Decide(epoch, g)
 			require.NoError(t, err)
-			again, err := newPlanner().Decide(g)
+			again, err := newPlanner().Decide(epoch, g)
 			require.NoError(t, err)
 			require.Equal(t, d, again, "the same input gives the same decision")
 			require.Equal(t, kept, g.Map, "the present map is not changed")
@@ -98,7 +100,7 @@
 	m, err := placement.NewMap(s)
 	require.NoError(t, err)
 	g := &placement.Group{Map: m, Load: placement.Load{Tokens: make([]float64, 16), Speed: []float64{1, 0, 1, 1}}}
-	d, err := newPlanner().Decide(g)
+	d, err := newPlanner().Decide(epoch, g)
 	require.NoError(t, err)
 	require.Equal(t, placement.WhyRepair, d.Why)
 	require.NotEmpty(t, d.Moves)
@@ -107,7 +109,7 @@
 	}
 
 	g.Map, g.Load.Speed = d.Map, []float64{1, 0, 0, 1}
-	d, err = newPlanner().Decide(g)
+	d, err = newPlanner().Decide(epoch, g)
 	require.NoError(t, err)
 	require.True(t, d.Stranded, "six slots cannot hold eight experts")
 	require.NoError(t, d.Map.Validate())
@@ -125,7 +127,7 @@
 	group := &placement.Group{Map: m, Load: placement.Load{Tokens: g.tokens, Speed: g.speed}, Life: time.Hour}
 	rebalances := 0
 	for range 10 {
-		d, err := newPlanner().Decide(group)
+		d, err := newPlanner().Decide(epoch, group)
 		require.NoError(t, err)
 		if d.Map != nil {
 			group.Map = d.Map
@@ -133,18 +135,57 @@
 		}
 	}
 	require.Positive(t, rebalances)
-	d, err := newPlanner().Decide(group)
+	d, err := newPlanner().Decide(epoch, group)
 	require.NoError(t, err)
 	require.Nil(t, d.Map, "an unchanged popularity leaves nothing to do")
 
 	group.Life = time.Second
 	group.Map = m
-	d, err = newPlanner().Decide(group)
+	d, err = newPlanner().Decide(epoch, group)
 	require.NoError(t, err)
 	require.Nil(t, d.Map, "popularity that lasts a second is not worth following")
 	require.Equal(t, placement.WhyBalanced, d.Why)
 }
 
+// Two crowds of callers take turns, minute by minute. A planner that believes
+// each estimate moves the same weights forth and back; every step is then slowed
+// and little is gained. It must learn that its gains are gone at the next look,
+// and move less than a quarter of what a planner without memory moves.
+func TestAlternatingDemand(t *testing.T) {
+	t.Parallel()
+
+	loads := make([]placement.Load, 2)
+	for i := range loads {
+		g := newGroup(scene{sigma: 0.7, life: time.Hour, speed: even}, uint64(i))
+		g.advance(1)
+		loads[i] = placement.Load{Tokens: g.tokens, Speed: g.speed}
+	}
+	learning := newPlanner()
+	learnt := movesInTurn(t, loads, func() *placement.Planner { return learning })
+	forgetful := movesInTurn(t, loads, newPlanner)
+	require.Less(t, learnt, forgetful/4)
+}
+
+// movesInTurn counts the last ten decisions' moves while the loads take turns.
+func movesInTurn(t *testing.T, loads []placement.Load, planner func() *placement.Planner) int {
+	m, err := placement.NewMap(shape)
+	require.NoError(t, err)
+	moves := 0
+	for k := range 20 {
+		g := &placement.Group{Map: m, Load: loads[k%len(loads)], Life: time.Hour}
+		d, err := planner().Decide(epoch.Add(time.Duration(k)*time.Minute), g)
+		require.NoError(t, err)
+		if d.Map != nil {
+			m = d.Map
+		}
+		if k >= 10 {
+			moves += len(d.Moves)
+		}
+	}
+
+	return moves
+}
+
 func TestDecideRefuses(t *testing.T) {
 	t.Parallel()
 
@@ -161,7 +202,7 @@
 		{"not a number", placement.Group{Map: m, Load: placement.Load{Tokens: nan(whole.Tokens), Speed: whole.Speed}}, "Tokens: value 0 is no usable number"},
 	}
 	for _, c := range cases {
-		_, err := newPlanner().Decide(&c.g)
+		_, err := newPlanner().Decide(epoch, &c.g)
 		require.EqualError(t, err, c.want, c.name)
 	}
 }
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -76,6 +76,8 @@
 		since++
 		if v := (before-now)*p.Gain - float64(n)*p.Copy; v > net+noise {
 			net, since = v, 0
+			s.last = before - now - saved
+			s.best, s.previous = s.previous, s.best
 			saved, copies = before-now, n
 			s.best = append(s.best[:0], w.slots...)
 		}
@@ -91,6 +93,9 @@
 // scratch is memory that improve reuses.
 type scratch struct {
 	old, best []Expert
+	// previous is the best prefix before best, and last what best saves more.
+	previous  []Expert
+	last      float64
 	shares    []float64
 	receivers []int
 }
