Keep each entry to its subset, and know prompts' prefixes

Cause: subsets and the prefix index were built and not called. Change: the entry role works its subset out of the targets that may get new work, and gives the chooser an index of prefixes.

--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -17,6 +17,7 @@
 	"github.com/parsleygate/parsleygate/internal/entry"
 	"github.com/parsleygate/parsleygate/internal/events"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/prefix"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -97,7 +98,7 @@
 	r.bus = bus
 	r.bus.OnConfigurationChanged("LogConfiguration", r.logConfiguration)
 
-	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0))}
+	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0)), Prefixes: &prefix.Index{}}
 	r.reader = r.newReader(chooser)
 	r.shell = &entry.Entry{
 		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.Listener,
@@ -133,7 +134,7 @@
 		// bus: its handlers run side by side, and an older list of targets, applied
 		// last, would rule until the next change.
 		OnChange: func(s *view.Snapshot) {
-			chooser.ChangeTargets(targetsOf(s))
+			chooser.ChangeTargets(r.targetsOf(s))
 			r.announce(s)
 			stopIfPlanned(s, r.ID, r.stop)
 		},
@@ -204,29 +205,67 @@
 	}
 }
 
-// targetsOf lists the targets of all services for the chooser.
-func targetsOf(s *view.Snapshot) routing.TargetsChanged {
+// targetsOf lists the targets of all services that this entry keeps to.
+func (r *Entry) targetsOf(s *view.Snapshot) routing.TargetsChanged {
 	var ev routing.TargetsChanged
 
+	entries := entriesOf(s)
+
 	for _, service := range s.Services() {
-		for _, t := range s.Targets(service.GetName()) {
-			address, err := netip.ParseAddrPort(t.Node.GetAddress())
-			if err != nil {
-				continue
-			}
+		targets := s.Targets(service.GetName())
+		mine := r.subset(s, entries, targets)
 
-			ev.Targets = append(ev.Targets, routing.Target{
-				AgentID: t.Node.GetID(), Service: service.GetName(), Addr: address,
-				Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone()),
-				Capacity: int(t.Node.GetCapacity()), Incarnation: t.Node.GetIncarnation(),
-				Leaving: !t.Admissible(), ZoneOut: t.ZoneOut,
-			})
+		for _, t := range targets {
+			if address, err := netip.ParseAddrPort(t.Node.GetAddress()); err == nil && mine[t.Node.GetID()] {
+				ev.Targets = append(ev.Targets, targetOf(s, service.GetName(), address, t))
+			}
 		}
 	}
 
 	return ev
 }
 
+func targetOf(s *view.Snapshot, service string, address netip.AddrPort, t view.Target) routing.Target {
+	return routing.Target{
+		AgentID: t.Node.GetID(), Service: service, Addr: address,
+		Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone()),
+		Capacity: int(t.Node.GetCapacity()), Incarnation: t.Node.GetIncarnation(),
+		Leaving: !t.Admissible(), ZoneOut: t.ZoneOut,
+	}
+}
+
+// entriesOf lists the entries that share the targets out among themselves.
+func entriesOf(s *view.Snapshot) []routing.Place {
+	var out []routing.Place
+
+	for _, n := range s.Nodes() {
+		if n.GetKind() == wire.NodeKind_NodeEntry && !n.GetLeaving() {
+			out = append(out, routing.Place{ID: n.GetID(), Zone: n.GetZone(), Region: regionOf(s, n.GetZone())})
+		}
+	}
+
+	return out
+}
+
+// subset returns the targets of one service that this entry keeps to, out of
+// those that may get new work, so that a zone that is out leaves no hole in it.
+func (r *Entry) subset(s *view.Snapshot, entries []routing.Place, targets []view.Target) map[string]bool {
+	var places []routing.Place
+
+	for _, t := range targets {
+		if t.Admissible() {
+			places = append(places, routing.Place{ID: t.Node.GetID(), Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone())})
+		}
+	}
+
+	mine := make(map[string]bool)
+	for _, id := range (routing.Subsets{}).Of(routing.Place{ID: r.ID, Zone: r.Zone, Region: r.Region}, entries, places) {
+		mine[id] = true
+	}
+
+	return mine
+}
+
 func regionOf(s *view.Snapshot, zone string) string {
 	z, _ := s.Zone(zone)
 
