Speak TLS between processes, with roles in certificates

Cause: who gives a decision, a claim or an order was not checked. Targets announce themselves on a loopback port. Settings and command reference are generated and checked. Open: the certificate's common name is not held against the ID in a report.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test lint generate ci
+.PHONY: test lint generate docs ci
 
 # The README's test command; CI runs the same.
 test:
@@ -13,3 +13,7 @@
 
 ci:
 	.ci/run
+
+# Writes the settings and command reference.
+docs:
+	USER= go run ./cmd/parsleygate docs docs
--- /dev/null
+++ b/cmd/parsleygate/cmds/docs.go
@@ -0,0 +1,46 @@
+package cmds
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"github.com/spf13/cobra/doc"
+
+	"github.com/parsleygate/parsleygate/internal/settings"
+)
+
+const (
+	docsDir  = 0o755
+	docsFile = 0o644
+)
+
+// newDocs is for developers: it writes the reference pages.
+func newDocs() *cobra.Command {
+	return &cobra.Command{
+		Use:    "docs DIR",
+		Short:  "Write the settings and command reference below DIR",
+		Args:   cobra.ExactArgs(1),
+		Hidden: true,
+		RunE: func(_ *cobra.Command, args []string) error {
+			return writeDocs(args[0])
+		},
+	}
+}
+
+func writeDocs(dir string) error {
+	root := newRoot()
+	cli := filepath.Join(dir, "cli")
+	if err := os.MkdirAll(cli, docsDir); err != nil {
+		return eris.Wrap(err, "make folder of the command reference")
+	}
+
+	if err := os.WriteFile(filepath.Join(dir, "SETTINGS.md"), []byte(settings.Reference()), docsFile); err != nil {
+		return eris.Wrap(err, "write the settings reference")
+	}
+
+	root.DisableAutoGenTag = true
+
+	return eris.Wrap(doc.GenMarkdownTree(root, cli), "write the command reference")
+}
--- /dev/null
+++ b/cmd/parsleygate/cmds/docs_test.go
@@ -0,0 +1,33 @@
+package cmds
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The reference pages are generated; `make docs` writes them anew.
+func TestDocsAreUpToDate(t *testing.T) {
+	t.Setenv("USER", "")
+
+	dir := t.TempDir()
+	require.NoError(t, writeDocs(dir))
+
+	fresh, err := filepath.Glob(filepath.Join(dir, "cli", "*.md"))
+	require.NoError(t, err)
+
+	kept, err := filepath.Glob("../../../docs/cli/*.md")
+	require.NoError(t, err)
+	require.Len(t, kept, len(fresh))
+
+	for _, f := range fresh {
+		want, err := os.ReadFile(f)
+		require.NoError(t, err)
+
+		got, err := os.ReadFile(filepath.Join("../../../docs/cli", filepath.Base(f)))
+		require.NoError(t, err)
+		require.Equal(t, string(want), string(got), "run make docs")
+	}
+}
--- a/cmd/parsleygate/cmds/operator.go
+++ b/cmd/parsleygate/cmds/operator.go
@@ -13,6 +13,8 @@
 	"github.com/spf13/cobra"
 	"github.com/twitchtv/twirp"
 
+	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -34,11 +36,15 @@
 	controls []string
 	operator string
 	try      time.Duration
+	keys     identity.Files
 }
 
 func (f *operatorFlags) add(c *cobra.Command) {
 	c.Flags().StringSliceVar(&f.controls, "control", []string{defaultControl}, "addresses of control VMs, as IP:port; they are tried in order")
 	c.Flags().DurationVar(&f.try, "try", defaultTry, "how long to wait for each control VM")
+	c.Flags().StringVar(&f.keys.CertFile, "cert", "", "your certificate in PEM, with the organisational unit operator")
+	c.Flags().StringVar(&f.keys.KeyFile, "key", "", "its key in PEM")
+	c.Flags().StringVar(&f.keys.AuthorityFile, "authority", "", "the deployment's authority in PEM; without the three, plaintext on loopback")
 }
 
 func (f *operatorFlags) addOperator(c *cobra.Command) {
@@ -51,6 +57,11 @@
 		return nil, eris.New("--control names no address")
 	}
 
+	client, err := f.client()
+	if err != nil {
+		return nil, err
+	}
+
 	out := make([]wire.Operator, 0, len(f.controls))
 
 	for _, text := range f.controls {
@@ -59,12 +70,26 @@
 			return nil, eris.Wrapf(err, "--control %q; allowed: IP:port", text)
 		}
 
-		out = append(out, wire.NewOperatorProtobufClient("http://"+address.String(), &http.Client{Timeout: f.try}))
+		out = append(out, wire.NewOperatorProtobufClient("http://"+address.String(), client))
 	}
 
 	return out, nil
 }
 
+// client returns a client that speaks TLS where keys are named.
+func (f *operatorFlags) client() (*http.Client, error) {
+	dialer := &identity.Dialer{Timeout: f.try}
+
+	if f.keys != (identity.Files{}) {
+		dialer.Identity = &identity.Identity{Files: f.keys, Logger: logs.Discard()}
+		if err := dialer.Identity.Load(); err != nil {
+			return nil, err
+		}
+	}
+
+	return &http.Client{Timeout: f.try, Transport: &http.Transport{DialContext: dialer.Dial}}, nil
+}
+
 // ask asks the control VMs in order until one answers. Asking the next is safe:
 // plans change nothing, and a decision is made once under its number.
 func ask[T any](ctx context.Context, f *operatorFlags, question func(context.Context, wire.Operator) (T, error)) (T, error) {
--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -18,6 +18,7 @@
 	"github.com/parsleygate/parsleygate/internal/agent"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/entry"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/role"
@@ -30,6 +31,7 @@
 	logs     logs.Output
 	dump     *dump.Dump
 	listener net.Listener
+	identity *identity.Identity
 }
 
 // processCommands returns the commands that run one role each, and check.
@@ -85,10 +87,6 @@
 }
 
 func startProcess(ctx context.Context, s *settings.Settings, stderr io.Writer, run func(context.Context, *process) error) error {
-	if s.TLS != (settings.TLS{}) {
-		return eris.New("[TLS] is read and checked, but this version cannot speak it yet; it runs on loopback only")
-	}
-
 	var lc net.ListenConfig
 
 	listener, err := lc.Listen(ctx, "tcp", s.Process.Address.String())
@@ -102,6 +100,10 @@
 		dump: &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID},
 	}
 
+	if p.identity, err = loadIdentity(s, p.logs); err != nil {
+		return err
+	}
+
 	stopDumps := dumpOnSignal(p.dump.Write, stderr)
 	defer stopDumps()
 
@@ -138,6 +140,17 @@
 	return func() { _ = web.Close() }, nil
 }
 
+// loadIdentity reads the keys of [TLS]; nil without that section.
+func loadIdentity(s *settings.Settings, out logs.Output) (*identity.Identity, error) {
+	if s.TLS == (settings.TLS{}) {
+		return nil, nil
+	}
+
+	id := &identity.Identity{Files: identity.Files(s.TLS), Logger: out.Logger("identity")}
+
+	return id, id.Load()
+}
+
 func runEntry(ctx context.Context, p *process) error {
 	s := p.settings
 	limits := entry.Limits{
@@ -147,8 +160,8 @@
 	}
 	e := &role.Entry{
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Region: s.Process.Region,
-		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener,
-		Controls: role.NewControls(s.ControlAddresses()), Limits: limits, Leave: s.Entry.Leave,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
+		Controls: role.NewControls(s.ControlAddresses(), p.identity), Limits: limits, Leave: s.Entry.Leave,
 		Logs: p.logs, Dump: p.dump,
 	}
 
@@ -159,8 +172,8 @@
 	s := p.settings
 	a := &role.Agent{
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
-		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener,
-		Controls: role.NewControls(s.ControlAddresses()),
+		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
+		Controls: role.NewControls(s.ControlAddresses(), p.identity),
 		Settings: agent.Settings{
 			Admission:      admission.Settings{CreditLife: s.Agent.CreditLife, AnnounceSilence: s.Agent.AnnounceLimit},
 			MaxAnswerBytes: s.Agent.MaxAnswerBytes, TargetSilence: s.Agent.TargetSilence,
@@ -168,6 +181,17 @@
 		Logs: p.logs, Dump: p.dump,
 	}
 
+	if s.Agent.AnnounceAddress.IsValid() {
+		var lc net.ListenConfig
+
+		announce, err := lc.Listen(ctx, "tcp", s.Agent.AnnounceAddress.String())
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", s.Agent.AnnounceAddress)
+		}
+
+		a.Announce = announce
+	}
+
 	return a.Run(ctx)
 }
 
@@ -175,7 +199,7 @@
 	s := p.settings
 	c := &role.Control{
 		VM: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
-		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
 		Dir: filepath.Clean(s.Control.DataFolder), Logs: p.logs, Dump: p.dump,
 	}
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,6 +32,10 @@
 	// Address is where the agent listens, unless Listener is set.
 	Address  netip.AddrPort
 	Listener net.Listener
+	// Announce takes announcements only, beside Listener; nil for none.
+	Announce net.Listener
+	// Guard, if set, decides who may use the paths of Listener.
+	Guard func(http.Handler) http.Handler
 	// View returns what the control configuration says now. It is called for each
 	// request, from many goroutines, and must not block.
 	View func() admission.View
@@ -110,7 +114,7 @@
 	defer cancel()
 
 	a.server = &http.Server{
-		Handler:           a.routes(),
+		Handler:           a.guarded(),
 		ReadHeaderTimeout: a.Settings.ReadTimeout,
 		IdleTimeout:       a.Settings.IdleTimeout,
 		MaxHeaderBytes:    a.Settings.MaxHeaderBytes,
@@ -120,6 +124,9 @@
 	close(a.listened)
 	a.Logger.Info("Agent listens.", "address", a.bound, "incarnation", a.Incarnation)
 
+	stopAnnounce := a.serveAnnouncements()
+	defer stopAnnounce()
+
 	served := make(chan error, 1)
 	go func() { served <- a.server.Serve(ln) }()
 
--- /dev/null
+++ b/internal/agent/announce.go
@@ -0,0 +1,33 @@
+package agent
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// guarded returns the agent's routes behind Guard.
+func (a *Agent) guarded() http.Handler {
+	if a.Guard == nil {
+		return a.routes()
+	}
+
+	return a.Guard(a.routes())
+}
+
+// serveAnnouncements takes announcements on a listener of their own. Targets
+// speak no TLS, and nothing but their word on themselves is heard there.
+func (a *Agent) serveAnnouncements() (stop func()) {
+	if a.Announce == nil {
+		return func() {}
+	}
+
+	r := chi.NewRouter()
+	r.Post(AnnouncePath, a.serveAnnounce)
+
+	web := &http.Server{Handler: r, ReadHeaderTimeout: a.Settings.ReadTimeout}
+
+	go func() { _ = web.Serve(a.Announce) }()
+
+	return func() { _ = web.Close() }
+}
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -32,15 +32,17 @@
 		fmt.Fprintf(&b, ":%d", e.Line)
 	}
 
+	b.WriteString(":")
+
 	if e.Section != "" {
-		fmt.Fprintf(&b, ": [%s]", e.Section)
+		fmt.Fprintf(&b, " [%s]", e.Section)
 	}
 
 	if e.Key != "" {
-		fmt.Fprintf(&b, " %s", e.Key)
+		fmt.Fprintf(&b, " %s:", e.Key)
 	}
 
-	fmt.Fprintf(&b, ": %s", e.Problem)
+	fmt.Fprintf(&b, " %s", e.Problem)
 
 	if e.Allowed != "" {
 		fmt.Fprintf(&b, "; allowed: %s", e.Allowed)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -265,7 +265,7 @@
 	e := &role.Entry{
 		ID: id, Cluster: l.Deployment.Cluster, Zone: zone, Region: l.Deployment.Region,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: listener,
-		Controls: role.NewControls(l.operators), Limits: entry.DefaultLimits(),
+		Controls: role.NewControls(l.operators, nil), Limits: entry.DefaultLimits(),
 		Logs: l.Logs, Dump: l.newDump("entry", id),
 	}
 	g.Go(func() error { return e.Run(ctx) })
@@ -309,7 +309,7 @@
 	a := &role.Agent{
 		ID: t.AgentID, Cluster: l.Deployment.Cluster, Zone: zone,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: door,
-		Controls: role.NewControls(l.operators),
+		Controls: role.NewControls(l.operators, nil),
 		Logs:     l.Logs, Dump: l.newDump("agent", t.AgentID),
 	}
 	agents.Go(func() error { return a.Run(ctx) })
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -13,8 +14,10 @@
 	"github.com/parsleygate/parsleygate/internal/admission"
 	"github.com/parsleygate/parsleygate/internal/agent"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 // Agent is the agent role. Its fields are set before Run.
@@ -24,10 +27,15 @@
 	Zone        string
 	Incarnation uint64
 	Listener    net.Listener
-	Controls    *Controls
-	Settings    agent.Settings
-	Logs        logs.Output
-	Dump        *dump.Dump
+	// Announce takes the target's announcements over loopback, in plaintext; nil
+	// where Listener itself is plaintext.
+	Announce net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
+	Controls *Controls
+	Settings agent.Settings
+	Logs     logs.Output
+	Dump     *dump.Dump
 
 	reader *view.Reader
 	shell  *agent.Agent
@@ -75,7 +83,8 @@
 	}
 
 	r.shell = &agent.Agent{
-		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation, Listener: r.Listener,
+		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation,
+		Listener: identity.MaybeAccept(r.Identity, r.Listener), Announce: r.Announce, Guard: guardAgent,
 		View: r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
 	}
 	r.reader = &view.Reader{
@@ -88,6 +97,16 @@
 	r.Dump.Add("Agent", func() any { return r.shell.Dump() })
 }
 
+// guardAgent lets entries send requests and ask, and control VMs give orders.
+func guardAgent(next http.Handler) http.Handler {
+	return identity.Guard(next,
+		identity.Rule{Prefix: agent.RequestPath, Roles: []identity.Role{identity.RoleEntry}},
+		identity.Rule{Prefix: wire.AgentPathPrefix + "Give", Roles: []identity.Role{identity.RoleControl}},
+		identity.Rule{Prefix: wire.AgentPathPrefix, Roles: []identity.Role{identity.RoleEntry, identity.RoleControl}},
+		identity.Rule{Prefix: agent.DumpPath, Roles: []identity.Role{identity.RoleOperator}},
+	)
+}
+
 // view tells the agent's door what the configuration says of its target.
 func (r *Agent) view() admission.View {
 	s := r.reader.Snapshot()
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
@@ -36,6 +37,8 @@
 	// Incarnation is fresh at each start.
 	Incarnation uint64
 	Listener    net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
 	// Dir is the data folder, which this VM alone uses.
 	Dir string
 	// Founders are the first control VMs of a new deployment, the same list at each.
@@ -63,10 +66,10 @@
 	}
 
 	address, _ := netip.ParseAddrPort(r.Listener.Addr().String())
-	r.client = NewControls(nil).client
+	r.client = NewControls(nil, r.Identity).client
 	r.replica = &replica.Replica{
 		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Addr: address, Founders: r.Founders,
-		Logger: r.Logs.Logger("replica"),
+		Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
 	r.server = &control.Server{
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
@@ -138,7 +141,7 @@
 	g.Go(func() error { return r.replica.Run(work) })
 	g.Go(func() error { return r.server.Run(work) })
 	g.Go(func() error {
-		if err := web.Serve(r.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := web.Serve(identity.MaybeAccept(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
 		}
 
@@ -193,5 +196,19 @@
 	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
 
-	return mux
+	return guardControl(mux)
+}
+
+// guardControl lets entries claim, entries and agents follow, operators decide,
+// and control VMs agree among themselves.
+func guardControl(next http.Handler) http.Handler {
+	followers := []identity.Role{identity.RoleEntry, identity.RoleAgent}
+
+	return identity.Guard(next,
+		identity.Rule{Prefix: wire.ControlPathPrefix + "Poll", Roles: followers},
+		identity.Rule{Prefix: wire.ControlPathPrefix, Roles: []identity.Role{identity.RoleEntry}},
+		identity.Rule{Prefix: wire.OperatorPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
+		identity.Rule{Prefix: wire.ControlPeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+		identity.Rule{Prefix: wire.PeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+	)
 }
--- a/internal/role/controls.go
+++ b/internal/role/controls.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -33,14 +33,15 @@
 	last   atomic.Uint32
 }
 
-// NewControls returns the way to the control VMs at addresses.
-func NewControls(addresses []netip.AddrPort) *Controls {
-	dialer := &net.Dialer{Timeout: controlDial}
+// NewControls returns the way to the control VMs at addresses. Without an
+// identity it is plaintext.
+func NewControls(addresses []netip.AddrPort, id *identity.Identity) *Controls {
+	dialer := &identity.Dialer{Identity: id, Timeout: controlDial}
 
 	return &Controls{
 		Addresses: addresses,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, IdleConnTimeout: controlIdle,
+			DialContext: dialer.Dial, IdleConnTimeout: controlIdle,
 			MaxIdleConnsPerHost: 4, DisableCompression: true,
 		}},
 	}
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -16,6 +16,7 @@
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/entry"
 	"github.com/parsleygate/parsleygate/internal/events"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/prefix"
 	"github.com/parsleygate/parsleygate/internal/retries"
@@ -44,6 +45,8 @@
 	Incarnation uint64
 	// Listener takes callers.
 	Listener net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
 	Controls *Controls
 	Limits   entry.Limits
 	// Leave is how long the entry goes on after it said that it leaves.
@@ -101,8 +104,11 @@
 	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0)), Prefixes: &prefix.Index{}}
 	r.reader = r.newReader(chooser)
 	r.shell = &entry.Entry{
-		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.Listener,
-		Link:    &agentlink.Link{Silence: agentSilence, DialTimeout: agentDial, IdleFor: agentIdle},
+		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.callers(),
+		Link: &agentlink.Link{
+			Silence: agentSilence, IdleFor: agentIdle,
+			Dial: (&identity.Dialer{Identity: r.Identity, Timeout: agentDial}).Dial,
+		},
 		Chooser: chooser,
 		Budget:  &retries.Budget{Rand: rand.New(rand.NewPCG(r.Incarnation, 1))},
 		Known:   r.known,
@@ -113,6 +119,15 @@
 	return r.describe()
 }
 
+// callers returns the listener for callers, who need no certificate.
+func (r *Entry) callers() net.Listener {
+	if r.Identity == nil {
+		return r.Listener
+	}
+
+	return r.Identity.AcceptCallers(r.Listener)
+}
+
 func (r *Entry) describe() error {
 	if r.Dump.Metrics == nil {
 		r.Dump.Metrics = metrics.NewRegistry()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -110,6 +110,10 @@
 		return &inifile.Error{Section: sectionControls, Key: s.Process.ID, Problem: "this control VM is not in the list with its Address", Allowed: s.Process.Address.String()}
 	}
 
+	if s.Process.Role == RoleAgent && given[sectionTLS] && !s.Agent.AnnounceAddress.IsValid() {
+		return &inifile.Error{Section: sectionAgent, Key: "AnnounceAddress", Problem: "is missing, and the target speaks no TLS", Allowed: "IP:port on loopback"}
+	}
+
 	return s.checkPlaintext(given)
 }
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -72,6 +72,16 @@
 		duration(sectionEntry, "MaxTimeout", "10m", "The longest deadline; longer ones are cut to it.", func(s *Settings) *time.Duration { return &s.Entry.MaxTimeout }),
 		duration(sectionEntry, "SlowReader", "30s", "How long one write to a caller may take before it counts as gone.", func(s *Settings) *time.Duration { return &s.Entry.SlowReader }),
 		duration(sectionEntry, "Leave", "5s", "How long a stopping entry goes on taking requests after /ready said that it leaves.", func(s *Settings) *time.Duration { return &s.Entry.Leave }),
+		{
+			Section: sectionAgent, Key: "AnnounceAddress", Allowed: "IP:port on loopback",
+			Help: "Where the target announces itself, in plaintext. Needed with [TLS]; without it Address does.",
+			set: func(s *Settings, v string) bool {
+				a, err := netip.ParseAddrPort(v)
+				s.Agent.AnnounceAddress = a
+
+				return err == nil && a.Port() != 0 && a.Addr().IsLoopback()
+			},
+		},
 		duration(sectionAgent, "CreditLife", "2s", "How long a credit holds. It bounds how old an entry's word on freshness may be.", func(s *Settings) *time.Duration { return &s.Agent.CreditLife }),
 		duration(sectionAgent, "AnnounceLimit", "3s", "How long the target may not announce itself before it counts as down.", func(s *Settings) *time.Duration { return &s.Agent.AnnounceLimit }),
 		duration(sectionAgent, "TargetSilence", "1m", "How long the target may send nothing of an answer.", func(s *Settings) *time.Duration { return &s.Agent.TargetSilence }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,10 +57,12 @@
 
 // Agent are the settings of an agent.
 type Agent struct {
-	CreditLife     time.Duration
-	AnnounceLimit  time.Duration
-	TargetSilence  time.Duration
-	MaxAnswerBytes int
+	// AnnounceAddress takes the target's announcements over loopback.
+	AnnounceAddress netip.AddrPort
+	CreditLife      time.Duration
+	AnnounceLimit   time.Duration
+	TargetSilence   time.Duration
+	MaxAnswerBytes  int
 }
 
 // Control are the settings of a control VM.
