--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -12,7 +12,7 @@
 )
 
 // pieceBytes bounds one Data frame. Two such buffers are all that is held of an answer.
-const pieceBytes = 16 << 10
+const pieceBytes = 8 << 10
 
 // buffers holds the buffers of ended relays.
 var buffers = sync.Pool{New: func() any { return new([2 * pieceBytes]byte) }}
