Bound pending requests, silent connections and a target that is gone

Cause: large requests could fill the VM's memory; an entry's connection that had gone silent kept the target working until the deadline, as heartbeats never fill the socket's buffer; a refused connect left the limit as it was. Change: 64 MB of pending requests, TCP_USER_TIMEOUT of 10 s on entry connections, a refused connect counts as target down. Run: go test -race ./internal/agent passes. The silent network itself is not tested; only that the option is set.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
 	"github.com/parsleygate/parsleygate/internal/orders"
@@ -55,6 +56,8 @@
 	target   targetState
 	counters counters
 	dialer   targetDialer
+	// pending counts the bytes of requests that are read or in flight.
+	pending  *semaphore.Weighted
 	server   *http.Server
 	bound    netip.AddrPort
 	listened chan struct{}
@@ -84,6 +87,7 @@
 		a.Settings.fill()
 		a.counters = newCounters(a.Metrics)
 		a.dialer = newTargetDialer(a.Settings)
+		a.pending = semaphore.NewWeighted(int64(a.Settings.MaxPendingBytes))
 		a.listened = make(chan struct{})
 		a.drained = make(chan struct{})
 		a.door.view = a.View
@@ -115,6 +119,7 @@
 		IdleTimeout:       a.Settings.IdleTimeout,
 		MaxHeaderBytes:    a.Settings.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(a.Logger.Handler(), slog.LevelDebug),
+		ConnContext:       boundAcks(a.Settings.AckTimeout),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	close(a.listened)
--- /dev/null
+++ b/internal/agent/conn_linux_test.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A target would work on for an entry whose connection has gone silent. A silent
+// network can't be made on loopback; what is checked is that the kernel is told.
+func TestConnectionsBoundAcks(t *testing.T) {
+	t.Parallel()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	defer ln.Close()
+
+	out, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+
+	defer out.Close()
+
+	in, err := ln.Accept()
+	require.NoError(t, err)
+
+	defer in.Close()
+
+	boundAcks(7*time.Second)(context.Background(), in)
+
+	raw, err := in.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+
+	got := 0
+
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		got, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+	}))
+	require.NoError(t, err)
+	require.Equal(t, 7000, got)
+}
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -100,6 +100,13 @@
 	c.Announce(now, a)
 }
 
+func (d *door) targetDown(now time.Time) {
+	defer d.mu.Unlock()
+
+	c, now := d.lock(now)
+	c.TargetDown(now)
+}
+
 func (d *door) tick(now time.Time) {
 	defer d.mu.Unlock()
 
--- a/internal/agent/entry_fault_test.go
+++ b/internal/agent/entry_fault_test.go
@@ -274,6 +274,36 @@
 	})
 }
 
+// A target's VM would run out of memory: many entries send large requests at once.
+// Past the bound they are refused before they are read.
+func TestPendingBytesAreBounded(t *testing.T) {
+	t.Parallel()
+
+	g := newGate()
+	r := newRig(t, httpTarget(t, g.serve("text/plain")), func(a *Agent) { a.Settings.MaxPendingBytes = 3000 })
+	large := strings.Repeat("x", 2000)
+	resp, frames := r.open(context.Background(), r.request("/draft", large))
+
+	defer resp.Body.Close()
+
+	<-g.started
+
+	a := r.do(r.request("/draft", large))
+	a.requireRefused(t, wire.Verdict_NotRun, "Overload")
+	close(g.release)
+
+	var first answer
+	for first.end == nil && first.err == nil {
+		first.add(frames)
+	}
+
+	first.requireWhole(t, "first last")
+	require.Eventually(t, func() bool {
+		a := r.do(r.request("/draft", large))
+		return a.end != nil
+	}, 5*time.Second, time.Millisecond, "the room is free again")
+}
+
 // A caller would take a slow target for a dead one, or a dead one for a slow one.
 // While the target says nothing, the entry hears heartbeats.
 func TestHeartbeats(t *testing.T) {
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -221,6 +223,11 @@
 	load := x.finish(now, admission.Outcome{Verdict: e.Verdict, Abandoned: e.Verdict != verdict.NotRun})
 	a.counters.broken.Inc(1)
 
+	if errors.Is(e.Err, syscall.ECONNREFUSED) {
+		// Nobody listens: the target is gone, and will be cold when it is back.
+		a.door.targetDown(now)
+	}
+
 	if e.Cause == verdict.CauseCrossed {
 		a.counters.crossed.Inc(1)
 	}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -27,6 +27,19 @@
 func (a *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
 	out := newFrameWriter(w, a.Settings.WriteStall)
 
+	size := a.maxMessage()
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+
+	// Many large requests at once would take the VM's memory from its target.
+	if !a.pending.TryAcquire(size) {
+		a.refuse(out, &wire.Request{}, refusal{verdict: verdict.NotRun, cause: verdict.CauseOverload})
+		return
+	}
+
+	defer a.pending.Release(size)
+
 	req, bad := a.readRequest(w, r)
 	if req == nil {
 		a.refuse(out, &wire.Request{}, *bad)
@@ -80,11 +93,16 @@
 	}}}
 }
 
+// maxMessage bounds a request's message, in bytes.
+func (a *Agent) maxMessage() int64 {
+	return int64(a.Settings.MaxBodyBytes + a.Settings.MaxHeaderBytes)
+}
+
 // readRequest reads a request within its limits. Without a request there is none
 // that can be named; with both, the request is known and unfit.
 func (a *Agent) readRequest(w http.ResponseWriter, r *http.Request) (*wire.Request, *refusal) {
 	s := a.Settings
-	limit := int64(s.MaxBodyBytes + s.MaxHeaderBytes)
+	limit := a.maxMessage()
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.ReadTimeout))
 
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -19,6 +19,10 @@
 	ReadTimeout time.Duration
 	// IdleTimeout closes an entry's connection that carries nothing.
 	IdleTimeout time.Duration
+	// AckTimeout is how long an entry's end may acknowledge nothing of what was sent.
+	AckTimeout time.Duration
+	// MaxPendingBytes bounds the requests that are read or in flight, in bytes.
+	MaxPendingBytes int
 	// WriteStall is how long an entry may take nothing of an answer.
 	WriteStall time.Duration
 	// DialTimeout bounds a connect to the target.
@@ -47,6 +51,8 @@
 	DefaultMaxAnswerBytes = 256 << 10
 	DefaultReadTimeout    = 10 * time.Second
 	DefaultIdleTimeout    = 90 * time.Second
+	DefaultAckTimeout     = 10 * time.Second
+	DefaultPendingBytes   = 64 << 20
 	DefaultWriteStall     = 30 * time.Second
 	DefaultDialTimeout    = time.Second
 	DefaultTargetSilence  = time.Minute
@@ -71,6 +77,8 @@
 	orDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	orDefault(&s.ReadTimeout, DefaultReadTimeout)
 	orDefault(&s.IdleTimeout, DefaultIdleTimeout)
+	orDefault(&s.AckTimeout, DefaultAckTimeout)
+	orDefault(&s.MaxPendingBytes, DefaultPendingBytes)
 	orDefault(&s.WriteStall, DefaultWriteStall)
 	orDefault(&s.DialTimeout, DefaultDialTimeout)
 	orDefault(&s.TargetSilence, DefaultTargetSilence)
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -131,6 +131,7 @@
 		a := r.do(req)
 		a.requireRefused(t, wire.Verdict_NotRun, "TargetDown")
 		require.Equal(t, wire.AskState_AskClosed, r.ask(req, false).GetState())
+		require.Zero(t, r.agent.Dump().Load.Limit, "nothing more is sent there until it announces itself")
 	})
 	t.Run("announcements stop", func(t *testing.T) {
 		t.Parallel()
