--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // Server is one control VM's state and services. Set its exported fields before
@@ -27,8 +29,11 @@
 	VM string
 
 	// Propose commits a command and returns its index and result. An error
-	// leaves the command's fate unknown, unless its verdict is NotRun.
+	// leaves the command's fate unknown, unless NotProposed says otherwise.
 	Propose func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
+	// NotProposed reports whether err shows that the command was not and will
+	// not be committed. Nil stands for errors whose verdict is NotRun.
+	NotProposed func(err error) bool
 	// Read returns an instant of this VM's clock, and an index that no command
 	// committed before that instant exceeds.
 	Read func(ctx context.Context) (asOf time.Time, index uint64, err error)
@@ -55,8 +60,9 @@
 	applied   atomic.Uint64
 	claims    atomic.Int64
 	fresh     atomic.Pointer[freshness]
+	base      atomic.Pointer[base]
+	baseMu    sync.Mutex
 	events    chan event
-	started   time.Time
 }
 
 // Peer is another control VM.
@@ -96,7 +102,7 @@
 		Margin:         500 * time.Millisecond,
 		ReadEvery:      300 * time.Millisecond,
 		MaxWait:        2 * time.Second,
-		BatchEvery:     50 * time.Millisecond,
+		BatchEvery:     200 * time.Millisecond,
 		ExpireAfter:    10 * time.Second,
 		WatchEvery:     2500 * time.Millisecond,
 		TickEvery:      5 * time.Second,
@@ -119,10 +125,13 @@
 		s.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	if s.NotProposed == nil {
+		s.NotProposed = func(err error) bool { return verdict.Of(err) == verdict.NotRun }
+	}
+
 	s.Logger = s.Logger.With("part", "control")
 	s.state = ledger.New(s.Limits)
 	s.events = make(chan event, eventBuffer)
-	s.started = time.Now()
 	s.publish(time.Now())
 }
 
--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -8,9 +8,10 @@
 
 // wait estimates how long a new item of f waits behind that much work of its
 // own workspace: until the fair queueing clock reaches its virtual start, but
-// no longer than all that waits takes.
-func (q *Queue) wait(f *flow, ahead float64) time.Duration {
-	if q.capacity <= 0 {
+// no longer than that work and all that waits of the others take.
+func (q *Queue) wait(now time.Time, f *flow, ahead float64) time.Duration {
+	slots := q.slots(now)
+	if slots == 0 {
 		return q.Settings.LongestRetry
 	}
 
@@ -19,15 +20,28 @@
 		weights += f.weight
 	}
 
-	slots := float64(q.capacity)
 	due := max(f.start, q.virtual) + ahead/f.weight - q.virtual
-	wait := min(due*weights, q.work) / slots
+	all := ahead + q.work - f.workAhead(0)
+	wait := min(due*weights, all) / slots
 	// The next slot frees after a share of one usual request.
 	wait += q.service.mean / slots
 
 	return time.Duration(wait)
 }
 
+// slots is the capacity that estimates go by. Without any, as at the start or
+// while all targets restart, the last one is expected back, for a short time.
+func (q *Queue) slots(now time.Time) float64 {
+	switch {
+	case q.capacity > 0:
+		return float64(q.capacity)
+	case q.emptySince.IsZero() || now.Sub(q.emptySince) < q.Settings.EmptyFor:
+		return float64(q.lastCapacity)
+	default:
+		return 0
+	}
+}
+
 // late reports whether an item behind that much work would end after its
 // deadline, and by how much.
 func (q *Queue) late(now time.Time, e *entry, ahead float64) (time.Duration, bool) {
@@ -35,15 +49,23 @@
 		return 0, false
 	}
 
-	excess := now.Add(q.wait(e.flow, ahead)).Sub(e.latestStart)
+	excess := now.Add(q.wait(now, e.flow, ahead)).Sub(e.latestStart)
 
 	return excess, excess > 0
 }
 
+// emptyRetry is the shortest time after which callers come back while nothing
+// has room at all: nobody can tell when that ends.
+const emptyRetry = 5 * time.Second
+
 // refusal gives e up; the caller may retry when what is in its way has gone.
 // Callers refused together come back spread over half that time again.
 func (q *Queue) refusal(now time.Time, e *entry, excess time.Duration) Action {
 	pause := min(max(excess, q.Settings.ShortestRetry), q.Settings.LongestRetry)
+	if q.slots(now) == 0 {
+		pause = emptyRetry
+	}
+
 	pause += time.Duration(q.Rand.Float64() * float64(pause) / 2)
 
 	return Action{ID: e.ID, Kind: Refuse, Cause: verdict.CauseOverload, RetryAt: now.Add(pause)}
@@ -63,7 +85,7 @@
 func (q *Queue) expire(now time.Time) {
 	for len(q.expiring) > 0 && now.After(q.expiring[0].latestStart) {
 		e := q.expiring[0]
-		q.refuse(now, e, q.wait(e.flow, 0))
+		q.refuse(now, e, q.wait(now, e.flow, 0))
 	}
 }
 
@@ -108,7 +130,7 @@
 		return false
 	}
 
-	q.refuse(now, longest.tail(), q.wait(longest, longest.workAhead(0)))
+	q.refuse(now, longest.tail(), q.wait(now, longest, longest.workAhead(0)))
 
 	return true
 }
--- a/internal/routing/pickers_test.go
+++ b/internal/routing/pickers_test.go
@@ -29,6 +29,19 @@
 	return !t.Leaving && !t.ZoneOut && !slices.Contains(ask.Excluded, t.AgentID)
 }
 
+// capacity is what the targets that are not out bear together.
+func (p *plain) capacity() int {
+	n := 0
+
+	for _, t := range p.list {
+		if !t.ZoneOut {
+			n += t.Capacity
+		}
+	}
+
+	return n
+}
+
 func (p *plain) picker(choose func(ask routing.Ask) int) picker {
 	return picker{
 		choose: func(_ time.Time, ask routing.Ask) (int, time.Time) {
@@ -40,11 +53,14 @@
 			return i, time.Time{}
 		},
 		report: func(_ time.Time, i, inFlight, _ int, _ bool) { p.reported[i] = inFlight },
-		credit: func(int, int, time.Time) {},
-		begin:  func(int, time.Duration) {},
+		credit: func(time.Time, int, int, time.Time) {},
+		begin:  func(time.Time, int, time.Duration) {},
 		finish: func(_ time.Time, i int, _ routing.Finished) { p.own[i]-- },
 		change: func(list []routing.Target) { p.list = list },
-		room:   func(time.Time) int { return 0 },
+		room:   func(time.Time) routing.Room { return routing.Room{Slots: p.capacity() / 3} },
+		asks:   func(time.Time) []routing.CreditAsk { return nil },
+		silent: func(time.Time, int) {},
+		cache:  func(prefix.Event) {},
 	}
 }
 
@@ -142,10 +158,10 @@
 					InFlight: inFlight, Limit: limit, Cold: cold,
 				})
 			},
-			credit: func(i, slots int, ends time.Time) {
+			credit: func(_ time.Time, i, slots int, ends time.Time) {
 				c.Credit(routing.CreditChanged{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Slots: slots, ExpiresAt: ends})
 			},
-			begin: func(i int, wait time.Duration) {
+			begin: func(_ time.Time, i int, wait time.Duration) {
 				c.Begin(routing.FirstByte{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation, Wait: wait})
 			},
 			finish: func(now time.Time, i int, ev routing.Finished) {
@@ -153,7 +169,12 @@
 				c.Finish(now, ev)
 			},
 			change: change,
-			room:   func(now time.Time) int { return c.Room(now, service).Slots },
+			room:   func(now time.Time) routing.Room { return c.Room(now, service) },
+			asks:   c.CreditAsks,
+			cache:  c.Cache,
+			silent: func(now time.Time, i int) {
+				c.Silence(now, routing.TargetSilent{AgentID: known[i].AgentID, Incarnation: known[i].Incarnation})
+			},
 		}
 	}
 }
