Know prefixes by default, and work out a target's load once a choice

Cause: an entry that set no prefix index had no affinity; a choice estimated each target's load twice. Change: the Chooser makes its own index; one estimate; a benchmark with a prompt.

--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -17,8 +17,8 @@
 // concurrently: each holds one lock for well under a microsecond, but for
 // ChangeTargets, which holds it for the time of one pass over the targets.
 type Chooser struct {
-	// Settings, Rand and Prefixes are set before the first call. Without
-	// Prefixes no prefix is known. Nothing else may use Rand.
+	// Settings and Rand are set before the first call; Prefixes may be. Nothing
+	// else may use Rand or Prefixes.
 	Settings Settings
 	Rand     *rand.Rand
 	Prefixes *prefix.Index
@@ -39,6 +39,10 @@
 	c.Settings = c.Settings.withDefaults()
 	c.pools = map[string]*pool{}
 	c.byID = map[string]*target{}
+
+	if c.Prefixes == nil {
+		c.Prefixes = &prefix.Index{}
+	}
 }
 
 // Choose returns a target and counts the request as in flight there. Each
@@ -76,9 +80,9 @@
 }
 
 // usable reports whether ask may go to t now.
-func (c *Chooser) usable(now time.Time, p *pool, t *target, ask *Ask) bool {
+func (c *Chooser) usable(now time.Time, t *target, ask *Ask, others float64) bool {
 	switch {
-	case !t.takesNew(), now.Before(t.stoppedUntil), t.room(now, &c.Settings, p.meanLoad) <= 0:
+	case !t.takesNew(), now.Before(t.stoppedUntil), t.room(now, &c.Settings, others) <= 0:
 		return false
 	case t.health.aside != faultNone && !t.health.mayProbe(now, ask.Idempotent):
 		return false
@@ -101,7 +105,9 @@
 
 	for i := range n {
 		t := p.targets[(first+i)%n]
-		if !c.usable(now, p, t, ask) {
+
+		others := t.others(now, c.Settings.ReportLife, p.meanLoad)
+		if !c.usable(now, t, ask, others) {
 			continue
 		}
 
@@ -109,7 +115,7 @@
 			return t
 		}
 
-		cost := c.cost(now, p, t, ask)
+		cost := c.cost(now, p, t, ask, others)
 		if best == nil || cost < bestCost-c.Settings.NearEqual {
 			best, bestCost = t, cost
 		}
@@ -125,7 +131,7 @@
 
 // route records the prompt's prefixes, and returns how many t held before.
 func (c *Chooser) route(now time.Time, t *target, ask *Ask) int {
-	if c.Prefixes == nil || len(ask.Prefixes) == 0 {
+	if len(ask.Prefixes) == 0 {
 		return 0
 	}
 
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// cost estimates how dear it is to send ask to t; 1 is a warm target that is full.
-func (c *Chooser) cost(now time.Time, p *pool, t *target, ask *Ask) float64 {
-	s := &c.Settings
-	load := t.others(now, s.ReportLife, p.meanLoad) + float64(t.own) + 1
+// cost estimates how dear it is to send ask to t, where other entries have that
+// many in flight; 1 is a warm target that is full.
+func (c *Chooser) cost(now time.Time, p *pool, t *target, ask *Ask, others float64) float64 {
+	load := others + float64(t.own) + 1
 	cost := load / float64(t.bears())
 
 	if t.Cold {
@@ -47,7 +47,7 @@
 // prefixGain is what the target's cache is worth for the ask, and a little for
 // the target that is the opening's home.
 func (c *Chooser) prefixGain(now time.Time, t *target, ask *Ask) float64 {
-	if c.Prefixes == nil || len(ask.Prefixes) == 0 {
+	if len(ask.Prefixes) == 0 {
 		return 0
 	}
 
--- a/internal/routing/credits.go
+++ b/internal/routing/credits.go
@@ -56,7 +56,7 @@
 		}
 
 		r.Targets++
-		r.Slots += max(0, t.room(now, &c.Settings, p.meanLoad))
+		r.Slots += max(0, t.room(now, &c.Settings, t.others(now, c.Settings.ReportLife, p.meanLoad)))
 	}
 
 	return r
--- a/internal/routing/listen.go
+++ b/internal/routing/listen.go
@@ -40,9 +40,7 @@
 		p.refresh()
 	}
 
-	if c.Prefixes != nil {
-		c.Prefixes.Keep(func(id string) bool { return c.byID[id] != nil })
-	}
+	c.Prefixes.Keep(func(id string) bool { return c.byID[id] != nil })
 }
 
 // Cache takes in an engine's cache event.
@@ -50,7 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if t, _ := c.find(ev.Target, ev.Incarnation); t != nil && c.Prefixes != nil {
+	if t, _ := c.find(ev.Target, ev.Incarnation); t != nil {
 		c.Prefixes.Apply(ev)
 	}
 }
--- a/internal/routing/load_bench_test.go
+++ b/internal/routing/load_bench_test.go
@@ -151,3 +151,24 @@
 		})
 	}
 }
+
+// BenchmarkChoosePrefix is the cost of a choice for a prompt of 16 blocks.
+func BenchmarkChoosePrefix(b *testing.B) {
+	c := newChooser(1, targets(30)...)
+	for i := range 30 {
+		credit(c, fmt.Sprintf("t%02d", i), 64, epoch.Add(time.Hour))
+	}
+
+	prompt := make([]uint64, 16)
+
+	b.ReportAllocs()
+
+	for n := uint64(0); b.Loop(); n++ {
+		for i := range prompt {
+			prompt[i] = n%500*100 + uint64(i)
+		}
+
+		got, _ := c.Choose(epoch, routing.Ask{Service: service, Zone: "ang-thong", Region: "central-th", Prefixes: prompt})
+		c.Finish(epoch, routing.Finished{AgentID: got.AgentID, Incarnation: 1})
+	}
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -42,7 +42,7 @@
 // room returns how many more requests this entry may send to the target. A cold
 // target gets only what its agent reserved for this entry. A warm one may get
 // more where it seems to have room: its agent refuses what it can't take.
-func (t *target) room(now time.Time, s *Settings, meanLoad float64) int {
+func (t *target) room(now time.Time, s *Settings, others float64) int {
 	if now.Before(t.fullUntil) {
 		return 0
 	}
@@ -58,7 +58,7 @@
 	case t.reportedAt.IsZero():
 		return max(reserved, s.FirstContact-t.own)
 	default:
-		return max(reserved, int(float64(t.bears()-t.own)-t.others(now, s.ReportLife, meanLoad)))
+		return max(reserved, int(float64(t.bears()-t.own)-others))
 	}
 }
 
