--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,278 @@
+// Package standin holds small stand-ins for what stands outside the system:
+// a model engine, a plain booking service, and callers' answers to check.
+// They serve `local`, the load tool and tests; they are no product.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+// HeaderRequestID names the header by which an agent and its target match
+// answers to requests.
+const HeaderRequestID = "Parsleygate-Request-Id"
+
+// Engine is a model engine that batches continuously: all sequences in flight
+// advance together, one token a step, and a step takes longer the more there are.
+type Engine struct {
+	// StepBase is the time of a step with one sequence, StepEach what each adds.
+	StepBase time.Duration
+	StepEach time.Duration
+	// ColdLimit is how many sequences a cold engine bears; more is counted in Overruns.
+	ColdLimit int
+	// WarmAfter is how many finished answers make a cold engine warm.
+	WarmAfter int
+
+	// Restarted is called at each Restart, to announce the new boot; may be nil.
+	Restarted func()
+
+	mu       sync.Mutex
+	bootID   string
+	cold     bool
+	coldAt   time.Time
+	serving  bool
+	cut      chan struct{}
+	early    int
+	finished int
+	inFlight int
+	begun    int
+	overruns int
+	peakCold int
+}
+
+// EngineState is what an engine tells of itself.
+type EngineState struct {
+	BootID   string
+	Cold     bool
+	InFlight int
+	// Overruns counts sequences started above what the cold engine bears. Early
+	// ones began before the engine's word of it could have reached its agent.
+	Overruns int
+	Early    int
+	// PeakCold is the most sequences that a cold engine ever had at once.
+	PeakCold int
+	Finished int
+	// Begun counts all sequences ever started.
+	Begun int
+}
+
+// State returns the engine's state.
+func (e *Engine) State() EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.bootLocked()
+
+	return EngineState{
+		BootID: e.bootID, Cold: e.cold, InFlight: e.inFlight,
+		Overruns: e.overruns, Early: e.early, PeakCold: e.peakCold, Finished: e.finished, Begun: e.begun,
+	}
+}
+
+// WordDelay is how long an engine's word of a change may take to its agent: the
+// time between two announcements, and some slack.
+const WordDelay = 1200 * time.Millisecond
+
+// TurnCold makes the engine cold without warning, and without an end of what it
+// has in flight. Nothing tells its agent before the next announcement.
+func (e *Engine) TurnCold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.turnColdLocked()
+}
+
+// Restart makes the engine start anew: its connections break, it is cold under a
+// new boot id, and it takes no work before that has been announced.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	e.bootLocked()
+	e.turnColdLocked()
+	close(e.cut)
+	e.cut = make(chan struct{})
+	e.serving = e.Restarted == nil
+	e.mu.Unlock()
+
+	if e.Restarted != nil {
+		e.Restarted()
+	}
+}
+
+// Announced tells the engine that its agent knows of the boot with this id.
+func (e *Engine) Announced(bootID string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.serving = e.serving || bootID == e.bootID
+}
+
+func (e *Engine) turnColdLocked() {
+	e.bootID = uuid.NewString()
+	e.cold = true
+	e.coldAt = time.Now()
+	e.finished = 0
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(echoRequestID)
+	r.Post("/v1/drafts", e.draft)
+	r.Get("/v1/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.State()) })
+	r.Post("/v1/cold", func(w http.ResponseWriter, _ *http.Request) {
+		e.TurnCold()
+		w.WriteHeader(http.StatusNoContent)
+	})
+
+	return r
+}
+
+// echoRequestID lets the agent match answers to requests.
+func echoRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) bootLocked() {
+	if e.bootID == "" {
+		e.bootID = uuid.NewString()
+		e.cold = e.WarmAfter > 0
+		e.serving = true
+		e.cut = make(chan struct{})
+	}
+}
+
+func (e *Engine) draft(w http.ResponseWriter, r *http.Request) {
+	var d Draft
+	if err := json.NewDecoder(r.Body).Decode(&d); err != nil || d.Tokens < 1 {
+		http.Error(w, "a draft needs Prompt and Tokens", http.StatusBadRequest)
+
+		return
+	}
+
+	from, err := lastEventID(r)
+	if err != nil {
+		http.Error(w, "Last-Event-ID is no number", http.StatusBadRequest)
+
+		return
+	}
+
+	cut, ok := e.begin()
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+
+	defer e.end()
+
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	e.stream(r.Context(), cut, w, d, from)
+}
+
+func lastEventID(r *http.Request) (int, error) {
+	s := r.Header.Get("Last-Event-ID")
+	if s == "" {
+		return 0, nil
+	}
+
+	n, err := strconv.Atoi(s)
+
+	return n, eris.Wrap(err, "read Last-Event-ID")
+}
+
+func (e *Engine) stream(ctx context.Context, cut <-chan struct{}, w http.ResponseWriter, d Draft, from int) {
+	flush := http.NewResponseController(w)
+
+	for n := from + 1; n <= d.Tokens; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-cut:
+			panic(http.ErrAbortHandler)
+		case <-time.After(e.stepTime()):
+		}
+
+		if _, err := w.Write([]byte(Event(d.Prompt, n))); err != nil {
+			return
+		}
+
+		if err := flush.Flush(); err != nil {
+			return
+		}
+	}
+
+	_, _ = w.Write([]byte(LastEvent))
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.finished++
+	if e.finished >= e.WarmAfter {
+		e.cold = false
+	}
+}
+
+func (e *Engine) stepTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.StepBase + time.Duration(e.inFlight)*e.StepEach
+}
+
+// begin counts a sequence in. It returns the channel that a restart closes, and
+// false for an engine that takes no work yet.
+func (e *Engine) begin() (cut <-chan struct{}, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.bootLocked()
+
+	if !e.serving {
+		return nil, false
+	}
+
+	e.inFlight++
+	e.begun++
+
+	if e.cold {
+		e.countCold()
+	}
+
+	return e.cut, true
+}
+
+func (e *Engine) countCold() {
+	if e.inFlight > e.ColdLimit && time.Since(e.coldAt) < WordDelay {
+		e.early++
+
+		return
+	}
+
+	e.peakCold = max(e.peakCold, e.inFlight)
+	if e.inFlight > e.ColdLimit {
+		e.overruns++
+	}
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.inFlight--
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/internal/wire/quorum.twirp.go
+++ b/internal/wire/quorum.twirp.go
@@ -782,7 +782,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -796,7 +796,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Peer")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1214 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x57, 0xcd, 0x72, 0x1b, 0x45,
 	0x10, 0xd6, 0x4a, 0x6b, 0xfd, 0xb4, 0x65, 0x6b, 0x33, 0x09, 0x66, 0xcb, 0x38, 0xc6, 0x19, 0x38,
