Answer whether a VM may be stopped by asking the others anew

Cause: Status.SafeToStop is as of the last heartbeats, so a stop planned within a second of a loss was called safe, and only the leader could tell at all. Change: Replica.CheckStop, at any replica, by a quorum round begun after the question.

--- a/internal/quorum/cases_test.go
+++ b/internal/quorum/cases_test.go
@@ -101,8 +101,10 @@
 		require.NoError(t, err)
 	case "outcome":
 		return c.outcome(args[0])
-	case "learner", "promote", "remove":
-		kind := map[string]quorum.ChangeKind{"learner": quorum.AddLearner, "promote": quorum.Promote, "remove": quorum.Remove}[cmd]
+	case "learner", "promote", "remove", "may-stop":
+		kind := map[string]quorum.ChangeKind{
+			"learner": quorum.AddLearner, "promote": quorum.Promote, "remove": quorum.Remove, "may-stop": quorum.CheckStop,
+		}[cmd]
 		c.ops[cmd+args[0]] = w.change(kind, args[0])
 		w.run(time.Second)
 
--- a/internal/quorum/event.go
+++ b/internal/quorum/event.go
@@ -25,6 +25,9 @@
 	AddLearner ChangeKind = iota
 	Promote
 	Remove
+	// CheckStop changes nothing. It is answered with verdict Ran if the group can
+	// go on without the member, by answers to a round begun after it was asked.
+	CheckStop
 )
 
 // Changed asks for one change of the members. Its answer carries ID.
--- a/internal/quorum/membership.go
+++ b/internal/quorum/membership.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // checking is a change that waits until enough members have shown, since it was
@@ -54,15 +56,7 @@
 	}
 
 	k := c.lead.checking
-	n, self := 0, c.cfg.ID
-
-	for _, m := range k.next {
-		if m.Role == Voter && (m.ID == self || c.hasAnswered(c.lead.peers[m.ID], k.round)) {
-			n++
-		}
-	}
-
-	ready := n >= k.next.Quorum()
+	ready := c.countAnswered(k) >= k.next.Quorum()
 	reason := ReasonUnsafe
 
 	if k.ev.Kind == Promote && !c.hasAnswered(c.lead.peers[k.ev.Member.ID], k.round) {
@@ -70,6 +64,9 @@
 	}
 
 	switch {
+	case ready && k.ev.Kind == CheckStop:
+		c.lead.checking = nil
+		c.out.Answers = append(c.out.Answers, Answer{ID: k.ev.ID, Verdict: verdict.Ran})
 	case ready:
 		c.lead.checking = nil
 		c.changeTo(k.ev.ID, c.withBirth(k))
@@ -79,6 +76,21 @@
 	}
 }
 
+// countAnswered counts the voters that have shown, since k was asked for, that
+// they hold what is committed.
+func (c *Core) countAnswered(k *checking) int {
+	n := 0
+
+	for _, m := range k.next {
+		stopping := k.ev.Kind == CheckStop && m.ID == k.ev.Member.ID
+		if m.Role == Voter && !stopping && (m.ID == c.cfg.ID || c.hasAnswered(c.lead.peers[m.ID], k.round)) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // withBirth returns the members after k. A promoted learner is from then on
 // known by the data folder that holds the log.
 func (c *Core) withBirth(k *checking) Members {
@@ -120,6 +132,8 @@
 		return c.addLearner(ev.Member)
 	case !ok:
 		return nil, ReasonUnknown
+	case ev.Kind == CheckStop:
+		return c.ruling(), ReasonNone
 	case ev.Kind == Remove && m.ID == c.cfg.ID:
 		return nil, ReasonSelf
 	case ev.Kind == Remove:
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -227,6 +227,10 @@
 	for _, a := range b.Answers {
 		if o := w.ops[a.ID]; o != nil {
 			o.answer, o.notRun = a.Verdict, a.Verdict == verdict.NotRun
+			if a.Verdict == verdict.Ran {
+				w.tick++
+				o.ret = w.tick
+			}
 		}
 	}
 
--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -214,6 +214,7 @@
 		commit("a", 400)
 		time.Sleep(2 * time.Second)
 		require.False(t, leader.Status().SafeToStop)
+		require.ErrorAs(t, others[0].CheckStop(within(5*time.Second), leader.ID), new(*replica.OrderError))
 		require.NoError(t, others[0].Remove(within(5*time.Second), lost.ID))
 
 		fresh := g.start(5, "f", nil)
@@ -228,6 +229,7 @@
 		require.NoError(t, others[0].Promote(within(5*time.Second), fresh.ID))
 		time.Sleep(time.Second)
 		require.True(t, leader.Status().SafeToStop, leader.Status().Reason)
+		require.NoError(t, others[0].CheckStop(within(5*time.Second), leader.ID))
 		commit("b", 300)
 
 		// The second loss right after the repair.
--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -110,6 +110,16 @@
 	return err
 }
 
+// CheckStop returns nil if the group can go on without the member, however the
+// others are: it asks them now, where Status tells what it last heard.
+func (r *Replica) CheckStop(ctx context.Context, id string) error {
+	_, err := r.order(ctx, &wire.PeerOrder{
+		Kind: wire.PeerOrderKind_PeerOrderCheckStop, Member: &wire.QuorumMember{ID: id},
+	})
+
+	return err
+}
+
 // order gives an order here or, if another replica leads, there. While nobody
 // leads it tries again until ctx ends; it never gives an order twice that may
 // have run.
@@ -165,6 +175,8 @@
 			return quorum.Changed{ID: id, Kind: quorum.Promote, Member: m}
 		case wire.PeerOrderKind_PeerOrderRemove:
 			return quorum.Changed{ID: id, Kind: quorum.Remove, Member: m}
+		case wire.PeerOrderKind_PeerOrderCheckStop:
+			return quorum.Changed{ID: id, Kind: quorum.CheckStop, Member: m}
 		case wire.PeerOrderKind_PeerOrderTransfer:
 			return quorum.TransferAsked{ID: id, To: m.ID}
 		default:
