--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -252,6 +252,23 @@
 	require.Empty(t, w.broken)
 }
 
+// Large commands fill the memory of a control VM if only their number is bounded.
+func TestKeptLogIsBoundedByBytes(t *testing.T) {
+	t.Parallel()
+
+	const size, n = 1 << 20, 20
+
+	s := newSolo(t, quorum.Stored{State: quorum.HardState{Term: 1}}, least)
+
+	for i := range uint64(n) {
+		e := quorum.Entry{Index: i + 1, Term: 1, Command: make([]byte, size)}
+		s.from("b", 1, quorum.Append{PrevIndex: i, PrevTerm: min(i, 1), Commit: i + 1, Entries: []quorum.Entry{e}})
+	}
+
+	s.Step(s.now, quorum.Compacted{Index: n})
+	require.Len(t, s.Take().Persist.Entries, 8)
+}
+
 // The log on disk lacks an entry in the middle.
 func TestGapIsRefused(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/replica/transport_test.go
@@ -0,0 +1,74 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// The leader's process has just died and nothing listens there any more. An
+// order that could not even be sent may be given again; callers need not be
+// told that it may have run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	t.Parallel()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	to := l.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, l.Close())
+
+	r := &Replica{ID: "vm0", Cluster: "test"}
+	r.prepare()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	_, err = r.forwardTo(ctx, to, &wire.PeerOrder{Cluster: "test"})
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+// A message of each kind arrives as it was sent, also where its fields are empty.
+func TestMessagesTravelWhole(t *testing.T) {
+	t.Parallel()
+
+	members := quorum.Members{{ID: "a", Birth: 3, Addr: netip.MustParseAddrPort("[::1]:7"), Role: quorum.Learner}, {ID: "b"}}
+	entries := []quorum.Entry{{Index: 1, Term: 2, Command: []byte("c")}, {Index: 2, Term: 2, Kind: quorum.EntryMembers, Members: members}}
+
+	for _, body := range []quorum.Body{
+		quorum.Hello{},
+		quorum.HelloAnswer{Members: members, MembersIndex: 4},
+		quorum.Vote{Pre: true, Transfer: true, LastIndex: 1, LastTerm: 2},
+		quorum.VoteAnswer{Pre: true, Granted: true},
+		quorum.Append{PrevIndex: 1, PrevTerm: 2, Commit: 3, Round: 4, Entries: entries},
+		quorum.AppendAnswer{Rejected: true, Index: 1, PrevIndex: 2, Round: 3},
+		quorum.Chunk{Index: 1, Term: 2, MembersIndex: 3, Members: members, Size: 4, Digest: 5, Offset: 6, Data: []byte("d"), Round: 7},
+		quorum.ChunkAnswer{Index: 1, Offset: 2, Round: 3},
+		quorum.Read{Ask: 1},
+		quorum.ReadAnswer{Ask: 1, Index: 2},
+		quorum.TimeoutNow{},
+	} {
+		sent := quorum.Message{From: "a", FromBirth: 1, To: "b", ToBirth: 2, Term: 3, Body: body}
+		b, err := proto.Marshal(sent.ToWire())
+		require.NoError(t, err)
+
+		var w wire.QuorumMessage
+
+		require.NoError(t, proto.Unmarshal(b, &w))
+
+		got, err := quorum.MessageFromWire(&w)
+		require.NoError(t, err)
+		require.Equal(t, sent, got)
+	}
+
+	_, err := quorum.MessageFromWire(&wire.QuorumMessage{From: "later release"})
+	require.Error(t, err)
+}
