End a forwarded order when a later term has a leader

Cause: with the leader cut off without a word, a follower's caller waited for its whole deadline before it was told that the order may have run. Change: the wait ends with the term.

--- a/internal/quorum/schedule_test.go
+++ b/internal/quorum/schedule_test.go
@@ -91,7 +91,7 @@
 func (s *schedule) operate() {
 	h := s.pick()
 
-	switch rapid.IntRange(0, 6).Draw(s.t, "operate") {
+	switch rapid.IntRange(0, 7).Draw(s.t, "operate") {
 	case 0:
 		if s.mayLose() {
 			if len(h.found) == 1 {
@@ -121,6 +121,8 @@
 		s.change(quorum.Remove, h.id)
 		s.run(time.Second)
 		s.grow(h)
+	case 7:
+		s.change(quorum.CheckStop, h.id)
 	}
 }
 
--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -173,6 +173,36 @@
 	})
 }
 
+// The leader is cut off without a word while a follower waits for its answer.
+// The caller has a minute, but knows what there is to know once another leads.
+func TestForwardEndsWithTheTerm(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		g.tune = func(r *replica.Replica) {
+			forward := r.Forward
+			r.Forward = func(ctx context.Context, to netip.AddrPort, o *wire.PeerOrder) (*wire.PeerOrderAnswer, error) {
+				if string(o.GetCommand()) != "silent" {
+					return forward(ctx, to, o)
+				}
+
+				<-ctx.Done()
+
+				return nil, ctx.Err()
+			}
+		}
+		leader, others := three(t, g)
+		from := time.Now()
+
+		g.isolate(int(leader.Addr.Port()-addr(0).Port()), true)
+
+		_, _, err := others[0].Propose(within(time.Minute), []byte("silent"))
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		require.Less(t, time.Since(from), 10*time.Second)
+		g.endAll()
+	})
+}
+
 func countOf(l *ledger, command string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/replica/order.go
+++ b/internal/replica/order.go
@@ -238,6 +238,11 @@
 		o.RemainingMillis = uint64(max(1, time.Until(until).Milliseconds()))
 	}
 
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	go r.cancelWithTerm(ctx, cancel, r.Status().Term)
+
 	answer, err := r.forwardTo(ctx, leader, o)
 
 	switch {
@@ -262,6 +267,23 @@
 	return out
 }
 
+// cancelWithTerm calls cancel once a later term has a leader. The one of term
+// may be cut off without a word, and its answer would be waited for until the
+// caller's deadline.
+func (r *Replica) cancelWithTerm(ctx context.Context, cancel context.CancelFunc, term uint64) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(r.Heartbeat):
+		}
+
+		if s := r.Status(); s.Term > term && s.Leader != "" {
+			cancel()
+		}
+	}
+}
+
 // leaderAddr returns where the leader is, if it is another replica.
 func (r *Replica) leaderAddr() (netip.AddrPort, bool) {
 	s := r.Status()
