Keep the expert maps of groups in the running system

Cause: planner and switch were cores that nothing called. Change: the ledger keeps each group's record and maps apart from what all nodes follow; expertgroup gathers reports, plans and drives switches at the leading control VM; rank carries them at each agent; a lock-step stand-in counts every step in which two ranks would use different maps. The exercise waits for the status 'in force' instead of a fixed time. Open: the weight store is not spoken to; engines fetch by the placement.

--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -17,11 +17,9 @@
 	"github.com/parsleygate/parsleygate/internal/logs"
 )
 
-// The ports of the local deployment.
-const (
-	localEntryPort    = 8601
-	localOperatorPort = 8600
-)
+// localPort is the port of the local deployment's first control VM; those of
+// the entries follow.
+const localPort = 8600
 
 func newLocal() *cobra.Command {
 	var flags localFlags
@@ -42,6 +40,7 @@
 	c.Flags().DurationVar(&flags.exercise, "exercise", 0, "drive load for this long while a zone leaves and returns and a target turns cold, then stop")
 	c.Flags().Float64Var(&flags.rate, "rate", 150, "requests a second of the exercise")
 	c.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the exercise's load")
+	c.Flags().Uint16Var(&flags.port, "port", localPort, "port for operators; those of the entries follow")
 
 	return c
 }
@@ -53,6 +52,7 @@
 	exercise   time.Duration
 	rate       float64
 	seed       uint64
+	port       uint16
 }
 
 func (f *localFlags) shape() (local.Deployment, error) {
@@ -81,7 +81,7 @@
 
 	l := &local.Local{
 		Deployment: shape, Logs: logs.Output{Writer: c.ErrOrStderr(), Debug: logs.ParseDebug(f.logOutput)},
-		Dir: dir, EntryPort: localEntryPort, OperatorPort: localOperatorPort,
+		Dir: dir, EntryPort: f.port + 1, OperatorPort: f.port,
 	}
 
 	stopDumps := dumpOnSignal(l.WriteDumps, c.ErrOrStderr())
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/semaphore"
@@ -35,6 +36,8 @@
 	Listener net.Listener
 	// Announce takes announcements only, beside Listener; nil for none.
 	Announce net.Listener
+	// Mount adds further services to the routes of Listener; nil for none.
+	Mount func(chi.Router)
 	// Guard, if set, decides who may use the paths of Listener.
 	Guard func(http.Handler) http.Handler
 	// View returns what the control configuration says now. It is called for each
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 
 	"github.com/go-chi/chi/v5"
 )
@@ -31,3 +32,13 @@
 
 	return func() { _ = web.Close() }
 }
+
+// TargetAddress returns where the target takes requests; it is not valid before
+// the first announcement.
+func (a *Agent) TargetAddress() netip.AddrPort {
+	if t := a.target.load(); t != nil {
+		return t.Address
+	}
+
+	return netip.AddrPort{}
+}
--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -59,6 +59,10 @@
 	r.Post(RequestPath, a.serveRequest)
 	r.Post(AnnouncePath, a.serveAnnounce)
 	r.Get(DumpPath, a.serveDump)
+	if a.Mount != nil {
+		a.Mount(r)
+	}
+
 	r.Mount(wire.AgentPathPrefix, wire.NewAgentServer(&service{agent: a}))
 
 	return r
--- /dev/null
+++ b/internal/control/groups.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// groupApplied passes an applied entry about an expert map on.
+func (s *Server) groupApplied(index uint64, e *wire.GroupEntry) {
+	if s.OnGroup != nil {
+		s.OnGroup(index, e, s.state.Groups())
+	}
+}
+
+// ProposeGroup appends an entry about an expert map. Whatever the error, the
+// entry may still be committed; proposing it again is safe.
+func (s *Server) ProposeGroup(ctx context.Context, e *wire.GroupEntry) error {
+	data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_GroupEntry{GroupEntry: e}})
+	if err != nil {
+		return eris.Wrap(err, "write entry")
+	}
+
+	_, _, err = s.Propose(ctx, data)
+
+	return err
+}
+
+// Version returns the version of the configuration on this VM.
+func (s *Server) Version() uint64 { return s.published.Load().records.Version }
+
+// Configuration returns all records as they are on this VM.
+func (s *Server) Configuration() []*wire.Record { return s.published.Load().records.All() }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,6 +49,10 @@
 	// it out, and stops of it cannot be planned.
 	Self func() *wire.Node
 
+	// OnGroup is called by the goroutine of the log after each entry about an
+	// expert map, and with a nil entry after a snapshot was restored; may be nil.
+	OnGroup func(index uint64, e *wire.GroupEntry, states []*wire.GroupState)
+
 	// Settings holds the intervals; the zero value stands for DefaultSettings.
 	Settings Settings
 	// Limits bounds the state and must be equal on all control VMs.
@@ -131,6 +135,7 @@
 
 	s.Logger = s.Logger.With("part", "control")
 	s.state = ledger.New(s.Limits)
+	s.state.OnGroup = s.groupApplied
 	s.events = make(chan event, eventBuffer)
 	s.publish(time.Now())
 }
@@ -182,5 +187,9 @@
 	s.claims.Store(int64(s.state.Claims()))
 	s.publish(time.Now())
 
+	if s.OnGroup != nil {
+		s.OnGroup(s.state.Index(), nil, s.state.Groups())
+	}
+
 	return nil
 }
--- /dev/null
+++ b/internal/expertgroup/director.go
@@ -0,0 +1,204 @@
+// Package expertgroup is the control VM's shell around the cores that keep the
+// expert maps of lock-step groups: it gathers the ranks' reports, lets the
+// planner decide, and drives the switch to a new map while its VM leads. One
+// goroutine owns all of it; calls to ranks and to the log run beside it and
+// come back as events.
+package expertgroup
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/expertmap"
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/placement"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Node is the agent of one rank.
+type Node struct {
+	Rank    int
+	Address netip.AddrPort
+}
+
+// Settings are the intervals and costs of all groups.
+type Settings struct {
+	// PlanEvery is how often the ranks' reports are gathered and a new map is weighed.
+	PlanEvery time.Duration
+	// TickEvery is how often switches are moved on.
+	TickEvery time.Duration
+	// CallTimeout bounds one call to a rank or to the log.
+	CallTimeout time.Duration
+	// StageFor, PrepareFor and ResendEvery are the coordinator's.
+	StageFor    time.Duration
+	PrepareFor  time.Duration
+	ResendEvery time.Duration
+	// Margin is how many steps ahead a switch is named.
+	Margin expertmap.Step
+	// Planner holds the costs of a change.
+	Planner placement.Planner
+}
+
+// DefaultSettings returns the settings for the size that parsleygate is designed for.
+func DefaultSettings() Settings {
+	return Settings{
+		PlanEvery: 30 * time.Second, TickEvery: 50 * time.Millisecond, CallTimeout: time.Second,
+		StageFor: 5 * time.Minute, PrepareFor: 10 * time.Second, ResendEvery: 200 * time.Millisecond, Margin: 50,
+		Planner: placement.Planner{
+			ExpertBytes: 20 << 20, StoreRate: 512 << 20, RankRate: 256 << 20,
+			Slowdown: 0.05, SwitchPause: 50 * time.Millisecond, ExpertFraction: 0.6,
+		},
+	}
+}
+
+// Director keeps the maps of all groups while its VM leads. Its exported fields
+// are set before Run.
+type Director struct {
+	// Leads reports whether this VM leads the log. Barrier returns once all entries
+	// that earlier leaders committed have been passed to Applied.
+	Leads   func() bool
+	Barrier func(ctx context.Context) error
+	// Propose appends an entry; it may be lost, and is then proposed again.
+	Propose func(ctx context.Context, e *wire.GroupEntry) error
+	// Groups returns the groups that the operators declare, Ranks the agents of one.
+	Groups func() []*wire.Group
+	Ranks  func(group string) []Node
+	// Order and Report call a rank's agent.
+	Order    func(ctx context.Context, to netip.AddrPort, o *wire.RankOrder) (*wire.RankStatus, error)
+	Report   func(ctx context.Context, to netip.AddrPort, q *wire.RankQuestion) (*wire.RankReport, error)
+	Settings Settings
+	Logger   *slog.Logger
+
+	events   chan func(now time.Time)
+	units    map[string]*unit
+	states   map[string]*wire.GroupState
+	leading  bool
+	asking   bool
+	switches atomic.Int64
+}
+
+// eventBuffer is how many events wait for the director's goroutine. Applied
+// entries that find it full are made good by a fresh start of their group.
+const eventBuffer = 4096
+
+// Init prepares the director. It is called once, before Applied and Run.
+func (d *Director) Init() {
+	d.events = make(chan func(time.Time), eventBuffer)
+	d.units = make(map[string]*unit)
+	d.states = make(map[string]*wire.GroupState)
+}
+
+// Switches returns how many switches this VM has led to their commit.
+func (d *Director) Switches() int64 { return d.switches.Load() }
+
+// Applied takes in an entry of the log, or with a nil one a restored snapshot.
+// The goroutine of the log calls it, and it does not wait.
+func (d *Director) Applied(index uint64, e *wire.GroupEntry, states []*wire.GroupState) {
+	d.post(func(now time.Time) {
+		for _, s := range states {
+			d.states[s.GetGroup()] = s
+		}
+
+		if e == nil {
+			d.follow()
+
+			return
+		}
+
+		if u := d.units[e.GetGroup()]; u != nil {
+			u.do(u.coordinator.Apply(now, expertmap.Fence(index), expertmap.EntryFromWire(e)))
+		}
+	})
+}
+
+// post hands an event to the director's goroutine. Where there is no room the
+// director has fallen far behind: it starts anew from the states.
+func (d *Director) post(event func(now time.Time)) {
+	select {
+	case d.events <- event:
+	default:
+		d.Logger.Error("events lost")
+	}
+}
+
+// Run directs until ctx ends.
+func (d *Director) Run(ctx context.Context) error {
+	tick := time.NewTicker(d.Settings.TickEvery)
+	defer tick.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-d.events:
+			event(time.Now())
+		case now := <-tick.C:
+			d.tick(ctx, now)
+		}
+	}
+}
+
+func (d *Director) tick(ctx context.Context, now time.Time) {
+	switch leads := d.Leads(); {
+	case !leads && d.leading:
+		d.follow()
+	case leads && !d.leading && !d.asking:
+		d.askBarrier(ctx)
+	}
+
+	if !d.leading {
+		return
+	}
+
+	for _, g := range d.Groups() {
+		u := d.unit(ctx, now, g)
+		u.tick(now)
+	}
+}
+
+// askBarrier takes the lead of the groups only behind the entries of earlier
+// leaders: a switch that one of them committed must not be begun anew.
+func (d *Director) askBarrier(ctx context.Context) {
+	d.asking = true
+
+	go func() {
+		err := d.Barrier(ctx)
+
+		d.post(func(time.Time) {
+			d.asking = false
+			d.leading = err == nil && d.Leads()
+		})
+	}()
+}
+
+func (d *Director) follow() {
+	d.leading = false
+	for _, u := range d.units {
+		u.coordinator.Follow()
+	}
+
+	clear(d.units)
+}
+
+// unit returns the group's unit, which begins to lead when it is made.
+func (d *Director) unit(ctx context.Context, now time.Time, g *wire.Group) *unit {
+	if u := d.units[g.GetName()]; u != nil && ShapeOf(g) == u.shape {
+		return u
+	}
+
+	u := newUnit(ctx, d, g)
+	d.units[g.GetName()] = u
+
+	record := ledger.FirstRecord()
+	if s := d.states[g.GetName()]; s != nil {
+		record = expertmap.RecordFromWire(s.GetRecord())
+	}
+
+	u.coordinator.Start(record)
+	u.do(u.coordinator.Lead(now))
+
+	return u
+}
--- a/internal/intent/kinds.go
+++ b/internal/intent/kinds.go
@@ -136,6 +136,7 @@
 			count("Ranks", func(r *wire.Record) *uint32 { return &r.GetGroup().Ranks }),
 			count("Experts", func(r *wire.Record) *uint32 { return &r.GetGroup().Experts }),
 			count("Layers", func(r *wire.Record) *uint32 { return &r.GetGroup().Layers }),
+			count("Slots", func(r *wire.Record) *uint32 { return &r.GetGroup().Slots }),
 		},
 	},
 }
--- /dev/null
+++ b/internal/ledger/groups.go
@@ -0,0 +1,78 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/parsleygate/parsleygate/internal/expertmap"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// FirstMap is the version of a group's first map, which follows from its shape.
+const FirstMap = 1
+
+// groupTable holds what the log says of each lock-step group's expert map. It is
+// kept apart from the records that entries and agents follow: only the group's
+// own ranks need it, and a map weighs more than all other news of a day.
+type groupTable map[string]*wire.GroupState
+
+// apply takes in an entry. What no longer fits changes nothing but AsOf, so that
+// proposers may repeat entries and two leaders may race.
+func (t groupTable) apply(index uint64, e *wire.GroupEntry) {
+	state := t[e.GetGroup()]
+	if state == nil {
+		state = &wire.GroupState{Group: e.GetGroup(), Record: expertmap.RecordToWire(FirstRecord())}
+	}
+
+	record := expertmap.RecordFromWire(state.GetRecord())
+	record.Apply(expertmap.Fence(index), expertmap.EntryFromWire(e))
+
+	next := &wire.GroupState{Group: e.GetGroup(), Record: expertmap.RecordToWire(record)}
+	for _, m := range append(slices.Clone(state.GetMaps()), opened(index, record, e)...) {
+		if named(record, m.GetVersion()) {
+			next.Maps = append(next.Maps, m)
+		}
+	}
+
+	t[e.GetGroup()] = next
+}
+
+// FirstRecord is the record of a group of which the log has said nothing yet.
+func FirstRecord() expertmap.Record {
+	return expertmap.Record{Ruling: expertmap.Ruling{Version: FirstMap}}
+}
+
+// opened returns the map of an entry that has just opened a switch.
+func opened(index uint64, r expertmap.Record, e *wire.GroupEntry) []*wire.GroupMap {
+	if r.Open.Fence != expertmap.Fence(index) {
+		return nil
+	}
+
+	return []*wire.GroupMap{{Version: e.GetVersion(), Placement: e.GetPlacement()}}
+}
+
+// named reports whether a rank may still need the map.
+func named(r expertmap.Record, version uint64) bool {
+	v := expertmap.Version(version)
+
+	return v == r.Ruling.Version || v == r.Ruling.Before || v == r.Open.Version
+}
+
+func (t groupTable) sorted() []*wire.GroupState {
+	var out []*wire.GroupState
+	for _, name := range slices.Sorted(maps.Keys(t)) {
+		out = append(out, t[name])
+	}
+
+	return out
+}
+
+// Groups returns what the log says of each group's map, by name. The states are
+// never changed, only replaced.
+func (l *Ledger) Groups() []*wire.GroupState { return l.groups.sorted() }
+
+func (l *Ledger) restoreGroups(s *wire.LedgerSnapshot) {
+	for _, g := range s.GetGroups() {
+		l.groups[g.GetGroup()] = g
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,6 +17,8 @@
 // equal on all control VMs, since they decide results.
 type Ledger struct {
 	Limits Limits
+	// OnGroup is called after each entry about an expert map; nil for nobody.
+	OnGroup func(index uint64, e *wire.GroupEntry)
 
 	index     uint64
 	changes   uint64
@@ -25,6 +27,7 @@
 	directory directory
 	claims    claimTable
 	decisions decisionTable
+	groups    groupTable
 }
 
 // New returns an empty ledger.
@@ -42,6 +45,7 @@
 	l.directory = newDirectory(l.Limits)
 	l.claims = newClaimTable(l.Limits)
 	l.decisions = newDecisionTable(l.Limits)
+	l.groups = groupTable{}
 }
 
 // Index returns the log index of the last command that was applied.
@@ -94,6 +98,14 @@
 		return &wire.Result{Decision: l.decide(index, kind.Decision)}
 	case *wire.Command_ExpertMap:
 		return &wire.Result{Map: l.putMap(index, kind.ExpertMap)}
+	case *wire.Command_GroupEntry:
+		l.groups.apply(index, kind.GroupEntry)
+
+		if l.OnGroup != nil {
+			l.OnGroup(index, kind.GroupEntry)
+		}
+
+		return &wire.Result{}
 	default:
 		return &wire.Result{Fault: "the command has no known kind"}
 	}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -23,6 +23,7 @@
 		Plans:        l.decisions.plans,
 		Decisions:    l.decisions.entries,
 		NumberFloor:  l.decisions.floor,
+		Groups:       l.groups.sorted(),
 	}
 
 	l.records.compact()
@@ -57,6 +58,7 @@
 	l.directory.restore(s)
 	l.claims.restore(s)
 	l.decisions.restore(s)
+	l.restoreGroups(s)
 
 	return nil
 }
--- a/internal/local/deployment.go
+++ b/internal/local/deployment.go
@@ -19,6 +19,10 @@
 	// ColdLimit and WarmLimit are how many requests one target bears at once.
 	ColdLimit uint32
 	WarmLimit uint32
+	// Experts and Layers shape the expert groups of its targets, one group a zone;
+	// without them its targets are no ranks.
+	Experts int
+	Layers  int
 }
 
 // Deployment is the shape of a deployment.
@@ -38,7 +42,7 @@
 		Cluster: "trust", Region: "central-th",
 		Zones: []string{"ayutthaya", "ang-thong", "saraburi"},
 		Services: []Service{
-			{Name: "cooper-assist", Model: true, PerZone: 4, ColdLimit: 2, WarmLimit: 16},
+			{Name: "cooper-assist", Model: true, PerZone: 4, ColdLimit: 2, WarmLimit: 16, Experts: 16, Layers: 4},
 			{Name: "job-desk", PerZone: 1, ColdLimit: 4, WarmLimit: 16},
 		},
 		StepBase: 4 * time.Millisecond, StepEach: 100 * time.Microsecond,
@@ -73,9 +77,29 @@
 		fmt.Fprintf(&b, "[ColdLimit %q]\nCold = %d\nWarm = %d\n", s.Name, s.ColdLimit, s.WarmLimit)
 	}
 
+	d.declareGroups(&b)
+
 	return b.String()
 }
 
+func (d *Deployment) declareGroups(b *strings.Builder) {
+	for _, s := range d.Services {
+		if s.Experts == 0 {
+			continue
+		}
+
+		for _, z := range d.Zones {
+			fmt.Fprintf(b, "[Group %q]\nService = %s\nRanks = %d\nExperts = %d\nLayers = %d\nSlots = %d\n",
+				groupName(s, z), s.Name, s.PerZone, s.Experts, s.Layers, slotsOf(s))
+		}
+	}
+}
+
+func groupName(s Service, zone string) string { return s.Name + "-" + zone }
+
+// slotsOf leaves room for a few replicas on each rank.
+func slotsOf(s Service) int { return s.Experts/s.PerZone + 2 }
+
 // service returns the name of the first service of a kind.
 func (d *Deployment) service(model bool) string {
 	for _, s := range d.Services {
--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +23,12 @@
 	phaseCold   = "4-sudden-cold"
 )
 
-// settleTime is how long a zone that was taken out may still get new work.
-const settleTime = 5 * time.Second
+// forceCheck is how often the exercise looks whether a decision is in force, and
+// forceBound how long that may take: a lease, a margin, and some slack.
+const (
+	forceCheck = 20 * time.Millisecond
+	forceBound = 8 * time.Second
+)
 
 // Exercise drives load at a running deployment while a zone leaves and returns
 // and a target turns cold. Its fields are set before Run.
@@ -62,6 +68,7 @@
 	}
 
 	x.judge(report)
+	x.judgeGroups()
 
 	for _, line := range x.broken {
 		_, _ = fmt.Fprintln(x.Out, "BROKEN:", line)
@@ -134,7 +141,7 @@
 	x.phase.Store(phaseCold)
 	engines := x.Local.engines
 	engines[len(engines)-1].Engine.TurnCold()
-	engines[len(engines)-2].Engine.Restart()
+	x.restartOne(engines[len(engines)-2])
 
 	return nil
 }
@@ -163,15 +170,42 @@
 	return nil
 }
 
-// watchZone checks that a zone that is out gets no new work once it has settled.
+// awaitForce waits until the control VMs say that a decision is in force everywhere.
+func (x *Exercise) awaitForce(ctx context.Context, number uint64) (time.Duration, error) {
+	start := time.Now()
+
+	for time.Since(start) < forceBound {
+		r, err := x.Local.controls[0].Server().Status(ctx, &wire.StatusRequest{Number: number})
+		if err != nil {
+			return 0, eris.Wrap(err, "ask for status")
+		}
+
+		if d := r.GetDecisions(); len(d) == 1 && d[0].GetInForce() {
+			return time.Since(start), nil
+		}
+
+		if !sleep(ctx, forceCheck) {
+			return 0, nil
+		}
+	}
+
+	return 0, eris.Errorf("decision %d is not in force after %s", number, forceBound)
+}
+
+// watchZone checks that a zone that is out gets no new work once that is in force.
 func (x *Exercise) watchZone(ctx context.Context, zone string, d time.Duration) error {
-	if !sleep(ctx, min(settleTime, d/2)) {
-		return nil
+	end := time.Now().Add(d)
+
+	took, err := x.awaitForce(ctx, 2)
+	if err != nil {
+		return err
 	}
 
+	_, _ = fmt.Fprintf(x.Out, "zone %s out: in force everywhere after %s\n", zone, took.Round(time.Millisecond))
+
 	before := x.begun(zone)
 
-	if !sleep(ctx, d-min(settleTime, d/2)) {
+	if !sleep(ctx, time.Until(end)) {
 		return nil
 	}
 
@@ -204,11 +238,20 @@
 func (x *Exercise) restart(zone string) {
 	for _, t := range x.Local.engines {
 		if t.Zone == zone {
-			t.Engine.Restart()
+			x.restartOne(t)
 		}
 	}
 }
 
+// restartOne restarts an engine, which is also a rank of its group.
+func (x *Exercise) restartOne(t *Target) {
+	t.Engine.Restart()
+
+	if group := x.Local.groups[t.Group]; group != nil {
+		group.RestartRank(t.Rank)
+	}
+}
+
 func (x *Exercise) judge(r *load.Report) {
 	if r.Broken() {
 		x.broken = append(x.broken, fmt.Sprintf("wrong answers %d, doubled %v, ran after NotRun %v, answered but not run %v",
@@ -231,6 +274,34 @@
 	}
 }
 
+// judgeGroups prints what became of the expert groups, and holds that no step
+// used two maps.
+func (x *Exercise) judgeGroups() {
+	for _, name := range slices.Sorted(maps.Keys(x.Local.groups)) {
+		s := x.Local.groups[name].State()
+		_, _ = fmt.Fprintf(x.Out, "group %s: %d steps, maps in use %v, step-time skew p50 %.2f first quarter, %.2f last quarter\n",
+			name, s.Steps, s.Versions, median(s.Skews[:len(s.Skews)/4]), median(s.Skews[len(s.Skews)*3/4:]))
+
+		if s.Mixed > 0 {
+			x.broken = append(x.broken, fmt.Sprintf("group %s used two maps in %d steps", name, s.Mixed))
+		}
+
+		if s.Steps == 0 {
+			x.broken = append(x.broken, fmt.Sprintf("group %s made no step", name))
+		}
+	}
+}
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+
+	sorted := slices.Sorted(slices.Values(values))
+
+	return sorted[len(sorted)/2]
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/internal/local/groups.go
@@ -0,0 +1,76 @@
+package local
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/expertgroup"
+	"github.com/parsleygate/parsleygate/internal/placement"
+	"github.com/parsleygate/parsleygate/internal/standin"
+)
+
+// The stand-in groups: steps of 10 ms, a popularity that is skewed and drifts.
+const (
+	groupStep   = 10 * time.Millisecond
+	groupTokens = 4000
+	groupSkew   = 0.9
+	groupDrift  = 400
+)
+
+// localExperts returns settings for groups that are small and whose weights are,
+// so that a short exercise shows some switches.
+func localExperts() expertgroup.Settings {
+	s := expertgroup.DefaultSettings()
+	s.PlanEvery = time.Second
+	s.Planner.ExpertBytes = 1 << 20
+	s.Planner.SwitchPause = groupStep
+
+	return s
+}
+
+// joinGroup makes the engine a rank of its zone's group, where the service has one.
+func (l *Local) joinGroup(ctx context.Context, g *errgroup.Group, t *Target, r chi.Router, n int) {
+	if t.Service.Experts == 0 {
+		return
+	}
+
+	t.Group, t.Rank = groupName(t.Service, t.Zone), n
+
+	if l.groups == nil {
+		l.groups = make(map[string]*standin.Lockstep)
+	}
+
+	group := l.groups[t.Group]
+	if group == nil {
+		group = newGroup(t.Service, uint64(len(l.groups)))
+		l.groups[t.Group] = group
+
+		g.Go(func() error {
+			group.Run(ctx)
+
+			return nil
+		})
+	}
+
+	group.Routes(r, n)
+}
+
+func newGroup(s Service, seed uint64) *standin.Lockstep {
+	group := &standin.Lockstep{
+		Shape:    placement.Shape{Layers: s.Layers, Ranks: s.PerZone, SlotsPerRank: slotsOf(s), Experts: s.Experts},
+		StepTime: groupStep, Tokens: groupTokens, Skew: groupSkew, DriftEvery: groupDrift, Seed: seed,
+	}
+	for range s.PerZone {
+		group.Speed = append(group.Speed, 1)
+	}
+
+	group.Init()
+
+	return group
+}
+
+// Groups returns the stand-in groups by name.
+func (l *Local) Groups() map[string]*standin.Lockstep { return l.groups }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -44,6 +45,7 @@
 	operators []netip.AddrPort
 	entries   []netip.AddrPort
 	engines   []*Target
+	groups    map[string]*standin.Lockstep
 	desks     []*Target
 	logger    *slog.Logger
 
@@ -59,6 +61,9 @@
 	// Engine or Desk is set.
 	Engine *standin.Engine
 	Desk   *standin.Desk
+	// Group and Rank are set for an engine that is part of an expert group.
+	Group string
+	Rank  int
 }
 
 // Entries returns the callers' base URLs. It is empty before Start has returned.
@@ -196,7 +201,7 @@
 			VM: m.ID, Cluster: l.Deployment.Cluster, Zone: l.Deployment.Zones[i],
 			Incarnation: role.IncarnationAt(time.Now()), Listener: listeners[i],
 			Dir: filepath.Join(l.Dir, m.ID), Founders: members,
-			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: l.Logs,
+			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: l.Logs, Experts: localExperts(),
 			Dump: l.newDump("control", m.ID),
 		}
 		c.Build()
@@ -285,7 +290,7 @@
 	}
 
 	t := &Target{AgentID: fmt.Sprintf("%s-%s-%d", s.Name, zone, n+1), Zone: zone, Service: s}
-	handler := l.newStandin(t)
+	handler := l.newStandin(ctx, g, t, n)
 	web := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 
 	g.Go(func() error {
@@ -317,15 +322,18 @@
 	return nil
 }
 
-func (l *Local) newStandin(t *Target) http.Handler {
+func (l *Local) newStandin(ctx context.Context, g *errgroup.Group, t *Target, n int) http.Handler {
 	if t.Service.Model {
 		t.Engine = &standin.Engine{
 			StepBase: l.Deployment.StepBase, StepEach: l.Deployment.StepEach,
 			ColdLimit: int(t.Service.ColdLimit), WarmAfter: 4 * int(t.Service.ColdLimit),
 		}
 		l.engines = append(l.engines, t)
+		r := chi.NewRouter()
+		l.joinGroup(ctx, g, t, r, n)
+		r.Mount("/", t.Engine.Handler())
 
-		return t.Engine.Handler()
+		return r
 	}
 
 	t.Desk = &standin.Desk{}
@@ -367,6 +375,7 @@
 		return a
 	}
 
+	a.Group, a.Rank = t.Group, t.Rank
 	s := t.Engine.State()
 	inFlight = uint32(s.InFlight)
 	a.BootID, a.Cold = s.BootID, s.Cold
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -5,8 +5,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -16,6 +18,7 @@
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/rank"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -40,6 +43,7 @@
 	reader *view.Reader
 	shell  *agent.Agent
 	stop   context.CancelFunc
+	rank   atomic.Pointer[rank.Rank]
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
@@ -55,6 +59,7 @@
 	var g errgroup.Group
 
 	g.Go(func() error { return r.reader.Run(work) })
+	g.Go(func() error { return r.runRank(work) })
 	g.Go(func() error {
 		defer stop()
 
@@ -85,7 +90,8 @@
 	r.shell = &agent.Agent{
 		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation,
 		Listener: identity.MaybeAccept(r.Identity, r.Listener), Announce: r.Announce, Guard: guardAgent,
-		View: r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
+		Mount: func(routes chi.Router) { routes.Mount(wire.RankPathPrefix, wire.NewRankServer(&rankService{role: r})) },
+		View:  r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
 	}
 	r.reader = &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
@@ -103,6 +109,8 @@
 		identity.Rule{Prefix: agent.RequestPath, Roles: []identity.Role{identity.RoleEntry}},
 		identity.Rule{Prefix: wire.AgentPathPrefix + "Give", Roles: []identity.Role{identity.RoleControl}},
 		identity.Rule{Prefix: wire.AgentPathPrefix, Roles: []identity.Role{identity.RoleEntry, identity.RoleControl}},
+		identity.Rule{Prefix: wire.RankPathPrefix + "Ask", Roles: []identity.Role{identity.RoleAgent}},
+		identity.Rule{Prefix: wire.RankPathPrefix, Roles: []identity.Role{identity.RoleControl}},
 		identity.Rule{Prefix: agent.DumpPath, Roles: []identity.Role{identity.RoleOperator}},
 	)
 }
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/expertgroup"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
@@ -48,9 +49,14 @@
 	Logs  logs.Output
 	Dump  *dump.Dump
 
-	server  *control.Server
-	replica *replica.Replica
-	client  *http.Client
+	// Experts tunes the expert maps of groups; the zero value stands for the defaults.
+	Experts expertgroup.Settings
+
+	server   *control.Server
+	director *expertgroup.Director
+	replica  *replica.Replica
+	client   *http.Client
+	view     groupView
 }
 
 // Server returns the server, which exists after Build.
@@ -77,6 +83,8 @@
 		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
 		Logger: r.Logs.Logger("control"),
 	}
+	r.director = r.newDirector()
+	r.server.OnGroup = r.director.Applied
 	r.server.Init()
 	r.replica.Apply = r.server.Apply
 	r.replica.Snapshot = r.server.Snapshot
@@ -140,6 +148,7 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.replica.Run(work) })
 	g.Go(func() error { return r.server.Run(work) })
+	g.Go(func() error { return r.director.Run(work) })
 	g.Go(func() error {
 		if err := web.Serve(identity.MaybeAccept(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
--- /dev/null
+++ b/internal/standin/lockstep.go
@@ -0,0 +1,260 @@
+package standin
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/parsleygate/parsleygate/internal/placement"
+	"github.com/parsleygate/parsleygate/internal/rank"
+)
+
+// Lockstep is a stand-in group of ranks that advance in lock-step: a step begins
+// on all ranks or on none, and takes as long as its slowest rank. Each rank
+// picks its map by its own orders, and a step in which two ranks would use
+// different maps is counted in Mixed.
+type Lockstep struct {
+	Shape placement.Shape
+	// StepTime is the time of a balanced step; Tokens is how many each step routes.
+	StepTime time.Duration
+	Tokens   int
+	// Skew is the exponent of the experts' popularity, Drift the share of its
+	// order that changes each DriftEvery steps.
+	Skew       float64
+	DriftEvery int
+	Speed      []float64
+	Seed       uint64
+
+	mu      sync.Mutex
+	ranks   []*lockRank
+	step    uint64
+	mixed   int
+	skews   []float64
+	weights [][]float64
+	rnd     *rand.Rand
+}
+
+// lockRank is one rank's engine.
+type lockRank struct {
+	bootID string
+	maps   map[uint64]*placement.Map
+	// told says that a Run order has come since the boot.
+	told     bool
+	held     bool
+	heldFrom uint64
+	run      rank.EngineOrder
+	joined   uint64
+	missing  uint64
+	sequence uint64
+	busy     time.Duration
+	work     uint64
+	tokens   []uint64
+}
+
+// LockstepState is what a group tells of itself.
+type LockstepState struct {
+	Steps uint64
+	// Mixed counts steps in which two ranks would have used different maps.
+	Mixed int
+	// Skews holds each step's slowest rank's time over the mean.
+	Skews    []float64
+	Versions []uint64
+}
+
+// Init prepares the group. It is called once, before Run.
+func (g *Lockstep) Init() {
+	g.rnd = rand.New(rand.NewPCG(g.Seed, 7))
+	g.ranks = make([]*lockRank, g.Shape.Ranks)
+
+	for i := range g.ranks {
+		g.ranks[i] = g.newRank()
+	}
+
+	g.weights = make([][]float64, g.Shape.Layers)
+	for l := range g.weights {
+		g.weights[l] = make([]float64, g.Shape.Experts)
+		for e, place := range g.rnd.Perm(g.Shape.Experts) {
+			g.weights[l][e] = math.Pow(float64(place+1), -g.Skew)
+		}
+	}
+}
+
+func (g *Lockstep) newRank() *lockRank {
+	return &lockRank{
+		bootID: uuid.NewString(), maps: make(map[uint64]*placement.Map),
+		tokens: make([]uint64, g.Shape.Layers*g.Shape.Experts),
+	}
+}
+
+// RestartRank restarts the engine of one rank: it loses its maps and its orders.
+func (g *Lockstep) RestartRank(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.ranks[n] = g.newRank()
+}
+
+// State returns the group's state.
+func (g *Lockstep) State() LockstepState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	s := LockstepState{Steps: g.step, Mixed: g.mixed, Skews: slices.Clone(g.skews)}
+	for _, r := range g.ranks {
+		s.Versions = append(s.Versions, r.version(g.step+1))
+	}
+
+	return s
+}
+
+// Run steps until ctx ends.
+func (g *Lockstep) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := time.NewTimer(g.advance())
+
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+
+		t.Stop()
+	}
+}
+
+// version returns the map that the rank uses in step s, by its own orders.
+func (r *lockRank) version(s uint64) uint64 {
+	if s >= r.run.RunStep {
+		return r.run.RunVersion
+	}
+
+	return r.run.RunBefore
+}
+
+// ready reports whether the rank may begin step s, and notes a map that it lacks.
+func (r *lockRank) ready(s uint64) bool {
+	if !r.told || (r.held && s >= r.heldFrom) {
+		return false
+	}
+
+	v := r.version(s)
+	r.missing = 0
+
+	if r.maps[v] == nil {
+		r.missing = v
+	}
+
+	return r.maps[v] != nil
+}
+
+// advance begins the next step if every rank is ready, and returns how long it takes.
+func (g *Lockstep) advance() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	next := g.step + 1
+
+	all := true
+	for _, r := range g.ranks {
+		all = r.ready(next) && all
+	}
+
+	if !all {
+		return g.StepTime
+	}
+
+	g.step = next
+	for _, r := range g.ranks {
+		r.joined = next
+		if r.version(next) != g.ranks[0].version(next) {
+			g.mixed++
+		}
+	}
+
+	return g.compute(next)
+}
+
+// compute works out a step's times and counts its tokens.
+func (g *Lockstep) compute(step uint64) time.Duration {
+	g.drift(step)
+
+	load := &placement.Load{Speed: g.Speed}
+	for l := range g.weights {
+		load.Tokens = append(load.Tokens, g.weights[l]...)
+	}
+
+	m := g.ranks[0].maps[g.ranks[0].version(step)]
+	t := placement.Evaluate(m, load)
+	g.skews = append(g.skews, t.Skew())
+	g.count(m)
+
+	return time.Duration(float64(g.StepTime) * t.Slowest)
+}
+
+func (g *Lockstep) drift(step uint64) {
+	if g.DriftEvery == 0 || step%uint64(g.DriftEvery) != 0 {
+		return
+	}
+
+	for _, w := range g.weights {
+		a, b := g.rnd.IntN(len(w)), g.rnd.IntN(len(w))
+		w[a], w[b] = w[b], w[a]
+	}
+}
+
+// count adds the step's tokens to what every rank has routed, and the time and
+// work of its own experts.
+func (g *Lockstep) count(m *placement.Map) {
+	per := float64(g.Tokens)
+
+	for n, r := range g.ranks {
+		r.sequence++
+
+		for l, w := range g.weights {
+			sum := total(w)
+			for e, x := range w {
+				r.tokens[l*g.Shape.Experts+e] += uint64(per * x / sum)
+			}
+
+			work := g.rankWork(m, l, n, sum) * per
+			r.work += uint64(work)
+			r.busy += time.Duration(work / g.Speed[n] * float64(time.Microsecond))
+		}
+	}
+}
+
+// rankWork is the share of a layer's tokens that rank n computes.
+func (g *Lockstep) rankWork(m *placement.Map, l, n int, sum float64) float64 {
+	work := 0.0
+
+	for _, e := range m.Rank(l, n) {
+		if e == placement.None {
+			continue
+		}
+
+		copies := 0
+
+		for r := range g.Shape.Ranks {
+			if slices.Contains(m.Rank(l, r), e) {
+				copies++
+			}
+		}
+
+		work += g.weights[l][e] / sum / float64(copies)
+	}
+
+	return work
+}
+
+func total(w []float64) float64 {
+	sum := 0.0
+	for _, x := range w {
+		sum += x
+	}
+
+	return sum
+}
--- /dev/null
+++ b/internal/standin/lockstep_http.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/parsleygate/parsleygate/internal/placement"
+	"github.com/parsleygate/parsleygate/internal/rank"
+)
+
+// Routes adds the interface of rank n to r.
+func (g *Lockstep) Routes(r chi.Router, n int) {
+	r.Get(rank.GroupPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, g.rankState(n)) })
+	r.Post(rank.GroupPath, func(w http.ResponseWriter, q *http.Request) {
+		var o rank.EngineOrder
+		if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+			http.Error(w, "order is no JSON", http.StatusBadRequest)
+
+			return
+		}
+
+		w.WriteHeader(g.order(n, &o))
+	})
+}
+
+// BootID returns the boot of rank n's engine.
+func (g *Lockstep) BootID(n int) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.ranks[n].bootID
+}
+
+func (g *Lockstep) rankState(n int) rank.EngineState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	r := g.ranks[n]
+
+	return rank.EngineState{
+		BootID: r.bootID, Joined: r.joined, Missing: r.missing, Sequence: r.sequence,
+		BusyMicros: uint64(r.busy.Microseconds()), Work: r.work, Tokens: slices.Clone(r.tokens),
+	}
+}
+
+// order carries out an order, and returns the status of its answer. Fencing
+// numbers are not checked: this engine stands for those that ignore them.
+func (g *Lockstep) order(n int, o *rank.EngineOrder) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	r := g.ranks[n]
+	if o.BootID != r.bootID {
+		return http.StatusConflict
+	}
+
+	switch o.Do {
+	case rank.DoLoad:
+		return r.load(o)
+	case rank.DoDrop:
+		delete(r.maps, o.Version)
+	case rank.DoHold:
+		from := max(o.Step, r.joined+1)
+		if o.Step != 0 && o.Step <= r.joined {
+			return http.StatusConflict
+		}
+
+		r.held, r.heldFrom = true, from
+	case rank.DoRun:
+		r.told, r.held, r.run = true, false, *o
+	default:
+		return http.StatusBadRequest
+	}
+
+	return http.StatusNoContent
+}
+
+func (r *lockRank) load(o *rank.EngineOrder) int {
+	m, err := placement.Decode(o.Placement)
+	if err != nil {
+		return http.StatusBadRequest
+	}
+
+	r.maps[o.Version] = m
+
+	return http.StatusNoContent
+}
--- a/internal/wire/quorum.twirp.go
+++ b/internal/wire/quorum.twirp.go
@@ -782,7 +782,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -796,7 +796,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Peer")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 1207 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x57, 0xcd, 0x72, 0x1b, 0xc5,
 	0x13, 0xd7, 0x4a, 0x6b, 0x7d, 0xb4, 0x65, 0x6b, 0x33, 0xc9, 0xdf, 0xff, 0x2d, 0xe3, 0x18, 0x67,
