Select on no timer that has already run out

Under -race the test binary died in 7 of 30 runs inside the Go runtime (maybeRunChan in a synctest bubble: a select on a timer that has run out). Polls that may not be held make no timer now, and loops that wait elsewhere use a new timer each time in place of a ticker.

--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -110,17 +110,8 @@
 // tend moves the clock of the state and expires silent processes, while this VM leads.
 func (s *Server) tend(ctx context.Context) {
 	core := newSilence(s.Settings.ExpireAfter)
-	watch := time.NewTicker(s.Settings.WatchEvery)
-
-	defer watch.Stop()
-
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-watch.C:
-		}
 
+	for sleep(ctx, s.Settings.WatchEvery) {
 		if s.Leads != nil && !s.Leads() {
 			core.idle()
 			continue
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -18,20 +18,28 @@
 // it would go on telling readers that an old configuration holds. Its reads
 // fail, asOf stays where it was, and its polls soon answer Stale.
 func (s *Server) keepFresh(ctx context.Context) {
-	ticker := time.NewTicker(s.Settings.ReadEvery)
-	defer ticker.Stop()
-
 	for {
 		s.readOnce(ctx)
 
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, s.Settings.ReadEvery) {
 			return
-		case <-ticker.C:
 		}
 	}
 }
 
+// sleep waits for d and reports whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (s *Server) readOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.Lease)
 	defer cancel()
@@ -49,10 +57,8 @@
 
 func (s *Server) awaitApplied(ctx context.Context, index uint64) bool {
 	for s.applied.Load() < index {
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, applyCheck) {
 			return false
-		case <-time.After(applyCheck):
 		}
 	}
 
--- a/internal/control/poll.go
+++ b/internal/control/poll.go
@@ -36,8 +36,11 @@
 // hold waits until there is something to tell the reader.
 func (s *Server) hold(ctx context.Context, r *wire.PollRequest) {
 	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, s.Settings.MaxWait)
-	timer := time.NewTimer(wait)
+	if wait <= 0 {
+		return
+	}
 
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 
 	for {
