--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -81,11 +81,31 @@
 		w.client.CloseIdleConnections()
 	})
 	require.Eventually(b, func() bool { return w.behind() == 0 }, time.Minute, 50*time.Millisecond)
-	time.Sleep(3 * time.Second)
+	w.settle()
 
 	return w
 }
 
+// quiet is how long the version must stay before a measurement begins.
+const quiet = 4 * time.Second
+
+// settle waits until every reader holds the same, whole directory.
+func (w *web) settle() {
+	begin := time.Now()
+
+	for since, version := begin, uint64(0); time.Since(since) < quiet; time.Sleep(50 * time.Millisecond) {
+		require.Less(w.b, time.Since(begin), time.Minute)
+
+		for _, r := range w.views {
+			if s := r.Snapshot(); s.Version != version || len(s.Nodes()) != len(w.views) {
+				since, version = time.Now(), max(version, s.Version)
+			}
+		}
+	}
+
+	w.b.Logf("settled %v after the start", time.Since(begin)-quiet)
+}
+
 // fill puts 13,000 workspaces into the state.
 func (w *web) fill() {
 	var text strings.Builder
