--- a/internal/admission/arrive.go
+++ b/internal/admission/arrive.go
@@ -46,6 +46,7 @@
 		expiresAt:  expiresAt,
 		admittedAt: now,
 		epoch:      c.ramp.epoch,
+		depth:      len(c.running) + 1,
 	}
 	c.memory.add(a)
 	c.running[a.id] = a
@@ -171,7 +172,7 @@
 
 	c.share.lapse(e, now)
 
-	if e.inFlight < e.slots || c.share.open(now, e, c.limit()-c.unknownCount()) {
+	if e.reserved > 0 || c.share.open(now, e, c.limit()-c.unknownCount()) {
 		return "", false
 	}
 
@@ -190,103 +191,3 @@
 		return time.Time{}
 	}
 }
-
-// Grant gives an entry a credit. Without room the credit has no slots; a request
-// on it is let in only where room turns up that nobody else has reserved.
-func (c *Core) Grant(now time.Time, q GrantAsk) Grant {
-	c.prepare()
-	c.unknown.expire(now)
-	c.share.sweep(now)
-	c.share.serial++
-
-	g := Grant{ExpiresAt: c.tickTime(uint64(now.Add(c.Settings.CreditLife).Sub(c.Started) / time.Millisecond))}
-	c.lastExpiry = g.ExpiresAt
-
-	var e *entry
-
-	if !c.share.full(q.EntryID) {
-		e = c.share.of(q.EntryID)
-		c.share.lapse(e, now)
-		e.wanted = int(q.Wanted)
-		g.RetryAt = c.allot(now, e, q.renewal)
-	}
-
-	g.Credit = c.credit(q.EntryID, e, g.ExpiresAt)
-
-	return g
-}
-
-// credit writes a credit of e, which is nil for an entry too many.
-func (c *Core) credit(id string, e *entry, expiresAt time.Time) Credit {
-	cr := Credit{
-		AgentID:       c.AgentID,
-		Incarnation:   c.Incarnation,
-		EntryID:       id,
-		Serial:        c.share.serial,
-		ExpiresAtTick: uint64(expiresAt.Sub(c.Started) / time.Millisecond),
-	}
-
-	if e != nil {
-		cr.Slots = uint32(e.slots)
-	}
-
-	return cr
-}
-
-// allot gives e its slots, and a turn if it asked itself and got nothing. It
-// returns when e should ask again.
-func (c *Core) allot(now time.Time, e *entry, renewal bool) time.Time {
-	slots := 0
-	if !c.leaving && !c.view.ZoneOut && !c.view.Retired {
-		slots = c.share.allot(now, e, c.limit()-c.unknownCount())
-	}
-
-	reserveFor := c.Settings.ReserveFor
-
-	if c.share.othersWait(e) {
-		reserveFor /= 5
-
-		if renewal {
-			slots = min(slots, e.inFlight)
-		}
-	}
-
-	more := slots > e.inFlight
-	c.share.change(e, func(e *entry) { e.slots = slots })
-	e.reservedUntil = now.Add(reserveFor)
-
-	switch {
-	case more:
-		c.share.served(e)
-	case !renewal && e.wanted > 0:
-		retryAt := now.Add(c.turnIn(e))
-		c.share.wait(e, retryAt.Add(c.Settings.WaitLife))
-
-		return retryAt
-	case e.asks > 0 && e.wanted == 0:
-		c.share.stopWaiting(e)
-	}
-
-	return time.Time{}
-}
-
-// turnIn advises how long a waiting entry should leave the agent alone: half of
-// the time in which those before it will be served, so that it's early.
-func (c *Core) turnIn(e *entry) time.Duration {
-	places := c.share.position(e)
-	d := c.meanTime * time.Duration(places) / time.Duration(2*max(c.limit(), 1))
-
-	return min(max(d, minTurn), maxTurn)
-}
-
-// Renew gives the entry of an answer a new credit, so that a busy entry seldom asks.
-func (c *Core) Renew(now time.Time, entryID string) Grant {
-	c.prepare()
-
-	wanted := 1
-	if e := c.share.entries[entryID]; e != nil {
-		wanted = max(e.wanted, 1)
-	}
-
-	return c.Grant(now, GrantAsk{EntryID: entryID, Wanted: uint32(wanted), renewal: true})
-}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,12 +11,15 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/orders"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -30,9 +33,19 @@
 	// Address is where the agent listens, unless Listener is set.
 	Address  netip.AddrPort
 	Listener net.Listener
+	// Announce takes announcements only, beside Listener; nil for none.
+	Announce net.Listener
+	// Guard, if set, decides who may use the paths of Listener.
+	Guard func(http.Handler) http.Handler
 	// View returns what the control configuration says now. It is called for each
 	// request, from many goroutines, and must not block.
 	View func() admission.View
+	// HighestOrder returns the highest fencing number that the control configuration
+	// knows to have been given to this target before; nil where it keeps none.
+	HighestOrder func() (number uint64, known bool)
+	// SendOrder carries an order to the engine; nil posts it as JSON. An error whose
+	// verdict is NotRun says that the order never reached the engine.
+	SendOrder func(ctx context.Context, to netip.AddrPort, o orders.Order) (orders.Result, error)
 	// Logger is optional.
 	Logger *slog.Logger
 	// Metrics is optional.
@@ -43,14 +56,19 @@
 
 	once     sync.Once
 	door     door
+	desk     orderDesk
 	target   targetState
 	counters counters
 	dialer   targetDialer
+	// pending counts the bytes of requests that are read or in flight.
+	pending  *semaphore.Weighted
 	server   *http.Server
 	bound    netip.AddrPort
 	listened chan struct{}
 	drained  chan struct{}
-	leave    sync.Once
+	// keepUntil is until when a leaving agent still answers asks, in Unix nanoseconds.
+	keepUntil atomic.Int64
+	leave     sync.Once
 }
 
 // prepare fills what the caller left out.
@@ -73,6 +91,7 @@
 		a.Settings.fill()
 		a.counters = newCounters(a.Metrics)
 		a.dialer = newTargetDialer(a.Settings)
+		a.pending = semaphore.NewWeighted(int64(a.Settings.MaxPendingBytes))
 		a.listened = make(chan struct{})
 		a.drained = make(chan struct{})
 		a.door.view = a.View
@@ -82,6 +101,7 @@
 			Started:     a.Now(),
 			Settings:    a.Settings.Admission,
 		}
+		a.desk.core = orders.Core{AgentID: a.ID, Incarnation: a.Incarnation, SettleFor: a.Settings.OrderSettle}
 	})
 }
 
@@ -98,16 +118,20 @@
 	defer cancel()
 
 	a.server = &http.Server{
-		Handler:           a.routes(),
+		Handler:           a.guarded(),
 		ReadHeaderTimeout: a.Settings.ReadTimeout,
 		IdleTimeout:       a.Settings.IdleTimeout,
 		MaxHeaderBytes:    a.Settings.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(a.Logger.Handler(), slog.LevelDebug),
+		ConnContext:       boundAcks(a.Settings.AckTimeout),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	close(a.listened)
 	a.Logger.Info("Agent listens.", "address", a.bound, "incarnation", a.Incarnation)
 
+	stopAnnounce := a.serveAnnouncements()
+	defer stopAnnounce()
+
 	served := make(chan error, 1)
 	go func() { served <- a.server.Serve(ln) }()
 
@@ -189,12 +213,13 @@
 func (a *Agent) Drain(ctx context.Context) error {
 	a.prepare()
 	a.door.leave()
+	a.desk.leave()
 	a.Logger.Info("Agent is leaving.")
 
 	t := time.NewTicker(a.Settings.TickEvery)
 	defer t.Stop()
 
-	for !a.door.drained(a.Now()) {
+	for !a.idle() {
 		select {
 		case <-ctx.Done():
 			return eris.Wrap(ctx.Err(), "requests are still in flight")
@@ -214,6 +239,22 @@
 	return eris.Wrap(err, "shut the server down")
 }
 
+// idle reports whether a leaving agent may go: nothing is in flight, no order is at
+// the engine, and no entry may still ask for an answer that didn't reach it.
+func (a *Agent) idle() bool {
+	_, order := a.desk.state()
+	now := a.Now()
+
+	return order == 0 && a.door.drained(now) && now.UnixNano() >= a.keepUntil.Load()
+}
+
+// undelivered notes that an answer didn't reach its entry, which may ask for it
+// over another connection. An agent that left at once would make a booking that
+// ran into one that may have run.
+func (a *Agent) undelivered(now time.Time) {
+	a.keepUntil.Store(now.Add(a.Settings.AskWait).UnixNano())
+}
+
 // Node reports the agent for the membership.
 func (a *Agent) Node() *wire.Node {
 	a.prepare()
@@ -239,6 +280,16 @@
 	return n
 }
 
+// Service is what the target carries; empty while none has announced itself. It is
+// cheap enough to be called by View.
+func (a *Agent) Service() string {
+	if t := a.target.load(); t != nil {
+		return t.Service
+	}
+
+	return ""
+}
+
 // address is where the agent listens, or is set to listen.
 func (a *Agent) address() netip.AddrPort {
 	select {
--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -8,9 +8,10 @@
 
 // wait estimates how long a new item of f waits behind that much work of its
 // own workspace: until the fair queueing clock reaches its virtual start, but
-// no longer than all that waits takes.
-func (q *Queue) wait(f *flow, ahead float64) time.Duration {
-	if q.capacity <= 0 {
+// no longer than that work and all that waits of the others take.
+func (q *Queue) wait(now time.Time, f *flow, ahead float64) time.Duration {
+	slots := q.slots(now)
+	if slots == 0 {
 		return q.Settings.LongestRetry
 	}
 
@@ -19,31 +20,53 @@
 		weights += f.weight
 	}
 
-	slots := float64(q.capacity)
 	due := max(f.start, q.virtual) + ahead/f.weight - q.virtual
-	wait := min(due*weights, q.work) / slots
+	all := ahead + q.work - f.workAhead(0)
+	wait := min(due*weights, all) / slots
 	// The next slot frees after a share of one usual request.
 	wait += q.service.mean / slots
 
 	return time.Duration(wait)
 }
 
+// slots is the capacity that estimates go by. Without any, as at the start or
+// while all targets restart, the last one is expected back, for a short time.
+func (q *Queue) slots(now time.Time) float64 {
+	switch {
+	case q.capacity > 0:
+		return float64(q.capacity)
+	case q.emptySince.IsZero() || now.Sub(q.emptySince) < q.Settings.EmptyFor:
+		return float64(q.lastCapacity)
+	default:
+		return 0
+	}
+}
+
 // late reports whether an item behind that much work would end after its
-// deadline, and by how much.
-func (q *Queue) late(now time.Time, e *entry, ahead float64) (time.Duration, bool) {
+// deadline, and by how much, if the wait were that many times the estimate.
+func (q *Queue) late(now time.Time, e *entry, ahead, times float64) (time.Duration, bool) {
 	if e.latestStart.IsZero() {
 		return 0, false
 	}
 
-	excess := now.Add(q.wait(e.flow, ahead)).Sub(e.latestStart)
+	wait := time.Duration(times * float64(q.wait(now, e.flow, ahead)))
+	excess := now.Add(wait).Sub(e.latestStart)
 
 	return excess, excess > 0
 }
 
+// emptyRetry is the shortest time after which callers come back while nothing
+// has room at all: nobody can tell when that ends.
+const emptyRetry = 5 * time.Second
+
 // refusal gives e up; the caller may retry when what is in its way has gone.
 // Callers refused together come back spread over half that time again.
 func (q *Queue) refusal(now time.Time, e *entry, excess time.Duration) Action {
 	pause := min(max(excess, q.Settings.ShortestRetry), q.Settings.LongestRetry)
+	if q.slots(now) == 0 {
+		pause = emptyRetry
+	}
+
 	pause += time.Duration(q.Rand.Float64() * float64(pause) / 2)
 
 	return Action{ID: e.ID, Kind: Refuse, Cause: verdict.CauseOverload, RetryAt: now.Add(pause)}
@@ -63,7 +86,7 @@
 func (q *Queue) expire(now time.Time) {
 	for len(q.expiring) > 0 && now.After(q.expiring[0].latestStart) {
 		e := q.expiring[0]
-		q.refuse(now, e, q.wait(e.flow, 0))
+		q.refuse(now, e, q.wait(now, e.flow, 0))
 	}
 }
 
@@ -84,7 +107,7 @@
 	for l := levels - 1; l >= 0; l-- {
 		for e := f.lines[l].first; e != nil; {
 			next := e.next
-			if excess, late := q.late(now, e, ahead); late {
+			if excess, late := q.late(now, e, ahead, 1); late {
 				q.refuse(now, e, excess)
 			} else {
 				ahead += e.work
@@ -108,7 +131,7 @@
 		return false
 	}
 
-	q.refuse(now, longest.tail(), q.wait(longest, longest.workAhead(0)))
+	q.refuse(now, longest.tail(), q.wait(now, longest, longest.workAhead(0)))
 
 	return true
 }
@@ -131,12 +154,12 @@
 }
 
 // flowOf returns the item's flow, made when it has none.
-func (q *Queue) flowOf(it *Item) *flow {
+func (q *Queue) flowOf(now time.Time, it *Item) *flow {
 	f := q.flows[it.Workspace]
 	if f == nil {
+		q.sweep(now)
 		f = &flow{name: it.Workspace, index: -1, start: q.virtual, weight: 1}
 		q.flows[it.Workspace] = f
-		q.sweep()
 	}
 
 	if w := float64(max(it.Weight, 1)); w != f.weight {
@@ -157,15 +180,22 @@
 	}
 }
 
-// sweep forgets idle flows whose debt is over, now and then, so that memory
-// follows the workspaces in use and not all that were ever seen.
-func (q *Queue) sweep() {
+// debtLife is how long what an idle workspace has used ahead is held against it.
+const debtLife = 10 * time.Second
+
+// sweep forgets idle flows now and then, so that memory follows the workspaces
+// in use and not all that were ever seen. What one used ahead is owed to others
+// that wait, for a while; while none waits it is owed to nobody.
+func (q *Queue) sweep(now time.Time) {
 	if len(q.flows) <= q.sweepAt {
 		return
 	}
 
-	for _, f := range q.flows {
-		q.forget(f)
+	for name, f := range q.flows {
+		settled := q.waiting == 0 || f.start <= q.virtual || now.Sub(f.usedAt) > debtLife
+		if f.waiting == 0 && f.running == 0 && settled {
+			delete(q.flows, name)
+		}
 	}
 
 	q.sweepAt = 2*len(q.flows) + 64
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -1,6 +1,7 @@
 package fairness_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 	q       *fairness.Queue
 	cap     int
 	waiting map[uint64]time.Time
-	running map[uint64]bool
+	running map[uint64]time.Time
 	maxRun  int
 }
 
@@ -34,7 +35,7 @@
 		if a.Kind == fairness.Start {
 			deadline := c.waiting[a.ID]
 			require.True(t, deadline.IsZero() || now.Before(deadline), "started after its deadline")
-			c.running[a.ID] = true
+			c.running[a.ID] = deadline
 		} else {
 			require.Equal(t, fairness.Refuse, a.Kind)
 			require.True(t, a.RetryAt.After(now))
@@ -52,7 +53,7 @@
 	t.Parallel()
 
 	rapid.Check(t, func(t *rapid.T) {
-		c := &checker{q: newQueue(rapid.Uint64().Draw(t, "seed")), waiting: map[uint64]time.Time{}, running: map[uint64]bool{}}
+		c := &checker{q: newQueue(rapid.Uint64().Draw(t, "seed")), waiting: map[uint64]time.Time{}, running: map[uint64]time.Time{}}
 		c.q.Settings.Most = 20
 		c.q.Settings.MostOfOne = 8
 		now := epoch
@@ -61,7 +62,7 @@
 		for id := uint64(1); id <= uint64(n); id++ {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
 
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
 				c.cap = rapid.IntRange(0, 6).Draw(t, "cap")
 				c.maxRun = len(c.running)
@@ -72,6 +73,8 @@
 				c.end(t, now, c.q.Finish)
 			case 3:
 				c.end(t, now, c.q.Cancel)
+			case 4:
+				c.putBack(t, now)
 			default:
 				c.offer(t, now, id)
 			}
@@ -122,7 +125,7 @@
 
 	switch own.Kind {
 	case fairness.Start:
-		c.running[id] = true
+		c.running[id] = it.Deadline
 	case fairness.Wait:
 		c.waiting[id] = it.Deadline
 	default:
@@ -131,3 +134,39 @@
 
 	c.take(t, now, others)
 }
+
+func (c *checker) putBack(t require.TestingT, now time.Time) {
+	for id, deadline := range c.running {
+		delete(c.running, id)
+		c.waiting[id] = deadline
+		c.maxRun = max(c.cap, len(c.running))
+		c.take(t, now, c.q.PutBack(now, id))
+
+		return
+	}
+}
+
+// An entry serves 13,000 workspaces, most of them now and then. If each stayed
+// known for ever the entry's memory would grow for days, and nothing would show
+// before it was killed.
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	t.Parallel()
+
+	for _, capacity := range []int{100, 2} {
+		q := newQueue(1)
+		q.SetCapacity(epoch, capacity)
+
+		now := epoch
+		for id := uint64(1); id <= 20_000; id++ {
+			now = now.Add(10 * time.Millisecond)
+			q.Offer(now, fairness.Item{ID: id, Workspace: fmt.Sprintf("w%d", id)})
+
+			if id > 10 {
+				q.Finish(now, id-10)
+			}
+		}
+
+		// Ten seconds are a thousand workspaces; their number may double until a sweep.
+		require.LessOrEqual(t, q.State().Workspaces, 2200, "capacity %d", capacity)
+	}
+}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
@@ -30,9 +31,14 @@
 
 // Control is the control role. Its fields are set before Build.
 type Control struct {
-	VM       string
-	Cluster  string
-	Listener net.Listener
+	VM      string
+	Cluster string
+	Zone    string
+	// Incarnation is fresh at each start.
+	Incarnation uint64
+	Listener    net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
 	// Dir is the data folder, which this VM alone uses.
 	Dir string
 	// Founders are the first control VMs of a new deployment, the same list at each.
@@ -60,15 +66,15 @@
 	}
 
 	address, _ := netip.ParseAddrPort(r.Listener.Addr().String())
-	r.client = NewControls(nil).client
+	r.client = NewControls(nil, r.Identity).client
 	r.replica = &replica.Replica{
 		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Addr: address, Founders: r.Founders,
-		Logger: r.Logs.Logger("replica"),
+		Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
 	r.server = &control.Server{
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
-		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(),
+		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
 		Logger: r.Logs.Logger("control"),
 	}
 	r.server.Init()
@@ -86,6 +92,13 @@
 	return asOf, 0, err
 }
 
+func (r *Control) self() *wire.Node {
+	return &wire.Node{
+		ID: r.VM, Kind: wire.NodeKind_NodeControl, Zone: r.Zone,
+		Address: r.Listener.Addr().String(), Incarnation: r.Incarnation,
+	}
+}
+
 func (r *Control) leads() bool { return r.replica.Status().Leader == r.VM }
 
 // stopUnsafe says why the control VM with that name should not be stopped now.
@@ -128,7 +141,7 @@
 	g.Go(func() error { return r.replica.Run(work) })
 	g.Go(func() error { return r.server.Run(work) })
 	g.Go(func() error {
-		if err := web.Serve(r.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := web.Serve(identity.MaybeAccept(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
 		}
 
@@ -179,7 +192,23 @@
 func (r *Control) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
+	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer(r.server))
+	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
 
-	return mux
+	return guardControl(mux)
+}
+
+// guardControl lets entries claim, entries and agents follow, operators decide,
+// and control VMs agree among themselves.
+func guardControl(next http.Handler) http.Handler {
+	followers := []identity.Role{identity.RoleEntry, identity.RoleAgent}
+
+	return identity.Guard(next,
+		identity.Rule{Prefix: wire.ControlPathPrefix + "Poll", Roles: followers},
+		identity.Rule{Prefix: wire.ControlPathPrefix, Roles: []identity.Role{identity.RoleEntry}},
+		identity.Rule{Prefix: wire.OperatorPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
+		identity.Rule{Prefix: wire.ControlPeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+		identity.Rule{Prefix: wire.PeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+	)
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -16,7 +16,9 @@
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/entry"
 	"github.com/parsleygate/parsleygate/internal/events"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/prefix"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -43,6 +45,8 @@
 	Incarnation uint64
 	// Listener takes callers.
 	Listener net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
 	Controls *Controls
 	Limits   entry.Limits
 	// Leave is how long the entry goes on after it said that it leaves.
@@ -53,10 +57,14 @@
 	reader *view.Reader
 	shell  *entry.Entry
 	bus    *events.Bus
+	stop   context.CancelFunc
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
 func (r *Entry) Run(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	defer r.stop()
+
 	if err := r.build(); err != nil {
 		return err
 	}
@@ -93,11 +101,14 @@
 	r.bus = bus
 	r.bus.OnConfigurationChanged("LogConfiguration", r.logConfiguration)
 
-	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0))}
+	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0)), Prefixes: &prefix.Index{}}
 	r.reader = r.newReader(chooser)
 	r.shell = &entry.Entry{
-		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.Listener,
-		Link:    &agentlink.Link{Silence: agentSilence, DialTimeout: agentDial, IdleFor: agentIdle},
+		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.callers(),
+		Link: &agentlink.Link{
+			Silence: agentSilence, IdleFor: agentIdle,
+			Dial: (&identity.Dialer{Identity: r.Identity, Timeout: agentDial}).Dial,
+		},
 		Chooser: chooser,
 		Budget:  &retries.Budget{Rand: rand.New(rand.NewPCG(r.Incarnation, 1))},
 		Known:   r.known,
@@ -108,6 +119,15 @@
 	return r.describe()
 }
 
+// callers returns the listener for callers, who need no certificate.
+func (r *Entry) callers() net.Listener {
+	if r.Identity == nil {
+		return r.Listener
+	}
+
+	return r.Identity.AcceptCallers(r.Listener)
+}
+
 func (r *Entry) describe() error {
 	if r.Dump.Metrics == nil {
 		r.Dump.Metrics = metrics.NewRegistry()
@@ -129,8 +149,9 @@
 		// bus: its handlers run side by side, and an older list of targets, applied
 		// last, would rule until the next change.
 		OnChange: func(s *view.Snapshot) {
-			chooser.ChangeTargets(targetsOf(s))
+			chooser.ChangeTargets(r.targetsOf(s))
 			r.announce(s)
+			stopIfPlanned(s, r.ID, r.stop)
 		},
 	}
 	reader.Init()
@@ -192,29 +213,74 @@
 	}
 }
 
-// targetsOf lists the targets of all services for the chooser.
-func targetsOf(s *view.Snapshot) routing.TargetsChanged {
+// stopIfPlanned begins the graceful stop of a process that the operators stop.
+func stopIfPlanned(s *view.Snapshot, id string, stop context.CancelFunc) {
+	if s.Stopping(id) {
+		stop()
+	}
+}
+
+// targetsOf lists the targets of all services that this entry keeps to.
+func (r *Entry) targetsOf(s *view.Snapshot) routing.TargetsChanged {
 	var ev routing.TargetsChanged
 
+	entries := entriesOf(s)
+
 	for _, service := range s.Services() {
-		for _, t := range s.Targets(service.GetName()) {
-			address, err := netip.ParseAddrPort(t.Node.GetAddress())
-			if err != nil {
-				continue
-			}
+		targets := s.Targets(service.GetName())
+		mine := r.subset(s, entries, targets)
 
-			ev.Targets = append(ev.Targets, routing.Target{
-				AgentID: t.Node.GetID(), Service: service.GetName(), Addr: address,
-				Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone()),
-				Capacity: int(t.Node.GetCapacity()), Incarnation: t.Node.GetIncarnation(),
-				Leaving: !t.Admissible(), ZoneOut: t.ZoneOut,
-			})
+		for _, t := range targets {
+			if address, err := netip.ParseAddrPort(t.Node.GetAddress()); err == nil && mine[t.Node.GetID()] {
+				ev.Targets = append(ev.Targets, targetOf(s, service.GetName(), address, t))
+			}
 		}
 	}
 
 	return ev
 }
 
+func targetOf(s *view.Snapshot, service string, address netip.AddrPort, t view.Target) routing.Target {
+	return routing.Target{
+		AgentID: t.Node.GetID(), Service: service, Addr: address,
+		Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone()),
+		Capacity: int(t.Node.GetCapacity()), Incarnation: t.Node.GetIncarnation(),
+		Leaving: !t.Admissible(), ZoneOut: t.ZoneOut,
+	}
+}
+
+// entriesOf lists the entries that share the targets out among themselves.
+func entriesOf(s *view.Snapshot) []routing.Place {
+	var out []routing.Place
+
+	for _, n := range s.Nodes() {
+		if n.GetKind() == wire.NodeKind_NodeEntry && !n.GetLeaving() {
+			out = append(out, routing.Place{ID: n.GetID(), Zone: n.GetZone(), Region: regionOf(s, n.GetZone())})
+		}
+	}
+
+	return out
+}
+
+// subset returns the targets of one service that this entry keeps to, out of
+// those that may get new work, so that a zone that is out leaves no hole in it.
+func (r *Entry) subset(s *view.Snapshot, entries []routing.Place, targets []view.Target) map[string]bool {
+	var places []routing.Place
+
+	for _, t := range targets {
+		if t.Admissible() {
+			places = append(places, routing.Place{ID: t.Node.GetID(), Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone())})
+		}
+	}
+
+	mine := make(map[string]bool)
+	for _, id := range (routing.Subsets{}).Of(routing.Place{ID: r.ID, Zone: r.Zone, Region: r.Region}, entries, places) {
+		mine[id] = true
+	}
+
+	return mine
+}
+
 func regionOf(s *view.Snapshot, zone string) string {
 	z, _ := s.Zone(zone)
 
--- a/internal/routing/model_test.go
+++ b/internal/routing/model_test.go
@@ -2,11 +2,10 @@
 
 import (
 	"container/heap"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/prefix"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -42,40 +41,18 @@
 	return e
 }
 
-// modelTarget is a target with its agent.
-type modelTarget struct {
-	routing.Target
-
-	warmLimit int
-	limit     int
-	inFlight  int
-	slow      float64
-	failFast  bool
-	down      bool
-	// lagged is the load last reported by the engine.
-	lagged   int
-	laggedAt time.Duration
-	granted  map[int]grant
-	served   int
-	done     int
-	worst    int
-	cache    []uint64
-}
-
-type grant struct {
-	slots int
-	ends  time.Duration
-}
-
 // picker is a way of choosing, at one entry. Target numbers are the model's.
 type picker struct {
 	choose func(now time.Time, ask routing.Ask) (target int, retryAt time.Time)
 	report func(taken time.Time, target, inFlight, limit int, cold bool)
-	credit func(target, slots int, ends time.Time)
-	begin  func(target int, wait time.Duration)
+	credit func(now time.Time, target, slots int, ends time.Time)
+	begin  func(now time.Time, target int, wait time.Duration)
 	finish func(now time.Time, target int, ev routing.Finished)
 	change func(list []routing.Target)
-	room   func(now time.Time) int
+	room   func(now time.Time) routing.Room
+	asks   func(now time.Time) []routing.CreditAsk
+	silent func(now time.Time, target int)
+	cache  func(ev prefix.Event)
 }
 
 type modelEntry struct {
@@ -100,20 +77,12 @@
 	deadline time.Duration
 	horizon  time.Duration
 	prefixOf func() []uint64
+	// events says that cache events reach the entries, late and with gaps.
+	cacheEvents bool
 
 	results results
 }
 
-// results are what a run measures.
-type results struct {
-	offered, answered, late, refused, tries int
-	latencies                               []float64
-	imbalance                               []float64
-	hits, blocks                            int
-	// answeredAt counts what was answered in time, by second of its end.
-	answeredAt, offeredAt map[int]int
-}
-
 func (m *model) clock() time.Time { return epoch.Add(m.now) }
 
 func (m *model) after(d time.Duration, do func()) {
@@ -155,6 +124,7 @@
 	tries    int
 	ask      routing.Ask
 	ended    func(inTime bool)
+	noRoom   func()
 }
 
 func (m *model) newJob(e *modelEntry) *job {
@@ -182,9 +152,19 @@
 // try sends a job to a target, and again after a refusal.
 func (m *model) try(j *job) {
 	j.tries++
-	m.results.tries++
 
 	i, retryAt := j.entry.choose(m.clock(), j.ask)
+	if i >= 0 {
+		m.results.tries++
+	}
+
+	if i < 0 && j.noRoom != nil {
+		j.ask.Excluded = nil
+		m.after(max(retryAt.Sub(m.clock()), hop), j.noRoom)
+
+		return
+	}
+
 	if i < 0 {
 		m.again(j, max(retryAt.Sub(m.clock()), 10*time.Millisecond))
 
@@ -192,11 +172,24 @@
 	}
 
 	sent := m.now
+	if m.targets[i].down {
+		m.after(silence, func() { m.refuse(j, i, verdict.CauseTargetDown, sent) })
+
+		return
+	}
+
 	m.after(hop, func() { m.arrive(j, m.targets[i], i, sent) })
 }
 
 // again tries once more after a pause, or gives up.
 func (m *model) again(j *job, pause time.Duration) {
+	if j.tries >= mostTries && j.noRoom != nil {
+		j.ask.Excluded, j.tries = nil, 0
+		m.after(max(pause, 10*time.Millisecond), j.noRoom)
+
+		return
+	}
+
 	if j.tries >= mostTries || m.now+pause > j.deadline {
 		m.results.refused++
 		m.end(j, false)
@@ -213,86 +206,6 @@
 	}
 }
 
-// arrive is the agent's door.
-func (m *model) arrive(j *job, t *modelTarget, i int, sent time.Duration) {
-	cause := verdict.Cause("")
-
-	switch {
-	case t.down:
-		cause = verdict.CauseTargetDown
-	case t.ZoneOut:
-		cause = verdict.CauseZoneOut
-	case t.inFlight >= t.limit && t.Cold:
-		cause = verdict.CauseColdLimit
-	case t.inFlight >= t.limit:
-		cause = verdict.CauseOverload
-	case t.failFast:
-		cause = verdict.CauseBroken
-	}
-
-	if cause != "" {
-		j.ask.Excluded = append(j.ask.Excluded, t.AgentID)
-		m.after(hop, func() {
-			m.tell(j.entry, i)
-			j.entry.finish(m.clock(), i, routing.Finished{Verdict: verdict.NotRun, Cause: cause, Duration: m.now - sent})
-			m.again(j, 0)
-		})
-
-		return
-	}
-
-	m.serve(j, t, i, sent)
-}
-
-func (m *model) serve(j *job, t *modelTarget, i int, sent time.Duration) {
-	t.inFlight++
-	t.served++
-
-	if t.Cold {
-		t.worst = max(t.worst, t.inFlight-t.limit)
-	}
-
-	held := t.lookUp(j.ask.Prefixes)
-	m.results.hits += held
-	m.results.blocks += len(j.ask.Prefixes)
-
-	// A full batch takes 1.0 of base, an empty one 0.6; a held prefix saves up to 0.4 of it.
-	fullness := float64(t.inFlight) / float64(t.warmLimit)
-	factor := (0.6 + 0.4*fullness) * t.slow
-
-	if n := len(j.ask.Prefixes); n > 0 {
-		factor *= 1 - 0.4*float64(held)/float64(n)
-	}
-
-	if t.Cold {
-		factor *= 1.5
-	}
-
-	took := time.Duration(factor * j.size * float64(m.base))
-	incarnation := t.Incarnation
-
-	m.after(took/10+hop, func() { j.entry.begin(i, m.now-sent) })
-	m.after(took, func() {
-		t.inFlight--
-		m.ramp(t, incarnation)
-	})
-	m.after(took+hop, func() { m.answered(j, i, sent) })
-}
-
-// ramp grows a cold target's limit by what it has completed.
-func (m *model) ramp(t *modelTarget, incarnation uint64) {
-	if !t.Cold || t.Incarnation != incarnation {
-		return
-	}
-
-	t.done++
-	t.limit = min(1+t.done/2, t.warmLimit)
-
-	if t.limit == t.warmLimit {
-		t.Cold = false
-	}
-}
-
 func (m *model) answered(j *job, i int, sent time.Duration) {
 	m.tell(j.entry, i)
 	j.entry.finish(m.clock(), i, routing.Finished{Verdict: verdict.Ran, Duration: m.now - sent})
@@ -300,7 +213,8 @@
 	inTime := m.now <= j.deadline
 	if inTime {
 		m.results.answered++
-		m.results.answeredAt[int(m.now/time.Second)]++
+		m.results.answeredAt[int(j.arrived/time.Second)]++
+		m.results.endedAt[int(m.now/time.Second)]++
 	} else {
 		m.results.late++
 	}
@@ -308,144 +222,3 @@
 	m.results.latencies = append(m.results.latencies, (m.now - j.arrived).Seconds())
 	m.end(j, inTime)
 }
-
-// tell gives an entry an agent's report and credit.
-func (m *model) tell(e *modelEntry, i int) {
-	t := m.targets[i]
-	load, at := t.lagged, t.laggedAt
-
-	if m.lag == 0 {
-		load, at = t.inFlight, m.now
-	}
-
-	e.report(epoch.Add(at), i, load, t.limit, t.Cold)
-	slots := t.grant(m.now, e.index, len(m.entries))
-	e.credit(i, slots, epoch.Add(m.now+creditLife))
-}
-
-const creditLife = 2 * time.Second
-
-// grant shares the limit among the entries: a warm one generously, a cold one exactly.
-func (t *modelTarget) grant(now time.Duration, entry, entries int) int {
-	if !t.Cold {
-		return max(2, 2*t.limit/min(entries, 4))
-	}
-
-	free := t.limit
-	for e, g := range t.granted {
-		if e != entry && g.ends > now {
-			free -= g.slots
-		}
-	}
-
-	slots := max(0, min(free, (t.limit+min(entries, 4)-1)/min(entries, 4)))
-	t.granted[entry] = grant{slots: slots, ends: now + creditLife}
-
-	return slots
-}
-
-// lookUp returns how many blocks are cached, and caches all, oldest out first.
-func (t *modelTarget) lookUp(blocks []uint64) int {
-	held := 0
-	for held < len(blocks) && slices.Contains(t.cache, blocks[held]) {
-		held++
-	}
-
-	for _, b := range blocks {
-		if k := slices.Index(t.cache, b); k >= 0 {
-			t.cache = slices.Delete(t.cache, k, k+1)
-		}
-
-		t.cache = append(t.cache, b)
-	}
-
-	if over := len(t.cache) - cacheBlocks; over > 0 {
-		t.cache = slices.Delete(t.cache, 0, over)
-	}
-
-	return held
-}
-
-// cacheBlocks is how many blocks a target's cache holds.
-const cacheBlocks = 64
-
-// every repeats do until the horizon.
-func (m *model) every(d time.Duration, do func()) {
-	m.after(d, func() {
-		do()
-		m.every(d, do)
-	})
-}
-
-// watch samples the imbalance, keeps the lagged reports and renews credits.
-func (m *model) watch(from time.Duration) {
-	if m.lag > 0 {
-		for _, t := range m.targets {
-			m.after(time.Duration(m.rng.Int64N(int64(m.lag))), func() {
-				m.every(m.lag, func() { t.lagged, t.laggedAt = t.inFlight, m.now })
-			})
-		}
-	}
-
-	for _, e := range m.entries {
-		for _, i := range e.subset {
-			m.after(time.Duration(m.rng.Int64N(int64(time.Second))), func() {
-				m.every(time.Second, func() { m.tell(e, i) })
-			})
-		}
-	}
-
-	m.every(100*time.Millisecond, func() {
-		if m.now >= from {
-			m.results.imbalance = append(m.results.imbalance, m.spread())
-		}
-	})
-}
-
-// spread is the standard deviation of the targets' fullness over its mean.
-func (m *model) spread() float64 {
-	sum, squares, n := 0.0, 0.0, 0.0
-
-	for _, t := range m.targets {
-		if t.ZoneOut || t.down {
-			continue
-		}
-
-		x := float64(t.inFlight) / float64(t.limit)
-		sum += x
-		squares += x * x
-		n++
-	}
-
-	if sum == 0 {
-		return 0
-	}
-
-	mean := sum / n
-
-	return math.Sqrt(max(0, squares/n-mean*mean)) / mean
-}
-
-func quantile(v []float64, q float64) float64 {
-	if len(v) == 0 {
-		return 0
-	}
-
-	s := slices.Clone(v)
-	slices.Sort(s)
-
-	return s[int(q*float64(len(s)-1))]
-}
-
-func mean(v []float64) float64 {
-	if len(v) == 0 {
-		return 0
-	}
-
-	sum := 0.0
-	for _, x := range v {
-		sum += x
-	}
-
-	return sum / float64(len(v))
-}
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -13,9 +13,15 @@
 	// OtherZone and OtherRegion are added to the cost of far targets (0.02, 0.5).
 	OtherZone   float64
 	OtherRegion float64
-	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.5).
+	// PrefixGain is taken off the cost of a target that holds the whole prompt (0.75).
 	PrefixGain float64
-	// FirstContact is how many requests a warm target without a credit may get (2).
+	// HomeGain is taken off the cost of the target that a prompt's opening hashes
+	// to, so that entries that know nothing of each other send it to the same (0.4).
+	HomeGain float64
+	// HomeBlocks is how many blocks are a prompt's opening (4): long enough to
+	// tell conversations with a common system prompt apart.
+	HomeBlocks int
+	// FirstContact is how many requests a warm target may get before its first report, and how many more a cold one is asked for (1).
 	FirstContact int
 	// ReportLife is the age at which a report counts half against the pool's mean
 	// (100 ms). Short on purpose: what this entry has in flight is exact, and a
@@ -23,6 +29,8 @@
 	ReportLife time.Duration
 	// FailureRun is how many failures in a row set a target aside (3).
 	FailureRun int
+	// DownRun is how many failures to reach it set a target aside as down (1).
+	DownRun int
 	// FailureShare is the share of recent requests failed that sets a target aside (0.5).
 	FailureShare float64
 	// SlowRatio is how many times the median first byte sets a target aside (4).
@@ -32,12 +40,22 @@
 	// ProbeAfter is the first pause before a probe; it doubles up to ProbeAtMost (1 s, 30 s).
 	ProbeAfter  time.Duration
 	ProbeAtMost time.Duration
+	// AskEvery is the shortest time between two asks for a credit of one target
+	// (200 ms), AskDownEvery the same for one that can't be reached (1 s).
+	AskEvery     time.Duration
+	AskDownEvery time.Duration
 	// ProbesNeeded is how many probes in a row must succeed (2).
 	ProbesNeeded int
 	// SilentLimit is how many silent connections without a success between set a target aside (3).
 	SilentLimit int
 	// WarmUpEvery is how often an entry gives an idle cold target work that a warm one could take (500 ms).
 	WarmUpEvery time.Duration
+	// WarmUpAbove is the share of the warm capacity in use from which cold targets
+	// get all that their credits allow (0.5).
+	WarmUpAbove float64
+	// StoppedFor is how long an agent's word that it is leaving, or in a zone that
+	// is out, is believed without the configuration saying so (2 s).
+	StoppedFor time.Duration
 	// RenewBefore is how long before its end a credit is asked for anew (1 s).
 	RenewBefore time.Duration
 }
@@ -47,10 +65,16 @@
 	orFloat(&s.NearEqual, 0.005)
 	orFloat(&s.OtherZone, 0.02)
 	orFloat(&s.OtherRegion, 0.5)
-	orFloat(&s.PrefixGain, 0.5)
-	orInt(&s.FirstContact, 2)
+	orFloat(&s.PrefixGain, 0.75)
+	orFloat(&s.HomeGain, 0.4)
+	orInt(&s.HomeBlocks, 4)
+	orInt(&s.FirstContact, 1)
 	orTime(&s.ReportLife, 100*time.Millisecond)
 	orInt(&s.FailureRun, 3)
+	orInt(&s.DownRun, 1)
+	orTime(&s.AskEvery, 200*time.Millisecond)
+	orTime(&s.AskDownEvery, time.Second)
+	orFloat(&s.WarmUpAbove, 0.5)
 	orFloat(&s.FailureShare, 0.5)
 	orFloat(&s.SlowRatio, 4)
 	orFloat(&s.SetAsideShare, 0.34)
@@ -59,6 +83,7 @@
 	orInt(&s.ProbesNeeded, 2)
 	orInt(&s.SilentLimit, 3)
 	orTime(&s.WarmUpEvery, 500*time.Millisecond)
+	orTime(&s.StoppedFor, 2*time.Second)
 	orTime(&s.RenewBefore, time.Second)
 
 	return s
