Keep the number of a report whose words are old; report leaving once

A process that changed and changed back between two polls was reported at each poll, as its number differed, and the words between could win later: the number is kept now. A process that takes its leaving back was reported at each poll.

--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -108,6 +109,23 @@
 	g.cut[to] = false
 }
 
+// count returns how many commands of the log are reports.
+func (g *group) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	n := 0
+
+	for _, data := range g.log {
+		cmd := &wire.Command{}
+		if proto.Unmarshal(data, cmd) == nil && cmd.GetNodeReports() != nil {
+			n++
+		}
+	}
+
+	return n
+}
+
 func (g *group) leader() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/control/heard.go
+++ b/internal/control/heard.go
@@ -82,11 +82,23 @@
 		load:  r.GetLoad(),
 	}
 
-	if r.GetGone() || !proto.Equal(c.nodes[node.GetID()], node) {
+	if r.GetGone() || !c.holds(node) {
 		c.report(&wire.NodeReport{Node: node, Gone: r.GetGone()})
 	}
 }
 
+// holds reports whether the directory has node as it is. A process that began to
+// leave stays leaving there, whatever it says later; that is no news each time.
+func (c *hearing) holds(node *wire.Node) bool {
+	held := c.nodes[node.GetID()]
+	if held.GetLeaving() && !node.GetLeaving() && held.GetIncarnation() == node.GetIncarnation() {
+		node = proto.CloneOf(node)
+		node.Leaving = true
+	}
+
+	return proto.Equal(held, node)
+}
+
 func (c *hearing) report(r *wire.NodeReport) {
 	waiting := c.pending[r.GetNode().GetID()].GetNode()
 	if waiting.GetIncarnation() > r.GetNode().GetIncarnation() {
--- a/internal/control/storm_test.go
+++ b/internal/control/storm_test.go
@@ -136,6 +136,33 @@
 	})
 }
 
+// An agent says that it leaves, and then that it does not. The directory keeps
+// it leaving, and the agent's polls must not fill the log from then on.
+func TestLeavingIsReportedOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		poll := func(leaving bool) {
+			node := target("a", "ayutthaya", 1)
+			node.Leaving = leaving
+
+			_, err := g.servers[0].Poll(t.Context(), &wire.PollRequest{Cluster: cluster, Node: node})
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+
+		poll(true)
+
+		reports := g.count()
+
+		for range 20 {
+			poll(false)
+		}
+
+		require.Equal(t, reports, g.count())
+	})
+}
+
 // The control VMs' network fails towards all processes but one. Only a share of the
 // directory may be believed dead each minute, and it is whole again soon after.
 func TestControlFaultDoesNotEmptyTheDirectory(t *testing.T) {
--- a/internal/ledger/directory.go
+++ b/internal/ledger/directory.go
@@ -64,7 +64,7 @@
 	next := proto.CloneOf(node)
 	next.Leaving = next.Leaving || staysLeaving(node, held, departed)
 
-	if held != nil && sameNode(held, next) {
+	if proto.Equal(held, next) {
 		return false
 	}
 
@@ -114,13 +114,6 @@
 	return departed.GetGone() && node.GetIncarnation() == departed.GetIncarnation()
 }
 
-func sameNode(a, b *wire.Node) bool {
-	b = proto.CloneOf(b)
-	b.Report = a.GetReport()
-
-	return proto.Equal(a, b)
-}
-
 func (l *Ledger) depart(index uint64, node *wire.Node, gone bool) bool {
 	l.records.remove(index, NodePrefix+node.GetID())
 	l.directory.remember(l.clock.now(), node, gone)
--- a/internal/ledger/directory_test.go
+++ b/internal/ledger/directory_test.go
@@ -42,6 +42,21 @@
 	}
 }
 
+// An agent changes and changes back between two polls. Its number must be kept
+// though its words are the same, or the words between would win later.
+func TestReportThatChangesOnlyItsNumber(t *testing.T) {
+	t.Parallel()
+
+	between := agent("a", 1, 2)
+	between.BootID = "between"
+
+	b := newBed(t, ledger.DefaultLimits())
+	b.report(agent("a", 1, 1))
+	b.report(agent("a", 1, 3))
+	b.report(between)
+	require.Equal(t, "boot", b.node("a").GetBootID())
+}
+
 // An agent ends, or is expired while it is only cut off. One that ended must not
 // come back by its last words; one that was expired must, by its next poll.
 func TestDepartedProcesses(t *testing.T) {
