Count the likely swing of a rank's work in the search

Cause: a rank whose work hangs on one popular expert swings with it, and the slowest rank of a step is one that swung up; the search saw only averages. Change: a rank's time counts its work plus 2.07 (the expected maximum of 32 normal values) standard deviations, from the volatility that the tracker sees.

--- a/internal/placement/group_test.go
+++ b/internal/placement/group_test.go
@@ -272,7 +272,7 @@
 			continue
 		}
 		began := time.Now()
-		m := p.decide(now, &placement.Group{Map: current, Load: placement.Load{Tokens: g.tracker.Tokens(), Speed: g.tracker.Speeds()}, Life: g.tracker.Life()})
+		m := p.decide(now, &placement.Group{Map: current, Load: placement.Load{Tokens: g.tracker.Tokens(), Speed: g.tracker.Speeds(), Volatility: g.tracker.Volatility()}, Life: g.tracker.Life()})
 		out.decided += time.Since(began)
 		if m == nil {
 			continue
--- a/internal/placement/layer.go
+++ b/internal/placement/layer.go
@@ -6,6 +6,10 @@
 	"slices"
 )
 
+// swing is how many standard deviations the slowest of some tens of ranks lies
+// above its own mean: the expected maximum of 32 normal values.
+const swing = 2.07
+
 // layer is the working state of one layer during a decision. Its slices are
 // reused from layer to layer, so that a decision allocates little.
 type layer struct {
@@ -20,6 +24,10 @@
 	work, pace []float64
 	live       uint64
 	speedSum   float64
+	// spread sums the squares of the shares of a rank's experts, and risk is how
+	// much of its root counts as work.
+	spread []float64
+	risk   float64
 }
 
 // load sets w to layer l of m under d. Slots of ranks that are out keep their
@@ -34,6 +42,7 @@
 	w.slots = append(w.slots[:0], slots...)
 	w.scaleTokens(d.Tokens[l*s.Experts : (l+1)*s.Experts])
 	w.setSpeeds(d)
+	w.risk = swing * d.Volatility
 	w.count()
 }
 
@@ -73,6 +82,7 @@
 func (w *layer) count() {
 	w.holders = resize(w.holders, len(w.tokens))
 	w.work = resize(w.work, w.ranks)
+	w.spread = resize(w.spread, w.ranks)
 	for i, e := range w.slots {
 		if r := i / w.slotsPerRank; e != None && w.live&(1<<r) != 0 {
 			w.holders[e] |= 1 << r
@@ -80,26 +90,33 @@
 	}
 	for e, h := range w.holders {
 		if h != 0 {
-			w.shift(h, w.tokens[e]/float64(replicas(h)))
+			w.shift(h, w.tokens[e]/float64(replicas(h)), 1)
 		}
 	}
 }
 
-// shift adds work to every rank of a set.
-func (w *layer) shift(ranks uint64, work float64) {
+// shift adds an expert's share to every rank of a set, or takes it off with sign -1.
+func (w *layer) shift(ranks uint64, share, sign float64) {
 	for ; ranks != 0; ranks &= ranks - 1 {
-		w.work[bits.TrailingZeros64(ranks)] += work
+		r := bits.TrailingZeros64(ranks)
+		w.work[r] += sign * share
+		w.spread[r] += sign * share * share
 	}
 }
 
-// at returns the time that rank r takes for its work plus extra.
-func (w *layer) at(r int, extra float64) float64 { return (w.work[r] + extra) * w.pace[r] }
+// at returns the time that rank r takes for its work plus extra, with square
+// added to its spread. A rank whose work hangs on one popular expert swings
+// with it, and the slowest rank of a step is one that swung up; so the likely
+// swing counts as work.
+func (w *layer) at(r int, extra, square float64) float64 {
+	return (w.work[r] + extra + w.risk*math.Sqrt(max(0, w.spread[r]+square))) * w.pace[r]
+}
 
 // slowest returns the rank that takes longest, and its time. Ranks that are out have no pace and so no time.
 func (w *layer) slowest() (int, float64) {
 	rank, most := 0, -1.0
 	for r := range w.ranks {
-		if t := w.at(r, 0); t > most {
+		if t := w.at(r, 0, 0); t > most {
 			rank, most = r, t
 		}
 	}
@@ -119,7 +136,7 @@
 func (w *layer) time() StepTime {
 	sum := 0.0
 	for r := range w.ranks {
-		sum += w.at(r, 0)
+		sum += w.at(r, 0, 0)
 	}
 	_, most := w.slowest()
 
@@ -141,11 +158,11 @@
 // hold changes the holders of e and moves its work between them.
 func (w *layer) hold(e Expert, holders uint64) {
 	if h := w.holders[e]; h != 0 {
-		w.shift(h, -w.tokens[e]/float64(replicas(h)))
+		w.shift(h, w.tokens[e]/float64(replicas(h)), -1)
 	}
 	w.holders[e] = holders
 	if holders != 0 {
-		w.shift(holders, w.tokens[e]/float64(replicas(holders)))
+		w.shift(holders, w.tokens[e]/float64(replicas(holders)), 1)
 	}
 }
 
--- a/internal/placement/map.go
+++ b/internal/placement/map.go
@@ -219,6 +219,9 @@
 	// Speed is each rank's measured speed; 1 is the ordinary one. Zero or less
 	// means that the rank is out and takes no part in steps.
 	Speed []float64
+	// Volatility is the standard deviation of an expert's tokens from those
+	// expected, as a part of them.
+	Volatility float64
 }
 
 // Live reports whether rank r takes part in steps.
@@ -250,8 +253,9 @@
 func Evaluate(m *Map, d *Load) StepTime {
 	var total StepTime
 	var w layer
+	calm := Load{Tokens: d.Tokens, Speed: d.Speed}
 	for l := range m.Shape.Layers {
-		w.load(m, d, l)
+		w.load(m, &calm, l)
 		t := w.time()
 		total.Slowest += t.Slowest
 		total.Mean += t.Mean
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -186,6 +186,31 @@
 	return moves
 }
 
+// Two maps look alike by the average, but under one of them a rank's work is a
+// single popular expert that swings from minute to minute, and each swing up
+// is a slow step for all. Known swings must make the planner split that expert.
+func TestVolatileExpertIsSplit(t *testing.T) {
+	t.Parallel()
+
+	s := placement.Shape{Layers: 1, Ranks: 4, SlotsPerRank: 5, Experts: 10}
+	m := &placement.Map{Shape: s, Slots: []placement.Expert{
+		0, none, none, none, none, 1, 2, 3, none, none, 4, 5, 6, none, none, 7, 8, 9, none, none,
+	}}
+	tokens := []float64{4, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+	for volatility, want := range map[float64]int{0: 1, 0.5: 2} {
+		g := &placement.Group{Map: m, Life: time.Hour, Load: placement.Load{
+			Tokens: tokens, Speed: []float64{1, 1, 1, 1}, Volatility: volatility,
+		}}
+		d, err := newPlanner().Decide(epoch, g)
+		require.NoError(t, err)
+		if d.Map == nil {
+			d.Map = m
+		}
+		require.GreaterOrEqual(t, bits.OnesCount64(liveReplicas(d.Map, &g.Load, 0, 0)), want)
+		require.Equal(t, want == 1, d.Why == placement.WhyBalanced)
+	}
+}
+
 func TestDecideRefuses(t *testing.T) {
 	t.Parallel()
 
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -146,9 +146,9 @@
 		if r == slowest || w.live&(1<<r) == 0 {
 			continue
 		}
-		t := w.at(r, 0)
+		t := w.at(r, 0, 0)
 		i := len(s.receivers)
-		for i > 0 && w.at(s.receivers[i-1], 0) > t {
+		for i > 0 && w.at(s.receivers[i-1], 0, 0) > t {
 			i--
 		}
 		if i >= maxReceivers {
@@ -177,7 +177,8 @@
 		return
 	}
 	lost := s.shares[e]
-	reached := w.worst(w.holders[e]&^(1<<v.rank), lost/float64(n-1), w.at(v.rank, -lost))
+	more := lost * float64(n) / float64(n-1)
+	reached := w.worst(w.holders[e]&^(1<<v.rank), more-lost, more*more-lost*lost, w.at(v.rank, -lost, -lost*lost))
 	if v.beats(reached, freeCost) {
 		v.take(change{Kind: changeDrop, From: i}, reached, freeCost)
 	}
@@ -210,6 +211,7 @@
 		}
 		if k := replicas(w.holders[b]); k > 1 {
 			t.Others, t.PerOther = w.holders[b]&^(1<<r), t.Freed/float64(k-1)
+			t.Square = (t.Freed+t.PerOther)*(t.Freed+t.PerOther) - t.Freed*t.Freed
 			w.tryCopy(&t, v)
 		}
 	}
@@ -224,11 +226,14 @@
 	Freed    float64
 	Others   uint64
 	PerOther float64
+	// Square is what PerOther adds to the spread of each of Others.
+	Square float64
 }
 
 func (w *layer) trySwap(t *try, v *view) {
 	d := t.Share - t.Freed
-	reached := max(w.at(v.rank, -d), w.at(t.Other, d))
+	square := t.Share*t.Share - t.Freed*t.Freed
+	reached := max(w.at(v.rank, -d, -square), w.at(t.Other, d, square))
 	if v.beats(reached, 2) {
 		v.take(change{Kind: changeSwap, From: t.From, To: t.To}, reached, 2)
 	}
@@ -237,16 +242,17 @@
 // tryCopy tries the fetch into an empty slot, or over a replica that can be
 // spared, as one more replica and as a move.
 func (w *layer) tryCopy(t *try, v *view) {
-	onRank := 0.0
+	onRank, square := 0.0, 0.0
 	if t.Others&(1<<v.rank) != 0 {
-		onRank = t.PerOther
+		onRank, square = t.PerOther, t.Square
 	}
-	moved := max(w.at(v.rank, onRank-t.Share), w.at(t.Other, t.Share-t.Freed))
-	copied := max(w.at(v.rank, onRank-t.Share+t.Next), w.at(t.Other, t.Next-t.Freed))
+	share, next, freed := t.Share*t.Share, t.Next*t.Next, t.Freed*t.Freed
+	moved := max(w.at(v.rank, onRank-t.Share, square-share), w.at(t.Other, t.Share-t.Freed, share-freed))
+	copied := max(w.at(v.rank, onRank-t.Share+t.Next, square-share+next), w.at(t.Other, t.Next-t.Freed, next-freed))
 	if !v.beats(min(moved, copied), 1) {
 		return
 	}
-	others := w.worst(t.Others&^(1<<v.rank), t.PerOther, 0)
+	others := w.worst(t.Others&^(1<<v.rank), t.PerOther, t.Square, 0)
 	if moved = max(moved, others); v.beats(moved, 1) {
 		v.take(change{Kind: changeMove, From: t.From, To: t.To}, moved, 1)
 	}
@@ -256,9 +262,9 @@
 }
 
 // worst returns the slowest of the given ranks with extra work each, or floor.
-func (w *layer) worst(ranks uint64, extra, floor float64) float64 {
+func (w *layer) worst(ranks uint64, extra, square, floor float64) float64 {
 	for ; ranks != 0; ranks &= ranks - 1 {
-		floor = max(floor, w.at(bits.TrailingZeros64(ranks), extra))
+		floor = max(floor, w.at(bits.TrailingZeros64(ranks), extra, square))
 	}
 
 	return floor
@@ -318,7 +324,7 @@
 		if b != None {
 			extra -= w.tokens[b] / float64(replicas(w.holders[b]))
 		}
-		if t := w.at(r, extra); t < least {
+		if t := w.at(r, extra, 0); t < least {
 			slot, least = j, t
 		}
 	}
--- a/internal/popularity/tracker.go
+++ b/internal/popularity/tracker.go
@@ -67,6 +67,8 @@
 // layerState is what is known of one layer's movement.
 type layerState struct {
 	Known bool
+	// Squares sums the squares of the estimated shares.
+	Squares float64
 	// Usual is the usual squared distance between a window and the estimate.
 	Usual float64
 }
@@ -189,12 +191,14 @@
 
 		return
 	}
-	distance := 0.0
+	distance, squares := 0.0, 0.0
 	for i, n := range window {
 		x := n / sum
 		c.add(shares[i]*float64(t.Experts)-1, x*float64(t.Experts)-1)
 		distance += (x - shares[i]) * (x - shares[i])
+		squares += shares[i] * shares[i]
 	}
+	s.Squares = squares
 	gain := s.gain(distance, t.Gain)
 	for i, n := range window {
 		shares[i] += gain * (n/sum - shares[i])
@@ -233,6 +237,21 @@
 	return t.shares
 }
 
+// Volatility returns the standard deviation of an expert's tokens in a window
+// from those expected, as a part of them; 0 before two windows were seen.
+func (t *Tracker) Volatility() float64 {
+	usual, squares := 0.0, 0.0
+	for i := range t.layers {
+		usual += t.layers[i].Usual
+		squares += t.layers[i].Squares
+	}
+	if squares <= 0 {
+		return 0
+	}
+
+	return math.Sqrt(usual / squares)
+}
+
 // Life returns how long a difference in popularity is expected to last: after
 // Life, 1/e of it is left.
 func (t *Tracker) Life() time.Duration { return t.life.value(t.MaxLife) }
