Let operators list, add, promote and remove control VMs

Cause: a lost control VM could not be replaced from outside. Change: a Members service and the member command; list says whether one more control VM may be stopped. Open: entries and agents know control VMs from their settings only.

--- a/cmd/parsleygate/cmds/operator.go
+++ b/cmd/parsleygate/cmds/operator.go
@@ -51,31 +51,6 @@
 	c.Flags().StringVar(&f.operator, "operator", os.Getenv("USER"), "your name, as history shows it")
 }
 
-// clients returns a client for each control VM.
-func (f *operatorFlags) clients() ([]wire.Operator, error) {
-	if len(f.controls) == 0 {
-		return nil, eris.New("--control names no address")
-	}
-
-	client, err := f.client()
-	if err != nil {
-		return nil, err
-	}
-
-	out := make([]wire.Operator, 0, len(f.controls))
-
-	for _, text := range f.controls {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			return nil, eris.Wrapf(err, "--control %q; allowed: IP:port", text)
-		}
-
-		out = append(out, wire.NewOperatorProtobufClient("http://"+address.String(), client))
-	}
-
-	return out, nil
-}
-
 // client returns a client that speaks TLS where keys are named.
 func (f *operatorFlags) client() (*http.Client, error) {
 	dialer := &identity.Dialer{Timeout: f.try}
@@ -93,17 +68,35 @@
 // ask asks the control VMs in order until one answers. Asking the next is safe:
 // plans change nothing, and a decision is made once under its number.
 func ask[T any](ctx context.Context, f *operatorFlags, question func(context.Context, wire.Operator) (T, error)) (T, error) {
-	var none T
+	return askEach(ctx, f, wire.NewOperatorProtobufClient, question)
+}
 
-	clients, err := f.clients()
+// connect makes the client of one service at a base URL.
+type connect[C any] func(base string, client wire.HTTPClient, opts ...twirp.ClientOption) C
+
+// askEach asks one control VM after the other until one answers.
+func askEach[C, T any](ctx context.Context, f *operatorFlags, connect connect[C], question func(context.Context, C) (T, error)) (T, error) {
+	var (
+		none   T
+		faults []error
+	)
+
+	client, err := f.client()
 	if err != nil {
 		return none, err
 	}
 
-	var faults []error
+	if len(f.controls) == 0 {
+		return none, eris.New("--control names no address")
+	}
+
+	for _, text := range f.controls {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return none, eris.Wrapf(err, "--control %q; allowed: IP:port", text)
+		}
 
-	for i, client := range clients {
-		answer, err := question(ctx, client)
+		answer, err := question(ctx, connect("http://"+address.String(), client))
 		if err == nil {
 			return answer, nil
 		}
@@ -112,7 +105,7 @@
 			return none, err
 		}
 
-		faults = append(faults, eris.Wrapf(err, "control VM %s", f.controls[i]))
+		faults = append(faults, eris.Wrapf(err, "control VM %s", text))
 	}
 
 	return none, eris.Wrap(errors.Join(faults...), "no control VM answered")
@@ -126,7 +119,7 @@
 	}
 
 	switch fault.Code() {
-	case twirp.InvalidArgument, twirp.NotFound, twirp.PermissionDenied, twirp.Unauthenticated:
+	case twirp.InvalidArgument, twirp.NotFound, twirp.PermissionDenied, twirp.Unauthenticated, twirp.FailedPrecondition:
 		return true
 	default:
 		return false
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -202,6 +202,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
 	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer(r.server))
+	mux.Handle(wire.MembersPathPrefix, wire.NewMembersServer(&membersService{role: r}))
 	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
 
@@ -217,6 +218,7 @@
 		identity.Rule{Prefix: wire.ControlPathPrefix + "Poll", Roles: followers},
 		identity.Rule{Prefix: wire.ControlPathPrefix, Roles: []identity.Role{identity.RoleEntry}},
 		identity.Rule{Prefix: wire.OperatorPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
+		identity.Rule{Prefix: wire.MembersPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
 		identity.Rule{Prefix: wire.ControlPeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
 		identity.Rule{Prefix: wire.PeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
 	)
