--- a/internal/entry/reuse_test.go
+++ b/internal/entry/reuse_test.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
+	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 
@@ -19,12 +19,13 @@
 
 	var opened atomic.Int64
 
-	a.server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
-		if s == http.StateNew {
+	r := newRig(t, draftService, func(e *Entry) {
+		e.Link.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 			opened.Add(1)
+
+			return (&net.Dialer{}).DialContext(ctx, network, address)
 		}
-	}
-	r := newRig(t, draftService, nil, a)
+	}, a)
 
 	for range 4 {
 		require.Equal(t, 200, r.draft().status)
