--- a/internal/agent/order_test.go
+++ b/internal/agent/order_test.go
@@ -23,7 +23,7 @@
 type engine struct {
 	mu  sync.Mutex
 	got []EngineOrder
-	// hold, if set, keeps each order until it is closed.
+	// hold, if set, keeps each order until something is sent, or it is closed.
 	hold chan struct{}
 	// answer, if set, writes the answer.
 	answer func(w http.ResponseWriter, o EngineOrder)
@@ -62,7 +62,7 @@
 	return newRig(t, httpTarget(t, e.serve), func(a *Agent) {
 		a.HighestOrder = func() (uint64, bool) { return 4, true }
 		a.Settings.OrderSettle = time.Nanosecond
-		a.Settings.OrderTimeout = 200 * time.Millisecond
+		a.Settings.OrderTimeout = time.Second
 	})
 }
 
@@ -126,14 +126,30 @@
 	}()
 
 	require.Eventually(t, func() bool { return len(e.orders()) == 1 }, 5*time.Second, time.Millisecond)
-	require.Equal(t, "Busy", r.give(loadOrder(6, "v6")).GetCause())
 	cancel()
 	require.Error(t, <-first)
-	close(e.hold)
-	require.Eventually(t, func() bool { return r.agent.Dump().RunningOrder == 0 }, 5*time.Second, time.Millisecond)
-	require.Equal(t, "FencedOff", r.give(loadOrder(5, "v5")).GetCause())
-	require.True(t, r.give(loadOrder(6, "v6")).GetDone())
-	require.Len(t, e.orders(), 2)
+
+	again := make(chan *wire.OrderResponse, 1)
+
+	go func() { again <- r.give(loadOrder(5, "v5")) }()
+
+	require.Equal(t, "FencingConflict", r.give(loadOrder(5, "v6")).GetCause())
+	e.hold <- struct{}{}
+	require.True(t, (<-again).GetDone(), "the order went on without its giver")
+
+	go func() { again <- r.give(loadOrder(6, "v6")) }()
+
+	require.Eventually(t, func() bool { return len(e.orders()) == 2 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, "Busy", r.give(loadOrder(7, "v7")).GetCause())
+	e.hold <- struct{}{}
+	require.True(t, (<-again).GetDone())
+	require.Equal(t, "FencedOff", r.give(loadOrder(6, "v6")).GetCause())
+
+	go func() { again <- r.give(loadOrder(7, "v7")) }()
+
+	e.hold <- struct{}{}
+	require.True(t, (<-again).GetDone())
+	require.Len(t, e.orders(), 3)
 }
 
 // An order would count as done that wasn't, or be given up for good. The engine's
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -150,8 +150,19 @@
 func TestBookingIsSentOnce(t *testing.T) {
 	t.Parallel()
 
-	for _, method := range []string{http.MethodPost, http.MethodGet} {
-		t.Run(method, func(t *testing.T) {
+	cases := []struct {
+		method, body string
+		idempotent   bool
+	}{
+		{http.MethodPost, "x", true},
+		{http.MethodGet, "x", true},
+		{http.MethodPost, "x", false},
+		{http.MethodPost, "", false},
+		{http.MethodGet, "", false},
+	}
+
+	for _, tc := range cases {
+		t.Run(fmt.Sprintf("%s %q %v", tc.method, tc.body, tc.idempotent), func(t *testing.T) {
 			t.Parallel()
 
 			var reads atomic.Int64
@@ -166,19 +177,16 @@
 			})
 			r := newRig(t, target.addr(), nil)
 
-			a := r.do(r.request("/draft", "x"))
+			a := r.do(r.request("/draft", "x")) // leaves a kept connection
 			a.requireWhole(t, "ok")
 
-			for _, body := range []string{"x", "x", "", ""} {
-				req := r.booking("/book", body)
-				req.Method = method
-				req.Idempotent = body != "" // the first uses the kept connection
-				req.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}
-				before := reads.Load()
-				a = r.do(req)
-				a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
-				require.Equal(t, before+1, reads.Load(), "the request was read more than once")
-			}
+			req := r.booking("/book", tc.body)
+			req.Method = tc.method
+			req.Idempotent = tc.idempotent
+			req.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}
+			a = r.do(req)
+			a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+			require.EqualValues(t, 2, reads.Load(), "the request was read more than once")
 		})
 	}
 }
@@ -312,7 +320,8 @@
 
 	g := newGate()
 	r := newRig(t, httpTarget(t, g.serve("text/plain")), func(a *Agent) {
-		a.Settings.AskWait = 200 * time.Millisecond
+		a.Settings.AskWait = 300 * time.Millisecond
+		a.Settings.TickEvery = time.Millisecond
 	})
 	req := r.booking("/book", "x")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -331,6 +340,7 @@
 	time.Sleep(20 * time.Millisecond) // lets the agent notice that the entry is gone
 	close(g.release)
 	require.Eventually(t, func() bool { return r.agent.Dump().Load.InFlight == 0 }, 5*time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // an agent that doesn't wait is gone by now
 	require.Equal(t, "first last", string(r.ask(req, true).GetAnswer().GetBody()))
 	r.client.CloseIdleConnections()
 	require.NoError(t, <-drained)
