--- /dev/null
+++ b/internal/admission/example_test.go
@@ -0,0 +1,43 @@
+package admission_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// A target that bears one request at a time: a second one is refused, and so is a
+// copy of the first.
+func ExampleCore() {
+	now := time.Unix(0, 0)
+	c := admission.Core{AgentID: "agent-1", Incarnation: 1, Started: now}
+	c.ChangeView(now, admission.View{Version: 1, FreshUntil: now.Add(time.Minute), ColdLimit: 1, WarmLimit: 8})
+
+	// The second announcement shows that an earlier agent left nothing behind.
+	for range 2 {
+		now = now.Add(time.Second)
+		c.Announce(now, admission.Announcement{BootID: "boot-1", Service: "assist", Capacity: 8, Counted: true})
+	}
+
+	credit := c.Grant(now, admission.GrantAsk{EntryID: "entry-1", Wanted: 4}).Credit
+	first := admission.Arrival{AttemptID: "first", Credit: credit, Service: "assist"}
+	second := admission.Arrival{AttemptID: "second", Credit: credit, Service: "assist"}
+
+	fmt.Println("slots:", credit.Slots)
+	fmt.Println("first:", c.Arrive(now, first).Admitted)
+
+	d := c.Arrive(now, second)
+	fmt.Println("second:", d.Cause, d.Verdict)
+
+	c.Finish(now, "first", admission.Outcome{Verdict: verdict.Ran})
+
+	d = c.Arrive(now, first)
+	fmt.Println("copy:", d.Cause, d.Verdict)
+	// Output:
+	// slots: 1
+	// first: true
+	// second: ColdLimit NotRun
+	// copy: DuplicateAttempt Ran
+}
--- a/internal/agent/order_test.go
+++ b/internal/agent/order_test.go
@@ -63,6 +63,7 @@
 		a.HighestOrder = func() (uint64, bool) { return 4, true }
 		a.Settings.OrderSettle = time.Nanosecond
 		a.Settings.OrderTimeout = time.Second
+		a.Settings.TickEvery = time.Millisecond
 	})
 }
 
@@ -152,6 +153,31 @@
 	require.Len(t, e.orders(), 3)
 }
 
+// An engine would be left half-way through an order by a planned stop.
+func TestDrainWaitsForAnOrder(t *testing.T) {
+	t.Parallel()
+
+	e := &engine{hold: make(chan struct{})}
+	r := orderRig(t, e)
+	given := make(chan *wire.OrderResponse, 1)
+	drained := make(chan error, 1)
+
+	go func() { given <- r.give(loadOrder(5, "v5")) }()
+
+	require.Eventually(t, func() bool { return len(e.orders()) == 1 }, 5*time.Second, time.Millisecond)
+
+	go func() { drained <- r.agent.Drain(context.Background()) }()
+
+	require.Eventually(t, func() bool { return r.agent.Node().GetLeaving() }, 5*time.Second, time.Millisecond)
+	require.Equal(t, "Leaving", r.give(loadOrder(6, "v6")).GetCause())
+	time.Sleep(20 * time.Millisecond) // an agent that doesn't wait is gone by now
+	require.Empty(t, drained)
+	close(e.hold)
+	require.True(t, (<-given).GetDone())
+	r.client.CloseIdleConnections()
+	require.NoError(t, <-drained)
+}
+
 // An order would count as done that wasn't, or be given up for good. The engine's
 // answer is lost, crossed, half or empty, or the engine is gone.
 func TestEngineAnswerFaults(t *testing.T) {
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -144,6 +144,36 @@
 	})
 }
 
+// A slow caller would lose a good answer: it pauses for longer than the target may
+// be silent, while the target has more to send.
+func TestSlowReaderIsNoSilentTarget(t *testing.T) {
+	t.Parallel()
+
+	body := strings.Repeat("0123456789abcdef", 1<<19)
+	target := httpTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	r := newRig(t, target, func(a *Agent) { a.Settings.TargetSilence = 100 * time.Millisecond })
+	resp, frames := r.open(context.Background(), r.request("/draft", "x"))
+
+	defer resp.Body.Close()
+
+	var (
+		a    answer
+		text strings.Builder
+	)
+
+	a.add(frames)
+	time.Sleep(300 * time.Millisecond)
+
+	for a.end == nil && a.err == nil && a.refusal == nil {
+		a.body = ""
+		a.add(frames)
+		text.WriteString(a.body)
+	}
+
+	a.body = text.String()
+	a.requireWhole(t, body)
+}
+
 // A booking would be made twice: the service closes a kept connection as the
 // booking is written, and the HTTP client sends it again by itself, all the more
 // with an Idempotency-Key header.
