Ramp faster, and from the floor when a zone returns

Cause: from 2 to 32 a target took 21 s with requests of 1 s; a returning zone's targets got their warm limit at once. Change: growth of 1 a completed request (slow start), still at most double in a second; a target whose zone or itself was out falls to its floor when it is back.

--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -105,3 +105,40 @@
 		runtime.KeepAlive(bn)
 	}
 }
+
+// BenchmarkRamp reports how long a saturated target takes from a limit of 2 to 32.
+func BenchmarkRamp(b *testing.B) {
+	for _, takes := range []time.Duration{100 * time.Millisecond, time.Second, 10 * time.Second} {
+		b.Run(takes.String(), func(b *testing.B) {
+			for range b.N {
+				bn := newBench(b, 2, 32)
+				bn.announce("boot-2", false)
+
+				begun := bn.now
+				ends := map[time.Time][]Arrival{}
+
+				for bn.core.Load().Cold {
+					for _, r := range ends[bn.now] {
+						bn.core.FirstToken(bn.now, r.AttemptID)
+						bn.ran(r, nil)
+					}
+
+					delete(ends, bn.now)
+
+					for {
+						r := bn.arrival(bn.grant("entry-1", 64))
+						if !bn.core.Arrive(bn.now, r).Admitted {
+							break
+						}
+
+						ends[bn.now.Add(takes)] = append(ends[bn.now.Add(takes)], r)
+					}
+
+					bn.pass(10 * time.Millisecond)
+				}
+
+				b.ReportMetric(bn.now.Sub(begun).Seconds(), "s-to-warm")
+			}
+		})
+	}
+}
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -60,8 +60,15 @@
 		return
 	}
 
+	returned := c.view.out() && !v.out()
 	c.view = v
 	c.setBounds(now)
+
+	// A target that got no work for a while may have been scaled down or lost its
+	// caches, and with a whole zone all of its targets get work again at once.
+	if returned {
+		c.ramp.fall(now, c.Settings.RampInterval)
+	}
 }
 
 // setBounds takes the limits over. A target that is still ramping must not keep
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -46,7 +46,7 @@
 // allot returns the slots that e may use now. While others wait, an answer gives
 // an entry no more than it has in flight already.
 func (c *Core) allot(now time.Time, e *entry, renewal bool) int {
-	if c.leaving || c.view.ZoneOut || c.view.Retired {
+	if c.leaving || c.view.out() {
 		return 0
 	}
 
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// growth is how much one completed request adds to the limit of a ramping target.
-const growth = 0.25
+// growth is how much one completed request adds to the limit of a ramping target,
+// so that it doubles in the time that requests take (slow start).
+const growth = 1.0
 
 // ramp holds the limit on requests in flight between the cold and the warm limit.
 //
--- a/internal/admission/ramp_test.go
+++ b/internal/admission/ramp_test.go
@@ -39,6 +39,10 @@
 			b.core.Tick(b.now)
 			b.announce("boot-1", false)
 		}, true},
+		{"zone returned", func(b *bench) {
+			b.view(View{Version: 2, FreshUntil: start.Add(time.Hour), ZoneOut: true, ColdLimit: 2, WarmLimit: 32})
+			b.view(View{Version: 3, FreshUntil: start.Add(time.Hour), ColdLimit: 2, WarmLimit: 32})
+		}, true},
 		{"late first tokens", func(b *bench) { b.serve(slowInRow, 10*usual) }, true},
 		{"missing first tokens", func(b *bench) {
 			for range slowInRow {
