--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -211,53 +211,6 @@
 	}
 }
 
-// Drain refuses new work as not run, lets all in flight finish, and then ends
-// Run. An ended ctx gives up waiting and returns its error; Run goes on then.
-func (a *Agent) Drain(ctx context.Context) error {
-	a.prepare()
-	a.door.leave()
-	a.desk.leave()
-	a.Logger.Info("Agent is leaving.")
-
-	t := time.NewTicker(a.Settings.TickEvery)
-	defer t.Stop()
-
-	for !a.idle() {
-		select {
-		case <-ctx.Done():
-			return eris.Wrap(ctx.Err(), "requests are still in flight")
-		case <-t.C:
-		}
-	}
-
-	var err error
-
-	a.leave.Do(func() {
-		<-a.listened
-
-		err = a.server.Shutdown(ctx)
-		close(a.drained)
-	})
-
-	return eris.Wrap(err, "shut the server down")
-}
-
-// idle reports whether a leaving agent may go: nothing is in flight, no order is at
-// the engine, and no entry may still ask for an answer that didn't reach it.
-func (a *Agent) idle() bool {
-	_, order := a.desk.state()
-	now := a.Now()
-
-	return order == 0 && a.door.drained(now) && now.UnixNano() >= a.keepUntil.Load()
-}
-
-// undelivered notes that an answer didn't reach its entry, which may ask for it
-// over another connection. An agent that left at once would make a booking that
-// ran into one that may have run.
-func (a *Agent) undelivered(now time.Time) {
-	a.keepUntil.Store(now.Add(a.Settings.AskWait).UnixNano())
-}
-
 // Node reports the agent for the membership.
 func (a *Agent) Node() *wire.Node {
 	a.prepare()
--- /dev/null
+++ b/internal/agent/cold_test.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// A target that turns cold would be filled by callers, and those who give up on it
+// would be replaced by others while it still works for them.
+func TestColdTarget(t *testing.T) {
+	t.Parallel()
+
+	t.Run("late first tokens drop the limit", func(t *testing.T) {
+		t.Parallel()
+
+		var cold atomic.Bool
+
+		r := newRig(t, httpTarget(t, func(w http.ResponseWriter, r *http.Request) {
+			if cold.Load() {
+				time.Sleep(150 * time.Millisecond)
+			}
+
+			ok(w, r)
+		}), func(a *Agent) { a.Settings.Admission.RampInterval = time.Nanosecond })
+		r.view.Store(&admission.View{Version: 8, FreshUntil: time.Now().Add(time.Hour), ColdLimit: 1, WarmLimit: 2})
+
+		for r.agent.Dump().Load.Cold {
+			r.do(r.request("/draft", "x"))
+		}
+
+		for range 16 {
+			r.do(r.request("/draft", "x"))
+		}
+
+		require.EqualValues(t, 2, r.agent.Dump().Load.Limit)
+		cold.Store(true)
+
+		for range 4 {
+			r.do(r.request("/draft", "x"))
+		}
+
+		require.EqualValues(t, 1, r.agent.Dump().Load.Limit)
+	})
+	t.Run("a cancelled request counts for a while", func(t *testing.T) {
+		t.Parallel()
+
+		g := newGate()
+		r := newRig(t, httpTarget(t, g.serve("text/plain")), func(a *Agent) { a.Settings.Admission.SettleFor = time.Hour })
+		r.view.Store(&admission.View{Version: 8, FreshUntil: time.Now().Add(time.Hour), ColdLimit: 1, WarmLimit: 2})
+		r.announce("boot-2")
+
+		ctx, cancel := context.WithCancel(context.Background())
+		resp, _ := r.open(ctx, r.request("/draft", "x"))
+		<-g.started
+		cancel()
+		resp.Body.Close()
+		<-g.gone
+		require.Eventually(t, func() bool { return r.agent.Dump().Load.InFlight == 0 }, 5*time.Second, time.Millisecond)
+
+		a := r.do(r.request("/draft", "x"))
+		a.requireRefused(t, wire.Verdict_NotRun, "ColdLimit")
+	})
+}
