--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -45,6 +46,16 @@
 	return out
 }
 
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	var stats runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+
+	return int64(stats.HeapAlloc)
+}
+
 // BenchmarkSnapshot measures snapshot and restore against the size of the state.
 func BenchmarkSnapshot(b *testing.B) {
 	sizes := []struct{ workspaces, nodes, claims int }{
@@ -53,7 +64,9 @@
 
 	for _, s := range sizes {
 		name := fmt.Sprintf("workspaces=%d/nodes=%d/claims=%d", s.workspaces, s.nodes, s.claims)
+		before := heap()
 		state := filled(b, s.workspaces, s.nodes, s.claims)
+		used := heap() - before
 
 		var data []byte
 
@@ -63,6 +76,7 @@
 			}
 
 			b.ReportMetric(float64(len(data)), "B")
+			b.ReportMetric(float64(used), "heap-B")
 		})
 		b.Run(name+"/restore", func(b *testing.B) {
 			for b.Loop() {
