--- a/internal/quorum/cases_test.go
+++ b/internal/quorum/cases_test.go
@@ -13,10 +13,10 @@
 	"github.com/parsleygate/parsleygate/internal/quorum"
 )
 
-// TestCases runs the named cases in testdata. Each file opens with its story.
+// TestCases runs the named cases in testdata/cases. Each file opens with its story.
 func TestCases(t *testing.T) {
 	t.Parallel()
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/cases", func(t *testing.T, path string) {
 		c := &script{ops: map[string]*op{}}
 
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -101,8 +101,10 @@
 		require.NoError(t, err)
 	case "outcome":
 		return c.outcome(args[0])
-	case "learner", "promote", "remove":
-		kind := map[string]quorum.ChangeKind{"learner": quorum.AddLearner, "promote": quorum.Promote, "remove": quorum.Remove}[cmd]
+	case "learner", "promote", "remove", "may-stop":
+		kind := map[string]quorum.ChangeKind{
+			"learner": quorum.AddLearner, "promote": quorum.Promote, "remove": quorum.Remove, "may-stop": quorum.CheckStop,
+		}[cmd]
 		c.ops[cmd+args[0]] = w.change(kind, args[0])
 		w.run(time.Second)
 
