Refuse a second stop of a control VM and stops of unknown processes

Two control VMs stopped by one plan, or while the first still finishes, leave too few for a quorum, though each stop alone is safe; the replica's own word came too late for that. A stop of a mistyped process waited for whoever starts under that name.

--- a/internal/intent/names.go
+++ b/internal/intent/names.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/reflect/protoreflect"
@@ -10,32 +11,65 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// checkNames warns of targets and processes that the directory does not hold,
-// which may be mistyped, and refuses stops that the control VMs cannot bear yet.
+// checkNames warns of targets that the directory does not hold, which may be
+// mistyped, and refuses stops of unknown processes.
 func checkNames(base Base, p *wire.Plan) {
-	nodes := map[string]bool{}
+	nodes := map[string]*wire.Node{}
 
 	for _, r := range base.Records {
 		if node := r.GetNode(); node != nil {
-			nodes[node.GetID()] = true
+			nodes[node.GetID()] = node
+		}
+	}
+
+	for _, c := range p.GetChanges() {
+		if id := c.GetAfter().GetTargetPolicy().GetAgentID(); id != "" && nodes[id] == nil {
+			p.Warnings = append(p.Warnings, fmt.Sprintf("no process %s is in the directory now", id))
+		}
+
+		if id := c.GetAfter().GetStop().GetNodeID(); id != "" && nodes[id] == nil {
+			p.Refusals = append(p.Refusals, fmt.Sprintf("no process %s is in the directory now, so none can be stopped", id))
+		}
+	}
+
+	checkControlStops(base, nodes, p)
+}
+
+// checkControlStops refuses stops that the control VMs cannot bear: a second one
+// while the first VM still finishes would leave too few for a quorum, though
+// each alone is safe. Once it is gone, StopUnsafe sees that a replica is missing.
+func checkControlStops(base Base, nodes map[string]*wire.Node, p *wire.Plan) {
+	var pending []string
+
+	for _, r := range base.Records {
+		if id := r.GetStop().GetNodeID(); nodes[id].GetKind() == wire.NodeKind_NodeControl {
+			pending = append(pending, id)
 		}
 	}
 
 	for _, c := range p.GetChanges() {
 		id := c.GetAfter().GetStop().GetNodeID()
-		if id != "" && base.StopUnsafe != nil {
+		if id == "" {
+			continue
+		}
+
+		if base.StopUnsafe != nil {
 			if why := base.StopUnsafe(id); why != "" {
 				p.Refusals = append(p.Refusals, fmt.Sprintf("stopping %s is not safe yet: %s", id, why))
 			}
 		}
 
-		if id == "" {
-			id = c.GetAfter().GetTargetPolicy().GetAgentID()
+		if nodes[id].GetKind() != wire.NodeKind_NodeControl {
+			continue
 		}
 
-		if id != "" && !nodes[id] {
-			p.Warnings = append(p.Warnings, fmt.Sprintf("no process %s is in the directory now", id))
+		others := slices.DeleteFunc(slices.Clone(pending), func(other string) bool { return other == id })
+		if len(others) > 0 {
+			p.Refusals = append(p.Refusals, fmt.Sprintf("stopping %s is not safe yet: the stop of %s is not over",
+				id, strings.Join(others, ", ")))
 		}
+
+		pending = append(pending, id)
 	}
 }
 
--- a/internal/intent/plan_test.go
+++ b/internal/intent/plan_test.go
@@ -66,6 +66,11 @@
 		}
 	}
 
+	for i := range 3 {
+		node := &wire.Node{ID: fmt.Sprintf("control-%d", i+1), Kind: wire.NodeKind_NodeControl, Zone: "saraburi", Incarnation: 5}
+		base.Records = append(base.Records, &wire.Record{Key: "Node/" + node.GetID(), Version: 8, Value: &wire.Record_Node{Node: node}})
+	}
+
 	changes, err := declaration.Changes(base)
 	require.NoError(t, err)
 
