Weigh packing two layers from scratch in each decision

Change: two layers a decision, in turn, are also packed from scratch, with sets given to the ranks that hold most of them, and taken where that is worth its copies. What it gains beyond the search counts for as long as such gains were seen to last, taken or not, apart from single changes. Conclusion: kept with two.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -30,11 +30,19 @@
 	work    layer
 	scratch scratch
 	results []result
-	past    persistence
+	// past looks back on single changes, packed on layers packed from scratch.
+	past, packed persistence
 	// horizon is how long gains count in the present decision, in seconds.
 	horizon float64
+	packing packScratch
+	// next is the first layer that the next decision tries to pack.
+	next int
 }
 
+// packEach is how many layers a decision tries to pack from scratch, in turn.
+// Packing finds what single changes cannot, but takes as long as the whole search.
+const packEach = 2
+
 // Group is what a decision is made from.
 type Group struct {
 	Map  *Map
@@ -106,9 +114,11 @@
 
 // result is what the search found for one layer.
 type result struct {
-	Layer  int
-	Saved  float64
-	Copies int
+	Layer int
+	// Saved is the layer time saved by single changes, and Value what all
+	// changes are worth, in seconds.
+	Saved, Value float64
+	Copies       int
 	// Forced copies repair the layer and are not weighed.
 	Forced int
 	slots  []Expert
@@ -119,7 +129,7 @@
 
 // perCopy is the time saved for each copy.
 func (x *result) perCopy() float64 {
-	return x.Saved / math.Max(freeCost, float64(x.Copies))
+	return x.Value / math.Max(freeCost, float64(x.Copies))
 }
 
 // Decide weighs the group's present map against what a local search finds from
@@ -130,6 +140,7 @@
 	}
 
 	p.past.observe(now, g, &p.work)
+	p.packed.observe(now, g, &p.work)
 	p.horizon = p.past.horizon(g.Life)
 	before := Evaluate(g.Map, &g.Load)
 	d := Decision{Before: before, After: before, Stranded: !fits(g.Map.Shape, &g.Load)}
@@ -143,7 +154,8 @@
 			forced += x.Forced
 		}
 	}
-	p.choose(g, forced, pr, &d)
+	p.next = (p.next + packEach) % g.Map.Shape.Layers
+	p.choose(g, forced, &d)
 
 	return d, nil
 }
@@ -198,17 +210,46 @@
 	w.load(g.Map, &g.Load, l)
 	x := result{Layer: l, Forced: w.repair()}
 	x.Saved, x.Copies = w.improve(pr, &p.scratch)
-	if x.Saved == 0 && equal(w.slots, g.Map.Layer(l)) {
-		return x, false
-	}
-	x.slots = append([]Expert(nil), w.slots...)
+	x.Value = x.Saved * pr.Gain
 	if x.Saved > 0 {
 		x.Last, x.previous = p.scratch.last, append([]Expert(nil), p.scratch.previous...)
 	}
+	if x.Forced == 0 && (l-p.next+g.Map.Shape.Layers)%g.Map.Shape.Layers < packEach {
+		p.pack(g, &x, pr)
+	}
+	if x.slots == nil && x.Saved == 0 && equal(w.slots, g.Map.Layer(l)) {
+		return x, false
+	}
+	if x.slots == nil {
+		x.slots = append([]Expert(nil), w.slots...)
+	}
 
 	return x, true
 }
 
+// pack weighs packing the layer from scratch against what the search found.
+// What packing gains beyond the search counts for as long as such gains were
+// seen to last, whether or not they were taken.
+func (p *Planner) pack(g *Group, x *result, pr price) {
+	w, old := &p.work, g.Map.Layer(x.Layer)
+	found := append([]Expert(nil), w.slots...)
+	w.count()
+	_, before := w.slowest()
+	w.pack(old, &p.packing)
+	_, after := w.slowest()
+	copies := w.copies(old)
+	packed := append([]Expert(nil), w.slots...)
+	w.slots = append(w.slots[:0], found...)
+	if after >= before {
+		return
+	}
+	p.packed.remember(x.Layer, found, packed, before-after)
+	value := x.Value + (before-after)*pr.Gain/p.horizon*p.packed.horizon(g.Life)
+	if value-float64(copies)*pr.Copy > x.Value-float64(x.Copies)*pr.Copy {
+		x.Value, x.Copies, x.slots, x.Saved = value, copies, packed, 0
+	}
+}
+
 func equal(a, b []Expert) bool {
 	for i := range a {
 		if a[i] != b[i] {
@@ -221,13 +262,13 @@
 
 // choose takes the layers that gain most for each copy while the whole still
 // gains by taking more, and fills in d.
-func (p *Planner) choose(g *Group, forced int, pr price, d *Decision) {
+func (p *Planner) choose(g *Group, forced int, d *Decision) {
 	byGain(p.results)
 	saved, copies := 0.0, forced
 	bestNet, taken := 0.0, 0
 	for i := range p.results {
 		x := &p.results[i]
-		saved += x.Saved * pr.Gain
+		saved += x.Value
 		copies += x.Copies
 		net := saved*p.discount(copies) - p.cost(copies)
 		if net > bestNet {
@@ -279,7 +320,7 @@
 	for i := range p.results {
 		x := &p.results[i]
 		if i < taken {
-			if x.Forced == 0 && i >= taken-trialsEach {
+			if x.Saved > 0 && x.Forced == 0 && i >= taken-trialsEach {
 				// The last ones taken were worth least: what is left of their gain says
 				// where to stop.
 				p.past.remember(x.Layer, x.previous, x.slots, x.Last)
