Come back for a cold target's slot before the turn is lost

Cause: agents forget a waiting entry that does not ask again within 100 ms of the time they gave; entries asked every 200 ms. Change: CreditChanged.AskAgainAt is kept; without it a cold target at which the entry has no free slot is asked every 50 ms (was 200 ms).

--- a/internal/routing/decisions_test.go
+++ b/internal/routing/decisions_test.go
@@ -92,9 +92,20 @@
 func (s *script) credit(t *testing.T, d *datadriven.TestData, slots int, life time.Duration) string {
 	t.Helper()
 
+	var (
+		again   int
+		againAt time.Time
+	)
+
+	if d.MaybeScanArgs(t, "again", &again); again > 0 {
+		againAt = s.now.Add(time.Duration(again) * time.Millisecond)
+	}
+
 	for _, id := range d.CmdArgs {
 		if len(id.Vals) == 0 {
-			s.c.Credit(routing.CreditChanged{AgentID: id.Key, Incarnation: 1, Slots: slots, ExpiresAt: s.now.Add(life)})
+			s.c.Credit(routing.CreditChanged{
+				AgentID: id.Key, Incarnation: 1, Slots: slots, ExpiresAt: s.now.Add(life), AskAgainAt: againAt,
+			})
 		}
 	}
 
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -49,6 +49,9 @@
 	// Slots is how many requests this entry may have in flight at the target.
 	Slots     int
 	ExpiresAt time.Time
+	// AskAgainAt is when an entry that got too few slots should ask again to keep
+	// its turn; zero where the agent did not say.
+	AskAgainAt time.Time
 }
 
 // FirstByte says that an answer has begun.
--- a/internal/routing/listen.go
+++ b/internal/routing/listen.go
@@ -111,6 +111,11 @@
 
 	t.slots = ev.Slots
 	t.creditEnds = ev.ExpiresAt
+
+	if !ev.AskAgainAt.IsZero() && t.Cold {
+		t.askAt = ev.AskAgainAt
+	}
+
 	t.reached()
 }
 
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -41,8 +41,11 @@
 	ProbeAfter  time.Duration
 	ProbeAtMost time.Duration
 	// AskEvery is the shortest time between two asks for a credit of one target
-	// (200 ms), AskDownEvery the same for one that can't be reached (1 s).
+	// (200 ms), AskColdEvery the same for a cold one at which this entry has no free
+	// slot and whose agent did not say when to come again (50 ms), AskDownEvery for
+	// one that can't be reached (1 s).
 	AskEvery     time.Duration
+	AskColdEvery time.Duration
 	AskDownEvery time.Duration
 	// ProbesNeeded is how many probes in a row must succeed (2).
 	ProbesNeeded int
@@ -73,6 +76,7 @@
 	orInt(&s.FailureRun, 3)
 	orInt(&s.DownRun, 1)
 	orTime(&s.AskEvery, 200*time.Millisecond)
+	orTime(&s.AskColdEvery, 50*time.Millisecond)
 	orTime(&s.AskDownEvery, time.Second)
 	orFloat(&s.WarmUpAbove, 0.5)
 	orFloat(&s.FailureShare, 0.5)
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -116,15 +116,23 @@
 		return false
 	}
 
-	return !t.creditEnds.After(now.Add(renewBefore)) || wanted > t.wanted || 2*wanted < t.wanted
+	short := t.Cold && t.slots <= t.own
+
+	return short || !t.creditEnds.After(now.Add(renewBefore)) || wanted > t.wanted || 2*wanted < t.wanted
 }
 
-// asked records an ask.
+// asked records an ask. One that finds no slot at a cold target is repeated
+// soon: agents serve those first that have asked longest, and forget who does
+// not come back.
 func (t *target) asked(now time.Time, wanted int, s *Settings) {
 	t.wanted = wanted
-	t.askAt = now.Add(s.AskEvery)
 
-	if t.health.aside.unreachable() {
+	switch {
+	case t.health.aside.unreachable():
 		t.askAt = now.Add(s.AskDownEvery)
+	case t.Cold && t.slots <= t.own:
+		t.askAt = now.Add(s.AskColdEvery)
+	default:
+		t.askAt = now.Add(s.AskEvery)
 	}
 }
