--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,8 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
 	"github.com/parsleygate/parsleygate/internal/orders"
@@ -32,6 +34,12 @@
 	// Address is where the agent listens, unless Listener is set.
 	Address  netip.AddrPort
 	Listener net.Listener
+	// Announce takes announcements only, beside Listener; nil for none.
+	Announce net.Listener
+	// Mount adds further services to the routes of Listener; nil for none.
+	Mount func(chi.Router)
+	// Guard, if set, decides who may use the paths of Listener.
+	Guard func(http.Handler) http.Handler
 	// View returns what the control configuration says now. It is called for each
 	// request, from many goroutines, and must not block.
 	View func() admission.View
@@ -55,6 +63,8 @@
 	target   targetState
 	counters counters
 	dialer   targetDialer
+	// pending counts the bytes of requests that are read or in flight.
+	pending  *semaphore.Weighted
 	server   *http.Server
 	bound    netip.AddrPort
 	listened chan struct{}
@@ -84,6 +94,7 @@
 		a.Settings.fill()
 		a.counters = newCounters(a.Metrics)
 		a.dialer = newTargetDialer(a.Settings)
+		a.pending = semaphore.NewWeighted(int64(a.Settings.MaxPendingBytes))
 		a.listened = make(chan struct{})
 		a.drained = make(chan struct{})
 		a.door.view = a.View
@@ -110,16 +121,20 @@
 	defer cancel()
 
 	a.server = &http.Server{
-		Handler:           a.routes(),
+		Handler:           a.guarded(),
 		ReadHeaderTimeout: a.Settings.ReadTimeout,
 		IdleTimeout:       a.Settings.IdleTimeout,
 		MaxHeaderBytes:    a.Settings.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(a.Logger.Handler(), slog.LevelDebug),
+		ConnContext:       boundAcks(a.Settings.AckTimeout),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	close(a.listened)
 	a.Logger.Info("Agent listens.", "address", a.bound, "incarnation", a.Incarnation)
 
+	stopAnnounce := a.serveAnnouncements()
+	defer stopAnnounce()
+
 	served := make(chan error, 1)
 	go func() { served <- a.server.Serve(ln) }()
 
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -8,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -75,6 +74,7 @@
 	leaders          map[uint64]string
 	broken           []string
 	messages, chunks int
+	told             int // how often a host learnt that it was removed
 	appendBytes      int
 }
 
@@ -173,7 +173,14 @@
 		return
 	}
 
-	if err := h.core.Err(); err != nil {
+	var removed *quorum.RemovedError
+
+	if err := h.core.Err(); errors.As(err, &removed) {
+		w.told++
+		w.restart(h) // as a service manager would
+
+		return
+	} else if err != nil {
 		w.fail("%s: %v", h.id, err)
 	}
 
@@ -220,6 +227,10 @@
 	for _, a := range b.Answers {
 		if o := w.ops[a.ID]; o != nil {
 			o.answer, o.notRun = a.Verdict, a.Verdict == verdict.NotRun
+			if a.Verdict == verdict.Ran {
+				w.tick++
+				o.ret = w.tick
+			}
 		}
 	}
 
@@ -366,150 +377,3 @@
 		w.step(h, quorum.Compacted{Index: h.applied, Data: []byte(strings.Join(h.state, " "))})
 	}
 }
-
-func (w *world) post(ms []quorum.Message) {
-	for _, m := range ms {
-		w.messages++
-
-		if c, ok := m.Body.(quorum.Chunk); ok && len(c.Data) > 0 {
-			w.chunks++
-		}
-
-		for range 2 {
-			if w.rng.Float64() >= w.drop {
-				w.net = append(w.net, parcel{at: w.now.Add(1 + time.Duration(w.rng.Int64N(int64(w.delay)))), m: m})
-			}
-
-			if w.rng.Float64() >= w.dup {
-				break
-			}
-		}
-	}
-}
-
-// run lets time pass, with deliveries and ticks in their order.
-func (w *world) run(d time.Duration) {
-	until := w.now.Add(d)
-
-	for len(w.broken) == 0 {
-		at, event := w.next()
-		if event == nil || at.After(until) {
-			break
-		}
-
-		if at.After(w.now) {
-			w.now = at
-		}
-
-		event()
-	}
-
-	w.now = until
-}
-
-// next returns what happens next, and when.
-func (w *world) next() (time.Time, func()) {
-	var (
-		at    time.Time
-		event func()
-	)
-
-	for i, p := range w.net {
-		h := w.host(p.m.To)
-		due := p.at
-
-		if h != nil && h.stalled.After(due) {
-			due = h.stalled
-		}
-
-		if event == nil || due.Before(at) {
-			at, event = due, func() { w.deliver(i) }
-		}
-	}
-
-	for _, h := range w.hosts {
-		if h.core == nil {
-			continue
-		}
-
-		due := h.core.Deadline().Add(-h.skew)
-		if h.stalled.After(due) {
-			due = h.stalled
-		}
-
-		if event == nil || due.Before(at) {
-			at, event = due, func() { w.step(h, quorum.Tick{}) }
-		}
-	}
-
-	return at, event
-}
-
-func (w *world) deliver(i int) {
-	m := w.net[i].m
-	w.net = slices.Delete(w.net, i, i+1)
-
-	if h := w.host(m.To); h != nil && !w.cut[[2]string{m.From, m.To}] {
-		w.step(h, quorum.Received{Message: m})
-	}
-}
-
-func (w *world) isolate(id string, cut bool) {
-	for _, h := range w.hosts {
-		w.cut[[2]string{h.id, id}] = cut
-		w.cut[[2]string{id, h.id}] = cut
-	}
-}
-
-func (w *world) heal() {
-	clear(w.cut)
-	w.drop, w.dup, w.delay = 0, 0, time.Millisecond
-
-	for _, h := range w.hosts {
-		h.stalled, h.crash = time.Time{}, noCrash
-
-		if h.core == nil {
-			w.restart(h)
-		}
-	}
-}
-
-// history checks that what clients saw is what one copy would have shown them.
-// A command without an answer counts if it was ever applied, at its place then.
-func (w *world) history() porcupine.CheckResult {
-	var ops []porcupine.Operation
-
-	for _, o := range w.ops {
-		ret := o.ret
-		if place := w.places[o.command]; ret == 0 && place != 0 {
-			ret, o.place = w.tick+1, place
-		}
-
-		if ret != 0 && o.command != "members" {
-			ops = append(ops, porcupine.Operation{Input: o, Call: o.call, Return: ret})
-		}
-	}
-
-	return porcupine.CheckOperationsTimeout(listModel(), ops, 2*time.Second)
-}
-
-// list is one copy of the state: the number of commands, and the last one.
-type list struct {
-	n    int
-	last string
-}
-
-func listModel() porcupine.Model {
-	return porcupine.Model{
-		Init: func() any { return list{} },
-		Step: func(state, input, _ any) (bool, any) {
-			l, o := state.(list), input.(*op)
-
-			if o.command == "" {
-				return o.place == l.n && o.value == l.last, l
-			}
-
-			return o.place == l.n+1, list{n: l.n + 1, last: o.command}
-		},
-	}
-}
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -4,8 +4,11 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
@@ -13,8 +16,11 @@
 	"github.com/parsleygate/parsleygate/internal/admission"
 	"github.com/parsleygate/parsleygate/internal/agent"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/rank"
 	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 // Agent is the agent role. Its fields are set before Run.
@@ -24,14 +30,20 @@
 	Zone        string
 	Incarnation uint64
 	Listener    net.Listener
-	Controls    *Controls
-	Settings    agent.Settings
-	Logs        logs.Output
-	Dump        *dump.Dump
+	// Announce takes the target's announcements over loopback, in plaintext; nil
+	// where Listener itself is plaintext.
+	Announce net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
+	Controls *Controls
+	Settings agent.Settings
+	Logs     logs.Output
+	Dump     *dump.Dump
 
 	reader *view.Reader
 	shell  *agent.Agent
 	stop   context.CancelFunc
+	rank   atomic.Pointer[rank.Rank]
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
@@ -47,6 +59,7 @@
 	var g errgroup.Group
 
 	g.Go(func() error { return r.reader.Run(work) })
+	g.Go(func() error { return r.runRank(work) })
 	g.Go(func() error {
 		defer stop()
 
@@ -75,8 +88,10 @@
 	}
 
 	r.shell = &agent.Agent{
-		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation, Listener: r.Listener,
-		View: r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
+		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation,
+		Listener: identity.MaybeAccept(r.Identity, r.Listener), Announce: r.Announce, Guard: guardAgent,
+		Mount: func(routes chi.Router) { routes.Mount(wire.RankPathPrefix, wire.NewRankServer(&rankService{role: r})) },
+		View:  r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
 	}
 	r.reader = &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
@@ -88,6 +103,18 @@
 	r.Dump.Add("Agent", func() any { return r.shell.Dump() })
 }
 
+// guardAgent lets entries send requests and ask, and control VMs give orders.
+func guardAgent(next http.Handler) http.Handler {
+	return identity.Guard(next,
+		identity.Rule{Prefix: agent.RequestPath, Roles: []identity.Role{identity.RoleEntry}},
+		identity.Rule{Prefix: wire.AgentPathPrefix + "Give", Roles: []identity.Role{identity.RoleControl}},
+		identity.Rule{Prefix: wire.AgentPathPrefix, Roles: []identity.Role{identity.RoleEntry, identity.RoleControl}},
+		identity.Rule{Prefix: wire.RankPathPrefix + "Ask", Roles: []identity.Role{identity.RoleAgent}},
+		identity.Rule{Prefix: wire.RankPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+		identity.Rule{Prefix: agent.DumpPath, Roles: []identity.Role{identity.RoleOperator}},
+	)
+}
+
 // view tells the agent's door what the configuration says of its target.
 func (r *Agent) view() admission.View {
 	s := r.reader.Snapshot()
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -14,6 +14,8 @@
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/expertgroup"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
@@ -36,6 +38,8 @@
 	// Incarnation is fresh at each start.
 	Incarnation uint64
 	Listener    net.Listener
+	// Identity is nil for plaintext.
+	Identity *identity.Identity
 	// Dir is the data folder, which this VM alone uses.
 	Dir string
 	// Founders are the first control VMs of a new deployment, the same list at each.
@@ -45,9 +49,14 @@
 	Logs  logs.Output
 	Dump  *dump.Dump
 
-	server  *control.Server
-	replica *replica.Replica
-	client  *http.Client
+	// Experts tunes the expert maps of groups; the zero value stands for the defaults.
+	Experts expertgroup.Settings
+
+	server   *control.Server
+	director *expertgroup.Director
+	replica  *replica.Replica
+	client   *http.Client
+	view     groupView
 }
 
 // Server returns the server, which exists after Build.
@@ -63,10 +72,10 @@
 	}
 
 	address, _ := netip.ParseAddrPort(r.Listener.Addr().String())
-	r.client = NewControls(nil).client
+	r.client = NewControls(nil, r.Identity).client
 	r.replica = &replica.Replica{
 		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Addr: address, Founders: r.Founders,
-		Logger: r.Logs.Logger("replica"),
+		Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
 	r.server = &control.Server{
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
@@ -74,6 +83,8 @@
 		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
 		Logger: r.Logs.Logger("control"),
 	}
+	r.director = r.newDirector()
+	r.server.OnGroup = r.director.Applied
 	r.server.Init()
 	r.replica.Apply = r.server.Apply
 	r.replica.Snapshot = r.server.Snapshot
@@ -137,8 +148,9 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.replica.Run(work) })
 	g.Go(func() error { return r.server.Run(work) })
+	g.Go(func() error { return r.director.Run(work) })
 	g.Go(func() error {
-		if err := web.Serve(r.Listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := web.Serve(identity.MaybeAccept(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
 		}
 
@@ -190,8 +202,24 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
 	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer(r.server))
+	mux.Handle(wire.MembersPathPrefix, wire.NewMembersServer(&membersService{role: r}))
 	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
 
-	return mux
+	return guardControl(mux)
+}
+
+// guardControl lets entries claim, entries and agents follow, operators decide,
+// and control VMs agree among themselves.
+func guardControl(next http.Handler) http.Handler {
+	followers := []identity.Role{identity.RoleEntry, identity.RoleAgent}
+
+	return identity.Guard(next,
+		identity.Rule{Prefix: wire.ControlPathPrefix + "Poll", Roles: followers},
+		identity.Rule{Prefix: wire.ControlPathPrefix, Roles: []identity.Role{identity.RoleEntry}},
+		identity.Rule{Prefix: wire.OperatorPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
+		identity.Rule{Prefix: wire.MembersPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
+		identity.Rule{Prefix: wire.ControlPeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+		identity.Rule{Prefix: wire.PeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
+	)
 }
