Tell callers the window of their key, and stop a control VM by plan

Cause: callers were not told for how long a key is remembered, and a planned stop of a control VM was decided but nobody carried it out. Change: Parsleygate-Key-Window on keyed answers; a control VM that is to stop hands leadership over and ends. An agent's view no longer builds its whole report for each request. Conclusion: booking table asserts the header; the stop has no test yet.

--- a/internal/entry/booking_fault_test.go
+++ b/internal/entry/booking_fault_test.go
@@ -124,6 +124,9 @@
 			r := newRig(t, bookingService, nil, shared, shared.sibling(t, "agent-2"))
 
 			first := r.book("cask-17")
+			require.NotEmpty(t, first.window)
+
+			first.window = ""
 			require.Equal(t, c.want, first)
 
 			again := r.book("cask-17")
@@ -142,7 +145,9 @@
 	a := newFakeAgent(t, "agent-1", booked)
 	r := newRig(t, bookingService, nil, a)
 
-	require.Equal(t, 201, r.book("cask-17").status)
+	first := r.book("cask-17")
+	require.Equal(t, 201, first.status)
+	require.NotEmpty(t, first.window, "callers are told for how long a key is remembered")
 
 	got := r.post(bookingService+"/v1/bookings", `{"Slot":"kiln-3"}`, HeaderKey, "cask-17")
 	require.Equal(t, 422, got.status)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -29,8 +29,10 @@
 	HeaderKey      = "Idempotency-Key"
 	HeaderVerdict  = "Parsleygate-Verdict"
 	HeaderCause    = "Parsleygate-Cause"
-	headerPrefix   = "Parsleygate-"
-	lastEventID    = "Last-Event-ID"
+	// HeaderKeyWindow is for how long a key is remembered, in seconds from its claim.
+	HeaderKeyWindow = "Parsleygate-Key-Window"
+	headerPrefix    = "Parsleygate-"
+	lastEventID     = "Last-Event-ID"
 )
 
 // maxIDLength bounds request ids, keys and workspace names, in bytes.
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -253,6 +253,7 @@
 	cause   string
 	retry   string
 	body    string
+	window  string
 	// cut says that the answer broke off.
 	cut bool
 }
@@ -282,6 +283,7 @@
 	}
 
 	return said{
+		window: resp.Header.Get(HeaderKeyWindow),
 		status: resp.StatusCode, verdict: resp.Header.Get(HeaderVerdict), cause: resp.Header.Get(HeaderCause),
 		retry: resp.Header.Get("Retry-After"), body: string(text), cut: err != nil,
 	}
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -115,6 +116,8 @@
 		return k.ex.ClaimFailed(time.Now())
 	}
 
+	k.tellWindow(r)
+
 	if r.GetState() != wire.ClaimState_ClaimGranted {
 		k.free(verdict.CauseClaims)
 	}
@@ -122,6 +125,14 @@
 	return k.ex.Claimed(time.Now(), r)
 }
 
+// tellWindow tells the caller for how long its key stands for this request: a
+// resend that comes later would run anew.
+func (k *course) tellWindow(r *wire.ClaimResponse) {
+	if s := r.GetWindowMillis() / 1000; s > 0 {
+		k.reply.w.Header().Set(HeaderKeyWindow, strconv.FormatUint(s, 10))
+	}
+}
+
 func (k *course) lookUp(ctx context.Context) exchange.Action {
 	r, err := k.claimRequest(ctx, nil, "")
 	if err != nil {
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -123,7 +123,7 @@
 		ZoneOut: !s.ZoneInUse(r.Zone), Retired: s.Retired(r.ID) || s.Stopping(r.ID),
 	}
 
-	if service, ok := s.Service(r.shell.Node().GetService()); ok {
+	if service, ok := s.Service(r.shell.Service()); ok {
 		v.ColdLimit = service.GetColdLimit()
 		v.WarmLimit = service.GetWarmLimit()
 	}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -160,6 +160,8 @@
 		select {
 		case <-ctx.Done():
 			r.handOver()
+		case <-r.stopPlanned(work):
+			r.handOver()
 		case <-work.Done():
 		}
 
@@ -171,6 +173,32 @@
 	return eris.Wrap(g.Wait(), "run control VM")
 }
 
+// stopCheck is how often a control VM looks whether the operators stop it.
+const stopCheck = 500 * time.Millisecond
+
+// stopPlanned returns a channel that is closed once the operators plan a stop of
+// this VM. Started again, it stays up only when the stop has been removed.
+func (r *Control) stopPlanned(ctx context.Context) <-chan struct{} {
+	planned := make(chan struct{})
+
+	go func() {
+		tick := time.NewTicker(stopCheck)
+		defer tick.Stop()
+
+		for !r.server.Stopping(r.VM) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		}
+
+		close(planned)
+	}()
+
+	return planned
+}
+
 func shutDown(web *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
