Vary how long polls are held

A change answers all held polls at once, so that all readers polled in step from then on; a poll is held for three quarters to the whole of the wait now. Whole runs of the control tests under -race: 0 of 14 failed.

--- a/internal/view/reader.go
+++ b/internal/view/reader.go
@@ -134,7 +134,7 @@
 		Cluster:      r.Cluster,
 		Node:         r.core.self(r.Self()),
 		KnownVersion: r.core.snapshot.Version,
-		WaitMillis:   uint64(r.Settings.Wait.Milliseconds()),
+		WaitMillis:   uint64(r.wait().Milliseconds()),
 	}
 
 	if r.Load != nil {
@@ -148,6 +148,15 @@
 	return request
 }
 
+// wait returns how long the next poll may be held. It varies, since a change
+// answers the polls of all readers at once, and they would poll in step from then on.
+func (r *Reader) wait() time.Duration {
+	return r.Settings.Wait - rand.N(r.Settings.Wait/waitSpread+1)
+}
+
+// waitSpread divides Wait: 4 lets a poll be held for three quarters of it at least.
+const waitSpread = 4
+
 // errStale says that a control VM is not current, and another may be.
 var errStale = eris.New("the control VM is not current")
 
