--- a/internal/control/decide_test.go
+++ b/internal/control/decide_test.go
@@ -127,7 +127,7 @@
 		r := f.start(entry("entry-1", 1), 0)
 
 		for n := range uint64(200) {
-			g.decide(t, 0, n+1, fmt.Sprintf("[Workspace \"w%d\"]\nWeight = %d\n", n%9, n))
+			g.decide(t, 0, n+1, fmt.Sprintf("[Workspace \"w%d\"]\nWeight = %d\n", n%9, n+1))
 		}
 
 		time.Sleep(time.Second)
@@ -136,7 +136,7 @@
 		g.restart(t, 0)
 		time.Sleep(2 * time.Second)
 
-		again := g.decide(t, 0, 150, "[Workspace \"w5\"]\nWeight = 149\n")
+		again := g.decide(t, 0, 150, "[Workspace \"w5\"]\nWeight = 150\n")
 		require.True(t, again.GetRepeated())
 		require.Equal(t, held, r.Snapshot().Version)
 		require.True(t, r.Snapshot().Fresh(time.Now()))
--- a/internal/control/force_test.go
+++ b/internal/control/force_test.go
@@ -156,7 +156,7 @@
 		require.ErrorContains(t, err, "ask another")
 
 		for n := range uint64(300) {
-			g.decide(t, int(n%2), n+3, fmt.Sprintf("[Workspace \"w%d\"]\nWeight = %d\n", n%40, n))
+			g.decide(t, int(n%2), n+3, fmt.Sprintf("[Workspace \"w%d\"]\nWeight = %d\n", n%40, n+1))
 			time.Sleep(12 * time.Second)
 			require.False(t, bound.Snapshot().Fresh(time.Now()))
 		}
@@ -170,7 +170,7 @@
 
 		w, ok := bound.Snapshot().Workspace("w19")
 		require.True(t, ok)
-		require.EqualValues(t, 299, w.GetWeight())
+		require.EqualValues(t, 300, w.GetWeight())
 	})
 }
 
--- a/internal/intent/declaration_test.go
+++ b/internal/intent/declaration_test.go
@@ -39,6 +39,7 @@
 		"bad name":               {"[Zone \"a/b\"]\nOut = true", []string{"f.ini:1", "no proper name"}},
 		"default section":        {"[DEFAULT]\nOut = true", []string{"f.ini:1", "no known section"}},
 		"bad number":             {"[Workspace \"w\"]\nWeight = -1", []string{"f.ini:2", "whole number"}},
+		"weight of nothing":      {"[Workspace \"w\"]\nWeight = 0", []string{"f.ini:2", "from 1 to 1000000"}},
 		"bad priority":           {"[Workspace \"w\"]\nPriority = 1001", []string{"f.ini:2", "-1000 to 1000"}},
 		"bad call":               {"[Service \"s\"]\nIdempotentCalls = GET /a, post /b", []string{"f.ini:2", "METHOD /path"}},
 		"bad time":               {"[Service \"s\"]\nLongestRun = 90", []string{"f.ini:2", "90s"}},
--- a/internal/intent/kinds.go
+++ b/internal/intent/kinds.go
@@ -59,6 +59,7 @@
 	allowedBytes    = "a whole number of bytes"
 	allowedDuration = "a time such as 90s or 2m"
 	allowedCalls    = "METHOD /path, separated by commas"
+	allowedWeight   = "a whole number from 1 to 1000000"
 	allowedPriority = "a whole number from -1000 to 1000"
 	allowedText     = "text"
 )
@@ -113,7 +114,7 @@
 			return &wire.Record{Value: &wire.Record_Workspace{Workspace: &wire.Workspace{Name: name, Weight: 1}}}
 		},
 		fields: []field{
-			count("Weight", func(r *wire.Record) *uint32 { return &r.GetWorkspace().Weight }),
+			{name: "Weight", allowed: allowedWeight, set: setWeight},
 			{name: "Priority", allowed: allowedPriority, set: setPriority},
 		},
 	},
@@ -198,6 +199,20 @@
 	return nil
 }
 
+const maxWeight = 1_000_000
+
+// setWeight refuses a weight of zero, with which a workspace would never get a turn.
+func setWeight(r *wire.Record, value string) error {
+	n, err := strconv.ParseUint(value, 10, 32)
+	if err != nil || n == 0 || n > maxWeight {
+		return errValue
+	}
+
+	r.GetWorkspace().Weight = uint32(n)
+
+	return nil
+}
+
 const maxPriority = 1000
 
 func setPriority(r *wire.Record, value string) error {
