--- a/internal/placement/former_test.go
+++ b/internal/placement/former_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 )
 
 // Former is the first version of the planner, kept as a baseline: it tries all
@@ -33,9 +34,9 @@
 		w.load(g.Map, &calm.Load, l)
 		x := result{Layer: l, Forced: w.repair()}
 		x.Saved, x.Copies = w.formerImprove(pr, &p.scratch)
-		if x.Saved > 0 || !equal(w.slots, g.Map.Layer(l)) {
+		if x.Saved > 0 || !slices.Equal(w.slots, g.Map.Layer(l)) {
 			x.Value, x.slots = x.Saved*pr.Gain, w.slots
-			x.Saved = 0 // nothing is looked back on
+			x.Saved = 0 // so that nothing is looked back on
 			p.results = append(p.results, x)
 			forced += x.Forced
 		}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -35,6 +36,9 @@
 	// horizon is how long gains count in the present decision, in seconds.
 	horizon float64
 	packing packScratch
+	// fits says that the live ranks have slots for all experts; packing without
+	// would leave out those that only a rank that is out can hold.
+	fits bool
 	// next is the first layer that the next decision tries to pack.
 	next int
 }
@@ -143,7 +147,8 @@
 	p.packed.observe(now, g, &p.work)
 	p.horizon = p.past.horizon(g.Life)
 	before := Evaluate(g.Map, &g.Load)
-	d := Decision{Before: before, After: before, Stranded: !fits(g.Map.Shape, &g.Load)}
+	p.fits = fits(g.Map.Shape, &g.Load)
+	d := Decision{Before: before, After: before, Stranded: !p.fits}
 	pr := p.price(g, before)
 	p.results = p.results[:0]
 	forced := 0
@@ -214,10 +219,10 @@
 	if x.Saved > 0 {
 		x.Last, x.previous = p.scratch.last, append([]Expert(nil), p.scratch.previous...)
 	}
-	if x.Forced == 0 && (l-p.next+g.Map.Shape.Layers)%g.Map.Shape.Layers < packEach {
+	if x.Forced == 0 && p.fits && (l-p.next+g.Map.Shape.Layers)%g.Map.Shape.Layers < packEach {
 		p.pack(g, &x, pr)
 	}
-	if x.slots == nil && x.Saved == 0 && equal(w.slots, g.Map.Layer(l)) {
+	if x.slots == nil && x.Saved == 0 && slices.Equal(w.slots, g.Map.Layer(l)) {
 		return x, false
 	}
 	if x.slots == nil {
@@ -249,102 +254,3 @@
 		x.Value, x.Copies, x.slots, x.Saved = value, copies, packed, 0
 	}
 }
-
-func equal(a, b []Expert) bool {
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-
-	return true
-}
-
-// choose takes the layers that gain most for each copy while the whole still
-// gains by taking more, and fills in d.
-func (p *Planner) choose(g *Group, forced int, d *Decision) {
-	byGain(p.results)
-	saved, copies := 0.0, forced
-	bestNet, taken := 0.0, 0
-	for i := range p.results {
-		x := &p.results[i]
-		saved += x.Value
-		copies += x.Copies
-		net := saved*p.discount(copies) - p.cost(copies)
-		if net > bestNet {
-			bestNet, taken = net, i+1
-		}
-	}
-	if taken == 0 && forced == 0 {
-		if len(p.results) > 0 {
-			d.Why = WhyCost
-		}
-
-		return
-	}
-	p.build(g, taken, forced, d)
-}
-
-// discount is the part of a gain that is left after waiting for the copies.
-func (p *Planner) discount(copies int) float64 {
-	return math.Exp(-p.fetchTime(copies) / math.Max(p.horizon, noise))
-}
-
-// fetchTime is how long the store takes for the copies, in seconds.
-func (p *Planner) fetchTime(copies int) float64 {
-	return float64(copies) * float64(p.ExpertBytes) / p.StoreRate
-}
-
-// transferTime is how long the scheduled moves take.
-func (p *Planner) transferTime(moves []Move) time.Duration {
-	var last time.Duration
-	var start time.Time
-	for _, t := range Schedule(moves, p.ExpertBytes, p.Rates(), start) {
-		last = max(last, t.End.Sub(start))
-	}
-
-	return last
-}
-
-// Rates returns what Schedule is to keep to.
-func (p *Planner) Rates() Rates { return Rates{Store: p.StoreRate, Rank: p.RankRate} }
-
-// cost is the working time lost to fetching and switching, in seconds.
-func (p *Planner) cost(copies int) float64 {
-	return p.fetchTime(copies)*(p.Slowdown+p.StorePrice) + p.SwitchPause.Seconds()
-}
-
-// build makes the new map of the first taken results and of all repairs.
-func (p *Planner) build(g *Group, taken, forced int, d *Decision) {
-	m := g.Map.Clone()
-	for i := range p.results {
-		x := &p.results[i]
-		if i < taken {
-			if x.Saved > 0 && x.Forced == 0 && i >= taken-trialsEach {
-				// The last ones taken were worth least: what is left of their gain says
-				// where to stop.
-				p.past.remember(x.Layer, x.previous, x.slots, x.Last)
-			}
-			copy(m.Layer(x.Layer), x.slots)
-		} else if x.Forced > 0 {
-			p.work.load(g.Map, &g.Load, x.Layer)
-			p.work.repair()
-			copy(m.Layer(x.Layer), p.work.slots)
-		}
-	}
-
-	d.Map, d.Why = m, WhyGain
-	if forced > 0 {
-		d.Why = WhyRepair
-	}
-	d.Moves = Moves(g.Map, m)
-	d.After = Evaluate(m, &g.Load)
-	d.Bytes = int64(len(d.Moves)) * p.ExpertBytes
-	d.Transfer = p.transferTime(d.Moves)
-	d.Cost = seconds(d.Transfer.Seconds()*p.Slowdown+p.fetchTime(len(d.Moves))*p.StorePrice) + p.SwitchPause
-	step := p.ExpertFraction*d.Before.Slowest + (1-p.ExpertFraction)*d.Before.Ideal
-	share := p.ExpertFraction * (d.Before.Slowest - d.After.Slowest) / math.Max(step, noise)
-	d.Saved = seconds(share * p.horizon * p.discount(len(d.Moves)))
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,21 +16,20 @@
 var epoch = time.Unix(0, 0)
 
 // drawGroup draws a small group, with some ranks out and some experts idle.
-func drawGroup(t *rapid.T) *placement.Group {
-	s := placement.Shape{
-		Layers:       rapid.IntRange(1, 3).Draw(t, "layers"),
-		Ranks:        rapid.IntRange(2, 6).Draw(t, "ranks"),
-		SlotsPerRank: rapid.IntRange(1, 4).Draw(t, "slots"),
-	}
-	s.Experts = rapid.IntRange(1, s.Ranks*s.SlotsPerRank).Draw(t, "experts")
+func drawGroup(pick func(n int) int) *placement.Group {
+	s := placement.Shape{Layers: 1 + pick(3), Ranks: 2 + pick(5), SlotsPerRank: 1 + pick(4)}
+	s.Experts = 1 + pick(s.Ranks*s.SlotsPerRank)
 	m, err := placement.NewMap(s)
-	require.NoError(t, err)
-	g := &placement.Group{Map: m, Life: time.Duration(rapid.IntRange(0, 1e5).Draw(t, "life")) * time.Second}
+	if err != nil {
+		panic(err)
+	}
+	g := &placement.Group{Map: m, Life: time.Duration(pick(1e5)) * time.Second}
+	tokens, speeds := []float64{0, 0, 1, 2, 10, 100}, []float64{0, 0.05, 0.5, 1, 1, 1}
 	for range s.Layers * s.Experts {
-		g.Load.Tokens = append(g.Load.Tokens, rapid.SampledFrom([]float64{0, 0, 1, 2, 10, 100}).Draw(t, "tokens"))
+		g.Load.Tokens = append(g.Load.Tokens, tokens[pick(len(tokens))])
 	}
 	for range s.Ranks {
-		g.Load.Speed = append(g.Load.Speed, rapid.SampledFrom([]float64{0, 0.05, 0.5, 1, 1, 1}).Draw(t, "speed"))
+		g.Load.Speed = append(g.Load.Speed, speeds[pick(len(speeds))])
 	}
 
 	return g
@@ -49,31 +49,50 @@
 	return held
 }
 
+// Whatever the load, no expert may be left without a rank, or its tokens are
+// lost. The fixed seeds hold two that failed: packing left out an expert where
+// the live ranks have too few slots, and a rank with most to fetch took longer
+// than the gain was worth.
 func TestDecideHolds(t *testing.T) {
 	t.Parallel()
 
+	for seed := range uint64(5000) {
+		holds(t, drawGroup(rand.New(rand.NewPCG(seed, 1)).IntN))
+	}
 	rapid.Check(t, func(t *rapid.T) {
-		g := drawGroup(t)
-		kept := g.Map.Clone()
-		for range 3 {
-			d, err := newPlanner().Decide(epoch, g)
-			require.NoError(t, err)
-			again, err := newPlanner().Decide(epoch, g)
-			require.NoError(t, err)
-			require.Equal(t, d, again, "the same input gives the same decision")
-			require.Equal(t, kept, g.Map, "the present map is not changed")
-			if d.Map == nil {
-				require.Empty(t, d.Moves)
-
-				return
-			}
-			checkDecision(t, g, &d)
-			g.Map, kept = d.Map, d.Map.Clone()
-		}
+		holds(t, drawGroup(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }))
 	})
 }
 
-func checkDecision(t *rapid.T, g *placement.Group, d *placement.Decision) {
+// slowRanks returns a planner whose ranks fetch far slower than the store gives.
+func slowRanks() *placement.Planner {
+	p := newPlanner()
+	p.RankRate = p.StoreRate / 32
+
+	return p
+}
+
+// holds decides three times and checks each decision.
+func holds(t require.TestingT, g *placement.Group) {
+	kept := g.Map.Clone()
+	for range 3 {
+		d, err := slowRanks().Decide(epoch, g)
+		require.NoError(t, err)
+		again, err := slowRanks().Decide(epoch, g)
+		require.NoError(t, err)
+		require.Equal(t, d, again, "the same input gives the same decision")
+		require.Equal(t, kept, g.Map, "the present map is not changed")
+		if d.Map == nil {
+			require.Empty(t, d.Moves)
+
+			return
+		}
+		checkDecision(t, g, &d)
+		g.Map, kept = d.Map, d.Map.Clone()
+	}
+}
+
+func checkDecision(t require.TestingT, g *placement.Group, d *placement.Decision) {
 	require.NoError(t, d.Map.Validate())
 	require.Equal(t, placement.Moves(g.Map, d.Map), d.Moves)
 	if d.Why == placement.WhyGain {
