--- /dev/null
+++ b/internal/agent/request.go
@@ -0,0 +1,198 @@
+package agent
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// refusal is why a request gets no answer, and what the caller may conclude.
+type refusal struct {
+	verdict verdict.Verdict
+	cause   verdict.Cause
+	retryAt time.Time
+}
+
+// serveRequest takes one request of an entry and answers with frames.
+func (a *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
+	out := newFrameWriter(w, a.Settings.WriteStall)
+
+	size := a.maxMessage()
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+
+	// Many large requests at once would take the VM's memory from its target.
+	if !a.pending.TryAcquire(size) {
+		a.refuse(out, &wire.Request{}, refusal{verdict: verdict.NotRun, cause: verdict.CauseOverload})
+		return
+	}
+
+	defer a.pending.Release(size)
+
+	req, bad := a.readRequest(w, r)
+	if req == nil {
+		a.refuse(out, &wire.Request{}, *bad)
+		return
+	}
+
+	arrival := arrivalOf(req)
+	now := a.Now()
+
+	var d admission.Decision
+	if bad != nil {
+		d = a.door.reject(now, arrival, bad)
+	} else {
+		d = a.door.arrive(now, arrival)
+	}
+
+	if !d.Admitted {
+		a.refuse(out, req, refusal{verdict: d.Verdict, cause: d.Cause, retryAt: d.RetryAt})
+		return
+	}
+
+	a.counters.admitted.Inc(1)
+	newExchange(a, req, out, now).run(r.Context())
+}
+
+// refuse ends a request without an answer. Its entry gets a new credit, so that
+// one that came with an expired credit need not ask for one.
+func (a *Agent) refuse(out *frameWriter, req *wire.Request, f refusal) {
+	now := a.Now()
+	a.counters.refused.Inc(1)
+
+	load, credit := a.door.load(now), (*wire.Credit)(nil)
+
+	if id := req.GetCredit().GetEntryID(); id != "" {
+		var g admission.Grant
+
+		g, load = a.door.renew(now, id)
+		credit = creditToWire(g, now)
+	}
+
+	_ = out.write(refusalFrame(req.GetAttemptID(), f, now, loadToWire(load, credit)))
+}
+
+func refusalFrame(attemptID string, f refusal, now time.Time, load *wire.Load) *wire.Frame {
+	return &wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{
+		AttemptID:        attemptID,
+		Verdict:          wire.Verdict(f.verdict),
+		Cause:            string(f.cause),
+		RetryAfterMillis: millisUntil(f.retryAt, now),
+		Load:             load,
+	}}}
+}
+
+// maxMessage bounds a request's message, in bytes.
+func (a *Agent) maxMessage() int64 {
+	return int64(a.Settings.MaxBodyBytes + a.Settings.MaxHeaderBytes)
+}
+
+// readRequest reads a request within its limits. Without a request there is none
+// that can be named; with both, the request is known and unfit.
+func (a *Agent) readRequest(w http.ResponseWriter, r *http.Request) (*wire.Request, *refusal) {
+	s := a.Settings
+	limit := a.maxMessage()
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(s.ReadTimeout))
+
+	raw, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &refusal{verdict: verdict.NotRun, cause: verdict.CauseTooLarge}
+	}
+
+	req := new(wire.Request)
+	if err != nil || proto.Unmarshal(raw, req) != nil || req.GetAttemptID() == "" {
+		return nil, &refusal{verdict: verdict.NotRun, cause: verdict.CauseMalformed}
+	}
+
+	_ = rc.SetReadDeadline(time.Time{})
+
+	if cause := unfit(req, s); cause != "" {
+		return req, &refusal{cause: cause}
+	}
+
+	return req, nil
+}
+
+// readBody reads all of r; size is the announced length or -1.
+func readBody(r io.Reader, size, limit int64) ([]byte, error) {
+	if size < 0 || size > limit {
+		return io.ReadAll(r) //nolint:wrapcheck // the caller looks at the type only
+	}
+
+	raw := make([]byte, size)
+	_, err := io.ReadFull(r, raw)
+
+	return raw, err //nolint:wrapcheck // the caller looks at the type only
+}
+
+// unfit says why a request can't go to a target, or "".
+func unfit(req *wire.Request, s Settings) verdict.Cause {
+	if len(req.GetBody()) > s.MaxBodyBytes {
+		return verdict.CauseTooLarge
+	}
+
+	size := len(req.GetPath()) + len(req.GetMethod())
+	for _, h := range req.GetHeaders() {
+		size += len(h.GetName()) + len(h.GetValue())
+
+		if !isToken(h.GetName()) || !isFieldValue(h.GetValue()) {
+			return verdict.CauseMalformed
+		}
+	}
+
+	if size > s.MaxHeaderBytes {
+		return verdict.CauseTooLarge
+	}
+
+	if xxhash.Sum64(req.GetBody()) != req.GetBodyDigest() || !fitTarget(req) || !fitID(req.GetAttemptID()) {
+		return verdict.CauseMalformed
+	}
+
+	if req.GetRemainingMillis() == 0 {
+		return verdict.CauseDeadline
+	}
+
+	return ""
+}
+
+// fitTarget reports whether method and path can be put on a request line.
+func fitTarget(req *wire.Request) bool {
+	if !isToken(req.GetMethod()) || req.GetMethod() == http.MethodConnect {
+		return false
+	}
+
+	_, err := url.ParseRequestURI(req.GetPath())
+
+	return err == nil && strings.HasPrefix(req.GetPath(), "/")
+}
+
+// maxIDBytes bounds the ID of an attempt, which is kept in memory.
+const maxIDBytes = 128
+
+func fitID(id string) bool {
+	return len(id) <= maxIDBytes && isFieldValue(id)
+}
+
+func arrivalOf(req *wire.Request) admission.Arrival {
+	return admission.Arrival{
+		AttemptID:   req.GetAttemptID(),
+		Credit:      creditFromWire(req.GetCredit()),
+		Service:     req.GetService(),
+		ViewVersion: req.GetViewVersion(),
+		ViewFresh:   req.GetViewFresh(),
+	}
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// service is the agent's twirp interface.
+type service struct {
+	agent *Agent
+}
+
+// Grant gives an entry a credit.
+func (s *service) Grant(_ context.Context, r *wire.GrantRequest) (*wire.GrantResponse, error) {
+	if r.GetEntryID() == "" {
+		return nil, twirp.RequiredArgumentError("EntryID") //nolint:wrapcheck // the caller of twirp gets it as it is
+	}
+
+	a := s.agent
+	now := a.Now()
+	g, l := a.door.grant(now, admission.GrantAsk{EntryID: r.GetEntryID(), Wanted: r.GetWanted()})
+	a.counters.granted.Inc(1)
+
+	credit := creditToWire(g, now)
+
+	return &wire.GrantResponse{
+		Credit:           credit,
+		Load:             loadToWire(l, credit),
+		RetryAfterMillis: millisUntil(g.RetryAt, now),
+	}, nil
+}
+
+// Ask says what became of an attempt.
+func (s *service) Ask(_ context.Context, r *wire.AskRequest) (*wire.AskResponse, error) {
+	if r.GetAttemptID() == "" {
+		return nil, twirp.RequiredArgumentError("AttemptID") //nolint:wrapcheck // the caller of twirp gets it as it is
+	}
+
+	a := s.agent
+	a.counters.asked.Inc(1)
+	f := a.door.ask(a.Now(), admission.Question{
+		AttemptID:           r.GetAttemptID(),
+		Incarnation:         r.GetIncarnation(),
+		CreditExpiresAtTick: r.GetCreditExpiresAtTick(),
+		Close:               r.GetClose(),
+	})
+
+	return &wire.AskResponse{State: f.State, Incarnation: a.Incarnation, Answer: f.Answer}, nil
+}
+
+// Give passes an order on to the engine and answers when it has been carried out.
+func (s *service) Give(ctx context.Context, o *wire.Order) (*wire.OrderResponse, error) {
+	r, highest, err := s.agent.give(ctx, orderFromWire(o))
+	if err != nil {
+		return nil, twirp.NewError(twirp.DeadlineExceeded, err.Error()) //nolint:wrapcheck // the caller of twirp gets it as it is
+	}
+
+	cause := string(r.Cause)
+	if r.Detail != "" {
+		cause += ": " + r.Detail
+	}
+
+	return &wire.OrderResponse{Done: r.Done, Cause: cause, HighestFencingNumber: highest}, nil
+}
+
+// millisUntil is the time from now to at, rounded up; 0 for an instant that has passed.
+func millisUntil(at, now time.Time) uint64 {
+	if !at.After(now) {
+		return 0
+	}
+
+	return uint64((at.Sub(now) + time.Millisecond - 1) / time.Millisecond)
+}
+
+func creditToWire(g admission.Grant, now time.Time) *wire.Credit {
+	return &wire.Credit{
+		AgentID:         g.Credit.AgentID,
+		Incarnation:     g.Credit.Incarnation,
+		EntryID:         g.Credit.EntryID,
+		Serial:          g.Credit.Serial,
+		ExpiresAtTick:   g.Credit.ExpiresAtTick,
+		Slots:           g.Credit.Slots,
+		RemainingMillis: uint64(max(g.ExpiresAt.Sub(now), 0) / time.Millisecond),
+	}
+}
+
+func creditFromWire(c *wire.Credit) admission.Credit {
+	return admission.Credit{
+		AgentID:       c.GetAgentID(),
+		Incarnation:   c.GetIncarnation(),
+		EntryID:       c.GetEntryID(),
+		Serial:        c.GetSerial(),
+		ExpiresAtTick: c.GetExpiresAtTick(),
+		Slots:         c.GetSlots(),
+	}
+}
+
+func loadToWire(l admission.Load, credit *wire.Credit) *wire.Load {
+	return &wire.Load{
+		InFlight: l.InFlight,
+		Limit:    l.Limit,
+		Cold:     l.Cold,
+		Leaving:  l.Leaving,
+		Credit:   credit,
+	}
+}
--- /dev/null
+++ b/internal/control/follow_test.go
@@ -0,0 +1,150 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+const cluster = "test"
+
+// newServer returns a control VM over a log in memory. Its Run ends with the test.
+func newServer(t testing.TB, change func(*control.Server)) *control.Server {
+	t.Helper()
+
+	log := &control.MemoryLog{}
+	s := &control.Server{Cluster: cluster, VM: "control-1", Propose: log.Propose, Read: log.Read}
+
+	if change != nil {
+		change(s)
+	}
+
+	s.Init()
+	log.Apply = s.Apply
+
+	return s
+}
+
+func run(t testing.TB, f func(context.Context) error) {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() { done <- f(ctx) }()
+
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
+// newReader returns a reader of servers, which it knows by their port numbers.
+func newReader(id string, incarnation uint64, servers ...*control.Server) *view.Reader {
+	r := &view.Reader{
+		Cluster: cluster,
+		Poll: func(ctx context.Context, control netip.AddrPort, r *wire.PollRequest) (*wire.PollResponse, error) {
+			return servers[control.Port()-1].Poll(ctx, r)
+		},
+		Self: func() *wire.Node {
+			return &wire.Node{ID: id, Kind: wire.NodeKind_NodeEntry, Zone: "ayutthaya", Incarnation: incarnation}
+		},
+	}
+
+	for i := range servers {
+		r.Controls = append(r.Controls, netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", i+1)))
+	}
+
+	r.Init()
+
+	return r
+}
+
+func TestReaderSeesItselfInTheDirectory(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, nil)
+		run(t, s.Run)
+
+		r := newReader("entry-1", 1, s)
+		run(t, r.Run)
+		time.Sleep(time.Second)
+
+		node, ok := r.Snapshot().Node("entry-1")
+		require.True(t, ok)
+		require.Equal(t, uint64(1), node.GetIncarnation())
+		require.True(t, r.Snapshot().Fresh(time.Now()))
+	})
+}
+
+func TestClaimAndSettleOverTheLog(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t, nil)
+	claim := &wire.ClaimRequest{
+		Workspace: "w", Service: "job-desk", Key: "k", BodyDigest: []byte("d"),
+		Holder: &wire.ClaimHolder{AttemptID: "a1"},
+	}
+
+	got, err := s.Claim(t.Context(), claim)
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimState_ClaimGranted, got.GetState())
+
+	settled, err := s.Settle(t.Context(), &wire.SettleRequest{
+		Workspace: "w", Service: "job-desk", Key: "k", AttemptID: "a1",
+		Verdict: wire.Verdict_Ran, Answer: &wire.Answer{Status: 200, Body: []byte("slot 4")},
+	})
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimState_ClaimRecorded, settled.GetState())
+
+	claim.Holder.AttemptID = "a2"
+	got, err = s.Claim(t.Context(), claim)
+	require.NoError(t, err)
+	require.Equal(t, wire.ClaimState_ClaimRecorded, got.GetState())
+	require.Equal(t, []byte("slot 4"), got.GetAnswer().GetBody())
+}
+
+// A control VM is itself a process of the directory: its stop can be planned,
+// and is over once it runs again, so that it does not stop a second time.
+func TestStopOfAControlVM(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 1)
+		var self atomic.Pointer[wire.Node]
+
+		self.Store(&wire.Node{ID: "control-9", Kind: wire.NodeKind_NodeControl, Incarnation: 1})
+
+		log := g.servers[0]
+		s := &control.Server{
+			Cluster: cluster, VM: "control-9", Propose: log.Propose, Read: log.Read,
+			Self: self.Load,
+		}
+		s.Init()
+		g.servers[0] = s
+		run(t, s.Run)
+		time.Sleep(time.Second)
+
+		g.decide(t, 0, 1, "[Stop \"control-9\"]\nReason = new disk\n")
+		require.True(t, s.StopPlanned("control-9"))
+		time.Sleep(time.Second)
+		self.Store(&wire.Node{ID: "control-9", Kind: wire.NodeKind_NodeControl, Incarnation: 2})
+		time.Sleep(time.Second)
+		require.False(t, s.StopPlanned("control-9"))
+		require.True(t, g.status(t, 0, 1).GetInForce())
+
+		dump, err := s.Dump(t.Context(), &wire.DumpRequest{})
+		require.NoError(t, err)
+		require.Contains(t, dump.GetText(), "Node/control-9")
+		require.Contains(t, dump.GetText(), "Heard control-9 Incarnation 2")
+	})
+}
--- /dev/null
+++ b/internal/intent/names.go
@@ -0,0 +1,136 @@
+package intent
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// checkNames warns of targets that the directory does not hold, which may be
+// mistyped, and refuses stops of unknown processes.
+func checkNames(base Base, p *wire.Plan) {
+	nodes := map[string]*wire.Node{}
+
+	for _, r := range base.Records {
+		if node := r.GetNode(); node != nil {
+			nodes[node.GetID()] = node
+		}
+	}
+
+	for _, c := range p.GetChanges() {
+		if id := c.GetAfter().GetTargetPolicy().GetAgentID(); id != "" && nodes[id] == nil {
+			p.Warnings = append(p.Warnings, fmt.Sprintf("no process %s is in the directory now", id))
+		}
+
+		if id := c.GetAfter().GetStop().GetNodeID(); id != "" && nodes[id] == nil {
+			p.Refusals = append(p.Refusals, fmt.Sprintf("no process %s is in the directory now, so none can be stopped", id))
+		}
+	}
+
+	checkControlStops(base, nodes, p)
+}
+
+// checkControlStops refuses stops that the control VMs cannot bear: a second one
+// while the first VM still finishes would leave too few for a quorum, though
+// each alone is safe. Once it is gone, StopUnsafe sees that a replica is missing.
+func checkControlStops(base Base, nodes map[string]*wire.Node, p *wire.Plan) {
+	var pending []string
+
+	for _, r := range base.Records {
+		if id := r.GetStop().GetNodeID(); nodes[id].GetKind() == wire.NodeKind_NodeControl {
+			pending = append(pending, id)
+		}
+	}
+
+	for _, c := range p.GetChanges() {
+		id := c.GetAfter().GetStop().GetNodeID()
+		if id == "" {
+			continue
+		}
+
+		if base.StopUnsafe != nil {
+			if why := base.StopUnsafe(id); why != "" {
+				p.Refusals = append(p.Refusals, fmt.Sprintf("stopping %s is not safe yet: %s", id, why))
+			}
+		}
+
+		if nodes[id].GetKind() != wire.NodeKind_NodeControl {
+			continue
+		}
+
+		others := slices.DeleteFunc(slices.Clone(pending), func(other string) bool { return other == id })
+		if len(others) > 0 {
+			p.Refusals = append(p.Refusals, fmt.Sprintf("stopping %s is not safe yet: the stop of %s is not over",
+				id, strings.Join(others, ", ")))
+		}
+
+		pending = append(pending, id)
+	}
+}
+
+// Undeclared returns the keys of operators' records that the declaration does
+// not mention. They stay as they are.
+func (d *Declaration) Undeclared(base Base) []string {
+	declared := map[string]bool{}
+	for _, s := range d.sections {
+		declared[s.key()] = true
+	}
+
+	var out []string
+
+	for _, r := range base.Records {
+		if ledger.OperatorOwned(r.GetKey()) && !declared[r.GetKey()] {
+			out = append(out, r.GetKey())
+		}
+	}
+
+	return out
+}
+
+// fieldsOf returns the fields of a record's value, for people to read. Those of
+// a record that does not exist are empty.
+func fieldsOf(r *wire.Record) map[string]string {
+	out := map[string]string{}
+	value := valueOf(r)
+
+	if value == nil {
+		return out
+	}
+
+	fields := value.Descriptor().Fields()
+	for i := range fields.Len() {
+		fd := fields.Get(i)
+		out[string(fd.Name())] = valueText(fd, value.Get(fd))
+	}
+
+	return out
+}
+
+func valueOf(r *wire.Record) protoreflect.Message {
+	message := r.ProtoReflect()
+
+	fd := message.WhichOneof(message.Descriptor().Oneofs().ByName("Value"))
+	if fd == nil {
+		return nil
+	}
+
+	return message.Get(fd).Message()
+}
+
+func valueText(fd protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	if !fd.IsList() {
+		return v.String()
+	}
+
+	items := make([]string, 0, v.List().Len())
+	for i := range v.List().Len() {
+		items = append(items, v.List().Get(i).String())
+	}
+
+	return strings.Join(items, "; ")
+}
--- /dev/null
+++ b/internal/local/exercise.go
@@ -0,0 +1,315 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/load"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// The phases of an exercise; each takes a share of its time.
+const (
+	phaseBefore = "1-before"
+	phaseOut    = "2-zone-out"
+	phaseBack   = "3-zone-back"
+	phaseCold   = "4-sudden-cold"
+)
+
+// forceCheck is how often the exercise looks whether a decision is in force, and
+// forceBound how long that may take: a lease, a margin, and some slack.
+const (
+	forceCheck = 20 * time.Millisecond
+	forceBound = 8 * time.Second
+)
+
+// Exercise drives load at a running deployment while a zone leaves and returns
+// and a target turns cold. Its fields are set before Run.
+type Exercise struct {
+	Local *Local
+	// Duration is the time of the whole exercise.
+	Duration time.Duration
+	// Rate is requests a second.
+	Rate float64
+	Seed uint64
+	Out  io.Writer
+
+	phase  atomic.Value
+	broken []string
+}
+
+// Run runs the exercise and returns an error where a promise broke.
+func (x *Exercise) Run(ctx context.Context) error {
+	x.phase.Store(phaseBefore)
+
+	l := x.load()
+	done := make(chan error, 1)
+
+	go func() { done <- x.script(ctx) }()
+
+	report, err := l.Run(ctx)
+	if scriptErr := <-done; err == nil {
+		err = scriptErr
+	}
+
+	if report != nil {
+		report.Print(x.Out)
+	}
+
+	if err != nil {
+		return err
+	}
+
+	x.judge(report)
+	x.judgeGroups()
+
+	for _, line := range x.broken {
+		_, _ = fmt.Fprintln(x.Out, "BROKEN:", line)
+	}
+
+	if len(x.broken) > 0 {
+		return eris.Errorf("%d promises broke", len(x.broken))
+	}
+
+	_, _ = fmt.Fprintln(x.Out, "every promise held")
+
+	return nil
+}
+
+func (x *Exercise) load() *load.Load {
+	d := &x.Local.Deployment
+
+	return &load.Load{
+		Entries: x.Local.Entries(), DraftService: d.service(true), BookingService: d.service(false),
+		Rate: x.Rate, Duration: x.Duration, BookingShare: 0.2, Tokens: 40, Workspaces: 10,
+		Timeout: 10 * time.Second, Seed: x.Seed, MostInFlight: 4096,
+		Phase: func() string { return x.phase.Load().(string) },
+		Runs:  x.Local.Runs,
+	}
+}
+
+// Runs returns how often each booking ran, from all desks.
+func (l *Local) Runs(context.Context) (map[string]int, error) {
+	all := make(map[string]int)
+
+	for _, t := range l.desks {
+		for ref, n := range t.Desk.Runs() {
+			all[ref] += n
+		}
+	}
+
+	return all, nil
+}
+
+// script is what happens to the deployment while the load runs.
+func (x *Exercise) script(ctx context.Context) error {
+	quarter := x.Duration / 4
+	zone := x.Local.Deployment.Zones[0]
+
+	if !sleep(ctx, quarter) {
+		return nil
+	}
+
+	x.phase.Store(phaseOut)
+
+	if err := x.decide(ctx, 2, zone, true); err != nil {
+		return err
+	}
+
+	if err := x.watchZone(ctx, zone, quarter); err != nil {
+		return err
+	}
+
+	x.phase.Store(phaseBack)
+	x.restart(zone)
+
+	if err := x.decide(ctx, 3, zone, false); err != nil {
+		return err
+	}
+
+	if !sleep(ctx, quarter) {
+		return nil
+	}
+
+	x.phase.Store(phaseCold)
+	engines := x.Local.engines
+	engines[len(engines)-1].Engine.TurnCold()
+	x.restartOne(engines[len(engines)-2])
+
+	return nil
+}
+
+// decide takes a zone out or brings it back, as an operator does.
+func (x *Exercise) decide(ctx context.Context, number uint64, zone string, out bool) error {
+	server := x.Local.controls[0].Server()
+
+	planned, err := server.Plan(ctx, &wire.PlanRequest{
+		Operator: "exercise", Source: "exercise", Override: true,
+		Declaration: fmt.Appendf(nil, "[Zone %q]\nOut = %t\n", zone, out),
+	})
+	if err != nil {
+		return eris.Wrap(err, "plan")
+	}
+
+	r, err := server.Confirm(ctx, &wire.ConfirmRequest{Operator: "exercise", Number: number, PlanID: planned.GetPlan().GetID()})
+	if err != nil {
+		return eris.Wrap(err, "confirm")
+	}
+
+	if s := r.GetAnswer().GetState(); s != wire.DecisionState_DecisionMade {
+		return eris.Errorf("decision %d: %s %v", number, s, r.GetAnswer().GetDetails())
+	}
+
+	return nil
+}
+
+// awaitForce waits until the control VMs say that a decision is in force everywhere.
+func (x *Exercise) awaitForce(ctx context.Context, number uint64) (time.Duration, error) {
+	start := time.Now()
+
+	for time.Since(start) < forceBound {
+		r, err := x.Local.controls[0].Server().Status(ctx, &wire.StatusRequest{Number: number})
+		if err != nil {
+			return 0, eris.Wrap(err, "ask for status")
+		}
+
+		if d := r.GetDecisions(); len(d) == 1 && d[0].GetInForce() {
+			return time.Since(start), nil
+		}
+
+		if !sleep(ctx, forceCheck) {
+			return 0, nil
+		}
+	}
+
+	return 0, eris.Errorf("decision %d is not in force after %s", number, forceBound)
+}
+
+// watchZone checks that a zone that is out gets no new work once that is in force.
+func (x *Exercise) watchZone(ctx context.Context, zone string, d time.Duration) error {
+	end := time.Now().Add(d)
+
+	took, err := x.awaitForce(ctx, 2)
+	if err != nil {
+		return err
+	}
+
+	_, _ = fmt.Fprintf(x.Out, "zone %s out: in force everywhere after %s\n", zone, took.Round(time.Millisecond))
+
+	before := x.begun(zone)
+
+	if !sleep(ctx, time.Until(end)) {
+		return nil
+	}
+
+	if after := x.begun(zone); after != before {
+		x.broken = append(x.broken, fmt.Sprintf("%d requests began in zone %s after it was taken out", after-before, zone))
+	}
+
+	return nil
+}
+
+func (x *Exercise) begun(zone string) int {
+	n := 0
+
+	for _, t := range x.Local.engines {
+		if t.Zone == zone {
+			n += t.Engine.State().Begun
+		}
+	}
+
+	for _, t := range x.Local.desks {
+		if t.Zone == zone {
+			n += len(t.Desk.Runs())
+		}
+	}
+
+	return n
+}
+
+// restart starts the engines of a zone anew, as those of a zone that returns are.
+func (x *Exercise) restart(zone string) {
+	for _, t := range x.Local.engines {
+		if t.Zone == zone {
+			x.restartOne(t)
+		}
+	}
+}
+
+// restartOne restarts an engine, which is also a rank of its group.
+func (x *Exercise) restartOne(t *Target) {
+	t.Engine.Restart()
+
+	if group := x.Local.groups[t.Group]; group != nil {
+		group.RestartRank(t.Rank)
+	}
+}
+
+func (x *Exercise) judge(r *load.Report) {
+	if r.Broken() {
+		x.broken = append(x.broken, fmt.Sprintf("wrong answers %d, doubled %v, ran after NotRun %v, answered but not run %v",
+			r.Count("Wrong"), r.Doubled, r.Lied, r.Lost))
+	}
+
+	if n := r.Count("Cut"); n > 0 {
+		x.broken = append(x.broken, fmt.Sprintf("%d answers cut by planned changes", n))
+	}
+
+	for _, t := range x.Local.engines {
+		s := t.Engine.State()
+		if s.Early > 0 {
+			_, _ = fmt.Fprintf(x.Out, "%s began %d requests above its cold limit before its agent could know\n", t.AgentID, s.Early)
+		}
+
+		if s.Overruns > 0 {
+			x.broken = append(x.broken, fmt.Sprintf("%s had %d requests while cold and bears %d", t.AgentID, s.PeakCold, t.Service.ColdLimit))
+		}
+	}
+}
+
+// judgeGroups prints what became of the expert groups, and holds that no step
+// used two maps.
+func (x *Exercise) judgeGroups() {
+	for _, name := range slices.Sorted(maps.Keys(x.Local.groups)) {
+		s := x.Local.groups[name].State()
+		_, _ = fmt.Fprintf(x.Out, "group %s: %d steps, maps in use %v, step-time skew p50 %.2f first quarter, %.2f last quarter\n",
+			name, s.Steps, s.Versions, median(s.Skews[:len(s.Skews)/4]), median(s.Skews[len(s.Skews)*3/4:]))
+
+		if s.Mixed > 0 {
+			x.broken = append(x.broken, fmt.Sprintf("group %s used two maps in %d steps", name, s.Mixed))
+		}
+
+		if s.Steps == 0 {
+			x.broken = append(x.broken, fmt.Sprintf("group %s made no step", name))
+		}
+	}
+}
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+
+	sorted := slices.Sorted(slices.Values(values))
+
+	return sorted[len(sorted)/2]
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
