Tell plans the load in hand; ask the others anew whether a VM may stop

Cause: plans said that no target's load is known, and a follower could not say whether a control VM may stop. Change: agents and entries report what they have in hand with each poll; the control role asks by CheckStop; a stream that resumes keeps its turn; the exercise gives a zone back only when its work has finished.

--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -6,7 +6,6 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -35,8 +34,3 @@
 
 // Configuration returns all records as they are on this VM.
 func (s *Server) Configuration() []*wire.Record { return s.published.Load().records.All() }
-
-// Stopping reports whether the operators plan a stop of the process.
-func (s *Server) Stopping(process string) bool {
-	return s.published.Load().records.Get(ledger.StopPrefix+process) != nil
-}
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -50,6 +50,14 @@
 			return k.ex.NoTarget(verdict.Refuse(verdict.CauseNoTarget, time.Time{}))
 		}
 
+		if k.reply.headed {
+			// The caller has half of its answer: it keeps its turn, and no estimate of
+			// the queue's gives it up before its deadline.
+			wait(ctx, none.RetryAt)
+
+			continue
+		}
+
 		if err := k.queue.again(ctx, k.item.ID); err != nil {
 			k.queued = false
 
--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -127,6 +127,13 @@
 		return err
 	}
 
+	// A zone that was taken out is given back only when its work has finished.
+	for x.inFlight(zone) > 0 {
+		if !sleep(ctx, forceCheck) {
+			return nil
+		}
+	}
+
 	x.phase.Store(phaseBack)
 	x.restart(zone)
 
@@ -213,6 +220,18 @@
 	return nil
 }
 
+func (x *Exercise) inFlight(zone string) int {
+	n := 0
+
+	for _, t := range x.Local.engines {
+		if t.Zone == zone {
+			n += t.Engine.State().InFlight
+		}
+	}
+
+	return n
+}
+
 func (x *Exercise) begun(zone string) int {
 	n := 0
 
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -95,7 +95,7 @@
 	}
 	r.reader = &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
-		Self: r.shell.Node, Logger: r.Logs.Logger("view"),
+		Self: r.shell.Node, Load: r.load, Logger: r.Logs.Logger("view"),
 		OnChange: func(s *view.Snapshot) { stopIfPlanned(s, r.ID, r.stop) },
 	}
 	r.reader.Init()
@@ -115,6 +115,13 @@
 	)
 }
 
+// load tells the control VMs, for plans, what the target has in hand.
+func (r *Agent) load() *wire.NodeLoad {
+	l := r.shell.Dump().Load
+
+	return &wire.NodeLoad{InFlight: l.InFlight + l.Unknown, Limit: l.Limit, Cold: l.Cold}
+}
+
 // view tells the agent's door what the configuration says of its target.
 func (r *Agent) view() admission.View {
 	s := r.reader.Snapshot()
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -26,6 +27,8 @@
 const (
 	// stopTimeout bounds how long a stopping control VM waits for polls in hand.
 	stopTimeout = 3 * time.Second
+	// checkTimeout bounds the question whether a control VM may be stopped.
+	checkTimeout = 2 * time.Second
 	// handOverTimeout bounds the hand-over of leadership on a planned stop.
 	handOverTimeout = 3 * time.Second
 )
@@ -110,16 +113,18 @@
 func (r *Control) leads() bool { return r.replica.Status().Leader == r.VM }
 
 // stopUnsafe says why the control VM with that name should not be stopped now.
+// It asks the others anew: what was heard last may be older than a loss.
 func (r *Control) stopUnsafe(name string) string {
-	s := r.replica.Status()
-	if s.SafeToStop {
+	isMember := func(m quorum.MemberStatus) bool { return m.Member.ID == name }
+	if !slices.ContainsFunc(r.replica.Status().Members, isMember) {
 		return ""
 	}
 
-	for _, m := range s.Members {
-		if m.Member.ID == name {
-			return s.Reason
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+
+	if err := r.replica.CheckStop(ctx, name); err != nil {
+		return err.Error()
 	}
 
 	return ""
@@ -185,7 +190,7 @@
 		tick := time.NewTicker(stopCheck)
 		defer tick.Stop()
 
-		for !r.server.Stopping(r.VM) {
+		for !r.server.StopPlanned(r.VM) {
 			select {
 			case <-ctx.Done():
 				return
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -144,7 +144,7 @@
 func (r *Entry) newReader(chooser *routing.Chooser) *view.Reader {
 	reader := &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
-		Self: r.self, Logger: r.Logs.Logger("view"),
+		Self: r.self, Load: r.load, Logger: r.Logs.Logger("view"),
 		// The chooser is told here, by the reader's one goroutine, and not over the
 		// bus: its handlers run side by side, and an older list of targets, applied
 		// last, would rule until the next change.
@@ -193,6 +193,15 @@
 	}
 }
 
+// load tells the control VMs, for plans, what the entry has in hand.
+func (r *Entry) load() *wire.NodeLoad {
+	if r.shell == nil {
+		return nil
+	}
+
+	return &wire.NodeLoad{InFlight: uint32(r.shell.Counts().InFlight)}
+}
+
 func (r *Entry) known() entry.Known {
 	s := r.reader.Snapshot()
 
