Read settings and declarations with one strict INI reader

Cause: settings and declarations each had their own scan of the same rules. Change: intent reads through internal/inifile, which now also holds that each line became a section or a setting.

--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -113,7 +113,22 @@
 		f.Sections = append(f.Sections, section)
 	}
 
-	return f, nil
+	return f, f.complete(len(lines))
+}
+
+// complete guards against lines that the INI library dropped or renamed: each
+// that was scanned must have become a section or a setting.
+func (f *File) complete(scanned int) error {
+	read := len(f.Sections)
+	for _, s := range f.Sections {
+		read += len(s.Settings)
+	}
+
+	if read != scanned {
+		return &Error{Source: f.Source, Problem: fmt.Sprintf("%d of %d lines were understood", read, scanned), Allowed: "plain INI"}
+	}
+
+	return nil
 }
 
 // scan finds the line of each section and key, and refuses doubled sections and
--- a/internal/intent/declaration.go
+++ b/internal/intent/declaration.go
@@ -16,6 +16,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/parsleygate/parsleygate/internal/inifile"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -49,68 +50,51 @@
 
 const allowedName = "1 to 63 letters, digits, dots, dashes and underscores, beginning with a letter or digit"
 
+// MaxBytes is the largest declaration that is read.
+const MaxBytes = 4 << 20
+
+// Error says what is wrong in a declaration, where, and what is allowed.
+type Error = inifile.Error
+
 // Parse reads a declaration in INI. Source names it in errors, which are of
 // type *Error.
 func Parse(source string, data []byte) (*Declaration, error) {
-	if len(data) > MaxBytes {
-		return nil, &Error{Source: source, Problem: "the declaration is too long", Allowed: fmt.Sprintf("%d bytes", MaxBytes)}
-	}
-
-	lines, err := scan(source, data)
-	if err != nil {
-		return nil, err
-	}
-
-	file, err := load(source, data)
+	file, err := inifile.Read(source, data, MaxBytes)
 	if err != nil {
 		return nil, err
 	}
 
 	d := &Declaration{Source: source}
 
-	for _, name := range file.SectionStrings() {
-		if name == "DEFAULT" && lines[place{section: name}] == 0 {
-			continue
-		}
-
-		s, err := parseSection(name, lines[place{section: name}])
+	for i := range file.Sections {
+		s, err := readSection(&file.Sections[i])
 		if err != nil {
 			return nil, d.at(err)
 		}
 
-		for _, key := range file.Section(name).Keys() {
-			if err := s.add(key.Name(), key.Value(), lines[place{section: name, key: key.Name()}]); err != nil {
-				return nil, d.at(err)
-			}
-		}
-
-		if s.removed && len(s.settings) > 0 {
-			return nil, d.at(&Error{Line: s.line, Section: name, Key: removedKey, Problem: "stands beside other keys", Allowed: "alone"})
-		}
-
 		d.sections = append(d.sections, *s)
 	}
 
-	return d, d.complete(lines)
+	return d, nil
 }
 
-// complete guards against settings that the INI library dropped or renamed:
-// each line that was scanned must have become a section or a setting.
-func (d *Declaration) complete(lines map[place]int) error {
-	read := len(d.sections)
+func readSection(f *inifile.Section) (*section, *Error) {
+	s, err := parseSection(f.Name, f.Line)
+	if err != nil {
+		return nil, err
+	}
 
-	for _, s := range d.sections {
-		read += len(s.settings)
-		if s.removed {
-			read++
+	for _, set := range f.Settings {
+		if err := s.add(set.Key, set.Value, set.Line); err != nil {
+			return nil, err
 		}
 	}
 
-	if read != len(lines) {
-		return &Error{Source: d.Source, Problem: fmt.Sprintf("%d of %d lines were understood", read, len(lines))}
+	if s.removed && len(s.settings) > 0 {
+		return nil, &Error{Line: s.line, Section: f.Name, Key: removedKey, Problem: "stands beside other keys", Allowed: "alone"}
 	}
 
-	return nil
+	return s, nil
 }
 
 func (d *Declaration) at(err *Error) error {
