--- /dev/null
+++ b/internal/local/control.go
@@ -0,0 +1,100 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/role"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// startControl starts a control VM in each availability zone.
+func (l *Local) startControl(ctx context.Context, g *errgroup.Group) error {
+	var (
+		listeners []net.Listener
+		members   []quorum.Member
+	)
+
+	for i := range l.Deployment.Zones {
+		port := uint16(0)
+		if l.OperatorPort != 0 && i == 0 {
+			port = l.OperatorPort
+		}
+
+		listener, err := listen(ctx, port)
+		if err != nil {
+			return err
+		}
+
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		listeners = append(listeners, listener)
+		members = append(members, quorum.Member{ID: fmt.Sprintf("control-%d", i+1), Addr: address})
+		l.operators = append(l.operators, address)
+	}
+
+	for i, m := range members {
+		c := &role.Control{
+			VM: m.ID, Cluster: l.Deployment.Cluster, Zone: l.Deployment.Zones[i],
+			Incarnation: role.IncarnationAt(time.Now()), Listener: listeners[i],
+			Dir: filepath.Join(l.Dir, m.ID), Founders: members,
+			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: l.Logs, Experts: localExperts(),
+			Dump: l.newDump("control", m.ID),
+		}
+		c.Build()
+		l.controls = append(l.controls, c)
+		g.Go(func() error { return c.Run(ctx) })
+	}
+
+	return l.declare(ctx)
+}
+
+// declare commits the configuration that the deployment starts with, as an
+// operator's plan and its confirmation.
+func (l *Local) declare(ctx context.Context) error {
+	server := l.controls[0].Server()
+
+	planned, err := l.plan(ctx, server)
+	if err != nil {
+		return eris.Wrap(err, "plan the deployment")
+	}
+
+	r, err := server.Confirm(ctx, &wire.ConfirmRequest{Operator: "local", Number: 1, PlanID: planned.GetPlan().GetID()})
+	if err != nil {
+		return eris.Wrap(err, "confirm the deployment")
+	}
+
+	if a := r.GetAnswer(); a.GetState() != wire.DecisionState_DecisionMade {
+		return eris.Errorf("not decided: %s %v", a.GetState(), a.GetDetails())
+	}
+
+	return nil
+}
+
+// planTries bounds how often a plan is asked for while the control VMs elect a
+// leader; planPause is the time between two asks.
+const (
+	planTries = 200
+	planPause = 50 * time.Millisecond
+)
+
+func (l *Local) plan(ctx context.Context, server *control.Server) (*wire.PlanResponse, error) {
+	request := &wire.PlanRequest{Operator: "local", Source: "local", Declaration: []byte(l.Deployment.Declaration())}
+
+	for try := 1; ; try++ {
+		r, err := server.Plan(ctx, request)
+		if err == nil || try == planTries || ctx.Err() != nil {
+			return r, err
+		}
+
+		time.Sleep(planPause)
+	}
+}
--- /dev/null
+++ b/internal/local/entries.go
@@ -0,0 +1,75 @@
+package local
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/entry"
+	"github.com/parsleygate/parsleygate/internal/role"
+)
+
+func (l *Local) startEntry(ctx context.Context, g *errgroup.Group, zone string, n int) error {
+	port := uint16(0)
+	if l.EntryPort != 0 {
+		port = l.EntryPort + uint16(n)
+	}
+
+	listener, err := listen(ctx, port)
+	if err != nil {
+		return err
+	}
+
+	id := "entry-" + zone
+	l.entries = append(l.entries, listener.Addr().(*net.TCPAddr).AddrPort())
+	e := &role.Entry{
+		ID: id, Cluster: l.Deployment.Cluster, Zone: zone, Region: l.Deployment.Region,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: listener,
+		Controls: role.NewControls(l.operators, nil), Limits: entry.DefaultLimits(),
+		Logs: l.Logs, Dump: l.newDump("entry", id),
+	}
+	g.Go(func() error { return e.Run(ctx) })
+
+	return nil
+}
+
+// awaitTargets waits until every entry takes callers.
+func (l *Local) awaitTargets(ctx context.Context) error {
+	for _, base := range l.Entries() {
+		if err := awaitService(ctx, base+"/"+l.Deployment.service(false)+"/v1/runs"); err != nil {
+			return err
+		}
+	}
+
+	l.logger.Info("deployment is up", "entries", len(l.entries), "targets", len(l.engines)+len(l.desks))
+
+	return nil
+}
+
+func awaitService(ctx context.Context, url string) error {
+	for {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return eris.Wrap(err, "probe entry")
+		}
+
+		resp, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = resp.Body.Close()
+
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "deployment did not come up")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/local/targets.go
@@ -0,0 +1,121 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/role"
+	"github.com/parsleygate/parsleygate/internal/standin"
+)
+
+func (l *Local) startTarget(ctx context.Context, g, agents *errgroup.Group, zone string, s Service, n int) error {
+	door, err := listen(ctx, 0)
+	if err != nil {
+		return err
+	}
+
+	back, err := listen(ctx, 0)
+	if err != nil {
+		return err
+	}
+
+	t := &Target{AgentID: fmt.Sprintf("%s-%s-%d", s.Name, zone, n+1), Zone: zone, Service: s, Address: back.Addr().(*net.TCPAddr).AddrPort()}
+	handler := l.newStandin(ctx, g, t, n)
+	web := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+
+	g.Go(func() error {
+		_ = web.Serve(back)
+
+		return nil
+	})
+
+	announcer := &standin.Announcer{
+		Agent: door.Addr().(*net.TCPAddr).AddrPort(), Every: announceEvery,
+		Take: func() standin.Announcement { return t.announcement(back) },
+	}
+	t.connect(announcer)
+
+	g.Go(func() error {
+		announcer.Run(ctx)
+
+		return eris.Wrap(web.Close(), "close stand-in")
+	})
+
+	a := &role.Agent{
+		ID: t.AgentID, Cluster: l.Deployment.Cluster, Zone: zone,
+		Incarnation: role.IncarnationAt(time.Now()), Listener: door,
+		Controls: role.NewControls(l.operators, nil),
+		Logs:     l.Logs, Dump: l.newDump("agent", t.AgentID),
+	}
+	agents.Go(func() error { return a.Run(ctx) })
+
+	return nil
+}
+
+func (l *Local) newStandin(ctx context.Context, g *errgroup.Group, t *Target, n int) http.Handler {
+	if t.Service.Model {
+		t.Engine = &standin.Engine{
+			StepBase: l.Deployment.StepBase, StepEach: l.Deployment.StepEach,
+			ColdLimit: int(t.Service.ColdLimit), WarmAfter: 4 * int(t.Service.ColdLimit),
+		}
+		l.engines = append(l.engines, t)
+		r := chi.NewRouter()
+		l.joinGroup(ctx, g, t, r, n)
+		r.Mount("/", t.Engine.Handler())
+
+		return r
+	}
+
+	t.Desk = &standin.Desk{}
+	l.desks = append(l.desks, t)
+
+	return t.Desk.Handler()
+}
+
+// connect lets an engine announce a restart at once, and take work only then.
+func (t *Target) connect(a *standin.Announcer) {
+	if t.Engine == nil {
+		return
+	}
+
+	again := make(chan struct{}, 1)
+	a.Again = again
+	a.Announced = t.Engine.Announced
+	t.Engine.Restarted = func() {
+		select {
+		case again <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (t *Target) announcement(back net.Listener) standin.Announcement {
+	a := standin.Announcement{
+		Address: back.Addr().(*net.TCPAddr).AddrPort(), Service: t.Service.Name,
+		Capacity: int(t.Service.WarmLimit),
+	}
+
+	inFlight := uint32(0)
+	a.InFlight = &inFlight
+
+	if t.Engine == nil {
+		// A desk answers at once: what it had in hand when its agent stopped is done.
+		a.BootID = t.Desk.BootID()
+
+		return a
+	}
+
+	a.Group, a.Rank = t.Group, t.Rank
+	s := t.Engine.State()
+	inFlight = uint32(s.InFlight)
+	a.BootID, a.Cold = s.BootID, s.Cold
+
+	return a
+}
