--- /dev/null
+++ b/internal/slopes/director_test.go
@@ -0,0 +1,169 @@
+package slopes_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/expertgroup"
+	"github.com/parsleygate/parsleygate/internal/expertmap"
+	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/placement"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+const (
+	groupRanks   = 32
+	groupExperts = 128
+	groupLayers  = 60
+	groupSlots   = 5
+	// directorWait is how long an idle director is watched, with no new map weighed.
+	directorWait = 5 * time.Second
+)
+
+// rankStub is the agent of every rank: it says that it joined and has nothing to do.
+type rankStub struct {
+	orders atomic.Int64
+}
+
+func (s *rankStub) Order(_ context.Context, o *wire.RankOrder) (*wire.RankStatus, error) {
+	s.orders.Add(1)
+
+	return &wire.RankStatus{Rank: o.GetRank(), Incarnation: 1, Known: true, Joined: 2, Staged: 2, Highest: o.GetFence()}, nil
+}
+
+func (s *rankStub) Ask(context.Context, *wire.RankQuestion) (*wire.RankAnswer, error) {
+	return &wire.RankAnswer{}, nil
+}
+
+func (s *rankStub) Report(context.Context, *wire.RankQuestion) (*wire.RankReport, error) {
+	return &wire.RankReport{}, nil
+}
+
+// BenchmarkDirector measures what the control leader spends on the groups while
+// no map changes: every rank is asked for its status each second. The stub ranks
+// share the processor time. With kept maps each group has left its first map.
+func BenchmarkDirector(b *testing.B) {
+	for _, groups := range []int{5, 19, 150} {
+		for _, kept := range []bool{false, true} {
+			b.Run(fmt.Sprintf("groups=%d/kept=%t", groups, kept), func(b *testing.B) {
+				var (
+					stub  rankStub
+					count counter
+				)
+
+				web := &http.Server{Handler: wire.NewRankServer(&stub), ReadHeaderTimeout: time.Second}
+				door := listen(b, &count)
+
+				go func() { _ = web.Serve(door) }()
+
+				defer web.Close()
+
+				for b.Loop() {
+					direct(b, groups, kept, netip.MustParseAddrPort(door.Addr().String()), &count, &stub)
+				}
+			})
+		}
+	}
+}
+
+func direct(b *testing.B, groups int, kept bool, to netip.AddrPort, count *counter, stub *rankStub) {
+	b.Helper()
+
+	transport := &http.Transport{MaxIdleConnsPerHost: groups * groupRanks}
+	client := wire.NewRankProtobufClient("http://"+to.String(), &http.Client{Transport: transport})
+	d := &expertgroup.Director{
+		Leads:   func() bool { return true },
+		Barrier: func(context.Context) error { return nil },
+		Propose: func(context.Context, *wire.GroupEntry) error { return nil },
+		Groups:  func() []*wire.Group { return declared(groups) },
+		Ranks:   func(string) []expertgroup.Node { return nodes(to) },
+		Order: func(ctx context.Context, _ netip.AddrPort, o *wire.RankOrder) (*wire.RankStatus, error) {
+			return client.Order(ctx, o)
+		},
+		Report: func(ctx context.Context, _ netip.AddrPort, q *wire.RankQuestion) (*wire.RankReport, error) {
+			return client.Report(ctx, q)
+		},
+		Settings: expertgroup.DefaultSettings(), Logger: logs.Discard(),
+	}
+	d.Init()
+
+	before := heap()
+
+	if kept {
+		d.Applied(1, nil, states(b, groups))
+	}
+
+	ctx, cancel := context.WithCancel(b.Context())
+	end := make(chan struct{})
+
+	go func() { defer close(end); _ = d.Run(ctx) }()
+
+	time.Sleep(2 * time.Second)
+
+	sent, used, orders := count.bytes.Load(), cpu(b), stub.orders.Load()
+
+	time.Sleep(directorWait)
+
+	seconds := directorWait.Seconds()
+	b.ReportMetric(float64(count.bytes.Load()-sent)/seconds, "B/s")
+	b.ReportMetric((cpu(b)-used).Seconds()/seconds*100, "%core")
+	b.ReportMetric(float64(stub.orders.Load()-orders)/seconds, "orders/s")
+	b.ReportMetric(heap()-before, "heap-B")
+	require.Greater(b, stub.orders.Load(), orders)
+
+	cancel()
+	<-end
+	transport.CloseIdleConnections()
+}
+
+func declared(groups int) []*wire.Group {
+	var out []*wire.Group
+	for i := range groups {
+		out = append(out, &wire.Group{
+			Name: fmt.Sprintf("group-%d", i), Service: "assistant",
+			Ranks: groupRanks, Experts: groupExperts, Layers: groupLayers, Slots: groupSlots,
+		})
+	}
+
+	return out
+}
+
+func nodes(to netip.AddrPort) []expertgroup.Node {
+	var out []expertgroup.Node
+	for r := range groupRanks {
+		out = append(out, expertgroup.Node{Rank: r, Address: to})
+	}
+
+	return out
+}
+
+// states are groups that rule by a second map, which the log keeps.
+func states(b *testing.B, groups int) []*wire.GroupState {
+	b.Helper()
+
+	m, err := placement.NewMap(placement.Shape{
+		Layers: groupLayers, Ranks: groupRanks, SlotsPerRank: groupSlots, Experts: groupExperts,
+	})
+	require.NoError(b, err)
+
+	record := ledger.FirstRecord()
+	record.Ruling.Version = 2
+
+	var out []*wire.GroupState
+	for i := range groups {
+		out = append(out, &wire.GroupState{
+			Group: fmt.Sprintf("group-%d", i), Record: expertmap.RecordToWire(record),
+			Maps: []*wire.GroupMap{{Version: 2, Placement: m.Encode()}},
+		})
+	}
+
+	return out
+}
