--- a/internal/slopes/idle_test.go
+++ b/internal/slopes/idle_test.go
@@ -107,7 +107,7 @@
 func (f *fleet) declare(ctx context.Context, server *control.Server, workspaces int) {
 	var text strings.Builder
 
-	text.WriteString("[Zone \"z\"]\nRegion = r\n[Service \"desk\"]\nWarmLimit = 16\nColdLimit = 4\n")
+	text.WriteString("[Zone \"z\"]\nRegion = r\n[Service \"desk\"]\nResumable = false\n")
 
 	for i := range workspaces {
 		fmt.Fprintf(&text, "[Workspace \"workspace-%d\"]\nWeight = 3\n", i)
@@ -120,8 +120,12 @@
 
 		planned, err = server.Plan(ctx, &wire.PlanRequest{Operator: "slopes", Declaration: []byte(text.String())})
 
+		if err != nil {
+			f.b.Log(err)
+		}
+
 		return err == nil
-	}, time.Minute, 50*time.Millisecond)
+	}, 10*time.Second, 500*time.Millisecond)
 
 	r, err := server.Confirm(ctx, &wire.ConfirmRequest{Operator: "slopes", Number: 1, PlanID: planned.GetPlan().GetID()})
 	require.NoError(f.b, err)
