--- a/internal/slopes/idle_test.go
+++ b/internal/slopes/idle_test.go
@@ -119,7 +119,6 @@
 		var err error
 
 		planned, err = server.Plan(ctx, &wire.PlanRequest{Operator: "slopes", Declaration: []byte(text.String())})
-
 		if err != nil {
 			f.b.Log(err)
 		}
