--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -113,3 +114,19 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// byGain orders layer results by time saved for each copy, best first, and by
+// layer where that is equal, so that decisions do not depend on sorting.
+func byGain(results []result) {
+	slices.SortFunc(results, func(a, b result) int {
+		x, y := a.perCopy(), b.perCopy()
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		default:
+			return a.Layer - b.Layer
+		}
+	})
+}
