Let the log stall in the map switch's fault tests

Cause: taking out all three guards against confirming a rank while a switch is open went unseen; a log that answers at once never puts the confirmation before a commit that is under way. Change: a stalled log takes in what was appended later and in any order, as a fault at each point and among the random ones. The three guards taken out together still go unseen: the rank has to load its map first and is told meanwhile.

--- a/internal/expertmap/group_test.go
+++ b/internal/expertmap/group_test.go
@@ -26,8 +26,10 @@
 	drop, twice, slow float64
 	// isolated control VMs hear nothing of the log until then, but still reach the ranks.
 	isolated [3]time.Time
-	done     []Action
-	fault    error
+	// stalled is until when the log takes in nothing; what was appended then follows in any order.
+	stalled time.Time
+	done    []Action
+	fault   error
 }
 
 // rank is one engine and its agent.
@@ -182,6 +184,7 @@
 			if g.rng.Float64() < g.slow {
 				delay = g.upTo(time.Second)
 			}
+			delay += max(0, g.stalled.Sub(g.now))
 			g.after(delay, func() {
 				if g.leader == i {
 					g.log = append(g.log, a.Entry)
--- a/internal/expertmap/switch_test.go
+++ b/internal/expertmap/switch_test.go
@@ -83,6 +83,10 @@
 		}
 		g.after(time.Second, func() { g.propose(g.nodes[1].record.Ruling.Version + 1) })
 	}},
+	{"the log stalls, then an engine restarts", func(g *group) {
+		g.stalled = g.now.Add(2 * time.Second)
+		g.restartEngine(0)
+	}},
 	{"no control leads for long", func(g *group) { g.lead(-1); g.after(6*time.Second, func() { g.lead(2) }) }},
 	{"all messages come again", func(g *group) { g.replay() }},
 	{"agent and leader die", func(g *group) { g.restartAgent(1); g.restartControl(0); g.lead(1) }},
@@ -161,7 +165,7 @@
 		if rng.Float64() < calm {
 			continue
 		}
-		switch rng.IntN(8) {
+		switch rng.IntN(9) {
 		case 0:
 			g.restartEngine(rng.IntN(4))
 		case 1:
@@ -181,6 +185,9 @@
 			g.restartAgent(rng.IntN(4))
 		case 7:
 			g.isolate(rng.IntN(3), g.upTo(10*time.Second))
+		case 8:
+			g.stalled = g.now.Add(g.upTo(3 * time.Second))
+			g.restartEngine(rng.IntN(4))
 		}
 	}
 	g.drop, g.twice, g.slow = 0, 0, 0
