--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -127,6 +127,13 @@
 		return err
 	}
 
+	// A zone that was taken out is given back only when its work has finished.
+	for x.inFlight(zone) > 0 {
+		if !sleep(ctx, forceCheck) {
+			return nil
+		}
+	}
+
 	x.phase.Store(phaseBack)
 	x.restart(zone)
 
@@ -175,12 +182,9 @@
 	start := time.Now()
 
 	for time.Since(start) < forceBound {
+		// This control VM may not have heard of the decision yet: the leader made it.
 		r, err := x.Local.controls[0].Server().Status(ctx, &wire.StatusRequest{Number: number})
-		if err != nil {
-			return 0, eris.Wrap(err, "ask for status")
-		}
-
-		if d := r.GetDecisions(); len(d) == 1 && d[0].GetInForce() {
+		if d := r.GetDecisions(); err == nil && len(d) == 1 && d[0].GetInForce() {
 			return time.Since(start), nil
 		}
 
@@ -189,7 +193,7 @@
 		}
 	}
 
-	return 0, eris.Errorf("decision %d is not in force after %s", number, forceBound)
+	return 0, eris.Errorf("decision %d is not said to be in force after %s", number, forceBound)
 }
 
 // watchZone checks that a zone that is out gets no new work once that is in force.
@@ -216,6 +220,18 @@
 	return nil
 }
 
+func (x *Exercise) inFlight(zone string) int {
+	n := 0
+
+	for _, t := range x.Local.engines {
+		if t.Zone == zone {
+			n += t.Engine.State().InFlight
+		}
+	}
+
+	return n
+}
+
 func (x *Exercise) begun(zone string) int {
 	n := 0
 
