Ask for credits ahead only of cold targets of services in demand

Change: a warm target's credit is asked for by the request that needs one, a round trip of about 1 ms; cold targets are asked only while their service is in demand; unreachable ones still, since that finds out when they are back.

--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -61,6 +61,10 @@
 	e.mu.Unlock()
 
 	for name, q := range queues {
+		if q.core.State().Waiting > 0 {
+			e.Chooser.Demand(now, name)
+		}
+
 		q.deliver(q.core.SetCapacity(now, e.Chooser.Room(now, name).Slots))
 		q.deliver(q.core.Tick(now))
 	}
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -23,6 +23,8 @@
 func (k *course) choose(ctx context.Context, at time.Time) exchange.Action {
 	wait(ctx, at)
 
+	k.entry.Chooser.Demand(time.Now(), k.call.service.GetName())
+
 	if gone := k.entry.Chooser.Gone(time.Now(), k.call.service.GetName()); gone != nil {
 		return k.ex.NoTarget(gone.Refusal())
 	}
--- a/internal/routing/chooser.go
+++ b/internal/routing/chooser.go
@@ -27,6 +27,8 @@
 	ready bool
 	pools map[string]*pool
 	byID  map[string]*target
+	// demand is when each service was last asked for.
+	demand map[string]time.Time
 }
 
 // start fills in the defaults. It needs the lock.
@@ -39,6 +41,7 @@
 	c.Settings = c.Settings.withDefaults()
 	c.pools = map[string]*pool{}
 	c.byID = map[string]*target{}
+	c.demand = map[string]time.Time{}
 
 	if c.Prefixes == nil {
 		c.Prefixes = &prefix.Index{}
@@ -51,6 +54,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.start()
+	c.demand[ask.Service] = now
 
 	p := c.pools[ask.Service]
 	if p == nil {
--- a/internal/routing/decisions_test.go
+++ b/internal/routing/decisions_test.go
@@ -66,6 +66,8 @@
 		for range n {
 			s.c.Silence(s.now, routing.TargetSilent{AgentID: d.CmdArgs[0].Key, Incarnation: 1})
 		}
+	case "demand":
+		s.c.Demand(s.now, service)
 	case "asks":
 		return s.asks()
 	default:
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -59,6 +59,8 @@
 	// StoppedFor is how long an agent's word that it is leaving, or in a zone that
 	// is out, is believed without the configuration saying so (2 s).
 	StoppedFor time.Duration
+	// DemandLife is how long after a request its service counts as in demand (10 s).
+	DemandLife time.Duration
 	// RenewBefore is how long before its end a credit is asked for anew (1 s).
 	RenewBefore time.Duration
 }
@@ -88,6 +90,7 @@
 	orInt(&s.SilentLimit, 3)
 	orTime(&s.WarmUpEvery, 500*time.Millisecond)
 	orTime(&s.StoppedFor, 2*time.Second)
+	orTime(&s.DemandLife, 10*time.Second)
 	orTime(&s.RenewBefore, time.Second)
 
 	return s
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -110,6 +110,11 @@
 	return min(t.own+max(s.FirstContact, t.own/2), max(t.bears(), t.own+1))
 }
 
+// needsAsk reports whether credits are asked for ahead: of a cold target, whose
+// slots no request may do without, and of one that cannot be reached, where the
+// asks find out for the requests when it is back.
+func (t *target) needsAsk() bool { return t.Cold || t.health.aside.unreachable() }
+
 // shouldAsk reports whether a new credit is due.
 func (t *target) shouldAsk(now time.Time, wanted int, renewBefore time.Duration) bool {
 	if now.Before(t.askAt) {
