Count the life of a credit before saying in force by time

Status said in force after lease and margin, 4.5 s: half a second to two seconds too early. Three tests now hold that it is not said while credits last.

--- a/internal/control/force_test.go
+++ b/internal/control/force_test.go
@@ -74,9 +74,14 @@
 
 		time.Sleep(4 * time.Second)
 
+		// Its lease has run out, but an agent that is cut off too may still let in a
+		// request that it sent before, for as long as its credit lasts.
+		require.False(t, cutOff.Snapshot().Fresh(time.Now()))
+		require.False(t, g.status(t, 0, 2).GetInForce())
+		time.Sleep(2 * time.Second)
+
 		status = g.status(t, 0, 2)
 		require.True(t, status.GetInForce(), status.GetWhy())
-		require.False(t, cutOff.Snapshot().Fresh(time.Now()))
 		require.Equal(t, "entry-1", status.GetOutstanding()[0].GetNodeID(), "it is still named")
 
 		f.silence("entry-1", false)
@@ -123,6 +128,8 @@
 				require.False(t, status.GetInForce(), status.GetWhy())
 				time.Sleep(4 * time.Second)
 				require.False(t, unknown.Snapshot().Fresh(time.Now()))
+				require.False(t, g.status(t, 0, 2).GetInForce(), "its credits last")
+				time.Sleep(2 * time.Second)
 				require.True(t, g.status(t, 0, 2).GetInForce())
 			})
 		})
@@ -198,6 +205,8 @@
 		require.True(t, actsBefore(cutOff, g.status(t, 2, 2).GetEntry().GetVersion()))
 		require.False(t, g.status(t, 2, 2).GetInForce())
 		time.Sleep(5 * time.Second)
+		require.False(t, g.status(t, 2, 2).GetInForce(), "its credits last")
+		time.Sleep(2 * time.Second)
 		require.True(t, g.status(t, 2, 2).GetInForce())
 	})
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -80,7 +80,12 @@
 type Settings struct {
 	// Lease is how long a process may act on a view after it was current.
 	Lease time.Duration
-	// Margin is added to Lease before the state counts as in force by time, for
+	// CreditLife is the longest life of the credits that agents grant. An entry cut
+	// off with its view may send until its lease ends, and an agent cut off too
+	// takes its word for as long as the credit lasts: only then has the last
+	// request of the earlier version been let in.
+	CreditLife time.Duration
+	// Margin is added to Lease and CreditLife before the state counts as in force by time, for
 	// clocks that run at unequal rates.
 	Margin time.Duration
 	// ReadEvery is how often this VM shows that its state is current.
@@ -103,6 +108,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Lease:          4 * time.Second,
+		CreditLife:     2 * time.Second,
 		Margin:         500 * time.Millisecond,
 		ReadEvery:      300 * time.Millisecond,
 		MaxWait:        2 * time.Second,
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -41,13 +41,17 @@
 	reach := newReach(g, nodesOf(p.records))
 
 	for _, entry := range entries {
-		settled := now.Sub(p.learntAt(entry.GetVersion())) > s.Settings.Lease+s.Settings.Margin
+		settled := now.Sub(p.learntAt(entry.GetVersion())) > s.Settings.worstCase()
 		out.Decisions = append(out.Decisions, reach.status(now, entry, settled))
 	}
 
 	return out, nil
 }
 
+// worstCase is how long after it learnt of a version this VM can be sure that no
+// process acts on an earlier one, whatever has become of their connections.
+func (s *Settings) worstCase() time.Duration { return s.Lease + s.CreditLife + s.Margin }
+
 func (p *published) nextNumber() uint64 {
 	next := p.floor + 1
 	for _, entry := range p.decisions {
