--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,14 +17,16 @@
 	// claimTimeout bounds a claim or a settlement, so that a caller is not held by
 	// control VMs that are away.
 	claimTimeout = 3 * time.Second
-	// maxLooks bounds how often one turn looks for a target again while all are full.
-	maxLooks = 4
 )
 
 // choose waits for the request's turn, then for a target and its credit.
 func (k *course) choose(ctx context.Context, at time.Time) exchange.Action {
 	wait(ctx, at)
 
+	if gone := k.entry.Chooser.Gone(time.Now(), k.call.service.GetName()); gone != nil {
+		return k.ex.NoTarget(gone.Refusal())
+	}
+
 	if !k.queued {
 		if err := k.queue.enter(ctx, k.item); err != nil {
 			return k.ex.NoTarget(err)
@@ -32,25 +35,46 @@
 		k.queued = true
 	}
 
-	for look := 1; ; look++ {
+	for {
 		none := k.look(ctx)
 		if none == nil {
 			return k.ex.Chosen(k.attempt)
 		}
 
-		if look == maxLooks || ctx.Err() != nil || !worthWaiting(none, k.call.deadline) {
+		if ctx.Err() != nil || !full(none) {
 			return k.ex.NoTarget(none)
 		}
 
-		wait(ctx, none.RetryAt)
+		if k.triedAll() {
+			// Room will come at no target that has not failed this request already.
+			return k.ex.NoTarget(verdict.Refuse(verdict.CauseNoTarget, time.Time{}))
+		}
+
+		if k.reply.headed {
+			// The caller has half of its answer: it keeps its turn, and no estimate of
+			// the queue's gives it up before its deadline.
+			wait(ctx, none.RetryAt)
+
+			continue
+		}
+
+		if err := k.queue.again(ctx, k.item.ID); err != nil {
+			k.queued = false
+
+			return k.ex.NoTarget(err)
+		}
 	}
 }
 
-// worthWaiting reports whether a target that is full now may soon have room.
-func worthWaiting(err *verdict.Error, deadline time.Time) bool {
-	full := err.Cause == verdict.CauseOverload || err.Cause == verdict.CauseColdLimit
+// triedAll reports whether every target has failed this request.
+func (k *course) triedAll() bool {
+	n := k.entry.Chooser.Room(time.Now(), k.call.service.GetName()).Targets
+
+	return len(k.excluded) >= n
+}
 
-	return full && !err.RetryAt.IsZero() && err.RetryAt.Before(deadline)
+func full(err *verdict.Error) bool {
+	return err.Cause == verdict.CauseOverload || err.Cause == verdict.CauseColdLimit
 }
 
 // look chooses a target and makes sure of a credit.
@@ -73,9 +97,15 @@
 			return nil
 		}
 
+		// A caller that left, or ran out of time, says nothing about the target.
+		cause := verdict.CauseTargetDown
+		if ctx.Err() != nil {
+			cause = verdict.CauseCancelled
+		}
+
 		e.Chooser.Finish(time.Now(), routing.Finished{
 			AgentID: choice.AgentID, Incarnation: choice.Incarnation,
-			Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown,
+			Verdict: verdict.NotRun, Cause: cause,
 		})
 		k.excluded = append(k.excluded, choice.AgentID)
 	}
@@ -115,6 +145,8 @@
 		return k.ex.ClaimFailed(time.Now())
 	}
 
+	k.tellWindow(r)
+
 	if r.GetState() != wire.ClaimState_ClaimGranted {
 		k.free(verdict.CauseClaims)
 	}
@@ -122,6 +154,14 @@
 	return k.ex.Claimed(time.Now(), r)
 }
 
+// tellWindow tells the caller for how long its key stands for this request: a
+// resend that comes later would run anew.
+func (k *course) tellWindow(r *wire.ClaimResponse) {
+	if s := r.GetWindowMillis() / 1000; s > 0 {
+		k.reply.w.Header().Set(HeaderKeyWindow, strconv.FormatUint(s, 10))
+	}
+}
+
 func (k *course) lookUp(ctx context.Context) exchange.Action {
 	r, err := k.claimRequest(ctx, nil, "")
 	if err != nil {
