--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -34,7 +34,8 @@
 slope quorum 'WithoutLeader|IdleMessages' 100x
 slope admission . 1s
 slope routing 'Choose$|ChoosePrefix|SubsetOf' 1s
-slope fairness Offer 1s
+slope fairness 'Offer|Memory' 1s
+slope prefix Memory 1x
 slope placement Decide 20x
 slope agent . 1s
 slope local 'Path|OpenStreams' 2s
