Number expert maps by log and content; prove switches under faults

Cause: a proposal took the ruling version + 1. After an abort, or when a proposal of another leader came late, ranks kept a map of that number and loaded no other: a step then used two contents under one version. Also: the director lost applied entries when its queue was full and went on with an old record; a rank took orders before its engine's first word and lost the Run; an agent back within a second had its former incarnation; a full queue, or a later Hold or Drop, dropped a Run for good; a late order put back old maps; loads and asks outlived the rank.

Change: versions hold the log's index and the map's digest. The director starts anew from the newest states after a loss. The rank's queue keeps every Run until a newer one, binds orders to the boot that the core knows, and ends with Run. The stand-in group compares contents, keeps the earlier of two holds, and frees maps at Run.

Trial without the resync: TestFallenBehind fails.

--- a/internal/expertgroup/director.go
+++ b/internal/expertgroup/director.go
@@ -72,7 +72,11 @@
 	Settings Settings
 	Logger   *slog.Logger
 
-	events   chan func(now time.Time)
+	events chan func(now time.Time)
+	// latest are the newest states, as the log's goroutine gave them. lost is set
+	// where it found no room for an event.
+	latest   atomic.Pointer[[]*wire.GroupState]
+	lost     atomic.Bool
 	units    map[string]*unit
 	states   map[string]*wire.GroupState
 	leading  bool
@@ -80,8 +84,7 @@
 	switches atomic.Int64
 }
 
-// eventBuffer is how many events wait for the director's goroutine. Applied
-// entries that find it full are made good by a fresh start of their group.
+// eventBuffer is how many events wait for the director's goroutine.
 const eventBuffer = 4096
 
 // Init prepares the director. It is called once, before Applied and Run.
@@ -97,30 +100,56 @@
 // Applied takes in an entry of the log, or with a nil one a restored snapshot.
 // The goroutine of the log calls it, and it does not wait.
 func (d *Director) Applied(index uint64, e *wire.GroupEntry, states []*wire.GroupState) {
-	d.post(func(now time.Time) {
-		for _, s := range states {
-			d.states[s.GetGroup()] = s
-		}
+	d.latest.Store(&states)
+
+	select {
+	case d.events <- func(now time.Time) { d.apply(now, index, e, states) }:
+	default:
+		d.lost.Store(true)
+	}
+}
 
-		if e == nil {
-			d.follow()
+func (d *Director) apply(now time.Time, index uint64, e *wire.GroupEntry, states []*wire.GroupState) {
+	d.keep(states)
 
-			return
-		}
+	if e == nil {
+		d.follow()
+
+		return
+	}
 
-		if u := d.units[e.GetGroup()]; u != nil {
-			u.do(u.coordinator.Apply(now, expertmap.Fence(index), expertmap.EntryFromWire(e)))
+	if u := d.units[e.GetGroup()]; u != nil {
+		u.do(u.coordinator.Apply(now, expertmap.Fence(index), expertmap.EntryFromWire(e)))
+	}
+}
+
+// keep takes in states. After a resync those of queued events are older.
+func (d *Director) keep(states []*wire.GroupState) {
+	for _, s := range states {
+		if s.GetRecord().GetAsOf() >= d.states[s.GetGroup()].GetRecord().GetAsOf() {
+			d.states[s.GetGroup()] = s
 		}
-	})
+	}
+}
+
+// resync makes up for lost events. A coordinator that missed an entry believes
+// an old map to rule, and would tell so to a rank that asks: two ranks would run
+// by two maps. So all units end, and new ones begin from the newest states.
+func (d *Director) resync() {
+	if !d.lost.Swap(false) {
+		return
+	}
+
+	d.Logger.Warn("fell behind the log")
+	d.keep(*d.latest.Load())
+	d.follow()
 }
 
-// post hands an event to the director's goroutine. Where there is no room the
-// director has fallen far behind: it starts anew from the states.
-func (d *Director) post(event func(now time.Time)) {
+// post hands an event of a call to the director's goroutine, and waits for room.
+func (d *Director) post(ctx context.Context, event func(now time.Time)) {
 	select {
 	case d.events <- event:
-	default:
-		d.Logger.Error("events lost")
+	case <-ctx.Done():
 	}
 }
 
@@ -134,8 +163,10 @@
 		case <-ctx.Done():
 			return nil
 		case event := <-d.events:
+			d.resync()
 			event(time.Now())
 		case now := <-tick.C:
+			d.resync()
 			d.tick(ctx, now)
 		}
 	}
@@ -153,9 +184,17 @@
 		return
 	}
 
+	declared := make(map[string]bool)
+
 	for _, g := range d.Groups() {
-		u := d.unit(ctx, now, g)
-		u.tick(now)
+		declared[g.GetName()] = true
+		d.unit(ctx, now, g).tick(now)
+	}
+
+	for name, u := range d.units {
+		if !declared[name] {
+			d.end(u)
+		}
 	}
 }
 
@@ -165,28 +204,41 @@
 	d.asking = true
 
 	go func() {
-		err := d.Barrier(ctx)
+		err := d.barrier(ctx)
 
-		d.post(func(time.Time) {
+		d.post(ctx, func(time.Time) {
 			d.asking = false
 			d.leading = err == nil && d.Leads()
 		})
 	}()
 }
 
+func (d *Director) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.CallTimeout)
+	defer cancel()
+
+	return d.Barrier(ctx)
+}
+
 func (d *Director) follow() {
 	d.leading = false
 	for _, u := range d.units {
-		u.coordinator.Follow()
+		d.end(u)
 	}
+}
 
-	clear(d.units)
+// end ends a unit. Answers that come later find it no longer leading.
+func (d *Director) end(u *unit) {
+	u.coordinator.Follow()
+	delete(d.units, u.name)
 }
 
 // unit returns the group's unit, which begins to lead when it is made.
 func (d *Director) unit(ctx context.Context, now time.Time, g *wire.Group) *unit {
 	if u := d.units[g.GetName()]; u != nil && ShapeOf(g) == u.shape {
 		return u
+	} else if u != nil {
+		d.end(u)
 	}
 
 	u := newUnit(ctx, d, g)
--- /dev/null
+++ b/internal/expertgroup/resync_test.go
@@ -0,0 +1,95 @@
+package expertgroup_test
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/expertgroup"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// A control VM stalls while thousands of entries are applied, so that its
+// director has no room for the last ones, among them the commit of a new map.
+// Then it leads, and a rank that has restarted asks which map rules. Told the
+// former one, the rank would garble the drafts of the whole group.
+func TestFallenBehind(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const entries = 6000
+
+		asked := &wire.RankStatus{Incarnation: 7}
+		told := make(chan *wire.RankOrder, 1)
+
+		d := &expertgroup.Director{
+			Leads:   func() bool { return true },
+			Barrier: func(context.Context) error { return nil },
+			Groups:  func() []*wire.Group { return []*wire.Group{{Name: groupName, Ranks: 1, Experts: 2, Layers: 1}} },
+			Ranks: func(string) []expertgroup.Node {
+				return []expertgroup.Node{{Address: netip.AddrPortFrom(netip.IPv6Loopback(), 1)}}
+			},
+			Order: func(_ context.Context, _ netip.AddrPort, o *wire.RankOrder) (*wire.RankStatus, error) {
+				if o.GetKind() == wire.RankOrderKind_RankOrderConfirm {
+					told <- o
+				}
+
+				return asked, nil
+			},
+			Report: func(context.Context, netip.AddrPort, *wire.RankQuestion) (*wire.RankReport, error) {
+				return nil, errLost
+			},
+			Settings: expertgroup.DefaultSettings(),
+			Logger:   slog.New(slog.DiscardHandler),
+		}
+		d.Init()
+
+		at := func(i uint64) []*wire.GroupState {
+			return []*wire.GroupState{{Group: groupName, Record: &wire.GroupRecord{AsOf: i, RulingVersion: i}}}
+		}
+
+		var mu sync.Mutex
+
+		last := uint64(entries)
+		d.Propose = func(_ context.Context, e *wire.GroupEntry) error {
+			mu.Lock()
+			defer mu.Unlock()
+
+			last++
+			state := at(last)
+			state[0].Record.RulingVersion = entries
+			d.Applied(last, e, state)
+
+			return nil
+		}
+
+		for i := uint64(1); i <= entries; i++ {
+			d.Applied(i, &wire.GroupEntry{Group: groupName}, at(i))
+		}
+
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+
+		go func() {
+			defer close(done)
+
+			_ = d.Run(ctx)
+		}()
+
+		select {
+		case o := <-told:
+			require.Equal(t, uint64(entries), o.GetRecord().GetRulingVersion())
+		case <-time.After(time.Minute):
+			t.Error("the rank is never told")
+		}
+
+		stop()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/expertgroup/unit.go
+++ b/internal/expertgroup/unit.go
@@ -155,7 +155,7 @@
 	order.Maps = maps
 	status, err := u.director.Order(ctx, n.Address, order)
 
-	u.director.post(func(now time.Time) {
+	u.director.post(u.ctx, func(now time.Time) {
 		u.busy[o.Rank] = false
 
 		if err != nil {
@@ -206,7 +206,7 @@
 			}
 		}
 
-		u.director.post(func(now time.Time) { u.weigh(now, all) })
+		u.director.post(u.ctx, func(now time.Time) { u.weigh(now, all) })
 	}()
 }
 
@@ -223,7 +223,7 @@
 
 	u.tracker.Close(now)
 
-	if u.next != nil || len(reports) < u.shape.Ranks {
+	if u.director.units[u.name] != u || u.next != nil || len(reports) < u.shape.Ranks {
 		return
 	}
 
@@ -249,7 +249,7 @@
 	u.director.Logger.Info("new map", "group", u.name, "why", d.Why.String(), "moves", len(d.Moves),
 		"bytes", d.Bytes, "skewBefore", d.Before.Skew(), "skewAfter", d.After.Skew(), "saved", d.Saved, "cost", d.Cost)
 
-	version := u.coordinator.Record().Ruling.Version + 1
+	version := nextVersion(u.coordinator.Record().AsOf, d.Map)
 	u.next = &wire.GroupMap{Version: uint64(version), Placement: d.Map.Encode()}
 
 	actions, err := u.coordinator.Propose(now, version)
@@ -264,6 +264,18 @@
 	return nil
 }
 
+// versionBits is how many low bits of a version are of its map's content.
+const versionBits = 32
+
+// nextVersion numbers a map by how far the log is, and by its content. One more
+// than the ruling version would not do: a switch that was aborted, or a proposal
+// of another leader that comes late, leaves ranks with a map of that number, and
+// a rank that has it loads no other. They would compute a step with that map,
+// and the others with the one proposed next under the same number.
+func nextVersion(asOf expertmap.Fence, m *placement.Map) expertmap.Version {
+	return expertmap.Version((uint64(asOf)+1)<<versionBits | m.Digest()&(1<<versionBits-1))
+}
+
 // current returns the map that rules.
 func (u *unit) current() (*placement.Map, error) {
 	version := uint64(u.coordinator.Record().Ruling.Version)
--- a/internal/rank/engine.go
+++ b/internal/rank/engine.go
@@ -63,7 +63,7 @@
 
 // engineClient reaches one boot of the rank's engine.
 type engineClient struct {
-	client    *http.Client
+	call      func(*http.Request) (*http.Response, error)
 	address   netip.AddrPort
 	bootID    string
 	placement func(v uint64) []byte
@@ -107,7 +107,7 @@
 		return eris.Wrap(err, "make order")
 	}
 
-	resp, err := c.client.Do(r)
+	resp, err := c.call(r)
 	if err != nil {
 		return eris.Wrap(err, "give order")
 	}
@@ -130,7 +130,7 @@
 		return nil, eris.Wrap(err, "ask engine")
 	}
 
-	resp, err := c.client.Do(r)
+	resp, err := c.call(r)
 	if err != nil {
 		return nil, eris.Wrap(err, "ask engine")
 	}
--- /dev/null
+++ b/internal/rank/jobs.go
@@ -0,0 +1,136 @@
+package rank
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/expertmap"
+)
+
+// job is one order for one boot of the engine.
+type job struct {
+	action expertmap.Action
+	boot   string
+	engine *expertmap.Engine
+}
+
+// jobQueue holds the orders that the engine has yet to get, in their order.
+type jobQueue struct {
+	// more gets a value when there may be jobs.
+	more chan struct{}
+
+	mu   sync.Mutex
+	jobs []*job
+}
+
+// add appends a job. A Run says all that the engine is to do from then on, so it
+// takes the place of what waits: that bounds the queue while an engine takes
+// nothing, and no Run is ever dropped.
+func (q *jobQueue) add(j *job) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if j.action.Kind == expertmap.ActionRun {
+		q.jobs = nil
+	}
+
+	q.jobs = append(q.jobs, j)
+
+	select {
+	case q.more <- struct{}{}:
+	default:
+	}
+}
+
+func (q *jobQueue) take() *job {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if len(q.jobs) == 0 {
+		return nil
+	}
+
+	j := q.jobs[0]
+	q.jobs = q.jobs[1:]
+
+	return j
+}
+
+// superseded reports whether a Run waits behind j, or an order for another boot.
+func (q *jobQueue) superseded(j *job) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return len(q.jobs) > 0 && (q.jobs[0].action.Kind == expertmap.ActionRun || q.jobs[0].boot != j.boot)
+}
+
+// carry gives the engine its orders, one after the other.
+func (r *Rank) carry(ctx context.Context) {
+	for {
+		for j := r.jobs.take(); j != nil && ctx.Err() == nil; j = r.jobs.take() {
+			r.carryOne(ctx, j)
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.jobs.more:
+		}
+	}
+}
+
+func (r *Rank) carryOne(ctx context.Context, j *job) {
+	err := r.call(ctx, j)
+
+	for err != nil && mustArrive(j.action) && ctx.Err() == nil && r.current(j) && !r.jobs.superseded(j) {
+		pause(ctx)
+
+		err = r.call(ctx, j)
+	}
+
+	if err != nil {
+		r.Logger.Debug("order failed", "group", r.Group, "error", err)
+	}
+
+	if j.action.Kind != expertmap.ActionHold {
+		return
+	}
+
+	r.post(ctx, func(ctx context.Context, now time.Time) {
+		if r.boot == j.boot {
+			r.do(ctx, r.core.Held(now, j.action.Fence, err == nil))
+		}
+	})
+}
+
+// mustArrive names the orders that are repeated until the engine took them. A
+// hold that is not lifted holds the whole group for good: nothing else lifts it.
+// A hold of no step stops a rank that does not know which map rules.
+func mustArrive(a expertmap.Action) bool {
+	return a.Kind == expertmap.ActionRun || (a.Kind == expertmap.ActionHold && a.Step == 0)
+}
+
+// current reports whether the engine's boot is still the one that the job is for.
+func (r *Rank) current(j *job) bool {
+	s := r.state.Load()
+
+	return s != nil && s.BootID == j.boot
+}
+
+func (r *Rank) call(ctx context.Context, j *job) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	return j.engine.Do(ctx, j.action)
+}
+
+func pause(ctx context.Context) {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,16 +18,17 @@
 
 const (
 	tickEvery    = 50 * time.Millisecond
+	watchEvery   = 2 * tickEvery
 	askAfter     = 500 * time.Millisecond
 	statusEvery  = time.Second
 	callTimeout  = time.Second
 	loadTimeout  = 5 * time.Minute
 	retryPause   = 100 * time.Millisecond
-	maxJobs      = 64
 	eventBuffer  = 256
-	lowBits      = 32
 	maxMapsKept  = 4
 	peerIdleConn = 1
+	// restartBits is how many low bits of an incarnation count the engine's restarts.
+	restartBits = 20
 )
 
 // Rank carries one rank. Its exported fields are set before Run.
@@ -44,58 +46,85 @@
 	Peers func() []netip.AddrPort
 	// AskPeer asks a peer for the end of a switch.
 	AskPeer func(ctx context.Context, peer netip.AddrPort, q *wire.RankQuestion) (*wire.RankAnswer, error)
-	Logger  *slog.Logger
+	// CallEngine sends one HTTP request to the engine; nil stands for an HTTP
+	// client of the rank's own.
+	CallEngine func(*http.Request) (*http.Response, error)
+	Logger     *slog.Logger
 
 	core   *expertmap.Participant
-	events chan func(now time.Time)
-	jobs   chan job
+	events chan event
+	jobs   jobQueue
+	work   sync.WaitGroup
+	// boot is the engine's boot that the core knows of, "" before the first word.
+	boot   string
 	status atomic.Pointer[wire.RankStatus]
 	state  atomic.Pointer[EngineState]
-	maps   atomic.Pointer[[]*wire.GroupMap]
-	client *http.Client
+	maps   atomic.Pointer[keptMaps]
 }
 
-// job is one order for the engine.
-type job struct {
-	action expertmap.Action
-	engine *expertmap.Engine
+// event runs in Run's goroutine; ctx is Run's, so that what follows from a call
+// outlives the call and ends with the rank.
+type event func(ctx context.Context, now time.Time)
+
+// keptMaps are the maps that came with an order, and how far the log was then.
+type keptMaps struct {
+	asOf uint64
+	maps []*wire.GroupMap
 }
 
 // Init prepares the rank. It is called once, before Run and the service.
 func (r *Rank) Init() {
 	r.core = &expertmap.Participant{
-		Rank: r.Number, Incarnation: r.Started << lowBits, StatusEvery: statusEvery, AskAfter: askAfter,
+		Rank: r.Number, Incarnation: r.incarnation(time.Now()), StatusEvery: statusEvery, AskAfter: askAfter,
+	}
+	r.events = make(chan event, eventBuffer)
+	r.jobs.more = make(chan struct{}, 1)
+	r.maps.Store(&keptMaps{})
+}
+
+// incarnation grows with every start of the agent. Whole seconds would not do:
+// an agent that died and was back within one would be taken for its former life,
+// which knew which map rules, and would never be told.
+func (r *Rank) incarnation(now time.Time) uint64 {
+	started := time.Unix(int64(r.Started), 0)
+	if now.Before(started) {
+		now = started
 	}
-	r.events = make(chan func(time.Time), eventBuffer)
-	r.jobs = make(chan job, maxJobs)
-	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerIdleConn, IdleConnTimeout: time.Minute}}
-	r.maps.Store(&[]*wire.GroupMap{})
+
+	return uint64(now.UnixMilli()) << restartBits
 }
 
 // Run carries the rank until ctx ends. The engine goes on by its standing orders.
 func (r *Rank) Run(ctx context.Context) error {
-	go r.carry(ctx)
-	go r.watch(ctx)
+	if r.CallEngine == nil {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: peerIdleConn, IdleConnTimeout: time.Minute}}
+		defer client.CloseIdleConnections()
+
+		r.CallEngine = client.Do
+	}
+
+	defer r.work.Wait()
+	r.work.Go(func() { r.carry(ctx) })
+	r.work.Go(func() { r.watch(ctx) })
 
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	defer r.client.CloseIdleConnections()
 
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case event := <-r.events:
-			event(time.Now())
+			event(ctx, time.Now())
 		case now := <-tick.C:
 			r.do(ctx, r.core.Tick(now))
 		}
 	}
 }
 
-func (r *Rank) post(ctx context.Context, event func(now time.Time)) {
+func (r *Rank) post(ctx context.Context, e event) {
 	select {
-	case r.events <- event:
+	case r.events <- e:
 	case <-ctx.Done():
 	}
 }
@@ -108,32 +137,22 @@
 		case expertmap.ActionAsk:
 			r.askPeers(ctx)
 		case expertmap.ActionLoad:
-			go r.load(ctx, a, r.engine())
+			j := r.job(a)
+			r.work.Go(func() { r.load(ctx, j) })
 		case expertmap.ActionHold, expertmap.ActionRun, expertmap.ActionDrop:
-			r.queue(a)
+			r.jobs.add(r.job(a))
 		default:
 		}
 	}
 }
 
-// queue hands an order to the carrying goroutine. A full queue means that the
-// engine takes nothing; the coordinator repeats what matters.
-func (r *Rank) queue(a expertmap.Action) {
-	select {
-	case r.jobs <- job{action: a, engine: r.engine()}:
-	default:
-		r.Logger.Warn("engine takes no orders", "group", r.Group)
-	}
-}
+// job binds an action to the boot of the engine that the core knows of. It is
+// not the boot last read: between that and the core's word of a restart, an
+// order that follows from what was known before would reach the new process.
+func (r *Rank) job(a expertmap.Action) *job {
+	c := &engineClient{call: r.CallEngine, address: r.Address(), bootID: r.boot, placement: r.placement}
 
-// engine reaches the boot of the engine that was last heard of.
-func (r *Rank) engine() *expertmap.Engine {
-	c := &engineClient{client: r.client, address: r.Address(), placement: r.placement}
-	if s := r.state.Load(); s != nil {
-		c.bootID = s.BootID
-	}
-
-	return c.engine()
+	return &job{action: a, boot: r.boot, engine: c.engine()}
 }
 
 func (r *Rank) placement(version uint64) []byte {
@@ -141,7 +160,7 @@
 		return r.FirstMap()
 	}
 
-	for _, m := range *r.maps.Load() {
+	for _, m := range r.maps.Load().maps {
 		if m.GetVersion() == version {
 			return m.GetPlacement()
 		}
@@ -150,73 +169,29 @@
 	return nil
 }
 
-// carry gives the engine its orders, one after the other.
-func (r *Rank) carry(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case j := <-r.jobs:
-			r.carryOne(ctx, j)
-		}
-	}
-}
-
-func (r *Rank) carryOne(ctx context.Context, j job) {
-	err := r.call(ctx, j)
-
-	switch j.action.Kind {
-	case expertmap.ActionHold:
-		fence := j.action.Fence
-
-		r.post(ctx, func(now time.Time) { r.do(ctx, r.core.Held(now, fence, err == nil)) })
-	case expertmap.ActionRun:
-		// A hold that is not lifted would hold the whole group. A later order
-		// supersedes this one.
-		for err != nil && ctx.Err() == nil && len(r.jobs) == 0 && r.known() {
-			time.Sleep(retryPause)
-
-			err = r.call(ctx, j)
-		}
-	default:
-	}
-
-	if err != nil {
-		r.Logger.Debug("order failed", "group", r.Group, "error", err)
-	}
-}
-
-func (r *Rank) call(ctx context.Context, j job) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-
-	return j.engine.Do(ctx, j.action)
-}
-
-// known reports whether the rank still knows which map rules: an engine that has
-// restarted must not be told by what was known before.
-func (r *Rank) known() bool {
-	s := r.status.Load()
-
-	return s != nil && s.GetKnown()
-}
-
-func (r *Rank) load(ctx context.Context, a expertmap.Action, engine *expertmap.Engine) {
+func (r *Rank) load(ctx context.Context, j *job) {
 	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 
-	err := engine.Do(loadCtx, a)
+	a := j.action
+
+	err := j.engine.Do(loadCtx, a)
 	if err != nil {
 		r.Logger.Debug("map not loaded", "group", r.Group, "version", a.Version, "error", err)
-		time.Sleep(retryPause)
+		pause(ctx)
 	}
 
-	r.post(ctx, func(now time.Time) { r.do(ctx, r.core.Loaded(now, a.Version, err == nil)) })
+	r.post(ctx, func(ctx context.Context, now time.Time) {
+		// What a former process loaded is gone with it.
+		if r.boot == j.boot {
+			r.do(ctx, r.core.Loaded(now, a.Version, err == nil))
+		}
+	})
 }
 
 func (r *Rank) askPeers(ctx context.Context) {
 	for _, peer := range r.Peers() {
-		go func() {
+		r.work.Go(func() {
 			askCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 
@@ -225,16 +200,16 @@
 				return
 			}
 
-			r.post(ctx, func(now time.Time) {
+			r.post(ctx, func(ctx context.Context, now time.Time) {
 				r.do(ctx, r.core.Told(now, expertmap.RecordFromWire(a.GetRecord())))
 			})
-		}()
+		})
 	}
 }
 
 // watch reads the engine's state again and again.
 func (r *Rank) watch(ctx context.Context) {
-	tick := time.NewTicker(2 * tickEvery)
+	tick := time.NewTicker(watchEvery)
 	defer tick.Stop()
 
 	for {
@@ -245,31 +220,31 @@
 		}
 
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		s, err := (&engineClient{client: r.client, address: r.Address()}).state(callCtx)
+		s, err := (&engineClient{call: r.CallEngine, address: r.Address()}).state(callCtx)
 
 		cancel()
 
 		if err == nil {
-			r.heard(ctx, s)
+			r.post(ctx, func(ctx context.Context, now time.Time) { r.heard(ctx, now, s) })
 		}
 	}
 }
 
-func (r *Rank) heard(ctx context.Context, s *EngineState) {
-	former := r.state.Swap(s)
-	restarted := former != nil && former.BootID != s.BootID
+// heard takes in the engine's state.
+func (r *Rank) heard(ctx context.Context, now time.Time, s *EngineState) {
+	restarted := r.boot != "" && r.boot != s.BootID
+	r.boot = s.BootID
+	r.state.Store(s)
 
-	r.post(ctx, func(now time.Time) {
-		if restarted {
-			r.do(ctx, r.core.EngineRestarted(now))
-		}
+	if restarted {
+		r.do(ctx, r.core.EngineRestarted(now))
+	}
 
-		if s.Joined > 0 {
-			r.do(ctx, r.core.Joined(expertmap.Step(s.Joined)))
-		}
+	if s.Joined > 0 {
+		r.do(ctx, r.core.Joined(expertmap.Step(s.Joined)))
+	}
 
-		if s.Missing > 0 {
-			r.do(ctx, r.core.Missing(expertmap.Version(s.Missing)))
-		}
-	})
+	if s.Missing > 0 {
+		r.do(ctx, r.core.Missing(expertmap.Version(s.Missing)))
+	}
 }
--- a/internal/rank/service.go
+++ b/internal/rank/service.go
@@ -24,9 +24,13 @@
 		return nil, err
 	}
 
-	if o.GetKind() != wire.RankOrderKind_RankOrderNone {
-		r.keepMaps(o.GetMaps())
+	// Before the engine's first word there is no boot to give an order to. An
+	// order taken in then would be lost, and the engine would wait for it for good.
+	if r.state.Load() == nil {
+		return nil, errUnheard
+	}
 
+	if o.GetKind() != wire.RankOrderKind_RankOrderNone {
 		if err := r.receive(ctx, o); err != nil {
 			return nil, err
 		}
@@ -42,13 +46,12 @@
 
 func (r *Rank) receive(ctx context.Context, o *wire.RankOrder) error {
 	done := make(chan struct{})
-	// What follows from the order outlives the call that brought it.
-	work := context.WithoutCancel(ctx)
 
-	r.post(ctx, func(now time.Time) {
+	r.post(ctx, func(ctx context.Context, now time.Time) {
 		defer close(done)
 
-		r.do(work, r.core.Receive(now, expertmap.OrderFromWire(o)))
+		r.keepMaps(o)
+		r.do(ctx, r.core.Receive(now, expertmap.OrderFromWire(o)))
 	})
 
 	select {
@@ -59,10 +62,12 @@
 	}
 }
 
-// keepMaps keeps the maps that came with an order.
-func (r *Rank) keepMaps(maps []*wire.GroupMap) {
-	if len(maps) > 0 && len(maps) <= maxMapsKept {
-		r.maps.Store(&maps)
+// keepMaps keeps the maps that came with an order. A late order brings those of
+// its own time: kept, they would leave the engine without the map that rules now.
+func (r *Rank) keepMaps(o *wire.RankOrder) {
+	maps, asOf := o.GetMaps(), o.GetRecord().GetAsOf()
+	if len(maps) > 0 && len(maps) <= maxMapsKept && asOf >= r.maps.Load().asOf {
+		r.maps.Store(&keptMaps{asOf: asOf, maps: maps})
 	}
 }
 
@@ -74,7 +79,7 @@
 
 	answer := make(chan *wire.RankAnswer, 1)
 
-	r.post(ctx, func(time.Time) {
+	r.post(ctx, func(context.Context, time.Time) {
 		out := &wire.RankAnswer{}
 
 		for _, a := range r.core.Asked(int(q.GetRank())) {
--- a/internal/standin/lockstep.go
+++ b/internal/standin/lockstep.go
@@ -17,7 +17,7 @@
 // Lockstep is a stand-in group of ranks that advance in lock-step: a step begins
 // on all ranks or on none, and takes as long as its slowest rank. Each rank
 // picks its map by its own orders, and a step in which two ranks would use
-// different maps is counted in Mixed.
+// different maps, or different contents under one version, is counted in Mixed.
 type Lockstep struct {
 	Shape placement.Shape
 	// StepTime is the time of a balanced step; Tokens is how many each step routes.
@@ -42,7 +42,7 @@
 // lockRank is one rank's engine.
 type lockRank struct {
 	bootID string
-	maps   map[uint64]*placement.Map
+	maps   map[uint64]lockMap
 	// told says that a Run order has come since the boot.
 	told     bool
 	held     bool
@@ -56,6 +56,12 @@
 	tokens   []uint64
 }
 
+// lockMap is a map that a rank has loaded.
+type lockMap struct {
+	content *placement.Map
+	digest  uint64
+}
+
 // LockstepState is what a group tells of itself.
 type LockstepState struct {
 	Steps uint64
@@ -86,7 +92,7 @@
 
 func (g *Lockstep) newRank() *lockRank {
 	return &lockRank{
-		bootID: uuid.NewString(), maps: make(map[uint64]*placement.Map),
+		bootID: uuid.NewString(), maps: make(map[uint64]lockMap),
 		tokens: make([]uint64, g.Shape.Layers*g.Shape.Experts),
 	}
 }
@@ -135,6 +141,13 @@
 	return r.run.RunBefore
 }
 
+// agrees reports whether two ranks compute step s with the same map.
+func (r *lockRank) agrees(with *lockRank, s uint64) bool {
+	v, w := r.version(s), with.version(s)
+
+	return v == w && r.maps[v].digest == with.maps[w].digest
+}
+
 // ready reports whether the rank may begin step s, and notes a map that it lacks.
 func (r *lockRank) ready(s uint64) bool {
 	if !r.told || (r.held && s >= r.heldFrom) {
@@ -144,11 +157,11 @@
 	v := r.version(s)
 	r.missing = 0
 
-	if r.maps[v] == nil {
+	if r.maps[v].content == nil {
 		r.missing = v
 	}
 
-	return r.maps[v] != nil
+	return r.missing == 0
 }
 
 // advance begins the next step if every rank is ready, and returns how long it takes.
@@ -168,11 +181,15 @@
 	}
 
 	g.step = next
+	mixed := false
+
 	for _, r := range g.ranks {
 		r.joined = next
-		if r.version(next) != g.ranks[0].version(next) {
-			g.mixed++
-		}
+		mixed = mixed || !r.agrees(g.ranks[0], next)
+	}
+
+	if mixed {
+		g.mixed++
 	}
 
 	return g.compute(next)
@@ -187,7 +204,7 @@
 		load.Tokens = append(load.Tokens, g.weights[l]...)
 	}
 
-	m := g.ranks[0].maps[g.ranks[0].version(step)]
+	m := g.ranks[0].maps[g.ranks[0].version(step)].content
 	t := placement.Evaluate(m, load)
 	g.skews = append(g.skews, t.Skew())
 	g.count(m)
--- a/internal/standin/lockstep_http.go
+++ b/internal/standin/lockstep_http.go
@@ -63,14 +63,10 @@
 	case rank.DoDrop:
 		delete(r.maps, o.Version)
 	case rank.DoHold:
-		from := max(o.Step, r.joined+1)
-		if o.Step != 0 && o.Step <= r.joined {
-			return http.StatusConflict
-		}
-
-		r.held, r.heldFrom = true, from
+		return r.hold(o.Step)
 	case rank.DoRun:
 		r.told, r.held, r.run = true, false, *o
+		r.free()
 	default:
 		return http.StatusBadRequest
 	}
@@ -78,13 +74,38 @@
 	return http.StatusNoContent
 }
 
+// hold keeps steps from beginning. A second hold does not lift the first.
+func (r *lockRank) hold(step uint64) int {
+	if step != 0 && step <= r.joined {
+		return http.StatusConflict
+	}
+
+	from := max(step, r.joined+1)
+	if r.held {
+		from = min(from, r.heldFrom)
+	}
+
+	r.held, r.heldFrom = true, from
+
+	return http.StatusNoContent
+}
+
+// free drops the maps that the standing order does not name.
+func (r *lockRank) free() {
+	for v := range r.maps {
+		if v != r.run.RunVersion && v != r.run.RunBefore {
+			delete(r.maps, v)
+		}
+	}
+}
+
 func (r *lockRank) load(o *rank.EngineOrder) int {
 	m, err := placement.Decode(o.Placement)
 	if err != nil {
 		return http.StatusBadRequest
 	}
 
-	r.maps[o.Version] = m
+	r.maps[o.Version] = lockMap{content: m, digest: m.Digest()}
 
 	return http.StatusNoContent
 }
