Close the connection of an answer that was out of step

Cause: the transport keeps a connection once it has read an answer to its end, also where the answer was crossed, mixed or followed by more bytes, so the next request went over it. A refusal without an attempt's id was taken as crossed.

Change: such a connection is closed. An unnamed refusal keeps its cause, with MayHaveRun: nobody can tell whose it is, and the entry then asks the agent.

--- a/internal/agentlink/link.go
+++ b/internal/agentlink/link.go
@@ -8,8 +8,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"sync"
 	"time"
@@ -97,6 +99,12 @@
 	watch := time.AfterFunc(l.Silence, func() { cancel(errSilent) })
 	defer watch.Stop()
 
+	var conn net.Conn
+
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+	})
+
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+RequestPath, bytes.NewReader(body))
 	if err != nil {
 		return Result{Err: &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, Err: err}}
@@ -120,11 +128,17 @@
 	res, err := in.run(resp.StatusCode)
 	if err != nil {
 		res.Err = l.fault(ctx, err)
+		// The transport keeps the connection of any answer that it has read to its
+		// end, also of a crossed or mixed one: the next request on it would get what
+		// else is out of step there.
+		_ = conn.Close()
 
 		return res
 	}
 
-	in.finish()
+	if !in.finish() {
+		_ = conn.Close()
+	}
 
 	return res
 }
@@ -201,11 +215,14 @@
 }
 
 // finish reads to the end of the answer, which comes right behind its last
-// frame: only then does the transport keep the connection. More bytes instead
-// leave it unread, and so closed.
-func (d *reader) finish() {
+// frame: only then does the transport keep the connection. It reports false
+// where more bytes come instead, or nothing.
+func (d *reader) finish() bool {
 	d.watch.Reset(d.silence)
-	_, _ = d.in.ReadByte()
+
+	_, err := d.in.ReadByte()
+
+	return errors.Is(err, io.EOF)
 }
 
 func (d *reader) frame(f *wire.Frame) (Result, bool, error) {
@@ -279,11 +296,17 @@
 }
 
 func (d *reader) refusal(f *wire.Refusal) (Result, error) {
-	if err := d.mine(f.GetAttemptID()); err != nil {
+	refused := &verdict.Error{Verdict: verdict.Verdict(f.GetVerdict()), Cause: verdict.Cause(f.GetCause())}
+
+	// An agent that could not read a request, or would not for lack of room, names
+	// no attempt. The cause helps the caller; but whose refusal it is nobody can
+	// tell, so that its word that the request did not run counts for nothing.
+	if f.GetAttemptID() == "" {
+		refused.Verdict = verdict.MayHaveRun
+	} else if err := d.mine(f.GetAttemptID()); err != nil {
 		return Result{}, err
 	}
 
-	refused := &verdict.Error{Verdict: verdict.Verdict(f.GetVerdict()), Cause: verdict.Cause(f.GetCause())}
 	if f.GetRetryAfterMillis() > 0 {
 		refused.RetryAt = time.Now().Add(time.Duration(f.GetRetryAfterMillis()) * time.Millisecond)
 	}
