--- a/internal/expertgroup/unit.go
+++ b/internal/expertgroup/unit.go
@@ -152,7 +152,11 @@
 	defer cancel()
 
 	order := expertmap.OrderToWire(u.name, o)
-	order.Maps = maps
+
+	if needsMaps(o.Kind) {
+		order.Maps = maps
+	}
+
 	status, err := u.director.Order(ctx, n.Address, order)
 
 	u.director.post(u.ctx, func(now time.Time) {
@@ -168,6 +172,13 @@
 	})
 }
 
+// needsMaps reports whether the rank may have to load a map because of an order.
+// A map weighs 20 KB and more: with each status ask, once a second, that would be
+// most of what the leader says.
+func needsMaps(k expertmap.OrderKind) bool {
+	return k == expertmap.OrderStage || k == expertmap.OrderInform || k == expertmap.OrderConfirm
+}
+
 func (u *unit) done(a expertmap.Action) {
 	u.next = nil
 
--- a/internal/ledger/claims.go
+++ b/internal/ledger/claims.go
@@ -16,8 +16,9 @@
 }
 
 // claimTable holds the claims of non-idempotent requests. A claim leaves it
-// only when its attempt is shown not to have run, or when its window has ended;
-// where the table is full, new claims are refused, and none is dropped early.
+// only when its attempt is shown not to have run, when its window has ended, or
+// where the table is full and its guarantee has ended. Where none can go, new
+// claims are refused: none is dropped before its guarantee ends.
 type claimTable struct {
 	limits  Limits
 	entries map[claimKey]*list.Element
@@ -92,7 +93,9 @@
 }
 
 func (t *claimTable) open(now time.Time, key claimKey, r *wire.ClaimRequest) *wire.ClaimResponse {
-	if len(t.entries) >= t.limits.Claims || t.bytes >= t.limits.ClaimBytes {
+	t.makeRoom(now)
+
+	if t.full() {
 		return t.answer(wire.ClaimState_ClaimFull, nil)
 	}
 
@@ -109,9 +112,31 @@
 	return t.answer(wire.ClaimState_ClaimGranted, entry)
 }
 
+func (t *claimTable) full() bool {
+	return len(t.entries) >= t.limits.Claims || t.bytes >= t.limits.ClaimBytes
+}
+
+// makeRoom lets the oldest claims go that have outlived their guarantee, while
+// the table is full.
+func (t *claimTable) makeRoom(now time.Time) {
+	for t.full() && t.order.Len() > 0 {
+		entry := t.order.Front().Value.(*wire.ClaimEntry)
+		began := fromMillis(entry.GetEndsAtMillis()).Add(-t.limits.ClaimWindow)
+
+		if now.Before(began.Add(t.limits.guarantee())) {
+			return
+		}
+
+		t.drop(keyOf(entry))
+	}
+}
+
+func keyOf(entry *wire.ClaimEntry) claimKey {
+	return claimKey{workspace: entry.GetWorkspace(), service: entry.GetService(), key: entry.GetKey()}
+}
+
 func (t *claimTable) add(entry *wire.ClaimEntry) {
-	key := claimKey{workspace: entry.GetWorkspace(), service: entry.GetService(), key: entry.GetKey()}
-	t.entries[key] = t.order.PushBack(entry)
+	t.entries[keyOf(entry)] = t.order.PushBack(entry)
 	t.bytes += answerBytes(entry.GetAnswer())
 }
 
@@ -181,7 +206,7 @@
 			return
 		}
 
-		t.drop(claimKey{workspace: entry.GetWorkspace(), service: entry.GetService(), key: entry.GetKey()})
+		t.drop(keyOf(entry))
 	}
 }
 
@@ -189,7 +214,7 @@
 	out := &wire.ClaimResponse{
 		State:        state,
 		Holder:       entry.GetHolder(),
-		WindowMillis: uint64(t.limits.ClaimWindow / time.Millisecond),
+		WindowMillis: uint64(t.limits.guarantee() / time.Millisecond),
 	}
 	if state == wire.ClaimState_ClaimRecorded {
 		out.Answer = entry.GetAnswer()
--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -127,6 +127,30 @@
 	require.Equal(t, 1, b.ledger.Claims())
 }
 
+// More bookings come than a day's window holds. Keys that have outlived what
+// callers were promised make room, the oldest first, so that the desk goes on;
+// within that time none does, or a resend would book twice.
+func TestFullTableKeepsItsGuarantee(t *testing.T) {
+	t.Parallel()
+
+	limits := ledger.DefaultLimits()
+	limits.Claims = 2
+	limits.ClaimGuarantee = time.Minute
+	b := newBed(t, limits)
+
+	granted := b.claim("0", "a", "b", "")
+	require.EqualValues(t, 60_000, granted.GetWindowMillis(), "callers are told what is sure")
+	b.tick(30_000)
+	require.Equal(t, wire.ClaimState_ClaimGranted, b.claim("1", "a", "b", "").GetState())
+	b.tick(29_999)
+	require.Equal(t, wire.ClaimState_ClaimFull, b.claim("2", "a", "b", "").GetState())
+	b.tick(1)
+	b.restart(limits)
+	require.Equal(t, wire.ClaimState_ClaimGranted, b.claim("2", "a", "b", "").GetState())
+	require.Equal(t, wire.ClaimState_ClaimOpen, b.claim("1", "a2", "b", "").GetState(), "the younger one stays")
+	require.Equal(t, wire.ClaimState_ClaimFull, b.claim("3", "a", "b", "").GetState())
+}
+
 // Two control VMs believe for a moment that they lead, and both move the clock
 // for the same span; one has a clock that leapt by days. Were both counted, or
 // the leap, windows would end early and a booking could run twice.
--- a/internal/ledger/limits.go
+++ b/internal/ledger/limits.go
@@ -10,8 +10,12 @@
 	ClaimBytes int
 	// AnswerBytes bounds one recorded answer; a larger one is recorded as lost.
 	AnswerBytes int
-	// ClaimWindow is how long a key is remembered, on the clock of the state.
-	ClaimWindow time.Duration
+	// ClaimGuarantee is how long a key is remembered whatever comes, on the clock of
+	// the state; callers are told this. ClaimWindow is how long it is remembered
+	// where there is room: a full table lets the oldest go that have outlived the
+	// guarantee.
+	ClaimGuarantee time.Duration
+	ClaimWindow    time.Duration
 	// Decisions is how many decisions are kept for resends.
 	Decisions int
 	// Plans is how many plans are kept for confirmation, and PlanBytes how large
@@ -28,12 +32,23 @@
 	ExpiryShare int
 }
 
+// guarantee is ClaimGuarantee, or the whole window where that is shorter or no
+// guarantee is set.
+func (l *Limits) guarantee() time.Duration {
+	if l.ClaimGuarantee == 0 {
+		return l.ClaimWindow
+	}
+
+	return min(l.ClaimGuarantee, l.ClaimWindow)
+}
+
 // DefaultLimits returns the limits for the size that parsleygate is designed for.
 func DefaultLimits() Limits {
 	return Limits{
 		Claims:          131072,
 		ClaimBytes:      64 << 20,
 		AnswerBytes:     16 << 10,
+		ClaimGuarantee:  15 * time.Minute,
 		ClaimWindow:     24 * time.Hour,
 		Decisions:       2048,
 		Plans:           64,
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -58,6 +59,10 @@
 	shell  *entry.Entry
 	bus    *events.Bus
 	stop   context.CancelFunc
+
+	// mu orders what the chooser is told: by each change, and later by a timer.
+	mu      sync.Mutex
+	subsets subsets
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
@@ -149,7 +154,7 @@
 		// bus: its handlers run side by side, and an older list of targets, applied
 		// last, would rule until the next change.
 		OnChange: func(s *view.Snapshot) {
-			chooser.ChangeTargets(r.targetsOf(s))
+			r.changeTargets(chooser)
 			r.announce(s)
 			stopIfPlanned(s, r.ID, r.stop)
 		},
@@ -159,6 +164,20 @@
 	return reader
 }
 
+// changeTargets tells the chooser the targets by the latest configuration, and
+// again later where a subset could not be worked out anew yet.
+func (r *Entry) changeTargets(chooser *routing.Chooser) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.subsets.dueAt = time.Time{}
+	chooser.ChangeTargets(r.targetsOf(r.reader.Snapshot()))
+
+	if !r.subsets.dueAt.IsZero() {
+		time.AfterFunc(time.Until(r.subsets.dueAt), func() { r.changeTargets(chooser) })
+	}
+}
+
 func (r *Entry) announce(s *view.Snapshot) {
 	if err := r.bus.ConfigurationChanged(events.ConfigurationChanged{Version: s.Version}); err != nil {
 		r.Logs.Logger("events").Warn("event lost", slog.Any("error", err))
@@ -234,10 +253,11 @@
 	var ev routing.TargetsChanged
 
 	entries := entriesOf(s)
+	now := time.Now()
 
 	for _, service := range s.Services() {
 		targets := s.Targets(service.GetName())
-		mine := r.subset(s, entries, targets)
+		mine := r.subsets.of(now, service.GetName(), r.place(), entries, places(s, targets))
 
 		for _, t := range targets {
 			if address, err := netip.ParseAddrPort(t.Node.GetAddress()); err == nil && mine[t.Node.GetID()] {
@@ -271,25 +291,6 @@
 	return out
 }
 
-// subset returns the targets of one service that this entry keeps to, out of
-// those that may get new work, so that a zone that is out leaves no hole in it.
-func (r *Entry) subset(s *view.Snapshot, entries []routing.Place, targets []view.Target) map[string]bool {
-	var places []routing.Place
-
-	for _, t := range targets {
-		if t.Admissible() {
-			places = append(places, routing.Place{ID: t.Node.GetID(), Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone())})
-		}
-	}
-
-	mine := make(map[string]bool)
-	for _, id := range (routing.Subsets{}).Of(routing.Place{ID: r.ID, Zone: r.Zone, Region: r.Region}, entries, places) {
-		mine[id] = true
-	}
-
-	return mine
-}
-
 func regionOf(s *view.Snapshot, zone string) string {
 	z, _ := s.Zone(zone)
 
