Prove the load tool's checker

Cause: the checker was untested; it took any unreadable booking for cut and did not look at the slot.

Change: a whole answer that is unreadable or of another slot is wrong. Unit tests with a fake entry: doubled, ran after NotRun (also on a resend), answered but not run, cut, wrong, phases, seed. The resend after MayHaveRun was counted rightly.

--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -109,7 +109,7 @@
 // book sends a booking, again under the same key and through other entries
 // while its caller does not know what became of it.
 func (l *Load) book(ctx context.Context, q *request) result {
-	body, _ := json.Marshal(standin.Booking{Ref: q.ref, Slot: "kiln-" + strconv.Itoa(q.n)})
+	body, _ := json.Marshal(standin.Booking{Ref: q.ref, Slot: q.slot()})
 	start := time.Now()
 
 	var res result
@@ -141,12 +141,13 @@
 		return refused(resp)
 	}
 
-	var b standin.Booked
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return result{outcome: cut}
 	}
 
-	if b.Ref != q.ref {
+	var b standin.Booked
+	if json.Unmarshal(got, &b) != nil || b.Ref != q.ref || b.Slot != q.slot() {
 		return result{outcome: wrong}
 	}
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -55,6 +55,8 @@
 	phase     string
 }
 
+func (q *request) slot() string { return fmt.Sprintf("kiln-%d", q.n) }
+
 const (
 	// workspaceSkew makes a few workspaces large, as the users' are.
 	workspaceSkew = 1.4
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,243 @@
+package load_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/load"
+	"github.com/parsleygate/parsleygate/internal/standin"
+)
+
+// fake is an entry that misbehaves by order: bookings by book, drafts by draft.
+type fake struct {
+	book  func(f *fake, w http.ResponseWriter, b standin.Booking, try int)
+	draft func(w http.ResponseWriter, d standin.Draft)
+
+	mu   sync.Mutex
+	runs map[string]int
+	try  map[string]int
+	seen []string
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var d standin.Draft
+
+	if strings.HasSuffix(r.URL.Path, "/v1/drafts") {
+		_ = json.NewDecoder(r.Body).Decode(&d)
+		f.seen = append(f.seen, fmt.Sprint(r.Header.Get("Parsleygate-Workspace"), d))
+		f.draft(w, d)
+
+		return
+	}
+
+	var b standin.Booking
+
+	_ = json.NewDecoder(r.Body).Decode(&b)
+	f.seen = append(f.seen, fmt.Sprint(r.Header.Get("Parsleygate-Workspace"), b))
+	f.try[b.Ref]++
+	f.book(f, w, b, f.try[b.Ref])
+}
+
+func (f *fake) run(b standin.Booking) { f.runs[b.Ref]++ }
+
+func answer(w http.ResponseWriter, b standin.Booking) {
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(standin.Booked{BookingID: "id", Ref: b.Ref, Slot: b.Slot})
+}
+
+func refuse(w http.ResponseWriter, v string) {
+	w.Header().Set("Parsleygate-Verdict", v)
+	w.Header().Set("Parsleygate-Cause", "Overload")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func right(d standin.Draft) string {
+	var b strings.Builder
+	for n := 1; n <= d.Tokens; n++ {
+		b.WriteString(standin.Event(d.Prompt, n))
+	}
+
+	return b.String() + standin.LastEvent
+}
+
+func runLoad(t *testing.T, f *fake, share float64, phase func() string) *load.Report {
+	t.Helper()
+
+	f.runs, f.try = make(map[string]int), make(map[string]int)
+	web := httptest.NewServer(f)
+	t.Cleanup(web.Close)
+
+	l := &load.Load{
+		Entries: []string{web.URL}, DraftService: "assist", BookingService: "desk",
+		Rate: 100, Duration: 100 * time.Millisecond, BookingShare: share, Tokens: 3, Workspaces: 3,
+		Timeout: 5 * time.Second, Seed: 5, MostInFlight: 64, Phase: phase,
+		Runs: func(context.Context) (map[string]int, error) { return f.runs, nil },
+	}
+	r, err := l.Run(t.Context())
+	require.NoError(t, err)
+
+	return r
+}
+
+func abort(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+// The exercise is worth what its checker sees. Each broken promise about a
+// booking must be told, and what a caller was told in time must not be.
+func TestBookings(t *testing.T) {
+	t.Parallel()
+
+	type outcome struct {
+		doubled, lied, lost, broken bool
+		count                       string
+	}
+
+	cases := []struct {
+		name string
+		book func(f *fake, w http.ResponseWriter, b standin.Booking, try int)
+		want outcome
+	}{
+		{"answered", func(f *fake, w http.ResponseWriter, b standin.Booking, _ int) { f.run(b); answer(w, b) }, outcome{count: "Answered"}},
+		{"doubled", func(f *fake, w http.ResponseWriter, b standin.Booking, _ int) { f.run(b); f.run(b); answer(w, b) }, outcome{doubled: true, broken: true, count: "Answered"}},
+		{"ran after NotRun", func(f *fake, w http.ResponseWriter, b standin.Booking, _ int) { f.run(b); refuse(w, "NotRun") }, outcome{lied: true, broken: true, count: "NotRun"}},
+		{"not run", func(_ *fake, w http.ResponseWriter, _ standin.Booking, _ int) { refuse(w, "NotRun") }, outcome{count: "NotRun"}},
+		{"answered and not run", func(_ *fake, w http.ResponseWriter, b standin.Booking, _ int) { answer(w, b) }, outcome{lost: true, broken: true, count: "Answered"}},
+		{"may have run, and ran", func(f *fake, w http.ResponseWriter, b standin.Booking, try int) {
+			if try == 1 {
+				f.run(b)
+			}
+			refuse(w, "MayHaveRun")
+		}, outcome{count: "MayHaveRun"}},
+		{"may have run, then NotRun, and ran", func(f *fake, w http.ResponseWriter, b standin.Booking, try int) {
+			if try == 1 {
+				f.run(b)
+				refuse(w, "MayHaveRun")
+				return
+			}
+			refuse(w, "NotRun")
+		}, outcome{lied: true, broken: true, count: "NotRun"}},
+		{"broken off, then NotRun, and ran", func(f *fake, w http.ResponseWriter, b standin.Booking, try int) {
+			if try == 1 {
+				f.run(b)
+				abort(w)
+			}
+			refuse(w, "NotRun")
+		}, outcome{lied: true, broken: true, count: "NotRun"}},
+		{"run again at a resend", func(f *fake, w http.ResponseWriter, b standin.Booking, try int) {
+			f.run(b)
+			if try == 1 {
+				refuse(w, "MayHaveRun")
+				return
+			}
+			answer(w, b)
+		}, outcome{doubled: true, broken: true, count: "Answered"}},
+		{"another's answer", func(f *fake, w http.ResponseWriter, b standin.Booking, _ int) {
+			f.run(b)
+			b.Ref = "other"
+			answer(w, b)
+		}, outcome{broken: true, count: "Wrong"}},
+		{"another slot", func(f *fake, w http.ResponseWriter, b standin.Booking, _ int) {
+			f.run(b)
+			b.Slot = "other"
+			answer(w, b)
+		}, outcome{broken: true, count: "Wrong"}},
+		{"no verdict", func(_ *fake, w http.ResponseWriter, _ standin.Booking, _ int) { w.WriteHeader(http.StatusBadGateway) }, outcome{broken: true, count: "Wrong"}},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			r := runLoad(t, &fake{book: c.book}, 1, nil)
+			got := outcome{doubled: len(r.Doubled) > 0, lied: len(r.Lied) > 0, lost: len(r.Lost) > 0, broken: r.Broken(), count: c.want.count}
+			require.Equal(t, c.want, got)
+			require.Positive(t, r.Count(c.want.count))
+		})
+	}
+}
+
+// A draft that is cut, or mixed with another's, must not pass for a whole one.
+func TestDrafts(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		name  string
+		draft func(w http.ResponseWriter, d standin.Draft)
+		count string
+		want  bool
+	}{
+		{"whole", func(w http.ResponseWriter, d standin.Draft) { _, _ = w.Write([]byte(right(d))) }, "Answered", false},
+		{"cut", func(w http.ResponseWriter, d standin.Draft) {
+			_, _ = w.Write([]byte(right(d)[:10]))
+			_ = http.NewResponseController(w).Flush()
+			abort(w)
+		}, "Cut", false},
+		{"ended as if whole", func(w http.ResponseWriter, d standin.Draft) { _, _ = w.Write([]byte(right(d)[:10])) }, "Wrong", true},
+		{"another's", func(w http.ResponseWriter, d standin.Draft) {
+			d.Prompt = "other"
+			_, _ = w.Write([]byte(right(d)))
+		}, "Wrong", true},
+		{"more than asked", func(w http.ResponseWriter, d standin.Draft) { _, _ = w.Write([]byte(right(d) + right(d))) }, "Wrong", true},
+		{"refused", func(w http.ResponseWriter, _ standin.Draft) { refuse(w, "NotRun") }, "NotRun", false},
+		{"broken off before the head", func(w http.ResponseWriter, _ standin.Draft) { abort(w) }, "Failed", false},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			r := runLoad(t, &fake{draft: c.draft}, 0, nil)
+			require.Equal(t, c.want, r.Broken())
+			require.Positive(t, r.Count(c.count))
+		})
+	}
+}
+
+// The same seed sends the same requests, and each is counted in its phase.
+func TestSeedAndPhases(t *testing.T) {
+	t.Parallel()
+
+	play := func() ([]string, *load.Report) {
+		f := &fake{
+			book:  func(f *fake, w http.ResponseWriter, b standin.Booking, _ int) { f.run(b); answer(w, b) },
+			draft: func(w http.ResponseWriter, d standin.Draft) { _, _ = w.Write([]byte(right(d))) },
+		}
+		n := 0
+		r := runLoad(t, f, 0.5, func() string {
+			n++
+
+			return fmt.Sprintf("phase-%d", min(n, 2))
+		})
+
+		return slices.Sorted(slices.Values(f.seen)), r
+	}
+
+	first, r := play()
+	second, _ := play()
+	require.NotEmpty(t, first)
+	require.Equal(t, first, second)
+
+	phases := make(map[string]int)
+	for _, row := range r.Rows {
+		phases[row.Phase] += row.Counts["Answered"]
+	}
+
+	require.Equal(t, map[string]int{"phase-1": 1, "phase-2": len(first) - 1}, phases)
+
+	var out strings.Builder
+
+	r.Print(&out)
+	require.Contains(t, out.String(), "Bookings: 0 doubled, 0 ran after NotRun, 0 answered but not run")
+}
