Ask two ranks of a group for the counts of its experts

Cause: reports of all 32 ranks carry 7,680 counters each; the tracker needs a sample. Change: ranks 0 and 16 send counts, the others their speed; the planner is told how far popularity swings.

--- a/internal/expertgroup/unit.go
+++ b/internal/expertgroup/unit.go
@@ -200,7 +200,9 @@
 			ctx, cancel := context.WithTimeout(u.ctx, u.director.Settings.CallTimeout)
 			defer cancel()
 
-			r, err := u.director.Report(ctx, n.Address, &wire.RankQuestion{Group: u.name, Rank: uint32(n.Rank)})
+			r, err := u.director.Report(ctx, n.Address, &wire.RankQuestion{
+				Group: u.name, Rank: uint32(n.Rank), Tokens: u.countsFor(n.Rank),
+			})
 			if err != nil {
 				u.director.Logger.Debug("no report", "group", u.name, "rank", n.Rank, "error", err)
 			}
@@ -221,6 +223,11 @@
 	}()
 }
 
+// countsFor reports whether the rank's counts of each expert are asked for. Its
+// routing is a sample of the group's: two ranks count for all, the second in
+// case the first is away, where all 32 would say 16 times as much.
+func (u *unit) countsFor(rank int) bool { return rank == 0 || rank == u.shape.Ranks/2 }
+
 func (u *unit) weigh(now time.Time, reports []*wire.RankReport) {
 	for _, r := range reports {
 		_, err := u.tracker.Observe(&popularity.Report{
@@ -251,7 +258,7 @@
 
 	d, err := u.planner.Decide(now, &placement.Group{
 		Map: current, Life: u.tracker.Life(),
-		Load: placement.Load{Tokens: u.tracker.Tokens(), Speed: u.tracker.Speeds()},
+		Load: placement.Load{Tokens: u.tracker.Tokens(), Speed: u.tracker.Speeds(), Volatility: u.tracker.Volatility()},
 	})
 	if err != nil || d.Map == nil {
 		return err
--- a/internal/rank/service.go
+++ b/internal/rank/service.go
@@ -110,10 +110,15 @@
 		return nil, errUnheard
 	}
 
-	return &wire.RankReport{
+	report := &wire.RankReport{
 		Rank: uint32(r.Number), Incarnation: status.GetIncarnation(), Sequence: s.Sequence,
-		BusyMicros: s.BusyMicros, Work: s.Work, Tokens: s.Tokens,
-	}, nil
+		BusyMicros: s.BusyMicros, Work: s.Work,
+	}
+	if q.GetTokens() {
+		report.Tokens = s.Tokens
+	}
+
+	return report, nil
 }
 
 func (r *Rank) mine(group string, number uint32) error {
