--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -40,7 +40,7 @@
 	c.Flags().DurationVar(&flags.exercise, "exercise", 0, "drive load for this long while a zone leaves and returns and a target turns cold, then stop")
 	c.Flags().Float64Var(&flags.rate, "rate", 150, "requests a second of the exercise")
 	c.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the exercise's load")
-	c.Flags().Uint16Var(&flags.port, "port", localPort, "port for operators; those of the entries follow")
+	c.Flags().Uint16Var(&flags.port, "port", localPort, "port of the first control VM; those of the entries follow, and the other control VMs at a distance of 10")
 
 	return c
 }
@@ -101,7 +101,7 @@
 		c.Printf("callers:   %s (%s)\n", base, l.Deployment.Zones[i])
 	}
 
-	c.Printf("operators: %s\n\n", l.Operators()[0])
+	c.Printf("operators: %v\n\n", l.Operators())
 	c.Println(localHint(l.Entries()[0], shape.Services[0].Name, shape.Services[1].Name))
 
 	if f.exercise > 0 {
--- a/cmd/parsleygate/cmds/operator.go
+++ b/cmd/parsleygate/cmds/operator.go
@@ -27,10 +27,14 @@
 }
 
 const (
-	defaultControl = "127.0.0.1:8600"
-	defaultTry     = 5 * time.Second
+	defaultTry = 5 * time.Second
 )
 
+// defaultControls are the control VMs of the local deployment.
+func defaultControls() []string {
+	return []string{"127.0.0.1:8600", "127.0.0.1:8610", "127.0.0.1:8620"}
+}
+
 // operatorFlags are the flags of all operators' commands.
 type operatorFlags struct {
 	controls []string
@@ -40,7 +44,7 @@
 }
 
 func (f *operatorFlags) add(c *cobra.Command) {
-	c.Flags().StringSliceVar(&f.controls, "control", []string{defaultControl}, "addresses of control VMs, as IP:port; they are tried in order")
+	c.Flags().StringSliceVar(&f.controls, "control", defaultControls(), "addresses of control VMs, as IP:port; they are tried in order")
 	c.Flags().DurationVar(&f.try, "try", defaultTry, "how long to wait for each control VM")
 	c.Flags().StringVar(&f.keys.CertFile, "cert", "", "your certificate in PEM, with the organisational unit operator")
 	c.Flags().StringVar(&f.keys.KeyFile, "key", "", "its key in PEM")
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -43,6 +43,14 @@
 			return k.ex.Chosen(k.attempt)
 		}
 
+		if ctx.Err() == nil && k.stale() {
+			// Without control VMs agents grant nothing and refuse all new work: to say
+			// that they are full or cold would send operators the wrong way.
+			none.Cause = verdict.CauseStale
+
+			return k.ex.NoTarget(none)
+		}
+
 		if ctx.Err() != nil || !full(none) {
 			return k.ex.NoTarget(none)
 		}
@@ -68,6 +76,9 @@
 	}
 }
 
+// stale reports whether the entry's freshness lease has run out.
+func (k *course) stale() bool { return !time.Now().Before(k.entry.Known().FreshUntil) }
+
 // triedAll reports whether every target has failed this request.
 func (k *course) triedAll() bool {
 	n := k.entry.Chooser.Room(time.Now(), k.call.service.GetName()).Targets
--- a/internal/local/control.go
+++ b/internal/local/control.go
@@ -17,6 +17,10 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
+// controlPortStep is the distance between the ports of two control VMs; those of
+// the entries lie between.
+const controlPortStep = 10
+
 // startControl starts a control VM in each availability zone.
 func (l *Local) startControl(ctx context.Context, g *errgroup.Group) error {
 	var (
@@ -26,8 +30,8 @@
 
 	for i := range l.Deployment.Zones {
 		port := uint16(0)
-		if l.OperatorPort != 0 && i == 0 {
-			port = l.OperatorPort
+		if l.OperatorPort != 0 {
+			port = l.OperatorPort + uint16(i)*controlPortStep
 		}
 
 		listener, err := listen(ctx, port)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -30,7 +30,8 @@
 	Dir string
 	// EntryPort is the port of the first entry, the others follow; 0 for any.
 	EntryPort uint16
-	// OperatorPort is the port of the first control VM; 0 for any.
+	// OperatorPort is the port of the first control VM, the others follow at a
+	// distance of 10; 0 for any.
 	OperatorPort uint16
 
 	controls  []*role.Control
