Take a cold engine's word from the head of its answers

Change: an engine may say so on the head of an answer; the agent's limit falls at once. Ruled out: announcing more often, which costs a message each time.

--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -108,6 +108,20 @@
 	}
 }
 
+// ToldCold takes the target's word, on the head of an answer, that it is cold. It
+// guards against an engine that turns cold between two announcements: for up to
+// a second it would get as much as a warm one. The next announcement may lift it.
+func (c *Core) ToldCold(now time.Time) {
+	c.prepare()
+
+	if !c.target.up || c.ramp.held {
+		return
+	}
+
+	c.ramp.held = true
+	c.ramp.fall(now, c.Settings.RampInterval)
+}
+
 // runningSince counts the running attempts that were admitted before at.
 func (c *Core) runningSince(at time.Time) int {
 	n := 0
--- a/internal/admission/ramp_test.go
+++ b/internal/admission/ramp_test.go
@@ -34,6 +34,7 @@
 	}{
 		{"new boot", func(b *bench) { b.announce("boot-2", false) }, true},
 		{"engine's own word", func(b *bench) { b.announce("boot-1", true) }, true},
+		{"engine's word on an answer", func(b *bench) { b.core.ToldCold(b.now) }, true},
 		{"target silent", func(b *bench) {
 			b.now = b.now.Add(DefaultAnnounceSilence)
 			b.core.Tick(b.now)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -7,6 +7,13 @@
 	"github.com/go-chi/chi/v5"
 )
 
+// ColdHeader is set to true by an engine that is cold, on the head of an answer.
+// Between two announcements this is the first that its agent hears of it.
+const ColdHeader = "Parsleygate-Target-Cold"
+
+// toldCold takes an engine's word from the head of an answer.
+func (a *Agent) toldCold() { a.door.toldCold(a.Now()) }
+
 // guarded returns the agent's routes behind Guard.
 func (a *Agent) guarded() http.Handler {
 	if a.Guard == nil {
--- a/internal/agent/door.go
+++ b/internal/agent/door.go
@@ -36,6 +36,13 @@
 	return &d.core, now
 }
 
+func (d *door) toldCold(now time.Time) {
+	defer d.mu.Unlock()
+
+	core, now := d.lock(now)
+	core.ToldCold(now)
+}
+
 func (d *door) arrive(now time.Time, r admission.Arrival) admission.Decision {
 	defer d.mu.Unlock()
 
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -73,6 +73,10 @@
 		return
 	}
 
+	if resp.Header.Get(ColdHeader) == "true" {
+		r.x.agent.toldCold()
+	}
+
 	r.pieces <- piece{head: resp}
 	r.pieces <- r.body(resp.Body, watch)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -20,6 +20,9 @@
 // answers to requests.
 const HeaderRequestID = "Parsleygate-Request-Id"
 
+// HeaderCold is how a cold engine says so on the head of an answer.
+const HeaderCold = "Parsleygate-Target-Cold"
+
 // Engine is a model engine that batches continuously: all sequences in flight
 // advance together, one token a step, and a step takes longer the more there are.
 type Engine struct {
@@ -174,6 +177,10 @@
 
 	defer e.end()
 
+	if e.State().Cold {
+		w.Header().Set(HeaderCold, "true")
+	}
+
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	e.stream(r.Context(), cut, w, d, from)
