Hold processes and operators to the names in their certificates

Cause: a process could report another as leaving, and a decision bore whatever name its operator typed. Change: a poll's node must be the certificate's common name; plans and decisions bear it. Plaintext, on loopback alone, is as before.

--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -96,7 +96,7 @@
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 
-	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	ok := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, identity.NameOf(r.Context())) })
 	server := &http.Server{Handler: identity.Guard(ok,
 		identity.Rule{Prefix: "/claim", Roles: []identity.Role{identity.RoleEntry}},
 		identity.Rule{Prefix: "/decide", Roles: []identity.Role{identity.RoleOperator}})}
@@ -123,8 +123,14 @@
 		return 0
 	}
 
+	said, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 
+	if resp.StatusCode == http.StatusOK {
+		require.Equal(t, "process", string(said), "the name in the certificate")
+	}
+
 	return resp.StatusCode
 }
 
--- a/internal/identity/role.go
+++ b/internal/identity/role.go
@@ -1,6 +1,7 @@
 package identity
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -40,10 +41,29 @@
 			return
 		}
 
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, r.WithContext(withName(r)))
 	})
 }
 
+// nameKey is the context key of the other side's name.
+type nameKey struct{}
+
+func withName(r *http.Request) context.Context {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return r.Context()
+	}
+
+	return context.WithValue(r.Context(), nameKey{}, r.TLS.PeerCertificates[0].Subject.CommonName)
+}
+
+// NameOf returns the common name of the certificate behind a request that came
+// through Guard; "" for plaintext.
+func NameOf(ctx context.Context) string {
+	name, _ := ctx.Value(nameKey{}).(string)
+
+	return name
+}
+
 // denial is a refusal as twirp clients read it.
 type denial struct {
 	Code string `json:"code"`
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -233,8 +233,8 @@
 
 func (r *Control) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(r.server))
-	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer(r.server))
+	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(&namedControl{Server: r.server}))
+	mux.Handle(wire.OperatorPathPrefix, wire.NewOperatorServer(&namedOperator{Server: r.server}))
 	mux.Handle(wire.MembersPathPrefix, wire.NewMembersServer(&membersService{role: r}))
 	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
--- /dev/null
+++ b/internal/role/named.go
@@ -0,0 +1,54 @@
+package role
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// namedControl holds processes to the names in their certificates: one could
+// otherwise report another as leaving, and take it out of service.
+type namedControl struct {
+	*control.Server
+}
+
+// Poll implements wire.Control.
+func (s *namedControl) Poll(ctx context.Context, r *wire.PollRequest) (*wire.PollResponse, error) {
+	if name := identity.NameOf(ctx); name != "" && name != r.GetNode().GetID() {
+		return nil, twirp.NewErrorf(twirp.PermissionDenied, "the certificate is of %s, the report of %s", name, r.GetNode().GetID())
+	}
+
+	return s.Server.Poll(ctx, r)
+}
+
+// namedOperator names operators by their certificates, so that history shows who
+// decided, whatever the command said.
+type namedOperator struct {
+	*control.Server
+}
+
+// Plan implements wire.Operator.
+func (s *namedOperator) Plan(ctx context.Context, r *wire.PlanRequest) (*wire.PlanResponse, error) {
+	r.Operator = nameOr(ctx, r.GetOperator())
+
+	return s.Server.Plan(ctx, r)
+}
+
+// Confirm implements wire.Operator.
+func (s *namedOperator) Confirm(ctx context.Context, r *wire.ConfirmRequest) (*wire.ConfirmResponse, error) {
+	r.Operator = nameOr(ctx, r.GetOperator())
+
+	return s.Server.Confirm(ctx, r)
+}
+
+func nameOr(ctx context.Context, said string) string {
+	if name := identity.NameOf(ctx); name != "" {
+		return name
+	}
+
+	return said
+}
