Lift a hold of which the engine's answer was lost

Cause: an engine held, its answer was lost, the rank refused the switch, and the abort lifted nothing as nothing was promised: the group made no step any more.

Change: after a failed hold the rank gives its last Run again.

--- a/internal/expertgroup/world_test.go
+++ b/internal/expertgroup/world_test.go
@@ -51,6 +51,7 @@
 	mu     sync.Mutex
 	rnd    *rand.Rand
 	log    []*wire.GroupEntry
+	truth  *ledger.Ledger
 	leader int
 	agents [ranks]*agent
 	orders []*wire.RankOrder
@@ -79,7 +80,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	shape := placement.Shape{Layers: 2, Ranks: ranks, SlotsPerRank: 4, Experts: 8}
-	w := &world{t: t, ctx: t.Context(), shape: shape, rnd: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{truth: ledger.New(ledger.DefaultLimits()), t: t, ctx: t.Context(), shape: shape, rnd: rand.New(rand.NewPCG(seed, 1))}
 	w.group = &standin.Lockstep{
 		Shape: shape, StepTime: stepTime, Tokens: 4000, Skew: 1.2, DriftEvery: 25, Seed: seed, Speed: []float64{1, 1, 1, 1},
 	}
@@ -267,7 +268,7 @@
 
 // deliver hands the log's entries to the control VMs that are not cut off.
 func (w *world) deliver(ctx context.Context) {
-	for wait(ctx, 2*time.Millisecond) {
+	for wait(ctx, 5*time.Millisecond) {
 		w.mu.Lock()
 
 		for _, n := range w.nodes {
@@ -276,9 +277,7 @@
 			}
 
 			for ; n.applied < len(w.log); n.applied++ {
-				data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_GroupEntry{GroupEntry: w.log[n.applied]}})
-				require.NoError(w.t, err)
-				n.ledger.Apply(uint64(n.applied+1), data)
+				apply(w.t, n.ledger, w.log)
 			}
 		}
 
@@ -428,7 +427,7 @@
 
 // run waits until ok, at most for d. No two ranks may ever use two maps.
 func (w *world) run(d time.Duration, ok func() bool) bool {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		require.Zero(w.t, w.group.State().Mixed, "two ranks used different maps in a step")
 
 		if ok != nil && ok() {
@@ -439,25 +438,30 @@
 	return false
 }
 
-// switched is how many maps after the first have come to rule.
+// record returns what the whole log says of the group.
 func (w *world) record() *wire.GroupRecord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	l := ledger.New(ledger.DefaultLimits())
-	for i, e := range w.log {
-		data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_GroupEntry{GroupEntry: e}})
-		require.NoError(w.t, err)
-		l.Apply(uint64(i+1), data)
+	for int(w.truth.Index()) < len(w.log) {
+		apply(w.t, w.truth, w.log)
 	}
 
-	if g := l.Groups(); len(g) == 1 {
+	if g := w.truth.Groups(); len(g) == 1 {
 		return g[0].GetRecord()
 	}
 
 	return &wire.GroupRecord{RulingVersion: ledger.FirstMap}
 }
 
+// apply applies the next entry of log to l.
+func apply(t *testing.T, l *ledger.Ledger, log []*wire.GroupEntry) {
+	i := l.Index()
+	data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_GroupEntry{GroupEntry: log[i]}})
+	require.NoError(t, err)
+	l.Apply(i+1, data)
+}
+
 // heal ends all faults.
 func (w *world) heal() {
 	w.mu.Lock()
--- a/internal/rank/jobs.go
+++ b/internal/rank/jobs.go
@@ -99,11 +99,23 @@
 
 	r.post(ctx, func(ctx context.Context, now time.Time) {
 		if r.boot == j.boot {
-			r.do(ctx, r.core.Held(now, j.action.Fence, err == nil))
+			r.held(ctx, now, j, err == nil)
 		}
 	})
 }
 
+// held takes in the outcome of a hold. One that failed may stand all the same,
+// where only its answer was lost. The rank has refused the switch then, so its
+// end will lift nothing, and the group would be held for good: the last Run is
+// given again. That is safe because a refused switch can't be committed.
+func (r *Rank) held(ctx context.Context, now time.Time, j *job, ok bool) {
+	r.do(ctx, r.core.Held(now, j.action.Fence, ok))
+
+	if !ok && j.action.Step != 0 && r.lastRun != nil {
+		r.jobs.add(r.job(*r.lastRun))
+	}
+}
+
 // mustArrive names the orders that are repeated until the engine took them. A
 // hold that is not lifted holds the whole group for good: nothing else lifts it.
 // A hold of no step stops a rank that does not know which map rules.
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -56,7 +56,11 @@
 	jobs   jobQueue
 	work   sync.WaitGroup
 	// boot is the engine's boot that the core knows of, "" before the first word.
-	boot   string
+	boot string
+	// lastRun is the last Run for that boot; nil where the rank does not know
+	// which map rules.
+	lastRun *expertmap.Action
+
 	status atomic.Pointer[wire.RankStatus]
 	state  atomic.Pointer[EngineState]
 	maps   atomic.Pointer[keptMaps]
@@ -140,12 +144,22 @@
 			j := r.job(a)
 			r.work.Go(func() { r.load(ctx, j) })
 		case expertmap.ActionHold, expertmap.ActionRun, expertmap.ActionDrop:
+			r.note(a)
 			r.jobs.add(r.job(a))
 		default:
 		}
 	}
 }
 
+func (r *Rank) note(a expertmap.Action) {
+	switch {
+	case a.Kind == expertmap.ActionRun:
+		r.lastRun = &a
+	case a.Kind == expertmap.ActionHold && a.Step == 0:
+		r.lastRun = nil
+	}
+}
+
 // job binds an action to the boot of the engine that the core knows of. It is
 // not the boot last read: between that and the core's word of a restart, an
 // order that follows from what was known before would reach the new process.
@@ -237,6 +251,7 @@
 	r.state.Store(s)
 
 	if restarted {
+		r.lastRun = nil
 		r.do(ctx, r.core.EngineRestarted(now))
 	}
 
