--- a/internal/expertgroup/world_test.go
+++ b/internal/expertgroup/world_test.go
@@ -1,8 +1,11 @@
 package expertgroup_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -60,6 +63,8 @@
 	lose, double, late float64
 	logLoses           bool
 	stalled            [ranks]time.Time
+	// holdsUnanswered says that engines hold and their answers are lost.
+	holdsUnanswered bool
 }
 
 // node is one control VM.
@@ -403,10 +408,24 @@
 		return nil, errStalled
 	}
 
+	var order rank.EngineOrder
+
+	if q.Body != nil {
+		body, err := io.ReadAll(q.Body)
+		require.NoError(w.t, err)
+		require.NoError(w.t, json.Unmarshal(body, &order))
+
+		q.Body = io.NopCloser(bytes.NewReader(body))
+	}
+
 	out := httptest.NewRecorder()
 	w.router[n].ServeHTTP(out, q)
 
-	if w.chance(losing) {
+	w.mu.Lock()
+	unanswered := w.holdsUnanswered && order.Do == rank.DoHold
+	w.mu.Unlock()
+
+	if unanswered || w.chance(losing) {
 		return nil, errLost
 	}
 
@@ -468,6 +487,7 @@
 	defer w.mu.Unlock()
 
 	w.lose, w.double, w.late, w.logLoses = 0, 0, 0, false
+	w.holdsUnanswered = false
 	w.stalled = [ranks]time.Time{}
 
 	for _, n := range w.nodes {
