--- a/internal/expertgroup/unit.go
+++ b/internal/expertgroup/unit.go
@@ -152,7 +152,11 @@
 	defer cancel()
 
 	order := expertmap.OrderToWire(u.name, o)
-	order.Maps = maps
+
+	if needsMaps(o.Kind) {
+		order.Maps = maps
+	}
+
 	status, err := u.director.Order(ctx, n.Address, order)
 
 	u.director.post(u.ctx, func(now time.Time) {
@@ -168,6 +172,13 @@
 	})
 }
 
+// needsMaps reports whether the rank may have to load a map because of an order.
+// A map weighs 20 KB and more: with each status ask, once a second, that would be
+// most of what the leader says.
+func needsMaps(k expertmap.OrderKind) bool {
+	return k == expertmap.OrderStage || k == expertmap.OrderInform || k == expertmap.OrderConfirm
+}
+
 func (u *unit) done(a expertmap.Action) {
 	u.next = nil
 
@@ -189,7 +200,9 @@
 			ctx, cancel := context.WithTimeout(u.ctx, u.director.Settings.CallTimeout)
 			defer cancel()
 
-			r, err := u.director.Report(ctx, n.Address, &wire.RankQuestion{Group: u.name, Rank: uint32(n.Rank)})
+			r, err := u.director.Report(ctx, n.Address, &wire.RankQuestion{
+				Group: u.name, Rank: uint32(n.Rank), Tokens: u.countsFor(n.Rank),
+			})
 			if err != nil {
 				u.director.Logger.Debug("no report", "group", u.name, "rank", n.Rank, "error", err)
 			}
@@ -210,6 +223,11 @@
 	}()
 }
 
+// countsFor reports whether the rank's counts of each expert are asked for. Its
+// routing is a sample of the group's: two ranks count for all, the second in
+// case the first is away, where all 32 would say 16 times as much.
+func (u *unit) countsFor(rank int) bool { return rank == 0 || rank == u.shape.Ranks/2 }
+
 func (u *unit) weigh(now time.Time, reports []*wire.RankReport) {
 	for _, r := range reports {
 		_, err := u.tracker.Observe(&popularity.Report{
@@ -240,7 +258,7 @@
 
 	d, err := u.planner.Decide(now, &placement.Group{
 		Map: current, Life: u.tracker.Life(),
-		Load: placement.Load{Tokens: u.tracker.Tokens(), Speed: u.tracker.Speeds()},
+		Load: placement.Load{Tokens: u.tracker.Tokens(), Speed: u.tracker.Speeds(), Volatility: u.tracker.Volatility()},
 	})
 	if err != nil || d.Map == nil {
 		return err
