Refuse another shape for a group that exists

Cause: found by the proofs of expert maps: map 1 follows from the declared shape, so ranks that hear of a change at different times load two maps as version 1. Change: a declaration that changes ranks, experts, layers or slots of a group is an error with its place; a new group is the way.

--- a/internal/intent/changes.go
+++ b/internal/intent/changes.go
@@ -105,6 +105,10 @@
 			service = held[key]
 		}
 
+		if err := s.keepsShape(held[s.key()].GetGroup(), group); err != nil {
+			return d.at(err)
+		}
+
 		if service == nil {
 			return d.at(&Error{
 				Line: s.line, Section: s.head(), Key: "Service",
@@ -116,6 +120,25 @@
 	return nil
 }
 
+// keepsShape refuses another shape for a group that exists. Its first map follows
+// from the declared shape, so ranks that hear of the change at different times
+// would load two different maps under one version.
+func (s *section) keepsShape(held, next *wire.Group) *Error {
+	if held == nil {
+		return nil
+	}
+
+	if held.GetRanks() == next.GetRanks() && held.GetExperts() == next.GetExperts() &&
+		held.GetLayers() == next.GetLayers() && held.GetSlots() == next.GetSlots() {
+		return nil
+	}
+
+	return &Error{
+		Line: s.line, Section: s.head(), Problem: "changes the shape of a group that exists",
+		Allowed: "another group under a new name, with the shape that is wanted",
+	}
+}
+
 func changeOf(key string, before, after *wire.Record) *wire.Change {
 	switch {
 	case before == nil && after == nil:
