Lose a zone without notice in the exercise

Change: a fifth phase ends all targets of a zone at once; such drafts are Late. The agents of the zone stay up in this: it is a loss of targets, not of VMs.

--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -21,8 +21,10 @@
 	answered outcome = "Answered"
 	notRun   outcome = "NotRun"
 	unsure   outcome = "MayHaveRun"
-	// cut answers broke off; wrong ones ended but are not the request's own.
+	// cut answers broke off; late ones did at their caller's own deadline; wrong
+	// ones ended but are not the request's own.
 	cut     outcome = "Cut"
+	late    outcome = "Late"
 	wrong   outcome = "Wrong"
 	failed  outcome = "Failed"
 	notSent outcome = "NotSent"
@@ -44,6 +46,9 @@
 // resendPause is how long such a caller waits between two sends.
 const resendPause = 200 * time.Millisecond
 
+// lateSlack is how long before its caller's clock an entry's may end the wait.
+const lateSlack = 100 * time.Millisecond
+
 func (l *Load) draft(ctx context.Context, q *request) result {
 	prompt := "draft for " + q.ref
 	body, _ := json.Marshal(standin.Draft{Prompt: prompt, Tokens: q.tokens})
@@ -59,7 +64,12 @@
 		return refused(resp)
 	}
 
-	return readDraft(resp.Body, prompt, q.tokens, start)
+	res := readDraft(resp.Body, prompt, q.tokens, start)
+	if res.outcome == cut && res.total >= l.Timeout-lateSlack {
+		res.outcome = late
+	}
+
+	return res
 }
 
 func readDraft(body io.Reader, prompt string, tokens int, start time.Time) result {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -123,7 +123,7 @@
 	slices.Sort(l.report.Lost)
 }
 
-var columns = []outcome{answered, notRun, unsure, cut, wrong, failed, notSent}
+var columns = []outcome{answered, notRun, unsure, cut, late, wrong, failed, notSent}
 
 // Print writes the report as a table.
 func (r *Report) Print(w io.Writer) {
--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -15,12 +15,16 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// The phases of an exercise; each takes a share of its time.
+// phases is how many phases an exercise has; each takes an equal share of its time.
+const phases = 5
+
+// The phases of an exercise.
 const (
 	phaseBefore = "1-before"
 	phaseOut    = "2-zone-out"
 	phaseBack   = "3-zone-back"
 	phaseCold   = "4-sudden-cold"
+	phaseLost   = "5-zone-lost"
 )
 
 // forceCheck is how often the exercise looks whether a decision is in force, and
@@ -110,10 +114,10 @@
 
 // script is what happens to the deployment while the load runs.
 func (x *Exercise) script(ctx context.Context) error {
-	quarter := x.Duration / 4
+	phase := x.Duration / phases
 	zone := x.Local.Deployment.Zones[0]
 
-	if !sleep(ctx, quarter) {
+	if !sleep(ctx, phase) {
 		return nil
 	}
 
@@ -123,7 +127,7 @@
 		return err
 	}
 
-	if err := x.watchZone(ctx, zone, quarter); err != nil {
+	if err := x.watchZone(ctx, zone, phase); err != nil {
 		return err
 	}
 
@@ -141,7 +145,7 @@
 		return err
 	}
 
-	if !sleep(ctx, quarter) {
+	if !sleep(ctx, phase) {
 		return nil
 	}
 
@@ -150,9 +154,26 @@
 	engines[len(engines)-1].Engine.TurnCold()
 	x.restartOne(engines[len(engines)-2])
 
+	if !sleep(ctx, phase) {
+		return nil
+	}
+
+	x.phase.Store(phaseLost)
+	x.lose(x.Local.Deployment.Zones[1])
+
 	return nil
 }
 
+// lose ends all targets of a zone without notice, as the loss of its power does.
+// What they had in flight ends with them.
+func (x *Exercise) lose(zone string) {
+	for _, t := range slices.Concat(x.Local.engines, x.Local.desks) {
+		if t.Zone == zone {
+			t.Stop()
+		}
+	}
+}
+
 // decide takes a zone out or brings it back, as an operator does.
 func (x *Exercise) decide(ctx context.Context, number uint64, zone string, out bool) error {
 	server := x.Local.controls[0].Server()
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -56,6 +56,8 @@
 	// Engine or Desk is set.
 	Engine *standin.Engine
 	Desk   *standin.Desk
+	// Stop ends the stand-in without notice.
+	Stop func()
 	// Group and Rank are set for an engine that is part of an expert group.
 	Group string
 	Rank  int
--- a/internal/local/targets.go
+++ b/internal/local/targets.go
@@ -42,8 +42,17 @@
 	}
 	t.connect(announcer)
 
+	announcing, stop := context.WithCancel(ctx)
+	t.Stop = func() {
+		stop()
+
+		_ = web.Close()
+	}
+
 	g.Go(func() error {
-		announcer.Run(ctx)
+		defer stop()
+
+		announcer.Run(announcing)
 
 		return eris.Wrap(web.Close(), "close stand-in")
 	})
