Find replaced control VMs without new settings

Change: control VMs ask each other by the members of the log, and one that left for 10 s more; entries and agents learn control VMs from the directory.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -56,12 +56,20 @@
 	}
 }
 
+func (s *Server) peers() []Peer {
+	if s.FindPeers != nil {
+		return s.FindPeers()
+	}
+
+	return s.Peers
+}
+
 // gather asks this VM and all others at once.
 func (s *Server) gather(ctx context.Context) gathering {
 	ctx, cancel := context.WithTimeout(ctx, heardTimeout)
 	defer cancel()
 
-	everyone := append([]Peer{{Name: s.VM, Heard: s.heardHere}}, s.Peers...)
+	everyone := append([]Peer{{Name: s.VM, Heard: s.heardHere}}, s.peers()...)
 	answers := make([]*wire.HeardResponse, len(everyone))
 	asked := time.Now()
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -39,8 +39,10 @@
 	Read func(ctx context.Context) (asOf time.Time, index uint64, err error)
 	// Leads reports whether this VM leads the log; nil means always.
 	Leads func() bool
-	// Peers are the other control VMs.
-	Peers []Peer
+	// Peers are the other control VMs. FindPeers, if set, returns them instead as
+	// they are now: whoever may still serve polls must be among them.
+	Peers     []Peer
+	FindPeers func() []Peer
 	// StopUnsafe says why stopping the control VM with that name is not safe
 	// yet, or "" where it is safe or no control VM has that name.
 	StopUnsafe func(name string) string
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -96,7 +96,8 @@
 	r.reader = &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
 		Self: r.shell.Node, Load: r.load, Logger: r.Logs.Logger("view"),
-		OnChange: func(s *view.Snapshot) { stopIfPlanned(s, r.ID, r.stop) },
+		FindControls: r.Controls.Learn,
+		OnChange:     func(s *view.Snapshot) { stopIfPlanned(s, r.ID, r.stop) },
 	}
 	r.reader.Init()
 	r.Dump.Add("View", func() any { return viewState(r.reader.Snapshot()) })
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -60,6 +60,7 @@
 	replica  *replica.Replica
 	client   *http.Client
 	view     groupView
+	peers    peerList
 }
 
 // Server returns the server, which exists after Build.
@@ -80,10 +81,11 @@
 		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Addr: address, Founders: r.Founders,
 		Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
+	r.peers.started = time.Now()
 	r.server = &control.Server{
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
-		Leads:       r.leads, StopUnsafe: r.stopUnsafe, Peers: r.peers(), Self: r.self,
+		Leads:       r.leads, StopUnsafe: r.stopUnsafe, FindPeers: r.findPeers, Self: r.self,
 		Logger: r.Logs.Logger("control"),
 	}
 	r.director = r.newDirector()
@@ -130,19 +132,6 @@
 	return ""
 }
 
-func (r *Control) peers() []control.Peer {
-	var out []control.Peer
-
-	for _, m := range r.Peers {
-		client := wire.NewControlPeerProtobufClient("http://"+m.Addr.String(), r.client)
-		out = append(out, control.Peer{Name: m.ID, Heard: func(ctx context.Context) (*wire.HeardResponse, error) {
-			return client.Heard(ctx, &wire.HeardRequest{Cluster: r.Cluster})
-		}})
-	}
-
-	return out
-}
-
 // Run runs the role until ctx ends, then hands leadership over and stops.
 func (r *Control) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/role/controls.go
+++ b/internal/role/controls.go
@@ -6,12 +6,14 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -26,11 +28,43 @@
 
 // Controls is the way of an entry or agent to the control VMs.
 type Controls struct {
-	// Addresses are those of all control VMs.
+	// Addresses are those of the control VMs by the settings.
 	Addresses []netip.AddrPort
 
 	client *http.Client
 	last   atomic.Uint32
+	// learnt are those that the directory holds beside.
+	learnt atomic.Pointer[[]netip.AddrPort]
+}
+
+// Learn adds the control VMs of the directory to those of the settings, and
+// returns all. A VM that replaced another is asked without a change of settings;
+// one that is gone costs a try now and then.
+func (c *Controls) Learn(s *view.Snapshot) []netip.AddrPort {
+	all := slices.Clone(c.Addresses)
+
+	for _, n := range s.Nodes() {
+		if n.GetKind() != wire.NodeKind_NodeControl {
+			continue
+		}
+
+		if a, err := netip.ParseAddrPort(n.GetAddress()); err == nil && !slices.Contains(all, a) {
+			all = append(all, a)
+		}
+	}
+
+	c.learnt.Store(&all)
+
+	return all
+}
+
+// all returns the control VMs of settings and directory.
+func (c *Controls) all() []netip.AddrPort {
+	if learnt := c.learnt.Load(); learnt != nil {
+		return *learnt
+	}
+
+	return c.Addresses
 }
 
 // NewControls returns the way to the control VMs at addresses. Without an
@@ -90,15 +124,16 @@
 
 // each tries one control VM after the other, the one that answered last first.
 func (c *Controls) each(ctx context.Context, try func(context.Context, wire.Control) error) error {
+	all := c.all()
 	first := int(c.last.Load())
 
 	var err error
 
-	for i := range c.Addresses {
-		n := (first + i) % len(c.Addresses)
+	for i := range all {
+		n := (first + i) % len(all)
 
 		tryCtx, cancel := context.WithTimeout(ctx, controlTry)
-		err = try(tryCtx, c.at(c.Addresses[n]))
+		err = try(tryCtx, c.at(all[n]))
 
 		cancel()
 
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -149,7 +149,7 @@
 func (r *Entry) newReader(chooser *routing.Chooser) *view.Reader {
 	reader := &view.Reader{
 		Cluster: r.Cluster, Controls: r.Controls.Addresses, Poll: r.Controls.Poll,
-		Self: r.self, Load: r.load, Logger: r.Logs.Logger("view"),
+		Self: r.self, Load: r.load, Logger: r.Logs.Logger("view"), FindControls: r.Controls.Learn,
 		// The chooser is told here, by the reader's one goroutine, and not over the
 		// bus: its handlers run side by side, and an older list of targets, applied
 		// last, would rule until the next change.
--- a/internal/view/reader.go
+++ b/internal/view/reader.go
@@ -29,6 +29,9 @@
 	Self func() *wire.Node
 	// Load says what this process has in hand; nil leaves it out.
 	Load func() *wire.NodeLoad
+	// FindControls, if set, returns the control VMs to ask from now on, after each
+	// change of the configuration; at least one.
+	FindControls func(*Snapshot) []netip.AddrPort
 	// OnChange is called from the goroutine of Run after each change of the
 	// configuration, with the new snapshot; nil means none.
 	OnChange func(*Snapshot)
@@ -187,6 +190,11 @@
 	result := r.core.answered(sent, known, response)
 	r.current.Store(r.core.snapshot)
 
+	if result == outcomeChanged && r.FindControls != nil {
+		r.Controls = r.FindControls(r.core.snapshot)
+		r.control = min(r.control, len(r.Controls)-1)
+	}
+
 	if result == outcomeChanged && r.OnChange != nil {
 		r.OnChange(r.core.snapshot)
 	}
