Tell a refused caller when to come back, and bound the looks for room

Cause: read-through: a request that every target had failed was refused without Retry-After, and a waiting resumption trusted the chooser's time alone. Change: the chooser's time goes out; looks are at least 10 ms apart.

--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -17,6 +17,8 @@
 	// claimTimeout bounds a claim or a settlement, so that a caller is not held by
 	// control VMs that are away.
 	claimTimeout = 3 * time.Second
+	// shortestLook is the shortest time between two looks for room.
+	shortestLook = 10 * time.Millisecond
 )
 
 // choose waits for the request's turn, then for a target and its credit.
@@ -56,14 +58,13 @@
 		}
 
 		if k.triedAll() {
-			// Room will come at no target that has not failed this request already.
-			return k.ex.NoTarget(verdict.Refuse(verdict.CauseNoTarget, time.Time{}))
+			return k.ex.NoTarget(k.noneLeft(none))
 		}
 
 		if k.reply.headed {
 			// The caller has half of its answer: it keeps its turn, and no estimate of
 			// the queue's gives it up before its deadline.
-			wait(ctx, none.RetryAt)
+			wait(ctx, later(none.RetryAt, time.Now().Add(shortestLook)))
 
 			continue
 		}
@@ -86,6 +87,24 @@
 	return len(k.excluded) >= n
 }
 
+// noneLeft refuses a request that every target has failed. A stream that waits to
+// be resumed is not told when to come back: no time helps it.
+func (k *course) noneLeft(none *verdict.Error) *verdict.Error {
+	if k.reply.headed {
+		return verdict.Refuse(verdict.CauseNoTarget, time.Time{})
+	}
+
+	return verdict.Refuse(verdict.CauseNoTarget, none.RetryAt)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
 func full(err *verdict.Error) bool {
 	return err.Cause == verdict.CauseOverload || err.Cause == verdict.CauseColdLimit
 }
