Refuse at once where neither entry nor agent is fresh

Cause: a trial with two of three control VMs killed: drafts were refused after 1.0 s, since the entry waited for the agent's Retry-After and tried again. Change: an entry whose own lease has run out does not retry StaleConfiguration. Noticed: where a service's only target is down the cause says Overload.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -121,6 +121,11 @@
 }
 
 func (k *course) retry(now time.Time, err *verdict.Error, tries int) (time.Time, bool) {
+	if err.Cause == verdict.CauseStale && k.stale() {
+		// Neither side is fresh, and no other agent would take this entry's word.
+		return time.Time{}, false
+	}
+
 	d := k.entry.Budget.Decide(now, retries.Failure{
 		Verdict: err.Verdict, Cause: err.Cause, RetryAt: err.RetryAt, Idempotent: k.call.idempotent,
 		Tries: tries, Deadline: k.call.deadline,
