--- a/internal/admission/settings.go
+++ b/internal/admission/settings.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings tune a Core. Zero fields take their defaults.
 type Settings struct {
@@ -43,23 +46,17 @@
 	DefaultRampInterval    = time.Second
 )
 
-func orDefault[T int | time.Duration](v *T, def T) {
-	if *v == 0 {
-		*v = def
-	}
-}
-
 // fill puts the defaults into zero fields.
 func (s *Settings) fill() {
-	orDefault(&s.CreditLife, DefaultCreditLife)
-	orDefault(&s.ReserveFor, DefaultReserveFor)
-	orDefault(&s.ActiveFor, DefaultActiveFor)
-	orDefault(&s.WaitLife, DefaultWaitLife)
-	orDefault(&s.RememberFor, DefaultRememberFor)
-	orDefault(&s.MaxAttempts, DefaultMaxAttempts)
-	orDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	orDefault(&s.AnnounceSilence, DefaultAnnounceSilence)
-	orDefault(&s.UnknownFor, DefaultUnknownFor)
-	orDefault(&s.SettleFor, DefaultSettleFor)
-	orDefault(&s.RampInterval, DefaultRampInterval)
+	s.CreditLife = cmp.Or(s.CreditLife, DefaultCreditLife)
+	s.ReserveFor = cmp.Or(s.ReserveFor, DefaultReserveFor)
+	s.ActiveFor = cmp.Or(s.ActiveFor, DefaultActiveFor)
+	s.WaitLife = cmp.Or(s.WaitLife, DefaultWaitLife)
+	s.RememberFor = cmp.Or(s.RememberFor, DefaultRememberFor)
+	s.MaxAttempts = cmp.Or(s.MaxAttempts, DefaultMaxAttempts)
+	s.MaxAnswerBytes = cmp.Or(s.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	s.AnnounceSilence = cmp.Or(s.AnnounceSilence, DefaultAnnounceSilence)
+	s.UnknownFor = cmp.Or(s.UnknownFor, DefaultUnknownFor)
+	s.SettleFor = cmp.Or(s.SettleFor, DefaultSettleFor)
+	s.RampInterval = cmp.Or(s.RampInterval, DefaultRampInterval)
 }
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
@@ -64,28 +65,22 @@
 	DefaultAskWait        = 5 * time.Second
 )
 
-func orDefault[T int | time.Duration](v *T, def T) {
-	if *v == 0 {
-		*v = def
-	}
-}
-
 // fill puts the defaults into zero fields.
 func (s *Settings) fill() {
-	orDefault(&s.MaxBodyBytes, DefaultMaxBodyBytes)
-	orDefault(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	orDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	orDefault(&s.ReadTimeout, DefaultReadTimeout)
-	orDefault(&s.IdleTimeout, DefaultIdleTimeout)
-	orDefault(&s.AckTimeout, DefaultAckTimeout)
-	orDefault(&s.MaxPendingBytes, DefaultPendingBytes)
-	orDefault(&s.WriteStall, DefaultWriteStall)
-	orDefault(&s.DialTimeout, DefaultDialTimeout)
-	orDefault(&s.TargetSilence, DefaultTargetSilence)
-	orDefault(&s.MaxRunning, DefaultMaxRunning)
-	orDefault(&s.HeartbeatEvery, DefaultHeartbeatEvery)
-	orDefault(&s.TickEvery, DefaultTickEvery)
-	orDefault(&s.OrderTimeout, DefaultOrderTimeout)
-	orDefault(&s.OrderSettle, DefaultOrderSettle)
-	orDefault(&s.AskWait, DefaultAskWait)
+	s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, DefaultMaxBodyBytes)
+	s.MaxHeaderBytes = cmp.Or(s.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	s.MaxAnswerBytes = cmp.Or(s.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	s.ReadTimeout = cmp.Or(s.ReadTimeout, DefaultReadTimeout)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, DefaultIdleTimeout)
+	s.AckTimeout = cmp.Or(s.AckTimeout, DefaultAckTimeout)
+	s.MaxPendingBytes = cmp.Or(s.MaxPendingBytes, DefaultPendingBytes)
+	s.WriteStall = cmp.Or(s.WriteStall, DefaultWriteStall)
+	s.DialTimeout = cmp.Or(s.DialTimeout, DefaultDialTimeout)
+	s.TargetSilence = cmp.Or(s.TargetSilence, DefaultTargetSilence)
+	s.MaxRunning = cmp.Or(s.MaxRunning, DefaultMaxRunning)
+	s.HeartbeatEvery = cmp.Or(s.HeartbeatEvery, DefaultHeartbeatEvery)
+	s.TickEvery = cmp.Or(s.TickEvery, DefaultTickEvery)
+	s.OrderTimeout = cmp.Or(s.OrderTimeout, DefaultOrderTimeout)
+	s.OrderSettle = cmp.Or(s.OrderSettle, DefaultOrderSettle)
+	s.AskWait = cmp.Or(s.AskWait, DefaultAskWait)
 }
--- a/internal/fairness/settings.go
+++ b/internal/fairness/settings.go
@@ -1,6 +1,7 @@
 package fairness
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -28,37 +29,14 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	if s.Most == 0 {
-		s.Most = 8192
-	}
-
-	if s.MostOfOne == 0 {
-		s.MostOfOne = 512
-	}
-
-	if s.Service == 0 {
-		s.Service = time.Second
-	}
-
-	if s.Margin == 0 {
-		s.Margin = 3
-	}
-
-	if s.Reserve == 0 {
-		s.Reserve = 2
-	}
-
-	if s.EmptyFor == 0 {
-		s.EmptyFor = 2 * time.Second
-	}
-
-	if s.ShortestRetry == 0 {
-		s.ShortestRetry = 200 * time.Millisecond
-	}
-
-	if s.LongestRetry == 0 {
-		s.LongestRetry = 30 * time.Second
-	}
+	s.Most = cmp.Or(s.Most, 8192)
+	s.MostOfOne = cmp.Or(s.MostOfOne, 512)
+	s.Service = cmp.Or(s.Service, time.Second)
+	s.Margin = cmp.Or(s.Margin, 3)
+	s.Reserve = cmp.Or(s.Reserve, 2)
+	s.EmptyFor = cmp.Or(s.EmptyFor, 2*time.Second)
+	s.ShortestRetry = cmp.Or(s.ShortestRetry, 200*time.Millisecond)
+	s.LongestRetry = cmp.Or(s.LongestRetry, 30*time.Second)
 
 	return s
 }
--- a/internal/retries/budget.go
+++ b/internal/retries/budget.go
@@ -4,6 +4,7 @@
 package retries
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,25 +42,11 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	if s.Ratio == 0 {
-		s.Ratio = 0.2
-	}
-
-	if s.FloorPerSecond == 0 {
-		s.FloorPerSecond = 0.2
-	}
-
-	if s.Most == 0 {
-		s.Most = 10
-	}
-
-	if s.MostTries == 0 {
-		s.MostTries = 3
-	}
-
-	if s.FirstPause == 0 {
-		s.FirstPause = 25 * time.Millisecond
-	}
+	s.Ratio = cmp.Or(s.Ratio, 0.2)
+	s.FloorPerSecond = cmp.Or(s.FloorPerSecond, 0.2)
+	s.Most = cmp.Or(s.Most, 10)
+	s.MostTries = cmp.Or(s.MostTries, 3)
+	s.FirstPause = cmp.Or(s.FirstPause, 25*time.Millisecond)
 
 	return s
 }
--- a/internal/routing/settings.go
+++ b/internal/routing/settings.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings are the tunable numbers of a Chooser. The zero value of each field
 // stands for the default named beside it.
@@ -66,50 +69,32 @@
 }
 
 func (s Settings) withDefaults() Settings {
-	orInt(&s.Candidates, 32)
-	orFloat(&s.NearEqual, 0.005)
-	orFloat(&s.OtherZone, 0.02)
-	orFloat(&s.OtherRegion, 0.5)
-	orFloat(&s.PrefixGain, 0.75)
-	orFloat(&s.HomeGain, 0.4)
-	orInt(&s.HomeBlocks, 4)
-	orInt(&s.FirstContact, 1)
-	orTime(&s.ReportLife, 100*time.Millisecond)
-	orInt(&s.FailureRun, 3)
-	orInt(&s.DownRun, 1)
-	orTime(&s.AskEvery, 200*time.Millisecond)
-	orTime(&s.AskColdEvery, 50*time.Millisecond)
-	orTime(&s.AskDownEvery, time.Second)
-	orFloat(&s.WarmUpAbove, 0.5)
-	orFloat(&s.FailureShare, 0.5)
-	orFloat(&s.SlowRatio, 4)
-	orFloat(&s.SetAsideShare, 0.34)
-	orTime(&s.ProbeAfter, time.Second)
-	orTime(&s.ProbeAtMost, 30*time.Second)
-	orInt(&s.ProbesNeeded, 2)
-	orInt(&s.SilentLimit, 3)
-	orTime(&s.WarmUpEvery, 500*time.Millisecond)
-	orTime(&s.StoppedFor, 2*time.Second)
-	orTime(&s.DemandLife, 10*time.Second)
-	orTime(&s.RenewBefore, time.Second)
+	s.Candidates = cmp.Or(s.Candidates, 32)
+	s.NearEqual = cmp.Or(s.NearEqual, 0.005)
+	s.OtherZone = cmp.Or(s.OtherZone, 0.02)
+	s.OtherRegion = cmp.Or(s.OtherRegion, 0.5)
+	s.PrefixGain = cmp.Or(s.PrefixGain, 0.75)
+	s.HomeGain = cmp.Or(s.HomeGain, 0.4)
+	s.HomeBlocks = cmp.Or(s.HomeBlocks, 4)
+	s.FirstContact = cmp.Or(s.FirstContact, 1)
+	s.ReportLife = cmp.Or(s.ReportLife, 100*time.Millisecond)
+	s.FailureRun = cmp.Or(s.FailureRun, 3)
+	s.DownRun = cmp.Or(s.DownRun, 1)
+	s.AskEvery = cmp.Or(s.AskEvery, 200*time.Millisecond)
+	s.AskColdEvery = cmp.Or(s.AskColdEvery, 50*time.Millisecond)
+	s.AskDownEvery = cmp.Or(s.AskDownEvery, time.Second)
+	s.WarmUpAbove = cmp.Or(s.WarmUpAbove, 0.5)
+	s.FailureShare = cmp.Or(s.FailureShare, 0.5)
+	s.SlowRatio = cmp.Or(s.SlowRatio, 4)
+	s.SetAsideShare = cmp.Or(s.SetAsideShare, 0.34)
+	s.ProbeAfter = cmp.Or(s.ProbeAfter, time.Second)
+	s.ProbeAtMost = cmp.Or(s.ProbeAtMost, 30*time.Second)
+	s.ProbesNeeded = cmp.Or(s.ProbesNeeded, 2)
+	s.SilentLimit = cmp.Or(s.SilentLimit, 3)
+	s.WarmUpEvery = cmp.Or(s.WarmUpEvery, 500*time.Millisecond)
+	s.StoppedFor = cmp.Or(s.StoppedFor, 2*time.Second)
+	s.DemandLife = cmp.Or(s.DemandLife, 10*time.Second)
+	s.RenewBefore = cmp.Or(s.RenewBefore, time.Second)
 
 	return s
 }
-
-func orInt(p *int, d int) {
-	if *p == 0 {
-		*p = d
-	}
-}
-
-func orFloat(p *float64, d float64) {
-	if *p == 0 {
-		*p = d
-	}
-}
-
-func orTime(p *time.Duration, d time.Duration) {
-	if *p == 0 {
-		*p = d
-	}
-}
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -30,9 +31,9 @@
 }
 
 func (s Subsets) withDefaults() Subsets {
-	orInt(&s.Degree, 30)
-	orFloat(&s.NearShare, 0.5)
-	orFloat(&s.Slack, 0.05)
+	s.Degree = cmp.Or(s.Degree, 30)
+	s.NearShare = cmp.Or(s.NearShare, 0.5)
+	s.Slack = cmp.Or(s.Slack, 0.05)
 
 	return s
 }
--- a/internal/streams/plan.go
+++ b/internal/streams/plan.go
@@ -101,22 +101,10 @@
 }
 
 func (p Planner) withDefaults() Planner {
-	if p.HoldUp == 0 {
-		p.HoldUp = 0.02
-	}
-
-	if p.PrefillCost == 0 {
-		p.PrefillCost = 1
-	}
-
-	if p.Handover == 0 {
-		p.Handover = 50 * time.Millisecond
-	}
-
-	if p.LongestStall == 0 {
-		p.LongestStall = 2 * time.Second
-	}
-
+	p.HoldUp = cmp.Or(p.HoldUp, 0.02)
+	p.PrefillCost = cmp.Or(p.PrefillCost, 1)
+	p.Handover = cmp.Or(p.Handover, 50*time.Millisecond)
+	p.LongestStall = cmp.Or(p.LongestStall, 2*time.Second)
 	return p
 }
 
