Wake only the queue whose service got a credit

Cause: read-through: each answer that brought a credit set the capacity of every service's queue and summed the room at all their targets, though a credit changes one service's alone; two functions took in a credit, and two loops copied the queues. Change: a credit names its service; one takeCredit, one changeRoom. Conclusion: behaviour as before, less work an answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -176,28 +176,27 @@
 		return err
 	}
 
-	e.takeCreditAgain(sent, r.GetCredit(), time.Duration(r.GetRetryAfterMillis())*time.Millisecond)
+	var againAt time.Time
+	if after := r.GetRetryAfterMillis(); after > 0 {
+		againAt = sent.Add(time.Duration(after) * time.Millisecond)
+	}
+
+	e.takeCredit(sent, ask.Service, r.GetCredit(), againAt)
 	e.takeLoad(sent, ask.AgentID, r.GetLoad())
 
 	return nil
 }
 
 // takeCredit counts a credit's remaining time from when its ask was sent, so
-// that delay on the way only shortens it.
-func (e *Entry) takeCredit(sent time.Time, c *wire.Credit) { e.takeCreditAgain(sent, c, 0) }
-
-func (e *Entry) takeCreditAgain(sent time.Time, c *wire.Credit, again time.Duration) {
+// that delay on the way only shortens it. AgainAt is when the agent wants to be
+// asked again; zero where it did not say.
+func (e *Entry) takeCredit(sent time.Time, service string, c *wire.Credit, againAt time.Time) {
 	if c == nil {
 		return
 	}
 
-	var at time.Time
-	if again > 0 {
-		at = sent.Add(again)
-	}
-
 	e.Chooser.Credit(routing.CreditChanged{
-		AskAgainAt:  at,
+		AskAgainAt:  againAt,
 		AgentID:     c.GetAgentID(),
 		Incarnation: c.GetIncarnation(),
 		Slots:       int(c.GetSlots()),
@@ -206,7 +205,8 @@
 	e.credits.Store(c.GetAgentID(), c)
 
 	if c.GetSlots() > 0 {
-		e.roomChanged(time.Now())
+		now := time.Now()
+		e.queue(service).changeRoom(now, e.Chooser.Room(now, service))
 	}
 }
 
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/fairness"
+	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -41,23 +42,14 @@
 	return q
 }
 
-func (e *Entry) roomChanged(now time.Time) {
-	e.mu.Lock()
-	queues := maps.Clone(e.queues)
-	e.mu.Unlock()
-
-	for name, q := range queues {
-		q.deliver(q.core.SetCapacity(now, e.Chooser.Room(now, name).Slots))
-	}
+// changeRoom lets waiting requests start where there is room for them now.
+func (q *queue) changeRoom(now time.Time, r routing.Room) {
+	q.deliver(q.core.SetCapacity(now, r.Slots))
 }
 
 func (e *Entry) tickQueues(now time.Time) {
 	e.mu.Lock()
-	queues := make(map[string]*queue, len(e.queues))
-
-	for name, q := range e.queues {
-		queues[name] = q
-	}
+	queues := maps.Clone(e.queues)
 	e.mu.Unlock()
 
 	for name, q := range queues {
@@ -65,7 +57,7 @@
 			e.Chooser.Demand(now, name)
 		}
 
-		q.deliver(q.core.SetCapacity(now, e.Chooser.Room(now, name).Slots))
+		q.changeRoom(now, e.Chooser.Room(now, name))
 		q.deliver(q.core.Tick(now))
 	}
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -133,6 +133,6 @@
 	}
 
 	k.entry.Chooser.Finish(now, ev)
-	k.entry.takeCredit(now, res.Load.GetCredit())
+	k.entry.takeCredit(now, k.call.service.GetName(), res.Load.GetCredit(), time.Time{})
 	k.entry.takeLoad(now, k.choice.AgentID, res.Load)
 }
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -146,7 +146,7 @@
 // credit returns the credit in force for a choice, asking for one if need be.
 func (k *course) credit(ctx context.Context, c routing.Choice) (*wire.Credit, error) {
 	if c.NeedsCredit {
-		ask := routing.CreditAsk{AgentID: c.AgentID, Addr: c.Addr, Incarnation: c.Incarnation, Wanted: 1}
+		ask := routing.CreditAsk{Service: k.call.service.GetName(), AgentID: c.AgentID, Addr: c.Addr, Incarnation: c.Incarnation, Wanted: 1}
 		if err := k.entry.credit(ctx, ask); err != nil {
 			return nil, err
 		}
--- a/internal/routing/credits.go
+++ b/internal/routing/credits.go
@@ -42,7 +42,7 @@
 
 			t.asked(now, wanted, &c.Settings)
 			asks = append(asks, CreditAsk{
-				AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation, Wanted: wanted, Using: t.own,
+				Service: service, AgentID: t.AgentID, Addr: t.Addr, Incarnation: t.Incarnation, Wanted: wanted, Using: t.own,
 			})
 		}
 	}
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -123,6 +123,7 @@
 
 // CreditAsk says that the entry should ask an agent for a credit.
 type CreditAsk struct {
+	Service     string
 	AgentID     string
 	Addr        netip.AddrPort
 	Incarnation uint64
