Let one piece serve where two stood

Cause: read-through: an entry of a map was proposed by a copy of propose; four commands opened listeners by the same four lines; the stand-in command and the local mode each built announcements; the exercise counted a zone in two loops. Change: propose, listenOn, Engine.Announcement and Desk.Announcement, and sum. Conclusion: tests of the seven packages green with the race detector.

--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -87,11 +87,9 @@
 }
 
 func startProcess(ctx context.Context, s *settings.Settings, stderr io.Writer, run func(context.Context, *process) error) error {
-	var lc net.ListenConfig
-
-	listener, err := lc.Listen(ctx, "tcp", s.Process.Address.String())
+	listener, err := listenOn(ctx, s.Process.Address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Process.Address)
+		return err
 	}
 
 	p := &process{
@@ -122,11 +120,9 @@
 		return func() {}, nil
 	}
 
-	var lc net.ListenConfig
-
-	listener, err := lc.Listen(ctx, "tcp", p.settings.Process.AdminAddress.String())
+	listener, err := listenOn(ctx, p.settings.Process.AdminAddress)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", p.settings.Process.AdminAddress)
+		return nil, err
 	}
 
 	web := &http.Server{Handler: p.dump.Handler(), ReadHeaderTimeout: time.Second}
@@ -182,11 +178,9 @@
 	}
 
 	if s.Agent.AnnounceAddress.IsValid() {
-		var lc net.ListenConfig
-
-		announce, err := lc.Listen(ctx, "tcp", s.Agent.AnnounceAddress.String())
+		announce, err := listenOn(ctx, s.Agent.AnnounceAddress)
 		if err != nil {
-			return eris.Wrapf(err, "listen on %s", s.Agent.AnnounceAddress)
+			return err
 		}
 
 		a.Announce = announce
--- a/cmd/parsleygate/cmds/standin.go
+++ b/cmd/parsleygate/cmds/standin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"os/signal"
@@ -64,11 +63,9 @@
 		return eris.Wrapf(err, "--agent %q; allowed: IP:port", f.agent)
 	}
 
-	var lc net.ListenConfig
-
-	listener, err := lc.Listen(ctx, "tcp", address.String())
+	listener, err := listenOn(ctx, address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return err
 	}
 
 	handler, take := f.target(address)
@@ -95,23 +92,10 @@
 	if !f.model {
 		desk := &standin.Desk{}
 
-		return desk.Handler(), func() standin.Announcement {
-			inFlight := uint32(0)
-
-			return standin.Announcement{
-				BootID: desk.BootID(), Address: address, Service: f.service, Capacity: f.capacity, InFlight: &inFlight,
-			}
-		}
+		return desk.Handler(), func() standin.Announcement { return desk.Announcement(address, f.service, f.capacity) }
 	}
 
 	e := &standin.Engine{StepBase: f.step, ColdLimit: f.cold, WarmAfter: 4 * f.cold}
 
-	return e.Handler(), func() standin.Announcement {
-		s := e.State()
-		inFlight := uint32(s.InFlight)
-
-		return standin.Announcement{
-			BootID: s.BootID, Address: address, Service: f.service, Capacity: f.capacity, Cold: s.Cold, InFlight: &inFlight,
-		}
-	}
+	return e.Handler(), func() standin.Announcement { return e.Announcement(address, f.service, f.capacity) }
 }
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 
-	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -19,12 +16,7 @@
 // ProposeGroup appends an entry about an expert map. Whatever the error, the
 // entry may still be committed; proposing it again is safe.
 func (s *Server) ProposeGroup(ctx context.Context, e *wire.GroupEntry) error {
-	data, err := proto.Marshal(&wire.Command{Kind: &wire.Command_GroupEntry{GroupEntry: e}})
-	if err != nil {
-		return eris.Wrap(err, "write entry")
-	}
-
-	_, _, err = s.Propose(ctx, data)
+	_, err := s.propose(ctx, &wire.Command{Kind: &wire.Command_GroupEntry{GroupEntry: e}})
 
 	return err
 }
--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/load"
+	"github.com/parsleygate/parsleygate/internal/standin"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -241,26 +242,25 @@
 	return nil
 }
 
-func (x *Exercise) inFlight(zone string) int {
+// sum adds up what count says of each engine in a zone.
+func (x *Exercise) sum(zone string, count func(standin.EngineState) int) int {
 	n := 0
 
 	for _, t := range x.Local.engines {
 		if t.Zone == zone {
-			n += t.Engine.State().InFlight
+			n += count(t.Engine.State())
 		}
 	}
 
 	return n
 }
 
-func (x *Exercise) begun(zone string) int {
-	n := 0
+func (x *Exercise) inFlight(zone string) int {
+	return x.sum(zone, func(s standin.EngineState) int { return s.InFlight })
+}
 
-	for _, t := range x.Local.engines {
-		if t.Zone == zone {
-			n += t.Engine.State().Begun
-		}
-	}
+func (x *Exercise) begun(zone string) int {
+	n := x.sum(zone, func(s standin.EngineState) int { return s.Begun })
 
 	for _, t := range x.Local.desks {
 		if t.Zone == zone {
--- a/internal/local/targets.go
+++ b/internal/local/targets.go
@@ -38,7 +38,7 @@
 
 	announcer := &standin.Announcer{
 		Agent: door.Addr().(*net.TCPAddr).AddrPort(), Every: announceEvery,
-		Take: func() standin.Announcement { return t.announcement(back) },
+		Take: t.announcement,
 	}
 	t.connect(announcer)
 
@@ -105,26 +105,13 @@
 	}
 }
 
-func (t *Target) announcement(back net.Listener) standin.Announcement {
-	a := standin.Announcement{
-		Address: back.Addr().(*net.TCPAddr).AddrPort(), Service: t.Service.Name,
-		Capacity: int(t.Service.WarmLimit),
-	}
-
-	inFlight := uint32(0)
-	a.InFlight = &inFlight
-
+func (t *Target) announcement() standin.Announcement {
 	if t.Engine == nil {
-		// A desk answers at once: what it had in hand when its agent stopped is done.
-		a.BootID = t.Desk.BootID()
-
-		return a
+		return t.Desk.Announcement(t.Address, t.Service.Name, int(t.Service.WarmLimit))
 	}
 
+	a := t.Engine.Announcement(t.Address, t.Service.Name, int(t.Service.WarmLimit))
 	a.Group, a.Rank = t.Group, t.Rank
-	s := t.Engine.State()
-	inFlight = uint32(s.InFlight)
-	a.BootID, a.Cold = s.BootID, s.Cold
 
 	return a
 }
--- a/internal/role/director.go
+++ b/internal/role/director.go
@@ -27,6 +27,7 @@
 
 			return err
 		},
+		// The server is made after the director, which it tells of applied entries.
 		Propose: func(ctx context.Context, e *wire.GroupEntry) error { return r.server.ProposeGroup(ctx, e) },
 		Groups:  r.groups, Ranks: r.ranks, Settings: r.Experts, Logger: r.Logs.Logger("experts"),
 		Order: func(ctx context.Context, to netip.AddrPort, o *wire.RankOrder) (*wire.RankStatus, error) {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -22,6 +22,24 @@
 	Rank     int     `json:",omitempty"`
 }
 
+// Announcement returns what the engine tells its agent now.
+func (e *Engine) Announcement(address netip.AddrPort, service string, capacity int) Announcement {
+	s := e.State()
+	inFlight := uint32(s.InFlight)
+
+	return Announcement{
+		BootID: s.BootID, Address: address, Service: service, Capacity: capacity, Cold: s.Cold, InFlight: &inFlight,
+	}
+}
+
+// Announcement returns what the desk tells its agent now. It answers at once:
+// what it had in hand when its agent stopped is done.
+func (d *Desk) Announcement(address netip.AddrPort, service string, capacity int) Announcement {
+	return Announcement{
+		BootID: d.BootID(), Address: address, Service: service, Capacity: capacity, InFlight: new(uint32),
+	}
+}
+
 // Announcer repeats a target's announcement to its agent.
 type Announcer struct {
 	// Agent is the address of the agent beside the target.
