Wait longer in tests that are not about silence

The verdict hung on the machine's speed. The entry's fixture (200 ms) and the agent's slow reader (100 ms) had the same fault and had not shown it yet. Change: a minute's patience in all tests but those of silence, which wait a second; every expectation is as before.

--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -151,7 +151,7 @@
 
 	body := strings.Repeat("0123456789abcdef", 1<<19)
 	target := httpTarget(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
-	r := newRig(t, target, func(a *Agent) { a.Settings.TargetSilence = 100 * time.Millisecond })
+	r := newRig(t, target, func(a *Agent) { a.Settings.TargetSilence = time.Second })
 	resp, frames := r.open(context.Background(), r.request("/draft", "x"))
 
 	defer resp.Body.Close()
@@ -162,7 +162,7 @@
 	)
 
 	a.add(frames)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(3 * time.Second)
 
 	for a.end == nil && a.err == nil && a.refusal == nil {
 		a.body = ""
--- a/internal/agentlink/link_test.go
+++ b/internal/agentlink/link_test.go
@@ -27,8 +27,10 @@
 const (
 	mine   = "attempt-1"
 	others = "attempt-2"
-	// silence is short, so that silent agents cost the tests little.
-	silence = 150 * time.Millisecond
+	// silence is how long a silent agent is waited for in tests of just that, patience
+	// in all others: a busy machine's pause must not pass for the agent's.
+	silence  = time.Second
+	patience = time.Minute
 )
 
 // stream is a scripted agent's answer under way.
@@ -94,7 +96,7 @@
 }
 
 func newLink(t *testing.T) *agentlink.Link {
-	l := &agentlink.Link{Silence: silence, DialTimeout: time.Second, IdleFor: time.Minute}
+	l := &agentlink.Link{Silence: patience, DialTimeout: time.Second, IdleFor: time.Minute}
 	t.Cleanup(l.Close)
 
 	return l
@@ -167,6 +169,9 @@
 			t.Parallel()
 
 			a, l, got := newAgent(t, c.answer), newLink(t), &caller{}
+			if c.cause == verdict.CauseSilent {
+				l.Silence = silence
+			}
 
 			res := l.Send(t.Context(), a.address, &wire.Request{AttemptID: mine}, got.receiver())
 
@@ -193,7 +198,9 @@
 
 	a := newAgent(t, func(s *stream) { s.frames(head(mine), data("ab"), data("cd"), end(mine, "abcd")) })
 	got := &caller{pause: 2 * silence}
-	res := newLink(t).Send(t.Context(), a.address, &wire.Request{AttemptID: mine}, got.receiver())
+	l := newLink(t)
+	l.Silence = silence
+	res := l.Send(t.Context(), a.address, &wire.Request{AttemptID: mine}, got.receiver())
 	require.Nil(t, res.Err)
 	require.Equal(t, "abcd", got.got)
 }
--- a/internal/entry/booking_fault_test.go
+++ b/internal/entry/booking_fault_test.go
@@ -41,6 +41,8 @@
 	cases := []struct {
 		name   string
 		script []behaviour
+		// change, if set, alters the entry.
+		change func(*Entry)
 		asked  []*wire.AskResponse
 		want   said
 		// sends is how many attempts reach agents, the resend included.
@@ -51,11 +53,11 @@
 			want: said{status: 201, verdict: "Ran", body: "booked"}, sends: 1,
 		},
 		{
-			name: "silent before the answer, it ran", script: []behaviour{func(_ *fakeAgent, s *sender) { s.silent() }},
+			name: "silent before the answer, it ran", change: impatient, script: []behaviour{func(_ *fakeAgent, s *sender) { s.silent() }},
 			asked: []*wire.AskResponse{askRan}, want: said{status: 201, verdict: "Ran", body: "kept"}, sends: 1,
 		},
 		{
-			name: "silent within the answer, still running, then it ran",
+			name: "silent within the answer, still running, then it ran", change: impatient,
 			script: []behaviour{func(_ *fakeAgent, s *sender) {
 				s.head(http.StatusCreated, "application/json")
 				s.data("boo")
@@ -121,7 +123,7 @@
 			// Two agents with one script between them, so that a retry finds a target.
 			shared := newFakeAgent(t, "agent-1", c.script...)
 			shared.asked = c.asked
-			r := newRig(t, bookingService, nil, shared, shared.sibling(t, "agent-2"))
+			r := newRig(t, bookingService, c.change, shared, shared.sibling(t, "agent-2"))
 
 			first := r.book("cask-17")
 			require.NotEmpty(t, first.window)
--- a/internal/entry/draft_fault_test.go
+++ b/internal/entry/draft_fault_test.go
@@ -42,11 +42,13 @@
 	cases := []struct {
 		name   string
 		script []behaviour
+		// change, if set, alters the entry.
+		change func(*Entry)
 		want   said
 	}{
 		{name: "whole", script: []behaviour{drafted}, want: whole},
 		{
-			name: "silent after two words", want: whole,
+			name: "silent after two words", want: whole, change: impatient,
 			script: []behaviour{func(_ *fakeAgent, s *sender) {
 				s.head(http.StatusOK, eventStream)
 				s.data(events(1, 2))
@@ -121,7 +123,7 @@
 			t.Parallel()
 
 			a := newFakeAgent(t, "agent-1", c.script...)
-			r := newRig(t, draftService, nil, a, a.sibling(t, "agent-2"), a.sibling(t, "agent-3"))
+			r := newRig(t, draftService, c.change, a, a.sibling(t, "agent-2"), a.sibling(t, "agent-3"))
 			require.Equal(t, c.want, r.draft())
 		})
 	}
@@ -140,7 +142,7 @@
 		<-s.r.Context().Done()
 		close(gone)
 	})
-	r := newRig(t, draftService, func(e *Entry) { e.Link.Silence *= 100 }, a)
+	r := newRig(t, draftService, nil, a)
 
 	resp, err := http.Post(r.base+"/"+draftService+"/v1/drafts", "application/json", strings.NewReader("{}"))
 	require.NoError(t, err)
@@ -166,7 +168,7 @@
 		s.data(events(3, 4))
 		s.end()
 	})
-	r := newRig(t, draftService, func(e *Entry) { e.Link.Silence *= 100 }, a)
+	r := newRig(t, draftService, nil, a)
 	answer := make(chan said, 1)
 
 	go func() { answer <- r.draft() }()
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -28,8 +28,15 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// testSilence is how long a fake agent may send nothing.
-const testSilence = 200 * time.Millisecond
+// testSilence is how long a fake agent may send nothing in tests of just that,
+// testPatience in all others: a busy machine's pause must not pass for the agent's.
+const (
+	testSilence  = time.Second
+	testPatience = time.Minute
+)
+
+// impatient makes an entry wait for a silent agent no longer than testSilence.
+func impatient(e *Entry) { e.Link.Silence = testSilence }
 
 // fakeAgent answers requests by a script: one behaviour for each request that it
 // or one of its siblings gets.
@@ -196,7 +203,7 @@
 	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(1, 1))}
 	e := &Entry{
 		ID: "entry-1", Zone: "muscat-a", Listener: listener, Seed: 1,
-		Link:    &agentlink.Link{Silence: testSilence, DialTimeout: time.Second, IdleFor: time.Second},
+		Link:    &agentlink.Link{Silence: testPatience, DialTimeout: time.Second, IdleFor: time.Second},
 		Chooser: chooser, Budget: &retries.Budget{Rand: rand.New(rand.NewPCG(1, 2))},
 		Claim: claims.Claim, Settle: claims.Settle, Limits: DefaultLimits(), Logger: logs.Discard(),
 		Known: func() Known {
