Give the agent's deadline tests a second

Cause: three whole test runs at once, to look for verdicts that hang on the machine: in one a deadline of 30 ms had passed before the request was sent, so that the truth was NotRun where the case is about a request that was sent. Change: one second for the deadline and silence of that table; its expectations are as before.

--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -88,7 +88,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 9\r\n\r\nhalf", RequestIDHeader, id)
 		hang(c, id)
 	}
-	silence := func(a *Agent) { a.Settings.TargetSilence = 30 * time.Millisecond }
+	silence := func(a *Agent) { a.Settings.TargetSilence = time.Second }
 
 	cases := []struct {
 		name   string
@@ -99,9 +99,9 @@
 	}{
 		{"silent", hang, silence, 20_000, "ConnectionSilent"},
 		{"silent after half an answer", half, silence, 20_000, "ConnectionSilent"},
-		{"past the deadline", hang, nil, 30, "DeadlinePassed"},
-		{"past the deadline with half an answer", half, nil, 30, "DeadlinePassed"},
-		{"deadline too far away", hang, func(a *Agent) { a.Settings.MaxRunning = 30 * time.Millisecond }, 1 << 62, "DeadlinePassed"},
+		{"past the deadline", hang, nil, 1000, "DeadlinePassed"},
+		{"past the deadline with half an answer", half, nil, 1000, "DeadlinePassed"},
+		{"deadline too far away", hang, func(a *Agent) { a.Settings.MaxRunning = time.Second }, 1 << 62, "DeadlinePassed"},
 	}
 
 	for _, tc := range cases {
