--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -27,6 +27,8 @@
 
 // process is one process of a role, made from its settings.
 type process struct {
+	// path is the settings file, which may be exchanged while the process runs.
+	path     string
 	settings *settings.Settings
 	logs     logs.Output
 	dump     *dump.Dump
@@ -65,7 +67,7 @@
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 
-			return startProcess(ctx, s, c.ErrOrStderr(), run)
+			return startProcess(ctx, args[0], s, c.ErrOrStderr(), run)
 		},
 	}
 	c.Flags().StringVar(&logOutput, "log-output", "", "parts whose debug lines are written, with commas between them, or all")
@@ -86,14 +88,14 @@
 	return s, nil
 }
 
-func startProcess(ctx context.Context, s *settings.Settings, stderr io.Writer, run func(context.Context, *process) error) error {
+func startProcess(ctx context.Context, path string, s *settings.Settings, stderr io.Writer, run func(context.Context, *process) error) error {
 	listener, err := listenOn(ctx, s.Process.Address)
 	if err != nil {
 		return err
 	}
 
 	p := &process{
-		settings: s, listener: listener,
+		path: path, settings: s, listener: listener,
 		logs: logs.Output{Writer: stderr, Debug: logs.ParseDebug(s.Process.LogOutput)},
 		dump: &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID},
 	}
@@ -149,6 +151,10 @@
 
 func runEntry(ctx context.Context, p *process) error {
 	s := p.settings
+	if s.Routing.ReadyAddress.IsValid() {
+		return runRoutingEntry(ctx, p)
+	}
+
 	limits := entry.Limits{
 		MaxHeaderBytes: s.Entry.MaxHeaderBytes, MaxBodyBytes: int64(s.Entry.MaxBodyBytes),
 		MaxRecordedBytes: s.Entry.MaxRecordedBytes, DefaultTimeout: s.Entry.DefaultTimeout,
@@ -191,6 +197,10 @@
 
 func runControl(ctx context.Context, p *process) error {
 	s := p.settings
+	if s.AutomaticControls() {
+		return runAutomaticControl(ctx, p)
+	}
+
 	c := &role.Control{
 		VM: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
--- /dev/null
+++ b/cmd/parsleygate/cmds/routing.go
@@ -0,0 +1,133 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/role"
+	"github.com/parsleygate/parsleygate/internal/roster"
+	"github.com/parsleygate/parsleygate/internal/settings"
+	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/platform"
+)
+
+// runRoutingEntry runs an entry that is the door of its targets.
+func runRoutingEntry(ctx context.Context, p *process) error {
+	s := p.settings
+
+	ready, err := listenOn(ctx, s.Routing.ReadyAddress)
+	if err != nil {
+		return err
+	}
+
+	e := &role.RoutingEntry{
+		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Ready: ready,
+		Seeds: p.seeds(), Dialect: platform.Dialect(), Readiness: platform.Readiness,
+		Budget:     &retries.Share{Ratio: s.Routing.RetryRatio, Slack: s.Routing.RetrySlack, Window: s.Routing.RetryWindow},
+		StopWithin: s.Routing.Stop, Logs: p.logs, Dump: p.dump,
+	}
+
+	return e.Run(ctx)
+}
+
+// runAutomaticControl runs a control VM that finds the others by seeds. A VM that
+// was taken out of the set while it was away comes back under a new ID.
+func runAutomaticControl(ctx context.Context, p *process) error {
+	for {
+		err := runControlOnce(ctx, p)
+
+		var removed *quorum.RemovedError
+		if !errors.As(err, &removed) {
+			return err
+		}
+
+		p.logs.Logger("control").Warn("Taken out of the control set: joining anew.", "id", removed.ID)
+
+		if err := os.RemoveAll(p.settings.Control.DataFolder); err != nil {
+			return eris.Wrap(err, "clear the data folder")
+		}
+
+		if p.listener, err = listenOn(ctx, p.settings.Process.Address); err != nil {
+			return err
+		}
+	}
+}
+
+func runControlOnce(ctx context.Context, p *process) error {
+	s := p.settings
+
+	operators, err := listenOn(ctx, s.Operating.Address)
+	if err != nil {
+		return err
+	}
+
+	self, err := role.OpenMember(filepath.Clean(s.Control.DataFolder), s.Process.Address, s.Seeds.Controls(), s.Operating.Bootstrap)
+	if err != nil {
+		return err
+	}
+
+	c := &role.Control{
+		VM: self.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Incarnation: role.IncarnationAt(time.Now()),
+		Listener: p.listener, Identity: p.identity, Dir: filepath.Join(filepath.Clean(s.Control.DataFolder), "log"),
+		Logs: p.logs, Dump: p.dump, Founders: self.Founders(),
+		Automatic:      &role.Automatic{Settings: roster.DefaultSettings(s.Operating.BearLost), Seeds: p.seeds()},
+		TrustedNetwork: s.Process.TrustedNetwork, Operators: operators, Zones: s.Zones, AnnounceEvery: s.Operating.AnnounceEvery,
+		ReadDocument: func(sent []byte) (*wire.RouteTable, error) {
+			d, err := platform.ReadDocument(sent)
+			if err != nil {
+				return nil, err
+			}
+
+			return d.ToWire(), nil
+		},
+		Operate: func(server *control.Server) http.Handler { return operatorsOf(server, p) },
+	}
+	c.Build()
+
+	return c.Run(ctx)
+}
+
+func operatorsOf(server *control.Server, p *process) http.Handler {
+	calls := &platform.Control{
+		Adopt: server.Adopt, Document: server.Document, OrderZone: server.OrderZone,
+		Announce: server.Announce, Leave: server.Leave, Logger: p.logs.Logger("operators"),
+	}
+
+	return calls.Handler()
+}
+
+// seeds returns the seeds of the settings file as it is now: the platform may
+// exchange it with or without a signal. One that cannot be read changes nothing.
+func (p *process) seeds() func() []netip.AddrPort {
+	var (
+		last = p.settings.Seeds.Controls()
+		read time.Time
+	)
+
+	return func() []netip.AddrPort {
+		if now := time.Now(); now.Sub(read) > seedsEvery {
+			read = now
+
+			if s, err := settings.Load(p.path); err == nil {
+				last = s.Seeds.Controls()
+			} else {
+				p.logs.Logger("settings").Warn("The settings cannot be read again; the former ones hold.", "error", err)
+			}
+		}
+
+		return last
+	}
+}
+
+// seedsEvery is how often the settings file is looked at for other seeds.
+const seedsEvery = time.Second
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -16,6 +16,8 @@
 	poll *wire.PollRequest
 	at   time.Time
 	ask  func(*hearing)
+	// announced is a question about targets that announce themselves here.
+	announced func(*announcements)
 }
 
 func (s *Server) post(ctx context.Context, e event) {
@@ -29,6 +31,7 @@
 // quorum does not keep it from hearing.
 func (s *Server) hear(ctx context.Context) {
 	core := newHearing()
+	targets := newAnnouncements(s.AnnounceEvery)
 	committer := make(chan struct{}, 1)
 	batch := time.NewTicker(s.Settings.BatchEvery)
 
@@ -39,12 +42,23 @@
 		case <-ctx.Done():
 			return
 		case e := <-s.events:
+			if e.announced != nil {
+				e.announced(targets)
+
+				continue
+			}
+
 			core.refresh(s.published.Load().records)
 			handle(core, e)
 		case <-batch.C:
 			core.refresh(s.published.Load().records)
 			s.hearSelf(core)
 			core.forget(time.Now())
+
+			if targets.heard.Tick(time.Now()) {
+				s.announced.wake()
+			}
+
 			s.startCommit(ctx, core, committer)
 		}
 	}
--- a/internal/control/published.go
+++ b/internal/control/published.go
@@ -20,6 +20,9 @@
 	tickLearnt time.Time
 	changes    uint64
 	learnt     []learning
+	document   *document
+	// stateIndex orders what entries hear of documents and zones.
+	stateIndex uint64
 	// replaced is closed once a later picture is published.
 	replaced chan struct{}
 }
@@ -62,6 +65,9 @@
 	next.tickLearnt = now
 
 	before := s.published.Load()
+	stored, index := s.state.Document()
+	next.document, next.stateIndex = documentOf(stored, before), index
+
 	if before != nil && before.tickIndex == next.tickIndex {
 		next.tickLearnt = before.tickLearnt
 	}
--- /dev/null
+++ b/internal/control/publisher.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// followerSilence is how long after its last question an entry counts as one that
+// shares the targets. It is longer than a held question and a pause together.
+const followerSilence = 4 * time.Second
+
+// follower is an entry that follows this VM. Only the goroutine that hears uses it.
+type follower struct {
+	asked   time.Time
+	leaving bool
+}
+
+// announcements is what this VM heard from targets, and who follows it. The
+// goroutine that hears owns it.
+type announcements struct {
+	heard     directory.Heard
+	followers map[string]follower
+}
+
+// beats is how many beats of a target may be missing before it counts as silent.
+// A beat may be late by more than one period, and a second node is tried after one.
+const beats = 3
+
+func newAnnouncements(every time.Duration) *announcements {
+	return &announcements{
+		heard:     directory.Heard{SilentAfter: beats * every},
+		followers: make(map[string]follower),
+	}
+}
+
+// following counts the entries that follow and stay.
+func (a *announcements) following(now time.Time) uint32 {
+	n := uint32(0)
+
+	for id, f := range a.followers {
+		switch {
+		case now.Sub(f.asked) > followerSilence:
+			delete(a.followers, id)
+		case !f.leaving:
+			n++
+		}
+	}
+
+	return n
+}
+
+// Announce takes in a target's word. One of a zone or service that nobody declared
+// was named by another writer, and gets an *UndeclaredError: were it kept, it could
+// take the address of a target that is there.
+func (s *Server) Announce(ctx context.Context, t directory.Target) error {
+	if _, ok := s.Zones[t.Zone]; !ok {
+		return &UndeclaredError{Kind: "zone", Name: t.Zone}
+	}
+
+	if !s.declares(t.Service) {
+		return &UndeclaredError{Kind: "service", Name: t.Service}
+	}
+
+	return s.tell(ctx, func(a *announcements) bool { return a.heard.Announce(time.Now(), t) })
+}
+
+// Leave takes in that a target ends.
+func (s *Server) Leave(ctx context.Context, id string) error {
+	return s.tell(ctx, func(a *announcements) bool {
+		a.heard.Leave(time.Now(), id)
+
+		return true
+	})
+}
+
+// tell lets the goroutine that hears change what was announced, and wakes the
+// entries that wait for it.
+func (s *Server) tell(ctx context.Context, change func(*announcements) bool) error {
+	return s.askHeard(ctx, func(a *announcements) {
+		if change(a) {
+			s.announced.wake()
+		}
+	})
+}
+
+func (s *Server) askHeard(ctx context.Context, ask func(*announcements)) error {
+	done := make(chan struct{})
+
+	s.post(ctx, event{announced: func(a *announcements) {
+		ask(a)
+		close(done)
+	}})
+
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return newFault(twirp.Unavailable, "this control VM is busy")
+	}
+}
+
+// Follow answers an entry that is the door of its targets: at once where it lacks
+// something, else when something changes or the wait ends.
+func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+	if r.GetCluster() != s.Cluster {
+		return nil, newFault(twirp.FailedPrecondition, "this control VM belongs to another cluster")
+	}
+
+	timer := time.NewTimer(min(time.Duration(r.GetWaitMillis())*time.Millisecond, s.Settings.MaxWait))
+	defer timer.Stop()
+
+	for {
+		// The channels are taken first: what changes after the answer is made wakes this.
+		p, woken := s.published.Load(), s.announced.waiting()
+
+		out, news, err := s.answerFollower(ctx, p, r)
+		if err != nil || news {
+			return out, err
+		}
+
+		select {
+		case <-p.replaced:
+		case <-woken:
+		case <-timer.C:
+			return out, nil
+		case <-ctx.Done():
+			return nil, newFault(twirp.Canceled, "the question ended early")
+		}
+	}
+}
+
+// answerFollower returns what the entry lacks, and whether that is anything.
+func (s *Server) answerFollower(ctx context.Context, p *published, r *wire.FollowRequest) (*wire.FollowResponse, bool, error) {
+	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.boot, Controls: s.controls()}
+	news := p.stateIndex > r.GetKnownIndex() || r.GetWaitMillis() == 0
+
+	if p.stateIndex >= r.GetKnownIndex() {
+		out.ZonesOut = zonesOut(p)
+
+		if err := s.addTable(p, r, out); err != nil {
+			return nil, false, err
+		}
+	}
+
+	err := s.askHeard(ctx, func(a *announcements) {
+		now := time.Now()
+		a.followers[r.GetID()] = follower{asked: now, leaving: r.GetLeaving()}
+
+		known := r.GetDirectoryRevision()
+		if r.GetDirectoryBoot() != s.boot {
+			known = 0
+			out.Full = true
+		}
+
+		for _, t := range a.heard.Since(known) {
+			out.Targets = append(out.Targets, t.ToWire(now))
+		}
+
+		out.DirectoryRevision = a.heard.Revision()
+		out.Entries = a.following(now)
+		news = news || out.Full || out.DirectoryRevision > known
+	})
+
+	return out, news, err
+}
+
+func (s *Server) addTable(p *published, r *wire.FollowRequest, out *wire.FollowResponse) error {
+	if p.document == nil {
+		return nil
+	}
+
+	out.Number = p.document.number
+
+	if p.document.number <= r.GetKnownNumber() {
+		return nil
+	}
+
+	table, err := p.document.read(s.ReadDocument)
+	if err != nil {
+		s.Logger.Error("The document in force cannot be read.", "number", p.document.number, "error", err)
+
+		return newFault(twirp.Internal, "the document in force cannot be read")
+	}
+
+	out.Table = table
+
+	return nil
+}
+
+// declares reports whether the document in force has a service, and true where
+// none is in force yet.
+func (s *Server) declares(service string) bool {
+	d := s.published.Load().document
+	if d == nil {
+		return true
+	}
+
+	table, err := d.read(s.ReadDocument)
+	if err != nil {
+		return false
+	}
+
+	return slices.ContainsFunc(table.GetServices(), func(r *wire.RoutedService) bool { return r.GetName() == service })
+}
+
+func (s *Server) controls() []string {
+	if s.Controls == nil {
+		return nil
+	}
+
+	return s.Controls()
+}
+
+func zonesOut(p *published) []string {
+	var out []string
+
+	for _, r := range p.records.All() {
+		if z := r.GetZone(); z.GetOut() {
+			out = append(out, z.GetName())
+		}
+	}
+
+	return out
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,15 @@
 	// expert map, and with a nil entry after a snapshot was restored; may be nil.
 	OnGroup func(index uint64, e *wire.GroupEntry, states []*wire.GroupState)
 
+	// ReadDocument reads an adopted document; it is needed where entries are the
+	// doors of their targets. AnnounceEvery is how often targets announce themselves.
+	ReadDocument  func(sent []byte) (*wire.RouteTable, error)
+	AnnounceEvery time.Duration
+	// Zones are the regions of the declared zones, by name, for orders in one step.
+	Zones map[string]string
+	// Controls returns the addresses of all control VMs, for followers; may be nil.
+	Controls func() []string
+
 	// Settings holds the intervals; the zero value stands for DefaultSettings.
 	Settings Settings
 	// Limits bounds the state and must be equal on all control VMs.
@@ -69,6 +79,9 @@
 	base      atomic.Pointer[base]
 	baseMu    sync.Mutex
 	events    chan event
+	announced waking
+	// boot tells this start's directory from an earlier one's.
+	boot uint64
 }
 
 // Peer is another control VM.
@@ -145,6 +158,13 @@
 	s.state = ledger.New(s.Limits)
 	s.state.OnGroup = s.groupApplied
 	s.events = make(chan event, eventBuffer)
+	s.announced.init()
+	s.boot = rand.Uint64()
+
+	if s.AnnounceEvery == 0 {
+		s.AnnounceEvery = time.Second
+	}
+
 	s.publish(time.Now())
 }
 
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,229 @@
+// Package dispatch decides, at an entry that is the door of its targets, which
+// target each request goes to, which requests wait, and which are refused. It has
+// no goroutine and reads no clock: what happens goes in, actions come out.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Target is a target as the directory knows it.
+type Target struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	Group   string
+	Slots   int
+	// Leaving targets, and those of a zone that is out, get no new work.
+	Leaving bool
+	// Silent targets have not announced themselves lately; they are the last choice.
+	Silent bool
+	// Broken is set while the target's group cannot make a step.
+	Broken    bool
+	ColdUntil time.Time
+}
+
+// Service is what the operators declare of a service.
+type Service struct {
+	Name string
+	// ColdPerSecond is how many requests a cold target bears in a second, from all
+	// entries together; zero: no bound.
+	ColdPerSecond float64
+	// MostConnections is how many connections a target takes from all entries together.
+	MostConnections int
+}
+
+// Request is one request that wants a target.
+type Request struct {
+	ID        uint64
+	Service   string
+	Workspace string
+	// Rank orders requests, 0 first.
+	Rank uint32
+	// AimAt is until when the first answer is of full use, GiveUpAt when the caller
+	// is gone.
+	AimAt    time.Time
+	GiveUpAt time.Time
+	// Work is the expected work against that of a usual request; below 0 or zero counts as 1.
+	Work float64
+	// Tried are targets that this request must not be sent to again.
+	Tried []string
+}
+
+// Action places or refuses one request.
+type Action struct {
+	ID uint64
+	// Target is set where the request is placed: Finish must follow.
+	Target Target
+	Placed bool
+	// Cause and RetryAt say why a request was refused, and when to come back.
+	Cause   verdict.Cause
+	RetryAt time.Time
+}
+
+// Load is what a target says of itself on an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Outcome is how a request ended at a target.
+type Outcome uint8
+
+const (
+	// Served means that the target answered, whatever it said.
+	Served Outcome = iota
+	// Shed means that the target said that it did not run the request.
+	Shed
+	// Failed means that the connection could not be opened, broke, or brought nothing usable.
+	Failed
+	// Left means that the caller went away, or its time ran out. It says nothing of the target.
+	Left
+	// Moved means that another target answers at the address.
+	Moved
+)
+
+// Dispatcher decides for all services of one entry. Its fields are set before the
+// first call; one goroutine at a time uses it.
+type Dispatcher struct {
+	Settings Settings
+	Rand     *rand.Rand
+
+	services map[string]*service
+	entries  int
+}
+
+// Change takes in the targets and services as they are now. Entries is how many
+// entries share the targets.
+func (d *Dispatcher) Change(now time.Time, services []Service, targets []Target, entries int) []Action {
+	d.entries = max(1, entries)
+
+	known := d.services
+	d.services = make(map[string]*service, len(services))
+
+	for _, s := range services {
+		have := known[s.Name]
+		if have == nil {
+			have = &service{targets: map[string]*target{}}
+		}
+
+		have.Service = s
+		d.services[s.Name] = have
+	}
+
+	fresh := make(map[string]bool, len(targets))
+
+	for _, t := range targets {
+		if s := d.services[t.Service]; s != nil {
+			s.set(t)
+
+			fresh[t.ID] = true
+		}
+	}
+
+	var out []Action
+
+	for _, s := range d.services {
+		s.keepOnly(fresh)
+
+		out = append(out, d.place(now, s)...)
+	}
+
+	for name, s := range known {
+		if d.services[name] == nil {
+			out = append(out, s.refuseAll(now, verdict.CauseUnknownService, d.Settings.ShortestRetry)...)
+		}
+	}
+
+	return out
+}
+
+// Offer brings in a request. Without an action for it, it waits.
+func (d *Dispatcher) Offer(now time.Time, r Request) []Action {
+	s := d.services[r.Service]
+	if s == nil {
+		return []Action{{ID: r.ID, Cause: verdict.CauseNoTarget, RetryAt: now.Add(d.Settings.NoTargetRetry)}}
+	}
+
+	if r.Work <= 0 {
+		r.Work = 1
+	}
+
+	if !s.hasUntried(&r) {
+		return []Action{{ID: r.ID, Cause: s.absence(&r), RetryAt: now.Add(d.Settings.NoTargetRetry)}}
+	}
+
+	s.waiting = append(s.waiting, waiting{Request: r, since: now})
+
+	return d.place(now, s)
+}
+
+// Cancel takes back a request that waits.
+func (d *Dispatcher) Cancel(name string, id uint64) {
+	if s := d.services[name]; s != nil {
+		s.drop(id)
+	}
+}
+
+// Report takes in what a target said of its load while a request is at it.
+func (d *Dispatcher) Report(now time.Time, serviceName, targetID string, l Load) {
+	if s := d.services[serviceName]; s != nil {
+		if t := s.targets[targetID]; t != nil {
+			s.report(now, t, l)
+		}
+	}
+}
+
+// Finish ends a placed request. Place holds what it held.
+func (d *Dispatcher) Finish(now time.Time, placed Action, work float64, o Outcome) []Action {
+	s := d.services[placed.Target.Service]
+	if s == nil {
+		return nil
+	}
+
+	if t := s.targets[placed.Target.ID]; t != nil {
+		t.finish(now, work, o, &d.Settings)
+	}
+
+	if o == Served {
+		s.pace.ended(now)
+	}
+
+	return d.place(now, s)
+}
+
+// Fault takes in that a target made another one fail: its group waits for it.
+func (d *Dispatcher) Fault(now time.Time, serviceName, targetID string) {
+	if s := d.services[serviceName]; s != nil {
+		s.faultAt(now, targetID, &d.Settings)
+	}
+}
+
+// Tick places what can be placed by now, and refuses what can no longer be served.
+func (d *Dispatcher) Tick(now time.Time) []Action {
+	var out []Action
+
+	for _, s := range d.services {
+		if len(s.waiting) > 0 {
+			out = append(out, d.place(now, s)...)
+		}
+	}
+
+	return out
+}
+
+// Waiting returns how many requests wait.
+func (d *Dispatcher) Waiting() int {
+	n := 0
+	for _, s := range d.services {
+		n += len(s.waiting)
+	}
+
+	return n
+}
--- /dev/null
+++ b/internal/dispatch/service.go
@@ -0,0 +1,238 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// service is one service's targets and the requests that wait for them.
+type service struct {
+	Service
+
+	targets map[string]*target
+	waiting []waiting
+	pace    pace
+	// others is the mean of what other entries have at a target.
+	others mean
+}
+
+type waiting struct {
+	Request
+
+	since time.Time
+}
+
+func (s *service) set(t Target) {
+	have := s.targets[t.ID]
+	if have == nil || have.Address != t.Address {
+		have = &target{}
+		s.targets[t.ID] = have
+	}
+
+	have.Target = t
+}
+
+func (s *service) keepOnly(fresh map[string]bool) {
+	for id := range s.targets {
+		if !fresh[id] {
+			delete(s.targets, id)
+		}
+	}
+}
+
+func (s *service) drop(id uint64) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool { return w.ID == id })
+}
+
+func (s *service) refuseAll(now time.Time, cause verdict.Cause, retry time.Duration) []Action {
+	out := make([]Action, 0, len(s.waiting))
+	for _, w := range s.waiting {
+		out = append(out, Action{ID: w.ID, Cause: cause, RetryAt: now.Add(retry)})
+	}
+
+	s.waiting = nil
+
+	return out
+}
+
+// hasUntried reports whether some target may take r, now or later.
+func (s *service) hasUntried(r *Request) bool {
+	for _, t := range s.targets {
+		if !t.Leaving && !slices.Contains(r.Tried, t.ID) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (s *service) absence(r *Request) verdict.Cause {
+	if len(r.Tried) > 0 {
+		return verdict.CauseTargetDown
+	}
+
+	return verdict.CauseNoTarget
+}
+
+// place places waiting requests while there is room, and refuses those that
+// cannot be served any more.
+func (d *Dispatcher) place(now time.Time, s *service) []Action {
+	if len(s.waiting) == 0 {
+		return nil
+	}
+
+	out := d.refuseHopeless(now, s)
+
+	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(now, &a, &b) })
+
+	kept := s.waiting[:0]
+
+	for i := range s.waiting {
+		w := &s.waiting[i]
+
+		t := d.choose(now, s, &w.Request)
+		if t == nil {
+			kept = append(kept, *w)
+
+			continue
+		}
+
+		t.place(now, w.Work)
+		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true})
+	}
+
+	s.waiting = kept
+
+	return out
+}
+
+// order says which of two waiting requests goes first. The load pattern is a
+// burst above what the targets bear: first come, first served would make every
+// request late for as long as the burst lasts and its backlog after it. So what
+// can still be in time goes before what is late already, the newest first; late
+// ones follow in the order in which their callers give up.
+func order(now time.Time, a, b *waiting) int {
+	if a.Rank != b.Rank {
+		return cmp.Compare(a.Rank, b.Rank)
+	}
+
+	lateA, lateB := !now.Before(a.AimAt), !now.Before(b.AimAt)
+
+	switch {
+	case lateA != lateB && lateB:
+		return -1
+	case lateA != lateB:
+		return 1
+	case lateA:
+		return a.GiveUpAt.Compare(b.GiveUpAt)
+	default:
+		return b.since.Compare(a.since)
+	}
+}
+
+// refuseHopeless refuses what its caller will have given up before an answer, and
+// what no target is left for. A late request is refused as soon as more late ones
+// go before it than end in the time that it has.
+func (d *Dispatcher) refuseHopeless(now time.Time, s *service) []Action {
+	var out []Action
+
+	perSecond := s.pace.perSecond(now)
+	ahead := 0
+
+	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(now, &a, &b) })
+
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
+		left := w.GiveUpAt.Sub(now) - d.Settings.FirstAnswer
+		wait := time.Duration(0)
+
+		if perSecond > 0 {
+			wait = time.Duration(float64(ahead) / perSecond * float64(time.Second))
+		}
+
+		late := !now.Before(w.AimAt)
+
+		switch {
+		case !s.hasUntried(&w.Request):
+			out = append(out, Action{ID: w.ID, Cause: s.absence(&w.Request), RetryAt: now.Add(d.Settings.NoTargetRetry)})
+		case left <= 0, late && perSecond > 0 && wait > left:
+			out = append(out, Action{ID: w.ID, Cause: verdict.CauseOverload, RetryAt: now.Add(d.retryIn(wait))})
+		default:
+			ahead++
+
+			return false
+		}
+
+		return true
+	})
+
+	return out
+}
+
+func (d *Dispatcher) retryIn(wait time.Duration) time.Duration {
+	return min(max(wait, d.Settings.ShortestRetry), d.Settings.LongestRetry)
+}
+
+// choose returns the target with the least load that may take r now, or nil.
+func (d *Dispatcher) choose(now time.Time, s *service, r *Request) *target {
+	var best *target
+
+	bestCost := 0.0
+	ties := 0
+
+	for _, t := range s.targets {
+		if !d.mayTake(now, s, t) || slices.Contains(r.Tried, t.ID) {
+			continue
+		}
+
+		c := t.cost(now, s, &d.Settings)
+
+		switch {
+		case best == nil || c < bestCost-costTie:
+			best, bestCost, ties = t, c, 1
+		case c <= bestCost+costTie:
+			// Each of the equal ones is as likely: all entries would else choose the same.
+			ties++
+			if d.Rand.IntN(ties) == 0 {
+				best = t
+			}
+		}
+	}
+
+	return best
+}
+
+// costTie is the difference in load (parts of the slots) below which targets count as equal.
+const costTie = 0.02
+
+// mayTake reports whether t may get a request now.
+func (d *Dispatcher) mayTake(now time.Time, s *service, t *target) bool {
+	switch {
+	case t.Leaving || t.Broken || now.Before(t.pausedUntil):
+		return false
+	case t.Slots > 0 && t.load(now, s, &d.Settings) >= float64(t.Slots)+d.Settings.QueueAhead:
+		return false
+	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
+		return false
+	}
+
+	return s.ColdPerSecond <= 0 || t.sentSince(now.Add(-d.Settings.ColdWindow)) < d.coldShare(now, s, t)
+}
+
+// coldUnknown is how far above the declared bound of a cold target all entries
+// together may go while it counts as warm: it may have turned cold without a word.
+const coldUnknown = 1.5
+
+// coldShare is how many requests this entry may send to t in a second. A cold
+// target breaks down above its bound, and any target may turn cold without a
+// word, so warm ones have a bound too, which usual load does not reach.
+func (d *Dispatcher) coldShare(now time.Time, s *service, t *target) int {
+	bound := s.ColdPerSecond * d.Settings.ColdReserve
+	if !now.Before(t.ColdUntil) {
+		bound *= coldUnknown
+	}
+
+	return max(1, int(bound/float64(d.entries)))
+}
--- /dev/null
+++ b/internal/dispatch/settings.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import "time"
+
+// Settings are the tunable numbers of a Dispatcher.
+type Settings struct {
+	// ShortestRetry and LongestRetry bound when a refused caller is told to return.
+	ShortestRetry time.Duration
+	LongestRetry  time.Duration
+	// NoTargetRetry is when to return where no target is left at all.
+	NoTargetRetry time.Duration
+	// QueueAhead is how many requests beyond its slots a target is given, so that
+	// it has the next one when a slot is freed. What waits there cannot be placed
+	// better any more, so it is small.
+	QueueAhead float64
+	// LoadMemory is how fast what a target said of the other entries' requests
+	// gives way to the mean of all targets: they come and go, unseen here.
+	LoadMemory time.Duration
+	// FirstPause is how long a target that failed is left alone; it doubles up to
+	// LongestPause with each further failure, and a served request ends it.
+	FirstPause   time.Duration
+	LongestPause time.Duration
+	// ShedPause is how long a target that was full is left alone.
+	ShedPause time.Duration
+	// GroupPause is how long a group is left alone after one of its targets was at
+	// fault: its targets refuse until the group is formed again.
+	GroupPause time.Duration
+	// ColdWindow is the length of the window in which requests to a cold target count.
+	ColdWindow time.Duration
+	// ColdReserve is the part of the bound of a cold target that entries share. The
+	// rest covers entries that have joined and are not counted yet.
+	ColdReserve float64
+	// FirstAnswer is what a target usually needs until its first answer: what has
+	// less time left is not worth placing.
+	FirstAnswer time.Duration
+}
+
+// DefaultSettings returns the numbers for targets that answer in fractions of a second.
+func DefaultSettings() Settings {
+	return Settings{
+		ShortestRetry: 150 * time.Millisecond,
+		LongestRetry:  3 * time.Second,
+		NoTargetRetry: 300 * time.Millisecond,
+		QueueAhead:    1,
+		LoadMemory:    700 * time.Millisecond,
+		FirstPause:    300 * time.Millisecond,
+		LongestPause:  4 * time.Second,
+		ShedPause:     60 * time.Millisecond,
+		GroupPause:    400 * time.Millisecond,
+		ColdWindow:    time.Second,
+		ColdReserve:   0.9,
+		FirstAnswer:   50 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,183 @@
+// Package door is an entry's own way into a target that has no agent: one HTTP
+// request over one fresh connection.
+//
+// A kept connection may hold the late second answer of an earlier request, may be
+// closed by the target while the next request crosses, or may have gone silent
+// unseen. A fresh one has none of these faults, so whatever comes on it answers
+// the one request that was sent on it.
+package door
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Call is one request as it goes to a target.
+type Call struct {
+	Method string
+	// URI and Host are passed on as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when an answer is of no use any more.
+	Deadline time.Time
+}
+
+// Answer is a target's answer. Body must be read to its end before it counts as
+// whole, and Close must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+
+	conn  net.Conn
+	stop  func() bool
+	close func() error
+}
+
+// Close ends the connection. A target that is still at work stops then.
+func (a *Answer) Close() {
+	a.stop()
+	_ = a.close()
+	_ = a.conn.Close()
+}
+
+// Door opens calls to targets. Its fields are set before use.
+type Door struct {
+	// DialTimeout bounds how long a connection may take to open. A target that is
+	// dark does not answer at all, and another one could.
+	DialTimeout time.Duration
+	// HeadBytes bounds the head of an answer.
+	HeadBytes int
+}
+
+const (
+	// readBuffer holds some events of a stream (bytes).
+	readBuffer = 4 << 10
+	// inlineBody is the longest body that is sent before the answer is read (bytes).
+	// A target may answer before it has read a longer one and then stop reading.
+	inlineBody = 16 << 10
+)
+
+// Open sends call to the target at address and returns the head of its answer. An
+// error is a *verdict.Error: NotRun only where not a byte has left.
+func (d *Door) Open(ctx context.Context, address netip.AddrPort, call *Call) (*Answer, error) {
+	dialer := net.Dialer{Timeout: d.DialTimeout, Deadline: call.Deadline, KeepAlive: -1}
+
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
+	}
+
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+
+	answer, err := d.exchange(conn, call)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	answer.conn, answer.stop = conn, stop
+
+	return answer, nil
+}
+
+func (d *Door) exchange(conn net.Conn, call *Call) (*Answer, error) {
+	if err := conn.SetDeadline(call.Deadline); err != nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
+	}
+
+	if err := send(conn, call); err != nil {
+		return nil, err
+	}
+
+	limited := &io.LimitedReader{R: conn, N: int64(d.HeadBytes)}
+	buffered := bufio.NewReaderSize(limited, readBuffer)
+
+	resp, err := readFinal(buffered, call.Method) //nolint:bodyclose // Answer.Close closes it
+	if err != nil {
+		return nil, broken(err)
+	}
+
+	limited.N = 1<<63 - 1
+
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, close: resp.Body.Close}, nil
+}
+
+// readFinal reads the head of the final answer, past informational ones.
+func readFinal(r *bufio.Reader, method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+
+	for {
+		resp, err := http.ReadResponse(r, request) //nolint:bodyclose // the caller of Open closes it
+		if err != nil {
+			return nil, err //nolint:wrapcheck // broken wraps it
+		}
+
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// send writes the call. Only where nothing was written is it sure not to run.
+func send(conn net.Conn, call *Call) error {
+	var b strings.Builder
+
+	b.Grow(readBuffer / 4)
+	b.WriteString(call.Method + " " + call.URI + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
+
+	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	}
+
+	if err := call.Header.Write(&b); err != nil {
+		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, Err: err}
+	}
+
+	b.WriteString("\r\n")
+
+	if len(call.Body) <= inlineBody {
+		b.Write(call.Body)
+	}
+
+	n, err := io.WriteString(conn, b.String())
+
+	switch {
+	case err != nil && n == 0:
+		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
+	case err != nil:
+		return broken(err)
+	}
+
+	if len(call.Body) > inlineBody {
+		// The answer is read meanwhile. Closing the connection ends this too.
+		go func() { _, _ = conn.Write(call.Body) }()
+	}
+
+	return nil
+}
+
+func broken(err error) error {
+	cause := verdict.CauseBroken
+
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		cause = verdict.CauseDeadline
+	}
+
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: cause, Err: err}
+}
--- /dev/null
+++ b/internal/door/events.go
@@ -0,0 +1,75 @@
+package door
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// ErrTooLong says that one event of a stream is longer than an event may be.
+var ErrTooLong = errors.New("door: an event of the stream is too long")
+
+// Event is one whole event of a stream, with the empty line that ends it.
+type Event struct {
+	// ID is the event's number; HasID is false where it carries none.
+	ID    uint64
+	HasID bool
+	Bytes []byte
+}
+
+// Events reads a stream event by event. A part of an event at the end of a stream
+// that broke off is never returned.
+type Events struct {
+	r    *bufio.Reader
+	most int
+	buf  []byte
+}
+
+// NewEvents returns a reader of the events in r, each at most most bytes long.
+func NewEvents(r io.Reader, most int) *Events {
+	return &Events{r: bufio.NewReaderSize(r, readBuffer), most: most}
+}
+
+// Next returns the next event, which holds until Next is called again. It returns
+// io.EOF where the stream ended whole.
+func (e *Events) Next() (Event, error) {
+	e.buf = e.buf[:0]
+
+	var ev Event
+
+	for {
+		line, err := e.r.ReadSlice('\n')
+		if len(e.buf)+len(line) > e.most {
+			return Event{}, ErrTooLong
+		}
+
+		e.buf = append(e.buf, line...)
+
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.buf)) > 0:
+			return Event{}, io.ErrUnexpectedEOF
+		case err != nil:
+			return Event{}, err //nolint:wrapcheck // io.EOF must stay comparable
+		}
+
+		line = bytes.TrimRight(line, "\r\n")
+
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			n, err := strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64)
+			ev.ID, ev.HasID = n, err == nil
+		}
+
+		if len(line) == 0 && len(bytes.TrimSpace(e.buf)) > 0 {
+			ev.Bytes = e.buf
+
+			return ev, nil
+		}
+	}
+}
+
+// Buffered returns whether bytes of a next event are here already.
+func (e *Events) Buffered() bool { return e.r.Buffered() > 0 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -28,6 +28,7 @@
 	claims    claimTable
 	decisions decisionTable
 	groups    groupTable
+	documents documentTable
 }
 
 // New returns an empty ledger.
@@ -46,6 +47,7 @@
 	l.claims = newClaimTable(l.Limits)
 	l.decisions = newDecisionTable(l.Limits)
 	l.groups = groupTable{}
+	l.documents = documentTable{}
 }
 
 // Index returns the log index of the last command that was applied.
@@ -69,10 +71,11 @@
 		return encode(&wire.Result{Fault: "the command cannot be read"})
 	}
 
-	version, decided, tick := l.records.version, l.decisions.last(), l.clock.tickIndex
+	version, decided, tick, state := l.records.version, l.decisions.last(), l.clock.tickIndex, l.documents.index
 	result := encode(l.dispatch(index, cmd))
 
-	if l.records.version != version || l.decisions.last() != decided || l.clock.tickIndex != tick {
+	if l.records.version != version || l.decisions.last() != decided ||
+		l.clock.tickIndex != tick || l.documents.index != state {
 		l.changes++
 	}
 
@@ -105,6 +108,12 @@
 			l.OnGroup(index, kind.GroupEntry)
 		}
 
+		return &wire.Result{}
+	case *wire.Command_Document:
+		l.adopt(index, kind.Document)
+		return &wire.Result{}
+	case *wire.Command_ZoneOrder:
+		l.orderZone(index, kind.ZoneOrder)
 		return &wire.Result{}
 	default:
 		return &wire.Result{Fault: "the command has no known kind"}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -24,6 +24,8 @@
 		Decisions:    l.decisions.entries,
 		NumberFloor:  l.decisions.floor,
 		Groups:       l.groups.sorted(),
+		Document:     l.documents.current,
+		StateIndex:   l.documents.index,
 	}
 
 	l.records.compact()
@@ -59,6 +61,7 @@
 	l.claims.restore(s)
 	l.decisions.restore(s)
 	l.restoreGroups(s)
+	l.documents = documentTable{current: s.GetDocument(), index: s.GetStateIndex()}
 
 	return nil
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -39,11 +39,20 @@
 		level = slog.LevelDebug
 	}
 
-	next := slog.NewTextHandler(o.Writer, &slog.HandlerOptions{Level: level})
+	next := slog.NewTextHandler(o.Writer, &slog.HandlerOptions{Level: level, ReplaceAttr: shortError})
 
 	return slog.New(&prefixHandler{Handler: next, prefix: part + ": "})
 }
 
+// shortError writes an error as its text: eris errors would bring their stack.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+
+	return a
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() *slog.Logger {
 	return slog.New(slog.DiscardHandler)
--- /dev/null
+++ b/internal/relay/queue.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// tickEvery is how often requests that wait are looked at. It is short against
+// the pauses that keep targets out, and costs nothing while nobody waits.
+const tickEvery = 20 * time.Millisecond
+
+// queue runs the dispatcher: it wakes the goroutines of requests that are placed
+// or refused.
+type queue struct {
+	dispatcher *dispatch.Dispatcher
+
+	mu      sync.Mutex
+	lastID  uint64
+	waiters map[uint64]chan dispatch.Action
+	ticking bool
+}
+
+// place waits until r has a target, is refused, or its caller leaves.
+func (q *queue) place(ctx context.Context, r dispatch.Request) (dispatch.Action, error) {
+	q.mu.Lock()
+	q.lastID++
+	r.ID = q.lastID
+	placed := make(chan dispatch.Action, 1)
+	q.waiters[r.ID] = placed
+	q.tell(q.dispatcher.Offer(time.Now(), r))
+	q.keepTicking()
+	q.mu.Unlock()
+
+	select {
+	case a := <-placed:
+		return outcome(a)
+	case <-ctx.Done():
+	}
+
+	q.mu.Lock()
+	q.dispatcher.Cancel(r.Service, r.ID)
+	delete(q.waiters, r.ID)
+	q.mu.Unlock()
+
+	select {
+	case a := <-placed:
+		if a.Placed {
+			q.finish(a, r.Work, dispatch.Left)
+		}
+	default:
+	}
+
+	return dispatch.Action{}, verdict.Refuse(verdict.CauseCancelled, time.Time{})
+}
+
+func outcome(a dispatch.Action) (dispatch.Action, error) {
+	if a.Placed {
+		return a, nil
+	}
+
+	return a, verdict.Refuse(a.Cause, a.RetryAt)
+}
+
+func (q *queue) finish(a dispatch.Action, work float64, o dispatch.Outcome) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.tell(q.dispatcher.Finish(time.Now(), a, work, o))
+}
+
+func (q *queue) report(a dispatch.Action, w Word) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if w.HasLoad {
+		q.dispatcher.Report(time.Now(), a.Target.Service, a.Target.ID, w.Load)
+	}
+
+	if w.AtFault != "" {
+		q.dispatcher.Fault(time.Now(), a.Target.Service, w.AtFault)
+	}
+}
+
+func (q *queue) change(services []dispatch.Service, targets []dispatch.Target, entries int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.tell(q.dispatcher.Change(time.Now(), services, targets, entries))
+}
+
+// tell hands out actions. It is called with mu held.
+func (q *queue) tell(actions []dispatch.Action) {
+	for _, a := range actions {
+		if c := q.waiters[a.ID]; c != nil {
+			c <- a
+
+			delete(q.waiters, a.ID)
+		}
+	}
+}
+
+func (q *queue) keepTicking() {
+	if q.ticking || q.dispatcher.Waiting() == 0 {
+		return
+	}
+
+	q.ticking = true
+
+	time.AfterFunc(tickEvery, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+
+		q.tell(q.dispatcher.Tick(time.Now()))
+		q.ticking = false
+		q.keepTicking()
+	})
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,234 @@
+// Package relay is the shell of an entry that is itself the door of its targets:
+// it speaks HTTP with callers, finds their route, and passes each request on to a
+// target that has no agent.
+package relay
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/door"
+	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/routes"
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// Relay serves callers. Set its exported fields before Init.
+type Relay struct {
+	Dialect Dialect
+	// State returns what the control VMs published.
+	State  func() *view.Followed
+	Door   *door.Door
+	Budget *retries.Share
+	// Stopping says that this entry stops: answers end their connections.
+	Stopping func() bool
+	Limits   Limits
+	Logger   *slog.Logger
+	Rand     *rand.Rand
+	Settings dispatch.Settings
+
+	queue    *queue
+	counters counters
+}
+
+// Limits bound what one request may hold.
+type Limits struct {
+	// AnswerBytes is the longest answer that is held until it is whole.
+	AnswerBytes int64
+	// EventBytes is the longest event of a stream.
+	EventBytes int
+	// BodyBytes is the longest body of a request where the operators declare none.
+	BodyBytes int64
+}
+
+// DefaultLimits returns limits for drafts and bookings.
+func DefaultLimits() Limits {
+	return Limits{AnswerBytes: 8 << 20, EventBytes: 1 << 20, BodyBytes: 4 << 20}
+}
+
+// Init prepares the relay. It must be called once, before the first request.
+func (r *Relay) Init() {
+	if r.Limits == (Limits{}) {
+		r.Limits = DefaultLimits()
+	}
+
+	if r.Settings == (dispatch.Settings{}) {
+		r.Settings = dispatch.DefaultSettings()
+	}
+
+	if r.Logger == nil {
+		r.Logger = slog.New(slog.DiscardHandler)
+	}
+
+	r.queue = &queue{
+		dispatcher: &dispatch.Dispatcher{Settings: r.Settings, Rand: r.Rand},
+		waiters:    make(map[uint64]chan dispatch.Action),
+	}
+}
+
+// Change takes in what the control VMs published.
+func (r *Relay) Change(f *view.Followed) {
+	if f.Table == nil {
+		return
+	}
+
+	services := make([]dispatch.Service, 0, len(f.Table.Services))
+	for _, s := range f.Table.Services {
+		services = append(services, dispatch.Service{
+			Name: s.Name, ColdPerSecond: s.ColdPerSecond, MostConnections: s.MostConnections,
+		})
+	}
+
+	targets := make([]dispatch.Target, 0, len(f.Targets))
+	for i := range f.Targets {
+		targets = append(targets, targetOf(&f.Targets[i], f))
+	}
+
+	r.queue.change(services, targets, f.Entries)
+}
+
+func targetOf(t *directory.Target, f *view.Followed) dispatch.Target {
+	return dispatch.Target{
+		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Group: t.Group.Name, Slots: t.Slots,
+		Leaving: t.State == directory.Draining || f.Out(t.Zone), Silent: t.State == directory.Silent,
+		Broken: t.Group.Broken, ColdUntil: t.ColdUntil,
+	}
+}
+
+// Ready reports whether this entry can serve: it knows a configuration and targets.
+func (r *Relay) Ready() bool {
+	f := r.State()
+
+	return f.Table != nil && len(f.Targets) > 0
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	now := time.Now()
+
+	r.counters.requests.Add(1)
+
+	if r.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+
+	p := &passage{relay: r, w: w, req: req, began: now, state: r.State()}
+
+	if p.state.Table == nil {
+		p.refuse(verdict.Refuse(verdict.CauseStale, now.Add(r.Settings.NoTargetRetry)))
+
+		return
+	}
+
+	if status, problem := p.admit(now); status != 0 {
+		p.deny(status, problem)
+
+		return
+	}
+
+	p.run()
+}
+
+// admit finds the route and the workspace, and reads the body. A status other
+// than 0 denies the request.
+func (p *passage) admit(now time.Time) (int, string) {
+	table := p.state.Table
+
+	call, err := p.relay.Dialect.ReadCall(p.req, now)
+	if err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+
+	p.call = call
+	p.lastEvent = call.LastEvent
+
+	path, _, _ := strings.Cut(p.req.RequestURI, "?")
+	if p.route = table.Find(p.req.Host, path); p.route == nil {
+		return http.StatusNotFound, "no route has this host and path"
+	}
+
+	if table.Keyed() && !p.route.Anonymous {
+		if p.workspace = table.Workspace(call.Key); p.workspace == nil {
+			return http.StatusUnauthorized, "the key is not known"
+		}
+	}
+
+	most := table.Limits.BodyBytes
+	if most <= 0 {
+		most = p.relay.Limits.BodyBytes
+	}
+
+	p.body, err = io.ReadAll(http.MaxBytesReader(p.w, p.req.Body, most))
+
+	var tooLong *http.MaxBytesError
+
+	switch {
+	case errors.As(err, &tooLong):
+		return http.StatusRequestEntityTooLarge, "the body is too long"
+	case err != nil:
+		return http.StatusBadRequest, "the body did not arrive whole"
+	}
+
+	p.service = p.route.Pick(rand.Float64())
+	p.setDeadlines(now)
+
+	return 0, ""
+}
+
+// setDeadlines stores until when the request is of use.
+func (p *passage) setDeadlines(now time.Time) {
+	p.deadline = now.Add(p.route.Timeout)
+	if !p.call.Deadline.IsZero() && p.call.Deadline.Before(p.deadline) {
+		p.deadline = p.call.Deadline
+	}
+
+	p.giveUpAt = p.deadline
+
+	if p.route.Stream {
+		if first := now.Add(p.relay.Dialect.Patience(p.route)); first.Before(p.giveUpAt) {
+			p.giveUpAt = first
+		}
+	}
+
+	p.aimAt = now.Add(p.route.Aim)
+}
+
+// rank orders requests: a workspace's priority goes before its route's.
+func (p *passage) rank() uint32 {
+	if p.workspace != nil {
+		return p.workspace.Priority
+	}
+
+	return p.route.Priority
+}
+
+// usualTokens is the size of a usual draft, for which Work is 1: prompt tokens
+// count a tenth of generated ones, which take a step each.
+const usualTokens = 180
+
+func (p *passage) work() float64 {
+	if p.call.PromptTokens == 0 {
+		return 1
+	}
+
+	return (float64(p.call.PromptTokens)/10 + float64(p.call.AnswerTokens)) / usualTokens
+}
+
+// mayRepeat reports whether a request that may have run may be sent again.
+func (p *passage) mayRepeat() bool {
+	return p.route.Repeat == routes.Always || p.route.Repeat == routes.Resume && p.route.Stream
+}
+
+// counters are totals since the start.
+type counters struct {
+	requests, served, refused, denied, failed, cut, again, left atomic.Int64
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -67,6 +67,12 @@
 			continue
 		}
 
+		// A VM that lost its disk takes part under a new ID at its old address, where
+		// messages to the one that it was still arrive.
+		if m.To != r.ID {
+			continue
+		}
+
 		if addr, err := netip.ParseAddrPort(env.GetAddress()); err == nil {
 			r.learned[m.From] = addr
 		}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -52,6 +52,19 @@
 	Logs  logs.Output
 	Dump  *dump.Dump
 
+	// TrustedNetwork hears plaintext from beyond loopback too.
+	TrustedNetwork bool
+	// Automatic is set where the control VMs find and replace each other.
+	Automatic *Automatic
+	// Operators takes operators who decide in one step, and targets' announcements;
+	// Operate makes its handler. Both may be nil.
+	Operators net.Listener
+	Operate   func(*control.Server) http.Handler
+	// ReadDocument, Zones and AnnounceEvery are the server's.
+	ReadDocument  func(sent []byte) (*wire.RouteTable, error)
+	Zones         map[string]string
+	AnnounceEvery time.Duration
+
 	// Experts tunes the expert maps of groups; the zero value stands for the defaults.
 	Experts expertgroup.Settings
 
@@ -86,6 +99,7 @@
 		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
 		Leads:       r.leads, StopUnsafe: r.stopUnsafe, FindPeers: r.findPeers, Self: r.self,
+		ReadDocument: r.ReadDocument, Zones: r.Zones, AnnounceEvery: r.AnnounceEvery, Controls: r.controlAddresses,
 		Logger: r.Logs.Logger("control"),
 	}
 	r.director = r.newDirector()
@@ -143,6 +157,12 @@
 	g.Go(func() error { return r.replica.Run(work) })
 	g.Go(func() error { return r.server.Run(work) })
 	g.Go(func() error { return r.director.Run(work) })
+	g.Go(func() error { return r.serveOperators(work) })
+	g.Go(func() error {
+		r.keepSet(work)
+
+		return nil
+	})
 	g.Go(func() error {
 		if err := web.Serve(identity.MaybeAccept(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
@@ -208,7 +228,7 @@
 // handOver gives leadership to another control VM, so that a planned stop costs
 // no election.
 func (r *Control) handOver() {
-	if !r.leads() || len(r.Peers) == 0 {
+	if !r.leads() || len(r.replica.Status().Members) < 2 {
 		return
 	}
 
@@ -227,6 +247,11 @@
 	mux.Handle(wire.MembersPathPrefix, wire.NewMembersServer(&membersService{role: r}))
 	mux.Handle(wire.ControlPeerPathPrefix, wire.NewControlPeerServer(r.server))
 	mux.Handle(wire.PeerPathPrefix, r.replica.Handler())
+	mux.Handle(wire.PublisherPathPrefix, wire.NewPublisherServer(r.server))
+
+	if r.TrustedNetwork {
+		return mux
+	}
 
 	return guardControl(mux)
 }
@@ -239,6 +264,7 @@
 	return identity.Guard(next,
 		identity.Rule{Prefix: wire.ControlPathPrefix + "Poll", Roles: followers},
 		identity.Rule{Prefix: wire.ControlPathPrefix, Roles: []identity.Role{identity.RoleEntry}},
+		identity.Rule{Prefix: wire.PublisherPathPrefix, Roles: []identity.Role{identity.RoleEntry}},
 		identity.Rule{Prefix: wire.OperatorPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
 		identity.Rule{Prefix: wire.MembersPathPrefix, Roles: []identity.Role{identity.RoleOperator}},
 		identity.Rule{Prefix: wire.ControlPeerPathPrefix, Roles: []identity.Role{identity.RoleControl}},
--- /dev/null
+++ b/internal/role/member.go
@@ -0,0 +1,114 @@
+package role
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/quorum"
+)
+
+// Member is who a control VM is in the control set, as its data folder says. A
+// data folder that was lost makes another member of the same VM: what the former
+// one voted and acknowledged is forgotten, and must not be counted again.
+type Member struct {
+	ID string
+	// Found are the first members where this one is among them.
+	Found []netip.AddrPort
+}
+
+// memberFile is the file in the data folder.
+const memberFile = "member.json"
+
+const (
+	memberDirMode  fs.FileMode = 0o750
+	memberFileMode fs.FileMode = 0o600
+	// memberSuffix is how many random bytes tell a member from others of its VM.
+	memberSuffix = 6
+)
+
+// OpenMember reads the member from the data folder, or makes one: a founder where
+// the deployment starts for the first time and own is a seed.
+func OpenMember(dir string, own netip.AddrPort, seeds []netip.AddrPort, bootstrap bool) (*Member, error) {
+	if err := os.MkdirAll(dir, memberDirMode); err != nil {
+		return nil, eris.Wrap(err, "make data folder")
+	}
+
+	data, err := os.ReadFile(filepath.Join(dir, memberFile)) //nolint:gosec // the settings name the folder
+	if err == nil {
+		m := &Member{}
+
+		return m, eris.Wrap(json.Unmarshal(data, m), "read "+memberFile)
+	}
+
+	if !errors.Is(err, fs.ErrNotExist) {
+		return nil, eris.Wrap(err, "read "+memberFile)
+	}
+
+	m := &Member{ID: own.Addr().String()}
+
+	if bootstrap && slices.Contains(seeds, own) {
+		m.Found = seeds
+	} else {
+		var suffix [memberSuffix]byte
+
+		_, _ = rand.Read(suffix[:]) // it never fails
+		m.ID += "-" + hex.EncodeToString(suffix[:])
+	}
+
+	return m, m.write(dir)
+}
+
+// write makes the member durable before it says a word: else a power loss could
+// give one vote to two members.
+func (m *Member) write(dir string) error {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "write "+memberFile)
+	}
+
+	tmp := filepath.Join(dir, memberFile+".tmp")
+
+	f, err := os.OpenFile(filepath.Clean(tmp), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, memberFileMode)
+	if err != nil {
+		return eris.Wrap(err, "write "+memberFile)
+	}
+
+	_, err = f.Write(data)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return eris.Wrap(err, "write "+memberFile)
+	}
+
+	if err := os.Rename(tmp, filepath.Join(dir, memberFile)); err != nil {
+		return eris.Wrap(err, "write "+memberFile)
+	}
+
+	return syncFolder(dir)
+}
+
+func syncFolder(dir string) error {
+	d, err := os.Open(filepath.Clean(dir))
+	if err != nil {
+		return eris.Wrap(err, "sync data folder")
+	}
+
+	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync data folder")
+}
+
+// Founders returns the first members of the set, or none for one that joins.
+func (m *Member) Founders() []quorum.Member {
+	var out []quorum.Member
+	for _, a := range m.Found {
+		out = append(out, quorum.Member{ID: a.Addr().String(), Addr: a})
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/role/routing.go
@@ -0,0 +1,189 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleygate/parsleygate/internal/door"
+	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/relay"
+	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+const (
+	// targetDial bounds a dial to a target: some times the longest way within a region.
+	targetDial = 300 * time.Millisecond
+	// targetHead bounds the head of a target's answer (bytes).
+	targetHead = 64 << 10
+	// callerHeader and callerIdle bound how long a caller may take for a head, and
+	// how long its connection may be idle. They are above what operators declare, so
+	// that the caller closes first and no request crosses a close.
+	callerHeader = 10 * time.Second
+	callerIdle   = 90 * time.Second
+	// callerHead bounds the head of a request (bytes).
+	callerHead = 64 << 10
+	// settleTime is how long a started entry waits for a second control VM: the
+	// first may be cut off and tell an old configuration.
+	settleTime = 1500 * time.Millisecond
+	// leaveTime is how long a stopping entry goes on taking requests, for the
+	// balancer to notice: two questions of a second each, and the way.
+	leaveTime = 2600 * time.Millisecond
+	// stopReserve is kept free at the end of a graceful stop.
+	stopReserve = 400 * time.Millisecond
+)
+
+// RoutingEntry is the role of an entry that is the door of its targets. Its
+// fields are set before Run.
+type RoutingEntry struct {
+	ID      string
+	Cluster string
+	Zone    string
+	// Listener takes callers, Ready answers the balancer.
+	Listener net.Listener
+	Ready    net.Listener
+	// Seeds returns the control VMs of the settings as they are now.
+	Seeds func() []netip.AddrPort
+	// Dialect and Readiness are how the deployment speaks.
+	Dialect   relay.Dialect
+	Readiness func(ready func() bool) http.Handler
+	Budget    *retries.Share
+	// StopWithin bounds a graceful stop.
+	StopWithin time.Duration
+	Logs       logs.Output
+	Dump       *dump.Dump
+
+	follower *view.Follower
+	relay    *relay.Relay
+	stopping atomic.Bool
+	logger   *slog.Logger
+	clients  sync.Map // of *http.Client, by control VM
+}
+
+// Run runs the role until ctx ends and the requests in flight have their answers.
+func (r *RoutingEntry) Run(ctx context.Context) error {
+	r.build()
+
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	callers := &http.Server{
+		Handler: r.relay, ReadHeaderTimeout: callerHeader, IdleTimeout: callerIdle, MaxHeaderBytes: callerHead,
+		ErrorLog: slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
+	}
+	balancer := &http.Server{Handler: r.Readiness(r.isReady), ReadHeaderTimeout: callerHeader}
+
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return r.follower.Run(work) })
+	g.Go(func() error { return serve(callers, r.Listener, "callers") })
+	g.Go(func() error { return serve(balancer, r.Ready, "balancer") })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			r.leave(callers)
+		case <-work.Done():
+			_ = callers.Close()
+		}
+
+		defer stop()
+
+		return eris.Wrap(balancer.Close(), "close readiness")
+	})
+
+	r.logger.Info("Started.", "zone", r.Zone, "callers", r.Listener.Addr())
+
+	err := eris.Wrap(g.Wait(), "run entry")
+	r.logger.Info("Stopped.", "error", err)
+
+	return err
+}
+
+func serve(web *http.Server, l net.Listener, whom string) error {
+	if err := web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve %s", whom)
+	}
+
+	return nil
+}
+
+// leave goes on while the balancer still sends callers, then finishes what is in
+// hand. Answers end their connections meanwhile.
+func (r *RoutingEntry) leave(callers *http.Server) {
+	until := time.Now().Add(r.StopWithin - stopReserve)
+
+	r.stopping.Store(true)
+	r.logger.Info("Stopping: no new callers.", "until", time.Until(until))
+	time.Sleep(min(leaveTime, r.StopWithin/2))
+
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+
+	if err := callers.Shutdown(ctx); err != nil {
+		r.logger.Warn("Requests were still in hand at the end of the stop.", "error", err)
+
+		_ = callers.Close()
+	}
+}
+
+func (r *RoutingEntry) isReady() bool {
+	if r.stopping.Load() || !r.relay.Ready() {
+		return false
+	}
+
+	f := r.follower.State()
+
+	return f.Answered > 1 || time.Since(f.First) > settleTime
+}
+
+func (r *RoutingEntry) build() {
+	r.logger = r.Logs.Logger("entry")
+	r.follower = &view.Follower{
+		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Ask: r.ask,
+		Leaving: r.stopping.Load, Logger: r.Logs.Logger("view"),
+		OnChange: func(f *view.Followed) { r.relay.Change(f) },
+	}
+	r.relay = &relay.Relay{
+		Dialect: r.Dialect, State: r.follower.State, Budget: r.Budget,
+		Door:     &door.Door{DialTimeout: targetDial, HeadBytes: targetHead},
+		Stopping: r.stopping.Load, Logger: r.Logs.Logger("relay"),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+
+	r.follower.Init()
+	r.relay.Init()
+	r.Dump.Add("Relay", func() any { return r.relay.Dump() })
+}
+
+// ask asks a control VM over a connection of its own. One that went silent is
+// given up with its question, and the next one dials anew.
+func (r *RoutingEntry) ask(ctx context.Context, control netip.AddrPort, q *wire.FollowRequest) (*wire.FollowResponse, error) {
+	client, _ := r.clients.LoadOrStore(control, newFollowClient())
+	out, err := wire.NewPublisherProtobufClient("http://"+control.String(), client.(*http.Client)).Follow(ctx, q)
+	if err != nil {
+		client.(*http.Client).CloseIdleConnections()
+	}
+
+	return out, eris.Wrap(err, "follow control VM")
+}
+
+func newFollowClient() *http.Client {
+	dialer := &identity.Dialer{Timeout: controlDial}
+
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.Dial, IdleConnTimeout: controlIdle, MaxIdleConnsPerHost: 1, DisableCompression: true,
+	}}
+}
--- /dev/null
+++ b/internal/routes/routes.go
@@ -0,0 +1,189 @@
+// Package routes is the aggregate of what operators declare about callers'
+// requests: which host and path prefix lead to which services, for how long, how
+// often, and for which workspaces.
+package routes
+
+import (
+	"strings"
+	"time"
+)
+
+// Repeat says what may be done with a request whose answer was lost.
+type Repeat uint8
+
+const (
+	// Never means that the request may run once at most.
+	Never Repeat = iota
+	// Always means that the request may run again from its beginning.
+	Always
+	// Resume means that the request is an event stream that another target may continue
+	// after the last event that reached the caller.
+	Resume
+)
+
+// Share is the part of a route's requests that a service gets.
+type Share struct {
+	Service string
+	Weight  uint32
+}
+
+// Route carries the requests of one host and path prefix to services.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Repeat Repeat
+	// Stream says that answers are event streams.
+	Stream bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Aim is the time within which the answer, or the first event of a stream, is
+	// of full use to the caller. Gap is the same for the pause between two events.
+	Aim time.Duration
+	Gap time.Duration
+	// Priority is the rank of the requests, 0 first.
+	Priority uint32
+	// MostTargets is how many targets one request may be sent to.
+	MostTargets int
+	// Anonymous requests need no key.
+	Anonymous bool
+	Shares    []Share
+}
+
+// Pick returns the service for a request, by n, a random number in [0, 1).
+func (r *Route) Pick(n float64) string {
+	total := uint64(0)
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+
+	at := uint64(n * float64(total))
+
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+
+		at -= uint64(s.Weight)
+	}
+
+	return ""
+}
+
+// ExpertShape is how the experts of a service's groups may be placed.
+type ExpertShape struct {
+	Sets    int
+	Experts int
+	// Places is how many experts of a set fit on a rank.
+	Places int
+	// Spare is how many experts of a set one preparation may bring to a rank.
+	Spare int
+}
+
+// Service is one service that routes lead to.
+type Service struct {
+	Name string
+	// MostConnections is how many connections a target takes from all callers together.
+	MostConnections int
+	// Cold is how long a target that has started stays cold.
+	Cold time.Duration
+	// ColdPerSecond is how many requests a cold target bears in a second; zero
+	// where no bound is declared.
+	ColdPerSecond float64
+	// HealthPath answers whether a target is well.
+	HealthPath string
+	// Slots is how many requests an engine runs at once; zero for a plain service.
+	Slots   int
+	Experts ExpertShape
+}
+
+// Workspace is a customer with the keys that its callers show.
+type Workspace struct {
+	Name     string
+	Keys     []string
+	Priority uint32
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	Header      time.Duration
+	Idle        time.Duration
+}
+
+// Declaration is everything that operators declare under one number.
+type Declaration struct {
+	Number     uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// place is where a route stands; no two routes share one.
+type place struct{ host, prefix string }
+
+// Table answers questions about a valid declaration. It never changes.
+type Table struct {
+	Declaration
+
+	routes     map[place]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+}
+
+// NewTable checks d and returns a table of it.
+func NewTable(d Declaration) (*Table, error) {
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+
+	t := &Table{
+		Declaration: d,
+		routes:      make(map[place]*Route, len(d.Routes)),
+		services:    make(map[string]*Service, len(d.Services)),
+		workspaces:  map[string]*Workspace{},
+	}
+
+	for i := range d.Routes {
+		t.routes[placeOf(&d.Routes[i])] = &d.Routes[i]
+	}
+
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+
+	for i := range d.Workspaces {
+		for _, key := range d.Workspaces[i].Keys {
+			t.workspaces[key] = &d.Workspaces[i]
+		}
+	}
+
+	return t, nil
+}
+
+func placeOf(r *Route) place { return place{host: strings.ToLower(r.Host), prefix: r.Prefix} }
+
+// Find returns the route with the longest prefix that begins path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	host = strings.ToLower(host)
+
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := t.routes[place{host: host, prefix: path[:end+1]}]; r != nil {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Workspace returns the workspace that holds key, or nil.
+func (t *Table) Workspace(key string) *Workspace { return t.workspaces[key] }
+
+// Keyed reports whether callers must show a key on routes that are not anonymous.
+func (t *Table) Keyed() bool { return len(t.Workspaces) > 0 }
--- /dev/null
+++ b/internal/routes/wire.go
@@ -0,0 +1,99 @@
+package routes
+
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// ToWire returns d as it travels.
+func (d *Declaration) ToWire() *wire.RouteTable {
+	out := &wire.RouteTable{Number: d.Number, Limits: &wire.CallerLimits{
+		HeaderBytes: uint64(d.Limits.HeaderBytes), BodyBytes: uint64(d.Limits.BodyBytes),
+		HeaderMillis: millis(d.Limits.Header), IdleMillis: millis(d.Limits.Idle),
+	}}
+
+	for i := range d.Routes {
+		out.Routes = append(out.Routes, d.Routes[i].toWire())
+	}
+
+	for i := range d.Services {
+		s := &d.Services[i]
+		out.Services = append(out.Services, &wire.RoutedService{
+			Name: s.Name, MostConnections: uint32(s.MostConnections), ColdMillis: millis(s.Cold),
+			ColdPerSecond: s.ColdPerSecond, HealthPath: s.HealthPath, Slots: uint32(s.Slots),
+			Experts: &wire.ExpertShape{
+				Sets: uint32(s.Experts.Sets), Experts: uint32(s.Experts.Experts),
+				Places: uint32(s.Experts.Places), Spare: uint32(s.Experts.Spare),
+			},
+		})
+	}
+
+	for _, w := range d.Workspaces {
+		out.Workspaces = append(out.Workspaces, &wire.RoutedWorkspace{Name: w.Name, Keys: w.Keys, Priority: w.Priority})
+	}
+
+	return out
+}
+
+func (r *Route) toWire() *wire.Route {
+	out := &wire.Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeat: wire.Repeat(r.Repeat), Stream: r.Stream,
+		TimeoutMillis: millis(r.Timeout), AimMillis: millis(r.Aim), GapMillis: millis(r.Gap),
+		Priority: r.Priority, MostTargets: uint32(r.MostTargets), Anonymous: r.Anonymous,
+	}
+
+	for _, s := range r.Shares {
+		out.Shares = append(out.Shares, &wire.Share{Service: s.Service, Weight: s.Weight})
+	}
+
+	return out
+}
+
+// FromWire reads a declaration.
+func FromWire(w *wire.RouteTable) Declaration {
+	l := w.GetLimits()
+	d := Declaration{Number: w.GetNumber(), Limits: Limits{
+		HeaderBytes: int(l.GetHeaderBytes()), BodyBytes: int64(l.GetBodyBytes()),
+		Header: duration(l.GetHeaderMillis()), Idle: duration(l.GetIdleMillis()),
+	}}
+
+	for _, r := range w.GetRoutes() {
+		d.Routes = append(d.Routes, routeFromWire(r))
+	}
+
+	for _, s := range w.GetServices() {
+		e := s.GetExperts()
+		d.Services = append(d.Services, Service{
+			Name: s.GetName(), MostConnections: int(s.GetMostConnections()), Cold: duration(s.GetColdMillis()),
+			ColdPerSecond: s.GetColdPerSecond(), HealthPath: s.GetHealthPath(), Slots: int(s.GetSlots()),
+			Experts: ExpertShape{
+				Sets: int(e.GetSets()), Experts: int(e.GetExperts()), Places: int(e.GetPlaces()), Spare: int(e.GetSpare()),
+			},
+		})
+	}
+
+	for _, ws := range w.GetWorkspaces() {
+		d.Workspaces = append(d.Workspaces, Workspace{Name: ws.GetName(), Keys: ws.GetKeys(), Priority: ws.GetPriority()})
+	}
+
+	return d
+}
+
+func routeFromWire(r *wire.Route) Route {
+	out := Route{
+		Name: r.GetName(), Host: r.GetHost(), Prefix: r.GetPrefix(), Repeat: Repeat(r.GetRepeat()), Stream: r.GetStream(),
+		Timeout: duration(r.GetTimeoutMillis()), Aim: duration(r.GetAimMillis()), Gap: duration(r.GetGapMillis()),
+		Priority: r.GetPriority(), MostTargets: int(r.GetMostTargets()), Anonymous: r.GetAnonymous(),
+	}
+
+	for _, s := range r.GetShares() {
+		out.Shares = append(out.Shares, Share{Service: s.GetService(), Weight: s.GetWeight()})
+	}
+
+	return out
+}
+
+func millis(d time.Duration) uint64 { return uint64(d.Milliseconds()) }
+
+func duration(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,11 +18,15 @@
 		return s.takeControls(section)
 	}
 
+	if section.Name == sectionZones {
+		return s.takeZones(section)
+	}
+
 	fields := fieldsOf(section.Name)
 	if len(fields) == 0 {
 		return &inifile.Error{
 			Line: section.Line, Section: section.Name, Problem: "unknown section",
-			Allowed: strings.Join([]string{sectionProcess, sectionControls, sectionEntry, sectionAgent, sectionControl, sectionTLS}, ", "),
+			Allowed: strings.Join([]string{sectionProcess, sectionControls, sectionEntry, sectionAgent, sectionControl, sectionTLS, sectionSeeds, sectionRouting, sectionOperating, sectionZones}, ", "),
 		}
 	}
 
@@ -102,6 +106,9 @@
 	}
 
 	switch n := len(s.Controls); {
+	case s.AutomaticControls() && n > 0:
+		return &inifile.Error{Section: sectionControls, Problem: "stands beside [Seeds]", Allowed: "one of the two"}
+	case s.AutomaticControls():
 	case n == 0 || n > maxControls:
 		return &inifile.Error{Section: sectionControls, Problem: fmt.Sprintf("names %d control VMs", n), Allowed: "1 to 7"}
 	case s.Entry.DefaultTimeout > s.Entry.MaxTimeout:
@@ -131,7 +138,7 @@
 // checkPlaintext guards against orders, claims and decisions of anybody who can
 // reach a port: without TLS a process listens on and talks to loopback only.
 func (s *Settings) checkPlaintext(given map[string]bool) *inifile.Error {
-	if given[sectionTLS] {
+	if given[sectionTLS] || s.Process.TrustedNetwork {
 		return nil
 	}
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -32,6 +32,11 @@
 	sectionAgent    = "Agent"
 	sectionControl  = "Control"
 	sectionTLS      = "TLS"
+
+	sectionSeeds     = "Seeds"
+	sectionRouting   = "Routing"
+	sectionOperating = "Operating"
+	sectionZones     = "Zones"
 )
 
 const (
@@ -49,6 +54,10 @@
 
 // Fields returns all settings, in the order of the reference.
 func Fields() []Field {
+	return append(ownFields(), seedFields()...)
+}
+
+func ownFields() []Field {
 	return []Field{
 		{
 			Section: sectionProcess, Key: "Role", Allowed: "entry, agent or control", Needed: true,
@@ -65,6 +74,7 @@
 			Help: "The parts whose debug lines are logged.",
 			set:  func(s *Settings, v string) bool { s.Process.LogOutput = v; return true },
 		},
+		networkField(),
 		size(sectionEntry, "MaxHeaderBytes", "65536", "The longest head of a request; a longer one gets status 431.", func(s *Settings) *int { return &s.Entry.MaxHeaderBytes }),
 		size(sectionEntry, "MaxBodyBytes", "4194304", "The longest body of a request; a longer one gets status 413, NotRun.", func(s *Settings) *int { return &s.Entry.MaxBodyBytes }),
 		size(sectionEntry, "MaxRecordedBytes", "65536", "The longest answer that is kept for resends of an idempotency key.", func(s *Settings) *int { return &s.Entry.MaxRecordedBytes }),
@@ -191,5 +201,7 @@
 
 	b.WriteString("\n## [Controls]\n\nOne key for each control VM, its ID, with its address as IP:port: `control-1 = 10.0.0.1:8600`.\n")
 
+	b.WriteString("\n## [Zones]\n\nOne key for each availability zone, its name, with its region: `muscat-a = muscat`. Operators may take only these out.\n")
+
 	return b.String()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,8 @@
 	// AdminAddress serves the dump and the metrics.
 	AdminAddress netip.AddrPort
 	LogOutput    string
+	// TrustedNetwork allows plaintext beyond loopback.
+	TrustedNetwork bool
 }
 
 // Entry are the settings of an entry.
@@ -90,6 +92,13 @@
 	Agent    Agent
 	Control  Control
 	TLS      TLS
+
+	// Seeds stand in place of Controls where control VMs find each other.
+	Seeds     Seeds
+	Routing   Routing
+	Operating Operating
+	// Zones are the regions of the availability zones, by name.
+	Zones map[string]string
 }
 
 // MaxBytes bounds a settings file.
@@ -143,11 +152,18 @@
 			CreditLife: 2 * time.Second, AnnounceLimit: 3 * time.Second,
 			TargetSilence: time.Minute, MaxAnswerBytes: 256 << 10,
 		},
+		Routing:   Routing{RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, Stop: 8 * time.Second},
+		Operating: Operating{BearLost: 1, AnnounceEvery: time.Second},
+		Zones:     map[string]string{},
 	}
 }
 
-// ControlAddresses returns the addresses of all control VMs.
+// ControlAddresses returns the addresses of the control VMs that the file names.
 func (s *Settings) ControlAddresses() []netip.AddrPort {
+	if s.AutomaticControls() {
+		return s.Seeds.Controls()
+	}
+
 	out := make([]netip.AddrPort, 0, len(s.Controls))
 	for _, c := range s.Controls {
 		out = append(out, c.Address)
--- /dev/null
+++ b/internal/view/follower.go
@@ -0,0 +1,358 @@
+package view
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/routes"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Followed is what an entry that is the door of its targets knows. It never changes.
+type Followed struct {
+	// Index orders states; Number is the operators' own of Table.
+	Index    uint64
+	Number   uint64
+	Table    *routes.Table
+	ZonesOut []string
+	Targets  []directory.Target
+	// Entries is how many entries share the targets, this one included.
+	Entries int
+	// Answered is how many control VMs have answered since the start.
+	Answered int
+	// First is when the first of them answered.
+	First time.Time
+}
+
+// Out reports whether the operators have taken the zone out.
+func (f *Followed) Out(zone string) bool { return slices.Contains(f.ZonesOut, zone) }
+
+// Follower follows every control VM at once. Targets announce themselves to any
+// one of them, so that one alone does not know them all; and a control VM that a
+// partition has cut off, or that wakes from a suspension, tells old news, which
+// the others outrank by its index. Set its exported fields before Run.
+type Follower struct {
+	Cluster string
+	ID      string
+	Zone    string
+	// Seeds are the control VMs that the settings name; Seed is called anew for
+	// each round of dials, since settings change.
+	Seeds func() []netip.AddrPort
+	// Ask sends one question to a control VM. It must end when ctx does.
+	Ask func(ctx context.Context, control netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error)
+	// Leaving says that this process stops.
+	Leaving func() bool
+	// OnChange is called with each new state, one call at a time.
+	OnChange func(*Followed)
+	Settings FollowerSettings
+	Logger   *slog.Logger
+
+	mu       sync.Mutex
+	merged   directory.Merged
+	current  atomic.Pointer[Followed]
+	members  map[netip.AddrPort][]netip.AddrPort // by who told
+	counts   map[netip.AddrPort]uint32
+	answered map[netip.AddrPort]bool
+	running  map[netip.AddrPort]context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// FollowerSettings are the intervals of a follower.
+type FollowerSettings struct {
+	// Wait is how long a control VM may hold a question, and Timeout how long its
+	// answer may take beyond that. Together they are how long a connection that has
+	// gone silent keeps news from this entry.
+	Wait    time.Duration
+	Timeout time.Duration
+	// Pause is the pause after a question that failed.
+	Pause time.Duration
+	// RefreshEvery is how often the list of control VMs is looked at.
+	RefreshEvery time.Duration
+}
+
+// DefaultFollowerSettings returns intervals that bring news of a lost connection
+// within a second and cost 1.5 questions a second and control VM.
+func DefaultFollowerSettings() FollowerSettings {
+	return FollowerSettings{
+		Wait: 600 * time.Millisecond, Timeout: 400 * time.Millisecond,
+		Pause: 150 * time.Millisecond, RefreshEvery: 500 * time.Millisecond,
+	}
+}
+
+// Init prepares the follower. It must be called once, after the exported fields are set.
+func (f *Follower) Init() {
+	if f.Settings == (FollowerSettings{}) {
+		f.Settings = DefaultFollowerSettings()
+	}
+
+	if f.Logger == nil {
+		f.Logger = slog.New(slog.DiscardHandler)
+	}
+
+	f.members = make(map[netip.AddrPort][]netip.AddrPort)
+	f.counts = make(map[netip.AddrPort]uint32)
+	f.answered = make(map[netip.AddrPort]bool)
+	f.running = make(map[netip.AddrPort]context.CancelFunc)
+	f.current.Store(&Followed{Entries: 1})
+}
+
+// State returns what is known now. It is never nil after Init.
+func (f *Follower) State() *Followed { return f.current.Load() }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	tick := time.NewTicker(f.Settings.RefreshEvery)
+	defer tick.Stop()
+	defer f.done.Wait()
+
+	for {
+		f.refresh(ctx)
+
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// refresh follows the control VMs of the settings and of the members as they are
+// now, and no others.
+func (f *Follower) refresh(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	wanted := make(map[netip.AddrPort]bool)
+	for _, a := range f.Seeds() {
+		wanted[a] = true
+	}
+
+	for _, told := range f.members {
+		for _, a := range told {
+			wanted[a] = true
+		}
+	}
+
+	for a, stop := range f.running {
+		if !wanted[a] {
+			stop()
+			delete(f.running, a)
+			delete(f.counts, a)
+			delete(f.members, a)
+		}
+	}
+
+	for a := range wanted {
+		if f.running[a] != nil {
+			continue
+		}
+
+		one, stop := context.WithCancel(ctx)
+		f.running[a] = stop
+
+		f.done.Go(func() { f.follow(one, a) })
+	}
+}
+
+// known is how far this entry knows one control VM's directory.
+type known struct {
+	boot, revision uint64
+	fails          int
+}
+
+func (f *Follower) follow(ctx context.Context, control netip.AddrPort) {
+	var k known
+
+	for ctx.Err() == nil {
+		if err := f.ask(ctx, control, &k); err != nil {
+			if k.fails == 0 && ctx.Err() == nil {
+				f.Logger.Info("Control VM lost.", "control", control, "error", err)
+			}
+
+			k.fails++
+
+			pauseFor(ctx, f.Settings.Pause)
+
+			continue
+		}
+
+		if k.fails > 0 {
+			f.Logger.Info("Control VM answers again.", "control", control, "failures", k.fails)
+		}
+
+		k.fails = 0
+	}
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, control netip.AddrPort, k *known) error {
+	s := f.State()
+	r := &wire.FollowRequest{
+		Cluster: f.Cluster, ID: f.ID, Zone: f.Zone, KnownIndex: s.Index, KnownNumber: s.Number,
+		DirectoryBoot: k.boot, DirectoryRevision: k.revision, Leaving: f.Leaving != nil && f.Leaving(),
+	}
+
+	if k.boot != 0 && k.fails == 0 {
+		r.WaitMillis = uint64(f.Settings.Wait.Milliseconds())
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, f.Settings.Wait+f.Settings.Timeout)
+	defer cancel()
+
+	out, err := f.Ask(ctx, control, r)
+	if err != nil {
+		return err
+	}
+
+	if err := f.take(time.Now(), control, out); err != nil {
+		return err
+	}
+
+	k.boot, k.revision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
+
+	return nil
+}
+
+// take merges one control VM's answer.
+func (f *Follower) take(now time.Time, control netip.AddrPort, out *wire.FollowResponse) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	next := *f.current.Load()
+	changed := false
+
+	if !f.answered[control] {
+		f.answered[control] = true
+		next.Answered = len(f.answered)
+		changed = true
+	}
+
+	if next.First.IsZero() {
+		next.First = now
+	}
+
+	if out.GetIndex() > next.Index {
+		if err := f.takeState(&next, out); err != nil {
+			return err
+		}
+
+		changed = true
+	}
+
+	if err := f.takeMembers(control, out.GetControls()); err != nil {
+		return err
+	}
+
+	f.counts[control] = out.GetEntries()
+
+	if n := f.entries(); n != next.Entries {
+		next.Entries = n
+		changed = true
+	}
+
+	if f.takeTargets(now, &next, out) {
+		changed = true
+	}
+
+	if changed {
+		f.current.Store(&next)
+		f.OnChange(&next)
+	}
+
+	return nil
+}
+
+// takeState takes in a later state. A table that it must hold and does not, since
+// this entry learnt a higher number meanwhile, leaves the table as it is.
+func (f *Follower) takeState(next *Followed, out *wire.FollowResponse) error {
+	if out.GetTable() != nil && out.GetNumber() > next.Number {
+		table, err := routes.NewTable(routes.FromWire(out.GetTable()))
+		if err != nil {
+			f.Logger.Error("The table of a control VM is invalid.", "number", out.GetNumber(), "error", err)
+
+			return err
+		}
+
+		next.Table, next.Number = table, out.GetNumber()
+
+		f.Logger.Info("Configuration in force.", "number", next.Number, "index", out.GetIndex(), "routes", len(table.Routes))
+	}
+
+	if !slices.Equal(next.ZonesOut, out.GetZonesOut()) {
+		f.Logger.Info("Zones out.", "zones", out.GetZonesOut(), "index", out.GetIndex())
+	}
+
+	next.Index, next.ZonesOut = out.GetIndex(), out.GetZonesOut()
+
+	return nil
+}
+
+func (f *Follower) takeMembers(control netip.AddrPort, controls []string) error {
+	members := make([]netip.AddrPort, 0, len(controls))
+
+	for _, c := range controls {
+		a, err := netip.ParseAddrPort(c)
+		if err != nil {
+			return err //nolint:wrapcheck // names the address itself
+		}
+
+		members = append(members, a)
+	}
+
+	f.members[control] = members
+
+	return nil
+}
+
+func (f *Follower) takeTargets(now time.Time, next *Followed, out *wire.FollowResponse) bool {
+	var ts []directory.Target
+
+	for _, w := range out.GetTargets() {
+		t, err := directory.FromWire(w, now)
+		if err != nil {
+			f.Logger.Warn("A target of a control VM cannot be read.", "target", w.GetID(), "error", err)
+
+			continue
+		}
+
+		ts = append(ts, t)
+	}
+
+	if !f.merged.Take(ts) {
+		return false
+	}
+
+	next.Targets = f.merged.Targets()
+
+	for i := range ts {
+		f.Logger.Debug("Target.", "target", ts[i].ID, "service", ts[i].Service, "address", ts[i].Address, "state", ts[i].State)
+	}
+
+	return true
+}
+
+// entries returns how many entries share the targets. Each control VM counts those
+// that follow it; the largest count misses the fewest.
+func (f *Follower) entries() int {
+	n := uint32(1)
+	for _, c := range f.counts {
+		n = max(n, c)
+	}
+
+	return int(n)
+}
