--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -67,6 +67,11 @@
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 
+			// SIGHUP says that the settings file has changed. What may change while a
+			// process runs is read again from time to time anyway; unhandled, the signal
+			// would end the process.
+			signal.Ignore(syscall.SIGHUP)
+
 			return startProcess(ctx, args[0], s, c.ErrOrStderr(), run)
 		},
 	}
@@ -172,6 +177,10 @@
 
 func runAgent(ctx context.Context, p *process) error {
 	s := p.settings
+	if s.Rank.EngineAddress.IsValid() {
+		return runRankAgent(ctx, p)
+	}
+
 	a := &role.Agent{
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
--- a/cmd/parsleygate/cmds/routing.go
+++ b/cmd/parsleygate/cmds/routing.go
@@ -40,6 +40,18 @@
 	return e.Run(ctx)
 }
 
+// runRankAgent runs an agent beside a rank of a lock-step group.
+func runRankAgent(ctx context.Context, p *process) error {
+	s := p.settings
+	a := &role.RankAgent{
+		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Seeds: p.seeds(),
+		Engine: platform.Engine(s.Rank.EngineAddress), EngineAt: platform.Engine,
+		Logs: p.logs, Dump: p.dump,
+	}
+
+	return a.Run(ctx)
+}
+
 // runAutomaticControl runs a control VM that finds the others by seeds. A VM that
 // was taken out of the set while it was away comes back under a new ID.
 func runAutomaticControl(ctx context.Context, p *process) error {
--- /dev/null
+++ b/internal/lockstep/director.go
@@ -0,0 +1,144 @@
+package lockstep
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+)
+
+// Director keeps the map of one group in one epoch. Its fields are set before Run.
+type Director struct {
+	Shape    Shape
+	Ranks    Ranks
+	Settings Settings
+	Logger   *slog.Logger
+
+	switcher *Switcher
+	counter  *counter
+	current  Map
+	version  uint64
+	// tried is the highest version that a switch was tried with.
+	tried uint64
+}
+
+// leastCounts is how many choices a look must bring to tell something of demand.
+const leastCounts = 200
+
+// Run directs until ctx ends or the group has another epoch. A switch that has
+// begun is finished first.
+func (d *Director) Run(ctx context.Context) {
+	d.switcher = &Switcher{Ranks: d.Ranks, Settings: d.Settings, Logger: d.Logger}
+	d.counter = newCounter(d.Shape, d.Settings.Memory)
+
+	d.Logger.Info("Directing.", "epoch", d.Ranks.Epoch, "ranks", d.Ranks.Size)
+	defer d.Logger.Info("Directing ended.", "epoch", d.Ranks.Epoch)
+
+	for pause(ctx, d.Settings.LookEvery) {
+		d.turn(context.WithoutCancel(ctx))
+	}
+}
+
+// turn looks at the ranks once, and switches the group where that is worth it.
+func (d *Director) turn(ctx context.Context) {
+	looks, err := d.switcher.LookAll(ctx, Question{Counts: true, Lists: d.current == nil})
+	if err != nil {
+		d.Logger.Debug("Ranks not all seen.", "error", err)
+		d.freeOwn(ctx)
+
+		return
+	}
+
+	own := looks[0].Report
+
+	if own.Holds {
+		d.free(ctx)
+
+		return
+	}
+
+	if d.current == nil && !d.learn(looks) {
+		return
+	}
+
+	if d.counter.observe(time.Now(), looks) < leastCounts || !own.Open || own.Armed != 0 || own.Map != d.version {
+		if own.Map != d.version && own.Armed == 0 {
+			d.current = nil
+		}
+
+		return
+	}
+
+	d.improve(ctx)
+}
+
+// freeOwn lifts a hold that a switch left, also while some ranks do not answer.
+func (d *Director) freeOwn(ctx context.Context) {
+	if look, err := d.Ranks.Look(ctx, 0, Question{}); err == nil && look.Report.Holds {
+		d.free(ctx)
+	}
+}
+
+func (d *Director) free(ctx context.Context) {
+	if err := d.switcher.Free(ctx); err != nil {
+		d.Logger.Warn("A step is held, and not freed yet.", "error", err)
+	}
+}
+
+// learn takes the map in use from the ranks' own lists.
+func (d *Director) learn(looks []Look) bool {
+	m := make(Map, d.Shape.Sets)
+
+	highest := uint64(0)
+
+	for r := range looks {
+		l := &looks[r]
+		highest = max(highest, l.Report.Map, l.Report.Prepared, l.Report.Armed)
+
+		if l.ListsOf != looks[0].ListsOf || len(l.Lists) != d.Shape.Sets {
+			d.Logger.Info("The map in use is not known yet.", "rank", r)
+
+			return false
+		}
+
+		for s := range m {
+			m[s] = append(m[s], l.Lists[s])
+		}
+	}
+
+	d.current, d.version = m, looks[0].ListsOf
+	d.tried = max(d.tried, highest)
+	d.switcher.Begin(highest)
+
+	return true
+}
+
+func (d *Director) improve(ctx context.Context) {
+	began := time.Now()
+	demand := d.counter.demand()
+	before := d.current.Skew(demand)
+	next := Improve(d.Shape, d.current, demand, d.Settings.MostNew)
+	after := next.Skew(demand)
+
+	if (before-after)/before < d.Settings.LeastGain {
+		return
+	}
+
+	planned := time.Now()
+	version := d.nextVersion()
+	err := d.switcher.Switch(ctx, version, next)
+
+	d.Logger.Info("Map switch.", "version", version, "skewBefore", fmt.Sprintf("%.2f", before), "skewAfter", fmt.Sprintf("%.2f", after),
+		"planned", planned.Sub(began).Round(time.Millisecond), "took", time.Since(planned).Round(time.Millisecond), "error", err)
+
+	if err == nil {
+		d.current, d.version = next, version
+	}
+}
+
+// nextVersion returns a version that no rank has had.
+func (d *Director) nextVersion() uint64 {
+	d.tried = max(d.tried, d.version) + 1
+
+	return d.tried
+}
--- /dev/null
+++ b/internal/lockstep/engine.go
@@ -0,0 +1,166 @@
+// Package lockstep keeps the expert map of a lock-step group whose engines take
+// orders: it reads how often experts are chosen, plans a better map, and switches
+// all ranks to it in one step.
+//
+// One agent directs a group: the one beside its first rank. It needs no log and no
+// election. Its fencing numbers rise with each attempt, engines refuse lower ones,
+// and an agent that starts anew finds all it must know in the engines' reports.
+package lockstep
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Map says which experts each rank holds, set by set, rank by rank.
+type Map [][][]uint16
+
+// Clone returns a copy that shares nothing with m.
+func (m Map) Clone() Map {
+	out := make(Map, len(m))
+
+	for s := range m {
+		out[s] = make([][]uint16, len(m[s]))
+		for r := range m[s] {
+			out[s][r] = append([]uint16(nil), m[s][r]...)
+		}
+	}
+
+	return out
+}
+
+// First returns the map with which a group begins: experts in turn over the ranks.
+func First(sets, experts, ranks int) Map {
+	m := make(Map, sets)
+
+	for s := range m {
+		m[s] = make([][]uint16, ranks)
+		for e := range experts {
+			m[s][e%ranks] = append(m[s][e%ranks], uint16(e))
+		}
+	}
+
+	return m
+}
+
+// Report is what an engine says of itself as a rank.
+type Report struct {
+	Group string
+	Epoch uint64
+	Rank  int
+	Size  int
+	// Open says that the group makes steps.
+	Open bool
+	// Step is the last step that was begun.
+	Step uint64
+	Map  uint64
+	// Prepared and Armed are versions, zero for none.
+	Prepared uint64
+	Armed    uint64
+	// Held is the step that this rank holds, where Holds is set.
+	Held    uint64
+	Holds   bool
+	Running int
+	Waiting int
+	// Pace is how many times longer than usual the engine takes.
+	Pace float64
+}
+
+// Engine is the engine on this VM.
+type Engine struct {
+	// Report and Counts are fresh and cost the group nothing from its own VM.
+	Report func(ctx context.Context) (Report, error)
+	Counts func(ctx context.Context) ([]uint64, error)
+	// Lists returns the version of the map in use and this rank's experts, set by set.
+	Lists func(ctx context.Context) (uint64, [][]uint16, error)
+	// Order gives an order. It never fails: what nobody knows is EngineUnknown.
+	Order func(ctx context.Context, o *wire.EngineOrder) wire.EngineResult
+}
+
+// ToWire returns r as it travels.
+func (r *Report) ToWire() *wire.EngineReport {
+	return &wire.EngineReport{
+		Group: r.Group, Epoch: r.Epoch, Rank: uint32(r.Rank), Size: uint32(r.Size), Open: r.Open, Step: r.Step,
+		Map: r.Map, Prepared: r.Prepared, Armed: r.Armed, Held: r.Held, Holds: r.Holds,
+		Running: uint32(r.Running), Waiting: uint32(r.Waiting), Pace: r.Pace,
+	}
+}
+
+// ReportFromWire reads a report.
+func ReportFromWire(w *wire.EngineReport) Report {
+	return Report{
+		Group: w.GetGroup(), Epoch: w.GetEpoch(), Rank: int(w.GetRank()), Size: int(w.GetSize()), Open: w.GetOpen(),
+		Step: w.GetStep(), Map: w.GetMap(), Prepared: w.GetPrepared(), Armed: w.GetArmed(),
+		Held: w.GetHeld(), Holds: w.GetHolds(), Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Pace: w.GetPace(),
+	}
+}
+
+// Look is a rank's report and, where they were asked for, its counts.
+type Look struct {
+	Report Report
+	Counts []uint64
+	// Lists are the experts of the rank in map ListsOf, set by set.
+	Lists   [][]uint16
+	ListsOf uint64
+}
+
+// Question says what a look is to bring beside the report.
+type Question struct {
+	Counts bool
+	Lists  bool
+}
+
+// Ranks is the way to all ranks of the group that is directed.
+type Ranks struct {
+	// Size is how many there are. The directing agent's own is rank 0.
+	Size  int
+	Epoch uint64
+	Look  func(ctx context.Context, rank int, q Question) (Look, error)
+	Order func(ctx context.Context, rank int, o *wire.EngineOrder) wire.EngineResult
+}
+
+// Shape is how experts may be placed.
+type Shape struct {
+	Sets    int
+	Experts int
+	Ranks   int
+	// Places is how many experts of a set fit on a rank, Spare how many of a set one
+	// preparation may bring to it.
+	Places int
+	Spare  int
+}
+
+// Settings are the intervals and weights of a directing agent.
+type Settings struct {
+	// LookEvery is how often counts are read.
+	LookEvery time.Duration
+	// PollEvery is how often ranks are looked at while a switch goes on.
+	PollEvery time.Duration
+	// PrepareTimeout bounds the copying of experts, ArmTimeout the arming of all ranks.
+	PrepareTimeout time.Duration
+	ArmTimeout     time.Duration
+	// OrderTimeout bounds one order.
+	OrderTimeout time.Duration
+	// Ahead is how long before the step of a switch all ranks should be armed: the
+	// hold of that step then costs nothing.
+	Ahead time.Duration
+	// LeastGain is the part of the present load of the most loaded ranks that a new
+	// map must save to be worth its copies.
+	LeastGain float64
+	// MostNew is how many experts one switch may bring to a rank, over all sets.
+	// Fewer are copied sooner.
+	MostNew int
+	// Memory is over how long chosen experts are counted.
+	Memory time.Duration
+}
+
+// DefaultSettings returns numbers for demand that shifts every few seconds.
+func DefaultSettings() Settings {
+	return Settings{
+		LookEvery: 400 * time.Millisecond, PollEvery: 50 * time.Millisecond,
+		PrepareTimeout: 5 * time.Second, ArmTimeout: 800 * time.Millisecond, OrderTimeout: 400 * time.Millisecond,
+		Ahead: 150 * time.Millisecond, LeastGain: 0.04, MostNew: 6, Memory: time.Second,
+	}
+}
--- /dev/null
+++ b/internal/lockstep/plan.go
@@ -0,0 +1,363 @@
+package lockstep
+
+import (
+	"math"
+	"slices"
+)
+
+// Demand is how much of the work each expert is expected to get, set by set. Only
+// the ratios within a set count.
+type Demand [][]float64
+
+// Skew returns, summed over the sets, the load of the most loaded rank under m
+// against the mean: 1 is the least.
+func (m Map) Skew(d Demand) float64 {
+	total := 0.0
+
+	for s := range m {
+		loads, sum := m.loads(s, d[s])
+		if sum == 0 {
+			total++
+
+			continue
+		}
+
+		total += slices.Max(loads) / (sum / float64(len(loads)))
+	}
+
+	return total / float64(len(m))
+}
+
+func (m Map) loads(set int, demand []float64) (loads []float64, sum float64) {
+	loads = make([]float64, len(m[set]))
+	holders := make([]int, len(demand))
+
+	for _, experts := range m[set] {
+		for _, e := range experts {
+			holders[e]++
+		}
+	}
+
+	for r, experts := range m[set] {
+		for _, e := range experts {
+			loads[r] += demand[e] / float64(holders[e])
+		}
+
+		sum += loads[r]
+	}
+
+	return loads, sum
+}
+
+// Improve returns a map that is better for d than m and can be prepared from it:
+// each rank gets at most shape.Spare new experts of a set and most new ones in all.
+// It changes what gains most for each copy first, whichever set that is in.
+func Improve(shape Shape, m Map, d Demand, most int) Map {
+	out := m.Clone()
+	newAt := make([]int, shape.Ranks)
+	sets := make([]*setPlan, shape.Sets)
+
+	for s := range sets {
+		sets[s] = newSetPlan(shape, out[s], d[s])
+	}
+
+	for range maxChanges * shape.Sets {
+		var best *setPlan
+
+		for _, p := range sets {
+			p.find(newAt, most)
+
+			if p.next.gain > leastStep && (best == nil || p.next.gain > best.next.gain) {
+				best = p
+			}
+		}
+
+		if best == nil {
+			break
+		}
+
+		best.apply(newAt)
+
+		for _, p := range sets {
+			// Others were found before this one used up a rank's copies.
+			p.found = p.found && p != best && p.allows(p.next, newAt, most)
+		}
+	}
+
+	return out
+}
+
+const (
+	// maxChanges bounds the changes of one set.
+	maxChanges = 64
+	// leastStep is the gain, in parts of the mean load, below which a change of one
+	// expert is not worth its copy.
+	leastStep = 0.004
+	// partners is how many of the least loaded ranks are weighed as new holders.
+	partners = 12
+	// none marks that no expert leaves.
+	none = -1
+)
+
+// change brings expert to rank to. Where out is not none, it leaves rank to for it;
+// where moved is set, expert leaves rank from, and for a swap out comes there.
+type change struct {
+	gain     float64
+	expert   int
+	from, to int
+	out      int
+	moved    bool
+}
+
+// setPlan is the search in one set.
+type setPlan struct {
+	shape   Shape
+	ranks   [][]uint16
+	demand  []float64
+	holders []int
+	has     []bool // rank by rank, expert by expert
+	had     []bool // the same as it was
+	loads   []float64
+	mean    float64
+	newHere []int
+
+	found bool
+	next  change
+}
+
+func newSetPlan(shape Shape, ranks [][]uint16, demand []float64) *setPlan {
+	p := &setPlan{
+		shape: shape, ranks: ranks, demand: demand, holders: make([]int, shape.Experts),
+		has: make([]bool, shape.Ranks*shape.Experts), loads: make([]float64, shape.Ranks),
+		newHere: make([]int, shape.Ranks),
+	}
+
+	for r, experts := range ranks {
+		for _, e := range experts {
+			p.holders[e]++
+			p.has[r*shape.Experts+int(e)] = true
+		}
+	}
+
+	p.had = slices.Clone(p.has)
+
+	for r, experts := range ranks {
+		for _, e := range experts {
+			p.loads[r] += p.part(int(e))
+		}
+	}
+
+	for _, l := range p.loads {
+		p.mean += l / float64(shape.Ranks)
+	}
+
+	return p
+}
+
+func (p *setPlan) part(e int) float64 { return p.demand[e] / float64(p.holders[e]) }
+
+func (p *setPlan) holds(r, e int) bool { return p.has[r*p.shape.Experts+e] }
+
+// find looks for the change with the largest gain, unless it is known still.
+func (p *setPlan) find(newAt []int, most int) {
+	if p.found {
+		return
+	}
+
+	p.found = true
+	p.next = change{}
+
+	if p.mean == 0 {
+		return
+	}
+
+	order := make([]int, p.shape.Ranks)
+	for r := range order {
+		order[r] = r
+	}
+
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case p.loads[a] < p.loads[b]:
+			return -1
+		case p.loads[a] > p.loads[b]:
+			return 1
+		default:
+			return a - b
+		}
+	})
+
+	top := order[len(order)-1]
+
+	for _, e16 := range p.ranks[top] {
+		for _, to := range order[:min(partners, len(order)-1)] {
+			if e := int(e16); to != top && !p.holds(to, e) {
+				p.weighAll(e, top, to, newAt, most)
+			}
+		}
+	}
+}
+
+// weighAll weighs each way of bringing e from the most loaded rank to another one.
+func (p *setPlan) weighAll(e, from, to int, newAt []int, most int) {
+	if len(p.ranks[to]) < p.shape.Places {
+		p.weigh(change{expert: e, from: from, to: to, out: none}, newAt, most)
+		p.weigh(change{expert: e, from: from, to: to, out: none, moved: true}, newAt, most)
+	}
+
+	for _, out := range p.ranks[to] {
+		f := int(out)
+		if p.holders[f] > 1 {
+			p.weigh(change{expert: e, from: from, to: to, out: f}, newAt, most)
+		}
+
+		if !p.holds(from, f) {
+			p.weigh(change{expert: e, from: from, to: to, out: f, moved: true}, newAt, most)
+		}
+	}
+}
+
+func (p *setPlan) weigh(c change, newAt []int, most int) {
+	if !p.allows(c, newAt, most) {
+		return
+	}
+
+	c.gain = p.gain(c) / p.copies(c)
+
+	if c.gain > p.next.gain {
+		p.next = c
+	}
+}
+
+// isNew reports whether rank r would have to copy e.
+func (p *setPlan) isNew(r, e int) bool { return !p.had[r*p.shape.Experts+e] }
+
+func (p *setPlan) copies(c change) float64 {
+	n := 0.0
+	if p.isNew(c.to, c.expert) {
+		n++
+	}
+
+	if c.moved && c.out != none && p.isNew(c.from, c.out) {
+		n++
+	}
+
+	return max(n, freeCopy)
+}
+
+// freeCopy stands for the cost of a change that needs no copy.
+const freeCopy = 0.25
+
+func (p *setPlan) allows(c change, newAt []int, most int) bool {
+	room := func(r, e int) bool {
+		return !p.isNew(r, e) || p.newHere[r] < p.shape.Spare && newAt[r] < most
+	}
+
+	return room(c.to, c.expert) && (!c.moved || c.out == none || room(c.from, c.out))
+}
+
+// gain is by how much a change lowers the norm of the loads, in parts of the mean.
+// The norm stands for the load of the most loaded rank, and sees progress also
+// while several ranks are loaded alike.
+func (p *setPlan) gain(c change) float64 {
+	before := p.norm()
+	kept := slices.Clone(p.loads)
+
+	p.shift(c)
+
+	after := p.norm()
+
+	copy(p.loads, kept)
+
+	return before - after
+}
+
+func (p *setPlan) norm() float64 {
+	sum := 0.0
+
+	for _, l := range p.loads {
+		x := l / p.mean
+		x *= x
+		x *= x
+		x *= x
+		sum += x
+	}
+
+	return math.Sqrt(math.Sqrt(math.Sqrt(sum)))
+}
+
+// shift changes the loads as c would.
+func (p *setPlan) shift(c change) {
+	e, f := c.expert, c.out
+
+	switch {
+	case c.moved && f == none:
+		p.loads[c.from] -= p.part(e)
+		p.loads[c.to] += p.part(e)
+	case c.moved:
+		diff := p.part(e) - p.part(f)
+		p.loads[c.from] -= diff
+		p.loads[c.to] += diff
+	default:
+		p.spread(e, p.holders[e]+1)
+		p.loads[c.to] += p.demand[e] / float64(p.holders[e]+1)
+
+		if f != none {
+			p.loads[c.to] -= p.part(f)
+			p.spreadBut(f, p.holders[f]-1, c.to)
+		}
+	}
+}
+
+// spread changes the loads of e's holders as if it had n.
+func (p *setPlan) spread(e, n int) { p.spreadBut(e, n, none) }
+
+func (p *setPlan) spreadBut(e, n, but int) {
+	diff := p.demand[e]/float64(n) - p.part(e)
+
+	for r := range p.loads {
+		if r != but && p.holds(r, e) {
+			p.loads[r] += diff
+		}
+	}
+}
+
+// apply carries out the change that was found.
+func (p *setPlan) apply(newAt []int) {
+	c := p.next
+	p.found = false
+
+	p.shift(c)
+
+	if c.moved {
+		p.drop(c.from, c.expert)
+	}
+
+	if c.out != none {
+		p.drop(c.to, c.out)
+	}
+
+	p.bring(c.to, c.expert, newAt)
+
+	if c.moved && c.out != none {
+		p.bring(c.from, c.out, newAt)
+	}
+}
+
+func (p *setPlan) drop(r, e int) {
+	i := slices.Index(p.ranks[r], uint16(e))
+	p.ranks[r] = slices.Delete(p.ranks[r], i, i+1)
+	p.has[r*p.shape.Experts+e] = false
+	p.holders[e]--
+}
+
+func (p *setPlan) bring(r, e int, newAt []int) {
+	p.ranks[r] = append(p.ranks[r], uint16(e))
+	p.has[r*p.shape.Experts+e] = true
+	p.holders[e]++
+
+	if p.isNew(r, e) {
+		p.newHere[r]++
+		newAt[r]++
+	}
+}
--- /dev/null
+++ b/internal/lockstep/switch.go
@@ -0,0 +1,451 @@
+package lockstep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Switcher switches a group from one map to another. The points of a switch, and
+// what an agent that starts anew finds and does at each:
+//
+//	prepared at some ranks   nothing is armed or held: nothing to do
+//	held, none or some armed the hold keeps the step from beginning: disarm all, then go
+//	held, all armed          the same
+//	go given                 not held: all ranks switch by themselves
+//
+// Ranks are armed only while rank 0 holds the step of the switch, and the hold is
+// lifted only where every rank was seen armed, or every rank was seen disarmed
+// under a higher fencing number. So no step begins with two maps, whoever dies.
+type Switcher struct {
+	Ranks    Ranks
+	Settings Settings
+	Logger   *slog.Logger
+
+	fence uint64
+	// fenced is set once an engine refused a fencing number as too low.
+	fenced atomic.Bool
+}
+
+// Errors of a switch that did not come about. Nothing has changed then.
+var (
+	errNotAll   = errors.New("lockstep: not all ranks answered")
+	errState    = errors.New("lockstep: the ranks are not ready for a switch")
+	errPrepare  = errors.New("lockstep: not all ranks have the experts")
+	errHold     = errors.New("lockstep: the step could not be held")
+	errArm      = errors.New("lockstep: not all ranks are armed")
+	errNotFreed = errors.New("lockstep: a hold is not lifted yet")
+)
+
+// fenceShift leaves room for a random part: a directing agent that starts anew
+// does not know its predecessor's numbers, and must not use an equal one.
+const fenceShift = 24
+
+// Begin sets the first fencing number above all that a predecessor can have used
+// for maps up to version: it used two for each at most.
+func (s *Switcher) Begin(version uint64) {
+	s.fence = max(s.fence, (version*fencesPerMap+fenceMargin)<<fenceShift)
+}
+
+const (
+	fencesPerMap = 4
+	fenceMargin  = 16
+)
+
+// nextFence returns a number above all that this agent has used, and far above
+// one that was refused as too low.
+func (s *Switcher) nextFence() uint64 {
+	if s.fenced.Swap(false) {
+		s.fence *= 2
+	}
+
+	s.fence = (s.fence>>fenceShift+1)<<fenceShift | rand.Uint64N(1<<fenceShift)
+
+	return s.fence
+}
+
+// Switch brings m, as version, to all ranks and switches them in one step.
+func (s *Switcher) Switch(ctx context.Context, version uint64, m Map) error {
+	fence := s.nextFence()
+
+	reports, err := s.lookAll(ctx)
+	if err != nil {
+		return err
+	}
+
+	if err := ready(reports); err != nil {
+		return err
+	}
+
+	if err := s.prepare(ctx, fence, version, m); err != nil {
+		return err
+	}
+
+	if err = s.commit(ctx, fence, version); err != nil {
+		s.Logger.Warn("Switch given up.", "version", version, "error", err)
+
+		return errors.Join(err, s.Free(ctx))
+	}
+
+	return nil
+}
+
+// ready reports whether a switch may begin.
+func ready(reports []Report) error {
+	for i := range reports {
+		r := &reports[i]
+		if !r.Open || r.Armed != 0 || r.Holds || r.Map != reports[0].Map {
+			return fmt.Errorf("%w: rank %d: %+v", errState, i, *r)
+		}
+	}
+
+	return nil
+}
+
+// prepare lets all ranks copy what is new to them, and waits until they have it.
+func (s *Switcher) prepare(ctx context.Context, fence, version uint64, m Map) error {
+	o := s.order(wire.EngineOrderKind_EngineOrderPrepare, fence, version, 0)
+	o.Map = toWire(m)
+	o.Ranks = uint32(s.Ranks.Size)
+
+	// An order that nobody answered may be carried out much later; given again, it
+	// is carried out now, and the late one no longer fits.
+	refused := s.orderAll(ctx, func(int) *wire.EngineOrder { return o }, orderTries)
+	if len(refused) > 0 {
+		return fmt.Errorf("%w: ranks %v", errPrepare, refused)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.PrepareTimeout)
+	defer cancel()
+
+	return s.await(ctx, errPrepare, func(r *Report) bool { return r.Prepared == version })
+}
+
+// orderTries is how often an order without an answer is given.
+const orderTries = 3
+
+// commit holds a step, arms all ranks for it, and lets it begin.
+func (s *Switcher) commit(ctx context.Context, fence, version uint64) error {
+	step, err := s.armAll(ctx, fence, version)
+	if err != nil {
+		return err
+	}
+
+	return s.goOn(ctx, fence, step)
+}
+
+// armAll holds a step and arms all ranks for it, and returns the step once all of
+// that is seen.
+func (s *Switcher) armAll(ctx context.Context, fence, version uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.ArmTimeout)
+	defer cancel()
+
+	step, err := s.hold(ctx, fence)
+	if err != nil {
+		return 0, err
+	}
+
+	arm := s.order(wire.EngineOrderKind_EngineOrderArm, fence, version, step)
+	if refused := s.orderAll(ctx, func(int) *wire.EngineOrder { return arm }, orderTries); len(refused) > 0 {
+		return 0, fmt.Errorf("%w: ranks %v", errArm, refused)
+	}
+
+	reports, err := s.lookAll(ctx)
+	if err != nil {
+		return 0, err
+	}
+
+	for i := range reports {
+		if reports[i].Armed != version {
+			return 0, fmt.Errorf("%w: rank %d: %+v", errArm, i, reports[i])
+		}
+	}
+
+	if !reports[0].Holds || reports[0].Held != step {
+		return 0, fmt.Errorf("%w: %+v", errHold, reports[0])
+	}
+
+	return step, nil
+}
+
+// hold lets rank 0 hold a step that is near, and returns it once that is seen.
+func (s *Switcher) hold(ctx context.Context, fence uint64) (uint64, error) {
+	before, err := s.Ranks.Look(ctx, 0, Question{})
+	if err != nil {
+		return 0, err
+	}
+
+	began := time.Now()
+	step := before.Report.Step + leastAhead + uint64(s.Settings.Ahead/shortestStep)
+
+	if pace := s.stepTime(ctx, before.Report.Step, began); pace > 0 {
+		step = before.Report.Step + leastAhead + uint64(s.Settings.Ahead/pace) + 1
+	}
+
+	if got := s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), orderTries); got != wire.EngineResult_EngineDone {
+		return 0, fmt.Errorf("%w: %s", errHold, got)
+	}
+
+	after, err := s.Ranks.Look(ctx, 0, Question{})
+	if err != nil {
+		return 0, err
+	}
+
+	if !after.Report.Holds || after.Report.Held != step || after.Report.Step >= step {
+		return 0, fmt.Errorf("%w: %+v", errHold, after.Report)
+	}
+
+	return step, nil
+}
+
+const (
+	// leastAhead is how many steps lie at least between now and a switch.
+	leastAhead = 2
+	// shortestStep stands for the time of a step where nothing is known of it.
+	shortestStep = 30 * time.Millisecond
+	// paceLook is how long steps are counted to know their time.
+	paceLook = 60 * time.Millisecond
+)
+
+// stepTime measures how long a step takes now; 0 where none was made.
+func (s *Switcher) stepTime(ctx context.Context, from uint64, began time.Time) time.Duration {
+	if !pause(ctx, paceLook) {
+		return 0
+	}
+
+	after, err := s.Ranks.Look(ctx, 0, Question{})
+	if err != nil || after.Report.Step <= from {
+		return 0
+	}
+
+	return max(time.Since(began)/time.Duration(after.Report.Step-from), time.Millisecond)
+}
+
+// goOn lifts the hold of rank 0. While that is not seen, the group may stand
+// still, so it is tried until it is seen.
+func (s *Switcher) goOn(ctx context.Context, fence, step uint64) error {
+	for {
+		s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, step), 1)
+
+		look, err := s.Ranks.Look(ctx, 0, Question{})
+
+		switch {
+		case err == nil && (!look.Report.Holds || look.Report.Held != step || look.Report.Epoch != s.Ranks.Epoch):
+			return nil
+		case !pause(ctx, s.Settings.PollEvery):
+			return errNotFreed
+		}
+	}
+}
+
+// Free lifts a hold that no switch needs any more. Before that, all ranks are
+// disarmed under a higher fencing number, so that arms on their way no longer
+// count. A group that is not held is left alone: its ranks are all armed, or none.
+func (s *Switcher) Free(ctx context.Context) error {
+	look, err := s.Ranks.Look(ctx, 0, Question{})
+	if err != nil {
+		return err
+	}
+
+	if look.Report.Epoch != s.Ranks.Epoch {
+		return nil
+	}
+
+	fence := s.nextFence()
+
+	if !look.Report.Holds {
+		// A hold that nobody answered may still be on its way to rank 0.
+		s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, look.Report.Step), orderTries)
+
+		return nil
+	}
+
+	reports, err := s.lookAll(ctx)
+	if err != nil {
+		return err
+	}
+
+	disarm := func(rank int) *wire.EngineOrder {
+		// A rank that is not armed is given the order for its fencing number alone,
+		// and for a version that it cannot use.
+		version := reports[rank].Armed
+		if version == 0 {
+			version = max(reports[rank].Map, reports[rank].Prepared) + 1
+		}
+
+		return s.order(wire.EngineOrderKind_EngineOrderDisarm, fence, version, 0)
+	}
+
+	if refused := s.orderAll(ctx, disarm, orderTries); len(refused) > 0 {
+		return fmt.Errorf("%w: ranks %v are not disarmed", errNotFreed, refused)
+	}
+
+	if reports, err = s.lookAll(ctx); err != nil {
+		return err
+	}
+
+	for i := range reports {
+		if reports[i].Armed != 0 {
+			return fmt.Errorf("%w: rank %d is armed", errNotFreed, i)
+		}
+	}
+
+	s.Logger.Warn("Hold lifted.", "step", look.Report.Held, "fence", fence)
+
+	return s.goOn(ctx, fence, look.Report.Held)
+}
+
+func (s *Switcher) order(kind wire.EngineOrderKind, fence, version, step uint64) *wire.EngineOrder {
+	return &wire.EngineOrder{Kind: kind, Epoch: s.Ranks.Epoch, Fence: fence, Version: version, Step: step}
+}
+
+// orderAll gives an order to all ranks and returns those that did not take it.
+func (s *Switcher) orderAll(ctx context.Context, order func(rank int) *wire.EngineOrder, tries int) []int {
+	done := make([]bool, s.Ranks.Size)
+
+	var g sync.WaitGroup
+
+	for rank := range done {
+		g.Go(func() { done[rank] = s.orderAt(ctx, rank, order(rank), tries) == wire.EngineResult_EngineDone })
+	}
+
+	g.Wait()
+
+	var refused []int
+
+	for rank, ok := range done {
+		if !ok {
+			refused = append(refused, rank)
+		}
+	}
+
+	return refused
+}
+
+// orderAt gives an order, again while nobody can tell what became of it.
+func (s *Switcher) orderAt(ctx context.Context, rank int, o *wire.EngineOrder, tries int) wire.EngineResult {
+	got := wire.EngineResult_EngineUnknown
+
+	for range tries {
+		one, cancel := context.WithTimeout(ctx, s.Settings.OrderTimeout)
+		got = s.Ranks.Order(one, rank, o)
+
+		cancel()
+
+		if got != wire.EngineResult_EngineUnknown || ctx.Err() != nil {
+			break
+		}
+	}
+
+	if got == wire.EngineResult_EngineFenced {
+		s.fenced.Store(true)
+	}
+
+	if got != wire.EngineResult_EngineDone {
+		s.Logger.Info("Order not taken.", "rank", rank, "order", o.GetKind().String(), "result", got.String(),
+			"version", o.GetVersion(), "step", o.GetStep(), "fence", o.GetFence(), "epoch", o.GetEpoch())
+	}
+
+	return got
+}
+
+// lookAll returns all ranks' reports of the epoch.
+func (s *Switcher) lookAll(ctx context.Context) ([]Report, error) {
+	looks, err := s.LookAll(ctx, Question{})
+	if err != nil {
+		return nil, err
+	}
+
+	out := make([]Report, 0, len(looks))
+	for _, l := range looks {
+		out = append(out, l.Report)
+	}
+
+	return out, nil
+}
+
+// LookAll looks at all ranks at once. All must answer, in the same epoch.
+func (s *Switcher) LookAll(ctx context.Context, q Question) ([]Look, error) {
+	looks := make([]Look, s.Ranks.Size)
+	errs := make([]error, s.Ranks.Size)
+
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.OrderTimeout)
+	defer cancel()
+
+	var g sync.WaitGroup
+
+	for rank := range looks {
+		g.Go(func() { looks[rank], errs[rank] = s.Ranks.Look(ctx, rank, q) })
+	}
+
+	g.Wait()
+
+	if err := errors.Join(errs...); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotAll, err)
+	}
+
+	if slices.ContainsFunc(looks, func(l Look) bool { return l.Report.Epoch != s.Ranks.Epoch }) {
+		return nil, fmt.Errorf("%w: another epoch has begun", errState)
+	}
+
+	return looks, nil
+}
+
+// await looks at all ranks until each satisfies ok.
+func (s *Switcher) await(ctx context.Context, failure error, ok func(*Report) bool) error {
+	for {
+		reports, err := s.lookAll(ctx)
+
+		switch {
+		case errors.Is(err, errState):
+			return err
+		case err == nil && !slices.ContainsFunc(reports, func(r Report) bool { return !ok(&r) }):
+			return nil
+		case !pause(ctx, s.Settings.PollEvery):
+			return failure
+		}
+	}
+}
+
+func toWire(m Map) []*wire.ExpertSet {
+	var out []*wire.ExpertSet
+
+	for _, ranks := range m {
+		for _, experts := range ranks {
+			out = append(out, SetToWire(experts))
+		}
+	}
+
+	return out
+}
+
+// SetToWire returns a rank's experts of a set as they travel.
+func SetToWire(experts []uint16) *wire.ExpertSet {
+	set := &wire.ExpertSet{Experts: make([]uint32, 0, len(experts))}
+	for _, e := range experts {
+		set.Experts = append(set.Experts, uint32(e))
+	}
+
+	return set
+}
+
+// pause waits for d and reports whether ctx still goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/role/rankagent.go
@@ -0,0 +1,389 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+const (
+	// rankWatch is how often an agent looks whether its rank is the first one.
+	rankWatch = 500 * time.Millisecond
+	// rankPeer bounds one question to another agent; then its engine is asked itself.
+	rankPeer = 200 * time.Millisecond
+	// rankStop bounds how long a stopping agent finishes a switch.
+	rankStop = 3 * time.Second
+)
+
+// RankAgent is the role of an agent beside a rank of a lock-step group. Its fields
+// are set before Run.
+type RankAgent struct {
+	ID       string
+	Cluster  string
+	Zone     string
+	Listener net.Listener
+	Seeds    func() []netip.AddrPort
+	// Engine is the one on this VM, EngineAt another rank's: it is spoken to where
+	// the agent beside it does not answer.
+	Engine   lockstep.Engine
+	EngineAt func(netip.AddrPort) lockstep.Engine
+	Logs     logs.Output
+	Dump     *dump.Dump
+
+	logger   *slog.Logger
+	follower *view.Follower
+	clients  followClients
+	peers    *http.Client
+
+	mu      sync.Mutex
+	engines map[netip.AddrPort]lockstep.Engine
+}
+
+// Run runs the role until ctx ends.
+func (a *RankAgent) Run(ctx context.Context) error {
+	a.logger = a.Logs.Logger("rank")
+	a.engines = make(map[netip.AddrPort]lockstep.Engine)
+	a.peers = newFollowClient()
+
+	mux := http.NewServeMux()
+	mux.Handle(wire.RankPeerPathPrefix, wire.NewRankPeerServer(a))
+
+	web := &http.Server{Handler: mux, ReadHeaderTimeout: controlTry}
+
+	g, work := errgroup.WithContext(ctx)
+	g.Go(func() error { return serve(web, a.Listener, "ranks") })
+	g.Go(func() error {
+		a.watch(work)
+
+		return eris.Wrap(web.Close(), "close ranks")
+	})
+
+	a.logger.Info("Started.", "zone", a.Zone)
+
+	err := eris.Wrap(g.Wait(), "run agent")
+	a.logger.Info("Stopped.", "error", err)
+
+	return err
+}
+
+// watch directs the group while this VM's rank is its first one.
+func (a *RankAgent) watch(ctx context.Context) {
+	tick := time.NewTicker(rankWatch)
+	defer tick.Stop()
+
+	for {
+		if r, err := a.Engine.Report(ctx); err == nil && r.Group != "" && r.Rank == 0 && r.Size > 0 {
+			a.direct(ctx, r)
+		}
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// direct directs the group of r until its epoch ends.
+func (a *RankAgent) direct(ctx context.Context, r lockstep.Report) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+
+	// What this agent must know of the others outlives ctx, until a switch that has
+	// begun is finished.
+	follow, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+
+	a.follower = &view.Follower{
+		Cluster: a.Cluster, ID: a.ID, Zone: a.Zone, Seeds: a.Seeds, Ask: a.clients.ask,
+		Leaving: func() bool { return true }, OnChange: func(*view.Followed) {}, Logger: a.Logs.Logger("view"),
+	}
+	a.follower.Init()
+
+	go func() { _ = a.follower.Run(follow) }()
+
+	shape, ok := a.awaitShape(ctx, r)
+	if !ok {
+		return
+	}
+
+	go a.watchEpoch(ctx, stop, r)
+
+	d := &lockstep.Director{
+		Shape: shape, Settings: lockstep.DefaultSettings(), Logger: a.Logs.Logger("experts"),
+		Ranks: lockstep.Ranks{Size: r.Size, Epoch: r.Epoch, Look: a.lookAt(r), Order: a.orderAt(r)},
+	}
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+
+	<-ctx.Done()
+
+	select {
+	case <-done:
+	case <-time.After(rankStop):
+		a.logger.Warn("A switch was not finished in time.")
+	}
+}
+
+// watchEpoch ends ctx once the group has another epoch or this rank is not the
+// first one any more.
+func (a *RankAgent) watchEpoch(ctx context.Context, stop context.CancelFunc, was lockstep.Report) {
+	tick := time.NewTicker(rankWatch)
+	defer tick.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+
+		if r, err := a.Engine.Report(ctx); err == nil && (r.Epoch != was.Epoch || r.Rank != was.Rank || r.Group != was.Group || r.Size != was.Size) {
+			stop()
+
+			return
+		}
+	}
+}
+
+// awaitShape waits for the configuration and the directory to name all ranks.
+func (a *RankAgent) awaitShape(ctx context.Context, r lockstep.Report) (lockstep.Shape, bool) {
+	for {
+		f := a.follower.State()
+
+		if ranks, service := a.ranks(f, r); len(ranks) == r.Size && f.Table != nil {
+			if s := f.Table.Service(service); s != nil && s.Experts.Sets > 0 {
+				return lockstep.Shape{
+					Sets: s.Experts.Sets, Experts: s.Experts.Experts, Ranks: r.Size,
+					Places: s.Experts.Places, Spare: s.Experts.Spare,
+				}, true
+			}
+		}
+
+		if now, err := a.Engine.Report(ctx); err == nil && now.Epoch != r.Epoch {
+			return lockstep.Shape{}, false
+		}
+
+		select {
+		case <-ctx.Done():
+			return lockstep.Shape{}, false
+		case <-time.After(rankWatch / 2):
+		}
+	}
+}
+
+// ranks returns the targets of a group by rank, and their service. An earlier
+// incarnation that the directory still holds gives way to the later one.
+func (a *RankAgent) ranks(f *view.Followed, r lockstep.Report) (map[int]directory.Target, string) {
+	out := make(map[int]directory.Target)
+	service := ""
+
+	for _, t := range f.Targets {
+		if have, ok := out[t.Group.Rank]; t.Group.Name == r.Group && (!ok || t.Group.Epoch > have.Group.Epoch || t.Born > have.Born) {
+			out[t.Group.Rank] = t
+			service = t.Service
+		}
+	}
+
+	return out, service
+}
+
+// errNoRank says that the directory names no target for a rank.
+var errNoRank = errors.New("role: the rank's target is not known")
+
+func (a *RankAgent) target(r lockstep.Report, rank int) (directory.Target, error) {
+	ranks, _ := a.ranks(a.follower.State(), r)
+
+	t, ok := ranks[rank]
+	if !ok {
+		return t, errNoRank
+	}
+
+	return t, nil
+}
+
+// peer returns the agent beside a target: it listens at this agent's own port.
+func (a *RankAgent) peer(t directory.Target) wire.RankPeer {
+	own, _ := netip.ParseAddrPort(a.Listener.Addr().String())
+
+	return wire.NewRankPeerProtobufClient("http://"+netip.AddrPortFrom(t.Address.Addr(), own.Port()).String(), a.peers)
+}
+
+func (a *RankAgent) engineOf(t directory.Target) lockstep.Engine {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	e, ok := a.engines[t.Address]
+	if !ok {
+		e = a.EngineAt(t.Address)
+		a.engines[t.Address] = e
+	}
+
+	return e
+}
+
+func (a *RankAgent) lookAt(group lockstep.Report) func(context.Context, int, lockstep.Question) (lockstep.Look, error) {
+	return func(ctx context.Context, rank int, q lockstep.Question) (lockstep.Look, error) {
+		if rank == group.Rank {
+			return a.look(ctx, q)
+		}
+
+		t, err := a.target(group, rank)
+		if err != nil {
+			return lockstep.Look{}, err
+		}
+
+		try, cancel := context.WithTimeout(ctx, rankPeer)
+		defer cancel()
+
+		out, err := a.peer(t).Look(try, &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists})
+		if err == nil {
+			return lookFromWire(out), nil
+		}
+
+		// Its agent may just be starting again. The report alone is cheap from afar.
+		report, err := a.engineOf(t).Report(ctx)
+
+		return lockstep.Look{Report: report}, err
+	}
+}
+
+func (a *RankAgent) orderAt(group lockstep.Report) func(context.Context, int, *wire.EngineOrder) wire.EngineResult {
+	return func(ctx context.Context, rank int, o *wire.EngineOrder) wire.EngineResult {
+		if rank == group.Rank {
+			return a.Engine.Order(ctx, o)
+		}
+
+		t, err := a.target(group, rank)
+		if err != nil {
+			return wire.EngineResult_EngineUnknown
+		}
+
+		try, cancel := context.WithTimeout(ctx, rankPeer)
+		defer cancel()
+
+		sent := proto.CloneOf(o)
+		sent.Cluster = a.Cluster
+
+		if out, err := a.peer(t).Order(try, sent); err == nil && out.GetResult() != wire.EngineResult_EngineUnknown {
+			return out.GetResult()
+		}
+
+		return a.engineOf(t).Order(ctx, o)
+	}
+}
+
+// look looks at this VM's engine.
+func (a *RankAgent) look(ctx context.Context, q lockstep.Question) (lockstep.Look, error) {
+	report, err := a.Engine.Report(ctx)
+	out := lockstep.Look{Report: report}
+
+	if err == nil && q.Counts {
+		out.Counts, err = a.Engine.Counts(ctx)
+	}
+
+	if err == nil && q.Lists {
+		out.ListsOf, out.Lists, err = a.Engine.Lists(ctx)
+	}
+
+	return out, err
+}
+
+// Look implements wire.RankPeer.
+func (a *RankAgent) Look(ctx context.Context, r *wire.LookRequest) (*wire.LookAnswer, error) {
+	if r.GetCluster() != a.Cluster {
+		return nil, errOtherCluster
+	}
+
+	l, err := a.look(ctx, lockstep.Question{Counts: r.GetCounts(), Lists: r.GetLists()})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error()) //nolint:wrapcheck // the server looks for its own type
+	}
+
+	out := &wire.LookAnswer{Report: l.Report.ToWire(), Counts: l.Counts, ListsOf: l.ListsOf}
+	for _, set := range l.Lists {
+		out.Lists = append(out.Lists, lockstep.SetToWire(set))
+	}
+
+	return out, nil
+}
+
+// Order implements wire.RankPeer.
+func (a *RankAgent) Order(ctx context.Context, o *wire.EngineOrder) (*wire.EngineOrderAnswer, error) {
+	if o.GetCluster() != a.Cluster {
+		return nil, errOtherCluster
+	}
+
+	return &wire.EngineOrderAnswer{Result: a.Engine.Order(ctx, o)}, nil
+}
+
+// errOtherCluster refuses what is meant for another deployment.
+var errOtherCluster = twirp.NewError(twirp.FailedPrecondition, "this agent belongs to another cluster")
+
+func lookFromWire(w *wire.LookAnswer) lockstep.Look {
+	l := lockstep.Look{Report: lockstep.ReportFromWire(w.GetReport()), Counts: w.GetCounts(), ListsOf: w.GetListsOf()}
+
+	for _, set := range w.GetLists() {
+		experts := make([]uint16, 0, len(set.GetExperts()))
+		for _, e := range set.GetExperts() {
+			experts = append(experts, uint16(e))
+		}
+
+		l.Lists = append(l.Lists, experts)
+	}
+
+	return l
+}
+
+// followClients are the connections of a follower, one client a control VM.
+type followClients struct {
+	clients sync.Map // of *http.Client, by address
+}
+
+// ask asks a control VM over a connection of its own. One that went silent is
+// given up with its question, and the next one dials anew.
+func (c *followClients) ask(ctx context.Context, control netip.AddrPort, q *wire.FollowRequest) (*wire.FollowResponse, error) {
+	kept, ok := c.clients.Load(control)
+	if !ok {
+		kept, _ = c.clients.LoadOrStore(control, newFollowClient())
+	}
+
+	client := kept.(*http.Client)
+
+	out, err := wire.NewPublisherProtobufClient("http://"+control.String(), client).Follow(ctx, q)
+	if err != nil {
+		client.CloseIdleConnections()
+	}
+
+	return out, eris.Wrap(err, "follow control VM")
+}
+
+func newFollowClient() *http.Client {
+	dialer := &identity.Dialer{Timeout: controlDial}
+
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.Dial, IdleConnTimeout: controlIdle, MaxIdleConnsPerHost: 1, DisableCompression: true,
+	}}
+}
--- a/internal/role/routing.go
+++ b/internal/role/routing.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,12 +16,10 @@
 
 	"github.com/parsleygate/parsleygate/internal/door"
 	"github.com/parsleygate/parsleygate/internal/dump"
-	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/relay"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/view"
-	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 const (
@@ -71,7 +68,7 @@
 	relay    *relay.Relay
 	stopping atomic.Bool
 	logger   *slog.Logger
-	clients  sync.Map // of *http.Client, by control VM
+	clients  followClients
 }
 
 // Run runs the role until ctx ends and the requests in flight have their answers.
@@ -152,7 +149,7 @@
 func (r *RoutingEntry) build() {
 	r.logger = r.Logs.Logger("entry")
 	r.follower = &view.Follower{
-		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Ask: r.ask,
+		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Ask: r.clients.ask,
 		Leaving: r.stopping.Load, Logger: r.Logs.Logger("view"),
 		OnChange: func(f *view.Followed) { r.relay.Change(f) },
 	}
@@ -167,23 +164,3 @@
 	r.relay.Init()
 	r.Dump.Add("Relay", func() any { return r.relay.Dump() })
 }
-
-// ask asks a control VM over a connection of its own. One that went silent is
-// given up with its question, and the next one dials anew.
-func (r *RoutingEntry) ask(ctx context.Context, control netip.AddrPort, q *wire.FollowRequest) (*wire.FollowResponse, error) {
-	client, _ := r.clients.LoadOrStore(control, newFollowClient())
-	out, err := wire.NewPublisherProtobufClient("http://"+control.String(), client.(*http.Client)).Follow(ctx, q)
-	if err != nil {
-		client.(*http.Client).CloseIdleConnections()
-	}
-
-	return out, eris.Wrap(err, "follow control VM")
-}
-
-func newFollowClient() *http.Client {
-	dialer := &identity.Dialer{Timeout: controlDial}
-
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.Dial, IdleConnTimeout: controlIdle, MaxIdleConnsPerHost: 1, DisableCompression: true,
-	}}
-}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -26,7 +26,7 @@
 	if len(fields) == 0 {
 		return &inifile.Error{
 			Line: section.Line, Section: section.Name, Problem: "unknown section",
-			Allowed: strings.Join([]string{sectionProcess, sectionControls, sectionEntry, sectionAgent, sectionControl, sectionTLS, sectionSeeds, sectionRouting, sectionOperating, sectionZones}, ", "),
+			Allowed: strings.Join([]string{sectionProcess, sectionControls, sectionEntry, sectionAgent, sectionControl, sectionTLS, sectionSeeds, sectionRouting, sectionOperating, sectionRank, sectionZones}, ", "),
 		}
 	}
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -37,6 +37,7 @@
 	sectionRouting   = "Routing"
 	sectionOperating = "Operating"
 	sectionZones     = "Zones"
+	sectionRank      = "Rank"
 )
 
 const (
--- a/internal/settings/seeds.go
+++ b/internal/settings/seeds.go
@@ -41,6 +41,11 @@
 	Stop time.Duration
 }
 
+// Rank are the settings of an agent beside a rank of a lock-step group.
+type Rank struct {
+	EngineAddress netip.AddrPort
+}
+
 // Operating are the settings of a control VM whose operators decide in one step.
 type Operating struct {
 	// Address takes operators' orders and targets' announcements.
@@ -101,6 +106,7 @@
 		fraction(sectionRouting, "RetrySlack", "50", "How many such sends each service gets free in RetryWindow, over all entries.", func(s *Settings) *float64 { return &s.Routing.RetrySlack }),
 		duration(sectionRouting, "RetryWindow", "10s", "The window of the retry budget.", func(s *Settings) *time.Duration { return &s.Routing.RetryWindow }),
 		duration(sectionRouting, "Stop", "8s", "How long a graceful stop may take before the process is killed.", func(s *Settings) *time.Duration { return &s.Routing.Stop }),
+		addressIn(sectionRank, "EngineAddress", "The engine on this VM, which is a rank of a lock-step group and takes orders. It makes the agent one that only keeps expert maps; callers' requests reach the engine past it.", func(s *Settings) *netip.AddrPort { return &s.Rank.EngineAddress }),
 		addressIn(sectionOperating, "Address", "Takes operators' orders, which are carried out in one step, and targets' announcements.", func(s *Settings) *netip.AddrPort { return &s.Operating.Address }),
 		{
 			Section: sectionOperating, Key: "Bootstrap", Allowed: allowedBool, Default: "false",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,7 @@
 	Seeds     Seeds
 	Routing   Routing
 	Operating Operating
+	Rank      Rank
 	// Zones are the regions of the availability zones, by name.
 	Zones map[string]string
 }
--- a/internal/wire/members.twirp.go
+++ b/internal/wire/members.twirp.go
@@ -782,7 +782,7 @@
 }
 
 func (s *membersServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *membersServer) ProtocGenTwirpVersion() string {
@@ -796,7 +796,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Members")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 432 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x53, 0x4d, 0x6f, 0xd3, 0x40,
 	0x10, 0x65, 0x6d, 0x37, 0x6d, 0x06, 0x92, 0x2e, 0xa3, 0x0a, 0x59, 0x39, 0xb4, 0xc6, 0xa7, 0x88,
--- a/internal/wire/operator.twirp.go
+++ b/internal/wire/operator.twirp.go
@@ -1898,7 +1898,7 @@
 }
 
 func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *operatorServer) ProtocGenTwirpVersion() string {
@@ -1912,7 +1912,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Operator")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 866 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0x5d, 0x8f, 0xe3, 0x34,
 	0x14, 0x25, 0xd3, 0xb4, 0x9d, 0xde, 0x7e, 0x6c, 0xb1, 0x60, 0x14, 0x55, 0xec, 0x52, 0xfc, 0x80,
--- a/internal/wire/path.twirp.go
+++ b/internal/wire/path.twirp.go
@@ -1061,7 +1061,7 @@
 }
 
 func (s *agentServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *agentServer) ProtocGenTwirpVersion() string {
@@ -1075,7 +1075,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Agent")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 1276 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x57, 0xcd, 0x72, 0x1b, 0x45,
 	0x10, 0xf6, 0xea, 0xcf, 0x52, 0xcb, 0x52, 0xc4, 0xc4, 0x84, 0x25, 0x84, 0xa0, 0xda, 0xca, 0xc1,
--- a/internal/wire/quorum.twirp.go
+++ b/internal/wire/quorum.twirp.go
@@ -782,7 +782,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -796,7 +796,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Peer")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 1227 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x57, 0xcd, 0x72, 0x1b, 0x45,
 	0x10, 0xd6, 0x4a, 0xab, 0xbf, 0xb6, 0x1c, 0x6d, 0x26, 0xc1, 0x6c, 0x85, 0x24, 0x38, 0x03, 0x07,
--- a/internal/wire/routes.twirp.go
+++ b/internal/wire/routes.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *publisherServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *publisherServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "parsleygate.wire", "Publisher")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 1203 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x56, 0xcb, 0x6f, 0x1b, 0xb7,
 	0x13, 0x8e, 0x9e, 0x96, 0x46, 0x0f, 0xeb, 0x47, 0x04, 0xbf, 0x2e, 0x82, 0x34, 0x55, 0x85, 0x1e,
