React to a shift of demand within half a second

Change: looks each 150 ms; what was counted before is forgotten where a quarter of the choices moved; maps of 1, 2, 4 and 8 copies a rank are weighed by what they save until demand changes; the time of a step comes from the looks. Fencing numbers start above all that a predecessor can have used. Before a hold is lifted all ranks prepare a later version, so that a late arm finds nothing.

--- a/internal/lockstep/demand.go
+++ b/internal/lockstep/demand.go
@@ -53,15 +53,50 @@
 	age := now.Sub(c.at)
 	c.at = now
 
-	c.recent.fold(fresh, age, c.memory)
+	memory := c.memory
+	if c.recent.shifted(fresh) {
+		memory = 0
+	}
+
+	c.recent.fold(fresh, age, memory)
 	c.long.fold(fresh, age, c.memory*longMemory)
 
 	return total
 }
 
-// fold adds fresh to d, of which a part of 1/e is left after memory.
+// shiftDistance is the part of the choices that must have gone to other experts
+// for what was counted before to be forgotten at once. Requests that come and go
+// move a tenth; a memory of a second would hide a shift for as long.
+const shiftDistance = 0.25
+
+// shifted reports whether fresh differs from d far more than by the requests that
+// came and went.
+func (d Demand) shifted(fresh Demand) bool {
+	moved, sets := 0.0, 0.0
+
+	for s := range d {
+		before, now := sum(d[s]), sum(fresh[s])
+		if before == 0 || now == 0 {
+			continue
+		}
+
+		sets++
+
+		for e := range d[s] {
+			moved += math.Abs(d[s][e]/before-fresh[s][e]/now) / 2
+		}
+	}
+
+	return sets > 0 && moved/sets > shiftDistance
+}
+
+// fold adds fresh to d, of which a part of 1/e is left after memory, and nothing
+// where memory is 0.
 func (d Demand) fold(fresh Demand, age, memory time.Duration) {
-	keep := math.Exp(-float64(age) / float64(memory))
+	keep := 0.0
+	if memory > 0 {
+		keep = math.Exp(-float64(age) / float64(memory))
+	}
 
 	for s := range d {
 		for e := range d[s] {
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -50,6 +50,7 @@
 	}
 
 	own := looks[0].Report
+	d.switcher.Saw(time.Now(), own.Step)
 
 	if own.Holds {
 		d.free(ctx)
@@ -87,23 +88,16 @@
 
 // learn takes the map in use from the ranks' own lists.
 func (d *Director) learn(looks []Look) bool {
-	m := make(Map, d.Shape.Sets)
-
 	highest := uint64(0)
-
 	for r := range looks {
-		l := &looks[r]
-		highest = max(highest, l.Report.Map, l.Report.Prepared, l.Report.Armed)
+		highest = max(highest, looks[r].Report.Map, looks[r].Report.Prepared, looks[r].Report.Armed)
+	}
 
-		if l.ListsOf != looks[0].ListsOf || len(l.Lists) != d.Shape.Sets {
-			d.Logger.Info("The map in use is not known yet.", "rank", r)
+	m, err := mapOf(looks)
+	if err != nil || len(m) != d.Shape.Sets {
+		d.Logger.Info("The map in use is not known yet.", "error", err)
 
-			return false
-		}
-
-		for s := range m {
-			m[s] = append(m[s], l.Lists[s])
-		}
+		return false
 	}
 
 	d.current, d.version = m, looks[0].ListsOf
@@ -113,12 +107,13 @@
 	return true
 }
 
+// improve switches to the map that saves most until demand is expected to change,
+// where that is worth it.
 func (d *Director) improve(ctx context.Context) {
 	began := time.Now()
 	demand := d.counter.demand()
 	before := d.current.Skew(demand)
-	next := Improve(d.Shape, d.current, demand, d.Settings.MostNew)
-	after := next.Skew(demand)
+	next, after := d.best(demand, before)
 
 	if (before-after)/before < d.Settings.LeastGain {
 		return
@@ -136,6 +131,23 @@
 	}
 }
 
+// best weighs maps that need few copies, and are there soon, against better ones.
+func (d *Director) best(demand Demand, before float64) (Map, float64) {
+	best, bestAfter, bestSaved := d.current, before, 0.0
+
+	for _, most := range d.Settings.MostNew {
+		m := Improve(d.Shape, d.current, demand, most)
+		after := m.Skew(demand)
+		lasts := d.Settings.Horizon - d.Settings.SwitchTime - time.Duration(most)*d.Settings.CopyTime
+
+		if saved := (before - after) * lasts.Seconds(); saved > bestSaved {
+			best, bestAfter, bestSaved = m, after, saved
+		}
+	}
+
+	return best, bestAfter
+}
+
 // nextVersion returns a version that no rank has had.
 func (d *Director) nextVersion() uint64 {
 	d.tried = max(d.tried, d.version) + 1
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -149,9 +149,14 @@
 	// LeastGain is the part of the present load of the most loaded ranks that a new
 	// map must save to be worth its copies.
 	LeastGain float64
-	// MostNew is how many experts one switch may bring to a rank, over all sets.
-	// Fewer are copied sooner.
-	MostNew int
+	// MostNew are the numbers of experts that one switch may bring to a rank, over
+	// all sets, that are weighed against each other: fewer are copied sooner.
+	MostNew []int
+	// CopyTime is how long a rank copies one expert, SwitchTime what a switch takes
+	// beside copies, and Horizon how long demand is expected to stay as it is.
+	CopyTime   time.Duration
+	SwitchTime time.Duration
+	Horizon    time.Duration
 	// Memory is over how long chosen experts are counted.
 	Memory time.Duration
 }
@@ -159,8 +164,9 @@
 // DefaultSettings returns numbers for demand that shifts every few seconds.
 func DefaultSettings() Settings {
 	return Settings{
-		LookEvery: 400 * time.Millisecond, PollEvery: 50 * time.Millisecond,
+		LookEvery: 150 * time.Millisecond, PollEvery: 20 * time.Millisecond,
 		PrepareTimeout: 5 * time.Second, ArmTimeout: 800 * time.Millisecond, OrderTimeout: 400 * time.Millisecond,
-		Ahead: 150 * time.Millisecond, LeastGain: 0.04, MostNew: 6, Memory: time.Second,
+		Ahead: 60 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 2, 4, 8}, Memory: time.Second,
+		CopyTime: 100 * time.Millisecond, SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -31,6 +31,10 @@
 	Logger   *slog.Logger
 
 	fence uint64
+	// stepTime is how long a step took lately, by the step that was seen at sawAt.
+	stepTime time.Duration
+	sawStep  uint64
+	sawAt    time.Time
 	// fenced is set once an engine refused a fencing number as too low.
 	fenced atomic.Bool
 }
@@ -183,12 +187,7 @@
 		return 0, err
 	}
 
-	began := time.Now()
-	step := before.Report.Step + leastAhead + uint64(s.Settings.Ahead/shortestStep)
-
-	if pace := s.stepTime(ctx, before.Report.Step, began); pace > 0 {
-		step = before.Report.Step + leastAhead + uint64(s.Settings.Ahead/pace) + 1
-	}
+	step := before.Report.Step + leastAhead + uint64(s.Settings.Ahead/max(s.stepTime, shortestStep))
 
 	if got := s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), orderTries); got != wire.EngineResult_EngineDone {
 		return 0, fmt.Errorf("%w: %s", errHold, got)
@@ -209,24 +208,17 @@
 const (
 	// leastAhead is how many steps lie at least between now and a switch.
 	leastAhead = 2
-	// shortestStep stands for the time of a step where nothing is known of it.
-	shortestStep = 30 * time.Millisecond
-	// paceLook is how long steps are counted to know their time.
-	paceLook = 60 * time.Millisecond
+	// shortestStep bounds from below how long a step is thought to take.
+	shortestStep = 15 * time.Millisecond
 )
 
-// stepTime measures how long a step takes now; 0 where none was made.
-func (s *Switcher) stepTime(ctx context.Context, from uint64, began time.Time) time.Duration {
-	if !pause(ctx, paceLook) {
-		return 0
-	}
-
-	after, err := s.Ranks.Look(ctx, 0, Question{})
-	if err != nil || after.Report.Step <= from {
-		return 0
+// Saw takes in that step was the last one begun at now.
+func (s *Switcher) Saw(now time.Time, step uint64) {
+	if steps := step - s.sawStep; s.sawStep != 0 && step > s.sawStep {
+		s.stepTime = now.Sub(s.sawAt) / time.Duration(steps)
 	}
 
-	return max(time.Since(began)/time.Duration(after.Report.Step-from), time.Millisecond)
+	s.sawStep, s.sawAt = step, now
 }
 
 // goOn lifts the hold of rank 0. While that is not seen, the group may stand
@@ -259,6 +251,8 @@
 		return nil
 	}
 
+	s.Begin(max(look.Report.Map, look.Report.Prepared, look.Report.Armed))
+
 	fence := s.nextFence()
 
 	if !look.Report.Holds {
@@ -298,11 +292,65 @@
 		}
 	}
 
+	if err := s.supersede(ctx, fence, reports); err != nil {
+		return err
+	}
+
 	s.Logger.Warn("Hold lifted.", "step", look.Report.Held, "fence", fence)
 
 	return s.goOn(ctx, fence, look.Report.Held)
 }
 
+// supersede lets all ranks prepare a later version of the map that they use, which
+// copies nothing. An arm on its way that an engine took in before it saw the higher
+// fencing number, and carries out later, then no longer finds its version prepared.
+func (s *Switcher) supersede(ctx context.Context, fence uint64, reports []Report) error {
+	looks, err := s.LookAll(ctx, Question{Lists: true})
+	if err != nil {
+		return err
+	}
+
+	version := uint64(0)
+	for i := range reports {
+		version = max(version, reports[i].Map, reports[i].Prepared)
+	}
+
+	version += supersedeBy
+	m, err := mapOf(looks)
+
+	if err != nil {
+		return err
+	}
+
+	if err := s.prepare(ctx, fence, version, m); err != nil {
+		return errors.Join(errNotFreed, err)
+	}
+
+	return nil
+}
+
+// supersedeBy is how far the version goes up: a rank may have had some that were
+// prepared at others only.
+const supersedeBy = 16
+
+// mapOf returns the map in use by the ranks' own lists.
+func mapOf(looks []Look) (Map, error) {
+	m := make(Map, len(looks[0].Lists))
+
+	for r := range looks {
+		l := &looks[r]
+		if l.ListsOf != looks[0].ListsOf || len(l.Lists) != len(m) || len(m) == 0 {
+			return nil, fmt.Errorf("%w: rank %d does not tell its experts", errState, r)
+		}
+
+		for s := range m {
+			m[s] = append(m[s], l.Lists[s])
+		}
+	}
+
+	return m, nil
+}
+
 func (s *Switcher) order(kind wire.EngineOrderKind, fence, version, step uint64) *wire.EngineOrder {
 	return &wire.EngineOrder{Kind: kind, Epoch: s.Ranks.Epoch, Fence: fence, Version: version, Step: step}
 }
