Bound what a target is given by the pauses of its streams

Change: dispatch.crowding lowers the bound on requests at a target as the 80th percentile of pauses comes above 0.75 of what callers accept, and raises it below 0.6. What waits counts as late by when it would be answered, not by now.

--- /dev/null
+++ b/internal/dispatch/crowding.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// crowding bounds how many requests a target is given at once, by the pauses
+// between the events of its streams.
+//
+// The load pattern is demand near or above what a lock-step group bears. Each
+// request that runs makes every step longer for all, and a step that is longer than
+// callers want to wait makes every stream that runs late at once. Full slots bear
+// somewhat more, and everybody gets it late. So the bound falls when pauses come
+// near to what callers accept, and rises again while they are well below.
+type crowding struct {
+	bound   float64
+	pauses  []float64
+	decided time.Time
+}
+
+// pause takes in a pause between two events, in parts of what the caller accepts.
+func (c *crowding) pause(now time.Time, part float64, slots int, cfg *Settings) {
+	// A pause that is much longer comes from a stall, not from crowding.
+	if part > stallPart {
+		return
+	}
+
+	c.pauses = append(c.pauses, part)
+
+	if now.Sub(c.decided) < cfg.CrowdingEvery || len(c.pauses) < leastPauses {
+		return
+	}
+
+	slices.Sort(c.pauses)
+	high := c.pauses[len(c.pauses)*highPause/100]
+	c.pauses = c.pauses[:0]
+	c.decided = now
+
+	if c.bound == 0 {
+		c.bound = float64(slots)
+	}
+
+	switch {
+	case high > cfg.PauseHigh:
+		c.bound = max(c.bound*max(cfg.PauseHigh/high, sharpestFall), leastCrowding)
+	case high < cfg.PauseLow:
+		c.bound = min(c.bound+riseStep, float64(slots)+cfg.QueueAhead)
+	}
+}
+
+const (
+	stallPart     = 4
+	leastPauses   = 8
+	highPause     = 80 // percentile
+	sharpestFall  = 0.75
+	leastCrowding = 2
+	riseStep      = 0.4
+)
+
+// limit returns how many requests t may have.
+func (c *crowding) limit(t *target, cfg *Settings) float64 {
+	if c.bound == 0 {
+		return float64(t.Slots) + cfg.QueueAhead
+	}
+
+	return min(c.bound, float64(t.Slots)+cfg.QueueAhead)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -180,6 +180,24 @@
 	}
 }
 
+// Pause takes in a pause between two events of a stream, in parts of what its
+// caller accepts.
+func (d *Dispatcher) Pause(now time.Time, placed Action, part float64) {
+	if s := d.services[placed.Target.Service]; s != nil && placed.Target.Slots > 0 {
+		s.crowding.pause(now, part, placed.Target.Slots, &d.Settings)
+	}
+}
+
+// First takes in how long a placed request waited for its first answer.
+func (d *Dispatcher) First(placed Action, took time.Duration) {
+	if s := d.services[placed.Target.Service]; s != nil {
+		s.firstAnswer += (took - s.firstAnswer) / firstMemory
+	}
+}
+
+// firstMemory is over how many requests the time of a first answer is averaged.
+const firstMemory = 16
+
 // Finish ends a placed request. Place holds what it held.
 func (d *Dispatcher) Finish(now time.Time, placed Action, work float64, o Outcome) []Action {
 	s := d.services[placed.Target.Service]
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -17,6 +17,10 @@
 	pace    pace
 	// others is the mean of what other entries have at a target.
 	others mean
+	// crowding bounds how many requests a target is given.
+	crowding crowding
+	// firstAnswer is how long a placed request usually waits for its first answer.
+	firstAnswer time.Duration
 }
 
 type waiting struct {
@@ -86,7 +90,8 @@
 
 	out := d.refuseHopeless(now, s)
 
-	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(now, &a, &b) })
+	due := now.Add(s.firstAnswer)
+	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(due, &a, &b) })
 
 	kept := s.waiting[:0]
 
@@ -109,17 +114,18 @@
 	return out
 }
 
-// order says which of two waiting requests goes first. The load pattern is a
+// order says which of two waiting requests goes first, where one that is placed now
+// is answered at due. The load pattern is a
 // burst above what the targets bear: first come, first served would make every
 // request late for as long as the burst lasts and its backlog after it. So what
 // can still be in time goes before what is late already, the newest first; late
 // ones follow in the order in which their callers give up.
-func order(now time.Time, a, b *waiting) int {
+func order(due time.Time, a, b *waiting) int {
 	if a.Rank != b.Rank {
 		return cmp.Compare(a.Rank, b.Rank)
 	}
 
-	lateA, lateB := !now.Before(a.AimAt), !now.Before(b.AimAt)
+	lateA, lateB := !due.Before(a.AimAt), !due.Before(b.AimAt)
 
 	switch {
 	case lateA != lateB && lateB:
@@ -142,17 +148,18 @@
 	perSecond := s.pace.perSecond(now)
 	ahead := 0
 
-	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(now, &a, &b) })
+	due := now.Add(s.firstAnswer)
+	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(due, &a, &b) })
 
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
-		left := w.GiveUpAt.Sub(now) - d.Settings.FirstAnswer
+		left := w.GiveUpAt.Sub(due)
 		wait := time.Duration(0)
 
 		if perSecond > 0 {
 			wait = time.Duration(float64(ahead) / perSecond * float64(time.Second))
 		}
 
-		late := !now.Before(w.AimAt)
+		late := !due.Before(w.AimAt)
 
 		switch {
 		case !s.hasUntried(&w.Request):
@@ -212,7 +219,7 @@
 	switch {
 	case t.Leaving || t.Broken || now.Before(t.pausedUntil):
 		return false
-	case t.Slots > 0 && t.load(now, s, &d.Settings) >= float64(t.Slots)+d.Settings.QueueAhead:
+	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.crowding.limit(t, &d.Settings):
 		return false
 	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
 		return false
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -30,9 +30,12 @@
 	// ColdReserve is the part of the bound of a cold target that entries share. The
 	// rest covers entries that have joined and are not counted yet.
 	ColdReserve float64
-	// FirstAnswer is what a target usually needs until its first answer: what has
-	// less time left is not worth placing.
-	FirstAnswer time.Duration
+	// CrowdingEvery is how often the bound on requests at a target is weighed anew.
+	// Pauses above PauseHigh, in parts of what callers accept, lower it; below
+	// PauseLow they raise it.
+	CrowdingEvery time.Duration
+	PauseHigh     float64
+	PauseLow      float64
 }
 
 // DefaultSettings returns the numbers for targets that answer in fractions of a second.
@@ -49,6 +52,8 @@
 		GroupPause:    400 * time.Millisecond,
 		ColdWindow:    time.Second,
 		ColdReserve:   0.9,
-		FirstAnswer:   50 * time.Millisecond,
+		CrowdingEvery: 200 * time.Millisecond,
+		PauseHigh:     0.75,
+		PauseLow:      0.6,
 	}
 }
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -37,6 +37,12 @@
 	giveUpAt time.Time
 	aimAt    time.Time
 
+	// placed is the target that has it now, since placedAt; eventAt is when the last
+	// event came from there.
+	placed   dispatch.Action
+	placedAt time.Time
+	eventAt  time.Time
+
 	// tried are the targets that it was sent to, sends how many may have read it.
 	tried []string
 	sends int
@@ -130,6 +136,7 @@
 	defer func() { p.relay.queue.finish(placed, p.work(), outcome) }()
 
 	p.tried = append(slices.Clip(p.tried), placed.Target.ID)
+	p.placed, p.placedAt, p.eventAt = placed, time.Now(), time.Time{}
 
 	answer, err := p.relay.Door.Open(ctx, placed.Target.Address, p.outbound(placed.Target.ID))
 	if err != nil {
@@ -334,6 +341,8 @@
 // pass writes one event. An event that the caller has already, which a target may
 // repeat when it goes on with a stream, is left out.
 func (p *passage) pass(flusher *http.ResponseController, events *door.Events, ev door.Event) error {
+	p.measure()
+
 	if ev.HasID {
 		if p.streaming && p.lastID > 0 && ev.ID <= p.lastID {
 			return nil
@@ -360,6 +369,20 @@
 	return nil
 }
 
+// measure tells the dispatcher how long the target took for this event.
+func (p *passage) measure() {
+	now := time.Now()
+
+	switch {
+	case p.eventAt.IsZero():
+		p.relay.queue.first(p.placed, now.Sub(p.placedAt))
+	case p.route.Gap > 0:
+		p.relay.queue.pause(p.placed, float64(now.Sub(p.eventAt))/float64(p.route.Gap))
+	}
+
+	p.eventAt = now
+}
+
 // end gives the caller its final answer where the request has none.
 func (p *passage) end(err error) {
 	now := time.Now()
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -85,6 +85,20 @@
 	}
 }
 
+func (q *queue) pause(a dispatch.Action, part float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.dispatcher.Pause(time.Now(), a, part)
+}
+
+func (q *queue) first(a dispatch.Action, took time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.dispatcher.First(a, took)
+}
+
 func (q *queue) change(services []dispatch.Service, targets []dispatch.Target, entries int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
