Tell entries how loaded engines are

Cause: an entry knows its own requests only, and others' where an answer tells. After a stall all entries took the others' last known load for the present one: every engine looked full, nothing was sent, so nothing was heard again.

Change: the agent beside an engine tells entries that ask its running and waiting requests each 100 ms where they changed (loads); what is not heard of fades within a second; the expected time of a first answer is bounded. Refusals log the state of the targets (dispatch.Room).

Ruled out: entries that tell each other (all pairs; grows with their square).

--- a/cmd/parsleygate/cmds/listen.go
+++ b/cmd/parsleygate/cmds/listen.go
@@ -16,3 +16,12 @@
 
 	return l, eris.Wrapf(err, "listen on %s", address)
 }
+
+// listenDatagrams opens the UDP socket at an address of the settings.
+func listenDatagrams(ctx context.Context, address netip.AddrPort) (net.PacketConn, error) {
+	var lc net.ListenConfig
+
+	c, err := lc.ListenPacket(ctx, "udp", address.String())
+
+	return c, eris.Wrapf(err, "listen for datagrams on %s", address)
+}
--- a/cmd/parsleygate/cmds/routing.go
+++ b/cmd/parsleygate/cmds/routing.go
@@ -30,7 +30,13 @@
 		return err
 	}
 
+	datagrams, err := listenDatagrams(ctx, s.Process.AdminAddress)
+	if err != nil {
+		return err
+	}
+
 	e := &role.RoutingEntry{
+		Datagrams: datagrams, AgentPort: s.Seeds.Port,
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Ready: ready,
 		Seeds: p.seeds(), Dialect: platform.Dialect(), Readiness: platform.Readiness,
 		Budget:     &retries.Share{Ratio: s.Routing.RetryRatio, Slack: s.Routing.RetrySlack, Window: s.Routing.RetryWindow},
@@ -43,8 +49,15 @@
 // runRankAgent runs an agent beside a rank of a lock-step group.
 func runRankAgent(ctx context.Context, p *process) error {
 	s := p.settings
+
+	datagrams, err := listenDatagrams(ctx, s.Process.Address)
+	if err != nil {
+		return err
+	}
+
 	a := &role.RankAgent{
-		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Seeds: p.seeds(),
+		Datagrams: datagrams,
+		ID:        s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Seeds: p.seeds(),
 		Engine: platform.Engine(s.Rank.EngineAddress), EngineAt: platform.Engine,
 		Logs: p.logs, Dump: p.dump,
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	// Cause and RetryAt say why a request was refused, and when to come back.
 	Cause   verdict.Cause
 	RetryAt time.Time
+	// Room is the state of the targets at a refusal.
+	Room Room
 }
 
 // Load is what a target says of itself on an answer.
@@ -171,13 +173,16 @@
 	}
 }
 
-// Report takes in what a target said of its load while a request is at it.
-func (d *Dispatcher) Report(now time.Time, serviceName, targetID string, l Load) {
-	if s := d.services[serviceName]; s != nil {
-		if t := s.targets[targetID]; t != nil {
-			s.report(now, t, l)
-		}
+// Report takes in what a target, or the agent beside it, said of its load.
+func (d *Dispatcher) Report(now time.Time, serviceName, targetID string, l Load) []Action {
+	s := d.services[serviceName]
+	if s == nil || s.targets[targetID] == nil {
+		return nil
 	}
+
+	s.report(now, s.targets[targetID], l)
+
+	return d.place(now, s)
 }
 
 // Pause takes in a pause between two events of a stream, in parts of what its
@@ -191,7 +196,7 @@
 // First takes in how long a placed request waited for its first answer.
 func (d *Dispatcher) First(placed Action, took time.Duration) {
 	if s := d.services[placed.Target.Service]; s != nil {
-		s.firstAnswer += (took - s.firstAnswer) / firstMemory
+		s.firstAnswer += (min(took, d.Settings.MostFirstAnswer) - s.firstAnswer) / firstMemory
 	}
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -163,9 +163,9 @@
 
 		switch {
 		case !s.hasUntried(&w.Request):
-			out = append(out, Action{ID: w.ID, Cause: s.absence(&w.Request), RetryAt: now.Add(d.Settings.NoTargetRetry)})
+			out = append(out, Action{ID: w.ID, Cause: s.absence(&w.Request), RetryAt: now.Add(d.Settings.NoTargetRetry), Room: d.room(now, s)})
 		case left <= 0, late && perSecond > 0 && wait > left:
-			out = append(out, Action{ID: w.ID, Cause: verdict.CauseOverload, RetryAt: now.Add(d.retryIn(wait))})
+			out = append(out, Action{ID: w.ID, Cause: verdict.CauseOverload, RetryAt: now.Add(d.retryIn(wait)), Room: d.room(now, s)})
 		default:
 			ahead++
 
@@ -190,7 +190,7 @@
 	ties := 0
 
 	for _, t := range s.targets {
-		if !d.mayTake(now, s, t) || slices.Contains(r.Tried, t.ID) {
+		if d.obstacle(now, s, t) != obstacleNone || slices.Contains(r.Tried, t.ID) {
 			continue
 		}
 
@@ -214,18 +214,24 @@
 // costTie is the difference in load (parts of the slots) below which targets count as equal.
 const costTie = 0.02
 
-// mayTake reports whether t may get a request now.
-func (d *Dispatcher) mayTake(now time.Time, s *service, t *target) bool {
+// obstacle returns why t may not get a request now; obstacleNone where it may.
+func (d *Dispatcher) obstacle(now time.Time, s *service, t *target) obstacle {
 	switch {
-	case t.Leaving || t.Broken || now.Before(t.pausedUntil):
-		return false
+	case t.Leaving:
+		return obstacleLeaving
+	case t.Broken:
+		return obstacleBroken
+	case now.Before(t.pausedUntil):
+		return obstaclePaused
 	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.crowding.limit(t, &d.Settings):
-		return false
+		return obstacleFull
 	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
-		return false
+		return obstacleConnections
+	case s.ColdPerSecond > 0 && t.sentSince(now.Add(-d.Settings.ColdWindow)) >= d.coldShare(now, s, t):
+		return obstacleCold
+	default:
+		return obstacleNone
 	}
-
-	return s.ColdPerSecond <= 0 || t.sentSince(now.Add(-d.Settings.ColdWindow)) < d.coldShare(now, s, t)
 }
 
 // coldUnknown is how far above the declared bound of a cold target all entries
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -30,6 +30,10 @@
 	// ColdReserve is the part of the bound of a cold target that entries share. The
 	// rest covers entries that have joined and are not counted yet.
 	ColdReserve float64
+	// MostFirstAnswer bounds how long a first answer is expected to take. After a
+	// stall the times that were seen would refuse everything, and with nothing placed
+	// no better time would ever be seen.
+	MostFirstAnswer time.Duration
 	// CrowdingEvery is how often the bound on requests at a target is weighed anew.
 	// Pauses above PauseHigh, in parts of what callers accept, lower it; below
 	// PauseLow they raise it.
@@ -41,19 +45,20 @@
 // DefaultSettings returns the numbers for targets that answer in fractions of a second.
 func DefaultSettings() Settings {
 	return Settings{
-		ShortestRetry: 150 * time.Millisecond,
-		LongestRetry:  3 * time.Second,
-		NoTargetRetry: 300 * time.Millisecond,
-		QueueAhead:    1,
-		LoadMemory:    700 * time.Millisecond,
-		FirstPause:    300 * time.Millisecond,
-		LongestPause:  4 * time.Second,
-		ShedPause:     60 * time.Millisecond,
-		GroupPause:    400 * time.Millisecond,
-		ColdWindow:    time.Second,
-		ColdReserve:   0.9,
-		CrowdingEvery: 200 * time.Millisecond,
-		PauseHigh:     0.75,
-		PauseLow:      0.6,
+		ShortestRetry:   150 * time.Millisecond,
+		LongestRetry:    3 * time.Second,
+		NoTargetRetry:   300 * time.Millisecond,
+		QueueAhead:      1,
+		LoadMemory:      700 * time.Millisecond,
+		FirstPause:      300 * time.Millisecond,
+		LongestPause:    4 * time.Second,
+		ShedPause:       60 * time.Millisecond,
+		GroupPause:      400 * time.Millisecond,
+		ColdWindow:      time.Second,
+		ColdReserve:     0.9,
+		MostFirstAnswer: 300 * time.Millisecond,
+		CrowdingEvery:   200 * time.Millisecond,
+		PauseHigh:       0.75,
+		PauseLow:        0.6,
 	}
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -35,7 +35,7 @@
 
 // load is how many requests are expected at t.
 func (t *target) load(now time.Time, s *service, cfg *Settings) float64 {
-	mean := s.others.value
+	mean := s.others.at(now)
 	if t.reported.IsZero() {
 		return float64(t.own) + mean
 	}
@@ -110,7 +110,7 @@
 func (s *service) report(now time.Time, t *target, l Load) {
 	t.others = max(0, float64(l.Running+l.Waiting-t.own))
 	t.reported = now
-	s.others.add(t.others, len(s.targets))
+	s.others.add(now, t.others, len(s.targets))
 }
 
 // faultAt leaves the group of a target alone for a while, and the target longer.
@@ -127,11 +127,28 @@
 	}
 }
 
-// mean is a running mean over about as many values as there are targets.
-type mean struct{ value float64 }
+// mean is a running mean over about as many values as there are targets. It fades
+// while nothing is added: where all targets look full nothing is sent, so nothing
+// would ever be heard again.
+type mean struct {
+	value float64
+	added time.Time
+}
+
+// meanMemory is how long a mean holds without anything added.
+const meanMemory = time.Second
+
+func (m *mean) at(now time.Time) float64 {
+	if m.added.IsZero() {
+		return 0
+	}
+
+	return m.value * math.Exp(-float64(now.Sub(m.added))/float64(meanMemory))
+}
 
-func (m *mean) add(v float64, n int) {
+func (m *mean) add(now time.Time, v float64, n int) {
 	m.value += (v - m.value) / float64(max(1, n))
+	m.added = now
 }
 
 // paceWindow is over how long the rate of ended requests is taken.
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -43,6 +43,9 @@
 	placedAt time.Time
 	eventAt  time.Time
 
+	// room is the state of the targets when it was refused.
+	room dispatch.Room
+
 	// tried are the targets that it was sent to, sends how many may have read it.
 	tried []string
 	sends int
@@ -68,6 +71,7 @@
 	for dials := 1; ; dials++ {
 		placed, err := p.relay.queue.place(ctx, p.request())
 		if err != nil {
+			p.room = placed.Room
 			p.end(err)
 
 			return
@@ -417,7 +421,7 @@
 	p.relay.counters.refused.Add(1)
 
 	wait := max(time.Until(retryAt), time.Millisecond)
-	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "error", err)
+	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.room, "error", err)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
 }
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -77,7 +77,7 @@
 	defer q.mu.Unlock()
 
 	if w.HasLoad {
-		q.dispatcher.Report(time.Now(), a.Target.Service, a.Target.ID, w.Load)
+		q.tell(q.dispatcher.Report(time.Now(), a.Target.Service, a.Target.ID, w.Load))
 	}
 
 	if w.AtFault != "" {
@@ -85,6 +85,13 @@
 	}
 }
 
+func (q *queue) load(service, target string, l dispatch.Load) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.tell(q.dispatcher.Report(time.Now(), service, target, l))
+}
+
 func (q *queue) pause(a dispatch.Action, part float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/door"
+	"github.com/parsleygate/parsleygate/internal/loads"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -104,6 +106,15 @@
 	}
 }
 
+// Heard takes in what the agent on a target's VM says of its load.
+func (r *Relay) Heard(vm netip.Addr, l loads.Load) {
+	for _, t := range r.State().Targets {
+		if t.Address.Addr() == vm && t.Group.Name != "" {
+			r.queue.load(t.Service, t.ID, dispatch.Load{Running: l.Running, Waiting: l.Waiting})
+		}
+	}
+}
+
 // Ready reports whether this entry can serve: it knows a configuration and targets.
 func (r *Relay) Ready() bool {
 	f := r.State()
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -18,6 +18,7 @@
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/loads"
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -43,10 +44,12 @@
 	Seeds    func() []netip.AddrPort
 	// Engine is the one on this VM, EngineAt another rank's: it is spoken to where
 	// the agent beside it does not answer.
-	Engine   lockstep.Engine
-	EngineAt func(netip.AddrPort) lockstep.Engine
-	Logs     logs.Output
-	Dump     *dump.Dump
+	Engine lockstep.Engine
+	// Datagrams takes entries' asks for loads.
+	Datagrams net.PacketConn
+	EngineAt  func(netip.AddrPort) lockstep.Engine
+	Logs      logs.Output
+	Dump      *dump.Dump
 
 	logger   *slog.Logger
 	follower *view.Follower
@@ -70,6 +73,11 @@
 
 	g, work := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(web, a.Listener, "ranks") })
+	g.Go(func() error {
+		t := &loads.Teller{Cluster: a.Cluster, Conn: a.Datagrams, Load: a.load, Logger: a.logger}
+
+		return t.Run(work)
+	})
 	g.Go(func() error {
 		a.watch(work)
 
@@ -84,6 +92,12 @@
 	return err
 }
 
+func (a *RankAgent) load(ctx context.Context) (loads.Load, error) {
+	r, err := a.Engine.Report(ctx)
+
+	return loads.Load{Running: r.Running, Waiting: r.Waiting}, err
+}
+
 // watch directs the group while this VM's rank is its first one.
 func (a *RankAgent) watch(ctx context.Context) {
 	tick := time.NewTicker(rankWatch)
--- a/internal/role/routing.go
+++ b/internal/role/routing.go
@@ -16,6 +16,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/door"
 	"github.com/parsleygate/parsleygate/internal/dump"
+	"github.com/parsleygate/parsleygate/internal/loads"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/relay"
 	"github.com/parsleygate/parsleygate/internal/retries"
@@ -53,6 +54,10 @@
 	// Listener takes callers, Ready answers the balancer.
 	Listener net.Listener
 	Ready    net.Listener
+	// Datagrams takes agents' words on their engines' loads; AgentPort is where
+	// agents take asks for them.
+	Datagrams net.PacketConn
+	AgentPort uint16
 	// Seeds returns the control VMs of the settings as they are now.
 	Seeds func() []netip.AddrPort
 	// Dialect and Readiness are how the deployment speaks.
@@ -86,6 +91,7 @@
 
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.follower.Run(work) })
+	g.Go(func() error { return r.listener().Run(work) })
 	g.Go(func() error { return serve(callers, r.Listener, "callers") })
 	g.Go(func() error { return serve(balancer, r.Ready, "balancer") })
 	g.Go(func() error {
@@ -109,6 +115,25 @@
 	return err
 }
 
+// listener follows the loads of engines that have an agent.
+func (r *RoutingEntry) listener() *loads.Listener {
+	return &loads.Listener{
+		Cluster: r.Cluster, Conn: r.Datagrams,
+		Agents: func() []netip.AddrPort {
+			var out []netip.AddrPort
+
+			for _, t := range r.follower.State().Targets {
+				if t.Group.Name != "" {
+					out = append(out, netip.AddrPortFrom(t.Address.Addr(), r.AgentPort))
+				}
+			}
+
+			return out
+		},
+		Heard: func(agent netip.AddrPort, l loads.Load) { r.relay.Heard(agent.Addr(), l) },
+	}
+}
+
 func serve(web *http.Server, l net.Listener, whom string) error {
 	if err := web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrapf(err, "serve %s", whom)
