--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,501 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+var begin = time.Unix(1000, 0)
+
+// bench is one entry's dispatcher, with targets that a test drives.
+type bench struct {
+	t *testing.T
+	*dispatch.Dispatcher
+
+	targets []dispatch.Target
+	id      uint64
+	placed  map[uint64]dispatch.Action
+	refused map[uint64]dispatch.Action
+	order   []uint64 // as they were placed
+}
+
+func newBench(t *testing.T, targets, slots, entries int, edit func(*dispatch.Service)) *bench {
+	t.Helper()
+
+	b := &bench{
+		t: t, Dispatcher: &dispatch.Dispatcher{Settings: dispatch.DefaultSettings(), Rand: rand.New(rand.NewPCG(1, 2))},
+		placed: map[uint64]dispatch.Action{}, refused: map[uint64]dispatch.Action{},
+	}
+
+	for i := range targets {
+		b.targets = append(b.targets, dispatch.Target{
+			ID: fmt.Sprintf("t%d", i), Service: "drafts", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
+			Zone: "a", Group: "g", Slots: slots,
+		})
+	}
+
+	s := dispatch.Service{Name: "drafts", MostConnections: 298}
+	if edit != nil {
+		edit(&s)
+	}
+
+	b.take(b.Change(begin, []dispatch.Service{s}, b.targets, entries))
+
+	return b
+}
+
+func (b *bench) take(actions []dispatch.Action) {
+	for _, a := range actions {
+		if a.Placed {
+			b.placed[a.ID] = a
+			b.order = append(b.order, a.ID)
+		} else {
+			b.refused[a.ID] = a
+		}
+	}
+}
+
+// offer brings in a draft whose caller wants its first event in 500 ms and leaves after 2 s.
+func (b *bench) offer(now time.Time, edit func(*dispatch.Request)) uint64 {
+	b.id++
+
+	r := dispatch.Request{
+		ID: b.id, Service: "drafts", AimAt: now.Add(500 * time.Millisecond), GiveUpAt: now.Add(2 * time.Second),
+	}
+	if edit != nil {
+		edit(&r)
+	}
+
+	b.take(b.Offer(now, r))
+
+	return b.id
+}
+
+func (b *bench) end(now time.Time, id uint64, o dispatch.Outcome) {
+	b.take(b.Finish(now, b.placed[id], 1, o))
+	delete(b.placed, id)
+}
+
+func (b *bench) perTarget() map[string]int {
+	out := map[string]int{}
+	for _, a := range b.placed {
+		out[a.Target.ID]++
+	}
+
+	return out
+}
+
+// A burst brings three times what the targets bear for two seconds. First come,
+// first served would make every draft late from the first half second on. Those
+// that can still be in time go first, the newest of them; what nobody waits for
+// any more is refused at once, and told when to come back.
+func TestBurstServesWhatCanBeInTime(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 4, 1, nil)
+	offered, inTime := map[uint64]time.Time{}, 0
+
+	// Each target ends one request every 50 ms: 40 a second; 120 a second come.
+	for tick := range 400 {
+		now := begin.Add(time.Duration(tick) * 10 * time.Millisecond)
+
+		if tick < 200 {
+			for range 1 + tick%5/4 {
+				id := b.offer(now, nil)
+				offered[id] = now
+			}
+		}
+
+		if tick%5 == 0 {
+			for _, target := range []string{"t0", "t1"} {
+				if id, ok := b.oldestAt(target); ok {
+					if now.Sub(offered[id]) < 500*time.Millisecond {
+						inTime++
+					}
+
+					b.end(now, id, dispatch.Served)
+				}
+			}
+		}
+
+		b.take(b.Tick(now))
+	}
+
+	require.Zero(t, b.Waiting())
+	require.Greater(t, inTime, 60, "of some 80 that the targets could end during the burst")
+
+	for id, a := range b.refused {
+		require.Equal(t, verdict.CauseOverload, a.Cause)
+		require.True(t, a.RetryAt.After(offered[id]), "told when to come back")
+	}
+}
+
+func (b *bench) oldestAt(target string) (uint64, bool) {
+	for _, id := range b.order {
+		if a, ok := b.placed[id]; ok && a.Target.ID == target {
+			return id, true
+		}
+	}
+
+	return 0, false
+}
+
+// Two callers wait while all targets are full: the first one's draft is late
+// already. When a place is freed, the one that can still be in time gets it.
+func TestInTimeGoesBeforeLate(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 1, 1, nil)
+	first, second := b.offer(begin, nil), b.offer(begin, nil)
+	require.Len(t, b.placed, 2, "one runs, one is ahead")
+
+	late := b.offer(begin, nil)
+	now := begin.Add(600 * time.Millisecond)
+	fresh := b.offer(now, nil)
+	urgent := b.offer(now, func(r *dispatch.Request) { r.Rank = 0; r.AimAt = now.Add(time.Second) })
+
+	b.end(now, first, dispatch.Served)
+	b.end(now, second, dispatch.Served)
+	require.Contains(t, b.placed, fresh)
+	require.Contains(t, b.placed, urgent)
+	require.NotContains(t, b.placed, late)
+
+	b.take(b.Tick(now.Add(1500 * time.Millisecond)))
+	require.Equal(t, verdict.CauseOverload, b.refused[late].Cause, "nobody waits for it any more")
+}
+
+// A workspace's urgent calls come while drafts of lower rank wait.
+func TestRankGoesFirst(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 1, 1, nil)
+	running := b.offer(begin, nil)
+	ahead := b.offer(begin, nil)
+	low := b.offer(begin, func(r *dispatch.Request) { r.Rank = 2 })
+	high := b.offer(begin, func(r *dispatch.Request) { r.Rank = 1 })
+
+	b.end(begin, running, dispatch.Served)
+	require.Contains(t, b.placed, high)
+	b.end(begin, ahead, dispatch.Served)
+	require.Contains(t, b.placed, low)
+}
+
+// A group stalls for some seconds, and first answers take that long. When it runs
+// again, requests must be sent to it: an entry that expects seconds for a first
+// answer would refuse everything, send nothing, and never learn better.
+func TestStallDoesNotRefuseForGood(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 4, 1, nil)
+
+	for range 8 {
+		id := b.offer(begin, nil)
+		b.First(b.placed[id], 5*time.Second)
+		b.end(begin, id, dispatch.Served)
+	}
+
+	id := b.offer(begin.Add(time.Second), nil)
+	require.Contains(t, b.placed, id)
+}
+
+// All entries fill the engines; then the group restarts, and nothing is heard of
+// its load. An entry that took the others' last load for the present one would
+// wait for ever: where nothing is sent, no answer tells that there is room.
+func TestUnheardLoadFades(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 4, 7, nil)
+	for _, target := range b.targets {
+		b.take(b.Report(begin, "drafts", target.ID, dispatch.Load{Running: 4, Waiting: 4}))
+	}
+
+	id := b.offer(begin, nil)
+	require.NotContains(t, b.placed, id)
+
+	now := begin.Add(1900 * time.Millisecond)
+	b.take(b.Tick(now))
+	require.Contains(t, b.placed, id)
+}
+
+// What the agents say of their engines decides between them, with what was sent
+// from here since.
+func TestLeastLoadedTarget(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 3, 12, 7, nil)
+	for i, running := range []int{6, 2, 6} {
+		b.take(b.Report(begin, "drafts", fmt.Sprintf("t%d", i), dispatch.Load{Running: running}))
+	}
+
+	for range 3 {
+		b.offer(begin, nil)
+	}
+
+	require.Equal(t, map[string]int{"t1": 3}, b.perTarget())
+}
+
+// Equal targets are chosen by lot: entries that all took the first would send the
+// same target everything at once.
+func TestEqualTargetsAreShared(t *testing.T) {
+	t.Parallel()
+
+	got := map[string]int{}
+
+	for seed := range uint64(400) {
+		b := newBench(t, 4, 12, 7, nil)
+		b.Rand = rand.New(rand.NewPCG(seed, 9))
+		id := b.offer(begin, nil)
+		got[b.placed[id].Target.ID]++
+	}
+
+	for target, n := range got {
+		require.Greater(t, n, 60, target)
+	}
+
+	require.Len(t, got, 4)
+}
+
+// One engine answers every request at once that it cannot take it. By its load it
+// would look free and get everything. It is left alone for a moment each time.
+func TestShedIsNotAnInvitation(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 4, 1, nil)
+	shed := 0
+
+	for tick := range 200 {
+		now := begin.Add(time.Duration(tick) * 5 * time.Millisecond)
+		id := b.offer(now, nil)
+
+		if a := b.placed[id]; a.Target.ID == "t0" {
+			shed++
+
+			b.end(now, id, dispatch.Shed)
+		} else if a.Placed {
+			b.end(now, id, dispatch.Served)
+		}
+	}
+
+	require.Less(t, shed, 25, "of 200")
+}
+
+// A target fails again and again: it is left alone for longer each time, and gets
+// requests as usual once it has served one.
+func TestFailuresAreLeftAlone(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 4, 1, nil)
+	now := begin
+
+	for _, want := range []time.Duration{300, 600, 1200, 2400, 4000, 4000} {
+		id := b.offer(now, func(r *dispatch.Request) { r.GiveUpAt = now.Add(time.Minute) })
+		require.Contains(t, b.placed, id)
+		b.end(now, id, dispatch.Failed)
+
+		next := b.offer(now, func(r *dispatch.Request) { r.GiveUpAt = now.Add(time.Minute) })
+		b.take(b.Tick(now.Add((want - 1) * time.Millisecond)))
+		require.NotContains(t, b.placed, next)
+
+		now = now.Add(want * time.Millisecond)
+		b.take(b.Tick(now))
+		require.Contains(t, b.placed, next)
+		b.end(now, next, dispatch.Left)
+	}
+
+	id := b.offer(now, nil)
+	b.end(now, id, dispatch.Served)
+	require.Contains(t, b.placed, b.offer(now, nil))
+}
+
+// The caller of a request that was sent to all targets it may go to is told at
+// once, and not at its deadline.
+func TestNoTargetLeft(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 4, 1, nil)
+	id := b.offer(begin, func(r *dispatch.Request) { r.Tried = []string{"t0", "t1"} })
+	require.Equal(t, verdict.CauseTargetDown, b.refused[id].Cause)
+
+	id = b.offer(begin, func(r *dispatch.Request) { r.Service = "gone" })
+	require.Equal(t, verdict.CauseNoTarget, b.refused[id].Cause)
+
+	for i := range b.targets {
+		b.targets[i].Leaving = true
+	}
+
+	b.take(b.Change(begin, []dispatch.Service{{Name: "drafts"}}, b.targets, 1))
+	id = b.offer(begin, nil)
+	require.Equal(t, verdict.CauseNoTarget, b.refused[id].Cause)
+}
+
+// A zone comes back after an outage: four engines turn up at once, cold and empty,
+// beside full ones. Every entry sees them empty. All together must send each no
+// more than it bears in any second, or it breaks down again.
+func TestColdTargetsOverAllEntries(t *testing.T) {
+	t.Parallel()
+
+	const (
+		entries   = 7
+		perSecond = 26
+		allowed   = perSecond*1.5 + 5
+	)
+
+	var benches []*bench
+
+	for range entries {
+		b := newBench(t, 4, 12, entries, func(s *dispatch.Service) { s.ColdPerSecond = perSecond })
+		for i := range b.targets {
+			b.targets[i].ColdUntil = begin.Add(3 * time.Second)
+		}
+
+		b.take(b.Change(begin, []dispatch.Service{{Name: "drafts", ColdPerSecond: perSecond}}, b.targets, entries))
+		benches = append(benches, b)
+	}
+
+	sent := map[string][]time.Time{}
+
+	for tick := range 400 {
+		now := begin.Add(time.Duration(tick) * 10 * time.Millisecond)
+
+		for _, b := range benches {
+			id := b.offer(now, nil)
+			b.take(b.Tick(now))
+
+			for _, id := range b.order {
+				sent[b.placed[id].Target.ID] = append(sent[b.placed[id].Target.ID], now)
+				b.end(now, id, dispatch.Served)
+			}
+
+			b.order = nil
+			_ = id
+		}
+	}
+
+	for target, times := range sent {
+		for i := range times {
+			n := 0
+			for j := i; j < len(times) && times[j].Sub(times[i]) < time.Second; j++ {
+				n++
+			}
+
+			require.LessOrEqual(t, n, int(allowed), "%s in the second from %s", target, times[i].Sub(begin))
+		}
+	}
+}
+
+// Demand is above what a lock-step group bears: pauses come near to what callers
+// accept. The bound falls, so that those that run are in time, and rises again.
+func TestCrowdingFollowsThePauses(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 12, 1, nil)
+	one := b.offer(begin, nil)
+	running := func(now time.Time) int {
+		n := len(b.placed)
+
+		for {
+			id := b.offer(now, nil)
+			if _, ok := b.placed[id]; !ok {
+				b.Cancel("drafts", id)
+
+				n = len(b.placed)
+
+				break
+			}
+		}
+
+		return n
+	}
+	require.Equal(t, 13, running(begin))
+
+	now := begin
+	pauses := func(part float64, times int) {
+		for range times {
+			now = now.Add(20 * time.Millisecond)
+			b.Pause(now, b.placed[one], part)
+		}
+	}
+
+	pauses(1.1, 100)
+
+	for id := range b.placed {
+		if id != one {
+			b.end(now, id, dispatch.Served)
+		}
+	}
+
+	require.Less(t, running(now), 7)
+
+	low := len(b.placed)
+
+	pauses(20, 200)
+	require.Equal(t, low, running(now), "a stall is no crowding")
+	pauses(0.3, 1000)
+	require.Equal(t, 13, running(now))
+}
+
+// A caller leaves while its request waits: the place goes to the next one.
+func TestCancelFreesTheQueue(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 1, 1, nil)
+	first, second := b.offer(begin, nil), b.offer(begin, nil)
+	gone, next := b.offer(begin, nil), b.offer(begin, func(r *dispatch.Request) { r.AimAt = begin.Add(400 * time.Millisecond) })
+	b.Cancel("drafts", gone)
+	b.end(begin, first, dispatch.Left)
+	require.Contains(t, b.placed, next)
+	b.end(begin, second, dispatch.Left)
+	require.Zero(t, b.Waiting())
+}
+
+// The operators remove a service while callers wait for it: they are told.
+func TestRemovedServiceRefusesWhoWaits(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 1, 1, nil)
+	b.offer(begin, nil)
+	b.offer(begin, nil)
+	waits := b.offer(begin, nil)
+	b.take(b.Change(begin, nil, nil, 1))
+	require.Equal(t, verdict.CauseUnknownService, b.refused[waits].Cause)
+}
+
+// One rank was at fault: the others of its group refuse too until it is formed
+// again. They are left alone together.
+func TestFaultPausesTheGroup(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 3, 4, 1, nil)
+	b.Fault(begin, "drafts", "t1")
+
+	id := b.offer(begin, nil)
+	require.NotContains(t, b.placed, id)
+	b.take(b.Tick(begin.Add(400 * time.Millisecond)))
+	require.Contains(t, b.placed, id)
+}
+
+func BenchmarkOffer(b *testing.B) {
+	d := &dispatch.Dispatcher{Settings: dispatch.DefaultSettings(), Rand: rand.New(rand.NewPCG(1, 2))}
+
+	var targets []dispatch.Target
+	for i := range 63 {
+		targets = append(targets, dispatch.Target{ID: fmt.Sprint(i), Service: "drafts", Slots: 10})
+	}
+
+	d.Change(begin, []dispatch.Service{{Name: "drafts"}}, targets, 18)
+
+	for i := range b.N {
+		now := begin.Add(time.Duration(i) * time.Millisecond)
+		for _, a := range d.Offer(now, dispatch.Request{ID: uint64(i), Service: "drafts", AimAt: now.Add(time.Second), GiveUpAt: now.Add(time.Second)}) {
+			d.Finish(now, a, 1, dispatch.Served)
+		}
+	}
+}
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 )
 
@@ -44,7 +45,6 @@
 	looks, err := d.switcher.LookAll(ctx, Question{Counts: true, Lists: d.current == nil})
 	if err != nil {
 		d.Logger.Debug("Ranks not all seen.", "error", err)
-		d.freeOwn(ctx)
 
 		return
 	}
@@ -52,7 +52,7 @@
 	own := looks[0].Report
 	d.switcher.Saw(time.Now(), own.Step)
 
-	if own.Holds {
+	if slices.ContainsFunc(looks, func(l Look) bool { return l.Report.Holds }) {
 		d.free(ctx)
 
 		return
@@ -73,13 +73,6 @@
 	d.improve(ctx)
 }
 
-// freeOwn lifts a hold that a switch left, also while some ranks do not answer.
-func (d *Director) freeOwn(ctx context.Context) {
-	if look, err := d.Ranks.Look(ctx, 0, Question{}); err == nil && look.Report.Holds {
-		d.free(ctx)
-	}
-}
-
 func (d *Director) free(ctx context.Context) {
 	if err := d.switcher.Free(ctx); err != nil {
 		d.Logger.Warn("A step is held, and not freed yet.", "error", err)
@@ -88,11 +81,13 @@
 
 // learn takes the map in use from the ranks' own lists.
 func (d *Director) learn(looks []Look) bool {
-	highest := uint64(0)
-	for r := range looks {
-		highest = max(highest, looks[r].Report.Map, looks[r].Report.Prepared, looks[r].Report.Armed)
+	reports := make([]Report, 0, len(looks))
+	for _, l := range looks {
+		reports = append(reports, l.Report)
 	}
 
+	highest := highestVersion(reports)
+
 	m, err := mapOf(looks)
 	if err != nil || len(m) != d.Shape.Sets {
 		d.Logger.Info("The map in use is not known yet.", "error", err)
--- /dev/null
+++ b/internal/lockstep/group_test.go
@@ -0,0 +1,341 @@
+package lockstep_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// fakeGroup is a lock-step group of engines that take orders. All ranks begin each
+// step together; a rank that is armed for it switches its map then.
+type fakeGroup struct {
+	shape lockstep.Shape
+
+	mu     sync.Mutex
+	ranks  []*fakeRank
+	epoch  uint64
+	step   uint64
+	idle   bool
+	broken string // what broke, or nothing
+	waited time.Duration
+	// weight is how often each expert is chosen in a step, set by set.
+	weight [][]float64
+	// fault decides what becomes of the n-th order.
+	fault  func(n int) fault
+	orders int
+	// slow is how much longer an order takes for each rank, so that orders given
+	// together arrive one after the other.
+	slow time.Duration
+	// lateBy is how much later a late order is carried out.
+	lateBy time.Duration
+}
+
+type fakeRank struct {
+	version, prepared, armed, armedFor, highest, fence uint64
+	held                                               uint64
+	holds                                              bool
+	lists, next                                        [][]uint16
+	readyAt                                            time.Time
+	counts                                             []uint64
+}
+
+// fault is what becomes of one order.
+type fault uint8
+
+const (
+	faultNone   fault = iota
+	faultLost         // it never arrives
+	faultAnswer       // it is carried out, and the answer is lost
+	faultLate         // the answer is lost, and it is carried out seconds later
+	faultUnsure       // the same, and its fencing number was looked at on arrival only
+)
+
+const (
+	stepTime = 10 * time.Millisecond
+	copyTime = 20 * time.Millisecond
+)
+
+func newGroup(shape lockstep.Shape, weight [][]float64) *fakeGroup {
+	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
+	first := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
+
+	for r := range shape.Ranks {
+		k := &fakeRank{counts: make([]uint64, shape.Sets*shape.Experts)}
+		for s := range first {
+			k.lists = append(k.lists, first[s][r])
+		}
+
+		g.ranks = append(g.ranks, k)
+	}
+
+	return g
+}
+
+// run makes steps until ctx ends.
+func (g *fakeGroup) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(stepTime)
+		g.begin()
+	}
+}
+
+func (g *fakeGroup) begin() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.idle {
+		return
+	}
+
+	for _, k := range g.ranks {
+		if k.holds && k.held == g.step+1 {
+			g.waited += stepTime
+
+			return
+		}
+	}
+
+	g.step++
+
+	for _, k := range g.ranks {
+		if k.armed != 0 && k.armedFor == g.step {
+			k.version, k.lists, k.armed, k.prepared = k.armed, k.next, 0, 0
+		}
+
+		for s := range g.weight {
+			for e, w := range g.weight[s] {
+				k.counts[s*g.shape.Experts+e] += uint64(w * 100)
+			}
+		}
+	}
+
+	for i, k := range g.ranks {
+		if k.version != g.ranks[0].version && g.broken == "" {
+			g.broken = fmt.Sprintf("step %d began with map %d at rank 0 and map %d at rank %d", g.step, g.ranks[0].version, k.version, i)
+		}
+	}
+}
+
+// restart is a new epoch: map 0 and nothing prepared, armed or held.
+func (g *fakeGroup) restart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	fresh := newGroup(g.shape, g.weight)
+	g.epoch++
+	g.step = 0
+
+	for i, k := range fresh.ranks {
+		k.fence = 0
+		*g.ranks[i] = *k
+	}
+}
+
+var errKilled = errors.New("the directing agent was killed")
+
+// agent is one life of the directing agent: when it is killed, nothing leaves it.
+type agent struct {
+	group *fakeGroup
+	mu    sync.Mutex
+	// killAt is the order before which it dies; 0 for never.
+	killAt, given int
+	dead          bool
+}
+
+func (a *agent) alive(order bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if order {
+		a.given++
+		a.dead = a.dead || a.given == a.killAt
+	}
+
+	return !a.dead
+}
+
+func (a *agent) ranks() lockstep.Ranks {
+	a.group.mu.Lock()
+	defer a.group.mu.Unlock()
+
+	return lockstep.Ranks{Size: a.group.shape.Ranks, Epoch: a.group.epoch, Look: a.look, Order: a.order}
+}
+
+func (a *agent) look(_ context.Context, rank int, q lockstep.Question) (lockstep.Look, error) {
+	if !a.alive(false) {
+		return lockstep.Look{}, errKilled
+	}
+
+	g := a.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	k := g.ranks[rank]
+	l := lockstep.Look{Report: lockstep.Report{
+		Group: "g", Epoch: g.epoch, Rank: rank, Size: len(g.ranks), Open: true, Step: g.step,
+		Map: k.version, Armed: k.armed, Held: k.held, Holds: k.holds,
+	}}
+
+	if k.prepared != 0 && !time.Now().Before(k.readyAt) {
+		l.Report.Prepared = k.prepared
+	}
+
+	if q.Counts {
+		l.Counts = append(l.Counts, k.counts...)
+	}
+
+	if q.Lists {
+		l.Lists, l.ListsOf = k.lists, k.version
+	}
+
+	return l, nil
+}
+
+func (a *agent) order(_ context.Context, rank int, o *wire.EngineOrder) wire.EngineResult {
+	if !a.alive(true) {
+		return wire.EngineResult_EngineUnknown
+	}
+
+	g := a.group
+	time.Sleep(time.Duration(rank) * g.slow)
+	g.mu.Lock()
+	g.orders++
+	f := g.fault(g.orders)
+	k := g.ranks[rank]
+
+	defer g.mu.Unlock()
+
+	switch f {
+	case faultLost:
+		return wire.EngineResult_EngineUnknown
+	case faultLate, faultUnsure:
+		if f == faultUnsure && o.GetFence() >= k.fence {
+			k.fence = o.GetFence()
+		}
+
+		time.AfterFunc(g.lateBy, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+
+			if f == faultUnsure {
+				o.Fence = max(o.GetFence(), k.fence)
+			}
+
+			g.carryOut(k, rank, o)
+		})
+
+		return wire.EngineResult_EngineUnknown
+	case faultAnswer:
+		g.carryOut(k, rank, o)
+
+		return wire.EngineResult_EngineUnknown
+	default:
+		return g.carryOut(k, rank, o)
+	}
+}
+
+// carryOut is called with mu held.
+func (g *fakeGroup) carryOut(k *fakeRank, rank int, o *wire.EngineOrder) wire.EngineResult {
+	switch {
+	case o.GetEpoch() != g.epoch:
+		return wire.EngineResult_EngineMisfit
+	case o.GetFence() < k.fence:
+		return wire.EngineResult_EngineFenced
+	}
+
+	k.fence = o.GetFence()
+
+	switch o.GetKind() {
+	case wire.EngineOrderKind_EngineOrderPrepare:
+		return k.prepare(rank, o, g.shape)
+	case wire.EngineOrderKind_EngineOrderArm:
+		if k.prepared != o.GetVersion() || time.Now().Before(k.readyAt) || g.step >= o.GetStep() {
+			return wire.EngineResult_EngineMisfit
+		}
+
+		k.armed, k.armedFor = o.GetVersion(), o.GetStep()
+	case wire.EngineOrderKind_EngineOrderDisarm:
+		if k.version == o.GetVersion() {
+			return wire.EngineResult_EngineMisfit
+		}
+
+		if k.armed == o.GetVersion() {
+			k.armed = 0
+		}
+	case wire.EngineOrderKind_EngineOrderHold:
+		if k.holds && k.held != o.GetStep() || g.step >= o.GetStep() {
+			return wire.EngineResult_EngineMisfit
+		}
+
+		k.held, k.holds = o.GetStep(), true
+	case wire.EngineOrderKind_EngineOrderGo:
+		if k.holds && k.held == o.GetStep() {
+			k.holds = false
+		}
+	default:
+		return wire.EngineResult_EngineMisfit
+	}
+
+	return wire.EngineResult_EngineDone
+}
+
+func (k *fakeRank) prepare(rank int, o *wire.EngineOrder, shape lockstep.Shape) wire.EngineResult {
+	if o.GetVersion() <= k.highest || k.armed != 0 {
+		return wire.EngineResult_EngineMisfit
+	}
+
+	var lists [][]uint16
+
+	fresh := 0
+
+	for s := range shape.Sets {
+		var experts []uint16
+
+		had := map[uint16]bool{}
+		for _, e := range k.lists[s] {
+			had[e] = true
+		}
+
+		here := 0
+
+		for _, e := range o.GetMap()[s*shape.Ranks+rank].GetExperts() {
+			experts = append(experts, uint16(e))
+			if !had[uint16(e)] {
+				here++
+			}
+		}
+
+		if here > shape.Spare || len(experts) > shape.Places {
+			return wire.EngineResult_EngineMisfit
+		}
+
+		fresh += here
+		lists = append(lists, experts)
+	}
+
+	k.highest, k.prepared, k.next = o.GetVersion(), o.GetVersion(), lists
+	k.readyAt = time.Now().Add(time.Duration(fresh) * copyTime)
+
+	return wire.EngineResult_EngineDone
+}
+
+// skewed returns weights of which some experts get most.
+func skewed(shape lockstep.Shape, seed uint64) [][]float64 {
+	r := rand.New(rand.NewPCG(seed, 1))
+	out := make([][]float64, shape.Sets)
+
+	for s := range out {
+		out[s] = make([]float64, shape.Experts)
+		for i, e := range r.Perm(shape.Experts) {
+			out[s][e] = 1 / float64(1+i)
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/lockstep/lockstep_test.go
@@ -0,0 +1,282 @@
+package lockstep_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+)
+
+var small = lockstep.Shape{Sets: 2, Experts: 12, Ranks: 4, Places: 5, Spare: 2}
+
+// direct runs a directing agent until it is killed or d has passed.
+func direct(g *fakeGroup, killAt int, d time.Duration) {
+	a := &agent{group: g, killAt: killAt}
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		(&lockstep.Director{Shape: g.shape, Ranks: a.ranks(), Settings: lockstep.DefaultSettings(), Logger: slog.New(slog.DiscardHandler)}).Run(ctx)
+	}()
+
+	for a.alive(false) && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+
+	if ctx.Err() == nil {
+		// It is dead: what it still does leads nowhere.
+		return
+	}
+
+	<-done
+}
+
+// settled holds what must be true some time after the last fault.
+func (g *fakeGroup) settled(t *testing.T, what string) {
+	t.Helper()
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	require.Empty(t, g.broken, what)
+
+	for i, k := range g.ranks {
+		require.False(t, k.holds, "%s: rank %d still holds step %d", what, i, k.held)
+	}
+}
+
+// A group runs with its first map, in which a few experts get most of the work.
+// The director finds it out and switches to a map in which all ranks get alike.
+func TestDirectorBalancesTheRanks(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(small, skewed(small, 1))
+
+		ctx, stop := context.WithCancel(t.Context())
+		go g.run(ctx)
+
+		direct(g, 0, 5*time.Second)
+		g.settled(t, "after 5 s")
+
+		m := make(lockstep.Map, small.Sets)
+		for s := range m {
+			for _, k := range g.ranks {
+				m[s] = append(m[s], k.lists[s])
+			}
+		}
+
+		before := lockstep.First(small.Sets, small.Experts, small.Ranks).Skew(g.weight)
+		require.Greater(t, before, 1.4)
+		require.Less(t, m.Skew(g.weight), 1.1)
+		require.NotZero(t, g.ranks[0].version)
+		require.Less(t, g.waited, 50*time.Millisecond, "a switch costs the group next to nothing")
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// The directing agent is killed before each of its orders in turn: while ranks
+// copy, while a step is held, between two arms, before and after it lets the group
+// go on. Its successor must find the group as it is: no step may begin with two
+// maps, and no step may stay held.
+func TestDirectorDiesAtEachOrder(t *testing.T) {
+	t.Parallel()
+
+	for killAt := 1; killAt <= 30; killAt++ {
+		t.Run(fmt.Sprint(killAt), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(small, skewed(small, 2))
+
+				ctx, stop := context.WithCancel(t.Context())
+				go g.run(ctx)
+
+				direct(g, killAt, 6*time.Second)
+				time.Sleep(500 * time.Millisecond)
+				direct(g, 0, 6*time.Second)
+				g.settled(t, fmt.Sprintf("killed before order %d", killAt))
+				require.NotZero(t, g.ranks[0].version, "the successor goes on balancing")
+				require.Less(t, g.waited, 1200*time.Millisecond, "500 ms without a director, and what the successor needs")
+				stop()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// One order after the other is lost, loses its answer, or is carried out seconds
+// after newer ones, and the director dies now and then as well. An arm that comes
+// late would switch one rank alone; a hold that comes late would stop the group.
+func TestOrdersThatGoAstray(t *testing.T) {
+	t.Parallel()
+
+	for _, f := range []fault{faultLost, faultAnswer, faultLate, faultUnsure} {
+		for n := 1; n <= 28; n++ {
+			for _, killAfter := range []int{0, 1, 5} {
+				t.Run(fmt.Sprintf("%d at %d, killed after %d", f, n, killAfter), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) { astray(t, newGroup(small, skewed(small, 3)), f, n, killAfter) })
+				})
+			}
+		}
+	}
+}
+
+func astray(t *testing.T, g *fakeGroup, f fault, n, killAfter int) {
+	t.Helper()
+
+	g.fault = func(i int) fault {
+		if i == n {
+			return f
+		}
+
+		return faultNone
+	}
+
+	ctx, stop := context.WithCancel(t.Context())
+	go g.run(ctx)
+
+	if killAfter > 0 {
+		direct(g, n+killAfter, 6*time.Second)
+		time.Sleep(300 * time.Millisecond)
+	}
+
+	direct(g, 0, 6*time.Second)
+	g.settled(t, "after the order went astray")
+	stop()
+	time.Sleep(10 * time.Second)
+}
+
+// The director dies just after it let the group go on, and that order is still on
+// its way while the successor, which sees the step held, disarms one rank after the
+// other. The step must not begin between two of them.
+func TestGoOnItsWayWhileTheSuccessorDisarms(t *testing.T) {
+	t.Parallel()
+
+	const letGo = 2*4 + 2 // the order after preparing, holding and arming four ranks
+
+	for late := 440; late <= 560; late++ {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(small, skewed(small, 3))
+			g.lateBy = time.Duration(late) * time.Millisecond
+			g.slow = 6 * time.Millisecond
+
+			astray(t, g, faultUnsure, letGo, 1)
+		})
+	}
+}
+
+// A third of all orders goes astray for seconds, in every way, with directors that
+// die again and again, and a group that is idle at times: late orders then find
+// their step still to come.
+func TestManyOrdersGoAstray(t *testing.T) {
+	t.Parallel()
+
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(small, skewed(small, seed))
+				r := newRandom(seed)
+				g.fault = func(int) fault {
+					if r.IntN(3) > 0 {
+						return faultNone
+					}
+
+					return fault(1 + r.IntN(4))
+				}
+
+				ctx, stop := context.WithCancel(t.Context())
+				go g.run(ctx)
+
+				for range 6 {
+					g.setIdle(r.IntN(3) == 0)
+					direct(g, 5+r.IntN(40), 3*time.Second)
+					time.Sleep(time.Duration(r.IntN(900)) * time.Millisecond)
+				}
+
+				g.mu.Lock()
+				g.fault = func(int) fault { return faultNone }
+				g.mu.Unlock()
+				g.setIdle(false)
+				direct(g, 0, 12*time.Second)
+				g.settled(t, "after all faults")
+				stop()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// The group loses a rank in the middle of a switch and is formed again: map 0, and
+// nothing prepared, armed or held. Orders of the earlier epoch change nothing.
+func TestNewEpochInASwitch(t *testing.T) {
+	t.Parallel()
+
+	for after := 1; after <= 20; after++ {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(small, skewed(small, 4))
+
+			ctx, stop := context.WithCancel(t.Context())
+			go g.run(ctx)
+
+			g.fault = func(i int) fault {
+				if i == after {
+					go g.restart()
+				}
+
+				return faultNone
+			}
+
+			direct(g, 0, 2*time.Second)
+			direct(g, 0, 3*time.Second)
+			g.settled(t, fmt.Sprintf("formed again after order %d", after))
+			require.NotZero(t, g.ranks[0].version)
+			stop()
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// Demand shifts to other experts. What was counted for a second must not hide that
+// for as long: the map follows within half a second and a few copies.
+func TestShiftIsFollowedSoon(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(small, skewed(small, 5))
+
+		ctx, stop := context.WithCancel(t.Context())
+		go g.run(ctx)
+
+		go direct(g, 0, 10*time.Second)
+		time.Sleep(5 * time.Second)
+
+		g.mu.Lock()
+		g.weight = skewed(small, 77)
+		was := g.ranks[0].version
+		g.mu.Unlock()
+
+		time.Sleep(600 * time.Millisecond)
+
+		g.mu.Lock()
+		require.Greater(t, g.ranks[0].version, was)
+		g.mu.Unlock()
+
+		time.Sleep(8 * time.Second)
+		g.settled(t, "after the shift")
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
--- /dev/null
+++ b/internal/lockstep/plan_test.go
@@ -0,0 +1,121 @@
+package lockstep_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+)
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 99)) }
+
+func (g *fakeGroup) setIdle(idle bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.idle = idle
+}
+
+var (
+	today = lockstep.Shape{Sets: 4, Experts: 72, Ranks: 12, Places: 8, Spare: 3}
+	grown = lockstep.Shape{Sets: 8, Experts: 252, Ranks: 63, Places: 5, Spare: 2}
+)
+
+// checkMap holds a map against what engines take: each expert somewhere, no rank
+// with more than its places, no expert twice on a rank, and few enough new ones.
+func checkMap(t *testing.T, shape lockstep.Shape, from, to lockstep.Map, most int) {
+	t.Helper()
+
+	newAt := make([]int, shape.Ranks)
+
+	for s := range to {
+		held := map[uint16]bool{}
+
+		for r, experts := range to[s] {
+			require.LessOrEqual(t, len(experts), shape.Places)
+
+			here, had, fresh := map[uint16]bool{}, map[uint16]bool{}, 0
+			for _, e := range from[s][r] {
+				had[e] = true
+			}
+
+			for _, e := range experts {
+				require.False(t, here[e], "expert %d twice on rank %d", e, r)
+
+				here[e], held[e] = true, true
+				if !had[e] {
+					fresh++
+				}
+			}
+
+			require.LessOrEqual(t, fresh, shape.Spare)
+
+			newAt[r] += fresh
+		}
+
+		require.Len(t, held, shape.Experts, "an expert without a rank loses its tokens")
+	}
+
+	for r, n := range newAt {
+		require.LessOrEqual(t, n, most, "rank %d", r)
+	}
+}
+
+func TestImproveKeepsTheRules(t *testing.T) {
+	t.Parallel()
+
+	for seed := range uint64(30) {
+		m := lockstep.First(today.Sets, today.Experts, today.Ranks)
+
+		for round := range uint64(4) {
+			d := lockstep.Demand(skewed(today, seed*7+round))
+			most := []int{1, 2, 4, 8}[round]
+			next := lockstep.Improve(today, m, d, most)
+			checkMap(t, today, m, next, most)
+			require.LessOrEqual(t, next.Skew(d), m.Skew(d)+1e-9)
+			m = next
+		}
+	}
+}
+
+// One copy a rank already takes most of a bad skew away, and a few come near to
+// the best that there is. Nothing is demanded of an idle group.
+func TestImproveMendsTheWorstFirst(t *testing.T) {
+	t.Parallel()
+
+	m := lockstep.First(today.Sets, today.Experts, today.Ranks)
+	d := lockstep.Demand(skewed(today, 1))
+	before := m.Skew(d)
+	one := lockstep.Improve(today, m, d, 1).Skew(d)
+	eight := lockstep.Improve(today, m, d, 8).Skew(d)
+
+	require.Greater(t, before, 2.3)
+	require.Less(t, (one-1)/(before-1), 0.35)
+	require.Less(t, eight, 1.1)
+
+	none := make(lockstep.Demand, today.Sets)
+	for s := range none {
+		none[s] = make([]float64, today.Experts)
+	}
+
+	require.Equal(t, m, lockstep.Improve(today, m, none, 8))
+	require.InDelta(t, 1, m.Skew(none), 0)
+}
+
+func benchmarkImprove(b *testing.B, shape lockstep.Shape) {
+	m := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
+	d := lockstep.Demand(skewed(shape, 1))
+	after := 0.0
+
+	for b.Loop() {
+		after = lockstep.Improve(shape, m, d, 4).Skew(d)
+	}
+
+	b.ReportMetric(m.Skew(d), "skew-before")
+	b.ReportMetric(after, "skew-after")
+}
+
+func BenchmarkImproveToday(b *testing.B) { benchmarkImprove(b, today) }
+func BenchmarkImproveGrown(b *testing.B) { benchmarkImprove(b, grown) }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -18,9 +18,11 @@
 // what an agent that starts anew finds and does at each:
 //
 //	prepared at some ranks   nothing is armed or held: nothing to do
-//	held, none or some armed the hold keeps the step from beginning: disarm all, then go
+//	held, none or some armed the hold keeps the step from beginning: hold it at a
+//	                         second rank, disarm all, then let both go on
 //	held, all armed          the same
-//	go given                 not held: all ranks switch by themselves
+//	go on its way            the same: the second hold outlasts it
+//	go carried out           not held: all ranks switch by themselves
 //
 // Ranks are armed only while rank 0 holds the step of the switch, and the hold is
 // lifted only where every rank was seen armed, or every rank was seen disarmed
@@ -143,7 +145,7 @@
 		return err
 	}
 
-	return s.goOn(ctx, fence, step)
+	return s.goOn(ctx, 0, fence, step)
 }
 
 // armAll holds a step and arms all ranks for it, and returns the step once all of
@@ -221,13 +223,17 @@
 	s.sawStep, s.sawAt = step, now
 }
 
-// goOn lifts the hold of rank 0. While that is not seen, the group may stand
-// still, so it is tried until it is seen.
-func (s *Switcher) goOn(ctx context.Context, fence, step uint64) error {
+// goOn lifts the hold of a rank. While that is not seen, the group may stand
+// still, so it is tried until it is seen. One that is given up is found again by
+// the next look.
+func (s *Switcher) goOn(ctx context.Context, rank int, fence, step uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.GoTimeout)
+	defer cancel()
+
 	for {
-		s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, step), 1)
+		s.orderAt(ctx, rank, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, step), 1)
 
-		look, err := s.Ranks.Look(ctx, 0, Question{})
+		look, err := s.Ranks.Look(ctx, rank, Question{})
 
 		switch {
 		case err == nil && (!look.Report.Holds || look.Report.Held != step || look.Report.Epoch != s.Ranks.Epoch):
@@ -238,35 +244,81 @@
 	}
 }
 
-// Free lifts a hold that no switch needs any more. Before that, all ranks are
+// Free lifts holds that no switch needs any more. Before that, all ranks are
 // disarmed under a higher fencing number, so that arms on their way no longer
 // count. A group that is not held is left alone: its ranks are all armed, or none.
 func (s *Switcher) Free(ctx context.Context) error {
-	look, err := s.Ranks.Look(ctx, 0, Question{})
+	reports, err := s.lookAll(ctx)
 	if err != nil {
 		return err
 	}
 
-	if look.Report.Epoch != s.Ranks.Epoch {
-		return nil
-	}
-
-	s.Begin(max(look.Report.Map, look.Report.Prepared, look.Report.Armed))
+	s.Begin(highestVersion(reports))
 
 	fence := s.nextFence()
 
-	if !look.Report.Holds {
+	step, held := heldStep(reports)
+	if !held {
 		// A hold that nobody answered may still be on its way to rank 0.
-		s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, look.Report.Step), orderTries)
+		s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, reports[0].Step), orderTries)
 
 		return nil
 	}
 
-	reports, err := s.lookAll(ctx)
-	if err != nil {
+	if err := s.holdTwice(ctx, fence, step); err != nil {
+		return err
+	}
+
+	if err := s.disarmAll(ctx, fence, reports); err != nil {
 		return err
 	}
 
+	if err := s.supersede(ctx, fence, reports); err != nil {
+		return err
+	}
+
+	s.Logger.Warn("Hold lifted.", "step", step, "fence", fence)
+
+	for rank := s.Ranks.Size - 1; rank >= 0; rank-- {
+		if rank > guardRanks && !reports[rank].Holds {
+			continue
+		}
+
+		if err := s.goOn(ctx, rank, fence, step); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// guardRanks are the ranks beside rank 0 that hold a step while ranks are disarmed.
+const guardRanks = 1
+
+// holdTwice lets a second rank hold the step. The predecessor may have let rank 0 go
+// on just before it died, and that order may still be on its way: the step would
+// begin while some ranks are disarmed and others are not.
+func (s *Switcher) holdTwice(ctx context.Context, fence, step uint64) error {
+	for rank := 1; rank <= min(guardRanks, s.Ranks.Size-1); rank++ {
+		if got := s.orderAt(ctx, rank, s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), orderTries); got != wire.EngineResult_EngineDone {
+			return fmt.Errorf("%w: rank %d: %s", errNotFreed, rank, got)
+		}
+
+		look, err := s.Ranks.Look(ctx, rank, Question{})
+		if err != nil {
+			return err
+		}
+
+		if r := look.Report; !r.Holds || r.Held != step || r.Step >= step {
+			return fmt.Errorf("%w: rank %d: %+v", errNotFreed, rank, r)
+		}
+	}
+
+	return nil
+}
+
+// disarmAll disarms all ranks and sees that none is armed.
+func (s *Switcher) disarmAll(ctx context.Context, fence uint64, reports []Report) error {
 	disarm := func(rank int) *wire.EngineOrder {
 		// A rank that is not armed is given the order for its fencing number alone,
 		// and for a version that it cannot use.
@@ -282,23 +334,38 @@
 		return fmt.Errorf("%w: ranks %v are not disarmed", errNotFreed, refused)
 	}
 
-	if reports, err = s.lookAll(ctx); err != nil {
+	after, err := s.lookAll(ctx)
+	if err != nil {
 		return err
 	}
 
-	for i := range reports {
-		if reports[i].Armed != 0 {
+	for i := range after {
+		if after[i].Armed != 0 {
 			return fmt.Errorf("%w: rank %d is armed", errNotFreed, i)
 		}
 	}
 
-	if err := s.supersede(ctx, fence, reports); err != nil {
-		return err
+	return nil
+}
+
+// heldStep returns the step that some rank holds.
+func heldStep(reports []Report) (uint64, bool) {
+	for i := range reports {
+		if reports[i].Holds {
+			return reports[i].Held, true
+		}
 	}
 
-	s.Logger.Warn("Hold lifted.", "step", look.Report.Held, "fence", fence)
+	return 0, false
+}
 
-	return s.goOn(ctx, fence, look.Report.Held)
+func highestVersion(reports []Report) uint64 {
+	highest := uint64(0)
+	for i := range reports {
+		highest = max(highest, reports[i].Map, reports[i].Prepared, reports[i].Armed)
+	}
+
+	return highest
 }
 
 // supersede lets all ranks prepare a later version of the map that they use, which
@@ -310,12 +377,7 @@
 		return err
 	}
 
-	version := uint64(0)
-	for i := range reports {
-		version = max(version, reports[i].Map, reports[i].Prepared)
-	}
-
-	version += supersedeBy
+	version := highestVersion(reports) + supersedeBy
 	m, err := mapOf(looks)
 
 	if err != nil {
--- /dev/null
+++ b/internal/retries/share_test.go
@@ -0,0 +1,120 @@
+package retries_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/retries"
+)
+
+const (
+	shareRatio  = 0.2
+	shareSlack  = 96.0
+	shareWindow = 10 * time.Second
+)
+
+func newShare() *retries.Share {
+	return &retries.Share{Ratio: shareRatio, Slack: shareSlack, Window: shareWindow}
+}
+
+// An engine group fails again and again, and each entry sends its own requests
+// again as often as it may, while entries are killed and start anew. All entries
+// together must stay within the budget in any window, or what is left of the
+// service gets a multiple of its load.
+func TestShareHoldsOverAllEntries(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "entries")
+		entries := make([]*retries.Share, n)
+
+		for i := range entries {
+			entries[i] = newShare()
+		}
+
+		start := time.Unix(1000, 0)
+		fresh, again := make([]int, 300), make([]int, 300)
+
+		for tick := range fresh {
+			now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+
+			for i := range entries {
+				if rapid.IntRange(0, 400).Draw(t, "restart") == 0 {
+					entries[i] = newShare()
+				}
+
+				for range rapid.IntRange(0, 3).Draw(t, "fresh") {
+					entries[i].Fresh(now, "drafts", n)
+
+					fresh[tick]++
+				}
+
+				for entries[i].Take(now, "drafts", n) {
+					again[tick]++
+				}
+			}
+		}
+
+		// Fresh requests count in the window, the one before it, or the one half a
+		// window before it, whichever has most.
+		for end := 100; end <= len(fresh); end += 7 {
+			paid := max(sumOf(fresh, end-100, end), sumOf(fresh, end-150, end-50), sumOf(fresh, end-200, end-100))
+			if got := float64(sumOf(again, end-100, end)); got > shareRatio*float64(paid)+shareSlack {
+				t.Fatalf("%d entries: %.0f sends again in a window of %d requests", n, got, paid)
+			}
+		}
+	})
+}
+
+func sumOf(v []int, from, to int) int {
+	s := 0
+	for i := max(0, from); i < max(0, to); i++ {
+		s += v[i]
+	}
+
+	return s
+}
+
+// A group of twelve engines stalls once a minute and cuts some eighty streams at
+// seven entries at once. The budget is there for that: most go on elsewhere.
+func TestShareCoversOneStall(t *testing.T) {
+	t.Parallel()
+
+	now := time.Unix(1000, 0)
+	taken := 0
+
+	for e := range 7 {
+		s := newShare()
+		for i := range 80 { // ten seconds of eight requests a second
+			s.Fresh(now.Add(time.Duration(i)*125*time.Millisecond), "drafts", 7)
+		}
+
+		for s.Take(now.Add(shareWindow), "drafts", 7) {
+			taken++
+		}
+
+		require.False(t, s.Take(now.Add(shareWindow), "drafts", 7), fmt.Sprint(e))
+	}
+
+	require.Greater(t, taken, 55)
+}
+
+func TestSharesOfServicesAreApart(t *testing.T) {
+	t.Parallel()
+
+	s := newShare()
+	now := time.Unix(1000, 0)
+	s.Fresh(now, "drafts", 1)
+	s.Fresh(now, "desk", 1)
+
+	now = now.Add(shareWindow)
+	for s.Take(now, "drafts", 1) {
+		continue
+	}
+
+	require.True(t, s.Take(now, "desk", 1))
+}
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,153 @@
+package routes_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/routes"
+)
+
+// declaration returns a right one, changed by edit.
+func declaration(edit func(d *routes.Declaration)) routes.Declaration {
+	d := routes.Declaration{
+		Number: 7,
+		Services: []routes.Service{
+			{Name: "drafts", MostConnections: 298, Cold: 3 * time.Second, ColdPerSecond: 26, HealthPath: "/health", Slots: 12, Experts: routes.ExpertShape{Sets: 4, Experts: 72, Places: 8, Spare: 3}},
+			{Name: "desk", MostConnections: 120},
+		},
+		Routes: []routes.Route{
+			{Name: "a", Host: "Desk.example", Prefix: "/kiln/", Timeout: time.Second, Aim: 100 * time.Millisecond, MostTargets: 1, Shares: []routes.Share{{Service: "desk", Weight: 1}}},
+			{Name: "b", Host: "desk.example", Prefix: "/kiln/drafts/", Repeat: routes.Resume, Stream: true, Timeout: 8 * time.Second, Gap: 120 * time.Millisecond, Priority: 1, Shares: []routes.Share{{Service: "drafts", Weight: 90}, {Service: "desk", Weight: 10}}},
+		},
+		Workspaces: []routes.Workspace{{Name: "coopers", Keys: []string{"k1", "k2"}, Priority: 1}},
+		Limits:     routes.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, Header: 3 * time.Second, Idle: 15 * time.Second},
+	}
+	if edit != nil {
+		edit(&d)
+	}
+
+	return d
+}
+
+// An operator sends a configuration that cannot be in force. It is refused with
+// what is wrong and where, and the one in force stays.
+func TestInvalidDeclarations(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		name string
+		edit func(d *routes.Declaration)
+		want string
+	}{
+		{name: "unknown service", edit: func(d *routes.Declaration) { d.Routes[0].Shares[0].Service = "gone" }, want: `route "a": service "gone" is not declared`},
+		{name: "no weight", edit: func(d *routes.Declaration) { d.Routes[0].Shares[0].Weight = 0 }, want: `route "a": the weights add up to 0`},
+		{name: "no share", edit: func(d *routes.Declaration) { d.Routes[0].Shares = nil }, want: `route "a": the weights add up to 0`},
+		{name: "no timeout", edit: func(d *routes.Declaration) { d.Routes[1].Timeout = 0 }, want: `route "b": the timeout is not above 0`},
+		{name: "same place", edit: func(d *routes.Declaration) { d.Routes[1].Prefix = "/kiln/" }, want: `route "b": another route has the same host and prefix`},
+		{name: "open prefix", edit: func(d *routes.Declaration) { d.Routes[0].Prefix = "/kiln" }, want: `route "a": the prefix does not begin and end with a slash`},
+		{name: "doubled service", edit: func(d *routes.Declaration) { d.Services[1].Name = "drafts" }, want: `service "drafts": has no name or is declared twice`},
+		{name: "shared key", edit: func(d *routes.Declaration) {
+			d.Workspaces = append(d.Workspaces, routes.Workspace{Name: "makers", Keys: []string{"k2"}})
+		}, want: `workspace "makers": shares a key with workspace "coopers"`},
+	}
+
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			_, err := routes.NewTable(declaration(c.edit))
+			require.EqualError(t, err, c.want)
+
+			var invalid *routes.InvalidError
+
+			require.ErrorAs(t, err, &invalid)
+		})
+	}
+}
+
+func TestFind(t *testing.T) {
+	t.Parallel()
+
+	table, err := routes.NewTable(declaration(nil))
+	require.NoError(t, err)
+
+	cases := []struct{ host, path, want string }{
+		{"desk.example", "/kiln/7", "a"},
+		{"DESK.example", "/kiln/", "a"},
+		{"desk.example", "/kiln/drafts/x/y", "b"},
+		{"desk.example", "/kiln/draftsx", "a"},
+		{"desk.example", "/kiln", ""},
+		{"desk.example", "/", ""},
+		{"desk.example", "", ""},
+		{"other.example", "/kiln/7", ""},
+		{"desk.example", "*", ""},
+	}
+	for _, c := range cases {
+		r := table.Find(c.host, c.path)
+		if c.want == "" {
+			require.Nil(t, r, c.path)
+
+			continue
+		}
+
+		require.NotNil(t, r, c.path)
+		require.Equal(t, c.want, r.Name, c.path)
+	}
+
+	require.Equal(t, "coopers", table.Workspace("k2").Name)
+	require.Nil(t, table.Workspace(""))
+	require.True(t, table.Keyed())
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	t.Parallel()
+
+	d := declaration(nil)
+	r := &d.Routes[1]
+	n := map[string]int{}
+
+	for i := range 1000 {
+		n[r.Pick(float64(i)/1000)]++
+	}
+
+	require.Equal(t, map[string]int{"drafts": 900, "desk": 100}, n)
+	// The largest number below 1 must not fall past the last share.
+	require.Equal(t, "desk", r.Pick(0.9999999999999999))
+}
+
+// A declaration goes over the wire to entries. What is lost on the way would be in
+// force nowhere while the operator was told that it is.
+func TestWireKeepsEverything(t *testing.T) {
+	t.Parallel()
+
+	d := declaration(nil)
+	require.Equal(t, d, routes.FromWire(d.ToWire()))
+}
+
+func FuzzFind(f *testing.F) {
+	f.Add("desk.example", "/kiln/drafts/1")
+
+	d := declaration(nil)
+
+	table, err := routes.NewTable(d)
+	require.NoError(f, err)
+
+	f.Fuzz(func(t *testing.T, host, path string) {
+		var want *routes.Route
+
+		for i := range d.Routes {
+			r := &d.Routes[i]
+			if strings.EqualFold(r.Host, host) && strings.ToLower(r.Host) == strings.ToLower(host) && strings.HasPrefix(path, r.Prefix) &&
+				(want == nil || len(r.Prefix) > len(want.Prefix)) {
+				want = r
+			}
+		}
+
+		if got := table.Find(host, path); (got == nil) != (want == nil) || got != nil && got.Name != want.Name {
+			t.Fatalf("%q %q: got %v, want %v", host, path, got, want)
+		}
+	})
+}
