--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -14,13 +15,16 @@
 	Ranks    Ranks
 	Settings Settings
 	Logger   *slog.Logger
+	// Tried is the highest version that a switch was tried with, also in earlier
+	// epochs: ranks that outlived them take only higher ones.
+	Tried uint64
 
 	switcher *Switcher
 	counter  *counter
 	current  Map
 	version  uint64
-	// tried is the highest version that a switch was tried with.
-	tried uint64
+	// refused counts the switches in a row that ranks would not prepare.
+	refused int
 }
 
 // leastCounts is how many choices a look must bring to tell something of demand.
@@ -58,7 +62,10 @@
 		return
 	}
 
-	if d.current == nil && !d.learn(looks) {
+	highest := highestVersion(reportsOf(looks))
+	d.Tried = max(d.Tried, highest)
+
+	if d.current == nil && !d.learn(looks, highest) {
 		return
 	}
 
@@ -80,14 +87,7 @@
 }
 
 // learn takes the map in use from the ranks' own lists.
-func (d *Director) learn(looks []Look) bool {
-	reports := make([]Report, 0, len(looks))
-	for _, l := range looks {
-		reports = append(reports, l.Report)
-	}
-
-	highest := highestVersion(reports)
-
+func (d *Director) learn(looks []Look, highest uint64) bool {
 	m, err := mapOf(looks)
 	if err != nil || len(m) != d.Shape.Sets {
 		d.Logger.Info("The map in use is not known yet.", "error", err)
@@ -96,7 +96,6 @@
 	}
 
 	d.current, d.version = m, looks[0].ListsOf
-	d.tried = max(d.tried, highest)
 	d.switcher.Begin(highest)
 
 	return true
@@ -121,11 +120,19 @@
 	d.Logger.Info("Map switch.", "version", version, "skewBefore", fmt.Sprintf("%.2f", before), "skewAfter", fmt.Sprintf("%.2f", after),
 		"planned", planned.Sub(began).Round(time.Millisecond), "took", time.Since(planned).Round(time.Millisecond), "error", err)
 
-	if err == nil {
-		d.current, d.version = next, version
+	switch {
+	case err == nil:
+		d.current, d.version, d.refused = next, version, 0
+	case errors.Is(err, errPrepare):
+		// Some rank has had a higher version, in an epoch that this agent has not seen.
+		d.refused++
+		d.Tried += 1 << min(d.refused, versionJump)
 	}
 }
 
+// versionJump bounds how far the version jumps at once, as a power of two.
+const versionJump = 16
+
 // best weighs maps that need few copies, and are there soon, against better ones.
 func (d *Director) best(demand Demand, before float64) (Map, float64) {
 	best, bestAfter, bestSaved := d.current, before, 0.0
@@ -145,7 +152,50 @@
 
 // nextVersion returns a version that no rank has had.
 func (d *Director) nextVersion() uint64 {
-	d.tried = max(d.tried, d.version) + 1
+	d.Tried = max(d.Tried, d.version) + 1
+
+	return d.Tried
+}
+
+// Standby stands in for a directing agent that is gone: without it, a step that was
+// held in a switch would stay held until that agent has started again. It does
+// nothing but free the group, which is safe beside a director that still lives:
+// the one with the lower fencing number is refused. Its fields are set before Run.
+type Standby struct {
+	Ranks    Ranks
+	Settings Settings
+	Logger   *slog.Logger
+	// Director reports whether the directing agent answers.
+	Director func(ctx context.Context) bool
+}
 
-	return d.tried
+// standbyLooks is how many times in a row the directing agent must not have
+// answered while a step is held.
+const standbyLooks = 2
+
+// Run watches until ctx ends.
+func (s *Standby) Run(ctx context.Context) {
+	switcher := &Switcher{Ranks: s.Ranks, Settings: s.Settings, Logger: s.Logger}
+	missed := 0
+
+	for pause(ctx, s.Settings.LookEvery) {
+		if s.Director(ctx) {
+			missed = 0
+
+			continue
+		}
+
+		if missed++; missed < standbyLooks {
+			continue
+		}
+
+		look, err := s.Ranks.Look(ctx, 0, Question{})
+		if err != nil || !look.Report.Holds {
+			continue
+		}
+
+		if err := switcher.Free(context.WithoutCancel(ctx)); err != nil {
+			s.Logger.Warn("A step is held, its director is gone, and it is not freed yet.", "error", err)
+		}
+	}
 }
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -120,6 +120,11 @@
 	loads   []float64
 	mean    float64
 	newHere []int
+	// powers is the sum of the loads' eighth powers, in parts of the mean; shifts are
+	// the changes of the loads of the touched ranks that are weighed just now.
+	powers  float64
+	shifts  []float64
+	touched []int
 
 	found bool
 	next  change
@@ -129,7 +134,7 @@
 	p := &setPlan{
 		shape: shape, ranks: ranks, demand: demand, holders: make([]int, shape.Experts),
 		has: make([]bool, shape.Ranks*shape.Experts), loads: make([]float64, shape.Ranks),
-		newHere: make([]int, shape.Ranks),
+		newHere: make([]int, shape.Ranks), shifts: make([]float64, shape.Ranks),
 	}
 
 	for r, experts := range ranks {
@@ -151,6 +156,10 @@
 		p.mean += l / float64(shape.Ranks)
 	}
 
+	for _, l := range p.loads {
+		p.powers += power(l / max(p.mean, math.SmallestNonzeroFloat64))
+	}
+
 	return p
 }
 
@@ -260,64 +269,64 @@
 // The norm stands for the load of the most loaded rank, and sees progress also
 // while several ranks are loaded alike.
 func (p *setPlan) gain(c change) float64 {
-	before := p.norm()
-	kept := slices.Clone(p.loads)
-
 	p.shift(c)
 
-	after := p.norm()
+	after := p.powers
 
-	copy(p.loads, kept)
+	for _, r := range p.touched {
+		after += power((p.loads[r]+p.shifts[r])/p.mean) - power(p.loads[r]/p.mean)
+		p.shifts[r] = 0
+	}
 
-	return before - after
-}
+	p.touched = p.touched[:0]
 
-func (p *setPlan) norm() float64 {
-	sum := 0.0
+	return root(p.powers) - root(max(after, 0))
+}
 
-	for _, l := range p.loads {
-		x := l / p.mean
-		x *= x
-		x *= x
-		x *= x
-		sum += x
-	}
+func power(x float64) float64 {
+	x *= x
+	x *= x
 
-	return math.Sqrt(math.Sqrt(math.Sqrt(sum)))
+	return x * x
 }
 
-// shift changes the loads as c would.
+func root(x float64) float64 { return math.Sqrt(math.Sqrt(math.Sqrt(x))) }
+
+// shift notes by how much the loads would change with c.
 func (p *setPlan) shift(c change) {
 	e, f := c.expert, c.out
 
 	switch {
 	case c.moved && f == none:
-		p.loads[c.from] -= p.part(e)
-		p.loads[c.to] += p.part(e)
+		p.add(c.from, -p.part(e))
+		p.add(c.to, p.part(e))
 	case c.moved:
 		diff := p.part(e) - p.part(f)
-		p.loads[c.from] -= diff
-		p.loads[c.to] += diff
+		p.add(c.from, -diff)
+		p.add(c.to, diff)
 	default:
-		p.spread(e, p.holders[e]+1)
-		p.loads[c.to] += p.demand[e] / float64(p.holders[e]+1)
+		p.spread(e, p.holders[e]+1, none)
+		p.add(c.to, p.demand[e]/float64(p.holders[e]+1))
 
 		if f != none {
-			p.loads[c.to] -= p.part(f)
-			p.spreadBut(f, p.holders[f]-1, c.to)
+			p.add(c.to, -p.part(f))
+			p.spread(f, p.holders[f]-1, c.to)
 		}
 	}
 }
 
-// spread changes the loads of e's holders as if it had n.
-func (p *setPlan) spread(e, n int) { p.spreadBut(e, n, none) }
+func (p *setPlan) add(r int, load float64) {
+	p.touched = append(p.touched, r)
+	p.shifts[r] += load
+}
 
-func (p *setPlan) spreadBut(e, n, but int) {
+// spread changes the loads of e's holders but one as if it had n holders.
+func (p *setPlan) spread(e, n, but int) {
 	diff := p.demand[e]/float64(n) - p.part(e)
 
 	for r := range p.loads {
 		if r != but && p.holds(r, e) {
-			p.loads[r] += diff
+			p.add(r, diff)
 		}
 	}
 }
@@ -329,6 +338,15 @@
 
 	p.shift(c)
 
+	for _, r := range p.touched {
+		p.powers -= power(p.loads[r] / p.mean)
+		p.loads[r] += p.shifts[r]
+		p.shifts[r] = 0
+		p.powers += power(p.loads[r] / p.mean)
+	}
+
+	p.touched = p.touched[:0]
+
 	if c.moved {
 		p.drop(c.from, c.expert)
 	}
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -29,7 +29,7 @@
 	// rankWatch is how often an agent looks whether its rank is the first one.
 	rankWatch = 500 * time.Millisecond
 	// rankPeer bounds one question to another agent; then its engine is asked itself.
-	rankPeer = 200 * time.Millisecond
+	rankPeer = 120 * time.Millisecond
 	// rankStop bounds how long a stopping agent finishes a switch.
 	rankStop = 3 * time.Second
 )
@@ -56,6 +56,9 @@
 	clients  followClients
 	peers    *http.Client
 
+	// tried is the highest version of a map that this agent tried, in any epoch.
+	tried uint64
+
 	mu      sync.Mutex
 	engines map[netip.AddrPort]lockstep.Engine
 }
@@ -98,13 +101,17 @@
 	return loads.Load{Running: r.Running, Waiting: r.Waiting}, err
 }
 
-// watch directs the group while this VM's rank is its first one.
+// standbyRank is the rank whose agent stands by for the directing one.
+const standbyRank = 1
+
+// watch directs the group while this VM's rank is its first one, and stands by
+// while it is the second.
 func (a *RankAgent) watch(ctx context.Context) {
 	tick := time.NewTicker(rankWatch)
 	defer tick.Stop()
 
 	for {
-		if r, err := a.Engine.Report(ctx); err == nil && r.Group != "" && r.Rank == 0 && r.Size > 0 {
+		if r, err := a.Engine.Report(ctx); err == nil && r.Group != "" && r.Rank <= standbyRank && r.Size > standbyRank {
 			a.direct(ctx, r)
 		}
 
@@ -141,15 +148,11 @@
 
 	go a.watchEpoch(ctx, stop, r)
 
-	d := &lockstep.Director{
-		Shape: shape, Settings: lockstep.DefaultSettings(), Logger: a.Logs.Logger("experts"),
-		Ranks: lockstep.Ranks{Size: r.Size, Epoch: r.Epoch, Look: a.lookAt(r), Order: a.orderAt(r)},
-	}
 	done := make(chan struct{})
 
 	go func() {
 		defer close(done)
-		d.Run(ctx)
+		a.serveGroup(ctx, shape, r)
 	}()
 
 	<-ctx.Done()
@@ -161,6 +164,41 @@
 	}
 }
 
+// serveGroup directs the group, or stands by.
+func (a *RankAgent) serveGroup(ctx context.Context, shape lockstep.Shape, r lockstep.Report) {
+	logger := a.Logs.Logger("experts")
+	ranks := lockstep.Ranks{Size: r.Size, Epoch: r.Epoch, Look: a.lookAt(r), Order: a.orderAt(r)}
+
+	if r.Rank == standbyRank {
+		s := &lockstep.Standby{
+			Ranks: ranks, Settings: lockstep.DefaultSettings(), Logger: logger,
+			Director: func(ctx context.Context) bool { return a.answers(ctx, r, 0) },
+		}
+		s.Run(ctx)
+
+		return
+	}
+
+	d := &lockstep.Director{Shape: shape, Ranks: ranks, Settings: lockstep.DefaultSettings(), Logger: logger, Tried: a.tried}
+	d.Run(ctx)
+	a.tried = d.Tried
+}
+
+// answers reports whether the agent beside a rank answers.
+func (a *RankAgent) answers(ctx context.Context, group lockstep.Report, rank int) bool {
+	t, err := a.target(group, rank)
+	if err != nil {
+		return true
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, rankPeer)
+	defer cancel()
+
+	_, err = a.peer(t).Look(ctx, &wire.LookRequest{Cluster: a.Cluster})
+
+	return err == nil
+}
+
 // watchEpoch ends ctx once the group has another epoch or this rank is not the
 // first one any more.
 func (a *RankAgent) watchEpoch(ctx context.Context, stop context.CancelFunc, was lockstep.Report) {
