Drive orders by what ranks report, and hold at another rank than the director's

Cause: groups stayed held for seconds after a kill of the agent that gave the last order, while orders went unanswered: each phase needed all twelve ranks to answer within three tries.

Change: an order is given again only to ranks that have not taken it, until their reports say so; a misfit after an unanswered order counts as taken. Rank 1 holds the step, on the word of its own agent: where that dies the director lets the group go on itself. The standby leaves the group to a director that answers again.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -189,13 +189,30 @@
 			continue
 		}
 
-		look, err := s.Ranks.Look(ctx, 0, Question{})
+		look, err := s.Ranks.Look(ctx, switcher.holder(), Question{})
 		if err != nil || !look.Report.Holds {
 			continue
 		}
 
-		if err := switcher.Free(context.WithoutCancel(ctx)); err != nil {
+		if err := s.free(ctx, switcher); err != nil {
 			s.Logger.Warn("A step is held, its director is gone, and it is not freed yet.", "error", err)
 		}
 	}
 }
+
+// free frees the group, and leaves it to the directing agent as soon as that one
+// answers again: two that raise their numbers against each other free nothing.
+func (s *Standby) free(ctx context.Context, switcher *Switcher) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	go func() {
+		for pause(ctx, s.Settings.LookEvery) {
+			if s.Director(ctx) {
+				cancel()
+			}
+		}
+	}()
+
+	return switcher.Free(ctx)
+}
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -167,7 +167,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LookEvery: 150 * time.Millisecond, PollEvery: 20 * time.Millisecond,
-		PrepareTimeout: 5 * time.Second, ArmTimeout: 800 * time.Millisecond, GoTimeout: 2 * time.Second, OrderTimeout: 200 * time.Millisecond,
+		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond,
 		Ahead: 60 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 2, 4, 8}, Memory: time.Second,
 		CopyTime: 100 * time.Millisecond, SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -24,7 +24,7 @@
 //	go on its way            the same: the second hold outlasts it
 //	go carried out           not held: all ranks switch by themselves
 //
-// Ranks are armed only while rank 0 holds the step of the switch, and the hold is
+// Ranks are armed only while the holding rank holds the step of the switch, and the hold is
 // lifted only where every rank was seen armed, or every rank was seen disarmed
 // under a higher fencing number. So no step begins with two maps, whoever dies.
 type Switcher struct {
@@ -128,21 +128,103 @@
 	o.Map = toWire(m)
 	o.Ranks = uint32(s.Ranks.Size)
 
-	// An order that nobody answered may be carried out much later; given again, it
-	// is carried out now, and the late one no longer fits.
-	refused := s.orderAll(ctx, func(int) *wire.EngineOrder { return o }, orderTries)
-	if len(refused) > 0 {
-		return fmt.Errorf("%w: ranks %v", errPrepare, refused)
-	}
-
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.PrepareTimeout)
 	defer cancel()
 
-	return s.await(ctx, errPrepare, func(r *Report) bool { return r.Prepared == version })
+	return s.drive(ctx, errPrepare, func(int) *wire.EngineOrder { return o },
+		func(r *Report) bool { return r.Prepared == version })
+}
+
+// drive gives an order to all ranks until each of them has taken it and, where seen
+// is given, its report says so. An order without an answer may be lost, carried out
+// already, or be carried out seconds later: it is given again, and what the reports
+// say counts. A rank that refuses the first one that reaches it will not take it.
+func (s *Switcher) drive(ctx context.Context, failure error, order func(rank int) *wire.EngineOrder, seen func(*Report) bool) error {
+	ranks := make([]driven, s.Ranks.Size)
+
+	for {
+		if refused := s.orderMissing(ctx, ranks, order); len(refused) > 0 {
+			return fmt.Errorf("%w: refused by ranks %v", failure, refused)
+		}
+
+		missing := 0
+		reports, err := s.seen(ctx, seen)
+
+		switch {
+		case errors.Is(err, errState):
+			return err
+		case err != nil:
+			missing++
+		}
+
+		for rank := range ranks {
+			if !ranks[rank].taken || seen != nil && err == nil && !seen(&reports[rank]) {
+				missing++
+			}
+		}
+
+		switch {
+		case missing == 0:
+			return nil
+		case !pause(ctx, s.Settings.PollEvery):
+			return fmt.Errorf("%w: %d ranks are missing", failure, missing)
+		}
+	}
+}
+
+// seen looks at all ranks where that tells something.
+func (s *Switcher) seen(ctx context.Context, seen func(*Report) bool) ([]Report, error) {
+	if seen == nil {
+		return nil, nil
+	}
+
+	return s.lookAll(ctx)
+}
+
+// driven is what became of an order at one rank.
+type driven struct {
+	// taken is set once the rank has, or must have, taken it; unsure once an order
+	// got no answer.
+	taken, unsure bool
+}
+
+// orderMissing gives the order to the ranks that have not taken it yet, and returns
+// those that refuse it.
+func (s *Switcher) orderMissing(ctx context.Context, ranks []driven, order func(rank int) *wire.EngineOrder) []int {
+	results := make([]wire.EngineResult, len(ranks))
+
+	var g sync.WaitGroup
+
+	for rank := range ranks {
+		if !ranks[rank].taken {
+			g.Go(func() { results[rank] = s.orderAt(ctx, rank, order(rank), 1) })
+		}
+	}
+
+	g.Wait()
+
+	var refused []int
+
+	for rank := range ranks {
+		d := &ranks[rank]
+
+		switch {
+		case d.taken:
+		case results[rank] == wire.EngineResult_EngineDone, results[rank] == wire.EngineResult_EngineMisfit && d.unsure:
+			// One that no longer fits was taken when it got no answer.
+			d.taken = true
+		case results[rank] == wire.EngineResult_EngineUnknown:
+			d.unsure = true
+		default:
+			refused = append(refused, rank)
+		}
+	}
+
+	return refused
 }
 
-// orderTries is how often an order without an answer is given.
-const orderTries = 3
+// orderTries is how often an order to one rank is given where no answer comes.
+const orderTries = 4
 
 // commit holds a step, arms all ranks for it, and lets it begin.
 func (s *Switcher) commit(ctx context.Context, fence, version uint64) error {
@@ -151,7 +233,7 @@
 		return err
 	}
 
-	return s.goOn(ctx, 0, fence, step)
+	return s.goOn(ctx, s.holder(), fence, step)
 }
 
 // armAll holds a step and arms all ranks for it, and returns the step once all of
@@ -166,8 +248,10 @@
 	}
 
 	arm := s.order(wire.EngineOrderKind_EngineOrderArm, fence, version, step)
-	if refused := s.orderAll(ctx, func(int) *wire.EngineOrder { return arm }, orderTries); len(refused) > 0 {
-		return 0, fmt.Errorf("%w: ranks %v", errArm, refused)
+	armed := func(r *Report) bool { return r.Armed == version }
+
+	if err := s.drive(ctx, errArm, func(int) *wire.EngineOrder { return arm }, armed); err != nil {
+		return 0, err
 	}
 
 	reports, err := s.lookAll(ctx)
@@ -175,22 +259,28 @@
 		return 0, err
 	}
 
-	for i := range reports {
-		if reports[i].Armed != version {
-			return 0, fmt.Errorf("%w: rank %d: %+v", errArm, i, reports[i])
-		}
+	if slices.ContainsFunc(reports, func(r Report) bool { return !armed(&r) }) {
+		return 0, errArm
 	}
 
-	if !reports[0].Holds || reports[0].Held != step {
-		return 0, fmt.Errorf("%w: %+v", errHold, reports[0])
+	if h := reports[s.holder()]; !h.Holds || h.Held != step {
+		return 0, fmt.Errorf("%w: %+v", errHold, h)
 	}
 
 	return step, nil
 }
 
-// hold lets rank 0 hold a step that is near, and returns it once that is seen.
+// holder is the rank that holds the step of a switch. It is not the directing
+// agent's own: the agent beside it gives these orders, and where that one dies the
+// director still lets the group go on.
+func (s *Switcher) holder() int { return min(1, s.Ranks.Size-1) }
+
+// guard is the rank that holds a step beside the holder while ranks are disarmed.
+func (s *Switcher) guard() int { return min(2, s.Ranks.Size-1) }
+
+// hold lets the holder hold a step that is near, and returns it once that is seen.
 func (s *Switcher) hold(ctx context.Context, fence uint64) (uint64, error) {
-	look, err := s.Ranks.Look(ctx, 0, Question{})
+	look, err := s.Ranks.Look(ctx, s.holder(), Question{})
 
 	for range holdTries {
 		if err != nil {
@@ -198,11 +288,11 @@
 		}
 
 		step := look.Report.Step + leastAhead + uint64(s.Settings.Ahead/max(s.stepTime, shortestStep))
-		got := s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), 1)
+		got := s.orderAt(ctx, s.holder(), s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), 1)
 
 		// What the engine reports counts, not what it answered: an order without an
 		// answer may have been carried out, and then any step that is still to come will do.
-		look, err = s.Ranks.Look(ctx, 0, Question{})
+		look, err = s.Ranks.Look(ctx, s.holder(), Question{})
 		if err == nil && look.Report.Holds && look.Report.Held > look.Report.Step {
 			return look.Report.Held, nil
 		}
@@ -281,8 +371,8 @@
 
 	step, held := heldStep(reports)
 	if !held {
-		// A hold that nobody answered may still be on its way to rank 0.
-		s.orderAt(ctx, 0, s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, reports[0].Step), orderTries)
+		// A hold that nobody answered may still be on its way.
+		s.orderAt(ctx, s.holder(), s.order(wire.EngineOrderKind_EngineOrderGo, fence, 0, reports[0].Step), orderTries)
 
 		return nil
 	}
@@ -301,8 +391,8 @@
 
 	s.Logger.Warn("Hold lifted.", "step", step, "fence", fence)
 
-	for rank := s.Ranks.Size - 1; rank >= 0; rank-- {
-		if rank > guardRanks && !reports[rank].Holds {
+	for rank := range reports {
+		if rank != s.holder() && rank != s.guard() && !reports[rank].Holds {
 			continue
 		}
 
@@ -314,14 +404,11 @@
 	return nil
 }
 
-// guardRanks are the ranks beside rank 0 that hold a step while ranks are disarmed.
-const guardRanks = 1
-
-// holdTwice lets a second rank hold the step. The predecessor may have let rank 0 go
+// holdTwice lets two ranks hold the step. The predecessor may have let the holder go
 // on just before it died, and that order may still be on its way: the step would
 // begin while some ranks are disarmed and others are not.
 func (s *Switcher) holdTwice(ctx context.Context, fence, step uint64) error {
-	for rank := 1; rank <= min(guardRanks, s.Ranks.Size-1); rank++ {
+	for _, rank := range []int{s.guard(), s.holder()} {
 		if got := s.orderAt(ctx, rank, s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), orderTries); got != wire.EngineResult_EngineDone {
 			return fmt.Errorf("%w: rank %d: %s", errNotFreed, rank, got)
 		}
@@ -352,8 +439,11 @@
 		return s.order(wire.EngineOrderKind_EngineOrderDisarm, fence, version, 0)
 	}
 
-	if refused := s.orderAll(ctx, disarm, orderTries); len(refused) > 0 {
-		return fmt.Errorf("%w: ranks %v are not disarmed", errNotFreed, refused)
+	ctx, cancel := context.WithTimeout(ctx, s.Settings.GoTimeout)
+	defer cancel()
+
+	if err := s.drive(ctx, errNotFreed, disarm, nil); err != nil {
+		return err
 	}
 
 	after, err := s.lookAll(ctx)
@@ -439,29 +529,6 @@
 	return &wire.EngineOrder{Kind: kind, Epoch: s.Ranks.Epoch, Fence: fence, Version: version, Step: step}
 }
 
-// orderAll gives an order to all ranks and returns those that did not take it.
-func (s *Switcher) orderAll(ctx context.Context, order func(rank int) *wire.EngineOrder, tries int) []int {
-	done := make([]bool, s.Ranks.Size)
-
-	var g sync.WaitGroup
-
-	for rank := range done {
-		g.Go(func() { done[rank] = s.orderAt(ctx, rank, order(rank), tries) == wire.EngineResult_EngineDone })
-	}
-
-	g.Wait()
-
-	var refused []int
-
-	for rank, ok := range done {
-		if !ok {
-			refused = append(refused, rank)
-		}
-	}
-
-	return refused
-}
-
 // orderAt gives an order, again while nobody can tell what became of it.
 func (s *Switcher) orderAt(ctx context.Context, rank int, o *wire.EngineOrder, tries int) wire.EngineResult {
 	got := wire.EngineResult_EngineUnknown
@@ -535,22 +602,6 @@
 	return looks, nil
 }
 
-// await looks at all ranks until each satisfies ok.
-func (s *Switcher) await(ctx context.Context, failure error, ok func(*Report) bool) error {
-	for {
-		reports, err := s.lookAll(ctx)
-
-		switch {
-		case errors.Is(err, errState):
-			return err
-		case err == nil && !slices.ContainsFunc(reports, func(r Report) bool { return !ok(&r) }):
-			return nil
-		case !pause(ctx, s.Settings.PollEvery):
-			return failure
-		}
-	}
-}
-
 func toWire(m Map) []*wire.ExpertSet {
 	var out []*wire.ExpertSet
 
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -29,7 +29,7 @@
 	// rankWatch is how often an agent looks whether its rank is the first one.
 	rankWatch = 500 * time.Millisecond
 	// rankPeer bounds one question to another agent; then its engine is asked itself.
-	rankPeer = 120 * time.Millisecond
+	rankPeer = 70 * time.Millisecond
 	// rankStop bounds how long a stopping agent finishes a switch.
 	rankStop = 3 * time.Second
 )
