Let an entry's VM give the orders that stop a group

Change: Hold and go are relayed by an entry, which shares its VM with no engine; control VMs tell directing agents some entries. Prepare, arm and disarm still go by the rank's own agent, where they cost nothing.

Ruled out: all orders by an entry (26 instead of 2 priced orders a switch).

--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -34,6 +34,8 @@
 	dump     *dump.Dump
 	listener net.Listener
 	identity *identity.Identity
+	// internal is served at the admin address: the dump, and what a role adds.
+	internal *http.ServeMux
 }
 
 // processCommands returns the commands that run one role each, and check.
@@ -101,9 +103,11 @@
 
 	p := &process{
 		path: path, settings: s, listener: listener,
-		logs: logs.Output{Writer: stderr, Debug: logs.ParseDebug(s.Process.LogOutput)},
-		dump: &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID},
+		logs:     logs.Output{Writer: stderr, Debug: logs.ParseDebug(s.Process.LogOutput)},
+		dump:     &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID},
+		internal: http.NewServeMux(),
 	}
+	p.internal.Handle("/", p.dump.Handler())
 
 	if p.identity, err = loadIdentity(s, p.logs); err != nil {
 		return err
@@ -132,7 +136,7 @@
 		return nil, err
 	}
 
-	web := &http.Server{Handler: p.dump.Handler(), ReadHeaderTimeout: time.Second}
+	web := &http.Server{Handler: p.internal, ReadHeaderTimeout: time.Second}
 
 	go func() {
 		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/cmd/parsleygate/cmds/routing.go
+++ b/cmd/parsleygate/cmds/routing.go
@@ -37,6 +37,7 @@
 
 	e := &role.RoutingEntry{
 		Datagrams: datagrams, AgentPort: s.Seeds.Port,
+		Relay: s.Process.AdminAddress, EngineAt: platform.Engine, Internal: p.internal,
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Ready: ready,
 		Seeds: p.seeds(), Dialect: platform.Dialect(), Readiness: platform.Readiness,
 		Budget:     &retries.Share{Ratio: s.Routing.RetryRatio, Slack: s.Routing.RetrySlack, Window: s.Routing.RetryWindow},
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -19,6 +19,7 @@
 type follower struct {
 	asked   time.Time
 	leaving bool
+	relay   string
 }
 
 // announcements is what this VM heard from targets, and who follows it. The
@@ -55,6 +56,24 @@
 	return n
 }
 
+// mostRelays bounds the relays that are told: a director needs one or two.
+const mostRelays = 8
+
+// relays returns where some of the followers that stay relay orders to engines.
+func (a *announcements) relays() []string {
+	var out []string
+
+	for _, f := range a.followers {
+		if f.relay != "" && !f.leaving {
+			out = append(out, f.relay)
+		}
+	}
+
+	slices.Sort(out)
+
+	return out[:min(len(out), mostRelays)]
+}
+
 // Announce takes in a target's word. One of a zone or service that nobody declared
 // was named by another writer, and gets an *UndeclaredError: were it kept, it could
 // take the address of a target that is there.
@@ -150,7 +169,7 @@
 
 	err := s.askHeard(ctx, func(a *announcements) {
 		now := time.Now()
-		a.followers[r.GetID()] = follower{asked: now, leaving: r.GetLeaving()}
+		a.followers[r.GetID()] = follower{asked: now, leaving: r.GetLeaving(), relay: r.GetRelay()}
 
 		known := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.boot {
@@ -164,6 +183,7 @@
 
 		out.DirectoryRevision = a.heard.Revision()
 		out.Entries = a.following(now)
+		out.Relays = a.relays()
 		news = news || out.Full || out.DirectoryRevision > known
 	})
 
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,17 +57,18 @@
 	clients  followClients
 	peers    *http.Client
 
+	// relay is the entry that is tried first.
+	relay atomic.Int32
 	// tried is the highest version of a map that this agent tried, in any epoch.
 	tried uint64
 
-	mu      sync.Mutex
-	engines map[netip.AddrPort]lockstep.Engine
+	engines engines
 }
 
 // Run runs the role until ctx ends.
 func (a *RankAgent) Run(ctx context.Context) error {
 	a.logger = a.Logs.Logger("rank")
-	a.engines = make(map[netip.AddrPort]lockstep.Engine)
+	a.engines.at = a.EngineAt
 	a.peers = newFollowClient()
 
 	mux := http.NewServeMux()
@@ -283,18 +285,7 @@
 	return wire.NewRankPeerProtobufClient("http://"+netip.AddrPortFrom(t.Address.Addr(), own.Port()).String(), a.peers)
 }
 
-func (a *RankAgent) engineOf(t directory.Target) lockstep.Engine {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	e, ok := a.engines[t.Address]
-	if !ok {
-		e = a.EngineAt(t.Address)
-		a.engines[t.Address] = e
-	}
-
-	return e
-}
+func (a *RankAgent) engineOf(t directory.Target) lockstep.Engine { return a.engines.of(t.Address) }
 
 func (a *RankAgent) lookAt(group lockstep.Report) func(context.Context, int, lockstep.Question) (lockstep.Look, error) {
 	return func(ctx context.Context, rank int, q lockstep.Question) (lockstep.Look, error) {
@@ -324,21 +315,29 @@
 
 func (a *RankAgent) orderAt(group lockstep.Report) func(context.Context, int, *wire.EngineOrder) wire.EngineResult {
 	return func(ctx context.Context, rank int, o *wire.EngineOrder) wire.EngineResult {
-		if rank == group.Rank {
-			return a.Engine.Order(ctx, o)
-		}
-
 		t, err := a.target(group, rank)
 		if err != nil {
 			return wire.EngineResult_EngineUnknown
 		}
 
-		try, cancel := context.WithTimeout(ctx, rankPeer)
-		defer cancel()
-
 		sent := proto.CloneOf(o)
 		sent.Cluster = a.Cluster
 
+		if stopsTheGroup(o) {
+			if got := a.relayed(ctx, t, sent); got != wire.EngineResult_EngineUnknown {
+				return got
+			}
+
+			return a.engineOf(t).Order(ctx, o)
+		}
+
+		if rank == group.Rank {
+			return a.Engine.Order(ctx, o)
+		}
+
+		try, cancel := context.WithTimeout(ctx, rankPeer)
+		defer cancel()
+
 		if out, err := a.peer(t).Order(try, sent); err == nil && out.GetResult() != wire.EngineResult_EngineUnknown {
 			return out.GetResult()
 		}
@@ -347,6 +346,38 @@
 	}
 }
 
+// stopsTheGroup reports whether an order holds a step, or ends that. These go by a
+// VM without an engine: where a rank's own VM froze just after it had given one,
+// nobody could ask its engine whether it is armed, and the group would stand still
+// until that VM wakes.
+func stopsTheGroup(o *wire.EngineOrder) bool {
+	return o.GetKind() == wire.EngineOrderKind_EngineOrderHold || o.GetKind() == wire.EngineOrderKind_EngineOrderGo
+}
+
+// relayTries is how many entries are tried.
+const relayTries = 2
+
+// relayed gives an order by way of an entry.
+func (a *RankAgent) relayed(ctx context.Context, t directory.Target, o *wire.EngineOrder) wire.EngineResult {
+	relays := a.follower.State().Relays
+
+	for i := range min(relayTries, len(relays)) {
+		at := relays[(int(a.relay.Load())+i)%len(relays)]
+		try, cancel := context.WithTimeout(ctx, rankPeer)
+		out, err := wire.NewEngineRelayProtobufClient("http://"+at.String(), a.peers).Relay(try, &wire.RelayedOrder{Engine: t.Address.String(), Order: o})
+
+		cancel()
+
+		if err == nil && out.GetResult() != wire.EngineResult_EngineUnknown {
+			return out.GetResult()
+		}
+
+		a.relay.Add(1)
+	}
+
+	return wire.EngineResult_EngineUnknown
+}
+
 // look looks at this VM's engine.
 func (a *RankAgent) look(ctx context.Context, q lockstep.Question) (lockstep.Look, error) {
 	report, err := a.Engine.Report(ctx)
--- a/internal/role/routing.go
+++ b/internal/role/routing.go
@@ -17,10 +17,12 @@
 	"github.com/parsleygate/parsleygate/internal/door"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/loads"
+	"github.com/parsleygate/parsleygate/internal/lockstep"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/relay"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 const (
@@ -58,6 +60,10 @@
 	// agents take asks for them.
 	Datagrams net.PacketConn
 	AgentPort uint16
+	// Relay is where Internal is served; agents reach EngineAt's engines through it.
+	Relay    netip.AddrPort
+	EngineAt func(netip.AddrPort) lockstep.Engine
+	Internal *http.ServeMux
 	// Seeds returns the control VMs of the settings as they are now.
 	Seeds func() []netip.AddrPort
 	// Dialect and Readiness are how the deployment speaks.
@@ -175,7 +181,7 @@
 	r.logger = r.Logs.Logger("entry")
 	r.follower = &view.Follower{
 		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Ask: r.clients.ask,
-		Leaving: r.stopping.Load, Logger: r.Logs.Logger("view"),
+		Leaving: r.stopping.Load, Relay: r.Relay, Logger: r.Logs.Logger("view"),
 		OnChange: func(f *view.Followed) { r.relay.Change(f) },
 	}
 	r.relay = &relay.Relay{
@@ -187,5 +193,6 @@
 
 	r.follower.Init()
 	r.relay.Init()
+	r.Internal.Handle(wire.EngineRelayPathPrefix, wire.NewEngineRelayServer(&engineRelay{cluster: r.Cluster, engines: engines{at: r.EngineAt}}))
 	r.Dump.Add("Relay", func() any { return r.relay.Dump() })
 }
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -24,6 +24,9 @@
 	Targets  []directory.Target
 	// Entries is how many entries share the targets, this one included.
 	Entries int
+	// Relays are where some processes relay orders to engines, by the control VM that
+	// answered last.
+	Relays []netip.AddrPort
 	// Answered is how many control VMs have answered since the start.
 	Answered int
 	// First is when the first of them answered.
@@ -48,6 +51,8 @@
 	Ask func(ctx context.Context, control netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error)
 	// Leaving says that this process stops.
 	Leaving func() bool
+	// Relay is where this process relays orders to engines; invalid where it does not.
+	Relay netip.AddrPort
 	// OnChange is called with each new state, one call at a time.
 	OnChange func(*Followed)
 	Settings FollowerSettings
@@ -207,6 +212,10 @@
 		DirectoryBoot: k.boot, DirectoryRevision: k.revision, Leaving: f.Leaving != nil && f.Leaving(),
 	}
 
+	if f.Relay.IsValid() {
+		r.Relay = f.Relay.String()
+	}
+
 	if k.boot != 0 && k.fails == 0 {
 		r.WaitMillis = uint64(f.Settings.Wait.Milliseconds())
 	}
@@ -269,6 +278,16 @@
 		changed = true
 	}
 
+	relays, err := addresses(out.GetRelays())
+	if err != nil {
+		return err
+	}
+
+	if !slices.Equal(relays, next.Relays) {
+		next.Relays = relays
+		changed = true
+	}
+
 	if changed {
 		f.current.Store(&next)
 		f.OnChange(&next)
@@ -303,20 +322,29 @@
 }
 
 func (f *Follower) takeMembers(control netip.AddrPort, controls []string) error {
-	members := make([]netip.AddrPort, 0, len(controls))
+	members, err := addresses(controls)
+	if err != nil {
+		return err
+	}
+
+	f.members[control] = members
+
+	return nil
+}
+
+func addresses(texts []string) ([]netip.AddrPort, error) {
+	out := make([]netip.AddrPort, 0, len(texts))
 
-	for _, c := range controls {
-		a, err := netip.ParseAddrPort(c)
+	for _, t := range texts {
+		a, err := netip.ParseAddrPort(t)
 		if err != nil {
-			return err //nolint:wrapcheck // names the address itself
+			return nil, err //nolint:wrapcheck // names the address itself
 		}
 
-		members = append(members, a)
+		out = append(out, a)
 	}
 
-	f.members[control] = members
-
-	return nil
+	return out, nil
 }
 
 func (f *Follower) takeTargets(now time.Time, next *Followed, out *wire.FollowResponse) bool {
