--- /dev/null
+++ b/internal/control/documents_test.go
@@ -0,0 +1,246 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/control"
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// publishing is a control VM whose operators decide in one step.
+func publishing(t *testing.T) (*control.Server, *control.MemoryLog) {
+	t.Helper()
+
+	log := &control.MemoryLog{}
+	s := &control.Server{
+		Cluster: "trust", VM: "c1", Propose: log.Propose, Read: log.Read,
+		Zones: map[string]string{"a": "r", "b": "r"}, AnnounceEvery: time.Second,
+		ReadDocument: func(sent []byte) (*wire.RouteTable, error) {
+			name, number, _ := strings.Cut(string(sent), " ")
+
+			return &wire.RouteTable{Services: []*wire.RoutedService{{Name: name, HealthPath: number}}}, nil
+		},
+		Controls: func() []string { return []string{"127.0.0.1:1"} },
+	}
+	s.Init()
+	log.Apply = s.Apply
+
+	ctx, stop := context.WithCancel(t.Context())
+
+	var g sync.WaitGroup
+
+	g.Go(func() { _ = s.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		g.Wait()
+	})
+
+	return s, log
+}
+
+// Operators race, resend after lost answers, and old changes arrive again. The
+// highest number rules, with the content under which it was accepted first; all of
+// them are acknowledged, and what is read back is what was sent.
+func TestDocumentsByTheirNumbers(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := publishing(t)
+		ctx := t.Context()
+
+		none, err := s.Document(ctx)
+		require.NoError(t, err)
+		require.Nil(t, none)
+
+		for _, d := range []struct {
+			number uint64
+			sent   string
+			want   string
+		}{
+			{3, "desk third", "desk third"},
+			{2, "desk second", "desk third"},
+			{3, "desk other", "desk third"},
+			{9, "desk ninth", "desk ninth"},
+			{3, "desk third", "desk ninth"},
+			{9, "desk ninth", "desk ninth"},
+		} {
+			require.NoError(t, s.Adopt(ctx, d.number, []byte(d.sent)))
+
+			got, err := s.Document(ctx)
+			require.NoError(t, err)
+			require.Equal(t, d.want, string(got))
+		}
+	})
+}
+
+// A control VM is cut off from the others, or wakes from a suspension. It cannot
+// know whether its configuration is the newest, and says so rather than show it.
+func TestDocumentIsNotReadWithoutAQuorum(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := publishing(t)
+		require.NoError(t, s.Adopt(t.Context(), 1, []byte("desk first")))
+
+		s.Read = func(context.Context) (time.Time, uint64, error) { return time.Time{}, 0, errors.New("no quorum") }
+		_, err := s.Document(t.Context())
+		require.Error(t, err)
+	})
+}
+
+// The state that documents and zone orders make survives snapshots, which is what a
+// control VM that joins, or restarts, gets.
+func TestDocumentsOutliveASnapshot(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		first, _ := publishing(t)
+		second, _ := publishing(t)
+		sent := "desk " + strings.Repeat("route ", 20000)
+
+		require.NoError(t, first.Adopt(t.Context(), 5, []byte(sent)))
+		require.NoError(t, first.OrderZone(t.Context(), "b", true))
+		require.NoError(t, second.Restore(first.Snapshot()))
+
+		got, err := second.Document(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, sent, string(got))
+
+		out, err := second.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+		require.NoError(t, err)
+		require.Equal(t, []string{"b"}, out.GetZonesOut())
+		require.Equal(t, uint64(5), out.GetNumber())
+		require.Equal(t, "desk", out.GetTable().GetServices()[0].GetName())
+
+		require.NoError(t, second.Adopt(t.Context(), 4, []byte("desk older")))
+
+		got, err = second.Document(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, sent, string(got), "an older number changes nothing after a restart either")
+	})
+}
+
+// A zone is taken out twice, since the first answer was lost, and back in. Zones
+// that nobody declared are refused.
+func TestZoneOrders(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := publishing(t)
+		follow := func() []string {
+			out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+			require.NoError(t, err)
+
+			return out.GetZonesOut()
+		}
+
+		for range 2 {
+			require.NoError(t, s.OrderZone(t.Context(), "a", true))
+			require.Equal(t, []string{"a"}, follow())
+		}
+
+		require.NoError(t, s.OrderZone(t.Context(), "a", false))
+		require.Empty(t, follow())
+
+		var undeclared *control.UndeclaredError
+
+		require.ErrorAs(t, s.OrderZone(t.Context(), "z", true), &undeclared)
+	})
+}
+
+func announced(id, service, zone string) directory.Target {
+	return directory.Target{ID: id, Born: 1, Sequence: 1, Service: service, Zone: zone, Address: netip.MustParseAddrPort("10.0.0.1:80")}
+}
+
+// Another writer names targets of services and zones that nobody declared. Kept,
+// such a target could take the address of one that is there.
+func TestUndeclaredTargetsAreRefused(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := publishing(t)
+
+		var undeclared *control.UndeclaredError
+
+		require.NoError(t, s.Announce(t.Context(), announced("i1", "anything", "a")), "without a document nobody can tell")
+		require.NoError(t, s.Adopt(t.Context(), 1, []byte("desk first")))
+		require.NoError(t, s.Announce(t.Context(), announced("i2", "desk", "a")))
+		require.ErrorAs(t, s.Announce(t.Context(), announced("i3", "other", "a")), &undeclared)
+		require.ErrorAs(t, s.Announce(t.Context(), announced("i4", "desk", "z")), &undeclared)
+	})
+}
+
+// An entry that follows is told at once of a new document, a zone that goes out, a
+// target that comes and one that drains, though it asked to be held for longer.
+func TestFollowersAreWokenAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := publishing(t)
+		known := &wire.FollowRequest{Cluster: "trust", ID: "e", WaitMillis: 1500}
+		next := func() *wire.FollowResponse {
+			out, err := s.Follow(t.Context(), known)
+			require.NoError(t, err)
+
+			known.KnownIndex, known.KnownNumber = out.GetIndex(), max(known.GetKnownNumber(), out.GetNumber())
+			known.DirectoryBoot, known.DirectoryRevision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
+
+			return out
+		}
+		require.True(t, next().GetFull())
+
+		for i, change := range []func() error{
+			func() error { return s.Adopt(t.Context(), 1, []byte("desk first")) },
+			func() error { return s.OrderZone(t.Context(), "a", true) },
+			func() error { return s.Announce(t.Context(), announced("i1", "desk", "a")) },
+			func() error { return s.Leave(t.Context(), "i1") },
+		} {
+			began := time.Now()
+
+			time.AfterFunc(100*time.Millisecond, func() {
+				if err := change(); err != nil {
+					t.Error(err)
+				}
+			})
+
+			out := next()
+			require.Less(t, time.Since(began), 110*time.Millisecond, fmt.Sprint(i))
+			require.Equal(t, uint32(1), out.GetEntries())
+		}
+
+		began := time.Now()
+		require.Empty(t, next().GetTargets())
+		require.Equal(t, 1500*time.Millisecond, time.Since(began), "nothing happened")
+	})
+}
+
+// Entries share what all of them together may do, so they must know how many they
+// are: those that leave or fell silent do not count.
+func TestFollowersAreCounted(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := publishing(t)
+		follow := func(id string, leaving bool) *wire.FollowResponse {
+			out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: id, Leaving: leaving, Relay: "10.0.0.1:" + id[1:]})
+			require.NoError(t, err)
+
+			return out
+		}
+		follow("e1", false)
+		follow("e2", false)
+
+		out := follow("e3", true)
+		require.Equal(t, uint32(2), out.GetEntries())
+		require.Equal(t, []string{"10.0.0.1:1", "10.0.0.1:2"}, out.GetRelays())
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint32(1), follow("e1", false).GetEntries())
+
+		_, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "qurum", ID: "e9"})
+		require.Error(t, err)
+	})
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -399,20 +399,14 @@
 	b := newBench(t, 1, 12, 1, nil)
 	one := b.offer(begin, nil)
 	running := func(now time.Time) int {
-		n := len(b.placed)
-
 		for {
 			id := b.offer(now, nil)
 			if _, ok := b.placed[id]; !ok {
 				b.Cancel("drafts", id)
 
-				n = len(b.placed)
-
-				break
+				return len(b.placed)
 			}
 		}
-
-		return n
 	}
 	require.Equal(t, 13, running(begin))
 
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -491,7 +491,6 @@
 
 	version := highestVersion(reports) + supersedeBy
 	m, err := mapOf(looks)
-
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/role/member_test.go
@@ -0,0 +1,65 @@
+package role_test
+
+import (
+	"net/netip"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/role"
+)
+
+var (
+	seedOne = netip.MustParseAddrPort("10.0.0.1:7300")
+	seedTwo = netip.MustParseAddrPort("10.0.0.2:7300")
+)
+
+// A control VM is the same member as long as its data folder is there, whatever its
+// settings say by then, and another one when the folder is lost: what the lost one
+// voted and acknowledged must not be counted for it.
+func TestMemberIsWhoItsFolderSays(t *testing.T) {
+	t.Parallel()
+
+	dir := t.TempDir()
+	seeds := []netip.AddrPort{seedOne, seedTwo}
+
+	first, err := role.OpenMember(dir, seedOne, seeds, true)
+	require.NoError(t, err)
+	require.Equal(t, "10.0.0.1", first.ID)
+	require.Len(t, first.Founders(), 2)
+
+	again, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedTwo}, false)
+	require.NoError(t, err)
+	require.Equal(t, first, again, "the seeds were exchanged meanwhile")
+
+	require.NoError(t, os.RemoveAll(dir))
+
+	lost, err := role.OpenMember(dir, seedOne, seeds, false)
+	require.NoError(t, err)
+	require.NotEqual(t, first.ID, lost.ID)
+	require.Empty(t, lost.Founders())
+
+	other, err := role.OpenMember(t.TempDir(), seedOne, seeds, false)
+	require.NoError(t, err)
+	require.NotEqual(t, lost.ID, other.ID)
+}
+
+// More VMs with disks than seeds start for the first time: those that are no seeds join.
+func TestMemberThatIsNoSeedJoins(t *testing.T) {
+	t.Parallel()
+
+	m, err := role.OpenMember(t.TempDir(), netip.MustParseAddrPort("10.0.0.3:7300"), []netip.AddrPort{seedOne, seedTwo}, true)
+	require.NoError(t, err)
+	require.Empty(t, m.Founders())
+}
+
+// A member file that cannot be read is no reason to make another member.
+func TestUnreadableMember(t *testing.T) {
+	t.Parallel()
+
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(dir+"/member.json", []byte("{torn"), 0o600))
+	_, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedOne}, true)
+	require.Error(t, err)
+}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -140,7 +140,7 @@
 
 		for i := range d.Routes {
 			r := &d.Routes[i]
-			if strings.EqualFold(r.Host, host) && strings.ToLower(r.Host) == strings.ToLower(host) && strings.HasPrefix(path, r.Prefix) &&
+			if sameHost(r.Host, host) && strings.HasPrefix(path, r.Prefix) &&
 				(want == nil || len(r.Prefix) > len(want.Prefix)) {
 				want = r
 			}
@@ -151,3 +151,11 @@
 		}
 	})
 }
+
+// sameHost compares as Find does. EqualFold would also fold letters that have no
+// lower case of their own.
+func sameHost(a, b string) bool {
+	a, b = strings.ToLower(a), strings.ToLower(b)
+
+	return a == b
+}
--- /dev/null
+++ b/internal/view/follower_test.go
@@ -0,0 +1,184 @@
+package view_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/view"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+var (
+	controlOne = netip.MustParseAddrPort("10.0.0.1:1")
+	controlTwo = netip.MustParseAddrPort("10.0.0.2:1")
+)
+
+// publishers are control VMs that a test drives.
+type publishers struct {
+	mu      sync.Mutex
+	answers map[netip.AddrPort]*wire.FollowResponse
+	silent  map[netip.AddrPort]bool
+}
+
+var errCut = errors.New("cut off")
+
+func (p *publishers) ask(ctx context.Context, at netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+	if r.GetWaitMillis() > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+
+	p.mu.Lock()
+	out, silent := p.answers[at], p.silent[at]
+	p.mu.Unlock()
+
+	if silent {
+		<-ctx.Done()
+
+		return nil, errCut
+	}
+
+	if out == nil {
+		return nil, errCut
+	}
+
+	return out, nil
+}
+
+func (p *publishers) set(at netip.AddrPort, out *wire.FollowResponse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.answers[at] = out
+}
+
+func table(number uint64, service string) *wire.RouteTable {
+	return &wire.RouteTable{Number: number, Services: []*wire.RoutedService{{Name: service}}}
+}
+
+func follow(t *testing.T, p *publishers, seeds ...netip.AddrPort) (*view.Follower, func()) {
+	t.Helper()
+
+	f := &view.Follower{
+		Cluster: "trust", ID: "e", Seeds: func() []netip.AddrPort { return seeds }, Ask: p.ask,
+		OnChange: func(*view.Followed) {},
+	}
+	f.Init()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		_ = f.Run(ctx)
+	}()
+
+	return f, func() {
+		cancel()
+		<-done
+	}
+}
+
+// One control VM is cut off and shows an old configuration. An entry that has seen
+// the new one at another never goes back, whichever answers last.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &publishers{answers: map[netip.AddrPort]*wire.FollowResponse{}, silent: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{Index: 5, Number: 2, Table: table(2, "old"), ZonesOut: []string{"a"}, DirectoryBoot: 1})
+		p.set(controlTwo, &wire.FollowResponse{Index: 9, Number: 7, Table: table(7, "new"), DirectoryBoot: 2})
+
+		f, stop := follow(t, p, controlOne, controlTwo)
+		defer stop()
+
+		time.Sleep(2 * time.Second)
+
+		s := f.State()
+		require.Equal(t, uint64(7), s.Number)
+		require.NotNil(t, s.Table.Service("new"))
+		require.Empty(t, s.ZonesOut)
+		require.Equal(t, 2, s.Answered)
+
+		p.set(controlOne, &wire.FollowResponse{Index: 10, Number: 7, ZonesOut: []string{"b"}, DirectoryBoot: 1})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []string{"b"}, f.State().ZonesOut)
+		require.NotNil(t, f.State().Table.Service("new"), "a state without a table keeps the one that is known")
+	})
+}
+
+// A seed is replaced by a control VM that the settings do not name. The entry
+// learns of it from the others and follows it too.
+func TestFollowerLearnsOtherControlVMs(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &publishers{answers: map[netip.AddrPort]*wire.FollowResponse{}, silent: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{Index: 1, DirectoryBoot: 1, Controls: []string{controlTwo.String()}})
+		p.set(controlTwo, &wire.FollowResponse{Index: 8, Number: 3, Table: table(3, "s"), DirectoryBoot: 2})
+
+		f, stop := follow(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(3 * time.Second)
+		require.Equal(t, uint64(8), f.State().Index)
+	})
+}
+
+// A connection goes silent for good. The question is given up after a second, and
+// the next one, over a new connection, brings what was missed.
+func TestFollowerGivesUpSilence(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &publishers{answers: map[netip.AddrPort]*wire.FollowResponse{}, silent: map[netip.AddrPort]bool{controlOne: true}}
+
+		f, stop := follow(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(100 * time.Millisecond)
+		p.set(controlOne, &wire.FollowResponse{Index: 2, Number: 1, Table: table(1, "s"), DirectoryBoot: 1})
+
+		p.mu.Lock()
+		p.silent[controlOne] = false
+		p.mu.Unlock()
+
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, uint64(1), f.State().Number)
+	})
+}
+
+// A control VM publishes a table, address or target that cannot be read. What is
+// known stays in force.
+func TestFollowerKeepsWhatItKnows(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &publishers{answers: map[netip.AddrPort]*wire.FollowResponse{}, silent: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{Index: 2, Number: 1, Table: table(1, "s"), DirectoryBoot: 1})
+
+		f, stop := follow(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(time.Second)
+
+		bad := table(2, "t")
+		bad.Routes = []*wire.Route{{Name: "r", Prefix: "/x/", TimeoutMillis: 1, Shares: []*wire.Share{{Service: "gone", Weight: 1}}}}
+		p.set(controlOne, &wire.FollowResponse{Index: 3, Number: 2, Table: bad, DirectoryBoot: 1})
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(1), f.State().Number)
+
+		p.set(controlOne, &wire.FollowResponse{Index: 4, Number: 3, Table: table(3, "t"), DirectoryBoot: 1, Targets: []*wire.TargetEntry{
+			{ID: "bad", Address: "nowhere", Born: 1}, {ID: "good", Address: "10.0.0.9:80", Service: "t", Born: 1, Sequence: 1},
+		}})
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(3), f.State().Number)
+		require.Len(t, f.State().Targets, 1)
+	})
+}
