Switch maps a step sooner, and begin with a low bound on crowding

A shift cost half a second, of which two slow steps were waited before a switch.

Change: the bound on crowding begins at 0.6 of the slots, for services of engines only (a plain service never shows pauses and would stay there); looks come each 100 ms, and a switch lies one step and 30 ms ahead: where the step comes before all are armed the hold costs some milliseconds.

--- a/internal/dispatch/crowding.go
+++ b/internal/dispatch/crowding.go
@@ -38,7 +38,7 @@
 	c.decided = now
 
 	if c.bound == 0 {
-		c.bound = float64(slots)
+		c.bound = startPart * float64(slots)
 	}
 
 	switch {
@@ -56,13 +56,15 @@
 	sharpestFall  = 0.75
 	leastCrowding = 2
 	riseStep      = 0.4
+	startPart     = 0.6
 )
 
 // limit returns how many requests t may have.
-func (c *crowding) limit(t *target, cfg *Settings) float64 {
+func (c *crowding) limit(t *target) float64 {
+	// All entries may just have started anew, with every caller coming back at once.
 	if c.bound == 0 {
-		return float64(t.Slots) + cfg.QueueAhead
+		return startPart * float64(t.Slots)
 	}
 
-	return min(c.bound, float64(t.Slots)+cfg.QueueAhead)
+	return c.bound
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	ColdPerSecond float64
 	// MostConnections is how many connections a target takes from all entries together.
 	MostConnections int
+	// Streams says that its targets are engines that stream, and slow each other down.
+	Streams bool
 }
 
 // Request is one request that wants a target.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -114,6 +114,16 @@
 	return out
 }
 
+// limit returns how many requests t may have.
+func (s *service) limit(t *target, cfg *Settings) float64 {
+	most := float64(t.Slots) + cfg.QueueAhead
+	if !s.Streams {
+		return most
+	}
+
+	return min(s.crowding.limit(t), most)
+}
+
 // order says which of two waiting requests goes first, where one that is placed now
 // is answered at due. The load pattern is a
 // burst above what the targets bear: first come, first served would make every
@@ -223,7 +233,7 @@
 		return obstacleBroken
 	case now.Before(t.pausedUntil):
 		return obstaclePaused
-	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.crowding.limit(t, &d.Settings):
+	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.limit(t, &d.Settings):
 		return obstacleFull
 	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
 		return obstacleConnections
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -166,9 +166,9 @@
 // DefaultSettings returns numbers for demand that shifts every few seconds.
 func DefaultSettings() Settings {
 	return Settings{
-		LookEvery: 150 * time.Millisecond, PollEvery: 20 * time.Millisecond,
+		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond,
-		Ahead: 60 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 2, 4, 8}, Memory: time.Second,
+		Ahead: 30 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 2, 4, 8}, Memory: time.Second,
 		CopyTime: 100 * time.Millisecond, SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -310,7 +310,7 @@
 
 const (
 	// leastAhead is how many steps lie at least between now and a switch.
-	leastAhead = 2
+	leastAhead = 1
 	// shortestStep bounds from below how long a step is thought to take.
 	shortestStep = 15 * time.Millisecond
 )
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,7 +86,7 @@
 	services := make([]dispatch.Service, 0, len(f.Table.Services))
 	for _, s := range f.Table.Services {
 		services = append(services, dispatch.Service{
-			Name: s.Name, ColdPerSecond: s.ColdPerSecond, MostConnections: s.MostConnections,
+			Name: s.Name, ColdPerSecond: s.ColdPerSecond, MostConnections: s.MostConnections, Streams: s.Slots > 0,
 		})
 	}
 
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -28,7 +28,7 @@
 
 const (
 	// rankWatch is how often an agent looks whether its rank is the first one.
-	rankWatch = 500 * time.Millisecond
+	rankWatch = 200 * time.Millisecond
 	// rankPeer bounds one question to another agent; then its engine is asked itself.
 	rankPeer = 70 * time.Millisecond
 	// rankStop bounds how long a stopping agent finishes a switch.
@@ -243,7 +243,7 @@
 		select {
 		case <-ctx.Done():
 			return lockstep.Shape{}, false
-		case <-time.After(rankWatch / 2):
+		case <-time.After(rankWatch / 4):
 		}
 	}
 }
