Explain a failed request from logs and metrics

Cause: a refused or failed request left a line without its workspace, time left or the state that decided; logs were written where a reader that stands still stops the process; metrics were JSON of other roles only; nothing told the course of one request.

Change: log lines go through a bounded queue that drops and counts; served requests are sampled, all others logged, with the inputs that decided them; counters, gauges and histograms of the relay, as text at /metrics.txt, with a generated reference; commands trace (one request over several logs, in words) and dump.

--- a/cmd/parsleygate/cmds/cmds.go
+++ b/cmd/parsleygate/cmds/cmds.go
@@ -28,7 +28,7 @@
 		Short:        "Load balancer for expert-parallel model groups",
 		SilenceUsage: true,
 	}
-	root.AddCommand(newLocal(), newLoad(), newStandin(), newMember(), newDocs())
+	root.AddCommand(newLocal(), newLoad(), newStandin(), newMember(), newTrace(), newDump(), newDocs())
 	root.AddCommand(processCommands()...)
 	root.AddCommand(operatorCommands()...)
 
--- a/cmd/parsleygate/cmds/docs.go
+++ b/cmd/parsleygate/cmds/docs.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/cobra/doc"
 
+	"github.com/parsleygate/parsleygate/internal/relay"
 	"github.com/parsleygate/parsleygate/internal/settings"
 )
 
@@ -40,6 +41,10 @@
 		return eris.Wrap(err, "write the settings reference")
 	}
 
+	if err := os.WriteFile(filepath.Join(dir, "METRICS.md"), []byte(relay.MetricsReference()), docsFile); err != nil {
+		return eris.Wrap(err, "write the metrics reference")
+	}
+
 	root.DisableAutoGenTag = true
 
 	return eris.Wrap(doc.GenMarkdownTree(root, cli), "write the command reference")
--- a/cmd/parsleygate/cmds/docs_test.go
+++ b/cmd/parsleygate/cmds/docs_test.go
@@ -15,6 +15,15 @@
 	dir := t.TempDir()
 	require.NoError(t, writeDocs(dir))
 
+	for _, name := range []string{"METRICS.md", "SETTINGS.md"} {
+		want, err := os.ReadFile(filepath.Join(dir, name))
+		require.NoError(t, err)
+
+		got, err := os.ReadFile(filepath.Join("../../../docs", name))
+		require.NoError(t, err)
+		require.Equal(t, string(want), string(got), "run make docs")
+	}
+
 	fresh, err := filepath.Glob(filepath.Join(dir, "cli", "*.md"))
 	require.NoError(t, err)
 
--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
@@ -74,7 +75,7 @@
 			// would end the process.
 			signal.Ignore(syscall.SIGHUP)
 
-			return startProcess(ctx, args[0], s, c.ErrOrStderr(), run)
+			return startProcess(ctx, args[0], s, c.OutOrStdout(), c.ErrOrStderr(), run)
 		},
 	}
 	c.Flags().StringVar(&logOutput, "log-output", "", "parts whose debug lines are written, with commas between them, or all")
@@ -95,12 +96,15 @@
 	return s, nil
 }
 
-func startProcess(ctx context.Context, path string, s *settings.Settings, stderr io.Writer, run func(context.Context, *process) error) error {
+func startProcess(ctx context.Context, path string, s *settings.Settings, stdout, stderr io.Writer, run func(context.Context, *process) error) error {
 	listener, err := listenOn(ctx, s.Process.Address)
 	if err != nil {
 		return err
 	}
 
+	lines := logs.NewQueue(stdout)
+	defer lines.Close()
+
 	p := &process{
 		path: path, settings: s, listener: listener,
 		logs:     logs.Output{Writer: stderr, Debug: logs.ParseDebug(s.Process.LogOutput)},
@@ -109,6 +113,10 @@
 	}
 	p.internal.Handle("/", p.dump.Handler())
 
+	if err := p.dump.Metrics.Register(logs.DroppedMetric, metrics.NewFunctionalGauge(lines.Dropped)); err != nil {
+		return eris.Wrap(err, "register metric")
+	}
+
 	if p.identity, err = loadIdentity(s, p.logs); err != nil {
 		return err
 	}
--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -73,7 +73,7 @@
 	return eris.Wrap(enc.Encode(d.Take()), "write dump")
 }
 
-// Handler serves /dump and /metrics.
+// Handler serves /dump, /metrics as JSON and /metrics.txt as text.
 func (d *Dump) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/dump", func(w http.ResponseWriter, _ *http.Request) {
@@ -84,6 +84,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(d.Metrics, w)
 	})
+	r.Get("/metrics.txt", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		WriteText(w, d.Metrics)
+	})
 
 	return r
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -15,6 +15,9 @@
 // AllParts in Output.Debug switches on the debug lines of every part.
 const AllParts = "all"
 
+// DroppedMetric is the metric of lines that a Queue dropped.
+const DroppedMetric = "Logs.DroppedLines"
+
 // Output is where the log of one process goes.
 type Output struct {
 	// Writer receives the lines.
--- /dev/null
+++ b/internal/logs/queue_test.go
@@ -0,0 +1,83 @@
+package logs_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/logs"
+)
+
+// pipe is a reader of the log that stands still until it is let go.
+type pipe struct {
+	letGo chan struct{}
+
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	<-p.letGo
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.buf.Write(b)
+}
+
+// Nobody reads the log any more, and the pipe to its reader is full. What is logged
+// goes on: lines are dropped and counted, and that is told once somebody reads again.
+func TestReaderThatStandsStill(t *testing.T) {
+	t.Parallel()
+
+	p := &pipe{letGo: make(chan struct{})}
+	q := logs.NewQueue(p)
+	logger := logs.Output{Writer: q}.Logger("relay")
+
+	for range 10000 {
+		logger.Info("Refused.", "request", "r1")
+	}
+
+	require.Greater(t, q.Dropped(), int64(5000))
+	close(p.letGo)
+	q.Close()
+
+	written := strings.Count(p.buf.String(), "relay: Refused.")
+	require.Equal(t, int64(10000), int64(written)+q.Dropped())
+	require.Contains(t, p.buf.String(), "Lines were dropped.")
+}
+
+func TestSampler(t *testing.T) {
+	t.Parallel()
+
+	s := logs.Sampler{PerSecond: 3}
+	now := time.Unix(1000, 0)
+	taken := 0
+
+	for i := range 40 {
+		if s.Take(now.Add(time.Duration(i) * 50 * time.Millisecond)) {
+			taken++
+		}
+	}
+
+	require.Equal(t, 6, taken)
+	require.Equal(t, int64(34), s.Left())
+}
+
+// An error's line holds its text, and not the stack that wrapped errors carry.
+func TestErrorsAreShort(t *testing.T) {
+	t.Parallel()
+
+	var b bytes.Buffer
+
+	logs.Output{Writer: &b}.Logger("x").Warn("Lost.", slog.Any("error", &stacked{}))
+	require.Contains(t, b.String(), `error="the text"`)
+}
+
+type stacked struct{}
+
+func (*stacked) Error() string { return "the text" }
--- /dev/null
+++ b/internal/logs/sampler.go
@@ -0,0 +1,46 @@
+package logs
+
+import (
+	"sync"
+	"time"
+)
+
+// Sampler bounds how many lines of one sort are written in a second, so that usual
+// ones leave room for those that explain a failure. Its fields are set before use.
+type Sampler struct {
+	PerSecond int
+
+	mu      sync.Mutex
+	second  time.Time
+	written int
+	left    int64
+}
+
+// Take reports whether a line may be written at now.
+func (s *Sampler) Take(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if now.Sub(s.second) >= time.Second {
+		s.second = now
+		s.written = 0
+	}
+
+	if s.written >= s.PerSecond {
+		s.left++
+
+		return false
+	}
+
+	s.written++
+
+	return true
+}
+
+// Left returns how many lines were left out so far.
+func (s *Sampler) Left() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.left
+}
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -43,6 +43,9 @@
 	placedAt time.Time
 	eventAt  time.Time
 
+	// status is that of the answer that was passed on, first how long it took to begin.
+	status int
+	first  time.Duration
 	// room is the state of the targets when it was refused.
 	room dispatch.Room
 
@@ -77,9 +80,11 @@
 			return
 		}
 
+		p.relay.latencies.wait.Update(millis(p.began, time.Now()))
+
 		err = p.attempt(ctx, placed)
 		if err == nil {
-			p.relay.counters.served.Add(1)
+			p.done()
 
 			return
 		}
@@ -95,6 +100,18 @@
 	}
 }
 
+// done notes a request that got its answer.
+func (p *passage) done() {
+	now := time.Now()
+
+	p.relay.counters.served.Add(1)
+	p.relay.latencies.whole.Update(millis(p.began, now))
+
+	if p.relay.served.Take(now) {
+		p.log(slog.LevelInfo, "Served.", "target", p.placed.Target.ID, "status", p.status, "first", p.first.Round(time.Millisecond))
+	}
+}
+
 func (p *passage) request() dispatch.Request {
 	return dispatch.Request{
 		Service: p.service, Workspace: p.workspaceName(), Rank: p.rank(),
@@ -272,7 +289,7 @@
 		p.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 
-	p.w.WriteHeader(answer.Status)
+	p.head(answer.Status)
 
 	if _, err := p.w.Write(body); err != nil && bodyAllowed(answer.Status) {
 		p.relay.counters.left.Add(1)
@@ -281,6 +298,14 @@
 	return nil
 }
 
+// head sends the head of a target's answer.
+func (p *passage) head(status int) {
+	p.status = status
+	p.first = time.Since(p.began)
+	p.relay.latencies.first.Update(p.first.Milliseconds())
+	p.w.WriteHeader(status)
+}
+
 func (p *passage) copyHead(answer *door.Answer) {
 	copyHeader(p.w.Header(), answer.Header)
 
@@ -308,7 +333,7 @@
 
 		p.copyHead(answer)
 		p.w.Header().Del("Content-Length")
-		p.w.WriteHeader(answer.Status)
+		p.head(answer.Status)
 
 		p.streaming = true
 
@@ -399,6 +424,7 @@
 		panic(http.ErrAbortHandler)
 	case p.req.Context().Err() != nil:
 		p.relay.counters.left.Add(1)
+		p.log(slog.LevelInfo, "Caller left.", "ran", p.ran, "error", err)
 		panic(http.ErrAbortHandler)
 	case !p.ran:
 		p.refuse(err)
@@ -450,8 +476,9 @@
 		name = p.route.Name
 	}
 
-	args = append(args, "request", p.call.ID, "route", name, "service", p.service, "sends", p.sends,
-		"tried", p.tried, "took", time.Since(p.began).Round(time.Millisecond), "number", p.state.Number)
+	args = append(args, "request", p.call.ID, "route", name, "service", p.service, "workspace", p.workspaceName(),
+		"sends", p.sends, "tried", p.tried, "took", time.Since(p.began).Round(time.Millisecond),
+		"left", time.Until(p.deadline).Round(time.Millisecond), "number", p.state.Number, "index", p.state.Index)
 	p.relay.Logger.Log(p.req.Context(), level, text, args...)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/door"
 	"github.com/parsleygate/parsleygate/internal/loads"
+	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -38,8 +39,10 @@
 	Rand     *rand.Rand
 	Settings dispatch.Settings
 
-	queue    *queue
-	counters counters
+	queue     *queue
+	counters  counters
+	latencies latencies
+	served    logs.Sampler
 }
 
 // Limits bound what one request may hold.
@@ -71,6 +74,8 @@
 		r.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	r.latencies = newLatencies()
+	r.served.PerSecond = servedLines
 	r.queue = &queue{
 		dispatcher: &dispatch.Dispatcher{Settings: r.Settings, Rand: r.Rand},
 		waiters:    make(map[uint64]chan dispatch.Action),
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -69,6 +69,11 @@
 func (a *RankAgent) Run(ctx context.Context) error {
 	a.logger = a.Logs.Logger("rank")
 	a.engines.at = a.EngineAt
+	a.Dump.Add("Rank", func() any {
+		r, err := a.Engine.Report(ctx)
+
+		return RankState{Report: r, Error: errorText(err)}
+	})
 	a.peers = newFollowClient()
 
 	mux := http.NewServeMux()
@@ -106,6 +111,20 @@
 // standbyRank is the rank whose agent stands by for the directing one.
 const standbyRank = 1
 
+// RankState is the engine of this VM in a dump.
+type RankState struct {
+	Report lockstep.Report
+	Error  string
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+
+	return err.Error()
+}
+
 // watch directs the group while this VM's rank is its first one, and stands by
 // while it is the second.
 func (a *RankAgent) watch(ctx context.Context) {
--- a/internal/role/routing.go
+++ b/internal/role/routing.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
@@ -84,7 +85,9 @@
 
 // Run runs the role until ctx ends and the requests in flight have their answers.
 func (r *RoutingEntry) Run(ctx context.Context) error {
-	r.build()
+	if err := r.build(); err != nil {
+		return err
+	}
 
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -177,7 +180,7 @@
 	return f.Answered > 1 || time.Since(f.First) > settleTime
 }
 
-func (r *RoutingEntry) build() {
+func (r *RoutingEntry) build() error {
 	r.logger = r.Logs.Logger("entry")
 	r.follower = &view.Follower{
 		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Ask: r.clients.ask,
@@ -195,4 +198,10 @@
 	r.relay.Init()
 	r.Internal.Handle(wire.EngineRelayPathPrefix, wire.NewEngineRelayServer(&engineRelay{cluster: r.Cluster, engines: engines{at: r.EngineAt}}))
 	r.Dump.Add("Relay", func() any { return r.relay.Dump() })
+
+	if r.Dump.Metrics == nil {
+		r.Dump.Metrics = metrics.NewRegistry()
+	}
+
+	return r.relay.Register(r.Dump.Metrics)
 }
