Make the metrics registry before it is used

Change: the registry is made with the dump, and logs go to the queue. A test fills in the three templates of deploy/ as the platform does, starts each role, asks for its pages, and stops it; it failed on the tree before.

--- /dev/null
+++ b/cmd/parsleygate/cmds/deploy_test.go
@@ -0,0 +1,106 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/settings"
+)
+
+// freePort returns a port of loopback that is free now.
+func freePort(t *testing.T) string {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	defer func() { _ = l.Close() }()
+
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	require.NoError(t, err)
+
+	return port
+}
+
+// fill fills in a template as the platform does, for the fields that ours use.
+func fill(t *testing.T, name string) (path, admin string) {
+	t.Helper()
+
+	data, err := os.ReadFile(filepath.Join("../../../deploy", name+".ini"))
+	require.NoError(t, err)
+
+	peer := freePort(t)
+	admin = freePort(t)
+	values := map[string]string{
+		"Node": "front-a-1", "Zone": "a", "Region": "r", "Ip": "127.0.0.1", "InternalPorts.0": peer, "InternalPorts.1": admin,
+		"Seeds": "127.0.0.1:" + freePort(t), "Bootstrap": "true", "DataDir": t.TempDir(), "HeartbeatMs": "1200",
+		"Listen.Front": "127.0.0.1:" + freePort(t), "Listen.ReadinessAddress": "127.0.0.1:" + freePort(t), "Listen.Control": "127.0.0.1:" + freePort(t),
+		"FaultTolerance.Machines": "1", "Bounds.RetryBudgetRatio": "0.2", "Bounds.BudgetSlack": "96", "Bounds.BudgetWindowS": "10",
+		"Bounds.GraceS": "2", "app": "127.0.0.1:" + freePort(t),
+	}
+	text := regexp.MustCompile(`(?s){{#Zones}}.*{{/Zones}}`).ReplaceAllString(string(data), "a = r\nb = r")
+	text = regexp.MustCompile(`{{([^}]*)}}`).ReplaceAllStringFunc(text, func(p string) string {
+		v, ok := values[strings.Trim(p, "{}")]
+		require.True(t, ok, "the template uses %s", p)
+
+		return v
+	})
+	path = filepath.Join(t.TempDir(), "local.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+
+	return path, "127.0.0.1:" + admin
+}
+
+// The platform starts each role from its template. A process that ends by itself at
+// once is started again and again, and nobody is served.
+func TestRolesStartFromTheirTemplates(t *testing.T) {
+	for name, run := range map[string]func(context.Context, *process) error{"entry": runEntry, "control": runControl, "agent": runAgent} {
+		t.Run(name, func(t *testing.T) {
+			path, admin := fill(t, name)
+
+			s, err := settings.Load(path)
+			require.NoError(t, err)
+
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+
+			var out bytes.Buffer
+
+			go func() { ended <- startProcess(ctx, path, s, &out, io.Discard, run) }()
+
+			select {
+			case err := <-ended:
+				t.Fatal("it ended by itself:", err)
+			case <-time.After(300 * time.Millisecond):
+			}
+
+			if s.Process.AdminAddress.IsValid() {
+				for _, page := range []string{"/dump", "/metrics", "/metrics.txt"} {
+					resp, err := http.Get("http://" + admin + page)
+					require.NoError(t, err)
+
+					body, err := io.ReadAll(resp.Body)
+					require.NoError(t, err)
+					require.NoError(t, resp.Body.Close())
+					require.Equal(t, http.StatusOK, resp.StatusCode)
+					require.NotEmpty(t, body)
+				}
+			}
+
+			stop()
+			require.NoError(t, <-ended)
+			require.Contains(t, out.String(), "Started.")
+		})
+	}
+}
--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -107,8 +107,8 @@
 
 	p := &process{
 		path: path, settings: s, listener: listener,
-		logs:     logs.Output{Writer: stderr, Debug: logs.ParseDebug(s.Process.LogOutput)},
-		dump:     &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID},
+		logs:     logs.Output{Writer: lines, Debug: logs.ParseDebug(s.Process.LogOutput)},
+		dump:     &dump.Dump{Role: string(s.Process.Role), ID: s.Process.ID, Metrics: metrics.NewRegistry()},
 		internal: http.NewServeMux(),
 	}
 	p.internal.Handle("/", p.dump.Handler())
