Read the counts of a few ranks in turn, and sync the saved directory

Cause: on the grown site (63 ranks) the counts of all ranks, 380 KB a look, filled the directing VM's link of 8 Mbit/s. Change: twelve ranks' counts a look, in turn; the time of a copy comes from the configuration; the directory is saved synced, apart from the goroutine that hears. A request that ran out of time says so in its log line, not that its answer broke.

--- a/internal/control/recall.go
+++ b/internal/control/recall.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,8 +10,8 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// keep saves the directory of targets where it changed. It is not synced: what a
-// loss of power takes, the targets say again within a beat.
+// keep saves the directory of targets where it changed. What a loss of power takes,
+// the targets say again within a beat.
 func (s *Server) keep(a *announcements) {
 	if s.SaveTargets == nil || a.heard.Revision() == a.kept {
 		return
@@ -26,12 +27,32 @@
 	}
 
 	data, err := proto.Marshal(saved)
-	if err == nil {
-		err = s.SaveTargets(data)
-	}
-
 	if err != nil {
 		s.Logger.Warn("The directory of targets is not saved.", "error", err)
+
+		return
+	}
+
+	select {
+	case s.saves <- data:
+	default:
+		// The disk is slow, and an earlier one is being saved still.
+		a.kept = 0
+	}
+}
+
+// saveTargets writes what keep hands it, apart from the goroutine that hears: a disk
+// may hang for seconds.
+func (s *Server) saveTargets(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case data := <-s.saves:
+			if err := s.SaveTargets(data); err != nil {
+				s.Logger.Warn("The directory of targets is not saved.", "error", err)
+			}
+		}
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -84,6 +84,7 @@
 	baseMu    sync.Mutex
 	events    chan event
 	announced waking
+	saves     chan []byte
 	// boot tells this start's directory from an earlier one's.
 	boot uint64
 }
@@ -163,6 +164,7 @@
 	s.state.OnGroup = s.groupApplied
 	s.events = make(chan event, eventBuffer)
 	s.announced.init()
+	s.saves = make(chan []byte)
 	s.boot = rand.Uint64()
 
 	if s.AnnounceEvery == 0 {
@@ -180,6 +182,10 @@
 		s.keepFresh(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		s.saveTargets(ctx)
+		return nil
+	})
 	g.Go(func() error {
 		s.hear(ctx)
 		return nil
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -23,6 +23,8 @@
 	counter  *counter
 	current  Map
 	version  uint64
+	// nextRank is the rank whose counts are read next.
+	nextRank int
 	// refused counts the switches in a row that ranks would not prepare.
 	refused int
 }
@@ -44,9 +46,9 @@
 	}
 }
 
-// turn looks at the ranks once, and switches the group where that is worth it.
+// turn looks at some ranks once, and switches the group where that is worth it.
 func (d *Director) turn(ctx context.Context) {
-	looks, err := d.switcher.LookAll(ctx, Question{Counts: true, Lists: d.current == nil})
+	looks, err := d.look(ctx)
 	if err != nil {
 		d.Logger.Debug("Ranks not all seen.", "error", err)
 
@@ -80,6 +82,24 @@
 	d.improve(ctx)
 }
 
+// look looks at all ranks while the map in use is not known, and then at a few in
+// turn. The first one and the holder are always among them.
+func (d *Director) look(ctx context.Context) ([]Look, error) {
+	if d.current == nil {
+		return d.switcher.LookAll(ctx, Question{Counts: d.Ranks.Size <= d.Settings.CountRanks, Lists: true})
+	}
+
+	counted := make(map[int]bool, d.Settings.CountRanks)
+	for range min(d.Settings.CountRanks, d.Ranks.Size) {
+		counted[d.nextRank] = true
+		d.nextRank = (d.nextRank + 1) % d.Ranks.Size
+	}
+
+	return d.switcher.LookSome(ctx, func(rank int) (Question, bool) {
+		return Question{Counts: counted[rank]}, counted[rank] || rank == 0 || rank == d.switcher.holder()
+	})
+}
+
 func (d *Director) free(ctx context.Context) {
 	if err := d.switcher.Free(ctx); err != nil {
 		d.Logger.Warn("A step is held, and not freed yet.", "error", err)
@@ -137,10 +157,15 @@
 func (d *Director) best(demand Demand, before float64) (Map, float64) {
 	best, bestAfter, bestSaved := d.current, before, 0.0
 
-	for _, most := range d.Settings.MostNew {
+	for i, most := range d.Settings.MostNew {
+		// A rank cannot get more than its spare experts of all sets.
+		if i > 0 && d.Settings.MostNew[i-1] >= d.Shape.Sets*d.Shape.Spare {
+			break
+		}
+
 		m := Improve(d.Shape, d.current, demand, most)
 		after := m.Skew(demand)
-		lasts := d.Settings.Horizon - d.Settings.SwitchTime - time.Duration(most)*d.Settings.CopyTime
+		lasts := d.Settings.Horizon - d.Settings.SwitchTime - time.Duration(most)*d.Shape.Copy
 
 		if saved := (before - after) * lasts.Seconds(); saved > bestSaved {
 			best, bestAfter, bestSaved = m, after, saved
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -130,6 +130,8 @@
 	// preparation may bring to it.
 	Places int
 	Spare  int
+	// Copy is how long a rank copies one expert.
+	Copy time.Duration
 }
 
 // Settings are the intervals and weights of a directing agent.
@@ -154,13 +156,16 @@
 	// MostNew are the numbers of experts that one switch may bring to a rank, over
 	// all sets, that are weighed against each other: fewer are copied sooner.
 	MostNew []int
-	// CopyTime is how long a rank copies one expert, SwitchTime what a switch takes
-	// beside copies, and Horizon how long demand is expected to stay as it is.
-	CopyTime   time.Duration
+	// SwitchTime is what a switch takes beside copies, and Horizon how long demand is
+	// expected to stay as it is.
 	SwitchTime time.Duration
 	Horizon    time.Duration
 	// Memory is over how long chosen experts are counted.
 	Memory time.Duration
+	// CountRanks is how many ranks' counts are read in one look, in turn. Each rank's
+	// requests are a sample of the group's, and the counts of all ranks of a large
+	// group would fill the directing VM's link.
+	CountRanks int
 }
 
 // DefaultSettings returns numbers for demand that shifts every few seconds.
@@ -168,7 +173,7 @@
 	return Settings{
 		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond,
-		Ahead: 30 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 2, 4, 8}, Memory: time.Second,
-		CopyTime: 100 * time.Millisecond, SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
+		Ahead: 30 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
+		SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -576,8 +576,15 @@
 
 // LookAll looks at all ranks at once. All must answer, in the same epoch.
 func (s *Switcher) LookAll(ctx context.Context, q Question) ([]Look, error) {
+	return s.LookSome(ctx, func(int) (Question, bool) { return q, true })
+}
+
+// LookSome looks at some ranks at once. All of them must answer, in the same epoch;
+// the others' looks are empty.
+func (s *Switcher) LookSome(ctx context.Context, ask func(rank int) (Question, bool)) ([]Look, error) {
 	looks := make([]Look, s.Ranks.Size)
 	errs := make([]error, s.Ranks.Size)
+	asked := make([]bool, s.Ranks.Size)
 
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.OrderTimeout)
 	defer cancel()
@@ -585,7 +592,11 @@
 	var g sync.WaitGroup
 
 	for rank := range looks {
-		g.Go(func() { looks[rank], errs[rank] = s.Ranks.Look(ctx, rank, q) })
+		var q Question
+
+		if q, asked[rank] = ask(rank); asked[rank] {
+			g.Go(func() { looks[rank], errs[rank] = s.Ranks.Look(ctx, rank, q) })
+		}
 	}
 
 	g.Wait()
@@ -594,8 +605,10 @@
 		return nil, fmt.Errorf("%w: %w", errNotAll, err)
 	}
 
-	if slices.ContainsFunc(looks, func(l Look) bool { return l.Report.Epoch != s.Ranks.Epoch }) {
-		return nil, fmt.Errorf("%w: another epoch has begun", errState)
+	for rank := range looks {
+		if asked[rank] && looks[rank].Report.Epoch != s.Ranks.Epoch {
+			return nil, fmt.Errorf("%w: another epoch has begun", errState)
+		}
 	}
 
 	return looks, nil
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -454,9 +454,15 @@
 
 // fail answers a request that may have run.
 func (p *passage) fail(status int, err error) {
+	cause := verdict.CauseOf(err)
+	if status == http.StatusGatewayTimeout {
+		// The connection that is closed at the deadline looks like a broken answer.
+		cause = verdict.CauseDeadline
+	}
+
 	p.relay.counters.failed.Add(1)
-	p.log(slog.LevelWarn, "Failed.", "status", status, "cause", verdict.CauseOf(err), "error", err)
-	http.Error(p.w, "may have run: "+string(verdict.CauseOf(err)), status)
+	p.log(slog.LevelWarn, "Failed.", "status", status, "cause", cause, "error", err)
+	http.Error(p.w, "may have run: "+string(cause), status)
 }
 
 // deny answers a request that is not proper or not allowed.
--- a/internal/role/member.go
+++ b/internal/role/member.go
@@ -75,23 +75,7 @@
 		return eris.Wrap(err, "write "+memberFile)
 	}
 
-	tmp := filepath.Join(dir, memberFile+".tmp")
-
-	f, err := os.OpenFile(filepath.Clean(tmp), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, memberFileMode)
-	if err != nil {
-		return eris.Wrap(err, "write "+memberFile)
-	}
-
-	_, err = f.Write(data)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return eris.Wrap(err, "write "+memberFile)
-	}
-
-	if err := os.Rename(tmp, filepath.Join(dir, memberFile)); err != nil {
-		return eris.Wrap(err, "write "+memberFile)
-	}
-
-	return syncFolder(dir)
+	return replaceFile(filepath.Join(dir, memberFile), data)
 }
 
 func syncFolder(dir string) error {
@@ -103,14 +87,26 @@
 	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync data folder")
 }
 
-// replaceFile replaces a file that may be lost, but not be seen half written.
+// replaceFile replaces a file so that it is there as it was, or as it is to be, also
+// after a loss of power.
 func replaceFile(path string, data []byte) error {
 	tmp := path + ".tmp"
-	if err := os.WriteFile(filepath.Clean(tmp), data, memberFileMode); err != nil {
+
+	f, err := os.OpenFile(filepath.Clean(tmp), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, memberFileMode)
+	if err != nil {
+		return eris.Wrap(err, "write "+path)
+	}
+
+	_, err = f.Write(data)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return eris.Wrap(err, "write "+path)
+	}
+
+	if err := os.Rename(tmp, path); err != nil {
 		return eris.Wrap(err, "write "+path)
 	}
 
-	return eris.Wrap(os.Rename(tmp, path), "write "+path)
+	return syncFolder(filepath.Dir(path))
 }
 
 // Founders returns the first members of the set, or none for one that joins.
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -250,7 +250,7 @@
 			if s := f.Table.Service(service); s != nil && s.Experts.Sets > 0 {
 				return lockstep.Shape{
 					Sets: s.Experts.Sets, Experts: s.Experts.Experts, Ranks: r.Size,
-					Places: s.Experts.Places, Spare: s.Experts.Spare,
+					Places: s.Experts.Places, Spare: s.Experts.Spare, Copy: s.Experts.Copy,
 				}, true
 			}
 		}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -79,6 +79,8 @@
 	Places int
 	// Spare is how many experts of a set one preparation may bring to a rank.
 	Spare int
+	// Copy is how long a rank copies one expert.
+	Copy time.Duration
 }
 
 // Service is one service that routes lead to.
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -15,7 +15,7 @@
 	d := routes.Declaration{
 		Number: 7,
 		Services: []routes.Service{
-			{Name: "drafts", MostConnections: 298, Cold: 3 * time.Second, ColdPerSecond: 26, HealthPath: "/health", Slots: 12, Experts: routes.ExpertShape{Sets: 4, Experts: 72, Places: 8, Spare: 3}},
+			{Name: "drafts", MostConnections: 298, Cold: 3 * time.Second, ColdPerSecond: 26, HealthPath: "/health", Slots: 12, Experts: routes.ExpertShape{Sets: 4, Experts: 72, Places: 8, Spare: 3, Copy: 98 * time.Millisecond}},
 			{Name: "desk", MostConnections: 120},
 		},
 		Routes: []routes.Route{
--- a/internal/routes/wire.go
+++ b/internal/routes/wire.go
@@ -25,6 +25,7 @@
 			Experts: &wire.ExpertShape{
 				Sets: uint32(s.Experts.Sets), Experts: uint32(s.Experts.Experts),
 				Places: uint32(s.Experts.Places), Spare: uint32(s.Experts.Spare),
+				CopyMicros: uint64(s.Experts.Copy.Microseconds()),
 			},
 		})
 	}
@@ -69,6 +70,7 @@
 			ColdPerSecond: s.GetColdPerSecond(), HealthPath: s.GetHealthPath(), Slots: int(s.GetSlots()),
 			Experts: ExpertShape{
 				Sets: int(e.GetSets()), Experts: int(e.GetExperts()), Places: int(e.GetPlaces()), Spare: int(e.GetSpare()),
+				Copy: time.Duration(e.GetCopyMicros()) * time.Microsecond,
 			},
 		})
 	}
