Keep the maps of a group of 63 ranks

Cause: on the grown site each switch sent 63 agents the whole map (350 KB over 8 Mbit/s) within 70 ms: 3 s a switch, and none done but the first. The counts of twelve ranks alone misled the plan. Arming 63 ranks took longer than the step was away, so each switch held the group 70 ms and made every stream late.

Change: maps go as changes from the one in use, which agents remember (lockstep.Maps); neighbours add up counts; a shift is what is far beyond the usual distance of two looks; the step of a switch lies 1.3 times as far ahead as arming usually takes.

The test of packing had compared without order; it compares exactly now, another one replays 20 switches, and the fakes compare whole maps.

--- a/internal/lockstep/demand.go
+++ b/internal/lockstep/demand.go
@@ -17,6 +17,8 @@
 	at     time.Time
 	recent Demand
 	long   Demand
+	// usual is by how much a look usually differs from the recent demand.
+	usual float64
 }
 
 const (
@@ -54,7 +56,7 @@
 	c.at = now
 
 	memory := c.memory
-	if c.recent.shifted(fresh) {
+	if c.shifted(fresh) {
 		memory = 0
 	}
 
@@ -64,14 +66,35 @@
 	return total
 }
 
-// shiftDistance is the part of the choices that must have gone to other experts
-// for what was counted before to be forgotten at once. Requests that come and go
-// move a tenth; a memory of a second would hide a shift for as long.
-const shiftDistance = 0.25
+const (
+	// leastShift is the part of the choices that must have gone to other experts for
+	// what was counted before to be forgotten at once. A memory of a second would
+	// hide a shift for as long.
+	leastShift = 0.25
+	// shiftFactor is how many times further than usual that must be. Requests that
+	// come and go move a tenth in a small group, and more in the counts of a few
+	// ranks of a large one.
+	shiftFactor = 2
+	// usualMemory is over how many looks the usual distance is averaged.
+	usualMemory = 20
+)
+
+// shifted reports whether fresh differs from the recent demand far more than by the
+// requests that came and went.
+func (c *counter) shifted(fresh Demand) bool {
+	distance := c.recent.distance(fresh)
+	far := distance > max(leastShift, shiftFactor*c.usual)
+
+	if !far {
+		c.usual += (distance - c.usual) / usualMemory
+	}
+
+	return far
+}
 
-// shifted reports whether fresh differs from d far more than by the requests that
-// came and went.
-func (d Demand) shifted(fresh Demand) bool {
+// distance returns the part of the choices that went to other experts, in the mean
+// over the sets.
+func (d Demand) distance(fresh Demand) float64 {
 	moved, sets := 0.0, 0.0
 
 	for s := range d {
@@ -87,7 +110,7 @@
 		}
 	}
 
-	return sets > 0 && moved/sets > shiftDistance
+	return moved / max(sets, 1)
 }
 
 // fold adds fresh to d, of which a part of 1/e is left after memory, and nothing
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -23,8 +23,6 @@
 	counter  *counter
 	current  Map
 	version  uint64
-	// nextRank is the rank whose counts are read next.
-	nextRank int
 	// refused counts the switches in a row that ranks would not prepare.
 	refused int
 }
@@ -82,21 +80,19 @@
 	d.improve(ctx)
 }
 
-// look looks at all ranks while the map in use is not known, and then at a few in
-// turn. The first one and the holder are always among them.
+// look looks at all ranks while the map in use is not known, and then at those that
+// add up the counts. The first one and the holder are always among them.
 func (d *Director) look(ctx context.Context) ([]Look, error) {
-	if d.current == nil {
-		return d.switcher.LookAll(ctx, Question{Counts: d.Ranks.Size <= d.Settings.CountRanks, Lists: true})
-	}
+	sum := (d.Ranks.Size + d.Settings.CountRanks - 1) / d.Settings.CountRanks
 
-	counted := make(map[int]bool, d.Settings.CountRanks)
-	for range min(d.Settings.CountRanks, d.Ranks.Size) {
-		counted[d.nextRank] = true
-		d.nextRank = (d.nextRank + 1) % d.Ranks.Size
+	if d.current == nil {
+		return d.switcher.LookAll(ctx, Question{Counts: sum == 1, Lists: true})
 	}
 
 	return d.switcher.LookSome(ctx, func(rank int) (Question, bool) {
-		return Question{Counts: counted[rank]}, counted[rank] || rank == 0 || rank == d.switcher.holder()
+		adds := rank%sum == 0
+
+		return Question{Counts: adds, Sum: min(sum, d.Ranks.Size-rank)}, adds || rank == d.switcher.holder()
 	})
 }
 
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -9,12 +9,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// Map says which experts each rank holds, set by set, rank by rank.
+// Map says which experts each rank holds, set by set, rank by rank, in order: engines
+// take maps with another order for other maps.
 type Map [][][]uint16
 
 // Clone returns a copy that shares nothing with m.
@@ -31,6 +33,15 @@
 	return out
 }
 
+// sort puts each rank's experts in order.
+func (m Map) sort() {
+	for _, ranks := range m {
+		for _, experts := range ranks {
+			slices.Sort(experts)
+		}
+	}
+}
+
 // First returns the map with which a group begins: experts in turn over the ranks.
 func First(sets, experts, ranks int) Map {
 	m := make(Map, sets)
@@ -110,6 +121,9 @@
 type Question struct {
 	Counts bool
 	Lists  bool
+	// Sum is for how many ranks, from this one on, Counts are added up; 0 and 1 mean
+	// this one alone.
+	Sum int
 }
 
 // Ranks is the way to all ranks of the group that is directed.
@@ -145,8 +159,10 @@
 	ArmTimeout     time.Duration
 	// GoTimeout bounds the lifting of a hold before the ranks are looked at anew.
 	GoTimeout time.Duration
-	// OrderTimeout bounds one order.
+	// OrderTimeout bounds one order; one that carries a map has MapTime more for each
+	// rank.
 	OrderTimeout time.Duration
+	MapTime      time.Duration
 	// Ahead is how long before the step of a switch all ranks should be armed: the
 	// hold of that step then costs nothing.
 	Ahead time.Duration
@@ -162,9 +178,9 @@
 	Horizon    time.Duration
 	// Memory is over how long chosen experts are counted.
 	Memory time.Duration
-	// CountRanks is how many ranks' counts are read in one look, in turn. Each rank's
-	// requests are a sample of the group's, and the counts of all ranks of a large
-	// group would fill the directing VM's link.
+	// CountRanks is of how many ranks the counts are read in one look. In a larger
+	// group each of these adds up those of its neighbours: the counts of all ranks
+	// would fill the directing VM's link.
 	CountRanks int
 }
 
@@ -172,7 +188,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
-		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond,
+		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond, MapTime: 8 * time.Millisecond,
 		Ahead: 30 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
 		SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -41,8 +41,10 @@
 	held                                               uint64
 	holds                                              bool
 	lists, next                                        [][]uint16
-	readyAt                                            time.Time
-	counts                                             []uint64
+	// whole and nextWhole are the whole map as it was ordered.
+	whole, nextWhole string
+	readyAt          time.Time
+	counts           []uint64
 }
 
 // fault is what becomes of one order.
@@ -106,6 +108,7 @@
 	for _, k := range g.ranks {
 		if k.armed != 0 && k.armedFor == g.step {
 			k.version, k.lists, k.armed, k.prepared = k.armed, k.next, 0, 0
+			k.whole = k.nextWhole
 		}
 
 		for s := range g.weight {
@@ -116,6 +119,10 @@
 	}
 
 	for i, k := range g.ranks {
+		if k.version == g.ranks[0].version && k.whole != g.ranks[0].whole && g.broken == "" {
+			g.broken = fmt.Sprintf("step %d began with two maps %d", g.step, k.version)
+		}
+
 		if k.version != g.ranks[0].version && g.broken == "" {
 			g.broken = fmt.Sprintf("step %d began with map %d at rank 0 and map %d at rank %d", g.step, g.ranks[0].version, k.version, i)
 		}
@@ -188,6 +195,12 @@
 
 	if q.Counts {
 		l.Counts = append(l.Counts, k.counts...)
+
+		for other := rank + 1; other < rank+q.Sum; other++ {
+			for i, n := range g.ranks[other].counts {
+				l.Counts[i] += n
+			}
+		}
 	}
 
 	if q.Lists {
@@ -320,6 +333,7 @@
 	}
 
 	k.highest, k.prepared, k.next = o.GetVersion(), o.GetVersion(), lists
+	k.nextWhole = fmt.Sprint(o.GetMap())
 	k.readyAt = time.Now().Add(time.Duration(fresh) * copyTime)
 
 	return wire.EngineResult_EngineDone
--- /dev/null
+++ b/internal/lockstep/pack.go
@@ -0,0 +1,246 @@
+package lockstep
+
+import (
+	"encoding/binary"
+	"errors"
+	"slices"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// errPacked says that a packed map cannot be read.
+var errPacked = errors.New("lockstep: a packed map cannot be read")
+
+// Pack returns m as it travels between agents.
+func (m Map) Pack() []byte {
+	out := binary.AppendUvarint(nil, uint64(len(m)))
+
+	for _, ranks := range m {
+		out = binary.AppendUvarint(out, uint64(len(ranks)))
+		for _, experts := range ranks {
+			out = appendExperts(out, experts)
+		}
+	}
+
+	return out
+}
+
+func appendExperts(out []byte, experts []uint16) []byte {
+	out = binary.AppendUvarint(out, uint64(len(experts)))
+	for _, e := range experts {
+		out = binary.AppendUvarint(out, uint64(e))
+	}
+
+	return out
+}
+
+// unpacker reads numbers, and remembers whether one could not be read.
+type unpacker struct {
+	data []byte
+	bad  bool
+}
+
+// mostPacked bounds the numbers in a packed map.
+const mostPacked = 1 << 16
+
+func (u *unpacker) number() int {
+	n, size := binary.Uvarint(u.data)
+	if size <= 0 || n > mostPacked {
+		u.bad = true
+		u.data = nil
+
+		return 0
+	}
+
+	u.data = u.data[size:]
+
+	return int(n)
+}
+
+func (u *unpacker) experts() []uint16 {
+	n := u.number()
+	out := make([]uint16, 0, min(n, len(u.data)))
+
+	for range n {
+		if u.bad {
+			return nil
+		}
+
+		out = append(out, uint16(u.number()))
+	}
+
+	return out
+}
+
+// Unpack reads what Pack wrote.
+func Unpack(data []byte) (Map, error) {
+	u := &unpacker{data: data}
+	m := make(Map, 0, min(u.number(), len(u.data)))
+
+	for range cap(m) {
+		ranks := make([][]uint16, 0, min(u.number(), len(u.data)))
+		for range cap(ranks) {
+			ranks = append(ranks, u.experts())
+		}
+
+		m = append(m, ranks)
+	}
+
+	if u.bad || len(u.data) > 0 {
+		return nil, errPacked
+	}
+
+	return m, nil
+}
+
+// Changes returns how m becomes next, packed: for each rank of a set that changes its
+// place, what leaves and what comes. A switch changes few of a large group's experts.
+func (m Map) Changes(next Map) []byte {
+	var out []byte
+
+	for s := range m {
+		for r := range m[s] {
+			left, came := missing(m[s][r], next[s][r]), missing(next[s][r], m[s][r])
+			if len(left)+len(came) == 0 {
+				continue
+			}
+
+			out = binary.AppendUvarint(out, uint64(s))
+			out = binary.AppendUvarint(out, uint64(r))
+			out = appendExperts(appendExperts(out, left), came)
+		}
+	}
+
+	return out
+}
+
+// missing returns what is in a and not in b.
+func missing(a, b []uint16) []uint16 {
+	var out []uint16
+
+	for _, e := range a {
+		if !slices.Contains(b, e) {
+			out = append(out, e)
+		}
+	}
+
+	return out
+}
+
+// Changed returns m after changes.
+func (m Map) Changed(changes []byte) (Map, error) {
+	u := &unpacker{data: changes}
+	out := m.Clone()
+
+	for len(u.data) > 0 {
+		s, r := u.number(), u.number()
+		left, came := u.experts(), u.experts()
+
+		if u.bad || s >= len(out) || r >= len(out[s]) {
+			return nil, errPacked
+		}
+
+		out[s][r] = append(slices.DeleteFunc(out[s][r], func(e uint16) bool { return slices.Contains(left, e) }), came...)
+	}
+
+	out.sort()
+
+	return out, nil
+}
+
+// MapOf returns the map of an order.
+func MapOf(o *wire.EngineOrder) Map {
+	var out Map
+
+	ranks := max(1, int(o.GetRanks()))
+
+	for i, set := range o.GetMap() {
+		if i%ranks == 0 {
+			out = append(out, nil)
+		}
+
+		experts := make([]uint16, 0, len(set.GetExperts()))
+		for _, e := range set.GetExperts() {
+			experts = append(experts, uint16(e))
+		}
+
+		out[i/ranks] = append(out[i/ranks], experts)
+	}
+
+	return out
+}
+
+// SetMap puts m into an order.
+func SetMap(o *wire.EngineOrder, m Map) {
+	o.Map = toWire(m)
+
+	if len(m) > 0 {
+		o.Ranks = uint32(len(m[0]))
+	}
+}
+
+// mostMaps is how many maps an agent remembers: that in use, and some that were
+// prepared and given up.
+const mostMaps = 4
+
+// Maps are the maps that an agent knows, by version, the latest last. One goroutine
+// at a time uses it.
+type Maps struct {
+	known []knownMap
+}
+
+type knownMap struct {
+	version uint64
+	m       Map
+}
+
+// Put remembers a map.
+func (k *Maps) Put(version uint64, m Map) {
+	k.known = slices.DeleteFunc(k.known, func(o knownMap) bool { return o.version == version })
+
+	if len(k.known) == mostMaps {
+		k.known = k.known[1:]
+	}
+
+	k.known = append(k.known, knownMap{version: version, m: m})
+}
+
+// Get returns the map of a version, or nil.
+func (k *Maps) Get(version uint64) Map {
+	for _, o := range k.known {
+		if o.version == version {
+			return o.m
+		}
+	}
+
+	return nil
+}
+
+// Open fills in the map of an order that came packed. It reports false where the
+// changes are from a map that is not known.
+func (k *Maps) Open(o *wire.EngineOrder) (bool, error) {
+	if o.GetKind() != wire.EngineOrderKind_EngineOrderPrepare || len(o.GetMap()) > 0 {
+		return true, nil
+	}
+
+	var (
+		m   Map
+		err error
+	)
+
+	if len(o.GetWhole()) > 0 {
+		m, err = Unpack(o.GetWhole())
+	} else if base := k.Get(o.GetBase()); base != nil {
+		m, err = base.Changed(o.GetChanges())
+	}
+
+	if err != nil || m == nil {
+		return false, err
+	}
+
+	k.Put(o.GetVersion(), m)
+	SetMap(o, m)
+	o.Whole, o.Changes, o.Base = nil, nil, 0
+
+	return true, nil
+}
--- /dev/null
+++ b/internal/lockstep/pack_test.go
@@ -0,0 +1,86 @@
+package lockstep_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// A map of 63 ranks goes to 63 agents over a thin link with each switch. Packed as
+// changes it is a small part of what it was, and what an agent makes of it is the same.
+func TestMapsTravelAsChanges(t *testing.T) {
+	t.Parallel()
+
+	first := lockstep.First(grown.Sets, grown.Experts, grown.Ranks)
+	next := lockstep.Improve(grown, first, lockstep.Demand(skewed(grown, 3)), 3)
+
+	whole, err := lockstep.Unpack(next.Pack())
+	require.NoError(t, err)
+	require.Equal(t, next, whole)
+
+	changes := first.Changes(next)
+	require.Less(t, len(changes), len(next.Pack())/2)
+
+	var agent lockstep.Maps
+
+	order := func(edit func(o *wire.EngineOrder)) (*wire.EngineOrder, bool) {
+		o := &wire.EngineOrder{Kind: wire.EngineOrderKind_EngineOrderPrepare, Version: 8}
+		edit(o)
+
+		ok, err := agent.Open(o)
+		require.NoError(t, err)
+
+		return o, ok
+	}
+	_, ok := order(func(o *wire.EngineOrder) { o.Base, o.Changes = 7, changes })
+	require.False(t, ok, "it does not know the map that the changes are from")
+
+	o, ok := order(func(o *wire.EngineOrder) { o.Version, o.Whole = 7, first.Pack() })
+	require.True(t, ok)
+	require.Equal(t, first, lockstep.MapOf(o))
+
+	o, ok = order(func(o *wire.EngineOrder) { o.Base, o.Changes = 7, changes })
+	require.True(t, ok)
+	require.Equal(t, next, lockstep.MapOf(o))
+	require.Equal(t, next, agent.Get(8))
+}
+
+// Some agents get a map as changes, others whole. Engines compare maps with the order
+// of each rank's experts: one that left and came back in the search must not stand
+// elsewhere in one of the two, or a step begins with two maps of one version.
+func TestChangesGiveTheVerySameMap(t *testing.T) {
+	t.Parallel()
+
+	for _, shape := range []lockstep.Shape{today, grown} {
+		m := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
+
+		for seed := range uint64(20) {
+			next := lockstep.Improve(shape, m, lockstep.Demand(skewed(shape, seed)), 8)
+
+			got, err := m.Changed(m.Changes(next))
+			require.NoError(t, err)
+			require.Equal(t, next, got)
+
+			m = next
+		}
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(lockstep.First(2, 6, 3).Pack())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := lockstep.Unpack(data)
+		if err != nil {
+			return
+		}
+
+		again, err := lockstep.Unpack(m.Pack())
+		require.NoError(t, err)
+		require.Equal(t, m, again)
+
+		_, _ = lockstep.First(2, 6, 3).Changed(data)
+	})
+}
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -84,6 +84,8 @@
 		}
 	}
 
+	out.sort()
+
 	return out
 }
 
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -33,6 +33,8 @@
 	Logger   *slog.Logger
 
 	fence uint64
+	// armTook is how long it takes to arm all ranks.
+	armTook time.Duration
 	// stepTime is how long a step took lately, by the step that was seen at sawAt.
 	stepTime time.Duration
 	sawStep  uint64
@@ -125,8 +127,7 @@
 // prepare lets all ranks copy what is new to them, and waits until they have it.
 func (s *Switcher) prepare(ctx context.Context, fence, version uint64, m Map) error {
 	o := s.order(wire.EngineOrderKind_EngineOrderPrepare, fence, version, 0)
-	o.Map = toWire(m)
-	o.Ranks = uint32(s.Ranks.Size)
+	SetMap(o, m)
 
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.PrepareTimeout)
 	defer cancel()
@@ -247,6 +248,9 @@
 		return 0, err
 	}
 
+	began := time.Now()
+	defer func() { s.armTook += (time.Since(began) - s.armTook) / armMemory }()
+
 	arm := s.order(wire.EngineOrderKind_EngineOrderArm, fence, version, step)
 	armed := func(r *Report) bool { return r.Armed == version }
 
@@ -254,16 +258,12 @@
 		return 0, err
 	}
 
-	reports, err := s.lookAll(ctx)
+	look, err := s.Ranks.Look(ctx, s.holder(), Question{})
 	if err != nil {
 		return 0, err
 	}
 
-	if slices.ContainsFunc(reports, func(r Report) bool { return !armed(&r) }) {
-		return 0, errArm
-	}
-
-	if h := reports[s.holder()]; !h.Holds || h.Held != step {
+	if h := look.Report; !h.Holds || h.Held != step {
 		return 0, fmt.Errorf("%w: %+v", errHold, h)
 	}
 
@@ -287,7 +287,8 @@
 			return 0, err
 		}
 
-		step := look.Report.Step + leastAhead + uint64(s.Settings.Ahead/max(s.stepTime, shortestStep))
+		ahead := max(s.Settings.Ahead, s.armTook*armMargin/10)
+		step := look.Report.Step + leastAhead + uint64(ahead/max(s.stepTime, shortestStep))
 		got := s.orderAt(ctx, s.holder(), s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), 1)
 
 		// What the engine reports counts, not what it answered: an order without an
@@ -305,6 +306,14 @@
 	return 0, fmt.Errorf("%w: %+v", errHold, look.Report)
 }
 
+const (
+	// armMemory is over how many switches the time of arming is averaged, and
+	// armMargin how much longer, in tenths, the step is to be away: a step that comes
+	// before all are armed waits, and every stream of the group with it.
+	armMemory = 3
+	armMargin = 13
+)
+
 // holdTries is how many steps are tried to be held.
 const holdTries = 4
 
@@ -517,7 +526,7 @@
 		}
 
 		for s := range m {
-			m[s] = append(m[s], l.Lists[s])
+			m[s] = append(m[s], slices.Sorted(slices.Values(l.Lists[s])))
 		}
 	}
 
@@ -532,8 +541,14 @@
 func (s *Switcher) orderAt(ctx context.Context, rank int, o *wire.EngineOrder, tries int) wire.EngineResult {
 	got := wire.EngineResult_EngineUnknown
 
+	timeout := s.Settings.OrderTimeout
+	if o.GetKind() == wire.EngineOrderKind_EngineOrderPrepare {
+		// The whole group's maps share the directing VM's link.
+		timeout += time.Duration(s.Ranks.Size) * s.Settings.MapTime
+	}
+
 	for range tries {
-		one, cancel := context.WithTimeout(ctx, s.Settings.OrderTimeout)
+		one, cancel := context.WithTimeout(ctx, timeout)
 		got = s.Ranks.Order(one, rank, o)
 
 		cancel()
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -63,6 +63,11 @@
 	tried uint64
 
 	engines engines
+
+	// mu guards the maps that this agent knows, and which of them is in use.
+	mu    sync.Mutex
+	maps  lockstep.Maps
+	inUse uint64
 }
 
 // Run runs the role until ctx ends.
@@ -297,19 +302,25 @@
 	return t, nil
 }
 
-// peer returns the agent beside a target: it listens at this agent's own port.
-func (a *RankAgent) peer(t directory.Target) wire.RankPeer {
+// peerAddress returns where the agent beside a target listens: at this agent's own
+// port.
+func (a *RankAgent) peerAddress(t directory.Target) string {
 	own, _ := netip.ParseAddrPort(a.Listener.Addr().String())
 
-	return wire.NewRankPeerProtobufClient("http://"+netip.AddrPortFrom(t.Address.Addr(), own.Port()).String(), a.peers)
+	return netip.AddrPortFrom(t.Address.Addr(), own.Port()).String()
+}
+
+func (a *RankAgent) peer(t directory.Target) wire.RankPeer {
+	return wire.NewRankPeerProtobufClient("http://"+a.peerAddress(t), a.peers)
 }
 
 func (a *RankAgent) engineOf(t directory.Target) lockstep.Engine { return a.engines.of(t.Address) }
 
 func (a *RankAgent) lookAt(group lockstep.Report) func(context.Context, int, lockstep.Question) (lockstep.Look, error) {
 	return func(ctx context.Context, rank int, q lockstep.Question) (lockstep.Look, error) {
+		others := a.neighbours(group, rank, q)
 		if rank == group.Rank {
-			return a.look(ctx, q)
+			return a.look(ctx, q, others)
 		}
 
 		t, err := a.target(group, rank)
@@ -320,7 +331,7 @@
 		try, cancel := context.WithTimeout(ctx, rankPeer)
 		defer cancel()
 
-		out, err := a.peer(t).Look(try, &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists})
+		out, err := a.peer(t).Look(try, &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists, Others: others})
 		if err == nil {
 			return lookFromWire(out), nil
 		}
@@ -332,6 +343,55 @@
 	}
 }
 
+// neighbours returns the agents whose counts a rank's agent is to add to its own.
+func (a *RankAgent) neighbours(group lockstep.Report, rank int, q lockstep.Question) []string {
+	var out []string
+
+	for other := rank + 1; q.Counts && other < rank+q.Sum; other++ {
+		if t, err := a.target(group, other); err == nil {
+			out = append(out, a.peerAddress(t))
+		}
+	}
+
+	return out
+}
+
+// addCounts adds other agents' counts to counts. Where one does not answer there are
+// none: a sum over fewer ranks would look as if counts had fallen.
+func (a *RankAgent) addCounts(ctx context.Context, counts []uint64, others []string) ([]uint64, error) {
+	answers := make([]*wire.LookAnswer, len(others))
+
+	g, ctx := errgroup.WithContext(ctx)
+	for i, at := range others {
+		g.Go(func() error {
+			var err error
+
+			answers[i], err = wire.NewRankPeerProtobufClient("http://"+at, a.peers).Look(ctx, &wire.LookRequest{Cluster: a.Cluster, Counts: true})
+
+			return eris.Wrap(err, "add counts")
+		})
+	}
+
+	if err := g.Wait(); err != nil {
+		return nil, eris.Wrap(err, "add counts")
+	}
+
+	for _, answer := range answers {
+		if len(answer.GetCounts()) != len(counts) {
+			return nil, errCounts
+		}
+
+		for i, n := range answer.GetCounts() {
+			counts[i] += n
+		}
+	}
+
+	return counts, nil
+}
+
+// errCounts says that two ranks count different experts.
+var errCounts = errors.New("role: ranks of a group count different experts")
+
 func (a *RankAgent) orderAt(group lockstep.Report) func(context.Context, int, *wire.EngineOrder) wire.EngineResult {
 	return func(ctx context.Context, rank int, o *wire.EngineOrder) wire.EngineResult {
 		t, err := a.target(group, rank)
@@ -354,15 +414,53 @@
 			return a.Engine.Order(ctx, o)
 		}
 
-		try, cancel := context.WithTimeout(ctx, rankPeer)
+		if got := a.byPeer(ctx, t, sent); got != wire.EngineResult_EngineUnknown {
+			return got
+		}
+
+		return a.engineOf(t).Order(ctx, o)
+	}
+}
+
+// byPeer gives an order by way of the agent beside a target. A map goes as the
+// changes from the one in use, which most agents know.
+func (a *RankAgent) byPeer(ctx context.Context, t directory.Target, o *wire.EngineOrder) wire.EngineResult {
+	if o.GetKind() != wire.EngineOrderKind_EngineOrderPrepare {
+		ctx, cancel := context.WithTimeout(ctx, rankPeer)
 		defer cancel()
 
-		if out, err := a.peer(t).Order(try, sent); err == nil && out.GetResult() != wire.EngineResult_EngineUnknown {
-			return out.GetResult()
+		return a.send(ctx, t, o)
+	}
+
+	m := lockstep.MapOf(o)
+	o.Map = nil
+
+	a.mu.Lock()
+	a.maps.Put(o.GetVersion(), m)
+	base := a.maps.Get(a.inUse)
+	o.Base = a.inUse
+	a.mu.Unlock()
+
+	if base != nil {
+		o.Changes = base.Changes(m)
+
+		if got := a.send(ctx, t, o); got != wire.EngineResult_EngineNoBase {
+			return got
 		}
+	}
 
-		return a.engineOf(t).Order(ctx, o)
+	o.Base, o.Changes, o.Whole = 0, nil, m.Pack()
+
+	return a.send(ctx, t, o)
+}
+
+func (a *RankAgent) send(ctx context.Context, t directory.Target, o *wire.EngineOrder) wire.EngineResult {
+	out, err := a.peer(t).Order(ctx, o)
+	if err != nil {
+		return wire.EngineResult_EngineUnknown
 	}
+
+	return out.GetResult()
 }
 
 // stopsTheGroup reports whether an order holds a step, or ends that. These go by a
@@ -397,15 +495,25 @@
 	return wire.EngineResult_EngineUnknown
 }
 
-// look looks at this VM's engine.
-func (a *RankAgent) look(ctx context.Context, q lockstep.Question) (lockstep.Look, error) {
+// look looks at this VM's engine, and adds the counts of others.
+func (a *RankAgent) look(ctx context.Context, q lockstep.Question, others []string) (lockstep.Look, error) {
 	report, err := a.Engine.Report(ctx)
 	out := lockstep.Look{Report: report}
 
+	if err == nil {
+		a.mu.Lock()
+		a.inUse = report.Map
+		a.mu.Unlock()
+	}
+
 	if err == nil && q.Counts {
 		out.Counts, err = a.Engine.Counts(ctx)
 	}
 
+	if err == nil && len(others) > 0 {
+		out.Counts, err = a.addCounts(ctx, out.Counts, others)
+	}
+
 	if err == nil && q.Lists {
 		out.ListsOf, out.Lists, err = a.Engine.Lists(ctx)
 	}
@@ -419,7 +527,7 @@
 		return nil, errOtherCluster
 	}
 
-	l, err := a.look(ctx, lockstep.Question{Counts: r.GetCounts(), Lists: r.GetLists()})
+	l, err := a.look(ctx, lockstep.Question{Counts: r.GetCounts(), Lists: r.GetLists()}, r.GetOthers())
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error()) //nolint:wrapcheck // the server looks for its own type
 	}
@@ -438,6 +546,17 @@
 		return nil, errOtherCluster
 	}
 
+	a.mu.Lock()
+	ok, err := a.maps.Open(o)
+	a.mu.Unlock()
+
+	switch {
+	case err != nil:
+		return nil, twirp.InvalidArgumentError("Map", err.Error())
+	case !ok:
+		return &wire.EngineOrderAnswer{Result: wire.EngineResult_EngineNoBase}, nil
+	}
+
 	return &wire.EngineOrderAnswer{Result: a.Engine.Order(ctx, o)}, nil
 }
 
