--- a/cmd/parsleygate/cmds/deploy_test.go
+++ b/cmd/parsleygate/cmds/deploy_test.go
@@ -50,6 +50,8 @@
 		"Bounds.GraceS": "2", "app": "127.0.0.1:" + freePort(t),
 	}
 	text := regexp.MustCompile(`(?s){{#Zones}}.*{{/Zones}}`).ReplaceAllString(string(data), "a = r\nb = r")
+	text = regexp.MustCompile(`(?s){{\^DataDir}}.*{{/DataDir}}\n`).ReplaceAllString(text, "")
+	text = regexp.MustCompile(`{{[#/]DataDir}}\n`).ReplaceAllString(text, "")
 	text = regexp.MustCompile(`{{([^}]*)}}`).ReplaceAllStringFunc(text, func(p string) string {
 		v, ok := values[strings.Trim(p, "{}")]
 		require.True(t, ok, "the template uses %s", p)
--- a/cmd/parsleygate/cmds/routing.go
+++ b/cmd/parsleygate/cmds/routing.go
@@ -97,7 +97,8 @@
 		return err
 	}
 
-	self, err := role.OpenMember(filepath.Clean(s.Control.DataFolder), s.Process.Address, s.Seeds.Controls(), s.Operating.Bootstrap)
+	self, err := role.OpenMember(filepath.Clean(s.Control.DataFolder), s.Process.Address, s.Seeds.Controls(),
+		role.MemberOptions{Bootstrap: s.Operating.Bootstrap, Volatile: s.Control.Volatile})
 	if err != nil {
 		return err
 	}
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -417,15 +417,15 @@
 	now := time.Now()
 
 	switch {
+	case p.req.Context().Err() != nil:
+		p.relay.counters.left.Add(1)
+		p.log(slog.LevelInfo, "Caller left.", "ran", p.ran, "lastEvent", p.lastEvent, "error", err)
+		panic(http.ErrAbortHandler)
 	case p.streaming:
 		p.relay.counters.cut.Add(1)
-		p.log(slog.LevelWarn, "Stream cut.", "cause", verdict.CauseOf(err), "lastEvent", p.lastEvent, "error", err)
+		p.log(slog.LevelWarn, "Stream cut.", "cause", verdict.CauseOf(err), "lastEvent", p.lastEvent, "room", p.room, "error", err)
 		// Without its last piece the answer must not look whole.
 		panic(http.ErrAbortHandler)
-	case p.req.Context().Err() != nil:
-		p.relay.counters.left.Add(1)
-		p.log(slog.LevelInfo, "Caller left.", "ran", p.ran, "error", err)
-		panic(http.ErrAbortHandler)
 	case !p.ran:
 		p.refuse(err)
 	case !now.Before(p.deadline) || verdict.CauseOf(err) == verdict.CauseDeadline:
--- a/internal/role/member.go
+++ b/internal/role/member.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/roster"
 )
 
 // Member is who a control VM is in the control set, as its data folder says. A
@@ -35,9 +36,17 @@
 	memberSuffix = 6
 )
 
+// MemberOptions say how a member is made.
+type MemberOptions struct {
+	// Bootstrap says that the deployment starts for the first time.
+	Bootstrap bool
+	// Volatile says that the data folder does not outlive the process.
+	Volatile bool
+}
+
 // OpenMember reads the member from the data folder, or makes one: a founder where
 // the deployment starts for the first time and own is a seed.
-func OpenMember(dir string, own netip.AddrPort, seeds []netip.AddrPort, bootstrap bool) (*Member, error) {
+func OpenMember(dir string, own netip.AddrPort, seeds []netip.AddrPort, o MemberOptions) (*Member, error) {
 	if err := os.MkdirAll(dir, memberDirMode); err != nil {
 		return nil, eris.Wrap(err, "make data folder")
 	}
@@ -55,15 +64,23 @@
 
 	m := &Member{ID: own.Addr().String()}
 
-	if bootstrap && slices.Contains(seeds, own) {
+	if o.Bootstrap && !o.Volatile && slices.Contains(seeds, own) {
 		m.Found = seeds
-	} else {
-		var suffix [memberSuffix]byte
 
-		_, _ = rand.Read(suffix[:]) // it never fails
-		m.ID += "-" + hex.EncodeToString(suffix[:])
+		return m, m.write(dir)
 	}
 
+	var suffix [memberSuffix]byte
+
+	_, _ = rand.Read(suffix[:]) // it never fails
+
+	mark := "-"
+	if o.Volatile {
+		mark = roster.VolatileMark
+	}
+
+	m.ID += mark + hex.EncodeToString(suffix[:])
+
 	return m, m.write(dir)
 }
 
--- a/internal/role/member_test.go
+++ b/internal/role/member_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleygate/parsleygate/internal/role"
+	"github.com/parsleygate/parsleygate/internal/roster"
 )
 
 var (
@@ -15,6 +16,8 @@
 	seedTwo = netip.MustParseAddrPort("10.0.0.2:7300")
 )
 
+var bootstrap = role.MemberOptions{Bootstrap: true}
+
 // A control VM is the same member as long as its data folder is there, whatever its
 // settings say by then, and another one when the folder is lost: what the lost one
 // voted and acknowledged must not be counted for it.
@@ -24,23 +27,23 @@
 	dir := t.TempDir()
 	seeds := []netip.AddrPort{seedOne, seedTwo}
 
-	first, err := role.OpenMember(dir, seedOne, seeds, true)
+	first, err := role.OpenMember(dir, seedOne, seeds, bootstrap)
 	require.NoError(t, err)
 	require.Equal(t, "10.0.0.1", first.ID)
 	require.Len(t, first.Founders(), 2)
 
-	again, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedTwo}, false)
+	again, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedTwo}, role.MemberOptions{})
 	require.NoError(t, err)
 	require.Equal(t, first, again, "the seeds were exchanged meanwhile")
 
 	require.NoError(t, os.RemoveAll(dir))
 
-	lost, err := role.OpenMember(dir, seedOne, seeds, false)
+	lost, err := role.OpenMember(dir, seedOne, seeds, role.MemberOptions{})
 	require.NoError(t, err)
 	require.NotEqual(t, first.ID, lost.ID)
 	require.Empty(t, lost.Founders())
 
-	other, err := role.OpenMember(t.TempDir(), seedOne, seeds, false)
+	other, err := role.OpenMember(t.TempDir(), seedOne, seeds, role.MemberOptions{})
 	require.NoError(t, err)
 	require.NotEqual(t, lost.ID, other.ID)
 }
@@ -49,9 +52,19 @@
 func TestMemberThatIsNoSeedJoins(t *testing.T) {
 	t.Parallel()
 
-	m, err := role.OpenMember(t.TempDir(), netip.MustParseAddrPort("10.0.0.3:7300"), []netip.AddrPort{seedOne, seedTwo}, true)
+	m, err := role.OpenMember(t.TempDir(), netip.MustParseAddrPort("10.0.0.3:7300"), []netip.AddrPort{seedOne, seedTwo}, bootstrap)
+	require.NoError(t, err)
+	require.Empty(t, m.Founders())
+}
+
+// A seed without a disk forms no set: its vote would be gone with its process.
+func TestVolatileSeedJoins(t *testing.T) {
+	t.Parallel()
+
+	m, err := role.OpenMember(t.TempDir(), seedOne, []netip.AddrPort{seedOne, seedTwo}, role.MemberOptions{Bootstrap: true, Volatile: true})
 	require.NoError(t, err)
 	require.Empty(t, m.Founders())
+	require.Contains(t, m.ID, roster.VolatileMark)
 }
 
 // A member file that cannot be read is no reason to make another member.
@@ -60,6 +73,6 @@
 
 	dir := t.TempDir()
 	require.NoError(t, os.WriteFile(dir+"/member.json", []byte("{torn"), 0o600))
-	_, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedOne}, true)
+	_, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedOne}, bootstrap)
 	require.Error(t, err)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,6 +17,10 @@
 	"github.com/parsleygate/parsleygate/internal/quorum"
 )
 
+// VolatileMark stands in the ID of a member whose disk does not outlive its process.
+// It never gets a vote: what it acknowledged would be gone with each restart.
+const VolatileMark = "-volatile-"
+
 // Settings are the tunable numbers of a Roster.
 type Settings struct {
 	// Voters is how many votes there are to be: one more than twice the losses that
@@ -141,7 +145,7 @@
 	next := ""
 
 	for _, m := range members {
-		if m.Member.Role == quorum.Learner && m.Active && m.UpToDate &&
+		if m.Member.Role == quorum.Learner && m.Active && m.UpToDate && !strings.Contains(m.Member.ID, VolatileMark) &&
 			(next == "" || strings.Compare(m.Member.ID, next) < 0) {
 			next = m.Member.ID
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -94,6 +94,17 @@
 	require.Equal(t, roster.Change{}, r.Decide(begin.Add(time.Hour), "c1", members))
 }
 
+// A control VM without a disk follows. However few votes there are, it gets none.
+func TestVolatileMemberNeverVotes(t *testing.T) {
+	t.Parallel()
+
+	r := &roster.Roster{Settings: roster.DefaultSettings(1)}
+	members := []quorum.MemberStatus{
+		voter("c1", true), voter("c2", true), member("c3"+roster.VolatileMark+"ab", "10.0.0.3:1", quorum.Learner, true, true),
+	}
+	require.Equal(t, roster.Change{}, r.Decide(begin, "c1", members))
+}
+
 // The leader never takes itself out, and a learner that is gone is forgotten.
 func TestLeaderStaysAndOldLearnersGo(t *testing.T) {
 	t.Parallel()
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -107,6 +107,11 @@
 			Help: "Whether this VM joins a running deployment, as a learner under a new ID; else it is a founder.",
 			set:  func(s *Settings, v string) bool { s.Control.Join = v == "true"; return v == "true" || v == "false" },
 		},
+		{
+			Section: sectionControl, Key: "Volatile", Allowed: allowedBool, Default: "false",
+			Help: "Whether the data folder is lost with the process. With [Seeds] this VM then follows the others and never has a vote.",
+			set:  func(s *Settings, v string) bool { s.Control.Volatile = v == "true"; return v == "true" || v == "false" },
+		},
 		path("CertFile", "The certificate of this process, in PEM.", func(s *Settings) *string { return &s.TLS.CertFile }),
 		path("KeyFile", "The key of this process, in PEM.", func(s *Settings) *string { return &s.TLS.KeyFile }),
 		path("AuthorityFile", "The certificates of the authorities that sign processes and operators, in PEM.", func(s *Settings) *string { return &s.TLS.AuthorityFile }),
