--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -189,7 +189,7 @@
 	return Settings{
 		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond, MapTime: 8 * time.Millisecond,
-		Ahead: 30 * time.Millisecond, LeastGain: 0.06, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
+		Ahead: 30 * time.Millisecond, LeastGain: 0.09, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
 		SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
 }
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -94,7 +94,7 @@
 	maxChanges = 64
 	// leastStep is the gain, in parts of the mean load, below which a change of one
 	// expert is not worth its copy.
-	leastStep = 0.004
+	leastStep = 0.01
 	// partners is how many of the least loaded ranks are weighed as new holders.
 	partners = 12
 	// none marks that no expert leaves.
