--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -159,7 +159,7 @@
 			break
 		}
 
-		m := Improve(d.Shape, d.current, demand, most)
+		m := Improve(d.Shape, d.current, demand, Copies{Most: most, Least: d.Settings.LeastCopyGain})
 		after := m.Skew(demand)
 		lasts := d.Settings.Horizon - d.Settings.SwitchTime - time.Duration(most)*d.Shape.Copy
 
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -169,6 +169,8 @@
 	// LeastGain is the part of the present load of the most loaded ranks that a new
 	// map must save to be worth its copies.
 	LeastGain float64
+	// LeastCopyGain is the same for one copy, in parts of the mean load of a rank.
+	LeastCopyGain float64
 	// MostNew are the numbers of experts that one switch may bring to a rank, over
 	// all sets, that are weighed against each other: fewer are copied sooner.
 	MostNew []int
@@ -189,7 +191,7 @@
 	return Settings{
 		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond, MapTime: 8 * time.Millisecond,
-		Ahead: 30 * time.Millisecond, LeastGain: 0.09, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
+		Ahead: 30 * time.Millisecond, LeastGain: 0.09, LeastCopyGain: 0.01, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
 		SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
 }
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -49,10 +49,19 @@
 	return loads, sum
 }
 
+// Copies bound what a new map may cost.
+type Copies struct {
+	// Most is how many new experts a rank may get, over all sets.
+	Most int
+	// Least is the gain, in parts of the mean load, below which a change of one expert
+	// is not worth its copy.
+	Least float64
+}
+
 // Improve returns a map that is better for d than m and can be prepared from it:
-// each rank gets at most shape.Spare new experts of a set and most new ones in all.
-// It changes what gains most for each copy first, whichever set that is in.
-func Improve(shape Shape, m Map, d Demand, most int) Map {
+// each rank gets at most shape.Spare new experts of a set and copies.Most new ones in
+// all. It changes what gains most for each copy first, whichever set that is in.
+func Improve(shape Shape, m Map, d Demand, copies Copies) Map {
 	out := m.Clone()
 	newAt := make([]int, shape.Ranks)
 	sets := make([]*setPlan, shape.Sets)
@@ -65,9 +74,9 @@
 		var best *setPlan
 
 		for _, p := range sets {
-			p.find(newAt, most)
+			p.find(newAt, copies.Most)
 
-			if p.next.gain > leastStep && (best == nil || p.next.gain > best.next.gain) {
+			if p.next.gain > copies.Least && (best == nil || p.next.gain > best.next.gain) {
 				best = p
 			}
 		}
@@ -80,7 +89,7 @@
 
 		for _, p := range sets {
 			// Others were found before this one used up a rank's copies.
-			p.found = p.found && p != best && p.allows(p.next, newAt, most)
+			p.found = p.found && p != best && p.allows(p.next, newAt, copies.Most)
 		}
 	}
 
@@ -92,9 +101,6 @@
 const (
 	// maxChanges bounds the changes of one set.
 	maxChanges = 64
-	// leastStep is the gain, in parts of the mean load, below which a change of one
-	// expert is not worth its copy.
-	leastStep = 0.01
 	// partners is how many of the least loaded ranks are weighed as new holders.
 	partners = 12
 	// none marks that no expert leaves.
