--- a/internal/lockstep/pack_test.go
+++ b/internal/lockstep/pack_test.go
@@ -15,7 +15,7 @@
 	t.Parallel()
 
 	first := lockstep.First(grown.Sets, grown.Experts, grown.Ranks)
-	next := lockstep.Improve(grown, first, lockstep.Demand(skewed(grown, copies(3))), 3)
+	next := lockstep.Improve(grown, first, lockstep.Demand(skewed(grown, 3)), copies(3))
 
 	whole, err := lockstep.Unpack(next.Pack())
 	require.NoError(t, err)
