--- a/cmd/parsleygate/cmds/deploy_test.go
+++ b/cmd/parsleygate/cmds/deploy_test.go
@@ -67,8 +67,12 @@
 // The platform starts each role from its template. A process that ends by itself at
 // once is started again and again, and nobody is served.
 func TestRolesStartFromTheirTemplates(t *testing.T) {
+	t.Parallel()
+
 	for name, run := range map[string]func(context.Context, *process) error{"entry": runEntry, "control": runControl, "agent": runAgent} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
 			path, admin := fill(t, name)
 
 			s, err := settings.Load(path)
