--- /dev/null
+++ b/internal/lockstep/fence.go
@@ -0,0 +1,32 @@
+package lockstep
+
+import (
+	"math/rand/v2"
+)
+
+// fenceShift leaves room for a random part: a directing agent that starts anew
+// does not know its predecessor's numbers, and must not use an equal one.
+const fenceShift = 24
+
+// Begin sets the first fencing number above all that a predecessor can have used
+// for maps up to version: it used two for each at most.
+func (s *Switcher) Begin(version uint64) {
+	s.fence = max(s.fence, (version*fencesPerMap+fenceMargin)<<fenceShift)
+}
+
+const (
+	fencesPerMap = 4
+	fenceMargin  = 16
+)
+
+// nextFence returns a number above all that this agent has used, and far above
+// one that was refused as too low.
+func (s *Switcher) nextFence() uint64 {
+	if s.fenced.Swap(false) {
+		s.fence *= 2
+	}
+
+	s.fence = (s.fence>>fenceShift+1)<<fenceShift | rand.Uint64N(1<<fenceShift)
+
+	return s.fence
+}
--- /dev/null
+++ b/internal/lockstep/orders.go
@@ -0,0 +1,139 @@
+package lockstep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// drive gives an order to all ranks until each of them has taken it and, where seen
+// is given, its report says so. An order without an answer may be lost, carried out
+// already, or be carried out seconds later: it is given again, and what the reports
+// say counts. A rank that refuses the first one that reaches it will not take it.
+func (s *Switcher) drive(ctx context.Context, failure error, order func(rank int) *wire.EngineOrder, seen func(*Report) bool) error {
+	ranks := make([]driven, s.Ranks.Size)
+
+	for {
+		if refused := s.orderMissing(ctx, ranks, order); len(refused) > 0 {
+			return fmt.Errorf("%w: refused by ranks %v", failure, refused)
+		}
+
+		missing := 0
+		reports, err := s.seen(ctx, seen)
+
+		switch {
+		case errors.Is(err, errState):
+			return err
+		case err != nil:
+			missing++
+		}
+
+		for rank := range ranks {
+			if !ranks[rank].taken || seen != nil && err == nil && !seen(&reports[rank]) {
+				missing++
+			}
+		}
+
+		switch {
+		case missing == 0:
+			return nil
+		case !pause(ctx, s.Settings.PollEvery):
+			return fmt.Errorf("%w: %d ranks are missing", failure, missing)
+		}
+	}
+}
+
+// seen looks at all ranks where that tells something.
+func (s *Switcher) seen(ctx context.Context, seen func(*Report) bool) ([]Report, error) {
+	if seen == nil {
+		return nil, nil
+	}
+
+	return s.lookAll(ctx)
+}
+
+// driven is what became of an order at one rank.
+type driven struct {
+	// taken is set once the rank has, or must have, taken it; unsure once an order
+	// got no answer.
+	taken, unsure bool
+}
+
+// orderMissing gives the order to the ranks that have not taken it yet, and returns
+// those that refuse it.
+func (s *Switcher) orderMissing(ctx context.Context, ranks []driven, order func(rank int) *wire.EngineOrder) []int {
+	results := make([]wire.EngineResult, len(ranks))
+
+	var g sync.WaitGroup
+
+	for rank := range ranks {
+		if !ranks[rank].taken {
+			g.Go(func() { results[rank] = s.orderAt(ctx, rank, order(rank), 1) })
+		}
+	}
+
+	g.Wait()
+
+	var refused []int
+
+	for rank := range ranks {
+		d := &ranks[rank]
+
+		switch {
+		case d.taken:
+		case results[rank] == wire.EngineResult_EngineDone, results[rank] == wire.EngineResult_EngineMisfit && d.unsure:
+			// One that no longer fits was taken when it got no answer.
+			d.taken = true
+		case results[rank] == wire.EngineResult_EngineUnknown:
+			d.unsure = true
+		default:
+			refused = append(refused, rank)
+		}
+	}
+
+	return refused
+}
+
+// orderTries is how often an order to one rank is given where no answer comes.
+const orderTries = 4
+
+func (s *Switcher) order(kind wire.EngineOrderKind, fence, version, step uint64) *wire.EngineOrder {
+	return &wire.EngineOrder{Kind: kind, Epoch: s.Ranks.Epoch, Fence: fence, Version: version, Step: step}
+}
+
+// orderAt gives an order, again while nobody can tell what became of it.
+func (s *Switcher) orderAt(ctx context.Context, rank int, o *wire.EngineOrder, tries int) wire.EngineResult {
+	got := wire.EngineResult_EngineUnknown
+
+	timeout := s.Settings.OrderTimeout
+	if o.GetKind() == wire.EngineOrderKind_EngineOrderPrepare {
+		// The whole group's maps share the directing VM's link.
+		timeout += time.Duration(s.Ranks.Size) * s.Settings.MapTime
+	}
+
+	for range tries {
+		one, cancel := context.WithTimeout(ctx, timeout)
+		got = s.Ranks.Order(one, rank, o)
+
+		cancel()
+
+		if got != wire.EngineResult_EngineUnknown || ctx.Err() != nil {
+			break
+		}
+	}
+
+	if got == wire.EngineResult_EngineFenced {
+		s.fenced.Store(true)
+	}
+
+	if got != wire.EngineResult_EngineDone {
+		s.Logger.Info("Order not taken.", "rank", rank, "order", o.GetKind().String(), "result", got.String(),
+			"version", o.GetVersion(), "step", o.GetStep(), "fence", o.GetFence(), "epoch", o.GetEpoch())
+	}
+
+	return got
+}
--- /dev/null
+++ b/internal/lockstep/standby.go
@@ -0,0 +1,66 @@
+package lockstep
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Standby stands in for a directing agent that is gone: without it, a step that was
+// held in a switch would stay held until that agent has started again. It does
+// nothing but free the group, which is safe beside a director that still lives:
+// the one with the lower fencing number is refused. Its fields are set before Run.
+type Standby struct {
+	Ranks    Ranks
+	Settings Settings
+	Logger   *slog.Logger
+	// Director reports whether the directing agent answers.
+	Director func(ctx context.Context) bool
+}
+
+// standbyLooks is how many times in a row the directing agent must not have
+// answered while a step is held.
+const standbyLooks = 2
+
+// Run watches until ctx ends.
+func (s *Standby) Run(ctx context.Context) {
+	switcher := &Switcher{Ranks: s.Ranks, Settings: s.Settings, Logger: s.Logger}
+	missed := 0
+
+	for pause(ctx, s.Settings.LookEvery) {
+		if s.Director(ctx) {
+			missed = 0
+
+			continue
+		}
+
+		if missed++; missed < standbyLooks {
+			continue
+		}
+
+		look, err := s.Ranks.Look(ctx, switcher.holder(), Question{})
+		if err != nil || !look.Report.Holds {
+			continue
+		}
+
+		if err := s.free(ctx, switcher); err != nil {
+			s.Logger.Warn("A step is held, its director is gone, and it is not freed yet.", "error", err)
+		}
+	}
+}
+
+// free frees the group, and leaves it to the directing agent as soon as that one
+// answers again: two that raise their numbers against each other free nothing.
+func (s *Standby) free(ctx context.Context, switcher *Switcher) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	go func() {
+		for pause(ctx, s.Settings.LookEvery) {
+			if s.Director(ctx) {
+				cancel()
+			}
+		}
+	}()
+
+	return switcher.Free(ctx)
+}
--- /dev/null
+++ b/internal/relay/endings.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// done notes a request that got its answer.
+func (p *passage) done() {
+	now := time.Now()
+
+	p.relay.counters.served.Add(1)
+	p.relay.latencies.whole.Update(millis(p.began, now))
+
+	if p.relay.served.Take(now) {
+		p.log(slog.LevelInfo, "Served.", "target", p.placed.Target.ID, "status", p.status, "first", p.first.Round(time.Millisecond))
+	}
+}
+
+// end gives the caller its final answer where the request has none.
+func (p *passage) end(err error) {
+	now := time.Now()
+
+	switch {
+	case p.req.Context().Err() != nil:
+		p.relay.counters.left.Add(1)
+		p.log(slog.LevelInfo, "Caller left.", "ran", p.ran, "lastEvent", p.lastEvent, "error", err)
+		panic(http.ErrAbortHandler)
+	case p.streaming:
+		p.relay.counters.cut.Add(1)
+		p.log(slog.LevelWarn, "Stream cut.", "cause", verdict.CauseOf(err), "lastEvent", p.lastEvent, "room", p.room, "error", err)
+		// Without its last piece the answer must not look whole.
+		panic(http.ErrAbortHandler)
+	case !p.ran:
+		p.refuse(err)
+	case !now.Before(p.deadline) || verdict.CauseOf(err) == verdict.CauseDeadline:
+		p.fail(http.StatusGatewayTimeout, err)
+	default:
+		p.fail(http.StatusBadGateway, err)
+	}
+}
+
+// refuse answers a request that has not run and never will.
+func (p *passage) refuse(err error) {
+	var v *verdict.Error
+
+	retryAt := p.began.Add(p.relay.Settings.ShortestRetry)
+	if errors.As(err, &v) && !v.RetryAt.IsZero() {
+		retryAt = v.RetryAt
+	}
+
+	p.relay.counters.refused.Add(1)
+
+	wait := max(time.Until(retryAt), time.Millisecond)
+	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.room, "error", err)
+	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
+	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
+}
+
+// fail answers a request that may have run.
+func (p *passage) fail(status int, err error) {
+	cause := verdict.CauseOf(err)
+	if status == http.StatusGatewayTimeout {
+		// The connection that is closed at the deadline looks like a broken answer.
+		cause = verdict.CauseDeadline
+	}
+
+	p.relay.counters.failed.Add(1)
+	p.log(slog.LevelWarn, "Failed.", "status", status, "cause", cause, "error", err)
+	http.Error(p.w, "may have run: "+string(cause), status)
+}
+
+// deny answers a request that is not proper or not allowed.
+func (p *passage) deny(status int, problem string) {
+	p.relay.counters.denied.Add(1)
+	p.log(slog.LevelInfo, "Denied.", "status", status, "problem", problem)
+	http.Error(p.w, problem, status)
+}
+
+func (p *passage) log(level slog.Level, text string, args ...any) {
+	if !p.relay.Logger.Enabled(p.req.Context(), level) {
+		return
+	}
+
+	name := ""
+	if p.route != nil {
+		name = p.route.Name
+	}
+
+	args = append(args, "request", p.call.ID, "route", name, "service", p.service, "workspace", p.workspaceName(),
+		"sends", p.sends, "tried", p.tried, "took", time.Since(p.began).Round(time.Millisecond),
+		"left", time.Until(p.deadline).Round(time.Millisecond), "number", p.state.Number, "index", p.state.Index)
+	p.relay.Logger.Log(p.req.Context(), level, text, args...)
+}
--- /dev/null
+++ b/internal/relay/state.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"net/netip"
+)
+
+// State is the relay's state for a dump.
+type State struct {
+	Requests, Served, Refused, Denied, Failed, Cut, Again, Left int64
+	Number, Index                                               uint64
+	Targets                                                     []netip.AddrPort
+	Entries, Waiting                                            int
+}
+
+// Dump returns the state as of now.
+func (r *Relay) Dump() State {
+	f := r.State()
+	c := &r.counters
+	s := State{
+		Requests: c.requests.Load(), Served: c.served.Load(), Refused: c.refused.Load(), Denied: c.denied.Load(),
+		Failed: c.failed.Load(), Cut: c.cut.Load(), Again: c.again.Load(), Left: c.left.Load(),
+		Number: f.Number, Index: f.Index, Entries: f.Entries,
+	}
+
+	for i := range f.Targets {
+		s.Targets = append(s.Targets, f.Targets[i].Address)
+	}
+
+	r.queue.mu.Lock()
+	s.Waiting = r.queue.dispatcher.Waiting()
+	r.queue.mu.Unlock()
+
+	return s
+}
--- /dev/null
+++ b/internal/role/rankserver.go
@@ -0,0 +1,99 @@
+package role
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/parsleygate/parsleygate/internal/loads"
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+func (a *RankAgent) load(ctx context.Context) (loads.Load, error) {
+	r, err := a.Engine.Report(ctx)
+
+	return loads.Load{Running: r.Running, Waiting: r.Waiting}, err
+}
+
+// RankState is the engine of this VM in a dump.
+type RankState struct {
+	Report lockstep.Report
+	Error  string
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+
+	return err.Error()
+}
+
+// look looks at this VM's engine, and adds the counts of others.
+func (a *RankAgent) look(ctx context.Context, q lockstep.Question, others []string) (lockstep.Look, error) {
+	report, err := a.Engine.Report(ctx)
+	out := lockstep.Look{Report: report}
+
+	if err == nil {
+		a.mu.Lock()
+		a.inUse = report.Map
+		a.mu.Unlock()
+	}
+
+	if err == nil && q.Counts {
+		out.Counts, err = a.Engine.Counts(ctx)
+	}
+
+	if err == nil && len(others) > 0 {
+		out.Counts, err = a.addCounts(ctx, out.Counts, others)
+	}
+
+	if err == nil && q.Lists {
+		out.ListsOf, out.Lists, err = a.Engine.Lists(ctx)
+	}
+
+	return out, err
+}
+
+// Look implements wire.RankPeer.
+func (a *RankAgent) Look(ctx context.Context, r *wire.LookRequest) (*wire.LookAnswer, error) {
+	if r.GetCluster() != a.Cluster {
+		return nil, errOtherCluster
+	}
+
+	l, err := a.look(ctx, lockstep.Question{Counts: r.GetCounts(), Lists: r.GetLists()}, r.GetOthers())
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error()) //nolint:wrapcheck // the server looks for its own type
+	}
+
+	out := &wire.LookAnswer{Report: l.Report.ToWire(), Counts: l.Counts, ListsOf: l.ListsOf}
+	for _, set := range l.Lists {
+		out.Lists = append(out.Lists, lockstep.SetToWire(set))
+	}
+
+	return out, nil
+}
+
+// Order implements wire.RankPeer.
+func (a *RankAgent) Order(ctx context.Context, o *wire.EngineOrder) (*wire.EngineOrderAnswer, error) {
+	if o.GetCluster() != a.Cluster {
+		return nil, errOtherCluster
+	}
+
+	a.mu.Lock()
+	ok, err := a.maps.Open(o)
+	a.mu.Unlock()
+
+	switch {
+	case err != nil:
+		return nil, twirp.InvalidArgumentError("Map", err.Error())
+	case !ok:
+		return &wire.EngineOrderAnswer{Result: wire.EngineResult_EngineNoBase}, nil
+	}
+
+	return &wire.EngineOrderAnswer{Result: a.Engine.Order(ctx, o)}, nil
+}
+
+// errOtherCluster refuses what is meant for another deployment.
+var errOtherCluster = twirp.NewError(twirp.FailedPrecondition, "this agent belongs to another cluster")
