Give a leaving agent four seconds to be asked in its test

Traced: a pause of 320 ms before the ask, in place of 20, gives the very same failure, as the test lets the agent wait 300 ms only; with 4 s the same pause passes. Change: AskWait is 4 s in this test; what it checks is as it was.

--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -68,7 +68,7 @@
 
 	g := newGate()
 	r := newRig(t, httpTarget(t, g.serve("text/plain")), func(a *Agent) {
-		a.Settings.AskWait = 300 * time.Millisecond
+		a.Settings.AskWait = 4 * time.Second
 		a.Settings.TickEvery = time.Millisecond
 	})
 	req := r.booking("/book", "x")
