Name the deadline as the cause where a stream ran out of time

Cause: the log line of a cut stream took the error of the closed connection, so a draft whose time had passed read as one that a server broke off. Ruled out: another timer; the line's left=0s showed the deadline. Change: one function names the cause for cut and failed requests alike. Before: cause=AnswerBroken at the deadline; after: cause=DeadlinePassed. Conclusion: logs only; what a caller gets is unchanged.

--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -32,18 +32,26 @@
 		panic(http.ErrAbortHandler)
 	case p.streaming:
 		p.relay.counters.cut.Add(1)
-		p.log(slog.LevelWarn, "Stream cut.", "cause", verdict.CauseOf(err), "lastEvent", p.lastEvent, "room", p.room, "error", err)
+		p.log(slog.LevelWarn, "Stream cut.", "cause", p.cause(now, err), "lastEvent", p.lastEvent, "room", p.room, "error", err)
 		// Without its last piece the answer must not look whole.
 		panic(http.ErrAbortHandler)
 	case !p.ran:
 		p.refuse(err)
-	case !now.Before(p.deadline) || verdict.CauseOf(err) == verdict.CauseDeadline:
-		p.fail(http.StatusGatewayTimeout, err)
 	default:
-		p.fail(http.StatusBadGateway, err)
+		p.fail(p.cause(now, err), err)
 	}
 }
 
+// cause tells why a request that may have run has no whole answer. The
+// connection that is closed at the deadline looks like a broken answer.
+func (p *passage) cause(now time.Time, err error) verdict.Cause {
+	if now.Before(p.deadline) {
+		return verdict.CauseOf(err)
+	}
+
+	return verdict.CauseDeadline
+}
+
 // refuse answers a request that has not run and never will.
 func (p *passage) refuse(err error) {
 	var v *verdict.Error
@@ -62,11 +70,10 @@
 }
 
 // fail answers a request that may have run.
-func (p *passage) fail(status int, err error) {
-	cause := verdict.CauseOf(err)
-	if status == http.StatusGatewayTimeout {
-		// The connection that is closed at the deadline looks like a broken answer.
-		cause = verdict.CauseDeadline
+func (p *passage) fail(cause verdict.Cause, err error) {
+	status := http.StatusBadGateway
+	if cause == verdict.CauseDeadline {
+		status = http.StatusGatewayTimeout
 	}
 
 	p.relay.counters.failed.Add(1)
