Mend two data races in tests' stand-ins

Cause: a rank of the stand-in group raised the fence in the very order that its sender was about to send again, and a test read the saved directory while the first server could still save it. Ruled out: the product. Over HTTP a rank gets bytes, never the sender's order, and a saved directory is read once at the start of another process. Change: what arrives late is a copy; the saved bytes are behind a mutex. Conclusion: no assertion changed.

--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -237,8 +237,25 @@
 func TestTargetsOutliveARestart(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		var kept []byte
+		var (
+			mu   sync.Mutex
+			kept []byte
+		)
 
+		save := func(data []byte) error {
+			mu.Lock()
+			defer mu.Unlock()
+
+			kept = data
+
+			return nil
+		}
+		saved := func() []byte {
+			mu.Lock()
+			defer mu.Unlock()
+
+			return kept
+		}
 		start := func(kept func() ([]byte, error), save func([]byte) error) *control.Server {
 			s := newPublishing()
 			s.SavedTargets, s.SaveTargets = kept, save
@@ -246,7 +263,7 @@
 
 			return s
 		}
-		first := start(func() ([]byte, error) { return nil, errors.New("none") }, func(data []byte) error { kept = data; return nil })
+		first := start(func() ([]byte, error) { return nil, errors.New("none") }, save)
 		gone := announced("i2", "desk", "a")
 		gone.Address = netip.MustParseAddrPort("10.0.0.2:80")
 
@@ -255,7 +272,7 @@
 		require.NoError(t, first.Leave(t.Context(), "i2"))
 		time.Sleep(time.Second)
 
-		second := start(func() ([]byte, error) { return kept, nil }, nil)
+		second := start(func() ([]byte, error) { return saved(), nil }, nil)
 		out, err := second.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
 		require.NoError(t, err)
 		require.Len(t, out.GetTargets(), 2)
@@ -266,7 +283,7 @@
 
 		require.NoError(t, second.Announce(t.Context(), gone))
 
-		third := start(func() ([]byte, error) { return kept[:len(kept)-3], nil }, nil)
+		third := start(func() ([]byte, error) { return saved()[:len(saved())-3], nil }, nil)
 		out, err = third.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
 		require.NoError(t, err)
 		require.Empty(t, out.GetTargets())
--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -232,15 +234,18 @@
 			k.fence = o.GetFence()
 		}
 
+		// What arrives late is a copy: the sender may send its own once more.
+		late := proto.CloneOf(o)
+
 		time.AfterFunc(g.lateBy, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 
 			if f == faultUnsure {
-				o.Fence = max(o.GetFence(), k.fence)
+				late.Fence = max(late.GetFence(), k.fence)
 			}
 
-			g.carryOut(k, rank, o)
+			g.carryOut(k, rank, late)
 		})
 
 		return wire.EngineResult_EngineUnknown
