--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -188,13 +188,14 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(small, skewed(small, seed))
-				r := newRandom(seed)
+				// Orders draw from another goroutine than the test does.
+				faults, r := newRandom(seed), newRandom(^seed)
 				g.fault = func(int) fault {
-					if r.IntN(3) > 0 {
+					if faults.IntN(3) > 0 {
 						return faultNone
 					}
 
-					return fault(1 + r.IntN(4))
+					return fault(1 + faults.IntN(4))
 				}
 
 				ctx, stop := context.WithCancel(t.Context())
