Sort waiting requests once, and find an engine's target by its VM

Ruled out: another order of placing. The second sort had the same key at the same time, and DeleteFunc keeps the order. Figures: none taken for speed. Tests of the packages touched pass under the race detector, unchanged.

--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -88,11 +88,8 @@
 		return nil
 	}
 
+	// What is left is in the order in which it is to be placed.
 	out := d.refuseHopeless(now, s)
-
-	due := now.Add(s.firstAnswer)
-	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(due, &a, &b) })
-
 	kept := s.waiting[:0]
 
 	for i := range s.waiting {
@@ -151,7 +148,7 @@
 
 // refuseHopeless refuses what its caller will have given up before an answer, and
 // what no target is left for. A late request is refused as soon as more late ones
-// go before it than end in the time that it has.
+// go before it than end in the time that it has. The rest is left in order.
 func (d *Dispatcher) refuseHopeless(now time.Time, s *service) []Action {
 	var out []Action
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,8 +23,13 @@
 	lastID  uint64
 	waiters map[uint64]chan dispatch.Action
 	ticking bool
+	// engines are the targets that an agent tells the load of, by VM: each of a
+	// deployment's agents tells ten times a second.
+	engines map[netip.Addr][]engine
 }
 
+type engine struct{ service, target string }
+
 // place waits until r has a target, is refused, or its caller leaves.
 func (q *queue) place(ctx context.Context, r dispatch.Request) (dispatch.Action, error) {
 	q.mu.Lock()
@@ -85,11 +91,14 @@
 	}
 }
 
-func (q *queue) load(service, target string, l dispatch.Load) {
+// load takes in the load of the engines on a VM.
+func (q *queue) load(vm netip.Addr, l dispatch.Load) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	q.tell(q.dispatcher.Report(time.Now(), service, target, l))
+	for _, e := range q.engines[vm] {
+		q.tell(q.dispatcher.Report(time.Now(), e.service, e.target, l))
+	}
 }
 
 func (q *queue) pause(a dispatch.Action, part float64) {
@@ -110,6 +119,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	q.engines = make(map[netip.Addr][]engine)
+
+	for i := range targets {
+		if t := &targets[i]; t.Group != "" {
+			vm := t.Address.Addr()
+			q.engines[vm] = append(q.engines[vm], engine{service: t.Service, target: t.ID})
+		}
+	}
+
 	q.tell(q.dispatcher.Change(time.Now(), services, targets, entries))
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,11 +113,7 @@
 
 // Heard takes in what the agent on a target's VM says of its load.
 func (r *Relay) Heard(vm netip.Addr, l loads.Load) {
-	for _, t := range r.State().Targets {
-		if t.Address.Addr() == vm && t.Group.Name != "" {
-			r.queue.load(t.Service, t.ID, dispatch.Load{Running: l.Running, Waiting: l.Waiting})
-		}
-	}
+	r.queue.load(vm, dispatch.Load{Running: l.Running, Waiting: l.Waiting})
 }
 
 // Ready reports whether this entry can serve: it knows a configuration and targets.
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -44,7 +44,7 @@
 	Cluster string
 	ID      string
 	Zone    string
-	// Seeds are the control VMs that the settings name; Seed is called anew for
+	// Seeds are the control VMs that the settings name; Seeds is called anew for
 	// each round of dials, since settings change.
 	Seeds func() []netip.AddrPort
 	// Ask sends one question to a control VM. It must end when ctx does.
--- a/internal/view/reader.go
+++ b/internal/view/reader.go
@@ -222,11 +222,5 @@
 		r.control = (r.control + 1) % len(r.Controls)
 	}
 
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pauseFor(ctx, wait)
 }
