Keep a leaving agent until the last frame of each answer is out

A request leaves the core before its answer goes out, so that the credit on the answer counts the free slot; that its entry is gone is noted only after. A drain that looks in between finds nothing in flight and nobody to wait for, leaves, and a booking that ran is reported as one that may have run. Ruled out: an entry whose loss was not noticed within 20 ms. The test waits for the line that says it was noticed now, and failed all the same once. Change: open exchanges are counted, and idle waits for them. The loss of an entry is logged, and noted too where the last piece came at the same moment. Conclusion: a fault of the product, in a window of microseconds.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,7 +71,9 @@
 	drained  chan struct{}
 	// keepUntil is until when a leaving agent still answers asks, in Unix nanoseconds.
 	keepUntil atomic.Int64
-	leave     sync.Once
+	// open counts the exchanges whose last frame is not out yet.
+	open  atomic.Int64
+	leave sync.Once
 }
 
 // prepare fills what the caller left out.
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -40,11 +40,16 @@
 
 // idle reports whether a leaving agent may go: nothing is in flight, no order is at
 // the engine, and no entry may still ask for an answer that didn't reach it.
+//
+// A request leaves the core before its answer has gone out. Between the two, only the
+// exchange knows that the answer may not arrive: an agent that looked at the core alone
+// left then, and a booking that ran was reported as one that may have run. An exchange
+// writes keepUntil before it closes, so that is read last.
 func (a *Agent) idle() bool {
 	_, order := a.desk.state()
 	now := a.Now()
 
-	return order == 0 && a.door.drained(now) && now.UnixNano() >= a.keepUntil.Load()
+	return order == 0 && a.door.drained(now) && a.open.Load() == 0 && now.UnixNano() >= a.keepUntil.Load()
 }
 
 // undelivered notes that an answer didn't reach its entry, which may ask for it
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
@@ -61,13 +62,33 @@
 	require.NoError(t, <-r.done)
 }
 
+// lineHandler calls seen at one line of the log.
+type lineHandler struct {
+	line string
+	seen func()
+}
+
+func (h lineHandler) Enabled(context.Context, slog.Level) bool { return true }
+func (h lineHandler) WithAttrs([]slog.Attr) slog.Handler       { return h }
+func (h lineHandler) WithGroup(string) slog.Handler            { return h }
+
+func (h lineHandler) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == h.line {
+		h.seen()
+	}
+
+	return nil
+}
+
 // A booking that ran would be reported as one that may have run: its entry's
 // connection broke, and the agent left before the entry could ask.
 func TestDrainWaitsForAsks(t *testing.T) {
 	t.Parallel()
 
 	g := newGate()
+	noticed := make(chan struct{})
 	r := newRig(t, httpTarget(t, g.serve("text/plain")), func(a *Agent) {
+		a.Logger = slog.New(lineHandler{line: "The entry is gone.", seen: func() { close(noticed) }})
 		a.Settings.AskWait = 4 * time.Second
 		a.Settings.TickEvery = time.Millisecond
 	})
@@ -85,7 +106,7 @@
 
 	go func() { drained <- r.agent.Drain(context.Background()) }()
 
-	time.Sleep(20 * time.Millisecond) // lets the agent notice that the entry is gone
+	<-noticed
 	close(g.release)
 	require.Eventually(t, func() bool { return r.agent.Dump().Load.InFlight == 0 }, 5*time.Second, time.Millisecond)
 	time.Sleep(20 * time.Millisecond) // an agent that doesn't wait is gone by now
@@ -94,3 +115,17 @@
 	require.NoError(t, <-drained)
 	require.NoError(t, <-r.done)
 }
+
+// A booking's entry is gone, and its agent is told to leave. The core has let go of
+// the request, and its answer is not out yet: an agent that goes now cannot be asked.
+func TestDrainWaitsForOpenExchanges(t *testing.T) {
+	t.Parallel()
+
+	r := newRig(t, httpTarget(t, newGate().serve("text/plain")), nil)
+	r.agent.door.leave()
+	require.True(t, r.agent.idle())
+	r.agent.open.Add(1)
+	require.False(t, r.agent.idle())
+	r.agent.open.Add(-1)
+	require.True(t, r.agent.idle())
+}
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -58,6 +58,9 @@
 
 // run relays until the request has ended. The entry's connection is gone when entry ends.
 func (x *exchange) run(entry context.Context) {
+	x.agent.open.Add(1)
+	defer x.agent.open.Add(-1)
+
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(entry), x.until)
 	defer cancel()
 
@@ -79,6 +82,12 @@
 		case p := <-r.pieces:
 			beat.Reset(x.agent.Settings.HeartbeatEvery)
 
+			// The last piece and the loss of the entry may be there at once: the answer is
+			// then to be kept for who asks for it.
+			if entry.Err() != nil {
+				x.entryLeft()
+			}
+
 			if x.take(p) {
 				return
 			}
@@ -86,7 +95,7 @@
 			x.send(&wire.Frame{Kind: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{AttemptID: x.call.attemptID}}})
 		case <-gone:
 			gone = nil
-			x.entryGone = true
+			x.entryLeft()
 		}
 
 		if x.entryGone && x.mayCancel() {
@@ -258,6 +267,16 @@
 	}
 
 	if err := write(f); err != nil {
-		x.entryGone = true
+		x.entryLeft()
 	}
 }
+
+// entryLeft notes that the entry's connection broke.
+func (x *exchange) entryLeft() {
+	if x.entryGone {
+		return
+	}
+
+	x.entryGone = true
+	x.agent.Logger.Info("The entry is gone.", "attempt", x.call.attemptID, "cancelled", x.mayCancel())
+}
