Wait for a disk that refuses, and keep no files where there is none

A VM without a disk could not rename its member file and ended at each start. Change: role.Endings runs a control VM again within its process where the folder refuses, half a second later, and where it was taken out of the set. Files that hold something wrong still end the process.

--- a/cmd/parsleygate/cmds/routing.go
+++ b/cmd/parsleygate/cmds/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/netip"
 	"os"
@@ -12,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/control"
-	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/journal"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/role"
 	"github.com/parsleygate/parsleygate/internal/roster"
@@ -69,47 +68,45 @@
 // runAutomaticControl runs a control VM that finds the others by seeds. A VM that
 // was taken out of the set while it was away comes back under a new ID.
 func runAutomaticControl(ctx context.Context, p *process) error {
-	for {
-		err := runControlOnce(ctx, p)
-
-		var removed *quorum.RemovedError
-		if !errors.As(err, &removed) {
-			return err
-		}
-
-		p.logs.Logger("control").Warn("Taken out of the control set: joining anew.", "id", removed.ID)
-
-		if err := os.RemoveAll(p.settings.Control.DataFolder); err != nil {
-			return eris.Wrap(err, "clear the data folder")
-		}
+	// Each run listens anew: nobody's connection hangs on a VM that waits for its disk.
+	if err := p.listener.Close(); err != nil {
+		return eris.Wrap(err, "close listener")
+	}
 
-		if p.listener, err = listenOn(ctx, p.settings.Process.Address); err != nil {
-			return err
-		}
+	e := &role.Endings{
+		Once:   func(ctx context.Context) error { return runControlOnce(ctx, p) },
+		Clear:  func() error { return os.RemoveAll(p.settings.Control.DataFolder) },
+		Logger: p.logs.Logger("control"),
 	}
+
+	return e.Run(ctx)
 }
 
 func runControlOnce(ctx context.Context, p *process) error {
 	s := p.settings
 
+	self, err := role.OpenMember(filepath.Clean(s.Control.DataFolder), s.Process.Address, s.Seeds.Controls(),
+		role.MemberOptions{Bootstrap: s.Operating.Bootstrap, Volatile: s.Control.Volatile})
+	if err != nil {
+		return err
+	}
+
 	operators, err := listenOn(ctx, s.Operating.Address)
 	if err != nil {
 		return err
 	}
 
-	self, err := role.OpenMember(filepath.Clean(s.Control.DataFolder), s.Process.Address, s.Seeds.Controls(),
-		role.MemberOptions{Bootstrap: s.Operating.Bootstrap, Volatile: s.Control.Volatile})
+	listener, err := listenOn(ctx, s.Process.Address)
 	if err != nil {
 		return err
 	}
 
 	c := &role.Control{
 		VM: self.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Incarnation: role.IncarnationAt(time.Now()),
-		Listener: p.listener, Identity: p.identity, Dir: filepath.Join(filepath.Clean(s.Control.DataFolder), "log"),
+		Listener: listener, Identity: p.identity, Dir: filepath.Join(filepath.Clean(s.Control.DataFolder), "log"),
 		Logs: p.logs, Dump: p.dump, Founders: self.Founders(),
 		Automatic:      &role.Automatic{Settings: roster.DefaultSettings(s.Operating.BearLost), Seeds: p.seeds()},
 		TrustedNetwork: s.Process.TrustedNetwork, Operators: operators, Zones: s.Zones, AnnounceEvery: s.Operating.AnnounceEvery,
-		TargetsFile: filepath.Join(filepath.Clean(s.Control.DataFolder), "targets"),
 		ReadDocument: func(sent []byte) (*wire.RouteTable, error) {
 			d, err := platform.ReadDocument(sent)
 			if err != nil {
@@ -120,6 +117,13 @@
 		},
 		Operate: func(server *control.Server) http.Handler { return operatorsOf(server, p) },
 	}
+
+	if s.Control.Volatile {
+		c.Files = journal.MemoryFiles()
+	} else {
+		c.TargetsFile = filepath.Join(filepath.Clean(s.Control.DataFolder), "targets")
+	}
+
 	c.Build()
 
 	return c.Run(ctx)
--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,11 +45,13 @@
 	take func() any
 }
 
-// Add adds a part. take may be called at any time, from any goroutine.
+// Add adds a part, or replaces the one of that name. take may be called at any time,
+// from any goroutine.
 func (d *Dump) Add(name string, take func() any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	d.parts = slices.DeleteFunc(d.parts, func(s source) bool { return s.name == name })
 	d.parts = append(d.parts, source{name: name, take: take})
 }
 
--- /dev/null
+++ b/internal/journal/memory_test.go
@@ -0,0 +1,41 @@
+package journal_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/journal"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+)
+
+// A VM without a disk may not be allowed to write files at all. Its journal in
+// memory holds what was written as long as the process lives, and nothing after it.
+func TestMemoryJournal(t *testing.T) {
+	t.Parallel()
+
+	files := journal.MemoryFiles()
+	open := func(files journal.Files) (*journal.Journal, quorum.Stored) {
+		j := &journal.Journal{Dir: "/nowhere/at/all", Cluster: "c", ID: "a", Files: files, NewBirth: func() uint64 { return 7 }}
+		stored, err := j.Open()
+		require.NoError(t, err)
+
+		return j, stored
+	}
+
+	j, stored := open(files)
+	require.Empty(t, stored.Entries)
+
+	entry := quorum.Entry{Index: 1, Term: 1, Command: []byte("x")}
+	require.NoError(t, j.Write(quorum.Persist{State: &quorum.HardState{Term: 1}, Entries: []quorum.Entry{entry}}))
+	require.NoError(t, j.Close())
+
+	again, stored := open(files)
+	require.Equal(t, []quorum.Entry{entry}, stored.Entries)
+	require.EqualValues(t, 1, stored.State.Term)
+	require.EqualValues(t, 7, again.Birth())
+	require.NoError(t, again.Close())
+
+	_, stored = open(journal.MemoryFiles())
+	require.Empty(t, stored.Entries)
+}
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -19,6 +19,7 @@
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/expertgroup"
 	"github.com/parsleygate/parsleygate/internal/identity"
+	"github.com/parsleygate/parsleygate/internal/journal"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
@@ -47,6 +48,8 @@
 	Identity *identity.Identity
 	// Dir is the data folder, which this VM alone uses.
 	Dir string
+	// Files are the disk below it; the zero value stands for the operating system's.
+	Files journal.Files
 	// Founders are the first control VMs of a new deployment, the same list at each.
 	Founders []quorum.Member
 	// Peers are the other control VMs.
@@ -95,7 +98,7 @@
 	address, _ := netip.ParseAddrPort(r.Listener.Addr().String())
 	r.client = NewControls(nil, r.Identity).client
 	r.replica = &replica.Replica{
-		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Addr: address, Founders: r.Founders,
+		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Files: r.Files, Addr: address, Founders: r.Founders,
 		Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
 	r.peers.started = time.Now()
--- /dev/null
+++ b/internal/role/endings.go
@@ -0,0 +1,83 @@
+package role
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/parsleygate/parsleygate/internal/journal"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+)
+
+// folderRetry is how long a control VM waits for a data folder that refuses: about
+// what a supervisor takes to start a process again, which is what it saves.
+const folderRetry = 500 * time.Millisecond
+
+// Endings run a control VM again where its part in the set has ended and its process
+// need not: it was taken out of the set, or its disk refuses. The fields are set
+// before Run.
+type Endings struct {
+	// Once runs the control VM until its part ends.
+	Once func(ctx context.Context) error
+	// Clear empties the data folder, which makes another member of the VM.
+	Clear  func() error
+	Logger *slog.Logger
+}
+
+// Run runs the control VM until ctx ends, or until it fails in a way that waiting
+// does not mend.
+func (e *Endings) Run(ctx context.Context) error {
+	for {
+		err := e.Once(ctx)
+
+		var removed *quorum.RemovedError
+
+		switch {
+		case errors.As(err, &removed):
+			e.Logger.Warn("Taken out of the control set: joining anew.", "id", removed.ID)
+
+			if err := e.Clear(); err != nil && !FolderRefuses(err) {
+				return eris.Wrap(err, "clear the data folder")
+			}
+		case FolderRefuses(err):
+			// A full or read-only disk would end the process at each of its starts, many times
+			// a minute, and bury the line that says why. What was acknowledged stays on the
+			// disk: the journal is opened anew, as after a restart.
+			e.Logger.Warn("The data folder refuses: taking no part until it is written again.", "error", err)
+		default:
+			return err
+		}
+
+		if !wait(ctx, folderRetry) {
+			return nil
+		}
+	}
+}
+
+// FolderRefuses reports whether err says that files cannot be read or written now:
+// the disk is full, or read-only, or gone. Files that hold something wrong are not
+// meant, nothing mends them by itself.
+func FolderRefuses(err error) bool {
+	var (
+		write *journal.WriteError
+		path  *fs.PathError
+		link  *os.LinkError
+	)
+
+	return errors.As(err, &write) || errors.As(err, &path) || errors.As(err, &link)
+}
+
+// wait waits for d, and reports false if ctx ends before.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/role/endings_test.go
@@ -0,0 +1,128 @@
+package role_test
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/journal"
+	"github.com/parsleygate/parsleygate/internal/quorum"
+	"github.com/parsleygate/parsleygate/internal/role"
+)
+
+var (
+	errFull     = &journal.WriteError{What: "write", Err: &fs.PathError{Op: "write", Path: "log", Err: syscall.ENOSPC}}
+	errReadOnly = &os.LinkError{Op: "rename", Old: "a", New: "b", Err: syscall.EROFS}
+)
+
+// endings runs a control VM that ends with one of errs after the other, and then runs
+// until it is stopped. It returns when each run began, and what came out in the end.
+func endings(t *testing.T, errs ...error) (starts []time.Duration, cleared int, out error) {
+	t.Helper()
+
+	synctest.Test(t, func(*testing.T) {
+		ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+		defer stop()
+
+		began := time.Now()
+		e := &role.Endings{
+			Once: func(ctx context.Context) error {
+				starts = append(starts, time.Since(began))
+
+				if n := len(starts); n <= len(errs) {
+					return eris.Wrap(errs[n-1], "run control VM")
+				}
+
+				<-ctx.Done()
+
+				return nil
+			},
+			Clear:  func() error { cleared++; return nil },
+			Logger: slog.New(slog.DiscardHandler),
+		}
+		out = e.Run(ctx)
+	})
+
+	return starts, cleared, out
+}
+
+// A control VM's disk fills up for some seconds. Its process ended, was started twice
+// a second, and ended again each time, until the disk took writes: 86 times in half a
+// minute. It waits within the process now.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	t.Parallel()
+
+	starts, cleared, err := endings(t, errFull, errReadOnly, errFull)
+	require.NoError(t, err)
+	require.Equal(t, []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond}, starts)
+	require.Zero(t, cleared, "what was acknowledged is on that disk")
+}
+
+// A VM that was taken out of the set while it was away joins under a new ID.
+func TestRemovedMemberJoinsAnew(t *testing.T) {
+	t.Parallel()
+
+	starts, cleared, err := endings(t, &quorum.RemovedError{ID: "a"})
+	require.NoError(t, err)
+	require.Len(t, starts, 2)
+	require.Equal(t, 1, cleared)
+}
+
+// A log that holds something else than what was written is not mended by waiting:
+// the operators have to hear of it.
+func TestDamageEndsTheProcess(t *testing.T) {
+	t.Parallel()
+
+	for _, err := range []error{&journal.DamageError{File: "log"}, errors.New("address in use")} {
+		starts, cleared, out := endings(t, err)
+		require.ErrorIs(t, out, err)
+		require.Len(t, starts, 1)
+		require.Zero(t, cleared)
+	}
+}
+
+// A data folder that cannot be made is told apart from one that holds nonsense.
+func TestRefusingFolder(t *testing.T) {
+	t.Parallel()
+
+	file := filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+
+	_, err := role.OpenMember(filepath.Join(file, "data"), seedOne, []netip.AddrPort{seedOne}, bootstrap)
+	require.True(t, role.FolderRefuses(err), "%v", err)
+
+	torn := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(torn, "member.json"), []byte("{torn"), 0o600))
+
+	_, err = role.OpenMember(torn, seedOne, []netip.AddrPort{seedOne}, bootstrap)
+	require.Error(t, err)
+	require.False(t, role.FolderRefuses(err), "%v", err)
+}
+
+// A VM without a disk may not be allowed to write files at all: its process ended at
+// each start, since it could not keep its member file. It needs none.
+func TestVolatileMemberWritesNothing(t *testing.T) {
+	t.Parallel()
+
+	dir := filepath.Join(t.TempDir(), "none")
+	o := role.MemberOptions{Volatile: true}
+
+	first, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedTwo}, o)
+	require.NoError(t, err)
+	require.NoDirExists(t, dir)
+
+	again, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedTwo}, o)
+	require.NoError(t, err)
+	require.NotEqual(t, first.ID, again.ID)
+}
--- a/internal/role/member.go
+++ b/internal/role/member.go
@@ -40,13 +40,17 @@
 type MemberOptions struct {
 	// Bootstrap says that the deployment starts for the first time.
 	Bootstrap bool
-	// Volatile says that the data folder does not outlive the process.
+	// Volatile says that the VM has no disk: nothing of the member is kept.
 	Volatile bool
 }
 
 // OpenMember reads the member from the data folder, or makes one: a founder where
 // the deployment starts for the first time and own is a seed.
 func OpenMember(dir string, own netip.AddrPort, seeds []netip.AddrPort, o MemberOptions) (*Member, error) {
+	if o.Volatile {
+		return newMember(own, roster.VolatileMark), nil
+	}
+
 	if err := os.MkdirAll(dir, memberDirMode); err != nil {
 		return nil, eris.Wrap(err, "make data folder")
 	}
@@ -62,26 +66,21 @@
 		return nil, eris.Wrap(err, "read "+memberFile)
 	}
 
-	m := &Member{ID: own.Addr().String()}
-
-	if o.Bootstrap && !o.Volatile && slices.Contains(seeds, own) {
-		m.Found = seeds
-
-		return m, m.write(dir)
+	m := newMember(own, "-")
+	if o.Bootstrap && slices.Contains(seeds, own) {
+		m = &Member{ID: own.Addr().String(), Found: seeds}
 	}
 
+	return m, m.write(dir)
+}
+
+// newMember returns a member that joins, under an ID that no VM had before.
+func newMember(own netip.AddrPort, mark string) *Member {
 	var suffix [memberSuffix]byte
 
 	_, _ = rand.Read(suffix[:]) // it never fails
 
-	mark := "-"
-	if o.Volatile {
-		mark = roster.VolatileMark
-	}
-
-	m.ID += mark + hex.EncodeToString(suffix[:])
-
-	return m, m.write(dir)
+	return &Member{ID: own.Addr().String() + mark + hex.EncodeToString(suffix[:])}
 }
 
 // write makes the member durable before it says a word: else a power loss could
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -109,7 +109,7 @@
 		},
 		{
 			Section: sectionControl, Key: "Volatile", Allowed: allowedBool, Default: "false",
-			Help: "Whether the data folder is lost with the process. With [Seeds] this VM then follows the others and never has a vote.",
+			Help: "Whether the VM has no disk. With [Seeds] it then keeps its log in memory, writes nothing to the data folder, follows the others and never has a vote.",
 			set:  func(s *Settings, v string) bool { s.Control.Volatile = v == "true"; return v == "true" || v == "false" },
 		},
 		path("CertFile", "The certificate of this process, in PEM.", func(s *Settings) *string { return &s.TLS.CertFile }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,7 +71,7 @@
 type Control struct {
 	// DataFolder is where the log and its snapshots live.
 	DataFolder string
-	// Volatile says that the data folder does not outlive the process.
+	// Volatile says that the VM has no disk, and nothing is kept.
 	Volatile bool
 	// Join says that this VM joins a running deployment as a learner; else it is
 	// one of the founders of a new one.
