Tell in the log that a process stood still

Cause: a booking whose caller had left before its entry read it could be told from a slow target only by a gap of four seconds between an entry's lines. Ruled out: the steady clock, which leaves suspended time out, and the time of day, which jumps. Conclusion: one line at the process names what the gap had to be read from.

--- /dev/null
+++ b/internal/logs/standstill_test.go
@@ -0,0 +1,48 @@
+package logs_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/logs"
+)
+
+// A VM is suspended for four seconds. Its entry's callers have given up when it wakes,
+// and its log shows two dozen callers who left at once, as if the targets were slow.
+// The steady clock does not count the time.
+func TestStandstillIsTold(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		var (
+			out       bytes.Buffer
+			suspended atomic.Int64
+		)
+
+		began := time.Now()
+		ctx, stop := context.WithCancel(context.Background())
+		s := &logs.Standstill{
+			Logger:    logs.Output{Writer: &out}.Logger("process"),
+			SinceBoot: func() (time.Duration, error) { return time.Since(began) + time.Duration(suspended.Load()), nil },
+		}
+		ended := make(chan struct{})
+
+		go func() { defer close(ended); s.Run(ctx) }()
+
+		time.Sleep(10 * time.Second)
+		suspended.Store(int64(4 * time.Second))
+		time.Sleep(10 * time.Second)
+		stop()
+		<-ended
+		require.Equal(t, 1, strings.Count(out.String(), "\n"), "told once, and of nothing else: %s", out.String())
+		require.Contains(t, out.String(), "process: Stood still.")
+		require.Contains(t, out.String(), "for=4s")
+	})
+}
