Refuse at once what waits for targets that are down, and name that cause

Cause: where a service's only targets failed lately and are left alone, callers that give up before they are tried again were held until then, and the refusal and its log line blamed an overload. Ruled out: refusing everything while all are paused. A caller that waits longer than the pause is served when it ends. Change: the queue knows when the first target is tried again, and refuses who gives up before, with that time to come back at. The cause is TargetDown where all that is left is broken or paused for a fault, and Overload as before where some target is full, cold or short of connections. Conclusion: refused at once, with the true cause.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -159,7 +159,7 @@
 		r.Work = 1
 	}
 
-	if !s.hasUntried(&r) {
+	if _, ok := s.opensAt(now, &r); !ok {
 		return []Action{{ID: r.ID, Cause: s.absence(&r), RetryAt: now.Add(d.Settings.NoTargetRetry)}}
 	}
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -496,3 +496,66 @@
 		}
 	}
 }
+
+// A service's only target refuses connections, again and again, and is left alone for
+// longer than the next caller waits. That caller was held until it gave up, and the
+// log blamed an overload. It is refused at once, told that the target is down, and
+// asked to come back when the target is tried again.
+func TestDownTargetIsNotWaitedFor(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 1, 4, 1, nil)
+	now := begin
+
+	for range 4 {
+		id := b.offer(now, nil)
+		require.Contains(t, b.placed, id)
+		b.end(now, id, dispatch.Failed)
+
+		now = now.Add(4 * time.Second)
+	}
+
+	id := b.offer(now, nil)
+	b.end(now, id, dispatch.Failed) // the fifth in a row: left alone for 4 s
+
+	late := b.offer(now, nil) // gives up after 2 s
+	require.Contains(t, b.refused, late)
+	require.Equal(t, verdict.CauseTargetDown, b.refused[late].Cause)
+	require.Equal(t, now.Add(3*time.Second), b.refused[late].RetryAt, "no more than the longest retry")
+
+	patient := b.offer(now, func(r *dispatch.Request) { r.GiveUpAt = now.Add(5 * time.Second) })
+	require.NotContains(t, b.refused, patient)
+	b.take(b.Tick(now.Add(4 * time.Second)))
+	require.Contains(t, b.placed, patient)
+}
+
+// Two targets: one is down, the other full. Whoever gives up meanwhile was refused for
+// want of room, not because a target was down.
+func TestFullTargetBesideOneThatIsDown(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 1, 1, nil)
+
+	for len(b.placed) < 3 { // one slot each, and one ahead
+		b.offer(begin, nil)
+	}
+
+	for id, a := range b.placed {
+		if a.Target.ID == "t0" {
+			b.end(begin, id, dispatch.Failed)
+		}
+	}
+
+	waits := b.offer(begin, nil)
+	for range 4 {
+		b.offer(begin, nil)
+	}
+
+	b.take(b.Tick(begin.Add(299 * time.Millisecond)))
+	require.NotContains(t, b.refused, waits)
+	b.take(b.Tick(begin.Add(2 * time.Second)))
+
+	for _, a := range b.refused {
+		require.Equal(t, verdict.CauseOverload, a.Cause)
+	}
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -62,15 +62,24 @@
 	return out
 }
 
-// hasUntried reports whether some target may take r, now or later.
-func (s *service) hasUntried(r *Request) bool {
+// opensAt returns from when on some target may take r: now, or the end of the first
+// pause where all are left alone. It reports false if there is none to wait for.
+func (s *service) opensAt(now time.Time, r *Request) (at time.Time, ok bool) {
 	for _, t := range s.targets {
-		if !t.Leaving && !slices.Contains(r.Tried, t.ID) {
-			return true
+		if t.Leaving || slices.Contains(r.Tried, t.ID) {
+			continue
+		}
+
+		if !t.pausedUntil.After(now) {
+			return now, true
+		}
+
+		if !ok || t.pausedUntil.Before(at) {
+			at, ok = t.pausedUntil, true
 		}
 	}
 
-	return false
+	return at, ok
 }
 
 func (s *service) absence(r *Request) verdict.Cause {
@@ -148,7 +157,9 @@
 
 // refuseHopeless refuses what its caller will have given up before an answer, and
 // what no target is left for. A late request is refused as soon as more late ones
-// go before it than end in the time that it has. The rest is left in order.
+// go before it than end in the time that it has. Where all targets failed lately and
+// are left alone, a caller that gives up before the first is tried again is refused at
+// once. The rest is left in order.
 func (d *Dispatcher) refuseHopeless(now time.Time, s *service) []Action {
 	var out []Action
 
@@ -159,20 +170,22 @@
 	slices.SortStableFunc(s.waiting, func(a, b waiting) int { return order(due, &a, &b) })
 
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
-		left := w.GiveUpAt.Sub(due)
-		wait := time.Duration(0)
+		opens, ok := s.opensAt(now, &w.Request)
+		closed := opens.Sub(now)
+		left := w.GiveUpAt.Sub(due) - closed
+		queued := time.Duration(0)
 
 		if perSecond > 0 {
-			wait = time.Duration(float64(ahead) / perSecond * float64(time.Second))
+			queued = time.Duration(float64(ahead) / perSecond * float64(time.Second))
 		}
 
 		late := !due.Before(w.AimAt)
 
 		switch {
-		case !s.hasUntried(&w.Request):
+		case !ok:
 			out = append(out, Action{ID: w.ID, Cause: s.absence(&w.Request), RetryAt: now.Add(d.Settings.NoTargetRetry), Room: d.room(now, s)})
-		case left <= 0, late && perSecond > 0 && wait > left:
-			out = append(out, Action{ID: w.ID, Cause: verdict.CauseOverload, RetryAt: now.Add(d.retryIn(wait)), Room: d.room(now, s)})
+		case left <= 0, late && perSecond > 0 && queued > left:
+			out = append(out, Action{ID: w.ID, Cause: d.shortage(now, s), RetryAt: now.Add(d.retryIn(closed + queued)), Room: d.room(now, s)})
 		default:
 			ahead++
 
@@ -185,6 +198,23 @@
 	return out
 }
 
+// shortage says why a request that waited got no target.
+func (d *Dispatcher) shortage(now time.Time, s *service) verdict.Cause {
+	cause := verdict.CauseNoTarget
+
+	for _, t := range s.targets {
+		switch o := d.obstacle(now, s, t); {
+		case o == obstacleLeaving:
+		case o == obstacleBroken, o == obstaclePaused && !t.full:
+			cause = verdict.CauseTargetDown
+		default:
+			return verdict.CauseOverload
+		}
+	}
+
+	return cause
+}
+
 func (d *Dispatcher) retryIn(wait time.Duration) time.Duration {
 	return min(max(wait, d.Settings.ShortestRetry), d.Settings.LongestRetry)
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -17,7 +17,9 @@
 	reported time.Time
 	// pausedUntil is until when it is left alone, after fails failures in a row.
 	pausedUntil time.Time
-	fails       int
+	// full says that it is left alone because it said that it was full, not for a fault.
+	full  bool
+	fails int
 	// sent are the times at which this entry sent it requests, the latest last.
 	sent []time.Time
 }
@@ -89,20 +91,20 @@
 	case Served:
 		t.fails = 0
 	case Shed:
-		t.pause(now.Add(cfg.ShedPause))
+		t.pause(now.Add(cfg.ShedPause), true)
 	case Failed:
 		t.fails++
-		t.pause(now.Add(min(cfg.FirstPause<<min(t.fails-1, 8), cfg.LongestPause)))
+		t.pause(now.Add(min(cfg.FirstPause<<min(t.fails-1, 8), cfg.LongestPause)), false)
 	case Moved:
 		// The directory will name the address's new holder.
-		t.pause(now.Add(cfg.LongestPause))
+		t.pause(now.Add(cfg.LongestPause), false)
 	case Left:
 	}
 }
 
-func (t *target) pause(until time.Time) {
+func (t *target) pause(until time.Time, full bool) {
 	if until.After(t.pausedUntil) {
-		t.pausedUntil = until
+		t.pausedUntil, t.full = until, full
 	}
 }
 
@@ -122,7 +124,7 @@
 
 	for _, t := range s.targets {
 		if t.Group == culprit.Group {
-			t.pause(now.Add(cfg.GroupPause))
+			t.pause(now.Add(cfg.GroupPause), false)
 		}
 	}
 }
