Count Retry-After from the refusal, not from the request's arrival

Cause: a refusal without a time of its own, by a target that says it has not run the request, told callers to come back 150 ms after they had arrived. Ruled out: an order by age; a caller who waited longer does not find the target less full. Change: counted from the refusal. Where the dispatcher names a time, it is kept. Conclusion: callers return when there is a chance.

--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -56,14 +56,12 @@
 func (p *passage) refuse(err error) {
 	var v *verdict.Error
 
-	retryAt := p.began.Add(p.relay.Settings.ShortestRetry)
+	wait := p.relay.Settings.ShortestRetry
 	if errors.As(err, &v) && !v.RetryAt.IsZero() {
-		retryAt = v.RetryAt
+		wait = max(time.Until(v.RetryAt), time.Millisecond)
 	}
 
 	p.relay.counters.refused.Add(1)
-
-	wait := max(time.Until(retryAt), time.Millisecond)
 	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.room, "error", err)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
