Give a slow rank of a lock-step group fewer experts, or none

Cause: a rank that works at a fifth of its pace holds all others up in each set of each step, and engines say so in their reports; the pace was read, and nobody used it. Ruled out: waiting for the counts to show it. They count choices, not time. Change: loads are weighed by the rank's pace in the plan and in the skew that decides on a switch; from a slow rank experts may be taken without others in return. Paces below 1.25 count as usual: copies make steps 15 in 100 longer. In the test the skew at a fifth of the pace falls from above 4.5 to under 1.5 in three switches. In groups of more than CountRanks ranks only those that add up counts are looked at, so the pace of the others is not known yet.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -21,6 +21,7 @@
 
 	switcher *Switcher
 	counter  *counter
+	paces    Paces
 	current  Map
 	version  uint64
 	// refused counts the switches in a row that ranks would not prepare.
@@ -35,6 +36,7 @@
 func (d *Director) Run(ctx context.Context) {
 	d.switcher = &Switcher{Ranks: d.Ranks, Settings: d.Settings, Logger: d.Logger}
 	d.counter = newCounter(d.Shape, d.Settings.Memory)
+	d.paces = make(Paces, d.Shape.Ranks)
 
 	d.Logger.Info("Directing.", "epoch", d.Ranks.Epoch, "ranks", d.Ranks.Size)
 	defer d.Logger.Info("Directing ended.", "epoch", d.Ranks.Epoch)
@@ -53,6 +55,13 @@
 		return
 	}
 
+	for r := range looks {
+		// Ranks that are not looked at each time keep what was seen last.
+		if looks[r].Report.Pace > 0 {
+			d.paces[r] = looks[r].Report.Pace
+		}
+	}
+
 	own := looks[0].Report
 	d.switcher.Saw(time.Now(), own.Step)
 
@@ -122,7 +131,7 @@
 func (d *Director) improve(ctx context.Context) {
 	began := time.Now()
 	demand := d.counter.demand()
-	before := d.current.Skew(demand)
+	before := d.current.SkewAt(demand, d.paces)
 	next, after := d.best(demand, before)
 
 	if (before-after)/before < d.Settings.LeastGain {
@@ -159,8 +168,8 @@
 			break
 		}
 
-		m := Improve(d.Shape, d.current, demand, Copies{Most: most, Least: d.Settings.LeastCopyGain})
-		after := m.Skew(demand)
+		m := ImproveAt(d.Shape, d.current, demand, d.paces, Copies{Most: most, Least: d.Settings.LeastCopyGain})
+		after := m.SkewAt(demand, d.paces)
 		lasts := d.Settings.Horizon - d.Settings.SwitchTime - time.Duration(most)*d.Shape.Copy
 
 		if saved := (before - after) * lasts.Seconds(); saved > bestSaved {
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -9,9 +9,29 @@
 // the ratios within a set count.
 type Demand [][]float64
 
-// Skew returns, summed over the sets, the load of the most loaded rank under m
-// against the mean: 1 is the least.
-func (m Map) Skew(d Demand) float64 {
+// Paces are how many times longer than usual each rank takes, by rank; nil stands
+// for ranks that are all alike.
+type Paces []float64
+
+// leastSlow is the pace from which a rank counts as slow: a copy of experts makes
+// steps 15 in 100 longer at ranks that are well.
+const leastSlow = 1.25
+
+func (p Paces) at(rank int) float64 {
+	if rank >= len(p) || p[rank] < leastSlow {
+		return 1
+	}
+
+	return p[rank]
+}
+
+// Skew returns SkewAt where all ranks are alike.
+func (m Map) Skew(d Demand) float64 { return m.SkewAt(d, nil) }
+
+// SkewAt returns, in the mean over the sets, how long the last rank works on its
+// experts under m, against the time that the mean load takes at a usual pace: 1 is
+// the least.
+func (m Map) SkewAt(d Demand, paces Paces) float64 {
 	total := 0.0
 
 	for s := range m {
@@ -22,6 +42,10 @@
 			continue
 		}
 
+		for r := range loads {
+			loads[r] *= paces.at(r)
+		}
+
 		total += slices.Max(loads) / (sum / float64(len(loads)))
 	}
 
@@ -58,16 +82,22 @@
 	Least float64
 }
 
-// Improve returns a map that is better for d than m and can be prepared from it:
-// each rank gets at most shape.Spare new experts of a set and copies.Most new ones in
-// all. It changes what gains most for each copy first, whichever set that is in.
+// Improve returns ImproveAt where all ranks are alike.
 func Improve(shape Shape, m Map, d Demand, copies Copies) Map {
+	return ImproveAt(shape, m, d, nil, copies)
+}
+
+// ImproveAt returns a map that is better for d than m and can be prepared from it:
+// each rank gets at most shape.Spare new experts of a set and copies.Most new ones in
+// all. It changes what gains most for each copy first, whichever set that is in. A slow
+// rank, which all others wait for, is left with fewer experts, or none.
+func ImproveAt(shape Shape, m Map, d Demand, paces Paces, copies Copies) Map {
 	out := m.Clone()
 	newAt := make([]int, shape.Ranks)
 	sets := make([]*setPlan, shape.Sets)
 
 	for s := range sets {
-		sets[s] = newSetPlan(shape, out[s], d[s])
+		sets[s] = newSetPlan(shape, out[s], d[s], paces)
 	}
 
 	for range maxChanges * shape.Sets {
@@ -108,13 +138,15 @@
 )
 
 // change brings expert to rank to. Where out is not none, it leaves rank to for it;
-// where moved is set, expert leaves rank from, and for a swap out comes there.
+// where moved is set, expert leaves rank from, and for a swap out comes there, unless
+// it is dropped. Without a rank to, expert is only taken from rank from.
 type change struct {
 	gain     float64
 	expert   int
 	from, to int
 	out      int
 	moved    bool
+	dropped  bool
 }
 
 // setPlan is the search in one set.
@@ -122,10 +154,11 @@
 	shape   Shape
 	ranks   [][]uint16
 	demand  []float64
+	paces   Paces
 	holders []int
-	has     []bool // rank by rank, expert by expert
-	had     []bool // the same as it was
-	loads   []float64
+	has     []bool    // rank by rank, expert by expert
+	had     []bool    // the same as it was
+	loads   []float64 // in work at the usual pace
 	mean    float64
 	newHere []int
 	// powers is the sum of the loads' eighth powers, in parts of the mean; shifts are
@@ -138,9 +171,9 @@
 	next  change
 }
 
-func newSetPlan(shape Shape, ranks [][]uint16, demand []float64) *setPlan {
+func newSetPlan(shape Shape, ranks [][]uint16, demand []float64, paces Paces) *setPlan {
 	p := &setPlan{
-		shape: shape, ranks: ranks, demand: demand, holders: make([]int, shape.Experts),
+		shape: shape, ranks: ranks, demand: demand, paces: paces, holders: make([]int, shape.Experts),
 		has: make([]bool, shape.Ranks*shape.Experts), loads: make([]float64, shape.Ranks),
 		newHere: make([]int, shape.Ranks), shifts: make([]float64, shape.Ranks),
 	}
@@ -156,14 +189,11 @@
 
 	for r, experts := range ranks {
 		for _, e := range experts {
-			p.loads[r] += p.part(int(e))
+			p.loads[r] += p.part(int(e)) * paces.at(r)
+			p.mean += p.part(int(e)) / float64(shape.Ranks)
 		}
 	}
 
-	for _, l := range p.loads {
-		p.mean += l / float64(shape.Ranks)
-	}
-
 	for _, l := range p.loads {
 		p.powers += power(l / max(p.mean, math.SmallestNonzeroFloat64))
 	}
@@ -207,6 +237,10 @@
 	top := order[len(order)-1]
 
 	for _, e16 := range p.ranks[top] {
+		if p.paces.at(top) > 1 && p.holders[e16] > 1 {
+			p.weigh(change{expert: int(e16), from: top, to: none, out: none, moved: true}, newAt, most)
+		}
+
 		for _, to := range order[:min(partners, len(order)-1)] {
 			if e := int(e16); to != top && !p.holds(to, e) {
 				p.weighAll(e, top, to, newAt, most)
@@ -226,6 +260,11 @@
 		f := int(out)
 		if p.holders[f] > 1 {
 			p.weigh(change{expert: e, from: from, to: to, out: f}, newAt, most)
+
+			// What leaves a slow rank is not to be paid for with other work there.
+			if p.paces.at(from) > 1 {
+				p.weigh(change{expert: e, from: from, to: to, out: f, moved: true, dropped: true}, newAt, most)
+			}
 		}
 
 		if !p.holds(from, f) {
@@ -251,11 +290,11 @@
 
 func (p *setPlan) copies(c change) float64 {
 	n := 0.0
-	if p.isNew(c.to, c.expert) {
+	if c.to != none && p.isNew(c.to, c.expert) {
 		n++
 	}
 
-	if c.moved && c.out != none && p.isNew(c.from, c.out) {
+	if c.swaps() && p.isNew(c.from, c.out) {
 		n++
 	}
 
@@ -270,9 +309,12 @@
 		return !p.isNew(r, e) || p.newHere[r] < p.shape.Spare && newAt[r] < most
 	}
 
-	return room(c.to, c.expert) && (!c.moved || c.out == none || room(c.from, c.out))
+	return (c.to == none || room(c.to, c.expert)) && (!c.swaps() || room(c.from, c.out))
 }
 
+// swaps reports whether the expert that leaves rank to comes to rank from.
+func (c *change) swaps() bool { return c.moved && c.out != none && !c.dropped }
+
 // gain is by how much a change lowers the norm of the loads, in parts of the mean.
 // The norm stands for the load of the most loaded rank, and sees progress also
 // while several ranks are loaded alike.
@@ -305,6 +347,13 @@
 	e, f := c.expert, c.out
 
 	switch {
+	case c.to == none:
+		p.add(c.from, -p.part(e))
+		p.spread(e, p.holders[e]-1, c.from)
+	case c.dropped:
+		p.add(c.from, -p.part(e))
+		p.add(c.to, p.part(e)-p.part(f))
+		p.spread(f, p.holders[f]-1, c.to)
 	case c.moved && f == none:
 		p.add(c.from, -p.part(e))
 		p.add(c.to, p.part(e))
@@ -325,7 +374,7 @@
 
 func (p *setPlan) add(r int, load float64) {
 	p.touched = append(p.touched, r)
-	p.shifts[r] += load
+	p.shifts[r] += load * p.paces.at(r)
 }
 
 // spread changes the loads of e's holders but one as if it had n holders.
@@ -363,9 +412,11 @@
 		p.drop(c.to, c.out)
 	}
 
-	p.bring(c.to, c.expert, newAt)
+	if c.to != none {
+		p.bring(c.to, c.expert, newAt)
+	}
 
-	if c.moved && c.out != none {
+	if c.swaps() {
 		p.bring(c.from, c.out, newAt)
 	}
 }
--- a/internal/lockstep/plan_test.go
+++ b/internal/lockstep/plan_test.go
@@ -107,6 +107,37 @@
 	require.InDelta(t, 1, m.Skew(none), 0)
 }
 
+// A rank turns slow, and all others wait for it in each set of each step. It is left
+// with less and less as copies get there, keeping all rules of a map; when it is well
+// again it gets its share back.
+func TestSlowRankIsLeftWithLess(t *testing.T) {
+	t.Parallel()
+
+	d := lockstep.Demand(skewed(today, 1))
+	m := lockstep.First(today.Sets, today.Experts, today.Ranks)
+
+	for range 4 {
+		m = lockstep.Improve(today, m, d, copies(8))
+	}
+
+	paces := make(lockstep.Paces, today.Ranks)
+	paces[3] = 5
+	slow := m
+
+	for range 3 {
+		next := lockstep.ImproveAt(today, slow, d, paces, copies(8))
+		checkMap(t, today, slow, next, 8)
+		slow = next
+	}
+
+	require.Greater(t, m.SkewAt(d, paces), 4.5, "nobody has done anything yet")
+	require.Less(t, slow.SkewAt(d, paces), 1.5)
+
+	well := lockstep.Improve(today, slow, d, copies(8))
+	checkMap(t, today, slow, well, 8)
+	require.Less(t, well.Skew(d), 1.15)
+}
+
 func benchmarkImprove(b *testing.B, shape lockstep.Shape) {
 	m := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
 	d := lockstep.Demand(skewed(shape, 1))
