Give a slow rank of a lock-step group only what it does in the others' time

Cause: with its share of the requests a slow rank works on its own part of a step long after the others, and all of them wait. Maps that spare it leave that part. Ruled out: the load that answers tell. It counts requests, and a slow rank that holds up all is as full as the others. Change: agents tell the pace of their engine with its load; a rank slower than the fastest by a quarter or more gets as many requests as it does in the time that the others take, none from about half the pace on. A word on the pace holds for 2 s; where all are slow alike they share as usual. What is left is the bound on crowding, which falls with pauses that no smaller number of requests would shorten.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how many times longer than usual it takes; 0 where it does not say.
+	Pace float64
 }
 
 // Outcome is how a request ended at a target.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -559,3 +559,42 @@
 		require.Equal(t, verdict.CauseOverload, a.Cause)
 	}
 }
+
+// One rank of a lock-step group turns slow. All others wait for it in each step, and
+// with its share of the requests the whole group is as slow as that rank. It gets none
+// until it says that it is well again, or says nothing any more.
+func TestSlowRankGetsFewer(t *testing.T) {
+	t.Parallel()
+
+	engines := func(s *dispatch.Service) { s.Streams = true }
+	fill := func(paces ...float64) map[string]int {
+		b := newBench(t, len(paces), 10, 1, engines)
+		for i, p := range paces {
+			b.take(b.Report(begin, "drafts", fmt.Sprintf("t%d", i), dispatch.Load{Pace: p}))
+		}
+
+		for range 40 {
+			b.offer(begin, nil)
+		}
+
+		return b.perTarget()
+	}
+
+	require.Equal(t, map[string]int{"t0": 6, "t1": 6, "t2": 6}, fill(1, 1, 1))
+	require.Equal(t, map[string]int{"t0": 6, "t1": 6}, fill(1, 1, 5))
+	require.Equal(t, map[string]int{"t0": 6, "t1": 6, "t2": 3}, fill(1, 1, 1.5), "what it does in the others' time")
+	require.Equal(t, map[string]int{"t0": 6, "t1": 6, "t2": 6}, fill(1, 1, 1.1), "copies of experts take as much")
+	require.Equal(t, map[string]int{"t0": 6, "t1": 6, "t2": 6}, fill(4, 4, 4), "there is no better one")
+
+	b := newBench(t, 2, 10, 1, engines)
+	b.take(b.Report(begin, "drafts", "t0", dispatch.Load{Pace: 1}))
+	b.take(b.Report(begin, "drafts", "t1", dispatch.Load{Pace: 5}))
+
+	for range 12 {
+		b.offer(begin, func(r *dispatch.Request) { r.GiveUpAt = begin.Add(time.Minute) })
+	}
+
+	require.Equal(t, map[string]int{"t0": 6}, b.perTarget())
+	b.take(b.Tick(begin.Add(3 * time.Second)))
+	require.Equal(t, map[string]int{"t0": 6, "t1": 6}, b.perTarget(), "its agent is silent")
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -19,6 +19,8 @@
 	others mean
 	// crowding bounds how many requests a target is given.
 	crowding crowding
+	// leastPace is the pace of the fastest target, 0 while none has said one.
+	leastPace float64
 	// firstAnswer is how long a placed request usually waits for its first answer.
 	firstAnswer time.Duration
 }
@@ -121,13 +123,13 @@
 }
 
 // limit returns how many requests t may have.
-func (s *service) limit(t *target, cfg *Settings) float64 {
+func (s *service) limit(now time.Time, t *target, cfg *Settings) float64 {
 	most := float64(t.Slots) + cfg.QueueAhead
 	if !s.Streams {
 		return most
 	}
 
-	return min(s.crowding.limit(t), most)
+	return min(s.crowdedAt(now, t, s.crowding.limit(t)), most)
 }
 
 // order says which of two waiting requests goes first, where one that is placed now
@@ -260,7 +262,7 @@
 		return obstacleBroken
 	case now.Before(t.pausedUntil):
 		return obstaclePaused
-	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.limit(t, &d.Settings):
+	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.limit(now, t, &d.Settings):
 		return obstacleFull
 	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
 		return obstacleConnections
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -15,6 +15,9 @@
 	// others is what the other entries had there at reported.
 	others   float64
 	reported time.Time
+	// pace is how many times longer than usual it took when it said so last, at pacedAt.
+	pace    float64
+	pacedAt time.Time
 	// pausedUntil is until when it is left alone, after fails failures in a row.
 	pausedUntil time.Time
 	// full says that it is left alone because it said that it was full, not for a fault.
@@ -113,6 +116,48 @@
 	t.others = max(0, float64(l.Running+l.Waiting-t.own))
 	t.reported = now
 	s.others.add(now, t.others, len(s.targets))
+
+	if l.Pace > 0 {
+		t.pace, t.pacedAt = l.Pace, now
+		s.leastPace = s.least(now)
+	}
+}
+
+// least returns the pace of the fastest target that says one and is not left alone.
+func (s *service) least(now time.Time) float64 {
+	least := math.Inf(1)
+
+	for _, t := range s.targets {
+		if t.pace > 0 && now.Sub(t.pacedAt) <= paceLife && !t.Leaving {
+			least = min(least, t.pace)
+		}
+	}
+
+	return least
+}
+
+const (
+	// paceLife is how long a target's word on its pace holds: four of the words that
+	// the agent beside it sends at least.
+	paceLife = 2 * time.Second
+	// leastSlow is the pace from which a target counts as slow.
+	leastSlow = 1.25
+	// fixedPart is how many requests take as long as the fixed part of a step, at the
+	// engines of today: 4.55 ms against 0.905 ms.
+	fixedPart = 5
+)
+
+// crowdedAt returns how many requests t may have where the fastest targets may have
+// bound. In a lock-step group all wait for the last: a slow rank that is given as much
+// as the others holds all of them up, so it gets what it does in the time that the
+// others take, which may be nothing. Where all are slow alike, they share as usual.
+func (s *service) crowdedAt(now time.Time, t *target, bound float64) float64 {
+	slow := t.pace / s.leastPace
+	if slow < leastSlow || now.Sub(t.pacedAt) > paceLife {
+		return bound
+	}
+
+	return max(0, (fixedPart+bound)/slow-fixedPart)
 }
 
 // faultAt leaves the group of a target alone for a while, and the target longer.
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -32,10 +32,12 @@
 	datagram = 512
 )
 
-// Load is how many requests an engine runs, and how many wait at it.
+// Load is how many requests an engine runs, how many wait at it, and how many times
+// longer than usual it takes for them.
 type Load struct {
 	Running int
 	Waiting int
+	Pace    float64
 }
 
 // Teller tells entries the load of the engine on this VM. Set its fields before Run.
@@ -87,7 +89,7 @@
 
 		last, told = l, now
 		seq++
-		t.tell(askers, &wire.LoadWord{Cluster: t.Cluster, Sequence: seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting)})
+		t.tell(askers, &wire.LoadWord{Cluster: t.Cluster, Sequence: seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Pace: l.Pace})
 	}
 }
 
@@ -213,5 +215,5 @@
 	}
 
 	l.last[from] = w.GetSequence()
-	l.Heard(from, Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting())})
+	l.Heard(from, Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Pace: w.GetPace()})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,7 +113,7 @@
 
 // Heard takes in what the agent on a target's VM says of its load.
 func (r *Relay) Heard(vm netip.Addr, l loads.Load) {
-	r.queue.load(vm, dispatch.Load{Running: l.Running, Waiting: l.Waiting})
+	r.queue.load(vm, dispatch.Load{Running: l.Running, Waiting: l.Waiting, Pace: l.Pace})
 }
 
 // Ready reports whether this entry can serve: it knows a configuration and targets.
--- a/internal/role/rankserver.go
+++ b/internal/role/rankserver.go
@@ -13,7 +13,7 @@
 func (a *RankAgent) load(ctx context.Context) (loads.Load, error) {
 	r, err := a.Engine.Report(ctx)
 
-	return loads.Load{Running: r.Running, Waiting: r.Waiting}, err
+	return loads.Load{Running: r.Running, Waiting: r.Waiting, Pace: r.Pace}, err
 }
 
 // RankState is the engine of this VM in a dump.
