Tell the director of a large group which ranks are slow

Cause: in a group of more than CountRanks ranks the director looks at those only that add up counts for their neighbours, and heard of the others' paces never after its first look. A slow rank was left with its experts until it was well. Ruled out: looking at all ranks each tenth of a second, which cost the agents of 63 ranks more processor time than they have. Change: a rank that adds up counts tells the paces that came with them. The test fails without the paces of the others.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -55,12 +55,7 @@
 		return
 	}
 
-	for r := range looks {
-		// Ranks that are not looked at each time keep what was seen last.
-		if looks[r].Report.Pace > 0 {
-			d.paces[r] = looks[r].Report.Pace
-		}
-	}
+	d.seePaces(looks)
 
 	own := looks[0].Report
 	d.switcher.Saw(time.Now(), own.Step)
@@ -105,6 +100,22 @@
 	})
 }
 
+// seePaces takes in the paces of all ranks that were looked at, by the director or by
+// a rank that adds up counts. Others keep what was seen last.
+func (d *Director) seePaces(looks []Look) {
+	for r := range looks {
+		if pace := looks[r].Report.Pace; pace > 0 {
+			d.paces[r] = pace
+		}
+
+		for other, pace := range looks[r].Paces {
+			if other < len(d.paces) && pace > 0 {
+				d.paces[other] = pace
+			}
+		}
+	}
+}
+
 func (d *Director) free(ctx context.Context) {
 	if err := d.switcher.Free(ctx); err != nil {
 		d.Logger.Warn("A step is held, and not freed yet.", "error", err)
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -115,6 +115,8 @@
 	// Lists are the experts of the rank in map ListsOf, set by set.
 	Lists   [][]uint16
 	ListsOf uint64
+	// Paces are those of the ranks whose counts are added up, but for this one's.
+	Paces map[int]float64
 }
 
 // Question says what a look is to bring beside the report.
--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -34,6 +34,8 @@
 	// slow is how much longer an order takes for each rank, so that orders given
 	// together arrive one after the other.
 	slow time.Duration
+	// countRanks is of how many ranks the director reads the counts in one look.
+	countRanks int
 	// lateBy is how much later a late order is carried out.
 	lateBy time.Duration
 }
@@ -47,6 +49,7 @@
 	whole, nextWhole string
 	readyAt          time.Time
 	counts           []uint64
+	pace             float64
 }
 
 // fault is what becomes of one order.
@@ -66,7 +69,7 @@
 )
 
 func newGroup(shape lockstep.Shape, weight [][]float64) *fakeGroup {
-	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
+	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, countRanks: lockstep.DefaultSettings().CountRanks, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
 	first := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
 
 	for r := range shape.Ranks {
@@ -188,8 +191,8 @@
 	k := g.ranks[rank]
 	l := lockstep.Look{Report: lockstep.Report{
 		Group: "g", Epoch: g.epoch, Rank: rank, Size: len(g.ranks), Open: true, Step: g.step,
-		Map: k.version, Armed: k.armed, Held: k.held, Holds: k.holds,
-	}}
+		Map: k.version, Armed: k.armed, Held: k.held, Holds: k.holds, Pace: k.pace,
+	}, Paces: map[int]float64{}}
 
 	if k.prepared != 0 && !time.Now().Before(k.readyAt) {
 		l.Report.Prepared = k.prepared
@@ -202,6 +205,8 @@
 			for i, n := range g.ranks[other].counts {
 				l.Counts[i] += n
 			}
+
+			l.Paces[other] = g.ranks[other].pace
 		}
 	}
 
--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -26,7 +26,9 @@
 	go func() {
 		defer close(done)
 
-		(&lockstep.Director{Shape: g.shape, Ranks: a.ranks(), Settings: lockstep.DefaultSettings(), Logger: slog.New(slog.DiscardHandler)}).Run(ctx)
+		cfg := lockstep.DefaultSettings()
+		cfg.CountRanks = g.countRanks
+		(&lockstep.Director{Shape: g.shape, Ranks: a.ranks(), Settings: cfg, Logger: slog.New(slog.DiscardHandler)}).Run(ctx)
 	}()
 
 	for a.alive(false) && ctx.Err() == nil {
@@ -69,13 +71,7 @@
 		direct(g, 0, 5*time.Second)
 		g.settled(t, "after 5 s")
 
-		m := make(lockstep.Map, small.Sets)
-		for s := range m {
-			for _, k := range g.ranks {
-				m[s] = append(m[s], k.lists[s])
-			}
-		}
-
+		m := g.inUse()
 		before := lockstep.First(small.Sets, small.Experts, small.Ranks).Skew(g.weight)
 		require.Greater(t, before, 1.4)
 		require.Less(t, m.Skew(g.weight), 1.1)
@@ -86,6 +82,56 @@
 	})
 }
 
+// A rank of a large group turns slow. The director reads the counts of a few ranks
+// only, which add up those of the others: it must hear from them which rank is slow, or
+// the whole group waits for it until it is well again.
+func TestSlowRankIsFoundInALargeGroup(t *testing.T) {
+	t.Parallel()
+
+	for rank := range small.Ranks {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(small, skewed(small, 1))
+			g.countRanks = 2
+			paces := make(lockstep.Paces, small.Ranks)
+			paces[rank] = 5
+
+			ctx, stop := context.WithCancel(t.Context())
+			go g.run(ctx)
+
+			var balanced lockstep.Map
+
+			time.AfterFunc(5*time.Second, func() {
+				balanced = g.inUse()
+
+				g.mu.Lock()
+				defer g.mu.Unlock()
+
+				g.ranks[rank].pace = 5
+			})
+			direct(g, 0, 10*time.Second)
+			g.settled(t, "slow")
+			require.Less(t, g.inUse().SkewAt(g.weight, paces), balanced.SkewAt(g.weight, paces)*0.75)
+			stop()
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// inUse returns the map of the ranks' own lists.
+func (g *fakeGroup) inUse() lockstep.Map {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	m := make(lockstep.Map, g.shape.Sets)
+	for s := range m {
+		for _, k := range g.ranks {
+			m[s] = append(m[s], k.lists[s])
+		}
+	}
+
+	return m
+}
+
 // The directing agent is killed before each of its orders in turn: while ranks
 // copy, while a step is held, between two arms, before and after it lets the group
 // go on. Its successor must find the group as it is: no step may begin with two
--- a/internal/role/rankpeers.go
+++ b/internal/role/rankpeers.go
@@ -99,9 +99,9 @@
 	return out
 }
 
-// addCounts adds other agents' counts to counts. Where one does not answer there are
-// none: a sum over fewer ranks would look as if counts had fallen.
-func (a *RankAgent) addCounts(ctx context.Context, counts []uint64, others []string) ([]uint64, error) {
+// addCounts adds other agents' counts to l, and their paces. Where one does not answer
+// there are none: a sum over fewer ranks would look as if counts had fallen.
+func (a *RankAgent) addCounts(ctx context.Context, l *lockstep.Look, others []string) error {
 	answers := make([]*wire.LookAnswer, len(others))
 
 	g, ctx := errgroup.WithContext(ctx)
@@ -116,20 +116,24 @@
 	}
 
 	if err := g.Wait(); err != nil {
-		return nil, eris.Wrap(err, "add counts")
+		return eris.Wrap(err, "add counts")
 	}
 
+	l.Paces = make(map[int]float64, len(answers))
+
 	for _, answer := range answers {
-		if len(answer.GetCounts()) != len(counts) {
-			return nil, errCounts
+		if len(answer.GetCounts()) != len(l.Counts) {
+			return errCounts
 		}
 
 		for i, n := range answer.GetCounts() {
-			counts[i] += n
+			l.Counts[i] += n
 		}
+
+		l.Paces[int(answer.GetReport().GetRank())] = answer.GetReport().GetPace()
 	}
 
-	return counts, nil
+	return nil
 }
 
 // errCounts says that two ranks count different experts.
@@ -241,6 +245,14 @@
 func lookFromWire(w *wire.LookAnswer) lockstep.Look {
 	l := lockstep.Look{Report: lockstep.ReportFromWire(w.GetReport()), Counts: w.GetCounts(), ListsOf: w.GetListsOf()}
 
+	if len(w.GetPaces()) > 0 {
+		l.Paces = make(map[int]float64, len(w.GetPaces()))
+	}
+
+	for _, p := range w.GetPaces() {
+		l.Paces[int(p.GetRank())] = p.GetPace()
+	}
+
 	for _, set := range w.GetLists() {
 		experts := make([]uint16, 0, len(set.GetExperts()))
 		for _, e := range set.GetExperts() {
--- a/internal/role/rankserver.go
+++ b/internal/role/rankserver.go
@@ -46,7 +46,7 @@
 	}
 
 	if err == nil && len(others) > 0 {
-		out.Counts, err = a.addCounts(ctx, out.Counts, others)
+		err = a.addCounts(ctx, &out, others)
 	}
 
 	if err == nil && q.Lists {
@@ -68,6 +68,10 @@
 	}
 
 	out := &wire.LookAnswer{Report: l.Report.ToWire(), Counts: l.Counts, ListsOf: l.ListsOf}
+	for rank, pace := range l.Paces {
+		out.Paces = append(out.Paces, &wire.RankPace{Rank: uint32(rank), Pace: pace})
+	}
+
 	for _, set := range l.Lists {
 		out.Lists = append(out.Lists, lockstep.SetToWire(set))
 	}
