Name a slow rank in the log

Ruled out: a time by rank, which no engine tells. Its pace does. Change: the director says once which rank is slow and at what pace, and once that it is well again. Conclusion: one line for each slow rank, checked in the test that slows one.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -104,18 +104,30 @@
 // a rank that adds up counts. Others keep what was seen last.
 func (d *Director) seePaces(looks []Look) {
 	for r := range looks {
-		if pace := looks[r].Report.Pace; pace > 0 {
-			d.paces[r] = pace
-		}
+		d.seePace(r, looks[r].Report.Pace)
 
 		for other, pace := range looks[r].Paces {
-			if other < len(d.paces) && pace > 0 {
-				d.paces[other] = pace
-			}
+			d.seePace(other, pace)
 		}
 	}
 }
 
+func (d *Director) seePace(rank int, pace float64) {
+	if pace <= 0 || rank >= len(d.paces) {
+		return
+	}
+
+	before := d.paces.at(rank)
+	d.paces[rank] = pace
+
+	switch after := d.paces.at(rank); {
+	case before == 1 && after > 1:
+		d.Logger.Warn("A rank is slow; all others wait for it.", "rank", rank, "pace", pace)
+	case before > 1 && after == 1:
+		d.Logger.Info("A rank is well again.", "rank", rank, "pace", pace)
+	}
+}
+
 func (d *Director) free(ctx context.Context) {
 	if err := d.switcher.Free(ctx); err != nil {
 		d.Logger.Warn("A step is held, and not freed yet.", "error", err)
--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -36,6 +37,8 @@
 	slow time.Duration
 	// countRanks is of how many ranks the director reads the counts in one look.
 	countRanks int
+	// logs are what the director says.
+	logs io.Writer
 	// lateBy is how much later a late order is carried out.
 	lateBy time.Duration
 }
@@ -69,7 +72,7 @@
 )
 
 func newGroup(shape lockstep.Shape, weight [][]float64) *fakeGroup {
-	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, countRanks: lockstep.DefaultSettings().CountRanks, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
+	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, logs: io.Discard, countRanks: lockstep.DefaultSettings().CountRanks, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
 	first := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
 
 	for r := range shape.Ranks {
--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -1,9 +1,11 @@
 package lockstep_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +30,7 @@
 
 		cfg := lockstep.DefaultSettings()
 		cfg.CountRanks = g.countRanks
-		(&lockstep.Director{Shape: g.shape, Ranks: a.ranks(), Settings: cfg, Logger: slog.New(slog.DiscardHandler)}).Run(ctx)
+		(&lockstep.Director{Shape: g.shape, Ranks: a.ranks(), Settings: cfg, Logger: slog.New(slog.NewTextHandler(g.logs, nil))}).Run(ctx)
 	}()
 
 	for a.alive(false) && ctx.Err() == nil {
@@ -92,6 +94,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := newGroup(small, skewed(small, 1))
 			g.countRanks = 2
+
+			var said bytes.Buffer
+
+			g.logs = &said
 			paces := make(lockstep.Paces, small.Ranks)
 			paces[rank] = 5
 
@@ -110,6 +116,8 @@
 			})
 			direct(g, 0, 10*time.Second)
 			g.settled(t, "slow")
+			require.Equal(t, 1, strings.Count(said.String(), "A rank is slow"), "told once, by its number")
+			require.Contains(t, said.String(), fmt.Sprintf("rank=%d pace=5", rank))
 			require.Less(t, g.inUse().SkewAt(g.weight, paces), balanced.SkewAt(g.weight, paces)*0.75)
 			stop()
 			time.Sleep(10 * time.Second)
