--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -626,3 +626,52 @@
 	require.Equal(t, 2, full(1), "it is crowding where all are well")
 	require.Greater(t, full(5), 5)
 }
+
+// One workspace of ten sends six of ten requests, and three times as many come as can
+// be served. The others must not starve behind it, nor it behind them: each is served
+// about as large a part of what it asks for as all together.
+func TestWorkspacesAreServedAlike(t *testing.T) {
+	t.Parallel()
+
+	b := newBench(t, 2, 4, 1, nil)
+	rng := rand.New(rand.NewPCG(7, 7))
+	asked, served := map[string]float64{}, map[string]float64{}
+	of := map[uint64]string{}
+
+	// Each target ends one request every 50 ms: 40 a second; 120 a second come.
+	for tick := range 3000 {
+		now := begin.Add(time.Duration(tick) * 10 * time.Millisecond)
+
+		workspace := "large"
+		if rng.IntN(10) >= 6 {
+			workspace = fmt.Sprintf("small-%d", rng.IntN(9))
+		}
+
+		id := b.offer(now, func(r *dispatch.Request) { r.Workspace = workspace })
+		of[id] = workspace
+		asked[workspace]++
+
+		if tick%5 == 0 {
+			for _, target := range []string{"t0", "t1"} {
+				if id, ok := b.oldestAt(target); ok {
+					served[of[id]]++
+					b.end(now, id, dispatch.Served)
+				}
+			}
+		}
+
+		b.take(b.Tick(now))
+	}
+
+	all := 0.0
+	for _, n := range served {
+		all += n
+	}
+
+	all /= 3000
+	require.Less(t, all, 0.5, "it is an overload")
+
+	for workspace, n := range asked {
+		require.InDelta(t, 1, served[workspace]/n/all, 0.35, "%s: %v of %v", workspace, served[workspace], n)
+	}
+}
