--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -129,7 +130,7 @@
 func (s *Server) tend(ctx context.Context) {
 	core := newSilence(s.Settings.ExpireAfter)
 
-	for sleep(ctx, s.Settings.WatchEvery) {
+	for pauses.For(ctx, s.Settings.WatchEvery) {
 		if s.Leads != nil && !s.Leads() {
 			core.idle()
 			continue
--- a/internal/control/fresh.go
+++ b/internal/control/fresh.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/parsleygate/parsleygate/internal/pauses"
 )
 
 // freshness says that the state applied on this VM was current at asOf.
@@ -21,25 +23,12 @@
 	for {
 		s.readOnce(ctx)
 
-		if !sleep(ctx, s.Settings.ReadEvery) {
+		if !pauses.For(ctx, s.Settings.ReadEvery) {
 			return
 		}
 	}
 }
 
-// sleep waits for d and reports whether ctx still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Server) readOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.Lease)
 	defer cancel()
@@ -57,7 +46,7 @@
 
 func (s *Server) awaitApplied(ctx context.Context, index uint64) bool {
 	for s.applied.Load() < index {
-		if !sleep(ctx, applyCheck) {
+		if !pauses.For(ctx, applyCheck) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/pace.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// The load pattern here is one rank of a lock-step group that turned slow, which all
+// others wait for.
+
+const (
+	// paceLife is how long a target's word on its pace holds: four of the words that
+	// the agent beside it sends at least.
+	paceLife = 2 * time.Second
+	// leastSlow is the pace from which a target counts as slow.
+	leastSlow = 1.25
+	// fixedPart is how many requests take as long as the fixed part of a step, at the
+	// engines of today: 4.55 ms against 0.905 ms.
+	fixedPart = 5
+)
+
+// setPace takes in how many times longer than usual a target takes.
+func (s *service) setPace(now time.Time, t *target, pace float64) {
+	t.pace, t.pacedAt = pace, now
+	s.leastPace, s.mostPace = s.paces(now)
+}
+
+// paces returns the paces of the fastest and of the slowest target that takes requests.
+func (s *service) paces(now time.Time) (least, most float64) {
+	least = math.Inf(1)
+
+	for _, t := range s.targets {
+		if t.pace > 0 && now.Sub(t.pacedAt) <= paceLife && !t.Leaving {
+			least, most = min(least, t.pace), max(most, t.pace)
+		}
+	}
+
+	return least, most
+}
+
+// crowdedAt returns how many requests t may have where the fastest targets may have
+// bound. In a lock-step group all wait for the last: a slow rank that is given as much
+// as the others holds all of them up, so it gets what it does in the time that the
+// others take, which may be nothing. Where all are slow alike, they share as usual.
+// Worth of a day with ranks at a fifth and a third of their pace: 0.35 without, 0.68 with.
+func (s *service) crowdedAt(now time.Time, t *target, bound float64) float64 {
+	if t.pace == 0 || now.Sub(t.pacedAt) > paceLife {
+		return bound
+	}
+
+	slow := t.pace / s.leastPace
+	if slow < leastSlow {
+		return bound
+	}
+
+	return max(0, (fixedPart+bound)/slow-fixedPart)
+}
+
+// crowdedPart returns which part of the pauses of a lock-step group is due to how many
+// requests run. With a slow rank, all wait for the fixed part of its step, which fewer
+// requests do not shorten: a bound that fell for it turned callers away for nothing.
+// Worth of three days with ranks at a fifth and a third of their pace: 0.64 in the mean
+// without, 0.67 with.
+func (s *service) crowdedPart() float64 {
+	if s.mostPace == 0 {
+		return 1
+	}
+
+	usual := fixedPart + s.crowding.bound
+	last := fixedPart * s.mostPace / s.leastPace
+
+	return max(leastCrowdedPart, usual/max(usual, last))
+}
+
+// leastCrowdedPart bounds how much of a pause is put down to a slow rank. At more than
+// twice the pauses that callers accept, their streams end late whatever the bound is.
+const leastCrowdedPart = 0.5
--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/load"
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/standin"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -118,7 +119,7 @@
 	phase := x.Duration / phases
 	zone := x.Local.Deployment.Zones[0]
 
-	if !sleep(ctx, phase) {
+	if !pauses.For(ctx, phase) {
 		return nil
 	}
 
@@ -134,7 +135,7 @@
 
 	// A zone that was taken out is given back only when its work has finished.
 	for x.inFlight(zone) > 0 {
-		if !sleep(ctx, forceCheck) {
+		if !pauses.For(ctx, forceCheck) {
 			return nil
 		}
 	}
@@ -146,7 +147,7 @@
 		return err
 	}
 
-	if !sleep(ctx, phase) {
+	if !pauses.For(ctx, phase) {
 		return nil
 	}
 
@@ -155,7 +156,7 @@
 	engines[len(engines)-1].Engine.TurnCold()
 	x.restartOne(engines[len(engines)-2])
 
-	if !sleep(ctx, phase) {
+	if !pauses.For(ctx, phase) {
 		return nil
 	}
 
@@ -210,7 +211,7 @@
 			return time.Since(start), nil
 		}
 
-		if !sleep(ctx, forceCheck) {
+		if !pauses.For(ctx, forceCheck) {
 			return 0, nil
 		}
 	}
@@ -231,7 +232,7 @@
 
 	before := x.begun(zone)
 
-	if !sleep(ctx, time.Until(end)) {
+	if !pauses.For(ctx, time.Until(end)) {
 		return nil
 	}
 
@@ -338,15 +339,3 @@
 
 	return sorted[len(sorted)/2]
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"slices"
 	"time"
+
+	"github.com/parsleygate/parsleygate/internal/pauses"
 )
 
 // Director keeps the map of one group in one epoch. Its fields are set before Run.
@@ -41,7 +43,7 @@
 	d.Logger.Info("Directing.", "epoch", d.Ranks.Epoch, "ranks", d.Ranks.Size)
 	defer d.Logger.Info("Directing ended.", "epoch", d.Ranks.Epoch)
 
-	for pause(ctx, d.Settings.LookEvery) {
+	for pauses.For(ctx, d.Settings.LookEvery) {
 		d.turn(context.WithoutCancel(ctx))
 	}
 }
@@ -100,34 +102,6 @@
 	})
 }
 
-// seePaces takes in the paces of all ranks that were looked at, by the director or by
-// a rank that adds up counts. Others keep what was seen last.
-func (d *Director) seePaces(looks []Look) {
-	for r := range looks {
-		d.seePace(r, looks[r].Report.Pace)
-
-		for other, pace := range looks[r].Paces {
-			d.seePace(other, pace)
-		}
-	}
-}
-
-func (d *Director) seePace(rank int, pace float64) {
-	if pace <= 0 || rank >= len(d.paces) {
-		return
-	}
-
-	before := d.paces.at(rank)
-	d.paces[rank] = pace
-
-	switch after := d.paces.at(rank); {
-	case before == 1 && after > 1:
-		d.Logger.Warn("A rank is slow; all others wait for it.", "rank", rank, "pace", pace)
-	case before > 1 && after == 1:
-		d.Logger.Info("A rank is well again.", "rank", rank, "pace", pace)
-	}
-}
-
 func (d *Director) free(ctx context.Context) {
 	if err := d.switcher.Free(ctx); err != nil {
 		d.Logger.Warn("A step is held, and not freed yet.", "error", err)
--- a/internal/lockstep/free.go
+++ b/internal/lockstep/free.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -19,7 +20,7 @@
 		err := s.freeOnce(ctx)
 		// Another agent's numbers may be higher than can be known. Each refusal
 		// doubles them, so a few tries are enough.
-		if err == nil || !s.fenced.Load() || !pause(ctx, s.Settings.PollEvery) {
+		if err == nil || !s.fenced.Load() || !pauses.For(ctx, s.Settings.PollEvery) {
 			return err
 		}
 	}
--- a/internal/lockstep/looks.go
+++ b/internal/lockstep/looks.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"time"
 )
 
 // mapOf returns the map in use by the ranks' own lists.
@@ -85,16 +84,3 @@
 
 	return looks, nil
 }
-
-// pause waits for d and reports whether ctx still goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lockstep/orders.go
+++ b/internal/lockstep/orders.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -41,7 +42,7 @@
 		switch {
 		case missing == 0:
 			return nil
-		case !pause(ctx, s.Settings.PollEvery):
+		case !pauses.For(ctx, s.Settings.PollEvery):
 			return fmt.Errorf("%w: %d ranks are missing", failure, missing)
 		}
 	}
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -9,22 +9,6 @@
 // the ratios within a set count.
 type Demand [][]float64
 
-// Paces are how many times longer than usual each rank takes, by rank; nil stands
-// for ranks that are all alike.
-type Paces []float64
-
-// leastSlow is the pace from which a rank counts as slow: a copy of experts makes
-// steps 15 in 100 longer at ranks that are well.
-const leastSlow = 1.25
-
-func (p Paces) at(rank int) float64 {
-	if rank >= len(p) || p[rank] < leastSlow {
-		return 1
-	}
-
-	return p[rank]
-}
-
 // Skew returns SkewAt where all ranks are alike.
 func (m Map) Skew(d Demand) float64 { return m.SkewAt(d, nil) }
 
--- a/internal/lockstep/standby.go
+++ b/internal/lockstep/standby.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+
+	"github.com/parsleygate/parsleygate/internal/pauses"
 )
 
 // Standby stands in for a directing agent that is gone: without it, a step that was
@@ -26,7 +28,7 @@
 	switcher := &Switcher{Ranks: s.Ranks, Settings: s.Settings, Logger: s.Logger}
 	missed := 0
 
-	for pause(ctx, s.Settings.LookEvery) {
+	for pauses.For(ctx, s.Settings.LookEvery) {
 		if s.Director(ctx) {
 			missed = 0
 
@@ -55,7 +57,7 @@
 	defer cancel()
 
 	go func() {
-		for pause(ctx, s.Settings.LookEvery) {
+		for pauses.For(ctx, s.Settings.LookEvery) {
 			if s.Director(ctx) {
 				cancel()
 			}
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -224,7 +225,7 @@
 		switch {
 		case err == nil && (!look.Report.Holds || look.Report.Held != step || look.Report.Epoch != s.Ranks.Epoch):
 			return nil
-		case !pause(ctx, s.Settings.PollEvery):
+		case !pauses.For(ctx, s.Settings.PollEvery):
 			return errNotFreed
 		}
 	}
--- /dev/null
+++ b/internal/pauses/pauses.go
@@ -0,0 +1,20 @@
+// Package pauses holds the one way in which loops of the system wait between rounds.
+package pauses
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d, and reports whether ctx still goes on then.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/role/endings.go
+++ b/internal/role/endings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/journal"
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 )
 
@@ -41,8 +42,13 @@
 		case errors.As(err, &removed):
 			e.Logger.Warn("Taken out of the control set: joining anew.", "id", removed.ID)
 
-			if err := e.Clear(); err != nil && !FolderRefuses(err) {
-				return eris.Wrap(err, "clear the data folder")
+			if err := e.Clear(); err != nil {
+				if !FolderRefuses(err) {
+					return eris.Wrap(err, "clear the data folder")
+				}
+
+				// The next run is told again that its member was removed.
+				e.Logger.Warn("The data folder cannot be cleared yet.", "error", err)
 			}
 		case FolderRefuses(err):
 			// A full or read-only disk would end the process at each of its starts, many times
@@ -53,7 +59,7 @@
 			return err
 		}
 
-		if !wait(ctx, folderRetry) {
+		if !pauses.For(ctx, folderRetry) {
 			return nil
 		}
 	}
@@ -71,13 +77,3 @@
 
 	return errors.As(err, &write) || errors.As(err, &path) || errors.As(err, &link)
 }
-
-// wait waits for d, and reports false if ctx ends before.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -182,7 +183,7 @@
 
 			k.fails++
 
-			pauseFor(ctx, f.Settings.Pause)
+			pauses.For(ctx, f.Settings.Pause)
 
 			continue
 		}
@@ -195,16 +196,6 @@
 	}
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (f *Follower) ask(ctx context.Context, control netip.AddrPort, k *known) error {
 	s := f.State()
 	r := &wire.FollowRequest{
--- a/internal/view/reader.go
+++ b/internal/view/reader.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -222,5 +223,5 @@
 		r.control = (r.control + 1) % len(r.Controls)
 	}
 
-	pauseFor(ctx, wait)
+	pauses.For(ctx, wait)
 }
