Look at all targets' paces only where one has changed

Cause: read again as a whole. Each word of an agent on its engine's load, ten a second and target, looked at the paces of all targets of the service, and almost all words say the same as before. Beside it, pace meant two things in dispatch: how slow a target is, and how many requests end in a second. Ruled out: weighing the paces each so often, which would notice a word that is too old later than now. What was found holds until the oldest word expires, and is found anew then, or where a pace or the targets change: the same as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -137,6 +137,7 @@
 
 	for _, s := range d.services {
 		s.keepOnly(fresh)
+		s.pacesUntil = time.Time{} // of other targets than before
 
 		out = append(out, d.place(now, s)...)
 	}
@@ -219,7 +220,7 @@
 	}
 
 	if o == Served {
-		s.pace.ended(now)
+		s.ends.add(now)
 	}
 
 	return d.place(now, s)
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -19,23 +19,34 @@
 	fixedPart = 5
 )
 
-// setPace takes in how many times longer than usual a target takes.
+// setPace takes in how many times longer than usual a target takes. Words come ten
+// times a second from each target, and are almost always the same: all are looked at
+// again only where one has changed or is too old.
 func (s *service) setPace(now time.Time, t *target, pace float64) {
+	same := t.pace == pace && now.Sub(t.pacedAt) <= paceLife
 	t.pace, t.pacedAt = pace, now
-	s.leastPace, s.mostPace = s.paces(now)
+
+	if !same || now.After(s.pacesUntil) {
+		s.weighPaces(now)
+	}
 }
 
-// paces returns the paces of the fastest and of the slowest target that takes requests.
-func (s *service) paces(now time.Time) (least, most float64) {
-	least = math.Inf(1)
+// weighPaces finds the paces of the fastest and of the slowest target that takes
+// requests, and until when they hold if nothing else is said.
+func (s *service) weighPaces(now time.Time) {
+	s.leastPace, s.mostPace, s.pacesUntil = math.Inf(1), 0, now.Add(paceLife)
 
 	for _, t := range s.targets {
-		if t.pace > 0 && now.Sub(t.pacedAt) <= paceLife && !t.Leaving {
-			least, most = min(least, t.pace), max(most, t.pace)
+		if t.pace == 0 || now.Sub(t.pacedAt) > paceLife || t.Leaving {
+			continue
 		}
-	}
 
-	return least, most
+		s.leastPace, s.mostPace = min(s.leastPace, t.pace), max(s.mostPace, t.pace)
+
+		if until := t.pacedAt.Add(paceLife); until.Before(s.pacesUntil) {
+			s.pacesUntil = until
+		}
+	}
 }
 
 // crowdedAt returns how many requests t may have where the fastest targets may have
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -39,7 +39,7 @@
 func (d *Dispatcher) room(now time.Time, s *service) Room {
 	r := Room{
 		waiting: len(s.waiting), bound: s.crowding.bound, others: s.others.at(now),
-		perSec: s.pace.perSecond(now), firstAns: s.firstAnswer,
+		perSec: s.ends.perSecond(now), firstAns: s.firstAnswer,
 	}
 
 	for _, t := range s.targets {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -14,15 +14,16 @@
 
 	targets map[string]*target
 	waiting []waiting
-	pace    pace
+	ends    rate
 	// others is the mean of what other entries have at a target.
 	others mean
 	// crowding bounds how many requests a target is given.
 	crowding crowding
 	// leastPace and mostPace are the paces of the fastest and of the slowest target,
-	// 0 while none has said one.
-	leastPace float64
-	mostPace  float64
+	// 0 while none has said one. They hold until pacesUntil.
+	leastPace  float64
+	mostPace   float64
+	pacesUntil time.Time
 	// firstAnswer is how long a placed request usually waits for its first answer.
 	firstAnswer time.Duration
 }
@@ -167,7 +168,7 @@
 func (d *Dispatcher) refuseHopeless(now time.Time, s *service) []Action {
 	var out []Action
 
-	perSecond := s.pace.perSecond(now)
+	perSecond := s.ends.perSecond(now)
 	ahead := 0
 
 	due := now.Add(s.firstAnswer)
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -160,38 +160,38 @@
 	m.added = now
 }
 
-// paceWindow is over how long the rate of ended requests is taken.
-const paceWindow = 3 * time.Second
+// rateWindow is over how long the rate of ended requests is taken.
+const rateWindow = 3 * time.Second
 
-// pace is how many requests end in a second.
-type pace struct {
+// rate is how many requests end in a second.
+type rate struct {
 	ends []time.Time
 }
 
-func (p *pace) ended(now time.Time) {
-	p.forget(now)
-	p.ends = append(p.ends, now)
+func (r *rate) add(now time.Time) {
+	r.forget(now)
+	r.ends = append(r.ends, now)
 }
 
-func (p *pace) forget(now time.Time) {
+func (r *rate) forget(now time.Time) {
 	i := 0
-	for i < len(p.ends) && now.Sub(p.ends[i]) > paceWindow {
+	for i < len(r.ends) && now.Sub(r.ends[i]) > rateWindow {
 		i++
 	}
 
-	p.ends = p.ends[i:]
+	r.ends = r.ends[i:]
 }
 
 // perSecond returns the rate, or zero where too little is known.
-func (p *pace) perSecond(now time.Time) float64 {
-	p.forget(now)
+func (r *rate) perSecond(now time.Time) float64 {
+	r.forget(now)
 
-	if len(p.ends) < paceLeast {
+	if len(r.ends) < rateLeast {
 		return 0
 	}
 
-	return float64(len(p.ends)) / paceWindow.Seconds()
+	return float64(len(r.ends)) / rateWindow.Seconds()
 }
 
-// paceLeast is how many ends tell a rate.
-const paceLeast = 5
+// rateLeast is how many ends tell a rate.
+const rateLeast = 5
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -118,7 +118,7 @@
 	maxChanges = 64
 	// partners is how many of the least loaded ranks are weighed as new holders.
 	partners = 12
-	// none marks that no expert leaves.
+	// none marks that no expert leaves, or that no rank gets one.
 	none = -1
 )
 
@@ -143,7 +143,7 @@
 	holders []int
 	has     []bool    // rank by rank, expert by expert
 	had     []bool    // the same as it was
-	loads   []float64 // in work at the usual pace
+	loads   []float64 // in the time that the work takes at the rank's pace
 	mean    float64
 	newHere []int
 	// powers is the sum of the loads' eighth powers, in parts of the mean; shifts are
