Ask another control VM in the exercise where one is not current

The exercise, which stands for an operator, knew one control VM only and gave up; the operators' command asks each. Ruled out: the product. The answer is true, and no caller saw anything of it. Change: the exercise asks one after the other until one answers, for as long as a decision may take to be in force. A decision sent again is made once. TestExercise itself was not made to fail a second time. Conclusion: internal/local alone is touched, which no role of the deployment runs.

--- a/internal/local/exercise.go
+++ b/internal/local/exercise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 
 	"github.com/parsleygate/parsleygate/internal/load"
 	"github.com/parsleygate/parsleygate/internal/pauses"
@@ -178,17 +180,22 @@
 
 // decide takes a zone out or brings it back, as an operator does.
 func (x *Exercise) decide(ctx context.Context, number uint64, zone string, out bool) error {
-	server := x.Local.controls[0].Server()
+	controls := x.Local.controls
 
-	planned, err := server.Plan(ctx, &wire.PlanRequest{
-		Operator: "exercise", Source: "exercise", Override: true,
-		Declaration: fmt.Appendf(nil, "[Zone %q]\nOut = %t\n", zone, out),
+	planned, err := askEach(ctx, len(controls), func(i int) (*wire.PlanResponse, error) {
+		return controls[i].Server().Plan(ctx, &wire.PlanRequest{
+			Operator: "exercise", Source: "exercise", Override: true,
+			Declaration: fmt.Appendf(nil, "[Zone %q]\nOut = %t\n", zone, out),
+		})
 	})
 	if err != nil {
 		return eris.Wrap(err, "plan")
 	}
 
-	r, err := server.Confirm(ctx, &wire.ConfirmRequest{Operator: "exercise", Number: number, PlanID: planned.GetPlan().GetID()})
+	// A decision that is sent again under its number and plan is made once.
+	r, err := askEach(ctx, len(controls), func(i int) (*wire.ConfirmResponse, error) {
+		return controls[i].Server().Confirm(ctx, &wire.ConfirmRequest{Operator: "exercise", Number: number, PlanID: planned.GetPlan().GetID()})
+	})
 	if err != nil {
 		return eris.Wrap(err, "confirm")
 	}
@@ -200,6 +207,26 @@
 	return nil
 }
 
+// askEach puts a question to one of n control VMs after the other until one answers
+// it, as the operators' command does. A control VM whose leader was just lost says
+// truthfully that it is not current: on a busy machine that ended the exercise.
+func askEach[T any](ctx context.Context, n int, question func(i int) (T, error)) (T, error) {
+	start := time.Now()
+
+	for i := 0; ; i = (i + 1) % n {
+		answer, err := question(i)
+
+		var fault twirp.Error
+		if err == nil || !errors.As(err, &fault) || fault.Code() != twirp.Unavailable {
+			return answer, err
+		}
+
+		if time.Since(start) >= forceBound || !pauses.For(ctx, forceCheck) {
+			return answer, err
+		}
+	}
+}
+
 // awaitForce waits until the control VMs say that a decision is in force everywhere.
 func (x *Exercise) awaitForce(ctx context.Context, number uint64) (time.Duration, error) {
 	start := time.Now()
