Give tests loopback ports that nobody else is given

The test closed a listener on a port that the system had picked, wrote that port into the settings, and the role listened there later. The system gave the same port to another listener in between. Ruled out: outgoing connections. Tests that restart a process at its address, and those that need an address at which connections are refused, had the same window and use it too. Conclusion: mended at its cause; the test's assertions are unchanged.

--- a/cmd/parsleygate/cmds/deploy_test.go
+++ b/cmd/parsleygate/cmds/deploy_test.go
@@ -4,33 +4,29 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/settings"
 )
 
-// freePort returns a port of loopback that is free now.
+// freePort returns a port of loopback that nobody else takes before the role does.
 func freePort(t *testing.T) string {
 	t.Helper()
 
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := loopback.Address()
 	require.NoError(t, err)
 
-	defer func() { _ = l.Close() }()
-
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	require.NoError(t, err)
-
-	return port
+	return strconv.Itoa(int(a.Port()))
 }
 
 // fill fills in a template as the platform does, for the fields that ours use.
--- a/internal/agent/order_test.go
+++ b/internal/agent/order_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -231,13 +231,12 @@
 		t.Parallel()
 
 		r := orderRig(t, &engine{})
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		nobody, err := loopback.Address()
 		require.NoError(t, err)
 
 		gone := *r.agent.target.load()
-		gone.Address = ln.Addr().(*net.TCPAddr).AddrPort()
+		gone.Address = nobody
 		r.agent.target.p.Store(&gone)
-		ln.Close()
 		require.Contains(t, r.give(loadOrder(5, "v5")).GetCause(), "EngineDown")
 	})
 	t.Run("number not known after a restart", func(t *testing.T) {
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -120,12 +120,9 @@
 	t.Run("gone", func(t *testing.T) {
 		t.Parallel()
 
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := loopback.Address()
 		require.NoError(t, err)
 
-		addr := netip.MustParseAddrPort(ln.Addr().String())
-		ln.Close()
-
 		r := newRig(t, addr, nil)
 		req := r.booking("/book", "x")
 		a := r.do(req)
--- a/internal/agentlink/link_test.go
+++ b/internal/agentlink/link_test.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/parsleygate/parsleygate/internal/agentlink"
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -210,14 +211,9 @@
 func TestDialRefused(t *testing.T) {
 	t.Parallel()
 
-	var lc net.ListenConfig
-
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
 
-	address := netip.MustParseAddrPort(l.Addr().String())
-	require.NoError(t, l.Close())
-
 	res := newLink(t).Send(t.Context(), address, &wire.Request{AttemptID: mine}, (&caller{}).receiver())
 	require.NotNil(t, res.Err)
 	require.Equal(t, verdict.NotRun, res.Err.Verdict)
--- a/internal/replica/transport_test.go
+++ b/internal/replica/transport_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -20,12 +20,9 @@
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	t.Parallel()
 
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	to, err := loopback.Address()
 	require.NoError(t, err)
 
-	to := l.Addr().(*net.TCPAddr).AddrPort()
-	require.NoError(t, l.Close())
-
 	r := &Replica{ID: "vm0", Cluster: "test"}
 	r.prepare()
 
--- a/internal/wholepath/bed_test.go
+++ b/internal/wholepath/bed_test.go
@@ -67,7 +67,7 @@
 
 	for i := range zones {
 		b.startDesk(i)
-		b.startEntry(i, "127.0.0.1:0")
+		b.startEntry(i, address(b.t))
 	}
 
 	b.awaitAnswers()
@@ -147,7 +147,7 @@
 	go func() { _ = web.Serve(back) }()
 
 	b.t.Cleanup(func() { _ = web.Close() })
-	b.startAgent(i, "127.0.0.1:0")
+	b.startAgent(i, address(b.t))
 
 	none := uint32(0)
 	announcer := &standin.Announcer{
--- a/internal/wholepath/line_test.go
+++ b/internal/wholepath/line_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/loopback"
 )
 
 // line is a listener whose connections can go silent for good: what is written
@@ -29,6 +31,16 @@
 	in, out atomic.Bool
 }
 
+// address returns one that a process can come back to: nobody takes it meanwhile.
+func address(t *testing.T) string {
+	t.Helper()
+
+	a, err := loopback.Address()
+	require.NoError(t, err)
+
+	return a.String()
+}
+
 func newLine(t *testing.T, address string) *line {
 	t.Helper()
 
