Go on with a draft at targets that refused it as stale, once they are fresh

A refusal as StaleConfiguration counted as a failure of that target, so a stream that had lost its target in the seconds without a leader used up all targets, at 20 ms each, and was cut while its caller waited on. The draft could be continued elsewhere, and a caller who has half of it gets nothing better from a cut. Change: targets that refused as stale are kept apart from those that failed, and are asked again each 100 ms where the caller has half of its answer. Fresh requests are refused as before: nothing of them has run. Before: TestDraftOutlivesALostLeader fails, the draft is cut after two of four words. After: it passes, the draft is whole after five such refusals.

--- a/internal/entry/draft_fault_test.go
+++ b/internal/entry/draft_fault_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 const eventStream = "text/event-stream"
@@ -129,6 +130,26 @@
 	}
 }
 
+// A cooper has half of a draft as a zone loses its power, and the control VMs have no
+// leader for a moment. Until they have one every other agent refuses new work, since it
+// cannot know that it is still in use. That is no fault of theirs: the draft goes on at
+// one of them afterwards, while its caller still waits. It was cut once each had
+// refused it.
+func TestDraftOutlivesALostLeader(t *testing.T) {
+	t.Parallel()
+
+	refused := refusing(verdict.NotRun, verdict.CauseStale)
+	a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *sender) {
+		s.head(http.StatusOK, eventStream)
+		s.data(events(1, 2))
+		s.cut()
+	}, refused, refused, refused, refused, refused, resumed)
+	r := newRig(t, draftService, nil, a, a.sibling(t, "agent-2"), a.sibling(t, "agent-3"))
+
+	require.Equal(t, said{status: 200, verdict: "Ran", body: events(1, 4)}, r.draft())
+	require.Len(t, a.got(), 7)
+}
+
 // A trader closes the page while the answer is being written. The engine must
 // learn of it, or it goes on computing for nobody.
 func TestCallerDisconnectReachesAgent(t *testing.T) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -24,7 +24,11 @@
 	item  fairness.Item
 
 	queued   bool
+	// excluded are targets that failed this request.
 	excluded []string
+	// stale are targets that refused it since they could not know that they are
+	// still in use. That says nothing of the target.
+	stale []string
 	choice   routing.Choice
 	attempt  *wire.ClaimHolder
 }
@@ -121,7 +125,7 @@
 }
 
 func (k *course) retry(now time.Time, err *verdict.Error, tries int) (time.Time, bool) {
-	if err.Cause == verdict.CauseStale && k.stale() {
+	if err.Cause == verdict.CauseStale && k.viewStale() {
 		// Neither side is fresh, and no other agent would take this entry's word.
 		return time.Time{}, false
 	}
@@ -129,7 +133,7 @@
 	d := k.entry.Budget.Decide(now, retries.Failure{
 		Verdict: err.Verdict, Cause: err.Cause, RetryAt: err.RetryAt, Idempotent: k.call.idempotent,
 		Tries: tries, Deadline: k.call.deadline,
-		OtherTargets: k.entry.Chooser.Room(now, k.call.service.GetName()).Targets > len(k.excluded),
+		OtherTargets: k.entry.Chooser.Room(now, k.call.service.GetName()).Targets > len(k.tried()),
 	})
 
 	return d.At, d.Retry
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -113,6 +113,17 @@
 	return &status
 }
 
+// exclude notes that this request is not to go to its target again.
+func (k *course) exclude(err *verdict.Error) {
+	switch {
+	case full(err):
+	case err.Cause == verdict.CauseStale:
+		k.stale = append(k.stale, k.choice.AgentID)
+	default:
+		k.excluded = append(k.excluded, k.choice.AgentID)
+	}
+}
+
 // learn tells the chooser how the attempt ended.
 func (k *course) learn(start time.Time, res agentlink.Result, status int32) {
 	now := time.Now()
@@ -123,9 +134,7 @@
 
 	if res.Err != nil {
 		ev.Verdict, ev.Cause, ev.RetryAt = res.Err.Verdict, res.Err.Cause, res.Err.RetryAt
-		if !full(res.Err) {
-			k.excluded = append(k.excluded, k.choice.AgentID)
-		}
+		k.exclude(res.Err)
 	}
 
 	if ev.Cause == verdict.CauseSilent {
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,6 +20,10 @@
 	claimTimeout = 3 * time.Second
 	// shortestLook is the shortest time between two looks for room.
 	shortestLook = 10 * time.Millisecond
+	// staleLook is when targets that refused as stale are asked again for the rest of
+	// an answer. A control set elects a leader within a second or so; a caller accepts
+	// a pause of a tenth.
+	staleLook = 100 * time.Millisecond
 )
 
 // choose waits for the request's turn, then for a target and its credit.
@@ -45,7 +50,7 @@
 			return k.ex.Chosen(k.attempt)
 		}
 
-		if ctx.Err() == nil && k.stale() {
+		if ctx.Err() == nil && k.viewStale() {
 			// Without control VMs agents grant nothing and refuse all new work: to say
 			// that they are full or cold would send operators the wrong way.
 			none.Cause = verdict.CauseStale
@@ -57,6 +62,12 @@
 			return k.ex.NoTarget(none)
 		}
 
+		if k.askStaleAgain() {
+			wait(ctx, time.Now().Add(staleLook))
+
+			continue
+		}
+
 		if k.triedAll() {
 			return k.ex.NoTarget(k.noneLeft(none))
 		}
@@ -77,14 +88,31 @@
 	}
 }
 
-// stale reports whether the entry's freshness lease has run out.
-func (k *course) stale() bool { return !time.Now().Before(k.entry.Known().FreshUntil) }
+// viewStale reports whether the entry's freshness lease has run out.
+func (k *course) viewStale() bool { return !time.Now().Before(k.entry.Known().FreshUntil) }
 
 // triedAll reports whether every target has failed this request.
 func (k *course) triedAll() bool {
 	n := k.entry.Chooser.Room(time.Now(), k.call.service.GetName()).Targets
 
-	return len(k.excluded) >= n
+	return len(k.tried()) >= n
+}
+
+// tried returns the targets that this request has no more business at.
+func (k *course) tried() []string { return slices.Concat(k.excluded, k.stale) }
+
+// askStaleAgain forgets which targets refused as stale, once all others have failed too
+// and the caller has half of its answer. Without a leader of the control VMs every target
+// refuses so, and the answer was cut though all of them could go on with it a second
+// later. It reports whether there are such targets.
+func (k *course) askStaleAgain() bool {
+	if !k.reply.headed || len(k.stale) == 0 || !k.triedAll() {
+		return false
+	}
+
+	k.stale = nil
+
+	return true
 }
 
 // noneLeft refuses a request that every target has failed. A stream that waits to
@@ -116,7 +144,7 @@
 	for {
 		choice, none := e.Chooser.Choose(time.Now(), routing.Ask{
 			Service: k.call.service.GetName(), Zone: e.Zone, Region: e.Region,
-			Excluded: k.excluded, Idempotent: k.call.idempotent, Prefixes: k.call.prefixes(),
+			Excluded: k.tried(), Idempotent: k.call.idempotent, Prefixes: k.call.prefixes(),
 		})
 		if none != nil {
 			return none.Refusal()
