Refuse at a stopping entry what cannot end before it

Balancers send callers for two seconds after a stop begins, and a draft may last as long as the stop. Ruled out: a fault of the stop itself. Change: an entry learns how long requests of a service take. While it stops, one that usually would not end in time is refused as not run, with Retry-After, and is served by another entry. Relay.StopsAt replaces Stopping. A draft that takes longer than nearly all others is still cut at the end.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -23,14 +23,14 @@
 	queue *queue
 	item  fairness.Item
 
-	queued   bool
+	queued bool
 	// excluded are targets that failed this request.
 	excluded []string
 	// stale are targets that refused it since they could not know that they are
 	// still in use. That says nothing of the target.
-	stale []string
-	choice   routing.Choice
-	attempt  *wire.ClaimHolder
+	stale   []string
+	choice  routing.Choice
+	attempt *wire.ClaimHolder
 }
 
 // run takes a call to its end.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -117,7 +117,7 @@
 func (p *passage) copyHead(answer *door.Answer) {
 	copyHeader(p.w.Header(), answer.Header)
 
-	if p.relay.Stopping() {
+	if _, stopping := p.relay.StopsAt(); stopping {
 		p.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -15,6 +15,7 @@
 
 	p.relay.counters.served.Add(1)
 	p.relay.latencies.whole.Update(millis(p.began, now))
+	p.relay.usual.learn(p.service, now.Sub(p.began))
 
 	if p.relay.served.Take(now) {
 		p.log(slog.LevelInfo, "Served.", "target", p.placed.Target.ID, "status", p.status, "first", p.first.Round(time.Millisecond))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,8 +32,9 @@
 	State  func() *view.Followed
 	Door   *door.Door
 	Budget *retries.Share
-	// Stopping says that this entry stops: answers end their connections.
-	Stopping func() bool
+	// StopsAt says when this entry ends, and whether it stops at all. Once it does,
+	// answers end their connections.
+	StopsAt  func() (at time.Time, stopping bool)
 	Limits   Limits
 	Logger   *slog.Logger
 	Rand     *rand.Rand
@@ -42,6 +43,7 @@
 	queue     *queue
 	counters  counters
 	latencies latencies
+	usual     usual
 	served    logs.Sampler
 }
 
@@ -129,7 +131,8 @@
 
 	r.counters.requests.Add(1)
 
-	if r.Stopping() {
+	stopsAt, stopping := r.StopsAt()
+	if stopping {
 		w.Header().Set("Connection", "close")
 	}
 
@@ -147,6 +150,12 @@
 		return
 	}
 
+	if stopping && r.usual.endsBy(now, p.service).After(stopsAt) {
+		p.refuse(verdict.Refuse(verdict.CauseStopping, now.Add(r.Settings.ShortestRetry)))
+
+		return
+	}
+
 	p.run()
 }
 
--- /dev/null
+++ b/internal/relay/usual.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/spread"
+)
+
+// usual learns how long requests of each service take, from arrival to the last byte.
+//
+// The load pattern is an entry that stops while it is busy. The balancer goes on sending
+// it callers for two seconds or so, and a draft that begins then may end after the entry
+// had to: its caller waits for most of the stop and loses the answer all the same. Such
+// a request is refused at once, as not run, and is served whole by another entry.
+type usual struct {
+	mu       sync.Mutex
+	services map[string]*spread.Spread
+}
+
+const (
+	// usualMemory is over how many answers the mean is taken: a second or two of an
+	// entry's drafts, so that it follows the load.
+	usualMemory = 32
+	// usualMargin is how many mean distances above the mean an answer may still take:
+	// one in twenty of an exponential tail takes longer.
+	usualMargin = 3
+)
+
+// learn takes in how long a whole answer took.
+func (u *usual) learn(service string, took time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	if u.services == nil {
+		u.services = make(map[string]*spread.Spread)
+	}
+
+	s := u.services[service]
+	if s == nil {
+		s = &spread.Spread{}
+		u.services[service] = s
+	}
+
+	s.Learn(took, usualMemory)
+}
+
+// endsBy says until when nearly all requests of a service that arrive at now have
+// ended; now itself for a service that nothing is known of.
+func (u *usual) endsBy(now time.Time, service string) time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	s := u.services[service]
+	if s == nil {
+		return now
+	}
+
+	within, _ := s.Within(usualMargin)
+
+	return now.Add(within)
+}
--- a/internal/role/routing.go
+++ b/internal/role/routing.go
@@ -78,9 +78,10 @@
 
 	follower *view.Follower
 	relay    *relay.Relay
-	stopping atomic.Bool
-	logger   *slog.Logger
-	clients  followClients
+	// stopsAt is when this entry ends; nil while it does not stop.
+	stopsAt atomic.Pointer[time.Time]
+	logger  *slog.Logger
+	clients followClients
 }
 
 // Run runs the role until ctx ends and the requests in flight have their answers.
@@ -156,7 +157,7 @@
 func (r *RoutingEntry) leave(callers *http.Server) {
 	until := time.Now().Add(r.StopWithin - stopReserve)
 
-	r.stopping.Store(true)
+	r.stopsAt.Store(&until)
 	r.logger.Info("Stopping: no new callers.", "until", time.Until(until))
 	time.Sleep(min(leaveTime, r.StopWithin/2))
 
@@ -170,8 +171,20 @@
 	}
 }
 
+func (r *RoutingEntry) stopping() bool { return r.stopsAt.Load() != nil }
+
+// stops says when this entry ends, if it stops.
+func (r *RoutingEntry) stops() (time.Time, bool) {
+	at := r.stopsAt.Load()
+	if at == nil {
+		return time.Time{}, false
+	}
+
+	return *at, true
+}
+
 func (r *RoutingEntry) isReady() bool {
-	if r.stopping.Load() || !r.relay.Ready() {
+	if r.stopping() || !r.relay.Ready() {
 		return false
 	}
 
@@ -184,13 +197,13 @@
 	r.logger = r.Logs.Logger("entry")
 	r.follower = &view.Follower{
 		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Ask: r.clients.ask,
-		Leaving: r.stopping.Load, Relay: r.Relay, Logger: r.Logs.Logger("view"),
+		Leaving: r.stopping, Relay: r.Relay, Logger: r.Logs.Logger("view"),
 		OnChange: func(f *view.Followed) { r.relay.Change(f) },
 	}
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, State: r.follower.State, Budget: r.Budget,
-		Door:     &door.Door{DialTimeout: targetDial, HeadBytes: targetHead},
-		Stopping: r.stopping.Load, Logger: r.Logs.Logger("relay"),
+		Door:    &door.Door{DialTimeout: targetDial, HeadBytes: targetHead},
+		StopsAt: r.stops, Logger: r.Logs.Logger("relay"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,50 @@
+package spread_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/spread"
+)
+
+func ExampleSpread() {
+	var s spread.Spread
+
+	for range 10 {
+		s.Learn(90*time.Millisecond, 4)
+		s.Learn(110*time.Millisecond, 4)
+	}
+
+	within, known := s.Within(3)
+	fmt.Println(s.Mean.Round(10*time.Millisecond), within > 120*time.Millisecond, known)
+	// Output: 100ms true true
+}
+
+// The balancer of an overloaded entry, or a director, acts on what takes longer than
+// nearly all: with an exponential tail that is one in twenty at most.
+func TestFewExceedThreeDistances(t *testing.T) {
+	t.Parallel()
+
+	r := rand.New(rand.NewPCG(1, 1))
+	over := 0
+
+	var s spread.Spread
+
+	const samples = 20_000
+
+	for range samples {
+		d := time.Duration(r.ExpFloat64() * float64(time.Second))
+
+		if within, known := s.Within(3); known && d > within {
+			over++
+		}
+
+		s.Learn(d, 32)
+	}
+
+	require.Less(t, over, samples/20)
+}
