--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -37,7 +37,7 @@
 	stepTime time.Duration
 	sawStep  uint64
 	sawAt    time.Time
-	answers answers
+	answers  answers
 	// fenced is set once an engine refused a fencing number as too low.
 	fenced atomic.Bool
 }
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -101,5 +101,7 @@
 }
 
 func listen(a netip.AddrPort) (net.Listener, error) {
-	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", a.String())
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a.String())
+
+	return l, eris.Wrapf(err, "listen at %s", a)
 }
