Send agents no routes

As a configuration of 1,773 routes came into force, each of six control VMs sent all of it to the agents that direct a group, over links of 8 Mbit/s: about a second. Ruled out: the agents' processor; the load of the director peaks at a third of its share. Before: TestWhoTakesNoCallersGetsNoRoutes does not build. After: it passes.

--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -231,6 +231,36 @@
 	})
 }
 
+// An agent follows for the targets and services of its group. Six control VMs each sent
+// it all routes of a large configuration, over a link of 8 Mbit/s: it was deaf for a
+// second, its standby took it for gone, and the group stood still between the two.
+func TestWhoTakesNoCallersGetsNoRoutes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newPublishing()
+		s.ReadDocument = func([]byte) (*wire.RouteTable, error) {
+			return &wire.RouteTable{
+				Number: 1, Services: []*wire.RoutedService{{Name: "desk"}},
+				Routes: []*wire.Route{{Name: "r"}}, Workspaces: []*wire.RoutedWorkspace{{Name: "w"}},
+			}, nil
+		}
+
+		runPublishing(t, s)
+		require.NoError(t, s.Adopt(t.Context(), 1, []byte("desk first")))
+
+		out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "agent", ServicesOnly: true})
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), out.GetTable().GetNumber())
+		require.NotEmpty(t, out.GetTable().GetServices())
+		require.Empty(t, out.GetTable().GetRoutes())
+		require.Empty(t, out.GetTable().GetWorkspaces())
+
+		whole, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "entry"})
+		require.NoError(t, err)
+		require.NotEmpty(t, whole.GetTable().GetRoutes(), "what others get is untouched")
+	})
+}
+
 // All control VMs are killed at once and start again. Their followers get the
 // targets that were known before at once, and the farewells with them; a saved
 // directory that is torn is no directory.
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -210,6 +210,10 @@
 		return newFault(twirp.Internal, "the document in force cannot be read")
 	}
 
+	if r.GetServicesOnly() {
+		table = &wire.RouteTable{Number: table.GetNumber(), Services: table.GetServices()}
+	}
+
 	out.Table = table
 
 	return nil
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -54,6 +54,8 @@
 	Leaving func() bool
 	// Relay is where this process relays orders to engines; invalid where it does not.
 	Relay netip.AddrPort
+	// ServicesOnly leaves out routes and workspaces, for who takes no callers.
+	ServicesOnly bool
 	// OnChange is called with each new state, one call at a time.
 	OnChange func(*Followed)
 	Settings FollowerSettings
@@ -201,6 +203,7 @@
 	r := &wire.FollowRequest{
 		Cluster: f.Cluster, ID: f.ID, Zone: f.Zone, KnownIndex: s.Index, KnownNumber: s.Number,
 		DirectoryBoot: k.boot, DirectoryRevision: k.revision, Leaving: f.Leaving != nil && f.Leaving(),
+		ServicesOnly: f.ServicesOnly,
 	}
 
 	if f.Relay.IsValid() {
