Tell in a request's log lines how long it waited here

Whether the entry had no room or the target was slow decides what is to be done. Change: each line of a request has waited, the part of took before it had targets. Before: TestLogTellsTheWaitFromTheServersTime fails, no such field. After: it passes.

--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -98,7 +98,7 @@
 	}
 
 	args = append(args, "request", p.call.ID, "route", name, "service", p.service, "workspace", p.workspaceName(),
-		"sends", p.sends, "tried", p.tried, "took", time.Since(p.began).Round(time.Millisecond),
+		"sends", p.sends, "tried", p.tried, "waited", p.waited.Round(time.Millisecond), "took", time.Since(p.began).Round(time.Millisecond),
 		"left", time.Until(p.deadline).Round(time.Millisecond), "number", p.state.Number, "index", p.state.Index)
 	p.relay.Logger.Log(p.req.Context(), level, text, args...)
 }
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -39,6 +39,9 @@
 	placedAt time.Time
 	eventAt  time.Time
 
+	// waited is how long it has waited for targets so far.
+	waited time.Duration
+
 	// status is that of the answer that was passed on, first how long it took to begin.
 	status int
 	first  time.Duration
@@ -68,7 +71,10 @@
 	p.relay.Budget.Fresh(p.began, p.service, p.state.Entries)
 
 	for dials := 1; ; dials++ {
+		asked := time.Now()
 		placed, err := p.relay.queue.place(ctx, p.request())
+		p.waited += time.Since(asked)
+
 		if err != nil {
 			p.room = placed.Room
 			p.end(err)
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -145,6 +145,7 @@
 	"DeadlinePassed":     "the target did not answer in the caller's time",
 	"EarlierIncarnation": "another target answers at the address now",
 	"CallerCancelled":    "the caller left",
+	"Stopping":           "this entry was about to end, and a request of this service usually takes longer",
 	"UnknownService":     "the operators removed the service while it waited",
 }
 
