--- a/internal/lockstep/demand.go
+++ b/internal/lockstep/demand.go
@@ -15,6 +15,7 @@
 
 	last   [][]uint64 // by rank, as read last
 	at     time.Time
+	fresh  Demand // what the last look alone brought
 	recent Demand
 	long   Demand
 	// usual is by how much a look usually differs from the recent demand, as learnt from
@@ -57,7 +58,7 @@
 	}
 
 	age := now.Sub(c.at)
-	c.at = now
+	c.at, c.fresh = now, fresh
 
 	// A look that saw the shift half way still holds choices from before it: what has
 	// been counted since counts for no longer than the shift is ago.
@@ -163,7 +164,7 @@
 func newCounter(shape Shape, memory time.Duration) *counter {
 	return &counter{
 		shape: shape, memory: memory, last: make([][]uint64, shape.Ranks), at: time.Now(),
-		recent: newDemand(shape), long: newDemand(shape),
+		fresh: newDemand(shape), recent: newDemand(shape), long: newDemand(shape),
 	}
 }
 
