--- a/internal/lockstep/answers.go
+++ b/internal/lockstep/answers.go
@@ -1,7 +1,6 @@
 package lockstep
 
 import (
-	"sync"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/spread"
@@ -17,8 +16,7 @@
 // given again. Ranks take an order that they have already as done, or refuse it, so that
 // one more of them does no harm.
 type answers struct {
-	mu    sync.Mutex
-	kinds map[wire.EngineOrderKind]*spread.Spread
+	kinds spread.Table[wire.EngineOrderKind]
 }
 
 const (
@@ -36,35 +34,18 @@
 
 // learn takes in how long the answer to an order took.
 func (a *answers) learn(kind wire.EngineOrderKind, took time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	if a.kinds == nil {
-		a.kinds = make(map[wire.EngineOrderKind]*spread.Spread)
-	}
-
-	s := a.kinds[kind]
-	if s == nil {
-		s = &spread.Spread{}
-		a.kinds[kind] = s
-	}
-
-	s.Learn(took, answerMemory)
+	a.kinds.Learn(kind, took, answerMemory)
 }
 
 // timeout says how long the answer to an order that got none so many times before is
 // waited for: twice as long each time, since ranks may have become slower, and never
 // longer than most.
 func (a *answers) timeout(kind wire.EngineOrderKind, ranks int, most time.Duration, unanswered int) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	s := a.kinds[kind]
-	if s == nil {
+	within, known := a.kinds.Within(kind, answerMargin)
+	if !known {
 		return most
 	}
 
-	within, _ := s.Within(answerMargin)
 	least := leastAnswer + time.Duration(ranks)*leastPerRank
 
 	return min(max(within, least)<<min(unanswered, mostDoublings), most)
--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -304,35 +304,40 @@
 	}
 }
 
-// Demand shifts to other experts. What was counted for a second must not hide that
-// for as long: the map follows within half a second and a few copies.
-func TestShiftIsFollowedSoon(t *testing.T) {
-	t.Parallel()
+// followsShift lets demand shift, and holds the group to a map that follows within a time.
+func followsShift(t *testing.T, g *fakeGroup, within time.Duration) {
+	t.Helper()
 
-	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(small, skewed(small, 5))
+	ctx, stop := context.WithCancel(t.Context())
+	go g.run(ctx)
 
-		ctx, stop := context.WithCancel(t.Context())
-		go g.run(ctx)
+	go direct(g, 0, 10*time.Second)
+	time.Sleep(5 * time.Second)
 
-		go direct(g, 0, 10*time.Second)
-		time.Sleep(5 * time.Second)
+	g.mu.Lock()
+	g.weight = skewed(small, 77)
+	was := g.ranks[0].version
+	g.mu.Unlock()
 
-		g.mu.Lock()
-		g.weight = skewed(small, 77)
-		was := g.ranks[0].version
-		g.mu.Unlock()
+	time.Sleep(within)
 
-		time.Sleep(600 * time.Millisecond)
+	g.mu.Lock()
+	require.Greater(t, g.ranks[0].version, was)
+	g.mu.Unlock()
 
-		g.mu.Lock()
-		require.Greater(t, g.ranks[0].version, was)
-		g.mu.Unlock()
+	time.Sleep(8 * time.Second)
+	g.settled(t, "after the shift")
+	stop()
+	time.Sleep(10 * time.Second)
+}
 
-		time.Sleep(8 * time.Second)
-		g.settled(t, "after the shift")
-		stop()
-		time.Sleep(10 * time.Second)
+// Demand shifts to other experts. What was counted for a second must not hide that
+// for as long: the map follows within half a second and a few copies.
+func TestShiftIsFollowedSoon(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		followsShift(t, newGroup(small, skewed(small, 5)), 600*time.Millisecond)
 	})
 }
 
@@ -356,27 +361,7 @@
 					return faultLate
 				}
 
-				ctx, stop := context.WithCancel(t.Context())
-				go g.run(ctx)
-
-				go direct(g, 0, 10*time.Second)
-				time.Sleep(5 * time.Second)
-
-				g.mu.Lock()
-				g.weight = skewed(small, 77)
-				was := g.ranks[0].version
-				g.mu.Unlock()
-
-				time.Sleep(700 * time.Millisecond)
-
-				g.mu.Lock()
-				require.Greater(t, g.ranks[0].version, was)
-				g.mu.Unlock()
-
-				time.Sleep(8 * time.Second)
-				g.settled(t, "after the shift")
-				stop()
-				time.Sleep(10 * time.Second)
+				followsShift(t, g, 700*time.Millisecond)
 			})
 		})
 	}
--- a/internal/relay/usual.go
+++ b/internal/relay/usual.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"sync"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/spread"
@@ -13,10 +12,7 @@
 // it callers for two seconds or so, and a draft that begins then may end after the entry
 // had to: its caller waits for most of the stop and loses the answer all the same. Such
 // a request is refused at once, as not run, and is served whole by another entry.
-type usual struct {
-	mu       sync.Mutex
-	services map[string]*spread.Spread
-}
+type usual struct{ services spread.Table[string] }
 
 const (
 	// usualMemory is over how many answers the mean is taken: a second or two of an
@@ -29,34 +25,13 @@
 
 // learn takes in how long a whole answer took.
 func (u *usual) learn(service string, took time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-
-	if u.services == nil {
-		u.services = make(map[string]*spread.Spread)
-	}
-
-	s := u.services[service]
-	if s == nil {
-		s = &spread.Spread{}
-		u.services[service] = s
-	}
-
-	s.Learn(took, usualMemory)
+	u.services.Learn(service, took, usualMemory)
 }
 
 // endsBy says until when nearly all requests of a service that arrive at now have
 // ended; now itself for a service that nothing is known of.
 func (u *usual) endsBy(now time.Time, service string) time.Time {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-
-	s := u.services[service]
-	if s == nil {
-		return now
-	}
-
-	within, _ := s.Within(usualMargin)
+	within, _ := u.services.Within(service, usualMargin)
 
 	return now.Add(within)
 }
