Read no answer that is still being written for a follower that left

A question of an entry or agent that is given up returns while the goroutine that hears still writes the answer, and read whether there was news in it. Ruled out: a wrong answer to anybody. Twirp sends none where there is an error; but a race has no defined outcome. Change: the answer is left alone where the question was given up.

--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -231,6 +231,23 @@
 	})
 }
 
+// Followers end their questions at any moment, as processes are killed. A question that
+// is given up just as it is answered must not read what is still being written: the race
+// detector saw it in a control VM of the soak.
+func TestFollowersLeaveAtAnyMoment(t *testing.T) {
+	t.Parallel()
+
+	s, _ := publishing(t)
+
+	for range 2000 {
+		ctx, leave := context.WithCancel(t.Context())
+
+		go leave()
+
+		_, _ = s.Follow(ctx, &wire.FollowRequest{Cluster: "trust", ID: "e"})
+	}
+}
+
 // An agent follows for the targets and services of its group. Six control VMs each sent
 // it all routes of a large configuration, over a link of 8 Mbit/s: it was deaf for a
 // second, its standby took it for gone, and the group stood still between the two.
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -188,8 +188,12 @@
 		out.Relays = a.relays()
 		news = news || out.Full || out.DirectoryRevision > known
 	})
+	if err != nil {
+		// The goroutine that hears may still be writing the answer that nobody waits for.
+		return nil, false, err
+	}
 
-	return out, news, err
+	return out, news, nil
 }
 
 func (s *Server) addTable(p *published, r *wire.FollowRequest, out *wire.FollowResponse) error {
