--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/exchange"
 	"github.com/parsleygate/parsleygate/internal/fairness"
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -141,17 +142,8 @@
 
 // wait sleeps until at, or ctx ends.
 func wait(ctx context.Context, at time.Time) {
-	d := time.Until(at)
-	if d <= 0 {
-		return
-	}
-
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+	if d := time.Until(at); d > 0 {
+		pauses.For(ctx, d)
 	}
 }
 
--- a/internal/entry/steps.go
+++ b/internal/entry/steps.go
@@ -91,7 +91,7 @@
 // viewStale reports whether the entry's freshness lease has run out.
 func (k *course) viewStale() bool { return !time.Now().Before(k.entry.Known().FreshUntil) }
 
-// triedAll reports whether every target has failed this request.
+// triedAll reports whether every target has failed this request, or refused it as stale.
 func (k *course) triedAll() bool {
 	n := k.entry.Chooser.Room(time.Now(), k.call.service.GetName()).Targets
 
--- a/internal/load/callers.go
+++ b/internal/load/callers.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/standin"
 )
 
@@ -132,7 +133,7 @@
 			return res
 		}
 
-		if !sleepUntil(ctx, time.Now().Add(resendPause)) {
+		if !pauses.For(ctx, resendPause) {
 			return res
 		}
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/parsleygate/parsleygate/internal/pauses"
 )
 
 // Load is one run. Its fields are set before Run.
@@ -105,7 +107,7 @@
 		next = next.Add(time.Duration(rnd.ExpFloat64() / l.Rate * float64(time.Second)))
 		q := l.draw(rnd, zipf, n)
 
-		if next.After(end) || !sleepUntil(ctx, next) {
+		if next.After(end) || !pauses.For(ctx, time.Until(next)) {
 			return
 		}
 
@@ -139,18 +141,6 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (l *Load) one(ctx context.Context, q request) {
 	if q.booking {
 		l.tally(&q, l.book(ctx, &q))
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -129,7 +129,6 @@
 	began := time.Now()
 	demand := d.counter.demand()
 	before := d.current.SkewAt(demand, d.paces)
-	latest := d.current.SkewAt(d.counter.fresh, d.paces)
 	next, after := d.best(demand, before)
 
 	if (before-after)/before < d.Settings.LeastGain {
@@ -141,7 +140,8 @@
 	err := d.switcher.Switch(ctx, version, next)
 
 	// A skew of the last look far above that of the expected demand is a shift that
-	// was not seen.
+	// was not seen. The map is still the one from before the switch here.
+	latest := d.current.SkewAt(d.counter.fresh, d.paces)
 	d.Logger.Info("Map switch.", "version", version, "skewNow", fmt.Sprintf("%.2f", latest), "skewBefore", fmt.Sprintf("%.2f", before), "skewAfter", fmt.Sprintf("%.2f", after),
 		"planned", planned.Sub(began).Round(time.Millisecond), "took", time.Since(planned).Round(time.Millisecond), "error", err)
 
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -66,25 +66,15 @@
 	Least float64
 }
 
-// Improve returns ImproveAt where all ranks are alike.
-func Improve(shape Shape, m Map, d Demand, copies Copies) Map {
-	return ImproveAt(shape, m, d, nil, copies)
-}
-
-// ImproveAt returns a map that is better for d than m and can be prepared from it:
-// each rank gets at most shape.Spare new experts of a set and copies.Most new ones in
-// all. It changes what gains most for each copy first, whichever set that is in. A slow
-// rank, which all others wait for, is left with fewer experts, or none: worth of a day
-// with ranks at a fifth and a third of their pace, 0.27 without and 0.35 with.
-func ImproveAt(shape Shape, m Map, d Demand, paces Paces, copies Copies) Map {
-	p := newPlan(shape, m, d, paces)
-
-	return p.improve(copies)
-}
-
-// plan is the search for a better map over all sets. It goes on from where it was:
-// a search with more copies takes up the map that was found with fewer. Four searches
-// from the start took 2.7 times as long as this, and found no better maps.
+// plan is the search for a map that is better for some demand than another one, and can
+// be prepared from it: each rank gets at most shape.Spare new experts of a set. It
+// changes what gains most for each copy first, whichever set that is in. A slow rank,
+// which all others wait for, is left with fewer experts, or none: worth of a day with
+// ranks at a fifth and a third of their pace, 0.27 without and 0.35 with.
+//
+// It goes on from where it was: a search with more copies takes up the map that was found
+// with fewer. Four searches from the start took 2.7 times as long as this, and found no
+// better maps.
 type plan struct {
 	shape Shape
 	sets  []*setPlan
@@ -103,7 +93,8 @@
 	return p
 }
 
-// improve makes the changes that copies allow, and returns the map with them.
+// improve makes the changes that copies allow, which bound all new experts of a rank,
+// and returns the map with them.
 func (p *plan) improve(copies Copies) Map {
 	for _, set := range p.sets {
 		set.found = false
