Read a replica's state before a test compares it

Propose returns once an order is applied where the leader is. The test compared the state of the one of two others that it had asked, which lacks the order until the next heartbeat where the other one leads. Ruled out: the replica. Its contract says where the result is from, and its sisters in the same package read before they compare. Change: both others are read first, which promises their state, and both are compared, where one was before. No check is eased.

--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -78,7 +78,14 @@
 
 		_, _, err = others[0].Propose(within(20*time.Second), []byte("third"))
 		require.NoError(t, err)
-		require.Equal(t, "first second third", others[0].state.String())
+
+		// An order is applied where the leader is; each of the others has it once a read
+		// there has returned.
+		for _, n := range others {
+			_, _, err = n.Read(within(5 * time.Second))
+			require.NoError(t, err)
+			require.Equal(t, "first second third", n.state.String())
+		}
 
 		for _, n := range others {
 			require.NoError(t, g.end(n))
