Switch maps in a step that comes late enough for the slowest commit lately

Ruled out: the skew of the old map alone: its steps took 90 to 112 ms, below the 120 ms that callers bear.

Change: the step's own clock is kept from each look; the step of a switch is the first one that begins after what few commits take (hold to go, mean and three mean distances of eight), at most 250 ms.

What is left late are steps that are long by themselves.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -60,7 +60,6 @@
 	d.seePaces(looks)
 
 	own := looks[0].Report
-	d.switcher.Saw(time.Now(), own.Step)
 
 	if slices.ContainsFunc(looks, func(l Look) bool { return l.Report.Holds }) {
 		d.free(ctx)
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -166,9 +166,10 @@
 	OrderTimeout time.Duration
 	RankTime     time.Duration
 	MapTime      time.Duration
-	// Ahead is how long before the step of a switch all ranks should be armed: the
-	// hold of that step then costs nothing.
-	Ahead time.Duration
+	// Ahead is how far away the step of a switch is at least, and MostAhead at most:
+	// where all ranks are armed and let go on before it comes, its hold costs nothing.
+	Ahead     time.Duration
+	MostAhead time.Duration
 	// LeastGain is the part of the present load of the most loaded ranks that a new
 	// map must save to be worth its copies.
 	LeastGain float64
@@ -201,7 +202,7 @@
 	return Settings{
 		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond, RankTime: 3 * time.Millisecond, MapTime: 8 * time.Millisecond,
-		Ahead: 30 * time.Millisecond, LeastGain: 0.09, LeastCopyGain: 0.01, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
+		Ahead: 30 * time.Millisecond, MostAhead: 250 * time.Millisecond, LeastGain: 0.09, LeastCopyGain: 0.01, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
 		SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
 	}
 }
--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,7 +27,11 @@
 	step   uint64
 	idle   bool
 	broken string // what broke, or nothing
+	// pass is how long a step takes; waited is for how long steps were held beyond
+	// that, waits by how much each of them was.
+	pass   time.Duration
 	waited time.Duration
+	waits  []time.Duration
 	// weight is how often each expert is chosen in a step, set by set.
 	weight [][]float64
 	// fault decides what becomes of the n-th order.
@@ -69,10 +74,12 @@
 const (
 	stepTime = 10 * time.Millisecond
 	copyTime = 20 * time.Millisecond
+	// heldPoll is how often a group looks whether a held step may begin.
+	heldPoll = time.Millisecond
 )
 
 func newGroup(shape lockstep.Shape, weight [][]float64) *fakeGroup {
-	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, logs: io.Discard, countRanks: lockstep.DefaultSettings().CountRanks, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
+	g := &fakeGroup{shape: shape, epoch: 1, weight: weight, pass: stepTime, logs: io.Discard, countRanks: lockstep.DefaultSettings().CountRanks, lateBy: 2300 * time.Millisecond, fault: func(int) fault { return faultNone }}
 	first := lockstep.First(shape.Sets, shape.Experts, shape.Ranks)
 
 	for r := range shape.Ranks {
@@ -90,12 +97,13 @@
 // run makes steps until ctx ends.
 func (g *fakeGroup) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(stepTime)
-		g.begin()
+		time.Sleep(g.pass)
+		g.begin(ctx)
 	}
 }
 
-func (g *fakeGroup) begin() {
+// begin begins the next step, once no rank holds it any more.
+func (g *fakeGroup) begin(ctx context.Context) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -103,14 +111,29 @@
 		return
 	}
 
-	for _, k := range g.ranks {
-		if k.holds && k.held == g.step+1 {
-			g.waited += stepTime
+	waited := time.Duration(0)
 
-			return
-		}
+	for g.isHeld() && ctx.Err() == nil {
+		g.mu.Unlock()
+		time.Sleep(heldPoll)
+		g.mu.Lock()
+
+		waited += heldPoll
+		g.waited += heldPoll
+	}
+
+	if waited > 0 {
+		g.waits = append(g.waits, waited)
 	}
 
+	g.makeStep()
+}
+
+func (g *fakeGroup) isHeld() bool {
+	return slices.ContainsFunc(g.ranks, func(k *fakeRank) bool { return k.holds && k.held == g.step+1 })
+}
+
+func (g *fakeGroup) makeStep() {
 	g.step++
 
 	for _, k := range g.ranks {
--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -367,6 +368,58 @@
 	}
 }
 
+// Steps of a busy group take nearly as long as callers bear between two events: a shift
+// of demand has made them twice as long, and one order in ten is not answered. Each
+// switch held its step until the last rank was armed, and the pause that this added to
+// one long step made every draft of the group late.
+func TestSwitchHoldsNoLongStep(t *testing.T) {
+	t.Parallel()
+
+	const (
+		// bearable is by how much a step of 100 ms may be held where callers bear 120 ms.
+		bearable = 20 * time.Millisecond
+		shifts   = 20
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(small, skewed(small, 5))
+		g.pass = 100 * time.Millisecond
+		g.slow = 3 * time.Millisecond
+		faults := newRandom(1)
+		g.fault = func(int) fault {
+			if faults.IntN(10) > 0 {
+				return faultNone
+			}
+
+			return faultLate
+		}
+
+		ctx, stop := context.WithCancel(t.Context())
+		go g.run(ctx)
+
+		go direct(g, 0, 3*shifts*time.Second)
+
+		for seed := range uint64(shifts) {
+			time.Sleep(3 * time.Second)
+			g.mu.Lock()
+			g.weight = skewed(small, seed)
+			g.mu.Unlock()
+		}
+
+		g.mu.Lock()
+		long := slices.DeleteFunc(slices.Clone(g.waits), func(d time.Duration) bool { return d <= bearable })
+		version := g.ranks[0].version
+		g.mu.Unlock()
+
+		time.Sleep(8 * time.Second)
+		stop()
+		time.Sleep(10 * time.Second)
+		g.settled(t, "after all shifts")
+		require.GreaterOrEqual(t, version, uint64(shifts))
+		require.LessOrEqual(t, len(long), shifts/10, "one switch in ten may meet two lost answers: %v", long)
+	})
+}
+
 // The VM of the director of a large group is deaf for a moment, and the standby begins
 // to free the group with a higher fencing number, of which it gets no further than that.
 // The director gave its old order to go on for two seconds, refused each time, while the
--- a/internal/lockstep/looks.go
+++ b/internal/lockstep/looks.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 )
 
 // mapOf returns the map in use by the ranks' own lists.
@@ -56,6 +57,7 @@
 	looks := make([]Look, s.Ranks.Size)
 	errs := make([]error, s.Ranks.Size)
 	asked := make([]bool, s.Ranks.Size)
+	seen := make([]time.Time, s.Ranks.Size)
 
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.askTimeout(s.Ranks.Size))
 	defer cancel()
@@ -66,12 +68,19 @@
 		var q Question
 
 		if q, asked[rank] = ask(rank); asked[rank] {
-			g.Go(func() { looks[rank], errs[rank] = s.Ranks.Look(ctx, rank, q) })
+			g.Go(func() {
+				looks[rank], errs[rank] = s.Ranks.Look(ctx, rank, q)
+				seen[rank] = time.Now()
+			})
 		}
 	}
 
 	g.Wait()
 
+	if asked[0] && errs[0] == nil {
+		s.steps.saw(seen[0], looks[0].Report.Step)
+	}
+
 	if err := errors.Join(errs...); err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotAll, err)
 	}
--- /dev/null
+++ b/internal/lockstep/steps.go
@@ -0,0 +1,55 @@
+package lockstep
+
+import "time"
+
+// stepClock tells which step of a group begins when, by the steps that were seen to
+// have begun.
+//
+// The load pattern is a group whose steps have become nearly as long as callers bear
+// between two events. A switch holds one step until all ranks are armed; where that
+// takes longer than until the step would have begun, the wait makes every stream of the
+// group late. So the step is the first one that leaves enough time, and that depends on
+// how far the present one has come.
+type stepClock struct {
+	step    uint64
+	beganAt time.Time
+	length  time.Duration
+}
+
+// longestStep bounds how long a step is thought to take: what took longer was held, or
+// the group was idle.
+const longestStep = 250 * time.Millisecond
+
+// saw takes in that step was the last one begun at now.
+func (c *stepClock) saw(now time.Time, step uint64) {
+	if step == c.step {
+		return
+	}
+
+	if c.step != 0 && step > c.step {
+		c.length = min(now.Sub(c.beganAt)/time.Duration(step-c.step), longestStep)
+	}
+
+	c.step, c.beganAt = step, now
+}
+
+// after returns the first step that begins at from or later, as far as can be told. It
+// is never one that may have begun at now.
+func (c *stepClock) after(now, from time.Time) uint64 {
+	length := max(c.length, shortestStep)
+
+	next := c.beganAt.Add(length)
+	if next.Before(now) {
+		// It is overdue: it may begin at any moment.
+		next = now
+	}
+
+	step := c.step + 1
+
+	for next.Before(from) {
+		next = next.Add(length)
+		step++
+	}
+
+	return step
+}
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/pauses"
+	"github.com/parsleygate/parsleygate/internal/spread"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -31,13 +32,11 @@
 	Logger   *slog.Logger
 
 	fence uint64
-	// armTook is how long it takes to arm all ranks.
-	armTook time.Duration
-	// stepTime is how long a step took lately, by the step that was seen at sawAt.
-	stepTime time.Duration
-	sawStep  uint64
-	sawAt    time.Time
-	answers  answers
+	// steps is when steps begin, commits how long it takes from the order to hold a step
+	// until it is known not to be held any more.
+	steps   stepClock
+	commits spread.Spread
+	answers answers
 	// fenced is set once an engine refused a fencing number as too low.
 	fenced atomic.Bool
 }
@@ -110,12 +109,33 @@
 
 // commit holds a step, arms all ranks for it, and lets it begin.
 func (s *Switcher) commit(ctx context.Context, fence, version uint64) error {
+	began := time.Now()
+
 	step, err := s.armAll(ctx, fence, version)
 	if err != nil {
 		return err
 	}
 
-	return s.goOn(ctx, s.holder(), fence, step)
+	err = s.goOn(ctx, s.holder(), fence, step)
+	s.commits.Learn(time.Since(began), commitMemory)
+
+	return err
+}
+
+const (
+	// commitMemory is over how many switches the time of a commit is averaged, and
+	// commitMargin how many mean distances above that mean a commit may take.
+	commitMemory = 8
+	commitMargin = 3
+)
+
+// ahead returns how far away the step of a switch should be. One that comes sooner than
+// all ranks are armed and the hold is lifted waits for that, and every stream of the
+// group with it; each further step is one more with the old map.
+func (s *Switcher) ahead() time.Duration {
+	within, _ := s.commits.Within(commitMargin)
+
+	return min(max(within, s.Settings.Ahead), s.Settings.MostAhead)
 }
 
 // armAll holds a step and arms all ranks for it, and returns the step once all of
@@ -129,9 +149,6 @@
 		return 0, err
 	}
 
-	began := time.Now()
-	defer func() { s.armTook += (time.Since(began) - s.armTook) / armMemory }()
-
 	arm := s.order(wire.EngineOrderKind_EngineOrderArm, fence, version, step)
 	armed := func(r *Report) bool { return r.Armed == version }
 
@@ -165,8 +182,9 @@
 			return 0, err
 		}
 
-		ahead := max(s.Settings.Ahead, s.armTook*armMargin/10)
-		step := look.Report.Step + leastAhead + uint64(ahead/max(s.stepTime, shortestStep))
+		now := time.Now()
+		s.steps.saw(now, look.Report.Step)
+		step := s.steps.after(now, now.Add(s.ahead()))
 		got := s.orderAt(ctx, s.holder(), s.order(wire.EngineOrderKind_EngineOrderHold, fence, 0, step), 1)
 
 		// What the engine reports counts, not what it answered: an order without an
@@ -184,32 +202,11 @@
 	return 0, fmt.Errorf("%w: %+v", errHold, look.Report)
 }
 
-const (
-	// armMemory is over how many switches the time of arming is averaged, and
-	// armMargin how much longer, in tenths, the step is to be away: a step that comes
-	// before all are armed waits, and every stream of the group with it.
-	armMemory = 3
-	armMargin = 13
-)
-
 // holdTries is how many steps are tried to be held.
 const holdTries = 4
 
-const (
-	// leastAhead is how many steps lie at least between now and a switch.
-	leastAhead = 1
-	// shortestStep bounds from below how long a step is thought to take.
-	shortestStep = 15 * time.Millisecond
-)
-
-// Saw takes in that step was the last one begun at now.
-func (s *Switcher) Saw(now time.Time, step uint64) {
-	if steps := step - s.sawStep; s.sawStep != 0 && step > s.sawStep {
-		s.stepTime = now.Sub(s.sawAt) / time.Duration(steps)
-	}
-
-	s.sawStep, s.sawAt = step, now
-}
+// shortestStep bounds from below how long a step is thought to take.
+const shortestStep = 15 * time.Millisecond
 
 // goOn lifts the hold of a rank. While that is not seen, the group may stand
 // still, so it is tried until it is seen. One that is given up is found again by
