Let callers of an entry that starts wait for its configuration

Cause: after a loss of power of all VMs entries answer some 0.7 s before the control VMs agree on a leader.

Ruled out: longer Retry-After alone: callers may come back once, and the group opens later still, so they would wait for it twice.

Change: an entry without its first configuration lets callers wait for it, up to a second and a quarter of their time, and refuses them then. Log lines of requests that were not admitted name the request, and leave out what is not known.

--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -99,6 +99,12 @@
 
 	args = append(args, "request", p.call.ID, "route", name, "service", p.service, "workspace", p.workspaceName(),
 		"sends", p.sends, "tried", p.tried, "waited", p.waited.Round(time.Millisecond), "took", time.Since(p.began).Round(time.Millisecond),
-		"left", time.Until(p.deadline).Round(time.Millisecond), "number", p.state.Number, "index", p.state.Index)
+		"number", p.state.Number, "index", p.state.Index)
+
+	// A request that was not admitted has no deadline of its route yet.
+	if !p.deadline.IsZero() {
+		args = append(args, "left", time.Until(p.deadline).Round(time.Millisecond))
+	}
+
 	p.relay.Logger.Log(p.req.Context(), level, text, args...)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,10 @@
 	Rand     *rand.Rand
 	Settings dispatch.Settings
 
+	// configured is closed once a configuration is known.
+	configured chan struct{}
+	configure  sync.Once
+
 	queue     *queue
 	counters  counters
 	latencies latencies
@@ -76,6 +81,7 @@
 		r.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	r.configured = make(chan struct{})
 	r.latencies = newLatencies()
 	r.served.PerSecond = servedLines
 	r.queue = &queue{
@@ -103,6 +109,7 @@
 	}
 
 	r.queue.change(services, targets, f.Entries)
+	r.configure.Do(func() { close(r.configured) })
 }
 
 func targetOf(t *directory.Target, f *view.Followed) dispatch.Target {
@@ -138,13 +145,25 @@
 
 	p := &passage{relay: r, w: w, req: req, began: now, state: r.State()}
 
+	if err := p.readCall(); err != nil {
+		p.deny(http.StatusBadRequest, err.Error())
+
+		return
+	}
+
 	if p.state.Table == nil {
-		p.refuse(verdict.Refuse(verdict.CauseStale, now.Add(r.Settings.NoTargetRetry)))
+		r.awaitTable(req.Context(), now, p.call.Deadline)
+
+		p.state = r.State()
+	}
+
+	if p.state.Table == nil {
+		p.refuse(verdict.Refuse(verdict.CauseStale, time.Now().Add(r.Settings.NoTargetRetry)))
 
 		return
 	}
 
-	if status, problem := p.admit(now); status != 0 {
+	if status, problem := p.admit(); status != 0 {
 		p.deny(status, problem)
 
 		return
@@ -159,26 +178,31 @@
 	p.run()
 }
 
-// admit finds the route and the workspace, and reads the body. A status other
-// than 0 denies the request.
-func (p *passage) admit(now time.Time) (int, string) {
-	table := p.state.Table
-
-	call, err := p.relay.Dialect.ReadCall(p.req, now)
+// readCall reads the head of the request.
+func (p *passage) readCall() error {
+	call, err := p.relay.Dialect.ReadCall(p.req, p.began)
 	if err != nil {
-		return http.StatusBadRequest, err.Error()
+		return err
 	}
 
 	p.call = call
 	p.lastEvent = call.LastEvent
 
+	return nil
+}
+
+// admit finds the route and the workspace, and reads the body. A status other
+// than 0 denies the request.
+func (p *passage) admit() (int, string) {
+	table := p.state.Table
+
 	path, _, _ := strings.Cut(p.req.RequestURI, "?")
 	if p.route = table.Find(p.req.Host, path); p.route == nil {
 		return http.StatusNotFound, "no route has this host and path"
 	}
 
 	if table.Keyed() && !p.route.Anonymous {
-		if p.workspace = table.Workspace(call.Key); p.workspace == nil {
+		if p.workspace = table.Workspace(p.call.Key); p.workspace == nil {
 			return http.StatusUnauthorized, "the key is not known"
 		}
 	}
@@ -188,6 +212,8 @@
 		most = p.relay.Limits.BodyBytes
 	}
 
+	var err error
+
 	p.body, err = io.ReadAll(http.MaxBytesReader(p.w, p.req.Body, most))
 
 	var tooLong *http.MaxBytesError
@@ -200,13 +226,15 @@
 	}
 
 	p.service = p.route.Pick(rand.Float64())
-	p.setDeadlines(now)
+	p.setDeadlines()
 
 	return 0, ""
 }
 
 // setDeadlines stores until when the request is of use.
-func (p *passage) setDeadlines(now time.Time) {
+func (p *passage) setDeadlines() {
+	now := p.began
+
 	p.deadline = now.Add(p.route.Timeout)
 	if !p.call.Deadline.IsZero() && p.call.Deadline.Before(p.deadline) {
 		p.deadline = p.call.Deadline
