Let entries share a group that opens, and ask silent agents for loads soon

Cause: after a loss of power each of seven entries filled the group up to the bound by itself: 12 drafts a rank where the bound was 7.2, in steps of the first map of 150 to 230 ms. Agents had forgotten who had asked them, and were asked each 2 s only, so that nobody knew what others had sent.

Change: for a second after a target has come into use an entry gives it an equal share of the bound; an agent of which nothing was heard for a second is asked each 250 ms.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,7 +127,7 @@
 
 	for _, t := range targets {
 		if s := d.services[t.Service]; s != nil {
-			s.set(t)
+			s.set(now, t)
 
 			fresh[t.ID] = true
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -675,3 +675,41 @@
 		require.InDelta(t, 1, served[workspace]/n/all, 0.35, "%s: %v of %v", workspace, served[workspace], n)
 	}
 }
+
+// A group is formed again after a loss of power, and callers wait at each of seven
+// entries. Each of them gave the group as many drafts as it bears alone: seven times as
+// many, whose steps were too long for all of them.
+func TestEntriesShareAGroupThatOpens(t *testing.T) {
+	t.Parallel()
+
+	const entries, targets, slots, waiting = 7, 12, 12, 40
+
+	sent := 0
+
+	for range entries {
+		b := newBench(t, targets, slots, entries, func(s *dispatch.Service) { s.Streams = true })
+
+		for i := range b.targets {
+			b.targets[i].Broken = true
+		}
+
+		b.take(b.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, b.targets, entries))
+
+		now := begin.Add(1300 * time.Millisecond)
+		for range waiting {
+			b.offer(now, nil)
+		}
+
+		require.Empty(t, b.placed, "the group is not open yet")
+
+		for i := range b.targets {
+			b.targets[i].Broken = false
+		}
+
+		b.take(b.Change(now, []dispatch.Service{{Name: "drafts", Streams: true}}, b.targets, entries))
+		sent += len(b.placed)
+	}
+
+	require.LessOrEqual(t, sent, targets*slots, "no more than it has slots")
+	require.GreaterOrEqual(t, sent, targets*slots/2, "and no fewer than half of that")
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -34,16 +35,38 @@
 	since time.Time
 }
 
-func (s *service) set(t Target) {
+func (s *service) set(now time.Time, t Target) {
 	have := s.targets[t.ID]
-	if have == nil || have.Address != t.Address {
-		have = &target{}
+
+	switch {
+	case have == nil || have.Address != t.Address:
+		have = &target{newUntil: now.Add(newFor)}
 		s.targets[t.ID] = have
+	case have.Broken && !t.Broken:
+		have.newUntil = now.Add(newFor)
 	}
 
 	have.Target = t
 }
 
+// newFor is how long a target counts as just come into use: some words of its load.
+const newFor = time.Second
+
+// share returns how many requests this entry may have at t of the limit that all entries
+// together keep to.
+//
+// The load pattern is a group that opens anew while callers wait at every entry. Nobody
+// has heard yet what the others have just sent, so each entry filled the group up to the
+// limit by itself, and the first steps, with the first map, took three times as long as
+// callers bear. An equal share for each entry keeps to the limit without a word.
+func (s *service) share(now time.Time, t *target, limit float64, entries int) float64 {
+	if !s.Streams || entries == 1 || !now.Before(t.newUntil) {
+		return limit
+	}
+
+	return max(1, math.Floor(limit/float64(entries)))
+}
+
 func (s *service) keepOnly(fresh map[string]bool) {
 	for id := range s.targets {
 		if !fresh[id] {
@@ -265,7 +288,7 @@
 		return obstacleBroken
 	case now.Before(t.pausedUntil):
 		return obstaclePaused
-	case t.Slots > 0 && t.load(now, s, &d.Settings) >= s.limit(now, t, &d.Settings):
+	case t.Slots > 0 && d.full(now, s, t):
 		return obstacleFull
 	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
 		return obstacleConnections
@@ -276,6 +299,12 @@
 	}
 }
 
+func (d *Dispatcher) full(now time.Time, s *service, t *target) bool {
+	limit := s.limit(now, t, &d.Settings)
+
+	return t.load(now, s, &d.Settings) >= limit || float64(t.own) >= s.share(now, t, limit, d.entries)
+}
+
 // coldUnknown is how far above the declared bound of a cold target all entries
 // together may go while it counts as warm: it may have turned cold without a word.
 const coldUnknown = 1.5
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -23,6 +23,8 @@
 	// full says that it is left alone because it said that it was full, not for a fault.
 	full  bool
 	fails int
+	// newUntil is until when it counts as just come into use.
+	newUntil time.Time
 	// sent are the times at which this entry sent it requests, the latest last.
 	sent []time.Time
 }
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -22,6 +22,11 @@
 	// askEvery is how often an entry asks, askLife how long an ask holds.
 	askEvery = 2 * time.Second
 	askLife  = 5 * time.Second
+	// askSilentEvery is how often an entry asks an agent of which it has heard nothing
+	// for silentAfter, which is some words: it may have started anew, and forgotten who
+	// asked.
+	askSilentEvery = 250 * time.Millisecond
+	silentAfter    = time.Second
 	// tellEvery is how often load is looked at; it is told where it changed, and at
 	// least each tellAtLeast.
 	tellEvery   = 100 * time.Millisecond
@@ -168,12 +173,22 @@
 	// Heard is called with each load, by the agent's address.
 	Heard func(agent netip.AddrPort, l Load)
 
-	last map[netip.AddrPort]uint64
+	mu   sync.Mutex
+	last map[netip.AddrPort]heard
+	// asked is when each agent was asked last; only Run uses it.
+	asked map[netip.AddrPort]time.Time
+}
+
+// heard is the last word of an agent.
+type heard struct {
+	sequence uint64
+	at       time.Time
 }
 
 // Run asks and listens until ctx ends.
 func (l *Listener) Run(ctx context.Context) error {
-	l.last = make(map[netip.AddrPort]uint64)
+	l.last = make(map[netip.AddrPort]heard)
+	l.asked = make(map[netip.AddrPort]time.Time)
 
 	ask, err := proto.Marshal(&wire.LoadAsk{Cluster: l.Cluster})
 	if err != nil {
@@ -184,13 +199,11 @@
 
 	defer func() { _ = l.Conn.Close() }()
 
-	tick := time.NewTicker(askEvery)
+	tick := time.NewTicker(askSilentEvery)
 	defer tick.Stop()
 
 	for {
-		for _, a := range l.Agents() {
-			_, _ = l.Conn.WriteTo(ask, net.UDPAddrFromAddrPort(a))
-		}
+		l.ask(time.Now(), ask)
 
 		select {
 		case <-ctx.Done():
@@ -200,6 +213,40 @@
 	}
 }
 
+// ask asks the agents whose turn it is. After a loss of power of all VMs neither side
+// knows the other: an entry that waited for its usual turn filled engines for two seconds
+// without a word on how many requests others had sent there.
+func (l *Listener) ask(now time.Time, ask []byte) {
+	agents := l.Agents()
+	asked := make(map[netip.AddrPort]time.Time, len(agents))
+
+	for _, a := range agents {
+		asked[a] = l.asked[a]
+
+		every := askEvery
+		if l.silent(now, a) {
+			every = askSilentEvery
+		}
+
+		if now.Sub(l.asked[a]) < every {
+			continue
+		}
+
+		asked[a] = now
+
+		_, _ = l.Conn.WriteTo(ask, net.UDPAddrFromAddrPort(a))
+	}
+
+	l.asked = asked
+}
+
+func (l *Listener) silent(now time.Time, agent netip.AddrPort) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return now.Sub(l.last[agent].at) >= silentAfter
+}
+
 // restarted is how far a sequence falls back where the agent has started anew on a
 // VM whose clock was set back, and not merely been overtaken.
 const restarted = 1000
@@ -210,10 +257,23 @@
 		return
 	}
 
-	if last := l.last[from]; w.GetSequence() <= last && last-w.GetSequence() < restarted {
+	if !l.isNew(from, w.GetSequence()) {
 		return
 	}
 
-	l.last[from] = w.GetSequence()
 	l.Heard(from, Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Pace: w.GetPace()})
 }
+
+// isNew notes a word, and reports whether it is later than the last one.
+func (l *Listener) isNew(from netip.AddrPort, sequence uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if last := l.last[from].sequence; sequence <= last && last-sequence < restarted {
+		return false
+	}
+
+	l.last[from] = heard{sequence: sequence, at: time.Now()}
+
+	return true
+}
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -7,11 +7,14 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/loads"
+	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
 func socket(t *testing.T) (net.PacketConn, netip.AddrPort) {
@@ -76,3 +79,92 @@
 	stop()
 	runs.Wait()
 }
+
+// fakeConn is a connection under a test's clock: it notes when asks leave, and delivers words.
+type fakeConn struct {
+	net.PacketConn
+
+	from   net.Addr
+	words  chan []byte
+	closed chan struct{}
+
+	mu   sync.Mutex
+	asks []time.Time
+}
+
+func (c *fakeConn) WriteTo(b []byte, _ net.Addr) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.asks = append(c.asks, time.Now())
+
+	return len(b), nil
+}
+
+func (c *fakeConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case w := <-c.words:
+		return copy(b, w), c.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (c *fakeConn) Close() error {
+	close(c.closed)
+
+	return nil
+}
+
+func (c *fakeConn) askedWithin(from, to time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	n := 0
+
+	for _, at := range c.asks {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+
+	return n
+}
+
+// All VMs lose power. An agent that starts anew does not know who had asked it, and an
+// entry that starts anew has just asked one that was not there yet. Without a word of
+// loads the entries filled a group twice over, for as long as their usual turn took.
+func TestSilentAgentIsAskedSoon(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		agent := netip.MustParseAddrPort("10.0.0.1:7341")
+		conn := &fakeConn{from: net.UDPAddrFromAddrPort(agent), words: make(chan []byte), closed: make(chan struct{})}
+
+		ctx, stop := context.WithCancel(t.Context())
+		l := &loads.Listener{
+			Cluster: "trust", Conn: conn, Agents: func() []netip.AddrPort { return []netip.AddrPort{agent} },
+			Heard: func(netip.AddrPort, loads.Load) {},
+		}
+
+		go func() { _ = l.Run(ctx) }()
+
+		const usual = 20 * time.Second
+
+		for sequence := range uint64(usual / (500 * time.Millisecond)) {
+			w, err := proto.Marshal(&wire.LoadWord{Cluster: "trust", Sequence: sequence + 1})
+			require.NoError(t, err)
+
+			conn.words <- w
+
+			time.Sleep(500 * time.Millisecond)
+		}
+
+		fellSilent := time.Now()
+		require.LessOrEqual(t, conn.askedWithin(fellSilent.Add(-usual/2), fellSilent), 6, "one that tells is asked seldom")
+		time.Sleep(1500 * time.Millisecond)
+		require.GreaterOrEqual(t, conn.askedWithin(fellSilent, time.Now()), 2, "one that has fallen silent is asked soon")
+		stop()
+		synctest.Wait()
+	})
+}
