Start fewer requests while a group's steps are suddenly long

Hypothesis: from a shift of demand until the next map steps take 90 to 112 ms where callers bear 120; what starts in them brings its prompt at three times the usual price, and makes them 118 to 140, so that all 110 drafts of the group are late.

Ruled out: fewer drafts at all times, as the bound on crowding would do it: usual steps take half of what callers bear. The share of experts that many maps ahead could bear: each shift has another most wanted expert with a quarter of the choices (counts dumped in a trial), so no map bears it without a copy.

Change: an entry learns how many requests it starts in a usual step; from 0.7 of what callers accept on it starts fewer, none from 0.85 on, for 400 ms at most. The dispatcher goes through its targets in a fixed order.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -195,6 +195,7 @@
 func (d *Dispatcher) Pause(now time.Time, placed Action, part float64) {
 	if s := d.services[placed.Target.Service]; s != nil && placed.Target.Slots > 0 {
 		s.crowding.pause(now, part*s.crowdedPart(), placed.Target.Slots, &d.Settings)
+		s.surge.pause(now, part, &d.Settings)
 	}
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -14,12 +15,16 @@
 	Service
 
 	targets map[string]*target
+	// sorted are the targets by ID: what is decided must not depend on a map's order.
+	sorted  []*target
 	waiting []waiting
 	ends    rate
 	// others is the mean of what other entries have at a target.
 	others mean
 	// crowding bounds how many requests a target is given.
 	crowding crowding
+	// surge holds back starts while steps are suddenly long.
+	surge surge
 	// leastPace and mostPace are the paces of the fastest and of the slowest target,
 	// 0 while none has said one. They hold until pacesUntil.
 	leastPace  float64
@@ -73,6 +78,8 @@
 			delete(s.targets, id)
 		}
 	}
+
+	s.sorted = slices.SortedFunc(maps.Values(s.targets), func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func (s *service) drop(id uint64) {
@@ -93,7 +100,7 @@
 // opensAt returns from when on some target may take r: now, or the end of the first
 // pause where all are left alone. It reports false if there is none to wait for.
 func (s *service) opensAt(now time.Time, r *Request) (at time.Time, ok bool) {
-	for _, t := range s.targets {
+	for _, t := range s.sorted {
 		if t.Leaving || slices.Contains(r.Tried, t.ID) {
 			continue
 		}
@@ -127,12 +134,17 @@
 
 	// What is left is in the order in which it is to be placed.
 	out := d.refuseHopeless(now, s)
+
 	kept := s.waiting[:0]
 
 	for i := range s.waiting {
 		w := &s.waiting[i]
 
-		t := d.choose(now, s, &w.Request)
+		var t *target
+		if !s.Streams || !s.surge.holds(now) {
+			t = d.choose(now, s, &w.Request)
+		}
+
 		if t == nil {
 			kept = append(kept, *w)
 
@@ -140,6 +152,7 @@
 		}
 
 		t.place(now, w.Work)
+		s.surge.start()
 		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true})
 	}
 
@@ -230,7 +243,7 @@
 func (d *Dispatcher) shortage(now time.Time, s *service) verdict.Cause {
 	cause := verdict.CauseNoTarget
 
-	for _, t := range s.targets {
+	for _, t := range s.sorted {
 		switch o := d.obstacle(now, s, t); {
 		case o == obstacleLeaving:
 		case o == obstacleBroken, o == obstaclePaused && !t.full:
@@ -254,7 +267,7 @@
 	bestCost := 0.0
 	ties := 0
 
-	for _, t := range s.targets {
+	for _, t := range s.sorted {
 		if d.obstacle(now, s, t) != obstacleNone || slices.Contains(r.Tried, t.ID) {
 			continue
 		}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -40,6 +40,10 @@
 	CrowdingEvery time.Duration
 	PauseHigh     float64
 	PauseLow      float64
+	// LongStep is the pause, in parts of what callers accept, from which on a step counts
+	// as long, and fewer requests are started than usual; from FullStep on none are.
+	LongStep float64
+	FullStep float64
 }
 
 // DefaultSettings returns the numbers for targets that answer in fractions of a second.
@@ -60,5 +64,7 @@
 		CrowdingEvery:   200 * time.Millisecond,
 		PauseHigh:       0.75,
 		PauseLow:        0.6,
+		LongStep:        0.7,
+		FullStep:        0.85,
 	}
 }
