Tell the longest pause of a served stream in its log line

Why a draft was late could not be told from the log: the line now says its longest pause, how long ago that was, and the target's zone.

--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -18,10 +18,20 @@
 	p.relay.usual.learn(p.service, now.Sub(p.began))
 
 	if p.relay.served.Take(now) {
-		p.log(slog.LevelInfo, "Served.", "target", p.placed.Target.ID, "status", p.status, "first", p.first.Round(time.Millisecond))
+		p.log(slog.LevelInfo, "Served.", append(p.pauseArgs(), "target", p.placed.Target.ID, "zone", p.placed.Target.Zone,
+			"status", p.status, "first", p.first.Round(time.Millisecond))...)
 	}
 }
 
+// pauseArgs tells the longest pause of a stream, and how long ago it was.
+func (p *passage) pauseArgs() []any {
+	if p.longestPause == 0 {
+		return nil
+	}
+
+	return []any{"longestPause", p.longestPause.Round(time.Millisecond), "pausedAgo", time.Since(p.longestAt).Round(time.Millisecond)}
+}
+
 // end gives the caller its final answer where the request has none.
 func (p *passage) end(err error) {
 	now := time.Now()
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -42,6 +42,11 @@
 	// waited is how long it has waited for targets so far.
 	waited time.Duration
 
+	// longestPause is the longest time between two events of its stream, which ended at
+	// longestAt.
+	longestPause time.Duration
+	longestAt    time.Time
+
 	// status is that of the answer that was passed on, first how long it took to begin.
 	status int
 	first  time.Duration
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -92,6 +92,15 @@
 	return nil
 }
 
+// notePause takes in a pause between two events that ended at now.
+func (p *passage) notePause(now time.Time, pause time.Duration) {
+	p.relay.queue.pause(p.placed, float64(pause)/float64(p.route.Gap))
+
+	if pause > p.longestPause {
+		p.longestPause, p.longestAt = pause, now
+	}
+}
+
 // measure tells the dispatcher how long the target took for this event.
 func (p *passage) measure() {
 	now := time.Now()
@@ -100,7 +109,7 @@
 	case p.eventAt.IsZero():
 		p.relay.queue.first(p.placed, now.Sub(p.placedAt))
 	case p.route.Gap > 0:
-		p.relay.queue.pause(p.placed, float64(now.Sub(p.eventAt))/float64(p.route.Gap))
+		p.notePause(now, now.Sub(p.eventAt))
 	}
 
 	p.eventAt = now
