Let the bound on crowding rise as fast as it falls

Hypothesis: after each shift of demand the bound falls within 0.2 s by up to a quarter, and rises by 0.4 of a request each 0.2 s; callers wait for seconds before a group whose steps are short again.

Change: below PauseLow the bound rises in proportion, by a quarter at most each 0.2 s.

--- a/internal/dispatch/crowding.go
+++ b/internal/dispatch/crowding.go
@@ -45,15 +45,24 @@
 	case high > cfg.PauseHigh:
 		c.bound = max(c.bound*max(cfg.PauseHigh/high, sharpestFall), leastCrowding)
 	case high < cfg.PauseLow:
-		c.bound = min(c.bound+riseStep, float64(slots)+cfg.QueueAhead)
+		c.bound = min(c.bound+c.rise(high, cfg), float64(slots)+cfg.QueueAhead)
 	}
 }
 
+// rise is how far the bound goes up where pauses are high parts of what callers accept:
+// the further below the more, as it falls. After a shift of demand, or once a group has
+// opened anew, callers waited for seconds before targets that had room, for a bound that
+// rose by a small step.
+func (c *crowding) rise(high float64, cfg *Settings) float64 {
+	return max(riseStep, c.bound*(min(cfg.PauseLow/high, sharpestRise)-1))
+}
+
 const (
 	stallPart     = 4
 	leastPauses   = 8
 	highPause     = 80 // percentile
 	sharpestFall  = 0.75
+	sharpestRise  = 1.25
 	leastCrowding = 2
 	riseStep      = 0.4
 	startPart     = 0.6
