Let a map of few copies that comes soon go before a better one

Hypothesis: what is lost after a shift is lost in the steps until the first map, which are longer than callers bear; copies are made one after the other (98 ms each) and make steps 15 in 100 longer. The director chose three copies a rank, as it counted gains for two seconds: 0.35 to 0.39 s a switch, where one copy (0.16 s) takes the skew from 3 to 1.35.

Change: gains count for 0.9 s.

--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -178,8 +178,10 @@
 	// MostNew are the numbers of experts that one switch may bring to a rank, over
 	// all sets, that are weighed against each other: fewer are copied sooner.
 	MostNew []int
-	// SwitchTime is what a switch takes beside copies, and Horizon how long demand is
-	// expected to stay as it is.
+	// SwitchTime is what a switch takes beside copies, and Horizon for how long a map's
+	// gain counts. It is short against how long demand stays: steps are too long for
+	// callers right after a shift alone, so a map of few copies that comes soon goes
+	// before a better one.
 	SwitchTime time.Duration
 	Horizon    time.Duration
 	// Memory is over how long chosen experts are counted.
@@ -203,6 +205,6 @@
 		LookEvery: 100 * time.Millisecond, PollEvery: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond, RankTime: 3 * time.Millisecond, MapTime: 8 * time.Millisecond,
 		Ahead: 30 * time.Millisecond, MostAhead: 250 * time.Millisecond, LeastGain: 0.09, LeastCopyGain: 0.01, MostNew: []int{1, 3, 8, 16}, Memory: time.Second, CountRanks: 12,
-		SwitchTime: 200 * time.Millisecond, Horizon: 2 * time.Second,
+		SwitchTime: 200 * time.Millisecond, Horizon: 900 * time.Millisecond,
 	}
 }
