Keep figures and tuning out of the comments of dispatch and lockstep

Four searches for a map from the start took 2.7 times as long as one that goes on. A shift that moves six in ten of what requests like moves 0.3 to 0.5 of the choices of a group of 12 ranks, 0.13 to 0.25 of one of 63; requests that come and go move a tenth, seldom a seventh, and a fortieth. A standby got no answer from 46 of 63 ranks within 150 ms.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -14,8 +14,8 @@
 	paceLife = 2 * time.Second
 	// leastSlow is the pace from which a target counts as slow.
 	leastSlow = 1.25
-	// fixedPart is how many requests take as long as the fixed part of a step, at the
-	// engines of today: 4.55 ms against 0.905 ms.
+	// fixedPart is how many requests take as long as the part of a step that does not
+	// depend on them.
 	fixedPart = 5
 )
 
@@ -53,7 +53,6 @@
 // bound. In a lock-step group all wait for the last: a slow rank that is given as much
 // as the others holds all of them up, so it gets what it does in the time that the
 // others take, which may be nothing. Where all are slow alike, they share as usual.
-// Worth of a day with ranks at a fifth and a third of their pace: 0.35 without, 0.68 with.
 func (s *service) crowdedAt(now time.Time, t *target, bound float64) float64 {
 	if t.pace == 0 || now.Sub(t.pacedAt) > paceLife {
 		return bound
@@ -70,8 +69,6 @@
 // crowdedPart returns which part of the pauses of a lock-step group is due to how many
 // requests run. With a slow rank, all wait for the fixed part of its step, which fewer
 // requests do not shorten: a bound that fell for it turned callers away for nothing.
-// Worth of three days with ranks at a fifth and a third of their pace: 0.64 in the mean
-// without, 0.67 with.
 func (s *service) crowdedPart() float64 {
 	if s.mostPace == 0 {
 		return 1
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -134,7 +134,6 @@
 
 	// What is left is in the order in which it is to be placed.
 	out := d.refuseHopeless(now, s)
-
 	kept := s.waiting[:0]
 
 	for i := range s.waiting {
@@ -293,8 +292,8 @@
 //
 // The load pattern is a zone whose links to the others lose packets. Each packet that is
 // lost is sent again a fifth of a second later, which is longer than callers bear between
-// two events: of the drafts that went through another zone, two in three were late. Ways
-// within a zone lose nothing, and targets that are loaded nearly alike serve as well.
+// two events, so that most drafts that went through another zone were late. Ways within a
+// zone lose nothing, and targets that are loaded nearly alike serve as well.
 func (d *Dispatcher) wayCost(t *target) float64 {
 	if d.Zone == "" || t.Zone == d.Zone {
 		return 0
--- a/internal/lockstep/demand.go
+++ b/internal/lockstep/demand.go
@@ -77,14 +77,12 @@
 
 const (
 	// leastShift is the part of the choices that must have gone to other experts for
-	// what was counted before to be forgotten at once. A memory of a second would
-	// hide a shift for as long. A shift that moves six in ten of what requests like
-	// moves 0.3 to 0.5 of the choices of a group of 12 ranks, and 0.13 to 0.25 of one of
-	// 63, whose looks each hold a part of the choices from before.
+	// what was counted before to be forgotten at once: a memory of a second would hide a
+	// shift for as long. It is low enough for a large group, whose looks each hold a part
+	// of the choices from before.
 	leastShift = 0.12
-	// shiftFactor is how many times further than usual that must be. Requests that
-	// come and go move a tenth in a small group, seldom a seventh, and a fortieth in a
-	// large one.
+	// shiftFactor is how many times further than usual that must be: requests that come
+	// and go move a part of the choices as well, more in a small group.
 	shiftFactor = 1.7
 	// usualMemory is over how many looks the usual distance is averaged.
 	usualMemory = 20
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -193,8 +193,8 @@
 }
 
 // askTimeout bounds an order or look that goes to a group of so many ranks. A standby
-// that has no connections yet got no answer from 46 of 63 ranks within 150 ms, and could
-// not free their group.
+// that has no connections yet needs longer the more ranks there are: with one bound for
+// all sizes it heard from too few ranks of a large group, and could not free it.
 func (s *Settings) askTimeout(ranks int) time.Duration {
 	return s.OrderTimeout + time.Duration(ranks)*s.RankTime
 }
--- a/internal/lockstep/plan.go
+++ b/internal/lockstep/plan.go
@@ -69,12 +69,10 @@
 // plan is the search for a map that is better for some demand than another one, and can
 // be prepared from it: each rank gets at most shape.Spare new experts of a set. It
 // changes what gains most for each copy first, whichever set that is in. A slow rank,
-// which all others wait for, is left with fewer experts, or none: worth of a day with
-// ranks at a fifth and a third of their pace, 0.27 without and 0.35 with.
+// which all others wait for, is left with fewer experts, or none.
 //
 // It goes on from where it was: a search with more copies takes up the map that was found
-// with fewer. Four searches from the start took 2.7 times as long as this, and found no
-// better maps.
+// with fewer, which is sooner done than one from the start, and finds maps as good.
 type plan struct {
 	shape Shape
 	sets  []*setPlan
