--- a/internal/dispatch/surge.go
+++ b/internal/dispatch/surge.go
@@ -10,8 +10,8 @@
 // The load pattern is a shift of demand in a busy group. Its steps are long until the
 // next expert map comes, half a second later, and just bearable for those that run. Each
 // request that starts meanwhile brings its whole prompt into such a step, where a token
-// costs three times as much as usual, and the step then is too long for everyone. Those
-// that wait for that half second are few, and most of them are in time all the same.
+// costs far more than usual, and the step then is too long for everyone. Those that wait
+// for that half second are few, and most of them are in time all the same.
 type surge struct {
 	// parts are the pauses of the present step, of which the last came at.
 	parts []float64
--- a/internal/lockstep/looks.go
+++ b/internal/lockstep/looks.go
@@ -171,6 +171,7 @@
 		switch {
 		case a.err != nil:
 			errs[a.rank] = a.err
+			s.Logger.Debug("Rank not seen.", "rank", a.rank, "error", a.err)
 
 			continue
 		case a.look.Report.Epoch != s.Ranks.Epoch:
