--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -364,6 +364,19 @@
 	})
 }
 
+// oneInTenLate leaves one order in ten unanswered, which is carried out later.
+func oneInTenLate(seed uint64) func(int) fault {
+	r := newRandom(seed)
+
+	return func(int) fault {
+		if r.IntN(10) > 0 {
+			return faultNone
+		}
+
+		return faultLate
+	}
+}
+
 // One order in ten is not answered, and carried out two seconds later. The map must
 // follow demand nearly as soon as without: each order was waited for until its fixed
 // time-out, and drafts went through steps of the wrong map for a second.
@@ -375,14 +388,7 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				g := newGroup(small, skewed(small, 5))
-				faults := newRandom(seed)
-				g.fault = func(int) fault {
-					if faults.IntN(10) > 0 {
-						return faultNone
-					}
-
-					return faultLate
-				}
+				g.fault = oneInTenLate(seed)
 
 				followsShift(t, g, 700*time.Millisecond)
 			})
@@ -407,14 +413,7 @@
 		g := newGroup(small, skewed(small, 5))
 		g.pass = 100 * time.Millisecond
 		g.slow = 3 * time.Millisecond
-		faults := newRandom(1)
-		g.fault = func(int) fault {
-			if faults.IntN(10) > 0 {
-				return faultNone
-			}
-
-			return faultLate
-		}
+		g.fault = oneInTenLate(1)
 
 		ctx, stop := context.WithCancel(t.Context())
 		go g.run(ctx)
