Let a director see on when looks take longer than all before

Ruled out: learning the time of looks that were not answered; with a tenth of them lost the bound would rise to its most, which costs what it was made for.

Change: the bound doubles after each look in a row that most ranks did not answer, up to what it was before there was one.

--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -37,6 +37,8 @@
 	// fault decides what becomes of the n-th order.
 	fault  func(n int) fault
 	orders int
+	// lookTakes is how long a look takes.
+	lookTakes time.Duration
 	// lost decides whether the answer to a look at a rank is lost.
 	lost func(rank int) bool
 	// slow is how much longer an order takes for each rank, so that orders given
@@ -218,6 +220,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
+	if g.lookTakes > 0 {
+		wait := time.NewTimer(g.lookTakes)
+		defer wait.Stop()
+
+		g.mu.Unlock()
+
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+
+		g.mu.Lock()
+
+		if ctx.Err() != nil {
+			return lockstep.Look{}, ctx.Err()
+		}
+	}
+
 	if g.lost(rank) {
 		ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 		defer cancel()
--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -473,6 +473,28 @@
 	require.LessOrEqual(t, times[seeds-1], 2*time.Second, "%v", times)
 }
 
+// The directing VM turns slow, so that each look takes ten times as long as all before.
+// The bound on looks is learnt from those that were answered: with none answered in time
+// it stayed as it was, and the director saw nothing any more while the VM was slow. It
+// must go on to follow demand.
+func TestDirectorSeesOnWhenLooksTakeLonger(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(small, skewed(small, 5))
+		g.lookTakes = 4 * time.Millisecond
+
+		time.AfterFunc(4*time.Second, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+
+			g.lookTakes = 60 * time.Millisecond
+		})
+
+		followsShift(t, g, 3*time.Second)
+	})
+}
+
 // The VM of the director of a large group is deaf for a moment, and the standby begins
 // to free the group with a higher fencing number, of which it gets no further than that.
 // The director gave its old order to go on for two seconds, refused each time, while the
--- a/internal/lockstep/looks.go
+++ b/internal/lockstep/looks.go
@@ -96,7 +96,9 @@
 	lookMargin = 6
 )
 
-// lookTimeout bounds a look at ranks of which not all must answer.
+// lookTimeout bounds a look at ranks of which not all must answer. It is twice as long
+// after each look that most ranks did not answer in time: what it is learnt from are
+// answers alone, and where all became slower than it none would ever come again.
 func (s *Switcher) lookTimeout() time.Duration {
 	most := s.Settings.askTimeout(s.Ranks.Size)
 
@@ -105,7 +107,9 @@
 		return most
 	}
 
-	return min(max(within, leastAnswer+time.Duration(s.Ranks.Size)*leastPerRank), most)
+	least := leastAnswer + time.Duration(s.Ranks.Size)*leastPerRank
+
+	return min(max(within, least)<<min(s.unseen, mostDoublings), most)
 }
 
 // lookTries is how often a look at one rank that a switch depends on is tried.
@@ -186,5 +190,11 @@
 		}
 	}
 
+	if len(errs) > asked/2 {
+		s.unseen++
+	} else {
+		s.unseen = 0
+	}
+
 	return looks, errs, nil
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -36,8 +36,10 @@
 	// until it is known not to be held any more.
 	steps   stepClock
 	commits spread.Spread
-	// looks is how long a look at a rank takes.
+	// looks is how long a look at a rank takes, unseen how many looks in a row most ranks
+	// did not answer in time.
 	looks   spread.Spread
+	unseen  int
 	answers answers
 	// fenced is set once an engine refused a fencing number as too low.
 	fenced atomic.Bool
