Tell what the retry budget paid for, and why a request is not sent again

What was missing: a line "Sent again." did not say whether the budget paid for the send nor by how many entries it was shared, a refused, failed or cut request did not say why it was not sent again, and Relay.SentAgain added up all sends.

Change, no decision altered: "Sent again." is written once the request has its next target, with paid and entries; final lines carry notAgain; the metrics Relay.SentAgainUnpaid, Relay.Misdirected and Relay.BudgetSpent. The decision moves to a file of its own.

--- a/internal/relay/endings.go
+++ b/internal/relay/endings.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -111,6 +112,10 @@
 		"sends", p.sends, "tried", p.tried, "waited", p.waited.Round(time.Millisecond), "took", time.Since(p.began).Round(time.Millisecond),
 		"number", p.state.Number, "index", p.state.Index)
 
+	if p.notAgain != retries.ReasonNone {
+		args = append(args, "notAgain", p.notAgain)
+	}
+
 	// A request that was not admitted has no deadline of its route yet.
 	if !p.deadline.IsZero() {
 		args = append(args, "left", time.Until(p.deadline).Round(time.Millisecond))
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -56,6 +56,8 @@
 	// tried are the targets that it was sent to, sends how many may have read it.
 	tried []string
 	sends int
+	// notAgain is why it is not sent to another target after its last try.
+	notAgain retries.Reason
 	// ran is set once some target may have run it.
 	ran bool
 	// streaming is set once the head of a stream has left; lastEvent is the last
@@ -65,9 +67,6 @@
 	lastID    uint64
 }
 
-// mostDials bounds how many targets are tried whose connection did not come up.
-const mostDials = 4
-
 // run sends the request until it is answered, or must not be sent again.
 func (p *passage) run() {
 	ctx, cancel := context.WithDeadline(p.req.Context(), p.deadline)
@@ -75,36 +74,51 @@
 
 	p.relay.Budget.Fresh(p.began, p.service, p.state.Entries)
 
-	for dials := 1; ; dials++ {
-		asked := time.Now()
-		placed, err := p.relay.queue.place(ctx, p.request())
-		p.waited += time.Since(asked)
+	var failed error // the try before
 
+	for {
+		placed, err := p.place(ctx)
 		if err != nil {
-			p.room = placed.Room
 			p.end(err)
 
 			return
 		}
 
-		p.relay.latencies.wait.Update(millis(p.began, time.Now()))
+		if failed != nil {
+			p.noteAgain(failed, placed)
+		}
 
-		err = p.attempt(ctx, placed)
-		if err == nil {
+		if failed = p.attempt(ctx, placed); failed == nil {
 			p.done()
 
 			return
 		}
 
-		if !p.again(ctx, err, dials) {
-			p.end(err)
+		if p.notAgain = p.again(ctx, failed); p.notAgain != retries.ReasonNone {
+			p.end(failed)
 
 			return
 		}
+	}
+}
+
+// place waits for a target.
+func (p *passage) place(ctx context.Context) (dispatch.Action, error) {
+	asked := time.Now()
+	placed, err := p.relay.queue.place(ctx, p.request())
+	now := time.Now()
+
+	p.waited += now.Sub(asked)
+
+	if err != nil {
+		p.room = placed.Room
 
-		p.relay.counters.again.Add(1)
-		p.log(slog.LevelInfo, "Sent again.", "target", placed.Target.ID, "cause", verdict.CauseOf(err), "verdict", verdict.Of(err).String(), "error", err)
+		return placed, err
 	}
+
+	p.relay.latencies.wait.Update(millis(p.began, now))
+
+	return placed, nil
 }
 
 func (p *passage) request() dispatch.Request {
@@ -122,29 +136,6 @@
 	return p.workspace.Name
 }
 
-// again decides whether the request is sent to another target.
-func (p *passage) again(ctx context.Context, err error, dials int) bool {
-	now := time.Now()
-
-	switch {
-	case ctx.Err() != nil || !now.Before(p.deadline) || dials >= mostDials+p.sends:
-		return false
-	case verdict.Of(err) != verdict.NotRun && !p.mayRepeat():
-		return false
-	case p.sent(err) && p.sends >= max(1, p.route.MostTargets):
-		return false
-	case p.streaming && p.route.Repeat != routes.Resume:
-		return false
-	}
-
-	return !p.sent(err) || p.relay.Budget.Take(now, p.service, p.state.Entries)
-}
-
-// sent reports whether the target of a failed try may have read the request.
-func (p *passage) sent(err error) bool {
-	return verdict.Of(err) != verdict.NotRun || verdict.CauseOf(err) == verdict.CauseOverload
-}
-
 // attempt sends the request to one target and delivers its answer. An error says
 // what became of it there.
 func (p *passage) attempt(ctx context.Context, placed dispatch.Action) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -281,5 +281,7 @@
 
 // counters are totals since the start.
 type counters struct {
-	requests, served, refused, denied, failed, cut, again, left atomic.Int64
+	requests, served, refused, denied, failed, cut, left atomic.Int64
+
+	again, unpaid, misdirected, spent atomic.Int64
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -6,10 +6,11 @@
 
 // State is the relay's state for a dump.
 type State struct {
-	Requests, Served, Refused, Denied, Failed, Cut, Again, Left int64
-	Number, Index                                               uint64
-	Targets                                                     []netip.AddrPort
-	Entries, Waiting                                            int
+	Requests, Served, Refused, Denied, Failed, Cut, Left int64
+	Again, Unpaid, Misdirected, BudgetSpent              int64
+	Number, Index                                        uint64
+	Targets                                              []netip.AddrPort
+	Entries, Waiting                                     int
 }
 
 // Dump returns the state as of now.
@@ -18,7 +19,8 @@
 	c := &r.counters
 	s := State{
 		Requests: c.requests.Load(), Served: c.served.Load(), Refused: c.refused.Load(), Denied: c.denied.Load(),
-		Failed: c.failed.Load(), Cut: c.cut.Load(), Again: c.again.Load(), Left: c.left.Load(),
+		Failed: c.failed.Load(), Cut: c.cut.Load(), Left: c.left.Load(),
+		Again: c.again.Load(), Unpaid: c.unpaid.Load(), Misdirected: c.misdirected.Load(), BudgetSpent: c.spent.Load(),
 		Number: f.Number, Index: f.Index, Entries: f.Entries,
 	}
 
