Pay from the retry budget for sends after a misdirected one, and bound them

What callers and targets saw: after a loss of power of all VMs every target has another ID at its old address. Entries learn the saved directory and send each request to one target after the other, each of which answers 421, 3 to 6 ms apart. In 10 s a service got 440 to 499 arrivals beyond the first of their request where 411 to 423 are allowed, and its callers were refused in the end.

Cause: the entry told from the error whether the target had read the request, by a list of causes that were known to mean so. Overload was on it, a target that is not the one that was meant (EarlierIncarnation) was not, so the send after it took nothing from the budget. Besides, the bound on tries grew by one with every answer, so that it never held for answers that were rejections.

Ruled out: entries that count too few entries, and tokens saved before.

Change: a try notes how far it got. Whatever an answer says, a target has read the request and the next send is paid for; only a connection that did not come up is free. Tries that do not get the request to the target that was meant are bounded by four, however many others have read it.

Why it works: any kind of answer that comes up later is paid for unless somebody says otherwise, and no two places judge the same error.

--- a/internal/relay/again.go
+++ b/internal/relay/again.go
@@ -11,28 +11,43 @@
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
-// mostDials bounds how many targets are tried whose connection did not come up.
-const mostDials = 4
+// reach is how far a try got.
+type reach uint8
+
+const (
+	// reachNone: no target has read the request.
+	reachNone reach = iota
+	// reachOther: another target than the one that was meant has read and rejected it.
+	reachOther
+	// reachTarget: the target that was meant may have read it.
+	reachTarget
+)
+
+// mostMissed bounds how many targets are tried that do not get the request: their
+// connection did not come up, or another target has their address.
+const mostMissed = 4
 
 // again returns why the request is not sent to another target after a try that failed;
-// ReasonNone where it is.
+// ReasonNone where it is. Whatever has read the request had work with it, so that the
+// next send draws on the retry budget.
 func (p *passage) again(ctx context.Context, err error) retries.Reason {
 	now := time.Now()
+	got := p.sends - p.misdirected
 
 	switch {
 	case ctx.Err() != nil || !now.Before(p.deadline):
 		return retries.ReasonDeadline
-	case len(p.tried) >= mostDials+p.sends:
+	case len(p.tried)-got >= mostMissed:
 		return retries.ReasonTries
 	case verdict.Of(err) != verdict.NotRun && !p.mayRepeat():
 		return retries.ReasonMayRun
-	case p.sent(err) && p.sends >= max(1, p.route.MostTargets):
+	case p.reached == reachTarget && p.sends >= max(1, p.route.MostTargets):
 		return retries.ReasonTries
 	case p.streaming && p.route.Repeat != routes.Resume:
 		return retries.ReasonMayRun
 	}
 
-	if p.sent(err) && !p.relay.Budget.Take(now, p.service, p.state.Entries) {
+	if p.reached != reachNone && !p.relay.Budget.Take(now, p.service, p.state.Entries) {
 		p.relay.counters.spent.Add(1)
 
 		return retries.ReasonBudget
@@ -41,14 +56,9 @@
 	return retries.ReasonNone
 }
 
-// sent reports whether the target of a failed try may have read the request.
-func (p *passage) sent(err error) bool {
-	return verdict.Of(err) != verdict.NotRun || verdict.CauseOf(err) == verdict.CauseOverload
-}
-
 // noteAgain counts and logs that the request goes to placed, after a try that failed.
 func (p *passage) noteAgain(failed error, placed dispatch.Action) {
-	paid := p.sent(failed)
+	paid := p.reached != reachNone
 
 	p.relay.counters.again.Add(1)
 
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -28,8 +28,6 @@
 func (p *passage) check(answer *door.Answer, word Word) error {
 	switch {
 	case word.Moved:
-		p.relay.counters.misdirected.Add(1)
-
 		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseIncarnation}
 	case word.NotRun && answer.Status != http.StatusBadRequest:
 		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseOverload}
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -53,9 +53,13 @@
 	// room is the state of the targets when it was refused.
 	room dispatch.Room
 
-	// tried are the targets that it was sent to, sends how many may have read it.
-	tried []string
-	sends int
+	// tried are the targets that it was sent to, reached how far the last try got.
+	tried   []string
+	reached reach
+	// sends is how many targets may have read it, misdirected how many of them were
+	// others than those that were meant.
+	sends       int
+	misdirected int
 	// notAgain is why it is not sent to another target after its last try.
 	notAgain retries.Reason
 	// ran is set once some target may have run it.
@@ -144,11 +148,12 @@
 
 	p.tried = append(slices.Clip(p.tried), placed.Target.ID)
 	p.placed, p.placedAt, p.eventAt = placed, time.Now(), time.Time{}
+	p.reached = reachNone
 
 	answer, err := p.relay.Door.Open(ctx, placed.Target.Address, p.outbound(placed.Target.ID))
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
-			p.sends++
+			p.noteRead(reachTarget)
 			p.ran = true
 		}
 
@@ -158,9 +163,13 @@
 	}
 	defer answer.Close()
 
-	p.sends++
-
 	word := p.relay.Dialect.ReadWord(answer.Status, answer.Header)
+	if word.Moved {
+		p.noteRead(reachOther)
+	} else {
+		p.noteRead(reachTarget)
+	}
+
 	p.relay.queue.report(placed, word)
 
 	if err := p.check(answer, word); err != nil {
@@ -182,6 +191,17 @@
 	return nil
 }
 
+// noteRead takes in that a target may have read the request.
+func (p *passage) noteRead(r reach) {
+	p.reached = r
+	p.sends++
+
+	if r == reachOther {
+		p.misdirected++
+		p.relay.counters.misdirected.Add(1)
+	}
+}
+
 // blame says whether a failure tells something of the target.
 func (p *passage) blame(ctx context.Context, err error) dispatch.Outcome {
 	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
