Let a misdirected send use up none of the targets that a route allows

What callers saw: a draft is cut, or a call fails with 502, though only one target has run it and the route allows two. It had been sent to an address first that another target has by now, which rejected it (421).

Cause: the entry compared the number of targets that had read the request with what the route allows, and a target that was not meant had read it too.

Ruled out: leaving the number as it was and allowing one more; a second misdirected send would use that up.

Change: only targets that were meant count against the route.

--- a/internal/relay/again.go
+++ b/internal/relay/again.go
@@ -41,7 +41,7 @@
 		return retries.ReasonTries
 	case verdict.Of(err) != verdict.NotRun && !p.mayRepeat():
 		return retries.ReasonMayRun
-	case p.reached == reachTarget && p.sends >= max(1, p.route.MostTargets):
+	case p.reached == reachTarget && got >= max(1, p.route.MostTargets):
 		return retries.ReasonTries
 	case p.streaming && p.route.Repeat != routes.Resume:
 		return retries.ReasonMayRun
