Hold the retry budget while entries count too few of each other

Not the cause: none of those sends was paid for. Now that they are, the count matters, so it is tested: all entries start at once, each counts any number of them for up to a second, some times all count themselves alone, and take all that they may.

No change of code. What saves it: a new bucket is empty, and the whole flow of a second is a fortieth of the slack for each entry that counts itself alone.

--- a/internal/retries/share_test.go
+++ b/internal/retries/share_test.go
@@ -59,17 +59,76 @@
 			}
 		}
 
-		// Fresh requests count in the window, the one before it, or the one half a
-		// window before it, whichever has most.
-		for end := 100; end <= len(fresh); end += 7 {
-			paid := max(sumOf(fresh, end-100, end), sumOf(fresh, end-150, end-50), sumOf(fresh, end-200, end-100))
-			if got := float64(sumOf(again, end-100, end)); got > shareRatio*float64(paid)+shareSlack {
-				t.Fatalf("%d entries: %.0f sends again in a window of %d requests", n, got, paid)
+		requireBudget(t, n, fresh, again)
+	})
+}
+
+// Guards against a storm of sends again after a restart of all entries: each counts too few
+// others at first, so takes a larger part of the budget than is its own.
+func TestShareHoldsWhileEntriesAreCounted(t *testing.T) {
+	t.Parallel()
+
+	// Entries ask all control VMs at once, and again within six tenths of a second.
+	const countedAfter = time.Second
+
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 30).Draw(t, "entries")
+		entries := make([]*retries.Share, n)
+		counted := make([]time.Time, n)
+		known := make([]int, n)
+		start := time.Unix(1000, 0)
+		fresh, again := make([]int, 300), make([]int, 300)
+
+		for tick := range fresh {
+			now := start.Add(time.Duration(tick) * 100 * time.Millisecond)
+
+			if tick == 0 || tick == 150 {
+				alone := rapid.Bool().Draw(t, "alone")
+
+				for i := range entries {
+					entries[i] = newShare()
+					counted[i] = now.Add(time.Duration(rapid.IntRange(0, int(countedAfter/time.Millisecond)).Draw(t, "counted")) * time.Millisecond)
+					known[i] = rapid.IntRange(1, n).Draw(t, "known")
+
+					if alone {
+						counted[i], known[i] = now.Add(countedAfter), 1
+					}
+				}
+			}
+
+			for i := range entries {
+				count := n
+				if now.Before(counted[i]) {
+					count = known[i]
+				}
+
+				for range rapid.IntRange(0, 2).Draw(t, "fresh") {
+					entries[i].Fresh(now, "drafts", count)
+
+					fresh[tick]++
+				}
+
+				for entries[i].Take(now, "drafts", count) {
+					again[tick]++
+				}
 			}
 		}
+
+		requireBudget(t, n, fresh, again)
 	})
 }
 
+// requireBudget holds sends again against the budget in each window. Fresh requests count
+// in the window, the one before it, or the one half a window before it, whichever has most.
+func requireBudget(t *rapid.T, entries int, fresh, again []int) {
+	for end := 100; end <= len(fresh); end += 7 {
+		paid := max(sumOf(fresh, end-100, end), sumOf(fresh, end-150, end-50), sumOf(fresh, end-200, end-100))
+		if got := float64(sumOf(again, end-100, end)); got > shareRatio*float64(paid)+shareSlack {
+			t.Fatalf("%d entries: %.0f sends again in a window of %d requests", entries, got, paid)
+		}
+	}
+}
+
 func sumOf(v []int, from, to int) int {
 	s := 0
 	for i := max(0, from); i < max(0, to); i++ {
