Shorten the comments of load decisions to what the code does not say

Comments of relay, dispatch, retries and lockstep told how a load builds up and how a value was found. No code is changed.

--- a/internal/dispatch/crowding.go
+++ b/internal/dispatch/crowding.go
@@ -8,11 +8,9 @@
 // crowding bounds how many requests a target is given at once, by the pauses
 // between the events of its streams.
 //
-// The load pattern is demand near or above what a lock-step group bears. Each
-// request that runs makes every step longer for all, and a step that is longer than
-// callers want to wait makes every stream that runs late at once. Full slots bear
-// somewhat more, and everybody gets it late. So the bound falls when pauses come
-// near to what callers accept, and rises again while they are well below.
+// Each request that runs in a lock-step group makes every step longer for all, and one
+// step that is longer than callers accept makes all streams late. So the bound falls
+// when pauses come near to that, and rises again while they are well below.
 type crowding struct {
 	bound   float64
 	pauses  []float64
@@ -50,9 +48,7 @@
 }
 
 // rise is how far the bound goes up where pauses are high parts of what callers accept:
-// the further below the more, as it falls. After a shift of demand, or once a group has
-// opened anew, callers waited for seconds before targets that had room, for a bound that
-// rose by a small step.
+// the further below the more, as it falls.
 func (c *crowding) rise(high float64, cfg *Settings) float64 {
 	return max(riseStep, c.bound*(min(cfg.PauseLow/high, sharpestRise)-1))
 }
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -5,12 +5,8 @@
 	"time"
 )
 
-// The load pattern here is one rank of a lock-step group that turned slow, which all
-// others wait for.
-
 const (
-	// paceLife is how long a target's word on its pace holds: four of the words that
-	// the agent beside it sends at least.
+	// paceLife is how long a target's word on its pace holds.
 	paceLife = 2 * time.Second
 	// leastSlow is the pace from which a target counts as slow.
 	leastSlow = 1.25
@@ -68,7 +64,7 @@
 
 // crowdedPart returns which part of the pauses of a lock-step group is due to how many
 // requests run. With a slow rank, all wait for the fixed part of its step, which fewer
-// requests do not shorten: a bound that fell for it turned callers away for nothing.
+// requests do not shorten.
 func (s *service) crowdedPart() float64 {
 	if s.mostPace == 0 {
 		return 1
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -59,11 +59,8 @@
 
 // share returns how many requests this entry may have at t of the limit that all entries
 // together keep to.
-//
-// The load pattern is a group that opens anew while callers wait at every entry. Nobody
-// has heard yet what the others have just sent, so each entry filled the group up to the
-// limit by itself, and the first steps, with the first map, took three times as long as
-// callers bear. An equal share for each entry keeps to the limit without a word.
+// While t has just come into use no entry has heard what the others have sent, so each
+// keeps to an equal share.
 func (s *service) share(now time.Time, t *target, limit float64, entries int) float64 {
 	if !s.Streams || entries == 1 || !now.Before(t.newUntil) {
 		return limit
@@ -171,10 +168,8 @@
 }
 
 // order says which of two waiting requests goes first, where one that is placed now
-// is answered at due. The load pattern is a
-// burst above what the targets bear: first come, first served would make every
-// request late for as long as the burst lasts and its backlog after it. So what
-// can still be in time goes before what is late already, the newest first; late
+// is answered at due. What can still be in time goes before what is late already, the
+// newest first: in a burst, first come, first served would make every request late. Late
 // ones follow in the order in which their callers give up.
 func order(due time.Time, a, b *waiting) int {
 	if a.Rank != b.Rank {
@@ -288,12 +283,8 @@
 	return best
 }
 
-// wayCost is what the way to t costs, in the terms of a target's load.
-//
-// The load pattern is a zone whose links to the others lose packets. Each packet that is
-// lost is sent again a fifth of a second later, which is longer than callers bear between
-// two events, so that most drafts that went through another zone were late. Ways within a
-// zone lose nothing, and targets that are loaded nearly alike serve as well.
+// wayCost is what the way to t costs, in the terms of a target's load. A packet that is
+// lost between zones is sent again later than callers accept between two events.
 func (d *Dispatcher) wayCost(t *target) float64 {
 	if d.Zone == "" || t.Zone == d.Zone {
 		return 0
--- a/internal/dispatch/surge.go
+++ b/internal/dispatch/surge.go
@@ -5,13 +5,9 @@
 	"time"
 )
 
-// surge holds back starts while the steps of a lock-step group are suddenly long.
-//
-// The load pattern is a shift of demand in a busy group. Its steps are long until the
-// next expert map comes, half a second later, and just bearable for those that run. Each
-// request that starts meanwhile brings its whole prompt into such a step, where a token
-// costs far more than usual, and the step then is too long for everyone. Those that wait
-// for that half second are few, and most of them are in time all the same.
+// surge holds back starts while the steps of a lock-step group are suddenly long, as
+// after a shift of demand until the next expert map: the prompt of a request that starts
+// in a long step makes it too long for all streams that run.
 type surge struct {
 	// parts are the pauses of the present step, of which the last came at.
 	parts []float64
--- a/internal/lockstep/steps.go
+++ b/internal/lockstep/steps.go
@@ -5,11 +5,9 @@
 // stepClock tells which step of a group begins when, by the steps that were seen to
 // have begun.
 //
-// The load pattern is a group whose steps have become nearly as long as callers bear
-// between two events. A switch holds one step until all ranks are armed; where that
-// takes longer than until the step would have begun, the wait makes every stream of the
-// group late. So the step is the first one that leaves enough time, and that depends on
-// how far the present one has come.
+// A switch holds its step until all ranks are armed. Where that takes longer than until
+// the step would have begun, the wait makes every stream of the group late, so the step
+// must be one that leaves enough time.
 type stepClock struct {
 	step    uint64
 	beganAt time.Time
--- a/internal/relay/usual.go
+++ b/internal/relay/usual.go
@@ -6,20 +6,14 @@
 	"github.com/parsleygate/parsleygate/internal/spread"
 )
 
-// usual learns how long requests of each service take, from arrival to the last byte.
-//
-// The load pattern is an entry that stops while it is busy. The balancer goes on sending
-// it callers for two seconds or so, and a draft that begins then may end after the entry
-// had to: its caller waits for most of the stop and loses the answer all the same. Such
-// a request is refused at once, as not run, and is served whole by another entry.
+// usual learns how long requests of each service take, from arrival to the last byte, so
+// that an entry that stops refuses what would not end before it does.
 type usual struct{ services spread.Table[string] }
 
 const (
-	// usualMemory is over how many answers the mean is taken: a second or two of an
-	// entry's drafts, so that it follows the load.
+	// usualMemory is over how many answers the mean is taken.
 	usualMemory = 32
-	// usualMargin is how many mean distances above the mean an answer may still take:
-	// one in twenty of an exponential tail takes longer.
+	// usualMargin is how many mean distances above the mean an answer may still take.
 	usualMargin = 3
 )
 
--- a/internal/retries/share.go
+++ b/internal/retries/share.go
@@ -7,12 +7,9 @@
 
 // Share is one entry's part of a retry budget that all entries hold together: in
 // any window, a service gets at most a ratio of its fresh requests and a slack of
-// sends beyond the first of each request.
-//
-// The load pattern is a fault that makes many requests fail at once at all
-// entries: each would send its own again, and what is left of the service would
-// get the load twice. Entries do not count together, so each keeps to a part of
-// the slack that stays safe while others are unknown or have just restarted.
+// sends beyond the first of each request. Entries do not count together, so each
+// keeps to a part of the slack that stays safe while others are unknown or have
+// just restarted.
 type Share struct {
 	// Ratio is how many sends a fresh request pays for, Slack how many are free in
 	// Window, for all entries together. They are set before the first call.
--- a/internal/retries/share_test.go
+++ b/internal/retries/share_test.go
@@ -47,15 +47,9 @@
 					entries[i] = newShare()
 				}
 
-				for range rapid.IntRange(0, 3).Draw(t, "fresh") {
-					entries[i].Fresh(now, "drafts", n)
-
-					fresh[tick]++
-				}
-
-				for entries[i].Take(now, "drafts", n) {
-					again[tick]++
-				}
+				f, a := spend(t, entries[i], now, 3, n)
+				fresh[tick] += f
+				again[tick] += a
 			}
 		}
 
@@ -102,15 +96,9 @@
 					count = known[i]
 				}
 
-				for range rapid.IntRange(0, 2).Draw(t, "fresh") {
-					entries[i].Fresh(now, "drafts", count)
-
-					fresh[tick]++
-				}
-
-				for entries[i].Take(now, "drafts", count) {
-					again[tick]++
-				}
+				f, a := spend(t, entries[i], now, 2, count)
+				fresh[tick] += f
+				again[tick] += a
 			}
 		}
 
@@ -118,6 +106,21 @@
 	})
 }
 
+// spend lets an entry that counts so many entries get up to mostFresh requests and send
+// again as often as it may.
+func spend(t *rapid.T, entry *retries.Share, now time.Time, mostFresh, entries int) (fresh, again int) {
+	fresh = rapid.IntRange(0, mostFresh).Draw(t, "fresh")
+	for range fresh {
+		entry.Fresh(now, "drafts", entries)
+	}
+
+	for entry.Take(now, "drafts", entries) {
+		again++
+	}
+
+	return fresh, again
+}
+
 // requireBudget holds sends again against the budget in each window. Fresh requests count
 // in the window, the one before it, or the one half a window before it, whichever has most.
 func requireBudget(t *rapid.T, entries int, fresh, again []int) {
