--- a/internal/relay/again.go
+++ b/internal/relay/again.go
@@ -35,6 +35,8 @@
 	got := p.sends - p.misdirected
 
 	switch {
+	case p.req.Context().Err() != nil:
+		return retries.ReasonLeft
 	case ctx.Err() != nil || !now.Before(p.deadline):
 		return retries.ReasonDeadline
 	case len(p.tried)-got >= mostMissed:
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -29,7 +29,7 @@
 		{"Relay.Failed", "requests", "Requests that may have run and got no whole answer (502, 504).", func(r *Relay) int64 { return r.counters.failed.Load() }},
 		{"Relay.Cut", "streams", "Streams that were cut after their first event.", func(r *Relay) int64 { return r.counters.cut.Load() }},
 		{"Relay.SentAgain", "sends", "Sends to a further target.", func(r *Relay) int64 { return r.counters.again.Load() }},
-		{"Relay.SentAgainUnpaid", "sends", "Those of them that took nothing from the retry budget.", func(r *Relay) int64 { return r.counters.unpaid.Load() }},
+		{"Relay.SentAgainUnpaid", "sends", "Sends to a further target that took nothing from the retry budget, as no target had read the request.", func(r *Relay) int64 { return r.counters.unpaid.Load() }},
 		{"Relay.Misdirected", "sends", "Sends that another target than the one that was meant rejected.", func(r *Relay) int64 { return r.counters.misdirected.Load() }},
 		{"Relay.BudgetSpent", "requests", "Requests that were not sent to a further target since the retry budget was spent.", func(r *Relay) int64 { return r.counters.spent.Load() }},
 		{"Relay.CallersLeft", "requests", "Requests whose caller left before the answer.", func(r *Relay) int64 { return r.counters.left.Load() }},
--- a/internal/retries/budget.go
+++ b/internal/retries/budget.go
@@ -80,6 +80,7 @@
 	ReasonDeadline  Reason = "DeadlineTooNear"
 	ReasonBudget    Reason = "BudgetSpent"
 	ReasonNoTargets Reason = "NoOtherTarget"
+	ReasonLeft      Reason = "CallerLeft"
 )
 
 // Decision says whether and when to retry.
