Share the retry budget by the entries known at the send, not at the arrival

What callers' targets would see: right after a restart of all, an entry that still counts itself alone lets a request's later send draw on the whole slack, though by then it knows twenty entries.

Cause: Take was given the state that the request had arrived with.

Ruled out: the new share itself (TestShareHoldsWhileEntriesAreCounted holds with the count of each moment); it was the count that could be seconds old.

Change: the count is the one at the send. The test failed before (sent again with a hundred entries sharing a slack of 100) and passes now.

--- a/internal/relay/again.go
+++ b/internal/relay/again.go
@@ -49,7 +49,10 @@
 		return retries.ReasonMayRun
 	}
 
-	if p.reached != reachNone && !p.relay.Budget.Take(now, p.service, p.state.Entries) {
+	// Right after a restart the entries that were known as the request arrived may be few.
+	entries := p.relay.State().Entries
+
+	if p.reached != reachNone && !p.relay.Budget.Take(now, p.service, entries) {
 		p.relay.counters.spent.Add(1)
 
 		return retries.ReasonBudget
@@ -69,5 +72,5 @@
 	}
 
 	p.log(slog.LevelInfo, "Sent again.", "target", placed.Target.ID, "cause", verdict.CauseOf(failed), "verdict", verdict.Of(failed).String(),
-		"paid", paid, "entries", p.state.Entries, "error", failed)
+		"paid", paid, "entries", p.relay.State().Entries, "error", failed)
 }
