Keep a crossed answer's connection from the next request to the target

What callers saw: a repeatable request fails with AnswerBroken, may have run, though its target is well.

Cause: an answer without a body has put its connection back among the idle ones before the agent has checked whose answer it is. The agent closes it then, but the transport takes it out only once it has noticed, and the next request may get it in between.

Why it works: closing the idle connections takes them out in the same call. Good idle ones go with it, which costs a dial each after an answer that should never come. Entries that are the doors of their targets do not use this code.

--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -93,6 +93,8 @@
 	if fault := c.check(req, resp); fault != nil {
 		_ = resp.Body.Close()
 		c.kill()
+		// An answer without a body has put its connection back before it was checked.
+		d.kept.CloseIdleConnections()
 
 		return nil, fault
 	}
