Count the ranks of a look once, and say in one place which are missing

Found in the last read: a look at most ranks asked again which ranks it wanted, to count them, and judged for a second time whether most had not answered; the error that names the missing ones stood twice. LookSome had been left with one caller, LookAll, after looks came to bear a few missing ranks.

A look returns a round: looks, errors, and how many were asked, with the judgement and the error as its methods. LookAll takes LookSome's place. Nothing is decided otherwise; no caller read looks beside an error. The tests of lockstep and role pass as they are, three times with the race detector.

--- a/internal/lockstep/looks.go
+++ b/internal/lockstep/looks.go
@@ -48,45 +48,32 @@
 
 // LookAll looks at all ranks at once. All must answer, in the same epoch.
 func (s *Switcher) LookAll(ctx context.Context, q Question) ([]Look, error) {
-	return s.LookSome(ctx, func(int) (Question, bool) { return q, true })
-}
+	r, err := s.lookEach(ctx, s.Settings.askTimeout(s.Ranks.Size), func(int) (Question, bool) { return q, true })
+	if err != nil {
+		return nil, err
+	}
 
-// LookSome looks at some ranks at once. All of them must answer, in the same epoch;
-// the others' looks are empty.
-func (s *Switcher) LookSome(ctx context.Context, ask func(rank int) (Question, bool)) ([]Look, error) {
-	looks, errs, err := s.lookEach(ctx, s.Settings.askTimeout(s.Ranks.Size), ask)
-	if err == nil && len(errs) > 0 {
-		err = fmt.Errorf("%w: %w", errNotAll, errors.Join(slices.Collect(maps.Values(errs))...))
+	if len(r.errs) > 0 {
+		return nil, r.notAll()
 	}
 
-	return looks, err
+	return r.looks, nil
 }
 
-// LookMost is LookSome where a few ranks need not answer: their looks are empty too.
-//
-// The failure is a zone that loses packets. With a question to each rank every second
-// look missed one, was waited for until the time-out, and told nothing, so that a shift
-// of demand was found half a second late. What most ranks counted tells enough of it; a
-// rank's own counts are not lost, as they only grow.
+// LookMost looks at some ranks at once, in the same epoch. A few of them need not
+// answer: where packets are lost, nearly every look would miss one, and what most ranks
+// counted tells enough. The looks of the others are empty.
 func (s *Switcher) LookMost(ctx context.Context, ask func(rank int) (Question, bool)) ([]Look, error) {
-	looks, errs, err := s.lookEach(ctx, s.lookTimeout(), ask)
+	r, err := s.lookEach(ctx, s.lookTimeout(), ask)
 	if err != nil {
 		return nil, err
 	}
 
-	asked := 0
-
-	for rank := range looks {
-		if _, wanted := ask(rank); wanted {
-			asked++
-		}
-	}
-
-	if errs[0] != nil || len(errs) > asked/2 {
-		return nil, fmt.Errorf("%w: %w", errNotAll, errors.Join(slices.Collect(maps.Values(errs))...))
+	if r.errs[0] != nil || r.mostMissing() {
+		return nil, r.notAll()
 	}
 
-	return looks, nil
+	return r.looks, nil
 }
 
 const (
@@ -145,19 +132,33 @@
 	at   time.Time
 }
 
-// lookEach looks at some ranks at once, and returns why those that did not answer in
-// time did not, by rank. An answer of another epoch fails all.
-func (s *Switcher) lookEach(ctx context.Context, within time.Duration, ask func(rank int) (Question, bool)) ([]Look, map[int]error, error) {
+// round is what a look at some ranks brought.
+type round struct {
+	// looks are by rank, empty for those that were not asked or did not answer in time;
+	// errs is why they did not.
+	looks []Look
+	errs  map[int]error
+	asked int
+}
+
+func (r *round) mostMissing() bool { return len(r.errs) > r.asked/2 }
+
+func (r *round) notAll() error {
+	return fmt.Errorf("%w: %w", errNotAll, errors.Join(slices.Collect(maps.Values(r.errs))...))
+}
+
+// lookEach looks at some ranks at once. An answer of another epoch fails all.
+func (s *Switcher) lookEach(ctx context.Context, within time.Duration, ask func(rank int) (Question, bool)) (round, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 
 	began := time.Now()
 	answers := make(chan oneLook, s.Ranks.Size)
-	asked := 0
+	r := round{looks: make([]Look, s.Ranks.Size), errs: make(map[int]error)}
 
 	for rank := range s.Ranks.Size {
 		if q, ok := ask(rank); ok {
-			asked++
+			r.asked++
 
 			go func() {
 				look, err := s.Ranks.Look(ctx, rank, q)
@@ -166,23 +167,20 @@
 		}
 	}
 
-	looks := make([]Look, s.Ranks.Size)
-	errs := make(map[int]error)
-
-	for range asked {
+	for range r.asked {
 		a := <-answers
 
 		switch {
 		case a.err != nil:
-			errs[a.rank] = a.err
+			r.errs[a.rank] = a.err
 			s.Logger.Debug("Rank not seen.", "rank", a.rank, "error", a.err)
 
 			continue
 		case a.look.Report.Epoch != s.Ranks.Epoch:
-			return nil, nil, fmt.Errorf("%w: another epoch has begun", errState)
+			return round{}, fmt.Errorf("%w: another epoch has begun", errState)
 		}
 
-		looks[a.rank] = a.look
+		r.looks[a.rank] = a.look
 		s.looks.Learn(a.at.Sub(began), lookMemory)
 
 		if a.rank == 0 {
@@ -190,11 +188,11 @@
 		}
 	}
 
-	if len(errs) > asked/2 {
+	if r.mostMissing() {
 		s.unseen++
 	} else {
 		s.unseen = 0
 	}
 
-	return looks, errs, nil
+	return r, nil
 }
--- a/internal/lockstep/orders.go
+++ b/internal/lockstep/orders.go
@@ -56,7 +56,7 @@
 		return nil
 	}
 
-	looks, errs, err := s.lookEach(ctx, s.lookTimeout(), func(rank int) (Question, bool) {
+	r, err := s.lookEach(ctx, s.lookTimeout(), func(rank int) (Question, bool) {
 		return Question{}, ranks[rank].taken && !ranks[rank].seen
 	})
 	if err != nil {
@@ -65,7 +65,7 @@
 
 	for rank := range ranks {
 		d := &ranks[rank]
-		d.seen = d.seen || d.taken && errs[rank] == nil && seen(&looks[rank].Report)
+		d.seen = d.seen || d.taken && r.errs[rank] == nil && seen(&r.looks[rank].Report)
 	}
 
 	return nil
