--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -151,7 +151,7 @@
 
 	cancel()
 	<-ticked
-	a.dialer.close()
+	a.dialer.closeIdle()
 
 	return err
 }
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -55,7 +55,8 @@
 	return targetDialer{kept: kept, fresh: fresh}
 }
 
-func (d targetDialer) close() { d.kept.CloseIdleConnections() }
+// closeIdle closes the connections that wait for a next request.
+func (d targetDialer) closeIdle() { d.kept.CloseIdleConnections() }
 
 // call is one request to the target.
 type call struct {
@@ -94,7 +95,7 @@
 		_ = resp.Body.Close()
 		c.kill()
 		// An answer without a body has put its connection back before it was checked.
-		d.kept.CloseIdleConnections()
+		d.closeIdle()
 
 		return nil, fault
 	}
