--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -58,9 +58,8 @@
 const newFor = time.Second
 
 // share returns how many requests this entry may have at t of the limit that all entries
-// together keep to.
-// While t has just come into use no entry has heard what the others have sent, so each
-// keeps to an equal share.
+// together keep to. While t has just come into use no entry has heard what the others
+// have sent, so each keeps to an equal share.
 func (s *service) share(now time.Time, t *target, limit float64, entries int) float64 {
 	if !s.Streams || entries == 1 || !now.Before(t.newUntil) {
 		return limit
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -23,8 +23,7 @@
 	askEvery = 2 * time.Second
 	askLife  = 5 * time.Second
 	// askSilentEvery is how often an entry asks an agent of which it has heard nothing
-	// for silentAfter, which is some words: it may have started anew, and forgotten who
-	// asked.
+	// for silentAfter.
 	askSilentEvery = 250 * time.Millisecond
 	silentAfter    = time.Second
 	// tellEvery is how often load is looked at; it is told where it changed, and at
@@ -213,9 +212,8 @@
 	}
 }
 
-// ask asks the agents whose turn it is. After a loss of power of all VMs neither side
-// knows the other: an entry that waited for its usual turn filled engines for two seconds
-// without a word on how many requests others had sent there.
+// ask asks the agents whose turn it is, sooner those that are silent: they may have
+// started anew, and forgotten who asked.
 func (l *Listener) ask(now time.Time, ask []byte) {
 	agents := l.Agents()
 	asked := make(map[netip.AddrPort]time.Time, len(agents))
