--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
 	"github.com/parsleygate/parsleygate/internal/directory"
@@ -20,6 +22,7 @@
 	asked   time.Time
 	leaving bool
 	relay   string
+	zone    string
 }
 
 // announcements is what this VM heard from targets, and who follows it. The
@@ -27,8 +30,12 @@
 type announcements struct {
 	heard     directory.Heard
 	followers map[string]follower
-	// kept is the revision that was saved.
-	kept uint64
+	// kept and keptRoster are the revision and the roster's hash that were saved.
+	kept       uint64
+	keptRoster uint64
+
+	roster      roster
+	rosterUntil time.Time
 }
 
 // beats is how many beats of a target may be missing before it counts as silent.
@@ -42,20 +49,61 @@
 	}
 }
 
-// following counts the entries that follow and stay.
-func (a *announcements) following(now time.Time) uint32 {
-	n := uint32(0)
+// follow takes in that a follower asks.
+func (a *announcements) follow(id string, f follower) {
+	if known, ok := a.followers[id]; !ok || known.leaving != f.leaving || known.zone != f.zone {
+		a.rosterUntil = time.Time{}
+	}
+
+	a.followers[id] = f
+}
+
+// rosterLife is how long a roster stands before silent entries are looked for again.
+const rosterLife = 200 * time.Millisecond
+
+// following returns the entries that follow and stay, by ID. It is worked out anew where
+// that may have changed: every follower of a large deployment asks for it several times a
+// second.
+func (a *announcements) following(now time.Time) *roster {
+	if now.Before(a.rosterUntil) {
+		return &a.roster
+	}
+
+	a.roster = roster{}
+	a.rosterUntil = now.Add(rosterLife)
+	hash := xxhash.New()
+
+	for _, id := range slices.Sorted(maps.Keys(a.followers)) {
+		f := a.followers[id]
 
-	for id, f := range a.followers {
 		switch {
 		case now.Sub(f.asked) > followerSilence:
 			delete(a.followers, id)
 		case !f.leaving:
-			n++
+			a.roster.entries = append(a.roster.entries, &wire.RosterEntry{ID: id, Zone: f.zone})
+			_, _ = hash.WriteString(id + "\x00" + f.zone + "\x00")
 		}
 	}
 
-	return n
+	a.roster.hash = hash.Sum64()
+
+	return &a.roster
+}
+
+// roster is the entries that share the targets, and a hash of them.
+type roster struct {
+	entries []*wire.RosterEntry
+	hash    uint64
+}
+
+// put adds the roster to an answer for who has the one with that hash.
+func (r *roster) put(out *wire.FollowResponse, known uint64) {
+	out.Entries = uint32(len(r.entries))
+	out.RosterHash = r.hash
+
+	if r.hash != known {
+		out.Roster = r.entries
+	}
 }
 
 // mostRelays bounds the relays that are told: a director needs one or two.
@@ -171,7 +219,7 @@
 
 	err := s.askHeard(ctx, func(a *announcements) {
 		now := time.Now()
-		a.followers[r.GetID()] = follower{asked: now, leaving: r.GetLeaving(), relay: r.GetRelay()}
+		a.follow(r.GetID(), follower{asked: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone()})
 
 		known := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.boot {
@@ -184,7 +232,7 @@
 		}
 
 		out.DirectoryRevision = a.heard.Revision()
-		out.Entries = a.following(now)
+		a.following(now).put(out, r.GetRosterHash())
 		out.Relays = a.relays()
 		news = news || out.Full || out.DirectoryRevision > known
 	})
--- a/internal/control/recall.go
+++ b/internal/control/recall.go
@@ -13,14 +13,16 @@
 // keep saves the directory of targets where it changed. What a loss of power takes,
 // the targets say again within a beat.
 func (s *Server) keep(a *announcements) {
-	if s.SaveTargets == nil || a.heard.Revision() == a.kept {
+	now := time.Now()
+	entries := a.following(now)
+
+	if s.SaveTargets == nil || a.heard.Revision() == a.kept && entries.hash == a.keptRoster {
 		return
 	}
 
-	a.kept = a.heard.Revision()
+	a.kept, a.keptRoster = a.heard.Revision(), entries.hash
 
-	now := time.Now()
-	saved := &wire.FollowResponse{}
+	saved := &wire.FollowResponse{Roster: entries.entries}
 
 	for _, t := range a.heard.Since(0) {
 		saved.Targets = append(saved.Targets, t.ToWire(now))
@@ -56,11 +58,12 @@
 	}
 }
 
-// recall takes the directory of before a restart. Where all control VMs and entries
-// are killed at once, callers would else be refused until the targets have announced
-// themselves again. A target that has gone meanwhile does not answer, another one at
-// its address refuses what is meant for it, and one that says nothing soon counts as
-// silent.
+// recall takes the directory of before a restart, and the entries that followed. Where all
+// control VMs and entries are killed at once, callers would else be refused until the
+// targets have announced themselves again, and each entry would take itself for one of few
+// and use far more of a shared limit than its part. A target that has gone meanwhile does
+// not answer, another one at its address refuses what is meant for it, and one that says
+// nothing soon counts as silent. So does an entry that does not ask.
 func (s *Server) recall(a *announcements) {
 	if s.SavedTargets == nil {
 		return
@@ -92,5 +95,9 @@
 		a.heard.Recall(now, t)
 	}
 
-	s.Logger.Info("The directory of targets is taken from before.", "targets", len(saved.GetTargets()))
+	for _, e := range saved.GetRoster() {
+		a.follow(e.GetID(), follower{asked: now, zone: e.GetZone()})
+	}
+
+	s.Logger.Info("The directory of targets is taken from before.", "targets", len(saved.GetTargets()), "entries", len(saved.GetRoster()))
 }
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -22,7 +22,7 @@
 		all[i] = dispatch.Target{ID: fmt.Sprintf("t%d", i), Service: "drafts", Slots: 12}
 	}
 
-	d.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, all, 10)
+	d.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, all)
 
 	now, n := begin, 0
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -26,6 +27,8 @@
 	// Broken is set while the target's group cannot make a step.
 	Broken    bool
 	ColdUntil time.Time
+	// Share is this entry's part of what all entries together may send to it.
+	Share shares.Share
 }
 
 // Service is what the operators declare of a service.
@@ -104,13 +107,15 @@
 	Zone string
 
 	services map[string]*service
-	entries  int
+	// newUntil is until when this entry may know few of the others.
+	newUntil time.Time
 }
 
-// Change takes in the targets and services as they are now. Entries is how many
-// entries share the targets.
-func (d *Dispatcher) Change(now time.Time, services []Service, targets []Target, entries int) []Action {
-	d.entries = max(1, entries)
+// Change takes in the targets and services as they are now.
+func (d *Dispatcher) Change(now time.Time, services []Service, targets []Target) []Action {
+	if d.newUntil.IsZero() {
+		d.newUntil = now.Add(newFor)
+	}
 
 	known := d.services
 	d.services = make(map[string]*service, len(services))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -38,7 +39,7 @@
 	for i := range targets {
 		b.targets = append(b.targets, dispatch.Target{
 			ID: fmt.Sprintf("t%d", i), Service: "drafts", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
-			Zone: "a", Group: "g", Slots: slots,
+			Zone: "a", Group: "g", Slots: slots, Share: shares.Share{Of: entries},
 		})
 	}
 
@@ -47,7 +48,7 @@
 		edit(&s)
 	}
 
-	b.take(b.Change(begin, []dispatch.Service{s}, b.targets, entries))
+	b.take(b.Change(begin, []dispatch.Service{s}, b.targets))
 
 	return b
 }
@@ -331,7 +332,7 @@
 		b.targets[i].Leaving = true
 	}
 
-	b.take(b.Change(begin, []dispatch.Service{{Name: "drafts"}}, b.targets, 1))
+	b.take(b.Change(begin, []dispatch.Service{{Name: "drafts"}}, b.targets))
 	id = b.offer(begin, nil)
 	require.Equal(t, verdict.CauseNoTarget, b.refused[id].Cause)
 }
@@ -350,13 +351,14 @@
 
 	var benches []*bench
 
-	for range entries {
+	for index := range entries {
 		b := newBench(t, 4, 12, entries, func(s *dispatch.Service) { s.ColdPerSecond = perSecond })
 		for i := range b.targets {
 			b.targets[i].ColdUntil = begin.Add(3 * time.Second)
+			b.targets[i].Share.Index = index
 		}
 
-		b.take(b.Change(begin, []dispatch.Service{{Name: "drafts", ColdPerSecond: perSecond}}, b.targets, entries))
+		b.take(b.Change(begin, []dispatch.Service{{Name: "drafts", ColdPerSecond: perSecond}}, b.targets))
 		benches = append(benches, b)
 	}
 
@@ -461,7 +463,7 @@
 	b.offer(begin, nil)
 	b.offer(begin, nil)
 	waits := b.offer(begin, nil)
-	b.take(b.Change(begin, nil, nil, 1))
+	b.take(b.Change(begin, nil, nil))
 	require.Equal(t, verdict.CauseUnknownService, b.refused[waits].Cause)
 }
 
@@ -487,7 +489,7 @@
 		targets = append(targets, dispatch.Target{ID: fmt.Sprint(i), Service: "drafts", Slots: 10})
 	}
 
-	d.Change(begin, []dispatch.Service{{Name: "drafts"}}, targets, 18)
+	d.Change(begin, []dispatch.Service{{Name: "drafts"}}, targets)
 
 	for i := range b.N {
 		now := begin.Add(time.Duration(i) * time.Millisecond)
@@ -686,14 +688,15 @@
 
 	sent := 0
 
-	for range entries {
+	for index := range entries {
 		b := newBench(t, targets, slots, entries, func(s *dispatch.Service) { s.Streams = true })
 
 		for i := range b.targets {
 			b.targets[i].Broken = true
+			b.targets[i].Share.Index = index
 		}
 
-		b.take(b.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, b.targets, entries))
+		b.take(b.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, b.targets))
 
 		now := begin.Add(1300 * time.Millisecond)
 		for range waiting {
@@ -706,7 +709,7 @@
 			b.targets[i].Broken = false
 		}
 
-		b.take(b.Change(now, []dispatch.Service{{Name: "drafts", Streams: true}}, b.targets, entries))
+		b.take(b.Change(now, []dispatch.Service{{Name: "drafts", Streams: true}}, b.targets))
 		sent += len(b.placed)
 	}
 
@@ -727,7 +730,7 @@
 		b.targets[2+i].Zone = "b"
 	}
 
-	b.take(b.Change(begin, []dispatch.Service{{Name: "drafts"}}, b.targets, 1))
+	b.take(b.Change(begin, []dispatch.Service{{Name: "drafts"}}, b.targets))
 
 	for range 10 {
 		b.offer(begin, nil)
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -75,7 +75,7 @@
 		targets = append(targets, dispatch.Target{ID: string(rune('a' + i)), Service: "drafts", Group: "g", Slots: g.slots})
 	}
 
-	x.take(begin, x.d.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, targets, 1))
+	x.take(begin, x.d.Change(begin, []dispatch.Service{{Name: "drafts", Streams: true}}, targets))
 	x.run()
 
 	return x
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -54,20 +54,10 @@
 	have.Target = t
 }
 
-// newFor is how long a target counts as just come into use: some words of its load.
+// newFor is how long a target, or this entry, counts as just come into use: some words of
+// the target's load, or of the other entries.
 const newFor = time.Second
 
-// share returns how many requests this entry may have at t of the limit that all entries
-// together keep to. While t has just come into use no entry has heard what the others
-// have sent, so each keeps to an equal share.
-func (s *service) share(now time.Time, t *target, limit float64, entries int) float64 {
-	if !s.Streams || entries == 1 || !now.Before(t.newUntil) {
-		return limit
-	}
-
-	return max(1, math.Floor(limit/float64(entries)))
-}
-
 func (s *service) keepOnly(fresh map[string]bool) {
 	for id := range s.targets {
 		if !fresh[id] {
@@ -306,7 +296,7 @@
 		return obstaclePaused
 	case t.Slots > 0 && d.full(now, s, t):
 		return obstacleFull
-	case s.MostConnections > 0 && t.own >= max(1, s.MostConnections/d.entries):
+	case s.MostConnections > 0 && t.own >= t.Share.Units(now, float64(s.MostConnections)):
 		return obstacleConnections
 	case s.ColdPerSecond > 0 && t.sentSince(now.Add(-d.Settings.ColdWindow)) >= d.coldShare(now, s, t):
 		return obstacleCold
@@ -317,22 +307,48 @@
 
 func (d *Dispatcher) full(now time.Time, s *service, t *target) bool {
 	limit := s.limit(now, t, &d.Settings)
+	load := t.load(now, s, &d.Settings)
+
+	if load >= limit {
+		return true
+	}
 
-	return t.load(now, s, &d.Settings) >= limit || float64(t.own) >= s.share(now, t, limit, d.entries)
+	return s.Streams && t.own >= t.Share.Units(now, math.Ceil(limit)) && !d.mayBorrow(now, t, limit, load)
+}
+
+// mayBorrow reports whether this entry may have more than its share at t. It may where the
+// others leave enough of theirs unused: they may all take it up before a word of it is heard.
+// While t has just come into use nothing has been heard.
+func (d *Dispatcher) mayBorrow(now time.Time, t *target, limit, load float64) bool {
+	if now.Before(t.newUntil) {
+		return false
+	}
+
+	return load+1+d.Settings.BorrowReserve*float64(t.Share.Of-1) <= limit
 }
 
 // coldUnknown is how far above the declared bound of a cold target all entries
 // together may go while it counts as warm: it may have turned cold without a word.
 const coldUnknown = 1.5
 
+// newPart is by how much smaller the part is, as a divisor, that an entry takes which may
+// know few of the others.
+const newPart = 4
+
 // coldShare is how many requests this entry may send to t in a second. A cold
 // target breaks down above its bound, and any target may turn cold without a
-// word, so warm ones have a bound too, which usual load does not reach.
+// word, so warm ones have a bound too, which usual load does not reach. An entry that has
+// just started may know few of the others, and take too large a part.
 func (d *Dispatcher) coldShare(now time.Time, s *service, t *target) int {
 	bound := s.ColdPerSecond * d.Settings.ColdReserve
 	if !now.Before(t.ColdUntil) {
 		bound *= coldUnknown
 	}
 
-	return max(1, int(bound/float64(d.entries)))
+	units := t.Share.Units(now, bound)
+	if now.Before(d.newUntil) {
+		return (units + newPart - 1) / newPart
+	}
+
+	return units
 }
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -16,6 +16,9 @@
 	// ZoneCost is by how much less of its slots a target of another zone must have in
 	// use to be chosen before one of the entry's own.
 	ZoneCost float64
+	// BorrowReserve is how many requests are kept free at a target for each of the other
+	// entries that use it, where this one has its share there already.
+	BorrowReserve float64
 	// LoadMemory is how fast what a target said of the other entries' requests
 	// gives way to the mean of all targets: they come and go, unseen here.
 	LoadMemory time.Duration
@@ -57,6 +60,7 @@
 		NoTargetRetry:   300 * time.Millisecond,
 		QueueAhead:      1,
 		ZoneCost:        0.5,
+		BorrowReserve:   0.1,
 		LoadMemory:      700 * time.Millisecond,
 		FirstPause:      300 * time.Millisecond,
 		LongestPause:    4 * time.Second,
--- a/internal/relay/again.go
+++ b/internal/relay/again.go
@@ -50,9 +50,9 @@
 	}
 
 	// Right after a restart the entries that were known as the request arrived may be few.
-	entries := p.relay.State().Entries
+	share := p.relay.parts.budget(p.service)
 
-	if p.reached != reachNone && !p.relay.Budget.Take(now, p.service, entries) {
+	if p.reached != reachNone && !p.relay.Budget.Take(now, p.service, share) {
 		p.relay.counters.spent.Add(1)
 
 		return retries.ReasonBudget
--- a/internal/relay/passage.go
+++ b/internal/relay/passage.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithDeadline(p.req.Context(), p.deadline)
 	defer cancel()
 
-	p.relay.Budget.Fresh(p.began, p.service, p.state.Entries)
+	p.relay.Budget.Fresh(p.began, p.service, p.relay.parts.budget(p.service))
 
 	var failed error // the try before
 
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -115,7 +115,7 @@
 	q.dispatcher.First(a, took)
 }
 
-func (q *queue) change(services []dispatch.Service, targets []dispatch.Target, entries int) {
+func (q *queue) change(services []dispatch.Service, targets []dispatch.Target) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -128,7 +128,15 @@
 		}
 	}
 
-	q.tell(q.dispatcher.Change(time.Now(), services, targets, entries))
+	q.tell(q.dispatcher.Change(time.Now(), services, targets))
+}
+
+// uses reports whether some target is an engine on a VM.
+func (q *queue) uses(vm netip.Addr) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return len(q.engines[vm]) > 0
 }
 
 // tell hands out actions. It is called with mu held.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -29,7 +30,8 @@
 // Relay serves callers. Set its exported fields before Init.
 type Relay struct {
 	Dialect Dialect
-	// Zone is this entry's.
+	// ID and Zone are this entry's.
+	ID   string
 	Zone string
 	// State returns what the control VMs published.
 	State  func() *view.Followed
@@ -47,6 +49,9 @@
 	configured chan struct{}
 	configure  sync.Once
 
+	// changing lets one change after the other be taken in.
+	changing  sync.Mutex
+	parts     parts
 	queue     *queue
 	counters  counters
 	latencies latencies
@@ -84,6 +89,7 @@
 	}
 
 	r.configured = make(chan struct{})
+	r.parts.self = shares.Place{ID: r.ID, Zone: r.Zone}
 	r.latencies = newLatencies()
 	r.served.PerSecond = servedLines
 	r.queue = &queue{
@@ -98,6 +104,9 @@
 		return
 	}
 
+	r.changing.Lock()
+	defer r.changing.Unlock()
+
 	services := make([]dispatch.Service, 0, len(f.Table.Services))
 	for _, s := range f.Table.Services {
 		services = append(services, dispatch.Service{
@@ -105,20 +114,32 @@
 		})
 	}
 
-	targets := make([]dispatch.Target, 0, len(f.Targets))
+	now := time.Now()
+	mine, dueAt := r.parts.change(now, f)
+	targets := make([]dispatch.Target, 0, len(mine))
+
 	for i := range f.Targets {
-		targets = append(targets, targetOf(&f.Targets[i], f))
+		if share, ok := mine[f.Targets[i].ID]; ok {
+			targets = append(targets, targetOf(&f.Targets[i], f, share))
+		}
 	}
 
-	r.queue.change(services, targets, f.Entries)
+	r.queue.change(services, targets)
 	r.configure.Do(func() { close(r.configured) })
+
+	if !dueAt.IsZero() {
+		time.AfterFunc(dueAt.Sub(now), func() { r.Change(r.State()) })
+	}
 }
 
-func targetOf(t *directory.Target, f *view.Followed) dispatch.Target {
+// Uses reports whether this entry sends requests to the engines of a VM.
+func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.uses(vm) }
+
+func targetOf(t *directory.Target, f *view.Followed, share shares.Share) dispatch.Target {
 	return dispatch.Target{
 		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Group: t.Group.Name, Slots: t.Slots,
-		Leaving: t.State == directory.Draining || f.Out(t.Zone), Silent: t.State == directory.Silent,
-		Broken: t.Group.Broken, ColdUntil: t.ColdUntil,
+		Leaving: leaves(t, f), Silent: t.State == directory.Silent,
+		Broken: t.Group.Broken, ColdUntil: t.ColdUntil, Share: share,
 	}
 }
 
--- a/internal/retries/share.go
+++ b/internal/retries/share.go
@@ -1,15 +1,18 @@
 package retries
 
 import (
+	"math"
 	"sync"
 	"time"
+
+	"github.com/parsleygate/parsleygate/internal/shares"
 )
 
 // Share is one entry's part of a retry budget that all entries hold together: in
 // any window, a service gets at most a ratio of its fresh requests and a slack of
-// sends beyond the first of each request. Entries do not count together, so each
-// keeps to a part of the slack that stays safe while others are unknown or have
-// just restarted.
+// sends beyond the first of each request. Entries do not count together. What an entry's
+// own requests paid for needs no dividing: it is used soon, or lost. The slack is divided,
+// and each unit that was used comes back after a window.
 type Share struct {
 	// Ratio is how many sends a fresh request pays for, Slack how many are free in
 	// Window, for all entries together. They are set before the first call.
@@ -18,67 +21,113 @@
 	Window time.Duration
 
 	mu       sync.Mutex
-	services map[string]*bucket
+	services map[string]*account
 }
 
-// saved is the part of an entry's share of the slack that it may save up. The rest
-// flows in over the window: saved and flowing together never exceed the share.
-const saved = 0.7
-
-// margin is kept free for entries that have joined and are not counted yet.
-const margin = 0.85
+const (
+	// margin is the part of the budget that entries use. The rest is kept free for entries
+	// that have joined and are not counted yet, and for what was paid for before a window
+	// and is used in it.
+	margin = 0.85
+	// paidLife is how long a send that was paid for may be used. It covers the time until
+	// a request that paid for it fails at a target.
+	paidLife = 1500 * time.Millisecond
+	// firstPart is the part of the slack that an entry has by the end of its first window.
+	firstPart = 0.3
+)
 
-type bucket struct {
-	tokens float64
-	at     time.Time
+// account is what an entry may send again to one service.
+type account struct {
+	// openedAt is when it was opened: before a restart this entry may just have used all of
+	// its slack.
+	openedAt time.Time
+	// saved is the part of a next send that fresh requests have paid for, paid when each
+	// whole one was.
+	saved float64
+	paid  []time.Time
+	// used is when units of the slack were used within the last window.
+	used []time.Time
 }
 
-// Fresh records a new request of a caller for a service.
-func (s *Share) Fresh(now time.Time, service string, entries int) {
+// Fresh records a new request of a caller for a service. Of is this entry's share of what
+// all entries together may send again.
+func (s *Share) Fresh(now time.Time, service string, of shares.Share) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	b := s.filled(now, service, entries)
-	b.tokens = min(b.tokens+s.Ratio*margin, s.most(entries))
+	a := s.account(now, service, of)
+
+	if a.saved += s.Ratio * margin; a.saved >= 1 {
+		a.saved--
+		a.paid = append(a.paid, now)
+	}
 }
 
 // Take reports whether a request may be sent once more, and counts it if so.
-func (s *Share) Take(now time.Time, service string, entries int) bool {
+func (s *Share) Take(now time.Time, service string, of shares.Share) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	b := s.filled(now, service, entries)
-	if b.tokens < 1 {
+	a := s.account(now, service, of)
+
+	if len(a.paid) > 0 {
+		a.paid = a.paid[1:]
+
+		return true
+	}
+
+	if len(a.used) >= of.Units(now, s.slack(now.Sub(a.openedAt))) {
 		return false
 	}
 
-	b.tokens--
+	a.used = append(a.used, now)
 
 	return true
 }
 
-func (s *Share) most(entries int) float64 { return s.part(entries) * saved }
+// slack is what all entries together may use of the slack within a window, where this one's
+// account is so old.
+func (s *Share) slack(age time.Duration) float64 {
+	whole := s.Slack * margin
+	if age >= s.Window {
+		return whole
+	}
 
-func (s *Share) part(entries int) float64 { return s.Slack * margin / float64(max(1, entries)) }
+	return whole * firstPart * age.Seconds() / s.Window.Seconds()
+}
 
-// filled returns the service's bucket as of now. A new one is empty: before a
-// restart this entry may just have spent all.
-func (s *Share) filled(now time.Time, service string, entries int) *bucket {
+// account returns a service's account as of now.
+func (s *Share) account(now time.Time, service string, of shares.Share) *account {
 	if s.services == nil {
-		s.services = make(map[string]*bucket)
+		s.services = make(map[string]*account)
 	}
 
-	b := s.services[service]
-	if b == nil {
-		b = &bucket{at: now}
-		s.services[service] = b
+	a := s.services[service]
+	if a == nil {
+		a = &account{openedAt: now, saved: start(of)}
+		s.services[service] = a
 	}
 
-	if passed := now.Sub(b.at); passed > 0 {
-		flow := s.part(entries) * (1 - saved) / s.Window.Seconds()
-		b.tokens = min(b.tokens+flow*passed.Seconds(), s.most(entries))
-		b.at = now
+	a.paid = since(a.paid, now.Add(-paidLife))
+	a.used = since(a.used, now.Add(-s.Window))
+
+	return a
+}
+
+// start returns which part of a send counts as paid for at first: another one at each
+// entry, evenly spread. Entries with few requests each would else all pay for a whole one
+// at the same time, or none for long.
+func start(of shares.Share) float64 {
+	_, part := math.Modf(float64(of.Index) * (math.Phi - 1))
+
+	return part
+}
+
+// since returns those of some times, in order, that come after from.
+func since(times []time.Time, from time.Time) []time.Time {
+	for len(times) > 0 && !times[0].After(from) {
+		times = times[1:]
 	}
 
-	return b
+	return times
 }
--- a/internal/retries/share_test.go
+++ b/internal/retries/share_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/shares"
 )
 
 const (
@@ -47,7 +48,7 @@
 					entries[i] = newShare()
 				}
 
-				f, a := spend(t, entries[i], now, 3, n)
+				f, a := spend(t, entries[i], now, 3, shares.Share{Index: i, Of: n})
 				fresh[tick] += f
 				again[tick] += a
 			}
@@ -96,7 +97,7 @@
 					count = known[i]
 				}
 
-				f, a := spend(t, entries[i], now, 2, count)
+				f, a := spend(t, entries[i], now, 2, shares.Share{Index: i % count, Of: count})
 				fresh[tick] += f
 				again[tick] += a
 			}
@@ -106,15 +107,15 @@
 	})
 }
 
-// spend lets an entry that counts so many entries get up to mostFresh requests and send
-// again as often as it may.
-func spend(t *rapid.T, entry *retries.Share, now time.Time, mostFresh, entries int) (fresh, again int) {
+// spend lets an entry with such a share get up to mostFresh requests and send again as
+// often as it may.
+func spend(t *rapid.T, entry *retries.Share, now time.Time, mostFresh int, of shares.Share) (fresh, again int) {
 	fresh = rapid.IntRange(0, mostFresh).Draw(t, "fresh")
 	for range fresh {
-		entry.Fresh(now, "drafts", entries)
+		entry.Fresh(now, "drafts", of)
 	}
 
-	for entry.Take(now, "drafts", entries) {
+	for entry.Take(now, "drafts", of) {
 		again++
 	}
 
@@ -150,16 +151,16 @@
 	taken := 0
 
 	for e := range 7 {
-		s := newShare()
+		s, of := newShare(), shares.Share{Index: e, Of: 7}
 		for i := range 80 { // ten seconds of eight requests a second
-			s.Fresh(now.Add(time.Duration(i)*125*time.Millisecond), "drafts", 7)
+			s.Fresh(now.Add(time.Duration(i)*125*time.Millisecond), "drafts", of)
 		}
 
-		for s.Take(now.Add(shareWindow), "drafts", 7) {
+		for s.Take(now.Add(shareWindow), "drafts", of) {
 			taken++
 		}
 
-		require.False(t, s.Take(now.Add(shareWindow), "drafts", 7), fmt.Sprint(e))
+		require.False(t, s.Take(now.Add(shareWindow), "drafts", of), fmt.Sprint(e))
 	}
 
 	require.Greater(t, taken, 55)
@@ -170,13 +171,52 @@
 
 	s := newShare()
 	now := time.Unix(1000, 0)
-	s.Fresh(now, "drafts", 1)
-	s.Fresh(now, "desk", 1)
+	s.Fresh(now, "drafts", shares.Share{})
+	s.Fresh(now, "desk", shares.Share{})
 
 	now = now.Add(shareWindow)
-	for s.Take(now, "drafts", 1) {
+	for s.Take(now, "drafts", shares.Share{}) {
 		continue
 	}
 
-	require.True(t, s.Take(now, "desk", 1))
+	require.True(t, s.Take(now, "desk", shares.Share{}))
+}
+
+// Every request fails at every entry. Guards against a budget whose parts are too small to
+// be used: from 77 entries on nothing was sent again.
+func TestBudgetIsUsedAtAnyNumberOfEntries(t *testing.T) {
+	t.Parallel()
+
+	const windows, perWindow = 5, 3000
+
+	for _, n := range []int{1, 3, 39, 77, 410} {
+		entries := make([]*retries.Share, n)
+		for i := range entries {
+			entries[i] = newShare()
+		}
+
+		start := time.Unix(1000, 0)
+		again := make([]int, windows)
+
+		for i := range windows * perWindow {
+			now := start.Add(time.Duration(i) * shareWindow / perWindow)
+			of := shares.Share{Index: i * 7919 % n, Of: n}
+			entry := entries[of.Index]
+			entry.Fresh(now, "drafts", of)
+
+			if entry.Take(now, "drafts", of) {
+				again[i/perWindow]++
+			}
+		}
+
+		const budget = shareRatio*perWindow + shareSlack
+
+		for w, got := range again {
+			require.LessOrEqual(t, float64(got), budget, "%d entries, window %d", n, w)
+
+			if w > 1 { // the first two are those of a start
+				require.GreaterOrEqual(t, float64(got), 0.8*budget, "%d entries, window %d", n, w)
+			}
+		}
+	}
 }
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -22,10 +22,14 @@
 	"github.com/parsleygate/parsleygate/internal/prefix"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
+// subsetDegree is how many targets of a service an entry keeps to.
+const subsetDegree = 30
+
 // leaveTimeout bounds the last word of a process that ends to the control VMs.
 const leaveTimeout = 2 * time.Second
 
@@ -61,8 +65,8 @@
 	stop   context.CancelFunc
 
 	// mu orders what the chooser is told: by each change, and later by a timer.
-	mu      sync.Mutex
-	subsets subsets
+	mu     sync.Mutex
+	keeper shares.Keeper
 }
 
 // Run runs the role until ctx ends and every request in flight has its answer.
@@ -106,6 +110,8 @@
 	r.bus = bus
 	r.bus.OnConfigurationChanged("LogConfiguration", r.logConfiguration)
 
+	r.keeper.Degree = func(int, int) int { return subsetDegree }
+
 	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0)), Prefixes: &prefix.Index{}}
 	r.reader = r.newReader(chooser)
 	r.shell = &entry.Entry{
@@ -170,11 +176,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.subsets.dueAt = time.Time{}
+	r.keeper.DueAt = time.Time{}
 	chooser.ChangeTargets(r.targetsOf(r.reader.Snapshot()))
 
-	if !r.subsets.dueAt.IsZero() {
-		time.AfterFunc(time.Until(r.subsets.dueAt), func() { r.changeTargets(chooser) })
+	if !r.keeper.DueAt.IsZero() {
+		time.AfterFunc(time.Until(r.keeper.DueAt), func() { r.changeTargets(chooser) })
 	}
 }
 
@@ -257,10 +263,11 @@
 
 	for _, service := range s.Services() {
 		targets := s.Targets(service.GetName())
-		mine := r.subsets.of(now, service.GetName(), r.place(), entries, places(s, targets))
+		mine := r.keeper.Of(now, service.GetName(), r.place(), entries, places(s, targets))
 
 		for _, t := range targets {
-			if address, err := netip.ParseAddrPort(t.Node.GetAddress()); err == nil && mine[t.Node.GetID()] {
+			_, used := mine[t.Node.GetID()]
+			if address, err := netip.ParseAddrPort(t.Node.GetAddress()); err == nil && used {
 				ev.Targets = append(ev.Targets, targetOf(s, service.GetName(), address, t))
 			}
 		}
@@ -279,18 +286,35 @@
 }
 
 // entriesOf lists the entries that share the targets out among themselves.
-func entriesOf(s *view.Snapshot) []routing.Place {
-	var out []routing.Place
+func entriesOf(s *view.Snapshot) []shares.Place {
+	var out []shares.Place
 
 	for _, n := range s.Nodes() {
 		if n.GetKind() == wire.NodeKind_NodeEntry && !n.GetLeaving() {
-			out = append(out, routing.Place{ID: n.GetID(), Zone: n.GetZone(), Region: regionOf(s, n.GetZone())})
+			out = append(out, shares.Place{ID: n.GetID(), Zone: n.GetZone(), Region: regionOf(s, n.GetZone())})
 		}
 	}
 
 	return out
 }
 
+// places lists the targets that may get new work.
+func places(s *view.Snapshot, targets []view.Target) []shares.Place {
+	var out []shares.Place
+
+	for _, t := range targets {
+		if t.Admissible() {
+			out = append(out, shares.Place{ID: t.Node.GetID(), Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone())})
+		}
+	}
+
+	return out
+}
+
+func (r *Entry) place() shares.Place {
+	return shares.Place{ID: r.ID, Zone: r.Zone, Region: r.Region}
+}
+
 func regionOf(s *view.Snapshot, zone string) string {
 	z, _ := s.Zone(zone)
 
--- a/internal/role/routing.go
+++ b/internal/role/routing.go
@@ -133,7 +133,7 @@
 			var out []netip.AddrPort
 
 			for _, t := range r.follower.State().Targets {
-				if t.Group.Name != "" {
+				if t.Group.Name != "" && r.relay.Uses(t.Address.Addr()) {
 					out = append(out, netip.AddrPortFrom(t.Address.Addr(), r.AgentPort))
 				}
 			}
@@ -201,7 +201,7 @@
 		OnChange: func(f *view.Followed) { r.relay.Change(f) },
 	}
 	r.relay = &relay.Relay{
-		Dialect: r.Dialect, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
+		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
 		Door:    &door.Door{DialTimeout: targetDial, HeadBytes: targetHead},
 		StopsAt: r.stops, Logger: r.Logs.Logger("relay"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/shares"
+)
 
 // cost estimates how dear it is to send ask to t, where other entries have that
 // many in flight; 1 is a warm target that is full.
@@ -60,7 +64,7 @@
 // homeliness is between 0 and 1, and near 1 at one of many targets for each
 // opening. The mixing is that of Subsets.
 func (t *target) homeliness(opening uint64) float64 {
-	x := float64(mix(opening, t.hash)>>11) / (1 << 53)
+	x := float64(shares.Mix(opening, t.hash)>>11) / (1 << 53)
 	x *= x
 	x *= x
 
--- a/internal/routing/load_bench_test.go
+++ b/internal/routing/load_bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/shares"
 )
 
 // way is one way of choosing, by name.
@@ -73,21 +74,21 @@
 	}
 
 	number := map[string]int{}
-	targets := make([]routing.Place, len(list))
+	targets := make([]shares.Place, len(list))
 
 	for i, t := range list {
 		number[t.AgentID] = i
-		targets[i] = routing.Place{ID: t.AgentID, Zone: t.Zone, Region: t.Region}
+		targets[i] = shares.Place{ID: t.AgentID, Zone: t.Zone, Region: t.Region}
 	}
 
-	entries := make([]routing.Place, s.entries)
+	entries := make([]shares.Place, s.entries)
 	for e := range entries {
-		entries[e] = routing.Place{ID: fmt.Sprintf("e%d", e), Zone: list[e%3].Zone, Region: list[0].Region}
+		entries[e] = shares.Place{ID: fmt.Sprintf("e%d", e), Zone: list[e%3].Zone, Region: list[0].Region}
 	}
 
 	out := make([][]int, s.entries)
 	for e, self := range entries {
-		for _, id := range (routing.Subsets{Degree: s.degree}).Of(self, entries, targets) {
+		for id := range (shares.Subsets{Degree: s.degree}).Of(self, entries, targets) {
 			out[e] = append(out[e], number[id])
 		}
 	}
--- a/internal/shares/keeper.go
+++ b/internal/shares/keeper.go
@@ -1,86 +1,77 @@
-package role
+package shares
 
 import (
 	"slices"
 	"time"
+)
 
-	"github.com/parsleygate/parsleygate/internal/routing"
-	"github.com/parsleygate/parsleygate/internal/view"
+// pause is the shortest time between two workings-out of one service's targets: at the
+// full size one takes some milliseconds, and a zone that returns brings changes by the
+// dozen.
+const pause = time.Second
+
+const (
+	// leastDegree is how many targets of a service an entry uses at least, where there are
+	// as many: enough to even out its load, and to be left some while a zone is out.
+	leastDegree = 20
+	// usersPerTarget is how many entries use one target where there are many of both. With
+	// fewer of them each has a larger part of what a target bears.
+	usersPerTarget = 6
 )
 
-// subsetDegree is how many targets of a service an entry keeps to.
-const subsetDegree = 30
+// Degree returns how many targets of a service an entry uses, out of so many.
+func Degree(entries, targets int) int {
+	return max(leastDegree, targets*usersPerTarget/max(1, entries))
+}
 
-// subsetPause is the shortest time between two workings-out of one service's
-// subset: at the full size one takes some 15 ms, and a zone that returns brings
-// changes by the dozen.
-const subsetPause = time.Second
+// Keeper keeps the targets of each service that an entry uses, and its shares of them. Its
+// exported fields are set before the first call.
+type Keeper struct {
+	// Degree returns how many targets of a service an entry uses, out of so many.
+	Degree func(entries, targets int) int
+	// DueAt is when a former answer that stood in for a new one is to be replaced; zero
+	// for never. Who asks sets it back.
+	DueAt time.Time
 
-// subsets holds the targets of each service that an entry keeps to.
-type subsets struct {
-	services map[string]*subset
-	// dueAt is when a former answer that stood in for a new one is to be replaced;
-	// zero for never.
-	dueAt time.Time
+	services map[string]*kept
 }
 
-// subset is what was worked out last for one service, and from what.
-type subset struct {
-	entries []routing.Place
-	targets []routing.Place
-	mine    map[string]bool
+// kept is what was worked out last for one service, and from what.
+type kept struct {
+	entries []Place
+	targets []Place
+	mine    map[string]Share
 	nextAt  time.Time
 }
 
-// of returns the targets of a service that the entry at self keeps to, out of
-// those that may get new work, so that a zone that is out leaves no hole. What
-// has not changed is not worked out again. Within subsetPause the former answer
-// stands, and dueAt says when to ask again. What may get new work is told apart
-// from this, at once.
-func (s *subsets) of(now time.Time, service string, self routing.Place, entries, targets []routing.Place) map[string]bool {
-	if s.services == nil {
-		s.services = make(map[string]*subset)
+// Of returns the targets of a service that the entry at self uses, out of those that may
+// get new work, so that a zone that is out leaves no hole. What has not changed is not
+// worked out again. Within the pause the former answer stands, and DueAt says when to ask
+// again. What may get new work is told apart from this, at once.
+func (k *Keeper) Of(now time.Time, service string, self Place, entries, targets []Place) map[string]Share {
+	if k.services == nil {
+		k.services = make(map[string]*kept)
 	}
 
-	last := s.services[service]
+	last := k.services[service]
+	degree := k.Degree(len(entries), len(targets))
 
 	switch {
-	case last == nil || len(targets) <= subsetDegree:
+	case last == nil:
 	case last.same(entries, targets):
 		return last.mine
-	case now.Before(last.nextAt):
-		s.dueAt = last.nextAt
+	case len(targets) > degree && now.Before(last.nextAt):
+		k.DueAt = last.nextAt
 
 		return last.mine
 	}
 
-	mine := make(map[string]bool)
-	for _, id := range (routing.Subsets{Degree: subsetDegree}).Of(self, entries, targets) {
-		mine[id] = true
-	}
-
-	s.services[service] = &subset{entries: entries, targets: targets, mine: mine, nextAt: now.Add(subsetPause)}
+	mine := Subsets{Degree: degree}.Of(self, entries, targets)
+	k.services[service] = &kept{entries: entries, targets: targets, mine: mine, nextAt: now.Add(pause)}
 
 	return mine
 }
 
-func (s *subset) same(entries, targets []routing.Place) bool {
-	return slices.Equal(s.entries, entries) && slices.Equal(s.targets, targets)
-}
-
-// places lists the targets that may get new work.
-func places(s *view.Snapshot, targets []view.Target) []routing.Place {
-	var out []routing.Place
-
-	for _, t := range targets {
-		if t.Admissible() {
-			out = append(out, routing.Place{ID: t.Node.GetID(), Zone: t.Node.GetZone(), Region: regionOf(s, t.Node.GetZone())})
-		}
-	}
-
-	return out
-}
-
-func (r *Entry) place() routing.Place {
-	return routing.Place{ID: r.ID, Zone: r.Zone, Region: r.Region}
+func (l *kept) same(entries, targets []Place) bool {
+	return slices.Equal(l.entries, entries) && slices.Equal(l.targets, targets)
 }
--- a/internal/shares/keeper_test.go
+++ b/internal/shares/keeper_test.go
@@ -1,4 +1,4 @@
-package role
+package shares_test
 
 import (
 	"fmt"
@@ -7,13 +7,13 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/shares"
 )
 
-func manyPlaces(prefix string, n int) []routing.Place {
-	var out []routing.Place
+func manyPlaces(prefix string, n int) []shares.Place {
+	var out []shares.Place
 	for i := range n {
-		out = append(out, routing.Place{ID: fmt.Sprint(prefix, i), Zone: fmt.Sprint("z", i%3)})
+		out = append(out, shares.Place{ID: fmt.Sprint(prefix, i), Zone: fmt.Sprint("z", i%3)})
 	}
 
 	return out
@@ -25,22 +25,24 @@
 func TestSubsetsAreWorkedOutNowAndThen(t *testing.T) {
 	t.Parallel()
 
-	var s subsets
+	const degree = 30
+
+	k := shares.Keeper{Degree: func(int, int) int { return degree }}
 
 	now := time.Unix(1000, 0)
-	self := routing.Place{ID: "e0", Zone: "z0"}
+	self := shares.Place{ID: "e0", Zone: "z0"}
 	entries := manyPlaces("e", 4)
-	first := s.of(now, "assist", self, entries, manyPlaces("t", 60))
-	require.Len(t, first, subsetDegree)
+	first := k.Of(now, "assist", self, entries, manyPlaces("t", 60))
+	require.Len(t, first, degree)
 
-	again := s.of(now.Add(time.Millisecond), "assist", self, entries, manyPlaces("t", 90))
+	again := k.Of(now.Add(time.Millisecond), "assist", self, entries, manyPlaces("t", 90))
 	require.Equal(t, first, again, "the former answer stands")
-	require.Equal(t, now.Add(subsetPause), s.dueAt, "and is to be asked for again")
+	require.Equal(t, now.Add(time.Second), k.DueAt, "and is to be asked for again")
 
-	later := s.of(s.dueAt, "assist", self, entries, manyPlaces("t", 90))
+	later := k.Of(k.DueAt, "assist", self, entries, manyPlaces("t", 90))
 	require.NotEqual(t, first, later)
 
 	// Few targets cost nothing: all are used at once.
-	require.Len(t, s.of(now, "desk", self, entries, manyPlaces("d", 2)), 2)
-	require.Len(t, s.of(now, "desk", self, entries, manyPlaces("d", 3)), 3)
+	require.Len(t, k.Of(now, "desk", self, entries, manyPlaces("d", 2)), 2)
+	require.Len(t, k.Of(now, "desk", self, entries, manyPlaces("d", 3)), 3)
 }
--- /dev/null
+++ b/internal/shares/share.go
@@ -0,0 +1,90 @@
+// Package shares divides limits that entries hold together. Each entry works out its own
+// part from the lists of entries and targets alone, without a message: the parts add up
+// to the limit, and change little while entries come and go.
+package shares
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Share is one entry's part of a limit that Of entries hold together. Each of them has
+// another Index, from 0 on. The zero value is that of an entry which holds it alone.
+type Share struct {
+	Index int
+	Of    int
+}
+
+// turn is how long an entry has a unit at least, of a limit that has fewer units than entries.
+const turn = 10 * time.Second
+
+// Units returns how many whole units of total this entry has at now. What does not divide
+// evenly goes to the entries of the lowest indexes. Where there are fewer units than
+// entries, the units move on by turns, one at a time, so that nobody is left without and
+// hardly more than total are used within a short window.
+func (s Share) Units(now time.Time, total float64) int {
+	units := int(total)
+
+	switch {
+	case s.Of <= 1:
+		return units
+	case units <= 0:
+		return 0
+	case units < s.Of:
+		return s.turns(now, units)
+	default:
+		return units/s.Of + atMostOne(units%s.Of-s.Index)
+	}
+}
+
+// turns returns 1 while it is this entry's turn to have one of so many units. The entries
+// stand in a circle, of which a part as large as the units moves on around it: entries whose
+// lists differ a little agree on nearly all turns.
+func (s Share) turns(now time.Time, units int) int {
+	round := leastRound
+	for round*time.Duration(units) < turn*time.Duration(s.Of) {
+		round *= 2
+	}
+
+	passed := float64(now.UnixNano()%int64(round)) / float64(round)
+	ahead := float64(s.Index)/float64(s.Of) - passed
+
+	if ahead < 0 {
+		ahead++
+	}
+
+	if ahead*float64(s.Of) < float64(units) {
+		return 1
+	}
+
+	return 0
+}
+
+// leastRound is how long the shortest way around the circle is.
+const leastRound = 16 * time.Second
+
+// atMostOne returns 1 for a positive n, else 0.
+func atMostOne(n int) int { return max(0, min(n, 1)) }
+
+// Of returns the share of self in a limit of that name, which all entries hold together.
+// An entry that is not among entries yet is added.
+func Of(self Place, entries []Place, name string) Share {
+	key := xxhash.Sum64String(name)
+	own := Mix(xxhash.Sum64String(self.ID), key)
+	s := Share{Of: 1}
+
+	for _, e := range entries {
+		if e.ID == self.ID {
+			continue
+		}
+
+		s.Of++
+
+		if Mix(xxhash.Sum64String(e.ID), key) > own {
+			s.Index++
+		}
+	}
+
+	return s
+}
--- a/internal/shares/subset.go
+++ b/internal/shares/subset.go
@@ -1,4 +1,4 @@
-package routing
+package shares
 
 import (
 	"cmp"
@@ -38,37 +38,33 @@
 	return s
 }
 
-// Of returns the IDs of the targets of one entry, in order. An entry that is not
-// among entries, because the news of itself has not reached it yet, is added.
-func (s Subsets) Of(self Place, entries, targets []Place) []string {
-	s = s.withDefaults()
-	if len(targets) <= s.Degree {
-		return ids(targets)
-	}
-
-	i := slices.IndexFunc(entries, func(e Place) bool { return e.ID == self.ID })
-	if i < 0 {
+// Of returns the targets of one entry, by ID, and its share of what may be sent to each.
+// An entry that is not among entries, because the news of itself has not reached it
+// yet, is added.
+func (s Subsets) Of(self Place, entries, targets []Place) map[string]Share {
+	if !slices.ContainsFunc(entries, func(e Place) bool { return e.ID == self.ID }) {
 		entries = append(slices.Clone(entries), self)
-		i = len(entries) - 1
 	}
 
+	return s.Match(entries, targets).Of(self.ID)
+}
+
+// Match matches all entries with the targets that each of them uses.
+func (s Subsets) Match(entries, targets []Place) *Matching {
+	s = s.withDefaults()
 	m := newMatching(entries, targets, s)
-	m.stage(stageZone, int(math.Round(s.NearShare*float64(s.Degree))))
-	m.stage(stageRegion, s.Degree)
-	m.stage(stageAny, s.Degree)
 
-	return ids(m.of(i))
-}
+	if len(targets) <= s.Degree {
+		m.all()
 
-func ids(places []Place) []string {
-	out := make([]string, len(places))
-	for i, p := range places {
-		out[i] = p.ID
+		return m
 	}
 
-	slices.Sort(out)
+	m.stage(stageZone, int(math.Round(s.NearShare*float64(s.Degree))))
+	m.stage(stageRegion, s.Degree)
+	m.stage(stageAny, s.Degree)
 
-	return out
+	return m
 }
 
 // stage says which targets an entry may get: near ones first.
@@ -91,10 +87,10 @@
 	}
 }
 
-// matching is a stable matching of entries and targets in which both sides rank
+// Matching is a stable matching of entries and targets in which both sides rank
 // each other by one hash. It is the same whatever the order of its steps, and
 // one that comes or goes changes it only along the chain of those it displaces.
-type matching struct {
+type Matching struct {
 	entries, targets []Place
 	entryHash        []uint64
 	targetHash       []uint64
@@ -104,10 +100,10 @@
 	matched [][]int
 }
 
-func newMatching(entries, targets []Place, s Subsets) *matching {
+func newMatching(entries, targets []Place, s Subsets) *Matching {
 	mean := float64(s.Degree*len(entries)) / float64(len(targets))
 
-	return &matching{
+	return &Matching{
 		entries: entries, targets: targets,
 		entryHash: hashes(entries), targetHash: hashes(targets),
 		most: int(math.Ceil(mean * (1 + s.Slack))),
@@ -125,10 +121,10 @@
 }
 
 // rank is how much entry e and target t like each other.
-func (m *matching) rank(e, t int) uint64 { return mix(m.entryHash[e], m.targetHash[t]) }
+func (m *Matching) rank(e, t int) uint64 { return Mix(m.entryHash[e], m.targetHash[t]) }
 
-// mix joins two hashes into one by the mixing step of the splitmix64 generator.
-func mix(a, b uint64) uint64 {
+// Mix joins two hashes into one by the mixing step of the splitmix64 generator.
+func Mix(a, b uint64) uint64 {
 	x := a ^ (b*0x9e3779b97f4a7c15 + 0x9e3779b97f4a7c15)
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
@@ -138,7 +134,7 @@
 
 // stage lets each entry ask its allowed targets, best first, until it has quota
 // of them. A full target keeps those that it ranks highest of this stage.
-func (m *matching) stage(s stage, quota int) {
+func (m *Matching) stage(s stage, quota int) {
 	settled := make([]int, len(m.targets))
 	for t := range m.held {
 		settled[t] = len(m.held[t])
@@ -202,7 +198,7 @@
 }
 
 // wishes are the targets that e may ask in a stage.
-func (m *matching) wishes(s stage, e int) wishes {
+func (m *Matching) wishes(s stage, e int) wishes {
 	out := make(wishes, 0, len(m.targets))
 
 	for t := range m.targets {
@@ -218,7 +214,7 @@
 
 // propose matches e with t if t has room or ranks e above another of this
 // stage, and returns who was turned away, or -1.
-func (m *matching) propose(e, t, settled int) int {
+func (m *Matching) propose(e, t, settled int) int {
 	if len(m.held[t]) < m.most {
 		m.join(e, t)
 
@@ -245,16 +241,39 @@
 	return loser
 }
 
-func (m *matching) join(e, t int) {
+func (m *Matching) join(e, t int) {
 	m.held[t] = append(m.held[t], e)
 	m.matched[e] = append(m.matched[e], t)
 }
 
-// of returns the targets of entry e.
-func (m *matching) of(e int) []Place {
-	out := make([]Place, 0, len(m.matched[e]))
+// all matches each entry with each target.
+func (m *Matching) all() {
+	for t := range m.targets {
+		for e := range m.entries {
+			m.join(e, t)
+		}
+	}
+}
+
+// Of returns the targets of an entry, and its index among the entries of each.
+func (m *Matching) Of(entry string) map[string]Share {
+	e := slices.IndexFunc(m.entries, func(p Place) bool { return p.ID == entry })
+	if e < 0 {
+		return nil
+	}
+
+	out := make(map[string]Share, len(m.matched[e]))
+
 	for _, t := range m.matched[e] {
-		out = append(out, m.targets[t])
+		own, index := m.rank(e, t), 0
+
+		for _, other := range m.held[t] {
+			if m.rank(other, t) > own {
+				index++
+			}
+		}
+
+		out[m.targets[t].ID] = Share{Index: index, Of: len(m.held[t])}
 	}
 
 	return out
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/routes"
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -23,8 +26,10 @@
 	Table    *routes.Table
 	ZonesOut []string
 	Targets  []directory.Target
-	// Entries is how many entries share the targets, this one included.
+	// Entries is how many entries share the targets, this one included, and Roster those
+	// of them that are known by ID.
 	Entries int
+	Roster  []shares.Place
 	// Relays are where some processes relay orders to engines, by the control VM that
 	// answered last.
 	Relays []netip.AddrPort
@@ -66,7 +71,9 @@
 	current  atomic.Pointer[Followed]
 	members  map[netip.AddrPort][]netip.AddrPort // by who told
 	counts   map[netip.AddrPort]uint32
+	rosters  map[netip.AddrPort][]shares.Place // by who told
 	answered map[netip.AddrPort]bool
+	lost     map[netip.AddrPort]bool // that have not answered for long
 	running  map[netip.AddrPort]context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -105,7 +112,9 @@
 
 	f.members = make(map[netip.AddrPort][]netip.AddrPort)
 	f.counts = make(map[netip.AddrPort]uint32)
+	f.rosters = make(map[netip.AddrPort][]shares.Place)
 	f.answered = make(map[netip.AddrPort]bool)
+	f.lost = make(map[netip.AddrPort]bool)
 	f.running = make(map[netip.AddrPort]context.CancelFunc)
 	f.current.Store(&Followed{Entries: 1})
 }
@@ -152,6 +161,7 @@
 			stop()
 			delete(f.running, a)
 			delete(f.counts, a)
+			delete(f.rosters, a)
 			delete(f.members, a)
 		}
 	}
@@ -168,9 +178,23 @@
 	}
 }
 
+// lostAfter is after how many failed questions in a row what a control VM told of entries
+// no longer counts, as soon as another one tells of them.
+const lostAfter = 40
+
+// lose notes that a control VM has not answered for long.
+func (f *Follower) lose(control netip.AddrPort, k *known) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.lost[control] = true
+	k.roster = 0
+}
+
 // known is how far this entry knows one control VM's directory.
 type known struct {
 	boot, revision uint64
+	roster         uint64
 	fails          int
 }
 
@@ -183,7 +207,9 @@
 				f.Logger.Info("Control VM lost.", "control", control, "error", err)
 			}
 
-			k.fails++
+			if k.fails++; k.fails == lostAfter {
+				f.lose(control, &k)
+			}
 
 			pauses.For(ctx, f.Settings.Pause)
 
@@ -203,7 +229,7 @@
 	r := &wire.FollowRequest{
 		Cluster: f.Cluster, ID: f.ID, Zone: f.Zone, KnownIndex: s.Index, KnownNumber: s.Number,
 		DirectoryBoot: k.boot, DirectoryRevision: k.revision, Leaving: f.Leaving != nil && f.Leaving(),
-		ServicesOnly: f.ServicesOnly,
+		ServicesOnly: f.ServicesOnly, RosterHash: k.roster,
 	}
 
 	if f.Relay.IsValid() {
@@ -222,17 +248,17 @@
 		return err
 	}
 
-	if err := f.take(time.Now(), control, out); err != nil {
+	if err := f.take(time.Now(), control, out, k); err != nil {
 		return err
 	}
 
-	k.boot, k.revision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
+	k.boot, k.revision, k.roster = out.GetDirectoryBoot(), out.GetDirectoryRevision(), out.GetRosterHash()
 
 	return nil
 }
 
 // take merges one control VM's answer.
-func (f *Follower) take(now time.Time, control netip.AddrPort, out *wire.FollowResponse) error {
+func (f *Follower) take(now time.Time, control netip.AddrPort, out *wire.FollowResponse, k *known) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -263,7 +289,12 @@
 
 	f.counts[control] = out.GetEntries()
 
-	if n := f.entries(); n != next.Entries {
+	if f.takeRoster(control, out, k) {
+		next.Roster = f.roster()
+		changed = true
+	}
+
+	if n := max(f.entries(), len(next.Roster)); n != next.Entries {
 		next.Entries = n
 		changed = true
 	}
@@ -378,3 +409,45 @@
 
 	return int(n)
 }
+
+// takeRoster takes in the entries that a control VM named, and reports whether that may
+// have changed the roster.
+func (f *Follower) takeRoster(control netip.AddrPort, out *wire.FollowResponse, k *known) bool {
+	delete(f.lost, control)
+
+	changed := false
+
+	for other := range f.lost {
+		if _, ok := f.rosters[other]; ok {
+			delete(f.rosters, other)
+
+			changed = true
+		}
+	}
+
+	if out.GetRosterHash() == k.roster {
+		return changed
+	}
+
+	places := make([]shares.Place, 0, len(out.GetRoster()))
+	for _, e := range out.GetRoster() {
+		places = append(places, shares.Place{ID: e.GetID(), Zone: e.GetZone()})
+	}
+
+	f.rosters[control] = places
+
+	return true
+}
+
+// roster returns the entries that any control VM names, by ID.
+func (f *Follower) roster() []shares.Place {
+	all := make(map[string]shares.Place)
+
+	for _, told := range f.rosters {
+		for _, p := range told {
+			all[p.ID] = p
+		}
+	}
+
+	return slices.SortedFunc(maps.Values(all), func(a, b shares.Place) int { return strings.Compare(a.ID, b.ID) })
+}
