Let an entry fetch a configuration once, from its own zone

Cause: each control VM sends each change of the configuration whole to each entry.

A question that fails no longer costs a table.

Ruled out: changes in place of whole tables. They would save more, and need a base that both sides know; the whole table from the own zone costs nothing between zones.

Test: TestTableIsFetchedOnce, 9 control VMs, 11 changes: 11 or 12 fetches, with the own zone's control VM and without; 99 before (each of the 9 sent each change).

--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -206,7 +206,7 @@
 
 // answerFollower returns what the entry lacks, and whether that is anything.
 func (s *Server) answerFollower(ctx context.Context, p *published, r *wire.FollowRequest) (*wire.FollowResponse, bool, error) {
-	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.boot, Controls: s.controls()}
+	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.boot, Controls: s.controls(), Zone: s.Zone}
 	news := p.stateIndex > r.GetKnownIndex() || r.GetWaitMillis() == 0
 
 	if p.stateIndex >= r.GetKnownIndex() {
@@ -215,6 +215,8 @@
 		if err := s.addTable(p, r, out); err != nil {
 			return nil, false, err
 		}
+
+		news = news || out.GetTable() != nil
 	}
 
 	err := s.askHeard(ctx, func(a *announcements) {
@@ -251,7 +253,7 @@
 
 	out.Number = p.document.number
 
-	if p.document.number <= r.GetKnownNumber() {
+	if p.document.number <= r.GetKnownNumber() || r.GetWithoutTable() {
 		return nil
 	}
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -26,6 +26,8 @@
 type Server struct {
 	// Cluster names the deployment; polls of another are refused.
 	Cluster string
+	// Zone is this VM's own; entries there fetch large answers from here.
+	Zone string
 	// VM is this control VM's name, for dumps and logs.
 	VM string
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -103,7 +103,7 @@
 	}
 	r.peers.started = time.Now()
 	r.server = &control.Server{
-		Cluster: r.Cluster, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
+		Cluster: r.Cluster, Zone: r.Zone, VM: r.VM, Propose: r.replica.Propose, Read: r.read,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
 		Leads:       r.leads, StopUnsafe: r.stopUnsafe, FindPeers: r.findPeers, Self: r.self,
 		ReadDocument: r.ReadDocument, Zones: r.Zones, AnnounceEvery: r.AnnounceEvery, Controls: r.controlAddresses,
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -74,6 +74,7 @@
 	rosters  map[netip.AddrPort][]shares.Place // by who told
 	answered map[netip.AddrPort]bool
 	lost     map[netip.AddrPort]bool // that have not answered for long
+	tables   tables
 	running  map[netip.AddrPort]context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -115,6 +116,7 @@
 	f.rosters = make(map[netip.AddrPort][]shares.Place)
 	f.answered = make(map[netip.AddrPort]bool)
 	f.lost = make(map[netip.AddrPort]bool)
+	f.tables = tables{own: f.Zone, zones: make(map[netip.AddrPort]string)}
 	f.running = make(map[netip.AddrPort]context.CancelFunc)
 	f.current.Store(&Followed{Entries: 1})
 }
@@ -162,6 +164,7 @@
 			delete(f.running, a)
 			delete(f.counts, a)
 			delete(f.rosters, a)
+			delete(f.tables.zones, a)
 			delete(f.members, a)
 		}
 	}
@@ -195,6 +198,7 @@
 type known struct {
 	boot, revision uint64
 	roster         uint64
+	number         uint64
 	fails          int
 }
 
@@ -236,14 +240,22 @@
 		r.Relay = f.Relay.String()
 	}
 
+	fetch, wait := f.fetch(control, k.number)
+	r.WithoutTable = !fetch
+
 	if k.boot != 0 && k.fails == 0 {
-		r.WaitMillis = uint64(f.Settings.Wait.Milliseconds())
+		r.WaitMillis = uint64(wait.Milliseconds())
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, f.Settings.Wait+f.Settings.Timeout)
 	defer cancel()
 
 	out, err := f.Ask(ctx, control, r)
+
+	if fetch {
+		f.fetched(control, err)
+	}
+
 	if err != nil {
 		return err
 	}
@@ -252,7 +264,8 @@
 		return err
 	}
 
-	k.boot, k.revision, k.roster = out.GetDirectoryBoot(), out.GetDirectoryRevision(), out.GetRosterHash()
+	k.boot, k.revision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
+	k.roster, k.number = out.GetRosterHash(), out.GetNumber()
 
 	return nil
 }
@@ -275,7 +288,7 @@
 		next.First = now
 	}
 
-	if out.GetIndex() > next.Index {
+	if out.GetIndex() > next.Index || out.GetTable() != nil && out.GetNumber() > next.Number {
 		if err := f.takeState(&next, out); err != nil {
 			return err
 		}
@@ -288,6 +301,7 @@
 	}
 
 	f.counts[control] = out.GetEntries()
+	f.tables.zones[control] = out.GetZone()
 
 	if f.takeRoster(control, out, k) {
 		next.Roster = f.roster()
@@ -333,10 +347,16 @@
 		}
 
 		next.Table, next.Number = table, out.GetNumber()
+		f.tables.heardAt = time.Time{}
 
 		f.Logger.Info("Configuration in force.", "number", next.Number, "index", out.GetIndex(), "routes", len(table.Routes))
 	}
 
+	// A table that was asked for comes after the state that told of it.
+	if out.GetIndex() <= next.Index {
+		return nil
+	}
+
 	if !slices.Equal(next.ZonesOut, out.GetZonesOut()) {
 		f.Logger.Info("Zones out.", "zones", out.GetZonesOut(), "index", out.GetIndex())
 	}
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -182,3 +183,93 @@
 		require.Len(t, f.State().Targets, 1)
 	})
 }
+
+// A large configuration comes to a deployment with many control VMs. Guards against each of
+// them sending it to each entry, which filled links until questions failed: an entry fetches it
+// once, from its own zone, and from another zone where its own does not answer.
+func TestTableIsFetchedOnce(t *testing.T) {
+	t.Parallel()
+
+	for _, ownAnswers := range []bool{true, false} {
+		t.Run(fmt.Sprintf("own zone answers %v", ownAnswers), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				var (
+					seeds []netip.AddrPort
+					mu    sync.Mutex
+				)
+
+				sent := map[netip.AddrPort]int{}
+				own := netip.MustParseAddrPort("10.0.0.9:1")
+				lastSent := uint64(0)
+				start := time.Now()
+				number := func() uint64 { return 1 + uint64(time.Since(start)/(3*time.Second)) }
+
+				for i := range 9 {
+					seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(1 + i)}), 1))
+				}
+
+				ask := func(ctx context.Context, at netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+					if at == own && !ownAnswers && r.GetWaitMillis() > 0 {
+						<-ctx.Done()
+
+						return nil, errCut
+					}
+
+					n := number()
+					for until := time.Now().Add(time.Duration(r.GetWaitMillis()) * time.Millisecond); n <= r.GetKnownIndex() && time.Now().Before(until); n = number() {
+						time.Sleep(10 * time.Millisecond)
+					}
+
+					out := &wire.FollowResponse{Index: n, Number: n, DirectoryBoot: 1, Zone: "far"}
+					if at == own {
+						out.Zone = "z"
+					}
+
+					if n > r.GetKnownNumber() && !r.GetWithoutTable() {
+						out.Table = table(n, fmt.Sprint(n))
+
+						mu.Lock()
+						sent[at]++
+						lastSent = n
+						mu.Unlock()
+					}
+
+					return out, nil
+				}
+
+				f := &view.Follower{
+					Cluster: "trust", ID: "e", Zone: "z", Seeds: func() []netip.AddrPort { return seeds }, Ask: ask,
+					OnChange: func(*view.Followed) {},
+				}
+				f.Init()
+
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+
+				go func() {
+					defer close(done)
+
+					_ = f.Run(ctx)
+				}()
+
+				time.Sleep(31 * time.Second)
+				cancel()
+				<-done
+
+				total := 0
+				for _, n := range sent {
+					total += n
+				}
+
+				require.Equal(t, lastSent, f.State().Number)
+				require.Equal(t, uint64(11), lastSent)
+				require.LessOrEqual(t, total, 12, "once for each of 11 changes, and once more at the start")
+
+				if ownAnswers {
+					require.GreaterOrEqual(t, sent[own], 10)
+				}
+			})
+		})
+	}
+}
