Spread orders and looks to large groups by way of some agents

Cause: one agent with 0.24 of a core and a link of 6 Mbit/s speaks to all 129 ranks in each phase of a switch. Each order was also cloned for each rank, maps of 2,064 lists included, and each search for a better map was made anew at each look, ten times a second.

Change: Ranks.Spread brings an order and a look to parts of the group by way of one agent of each (sqrt of the ranks, 12 at 129); what it brings back says who has carried the order out, so arming needs no second round. A map is packed once. A look at all ranks asks again who did not answer, where it began anew with all of them. After a search, the next one comes only where the skew leaves more to gain than that one found, or a second later. Groups of fewer than 24 ranks are spoken to as before.

The standby waits 250 ms for the directing agent, which may be busy with all ranks.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -26,6 +26,8 @@
 	paces    Paces
 	current  Map
 	version  uint64
+	// searched is what the last search for a better map found.
+	searched search
 	// refused counts the switches in a row that ranks would not prepare.
 	refused int
 }
@@ -129,7 +131,13 @@
 	began := time.Now()
 	demand := d.counter.demand()
 	before := d.current.SkewAt(demand, d.paces)
-	next, after := d.best(demand, before)
+
+	if !d.searched.mayGain(began, before, d.Settings.LeastGain) {
+		return
+	}
+
+	next, after, least := d.best(demand, before)
+	d.searched = search{least: least, again: began.Add(searchLife)}
 
 	if (before-after)/before < d.Settings.LeastGain {
 		return
@@ -155,12 +163,29 @@
 	}
 }
 
+// searchLife is how long a search tells what the next one can find.
+const searchLife = time.Second
+
+// search is what a search for a better map found: the least skew of those that it weighed.
+// Another one soon after it finds about the same, and takes far longer than a look.
+type search struct {
+	least float64
+	again time.Time
+}
+
+// mayGain reports whether a search is worth it where the map in use has the skew before.
+func (s search) mayGain(now time.Time, before, leastGain float64) bool {
+	return !now.Before(s.again) || (before-s.least)/before >= leastGain
+}
+
 // versionJump bounds how far the version jumps at once, as a power of two.
 const versionJump = 16
 
-// best weighs maps that need few copies, and are there soon, against better ones.
-func (d *Director) best(demand Demand, before float64) (Map, float64) {
-	best, bestAfter, bestSaved := d.current, before, 0.0
+// best weighs maps that need few copies, and are there soon, against better ones. It
+// returns the best of them, its skew, and the least skew that any of them has.
+func (d *Director) best(demand Demand, before float64) (best Map, bestAfter, least float64) {
+	best, bestAfter, least = d.current, before, before
+	bestSaved := 0.0
 	plan := newPlan(d.Shape, d.current, demand, d.paces)
 
 	for i, most := range d.Settings.MostNew {
@@ -171,6 +196,7 @@
 
 		m := plan.improve(Copies{Most: most, Least: d.Settings.LeastCopyGain})
 		after := m.SkewAt(demand, d.paces)
+		least = min(least, after)
 		lasts := d.Settings.Horizon - d.Settings.SwitchTime - time.Duration(most)*d.Shape.Copy
 
 		if saved := (before - after) * lasts.Seconds(); saved > bestSaved {
@@ -178,7 +204,7 @@
 		}
 	}
 
-	return best, bestAfter
+	return best, bestAfter, least
 }
 
 // nextVersion returns a version that no rank has had.
--- a/internal/lockstep/director_test.go
+++ b/internal/lockstep/director_test.go
@@ -41,7 +41,7 @@
 
 		demand := x.usual()
 		before := d.current.Skew(demand)
-		next, after := d.best(demand, before)
+		next, after, _ := d.best(demand, before)
 		require.Greater(t, before, 1.8)
 		require.Equal(t, 1, d.current.mostCopies(next), "seed %d", seed)
 		require.Less(t, after-1, (before-1)/2, "seed %d", seed)
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -135,8 +135,33 @@
 	Epoch uint64
 	Look  func(ctx context.Context, rank int, q Question) (Look, error)
 	Order func(ctx context.Context, rank int, o *wire.EngineOrder) wire.EngineResult
+	// Spread brings an errand to some ranks by way of some of their agents, and returns what
+	// became of it, in the order of the ranks; nil where each rank is spoken to directly.
+	Spread func(ctx context.Context, ranks []int, e Errand) []Told
 }
 
+// Errand is what is brought to a rank: an order, where there is one, and then a look.
+type Errand struct {
+	// Order returns the order for a rank. Those for all ranks differ in their version only.
+	Order func(rank int) *wire.EngineOrder
+	Lists bool
+}
+
+// Told is what became of an errand at one rank.
+type Told struct {
+	Result wire.EngineResult
+	Look   Look
+	// Err says why the rank was not seen.
+	Err error
+}
+
+// leastSpread is from how many ranks on an errand is spread by way of agents. Fewer are
+// sooner spoken to directly.
+const leastSpread = 24
+
+// spreads reports whether an errand to so many ranks goes by way of agents.
+func (r *Ranks) spreads(n int) bool { return r.Spread != nil && n >= leastSpread }
+
 // Shape is how experts may be placed.
 type Shape struct {
 	Sets    int
--- a/internal/lockstep/group_test.go
+++ b/internal/lockstep/group_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -44,6 +45,9 @@
 	// slow is how much longer an order takes for each rank, so that orders given
 	// together arrive one after the other.
 	slow time.Duration
+	// lostErrand decides whether the n-th errand by way of an agent is lost with it.
+	lostErrand func(n int) bool
+	errands    int
 	// countRanks is of how many ranks the director reads the counts in one look.
 	countRanks int
 	// logs are what the director says.
@@ -208,7 +212,51 @@
 	a.group.mu.Lock()
 	defer a.group.mu.Unlock()
 
-	return lockstep.Ranks{Size: a.group.shape.Ranks, Epoch: a.group.epoch, Look: a.look, Order: a.order}
+	return lockstep.Ranks{Size: a.group.shape.Ranks, Epoch: a.group.epoch, Look: a.look, Order: a.order, Spread: a.spread}
+}
+
+// spread brings an errand to the ranks by way of an agent for each part of them. One that
+// is lost leaves its part untold.
+func (a *agent) spread(ctx context.Context, ranks []int, e lockstep.Errand) []lockstep.Told {
+	out := make([]lockstep.Told, len(ranks))
+	size := int(math.Ceil(math.Sqrt(float64(len(ranks)))))
+
+	var g sync.WaitGroup
+
+	for first := 0; first < len(ranks); first += size {
+		if a.group.loses() {
+			for i := first; i < min(first+size, len(ranks)); i++ {
+				out[i].Err = errKilled
+			}
+
+			g.Go(func() { <-ctx.Done() })
+
+			continue
+		}
+
+		for i := first; i < min(first+size, len(ranks)); i++ {
+			g.Go(func() {
+				if e.Order != nil {
+					out[i].Result = a.order(ctx, ranks[i], e.Order(ranks[i]))
+				}
+
+				out[i].Look, out[i].Err = a.look(ctx, ranks[i], lockstep.Question{Lists: e.Lists})
+			})
+		}
+	}
+
+	g.Wait()
+
+	return out
+}
+
+func (g *fakeGroup) loses() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.errands++
+
+	return g.lostErrand != nil && g.lostErrand(g.errands)
 }
 
 func (a *agent) look(ctx context.Context, rank int, q lockstep.Question) (lockstep.Look, error) {
--- a/internal/lockstep/looks.go
+++ b/internal/lockstep/looks.go
@@ -46,18 +46,39 @@
 	return out
 }
 
-// LookAll looks at all ranks at once. All must answer, in the same epoch.
+// LookAll looks at all ranks at once, and again at those that do not answer in time. All
+// must answer in the end, in the same epoch.
 func (s *Switcher) LookAll(ctx context.Context, q Question) ([]Look, error) {
-	r, err := s.lookEach(ctx, s.Settings.askTimeout(s.Ranks.Size), func(int) (Question, bool) { return q, true })
-	if err != nil {
-		return nil, err
-	}
+	var (
+		looks []Look
+		r     round
+		err   error
+	)
 
-	if len(r.errs) > 0 {
-		return nil, r.notAll()
+	for try := range lookTries {
+		missing := r.errs
+
+		r, err = s.lookEach(ctx, s.Settings.askTimeout(s.Ranks.Size), func(rank int) (Question, bool) { return q, try == 0 || missing[rank] != nil })
+		if err != nil {
+			return nil, err
+		}
+
+		if try == 0 {
+			looks = r.looks
+		}
+
+		for rank := range missing {
+			if r.errs[rank] == nil {
+				looks[rank] = r.looks[rank]
+			}
+		}
+
+		if len(r.errs) == 0 {
+			return looks, nil
+		}
 	}
 
-	return r.looks, nil
+	return nil, r.notAll()
 }
 
 // LookMost looks at some ranks at once, in the same epoch. A few of them need not
@@ -99,7 +120,7 @@
 	return min(max(within, least)<<min(s.unseen, mostDoublings), most)
 }
 
-// lookTries is how often a look at one rank that a switch depends on is tried.
+// lookTries is how often a look at a rank that a switch depends on is tried.
 const lookTries = 4
 
 // lookAgain looks at one rank, again where no answer comes in time: a lost packet is no
@@ -156,17 +177,17 @@
 	answers := make(chan oneLook, s.Ranks.Size)
 	r := round{looks: make([]Look, s.Ranks.Size), errs: make(map[int]error)}
 
+	asked := make(map[int]Question, s.Ranks.Size)
+
 	for rank := range s.Ranks.Size {
 		if q, ok := ask(rank); ok {
-			r.asked++
-
-			go func() {
-				look, err := s.Ranks.Look(ctx, rank, q)
-				answers <- oneLook{rank: rank, look: look, err: err, at: time.Now()}
-			}()
+			asked[rank] = q
 		}
 	}
 
+	r.asked = len(asked)
+	s.askRanks(ctx, asked, answers)
+
 	for range r.asked {
 		a := <-answers
 
@@ -196,3 +217,38 @@
 
 	return r, nil
 }
+
+// askRanks asks ranks, each directly or many of them by way of some, and brings the answers.
+func (s *Switcher) askRanks(ctx context.Context, asked map[int]Question, answers chan<- oneLook) {
+	direct := func(rank int) {
+		look, err := s.Ranks.Look(ctx, rank, asked[rank])
+		answers <- oneLook{rank: rank, look: look, err: err, at: time.Now()}
+	}
+
+	var many []int
+
+	for rank, q := range asked {
+		if q.Counts {
+			go direct(rank)
+		} else {
+			many = append(many, rank)
+		}
+	}
+
+	slices.Sort(many)
+
+	if !s.Ranks.spreads(len(many)) {
+		for _, rank := range many {
+			go direct(rank)
+		}
+
+		return
+	}
+
+	go func() {
+		told := s.Ranks.Spread(ctx, many, Errand{Lists: asked[many[0]].Lists})
+		for i, rank := range many {
+			answers <- oneLook{rank: rank, look: told[i].Look, err: told[i].Err, at: time.Now()}
+		}
+	}()
+}
--- a/internal/lockstep/maps_bench_test.go
+++ b/internal/lockstep/maps_bench_test.go
@@ -93,7 +93,7 @@
 			demand := c.demand()
 			before := director.current.Skew(demand)
 
-			if m, after := director.best(demand, before); (before-after)/before >= director.Settings.LeastGain {
+			if m, after, _ := director.best(demand, before); (before-after)/before >= director.Settings.LeastGain {
 				next, due = m, look+switchLooks
 			}
 		}
--- a/internal/lockstep/orders.go
+++ b/internal/lockstep/orders.go
@@ -18,7 +18,7 @@
 	ranks := make([]driven, s.Ranks.Size)
 
 	for {
-		if refused := s.orderMissing(ctx, ranks, order); len(refused) > 0 {
+		if refused := s.orderMissing(ctx, ranks, order, seen); len(refused) > 0 {
 			return fmt.Errorf("%w: refused by ranks %v", failure, refused)
 		}
 
@@ -84,27 +84,41 @@
 func (d *driven) done() bool { return d.taken && d.seen }
 
 // orderMissing gives the order to the ranks that have not taken it yet, and returns
-// those that refuse it.
-func (s *Switcher) orderMissing(ctx context.Context, ranks []driven, order func(rank int) *wire.EngineOrder) []int {
+// those that refuse it. Who has carried it out at once is seen to have done so.
+func (s *Switcher) orderMissing(ctx context.Context, ranks []driven, order func(rank int) *wire.EngineOrder, seen func(*Report) bool) []int {
 	results := make([]wire.EngineResult, len(ranks))
 
-	var g sync.WaitGroup
+	var missing []int
 
 	for rank := range ranks {
 		if !ranks[rank].taken {
-			g.Go(func() { results[rank] = s.orderOnce(ctx, rank, order(rank), ranks[rank].tries) })
+			missing = append(missing, rank)
 		}
 	}
 
-	g.Wait()
+	if s.Ranks.spreads(len(missing)) {
+		for i, told := range s.orderMany(ctx, missing, order) {
+			rank := missing[i]
+			results[rank] = told.Result
+			ranks[rank].seen = seen != nil && told.Err == nil && told.Result == wire.EngineResult_EngineDone &&
+				told.Look.Report.Epoch == s.Ranks.Epoch && seen(&told.Look.Report)
+		}
+	} else {
+		var g sync.WaitGroup
+
+		for _, rank := range missing {
+			g.Go(func() { results[rank] = s.orderOnce(ctx, rank, order(rank), ranks[rank].tries) })
+		}
+
+		g.Wait()
+	}
 
 	var refused []int
 
-	for rank := range ranks {
+	for _, rank := range missing {
 		d := &ranks[rank]
 
 		switch {
-		case d.taken:
 		case results[rank] == wire.EngineResult_EngineDone, results[rank] == wire.EngineResult_EngineMisfit && d.unsure:
 			// One that no longer fits was taken when it got no answer.
 			d.taken = true
@@ -119,6 +133,41 @@
 	return refused
 }
 
+// orderMany gives an order to many ranks at once.
+func (s *Switcher) orderMany(ctx context.Context, ranks []int, order func(rank int) *wire.EngineOrder) []Told {
+	o := order(ranks[0])
+	began := time.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, s.answers.timeout(o.GetKind(), s.Ranks.Size, s.mostTime(o), 0))
+	defer cancel()
+
+	out := s.Ranks.Spread(ctx, ranks, Errand{Order: order})
+	known := true
+
+	for i, told := range out {
+		known = known && told.Result != wire.EngineResult_EngineUnknown
+		s.noteResult(ranks[i], order(ranks[i]), told.Result)
+	}
+
+	if known {
+		s.answers.learn(o.GetKind(), time.Since(began))
+	}
+
+	return out
+}
+
+// noteResult takes in what became of an order at a rank.
+func (s *Switcher) noteResult(rank int, o *wire.EngineOrder, got wire.EngineResult) {
+	if got == wire.EngineResult_EngineFenced {
+		s.fenced.Store(true)
+	}
+
+	if got != wire.EngineResult_EngineDone {
+		s.Logger.Info("Order not taken.", "rank", rank, "order", o.GetKind().String(), "result", got.String(),
+			"version", o.GetVersion(), "step", o.GetStep(), "fence", o.GetFence(), "epoch", o.GetEpoch())
+	}
+}
+
 // orderTries is how often an order to one rank is given where no answer comes.
 const orderTries = 4
 
@@ -149,18 +198,11 @@
 
 	got := s.Ranks.Order(one, rank, o)
 
-	switch got {
-	case wire.EngineResult_EngineUnknown:
-	case wire.EngineResult_EngineFenced:
-		s.fenced.Store(true)
-	default:
+	if got != wire.EngineResult_EngineUnknown && got != wire.EngineResult_EngineFenced {
 		s.answers.learn(o.GetKind(), time.Since(began))
 	}
 
-	if got != wire.EngineResult_EngineDone {
-		s.Logger.Info("Order not taken.", "rank", rank, "order", o.GetKind().String(), "result", got.String(),
-			"version", o.GetVersion(), "step", o.GetStep(), "fence", o.GetFence(), "epoch", o.GetEpoch())
-	}
+	s.noteResult(rank, o, got)
 
 	return got
 }
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -26,6 +26,9 @@
 	rankWatch = 200 * time.Millisecond
 	// rankPeer bounds one question to another agent; then its engine is asked itself.
 	rankPeer = 70 * time.Millisecond
+	// directorPeer bounds a question whether the directing agent lives: it may be slow while it
+	// speaks to all ranks of a large group, and must not be taken for gone then.
+	directorPeer = 250 * time.Millisecond
 	// rankStop bounds how long a stopping agent finishes a switch.
 	rankStop = 3 * time.Second
 )
@@ -63,6 +66,10 @@
 	mu    sync.Mutex
 	maps  lockstep.Maps
 	inUse uint64
+	// packed is the map that was packed last, for all ranks that it goes to.
+	packed *packedOrder
+	// helpers are which of its ranks helped last in each part of the group.
+	helpers map[int]int
 }
 
 // Run runs the role until ctx ends.
@@ -171,7 +178,7 @@
 // serveGroup directs the group, or stands by.
 func (a *RankAgent) serveGroup(ctx context.Context, shape lockstep.Shape, r lockstep.Report) {
 	logger := a.Logs.Logger("experts")
-	ranks := lockstep.Ranks{Size: r.Size, Epoch: r.Epoch, Look: a.lookAt(r), Order: a.orderAt(r)}
+	ranks := lockstep.Ranks{Size: r.Size, Epoch: r.Epoch, Look: a.lookAt(r), Order: a.orderAt(r), Spread: a.spreadOver(r)}
 
 	if r.Rank == standbyRank {
 		s := &lockstep.Standby{
@@ -195,7 +202,7 @@
 		return true
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, rankPeer)
+	ctx, cancel := context.WithTimeout(ctx, directorPeer)
 	defer cancel()
 
 	_, err = a.peer(t).Look(ctx, &wire.LookRequest{Cluster: a.Cluster})
--- a/internal/role/rankpeers.go
+++ b/internal/role/rankpeers.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/lockstep"
@@ -71,19 +70,28 @@
 			return lockstep.Look{}, err
 		}
 
-		try, cancel := context.WithTimeout(ctx, rankPeer)
-		defer cancel()
+		return a.lookAtRank(ctx, t, q, others)
+	}
+}
 
-		out, err := a.peer(t).Look(try, &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists, Others: others})
-		if err == nil {
-			return lookFromWire(out), nil
-		}
+// lookAtRank looks at the rank of a target by way of the agent beside it.
+func (a *RankAgent) lookAtRank(ctx context.Context, t directory.Target, q lockstep.Question, others []string) (lockstep.Look, error) {
+	if a.own(t) {
+		return a.look(ctx, q, others)
+	}
 
-		// Its agent may just be starting again. The report alone is cheap from afar.
-		report, err := a.engineOf(t).Report(ctx)
+	try, cancel := context.WithTimeout(ctx, rankPeer)
+	defer cancel()
 
-		return lockstep.Look{Report: report}, err
+	out, err := a.peer(t).Look(try, &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists, Others: others})
+	if err == nil {
+		return lookFromWire(out), nil
 	}
+
+	// Its agent may just be starting again. The report alone is cheap from afar.
+	report, err := a.engineOf(t).Report(ctx)
+
+	return lockstep.Look{Report: report}, err
 }
 
 // neighbours returns the agents whose counts a rank's agent is to add to its own.
@@ -146,8 +154,7 @@
 			return wire.EngineResult_EngineUnknown
 		}
 
-		sent := proto.CloneOf(o)
-		sent.Cluster = a.Cluster
+		sent := orderOf(a.Cluster, o.GetVersion(), o)
 
 		if stopsTheGroup(o) {
 			if got := a.relayed(ctx, t, sent); got != wire.EngineResult_EngineUnknown {
@@ -157,16 +164,21 @@
 			return a.engineOf(t).Order(ctx, o)
 		}
 
-		if rank == group.Rank {
-			return a.Engine.Order(ctx, o)
-		}
+		return a.orderRank(ctx, t, sent)
+	}
+}
 
-		if got := a.byPeer(ctx, t, sent); got != wire.EngineResult_EngineUnknown {
-			return got
-		}
+// orderRank gives an order to the rank of a target by way of the agent beside it.
+func (a *RankAgent) orderRank(ctx context.Context, t directory.Target, o *wire.EngineOrder) wire.EngineResult {
+	if a.own(t) {
+		return a.Engine.Order(ctx, o)
+	}
 
-		return a.engineOf(t).Order(ctx, o)
+	if got := a.byPeer(ctx, t, o); got != wire.EngineResult_EngineUnknown {
+		return got
 	}
+
+	return a.engineOf(t).Order(ctx, o)
 }
 
 // byPeer gives an order by way of the agent beside a target. A map goes as the
@@ -179,26 +191,14 @@
 		return a.send(ctx, t, o)
 	}
 
-	m := lockstep.MapOf(o)
-	o.Map = nil
-
-	a.mu.Lock()
-	a.maps.Put(o.GetVersion(), m)
-	base := a.maps.Get(a.inUse)
-	o.Base = a.inUse
-	a.mu.Unlock()
-
-	if base != nil {
-		o.Changes = base.Changes(m)
-
-		if got := a.send(ctx, t, o); got != wire.EngineResult_EngineNoBase {
+	p := a.pack(o)
+	if p.changes != nil {
+		if got := a.send(ctx, t, p.changes); got != wire.EngineResult_EngineNoBase {
 			return got
 		}
 	}
 
-	o.Base, o.Changes, o.Whole = 0, nil, m.Pack()
-
-	return a.send(ctx, t, o)
+	return a.send(ctx, t, p.whole)
 }
 
 func (a *RankAgent) send(ctx context.Context, t directory.Target, o *wire.EngineOrder) wire.EngineResult {
--- a/internal/role/rankserver.go
+++ b/internal/role/rankserver.go
@@ -67,6 +67,10 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error()) //nolint:wrapcheck // the server looks for its own type
 	}
 
+	return lookToWire(l), nil
+}
+
+func lookToWire(l lockstep.Look) *wire.LookAnswer {
 	out := &wire.LookAnswer{Report: l.Report.ToWire(), Counts: l.Counts, ListsOf: l.ListsOf}
 	for rank, pace := range l.Paces {
 		out.Paces = append(out.Paces, &wire.RankPace{Rank: uint32(rank), Pace: pace})
@@ -76,7 +80,7 @@
 		out.Lists = append(out.Lists, lockstep.SetToWire(set))
 	}
 
-	return out, nil
+	return out
 }
 
 // Order implements wire.RankPeer.
@@ -85,13 +89,11 @@
 		return nil, errOtherCluster
 	}
 
-	a.mu.Lock()
-	ok, err := a.maps.Open(o)
-	a.mu.Unlock()
+	ok, err := a.open(o)
 
 	switch {
 	case err != nil:
-		return nil, twirp.InvalidArgumentError("Map", err.Error())
+		return nil, err
 	case !ok:
 		return &wire.EngineOrderAnswer{Result: wire.EngineResult_EngineNoBase}, nil
 	}
@@ -99,5 +101,19 @@
 	return &wire.EngineOrderAnswer{Result: a.Engine.Order(ctx, o)}, nil
 }
 
+// open unpacks the map of an order. It reports false where that is sent as the changes
+// from a map that this agent does not know.
+func (a *RankAgent) open(o *wire.EngineOrder) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	ok, err := a.maps.Open(o)
+	if err != nil {
+		return false, twirp.InvalidArgumentError("Map", err.Error()) //nolint:wrapcheck // the server looks for its own type
+	}
+
+	return ok, nil
+}
+
 // errOtherCluster refuses what is meant for another deployment.
 var errOtherCluster = twirp.NewError(twirp.FailedPrecondition, "this agent belongs to another cluster")
