Tell counts as what has been added, and leave out late answers of a large group

Cause: counts of chosen experts grow for the whole life of an engine; at 129 ranks and 16 sets of 258 a rank's are 14 KB, twelve sums of eleven ranks went to the director at each look, and a look took 170 ms in place of some 20. One order in ten without an answer cost each round its whole time-out, and that was meant for 129 ranks where thirteen were asked again.

Change: an agent tells what has been added to the counts that the asker holds, by a mark (lockstep.Tallies, Heard); a rank that does not answer is summed as it was heard last; sums have 140 ms. Once three of four answers of a round are in, the rest is waited for twice as long and then left out.

Tried and left: time-outs of looks by how many ranks are asked too.

Tests: counts by additions under losses and restarts, the size of an answer, sums beside a silent rank, late answers left out.

--- a/internal/lockstep/answers.go
+++ b/internal/lockstep/answers.go
@@ -26,8 +26,8 @@
 	// answerMargin is how many mean distances above the mean an answer may take.
 	answerMargin = 4
 	// leastAnswer bounds from below how long an answer is waited for: some times the
-	// longest way within a region. Each rank of the group adds leastPerRank: orders go to
-	// all of them at once, from one VM with a quarter of a processor.
+	// longest way within a region. Each rank that is ordered at once adds leastPerRank: all
+	// of that leaves one VM with a quarter of a processor.
 	leastAnswer  = 25 * time.Millisecond
 	leastPerRank = time.Millisecond
 )
--- a/internal/lockstep/demand.go
+++ b/internal/lockstep/demand.go
@@ -80,12 +80,15 @@
 	// what was counted before to be forgotten at once: a memory of a second would hide a
 	// shift for as long. It is low enough for a large group, whose looks each hold a part
 	// of the choices from before.
-	leastShift = 0.12
+	leastShift = 0.04
 	// shiftFactor is how many times further than usual that must be: requests that come
 	// and go move a part of the choices as well, more in a small group.
 	shiftFactor = 1.7
 	// usualMemory is over how many looks the usual distance is averaged.
 	usualMemory = 20
+	// leastLearnt is how many looks tell what is usual. Until then nothing is, and all that
+	// differs is learnt from.
+	leastLearnt = 4
 )
 
 // shifted reports whether fresh differs from the recent demand far more than by the
@@ -94,7 +97,7 @@
 	distance := c.recent.distance(fresh)
 	far := distance > max(leastShift, shiftFactor*c.usual)
 
-	if !far && distance > 0 {
+	if (!far || c.learnt < leastLearnt) && distance > 0 {
 		c.learnt = min(c.learnt+1, usualMemory)
 		c.usual += (distance - c.usual) / float64(c.learnt)
 	}
--- a/internal/lockstep/orders.go
+++ b/internal/lockstep/orders.go
@@ -107,7 +107,7 @@
 		var g sync.WaitGroup
 
 		for _, rank := range missing {
-			g.Go(func() { results[rank] = s.orderOnce(ctx, rank, order(rank), ranks[rank].tries) })
+			g.Go(func() { results[rank] = s.orderOnce(ctx, rank, order(rank), ranks[rank].tries, len(missing)) })
 		}
 
 		g.Wait()
@@ -138,19 +138,22 @@
 	o := order(ranks[0])
 	began := time.Now()
 
-	ctx, cancel := context.WithTimeout(ctx, s.answers.timeout(o.GetKind(), s.Ranks.Size, s.mostTime(o), 0))
+	ctx, cancel := context.WithTimeout(ctx, s.spread.timeout(o.GetKind(), len(ranks), s.mostTime(o, len(ranks)), 0))
 	defer cancel()
 
 	out := s.Ranks.Spread(ctx, ranks, Errand{Order: order})
-	known := true
+	known := 0
 
 	for i, told := range out {
-		known = known && told.Result != wire.EngineResult_EngineUnknown
+		if told.Result != wire.EngineResult_EngineUnknown {
+			known++
+		}
+
 		s.noteResult(ranks[i], order(ranks[i]), told.Result)
 	}
 
-	if known {
-		s.answers.learn(o.GetKind(), time.Since(began))
+	if known > len(ranks)/2 {
+		s.spread.learn(o.GetKind(), time.Since(began))
 	}
 
 	return out
@@ -180,7 +183,7 @@
 	got := wire.EngineResult_EngineUnknown
 
 	for try := range tries {
-		got = s.orderOnce(ctx, rank, o, try)
+		got = s.orderOnce(ctx, rank, o, try, s.Ranks.Size)
 		if got != wire.EngineResult_EngineUnknown || ctx.Err() != nil {
 			break
 		}
@@ -189,11 +192,12 @@
 	return got
 }
 
-// orderOnce gives an order that got no answer so many times before.
-func (s *Switcher) orderOnce(ctx context.Context, rank int, o *wire.EngineOrder, unanswered int) wire.EngineResult {
+// orderOnce gives an order that got no answer so many times before. Its answer is waited for
+// as if so many ranks were ordered at once.
+func (s *Switcher) orderOnce(ctx context.Context, rank int, o *wire.EngineOrder, unanswered, atOnce int) wire.EngineResult {
 	began := time.Now()
 
-	one, cancel := context.WithTimeout(ctx, s.answers.timeout(o.GetKind(), s.Ranks.Size, s.mostTime(o), unanswered))
+	one, cancel := context.WithTimeout(ctx, s.answers.timeout(o.GetKind(), atOnce, s.mostTime(o, atOnce), unanswered))
 	defer cancel()
 
 	got := s.Ranks.Order(one, rank, o)
@@ -207,12 +211,12 @@
 	return got
 }
 
-// mostTime bounds the wait for the answer to o.
-func (s *Switcher) mostTime(o *wire.EngineOrder) time.Duration {
+// mostTime bounds the wait for the answer to o, which goes to so many ranks at once.
+func (s *Switcher) mostTime(o *wire.EngineOrder, atOnce int) time.Duration {
 	if o.GetKind() != wire.EngineOrderKind_EngineOrderPrepare {
-		return s.Settings.askTimeout(s.Ranks.Size)
+		return s.Settings.askTimeout(atOnce)
 	}
 
-	// The whole group's maps share the directing VM's link.
-	return s.Settings.OrderTimeout + time.Duration(s.Ranks.Size)*s.Settings.MapTime
+	// The maps share the directing VM's link.
+	return s.Settings.OrderTimeout + time.Duration(atOnce)*s.Settings.MapTime
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -38,9 +38,12 @@
 	commits spread.Spread
 	// looks is how long a look at a rank takes, unseen how many looks in a row most ranks
 	// did not answer in time.
-	looks   spread.Spread
-	unseen  int
+	looks  spread.Spread
+	unseen int
+	// answers is how soon single ranks answer orders, spread how soon those that are
+	// brought to many of them are answered.
 	answers answers
+	spread  answers
 	// fenced is set once an engine refused a fencing number as too low.
 	fenced atomic.Bool
 }
--- /dev/null
+++ b/internal/lockstep/tallies_test.go
@@ -0,0 +1,87 @@
+package lockstep_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Answers with counts are lost, agents start anew, and two askers hold different ones.
+// Guards against counts that an asker adds to others than they were told for.
+func TestCountsToldAsAdditionsAreTheCounts(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		var told lockstep.Tallies
+
+		counts := make([]uint64, 5)
+		heard := make([]lockstep.Heard, 2)
+
+		for range 40 {
+			for i := range counts {
+				counts[i] += uint64(rapid.IntRange(0, 9).Draw(t, "more"))
+			}
+
+			if rapid.IntRange(0, 20).Draw(t, "engine starts anew") == 0 {
+				counts = make([]uint64, 5)
+			}
+
+			if rapid.IntRange(0, 20).Draw(t, "agent starts anew") == 0 {
+				told = lockstep.Tallies{Mark: told.Mark + 1000}
+			}
+
+			h := &heard[rapid.IntRange(0, 1).Draw(t, "asker")]
+
+			var out wire.LookAnswer
+
+			told.Tell(&out, "0", counts, h.Mark)
+
+			if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				continue
+			}
+
+			if h.Take(&out) {
+				require.Equal(t, counts, h.Counts)
+			}
+		}
+	})
+}
+
+// The counts of a rank of a large group after a minute, told each tenth of a second.
+// Guards against looks that fill the link of the agent that adds them up.
+func TestCountsTravelShort(t *testing.T) {
+	t.Parallel()
+
+	const numbers = 16 * 258
+
+	var (
+		told lockstep.Tallies
+		h    lockstep.Heard
+		size int
+	)
+
+	counts := make([]uint64, numbers)
+
+	for look := range 3 {
+		for i := range counts {
+			counts[i] += uint64(20 + i%60)
+			if look == 0 {
+				counts[i] += 30_000
+			}
+		}
+
+		var out wire.LookAnswer
+
+		told.Tell(&out, "0", counts, h.Mark)
+		require.True(t, h.Take(&out))
+
+		size = proto.Size(&out)
+	}
+
+	require.Less(t, size, numbers+100, "bytes; a count is a byte")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,8 +49,10 @@
 	configured chan struct{}
 	configure  sync.Once
 
-	// changing lets one change after the other be taken in.
+	// changing lets one change after the other be taken in, and guards dueAt, when the last
+	// one is to be taken in again.
 	changing  sync.Mutex
+	dueAt     time.Time
 	parts     parts
 	queue     *queue
 	counters  counters
@@ -127,9 +129,11 @@
 	r.queue.change(services, targets)
 	r.configure.Do(func() { close(r.configured) })
 
-	if !dueAt.IsZero() {
+	if !dueAt.IsZero() && !dueAt.Equal(r.dueAt) {
 		time.AfterFunc(dueAt.Sub(now), func() { r.Change(r.State()) })
 	}
+
+	r.dueAt = dueAt
 }
 
 // Uses reports whether this entry sends requests to the engines of a VM.
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -26,6 +26,8 @@
 	rankWatch = 200 * time.Millisecond
 	// rankPeer bounds one question to another agent; then its engine is asked itself.
 	rankPeer = 70 * time.Millisecond
+	// rankSum bounds a question to one that asks others before it answers.
+	rankSum = 2 * rankPeer
 	// directorPeer bounds a question whether the directing agent lives: it may be slow while it
 	// speaks to all ranks of a large group, and must not be taken for gone then.
 	directorPeer = 250 * time.Millisecond
@@ -68,6 +70,9 @@
 	inUse uint64
 	// packed is the map that was packed last, for all ranks that it goes to.
 	packed *packedOrder
+	// told are counts as they were told to other agents, heard what they told of theirs.
+	told  lockstep.Tallies
+	heard map[string]*lockstep.Heard
 	// helpers are which of its ranks helped last in each part of the group.
 	helpers map[int]int
 }
@@ -82,6 +87,8 @@
 		return RankState{Report: r, Error: errorText(err)}
 	})
 	a.peers = newFollowClient()
+	a.told.Mark = uint64(time.Now().UnixMicro())
+	a.heard = make(map[string]*lockstep.Heard)
 
 	mux := http.NewServeMux()
 	mux.Handle(wire.RankPeerPathPrefix, wire.NewRankPeerServer(a))
@@ -177,6 +184,8 @@
 
 // serveGroup directs the group, or stands by.
 func (a *RankAgent) serveGroup(ctx context.Context, shape lockstep.Shape, r lockstep.Report) {
+	a.forgetCounts()
+
 	logger := a.Logs.Logger("experts")
 	ranks := lockstep.Ranks{Size: r.Size, Epoch: r.Epoch, Look: a.lookAt(r), Order: a.orderAt(r), Spread: a.spreadOver(r)}
 
--- a/internal/role/rankpeers.go
+++ b/internal/role/rankpeers.go
@@ -5,9 +5,6 @@
 	"errors"
 	"net/netip"
 
-	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
-
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 	"github.com/parsleygate/parsleygate/internal/view"
@@ -80,11 +77,25 @@
 		return a.look(ctx, q, others)
 	}
 
-	try, cancel := context.WithTimeout(ctx, rankPeer)
+	within := rankPeer
+	if len(others) > 0 {
+		within = rankSum
+	}
+
+	try, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 
-	out, err := a.peer(t).Look(try, &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists, Others: others})
-	if err == nil {
+	r := &wire.LookRequest{Cluster: a.Cluster, Counts: q.Counts, Lists: q.Lists, Others: others}
+
+	if q.Counts {
+		out, counts, err := a.askCounts(try, a.peerAddress(t), r)
+		if err == nil {
+			l := lookFromWire(out)
+			l.Counts = counts
+
+			return l, nil
+		}
+	} else if out, err := a.peer(t).Look(try, r); err == nil {
 		return lookFromWire(out), nil
 	}
 
@@ -107,46 +118,6 @@
 	return out
 }
 
-// addCounts adds other agents' counts to l, and their paces. Where one does not answer
-// there are none: a sum over fewer ranks would look as if counts had fallen.
-func (a *RankAgent) addCounts(ctx context.Context, l *lockstep.Look, others []string) error {
-	answers := make([]*wire.LookAnswer, len(others))
-
-	g, ctx := errgroup.WithContext(ctx)
-	for i, at := range others {
-		g.Go(func() error {
-			var err error
-
-			answers[i], err = wire.NewRankPeerProtobufClient("http://"+at, a.peers).Look(ctx, &wire.LookRequest{Cluster: a.Cluster, Counts: true})
-
-			return eris.Wrap(err, "add counts")
-		})
-	}
-
-	if err := g.Wait(); err != nil {
-		return eris.Wrap(err, "add counts")
-	}
-
-	l.Paces = make(map[int]float64, len(answers))
-
-	for _, answer := range answers {
-		if len(answer.GetCounts()) != len(l.Counts) {
-			return errCounts
-		}
-
-		for i, n := range answer.GetCounts() {
-			l.Counts[i] += n
-		}
-
-		l.Paces[int(answer.GetReport().GetRank())] = answer.GetReport().GetPace()
-	}
-
-	return nil
-}
-
-// errCounts says that two ranks count different experts.
-var errCounts = errors.New("role: ranks of a group count different experts")
-
 func (a *RankAgent) orderAt(group lockstep.Report) func(context.Context, int, *wire.EngineOrder) wire.EngineResult {
 	return func(ctx context.Context, rank int, o *wire.EngineOrder) wire.EngineResult {
 		t, err := a.target(group, rank)
--- a/internal/role/rankserver.go
+++ b/internal/role/rankserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/twitchtv/twirp"
 
@@ -67,7 +68,15 @@
 		return nil, twirp.NewError(twirp.Unavailable, err.Error()) //nolint:wrapcheck // the server looks for its own type
 	}
 
-	return lookToWire(l), nil
+	out := lookToWire(l)
+
+	if r.GetCounts() {
+		a.mu.Lock()
+		a.told.Tell(out, strings.Join(r.GetOthers(), ","), l.Counts, r.GetKnown())
+		a.mu.Unlock()
+	}
+
+	return out, nil
 }
 
 func lookToWire(l lockstep.Look) *wire.LookAnswer {
--- a/internal/role/spread.go
+++ b/internal/role/spread.go
@@ -5,7 +5,7 @@
 	"errors"
 	"math"
 	"net/netip"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,58 +28,57 @@
 func (a *RankAgent) spreadOver(group lockstep.Report) func(context.Context, []int, lockstep.Errand) []lockstep.Told {
 	return func(ctx context.Context, ranks []int, e lockstep.Errand) []lockstep.Told {
 		targets, _ := a.ranks(a.follower.State(), group)
-		out := make([]lockstep.Told, len(ranks))
 		size := int(math.Ceil(math.Sqrt(float64(len(ranks)))))
+		parts := slices.Collect(slices.Chunk(ranks, size))
 
-		var g sync.WaitGroup
+		told := mostOf(ctx, len(parts), func(ctx context.Context, i int) map[int]lockstep.Told {
+			return a.spreadPart(ctx, targets, parts[i], e)
+		})
 
-		for first := 0; first < len(ranks); first += size {
-			part := ranks[first:min(first+size, len(ranks))]
-			told := out[first : first+len(part)]
+		out := make([]lockstep.Told, len(ranks))
 
-			g.Go(func() { a.spreadPart(ctx, targets, part, e, told) })
-		}
+		for i, rank := range ranks {
+			got, ok := told[i/size][rank]
+			if !ok {
+				got.Err = errNotTold
+			}
 
-		g.Wait()
+			out[i] = got
+		}
 
 		return out
 	}
 }
 
-// spreadPart brings an errand to a part of the ranks, and fills in what became of it.
-func (a *RankAgent) spreadPart(ctx context.Context, targets map[int]directory.Target, part []int, e lockstep.Errand, told []lockstep.Told) {
-	for i := range told {
-		told[i].Err = errNotTold
-	}
-
+// spreadPart brings an errand to a part of the ranks, and returns what became of it.
+func (a *RankAgent) spreadPart(ctx context.Context, targets map[int]directory.Target, part []int, e lockstep.Errand) map[int]lockstep.Told {
 	r, order := a.request(ctx, targets, part, e)
 	if len(r.GetMembers()) == 0 {
-		return
+		return nil
 	}
 
-	helper := a.helper(part, len(r.GetMembers()))
-	member := r.GetMembers()[helper]
+	member := r.GetMembers()[a.helper(part, len(r.GetMembers()))]
 
 	answer, err := a.askHelper(ctx, targets[int(member.GetRank())], r, order)
 	if err != nil {
 		a.nextHelper(part)
+		a.logger.Debug("An agent brought nothing to its part of the ranks.", "rank", member.GetRank(), "error", err)
 
-		return
+		return nil
 	}
 
-	for _, got := range answer.GetResults() {
-		for i, rank := range part {
-			if rank != int(got.GetRank()) {
-				continue
-			}
-
-			told[i].Result = got.GetResult()
+	out := make(map[int]lockstep.Told, len(part))
 
-			if got.GetLook() != nil {
-				told[i].Look, told[i].Err = lookFromWire(got.GetLook()), nil
-			}
+	for _, got := range answer.GetResults() {
+		told := lockstep.Told{Result: got.GetResult(), Err: errNotTold}
+		if got.GetLook() != nil {
+			told.Look, told.Err = lookFromWire(got.GetLook()), nil
 		}
+
+		out[int(got.GetRank())] = told
 	}
+
+	return out
 }
 
 // request returns an errand as it goes to a helping agent, and its order with the whole map.
@@ -177,17 +176,10 @@
 
 	defer cancel()
 
-	results := make([]*wire.SpreadResult, len(r.GetMembers()))
-
-	var g sync.WaitGroup
-
-	for i, m := range r.GetMembers() {
-		g.Go(func() { results[i] = a.bring(ctx, r, m) })
-	}
-
-	g.Wait()
+	members := r.GetMembers()
+	results := mostOf(ctx, len(members), func(ctx context.Context, i int) *wire.SpreadResult { return a.bring(ctx, r, members[i]) })
 
-	return &wire.SpreadAnswer{Results: results}, nil
+	return &wire.SpreadAnswer{Results: slices.DeleteFunc(results, func(r *wire.SpreadResult) bool { return r == nil })}, nil
 }
 
 // bring brings an errand to one rank.
--- /dev/null
+++ b/internal/role/spread_test.go
@@ -0,0 +1,224 @@
+package role
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/lockstep"
+	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/loopback"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// rankStub is an agent beside a rank whose engine a test plays.
+type rankStub struct {
+	*RankAgent
+
+	mu     sync.Mutex
+	orders []*wire.EngineOrder
+	counts []uint64
+}
+
+// newRankStubs starts agents that answer each other. All listen at one port, each at a
+// loopback address of its own, as on VMs of their own.
+func newRankStubs(t *testing.T, n int) []*rankStub {
+	t.Helper()
+
+	var out []*rankStub
+
+	address, err := loopback.Address()
+	require.NoError(t, err)
+
+	for rank := range n {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:%d", rank/200+1, rank%200+1, address.Port()))
+		require.NoError(t, err)
+
+		s := &rankStub{counts: []uint64{uint64(rank + 1), 10}}
+		s.RankAgent = &RankAgent{Cluster: "trust", Listener: listener, Engine: lockstep.Engine{
+			Report: func(context.Context) (lockstep.Report, error) {
+				return lockstep.Report{Rank: rank, Epoch: 1, Open: true, Armed: s.last().GetVersion()}, nil
+			},
+			Counts: func(context.Context) ([]uint64, error) { return append([]uint64(nil), s.counts...), nil },
+			Order:  s.take,
+		}}
+		s.EngineAt = func(netip.AddrPort) lockstep.Engine {
+			return lockstep.Engine{
+				Report: func(context.Context) (lockstep.Report, error) { return lockstep.Report{}, errNotTold },
+				Order:  func(context.Context, *wire.EngineOrder) wire.EngineResult { return wire.EngineResult_EngineUnknown },
+			}
+		}
+		s.logger = logs.Discard()
+		s.engines.at = s.EngineAt
+		s.peers = newFollowClient()
+		s.heard = make(map[string]*lockstep.Heard)
+
+		mux := http.NewServeMux()
+		mux.Handle(wire.RankPeerPathPrefix, wire.NewRankPeerServer(s))
+
+		web := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+		go func() { _ = web.Serve(listener) }()
+
+		t.Cleanup(func() { _ = web.Close(); s.peers.CloseIdleConnections() })
+
+		out = append(out, s)
+	}
+
+	return out
+}
+
+func (s *rankStub) take(_ context.Context, o *wire.EngineOrder) wire.EngineResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.orders = append(s.orders, o)
+
+	return wire.EngineResult_EngineDone
+}
+
+func (s *rankStub) last() *wire.EngineOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if len(s.orders) == 0 {
+		return nil
+	}
+
+	return s.orders[len(s.orders)-1]
+}
+
+func (s *rankStub) target() directory.Target {
+	return directory.Target{Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
+}
+
+func members(stubs []*rankStub) []*wire.SpreadMember {
+	var out []*wire.SpreadMember
+
+	for rank, s := range stubs {
+		at := s.Listener.Addr().String()
+		out = append(out, &wire.SpreadMember{Rank: uint32(rank), Agent: at, Engine: at, Version: uint64(7 + rank)})
+	}
+
+	return out
+}
+
+// An order goes to ranks by way of the agent of one of them. Guards against a rank that is
+// left out or gets another's version, and against a look from before the order.
+func TestErrandReachesEachRank(t *testing.T) {
+	t.Parallel()
+
+	stubs := newRankStubs(t, 5)
+	order := &wire.EngineOrder{Kind: wire.EngineOrderKind_EngineOrderDisarm, Epoch: 1, Fence: 9, Cluster: "trust"}
+
+	answer, err := stubs[2].Spread(t.Context(), &wire.SpreadRequest{Cluster: "trust", Order: order, Members: members(stubs), LeftMillis: 10_000})
+	require.NoError(t, err)
+	require.Len(t, answer.GetResults(), 5)
+
+	for _, got := range answer.GetResults() {
+		require.Equal(t, wire.EngineResult_EngineDone, got.GetResult())
+		require.Equal(t, uint64(7+got.GetRank()), got.GetLook().GetReport().GetArmed(), "seen after the order")
+	}
+
+	for rank, s := range stubs {
+		require.Len(t, s.orders, 1)
+		require.Equal(t, uint64(7+rank), s.orders[0].GetVersion())
+	}
+}
+
+// A map goes to ranks whose agents do not know the one it is told as changes of. Guards
+// against a rank that never gets it.
+func TestMapReachesEachRank(t *testing.T) {
+	t.Parallel()
+
+	stubs := newRankStubs(t, 4)
+	first := lockstep.First(2, 8, 4)
+	next := first.Clone()
+	next[0][0], next[0][1] = next[0][1], next[0][0]
+
+	director := stubs[0]
+	director.maps.Put(3, first)
+	director.inUse = 3
+
+	order := &wire.EngineOrder{Kind: wire.EngineOrderKind_EngineOrderPrepare, Epoch: 1, Fence: 9, Version: 4}
+	lockstep.SetMap(order, next)
+
+	r := &wire.SpreadRequest{Cluster: "trust", Members: members(stubs), LeftMillis: 10_000}
+	for _, m := range r.GetMembers() {
+		m.Version = 4
+	}
+
+	p := director.pack(order)
+
+	r.Order = p.changes
+	answer, err := stubs[1].peer(stubs[1].target()).Spread(t.Context(), r)
+	require.NoError(t, err)
+	require.True(t, answer.GetNoBase(), "it does not know map 3")
+
+	r.Order = p.whole
+	answer, err = director.peer(stubs[1].target()).Spread(t.Context(), r)
+	require.NoError(t, err)
+	require.Len(t, answer.GetResults(), 4)
+
+	for _, s := range stubs {
+		require.Equal(t, next, lockstep.MapOf(s.last()))
+	}
+}
+
+// The counts of ranks are added up by one agent again and again, while another one does not
+// answer. Guards against sums that fall, or that count additions twice.
+func TestCountsAreAddedUp(t *testing.T) {
+	t.Parallel()
+
+	stubs := newRankStubs(t, 3)
+	at := func(i int) string { return stubs[i].Listener.Addr().String() }
+	ask := func() []uint64 {
+		_, counts, err := stubs[0].askCounts(t.Context(), at(1), &wire.LookRequest{Cluster: "trust", Counts: true, Others: []string{at(2)}})
+		require.NoError(t, err)
+
+		return counts
+	}
+
+	require.Equal(t, []uint64{2 + 3, 20}, ask())
+
+	stubs[1].counts = []uint64{12, 15}
+	require.Equal(t, []uint64{12 + 3, 25}, ask())
+	require.NoError(t, stubs[2].Listener.Close())
+	stubs[2].Engine.Report = func(context.Context) (lockstep.Report, error) { return lockstep.Report{}, errNotTold }
+
+	stubs[1].counts = []uint64{14, 15}
+	require.Equal(t, []uint64{14 + 3, 25}, ask(), "what it told last stands")
+}
+
+// One answer in ten is lost. Guards against a round that takes its whole time for it.
+func TestLateAnswersAreLeftOut(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+
+		began := time.Now()
+		got := mostOf(ctx, 10, func(ctx context.Context, i int) int {
+			if i == 4 {
+				<-ctx.Done()
+
+				return 0
+			}
+
+			time.Sleep(time.Duration(i) * time.Millisecond)
+
+			return i
+		})
+
+		require.Equal(t, []int{0, 1, 2, 3, 0, 5, 6, 7, 8, 9}, got)
+		require.Less(t, time.Since(began), 50*time.Millisecond)
+	})
+}
