--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -362,3 +363,39 @@
 		require.Error(t, err)
 	})
 }
+
+// All VMs lose power, and the first entry to ask is answered before the others have. Guards
+// against an entry that takes itself for the only one, and a whole limit for its own.
+func TestEntriesCountAgainAfterARestart(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var kept atomic.Pointer[[]byte]
+
+		follow := func(s *control.Server, id string, hash uint64) *wire.FollowResponse {
+			out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: id, Zone: "z" + id, RosterHash: hash})
+			require.NoError(t, err)
+
+			return out
+		}
+
+		first := newPublishing()
+		first.SavedTargets = func() ([]byte, error) { return nil, errors.New("none") }
+		first.SaveTargets = func(data []byte) error { kept.Store(&data); return nil }
+		runPublishing(t, first)
+		follow(first, "e1", 0)
+		follow(first, "e2", 0)
+
+		told := follow(first, "e3", 0)
+		require.Len(t, told.GetRoster(), 3)
+		require.Equal(t, "ze1", told.GetRoster()[0].GetZone())
+		require.Empty(t, follow(first, "e3", told.GetRosterHash()).GetRoster(), "it has not changed")
+		time.Sleep(2 * time.Second)
+
+		second := newPublishing()
+		second.SavedTargets = func() ([]byte, error) { return *kept.Load(), nil }
+		runPublishing(t, second)
+		require.Len(t, follow(second, "e2", 0).GetRoster(), 3)
+		time.Sleep(5 * time.Second)
+		require.Len(t, follow(second, "e2", 0).GetRoster(), 1, "those that do not ask count no longer")
+	})
+}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -440,6 +440,7 @@
 	for other := range f.lost {
 		if _, ok := f.rosters[other]; ok {
 			delete(f.rosters, other)
+			delete(f.counts, other)
 
 			changed = true
 		}
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -273,3 +274,43 @@
 		})
 	}
 }
+
+// Two control VMs know some entries each, and one of them is lost for good. Guards against an
+// entry that counts too few of the others, and against one that counts lost ones for ever.
+func TestRosterIsWhatAnyControlVMTells(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		roster := func(ids ...string) []*wire.RosterEntry {
+			var out []*wire.RosterEntry
+			for _, id := range ids {
+				out = append(out, &wire.RosterEntry{ID: id, Zone: "z"})
+			}
+
+			return out
+		}
+		p := &publishers{answers: map[netip.AddrPort]*wire.FollowResponse{}, silent: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{DirectoryBoot: 1, Roster: roster("a", "b"), RosterHash: 12})
+		p.set(controlTwo, &wire.FollowResponse{DirectoryBoot: 2, Roster: roster("b", "c"), RosterHash: 23})
+
+		f, stop := follow(t, p, controlOne, controlTwo)
+		defer stop()
+
+		ids := func() string {
+			var out []string
+			for _, e := range f.State().Roster {
+				out = append(out, e.ID)
+			}
+
+			return strings.Join(out, " ")
+		}
+
+		time.Sleep(time.Second)
+		require.Equal(t, "a b c", ids())
+		require.Equal(t, 3, f.State().Entries)
+		p.set(controlOne, nil)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "a b c", ids(), "it may be back soon")
+		time.Sleep(20 * time.Second)
+		require.Equal(t, "b c", ids())
+	})
+}
