--- a/internal/lockstep/tallies.go
+++ b/internal/lockstep/tallies.go
@@ -6,9 +6,9 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// Tallies keeps counts as they were, so that an asker is told what has been added since it
-// asked before. Counts grow for the whole life of an engine, and those of a large group
-// filled the links of the agents that add them up. One goroutine at a time uses it.
+// Tallies keeps counts as they were told, so that later ones can be told as what has been
+// added: counts grow for the whole life of an engine, and those of a large group filled the
+// links of the agents that add them up. One goroutine at a time uses it.
 type Tallies struct {
 	// Mark is the last one that was given. It is set before the first call to a number
 	// above those of all earlier lives, whose counts an asker may still hold.
@@ -28,14 +28,11 @@
 // successor, and one that adds them up, with some whose answer was lost.
 const mostTallies = 6
 
-// Tell puts what has been added to the counts of some ranks into an answer, since those with
-// the mark known. Who knows none is told the mark only: whole counts would be too long for
-// the time that an answer has, and were asked for again and again.
+// Tell puts counts of some ranks into an answer to who holds those with the mark known.
 func (t *Tallies) Tell(out *wire.LookAnswer, ranks string, counts []uint64, known uint64) {
 	t.Mark++
 	out.Mark = t.Mark
-	out.Numbers = uint32(len(counts))
-	out.Counts = nil
+	out.Counts = counts
 
 	for _, base := range t.told {
 		if base.mark != known || base.ranks != ranks {
@@ -74,28 +71,23 @@
 	return out, true
 }
 
-// Heard is what an asker has been told of counts by one agent, all additions together. It
-// never falls, also where an engine starts anew. The zero value has heard nothing.
+// Heard is the counts that an asker holds of what one agent told. The zero value holds none.
 type Heard struct {
 	Mark   uint64
 	Counts []uint64
 }
 
-// Take takes in an answer, and reports whether it goes on from the last one.
+// Take takes in an answer, and reports whether the counts are known with it.
 func (h *Heard) Take(a *wire.LookAnswer) bool {
-	numbers := int(a.GetNumbers())
-
 	switch {
 	case a.GetBase() == 0:
-		if len(h.Counts) != numbers {
-			h.Counts = make([]uint64, numbers)
-		}
+		h.Counts = slices.Clone(a.GetCounts())
 	case a.GetBase() != h.Mark || len(a.GetCounts()) != len(h.Counts):
 		return false
-	}
-
-	for i, n := range a.GetCounts() {
-		h.Counts[i] += n
+	default:
+		for i, n := range a.GetCounts() {
+			h.Counts[i] += n
+		}
 	}
 
 	h.Mark = a.GetMark()
--- a/internal/role/counts.go
+++ b/internal/role/counts.go
@@ -44,26 +44,7 @@
 		return nil, nil, errCounts
 	}
 
-	counts := slices.Clone(h.Counts)
-	for i := range counts {
-		counts[i] *= ranksOf(r)
-	}
-
-	return out, counts, nil
-}
-
-// ranksOf returns how many ranks a question for counts is about. Their mean is told, which
-// is as short as the counts of one.
-func ranksOf(r *wire.LookRequest) uint64 { return uint64(1 + len(r.GetOthers())) }
-
-// meanCounts returns the mean of counts that were added up for a question.
-func meanCounts(r *wire.LookRequest, counts []uint64) []uint64 {
-	out := make([]uint64, len(counts))
-	for i, n := range counts {
-		out[i] = n / ranksOf(r)
-	}
-
-	return out
+	return out, slices.Clone(h.Counts), nil
 }
 
 // forgetCounts forgets what agents told of the group that was directed before.
@@ -88,10 +69,7 @@
 
 	for i, at := range others {
 		g.Go(func() {
-			one, cancel := context.WithTimeout(ctx, rankPeer)
-			defer cancel()
-
-			out, counts, err := a.askCounts(one, at, &wire.LookRequest{Cluster: a.Cluster, Counts: true})
+			out, counts, err := a.askCounts(ctx, at, &wire.LookRequest{Cluster: a.Cluster, Counts: true})
 			if err != nil {
 				a.logger.Debug("Counts not heard.", "agent", at, "error", err)
 
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -27,7 +27,7 @@
 	// rankPeer bounds one question to another agent; then its engine is asked itself.
 	rankPeer = 70 * time.Millisecond
 	// rankSum bounds a question to one that asks others before it answers.
-	rankSum = 3 * rankPeer
+	rankSum = 2 * rankPeer
 	// directorPeer bounds a question whether the directing agent lives: it may be slow while it
 	// speaks to all ranks of a large group, and must not be taken for gone then.
 	directorPeer = 250 * time.Millisecond
--- a/internal/role/rankserver.go
+++ b/internal/role/rankserver.go
@@ -72,7 +72,7 @@
 
 	if r.GetCounts() {
 		a.mu.Lock()
-		a.told.Tell(out, strings.Join(r.GetOthers(), ","), meanCounts(r, l.Counts), r.GetKnown())
+		a.told.Tell(out, strings.Join(r.GetOthers(), ","), l.Counts, r.GetKnown())
 		a.mu.Unlock()
 	}
 
--- a/internal/role/spread_test.go
+++ b/internal/role/spread_test.go
@@ -43,7 +43,7 @@
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.%d.%d:%d", rank/200+1, rank%200+1, address.Port()))
 		require.NoError(t, err)
 
-		s := &rankStub{counts: []uint64{2 * uint64(rank+1), 10}}
+		s := &rankStub{counts: []uint64{uint64(rank + 1), 10}}
 		s.RankAgent = &RankAgent{Cluster: "trust", Listener: listener, Engine: lockstep.Engine{
 			Report: func(context.Context) (lockstep.Report, error) {
 				return lockstep.Report{Rank: rank, Epoch: 1, Open: true, Armed: s.last().GetVersion()}, nil
@@ -187,18 +187,15 @@
 		return counts
 	}
 
-	require.Equal(t, []uint64{0, 0}, ask(), "nothing has been added yet")
+	require.Equal(t, []uint64{2 + 3, 20}, ask())
 
-	stubs[1].counts, stubs[2].counts = []uint64{14, 20}, []uint64{26, 10}
-	require.Equal(t, []uint64{10 + 20, 10}, ask())
-
-	stubs[1].counts = []uint64{24, 26}
-	require.Equal(t, []uint64{20 + 20, 16}, ask())
+	stubs[1].counts = []uint64{12, 15}
+	require.Equal(t, []uint64{12 + 3, 25}, ask())
 	require.NoError(t, stubs[2].Listener.Close())
 	stubs[2].Engine.Report = func(context.Context) (lockstep.Report, error) { return lockstep.Report{}, errNotTold }
 
-	stubs[1].counts = []uint64{28, 26}
-	require.Equal(t, []uint64{24 + 20, 16}, ask(), "what it told last stands")
+	stubs[1].counts = []uint64{14, 15}
+	require.Equal(t, []uint64{14 + 3, 25}, ask(), "what it told last stands")
 }
 
 // One answer in ten is lost. Guards against a round that takes its whole time for it.
