--- a/internal/shares/share.go
+++ b/internal/shares/share.go
@@ -16,7 +16,7 @@
 	Of    int
 }
 
-// turn is how long an entry has a unit at least, of a limit that has fewer units than entries.
+// turn is how long an entry has a unit at least, where there are fewer units than entries.
 const turn = 10 * time.Second
 
 // Units returns how many whole units of total this entry has at now. What does not divide
--- a/internal/view/tables.go
+++ b/internal/view/tables.go
@@ -25,7 +25,8 @@
 	fetchUntil time.Time
 }
 
-// may reports whether a control VM that has a later table may be asked for it now.
+// may reports whether a control VM that has a later table may be asked for it now. The first
+// call after the last table begins the time that is left to the own zone.
 func (t *tables) may(now time.Time, control netip.AddrPort) bool {
 	if t.heardAt.IsZero() {
 		t.heardAt = now
