--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -74,6 +74,12 @@
 		Cluster: "trust", ID: "e", Seeds: func() []netip.AddrPort { return seeds }, Ask: p.ask,
 		OnChange: func(*view.Followed) {},
 	}
+	return f, start(t, f)
+}
+
+// start runs a follower until the function that it returns is called.
+func start(t *testing.T, f *view.Follower) (stop func()) {
+	t.Helper()
 	f.Init()
 
 	ctx, cancel := context.WithCancel(t.Context())
@@ -85,7 +91,7 @@
 		_ = f.Run(ctx)
 	}()
 
-	return f, func() {
+	return func() {
 		cancel()
 		<-done
 	}
@@ -203,8 +209,8 @@
 				sent := map[netip.AddrPort]int{}
 				own := netip.MustParseAddrPort("10.0.0.9:1")
 				lastSent := uint64(0)
-				start := time.Now()
-				number := func() uint64 { return 1 + uint64(time.Since(start)/(3*time.Second)) }
+				began := time.Now()
+				number := func() uint64 { return 1 + uint64(time.Since(began)/(3*time.Second)) }
 
 				for i := range 9 {
 					seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(1 + i)}), 1))
@@ -243,20 +249,10 @@
 					Cluster: "trust", ID: "e", Zone: "z", Seeds: func() []netip.AddrPort { return seeds }, Ask: ask,
 					OnChange: func(*view.Followed) {},
 				}
-				f.Init()
-
-				ctx, cancel := context.WithCancel(t.Context())
-				done := make(chan struct{})
-
-				go func() {
-					defer close(done)
-
-					_ = f.Run(ctx)
-				}()
+				stop := start(t, f)
 
 				time.Sleep(31 * time.Second)
-				cancel()
-				<-done
+				stop()
 
 				total := 0
 				for _, n := range sent {
