Tell in one place when subsets are to be worked out again, and tidy the change

Read once more, behaviour kept but for redundant work: - Both doors set a timer for the end of the pause between two workings-out. The door of targets without agents had learnt not to set one at each change; the other one still did, so that all went off at once. The keeper tells each moment once now, to both (TestDueIsToldOnce). - The lock around that keeper stood within another one that every caller holds. - A lost control VM stayed in the follower's list, which was looked through at each answer; an entry of a control VM that is no longer wanted stayed for good. - The roster was worked out for a directory that is never saved. - The name of counts was put together in two places.

--- a/internal/control/recall.go
+++ b/internal/control/recall.go
@@ -13,10 +13,14 @@
 // keep saves the directory of targets where it changed. What a loss of power takes,
 // the targets say again within a beat.
 func (s *Server) keep(a *announcements) {
+	if s.SaveTargets == nil {
+		return
+	}
+
 	now := time.Now()
 	entries := a.following(now)
 
-	if s.SaveTargets == nil || a.heard.Revision() == a.kept && entries.hash == a.keptRoster {
+	if a.heard.Revision() == a.kept && entries.hash == a.keptRoster {
 		return
 	}
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,10 +49,8 @@
 	configured chan struct{}
 	configure  sync.Once
 
-	// changing lets one change after the other be taken in, and guards dueAt, when the last
-	// one is to be taken in again.
+	// changing lets one change after the other be taken in, and guards the keeper of parts.
 	changing  sync.Mutex
-	dueAt     time.Time
 	parts     parts
 	queue     *queue
 	counters  counters
@@ -92,6 +90,7 @@
 
 	r.configured = make(chan struct{})
 	r.parts.self = shares.Place{ID: r.ID, Zone: r.Zone}
+	r.parts.keeper.Degree = shares.Degree
 	r.latencies = newLatencies()
 	r.served.PerSecond = servedLines
 	r.queue = &queue{
@@ -117,7 +116,7 @@
 	}
 
 	now := time.Now()
-	mine, dueAt := r.parts.change(now, f)
+	mine := r.parts.change(now, f)
 	targets := make([]dispatch.Target, 0, len(mine))
 
 	for i := range f.Targets {
@@ -129,11 +128,9 @@
 	r.queue.change(services, targets)
 	r.configure.Do(func() { close(r.configured) })
 
-	if !dueAt.IsZero() && !dueAt.Equal(r.dueAt) {
-		time.AfterFunc(dueAt.Sub(now), func() { r.Change(r.State()) })
+	if wait, due := r.parts.keeper.Due(now); due {
+		time.AfterFunc(wait, func() { r.Change(r.State()) })
 	}
-
-	r.dueAt = dueAt
 }
 
 // Uses reports whether this entry sends requests to the engines of a VM.
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,30 +11,20 @@
 	"github.com/parsleygate/parsleygate/internal/view"
 )
 
-// parts works out this entry's part of what entries hold together. Its fields are set
-// before use.
+// parts works out this entry's part of what entries hold together.
 type parts struct {
-	self shares.Place
-
-	// mu guards the keeper.
-	mu     sync.Mutex
+	self   shares.Place
 	keeper shares.Keeper
 	// budgets are the parts of the retry budget, by service.
 	budgets atomic.Pointer[map[string]shares.Share]
 }
 
 // change takes in the entries and targets as they are now, and returns those targets that
-// this entry uses, by ID. dueAt is when to ask again; zero for never.
-func (p *parts) change(now time.Time, f *view.Followed) (mine map[string]shares.Share, dueAt time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	p.keeper.Degree = shares.Degree
-	p.keeper.DueAt = time.Time{}
-
+// this entry uses, by ID. One goroutine at a time calls it.
+func (p *parts) change(now time.Time, f *view.Followed) map[string]shares.Share {
 	entries := p.entries(f)
 	budgets := make(map[string]shares.Share, len(f.Table.Services))
-	mine = make(map[string]shares.Share, len(f.Targets))
+	mine := make(map[string]shares.Share, len(f.Targets))
 
 	for _, s := range f.Table.Services {
 		budgets[s.Name] = shares.Of(p.self, entries, s.Name)
@@ -50,7 +39,7 @@
 
 	p.budgets.Store(&budgets)
 
-	return mine, p.keeper.DueAt
+	return mine
 }
 
 // entries lists the entries that share, and stand-ins for those that are counted and not
--- a/internal/role/counts.go
+++ b/internal/role/counts.go
@@ -13,13 +13,16 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// errCounts says that an agent told counts that fit no others here.
+// errCounts says that what an agent told does not give the counts of all ranks asked about.
 var errCounts = errors.New("role: counts of a rank are not known yet")
 
+// countsKey names the counts of the engine beside an agent with those of others added.
+func countsKey(at string, others []string) string { return at + "+" + strings.Join(others, ",") }
+
 // askCounts asks another agent for its engine's counts, to which those of others are added
 // there. What the two hold in common is not sent again.
 func (a *RankAgent) askCounts(ctx context.Context, at string, r *wire.LookRequest) (*wire.LookAnswer, []uint64, error) {
-	key := at + "+" + strings.Join(r.GetOthers(), ",")
+	key := countsKey(at, r.GetOthers())
 
 	a.mu.Lock()
 	h := a.heard[key]
@@ -106,7 +109,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if h := a.heard[at+"+"]; h != nil {
+	if h := a.heard[countsKey(at, nil)]; h != nil {
 		return slices.Clone(h.Counts)
 	}
 
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -176,11 +176,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.keeper.DueAt = time.Time{}
 	chooser.ChangeTargets(r.targetsOf(r.reader.Snapshot()))
 
-	if !r.keeper.DueAt.IsZero() {
-		time.AfterFunc(time.Until(r.keeper.DueAt), func() { r.changeTargets(chooser) })
+	if wait, due := r.keeper.Due(time.Now()); due {
+		time.AfterFunc(wait, func() { r.changeTargets(chooser) })
 	}
 }
 
--- a/internal/shares/keeper.go
+++ b/internal/shares/keeper.go
@@ -30,10 +30,22 @@
 	// Degree returns how many targets of a service an entry uses, out of so many.
 	Degree func(entries, targets int) int
 	// DueAt is when a former answer that stood in for a new one is to be replaced; zero
-	// for never. Who asks sets it back.
+	// for never. Due sets it back.
 	DueAt time.Time
 
 	services map[string]*kept
+	// toldAt is the last DueAt that Due told.
+	toldAt time.Time
+}
+
+// Due reports how long it is until Of is to be asked again for all services, once for each
+// such moment: a zone that returns brings many changes before it.
+func (k *Keeper) Due(now time.Time) (wait time.Duration, due bool) {
+	due = !k.DueAt.IsZero() && !k.DueAt.Equal(k.toldAt)
+	wait = k.DueAt.Sub(now)
+	k.toldAt, k.DueAt = k.DueAt, time.Time{}
+
+	return wait, due
 }
 
 // kept is what was worked out last for one service, and from what.
--- a/internal/shares/keeper_test.go
+++ b/internal/shares/keeper_test.go
@@ -46,3 +46,33 @@
 	require.Len(t, k.Of(now, "desk", self, entries, manyPlaces("d", 2)), 2)
 	require.Len(t, k.Of(now, "desk", self, entries, manyPlaces("d", 3)), 3)
 }
+
+// A zone returns and brings many changes within the pause. Guards against a timer for each
+// of them, which all go off at once and work the same out again.
+func TestDueIsToldOnce(t *testing.T) {
+	t.Parallel()
+
+	k := shares.Keeper{Degree: func(int, int) int { return 30 }}
+	now := time.Unix(1000, 0)
+	ask := func(at time.Time, targets int) (time.Duration, bool) {
+		k.Of(at, "assist", shares.Place{ID: "e0", Zone: "z0"}, manyPlaces("e", 4), manyPlaces("t", targets))
+
+		return k.Due(at)
+	}
+
+	_, due := ask(now, 60)
+	require.False(t, due, "the answer is new")
+
+	wait, due := ask(now.Add(100*time.Millisecond), 61)
+	require.True(t, due)
+	require.Equal(t, 900*time.Millisecond, wait)
+
+	_, due = ask(now.Add(200*time.Millisecond), 62)
+	require.False(t, due, "told already")
+
+	_, due = ask(now.Add(time.Second), 62)
+	require.False(t, due, "the answer is new")
+
+	_, due = ask(now.Add(1100*time.Millisecond), 63)
+	require.True(t, due)
+}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -73,7 +73,7 @@
 	counts   map[netip.AddrPort]uint32
 	rosters  map[netip.AddrPort][]shares.Place // by who told
 	answered map[netip.AddrPort]bool
-	lost     map[netip.AddrPort]bool // that have not answered for long
+	lost     map[netip.AddrPort]bool // whose word on entries is to be dropped
 	tables   tables
 	running  map[netip.AddrPort]context.CancelFunc
 	done     sync.WaitGroup
@@ -164,6 +164,7 @@
 			delete(f.running, a)
 			delete(f.counts, a)
 			delete(f.rosters, a)
+			delete(f.lost, a)
 			delete(f.tables.zones, a)
 			delete(f.members, a)
 		}
@@ -435,15 +436,12 @@
 func (f *Follower) takeRoster(control netip.AddrPort, out *wire.FollowResponse, k *known) bool {
 	delete(f.lost, control)
 
-	changed := false
+	changed := len(f.lost) > 0
 
 	for other := range f.lost {
-		if _, ok := f.rosters[other]; ok {
-			delete(f.rosters, other)
-			delete(f.counts, other)
-
-			changed = true
-		}
+		delete(f.rosters, other)
+		delete(f.counts, other)
+		delete(f.lost, other)
 	}
 
 	if out.GetRosterHash() == k.roster {
