Cut a control VM off from its quorum in a test without a race

The test is older code; the product is not at fault, its fields are set before Run. What Read does is switched by an atomic now, set before Run; the test also holds that the document is read before the cut. 0 of 3,000, and 0 of 3,000 beside ten busy processes.

--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -41,11 +41,17 @@
 	}
 }
 
-func runPublishing(t *testing.T, s *control.Server) *control.MemoryLog {
+// runPublishing runs s over a log in memory until the test ends, after edits of it.
+func runPublishing(t *testing.T, s *control.Server, edits ...func(*control.Server)) *control.MemoryLog {
 	t.Helper()
 
 	log := &control.MemoryLog{}
 	s.Propose, s.Read = log.Propose, log.Read
+
+	for _, edit := range edits {
+		edit(s)
+	}
+
 	s.Init()
 	log.Apply = s.Apply
 
@@ -101,11 +107,26 @@
 func TestDocumentIsNotReadWithoutAQuorum(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := publishing(t)
+		var cut atomic.Bool
+
+		s := newPublishing()
+		runPublishing(t, s, func(s *control.Server) {
+			read := s.Read
+			s.Read = func(ctx context.Context) (time.Time, uint64, error) {
+				if cut.Load() {
+					return time.Time{}, 0, errors.New("no quorum")
+				}
+
+				return read(ctx)
+			}
+		})
 		require.NoError(t, s.Adopt(t.Context(), 1, []byte("desk first")))
 
-		s.Read = func(context.Context) (time.Time, uint64, error) { return time.Time{}, 0, errors.New("no quorum") }
 		_, err := s.Document(t.Context())
+		require.NoError(t, err)
+		cut.Store(true)
+
+		_, err = s.Document(t.Context())
 		require.Error(t, err)
 	})
 }
