Wake entries for changed targets only, and not too often

Cause: each control VM published every target again at intervals, also without a change, and each time answered the held polls of all entries.

Change: a target that is published again unchanged goes out with the next answer. Changes wake the followers of a control VM at most once a millisecond per follower, so a control VM answers at most a thousand polls a second because of changes, at any number of entries.

TestLargeDirectoryIsQuiet and its neighbour counted publications by the result of Announce, which now says whether entries need it at once; they count revisions instead, with the same bounds, and check the result too.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -35,6 +35,10 @@
 	// saved last.
 	savedRevision   uint64
 	savedRosterHash uint64
+	// notified is the revision of the last change of which waiting followers were notified,
+	// at notifiedAt.
+	notified   uint64
+	notifiedAt time.Time
 
 	roster        roster
 	rosterExpires time.Time
@@ -140,28 +144,46 @@
 		return &UndeclaredError{Kind: "service", Name: t.Service}
 	}
 
-	return s.updateTargets(ctx, func(targets *targetTracker) bool { return targets.registry.Announce(time.Now(), t) })
+	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Announce(time.Now(), t) })
 }
 
 // Leave records that a target has ended.
 func (s *Server) Leave(ctx context.Context, id string) error {
-	return s.updateTargets(ctx, func(targets *targetTracker) bool {
-		targets.registry.Leave(time.Now(), id)
+	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Leave(time.Now(), id) })
+}
 
-		return true
-	})
+// notifySpacing is the time per follower between two notifications about targets. All
+// followers poll again after each one, so it bounds the answers per second of this VM.
+const notifySpacing = time.Millisecond
+
+// notifyDue reports whether followers must be notified of changed targets, and how long that
+// has to wait.
+func (t *targetTracker) notifyDue(now time.Time) (wait time.Duration, due bool) {
+	if t.registry.Changed() <= t.notified {
+		return 0, false
+	}
+
+	next := t.notifiedAt.Add(time.Duration(len(t.followers)) * notifySpacing)
+
+	return next.Sub(now), true
 }
 
-// updateTargets runs change on the goroutine of runTrackers, and wakes the waiting
-// followers if change returns true.
-func (s *Server) updateTargets(ctx context.Context, change func(*targetTracker) bool) error {
-	return s.withTargets(ctx, func(targets *targetTracker) {
-		if change(targets) {
-			s.targetsChanged.notify()
-		}
-	})
+// notifyFollowers notifies the followers of changed targets, or resets retry to when it must
+// be called again.
+func (s *Server) notifyFollowers(now time.Time, targets *targetTracker, retry *time.Timer) {
+	wait, due := targets.notifyDue(now)
+
+	switch {
+	case !due:
+	case wait > 0:
+		retry.Reset(wait)
+	default:
+		targets.notified, targets.notifiedAt = targets.registry.Changed(), now
+		s.targetsChanged.notify()
+	}
 }
 
+// withTargets runs do on the goroutine of runTrackers.
 func (s *Server) withTargets(ctx context.Context, do func(*targetTracker)) error {
 	done := make(chan struct{})
 
@@ -179,7 +201,7 @@
 }
 
 // Follow answers an entry that proxies directly to its targets. It answers immediately if the
-// entry lacks something, otherwise at the next change or at the end of the requested wait.
+// entry lacks a change, otherwise at the next change or at the end of the requested wait.
 func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowResponse, error) {
 	if r.GetCluster() != s.Cluster {
 		return nil, newRPCError(twirp.FailedPrecondition, "this control VM belongs to another cluster")
@@ -188,13 +210,13 @@
 	timer := time.NewTimer(min(time.Duration(r.GetWaitMillis())*time.Millisecond, s.Settings.MaxPollWait))
 	defer timer.Stop()
 
-	for {
+	for ended := false; ; {
 		// Both channels are read before the answer is built, so a change during or after
 		// that ends the wait.
 		p, targetsChanged := s.published.Load(), s.targetsChanged.changed()
 
 		out, changed, err := s.answerFollower(ctx, p, r)
-		if err != nil || changed {
+		if err != nil || changed || ended {
 			return out, err
 		}
 
@@ -202,14 +224,14 @@
 		case <-p.superseded:
 		case <-targetsChanged:
 		case <-timer.C:
-			return out, nil
+			ended = true // Answer with the targets that were published meanwhile.
 		case <-ctx.Done():
 			return nil, newRPCError(twirp.Canceled, "the question ended early")
 		}
 	}
 }
 
-// answerFollower returns what the entry lacks, and whether it lacks anything.
+// answerFollower returns what the entry lacks, and whether it needs that now.
 func (s *Server) answerFollower(ctx context.Context, p *publishedState, r *wire.FollowRequest) (*wire.FollowResponse, bool, error) {
 	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.directoryBoot, Controls: s.controlAddresses(), Zone: s.Zone}
 	changed := p.stateIndex > r.GetKnownIndex() || r.GetWaitMillis() == 0
@@ -241,7 +263,7 @@
 		out.DirectoryRevision = targets.registry.Revision()
 		targets.currentRoster(now).addTo(out, r.GetRosterHash())
 		out.Relays = targets.relayAddresses()
-		changed = changed || out.Full || out.DirectoryRevision > knownRevision
+		changed = changed || out.Full || targets.notified > knownRevision
 	})
 	if err != nil {
 		// The goroutine of runTrackers may still write to out, so out must not be returned.
--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -37,8 +37,10 @@
 
 	commitSlot := make(chan struct{}, 1)
 	batch := time.NewTicker(s.Settings.ReportBatchInterval)
+	notify := time.NewTimer(0)
 
 	defer batch.Stop()
+	defer notify.Stop()
 
 	for {
 		select {
@@ -47,21 +49,21 @@
 		case e := <-s.events:
 			if e.targetQuery != nil {
 				e.targetQuery(targets)
+				s.notifyFollowers(time.Now(), targets, notify)
 
 				continue
 			}
 
 			polls.updateDirectory(s.published.Load().records)
 			handleEvent(polls, e)
+		case <-notify.C:
+			s.notifyFollowers(time.Now(), targets, notify)
 		case <-batch.C:
 			polls.updateDirectory(s.published.Load().records)
 			s.recordSelf(polls)
 			polls.dropOldRecords(time.Now())
-
-			if targets.registry.Tick(time.Now()) {
-				s.targetsChanged.notify()
-			}
-
+			targets.registry.Tick(time.Now())
+			s.notifyFollowers(time.Now(), targets, notify)
 			s.saveIfChanged(targets)
 
 			s.startCommit(ctx, polls, commitSlot)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -160,7 +160,11 @@
 	published := 0
 
 	for i := range 100 {
-		if r.Announce(begin.Add(time.Duration(i)*100*time.Millisecond), newTarget("i1", 5, uint64(i), nil)) {
+		before := r.Revision()
+		neededNow := r.Announce(begin.Add(time.Duration(i)*100*time.Millisecond), newTarget("i1", 5, uint64(i), nil))
+		require.Equal(t, i == 0, neededNow, "only the first announcement says anything new")
+
+		if r.Revision() > before {
 			published++
 		}
 	}
@@ -182,7 +186,10 @@
 	for second := range seconds {
 		for i := range targets {
 			target := newTarget(fmt.Sprintf("i%03d", i), 5, uint64(second+1), withAddress(fmt.Sprintf("10.0.%d.%d:80", i/200, i%200+1)))
-			if w.registry.Announce(begin.Add(time.Duration(second)*time.Second), target) {
+			before := w.registry.Revision()
+			require.Equal(t, second == 0, w.registry.Announce(begin.Add(time.Duration(second)*time.Second), target))
+
+			if w.registry.Revision() > before {
 				published++
 			}
 		}
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -33,6 +33,8 @@
 
 	targets  map[string]*registeredTarget
 	revision uint64
+	// changed is the revision of the last change that entries need at once.
+	changed uint64
 }
 
 type registeredTarget struct {
@@ -45,8 +47,9 @@
 	revision      uint64
 }
 
-// Announce records an announcement and reports whether it is published to entries. An
-// announcement older than the recorded one is ignored.
+// Announce records an announcement and reports whether entries need it now. An announcement
+// older than the recorded one is ignored. One that only repeats what entries know is published
+// with the next answer to each of them.
 func (r *Registry) Announce(now time.Time, t Target) bool {
 	r.init()
 
@@ -67,7 +70,11 @@
 
 	r.removePreviousHolders(now, &t)
 
-	if known != nil && known.State != Unresponsive && !r.mustRepublish(now, known) && equivalent(&known.Target, &t, coldTolerance) {
+	// If announcements are missing, another control VM may have received them.
+	unchanged := known != nil && known.State != Unresponsive && equivalent(&known.Target, &t, coldTolerance) &&
+		now.Sub(known.lastAnnounced) < r.AnnounceTimeout/2
+
+	if unchanged && !r.republishDue(now, known) {
 		cold := known.ColdUntil
 		known.Target = t
 		known.ColdUntil = cold
@@ -79,15 +86,18 @@
 	r.revision++
 	r.targets[t.ID] = &registeredTarget{Target: t, lastAnnounced: now, published: now, revision: r.revision}
 
-	return true
+	if !unchanged {
+		r.changed = r.revision
+	}
+
+	return !unchanged
 }
 
-// mustRepublish reports whether an unchanged target is published again: after a while, or if
-// announcements are missing, which another control VM may have received.
-func (r *Registry) mustRepublish(now time.Time, known *registeredTarget) bool {
+// republishDue reports whether an unchanged target is published again.
+func (r *Registry) republishDue(now time.Time, known *registeredTarget) bool {
 	interval := max(minRepublishInterval, time.Duration(len(r.targets))*republishSpacing)
 
-	return now.Sub(known.published) >= interval || now.Sub(known.lastAnnounced) >= r.AnnounceTimeout/2
+	return now.Sub(known.published) >= interval
 }
 
 // Restore adds a target, possibly a removed one, that was saved before this control VM
@@ -96,6 +106,7 @@
 	r.init()
 
 	r.revision++
+	r.changed = r.revision
 	r.targets[t.ID] = &registeredTarget{Target: t, lastAnnounced: now, published: now, revision: r.revision}
 }
 
@@ -152,17 +163,25 @@
 
 func (r *Registry) setState(lastAnnounced time.Time, t *registeredTarget, s State) {
 	r.revision++
+	r.changed = r.revision
 	t.State = s
 	t.revision = r.revision
 	t.lastAnnounced = lastAnnounced
 }
 
-// Revision returns the current revision. It increases with each change that entries need.
+// Revision returns the current revision. It increases with each target that is published.
 func (r *Registry) Revision() uint64 { return r.revision }
 
+// Changed returns the revision of the last change that entries need at once.
+func (r *Registry) Changed() uint64 { return r.changed }
+
 // ChangedSince returns the targets that changed after revision, in the order of their
 // changes.
 func (r *Registry) ChangedSince(revision uint64) []Target {
+	if revision >= r.revision {
+		return nil
+	}
+
 	var changed []*registeredTarget
 
 	for _, t := range r.targets {
