Tell entries what changed in the roster, not the whole of it

Cause: the roster of entries went whole to each of them, from each control VM, whenever one entry left or joined: bytes in proportion to entries times entries times control VMs. At 289 entries and 97 control VMs one change was some 200 MB (reckoned: 289 x 97 x 7 KB), on the VMs that also serve callers. Each answer also listed and sorted the relay addresses of all followers.

Change: a control VM keeps the last 64 changes of its roster and sends what changed since the one that the follower names; others, and processes of earlier builds, get the whole. Entries count who reports each entry, so that a change costs what it changes, and the same news from a second control VM is no new state.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -204,3 +204,26 @@
 	require.LessOrEqual(t, messagesAtTwice, 1.1*messages)
 	require.LessOrEqual(t, bytesAtTwice, 2.2*bytes)
 }
+
+// Guards against control VMs that send the whole roster to each entry when one entry leaves
+// or joins: planned stops of a tenth of the entries then cost bytes in proportion to the
+// square of the entries.
+func TestEntriesThatRestartCostWhatChanged(t *testing.T) {
+	t.Parallel()
+
+	restartTenth := func(f *fleet, interval int) {
+		tenth := len(f.entries) / 10
+		for _, e := range f.entries[interval*tenth:][:tenth] {
+			e.leaving.Store(true)
+			f.run(fleetAnnounceInterval / 10)
+			e.stop()
+			f.start(e)
+		}
+	}
+	_, quiet := measureFleet(t, smallFleet, nil)
+	_, bytes := measureFleet(t, smallFleet, restartTenth)
+	_, quietAtTwice := measureFleet(t, smallFleet.twice(), nil)
+	_, bytesAtTwice := measureFleet(t, smallFleet.twice(), restartTenth)
+
+	require.LessOrEqual(t, bytesAtTwice-quietAtTwice, 2.2*(bytes-quiet))
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
 	"github.com/parsleygate/parsleygate/internal/directory"
@@ -58,80 +56,13 @@
 
 // recordFollower records a request of a follower.
 func (t *targetTracker) recordFollower(id string, f follower) {
-	if known, ok := t.followers[id]; !ok || known.leaving != f.leaving || known.zone != f.zone {
+	if known, ok := t.followers[id]; !ok || known.leaving != f.leaving || known.zone != f.zone || known.relay != f.relay {
 		t.rosterExpires = time.Time{}
 	}
 
 	t.followers[id] = f
 }
 
-// rosterTTL is how long a roster is used before followers are checked for timeouts again.
-const rosterTTL = 200 * time.Millisecond
-
-// currentRoster returns the active followers that are not leaving, by ID. The result is
-// cached for rosterTTL, as each follower of a large deployment requests it several times a
-// second.
-func (t *targetTracker) currentRoster(now time.Time) *roster {
-	if now.Before(t.rosterExpires) {
-		return &t.roster
-	}
-
-	t.roster = roster{}
-	t.rosterExpires = now.Add(rosterTTL)
-	hash := xxhash.New()
-
-	for _, id := range slices.Sorted(maps.Keys(t.followers)) {
-		f := t.followers[id]
-
-		switch {
-		case now.Sub(f.lastRequest) > followerTimeout:
-			delete(t.followers, id)
-		case !f.leaving:
-			t.roster.entries = append(t.roster.entries, &wire.RosterEntry{ID: id, Zone: f.zone})
-			_, _ = hash.WriteString(id + "\x00" + f.zone + "\x00")
-		}
-	}
-
-	t.roster.hash = hash.Sum64()
-
-	return &t.roster
-}
-
-// roster holds the entries that share the targets, and a hash of them.
-type roster struct {
-	entries []*wire.RosterEntry
-	hash    uint64
-}
-
-// addTo adds the roster to out, unless the receiver already has the roster with that hash.
-func (r *roster) addTo(out *wire.FollowResponse, knownHash uint64) {
-	out.Entries = uint32(len(r.entries))
-	out.RosterHash = r.hash
-
-	if r.hash != knownHash {
-		out.Roster = r.entries
-	}
-}
-
-// maxRelays bounds the relay addresses in an answer; a director needs one or two.
-const maxRelays = 8
-
-// relayAddresses returns the addresses at which some of the followers relay orders to
-// engines. Followers that are leaving are left out.
-func (t *targetTracker) relayAddresses() []string {
-	var out []string
-
-	for _, f := range t.followers {
-		if f.relay != "" && !f.leaving {
-			out = append(out, f.relay)
-		}
-	}
-
-	slices.Sort(out)
-
-	return out[:min(len(out), maxRelays)]
-}
-
 // Announce records a target's announcement. If its zone or service is not declared, it
 // returns an *UndeclaredError: the announcement comes from a foreign sender, and if it were
 // recorded it could take over the address of an existing target.
@@ -261,8 +192,7 @@
 		}
 
 		out.DirectoryRevision = targets.registry.Revision()
-		targets.currentRoster(now).addTo(out, r.GetRosterHash())
-		out.Relays = targets.relayAddresses()
+		targets.currentRoster(now).addTo(out, r)
 		changed = changed || out.Full || targets.notified > knownRevision
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/control/roster_test.go
@@ -0,0 +1,54 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Guards against changes that are sent to a follower that cannot apply them: one of an earlier
+// build, or one that missed more changes than are kept.
+func TestRosterChangesAreSentOnlyToThoseThatCanApplyThem(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := startDocumentServer(t)
+		follow := func(r *wire.FollowRequest) *wire.FollowResponse {
+			r.Cluster = "trust"
+			out, err := s.Follow(t.Context(), r)
+			require.NoError(t, err)
+
+			return out
+		}
+
+		first := follow(&wire.FollowRequest{ID: "e0", RosterChanges: true})
+		require.False(t, first.GetRosterPartial())
+		require.Len(t, first.GetRoster(), 1)
+
+		follow(&wire.FollowRequest{ID: "e1"})
+		follow(&wire.FollowRequest{ID: "e2"})
+		follow(&wire.FollowRequest{ID: "e1", Leaving: true})
+
+		changes := follow(&wire.FollowRequest{ID: "e0", RosterHash: first.GetRosterHash(), RosterChanges: true})
+		require.True(t, changes.GetRosterPartial())
+		require.Len(t, changes.GetRoster(), 1)
+		require.Equal(t, "e2", changes.GetRoster()[0].GetID())
+		require.Equal(t, []string{"e1"}, changes.GetRosterGone())
+		require.Equal(t, uint32(2), changes.GetEntries())
+
+		earlierBuild := follow(&wire.FollowRequest{ID: "e0", RosterHash: first.GetRosterHash()})
+		require.False(t, earlierBuild.GetRosterPartial())
+		require.Len(t, earlierBuild.GetRoster(), 2)
+
+		for i := range 100 {
+			follow(&wire.FollowRequest{ID: fmt.Sprint("n", i)})
+		}
+
+		late := follow(&wire.FollowRequest{ID: "e0", RosterHash: first.GetRosterHash(), RosterChanges: true})
+		require.False(t, late.GetRosterPartial())
+		require.Len(t, late.GetRoster(), 102)
+	})
+}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +72,7 @@
 	current         atomic.Pointer[ClusterState]
 	membersBySource map[netip.AddrPort][]netip.AddrPort // by the control VM that reported them
 	entryCounts     map[netip.AddrPort]uint32
-	rostersBySource map[netip.AddrPort][]shares.Node // by the control VM that reported them
+	rosters         mergedRoster
 	answered        map[netip.AddrPort]bool
 	unreachable     map[netip.AddrPort]bool // whose rosters and counts are dropped at the next answer of another
 	tableFetch      tableFetch
@@ -116,7 +114,6 @@
 
 	f.membersBySource = make(map[netip.AddrPort][]netip.AddrPort)
 	f.entryCounts = make(map[netip.AddrPort]uint32)
-	f.rostersBySource = make(map[netip.AddrPort][]shares.Node)
 	f.answered = make(map[netip.AddrPort]bool)
 	f.unreachable = make(map[netip.AddrPort]bool)
 	f.tableFetch = tableFetch{localZone: f.Zone, zones: make(map[netip.AddrPort]string)}
@@ -166,7 +163,7 @@
 			stop()
 			delete(f.cancels, a)
 			delete(f.entryCounts, a)
-			delete(f.rostersBySource, a)
+			f.rosters.drop(a)
 			delete(f.unreachable, a)
 			delete(f.tableFetch.zones, a)
 			delete(f.membersBySource, a)
@@ -238,7 +235,7 @@
 	r := &wire.FollowRequest{
 		Cluster: f.Cluster, ID: f.ID, Zone: f.Zone, KnownIndex: s.Index, KnownNumber: s.Number,
 		DirectoryBoot: c.directoryBoot, DirectoryRevision: c.directoryRevision, Leaving: f.Stopping != nil && f.Stopping(),
-		ServicesOnly: f.ServicesOnly, RosterHash: c.rosterHash,
+		ServicesOnly: f.ServicesOnly, RosterHash: c.rosterHash, RosterChanges: true,
 	}
 
 	if f.Relay.IsValid() {
@@ -309,8 +306,10 @@
 	f.entryCounts[control] = out.GetEntries()
 	f.tableFetch.zones[control] = out.GetZone()
 
-	if f.setRoster(control, out, c) {
-		next.Roster = f.mergedRoster()
+	f.setRoster(control, out, c)
+
+	if f.rosters.changed {
+		next.Roster = f.rosters.nodes()
 		changed = true
 	}
 
@@ -436,21 +435,19 @@
 	return int(n)
 }
 
-// setRoster stores the entries that a control VM reported, and reports whether the
-// merged roster may have changed.
-func (f *Follower) setRoster(control netip.AddrPort, out *wire.FollowResponse, c *controlState) bool {
+// setRoster stores the entries that a control VM reported. Those of unreachable control VMs
+// are dropped.
+func (f *Follower) setRoster(control netip.AddrPort, out *wire.FollowResponse, c *controlState) {
 	delete(f.unreachable, control)
 
-	changed := len(f.unreachable) > 0
-
 	for other := range f.unreachable {
-		delete(f.rostersBySource, other)
+		f.rosters.drop(other)
 		delete(f.entryCounts, other)
 		delete(f.unreachable, other)
 	}
 
 	if out.GetRosterHash() == c.rosterHash {
-		return changed
+		return
 	}
 
 	nodes := make([]shares.Node, 0, len(out.GetRoster()))
@@ -458,20 +455,9 @@
 		nodes = append(nodes, shares.Node{ID: e.GetID(), Zone: e.GetZone()})
 	}
 
-	f.rostersBySource[control] = nodes
-
-	return true
-}
-
-// mergedRoster returns the entries that any control VM reported, sorted by ID.
-func (f *Follower) mergedRoster() []shares.Node {
-	all := make(map[string]shares.Node)
-
-	for _, nodes := range f.rostersBySource {
-		for _, p := range nodes {
-			all[p.ID] = p
-		}
+	if out.GetRosterPartial() {
+		f.rosters.change(control, nodes, out.GetRosterGone())
+	} else {
+		f.rosters.replace(control, nodes)
 	}
-
-	return slices.SortedFunc(maps.Values(all), func(a, b shares.Node) int { return strings.Compare(a.ID, b.ID) })
 }
