Bound the polls that an entry sends, at any number of control VMs

Cause: an entry polls every control VM, each 0.6 s: 1.67 polls a second and control VM, 160 a second where 97 VMs run control.

Change: an entry sends ten polls a second at rest in all, so each control VM holds them for 0.1 s per control VM, at least 0.6 s and at most 2 s. All control VMs report the same state and most changes reach an entry by several of them; an unresponsive connection to one of ten is noticed after 1.4 s instead of 1.0 s.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -205,6 +205,17 @@
 	require.LessOrEqual(t, bytesAtTwice, 2.2*bytes)
 }
 
+// Guards against polls that grow with the number of control VMs: an entry that asked each of
+// 97 of them every 0.6 s sent 160 polls a second.
+func TestPollsOfAnEntryDoNotGrowWithControlVMs(t *testing.T) {
+	t.Parallel()
+
+	messages, _ := measureFleet(t, smallFleet, nil)
+	messagesAtTwice, _ := measureFleet(t, fleetSize{controls: 2 * smallFleet.controls, entries: smallFleet.entries, targets: smallFleet.targets}, nil)
+
+	require.LessOrEqual(t, messagesAtTwice, 1.1*messages)
+}
+
 // Guards against control VMs that send the whole roster to each entry when one entry leaves
 // or joins: planned stops of a tenth of the entries then cost bytes in proportion to the
 // square of the entries.
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -82,11 +82,15 @@
 
 // FollowerSettings holds the intervals of a follower.
 type FollowerSettings struct {
-	// MaxPollWait is how long a control VM may hold a poll, and AnswerTimeout how long
+	// MinPollWait is how long a control VM may hold a poll, and AnswerTimeout how long
 	// the answer may take beyond that. Their sum bounds how long an unresponsive
 	// connection delays updates.
-	MaxPollWait   time.Duration
+	MinPollWait   time.Duration
 	AnswerTimeout time.Duration
+	// PollSpacing is the mean time between two polls while nothing changes. Where there are
+	// many control VMs, each holds its polls longer, up to MaxPollWait.
+	PollSpacing time.Duration
+	MaxPollWait time.Duration
 	// RetryDelay is the delay after a failed poll.
 	RetryDelay time.Duration
 	// RefreshInterval is the interval at which the list of control VMs is recomputed.
@@ -94,10 +98,12 @@
 }
 
 // DefaultFollowerSettings returns intervals with which a lost connection is detected
-// within a second, at a cost of 1.5 polls per second and control VM.
+// within a second, at a cost of ten polls per second. With more than six control VMs it takes
+// longer, but another one reports the same changes.
 func DefaultFollowerSettings() FollowerSettings {
 	return FollowerSettings{
-		MaxPollWait: 600 * time.Millisecond, AnswerTimeout: 400 * time.Millisecond,
+		MinPollWait: 600 * time.Millisecond, AnswerTimeout: 400 * time.Millisecond,
+		PollSpacing: 100 * time.Millisecond, MaxPollWait: 2 * time.Second,
 		RetryDelay: 150 * time.Millisecond, RefreshInterval: 500 * time.Millisecond,
 	}
 }
@@ -182,6 +188,13 @@
 	}
 }
 
+// pollWait returns how long a control VM may hold a poll. The caller holds mu.
+func (f *Follower) pollWait() time.Duration {
+	wait := time.Duration(len(f.cancels)) * f.Settings.PollSpacing
+
+	return min(max(wait, f.Settings.MinPollWait), f.Settings.MaxPollWait)
+}
+
 // unreachableAfterFailures is the number of consecutive failed polls after which the
 // entries that a control VM reported no longer count, once another control VM answers.
 const unreachableAfterFailures = 40
@@ -249,7 +262,7 @@
 		r.WaitMillis = uint64(wait.Milliseconds())
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, f.Settings.MaxPollWait+f.Settings.AnswerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(wait, f.Settings.MinPollWait)+f.Settings.AnswerTimeout)
 	defer cancel()
 
 	out, err := f.Poll(ctx, control, r)
--- a/internal/view/table_fetch.go
+++ b/internal/view/table_fetch.go
@@ -59,8 +59,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	wait := f.pollWait()
 	if number <= f.current.Load().Number {
-		return false, f.Settings.MaxPollWait
+		return false, wait
 	}
 
 	now := time.Now()
@@ -68,9 +69,9 @@
 		return false, deferredPollWait
 	}
 
-	f.tableFetch.source, f.tableFetch.deadline = control, now.Add(f.Settings.MaxPollWait+f.Settings.AnswerTimeout)
+	f.tableFetch.source, f.tableFetch.deadline = control, now.Add(wait+f.Settings.AnswerTimeout)
 
-	return true, f.Settings.MaxPollWait
+	return true, wait
 }
 
 // endTableFetch records that a poll that requested the table was answered or failed.
