Bound the processor time that subsets take at any size

Cause: subsets were worked out at most once a second, at a cost that grows with the pairs of entries and targets.

Targets that drain or fail are left out at once, as before. Keys of targets are kept between updates.

--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,8 @@
 type entryShares struct {
 	self    shares.Node
 	subsets shares.SubsetCache
+	// keys holds the results of addressKey for the targets of the last update.
+	keys map[netip.AddrPort]string
 	// budgets holds the shares of the retry budgets, by service.
 	budgets atomic.Pointer[map[string]shares.Share]
 }
@@ -24,21 +27,25 @@
 func (e *entryShares) update(now time.Time, f *view.ClusterState) map[string]shares.Share {
 	entries := e.entries(f)
 	budgets := make(map[string]shares.Share, len(f.Table.Services))
-	targetShares := make(map[string]shares.Share, len(f.Targets))
+	serviceShares := make(map[string]map[string]shares.Share, len(f.Table.Services))
+	assignable := e.assignableTargets(f)
 
 	for _, s := range f.Table.Services {
 		budgets[s.Name] = shares.ForLimit(e.self, entries, s.Name)
-		serviceShares := e.subsets.Targets(now, s.Name, e.self, entries, assignableTargets(f, s.Name))
-
-		for i := range f.Targets {
-			if share, ok := serviceShares[addressKey(&f.Targets[i])]; ok && f.Targets[i].Service == s.Name {
-				targetShares[f.Targets[i].ID] = share
-			}
-		}
+		serviceShares[s.Name] = e.subsets.Targets(now, s.Name, e.self, entries, assignable[s.Name])
 	}
 
 	e.budgets.Store(&budgets)
 
+	targetShares := make(map[string]shares.Share)
+
+	for i := range f.Targets {
+		t := &f.Targets[i]
+		if share, ok := serviceShares[t.Service][e.keys[t.Address]]; ok {
+			targetShares[t.ID] = share
+		}
+	}
+
 	return targetShares
 }
 
@@ -66,16 +73,28 @@
 	return shares.Share{}
 }
 
-// assignableTargets lists the targets of a service that accept new requests.
-func assignableTargets(f *view.ClusterState, service string) []shares.Node {
-	var out []shares.Node
+// assignableTargets lists the targets that accept new requests, by service.
+func (e *entryShares) assignableTargets(f *view.ClusterState) map[string][]shares.Node {
+	out := make(map[string][]shares.Node, len(f.Table.Services))
+	keys := make(map[netip.AddrPort]string, len(f.Targets))
 
 	for i := range f.Targets {
-		if t := &f.Targets[i]; t.Service == service && !isDraining(t, f) {
-			out = append(out, shares.Node{ID: addressKey(t), Zone: t.Zone, Group: t.Group.Name})
+		t := &f.Targets[i]
+
+		key, ok := e.keys[t.Address]
+		if !ok {
+			key = addressKey(t)
+		}
+
+		keys[t.Address] = key
+
+		if !isDraining(t, f) {
+			out[t.Service] = append(out[t.Service], shares.Node{ID: key, Zone: t.Zone, Group: t.Group.Name})
 		}
 	}
 
+	e.keys = keys
+
 	return out
 }
 
--- a/internal/shares/subset_cache.go
+++ b/internal/shares/subset_cache.go
@@ -6,10 +6,20 @@
 	"time"
 )
 
-// minRecomputeInterval is the minimum time between two computations of a service's subset.
-// At full size a computation takes several milliseconds, and a zone that returns causes
-// dozens of changes.
-const minRecomputeInterval = time.Second
+const (
+	// minRecomputeInterval is the minimum time between two computations of a service's subset,
+	// as a zone that returns causes dozens of changes.
+	minRecomputeInterval = time.Second
+	// recomputeIntervalPerPair is the part of that time for each pair of an entry and a target
+	// beyond it. A computation costs in proportion to them, so its share of the processor time
+	// has a bound at any size.
+	recomputeIntervalPerPair = 5 * time.Microsecond
+)
+
+// recomputeInterval returns the minimum time between two computations of a subset.
+func recomputeInterval(entries, targets int) time.Duration {
+	return max(minRecomputeInterval, time.Duration(entries*targets)*recomputeIntervalPerPair)
+}
 
 const (
 	// minSubsetSize is the minimum number of targets of a service per entry, if there are
@@ -62,7 +72,7 @@
 
 // Targets returns the subset of a service's targets that the entry self uses. targets must
 // contain only those that may receive new requests, so that a zone that is out leaves no
-// gap. The subset is recomputed only if an input has changed. Within minRecomputeInterval
+// gap. The subset is recomputed only if an input has changed. Within recomputeInterval
 // the cached subset is returned and RecomputeAt is set. Whether a target may receive
 // requests is reported separately and takes effect immediately.
 func (c *SubsetCache) Targets(now time.Time, service string, self Node, entries, targets []Node) map[string]Share {
@@ -84,7 +94,7 @@
 	}
 
 	subset := targetsOfEachGroup(size, self, entries, targets)
-	c.subsets[service] = &cachedSubset{entries: entries, targets: targets, subset: subset, nextRecomputeAt: now.Add(minRecomputeInterval)}
+	c.subsets[service] = &cachedSubset{entries: entries, targets: targets, subset: subset, nextRecomputeAt: now.Add(recomputeInterval(len(entries), len(targets)))}
 
 	return subset
 }
--- a/internal/shares/subset_cache_test.go
+++ b/internal/shares/subset_cache_test.go
@@ -47,6 +47,35 @@
 	require.Len(t, cache.Targets(now, "desk", self, entries, manyNodes("d", 3)), 3)
 }
 
+// Guards against entries that spend a growing part of their processor time on subsets while
+// others come and go: a computation costs in proportion to the pairs of entries and targets.
+func TestPairsComparedPerSecondDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
+
+	pairsPerSecond := func(entries, targets int) float64 {
+		const duration = 30 * time.Second
+
+		cache := shares.SubsetCache{SubsetSize: shares.SubsetSize}
+		begin := time.Unix(1000, 0)
+		all := manyNodes("t", targets)
+		computed := 0
+
+		for elapsed := time.Duration(0); elapsed < duration; elapsed += 500 * time.Millisecond {
+			roster := append(manyNodes("e", entries-1), shares.Node{ID: fmt.Sprint("joined-", elapsed), Zone: "z0"})
+			cache.RecomputeAt = time.Time{}
+			cache.Targets(begin.Add(elapsed), "assist", roster[0], roster, all)
+
+			if cache.RecomputeAt.IsZero() {
+				computed++
+			}
+		}
+
+		return float64(computed*entries*targets) / duration.Seconds()
+	}
+
+	require.LessOrEqual(t, pairsPerSecond(600, 1200), 1.1*pairsPerSecond(300, 600))
+}
+
 // A zone returns and causes many changes within the recompute interval. Guards against one
 // timer for each change, all of which would fire at once and repeat the same computation.
 func TestRecomputeIsReportedOnce(t *testing.T) {
