Bound the memory that slow readers take in an entry

Cause: an entry holds request bodies and whole answers while a caller or a target reads them. Nothing bounded them together, and a write to a caller that never reads lasted as long as its connection.

Change: all requests of an entry hold at most a quarter of MemoryMB, a new setting that the platform's sheet gives. When that is full, the requests that have waited longest for a side that reads slowly, at least a second, are ended with a log line that names the side; without one, a request whose body has no room is refused as not run. New metrics: Relay.SlowReaders and Relay.HeldBytes. A body that targets read too slowly is given up likewise.

--- a/cmd/parsleygate/cmds/deploy_test.go
+++ b/cmd/parsleygate/cmds/deploy_test.go
@@ -44,7 +44,7 @@
 		"Seeds": "127.0.0.1:" + freePort(t), "Bootstrap": "true", "DataDir": t.TempDir(), "HeartbeatMs": "1200",
 		"Listen.Front": "127.0.0.1:" + freePort(t), "Listen.ReadinessAddress": "127.0.0.1:" + freePort(t), "Listen.Control": "127.0.0.1:" + freePort(t),
 		"FaultTolerance.Machines": "1", "Bounds.RetryBudgetRatio": "0.2", "Bounds.BudgetSlack": "96", "Bounds.BudgetWindowS": "10",
-		"Bounds.GraceS": "2", "app": "127.0.0.1:" + freePort(t),
+		"Bounds.GraceS": "2", "Limits.MemoryMb": "152", "app": "127.0.0.1:" + freePort(t),
 	}
 	text := regexp.MustCompile(`(?s){{#Zones}}.*{{/Zones}}`).ReplaceAllString(string(data), "a = r\nb = r")
 	text = regexp.MustCompile(`(?s){{\^DataDir}}.*{{/DataDir}}\n`).ReplaceAllString(text, "")
--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -20,6 +20,10 @@
 	"github.com/parsleygate/parsleygate/platform"
 )
 
+// heldMemoryDivisor is the part of a process's memory that request bodies and answers may take:
+// the rest is for connections, the state, and garbage that is not collected yet.
+const heldMemoryDivisor = 4
+
 // runDirectEntry runs an entry that forwards requests to targets directly, without agents.
 func runDirectEntry(ctx context.Context, p *process) error {
 	s := p.settings
@@ -40,7 +44,7 @@
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, ReadyListener: ready,
 		Seeds: p.seedSource(), Dialect: platform.Dialect(), ReadinessHandler: platform.Readiness,
 		Budget:      &retries.SharedBudget{Ratio: s.Routing.RetryRatio, Slack: s.Routing.MinRetries, Window: s.Routing.RetryWindow},
-		StopTimeout: s.Routing.StopTimeout, Logs: p.logs, Dump: p.dump,
+		StopTimeout: s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor, Logs: p.logs, Dump: p.dump,
 	}
 
 	return e.Run(ctx)
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -85,7 +85,11 @@
 
 	// The answer is buffered until it is complete: a truncated answer must not look
 	// complete, and the request may still be retried at another target.
-	body, err := io.ReadAll(io.LimitReader(answer.Body, p.relay.Limits.MaxAnswerBytes+1))
+	body, err := p.hold.readAll(p.relay.Now, io.LimitReader(answer.Body, p.relay.Limits.MaxAnswerBytes+1))
+	if errors.Is(err, errMemoryFull) {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseOverload, Err: err}
+	}
+
 	if err != nil || int64(len(body)) > p.relay.Limits.MaxAnswerBytes {
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 	}
--- a/internal/relay/failure_answer.go
+++ b/internal/relay/failure_answer.go
@@ -44,10 +44,14 @@
 	}
 
 	p.writeHead(a.status)
+	p.hold.waitFor(p.relay.Now(), readerCaller)
+	p.boundWrite()
 
 	if _, err := p.w.Write(a.body); err != nil && bodyAllowed(a.status) {
 		p.relay.counters.disconnected.Add(1)
 	}
+
+	p.unboundWrites()
 }
 
 // end ends a request after its last attempt: with the failure that a target answered, if
--- /dev/null
+++ b/internal/relay/memory.go
@@ -0,0 +1,191 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+)
+
+// reader is the side that a process waits for while it holds bytes.
+type reader string
+
+const (
+	// readerNone means that the bytes are still arriving.
+	readerNone   reader = ""
+	readerCaller reader = "caller"
+	readerTarget reader = "target"
+)
+
+// slowReadTime is how long a side may take to read what is held for it before the request may
+// be ended for its memory.
+const slowReadTime = time.Second
+
+// memory bounds the bytes of request bodies and buffered answers that all requests of this
+// process hold together. If it is full, it ends the requests that a slow reader has held
+// longest. It decides only; the requests themselves close their connections.
+type memory struct {
+	// limit is the maximum number of bytes; zero means no limit.
+	limit int64
+
+	mu    sync.Mutex
+	used  int64
+	holds map[*hold]struct{}
+}
+
+// hold is what one request holds.
+type hold struct {
+	memory *memory
+	// end ends the request. It is called once, without locks, and must not block.
+	end func(slow reader, bytes int64, waited time.Duration)
+
+	bytes  int64
+	reader reader
+	since  time.Time // when the reader was first waited for
+	// ended is set once the hold is ended for its memory, and closed when end has returned.
+	ended chan struct{}
+}
+
+// newHold returns a hold of no bytes. release must be called at the end of the request.
+func (m *memory) newHold(end func(slow reader, bytes int64, waited time.Duration)) *hold {
+	h := &hold{memory: m, end: end}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.holds == nil {
+		m.holds = make(map[*hold]struct{})
+	}
+
+	m.holds[h] = struct{}{}
+
+	return h
+}
+
+// grow adds n bytes to the hold. If the memory is full, it ends requests with a slow reader.
+// It reports false if there is no room even then.
+func (h *hold) grow(now time.Time, n int64) bool {
+	m := h.memory
+
+	m.mu.Lock()
+
+	var ended []func()
+
+	for m.limit > 0 && m.used+n > m.limit {
+		slowest := m.slowest(now)
+		if slowest == nil {
+			break
+		}
+
+		slow, bytes, waited := slowest.reader, slowest.bytes, now.Sub(slowest.since)
+		slowest.ended = make(chan struct{})
+		m.drop(slowest)
+
+		ended = append(ended, func() {
+			slowest.end(slow, bytes, waited)
+			close(slowest.ended)
+		})
+	}
+
+	ok := h.ended == nil && (m.limit <= 0 || m.used+n <= m.limit)
+	if ok {
+		h.bytes += n
+		m.used += n
+	}
+
+	m.mu.Unlock()
+
+	for _, end := range ended {
+		end()
+	}
+
+	return ok
+}
+
+// slowest returns the hold whose reader has been waited for longest, or nil if none has been
+// for slowReadTime. The caller holds mu.
+func (m *memory) slowest(now time.Time) *hold {
+	var slowest *hold
+
+	for h := range m.holds {
+		if h.reader != readerNone && h.bytes > 0 && now.Sub(h.since) >= slowReadTime && (slowest == nil || h.since.Before(slowest.since)) {
+			slowest = h
+		}
+	}
+
+	return slowest
+}
+
+// waitFor records that the bytes wait for a side to read them.
+func (h *hold) waitFor(now time.Time, r reader) {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+
+	h.reader, h.since = r, now
+}
+
+// release ends the hold. It reports whether the request was ended for its memory, after end
+// has returned.
+func (h *hold) release() (ended bool) {
+	h.memory.mu.Lock()
+	h.memory.drop(h)
+	h.memory.mu.Unlock()
+
+	if h.ended == nil {
+		return false
+	}
+
+	<-h.ended
+
+	return true
+}
+
+// drop removes a hold. The caller holds mu.
+func (m *memory) drop(h *hold) {
+	m.used -= h.bytes
+	h.bytes = 0
+	delete(m.holds, h)
+}
+
+// heldBytes returns the number of bytes that all requests hold.
+func (m *memory) heldBytes() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.used
+}
+
+// errMemoryFull means that there is no room for a body or an answer.
+var errMemoryFull = errors.New("relay: the memory for requests and answers is full")
+
+// minBodySize is the number of bytes that are held at first for a body.
+const minBodySize = 1 << 10
+
+// readAll reads r to its end while there is room for it. The result is not nil unless it
+// returns an error.
+func (h *hold) readAll(now func() time.Time, r io.Reader) ([]byte, error) {
+	out := []byte{}
+
+	for {
+		if len(out) == cap(out) {
+			size := max(cap(out), minBodySize)
+			if !h.grow(now(), int64(size)) {
+				return nil, errMemoryFull
+			}
+
+			grown := make([]byte, len(out), cap(out)+size)
+			copy(grown, out)
+			out = grown
+		}
+
+		n, err := r.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+
+		switch {
+		case errors.Is(err, io.EOF):
+			return out, nil
+		case err != nil:
+			return out, err //nolint:wrapcheck // callers compare it
+		}
+	}
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -33,6 +33,8 @@
 		{"Relay.Misdirected", "sends", "Attempts rejected because a target other than the intended one answers at the address.", func(r *Relay) int64 { return r.counters.misdirected.Load() }},
 		{"Relay.BudgetSpent", "requests", "Requests that were not retried because the retry budget was exhausted.", func(r *Relay) int64 { return r.counters.budgetSpent.Load() }},
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
+		{"Relay.SlowReaders", "requests", "Requests ended because the memory for requests was full and a caller or target did not read what was held for it.", func(r *Relay) int64 { return r.counters.slowReaders.Load() }},
+		{"Relay.HeldBytes", "bytes", "Request bodies and buffered answers held now.", func(r *Relay) int64 { return r.memory.heldBytes() }},
 		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 {
 			r.queue.mu.Lock()
 			defer r.queue.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,8 +3,8 @@
 package relay
 
 import (
+	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -44,6 +44,9 @@
 	Logger   *slog.Logger
 	Rand     *rand.Rand
 	Settings dispatch.Settings
+	// MaxHeldBytes bounds the request bodies and buffered answers that all requests hold
+	// together; zero means no limit.
+	MaxHeldBytes int64
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
@@ -55,6 +58,7 @@
 	applyMu     sync.Mutex
 	entryShares entryShares
 	queue       *queue
+	memory      memory
 	counters    counters
 	latencies   latencies
 	durations   durations
@@ -99,6 +103,7 @@
 	r.configured = make(chan struct{})
 	r.entryShares.self = shares.Node{ID: r.ID, Zone: r.Zone}
 	r.entryShares.subsets.SubsetSize = shares.SubsetSize
+	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
 	r.completions.PerSecond = maxCompletionLines
 	r.queue = &queue{
@@ -197,19 +202,37 @@
 		return
 	}
 
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+
+	p.hold = r.memory.newHold(func(slow reader, bytes int64, waited time.Duration) {
+		p.endSlowReader(slow, bytes, waited, cancel)
+	})
+	defer func() {
+		if p.hold.release() {
+			p.unboundWrites()
+		}
+	}()
+
 	if status, problem := p.admit(); status != 0 {
 		p.deny(status, problem)
 
 		return
 	}
 
+	if p.body == nil {
+		p.refuse(verdict.Refuse(verdict.CauseOverload, r.Now().Add(r.Settings.NoTargetRetryAfter)))
+
+		return
+	}
+
 	if stopping && r.durations.expectedEnd(now, p.service).After(stopsAt) {
 		p.refuse(verdict.Refuse(verdict.CauseStopping, now.Add(r.Settings.MinRetryAfter)))
 
 		return
 	}
 
-	p.run()
+	p.run(ctx)
 }
 
 // readCallerInfo decodes the request's headers.
@@ -246,22 +269,36 @@
 		maxBody = p.relay.Limits.MaxBodyBytes
 	}
 
+	if p.req.ContentLength == 0 {
+		p.body = []byte{}
+	} else if status, problem := p.readBody(maxBody); status != 0 {
+		return status, problem
+	}
+
+	p.service = p.route.Pick(rand.Float64())
+	p.setDeadlines()
+
+	return 0, ""
+}
+
+// readBody reads the body. It returns status 0 unless the request must be denied. The body stays
+// nil if there is no memory for it.
+func (p *proxiedRequest) readBody(maxBody int64) (status int, problem string) {
 	var err error
 
-	p.body, err = io.ReadAll(http.MaxBytesReader(p.w, p.req.Body, maxBody))
+	p.body, err = p.hold.readAll(p.relay.Now, http.MaxBytesReader(p.w, p.req.Body, maxBody))
 
 	var tooLong *http.MaxBytesError
 
 	switch {
+	case errors.Is(err, errMemoryFull):
+		p.body = nil
 	case errors.As(err, &tooLong):
 		return http.StatusRequestEntityTooLarge, "the body is too long"
 	case err != nil:
 		return http.StatusBadRequest, "the body did not arrive whole"
 	}
 
-	p.service = p.route.Pick(rand.Float64())
-	p.setDeadlines()
-
 	return 0, ""
 }
 
@@ -316,5 +353,5 @@
 type counters struct {
 	requests, completions, refused, denied, failed, cut, disconnected atomic.Int64
 
-	retries, freeRetries, misdirected, budgetSpent atomic.Int64
+	retries, freeRetries, misdirected, budgetSpent, slowReaders atomic.Int64
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -27,6 +27,8 @@
 	workspace *routes.Workspace
 	service   string
 	body      []byte
+	// hold is the memory that the body and a buffered answer take.
+	hold *hold
 	// deadline is the earlier of the caller's and the route's. eventDeadline is when the
 	// caller disconnects if it has received no event. softDeadline is the end of the route's
 	// latency target for the first answer.
@@ -74,8 +76,8 @@
 }
 
 // run sends the request to targets until one answers it or it must not be retried.
-func (p *proxiedRequest) run() {
-	ctx, cancel := context.WithDeadline(p.req.Context(), p.deadline)
+func (p *proxiedRequest) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
 
 	p.relay.Budget.RecordRequest(p.arrivedAt, p.service, p.relay.entryShares.budgetShare(p.service))
@@ -152,6 +154,10 @@
 	p.placed, p.placedAt, p.eventAt = placed, p.relay.Now(), time.Time{}
 	p.readBy = readByNone
 
+	if len(p.body) > 0 {
+		p.hold.waitFor(p.placedAt, readerTarget)
+	}
+
 	answer, err := p.relay.TargetClient.Open(ctx, placed.Target.Address, p.targetRequest(placed.Target.ID))
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
@@ -165,6 +171,8 @@
 	}
 	defer answer.Close()
 
+	p.hold.waitFor(p.relay.Now(), readerNone)
+
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
 	if info.Misdirected {
 		p.recordRead(readByOther)
@@ -212,7 +220,7 @@
 		return dispatch.Completed
 	}
 
-	if ctx.Err() != nil || errors.Is(err, errCallerDisconnected) {
+	if ctx.Err() != nil || errors.Is(err, errCallerDisconnected) || errors.Is(err, errMemoryFull) {
 		return dispatch.Canceled
 	}
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,6 +14,8 @@
 
 // forwardStream forwards a stream event by event, each as soon as it is complete.
 func (p *proxiedRequest) forwardStream(ctx context.Context, answer *targetclient.Answer) error {
+	defer p.unboundWrites()
+
 	flusher := http.NewResponseController(p.w)
 	events := targetclient.NewEventReader(answer.Body, p.relay.Limits.MaxEventBytes)
 
@@ -78,6 +80,8 @@
 		p.eventDeadline = p.deadline
 	}
 
+	p.boundWrite()
+
 	if _, err := p.w.Write(ev.Bytes); err != nil {
 		return errCallerDisconnected
 	}
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -77,8 +77,11 @@
 	Budget           *retries.SharedBudget
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
-	Logs        logs.Output
-	Dump        *dump.Dump
+	// MaxHeldBytes bounds the request bodies and buffered answers that this entry holds; zero
+	// means no limit.
+	MaxHeldBytes int64
+	Logs         logs.Output
+	Dump         *dump.Dump
 
 	follower *view.Follower
 	relay    *relay.Relay
@@ -207,7 +210,7 @@
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
 		TargetClient: &targetclient.Client{DialTimeout: targetDialTimeout, MaxHeaderBytes: maxTargetHeaderBytes},
-		StopsAt:      r.stopTime, Logger: r.Logs.Logger("relay"),
+		StopsAt:      r.stopTime, MaxHeldBytes: r.MaxHeldBytes, Logger: r.Logs.Logger("relay"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -75,6 +75,16 @@
 			Help:  "The parts of the process that write debug log lines.",
 			parse: func(s *Settings, v string) bool { s.Process.LogOutput = v; return true },
 		},
+		{
+			Section: sectionProcess, Key: "MemoryMB", Allowed: "megabytes, from 16 to 1048576", Default: "256",
+			Help: "The memory that the process may use. An entry that proxies directly holds at most a quarter of it for request bodies and answers; beyond that it ends requests whose caller or target reads slowly, and refuses new ones.",
+			parse: func(s *Settings, v string) bool {
+				n, err := strconv.Atoi(v)
+				s.Process.MemoryMB = n
+
+				return err == nil && n >= 16 && n <= 1<<20
+			},
+		},
 		networkField(),
 		sizeField(sectionEntry, "MaxHeaderBytes", "65536", "The maximum size of a request's header. Larger ones get status 431.", func(s *Settings) *int { return &s.Entry.MaxHeaderBytes }),
 		sizeField(sectionEntry, "MaxBodyBytes", "4194304", "The maximum size of a request's body. Larger ones get status 413 with the verdict NotRun.", func(s *Settings) *int { return &s.Entry.MaxBodyBytes }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	// AdminAddress is the listen address for the dump and the metrics.
 	AdminAddress netip.AddrPort
 	LogOutput    string
+	MemoryMB     int
 	// TrustedNetwork allows plaintext on addresses other than loopback.
 	TrustedNetwork bool
 }
@@ -152,6 +153,7 @@
 
 func defaults() *Settings {
 	return &Settings{
+		Process: Process{MemoryMB: 256},
 		Entry: Entry{
 			MaxHeaderBytes: 64 << 10, MaxBodyBytes: 4 << 20, MaxRecordedBytes: 64 << 10,
 			DefaultTimeout: time.Minute, MaxTimeout: 10 * time.Minute,
