Let an agent use one report of its engine for load and rank

Cause: an agent asked its engine ten times a second for the load, and five times more for its rank and epoch.

An agent without subscribers asks as before.

--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -63,6 +63,7 @@
 	clients  followClients
 	peerHTTP *http.Client
 
+	lastReport atomic.Pointer[receivedReport]
 	// relayIndex selects the entry that is tried first as a relay.
 	relayIndex atomic.Int32
 	engines    engineCache
@@ -142,13 +143,14 @@
 	defer stopFollowing()
 
 	for {
-		r, err := a.Engine.Report(ctx)
+		r, err := a.recentReport(ctx, rankWatchInterval)
 		if directs := err == nil && r.Group != "" && r.Rank <= standbyRank && r.Size > standbyRank; directs && ctx.Err() == nil {
 			if a.follower == nil {
 				a.follow(follow)
 			}
 
 			a.direct(ctx, r)
+			a.lastReport.Store(nil) // It may be one of the epoch that has ended.
 
 			continue // The next epoch has begun.
 		}
--- a/internal/role/rankserver.go
+++ b/internal/role/rankserver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -13,10 +14,29 @@
 
 func (a *RankAgent) load(ctx context.Context) (loadreport.Load, error) {
 	r, err := a.Engine.Report(ctx)
+	if err == nil {
+		a.lastReport.Store(&receivedReport{report: r, at: time.Now()})
+	}
 
 	return loadreport.Load{Running: r.Running, Waiting: r.Waiting, Slowdown: r.Pace}, err
 }
 
+// receivedReport is a report of the engine on this VM, received at at.
+type receivedReport struct {
+	report lockstep.Report
+	at     time.Time
+}
+
+// recentReport returns the report that was fetched for the load if it is less than maxAge old,
+// else a new one.
+func (a *RankAgent) recentReport(ctx context.Context, maxAge time.Duration) (lockstep.Report, error) {
+	if last := a.lastReport.Load(); last != nil && time.Since(last.at) < maxAge {
+		return last.report, nil
+	}
+
+	return a.Engine.Report(ctx)
+}
+
 // RankState is the part of a dump that describes the engine on this VM.
 type RankState struct {
 	Report lockstep.Report
