Count an entry's first seconds from its start in the retry budget

Cause: an entry uses little of the budget's slack in its first ten seconds, as it may have used it just before a restart. It counted them from the first request of each service.

Change: the seconds count from the start of the process.

Budgets hold in all windows as before (property tests, unchanged).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,6 +103,10 @@
 	r.configured = make(chan struct{})
 	r.entryShares.self = shares.Node{ID: r.ID, Zone: r.Zone}
 	r.entryShares.subsets.SubsetSize = shares.SubsetSize
+	if r.Budget.StartedAt.IsZero() {
+		r.Budget.StartedAt = r.Now()
+	}
+
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
 	r.completions.PerSecond = maxCompletionLines
--- a/internal/retries/shared_budget.go
+++ b/internal/retries/shared_budget.go
@@ -16,11 +16,15 @@
 // available again after a window.
 type SharedBudget struct {
 	// Ratio is the number of retries that each request earns. Slack is the number of
-	// additional retries per Window, for all entries together. All three must be set before
+	// additional retries per Window, for all entries together. The fields must be set before
 	// the first call.
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// StartedAt is when this entry started. If it has restarted, it may have used all of its
+	// slack just before, so the slack grows slowly at first. Zero means the time of the first
+	// request.
+	StartedAt time.Time
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -40,9 +44,6 @@
 
 // account holds the retries that an entry may make for one service.
 type account struct {
-	// createdAt is when the account was created. If this entry has restarted, it may have
-	// used all of its slack just before, so the slack grows slowly at first.
-	createdAt time.Time
 	// requests counts the requests of the last window.
 	requests []bucket
 	// initial is the fraction of a retry that counts as earned from the start.
@@ -103,7 +104,7 @@
 		return true
 	}
 
-	if len(a.slackAt) >= share.Units(now, s.availableSlack(now.Sub(a.createdAt))) {
+	if len(a.slackAt) >= share.Units(now, s.availableSlack(now.Sub(s.StartedAt))) {
 		return false
 	}
 
@@ -112,16 +113,16 @@
 	return true
 }
 
-// availableSlack returns the slack of all entries together per window, given the age of this
-// entry's account. During the first window it grows linearly from zero to initialSlackFraction
+// availableSlack returns the slack of all entries together per window, given the time since
+// this entry started. During the first window it grows linearly from zero to initialSlackFraction
 // of the usable slack. Afterwards it is all of the usable slack.
-func (s *SharedBudget) availableSlack(age time.Duration) float64 {
+func (s *SharedBudget) availableSlack(running time.Duration) float64 {
 	usable := s.Slack * usableFraction
-	if age >= s.Window {
+	if running >= s.Window {
 		return usable
 	}
 
-	return usable * initialSlackFraction * age.Seconds() / s.Window.Seconds()
+	return usable * initialSlackFraction * running.Seconds() / s.Window.Seconds()
 }
 
 // account returns the account of a service with expired entries removed.
@@ -130,9 +131,13 @@
 		s.accounts = make(map[string]*account)
 	}
 
+	if s.StartedAt.IsZero() {
+		s.StartedAt = now
+	}
+
 	a := s.accounts[service]
 	if a == nil {
-		a = &account{createdAt: now, initial: initialFraction(share)}
+		a = &account{initial: initialFraction(share)}
 		s.accounts[service] = a
 	}
 
--- a/internal/retries/shared_budget_test.go
+++ b/internal/retries/shared_budget_test.go
@@ -106,6 +106,54 @@
 	})
 }
 
+// Guards against entries with few requests that may not retry any of them: an entry counted its
+// first seconds from the first request of each service, which came long after it had started.
+func TestFirstRequestsOfAServiceMayBeRetried(t *testing.T) {
+	t.Parallel()
+
+	const (
+		requestsPerSecond = 22
+		failEvery         = 7
+		seconds           = 25
+	)
+
+	for _, n := range []int{14, 289, 578} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+
+			start := time.Unix(1000, 0)
+			entries := make([]*retries.SharedBudget, n)
+
+			for i := range entries {
+				entries[i] = newSharedBudget()
+				entries[i].Slack = 1000
+				entries[i].StartedAt = start
+			}
+
+			failed, retried := 0, 0
+
+			for i := range requestsPerSecond * seconds {
+				now := start.Add(shareWindow + time.Duration(i)*time.Second/requestsPerSecond)
+				entry := i * 13 % n
+				share := shares.Share{Index: entry, Entries: n}
+				entries[entry].RecordRequest(now, "desk", share)
+
+				if i%failEvery != 0 {
+					continue
+				}
+
+				failed++
+
+				if entries[entry].Allow(now, "desk", share) {
+					retried++
+				}
+			}
+
+			require.GreaterOrEqual(t, float64(retried), 0.98*float64(failed))
+		})
+	}
+}
+
 // Guards against a burst of retries after all entries restart: each entry counts too few
 // others at first, and so takes more than its share of the budget.
 func TestBudgetHoldsWhileEntryCountsAreIncomplete(t *testing.T) {
