Do not take an idle group for a stalled one

Cause: a group counts as stalled if it has a request in flight and had no event for a quarter of a second. An entry with one request at a time counted the time in which nothing was running: a stream that had just started made its group late until its first event.

Change: the time counts from when the first answer is due, if nothing was running when the request was placed.

Measured: TestIdleGroupIsNotStalled (failed before).

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -24,8 +24,10 @@
 	slowdownsUntil time.Time
 	// firstAnswer is the average time from placing a request to its first answer.
 	firstAnswer time.Duration
-	// eventAt is when a stream of the group had an event last.
-	eventAt time.Time
+	// eventAt is when a stream of the group had an event last. answerDue is when the first of
+	// the streams is expected to have one that were started while none was running.
+	eventAt   time.Time
+	answerDue time.Time
 	// late reports whether its streams were late when requests were placed last.
 	late bool
 	// brokenSince is when the last target of the group broke; zero while one is not broken.
@@ -100,14 +102,35 @@
 )
 
 // isStalled reports whether the group has running requests, and none of them makes progress.
+// Time without an event says nothing while no request was running.
 func (g *group) isStalled(now time.Time) bool {
-	if silence := now.Sub(g.eventAt); silence < stallTime || silence > stallTTL {
+	since := g.eventAt
+	if g.answerDue.After(since) {
+		since = g.answerDue
+	}
+
+	if silence := now.Sub(since); silence < stallTime || silence > stallTTL {
 		return false
 	}
 
+	return g.isRunning()
+}
+
+// isRunning reports whether this entry has a request in the group.
+func (g *group) isRunning() bool {
 	return slices.ContainsFunc(g.targets, func(t *target) bool { return t.inFlight > 0 })
 }
 
+// place counts a request that is placed at one of the group's targets.
+func (g *group) place(now time.Time) {
+	if !g.isRunning() {
+		g.answerDue = now.Add(g.firstAnswer)
+	}
+
+	g.placed++
+	g.startLimit.recordStart()
+}
+
 // isLate reports whether streams of the group will be late: its steps are too long, or none
 // ends.
 func (g *group) isLate(now time.Time) bool {
--- a/internal/dispatch/groups_test.go
+++ b/internal/dispatch/groups_test.go
@@ -78,6 +78,23 @@
 	require.Greater(t, with, before)
 }
 
+// An entry with one request at a time starts a stream in a group whose last event was a while
+// ago. Guards against a group that counts as stalled because nothing was running in it.
+func TestIdleGroupIsNotStalled(t *testing.T) {
+	t.Parallel()
+
+	f := grouped(t, 2)
+	id := f.submit(startTime, nil)
+	f.ReportFirstAnswer(f.placed[id], 150*time.Millisecond)
+	f.ReportEventGap(startTime.Add(300*time.Millisecond), f.placed[id], 0.5)
+	f.finish(startTime.Add(300*time.Millisecond), id, dispatch.Completed)
+
+	next := startTime.Add(time.Second)
+	f.submit(next, nil)
+	require.False(t, f.Groups(next.Add(100 * time.Millisecond))[0].Late, "its first answer is not due")
+	require.True(t, f.Groups(next.Add(700 * time.Millisecond))[0].Late, "no answer came")
+}
+
 // grouped returns a fixture with targets in groups of the given sizes, all with ten slots. A
 // group of size 0 stands for a single target that belongs to no group.
 func grouped(t *testing.T, sizes ...int) *fixture {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -174,9 +174,8 @@
 			continue
 		}
 
+		t.group.place(now)
 		t.place(now, w.Work)
-		t.group.placed++
-		t.group.startLimit.recordStart()
 		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true})
 
 		s.open.removeIf(t, func(t *target) bool { return d.blockReason(now, s, t) != blockNone })
