Let VMs without a disk find the members after a loss of power

Cause: control VMs without a disk start with nothing but the seeds. When all VMs lose power and the settings name three such VMs as seeds, they know only each other: none can join, and entries that start poll them alone, so that nobody has a configuration.

Change: such a VM still gets the messages that members send to its predecessor at this address. It asks their senders to join, and tells them to those that follow it until it has joined.

Measured: TestVMsWithoutDiskFindTheMembersAfterALossOfPower.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -69,13 +70,19 @@
 			continue
 		}
 
+		addr, addrErr := netip.ParseAddrPort(env.GetAddress())
+
 		// A VM that lost its disk rejoins with a new ID at its old address. Messages for
 		// the old ID still arrive there.
 		if m.To != r.ID {
+			if addrErr == nil {
+				r.addFormerPeer(addr)
+			}
+
 			continue
 		}
 
-		if addr, err := netip.ParseAddrPort(env.GetAddress()); err == nil {
+		if addrErr == nil {
 			r.learnedAddrs[m.From] = addr
 		}
 
@@ -83,6 +90,32 @@
 	}
 }
 
+// maxFormerPeers is more than the leaders that a replica sees before it has joined.
+const maxFormerPeers = 8
+
+// addFormerPeer records the address of a replica that still sends messages to an earlier replica
+// at this address, the latest first.
+func (r *Replica) addFormerPeer(addr netip.AddrPort) {
+	known := r.FormerPeers()
+	if len(known) > 0 && known[0] == addr {
+		return
+	}
+
+	next := append([]netip.AddrPort{addr}, slices.DeleteFunc(slices.Clone(known), func(a netip.AddrPort) bool { return a == addr })...)
+	next = next[:min(len(next), maxFormerPeers)]
+	r.formerPeers.Store(&next)
+}
+
+// FormerPeers returns the addresses of replicas that still send messages to an earlier replica
+// at this address. They are members, also if this replica knows none of them.
+func (r *Replica) FormerPeers() []netip.AddrPort {
+	if known := r.formerPeers.Load(); known != nil {
+		return *known
+	}
+
+	return nil
+}
+
 // processBatches executes the core's batches, and takes a snapshot if one is due, until
 // the core has no more work.
 func (r *Replica) processBatches() error {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -92,6 +92,7 @@
 	lastRequestID      uint64
 	pending            map[uint64]chan outcome
 	learnedAddrs       map[string]netip.AddrPort // by ID; of senders that may not be members
+	formerPeers        atomic.Pointer[[]netip.AddrPort]
 	appliedIndex       uint64
 	snapshotIndex      uint64
 	appliedCommands    uint64
--- a/internal/role/automembership.go
+++ b/internal/role/automembership.go
@@ -87,11 +87,13 @@
 	r.Logs.Logger("roster").Info("Requested a change of the control set.", "change", name, "member", change.ID, "error", err)
 }
 
-// join asks the seeds, one after the other, to add this VM as a learner.
+// join asks members, one after the other, to add this VM as a learner: those that still send
+// messages to its predecessor, then the seeds. After a loss of power the seeds may all be VMs
+// without a disk, which know no member either.
 func (r *Control) join(ctx context.Context) {
 	self, _ := netip.ParseAddrPort(r.Listener.Addr().String())
 
-	for _, seed := range r.AutoMembership.Seeds() {
+	for _, seed := range append(slices.Clone(r.replica.FormerPeers()), r.AutoMembership.Seeds()...) {
 		if seed == self {
 			continue
 		}
@@ -111,13 +113,20 @@
 	}
 }
 
-// controlAddresses returns the internal addresses of the members.
+// controlAddresses returns the internal addresses of the members. Before this VM has joined, it
+// returns those that it has heard of.
 func (r *Control) controlAddresses() []string {
 	var out []string
 	for _, m := range r.replica.Status().Members {
 		out = append(out, m.Member.Addr.String())
 	}
 
+	if len(out) == 0 {
+		for _, a := range r.replica.FormerPeers() {
+			out = append(out, a.String())
+		}
+	}
+
 	return out
 }
 
--- a/internal/role/restart_test.go
+++ b/internal/role/restart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/membership"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -171,3 +173,90 @@
 
 	return r.GetAnswer()
 }
+
+// memberVM is a control VM that keeps its address over restarts.
+type memberVM struct {
+	address  netip.AddrPort
+	dir      string
+	volatile bool
+	role     *Control
+}
+
+// startMembers starts control VMs that find each other through seeds, until stop is called.
+func startMembers(t *testing.T, vms []*memberVM, seeds []netip.AddrPort, bootstrap bool) (stop func()) {
+	t.Helper()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, len(vms))
+
+	for _, vm := range vms {
+		self, err := OpenMember(vm.dir, vm.address, seeds, MemberOptions{Bootstrap: bootstrap, Volatile: vm.volatile})
+		require.NoError(t, err)
+
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", vm.address.String())
+		require.NoError(t, err)
+
+		vm.role = &Control{
+			VM: self.ID, Cluster: "trust", Zone: "a", Incarnation: IncarnationAt(time.Now()), Listener: l, Dir: t.TempDir(),
+			Founders: self.Founders(), TrustedNetwork: true, Logs: logs.Output{Writer: t.Output()}, Dump: &dump.Dump{},
+			AutoMembership: &AutoMembership{Settings: membership.DefaultSettings(1), Seeds: func() []netip.AddrPort { return seeds }},
+		}
+		if !vm.volatile {
+			vm.role.Dir = filepath.Join(vm.dir, "log")
+		}
+
+		vm.role.Build()
+
+		go func() { done <- vm.role.Run(ctx) }()
+	}
+
+	return func() {
+		cancel()
+
+		for range vms {
+			require.NoError(t, <-done)
+		}
+	}
+}
+
+// All VMs lose power, and the settings written after it name only VMs without a disk as seeds.
+// Guards against these knowing only each other: they could not join, and processes that follow
+// them found no VM that knows the configuration.
+func TestVMsWithoutDiskFindTheMembersAfterALossOfPower(t *testing.T) {
+	t.Parallel()
+
+	vms := make([]*memberVM, 5)
+	founders, others := []netip.AddrPort{}, []netip.AddrPort{}
+
+	for i := range vms {
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.8.%d:0", i+1))
+		require.NoError(t, err)
+
+		vms[i] = &memberVM{address: netip.MustParseAddrPort(l.Addr().String()), dir: t.TempDir(), volatile: i >= 3}
+		require.NoError(t, l.Close())
+
+		if vms[i].volatile {
+			others = append(others, vms[i].address)
+		} else {
+			founders = append(founders, vms[i].address)
+		}
+	}
+
+	allJoined := func() bool {
+		for _, vm := range vms {
+			if !vm.role.isMember() || len(vm.role.controlAddresses()) < len(vms) {
+				return false
+			}
+		}
+
+		return true
+	}
+
+	stop := startMembers(t, vms, founders, true)
+	require.Eventually(t, allJoined, time.Minute, 20*time.Millisecond)
+	stop()
+
+	defer startMembers(t, vms, others, false)()
+
+	require.Eventually(t, allJoined, time.Minute, 20*time.Millisecond)
+}
