Do not take a target that works for one that reads slowly

Cause: the memory of a request counted as waiting for its target until the head of the answer came. A target that had read the request and worked on it for a second could be ended in favour of another request.

Change: the client of targets tells when a request is written; from then on nothing waits for the target to read.

Measured: TestTargetsThatWorkAreNotSlowReaders (failed before).

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -67,6 +67,7 @@
 
 	return &targetclient.Request{
 		Method: p.req.Method, URI: p.req.RequestURI, Host: p.req.Host, Header: h, Body: p.body, Deadline: p.deadline,
+		OnSent: func() { p.hold.hasRead(readerTarget) },
 	}
 }
 
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -124,6 +124,16 @@
 	h.reader, h.since = r, now
 }
 
+// hasRead records that a side has read what it was waited for.
+func (h *hold) hasRead(r reader) {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+
+	if h.reader == r {
+		h.reader = readerNone
+	}
+}
+
 // release ends the hold. It reports whether the request was ended for its memory, after end
 // has returned.
 func (h *hold) release() (ended bool) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -154,9 +154,7 @@
 	p.placed, p.placedAt, p.eventAt = placed, p.relay.Now(), time.Time{}
 	p.readBy = readByNone
 
-	if len(p.body) > 0 {
-		p.hold.waitFor(p.placedAt, readerTarget)
-	}
+	p.hold.waitFor(p.placedAt, readerTarget)
 
 	answer, err := p.relay.TargetClient.Open(ctx, placed.Target.Address, p.targetRequest(placed.Target.ID))
 	if err != nil {
@@ -171,7 +169,7 @@
 	}
 	defer answer.Close()
 
-	p.hold.waitFor(p.relay.Now(), readerNone)
+	p.hold.hasRead(readerTarget)
 
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
 	if info.Misdirected {
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -33,6 +33,9 @@
 	// Deadline is the time after which an answer is useless. It bounds all I/O on
 	// the connection.
 	Deadline time.Time
+	// OnSent, if set, is called once the whole request has been written. It may be called from
+	// another goroutine, also after Open has returned.
+	OnSent func()
 }
 
 // Answer is a target's response. It is complete only once Body has been read to
@@ -170,15 +173,29 @@
 		return brokenError(err)
 	}
 
-	if len(req.Body) > maxInlineBody {
-		// Written while the caller reads the response. The goroutine ends at the
-		// latest when the connection is closed.
-		go func() { _, _ = conn.Write(req.Body) }()
+	if len(req.Body) <= maxInlineBody {
+		req.sent()
+
+		return nil
 	}
 
+	// Written while the caller reads the response. The goroutine ends at the latest when the
+	// connection is closed.
+	go func() {
+		if _, err := conn.Write(req.Body); err == nil {
+			req.sent()
+		}
+	}()
+
 	return nil
 }
 
+func (r *Request) sent() {
+	if r.OnSent != nil {
+		r.OnSent()
+	}
+}
+
 // brokenError wraps an error that occurred after the request was sent, when the
 // target may have run it. A timeout is reported as an exceeded deadline.
 func brokenError(err error) error {
