Set a group aside although the entry does not know its faulty rank

Cause: a target that refuses because another rank of its group is at fault names that rank, and the whole group is set aside for 0.4 s. An entry looked the rank up among the targets that it uses: 20 of 645 on the fleet, so that it was hardly ever found.

Change: a rank that is not known stands for the group of the target that named it.

Measured: TestFaultEjectsTheGroup with such a rank (failed before).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -265,17 +265,19 @@
 	return d.place(now, s)
 }
 
-// ReportFault records that a target made another target of its group fail. The whole group
-// is ejected for a while, because its targets refuse requests until the group has been
-// formed again.
-func (d *Dispatcher) ReportFault(now time.Time, serviceName, targetID string) {
-	s := d.services[serviceName]
-	if s == nil {
-		return
+// ReportFault records that a placed request was refused because another target of the group is
+// at fault. The whole group is ejected for a while, because its targets refuse requests until
+// the group has been formed again. An entry of a large deployment uses few targets of a group,
+// and mostly does not know the one at fault.
+func (d *Dispatcher) ReportFault(now time.Time, placed Action, faultyID string) {
+	g := d.groupOf(placed)
+
+	if s := d.services[placed.Target.Service]; s != nil && s.targets[faultyID] != nil {
+		g = s.targets[faultyID].group
 	}
 
-	if faulty := s.targets[targetID]; faulty != nil && faulty.Group != "" {
-		faulty.group.eject(now.Add(d.Settings.GroupEjectionTime))
+	if g != nil && g.name != "" {
+		g.eject(now.Add(d.Settings.GroupEjectionTime))
 	}
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -470,17 +470,21 @@
 }
 
 // After a fault of one rank, the other ranks of its group refuse requests too until the
-// group is formed again. All must be ejected together.
+// group is formed again. All must be ejected together, also if this entry does not use the
+// rank at fault.
 func TestFaultEjectsTheGroup(t *testing.T) {
 	t.Parallel()
 
-	f := newFixture(t, 3, 4, 1, nil)
-	f.ReportFault(startTime, "drafts", "t1")
+	for _, faulty := range []string{"t1", "rank-of-other-entries"} {
+		f := newFixture(t, 3, 4, 1, nil)
+		refused := f.placed[f.submit(startTime, nil)]
+		f.ReportFault(startTime, refused, faulty)
 
-	id := f.submit(startTime, nil)
-	require.NotContains(t, f.placed, id)
-	f.apply(f.Tick(startTime.Add(400 * time.Millisecond)))
-	require.Contains(t, f.placed, id)
+		id := f.submit(startTime, nil)
+		require.NotContains(t, f.placed, id, faulty)
+		f.apply(f.Tick(startTime.Add(400 * time.Millisecond)))
+		require.Contains(t, f.placed, id, faulty)
+	}
 }
 
 func BenchmarkSubmit(b *testing.B) {
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -89,7 +89,7 @@
 	}
 
 	if info.AtFault != "" {
-		q.dispatcher.ReportFault(q.now(), a.Target.Service, info.AtFault)
+		q.dispatcher.ReportFault(q.now(), a, info.AtFault)
 	}
 }
 
