Let agents tell entries that a group is stalled or broken

Cause: an entry notices a stalled group by a quarter of a second without an event of its own streams there, and a broken one by the targets' announcements.

Ways weighed: each entry by its own streams (stood; sees nothing at 289 entries); targets that announce more often (bytes of each to everyone); the agent beside each rank, which polls its engine ten times a second anyway (taken), told with the load reports.

Change: load reports say that a group begins no step although the engine has requests, for 0.4 s, and that it is broken. One rank's report counts for its group, for 0.8 s or until a rank reports otherwise.

Measured: TestAgentReportsStalledAndBrokenGroup, TestReportedConditionOfAGroupAppliesToAllItsTargets.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,10 @@
 	// Slowdown is the ratio of the target's step time to its baseline, or 0 if not
 	// reported.
 	Slowdown float64
+	// Stalled is set while the target has requests and its group makes no progress, Broken while
+	// its group cannot run steps. Agents see both sooner than an entry with few requests, and
+	// than targets announce it.
+	Stalled, Broken bool
 }
 
 // Outcome is the result of a request at a target.
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -28,6 +28,10 @@
 	// the streams is expected to have one that were started while none was running.
 	eventAt   time.Time
 	answerDue time.Time
+	// reportedStalledUntil and reportedBrokenUntil are until when the last such report of a
+	// target counts. They are zero once a target reports otherwise.
+	reportedStalledUntil time.Time
+	reportedBrokenUntil  time.Time
 	// late reports whether its streams were late when requests were placed last.
 	late bool
 	// brokenSince is when the last target of the group broke; zero while one is not broken.
@@ -134,9 +138,30 @@
 // isLate reports whether streams of the group will be late: its steps are too long, or none
 // ends.
 func (g *group) isLate(now time.Time) bool {
-	return g.startLimit.isLate(now) || g.isStalled(now)
+	return g.startLimit.isLate(now) || g.isStalled(now) || now.Before(g.reportedStalledUntil)
 }
 
+// conditionTTL is how long a report that a group is stalled or broken counts. It exceeds the
+// interval at which an unchanged load is reported.
+const conditionTTL = 800 * time.Millisecond
+
+// reportCondition records whether a target reports that the group is stalled or broken.
+func (g *group) reportCondition(now time.Time, l Load) {
+	switch {
+	case l.Broken:
+		g.reportedBrokenUntil = now.Add(conditionTTL)
+	case l.Stalled:
+		g.reportedStalledUntil, g.reportedBrokenUntil = now.Add(conditionTTL), time.Time{}
+	case l.Running > 0:
+		g.reportedStalledUntil, g.reportedBrokenUntil = time.Time{}, time.Time{}
+	default: // An idle target does not notice that its group is stalled.
+		g.reportedBrokenUntil = time.Time{}
+	}
+}
+
+// isReportedBroken reports whether a target has just reported that the group is broken.
+func (g *group) isReportedBroken(now time.Time) bool { return now.Before(g.reportedBrokenUntil) }
+
 // updateBroken updates since when all targets of the group are broken.
 func (g *group) updateBroken(now time.Time) {
 	switch {
@@ -157,6 +182,10 @@
 // isAvailable reports whether some target of the group may accept requests, unless it is
 // full.
 func (g *group) isAvailable(now time.Time) bool {
+	if g.isReportedBroken(now) {
+		return false
+	}
+
 	for _, t := range g.targets {
 		if !t.Draining && !t.Broken && !now.Before(t.ejectedUntil) {
 			return true
--- a/internal/dispatch/groups_test.go
+++ b/internal/dispatch/groups_test.go
@@ -95,6 +95,46 @@
 	require.True(t, f.Groups(next.Add(700 * time.Millisecond))[0].Late, "no answer came")
 }
 
+// The agent beside one rank reports that the group is stalled, then that it is broken, then that
+// it runs again. Guards against requests that are sent there until the next announcement, beside
+// another group that is sound.
+func TestReportedConditionOfAGroupAppliesToAllItsTargets(t *testing.T) {
+	t.Parallel()
+
+	f := grouped(t, 4, 4)
+	report := func(now time.Time, l dispatch.Load) map[string]int {
+		f.apply(f.ReportLoad(now, "drafts", "t00-00", l))
+
+		before := len(f.placed)
+		counts := map[string]int{}
+
+		for range 4 {
+			id := f.submit(now, nil)
+			counts[f.placed[id].Target.Group]++
+			f.finish(now, id, dispatch.Completed)
+		}
+
+		require.Len(t, f.placed, before)
+
+		return counts
+	}
+
+	require.Equal(t, map[string]int{"g01": 4}, report(startTime, dispatch.Load{Running: 1, Stalled: true}))
+	require.Equal(t, map[string]int{"g01": 4}, report(startTime.Add(100*time.Millisecond), dispatch.Load{Broken: true}))
+
+	now := startTime.Add(200 * time.Millisecond)
+	report(now, dispatch.Load{Running: 1})
+	f.targets = append([]dispatch.Target{}, f.targets[:4]...)
+	f.update(now)
+	require.Equal(t, map[string]int{"g00": 4}, report(now, dispatch.Load{Running: 1}), "it runs again")
+
+	f.apply(f.ReportLoad(now, "drafts", "t00-00", dispatch.Load{Broken: true}))
+	f.submit(now, nil)
+	require.Equal(t, 1, f.Waiting(), "it opens again in a moment")
+	f.apply(f.Tick(now.Add(time.Second)))
+	require.Zero(t, f.Waiting(), "a report is forgotten if no other follows")
+}
+
 // grouped returns a fixture with targets in groups of the given sizes, all with ten slots. A
 // group of size 0 stands for a single target that belongs to no group.
 func grouped(t *testing.T, sizes ...int) *fixture {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -396,7 +396,7 @@
 	switch {
 	case t.Draining:
 		return blockDraining
-	case t.Broken:
+	case t.Broken, t.group.isReportedBroken(now):
 		return blockBroken
 	case now.Before(t.ejectedUntil):
 		return blockEjected
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -127,6 +127,7 @@
 	t.reports++
 
 	t.group.otherRequests.add(now, t.otherRequests, len(t.group.targets))
+	t.group.reportCondition(now, l)
 
 	if l.Slowdown > 0 {
 		t.group.setSlowdown(now, t, l.Slowdown)
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -44,6 +44,9 @@
 	Running  int
 	Waiting  int
 	Slowdown float64
+	// Stalled is set while the engine has requests and its group begins no step, Broken while
+	// the group cannot run steps.
+	Stalled, Broken bool
 }
 
 // Publisher reports the load of the engine on this VM to the subscribed entries. Its
@@ -96,7 +99,10 @@
 
 		last, publishedAt = l, now
 		seq++
-		p.publish(subscribers, &wire.LoadWord{Cluster: p.Cluster, Sequence: seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Pace: l.Slowdown})
+		p.publish(subscribers, &wire.LoadWord{
+			Cluster: p.Cluster, Sequence: seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Pace: l.Slowdown,
+			Stalled: l.Stalled, Broken: l.Broken,
+		})
 	}
 }
 
@@ -265,7 +271,9 @@
 		return
 	}
 
-	s.OnLoad(from, Load{Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slowdown: w.GetPace()})
+	s.OnLoad(from, Load{
+		Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slowdown: w.GetPace(), Stalled: w.GetStalled(), Broken: w.GetBroken(),
+	})
 }
 
 // isNew records a report and reports whether it is newer than the last one.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,7 +165,9 @@
 
 // UpdateLoad records a load report of the agent on vm.
 func (r *Relay) UpdateLoad(vm netip.Addr, l loadreport.Load) {
-	r.queue.updateLoad(vm, dispatch.Load{Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown})
+	r.queue.updateLoad(vm, dispatch.Load{
+		Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown, Stalled: l.Stalled, Broken: l.Broken,
+	})
 }
 
 // Ready reports whether this entry has a configuration and targets.
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -64,6 +64,8 @@
 	peerHTTP *http.Client
 
 	lastReport atomic.Pointer[receivedReport]
+	// steps is used only by load.
+	steps stepProgress
 	// relayIndex selects the entry that is tried first as a relay.
 	relayIndex atomic.Int32
 	engines    engineCache
--- a/internal/role/rankagent_test.go
+++ b/internal/role/rankagent_test.go
@@ -12,6 +12,41 @@
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 )
 
+// A rank of the group is lost, the others wait for it, and the group breaks. Guards against
+// entries that learn it only from their own streams, which are few on large deployments, or
+// from the next announcement.
+func TestAgentReportsStalledAndBrokenGroup(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		report := lockstep.Report{Group: "g", Epoch: 1, Step: 7, Open: true, Running: 2}
+		a := &RankAgent{Engine: lockstep.Engine{Report: func(context.Context) (lockstep.Report, error) { return report, nil }}}
+		check := func(stalled, broken bool) {
+			t.Helper()
+
+			l, err := a.load(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, []bool{stalled, broken}, []bool{l.Stalled, l.Broken})
+		}
+
+		check(false, false)
+		time.Sleep(stallTime)
+		check(true, false)
+
+		report.Step++
+
+		check(false, false)
+
+		report.Running = 0
+
+		time.Sleep(stallTime)
+		check(false, false)
+
+		report.Open = false
+
+		check(false, true)
+	})
+}
+
 // Guards against an agent that asks its engine separately for each purpose: hundreds of agents
 // then spend a third more on engines that have nothing to tell.
 func TestEngineIsAskedOncePerInterval(t *testing.T) {
