--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -34,7 +34,8 @@
 bench replica 'Read|Idle|CatchUp' 1x
 bench quorum 'WithoutLeader|IdleMessages' 100x
 bench admission . 1s
-bench routing 'Choose$|ChoosePrefix|SubsetOf' 1s
+bench routing 'Choose$|ChoosePrefix' 1s
+bench shares SubsetOf 1s
 bench fairness 'Offer|Memory' 1s
 bench prefix Memory 1x
 bench placement Decide 20x
