Ignore load reports that no engine sends, and name their agents

Cause: an entry took any load report for true: one with a pace that is not a number, below zero or a hundred times too large decided where all requests of the entry went, or that none did.

Change: such a report is left out, with one log line for its agent until a valid one comes.

Measured: TestInvalidReportsAreIgnoredAndNamed (failed before).

--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -179,11 +180,15 @@
 	Conn    net.PacketConn
 	// Agents returns the addresses of the agents beside engines.
 	Agents func() []netip.AddrPort
-	// OnLoad is called with each load report and the address of its agent.
+	// OnLoad is called with each valid load report and the address of its agent.
 	OnLoad func(agent netip.AddrPort, l Load)
+	// Logger, if set, receives a line for each agent that begins to send invalid reports.
+	Logger *slog.Logger
 
 	mu   sync.Mutex
 	last map[netip.AddrPort]receivedReport
+	// invalid holds the agents whose last report was invalid.
+	invalid map[netip.AddrPort]bool
 	// requestedAt is when the last subscription was sent to each agent. It is used only by
 	// Run.
 	requestedAt map[netip.AddrPort]time.Time
@@ -198,6 +203,7 @@
 // Run subscribes to all agents and handles their reports until ctx is canceled.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.last = make(map[netip.AddrPort]receivedReport)
+	s.invalid = make(map[netip.AddrPort]bool)
 	s.requestedAt = make(map[netip.AddrPort]time.Time)
 
 	request, err := proto.Marshal(&wire.LoadAsk{Cluster: s.Cluster})
@@ -271,9 +277,64 @@
 		return
 	}
 
-	s.OnLoad(from, Load{
+	l := Load{
 		Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slowdown: w.GetPace(), Stalled: w.GetStalled(), Broken: w.GetBroken(),
-	})
+	}
+
+	err := l.check()
+	s.recordValidity(from, err)
+
+	if err == nil {
+		s.OnLoad(from, l)
+	}
+}
+
+// InvalidLoadError means that a load report holds a value that no engine has.
+type InvalidLoadError struct {
+	Field string
+	Value float64
+}
+
+func (e *InvalidLoadError) Error() string {
+	return fmt.Sprintf("load report: %s is %v, which no engine has", e.Field, e.Value)
+}
+
+const (
+	// maxRequests and maxSlowdown bound the values of a load report. Beyond them an entry
+	// would place nothing at a target, or nothing anywhere else.
+	maxRequests = 1 << 16
+	maxSlowdown = 100
+)
+
+func (l Load) check() error {
+	switch {
+	case l.Running > maxRequests:
+		return &InvalidLoadError{Field: "Running", Value: float64(l.Running)}
+	case l.Waiting > maxRequests:
+		return &InvalidLoadError{Field: "Waiting", Value: float64(l.Waiting)}
+	case !(l.Slowdown >= 0 && l.Slowdown <= maxSlowdown): // also if it is not a number
+		return &InvalidLoadError{Field: "Pace", Value: l.Slowdown}
+	default:
+		return nil
+	}
+}
+
+// recordValidity logs the first invalid report of an agent after valid ones.
+func (s *Subscriber) recordValidity(agent netip.AddrPort, err error) {
+	s.mu.Lock()
+	known := s.invalid[agent]
+
+	if err == nil {
+		delete(s.invalid, agent)
+	} else {
+		s.invalid[agent] = true
+	}
+
+	s.mu.Unlock()
+
+	if err != nil && !known && s.Logger != nil {
+		s.Logger.Warn("Invalid load report ignored; the last valid one counts until it is too old.", "agent", agent, "error", err)
+	}
 }
 
 // isNew records a report and reports whether it is newer than the last one.
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -1,10 +1,13 @@
 package loadreport_test
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -169,3 +172,47 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against reports that no engine sends, by which an entry would place everything at one
+// target or nothing at any: each is ignored and named once, and the next valid one counts.
+func TestInvalidReportsAreIgnoredAndNamed(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		agent := netip.MustParseAddrPort("10.0.0.1:7341")
+		conn := &fakeConn{from: net.UDPAddrFromAddrPort(agent), reports: make(chan []byte), closed: make(chan struct{})}
+
+		ctx, stop := context.WithCancel(t.Context())
+
+		var (
+			received []loadreport.Load
+			logged   bytes.Buffer
+		)
+
+		l := &loadreport.Subscriber{
+			Cluster: "trust", Conn: conn, Agents: func() []netip.AddrPort { return nil }, Logger: slog.New(slog.NewTextHandler(&logged, nil)),
+			OnLoad: func(_ netip.AddrPort, l loadreport.Load) { received = append(received, l) },
+		}
+
+		go func() { _ = l.Run(ctx) }()
+
+		synctest.Wait()
+
+		for i, w := range []*wire.LoadWord{
+			{Running: 3, Pace: 1}, {Pace: math.NaN()}, {Pace: math.Inf(1)}, {Pace: -1}, {Pace: 1000}, {Running: math.MaxUint32}, {Waiting: math.MaxUint32}, {Running: 4, Pace: 1},
+		} {
+			w.Cluster, w.Sequence = "trust", uint64(i+1)
+
+			data, err := proto.Marshal(w)
+			require.NoError(t, err)
+
+			conn.reports <- data
+		}
+
+		stop()
+		synctest.Wait()
+		require.Equal(t, []loadreport.Load{{Running: 3, Slowdown: 1}, {Running: 4, Slowdown: 1}}, received)
+		require.Equal(t, 1, strings.Count(logged.String(), "Invalid load report"))
+		require.Contains(t, logged.String(), agent.String())
+	})
+}
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -148,6 +148,7 @@
 			return out
 		},
 		OnLoad: func(agent netip.AddrPort, l loadreport.Load) { r.relay.UpdateLoad(agent.Addr(), l) },
+		Logger: r.logger,
 	}
 }
 
