Tell followers of new control VMs at once, and poll these at once

Cause: after a loss of power an entry whose seeds are VMs without a disk learned of the members when its held poll ended, and polled them at the next check of its list: up to 1.1 s more in which it refused all.

Change: a control VM that knows other control VMs than before answers held polls within 0.2 s, and an entry polls reported control VMs without waiting.

TestFollowersAreToldOfNewControlVMsAtOnce, TestFollowerPollsReportedControlVMsAtOnce.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -37,6 +37,8 @@
 	// at notifiedAt.
 	notified   uint64
 	notifiedAt time.Time
+	// controls are the addresses of the control VMs of which followers were told last.
+	controls []string
 
 	roster        roster
 	rosterExpires time.Time
@@ -114,6 +116,19 @@
 	}
 }
 
+// updateControls records the addresses of the control VMs, and notifies the followers if they
+// have changed.
+func (s *Server) updateControls(targets *targetTracker) {
+	controls := s.controlAddresses()
+	if slices.Equal(controls, targets.controls) {
+		return
+	}
+
+	targets.controls = controls
+	targets.registry.Registries = len(controls)
+	s.controlsChanged.notify()
+}
+
 // withTargets runs do on the goroutine of runTrackers.
 func (s *Server) withTargets(ctx context.Context, do func(*targetTracker)) error {
 	done := make(chan struct{})
@@ -142,9 +157,9 @@
 	defer timer.Stop()
 
 	for ended := false; ; {
-		// Both channels are read before the answer is built, so a change during or after
+		// The channels are read before the answer is built, so a change during or after
 		// that ends the wait.
-		p, targetsChanged := s.published.Load(), s.targetsChanged.changed()
+		p, targetsChanged, controlsChanged := s.published.Load(), s.targetsChanged.changed(), s.controlsChanged.changed()
 
 		out, changed, err := s.answerFollower(ctx, p, r)
 		if err != nil || changed || ended {
@@ -154,6 +169,8 @@
 		select {
 		case <-p.superseded:
 		case <-targetsChanged:
+		case <-controlsChanged:
+			ended = true // A follower may know no other control VM.
 		case <-timer.C:
 			ended = true // Answer with the targets that were published meanwhile.
 		case <-ctx.Done():
--- a/internal/control/roster_test.go
+++ b/internal/control/roster_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,3 +54,30 @@
 		require.Len(t, late.GetRoster(), 102)
 	})
 }
+
+// A control VM without a disk has started after a loss of power and hears of the members while
+// entries wait at it. Guards against entries that learn of them only when their polls end.
+func TestFollowersAreToldOfNewControlVMsAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var controls atomic.Pointer[[]string]
+
+		controls.Store(&[]string{})
+
+		s := newDocumentServer()
+		s.ControlAddresses = func() []string { return *controls.Load() }
+		runDocumentServer(t, s)
+
+		first, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+		require.NoError(t, err)
+		time.AfterFunc(time.Second, func() { controls.Store(&[]string{"10.0.0.1:1"}) })
+
+		begin := time.Now()
+		out, err := s.Follow(t.Context(), &wire.FollowRequest{
+			Cluster: "trust", ID: "e", DirectoryBoot: first.GetDirectoryBoot(), DirectoryRevision: first.GetDirectoryRevision(), WaitMillis: 2000,
+		})
+		require.NoError(t, err)
+		require.Equal(t, []string{"10.0.0.1:1"}, out.GetControls())
+		require.Less(t, time.Since(begin), 1300*time.Millisecond)
+	})
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -88,7 +88,9 @@
 	baseMu         sync.Mutex
 	events         chan event
 	targetsChanged notifier
-	saveQueue      chan []byte
+	// controlsChanged reports that this VM knows other control VMs than before.
+	controlsChanged notifier
+	saveQueue       chan []byte
 	// directoryBoot identifies the directory of targets of this start of the server.
 	directoryBoot uint64
 }
@@ -170,6 +172,7 @@
 	s.state.OnGroupEntry = s.groupApplied
 	s.events = make(chan event, eventBuffer)
 	s.targetsChanged.init()
+	s.controlsChanged.init()
 	s.saveQueue = make(chan []byte)
 	s.directoryBoot = rand.Uint64()
 
--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -62,7 +62,7 @@
 			polls.updateDirectory(s.published.Load().records)
 			s.recordSelf(polls)
 			polls.dropOldRecords(time.Now())
-			targets.registry.Registries = len(s.controlAddresses())
+			s.updateControls(targets)
 			targets.registry.Tick(time.Now())
 			s.notifyFollowers(time.Now(), targets, notify)
 			s.saveIfChanged(targets)
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -76,8 +76,10 @@
 	answered        map[netip.AddrPort]bool
 	unreachable     map[netip.AddrPort]bool // whose rosters and counts are dropped at the next answer of another
 	tableFetch      tableFetch
-	cancels         map[netip.AddrPort]context.CancelFunc
-	pollers         sync.WaitGroup
+	// newMembers receives a value when a control VM reports others than before.
+	newMembers chan struct{}
+	cancels    map[netip.AddrPort]context.CancelFunc
+	pollers    sync.WaitGroup
 }
 
 // FollowerSettings holds the intervals of a follower.
@@ -124,6 +126,7 @@
 	f.unreachable = make(map[netip.AddrPort]bool)
 	f.tableFetch = tableFetch{localZone: f.Zone, zones: make(map[netip.AddrPort]string)}
 	f.cancels = make(map[netip.AddrPort]context.CancelFunc)
+	f.newMembers = make(chan struct{}, 1)
 	f.current.Store(&ClusterState{Entries: 1})
 }
 
@@ -143,6 +146,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-f.newMembers:
 		}
 	}
 }
@@ -390,6 +394,13 @@
 		return err
 	}
 
+	if !slices.Equal(f.membersBySource[control], members) {
+		select {
+		case f.newMembers <- struct{}{}:
+		default:
+		}
+	}
+
 	f.membersBySource[control] = members
 
 	return nil
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -142,6 +142,26 @@
 	})
 }
 
+// All VMs have lost power, and the control VM in the settings hears of the others only now. Guards
+// against entries that wait for the next check of the list before they poll a VM that knows the
+// configuration.
+func TestFollowerPollsReportedControlVMsAtOnce(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeControls{answers: map[netip.AddrPort]*wire.FollowResponse{}, unresponsive: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{DirectoryBoot: 1})
+		p.set(controlTwo, &wire.FollowResponse{Index: 8, Number: 3, Table: newTable(3, "s"), DirectoryBoot: 2})
+
+		f, stop := startFollower(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(1100 * time.Millisecond)
+		p.set(controlOne, &wire.FollowResponse{DirectoryBoot: 1, Controls: []string{controlTwo.String()}})
+		time.Sleep(150 * time.Millisecond)
+		require.Equal(t, uint64(3), f.State().Number)
+	})
+}
+
 // A connection becomes permanently unresponsive. The poll times out after a second, and
 // the next one, over a new connection, delivers the missed update.
 func TestFollowerTimesOutUnresponsiveControlVM(t *testing.T) {
