--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -41,7 +41,7 @@
 
 	bytes  int64
 	reader reader
-	since  time.Time // when the reader was first waited for
+	since  time.Time // when the wait for the reader began
 	// ended is set once the hold is ended for its memory, and closed when end has returned.
 	ended chan struct{}
 }
