Start the timer of notifications with a wait

A timer that is due when it is made is run by the goroutine that selects on it; in a synctest bubble under the race detector two goroutines then use the bubble's race context at the same time. The first notification timer was made with a wait of 0.

Ruled out: a race of our own; the detector reports none, and the trace ends in the runtime.

Change: the first wait is that of a batch. Nothing is notified before.

--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -37,7 +37,7 @@
 
 	commitSlot := make(chan struct{}, 1)
 	batch := time.NewTicker(s.Settings.ReportBatchInterval)
-	notify := time.NewTimer(0)
+	notify := time.NewTimer(s.Settings.ReportBatchInterval) // reset when a notification has to wait
 
 	defer batch.Stop()
 	defer notify.Stop()
