Stop waiting for a target that did not take the request

A request whose connection to a target failed still counted as waiting for that target to read it, while it waited for another one. With the memory full it could be ended after a second, although no target had it.

Change: nothing waits for a target once an attempt has failed.

Measured: TestRequestsThatWaitForATargetAreNotSlowReaders (503 in place of 200 without the change).

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -157,6 +157,9 @@
 	p.hold.waitFor(p.placedAt, readerTarget)
 
 	answer, err := p.relay.TargetClient.Open(ctx, placed.Target.Address, p.targetRequest(placed.Target.ID))
+
+	p.hold.hasRead(readerTarget)
+
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
 			p.recordRead(readByTarget)
@@ -169,8 +172,6 @@
 	}
 	defer answer.Close()
 
-	p.hold.hasRead(readerTarget)
-
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
 	if info.Misdirected {
 		p.recordRead(readByOther)
