--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -289,36 +288,6 @@
 	}
 }
 
-// InvalidLoadError means that a load report holds a value that no engine has.
-type InvalidLoadError struct {
-	Field string
-	Value float64
-}
-
-func (e *InvalidLoadError) Error() string {
-	return fmt.Sprintf("load report: %s is %v, which no engine has", e.Field, e.Value)
-}
-
-const (
-	// maxRequests and maxSlowdown bound the values of a load report. Beyond them an entry
-	// would place nothing at a target, or nothing anywhere else.
-	maxRequests = 1 << 16
-	maxSlowdown = 100
-)
-
-func (l Load) check() error {
-	switch {
-	case l.Running > maxRequests:
-		return &InvalidLoadError{Field: "Running", Value: float64(l.Running)}
-	case l.Waiting > maxRequests:
-		return &InvalidLoadError{Field: "Waiting", Value: float64(l.Waiting)}
-	case !(l.Slowdown >= 0 && l.Slowdown <= maxSlowdown): // also if it is not a number
-		return &InvalidLoadError{Field: "Pace", Value: l.Slowdown}
-	default:
-		return nil
-	}
-}
-
 // recordValidity logs the first invalid report of an agent after valid ones.
 func (s *Subscriber) recordValidity(agent netip.AddrPort, err error) {
 	s.mu.Lock()
