Record and log the rate limit that a target states

The dispatcher records the limit with the requests that it has sent to the target, for five minutes beyond the target's directory entry. Changes are logged with the sends of the last 4 s, and Relay.RateLimitedTargets counts the targets. No request is sent otherwise, but for one case: the sends to a target that is listed again after a gap still count for its cold limit.

--- /dev/null
+++ b/internal/dispatch/backpressure.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import "time"
+
+// RateLimit is what a target's answer says about the requests per second that the target accepts
+// from all entries together. The zero value is an answer that states no limit.
+type RateLimit struct {
+	PerSecond float64
+	Stated    bool
+}
+
+// backpressure is what this entry knows about how many requests a target accepts, and how many it
+// has sent there. It outlives the target's directory entry: a target that is listed again
+// after a while still means what it has said.
+type backpressure struct {
+	// startTime identifies the incarnation of the target that has said so.
+	startTime int64
+	// listedAt is when the target was listed last.
+	listedAt time.Time
+	// sentAt holds the times at which this entry sent requests to the target, oldest first.
+	sentAt []time.Time
+	// rateLimit is the limit that the target states, heard last at rateLimitHeardAt.
+	rateLimit        RateLimit
+	rateLimitHeardAt time.Time
+}
+
+// backpressureTTL is how long what is known about a target is kept after it was listed last.
+const backpressureTTL = 5 * time.Minute
+
+// sentWindow is the longest period over which the requests sent to a target are counted.
+const sentWindow = 4 * time.Second
+
+// send records a request that this entry sends.
+func (b *backpressure) send(now time.Time) {
+	from := now.Add(-sentWindow)
+
+	i := 0
+	for i < len(b.sentAt) && !b.sentAt[i].After(from) {
+		i++
+	}
+
+	b.sentAt = append(b.sentAt[i:], now)
+}
+
+// sentSince returns the number of requests sent after from, which is at most sentWindow ago.
+func (b *backpressure) sentSince(from time.Time) int {
+	i := len(b.sentAt)
+	for i > 0 && b.sentAt[i-1].After(from) {
+		i--
+	}
+
+	return len(b.sentAt) - i
+}
+
+// reportRateLimit records the limit in the answer to a request sent at sentAt. Answers on different
+// connections may overtake each other, so only the answer to a request that was sent after the
+// limit had been heard ends it.
+func (b *backpressure) reportRateLimit(now, sentAt time.Time, l RateLimit) {
+	if !l.Stated && !sentAt.After(b.rateLimitHeardAt) {
+		return
+	}
+
+	b.rateLimit = l
+	if l.Stated {
+		b.rateLimitHeardAt = now
+	}
+}
+
+// backpressureOf returns what is known about the incarnation of t.
+func (d *Dispatcher) backpressureOf(now time.Time, t *Target) *backpressure {
+	b := d.backpressure[t.ID]
+	if b == nil || t.StartTime > b.startTime {
+		b = &backpressure{startTime: t.StartTime}
+
+		if d.backpressure == nil {
+			d.backpressure = make(map[string]*backpressure)
+		}
+
+		d.backpressure[t.ID] = b
+	}
+
+	b.listedAt = now
+
+	return b
+}
+
+// expireBackpressure drops what is known about targets that have not been listed for a while.
+func (d *Dispatcher) expireBackpressure(now time.Time) {
+	for id, b := range d.backpressure {
+		if now.Sub(b.listedAt) > backpressureTTL {
+			delete(d.backpressure, id)
+		}
+	}
+}
+
+// ReportRateLimit records the limit in a target's answer to a request that was sent at sentAt. It
+// returns the previous limit, and how many requests this entry has sent there in the last seconds.
+func (d *Dispatcher) ReportRateLimit(now time.Time, placed Action, sentAt time.Time, l RateLimit) (previous RateLimit, sent int) {
+	b := d.backpressure[placed.Target.ID]
+	if b == nil || b.startTime != placed.Target.StartTime {
+		return RateLimit{}, 0
+	}
+
+	previous = b.rateLimit
+	b.reportRateLimit(now, sentAt, l)
+
+	return previous, b.sentSince(now.Add(-sentWindow))
+}
+
+// RateLimited returns the number of targets that state a rate limit.
+func (d *Dispatcher) RateLimited() int {
+	n := 0
+
+	for _, b := range d.backpressure {
+		if b.rateLimit.Stated {
+			n++
+		}
+	}
+
+	return n
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,12 +15,14 @@
 
 // Target describes a target as listed in the directory.
 type Target struct {
-	ID      string
-	Service string
-	Address netip.AddrPort
-	Zone    string
-	Group   string
-	Slots   int
+	ID string
+	// StartTime identifies the incarnation of the target; a later one has a higher value.
+	StartTime int64
+	Service   string
+	Address   netip.AddrPort
+	Zone      string
+	Group     string
+	Slots     int
 	// Draining is set for targets that drain and for those in a zone that is out. They
 	// receive no new requests.
 	Draining bool
@@ -121,6 +123,8 @@
 	Zone string
 
 	services map[string]*service
+	// backpressure is what targets have said about their load, by target ID.
+	backpressure map[string]*backpressure
 	// settlingUntil is the time until which this entry may know only a few of the other
 	// entries.
 	settlingUntil time.Time
@@ -150,12 +154,14 @@
 
 	for _, t := range targets {
 		if s := d.services[t.Service]; s != nil {
-			s.setTarget(now, t)
+			s.setTarget(now, t, d.backpressureOf(now, &t))
 
 			ids[t.ID] = true
 		}
 	}
 
+	d.expireBackpressure(now)
+
 	var out []Action
 
 	for _, s := range d.services {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -35,7 +35,7 @@
 	since time.Time
 }
 
-func (s *service) setTarget(now time.Time, t Target) {
+func (s *service) setTarget(now time.Time, t Target, b *backpressure) {
 	current := s.targets[t.ID]
 
 	switch {
@@ -46,7 +46,7 @@
 		current.settlingUntil, current.reports = now.Add(settlingTime), 0
 	}
 
-	current.Target = t
+	current.Target, current.backpressure = t, b
 }
 
 // settlingTime is how long a target or this entry counts as new. It covers several load
@@ -406,7 +406,7 @@
 		return blockConnections
 	case s.Streams && t.group.startLimit.blocked(now):
 		return blockStart
-	case s.ColdPerSecond > 0 && t.sentSince(now.Add(-d.Settings.ColdWindow)) >= d.coldQuota(now, s, t):
+	case s.ColdPerSecond > 0 && t.backpressure.sentSince(now.Add(-d.Settings.ColdWindow)) >= d.coldQuota(now, s, t):
 		return blockCold
 	default:
 		return blockNone
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -10,7 +10,8 @@
 type target struct {
 	Target
 
-	group *group
+	group        *group
+	backpressure *backpressure
 	// inFlight is the number of requests that this entry has at the target, work their
 	// expected work.
 	inFlight int
@@ -32,8 +33,6 @@
 	// its load often enough before.
 	settlingUntil time.Time
 	reports       int
-	// sentAt holds the times at which this entry sent requests to the target, oldest first.
-	sentAt []time.Time
 }
 
 // defaultSlots is assumed for targets that do not report their slots.
@@ -80,19 +79,7 @@
 func (t *target) place(now time.Time, work float64) {
 	t.inFlight++
 	t.work += work
-	t.sentAt = append(t.sentAt, now)
-}
-
-// sentSince returns the number of requests sent after from, and drops older times.
-func (t *target) sentSince(from time.Time) int {
-	i := 0
-	for i < len(t.sentAt) && !t.sentAt[i].After(from) {
-		i++
-	}
-
-	t.sentAt = t.sentAt[i:]
-
-	return len(t.sentAt)
+	t.backpressure.send(now)
 }
 
 func (t *target) finish(now time.Time, work float64, o Outcome, cfg *Settings) {
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -44,6 +44,10 @@
 	// Load is the target's load; valid if HasLoad is set.
 	Load    dispatch.Load
 	HasLoad bool
+	// RateLimit is the limit that the target states. RateLimitError is set if it cannot be read,
+	// which says nothing about a limit.
+	RateLimit      dispatch.RateLimit
+	RateLimitError error
 	// AtFault is the ID of the target that made this one refuse; empty if there is none.
 	AtFault string
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -41,6 +41,12 @@
 
 			return int64(r.queue.dispatcher.Waiting())
 		}},
+		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 {
+			r.queue.mu.Lock()
+			defer r.queue.mu.Unlock()
+
+			return int64(r.queue.dispatcher.RateLimited())
+		}},
 		{"Relay.Targets", "targets", "Targets in the directory.", func(r *Relay) int64 { return int64(len(r.State().Targets)) }},
 		{"Relay.Entries", "entries", "Entries that share the targets, including this one.", func(r *Relay) int64 { return int64(r.State().Entries) }},
 		{"Relay.ConfigurationNumber", "number", "Number that the operators gave to the configuration in force.", func(r *Relay) int64 { return int64(r.State().Number) }},
@@ -69,6 +75,8 @@
 	sampleAlpha = 0.015
 	// maxCompletionLines bounds the log lines for completed requests, per second.
 	maxCompletionLines = 20
+	// maxStatementLines bounds the log lines about what targets state, per second.
+	maxStatementLines = 5
 )
 
 func newLatencies() latencies {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,6 +65,8 @@
 	failureRate retries.FailureRate
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
+	// targetStatements limits the log lines about what targets state in their answers.
+	targetStatements logs.Sampler
 }
 
 // Limits bounds the memory that one request may hold.
@@ -110,6 +112,7 @@
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
 	r.completions.PerSecond = maxCompletionLines
+	r.targetStatements.PerSecond = maxStatementLines
 	r.queue = &queue{
 		dispatcher: &dispatch.Dispatcher{Settings: r.Settings, Rand: r.Rand, Zone: r.Zone},
 		now:        r.Now,
@@ -157,7 +160,7 @@
 
 func targetOf(t *directory.Target, f *view.ClusterState, share shares.Share) dispatch.Target {
 	return dispatch.Target{
-		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Group: t.Group.Name, Slots: t.Slots,
+		ID: t.ID, StartTime: t.StartTime, Service: t.Service, Address: t.Address, Zone: t.Zone, Group: t.Group.Name, Slots: t.Slots,
 		Draining: isDraining(t, f), Unresponsive: t.State == directory.Unresponsive,
 		Broken: t.Group.Broken, ColdUntil: t.ColdUntil, Share: share,
 	}
