--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -389,3 +389,77 @@
 		}
 	}
 }
+
+// rateLimitOvershoot and rateLimitSlack bound the requests that a target receives in
+// rateLimitWindow beyond the limit that it states.
+const (
+	rateLimitOvershoot = 1.5
+	rateLimitSlack     = 5
+	rateLimitWindow    = 4 * time.Second
+)
+
+// maxPerWindow returns the maximum number of requests that a target received in a window that
+// begins at from or later.
+func (es *entrySet) maxPerWindow(target string, from time.Time, window time.Duration) int {
+	maximum, first := 0, 0
+	times := slices.DeleteFunc(slices.Clone(es.sent[target]), func(at time.Time) bool { return at.Before(from) })
+
+	for i := range times {
+		for times[i].Sub(times[first]) > window {
+			first++
+		}
+
+		maximum = max(maximum, i-first+1)
+	}
+
+	return maximum
+}
+
+// answerAll completes all requests of an entry. The answers of one target state a limit.
+func (es *entrySet) answerAll(now time.Time, e *testEntry, limited string, l dispatch.RateLimit) {
+	for _, a := range e.placed {
+		if a.Target.ID == limited {
+			e.ReportRateLimit(now, a, now, l)
+		}
+	}
+
+	es.finishAll(now, e)
+}
+
+// Every entry has more requests than a target accepts that states a rate limit. Guards against
+// entries that do not heed the limit, or each as if it were its own.
+func TestRateLimitHoldsAtAnyNumberOfEntries(t *testing.T) {
+	t.Parallel()
+
+	const seconds, targets, limited = 24, 3, "t001"
+
+	for _, perSecond := range []float64{0, 0.3, 1, 1.1, 5, 40} {
+		for _, entries := range append([]int{2, 7}, entryCounts...) {
+			t.Run(fmt.Sprintf("%g a second, %d entries", perSecond, entries), func(t *testing.T) {
+				t.Parallel()
+
+				es := newEntrySet(entries, targets, dispatch.Service{Name: "desk"}, nil)
+				heardAt := startTime.Add(time.Second)
+
+				for tick := range seconds * 5 {
+					now := startTime.Add(time.Duration(tick) * 200 * time.Millisecond)
+					limit := dispatch.RateLimit{PerSecond: perSecond, Stated: !now.Before(heardAt)}
+
+					for _, e := range es.entries {
+						es.fill(now, e)
+						es.answerAll(now, e, limited, limit)
+					}
+				}
+
+				from := heardAt.Add(200 * time.Millisecond)
+				allowed := rateLimitOvershoot*perSecond*rateLimitWindow.Seconds() + rateLimitSlack
+				require.LessOrEqual(t, float64(es.maxPerWindow(limited, from, rateLimitWindow)), allowed, "requests at the target")
+				require.Greater(t, es.maxPerWindow("t000", from, time.Second), entries, "requests at a target without a limit")
+
+				if used := float64(len(es.sent[limited])); perSecond >= 1 {
+					require.GreaterOrEqual(t, used, minUsedFraction*perSecond*(seconds-6), "requests that the target accepts")
+				}
+			})
+		}
+	}
+}
