Keep to the rate that a target states for all entries together

What callers saw: nothing. Cause: no entry read Server-Limit. Class: what a target says that it bears is heard by nobody who sends to it. Change: the dispatcher, through which first sends, retries and resumed streams go, blocks a target whose stated rate is used up. Entries divide the rate by their shares of the target, as other common limits. It ends with the answer to a request sent after it was heard, or with the target's incarnation, and outlives its directory entry. A request that the limits of all targets cannot admit before its deadline is refused at once, with the time at which the next one could go. Why it works: the sum over entries is bounded by the shares; windows of 5 s and four fifths of the rate leave room for units that change hands, entries not counted yet and late arrivals, below one and a half times the rate in 4 s.

--- a/internal/dispatch/backpressure.go
+++ b/internal/dispatch/backpressure.go
@@ -28,7 +28,7 @@
 const backpressureTTL = 5 * time.Minute
 
 // sentWindow is the longest period over which the requests sent to a target are counted.
-const sentWindow = 4 * time.Second
+const sentWindow = 5 * time.Second
 
 // send records a request that this entry sends.
 func (b *backpressure) send(now time.Time) {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -286,12 +286,14 @@
 // refuseUnservable refuses requests that would exceed their deadline before an answer, and
 // those without an eligible target. A late request is refused once the requests ahead of it
 // are more than complete in its remaining time. If all targets are ejected, a request whose
-// deadline precedes the end of the first ejection is refused immediately. The remaining
-// requests are left sorted.
+// deadline precedes the end of the first ejection is refused immediately, and so is one that the
+// rate limits of the targets cannot admit before its deadline. The remaining requests are left
+// sorted.
 func (d *Dispatcher) refuseUnservable(now time.Time, s *service) []Action {
 	var out []Action
 
 	perSecond := s.completions.perSecond(now)
+	sends, rateLimited := d.sendTimes(now, s)
 	ahead := 0
 
 	answerAt := now.Add(s.firstAnswerTime(now))
@@ -299,6 +301,11 @@
 
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
 		openAt, ok := s.availableAt(now, &w.Request, &d.Settings)
+
+		if rateLimited {
+			openAt = latest(openAt, sends.after(ahead))
+		}
+
 		untilAvailable := openAt.Sub(now)
 		remaining := w.Deadline.Sub(answerAt) - untilAvailable
 		queueTime := time.Duration(0)
@@ -400,6 +407,8 @@
 		return blockBroken
 	case now.Before(t.ejectedUntil):
 		return blockEjected
+	case d.isRateLimited(now, t):
+		return blockRateLimit
 	case t.Slots > 0 && d.isFull(now, s, t, s.limit(now, t, &d.Settings)):
 		return blockFull
 	case s.MaxConnections > 0 && t.inFlight >= t.Share.Units(now, float64(s.MaxConnections)):
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -43,6 +43,10 @@
 	// ColdUtilization is the fraction of a cold target's limit that the entries share. The
 	// rest covers entries that have joined and are not counted yet.
 	ColdUtilization float64
+	// RateLimitUtilization is the fraction of a target's rate limit that the entries share. The
+	// rest covers entries that have joined and are not counted yet, and units that pass from
+	// one entry to the next.
+	RateLimitUtilization float64
 	// MaxFirstAnswerTime caps the expected time to the first answer. Without a cap, the
 	// times observed during a stall would cause all requests to be refused, and with
 	// nothing placed no shorter time would ever be observed.
@@ -67,26 +71,27 @@
 // second.
 func DefaultSettings() Settings {
 	return Settings{
-		MinRetryAfter:       150 * time.Millisecond,
-		MaxRetryAfter:       3 * time.Second,
-		NoTargetRetryAfter:  300 * time.Millisecond,
-		MaxQueuedPerTarget:  1,
-		CrossZoneCost:       0.5,
-		BorrowReserve:       0.1,
-		LoadDecay:           700 * time.Millisecond,
-		BaseEjectionTime:    300 * time.Millisecond,
-		MaxEjectionTime:     4 * time.Second,
-		RejectionBackoff:    60 * time.Millisecond,
-		GroupEjectionTime:   400 * time.Millisecond,
-		MaxBrokenWait:       2 * time.Second,
-		ColdWindow:          time.Second,
-		ColdUtilization:     0.9,
-		MaxFirstAnswerTime:  300 * time.Millisecond,
-		LimitUpdateInterval: 200 * time.Millisecond,
-		HighEventGap:        0.75,
-		LowEventGap:         0.6,
-		LateUtilization:     0.6,
-		LongStepGap:         0.7,
-		NoStartGap:          0.85,
+		MinRetryAfter:        150 * time.Millisecond,
+		MaxRetryAfter:        3 * time.Second,
+		NoTargetRetryAfter:   300 * time.Millisecond,
+		MaxQueuedPerTarget:   1,
+		CrossZoneCost:        0.5,
+		BorrowReserve:        0.1,
+		LoadDecay:            700 * time.Millisecond,
+		BaseEjectionTime:     300 * time.Millisecond,
+		MaxEjectionTime:      4 * time.Second,
+		RejectionBackoff:     60 * time.Millisecond,
+		GroupEjectionTime:    400 * time.Millisecond,
+		MaxBrokenWait:        2 * time.Second,
+		ColdWindow:           time.Second,
+		ColdUtilization:      0.9,
+		RateLimitUtilization: 0.8,
+		MaxFirstAnswerTime:   300 * time.Millisecond,
+		LimitUpdateInterval:  200 * time.Millisecond,
+		HighEventGap:         0.75,
+		LowEventGap:          0.6,
+		LateUtilization:      0.6,
+		LongStepGap:          0.7,
+		NoStartGap:           0.85,
 	}
 }
--- a/internal/shares/share.go
+++ b/internal/shares/share.go
@@ -44,23 +44,48 @@
 // The entries are placed on a circle, and an arc as long as the number of units moves
 // around it. Entries whose lists differ slightly agree on nearly all turns.
 func (s Share) rotatingUnit(now time.Time, units int) int {
+	if s.distance(now, s.rotation(units))*float64(s.Entries) < float64(units) {
+		return 1
+	}
+
+	return 0
+}
+
+// rotation returns how long the arc takes to move around the circle.
+func (s Share) rotation(units int) time.Duration {
 	rotation := minRotation
 	for rotation*time.Duration(units) < turnDuration*time.Duration(s.Entries) {
 		rotation *= 2
 	}
 
+	return rotation
+}
+
+// distance returns how far this entry is ahead of the beginning of the arc, as a fraction of
+// the circle.
+func (s Share) distance(now time.Time, rotation time.Duration) float64 {
 	position := float64(now.UnixNano()%int64(rotation)) / float64(rotation)
-	distance := float64(s.Index)/float64(s.Entries) - position
 
+	distance := float64(s.Index)/float64(s.Entries) - position
 	if distance < 0 {
 		distance++
 	}
 
-	if distance*float64(s.Entries) < float64(units) {
-		return 1
+	return distance
+}
+
+// NextUnit returns when this entry has a unit of total next: at now if it has one already. It
+// returns now also if the limit has no units.
+func (s Share) NextUnit(now time.Time, total float64) time.Time {
+	units := int(total)
+	if units <= 0 || s.Units(now, total) > 0 {
+		return now
 	}
 
-	return 0
+	rotation := s.rotation(units)
+	wait := (s.distance(now, rotation) - float64(units)/float64(s.Entries)) * float64(rotation)
+
+	return now.Add(time.Duration(wait) + time.Millisecond)
 }
 
 // minRotation is the duration of the shortest rotation.
