Keep the time of placing in the dispatcher's action

Change: an action says when its request was placed, so that reports about it need not repeat it. Behaviour is the same; the tests of dispatch and relay pass.

--- a/internal/dispatch/backpressure.go
+++ b/internal/dispatch/backpressure.go
@@ -84,6 +84,16 @@
 	return b
 }
 
+// knownBackpressure returns what is known about the target of a placed request, or nil if another
+// incarnation has taken its place.
+func (d *Dispatcher) knownBackpressure(placed Action) *backpressure {
+	if b := d.backpressure[placed.Target.ID]; b != nil && b.startTime == placed.Target.StartTime {
+		return b
+	}
+
+	return nil
+}
+
 // expireBackpressure drops what is known about targets that have not been listed for a while.
 func (d *Dispatcher) expireBackpressure(now time.Time) {
 	for id, b := range d.backpressure {
@@ -93,16 +103,16 @@
 	}
 }
 
-// ReportRateLimit records the limit in a target's answer to a request that was sent at sentAt. It
-// returns the previous limit, and how many requests this entry has sent there in the last seconds.
-func (d *Dispatcher) ReportRateLimit(now time.Time, placed Action, sentAt time.Time, l RateLimit) (previous RateLimit, sent int) {
-	b := d.backpressure[placed.Target.ID]
-	if b == nil || b.startTime != placed.Target.StartTime {
+// ReportRateLimit records the limit in a target's answer to a placed request. It returns the
+// previous limit, and how many requests this entry has sent there in the last seconds.
+func (d *Dispatcher) ReportRateLimit(now time.Time, placed Action, l RateLimit) (previous RateLimit, sent int) {
+	b := d.knownBackpressure(placed)
+	if b == nil {
 		return RateLimit{}, 0
 	}
 
 	previous = b.rateLimit
-	b.reportRateLimit(now, sentAt, l)
+	b.reportRateLimit(now, placed.PlacedAt, l)
 
 	return previous, b.sentSince(now.Add(-sentWindow))
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	// Target is set if Placed is true. The caller must then call Finish.
 	Target Target
 	Placed bool
+	// PlacedAt is when it was assigned.
+	PlacedAt time.Time
 	// Cause is the reason of a refusal, RetryAt the time at which the caller should retry.
 	Cause   verdict.Cause
 	RetryAt time.Time
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -419,7 +419,7 @@
 func (es *entrySet) answerAll(now time.Time, e *testEntry, limited string, l dispatch.RateLimit) {
 	for _, a := range e.placed {
 		if a.Target.ID == limited {
-			e.ReportRateLimit(now, a, now, l)
+			e.ReportRateLimit(now, a, l)
 		}
 	}
 
--- a/internal/dispatch/rate_limit_test.go
+++ b/internal/dispatch/rate_limit_test.go
@@ -59,7 +59,7 @@
 	require.True(e.t, ok, "the request waits")
 	require.True(e.t, a.Placed, "refused: %s", a.Cause)
 
-	e.ReportRateLimit(now, a, now, e.limits[a.Target.ID])
+	e.ReportRateLimit(now, a, e.limits[a.Target.ID])
 	e.Finish(now, a, 1, dispatch.Completed)
 
 	return a.Target.ID
@@ -105,7 +105,7 @@
 	e.limits[overtaken.Target.ID] = oneASecond
 	e.count(startTime.Add(time.Second), time.Second)
 
-	e.ReportRateLimit(startTime.Add(2*time.Second), overtaken, startTime, dispatch.RateLimit{})
+	e.ReportRateLimit(startTime.Add(2*time.Second), overtaken, dispatch.RateLimit{})
 	require.LessOrEqual(t, e.count(startTime.Add(2*time.Second), 10*time.Second)[overtaken.Target.ID], 11)
 }
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -176,7 +176,7 @@
 
 		t.group.place(now)
 		t.place(now, w.Work)
-		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true})
+		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true, PlacedAt: now})
 
 		s.open.removeIf(t, func(t *target) bool { return d.blockReason(now, s, t) != blockNone })
 		s.openForLate.removeIf(t, func(t *target) bool {
--- a/internal/relay/target_statements.go
+++ b/internal/relay/target_statements.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 )
@@ -14,7 +13,7 @@
 	case info.RateLimitError != nil:
 		p.logStatement(slog.LevelWarn, "Rate limit of a target cannot be read; ignoring it.", "error", info.RateLimitError)
 	default:
-		previous, sent := p.relay.queue.reportRateLimit(p.placed, p.placedAt, info.RateLimit)
+		previous, sent := p.relay.queue.reportRateLimit(p.placed, info.RateLimit)
 		p.logRateLimit(previous, info.RateLimit, sent)
 	}
 }
@@ -40,9 +39,9 @@
 	p.relay.Logger.Log(p.req.Context(), level, text, args...)
 }
 
-func (q *queue) reportRateLimit(a dispatch.Action, sentAt time.Time, l dispatch.RateLimit) (previous dispatch.RateLimit, sent int) {
+func (q *queue) reportRateLimit(a dispatch.Action, l dispatch.RateLimit) (previous dispatch.RateLimit, sent int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	return q.dispatcher.ReportRateLimit(q.now(), a, sentAt, l)
+	return q.dispatcher.ReportRateLimit(q.now(), a, l)
 }
