--- a/internal/dispatch/backpressure.go
+++ b/internal/dispatch/backpressure.go
@@ -22,11 +22,19 @@
 	// rateLimit is the limit that the target states, heard last at rateLimitHeardAt.
 	rateLimit        RateLimit
 	rateLimitHeardAt time.Time
+	// restUntil is the end of the rest that the target has asked for; zero if it has not.
+	restUntil time.Time
+	// leavingUntil is until when the target counts as leaving; zero if it has not said so.
+	leavingUntil time.Time
 }
 
 // backpressureTTL is how long what is known about a target is kept after it was listed last.
 const backpressureTTL = 5 * time.Minute
 
+// leavingTTL is how long a target counts as leaving that is still listed. One that has said so in
+// error is used again afterwards.
+const leavingTTL = 5 * time.Minute
+
 // sentWindow is the longest period over which the requests sent to a target are counted.
 const sentWindow = 5 * time.Second
 
@@ -117,15 +125,55 @@
 	return previous, b.sentSince(now.Add(-sentWindow))
 }
 
-// RateLimited returns the number of targets that state a rate limit.
-func (d *Dispatcher) RateLimited() int {
-	n := 0
+// ReportRest records that a target that has turned a placed request away wants nothing more from
+// this entry until a time.
+func (d *Dispatcher) ReportRest(placed Action, until time.Time) {
+	if b := d.knownBackpressure(placed); b != nil {
+		b.restUntil = latest(b.restUntil, until)
+	}
+}
+
+// ReportLeaving records that the target of a placed request is leaving. It reports whether this
+// is new.
+func (d *Dispatcher) ReportLeaving(now time.Time, placed Action) bool {
+	b := d.knownBackpressure(placed)
+	if b == nil || b.isLeaving(now) {
+		return false
+	}
+
+	b.leavingUntil = now.Add(leavingTTL)
+
+	return true
+}
+
+func (b *backpressure) isResting(now time.Time) bool { return now.Before(b.restUntil) }
+
+func (b *backpressure) isLeaving(now time.Time) bool { return now.Before(b.leavingUntil) }
+
+// BackpressureSummary counts the targets by what they have said in their answers.
+type BackpressureSummary struct {
+	// RateLimited targets state a limit of requests per second, resting ones have asked for no
+	// more requests for a while, leaving ones are about to end.
+	RateLimited, Resting, Leaving int
+}
+
+// Backpressure counts the targets that have said how many requests they accept.
+func (d *Dispatcher) Backpressure(now time.Time) BackpressureSummary {
+	var s BackpressureSummary
 
 	for _, b := range d.backpressure {
 		if b.rateLimit.Stated {
-			n++
+			s.RateLimited++
+		}
+
+		if b.isResting(now) {
+			s.Resting++
+		}
+
+		if b.isLeaving(now) {
+			s.Leaving++
 		}
 	}
 
-	return n
+	return s
 }
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -48,6 +48,13 @@
 	// which says nothing about a limit.
 	RateLimit      dispatch.RateLimit
 	RateLimitError error
+	// Rest is how long the target, which turned the request away, wants no more requests of this
+	// entry; zero if it does not ask for that. RestError is set if it cannot be read.
+	Rest      time.Duration
+	RestError error
+	// Leaving is set if the target is about to end. LeavingError is set if it cannot be read.
+	Leaving      bool
+	LeavingError error
 	// AtFault is the ID of the target that made this one refuse; empty if there is none.
 	AtFault string
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -180,7 +180,7 @@
 	}
 
 	p.relay.queue.recordResponse(placed, info)
-	p.recordRateLimit(info)
+	p.recordStatements(info)
 
 	if err := p.checkResponse(answer, info); err != nil {
 		outcome = outcomeOf(info)
--- a/internal/relay/target_statements.go
+++ b/internal/relay/target_statements.go
@@ -2,14 +2,25 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 )
 
-// recordRateLimit passes on the rate limit that the target of the current attempt states.
+// recordStatements passes on what the target of the current attempt states about the requests that
+// it accepts.
+func (p *proxiedRequest) recordStatements(info ResponseInfo) {
+	if info.Misdirected { // It is the answer of another target.
+		return
+	}
+
+	p.recordRateLimit(info)
+	p.recordRest(info)
+	p.recordLeaving(info)
+}
+
 func (p *proxiedRequest) recordRateLimit(info ResponseInfo) {
 	switch {
-	case info.Misdirected: // It is the answer of another target.
 	case info.RateLimitError != nil:
 		p.logStatement(slog.LevelWarn, "Rate limit of a target cannot be read; ignoring it.", "error", info.RateLimitError)
 	default:
@@ -18,6 +29,26 @@
 	}
 }
 
+func (p *proxiedRequest) recordRest(info ResponseInfo) {
+	switch {
+	case info.RestError != nil:
+		p.logStatement(slog.LevelWarn, "Rest that a target asks for cannot be read; ignoring it.", "error", info.RestError)
+	case info.Rest > 0:
+		until := p.relay.Now().Add(info.Rest)
+		p.relay.queue.reportRest(p.placed, until)
+		p.logStatement(slog.LevelInfo, "Target asks for rest.", "until", until, "tried", p.tried)
+	}
+}
+
+func (p *proxiedRequest) recordLeaving(info ResponseInfo) {
+	switch {
+	case info.LeavingError != nil:
+		p.logStatement(slog.LevelWarn, "Whether a target is leaving cannot be read; ignoring it.", "error", info.LeavingError)
+	case info.Leaving && p.relay.queue.reportLeaving(p.placed):
+		p.logStatement(slog.LevelInfo, "Target is leaving.")
+	}
+}
+
 func (p *proxiedRequest) logRateLimit(previous, current dispatch.RateLimit, sent int) {
 	switch {
 	case previous == current:
@@ -45,3 +76,24 @@
 
 	return q.dispatcher.ReportRateLimit(q.now(), a, l)
 }
+
+func (q *queue) reportRest(a dispatch.Action, until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.dispatcher.ReportRest(a, until)
+}
+
+func (q *queue) reportLeaving(a dispatch.Action) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.dispatcher.ReportLeaving(q.now(), a)
+}
+
+func (q *queue) backpressure() dispatch.BackpressureSummary {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.dispatcher.Backpressure(q.now())
+}
