Leave a target that asks for rest alone until then

Cause: no entry read Retry-After. One that was turned away left the target alone for its usual 60 ms, and then preferred it, as a target that runs nothing looks the freest. Class: what a target says that it bears is heard by nobody who sends to it. Change: the dispatcher keeps the end of the rest with what else the target has said, beyond its directory entry, and counts the target as unavailable until then, for first sends, retries and resumed streams. Then one request at a time tries it. Why it works: all sends pass the dispatcher; until the end of the rest it has no place there.

--- a/internal/dispatch/backpressure.go
+++ b/internal/dispatch/backpressure.go
@@ -22,8 +22,12 @@
 	// rateLimit is the limit that the target states, heard last at rateLimitHeardAt.
 	rateLimit        RateLimit
 	rateLimitHeardAt time.Time
-	// restUntil is the end of the rest that the target has asked for; zero if it has not.
+	// restUntil is the end of the rest that the target has asked for. It is zero if the target has
+	// not asked for one, or has answered a request since without asking for another.
 	restUntil time.Time
+	// trialAt is when a request was sent after a rest whose answer has not arrived; zero if there
+	// is none.
+	trialAt time.Time
 	// leavingUntil is until when the target counts as leaving; zero if it has not said so.
 	leavingUntil time.Time
 }
@@ -48,6 +52,10 @@
 	}
 
 	b.sentAt = append(b.sentAt[i:], now)
+
+	if !b.restUntil.IsZero() {
+		b.trialAt = now
+	}
 }
 
 // sentSince returns the number of requests sent after from, which is at most sentWindow ago.
@@ -126,10 +134,26 @@
 }
 
 // ReportRest records that a target that has turned a placed request away wants nothing more from
-// this entry until a time.
+// this entry until a time. A zero time means that it has answered the request without asking for
+// rest.
 func (d *Dispatcher) ReportRest(placed Action, until time.Time) {
-	if b := d.knownBackpressure(placed); b != nil {
+	b := d.knownBackpressure(placed)
+
+	switch {
+	case b == nil:
+	case !until.IsZero():
 		b.restUntil = latest(b.restUntil, until)
+		b.trialAt = time.Time{}
+	case !placed.PlacedAt.Before(b.restUntil):
+		b.restUntil, b.trialAt = time.Time{}, time.Time{}
+	}
+}
+
+// endTrial records that a placed request has ended. If it was the one that tried a target after a
+// rest and has got no answer, another one may try.
+func (b *backpressure) endTrial(placed Action) {
+	if placed.PlacedAt.Equal(b.trialAt) {
+		b.trialAt = time.Time{}
 	}
 }
 
@@ -146,7 +170,11 @@
 	return true
 }
 
-func (b *backpressure) isResting(now time.Time) bool { return now.Before(b.restUntil) }
+// isResting reports whether the target rests, or a request that tries it after a rest has got no
+// answer.
+func (b *backpressure) isResting(now time.Time) bool {
+	return now.Before(b.restUntil) || !b.trialAt.IsZero()
+}
 
 func (b *backpressure) isLeaving(now time.Time) bool { return now.Before(b.leavingUntil) }
 
--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -31,6 +31,8 @@
 	blockStart
 	// blockRateLimit: this entry has used its share of the rate that the target accepts.
 	blockRateLimit
+	// blockResting: the target has asked for rest, or a request tries it after one.
+	blockResting
 	numBlockReasons
 )
 
@@ -91,9 +93,9 @@
 
 	var b strings.Builder
 
-	fmt.Fprintf(&b, "free %d, leaving %d, broken %d, paused %d, full %d, starts delayed %d, connections %d, cold %d, rate limited %d; waiting %d, ended %.1f/s",
+	fmt.Fprintf(&b, "free %d, leaving %d, broken %d, paused %d, full %d, starts delayed %d, connections %d, cold %d, rate limited %d, resting %d; waiting %d, ended %.1f/s",
 		t[blockNone], t[blockDraining], t[blockBroken], t[blockEjected], t[blockFull], t[blockStart], t[blockConnections],
-		t[blockCold], t[blockRateLimit], r.waiting, r.completionsPerSecond)
+		t[blockCold], t[blockRateLimit], t[blockResting], r.waiting, r.completionsPerSecond)
 
 	for _, g := range r.groups {
 		fmt.Fprintf(&b, "; group %q: free %d of %d, bound %.1f, others %.1f, first answer %s, steps %.2f of the gap accepted, late %t",
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -266,6 +266,10 @@
 		return nil
 	}
 
+	if b := d.knownBackpressure(placed); b != nil {
+		b.endTrial(placed)
+	}
+
 	if t := s.targets[placed.Target.ID]; t != nil {
 		t.finish(now, work, o, &d.Settings)
 	}
--- a/internal/dispatch/rate_limit.go
+++ b/internal/dispatch/rate_limit.go
@@ -53,7 +53,7 @@
 
 // nextSends returns the next n times at which the rate limit of t allows this entry to send there.
 func (d *Dispatcher) nextSends(now time.Time, t *target, n int) []time.Time {
-	from := latest(now, t.ejectedUntil)
+	from := t.availableAt(now)
 	units, window := d.rateUnits(now, t)
 
 	if units == 0 {
@@ -97,7 +97,7 @@
 		case t.backpressure.rateLimit.Stated:
 			limited = true
 		default:
-			if at := latest(now, t.ejectedUntil); times.unlimitedAt.IsZero() || at.Before(times.unlimitedAt) {
+			if at := t.availableAt(now); times.unlimitedAt.IsZero() || at.Before(times.unlimitedAt) {
 				times.unlimitedAt = at
 			}
 		}
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/rest_test.go
@@ -116,3 +116,30 @@
 	_, ok = e.submit(startTime.Add(2500*time.Millisecond), time.Second)
 	require.False(t, ok, "a request that can be sent before its deadline is refused")
 }
+
+// Guards against many requests at once to a target whose rest has ended: it may turn all of them
+// away again, and each has then used up a try.
+func TestOneRequestAtATimeAfterARest(t *testing.T) {
+	t.Parallel()
+
+	e, _, _ := newRestingEntry(t)
+	e.askForRest(startTime, e.placeAt(startTime, "a"), rest)
+
+	now := startTime.Add(rest)
+	trial := e.placeAt(now, "a")
+	e.placeAt(now, "b")
+	e.placeAt(now, "b")
+
+	// Turned away again: the next rest begins.
+	e.askForRest(now.Add(time.Millisecond), trial, rest)
+	e.placeAt(now.Add(2*time.Second), "b")
+
+	// Lost: the next request may try.
+	now = now.Add(rest + time.Millisecond)
+	e.Finish(now, e.placeAt(now, "a"), 1, dispatch.Canceled)
+
+	// Accepted: others may follow.
+	trial = e.placeAt(now, "a")
+	e.ReportRest(trial, time.Time{})
+	e.placeAt(now, "a")
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -83,7 +83,7 @@
 }
 
 // availableAt returns the earliest time at which some target may accept r: now, or the end
-// of the first ejection if all targets are ejected. It returns false if no target can
+// of the first ejection or rest if all targets are ejected or rest. It returns false if no target can
 // accept r.
 func (s *service) availableAt(now time.Time, r *Request, cfg *Settings) (at time.Time, ok bool) {
 	for _, t := range s.sorted {
@@ -91,12 +91,13 @@
 			continue
 		}
 
-		if !t.ejectedUntil.After(now) {
+		available := t.availableAt(now)
+		if available.Equal(now) {
 			return now, true
 		}
 
-		if !ok || t.ejectedUntil.Before(at) {
-			at, ok = t.ejectedUntil, true
+		if !ok || available.Before(at) {
+			at, ok = available, true
 		}
 	}
 
@@ -285,8 +286,8 @@
 
 // refuseUnservable refuses requests that would exceed their deadline before an answer, and
 // those without an eligible target. A late request is refused once the requests ahead of it
-// are more than complete in its remaining time. If all targets are ejected, a request whose
-// deadline precedes the end of the first ejection is refused immediately, and so is one that the
+// are more than complete in its remaining time. If all targets are ejected or rest, a request
+// whose deadline precedes the end of the first ejection or rest is refused immediately, and so is one that the
 // rate limits of the targets cannot admit before its deadline. The remaining requests are left
 // sorted.
 func (d *Dispatcher) refuseUnservable(now time.Time, s *service) []Action {
@@ -407,6 +408,8 @@
 		return blockBroken
 	case now.Before(t.ejectedUntil):
 		return blockEjected
+	case t.backpressure.isResting(now):
+		return blockResting
 	case d.isRateLimited(now, t):
 		return blockRateLimit
 	case t.Slots > 0 && d.isFull(now, s, t, s.limit(now, t, &d.Settings)):
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -101,6 +101,11 @@
 	}
 }
 
+// availableAt returns when the target is neither ejected nor resting: now or later.
+func (t *target) availableAt(now time.Time) time.Time {
+	return latest(latest(now, t.ejectedUntil), t.backpressure.restUntil)
+}
+
 func (t *target) eject(until time.Time, rejected bool) {
 	if until.After(t.ejectedUntil) {
 		t.ejectedUntil, t.rejected = until, rejected
--- a/internal/relay/target_statements.go
+++ b/internal/relay/target_statements.go
@@ -33,7 +33,9 @@
 	switch {
 	case info.RestError != nil:
 		p.logStatement(slog.LevelWarn, "Rest that a target asks for cannot be read; ignoring it.", "error", info.RestError)
-	case info.Rest > 0:
+	case info.Rest == 0:
+		p.relay.queue.reportRest(p.placed, time.Time{})
+	default:
 		until := p.relay.Now().Add(info.Rest)
 		p.relay.queue.reportRest(p.placed, until)
 		p.logStatement(slog.LevelInfo, "Target asks for rest.", "until", until, "tried", p.tried)
