Send nothing new to a target that says in its answers that it leaves

Cause: no entry read Server-Leaving; the same class as the rest that a target asks for. Change: an entry that has heard it counts the target as draining, for that incarnation. Why it works: every send passes the dispatcher, and what it has heard does not depend on the directory.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -187,7 +187,7 @@
 	}
 
 	for _, t := range g.targets {
-		if !t.Draining && !t.Broken && t.availableAt(now).Equal(now) {
+		if !t.isDraining(now) && !t.Broken && t.availableAt(now).Equal(now) {
 			return true
 		}
 	}
--- a/internal/dispatch/rate_limit.go
+++ b/internal/dispatch/rate_limit.go
@@ -93,7 +93,7 @@
 func (d *Dispatcher) sendTimes(now time.Time, s *service) (times sendTimes, limited bool) {
 	for _, t := range s.sorted {
 		switch {
-		case t.Draining || t.group.isDown(now, &d.Settings):
+		case t.isDraining(now) || t.group.isDown(now, &d.Settings):
 		case t.backpressure.rateLimit.Stated:
 			limited = true
 		default:
@@ -108,7 +108,7 @@
 	}
 
 	for _, t := range s.sorted {
-		if !t.Draining && !t.group.isDown(now, &d.Settings) && t.backpressure.rateLimit.Stated {
+		if !t.isDraining(now) && !t.group.isDown(now, &d.Settings) && t.backpressure.rateLimit.Stated {
 			times.limited = append(times.limited, d.nextSends(now, t, len(s.waiting))...)
 		}
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -87,7 +87,7 @@
 // accept r.
 func (s *service) availableAt(now time.Time, r *Request, cfg *Settings) (at time.Time, ok bool) {
 	for _, t := range s.sorted {
-		if t.Draining || t.group.isDown(now, cfg) || slices.Contains(r.Excluded, t.ID) {
+		if t.isDraining(now) || t.group.isDown(now, cfg) || slices.Contains(r.Excluded, t.ID) {
 			continue
 		}
 
@@ -402,7 +402,7 @@
 // blockReason returns why t may not receive a request now, or blockNone if it may.
 func (d *Dispatcher) blockReason(now time.Time, s *service, t *target) blockReason {
 	switch {
-	case t.Draining:
+	case t.isDraining(now):
 		return blockDraining
 	case t.Broken, t.group.isReportedBroken(now):
 		return blockBroken
--- a/internal/dispatch/slowdown.go
+++ b/internal/dispatch/slowdown.go
@@ -34,7 +34,7 @@
 	g.minSlowdown, g.maxSlowdown, g.slowdownsUntil = math.Inf(1), 0, now.Add(slowdownTTL)
 
 	for _, t := range g.targets {
-		if t.slowdown == 0 || now.Sub(t.slowdownAt) > slowdownTTL || t.Draining {
+		if t.slowdown == 0 || now.Sub(t.slowdownAt) > slowdownTTL || t.isDraining(now) {
 			continue
 		}
 
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// isDraining reports whether the target accepts no new requests, as listed in the directory or as
+// it has said in an answer. The directory may not know yet, or may be out of reach.
+func (t *target) isDraining(now time.Time) bool { return t.Draining || t.backpressure.isLeaving(now) }
+
 // availableAt returns when the target is neither ejected nor resting: now or later.
 func (t *target) availableAt(now time.Time) time.Time {
 	return latest(latest(now, t.ejectedUntil), t.backpressure.restUntil)
