Let agents leave a target that asks for rest alone until then

A target behind an agent that answers 503 with Retry-After got the next request at once, and callers the next 503. Change: the admission core refuses requests as not run, with the end of the rest, and grants no slots until then; another boot of the target ends it. Why it works: the agent is the only sender to its target, and admits nothing meanwhile.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -164,7 +164,7 @@
 	}
 
 	available := c.limit() - len(c.running) - c.unknownCount()
-	if available <= 0 {
+	if available <= 0 || c.isResting(now) {
 		return cause, true
 	}
 
@@ -188,6 +188,10 @@
 func (c *Core) retryAt(now time.Time, cause verdict.Cause) time.Time {
 	switch cause {
 	case verdict.CauseOverload, verdict.CauseColdLimit:
+		if c.isResting(now) {
+			return c.restUntil
+		}
+
 		wait := c.meanDuration / time.Duration(max(c.limit(), 1))
 		return now.Add(min(max(wait, minRetryDelay), maxRetryDelay))
 	case verdict.CauseTargetDown, verdict.CauseStale:
--- a/internal/admission/core.go
+++ b/internal/admission/core.go
@@ -23,6 +23,8 @@
 	unknown      unknownWork
 	running      map[string]*attempt
 	meanDuration time.Duration
+	// restUntil is the end of the rest that the target has asked for.
+	restUntil time.Time
 	// lastExpiry is the latest expiry of all credits granted so far.
 	lastExpiry time.Time
 }
@@ -91,6 +93,10 @@
 	cold := !c.target.up || a.BootID != c.target.bootID || (a.Cold && !c.ramp.engineCold)
 	previous := c.target.announcedAt
 
+	if a.BootID != c.target.bootID {
+		c.restUntil = time.Time{}
+	}
+
 	c.target = target{up: true, announced: true, bootID: a.BootID, service: a.Service, capacity: a.Capacity, announcedAt: now}
 	c.updateBounds(now)
 	c.ramp.engineCold = a.Cold
@@ -124,6 +130,17 @@
 	c.ramp.reset(now, c.Settings.RampInterval)
 }
 
+// Rest records that the target, which could not serve a request, wants no more of them until a time.
+func (c *Core) Rest(until time.Time) {
+	c.prepare()
+
+	if until.After(c.restUntil) {
+		c.restUntil = until
+	}
+}
+
+func (c *Core) isResting(now time.Time) bool { return now.Before(c.restUntil) }
+
 // runningAdmittedBefore returns how many of the running attempts were admitted before at.
 func (c *Core) runningAdmittedBefore(at time.Time) int {
 	n := 0
--- a/internal/admission/grant.go
+++ b/internal/admission/grant.go
@@ -29,6 +29,9 @@
 
 		if !req.renewal {
 			grant.RetryAt = c.reserve(now, e, slots)
+			if c.isResting(now) && !grant.RetryAt.IsZero() {
+				grant.RetryAt = c.restUntil
+			}
 		}
 	}
 
@@ -47,7 +50,7 @@
 // allocate returns how many slots e may use now. While other entries wait, a renewal
 // gives e no more slots than it has requests in flight.
 func (c *Core) allocate(now time.Time, e *entry, renewal bool) int {
-	if c.draining || c.view.excluded() {
+	if c.draining || c.view.excluded() || c.isResting(now) {
 		return 0
 	}
 
--- a/internal/agent/admitter.go
+++ b/internal/agent/admitter.go
@@ -42,6 +42,13 @@
 	c.ReportCold(now)
 }
 
+func (adm *admitter) rest(now, until time.Time) {
+	defer adm.mu.Unlock()
+
+	c, _ := adm.begin(now)
+	c.Rest(until)
+}
+
 func (adm *admitter) admit(now time.Time, r admission.Request) admission.Decision {
 	defer adm.mu.Unlock()
 
--- a/internal/agent/response_reader.go
+++ b/internal/agent/response_reader.go
@@ -78,6 +78,8 @@
 		r.exchange.agent.reportCold()
 	}
 
+	r.exchange.agent.reportRest(resp)
+
 	r.parts <- responsePart{head: resp}
 	r.parts <- r.readBody(resp.Body, idleTimer)
 }
