End the trial after a rest also while its service is missing

A target that had asked for rest could be left alone for good. Cause: the dispatcher looked for the service of a request that had ended before it noted the end of a trial. A configuration that took the service out meanwhile and put it back left a trial that never ended. Change: the end is noted first. Why it works: what is known of a target does not depend on its service. Test: TestTrialEndsWithoutItsService failed before (the target got no request).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -261,15 +261,15 @@
 
 // Finish ends a placed request, releases its capacity, and places waiting requests there.
 func (d *Dispatcher) Finish(now time.Time, placed Action, work float64, o Outcome) []Action {
+	if b := d.knownBackpressure(placed); b != nil {
+		b.endTrial(placed)
+	}
+
 	s := d.services[placed.Target.Service]
 	if s == nil {
 		return nil
 	}
 
-	if b := d.knownBackpressure(placed); b != nil {
-		b.endTrial(placed)
-	}
-
 	if t := s.targets[placed.Target.ID]; t != nil {
 		t.finish(now, work, o, &d.Settings)
 	}
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/rest_test.go
@@ -143,3 +143,20 @@
 	e.ReportRest(trial, time.Time{})
 	e.placeAt(now, "a")
 }
+
+// Guards against a target that is stopped for good: the request that tries it after a rest ends while
+// the configuration does not have its service.
+func TestTrialEndsWithoutItsService(t *testing.T) {
+	t.Parallel()
+
+	e, preferred, other := newRestingEntry(t)
+	e.askForRest(startTime, e.placeAt(startTime, "a"), rest)
+
+	now := startTime.Add(rest)
+	trial := e.placeAt(now, "a")
+	e.Update(now, nil, nil)
+	e.Finish(now, trial, 1, dispatch.Failed)
+
+	e.list(now, preferred, other)
+	e.placeAt(now, "a")
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -83,8 +83,8 @@
 }
 
 // availableAt returns the earliest time at which some target may accept r: now, or the end
-// of the first ejection or rest if all targets are ejected or rest. It returns false if no target can
-// accept r.
+// of the first ejection or rest if all targets are ejected or rest. It returns false if no
+// target can accept r.
 func (s *service) availableAt(now time.Time, r *Request, cfg *Settings) (at time.Time, ok bool) {
 	for _, t := range s.sorted {
 		if t.isDraining(now) || t.group.isDown(now, cfg) || slices.Contains(r.Excluded, t.ID) {
@@ -287,9 +287,9 @@
 // refuseUnservable refuses requests that would exceed their deadline before an answer, and
 // those without an eligible target. A late request is refused once the requests ahead of it
 // are more than complete in its remaining time. If all targets are ejected or rest, a request
-// whose deadline precedes the end of the first ejection or rest is refused immediately, and so is one that the
-// rate limits of the targets cannot admit before its deadline. The remaining requests are left
-// sorted.
+// whose deadline precedes the end of the first ejection or rest is refused immediately, and so
+// is one that the rate limits of the targets cannot admit before its deadline. The remaining
+// requests are left sorted.
 func (d *Dispatcher) refuseUnservable(now time.Time, s *service) []Action {
 	var out []Action
 
--- a/internal/relay/target_statements.go
+++ b/internal/relay/target_statements.go
@@ -20,13 +20,14 @@
 }
 
 func (p *proxiedRequest) recordRateLimit(info ResponseInfo) {
-	switch {
-	case info.RateLimitError != nil:
+	if info.RateLimitError != nil {
 		p.logStatement(slog.LevelWarn, "Rate limit of a target cannot be read; ignoring it.", "error", info.RateLimitError)
-	default:
-		previous, sent := p.relay.queue.reportRateLimit(p.placed, info.RateLimit)
-		p.logRateLimit(previous, info.RateLimit, sent)
+
+		return
 	}
+
+	previous, sent := p.relay.queue.reportRateLimit(p.placed, info.RateLimit)
+	p.logRateLimit(previous, info.RateLimit, sent)
 }
 
 func (p *proxiedRequest) recordRest(info ResponseInfo) {
