--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -251,11 +251,7 @@
 				}
 
 				for _, e := range es.entries {
-					if at, ok := updateAt[e]; ok && !now.Before(at) {
-						delete(updateAt, e)
-						es.updateTargets(now, e, all)
-					}
-
+					es.updateIfDue(now, e, all, updateAt)
 					es.fill(now, e)
 					es.finishAll(now, e)
 				}
@@ -266,6 +262,14 @@
 	}
 }
 
+// updateIfDue updates an entry with its targets if the update that it waits for has arrived.
+func (es *entrySet) updateIfDue(now time.Time, e *testEntry, all *shares.Matching, updateAt map[*testEntry]time.Time) {
+	if at, ok := updateAt[e]; ok && !now.Before(at) {
+		delete(updateAt, e)
+		es.updateTargets(now, e, all)
+	}
+}
+
 // replaceEntries removes a tenth of the entries and adds as many. A new entry knows half of
 // the others for 0.6 s, and each of the others receives the update within a second.
 func (es *entrySet) replaceEntries(r *rand.Rand, now time.Time, updateAt map[*testEntry]time.Time) {
--- a/internal/dispatch/rate_limit_test.go
+++ b/internal/dispatch/rate_limit_test.go
@@ -218,11 +218,7 @@
 				}
 
 				for _, e := range es.entries {
-					if at, ok := updateAt[e]; ok && !now.Before(at) {
-						delete(updateAt, e)
-						es.updateTargets(now, e, all)
-					}
-
+					es.updateIfDue(now, e, all, updateAt)
 					es.fill(now, e)
 
 					for _, a := range e.placed {
