Publish the speed of engines and find services with priorities

Cause: entries could not forecast steps, since the published figures of engines were dropped, and did not know which services have routes of different priority.

Change: route tables carry EngineFigures; a table tells whether a service's routes have different priorities; the setting PriorityControl selects the services. Nothing acts on it yet.

--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -43,8 +43,9 @@
 		RelayAddress: s.Process.AdminAddress, EngineAt: platform.Engine, InternalMux: p.adminMux,
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, ReadyListener: ready,
 		Seeds: p.seedSource(), Dialect: platform.Dialect(), ReadinessHandler: platform.Readiness,
-		Budget:      &retries.SharedBudget{Ratio: s.Routing.RetryRatio, Slack: s.Routing.MinRetries, Window: s.Routing.RetryWindow},
-		StopTimeout: s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor, Logs: p.logs, Dump: p.dump,
+		Budget:          &retries.SharedBudget{Ratio: s.Routing.RetryRatio, Slack: s.Routing.MinRetries, Window: s.Routing.RetryWindow},
+		PriorityControl: s.Routing.PriorityControl,
+		StopTimeout:     s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor, Logs: p.logs, Dump: p.dump,
 	}
 
 	return e.Run(ctx)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -49,6 +50,14 @@
 	// Streams reports whether the targets are engines that stream their answers and slow
 	// each other down.
 	Streams bool
+	// Prioritized is set if requests are served by declared priorities, and the group's load is
+	// limited by a forecast from Engine.
+	Prioritized bool
+	Engine      routes.EngineFigures
+	// EventGap is the shortest gap between two events that a route of the service declares.
+	// Timeout is the longest time that a caller waits for an answer.
+	EventGap time.Duration
+	Timeout  time.Duration
 }
 
 // Request is a request to be assigned to a target.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/shares"
@@ -47,6 +48,8 @@
 	// MaxHeldBytes bounds the request bodies and buffered answers that all requests hold
 	// together; zero means no limit.
 	MaxHeldBytes int64
+	// PriorityControl selects the services whose requests are served by declared priorities.
+	PriorityControl priority.Control
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
@@ -131,10 +134,8 @@
 	defer r.applyMu.Unlock()
 
 	services := make([]dispatch.Service, 0, len(f.Table.Services))
-	for _, s := range f.Table.Services {
-		services = append(services, dispatch.Service{
-			Name: s.Name, ColdPerSecond: s.ColdPerSecond, MaxConnections: s.MaxConnections, Streams: s.Slots > 0,
-		})
+	for i := range f.Table.Services {
+		services = append(services, r.serviceOf(f.Table, &f.Table.Services[i]))
 	}
 
 	now := r.Now()
@@ -155,6 +156,20 @@
 	}
 }
 
+// serviceOf returns what the dispatcher needs to know about a service.
+func (r *Relay) serviceOf(table *routes.Table, s *routes.Service) dispatch.Service {
+	out := dispatch.Service{
+		Name: s.Name, ColdPerSecond: s.ColdPerSecond, MaxConnections: s.MaxConnections, Streams: s.Slots > 0, Engine: s.Engine,
+		Prioritized: r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0),
+	}
+
+	if out.Prioritized {
+		out.EventGap, out.Timeout = table.StreamTimes(s.Name)
+	}
+
+	return out
+}
+
 // Uses reports whether this entry sends requests to an engine on vm.
 func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) }
 
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -19,6 +19,7 @@
 	"github.com/parsleygate/parsleygate/internal/loadreport"
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/internal/relay"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
@@ -77,6 +78,8 @@
 	Budget           *retries.SharedBudget
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
+	// PriorityControl selects the services whose requests are served by declared priorities.
+	PriorityControl priority.Control
 	// MaxHeldBytes bounds the request bodies and buffered answers that this entry holds; zero
 	// means no limit.
 	MaxHeldBytes int64
@@ -211,7 +214,7 @@
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
 		TargetClient: &targetclient.Client{DialTimeout: targetDialTimeout, MaxHeaderBytes: maxTargetHeaderBytes},
-		StopsAt:      r.stopTime, MaxHeldBytes: r.MaxHeldBytes, Logger: r.Logs.Logger("relay"),
+		StopsAt:      r.stopTime, MaxHeldBytes: r.MaxHeldBytes, PriorityControl: r.PriorityControl, Logger: r.Logs.Logger("relay"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -101,6 +101,29 @@
 	// engines.
 	Slots   int
 	Experts ExpertShape
+	Engine  EngineFigures
+}
+
+// EngineFigures are the published figures of the speed of a service's engines. All are zero if
+// none are published.
+type EngineFigures struct {
+	// Stride is the number of steps in a pass. A stream has an event in each pass.
+	Stride int
+	// StepTime is the fixed part of a step. SequenceTime is what each running sequence adds to
+	// it, and ContextTime what each 1,000 tokens of its context add.
+	StepTime     time.Duration
+	SequenceTime time.Duration
+	ContextTime  time.Duration
+	// PromptTokensPerSecond is how fast prompts are read, in pieces of at most ChunkTokens per
+	// step. PairTime is what each million pairs of a token and an earlier one add.
+	PromptTokensPerSecond float64
+	ChunkTokens           int
+	PairTime              time.Duration
+	// ExpertShare is the part of the work for tokens that is done by experts, 0 to 1.
+	ExpertShare float64
+	// UsualPromptTokens and UsualAnswerTokens are the mean sizes of a request.
+	UsualPromptTokens float64
+	UsualAnswerTokens float64
 }
 
 // Workspace is a customer, identified by the keys that its callers present.
@@ -137,6 +160,7 @@
 	routes     map[routeKey]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	summaries  map[string]routeSummary
 }
 
 // NewTable checks d and returns a table of it.
@@ -150,6 +174,7 @@
 		routes:      make(map[routeKey]*Route, len(d.Routes)),
 		services:    make(map[string]*Service, len(d.Services)),
 		workspaces:  map[string]*Workspace{},
+		summaries:   summarize(d.Routes),
 	}
 
 	for i := range d.Routes {
@@ -193,3 +218,46 @@
 // RequiresKey reports whether callers must present a workspace key on routes that are
 // not anonymous.
 func (t *Table) RequiresKey() bool { return len(t.Workspaces) > 0 }
+
+// routeSummary describes the routes that lead to a service.
+type routeSummary struct {
+	priority uint32
+	// hasPriorities is set if the routes have different priorities.
+	hasPriorities     bool
+	eventGap, timeout time.Duration
+}
+
+// HasPriorities reports whether the routes that lead to a service declare different priorities.
+func (t *Table) HasPriorities(service string) bool { return t.summaries[service].hasPriorities }
+
+// StreamTimes returns the shortest accepted gap between two events, zero if none is declared, and
+// the longest timeout of the routes that lead to a service.
+func (t *Table) StreamTimes(service string) (eventGap, timeout time.Duration) {
+	s := t.summaries[service]
+
+	return s.eventGap, s.timeout
+}
+
+// summarize returns a summary of the routes to each service.
+func summarize(all []Route) map[string]routeSummary {
+	out := make(map[string]routeSummary)
+
+	for i := range all {
+		r := &all[i]
+
+		for _, share := range r.Shares {
+			s, known := out[share.Service]
+			s.hasPriorities = s.hasPriorities || known && s.priority != r.Priority
+			s.priority = r.Priority
+			s.timeout = max(s.timeout, r.Timeout)
+
+			if r.EventGapTarget > 0 && (s.eventGap == 0 || r.EventGapTarget < s.eventGap) {
+				s.eventGap = r.EventGapTarget
+			}
+
+			out[share.Service] = s
+		}
+	}
+
+	return out
+}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -15,7 +15,10 @@
 	d := routes.Declaration{
 		Number: 7,
 		Services: []routes.Service{
-			{Name: "drafts", MaxConnections: 298, ColdDuration: 3 * time.Second, ColdPerSecond: 26, HealthPath: "/health", Slots: 12, Experts: routes.ExpertShape{Sets: 4, Experts: 72, Slots: 8, SpareSlots: 3, CopyTime: 98 * time.Millisecond}},
+			{Name: "drafts", MaxConnections: 298, ColdDuration: 3 * time.Second, ColdPerSecond: 26, HealthPath: "/health", Slots: 12, Experts: routes.ExpertShape{Sets: 4, Experts: 72, Slots: 8, SpareSlots: 3, CopyTime: 98 * time.Millisecond}, Engine: routes.EngineFigures{
+				Stride: 4, StepTime: 4550 * time.Microsecond, SequenceTime: 905 * time.Microsecond, ContextTime: 18300 * time.Nanosecond,
+				PromptTokensPerSecond: 61400, ChunkTokens: 512, PairTime: 525 * time.Microsecond, ExpertShare: 0.85, UsualPromptTokens: 835, UsualAnswerTokens: 97,
+			}},
 			{Name: "desk", MaxConnections: 120},
 		},
 		Routes: []routes.Route{
@@ -159,3 +162,33 @@
 
 	return a == b
 }
+
+// Guards against choosing by priority in a service whose routes all have the same one.
+func TestPrioritiesOfAService(t *testing.T) {
+	route := func(prefix string, priority uint32, gap time.Duration, services ...string) routes.Route {
+		r := routes.Route{Name: prefix, Host: "h", Prefix: prefix, Timeout: time.Second, EventGapTarget: gap, Priority: priority}
+		for _, s := range services {
+			r.Shares = append(r.Shares, routes.Share{Service: s, Weight: 1})
+		}
+
+		return r
+	}
+
+	table, err := routes.NewTable(routes.Declaration{
+		Services: []routes.Service{{Name: "mixed"}, {Name: "plain"}},
+		Routes: []routes.Route{
+			route("/a/", 0, 150*time.Millisecond, "mixed"), route("/b/", 2, 120*time.Millisecond, "mixed", "plain"), route("/c/", 2, 0, "plain"),
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if !table.HasPriorities("mixed") || table.HasPriorities("plain") || table.HasPriorities("unknown") {
+		t.Errorf("services with priorities: mixed %t, plain %t, unknown %t", table.HasPriorities("mixed"), table.HasPriorities("plain"), table.HasPriorities("unknown"))
+	}
+
+	if gap, timeout := table.StreamTimes("mixed"); gap != 120*time.Millisecond || timeout != time.Second {
+		t.Errorf("stream times of mixed: gap %s, timeout %s", gap, timeout)
+	}
+}
--- a/internal/routes/wire.go
+++ b/internal/routes/wire.go
@@ -27,6 +27,7 @@
 				Places: uint32(s.Experts.Slots), Spare: uint32(s.Experts.SpareSlots),
 				CopyMicros: uint64(s.Experts.CopyTime.Microseconds()),
 			},
+			Engine: s.Engine.toWire(),
 		})
 	}
 
@@ -72,6 +73,7 @@
 				Sets: int(e.GetSets()), Experts: int(e.GetExperts()), Slots: int(e.GetPlaces()), SpareSlots: int(e.GetSpare()),
 				CopyTime: time.Duration(e.GetCopyMicros()) * time.Microsecond,
 			},
+			Engine: engineFromWire(s.GetEngine()),
 		})
 	}
 
@@ -82,6 +84,27 @@
 	return d
 }
 
+func (e *EngineFigures) toWire() *wire.EngineFigures {
+	if *e == (EngineFigures{}) {
+		return nil
+	}
+
+	return &wire.EngineFigures{
+		Stride: uint32(e.Stride), StepNanos: int64(e.StepTime), SequenceNanos: int64(e.SequenceTime), ContextNanos: int64(e.ContextTime),
+		PromptTokensPerSecond: e.PromptTokensPerSecond, ChunkTokens: uint32(e.ChunkTokens), PairNanos: int64(e.PairTime),
+		ExpertShare: e.ExpertShare, UsualPromptTokens: e.UsualPromptTokens, UsualAnswerTokens: e.UsualAnswerTokens,
+	}
+}
+
+func engineFromWire(w *wire.EngineFigures) EngineFigures {
+	return EngineFigures{
+		Stride: int(w.GetStride()), StepTime: time.Duration(w.GetStepNanos()), SequenceTime: time.Duration(w.GetSequenceNanos()),
+		ContextTime: time.Duration(w.GetContextNanos()), PromptTokensPerSecond: w.GetPromptTokensPerSecond(),
+		ChunkTokens: int(w.GetChunkTokens()), PairTime: time.Duration(w.GetPairNanos()), ExpertShare: w.GetExpertShare(),
+		UsualPromptTokens: w.GetUsualPromptTokens(), UsualAnswerTokens: w.GetUsualAnswerTokens(),
+	}
+}
+
 func routeFromWire(r *wire.Route) Route {
 	out := Route{
 		Name: r.GetName(), Host: r.GetHost(), Prefix: r.GetPrefix(), Retry: RetryPolicy(r.GetRepeat()), Stream: r.GetStream(),
--- a/internal/settings/seeds.go
+++ b/internal/settings/seeds.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/inifile"
+	"github.com/parsleygate/parsleygate/internal/priority"
 )
 
 // Seeds are the addresses of some control VMs, in a deployment whose control VMs discover
@@ -40,6 +41,8 @@
 	RetryWindow time.Duration
 	// StopTimeout (key Stop) bounds a graceful stop.
 	StopTimeout time.Duration
+	// PriorityControl selects the services whose requests are served by declared priorities.
+	PriorityControl priority.Control
 }
 
 // Rank are the settings of an agent that runs beside a rank of a lock-step group.
@@ -109,6 +112,16 @@
 		numberField(sectionRouting, "RetrySlack", "50", "The retries that each service may make in RetryWindow in addition to that ratio, over all entries.", func(s *Settings) *float64 { return &s.Routing.MinRetries }),
 		durationField(sectionRouting, "RetryWindow", "10s", "The time window of the retry budget.", func(s *Settings) *time.Duration { return &s.Routing.RetryWindow }),
 		durationField(sectionRouting, "Stop", "8s", "How long a graceful stop may take before the process is killed.", func(s *Settings) *time.Duration { return &s.Routing.StopTimeout }),
+		{
+			Section: sectionRouting, Key: "PriorityControl", Allowed: "Auto, All or None", Default: "Auto",
+			Help: "The services whose requests are served by the priorities that operators declare: Auto for those whose routes declare different ones, All for every service with engines, None for none.",
+			parse: func(s *Settings, v string) bool {
+				control, ok := priority.Controls[v]
+				s.Routing.PriorityControl = control
+
+				return ok
+			},
+		},
 		addressFieldIn(sectionRank, "EngineAddress", "The address of the engine on this VM, which is a rank of a lock-step group and accepts orders. The agent then only manages expert maps; callers' requests bypass it.", func(s *Settings) *netip.AddrPort { return &s.Rank.EngineAddress }),
 		addressFieldIn(sectionOperating, "Address", "The listen address for operators' commands, each of which takes effect in one step, and for targets' announcements.", func(s *Settings) *netip.AddrPort { return &s.Operating.Address }),
 		{
