--- a/internal/priority/control_test.go
+++ b/internal/priority/control_test.go
@@ -9,6 +9,8 @@
 // Guards against serving by priority where operators did not ask for it, as earlier deployments
 // must be served as before.
 func TestOnlyDeclaredPrioritiesSelectAService(t *testing.T) {
+	t.Parallel()
+
 	for _, c := range []struct {
 		control                 priority.Control
 		declared, engines, want bool
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -165,6 +165,8 @@
 
 // Guards against choosing by priority in a service whose routes all have the same one.
 func TestPrioritiesOfAService(t *testing.T) {
+	t.Parallel()
+
 	route := func(prefix string, priority uint32, gap time.Duration, services ...string) routes.Route {
 		r := routes.Route{Name: prefix, Host: "h", Prefix: prefix, Timeout: time.Second, EventGapTarget: gap, Priority: priority}
 		for _, s := range services {
