Choose the step of a map switch further ahead while there is time

Change: control VMs publish the accepted event gap of services with priorities; while passes with the old map remain below 0.8 of it, the step is 250 to 900 ms ahead.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -37,6 +37,7 @@
 	version         uint64
 	// lastSearch is the result of the last search for a better map.
 	lastSearch searchResult
+	stepLength stepLength
 	// refusedSwitches counts consecutive switches that ranks refused to prepare.
 	refusedSwitches int
 }
@@ -95,6 +96,7 @@
 	d.recordSlowdowns(polls)
 
 	first := polls[0].Report
+	d.stepLength.observe(time.Now(), first.Step)
 
 	if slices.ContainsFunc(polls, func(p PollResult) bool { return p.Report.Holds }) {
 		d.releaseHolds(ctx)
@@ -178,6 +180,8 @@
 		return
 	}
 
+	// The steps were observed with the usual skew, which is about that of the next map.
+	d.switcher.longLead = d.stepLength.staysBelow(d.Shape.EventGap, before/after)
 	planned := time.Now()
 	version := d.nextVersion()
 	err := d.switcher.Switch(ctx, version, next)
@@ -186,7 +190,7 @@
 	// that of the expected demand indicates a shift that was not detected.
 	latestSkew := d.current.SkewWithSlowdowns(d.demandEstimator.latest, d.slowdowns)
 	d.Logger.Info("Map switch attempted.", "version", version, "skewNow", fmt.Sprintf("%.2f", latestSkew), "skewBefore", fmt.Sprintf("%.2f", before), "skewAfter", fmt.Sprintf("%.2f", after),
-		"planned", planned.Sub(began).Round(time.Millisecond), "took", time.Since(planned).Round(time.Millisecond), "error", err)
+		"longLead", d.switcher.longLead, "planned", planned.Sub(began).Round(time.Millisecond), "took", time.Since(planned).Round(time.Millisecond), "error", err)
 
 	switch {
 	case err == nil:
--- a/internal/lockstep/engine.go
+++ b/internal/lockstep/engine.go
@@ -175,6 +175,9 @@
 	SpareSlots int
 	// CopyTime is how long a rank takes to copy one expert.
 	CopyTime time.Duration
+	// EventGap is the gap between two events that callers accept, if a switch may use the time
+	// that steps leave of it; zero otherwise.
+	EventGap time.Duration
 }
 
 // Settings are the intervals, timeouts and thresholds of a directing agent.
@@ -200,6 +203,11 @@
 	// ranks are armed and the hold is lifted before that step is due, the hold delays nothing.
 	MinStepLead time.Duration
 	MaxStepLead time.Duration
+	// MinLongLead and MaxLongLead are these bounds while steps with the old map remain within
+	// the event gap that callers accept. A switch that is late then costs nothing, but one whose
+	// orders are unanswered and that holds its step makes every stream of the group late.
+	MinLongLead time.Duration
+	MaxLongLead time.Duration
 	// MinGain is the smallest reduction of the load of the most loaded ranks, relative to the
 	// current load, for which a new map is worth its copies.
 	MinGain float64
@@ -234,7 +242,7 @@
 	return Settings{
 		PollInterval: 100 * time.Millisecond, FirstPollInterval: 40 * time.Millisecond, SwitchPollInterval: 15 * time.Millisecond,
 		PrepareTimeout: 3 * time.Second, ArmTimeout: time.Second, GoTimeout: 2 * time.Second, OrderTimeout: 150 * time.Millisecond, PerRankTimeout: 3 * time.Millisecond, PerRankMapTimeout: 8 * time.Millisecond,
-		MinStepLead: 30 * time.Millisecond, MaxStepLead: 250 * time.Millisecond, MinGain: 0.09, MinCopyGain: 0.01, CopyBudgets: []int{1, 3, 8, 16}, DemandDecay: time.Second, CountAggregators: 12,
+		MinStepLead: 30 * time.Millisecond, MaxStepLead: 250 * time.Millisecond, MinLongLead: 250 * time.Millisecond, MaxLongLead: 900 * time.Millisecond, MinGain: 0.09, MinCopyGain: 0.01, CopyBudgets: []int{1, 3, 8, 16}, DemandDecay: time.Second, CountAggregators: 12,
 		SwitchTime: 200 * time.Millisecond, Horizon: 900 * time.Millisecond,
 	}
 }
--- a/internal/lockstep/step_clock.go
+++ b/internal/lockstep/step_clock.go
@@ -49,3 +49,42 @@
 
 	return step
 }
+
+// stepLength is the usual duration of a step, over the latest polls.
+type stepLength struct {
+	step       uint64
+	observedAt time.Time
+	mean       time.Duration
+}
+
+const (
+	// stepLengthWindow is the number of polls over which the duration of a step is averaged.
+	stepLengthWindow = 8
+	// maxLongLeadGap is the fraction of the accepted event gap up to which a step is expected to
+	// remain within it, although the forecast ignores how many requests start meanwhile.
+	maxLongLeadGap = 0.8
+)
+
+// observe records that step was the last one begun as of now. Intervals in which the group was
+// idle or held a step are ignored.
+func (l *stepLength) observe(now time.Time, step uint64) {
+	if step > l.step && l.step != 0 {
+		if length := now.Sub(l.observedAt) / time.Duration(step-l.step); length < maxStepLength {
+			if l.mean == 0 {
+				l.mean = length
+			}
+
+			l.mean += (length - l.mean) / stepLengthWindow
+		}
+	}
+
+	if step != l.step {
+		l.step, l.observedAt = step, now
+	}
+}
+
+// staysBelow reports whether steps that take factor times as long as usual remain within the event
+// gap that callers accept. It returns false if the gap or the usual duration is not known.
+func (l *stepLength) staysBelow(gap time.Duration, factor float64) bool {
+	return l.mean > 0 && float64(l.mean)*factor <= maxLongLeadGap*float64(gap)
+}
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -44,6 +44,8 @@
 	// time for orders sent by fan-out.
 	answerTimes answerTimes
 	fanOutTimes answerTimes
+	// longLead is set if steps with the old map remain short enough for a long lead.
+	longLead bool
 	// fenced is set once an engine has refused a fencing number as too low.
 	fenced atomic.Bool
 }
@@ -135,12 +137,21 @@
 	// commitTimeMargin the number of mean deviations above the mean that a commit may take.
 	commitTimeWindow = 8
 	commitTimeMargin = 3
+	// longLeadMargin is that margin for a long lead. A few commits with unanswered orders among
+	// others are much longer than the mean.
+	longLeadMargin = 6
 )
 
 // stepLead returns how far ahead the step of a switch should be. A step that is due before all
 // ranks are armed and the hold is lifted is delayed, and every stream of the group with it. A
 // step further ahead means more steps with the old map.
 func (s *Switcher) stepLead() time.Duration {
+	if s.longLead {
+		bound, _ := s.commitTimes.UpperBound(longLeadMargin)
+
+		return min(max(bound, s.Settings.MinLongLead), s.Settings.MaxLongLead)
+	}
+
 	bound, _ := s.commitTimes.UpperBound(commitTimeMargin)
 
 	return min(max(bound, s.Settings.MinStepLead), s.Settings.MaxStepLead)
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -310,6 +310,7 @@
 				return lockstep.Shape{
 					Sets: s.Experts.Sets, Experts: s.Experts.Experts, Ranks: r.Size,
 					Slots: s.Experts.Slots, SpareSlots: s.Experts.SpareSlots, CopyTime: s.Experts.CopyTime,
+					EventGap: s.PrioritizedGap,
 				}, true
 			}
 		}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -102,6 +102,10 @@
 	Slots   int
 	Experts ExpertShape
 	Engine  EngineFigures
+	// PrioritizedGap is the shortest gap between two events that a route to the service accepts;
+	// zero unless its routes have different priorities. It is set in tables that control VMs
+	// publish, for processes that receive no routes.
+	PrioritizedGap time.Duration
 }
 
 // EngineFigures are the published figures of the speed of a service's engines. All are zero if
@@ -238,6 +242,14 @@
 	return s.eventGap, s.timeout
 }
 
+func (s routeSummary) prioritizedGap() time.Duration {
+	if !s.hasPriorities {
+		return 0
+	}
+
+	return s.eventGap
+}
+
 // summarize returns a summary of the routes to each service.
 func summarize(all []Route) map[string]routeSummary {
 	out := make(map[string]routeSummary)
--- a/internal/routes/wire.go
+++ b/internal/routes/wire.go
@@ -17,6 +17,8 @@
 		out.Routes = append(out.Routes, d.Routes[i].toWire())
 	}
 
+	summaries := summarize(d.Routes)
+
 	for i := range d.Services {
 		s := &d.Services[i]
 		out.Services = append(out.Services, &wire.RoutedService{
@@ -27,7 +29,7 @@
 				Places: uint32(s.Experts.Slots), Spare: uint32(s.Experts.SpareSlots),
 				CopyMicros: uint64(s.Experts.CopyTime.Microseconds()),
 			},
-			Engine: s.Engine.toWire(),
+			Engine: s.Engine.toWire(), PrioritizedGapMillis: millis(summaries[s.Name].prioritizedGap()),
 		})
 	}
 
@@ -73,7 +75,7 @@
 				Sets: int(e.GetSets()), Experts: int(e.GetExperts()), Slots: int(e.GetPlaces()), SpareSlots: int(e.GetSpare()),
 				CopyTime: time.Duration(e.GetCopyMicros()) * time.Microsecond,
 			},
-			Engine: engineFromWire(s.GetEngine()),
+			Engine: engineFromWire(s.GetEngine()), PrioritizedGap: duration(s.GetPrioritizedGapMillis()),
 		})
 	}
 
