Estimate answers, and count requests by level, for prioritized services

Cause: the work of a request was computed from the maximum that its caller accepts, which most answers do not reach. Engines did not learn how urgent a request is, and operators could not see which requests were late or refused.

Change: X-Request-Priority is set from the level, for prioritized services only. Answers are estimated by route from streams that ended, the caller's hint by how accurate hints have been, and the published usual answer at first. Requests are counted by level, by group and for the ten busiest workspaces, in the dump and as metrics. Other services are served as before.

--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -34,6 +34,8 @@
 	Role    string
 	ID      string
 	Metrics metrics.Registry
+	// UpdateMetrics updates Metrics before they are served, if not nil.
+	UpdateMetrics func()
 
 	mu    sync.Mutex
 	parts []partSource
@@ -85,12 +87,20 @@
 	})
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
+		d.updateMetrics()
 		metrics.WriteJSONOnce(d.Metrics, w)
 	})
 	r.Get("/metrics.txt", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		d.updateMetrics()
 		WriteText(w, d.Metrics)
 	})
 
 	return r
 }
+
+func (d *Dump) updateMetrics() {
+	if d.UpdateMetrics != nil {
+		d.UpdateMetrics()
+	}
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -63,6 +63,7 @@
 	h.Del("Content-Length")
 	p.relay.Dialect.SetForwardHeaders(h, ForwardInfo{
 		TargetID: target, Workspace: p.workspaceName(), Remaining: p.deadline.Sub(p.relay.Now()), LastEvent: p.lastEvent,
+		EnginePriority: p.level().EngineValue(), HasEnginePriority: p.prioritized,
 	})
 
 	return &targetclient.Request{
@@ -111,6 +112,11 @@
 func (p *proxiedRequest) writeHead(status int) {
 	p.status = status
 	p.firstByte = p.relay.Now().Sub(p.arrivedAt)
+
+	if isSuccess(status) && p.route.LatencyTarget > 0 && p.firstByte > p.route.LatencyTarget {
+		p.countLate()
+	}
+
 	p.relay.latencies.firstByte.Update(p.firstByte.Milliseconds())
 	p.w.WriteHeader(status)
 }
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -21,6 +21,9 @@
 	// PromptTokens and AnswerTokens are the size of a generation request; zero if unknown.
 	PromptTokens int
 	AnswerTokens int
+	// LengthHint is the caller's estimate of the tokens that will be generated; zero if it gave
+	// none that can be read.
+	LengthHint int
 }
 
 // ForwardInfo holds the values that the relay adds to a forwarded request as headers.
@@ -29,6 +32,10 @@
 	Workspace string
 	Remaining time.Duration
 	LastEvent string
+	// EnginePriority is the priority of the request for the engine, 0 first; valid if
+	// HasEnginePriority is set.
+	EnginePriority    int
+	HasEnginePriority bool
 }
 
 // ResponseInfo holds what the relay evaluates in the head of a target's response.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -17,6 +17,7 @@
 	p.relay.counters.completions.Add(1)
 	p.relay.latencies.total.Update(millis(p.arrivedAt, now))
 	p.relay.durations.observe(p.service, now.Sub(p.arrivedAt))
+	p.observeAnswerLength()
 
 	if p.relay.completions.Allow(now) {
 		p.log(slog.LevelInfo, "Served.", append(p.gapAttrs(), "target", p.placed.Target.ID, "zone", p.placed.Target.Zone,
@@ -75,6 +76,7 @@
 	}
 
 	p.relay.counters.refused.Add(1)
+	p.countRefused()
 	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.capacity, "error", err)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
@@ -114,6 +116,10 @@
 		"sends", p.sends, "tried", p.tried, "waited", p.waited.Round(time.Millisecond), "took", p.relay.Now().Sub(p.arrivedAt).Round(time.Millisecond),
 		"number", p.state.Number, "index", p.state.Index)
 
+	if p.prioritized {
+		args = append(args, "level", p.level())
+	}
+
 	if p.noRetry != retries.ReasonNone {
 		args = append(args, "notAgain", p.noRetry)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -101,6 +102,108 @@
 	return nil
 }
 
+// levelMetrics describes the metrics of prioritized services, whose names end with what they count.
+func levelMetrics() []Metric {
+	return []Metric{
+		{Name: levelWaiting + ".SERVICE.LEVEL", Unit: "requests", Help: "Requests currently waiting for a target."},
+		{Name: levelRefused + ".SERVICE.LEVEL", Unit: "requests", Help: "Requests refused without being run."},
+		{Name: levelPlaced + ".SERVICE.GROUP.LEVEL", Unit: "placements", Help: "Assignments of a request to a target of the group."},
+		{Name: levelLate + ".SERVICE.GROUP.LEVEL", Unit: "requests", Help: "Requests whose first event was later than the route's latency target, or a gap between two events longer than the route's."},
+		{Name: workspaceWaiting + ".WORKSPACE", Unit: "requests", Help: "The same as by level, for the ten workspaces with most requests in the last minutes. They start at 0 when a workspace becomes one of the busiest."},
+		{Name: workspaceRefused + ".WORKSPACE", Unit: "requests", Help: "As above."},
+		{Name: workspacePlaced + ".WORKSPACE", Unit: "placements", Help: "As above."},
+		{Name: workspaceLate + ".WORKSPACE", Unit: "requests", Help: "As above."},
+	}
+}
+
+// The names of the metrics of prioritized services, without what they count.
+const (
+	levelWaiting     = "Relay.Level.Waiting"
+	levelRefused     = "Relay.Level.Refused"
+	levelPlaced      = "Relay.Level.Placed"
+	levelLate        = "Relay.Level.Late"
+	workspaceWaiting = "Relay.Workspace.Waiting"
+	workspaceRefused = "Relay.Workspace.Refused"
+	workspacePlaced  = "Relay.Workspace.Placed"
+	workspaceLate    = "Relay.Workspace.Late"
+)
+
+// levelValues returns the values of the metrics of prioritized services, by name.
+func (r *Relay) levelValues() map[string]int64 {
+	out := make(map[string]int64)
+	set := func(value int64, name ...string) { out[strings.Join(name, ".")] = value }
+
+	for _, s := range r.levels.state() {
+		service := metricName(s.Service)
+
+		for _, l := range s.Levels {
+			level := strconv.Itoa(int(l.Level))
+			set(int64(l.Waiting), levelWaiting, service, level)
+			set(l.Refused, levelRefused, service, level)
+		}
+
+		for _, g := range s.Groups {
+			for _, l := range g.Levels {
+				level := strconv.Itoa(int(l.Level))
+				set(l.Placed, levelPlaced, service, metricName(g.Group), level)
+				set(l.Late, levelLate, service, metricName(g.Group), level)
+			}
+		}
+	}
+
+	for _, w := range r.levels.workspaceState(r.Now()) {
+		name := metricName(w.Workspace)
+		set(int64(w.Waiting), workspaceWaiting, name)
+		set(w.Refused, workspaceRefused, name)
+		set(w.Placed, workspacePlaced, name)
+		set(w.Late, workspaceLate, name)
+	}
+
+	return out
+}
+
+// metricName returns a part of a metric's name. Each line of metrics as text ends with a space and
+// the value.
+func metricName(s string) string {
+	if s == "" {
+		return "-"
+	}
+
+	return strings.Join(strings.Fields(s), "_")
+}
+
+// UpdateMetrics updates the metrics in registry whose names depend on services, groups and workspaces.
+// It must be called before the registry is read.
+func (r *Relay) UpdateMetrics(registry metrics.Registry) error {
+	r.metricsMu.Lock()
+	defer r.metricsMu.Unlock()
+
+	values := r.levelValues()
+
+	for name := range r.levelGauges {
+		if _, ok := values[name]; !ok {
+			registry.Unregister(name)
+			delete(r.levelGauges, name)
+		}
+	}
+
+	for name, value := range values {
+		g := r.levelGauges[name]
+		if g == nil {
+			g = metrics.NewGauge()
+			if err := registry.Register(name, g); err != nil {
+				return eris.Wrap(err, "register metric")
+			}
+
+			r.levelGauges[name] = g
+		}
+
+		g.Update(value)
+	}
+
+	return nil
+}
+
 // MetricsReference returns the metrics reference page in Markdown.
 func MetricsReference() string {
 	var b strings.Builder
@@ -113,6 +216,13 @@
 		fmt.Fprintf(&b, "| %s | %s | %s |\n", m.Name, m.Unit, m.Help)
 	}
 
+	b.WriteString("\nPrioritized services have these as well. A name ends with the service, the group and the level, or with the workspace;\n")
+	b.WriteString("`-` stands for an empty name. See [operators/prioritized.md](operators/prioritized.md).\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
+
+	for _, m := range levelMetrics() {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", m.Name, m.Unit, m.Help)
+	}
+
 	b.WriteString("\n## Every process\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
 	fmt.Fprintf(&b, "| %s | lines | Log lines dropped because their reader was stalled. |\n", logs.DroppedMetric)
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
@@ -23,6 +25,7 @@
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
+	"github.com/parsleygate/parsleygate/internal/tokens"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -65,6 +68,13 @@
 	counters    counters
 	latencies   latencies
 	durations   durations
+	// answers estimates the answers of the routes to prioritized services, and levels counts their
+	// requests.
+	answers tokens.Estimators[routeID]
+	levels  levelCounts
+	// metricsMu guards levelGauges, the registered metrics of levels by name.
+	metricsMu   sync.Mutex
+	levelGauges map[string]metrics.Gauge
 	failureRate retries.FailureRate
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
@@ -114,6 +124,7 @@
 
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
+	r.levelGauges = make(map[string]metrics.Gauge)
 	r.completions.PerSecond = maxCompletionLines
 	r.targetStatements.PerSecond = maxStatementLines
 	r.queue = &queue{
@@ -149,6 +160,11 @@
 	}
 
 	r.queue.update(services, targets)
+	r.levels.retain(func(service string) bool {
+		s := f.Table.Service(service)
+
+		return s != nil && r.isPrioritized(f.Table, s)
+	})
 	r.configureOnce.Do(func() { close(r.configured) })
 
 	if wait, due := r.entryShares.subsets.RecomputeDue(now); due {
@@ -160,7 +176,7 @@
 func (r *Relay) serviceOf(table *routes.Table, s *routes.Service) dispatch.Service {
 	out := dispatch.Service{
 		Name: s.Name, ColdPerSecond: s.ColdPerSecond, MaxConnections: s.MaxConnections, Streams: s.Slots > 0, Engine: s.Engine,
-		Prioritized: r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0),
+		Prioritized: r.isPrioritized(table, s),
 	}
 
 	if out.Prioritized {
@@ -170,6 +186,11 @@
 	return out
 }
 
+// isPrioritized reports whether the requests of a service are served by declared priorities.
+func (r *Relay) isPrioritized(table *routes.Table, s *routes.Service) bool {
+	return r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0)
+}
+
 // Uses reports whether this entry sends requests to an engine on vm.
 func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) }
 
@@ -301,6 +322,7 @@
 
 	p.service = p.route.Pick(rand.Float64())
 	p.setDeadlines()
+	p.setPrioritized(table)
 
 	return 0, ""
 }
@@ -361,6 +383,10 @@
 
 // work returns the expected work relative to a typical request.
 func (p *proxiedRequest) work() float64 {
+	if p.prioritized {
+		return p.expectedWork
+	}
+
 	if p.caller.PromptTokens == 0 {
 		return 1
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -26,7 +26,11 @@
 	route     *routes.Route
 	workspace *routes.Workspace
 	service   string
-	body      []byte
+	// prioritized is set if the service is. engine and expectedWork are valid only then.
+	prioritized  bool
+	engine       *routes.EngineFigures
+	expectedWork float64
+	body         []byte
 	// hold is the memory that the body and a buffered answer take.
 	hold *hold
 	// deadline is the earlier of the caller's and the route's. eventDeadline is when the
@@ -49,6 +53,11 @@
 	longestGap   time.Duration
 	longestGapAt time.Time
 
+	// events counts the events that were forwarded. late is set once an event of a request to a
+	// prioritized service was later than its route allows.
+	events int
+	late   bool
+
 	// status is the forwarded answer's; firstByte is the time from arrival to its head.
 	status    int
 	firstByte time.Duration
@@ -113,6 +122,10 @@
 // acquireTarget waits until the dispatcher assigns a target or refuses the request.
 func (p *proxiedRequest) acquireTarget(ctx context.Context) (dispatch.Action, error) {
 	startedAt := p.relay.Now()
+
+	p.beginWaiting()
+	defer p.endWaiting()
+
 	placed, err := p.relay.queue.acquireTarget(ctx, p.dispatchRequest())
 	now := p.relay.Now()
 
@@ -125,6 +138,7 @@
 	}
 
 	p.relay.latencies.wait.Update(millis(p.arrivedAt, now))
+	p.countPlaced(placed)
 
 	return placed, nil
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -14,6 +14,10 @@
 	Targets                                              []netip.AddrPort
 	Entries, Waiting                                     int
 	Groups                                               []dispatch.GroupState
+	// Prioritized holds the requests to prioritized services by level, and Workspaces the
+	// workspaces that sent most of them lately.
+	Prioritized []ServiceLevels
+	Workspaces  []WorkspaceState
 }
 
 // Dump returns the current state.
@@ -27,6 +31,8 @@
 		Number: f.Number, Index: f.Index, Entries: f.Entries,
 	}
 
+	s.Prioritized, s.Workspaces = r.levels.state(), r.levels.workspaceState(r.Now())
+
 	for i := range f.Targets {
 		s.Targets = append(s.Targets, f.Targets[i].Address)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -80,6 +80,7 @@
 		p.eventDeadline = p.deadline
 	}
 
+	p.events++
 	p.boundWrite()
 
 	if _, err := p.w.Write(ev.Bytes); err != nil {
@@ -101,6 +102,10 @@
 func (p *proxiedRequest) recordGap(now time.Time, eventGap time.Duration) {
 	p.relay.queue.recordEventGap(p.placed, float64(eventGap)/float64(p.route.EventGapTarget))
 
+	if eventGap > p.route.EventGapTarget {
+		p.countLate()
+	}
+
 	if eventGap > p.longestGap {
 		p.longestGap, p.longestGapAt = eventGap, now
 	}
