--- /dev/null
+++ b/internal/relay/level_counts_test.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against memory that grows with the number of workspaces, and against busy workspaces that
+// are not found among 13,000, or are shown after they have become quiet.
+func TestBusyWorkspacesAreFoundAmongMany(t *testing.T) {
+	t.Parallel()
+
+	const (
+		workspaces = 13_000
+		// busyShare is the number of requests of which a busy workspace sends one.
+		busyShare = 100
+	)
+
+	var c levelCounts
+
+	now := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+
+	// play sends a hundred requests per second for a while, with ten busy workspaces. One in three
+	// of theirs is refused, the others are placed.
+	play := func(d time.Duration, busy string) {
+		for range int(d / (10 * time.Millisecond)) {
+			now = now.Add(10 * time.Millisecond)
+
+			name := fmt.Sprint("w", r.IntN(workspaces))
+			if n := r.IntN(busyShare); n < shownWorkspaces {
+				name = fmt.Sprint(busy, n)
+			}
+
+			c.arrive(now, name)
+			c.wait("svc", name, 3, 1)
+			c.wait("svc", name, 3, -1)
+
+			if r.IntN(3) == 0 {
+				c.refuse("svc", name, 3)
+			} else {
+				c.place(groupID{"svc", "g"}, name, 3)
+			}
+		}
+	}
+
+	for _, busy := range []string{"first", "second"} {
+		play(10*time.Minute, busy)
+
+		top := c.workspaceState(now)
+		require.Len(t, top, shownWorkspaces)
+
+		for _, w := range top {
+			require.Contains(t, w.Workspace, busy)
+			require.Zero(t, w.Waiting)
+			require.InDelta(t, 0.5, float64(w.Refused)/float64(w.Placed), 0.25)
+			// About 600 requests in ten minutes. With 60 a minute, 60 to 120 are recent: the fewest
+			// just after they were halved. 36 is four standard deviations.
+			require.InDelta(t, 90, w.Recent, 30+36)
+			require.InDelta(t, 600, float64(w.Placed+w.Refused), 150)
+		}
+	}
+
+	require.LessOrEqual(t, len(c.workspaces.counted), maxCountedWorkspaces)
+	require.Equal(t, len(c.workspaces.counted), len(c.workspaces.index))
+	require.LessOrEqual(t, cap(c.workspaces.counted), 2*maxCountedWorkspaces)
+	require.Empty(t, c.workspaces.waiting)
+}
+
+// Guards against a workspace with waiting requests whose number is lost or goes below zero when it is
+// replaced by busier ones.
+func TestWaitingRequestsOfReplacedWorkspacesStayCounted(t *testing.T) {
+	t.Parallel()
+
+	var c levelCounts
+
+	now := time.Unix(1000, 0)
+
+	c.arrive(now, "quiet")
+	c.wait("svc", "quiet", 3, 1)
+
+	for i := range 2 * maxCountedWorkspaces {
+		c.arrive(now, fmt.Sprint("w", i))
+		c.arrive(now, fmt.Sprint("w", i))
+	}
+
+	require.Nil(t, c.workspaces.get("quiet"))
+	require.Equal(t, 1, c.state()[0].Levels[0].Waiting)
+
+	for range 1000 {
+		c.arrive(now, "quiet")
+	}
+
+	require.Equal(t, "quiet", c.workspaceState(now)[0].Workspace)
+	require.Equal(t, 1, c.workspaceState(now)[0].Waiting)
+
+	c.wait("svc", "quiet", 3, -1)
+	require.Zero(t, c.workspaceState(now)[0].Waiting)
+	require.Empty(t, c.workspaces.waiting)
+}
+
+// Guards against memory that grows with each group that ever existed, and against the loss of the
+// counts of groups in use.
+func TestGroupsUsedLastAreCounted(t *testing.T) {
+	t.Parallel()
+
+	var c levelCounts
+
+	for i := range 3 * maxCountedGroups {
+		c.place(groupID{"svc", "in use"}, "w", 0)
+		c.place(groupID{"svc", fmt.Sprint("g", i)}, "w", 0)
+	}
+
+	groups := c.state()[0].Groups
+	require.Len(t, groups, maxCountedGroups)
+	require.Equal(t, "in use", groups[len(groups)-1].Group)
+	require.Equal(t, int64(3*maxCountedGroups), groups[len(groups)-1].Levels[0].Placed)
+}
+
+// Guards against a service that is dropped while requests wait in it, which would then leave with a
+// number below zero.
+func TestServicesWithWaitingRequestsAreKept(t *testing.T) {
+	t.Parallel()
+
+	var c levelCounts
+
+	none := func(string) bool { return false }
+
+	c.wait("svc", "w", 2, 1)
+	c.retain(none)
+	require.Equal(t, []ServiceLevels{{Service: "svc", Levels: []LevelState{{Level: 2, Waiting: 1}}}}, c.state())
+
+	c.wait("svc", "w", 2, -1)
+	c.retain(none)
+	require.Empty(t, c.state())
+}
+
+func BenchmarkLevelCounts(b *testing.B) {
+	var c levelCounts
+
+	names := make([]string, 13_000)
+	for i := range names {
+		names[i] = fmt.Sprint("w", i)
+	}
+
+	now := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+
+	b.ReportAllocs()
+
+	for b.Loop() {
+		name := names[r.IntN(len(names))]
+		c.arrive(now, name)
+		c.wait("svc", name, 3, 1)
+		c.wait("svc", name, 3, -1)
+		c.place(groupID{"svc", "g"}, name, 3)
+	}
+}
