--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
@@ -68,6 +69,8 @@
 
 // refuse answers a request that did not run and never will: 503 with Retry-After.
 func (p *proxiedRequest) refuse(err error) {
+	p.countRefused()
+
 	var v *verdict.Error
 
 	wait := p.relay.Settings.MinRetryAfter
@@ -76,7 +79,6 @@
 	}
 
 	p.relay.counters.refused.Add(1)
-	p.countRefused()
 	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.capacity, "error", err)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
@@ -117,7 +119,8 @@
 		"number", p.state.Number, "index", p.state.Index)
 
 	if p.prioritized {
-		args = append(args, "level", p.level())
+		// Not "level": that is the key of the line's own level.
+		args = append(args, "priorityLevel", p.level(), "work", math.Round(100*p.expectedWork)/100, "late", p.late)
 	}
 
 	if p.noRetry != retries.ReasonNone {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -121,11 +121,10 @@
 
 // acquireTarget waits until the dispatcher assigns a target or refuses the request.
 func (p *proxiedRequest) acquireTarget(ctx context.Context) (dispatch.Action, error) {
-	startedAt := p.relay.Now()
-
 	p.beginWaiting()
 	defer p.endWaiting()
 
+	startedAt := p.relay.Now()
 	placed, err := p.relay.queue.acquireTarget(ctx, p.dispatchRequest())
 	now := p.relay.Now()
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -8,16 +8,17 @@
 
 // State is the relay's state in a dump. Counters are totals since the start of the process.
 type State struct {
+	// Prioritized holds the requests to prioritized services by level, and Workspaces the
+	// workspaces that sent most of them lately.
+	Prioritized []ServiceLevels
+	Workspaces  []WorkspaceState
+
 	Requests, Served, Refused, Denied, Failed, Cut, Left int64
 	Again, Unpaid, Misdirected, BudgetSpent              int64
 	Number, Index                                        uint64
 	Targets                                              []netip.AddrPort
 	Entries, Waiting                                     int
 	Groups                                               []dispatch.GroupState
-	// Prioritized holds the requests to prioritized services by level, and Workspaces the
-	// workspaces that sent most of them lately.
-	Prioritized []ServiceLevels
-	Workspaces  []WorkspaceState
 }
 
 // Dump returns the current state.
@@ -31,8 +32,6 @@
 		Number: f.Number, Index: f.Index, Entries: f.Entries,
 	}
 
-	s.Prioritized, s.Workspaces = r.levels.state(), r.levels.workspaceState(r.Now())
-
 	for i := range f.Targets {
 		s.Targets = append(s.Targets, f.Targets[i].Address)
 	}
@@ -42,5 +41,7 @@
 	s.Groups = r.queue.dispatcher.Groups(r.Now())
 	r.queue.mu.Unlock()
 
+	s.Prioritized, s.Workspaces = r.levels.state(), r.levels.workspaceState(r.Now())
+
 	return s
 }
