--- a/internal/dump/dump_test.go
+++ b/internal/dump/dump_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,3 +45,18 @@
 		require.Equal(t, []dump.Part{{Name: "Requests", State: map[string]any{"Taken": float64(want)}}}, s.Parts)
 	}
 }
+
+// Guards against metrics that are served as they were before the last update.
+func TestMetricsAreUpdatedBeforeTheyAreServed(t *testing.T) {
+	t.Parallel()
+
+	d := &dump.Dump{Metrics: metrics.NewRegistry()}
+	d.UpdateMetrics = func() { metrics.GetOrRegisterCounter("Updates", d.Metrics).Inc(1) }
+
+	for path, want := range map[string]string{"/metrics": `"count":`, "/metrics.txt": "Updates "} {
+		before := metrics.GetOrRegisterCounter("Updates", d.Metrics).Count()
+		w := httptest.NewRecorder()
+		d.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		require.Contains(t, w.Body.String(), want+strconv.FormatInt(before+1, 10))
+	}
+}
--- a/internal/relay/level_counts_test.go
+++ b/internal/relay/level_counts_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/routes"
 )
 
 // Guards against memory that grows with the number of workspaces, and against busy workspaces that
@@ -139,6 +141,42 @@
 	require.Empty(t, c.state())
 }
 
+// Guards against a stream that counts as in time although its caller waited long for another target to
+// resume it, and against a stream that counts as late more than once.
+func TestGapsOverARetryMakeAStreamLate(t *testing.T) {
+	t.Parallel()
+
+	now := time.Unix(1000, 0)
+	r := &Relay{Now: func() time.Time { return now }}
+	p := requestOf(r, &routes.Route{EventGapTarget: 100 * time.Millisecond}, RequestInfo{})
+	p.service = "svc"
+
+	late := func() int64 {
+		r.levels.mu.Lock()
+		defer r.levels.mu.Unlock()
+
+		return r.levels.group(groupID{"svc", "g"}).late[0]
+	}
+	forward := func(gap time.Duration) {
+		now = now.Add(gap)
+		p.recordForwarded()
+	}
+
+	p.placed.Target.Group = "g"
+
+	forward(time.Second) // before the first event
+	forward(100 * time.Millisecond)
+	require.Zero(t, late())
+
+	p.eventAt = time.Time{} // as a retry sets it
+
+	forward(101 * time.Millisecond)
+	require.Equal(t, int64(1), late())
+
+	forward(time.Second)
+	require.Equal(t, int64(1), late())
+}
+
 func BenchmarkLevelCounts(b *testing.B) {
 	var c levelCounts
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -53,10 +53,11 @@
 	longestGap   time.Duration
 	longestGapAt time.Time
 
-	// events counts the events that were forwarded. late is set once an event of a request to a
+	// events counts the events that were forwarded, the last of them at forwardedAt. late is set once an event of a request to a
 	// prioritized service was later than its route allows.
-	events int
-	late   bool
+	events      int
+	forwardedAt time.Time
+	late        bool
 
 	// status is the forwarded answer's; firstByte is the time from arrival to its head.
 	status    int
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -80,7 +80,7 @@
 		p.eventDeadline = p.deadline
 	}
 
-	p.events++
+	p.recordForwarded()
 	p.boundWrite()
 
 	if _, err := p.w.Write(ev.Bytes); err != nil {
@@ -102,10 +102,6 @@
 func (p *proxiedRequest) recordGap(now time.Time, eventGap time.Duration) {
 	p.relay.queue.recordEventGap(p.placed, float64(eventGap)/float64(p.route.EventGapTarget))
 
-	if eventGap > p.route.EventGapTarget {
-		p.countLate()
-	}
-
 	if eventGap > p.longestGap {
 		p.longestGap, p.longestGapAt = eventGap, now
 	}
@@ -124,3 +120,16 @@
 
 	p.eventAt = now
 }
+
+// recordForwarded counts an event that the caller gets now. The gap before it may be that of a stream
+// that another target resumed.
+func (p *proxiedRequest) recordForwarded() {
+	now := p.relay.Now()
+
+	if p.events > 0 && p.route.EventGapTarget > 0 && now.Sub(p.forwardedAt) > p.route.EventGapTarget {
+		p.countLate()
+	}
+
+	p.events++
+	p.forwardedAt = now
+}
