--- a/internal/relay/level_counts.go
+++ b/internal/relay/level_counts.go
@@ -233,6 +233,11 @@
 	return c.workspaces.top(now)
 }
 
+// isPrioritized reports whether the requests of a service are served by declared priorities.
+func (r *Relay) isPrioritized(table *routes.Table, s *routes.Service) bool {
+	return r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0)
+}
+
 // setPrioritized determines whether the request's service is prioritized, and what follows from it.
 func (p *proxiedRequest) setPrioritized(table *routes.Table) {
 	s := table.Service(p.service)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -186,11 +186,6 @@
 	return out
 }
 
-// isPrioritized reports whether the requests of a service are served by declared priorities.
-func (r *Relay) isPrioritized(table *routes.Table, s *routes.Service) bool {
-	return r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0)
-}
-
 // Uses reports whether this entry sends requests to an engine on vm.
 func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) }
 
