--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
@@ -17,6 +18,7 @@
 	p.relay.counters.completions.Add(1)
 	p.relay.latencies.total.Update(millis(p.arrivedAt, now))
 	p.relay.durations.observe(p.service, now.Sub(p.arrivedAt))
+	p.observeAnswerLength()
 
 	if p.relay.completions.Allow(now) {
 		p.log(slog.LevelInfo, "Served.", append(p.gapAttrs(), "target", p.placed.Target.ID, "zone", p.placed.Target.Zone,
@@ -67,6 +69,8 @@
 
 // refuse answers a request that did not run and never will: 503 with Retry-After.
 func (p *proxiedRequest) refuse(err error) {
+	p.countRefused()
+
 	var v *verdict.Error
 
 	wait := p.relay.Settings.MinRetryAfter
@@ -114,6 +118,11 @@
 		"sends", p.sends, "tried", p.tried, "waited", p.waited.Round(time.Millisecond), "took", p.relay.Now().Sub(p.arrivedAt).Round(time.Millisecond),
 		"number", p.state.Number, "index", p.state.Index)
 
+	if p.prioritized {
+		// Not "level": that is the key of the line's own level.
+		args = append(args, "priorityLevel", p.level(), "work", math.Round(100*p.expectedWork)/100, "late", p.late)
+	}
+
 	if p.noRetry != retries.ReasonNone {
 		args = append(args, "notAgain", p.noRetry)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -26,7 +26,11 @@
 	route     *routes.Route
 	workspace *routes.Workspace
 	service   string
-	body      []byte
+	// prioritized is set if the service is. engine and expectedWork are valid only then.
+	prioritized  bool
+	engine       *routes.EngineFigures
+	expectedWork float64
+	body         []byte
 	// hold is the memory that the body and a buffered answer take.
 	hold *hold
 	// deadline is the earlier of the caller's and the route's. eventDeadline is when the
@@ -49,6 +53,12 @@
 	longestGap   time.Duration
 	longestGapAt time.Time
 
+	// events counts the events that were forwarded, the last of them at forwardedAt. late is set once an event of a request to a
+	// prioritized service was later than its route allows.
+	events      int
+	forwardedAt time.Time
+	late        bool
+
 	// status is the forwarded answer's; firstByte is the time from arrival to its head.
 	status    int
 	firstByte time.Duration
@@ -112,6 +122,9 @@
 
 // acquireTarget waits until the dispatcher assigns a target or refuses the request.
 func (p *proxiedRequest) acquireTarget(ctx context.Context) (dispatch.Action, error) {
+	p.beginWaiting()
+	defer p.endWaiting()
+
 	startedAt := p.relay.Now()
 	placed, err := p.relay.queue.acquireTarget(ctx, p.dispatchRequest())
 	now := p.relay.Now()
@@ -125,6 +138,7 @@
 	}
 
 	p.relay.latencies.wait.Update(millis(p.arrivedAt, now))
+	p.countPlaced(placed)
 
 	return placed, nil
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -8,6 +8,11 @@
 
 // State is the relay's state in a dump. Counters are totals since the start of the process.
 type State struct {
+	// Prioritized holds the requests to prioritized services by level, and Workspaces the
+	// workspaces that sent most of them lately.
+	Prioritized []ServiceLevels
+	Workspaces  []WorkspaceState
+
 	Requests, Served, Refused, Denied, Failed, Cut, Left int64
 	Again, Unpaid, Misdirected, BudgetSpent              int64
 	Number, Index                                        uint64
@@ -36,5 +41,7 @@
 	s.Groups = r.queue.dispatcher.Groups(r.Now())
 	r.queue.mu.Unlock()
 
+	s.Prioritized, s.Workspaces = r.levels.state(), r.levels.workspaceState(r.Now())
+
 	return s
 }
