Keep idle connections to targets of prioritized services

Change: targetclient has a pool whose core decides what to keep, reuse and close. The relay allows reuse for requests that may be repeated, keeps a connection after an answer that passed all checks, and drops those of targets that leave. The dispatcher prefers, at equal cost, a target with an idle connection. Setting IdleConnections; metrics and state of connections. Answer.Close no longer reads the rest of the body before it closes the connection.

--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/journal"
@@ -44,13 +45,28 @@
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, ReadyListener: ready,
 		Seeds: p.seedSource(), Dialect: platform.Dialect(), ReadinessHandler: platform.Readiness,
 		Budget:          &retries.SharedBudget{Ratio: s.Routing.RetryRatio, Slack: s.Routing.MinRetries, Window: s.Routing.RetryWindow},
-		PriorityControl: s.Routing.PriorityControl,
-		StopTimeout:     s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor, Logs: p.logs, Dump: p.dump,
+		PriorityControl: s.Routing.PriorityControl, MaxIdleConnections: idleConnections(s.Routing.IdleConnections),
+		StopTimeout: s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor, Logs: p.logs, Dump: p.dump,
 	}
 
 	return e.Run(ctx)
 }
 
+// idleDescriptorDivisor is the part of a process's file descriptors that idle connections may take:
+// each request in flight needs two, one for its caller and one for its target.
+const idleDescriptorDivisor = 4
+
+// idleConnections returns the maximum number of idle connections: the setting, or fewer if the
+// process may open few files.
+func idleConnections(setting int) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return setting
+	}
+
+	return int(min(uint64(setting), limit.Cur/idleDescriptorDivisor))
+}
+
 // runRankAgent runs the agent of a rank of a lock-step group.
 func runRankAgent(ctx context.Context, p *process) error {
 	s := p.settings
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	// Share is this entry's share of the limits that apply to the target across all
 	// entries.
 	Share shares.Share
+	// Idle reports whether this entry has an idle connection to the target. It is nil if the
+	// target's service keeps none.
+	Idle func() bool
 }
 
 // Service holds the declared limits and properties of a service.
@@ -76,6 +79,8 @@
 	Work float64
 	// Excluded lists the IDs of targets that must not receive this request again.
 	Excluded []string
+	// Reuse is set if the request may be sent on an idle connection.
+	Reuse bool
 }
 
 // Action assigns one request to a target, or refuses it.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -355,11 +355,13 @@
 	return min(max(wait, d.Settings.MinRetryAfter), d.Settings.MaxRetryAfter)
 }
 
-// choose returns the target with the lowest cost for r, or nil if there is none.
+// choose returns the target with the lowest cost for r, or nil if there is none. Among targets of
+// equal cost it prefers those with an idle connection, if r may use one.
 func (d *Dispatcher) choose(now time.Time, open []*target, r *Request) *target {
 	var best *target
 
 	bestCost := 0.0
+	bestIdle := false
 	ties := 0
 
 	for _, t := range open {
@@ -368,11 +370,14 @@
 		}
 
 		c := t.cost(now, &d.Settings) + d.zoneCost(t)
+		idle := r.Reuse && t.Idle != nil && t.Idle()
 
 		switch {
 		case best == nil || c < bestCost-costTolerance:
-			best, bestCost, ties = t, c, 1
-		case c <= bestCost+costTolerance:
+			best, bestCost, bestIdle, ties = t, c, idle, 1
+		case c <= bestCost+costTolerance && idle && !bestIdle:
+			best, bestIdle, ties = t, true, 1
+		case c <= bestCost+costTolerance && idle == bestIdle:
 			// Choose among equal targets with equal probability. Otherwise all entries
 			// would choose the same one.
 			ties++
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -23,6 +23,20 @@
 	}
 }
 
+// checkAttribution returns an error if an answer on a reused connection may be a late one to an
+// earlier request. Connections are kept only after answers with an ID, so a rejection without one
+// is not a repetition of such an answer.
+func (p *proxiedRequest) checkAttribution(answer *targetclient.Answer, info ResponseInfo) error {
+	if !answer.Reused || info.ID == p.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected) {
+		return nil
+	}
+
+	p.mayHaveRun = true
+	p.relay.TargetClient.Pause(p.connectionTarget())
+
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCrossed}
+}
+
 // checkResponse returns an error unless the response head is a valid answer to this request.
 func (p *proxiedRequest) checkResponse(answer *targetclient.Answer, info ResponseInfo) error {
 	switch {
@@ -66,6 +80,7 @@
 	})
 
 	return &targetclient.Request{
+		ID: p.caller.ID, Reuse: p.reuse,
 		Method: p.req.Method, URI: p.req.RequestURI, Host: p.req.Host, Header: h, Body: p.body, Deadline: p.deadline,
 		OnSent: func() { p.hold.hasRead(readerTarget) },
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/targetclient"
 )
 
 // Metric describes one metric of an entry that proxies directly to its targets.
@@ -21,7 +22,7 @@
 
 // Metrics returns the counters and gauges in the order in which the reference lists them.
 func Metrics() []Metric {
-	return []Metric{
+	return append([]Metric{
 		{"Relay.Requests", "requests", "Requests that callers sent.", func(r *Relay) int64 { return r.counters.requests.Load() }},
 		{"Relay.Served", "requests", "Requests answered by a target, including failures of the target.", func(r *Relay) int64 { return r.counters.completions.Load() }},
 		{"Relay.Refused", "requests", "Requests refused without being run, with Retry-After.", func(r *Relay) int64 { return r.counters.refused.Load() }},
@@ -49,7 +50,25 @@
 		{"Relay.ConfigurationNumber", "number", "Number that the operators gave to the configuration in force.", func(r *Relay) int64 { return int64(r.State().Number) }},
 		{"Relay.StateIndex", "log index", "Log index of the state in force.", func(r *Relay) int64 { return int64(r.State().Index) }},
 		{"Relay.ServedLinesLeftOut", "lines", "Log lines of completed requests dropped by sampling.", func(r *Relay) int64 { return r.completions.Suppressed() }},
+		{"Relay.ConnectionsOpened", "connections", "Connections opened to targets.", func(r *Relay) int64 { return r.TargetClient.Stats().Opened }},
+		{"Relay.ConnectionsReused", "sends", "Sends on idle connections to targets.", func(r *Relay) int64 { return r.TargetClient.Stats().Reused }},
+		{"Relay.ConnectionsIdle", "connections", "Idle connections to targets now.", func(r *Relay) int64 { return int64(r.TargetClient.Stats().Idle) }},
+	}, closedMetrics()...)
+}
+
+// closedMetrics returns the counters of closed connections by reason.
+func closedMetrics() []Metric {
+	reasons := targetclient.CloseReasons()
+	out := make([]Metric, 0, len(reasons))
+
+	for _, reason := range reasons {
+		out = append(out, Metric{
+			Name: "Relay.ConnectionsClosed." + string(reason), Unit: "connections", Help: "Connections to targets closed: " + reason.Help() + ".",
+			read: func(r *Relay) int64 { return r.TargetClient.Stats().Closed[reason] },
+		})
 	}
+
+	return out
 }
 
 // latencies holds the histograms of an entry (ms).
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,6 +101,10 @@
 		r.Now = time.Now
 	}
 
+	if r.TargetClient == nil {
+		r.TargetClient = &targetclient.Client{}
+	}
+
 	if r.Logger == nil {
 		r.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -148,6 +152,7 @@
 		}
 	}
 
+	r.retainConnections(now, services, targets)
 	r.queue.update(services, targets)
 	r.configureOnce.Do(func() { close(r.configured) })
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
+	"github.com/parsleygate/parsleygate/internal/targetclient"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -55,9 +56,13 @@
 	// capacity is the state of the targets when the request was refused.
 	capacity dispatch.CapacitySummary
 
-	// tried lists the targets of all attempts. readBy belongs to the last attempt.
-	tried  []string
-	readBy readStatus
+	// tried lists the targets of all attempts, excluded those that must not receive the request
+	// again. reuse says whether the current attempt may use an idle connection. readBy belongs
+	// to the last attempt.
+	tried    []string
+	excluded []string
+	reuse    bool
+	readBy   readStatus
 	// sends counts the targets that may have read the request; misdirected counts those of
 	// them that were not the intended ones.
 	sends       int
@@ -113,6 +118,7 @@
 // acquireTarget waits until the dispatcher assigns a target or refuses the request.
 func (p *proxiedRequest) acquireTarget(ctx context.Context) (dispatch.Action, error) {
 	startedAt := p.relay.Now()
+	p.reuse = p.mayReuse()
 	placed, err := p.relay.queue.acquireTarget(ctx, p.dispatchRequest())
 	now := p.relay.Now()
 
@@ -132,7 +138,7 @@
 func (p *proxiedRequest) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
 		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(),
-		SoftDeadline: p.softDeadline, Deadline: p.eventDeadline, Work: p.work(), Excluded: p.tried,
+		SoftDeadline: p.softDeadline, Deadline: p.eventDeadline, Work: p.work(), Excluded: p.excluded, Reuse: p.reuse,
 	}
 }
 
@@ -156,10 +162,15 @@
 
 	p.hold.waitFor(p.placedAt, readerTarget)
 
-	answer, err := p.relay.TargetClient.Open(ctx, placed.Target.Address, p.targetRequest(placed.Target.ID))
+	answer, err := p.relay.TargetClient.Open(ctx, p.connectionTarget(), p.targetRequest(placed.Target.ID))
 
 	p.hold.hasRead(readerTarget)
 
+	// A target that closed an idle connection may still be the only one.
+	if !errors.Is(err, targetclient.ErrUnanswered) {
+		p.excluded = append(slices.Clip(p.excluded), placed.Target.ID)
+	}
+
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
 			p.recordRead(readByTarget)
@@ -173,7 +184,16 @@
 	defer answer.Close()
 
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
+	if err := p.checkAttribution(answer, info); err != nil {
+		p.recordRead(readByTarget)
+
+		outcome = dispatch.Failed
+
+		return err
+	}
+
 	if info.Misdirected {
+		p.relay.TargetClient.Pause(p.connectionTarget())
 		p.recordRead(readByOther)
 	} else {
 		p.recordRead(readByTarget)
@@ -191,15 +211,18 @@
 	p.mayHaveRun = true
 	p.observeAnswer(answer)
 
-	if err := p.deliver(ctx, answer); err != nil {
-		outcome = p.failureOutcome(ctx, err)
+	err = p.deliver(ctx, answer)
+	if err == nil || errors.Is(err, errTargetFailure) {
+		p.keepConnection(answer, info)
+
+		outcome = dispatch.Completed
 
 		return err
 	}
 
-	outcome = dispatch.Completed
+	outcome = p.failureOutcome(ctx, err)
 
-	return nil
+	return err
 }
 
 // recordRead counts a target that may have read the request.
@@ -213,14 +236,10 @@
 	}
 }
 
-// failureOutcome returns Canceled for errors that the caller or the deadline caused, Completed
-// if the target answered, and Failed for those that count against the target.
+// failureOutcome returns Canceled for errors that say nothing about the target, because the caller,
+// the deadline or an idle connection caused them, and Failed for those that count against it.
 func (p *proxiedRequest) failureOutcome(ctx context.Context, err error) dispatch.Outcome {
-	if errors.Is(err, errTargetFailure) {
-		return dispatch.Completed
-	}
-
-	if ctx.Err() != nil || errors.Is(err, errCallerDisconnected) || errors.Is(err, errMemoryFull) {
+	if ctx.Err() != nil || errors.Is(err, errCallerDisconnected) || errors.Is(err, errMemoryFull) || errors.Is(err, targetclient.ErrUnanswered) {
 		return dispatch.Canceled
 	}
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/targetclient"
 )
 
 // State is the relay's state in a dump. Counters are totals since the start of the process.
@@ -14,6 +15,7 @@
 	Targets                                              []netip.AddrPort
 	Entries, Waiting                                     int
 	Groups                                               []dispatch.GroupState
+	Connections                                          targetclient.Stats
 }
 
 // Dump returns the current state.
@@ -24,7 +26,7 @@
 		Requests: c.requests.Load(), Served: c.completions.Load(), Refused: c.refused.Load(), Denied: c.denied.Load(),
 		Failed: c.failed.Load(), Cut: c.cut.Load(), Left: c.disconnected.Load(),
 		Again: c.retries.Load(), Unpaid: c.freeRetries.Load(), Misdirected: c.misdirected.Load(), BudgetSpent: c.budgetSpent.Load(),
-		Number: f.Number, Index: f.Index, Entries: f.Entries,
+		Number: f.Number, Index: f.Index, Entries: f.Entries, Connections: r.TargetClient.Stats(),
 	}
 
 	for i := range f.Targets {
--- a/internal/relay/target_statements.go
+++ b/internal/relay/target_statements.go
@@ -44,6 +44,10 @@
 }
 
 func (p *proxiedRequest) recordLeaving(info ResponseInfo) {
+	if info.Leaving {
+		p.relay.TargetClient.Pause(p.connectionTarget())
+	}
+
 	switch {
 	case info.LeavingError != nil:
 		p.logStatement(slog.LevelWarn, "Whether a target is leaving cannot be read; ignoring it.", "error", info.LeavingError)
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -80,6 +80,8 @@
 	StopTimeout time.Duration
 	// PriorityControl selects the services whose requests are served by declared priorities.
 	PriorityControl priority.Control
+	// MaxIdleConnections bounds the idle connections to targets; zero means that none are kept.
+	MaxIdleConnections int
 	// MaxHeldBytes bounds the request bodies and buffered answers that this entry holds; zero
 	// means no limit.
 	MaxHeldBytes int64
@@ -169,6 +171,7 @@
 	deadline := time.Now().Add(r.StopTimeout - stopReserve)
 
 	r.stopsAt.Store(&deadline)
+	r.relay.TargetClient.CloseIdle()
 	r.logger.Info("Stopping: completing requests in flight and closing connections.", "until", time.Until(deadline))
 	time.Sleep(min(drainDelay, r.StopTimeout/2))
 
@@ -213,7 +216,7 @@
 	}
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
-		TargetClient: &targetclient.Client{DialTimeout: targetDialTimeout, MaxHeaderBytes: maxTargetHeaderBytes},
+		TargetClient: &targetclient.Client{DialTimeout: targetDialTimeout, MaxHeaderBytes: maxTargetHeaderBytes, MaxIdle: r.MaxIdleConnections},
 		StopsAt:      r.stopTime, MaxHeldBytes: r.MaxHeldBytes, PriorityControl: r.PriorityControl, Logger: r.Logs.Logger("relay"),
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/internal/settings/seeds.go
+++ b/internal/settings/seeds.go
@@ -43,6 +43,8 @@
 	StopTimeout time.Duration
 	// PriorityControl selects the services whose requests are served by declared priorities.
 	PriorityControl priority.Control
+	// IdleConnections bounds the idle connections to targets.
+	IdleConnections int
 }
 
 // Rank are the settings of an agent that runs beside a rank of a lock-step group.
@@ -76,6 +78,7 @@
 const (
 	maxSeeds             = 16
 	maxToleratedFailures = 3
+	maxIdleConnections   = 1 << 16
 )
 
 func networkField() Field {
@@ -122,6 +125,16 @@
 				return ok
 			},
 		},
+		{
+			Section: sectionRouting, Key: "IdleConnections", Allowed: "0 to 65536", Default: "256",
+			Help: "The maximum number of idle connections to targets, over all targets. Only services that PriorityControl selects keep connections; 0 means that none do. A quarter of the process's file descriptors is the limit in any case.",
+			parse: func(s *Settings, v string) bool {
+				n, err := strconv.Atoi(v)
+				s.Routing.IdleConnections = n
+
+				return err == nil && n >= 0 && n <= maxIdleConnections
+			},
+		},
 		addressFieldIn(sectionRank, "EngineAddress", "The address of the engine on this VM, which is a rank of a lock-step group and accepts orders. The agent then only manages expert maps; callers' requests bypass it.", func(s *Settings) *netip.AddrPort { return &s.Rank.EngineAddress }),
 		addressFieldIn(sectionOperating, "Address", "The listen address for operators' commands, each of which takes effect in one step, and for targets' announcements.", func(s *Settings) *netip.AddrPort { return &s.Operating.Address }),
 		{
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -1,5 +1,6 @@
 // Package targetclient is the HTTP/1.1 client with which an entry proxies directly
-// to a target that has no agent. It opens a new connection for each request.
+// to a target that has no agent. It opens a new connection for each request, unless the
+// request allows the reuse of an idle one.
 //
 // A reused connection may still carry a late second response to an earlier request,
 // may be closed by the target just as the next request is sent, or may be dead
@@ -8,15 +9,14 @@
 package targetclient
 
 import (
-	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
-	"strconv"
-	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -24,6 +24,8 @@
 
 // Request is one request to a target.
 type Request struct {
+	// ID identifies the request on a connection that carries others too.
+	ID     string
 	Method string
 	// URI and Host are forwarded unchanged from the caller's request.
 	URI    string
@@ -33,6 +35,9 @@
 	// Deadline is the time after which an answer is useless. It bounds all I/O on
 	// the connection.
 	Deadline time.Time
+	// Reuse allows to send the request on an idle connection. It may then run although the
+	// connection is closed before an answer, and must be one that may be repeated.
+	Reuse bool
 	// OnSent, if set, is called once the whole request has been written. It may be called from
 	// another goroutine, also after Open has returned.
 	OnSent func()
@@ -44,27 +49,91 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Reused is set if the request was sent on a connection that had carried another one. The
+	// answer may then be a late one to the other request.
+	Reused bool
+
+	client  *Client
+	conn    *connection
+	request string
+	stop    func() bool
+	body    *wholeBody
+	// closes is set if the connection ends after the answer.
+	closes bool
+}
+
+// wholeBody records that a body has been read to its end.
+type wholeBody struct {
+	r     io.Reader
+	whole bool
+}
+
+// Read implements io.Reader.
+func (b *wholeBody) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+	}
 
-	conn  net.Conn
-	stop  func() bool
-	close func() error
+	return n, err //nolint:wrapcheck // io.EOF must stay comparable
 }
 
 // Close closes the connection, which also cancels the request if the target is
-// still working on it.
+// still working on it. It does nothing after Keep.
 func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+
 	a.stop()
-	_ = a.close()
-	_ = a.conn.Close()
+	a.client.end(a.conn, closeFailed)
+	a.conn = nil
+}
+
+// Keep ends the use of the answer, and keeps its connection for other requests if possible. The
+// caller must have checked that the answer belongs to its request.
+func (a *Answer) Keep() {
+	if a.conn == nil {
+		return
+	}
+
+	conn := a.conn
+	a.conn = nil
+
+	switch keepAlive := keepAliveTime(a.Header); {
+	case !a.stop() || !a.body.whole || !conn.written.Load() || conn.SetDeadline(time.Time{}) != nil:
+		a.client.end(conn, closeFailed)
+	case conn.buffered.Buffered() > 0:
+		a.client.end(conn, closeBytes)
+	case a.closes:
+		a.client.end(conn, closeStated)
+	default:
+		a.client.keep(conn, a.request, keepAlive)
+	}
 }
 
-// Client sends requests to targets. Set its fields before use.
+// Client sends requests to targets. Set its exported fields before use.
 type Client struct {
 	// DialTimeout bounds the TCP handshake. A target that is powered off or
 	// unreachable never answers it, and the request can go to another target.
 	DialTimeout time.Duration
 	// MaxHeaderBytes bounds the status line and headers of a response.
 	MaxHeaderBytes int
+	// MaxIdle is the maximum number of idle connections to all targets; if zero, no connection
+	// is kept.
+	MaxIdle int
+	// Now is the clock for the times of idle connections; time.Now if nil.
+	Now func() time.Time
+
+	// mu guards the fields below it. No I/O is done while it is held.
+	mu           sync.Mutex
+	pool         pool
+	idle         map[connID]*connection
+	lastID       connID
+	sweepPending bool
+	closed       map[CloseReason]int64
+
+	opened, reused atomic.Int64
 }
 
 const (
@@ -77,134 +146,270 @@
 	maxInlineBody = 16 << 10
 )
 
-// Open sends req to the target at address and returns once the response headers have
+// ErrUnanswered means that the target closed a reused connection before any byte of the answer.
+// It says nothing about the state of the target, which closes idle connections at any time.
+var ErrUnanswered = errors.New("targetclient: reused connection closed before an answer")
+
+// Open sends req to the target and returns once the response headers have
 // been read. Errors are of type *verdict.Error. The verdict is NotRun only if no
 // byte of the request was sent.
-func (c *Client) Open(ctx context.Context, address netip.AddrPort, req *Request) (*Answer, error) {
-	dialer := net.Dialer{Timeout: c.DialTimeout, Deadline: req.Deadline, KeepAlive: -1}
+func (c *Client) Open(ctx context.Context, target Target, req *Request) (*Answer, error) {
+	for req.Reuse {
+		conn := c.takeIdle(target, req.ID)
+		if conn == nil {
+			break
+		}
+
+		c.reused.Add(1)
+
+		answer, err := c.exchange(ctx, conn, req)
+		if err == nil || verdict.Of(err) != verdict.NotRun {
+			return answer, err
+		}
+	}
 
-	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	conn, err := c.dial(ctx, target, req.Deadline)
 	if err != nil {
 		return nil, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
 	}
 
+	return c.exchange(ctx, conn, req)
+}
+
+// exchange sends req on conn and reads the head of the answer.
+func (c *Client) exchange(ctx context.Context, conn *connection, req *Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 
-	answer, err := c.roundTrip(conn, req)
+	resp, err := conn.roundTrip(req, c.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes the connection
 	if err != nil {
 		stop()
-		_ = conn.Close()
 
-		return nil, err
+		return nil, c.endFailed(ctx, conn, err)
+	}
+
+	if resp.Close && resp.Header.Get("Connection") != "" {
+		c.apply(func() []closing { return c.pool.closeAll(conn.target) })
 	}
 
-	answer.conn, answer.stop = conn, stop
+	body := &wholeBody{r: resp.Body}
 
-	return answer, nil
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: conn.reused,
+		client: c, conn: conn, request: req.ID, stop: stop, body: body,
+		closes: resp.Close || !resp.ProtoAtLeast(1, 1),
+	}, nil
 }
 
-func (c *Client) roundTrip(conn net.Conn, req *Request) (*Answer, error) {
-	if err := conn.SetDeadline(req.Deadline); err != nil {
-		return nil, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
-	}
+// endFailed closes a connection without an answer. It returns the error of the request.
+func (c *Client) endFailed(ctx context.Context, conn *connection, err error) error {
+	if !conn.reused || !conn.endedUnanswered(ctx, err, c.MaxHeaderBytes) {
+		c.end(conn, closeFailed)
 
-	if err := writeRequest(conn, req); err != nil {
-		return nil, err
+		return err
 	}
 
-	limited := &io.LimitedReader{R: conn, N: int64(c.MaxHeaderBytes)}
-	buffered := bufio.NewReaderSize(limited, readBufferSize)
+	c.end(conn, closeUnanswered)
+	c.apply(func() []closing { return c.pool.pause(c.now(), conn.target, closePaused) })
+
+	return &verdict.Error{Verdict: verdict.Of(err), Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrUnanswered, err)}
+}
+
+// dial opens a new connection to a target.
+func (c *Client) dial(ctx context.Context, target Target, deadline time.Time) (*connection, error) {
+	c.apply(func() []closing { return c.pool.dial(target) })
+
+	dialer := net.Dialer{Timeout: c.DialTimeout, Deadline: deadline, KeepAlive: -1}
+
+	conn, err := dialer.DialContext(ctx, "tcp", target.Address.String())
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	resp, err := readFinalHead(buffered, req.Method) //nolint:bodyclose // Answer.Close closes it
 	if err != nil {
-		return nil, brokenError(err)
+		c.pool.done(target)
+
+		return nil, err //nolint:wrapcheck // Open wraps it
 	}
 
-	limited.N = 1<<63 - 1
+	c.opened.Add(1)
+	c.lastID++
 
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, close: resp.Body.Close}, nil
+	return newConnection(c.lastID, target, conn), nil
 }
 
-// readFinalHead reads the headers of the final response and skips informational
-// (1xx) responses.
-func readFinalHead(r *bufio.Reader, method string) (*http.Response, error) {
-	req := &http.Request{Method: method}
-
+// takeIdle returns an idle connection to a target that is open and has received nothing, or
+// nil if there is none.
+func (c *Client) takeIdle(target Target, request string) *connection {
 	for {
-		resp, err := http.ReadResponse(r, req) //nolint:bodyclose // the caller of Open closes it
-		if err != nil {
-			return nil, err //nolint:wrapcheck // brokenError wraps it
+		c.mu.Lock()
+		id, ok := c.pool.take(c.now(), target, request)
+		conn := c.idle[id]
+		delete(c.idle, id)
+		c.mu.Unlock()
+
+		if !ok {
+			return nil
+		}
+
+		err := conn.checkIdle()
+		if err == nil {
+			conn.reused = true
+
+			return conn
 		}
 
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if errors.Is(err, errBytesWhileIdle) {
+			c.end(conn, closeBytes)
+			c.Pause(target)
+		} else {
+			c.end(conn, closeByTarget)
 		}
 	}
 }
 
-// writeRequest writes the request. It returns NotRun only if nothing was written;
-// after the first byte the target may run the request.
-func writeRequest(conn net.Conn, req *Request) error {
-	var b strings.Builder
+// keep keeps a connection after a complete answer, or closes it.
+func (c *Client) keep(conn *connection, request string, keepAlive time.Duration) {
+	var reason CloseReason
 
-	b.Grow(readBufferSize / 4)
-	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
+	c.apply(func() (out []closing) {
+		c.pool.maxIdle = c.MaxIdle
 
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
-	}
+		if reason, out = c.pool.keep(c.now(), conn.target, conn.id, request, keepAlive); reason == "" {
+			if c.idle == nil {
+				c.idle = make(map[connID]*connection)
+			}
 
-	if err := req.Header.Write(&b); err != nil {
-		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, Err: err}
-	}
+			c.idle[conn.id] = conn
+			c.scheduleSweep()
+		} else {
+			c.count(reason)
+		}
 
-	b.WriteString("\r\n")
+		return out
+	})
 
-	if len(req.Body) <= maxInlineBody {
-		b.Write(req.Body)
+	if reason != "" {
+		_ = conn.Close()
 	}
+}
+
+// end closes a connection in flight.
+func (c *Client) end(conn *connection, reason CloseReason) {
+	_ = conn.Close()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.pool.done(conn.target)
+	c.count(reason)
+}
 
-	n, err := io.WriteString(conn, b.String())
+// Retain replaces the targets to which connections are kept, and sets the maximum number of
+// connections to each, in flight and idle. It closes the idle connections to all others.
+func (c *Client) Retain(limits map[Target]int) {
+	c.apply(func() []closing { return c.pool.retain(limits) })
+}
+
+// Pause closes the idle connections to a target that is leaving or has sent a wrong answer, and
+// neither keeps nor reuses any for a while.
+func (c *Client) Pause(target Target) {
+	c.apply(func() []closing { return c.pool.pause(c.now(), target, closePaused) })
+}
+
+// CloseIdle closes all idle connections, and keeps none from now on. Connections in use are closed
+// when their answers are complete.
+func (c *Client) CloseIdle() {
+	c.apply(func() []closing { return c.pool.stop() })
+}
+
+// HasIdle returns a function that reports whether there is an idle connection to a target. The
+// function takes no lock. It is valid until the next call of Retain.
+func (c *Client) HasIdle(target Target) func() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	count := &c.pool.connsOf(target).idleCount
+
+	return func() bool { return count.Load() > 0 }
+}
 
-	switch {
-	case err != nil && n == 0:
-		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
-	case err != nil:
-		return brokenError(err)
+// Stats are the numbers of connections since the start of the process, and of those that are idle.
+type Stats struct {
+	// Opened connections were new, Reused is how often idle ones were used again.
+	Opened, Reused int64
+	// Closed counts the closed connections by reason.
+	Closed map[CloseReason]int64
+	Idle   int
+}
+
+// Stats returns the numbers of connections.
+func (c *Client) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	s := Stats{Opened: c.opened.Load(), Reused: c.reused.Load(), Closed: make(map[CloseReason]int64, len(c.closed)), Idle: len(c.idle)}
+	for reason, n := range c.closed {
+		s.Closed[reason] = n
 	}
 
-	if len(req.Body) <= maxInlineBody {
-		req.sent()
+	return s
+}
+
+// apply takes a decision of the pool and closes the idle connections that it names.
+func (c *Client) apply(decide func() []closing) {
+	c.mu.Lock()
 
-		return nil
+	decided := decide()
+	conns := make([]*connection, 0, len(decided))
+
+	for _, d := range decided {
+		conns = append(conns, c.idle[d.id])
+		delete(c.idle, d.id)
+		c.count(d.reason)
 	}
 
-	// Written while the caller reads the response. The goroutine ends at the latest when the
-	// connection is closed.
-	go func() {
-		if _, err := conn.Write(req.Body); err == nil {
-			req.sent()
-		}
-	}()
+	c.mu.Unlock()
 
-	return nil
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
 }
 
-func (r *Request) sent() {
-	if r.OnSent != nil {
-		r.OnSent()
+// count counts a closed connection. The caller holds mu.
+func (c *Client) count(reason CloseReason) {
+	if c.closed == nil {
+		c.closed = make(map[CloseReason]int64)
 	}
+
+	c.closed[reason]++
 }
 
-// brokenError wraps an error that occurred after the request was sent, when the
-// target may have run it. A timeout is reported as an exceeded deadline.
-func brokenError(err error) error {
-	cause := verdict.CauseBroken
+// sweepInterval is the interval at which expired connections are closed while any is idle.
+const sweepInterval = 250 * time.Millisecond
+
+// scheduleSweep starts a timer for the next sweep while connections are idle. The caller holds mu.
+func (c *Client) scheduleSweep() {
+	if c.sweepPending || len(c.idle) == 0 {
+		return
+	}
+
+	c.sweepPending = true
+
+	time.AfterFunc(sweepInterval, func() {
+		c.apply(func() []closing { return c.pool.expire(c.now()) })
+
+		c.mu.Lock()
+		defer c.mu.Unlock()
+
+		c.sweepPending = false
+		c.scheduleSweep()
+	})
+}
 
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		cause = verdict.CauseDeadline
+func (c *Client) now() time.Time {
+	if c.Now == nil {
+		return time.Now()
 	}
 
-	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: cause, Err: err}
+	return c.Now()
 }
--- /dev/null
+++ b/internal/targetclient/connection.go
@@ -0,0 +1,236 @@
+package targetclient
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/parsleygate/parsleygate/pkg/verdict"
+)
+
+// connection is a connection to a target. It carries one request at a time.
+type connection struct {
+	net.Conn
+
+	id     connID
+	target Target
+	// reused is set if the connection has carried a request before the current one.
+	reused   bool
+	limited  io.LimitedReader
+	buffered *bufio.Reader
+	// written is set once the current request has been written whole.
+	written atomic.Bool
+}
+
+func newConnection(id connID, target Target, conn net.Conn) *connection {
+	c := &connection{Conn: conn, id: id, target: target}
+	c.limited.R = conn
+	c.buffered = bufio.NewReaderSize(&c.limited, readBufferSize)
+
+	return c
+}
+
+// roundTrip sends req and reads the head of the answer.
+func (c *connection) roundTrip(req *Request, maxHeaderBytes int) (*http.Response, error) {
+	if err := c.SetDeadline(req.Deadline); err != nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
+	}
+
+	c.limited.N = int64(maxHeaderBytes)
+
+	if err := c.writeRequest(req); err != nil {
+		return nil, err
+	}
+
+	resp, err := readFinalHead(c.buffered, req.Method) //nolint:bodyclose // closing the connection closes it
+	if err != nil {
+		return nil, brokenError(err)
+	}
+
+	c.limited.N = 1<<63 - 1
+
+	return resp, nil
+}
+
+// endedUnanswered reports whether err, of roundTrip, says that the target closed the
+// connection before any byte of the answer.
+func (c *connection) endedUnanswered(ctx context.Context, err error, maxHeaderBytes int) bool {
+	return ctx.Err() == nil && c.limited.N == int64(maxHeaderBytes) && !isTimeout(err)
+}
+
+// errBytesWhileIdle means that bytes arrived on an idle connection.
+var errBytesWhileIdle = errors.New("targetclient: bytes arrived on an idle connection")
+
+// checkIdle returns an error if a read would not have to wait: the target has closed the
+// connection, or has sent bytes that belong to no request. It does not wait.
+func (c *connection) checkIdle() error {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err //nolint:wrapcheck // only its presence matters
+	}
+
+	var (
+		n       int
+		b       [1]byte
+		readErr error
+	)
+
+	if err := raw.Control(func(fd uintptr) {
+		for {
+			n, _, readErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			if !errors.Is(readErr, unix.EINTR) {
+				return
+			}
+		}
+	}); err != nil {
+		return err //nolint:wrapcheck // only its presence matters
+	}
+
+	switch {
+	case errors.Is(readErr, unix.EAGAIN):
+		return nil
+	case readErr != nil:
+		return readErr //nolint:wrapcheck // only its presence matters
+	case n == 0:
+		return io.EOF
+	default:
+		return errBytesWhileIdle
+	}
+}
+
+// readFinalHead reads the headers of the final response and skips informational
+// (1xx) responses.
+func readFinalHead(r *bufio.Reader, method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+
+	for {
+		resp, err := http.ReadResponse(r, req) //nolint:bodyclose // closing the connection closes it
+		if err != nil {
+			return nil, err //nolint:wrapcheck // brokenError wraps it
+		}
+
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// writeRequest writes the request. It returns NotRun only if nothing was written;
+// after the first byte the target may run the request.
+func (c *connection) writeRequest(req *Request) error {
+	c.written.Store(false)
+
+	var b strings.Builder
+
+	b.Grow(readBufferSize / 4)
+	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
+
+	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	}
+
+	if err := req.Header.Write(&b); err != nil {
+		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, Err: err}
+	}
+
+	b.WriteString("\r\n")
+
+	if len(req.Body) <= maxInlineBody {
+		b.Write(req.Body)
+	}
+
+	n, err := io.WriteString(c.Conn, b.String())
+
+	switch {
+	case err != nil && n == 0:
+		return &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseTargetDown, Err: err}
+	case err != nil:
+		return brokenError(err)
+	}
+
+	if len(req.Body) <= maxInlineBody {
+		c.sent(req)
+
+		return nil
+	}
+
+	// Written while the caller reads the response. The goroutine ends at the latest when the
+	// connection is closed.
+	go func() {
+		if _, err := c.Write(req.Body); err == nil {
+			c.sent(req)
+		}
+	}()
+
+	return nil
+}
+
+func (c *connection) sent(req *Request) {
+	c.written.Store(true)
+
+	if req.OnSent != nil {
+		req.OnSent()
+	}
+}
+
+// brokenError wraps an error that occurred after the request was sent, when the
+// target may have run it. A timeout is reported as an exceeded deadline.
+func brokenError(err error) error {
+	cause := verdict.CauseBroken
+	if isTimeout(err) {
+		cause = verdict.CauseDeadline
+	}
+
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: cause, Err: err}
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// keepAliveTime returns how long a target says in its answer that it keeps the connection
+// open, or zero if it does not say so or says that it takes no further request.
+func keepAliveTime(h http.Header) time.Duration {
+	const maxSeconds = 1 << 20
+
+	var out time.Duration
+
+	for _, v := range h.Values("Keep-Alive") {
+		for param := range strings.SplitSeq(v, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
+
+			name = strings.ToLower(strings.TrimSpace(name))
+			if name != "timeout" && name != "max" {
+				continue
+			}
+
+			n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 64)
+			if err != nil || n == 0 {
+				return 0
+			}
+
+			if d := time.Duration(min(n, maxSeconds)) * time.Second; name == "timeout" && (out == 0 || d < out) {
+				out = d
+			}
+		}
+	}
+
+	return out
+}
