--- a/internal/relay/connections.go
+++ b/internal/relay/connections.go
@@ -30,6 +30,10 @@
 
 	r.TargetClient.Retain(limits)
 
+	if len(limits) == 0 {
+		return
+	}
+
 	for i := range targets {
 		if target := connectionTarget(&targets[i]); limits[target] > 0 {
 			targets[i].Idle = r.TargetClient.HasIdle(target)
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -187,7 +187,7 @@
 		return nil, c.endFailed(ctx, conn, err)
 	}
 
-	if resp.Close && resp.Header.Get("Connection") != "" {
+	if statesClose(resp) {
 		c.apply(func() []closing { return c.pool.closeAll(conn.target) })
 	}
 
@@ -209,7 +209,7 @@
 	}
 
 	c.end(conn, closeUnanswered)
-	c.apply(func() []closing { return c.pool.pause(c.now(), conn.target, closePaused) })
+	c.apply(func() []closing { return c.pool.pause(c.now(), conn.target) })
 
 	return &verdict.Error{Verdict: verdict.Of(err), Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrUnanswered, err)}
 }
@@ -313,7 +313,7 @@
 // Pause closes the idle connections to a target that is leaving or has sent a wrong answer, and
 // neither keeps nor reuses any for a while.
 func (c *Client) Pause(target Target) {
-	c.apply(func() []closing { return c.pool.pause(c.now(), target, closePaused) })
+	c.apply(func() []closing { return c.pool.pause(c.now(), target) })
 }
 
 // CloseIdle closes all idle connections, and keeps none from now on. Connections in use are closed
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -205,6 +205,12 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// statesClose reports whether an answer has the header Connection: close. The HTTP library removes the
+// header, and sets Close also for an answer without a length.
+func statesClose(resp *http.Response) bool {
+	return resp.Close && resp.ProtoAtLeast(1, 1) && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+}
+
 // keepAliveTime returns how long a target says in its answer that it keeps the connection
 // open, or zero if it does not say so or says that it takes no further request.
 func keepAliveTime(h http.Header) time.Duration {
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -274,7 +274,7 @@
 }
 
 // pause closes the idle connections to a target, and neither keeps nor reuses any for a while.
-func (p *pool) pause(now time.Time, target Target, reason CloseReason) []closing {
+func (p *pool) pause(now time.Time, target Target) []closing {
 	t := p.targets[target]
 	if t == nil {
 		return nil
@@ -282,7 +282,7 @@
 
 	t.noReuseUntil = now.Add(reusePause)
 
-	return p.closeIdle(nil, t, 0, reason)
+	return p.closeIdle(nil, t, 0, closePaused)
 }
 
 // closeAll closes the idle connections to a target that has closed another one.
