Bound how long a reused connection waits for a silent VM

Cause: a VM that is powered off while a connection is idle never answers on it. A dial fails after DialTimeout, but a request on the idle connection waited for its deadline. The documented default of IdleConnections was missing from the defaults.

Change: TCP_USER_TIMEOUT of DialTimeout on reused connections; the default is 256.

Result: the request fails as unanswered and may be retried; tested with a target of full buffers.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -163,7 +163,7 @@
 			CreditLifetime: 2 * time.Second, AnnounceTimeout: 3 * time.Second,
 			TargetIdleTimeout: time.Minute, MaxAnswerBytes: 256 << 10,
 		},
-		Routing:   Routing{RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second, StopTimeout: 8 * time.Second},
+		Routing:   Routing{RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second, StopTimeout: 8 * time.Second, IdleConnections: 256},
 		Operating: Operating{ToleratedFailures: 1, AnnounceInterval: time.Second},
 		Zones:     map[string]string{},
 	}
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -180,6 +180,10 @@
 func (c *Client) exchange(ctx context.Context, conn *connection, req *Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 
+	if conn.reused {
+		conn.boundSilence(req, c.DialTimeout)
+	}
+
 	resp, err := conn.roundTrip(req, c.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes the connection
 	if err != nil {
 		stop()
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -11,10 +11,12 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/parsleygate/parsleygate/internal/targetclient"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -44,6 +46,12 @@
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+
+	return startFakeTarget(t, l, script...)
+}
+
+func startFakeTarget(t *testing.T, l net.Listener, script ...func(net.Conn) bool) *fakeTarget {
+	t.Helper()
 	t.Cleanup(func() { _ = l.Close() })
 
 	f := &fakeTarget{script: script, ended: make(chan struct{}, 100)}
@@ -419,6 +427,42 @@
 	require.True(t, send(t, c, f, request("r6")))
 }
 
+// Guards against a request that waits for its deadline because the target's VM was powered off while the
+// connection was idle. A target whose buffers are full acknowledges as little as that VM.
+func TestSilentTargetOfAReusedConnection(t *testing.T) {
+	t.Parallel()
+
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			require.NoError(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 1))
+		})
+	}}
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	ended := make(chan struct{})
+	f := startFakeTarget(t, l, func(c net.Conn) bool {
+		_ = respond(whole)(c)
+
+		<-ended
+
+		return false
+	})
+	c := newClient(f)
+	c.DialTimeout = 50 * time.Millisecond
+	send(t, c, f, request("r1"))
+
+	silent := request("r2")
+	silent.Body = make([]byte, 16<<10)
+	silent.Deadline = time.Now().Add(time.Minute)
+
+	_, err = c.Open(t.Context(), f.Target, silent)
+	close(ended)
+	require.ErrorIs(t, err, targetclient.ErrUnanswered)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	require.Equal(t, verdict.CauseBroken, verdict.CauseOf(err))
+}
+
 // Guards against idle connections to a target that has said on another one that it closes them.
 func TestConnectionCloseClosesIdleConnections(t *testing.T) {
 	t.Parallel()
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -68,6 +69,26 @@
 	return ctx.Err() == nil && c.limited.N == int64(maxHeaderBytes) && !isTimeout(err)
 }
 
+// boundSilence bounds how long the target's VM may take to acknowledge the current request. A VM that
+// was powered off while the connection was idle never does, where a new connection would fail after
+// the same time. A long body is not bounded: a target that reads it slowly acknowledges it slowly.
+func (c *connection) boundSilence(req *Request, d time.Duration) {
+	if len(req.Body) > maxInlineBody {
+		d = 0
+	}
+
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+
+	if raw, err := conn.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+	}
+}
+
 // errBytesWhileIdle means that bytes arrived on an idle connection.
 var errBytesWhileIdle = errors.New("targetclient: bytes arrived on an idle connection")
 
@@ -199,11 +220,9 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: cause, Err: err}
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
+// isTimeout reports whether the deadline of a request ended its I/O. The operating system's own
+// timeout for acknowledgements is none.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // statesClose reports whether an answer has the header Connection: close. The HTTP library removes the
 // header, and sets Close also for an answer without a length.
