Blame no target for a failure of a reused connection

Cause: a late second answer on a reused connection ejected its target, and a service with one target answered 502 to the next request.

Change: an answer that may be an earlier request's counts as a failure of the connection, as one that the target closed: the retry may go to the same target, on a new connection.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -34,7 +34,7 @@
 	p.mayHaveRun = true
 	p.relay.TargetClient.Pause(p.connectionTarget())
 
-	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCrossed}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseCrossed, Err: targetclient.ErrReusedConnection}
 }
 
 // checkResponse returns an error unless the response head is a valid answer to this request.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -107,6 +107,11 @@
 			return
 		}
 
+		// A failure of a reused connection excludes no target, which may be the only one.
+		if !errors.Is(lastErr, targetclient.ErrReusedConnection) {
+			p.excluded = append(slices.Clip(p.excluded), placed.Target.ID)
+		}
+
 		if p.noRetry = p.checkRetry(ctx, lastErr); p.noRetry != retries.ReasonNone {
 			p.end(lastErr)
 
@@ -166,11 +171,6 @@
 
 	p.hold.hasRead(readerTarget)
 
-	// A target that closed an idle connection may still be the only one.
-	if !errors.Is(err, targetclient.ErrUnanswered) {
-		p.excluded = append(slices.Clip(p.excluded), placed.Target.ID)
-	}
-
 	if err != nil {
 		if verdict.Of(err) != verdict.NotRun {
 			p.recordRead(readByTarget)
@@ -187,7 +187,7 @@
 	if err := p.checkAttribution(answer, info); err != nil {
 		p.recordRead(readByTarget)
 
-		outcome = dispatch.Failed
+		outcome = p.failureOutcome(ctx, err)
 
 		return err
 	}
@@ -237,9 +237,9 @@
 }
 
 // failureOutcome returns Canceled for errors that say nothing about the target, because the caller,
-// the deadline or an idle connection caused them, and Failed for those that count against it.
+// the deadline or a reused connection caused them, and Failed for those that count against it.
 func (p *proxiedRequest) failureOutcome(ctx context.Context, err error) dispatch.Outcome {
-	if ctx.Err() != nil || errors.Is(err, errCallerDisconnected) || errors.Is(err, errMemoryFull) || errors.Is(err, targetclient.ErrUnanswered) {
+	if ctx.Err() != nil || errors.Is(err, errCallerDisconnected) || errors.Is(err, errMemoryFull) || errors.Is(err, targetclient.ErrReusedConnection) {
 		return dispatch.Canceled
 	}
 
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -146,9 +146,10 @@
 	maxInlineBody = 16 << 10
 )
 
-// ErrUnanswered means that the target closed a reused connection before any byte of the answer.
-// It says nothing about the state of the target, which closes idle connections at any time.
-var ErrUnanswered = errors.New("targetclient: reused connection closed before an answer")
+// ErrReusedConnection means that a request failed because of the connection on which it was sent: the
+// target closed it before any byte of the answer, or the answer may be an earlier request's. It says
+// nothing about the state of the target, and a new connection may do better.
+var ErrReusedConnection = errors.New("targetclient: reused connection gave no answer")
 
 // Open sends req to the target and returns once the response headers have
 // been read. Errors are of type *verdict.Error. The verdict is NotRun only if no
@@ -215,7 +216,7 @@
 	c.end(conn, closeUnanswered)
 	c.apply(func() []closing { return c.pool.pause(c.now(), conn.target) })
 
-	return &verdict.Error{Verdict: verdict.Of(err), Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrUnanswered, err)}
+	return &verdict.Error{Verdict: verdict.Of(err), Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrReusedConnection, err)}
 }
 
 // dial opens a new connection to a target.
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -387,7 +387,7 @@
 		send(t, c, f, request("r1"))
 
 		_, err := c.Open(t.Context(), f.Target, request("r2"))
-		require.ErrorIs(t, err, targetclient.ErrUnanswered)
+		require.ErrorIs(t, err, targetclient.ErrReusedConnection)
 		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 		require.Equal(t, verdict.CauseBroken, verdict.CauseOf(err))
 		require.EqualValues(t, 1, c.Stats().Closed["Unanswered"])
@@ -413,7 +413,7 @@
 
 	_, err := c.Open(t.Context(), f.Target, request("r2"))
 	require.Error(t, err)
-	require.NotErrorIs(t, err, targetclient.ErrUnanswered)
+	require.NotErrorIs(t, err, targetclient.ErrReusedConnection)
 
 	send(t, c, f, request("r3"))
 
@@ -421,7 +421,7 @@
 	short.Deadline = time.Now().Add(50 * time.Millisecond)
 	_, err = c.Open(t.Context(), f.Target, short)
 	require.Equal(t, verdict.CauseDeadline, verdict.CauseOf(err))
-	require.False(t, errors.Is(err, targetclient.ErrUnanswered))
+	require.False(t, errors.Is(err, targetclient.ErrReusedConnection))
 
 	send(t, c, f, request("r5"))
 	require.True(t, send(t, c, f, request("r6")))
@@ -458,7 +458,7 @@
 
 	_, err = c.Open(t.Context(), f.Target, silent)
 	close(ended)
-	require.ErrorIs(t, err, targetclient.ErrUnanswered)
+	require.ErrorIs(t, err, targetclient.ErrReusedConnection)
 	require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 	require.Equal(t, verdict.CauseBroken, verdict.CauseOf(err))
 }
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -139,7 +139,8 @@
 	limit    int
 	inFlight int
 	// idle holds the idle connections, least recently used first.
-	idle         []*idleConn
+	idle []*idleConn
+	// noReuseUntil is until when no connection is kept.
 	noReuseUntil time.Time
 	// idleCount is the length of idle. Other goroutines read it.
 	idleCount atomic.Int32
@@ -211,7 +212,7 @@
 // used: a second answer to that request could not be told from the answer to this one.
 func (p *pool) take(now time.Time, target Target, request string) (id connID, ok bool) {
 	t := p.targets[target]
-	if t == nil || now.Before(t.noReuseUntil) {
+	if t == nil {
 		return 0, false
 	}
 
