--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -8,10 +8,6 @@
 	"time"
 )
 
-// The pool addresses a steady load of short requests to a few dozen targets, at which one
-// connection per request costs a round trip and a handshake each, while targets close idle
-// connections after seconds and at any time.
-
 // Target identifies one incarnation of a target. A connection to it is not used for another
 // incarnation at the same address.
 type Target struct {
@@ -121,8 +117,10 @@
 	reason CloseReason
 }
 
-// pool decides which connections are kept, reused and closed. It does no I/O and reads no
-// clock. It is not safe for concurrent use.
+// pool decides which connections are kept, reused and closed. It addresses a steady load of short
+// requests to a few dozen targets, where a connection per request costs a round trip and a handshake
+// each, while targets close idle connections after seconds or at any time. It does no I/O and reads
+// no clock. It is not safe for concurrent use.
 type pool struct {
 	// maxIdle is the maximum number of idle connections.
 	maxIdle  int
