--- a/internal/dispatch/idle_test.go
+++ b/internal/dispatch/idle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +91,28 @@
 		require.Equal(t, place(t, without, n, true).Target.ID, place(t, with, n, false).Target.ID)
 	}
 }
+
+// BenchmarkSubmitReuse is BenchmarkSubmit for requests that may use idle connections, which half of
+// the targets have.
+func BenchmarkSubmitReuse(b *testing.B) {
+	d := &dispatch.Dispatcher{Settings: dispatch.DefaultSettings(), Rand: rand.New(rand.NewPCG(1, 2))}
+
+	var (
+		targets []dispatch.Target
+		counts  [63]atomic.Int32
+	)
+
+	for i := range counts {
+		counts[i].Store(int32(i % 2))
+		targets = append(targets, dispatch.Target{ID: fmt.Sprint(i), Service: "drafts", Slots: 10, Idle: func() bool { return counts[i].Load() > 0 }})
+	}
+
+	d.Update(startTime, []dispatch.Service{{Name: "drafts"}}, targets)
+
+	for i := range b.N {
+		now := startTime.Add(time.Duration(i) * time.Millisecond)
+		for _, a := range d.Submit(now, dispatch.Request{ID: uint64(i), Service: "drafts", SoftDeadline: now.Add(time.Second), Deadline: now.Add(time.Second), Reuse: true}) {
+			d.Finish(now, a, 1, dispatch.Completed)
+		}
+	}
+}
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -28,6 +28,9 @@
 	chunked   = "HTTP/1.1 200 OK\r\n" + keepAlive + "Transfer-Encoding: chunked\r\n\r\n4\r\nyes!\r\n"
 )
 
+// deliveryTime is how long a busy machine takes to deliver over loopback what has been sent or closed.
+const deliveryTime = 20 * time.Millisecond
+
 // fakeTarget is a target on loopback. Each request is answered by the next function of the script,
 // which returns whether the connection stays open; without one, the answer is whole.
 type fakeTarget struct {
@@ -342,6 +345,7 @@
 		c := newClient(f)
 		send(t, c, f, request("r1"))
 		<-f.ended
+		time.Sleep(deliveryTime)
 
 		require.False(t, send(t, c, f, request("r2")))
 		require.Equal(t, []string{"/r1", "/r2"}, f.requests)
@@ -369,6 +373,7 @@
 	send(t, c, f, request("r1"))
 	close(late)
 	<-written
+	time.Sleep(deliveryTime)
 
 	require.False(t, send(t, c, f, request("r2")))
 	require.EqualValues(t, 1, c.Stats().Closed["Bytes"])
