--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -111,6 +111,10 @@
 		r.Now = time.Now
 	}
 
+	if r.TargetClient == nil {
+		r.TargetClient = &targetclient.Client{}
+	}
+
 	if r.Logger == nil {
 		r.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -159,6 +163,7 @@
 		}
 	}
 
+	r.retainConnections(now, services, targets)
 	r.queue.update(services, targets)
 	r.levels.retain(func(service string) bool {
 		s := f.Table.Service(service)
