Report the skew of the expert map in use to entries

Cause: entries learned of a shift of demand only from the long passes that it causes.

Change: the directing agent reports the skew of the map in use for the latest demand in LoadWord.Skew, at once when it changes by more than 5 in 100. Entries of prioritized services subscribe to that agent unless they are more than it reports to, and check the value.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -108,6 +108,9 @@
 	// its group cannot run steps. Agents see both sooner than an entry with few requests, and
 	// than targets announce it.
 	Stalled, Broken bool
+	// Skew is the skew of the expert map that the target's group uses for its demand now, 0 if not
+	// reported.
+	Skew float64
 }
 
 // Outcome is the result of a request at a target.
@@ -233,6 +236,10 @@
 
 	s.targets[targetID].reportLoad(now, l)
 
+	if s.Prioritized && l.Skew > 0 {
+		s.targets[targetID].group.forecast.ObserveSkew(now, l.Skew)
+	}
+
 	return d.place(now, s)
 }
 
--- a/internal/loadreport/check.go
+++ b/internal/loadreport/check.go
@@ -17,6 +17,8 @@
 	// would place nothing at a target, or nothing anywhere else.
 	maxRequests = 1 << 16
 	maxSlowdown = 100
+	// maxSkew exceeds the skew of a map that leaves all experts on one slow rank of a large group.
+	maxSkew = 1000
 )
 
 func (l Load) check() error {
@@ -27,6 +29,8 @@
 		return &InvalidLoadError{Field: "Waiting", Value: float64(l.Waiting)}
 	case !(l.Slowdown >= 0 && l.Slowdown <= maxSlowdown): // also if it is not a number
 		return &InvalidLoadError{Field: "Pace", Value: l.Slowdown}
+	case !(l.Skew == 0 || l.Skew >= 1 && l.Skew <= maxSkew):
+		return &InvalidLoadError{Field: "Skew", Value: l.Skew}
 	default:
 		return nil
 	}
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -32,12 +32,13 @@
 	// load if it has changed, and at least every maxPublishInterval.
 	checkInterval      = 100 * time.Millisecond
 	maxPublishInterval = 500 * time.Millisecond
-	// maxSubscribers limits the entries to which one agent reports.
-	maxSubscribers = 64
 	// maxDatagramSize is the maximum size of a datagram in bytes.
 	maxDatagramSize = 512
 )
 
+// MaxSubscribers limits the entries to which one agent reports.
+const MaxSubscribers = 64
+
 // Load is the number of requests that an engine runs, the number that wait at it, and the
 // ratio of its step time to its baseline.
 type Load struct {
@@ -47,6 +48,9 @@
 	// Stalled is set while the engine has requests and its group begins no step, Broken while
 	// the group cannot run steps.
 	Stalled, Broken bool
+	// Skew is the skew of the expert map that the engine's group uses for its demand now, 0 if it
+	// is not known. Only the agent that directs the group knows it.
+	Skew float64
 }
 
 // Publisher reports the load of the engine on this VM to the subscribed entries. Its
@@ -55,6 +59,8 @@
 	Cluster string
 	Conn    net.PacketConn
 	Load    func(ctx context.Context) (Load, error)
+	// Changed, if set, receives a value when the load is to be published at once.
+	Changed <-chan struct{}
 	Logger  *slog.Logger
 
 	mu          sync.Mutex
@@ -83,6 +89,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-p.Changed:
 		}
 
 		now := time.Now()
@@ -101,7 +108,7 @@
 		seq++
 		p.publish(subscribers, &wire.LoadWord{
 			Cluster: p.Cluster, Sequence: seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Pace: l.Slowdown,
-			Stalled: l.Stalled, Broken: l.Broken,
+			Stalled: l.Stalled, Broken: l.Broken, Skew: l.Skew,
 		})
 	}
 }
@@ -150,7 +157,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 
-		if _, subscribed := p.subscribers[from]; subscribed || len(p.subscribers) < maxSubscribers {
+		if _, subscribed := p.subscribers[from]; subscribed || len(p.subscribers) < MaxSubscribers {
 			p.subscribers[from] = time.Now().Add(subscriptionTTL)
 		}
 	})
@@ -278,6 +285,7 @@
 
 	l := Load{
 		Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), Slowdown: w.GetPace(), Stalled: w.GetStalled(), Broken: w.GetBroken(),
+		Skew: w.GetSkew(),
 	}
 
 	err := l.check()
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -199,7 +199,19 @@
 		synctest.Wait()
 
 		for i, w := range []*wire.LoadWord{
-			{Running: 3, Pace: 1}, {Pace: math.NaN()}, {Pace: math.Inf(1)}, {Pace: -1}, {Pace: 1000}, {Running: math.MaxUint32}, {Waiting: math.MaxUint32}, {Running: 4, Pace: 1},
+			{Running: 3, Pace: 1},
+			{Pace: math.NaN()},
+			{Pace: math.Inf(1)},
+			{Pace: -1},
+			{Pace: 1000},
+			{Running: math.MaxUint32},
+			{Waiting: math.MaxUint32},
+			{Skew: math.NaN()},
+			{Skew: math.Inf(1)},
+			{Skew: -1},
+			{Skew: 0.5},
+			{Skew: 1e6},
+			{Running: 4, Pace: 1, Skew: 2.5},
 		} {
 			w.Cluster, w.Sequence = "trust", uint64(i+1)
 
@@ -211,7 +223,7 @@
 
 		stop()
 		synctest.Wait()
-		require.Equal(t, []loadreport.Load{{Running: 3, Slowdown: 1}, {Running: 4, Slowdown: 1}}, received)
+		require.Equal(t, []loadreport.Load{{Running: 3, Slowdown: 1}, {Running: 4, Slowdown: 1, Skew: 2.5}}, received)
 		require.Equal(t, 1, strings.Count(logged.String(), "Invalid load report"))
 		require.Contains(t, logged.String(), agent.String())
 	})
--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -25,6 +25,9 @@
 	// callers are mostly the same, so the group need not wait for new counts with its first
 	// map.
 	InitialDemand Demand
+	// OnSkew, if set, is called after each poll with many choices, with the skew of the map in use
+	// for the choices since the poll before.
+	OnSkew func(skew float64)
 
 	switcher        *Switcher
 	demandEstimator *demandEstimator
@@ -39,6 +42,8 @@
 	lastSearch searchResult
 	// refusedSwitches counts consecutive switches that ranks refused to prepare.
 	refusedSwitches int
+	// latestChoices is the number of expert choices that the latest poll added.
+	latestChoices float64
 }
 
 // minPollCounts is the number of expert choices that a poll must add before the director acts
@@ -109,7 +114,13 @@
 		return
 	}
 
-	counted := d.demandEstimator.observe(time.Now(), polls) >= minPollCounts
+	d.latestChoices = d.demandEstimator.observe(time.Now(), polls)
+	counted := d.latestChoices >= minPollCounts
+
+	if first.Map == d.version {
+		d.reportSkew()
+	}
+
 	searched := !d.lastSearch.validUntil.IsZero()
 
 	if !counted && (searched || !d.demandKnown) || !first.Open || first.Armed != 0 || first.Map != d.version {
@@ -123,6 +134,17 @@
 	d.switchIfBetter(ctx)
 }
 
+// minSkewChoices is the number of choices for each rank and set from which they tell the skew. With
+// fewer, chance makes the demand look uneven.
+const minSkewChoices = 100
+
+// reportSkew reports the skew of the map in use for the latest demand.
+func (d *Director) reportSkew() {
+	if d.OnSkew != nil && d.latestChoices >= float64(minSkewChoices*d.Shape.Ranks*d.Shape.Sets) {
+		d.OnSkew(d.current.SkewWithSlowdowns(d.demandEstimator.latest, d.slowdowns))
+	}
+}
+
 // poll polls all ranks while the current map is unknown, and afterwards only the count
 // aggregators and the holder. Rank 0 is always among them, and a few of them may not answer.
 func (d *Director) poll(ctx context.Context) ([]PollResult, error) {
@@ -191,6 +213,7 @@
 	switch {
 	case err == nil:
 		d.current, d.version, d.refusedSwitches = next, version, 0
+		d.reportSkew()
 	case errors.Is(err, errPrepare):
 		// Some rank has seen a higher version in an epoch that this agent did not observe.
 		d.refusedSwitches++
--- a/internal/lockstep/director_test.go
+++ b/internal/lockstep/director_test.go
@@ -73,3 +73,30 @@
 
 	require.Equal(t, minAnswerTimeout+4*minTimeoutPerRank, s.answerTimeout(prepare, 0, 4))
 }
+
+// Demand shifts to a few experts. Guards against entries that learn of a shift only from the long
+// passes that it causes, and against a skew of a few choices, which is a matter of chance.
+func TestDirectorReportsSkewOfLatestDemand(t *testing.T) {
+	t.Parallel()
+
+	shape := Shape{Sets: 1, Experts: 4, Ranks: 4, Slots: 1}
+
+	var skews []float64
+
+	d := &Director{Shape: shape, OnSkew: func(skew float64) { skews = append(skews, skew) }}
+	d.current = InitialMap(shape.Sets, shape.Experts, shape.Ranks)
+	d.demandEstimator = newDemandEstimator(shape, time.Second)
+
+	poll := func(counts ...uint64) {
+		polls := make([]PollResult, shape.Ranks)
+		polls[0].Counts = counts
+		d.latestChoices = d.demandEstimator.observe(time.Now(), polls)
+		d.reportSkew()
+	}
+
+	poll(0, 0, 0, 0)
+	poll(1000, 1000, 1000, 1000)
+	poll(1010, 1000, 1000, 1000)
+	poll(4010, 2000, 2000, 2000)
+	require.InDeltaSlice(t, []float64{1, 2}, skews, 0.01)
+}
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -27,12 +27,17 @@
 	// engines holds the targets whose load an agent reports, by VM. It is an index because
 	// each agent of a deployment sends ten reports per second.
 	engines map[netip.Addr][]engine
+	// directors holds the group that the agent on a VM directs. It may be one whose rank 0 this
+	// entry does not use.
+	directors map[netip.Addr]groupName
 	// onForecast is called with each group whose forecast has become invalid or valid.
 	onForecast func(p dispatch.ForecastProblem)
 }
 
 type engine struct{ service, target string }
 
+type groupName struct{ service, group string }
+
 // acquireTarget waits until r is assigned to a target or refused, or ctx ends.
 func (q *queue) acquireTarget(ctx context.Context, r dispatch.Request) (dispatch.Action, error) {
 	q.mu.Lock()
@@ -107,6 +112,10 @@
 	for _, e := range q.engines[vm] {
 		q.notify(q.dispatcher.ReportLoad(q.now(), e.service, e.target, l))
 	}
+
+	if g, ok := q.directors[vm]; ok && l.Skew > 0 && len(q.engines[vm]) == 0 {
+		q.notify(q.dispatcher.ReportSkew(q.now(), g.service, g.group, l.Skew))
+	}
 }
 
 // recordEventGap records a gap between two events of a stream, of which the route allows accepted.
@@ -127,7 +136,7 @@
 }
 
 // update replaces the services and targets.
-func (q *queue) update(services []dispatch.Service, targets []dispatch.Target) {
+func (q *queue) update(services []dispatch.Service, targets []dispatch.Target, directors map[netip.Addr]groupName) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -140,6 +149,7 @@
 		}
 	}
 
+	q.directors = directors
 	q.notify(q.dispatcher.Update(q.now(), services, targets))
 }
 
@@ -151,6 +161,16 @@
 	return len(q.engines[vm]) > 0
 }
 
+// hasDirectorOn reports whether the agent on a VM directs a group whose skew this entry needs.
+func (q *queue) hasDirectorOn(vm netip.Addr) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	_, ok := q.directors[vm]
+
+	return ok
+}
+
 // notify sends actions to the requests that wait for them. The caller holds mu.
 func (q *queue) notify(actions []dispatch.Action) {
 	for _, a := range actions {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -150,7 +150,7 @@
 		}
 	}
 
-	r.queue.update(services, targets)
+	r.queue.update(services, targets, directors(f, services, targets))
 	r.configureOnce.Do(func() { close(r.configured) })
 
 	if wait, due := r.entryShares.subsets.RecomputeDue(now); due {
@@ -203,8 +203,41 @@
 	r.Logger.Warn("Forecast of passes not used; the limit follows observed event gaps.", "service", p.Service, "group", p.Group, "problem", p.Problem)
 }
 
-// Uses reports whether this entry sends requests to an engine on vm.
-func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) }
+// Uses reports whether this entry sends requests to an engine on vm, or needs the skew that the
+// agent on vm reports.
+func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) || r.queue.hasDirectorOn(vm) }
+
+// directors returns the VMs of the agents that direct the groups of prioritized services to which this
+// entry sends requests: those beside rank 0, which this entry may not use. There are none if the
+// entries are too many for one agent, which would otherwise not report to those that use its engine.
+func directors(f *view.ClusterState, services []dispatch.Service, targets []dispatch.Target) map[netip.Addr]groupName {
+	if f.Entries > loadreport.MaxSubscribers {
+		return nil
+	}
+
+	used := make(map[groupName]bool)
+
+	for i := range targets {
+		used[groupName{service: targets[i].Service, group: targets[i].Group}] = true
+	}
+
+	out := make(map[netip.Addr]groupName)
+
+	for i := range f.Targets {
+		t := &f.Targets[i]
+		name := groupName{service: t.Service, group: t.Group.Name}
+
+		if name.group == "" || t.Group.Rank != 0 || !used[name] {
+			continue
+		}
+
+		if slices.ContainsFunc(services, func(s dispatch.Service) bool { return s.Name == name.service && s.Prioritized }) {
+			out[t.Address.Addr()] = name
+		}
+	}
+
+	return out
+}
 
 func targetOf(t *directory.Target, f *view.ClusterState, share shares.Share) dispatch.Target {
 	return dispatch.Target{
@@ -217,7 +250,7 @@
 // UpdateLoad records a load report of the agent on vm.
 func (r *Relay) UpdateLoad(vm netip.Addr, l loadreport.Load) {
 	r.queue.updateLoad(vm, dispatch.Load{
-		Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown, Stalled: l.Stalled, Broken: l.Broken,
+		Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown, Stalled: l.Stalled, Broken: l.Broken, Skew: l.Skew,
 	})
 }
 
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -66,6 +66,7 @@
 	lastReport atomic.Pointer[receivedReport]
 	// steps is used only by load.
 	steps stepProgress
+	skew  *mapSkew
 	// relayIndex selects the entry that is tried first as a relay.
 	relayIndex atomic.Int32
 	engines    engineCache
@@ -100,6 +101,7 @@
 		return RankState{Report: r, Error: errorText(err)}
 	})
 	a.peerHTTP = newFollowClient()
+	a.skew = newMapSkew()
 	a.countEncoder.Mark = uint64(time.Now().UnixMicro())
 	a.countDecoders = make(map[string]*lockstep.CountDecoder)
 
@@ -111,7 +113,7 @@
 	g, work := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(server, a.Listener, "ranks") })
 	g.Go(func() error {
-		t := &loadreport.Publisher{Cluster: a.Cluster, Conn: a.LoadConn, Load: a.load, Logger: a.logger}
+		t := &loadreport.Publisher{Cluster: a.Cluster, Conn: a.LoadConn, Load: a.load, Changed: a.skew.changed, Logger: a.logger}
 
 		return t.Run(work)
 	})
@@ -229,6 +231,7 @@
 	d := &lockstep.Director{
 		Shape: shape, Group: ranks, Settings: lockstep.DefaultSettings(), Logger: logger, HighestAttempted: a.highestAttempted,
 		InitialDemand: a.lastDemand.at(time.Now(), r.Group),
+		OnSkew:        func(skew float64) { a.skew.set(time.Now(), r, skew) },
 	}
 	a.mu.Unlock()
 
--- a/internal/role/rankagent_test.go
+++ b/internal/role/rankagent_test.go
@@ -79,3 +79,45 @@
 		require.LessOrEqual(t, asked.Load(), int64(105))
 	})
 }
+
+// Guards against a skew that entries learn only with the next regular report, or from an agent that
+// no longer directs the group: it is published at once when it has changed much, and not at all when
+// it is old or of another epoch.
+func TestAgentReportsSkewOfTheMapInUse(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		report := lockstep.Report{Group: "g", Epoch: 1, Open: true}
+		a := &RankAgent{
+			Engine: lockstep.Engine{Report: func(context.Context) (lockstep.Report, error) { return report, nil }}, skew: newMapSkew(),
+		}
+		check := func(skew float64, changed int) {
+			t.Helper()
+
+			l, err := a.load(t.Context())
+			require.NoError(t, err)
+			require.InDelta(t, skew, l.Skew, 1e-9)
+			require.Len(t, a.skew.changed, changed)
+		}
+		set := func(skew float64) { a.skew.set(time.Now(), report, skew) }
+
+		check(0, 0)
+		set(1.34)
+		check(1.34, 1)
+		<-a.skew.changed
+
+		set(1.38)
+		check(1.34, 0)
+		set(2.7)
+		check(2.7, 1)
+		<-a.skew.changed
+
+		time.Sleep(skewTTL)
+		check(0, 0)
+		set(2.7)
+		check(2.7, 1)
+
+		report.Epoch = 2
+
+		check(0, 1)
+	})
+}
--- a/internal/role/rankload.go
+++ b/internal/role/rankload.go
@@ -19,7 +19,7 @@
 
 	return loadreport.Load{
 		Running: r.Running, Waiting: r.Waiting, Slowdown: r.Pace,
-		Stalled: a.steps.isStalled(now, r), Broken: r.Group != "" && !r.Open,
+		Stalled: a.steps.isStalled(now, r), Broken: r.Group != "" && !r.Open, Skew: a.skew.at(now, r),
 	}, nil
 }
 
