Show the forecast of a group to operators

Change: the state of a group in a dump, and the summary of capacity in the log line of a refusal, show the limit, the aim, the work factor and the remembered peak. A group whose forecast becomes invalid or valid again is logged once.

--- a/internal/dispatch/capacity.go
+++ b/internal/dispatch/capacity.go
@@ -54,6 +54,8 @@
 	firstAnswerTime time.Duration
 	stepGap         float64
 	late            bool
+	// forecast is nil unless the service is prioritized.
+	forecast *ForecastState
 }
 
 func (d *Dispatcher) capacity(now time.Time, s *service) CapacitySummary {
@@ -70,6 +72,10 @@
 			stepGap: g.startLimit.stepGap, late: s.Streams && g.isLate(now),
 		}
 
+		if s.Prioritized {
+			sum.forecast = g.forecastState(now)
+		}
+
 		for _, t := range g.targets {
 			reason := d.blockReason(now, s, t)
 			r.targets[reason]++
@@ -100,6 +106,10 @@
 	for _, g := range r.groups {
 		fmt.Fprintf(&b, "; group %q: free %d of %d, bound %.1f, others %.1f, first answer %s, steps %.2f of the gap accepted, late %t",
 			g.name, g.free, g.targets, g.bound, g.otherRequests, g.firstAnswerTime.Round(time.Millisecond), g.stepGap, g.late)
+
+		if g.forecast != nil {
+			b.WriteString(", " + g.forecast.String())
+		}
 	}
 
 	return slog.StringValue(b.String())
--- a/internal/dispatch/forecast_test.go
+++ b/internal/dispatch/forecast_test.go
@@ -509,3 +509,64 @@
 		require.InDelta(t, without.inTime, with.inTime, 0.05*float64(without.requested))
 	})
 }
+
+// Guards against operators who cannot see which limit is in force, and against more or less than one
+// line for the log when the forecast cannot be used.
+func TestForecastIsShownToOperators(t *testing.T) {
+	t.Parallel()
+
+	p := busyPasses()
+	published := p.published
+	f := newFixture(t, 1, 10, 1, nil)
+	update := func(figures routes.EngineFigures) {
+		f.apply(f.Update(startTime, []dispatch.Service{{
+			Name: "drafts", Streams: true, Prioritized: true, Engine: figures, EventGap: p.eventGap, Timeout: p.timeout,
+		}}, f.targets))
+	}
+
+	update(routes.EngineFigures{})
+
+	now := startTime
+	id := f.submit(now, nil)
+	require.Equal(t, []dispatch.ForecastProblem{{Service: "drafts", Group: "g", Problem: "no figures are published"}}, f.ForecastChanges())
+	require.Empty(t, f.ForecastChanges())
+	require.Equal(t, &dispatch.ForecastState{Problem: "no figures are published"}, f.Groups(now)[0].Forecast)
+
+	update(published)
+	f.submit(now, nil)
+	require.Equal(t, []dispatch.ForecastProblem{{Service: "drafts", Group: "g"}}, f.ForecastChanges())
+	require.Equal(t, &dispatch.ForecastState{}, f.Groups(now)[0].Forecast)
+
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+
+		for range 3 {
+			f.ReportGapDuration(now, f.placed[id], 50*time.Millisecond)
+		}
+	}
+
+	f.submit(now, nil)
+
+	state := f.Groups(now)[0].Forecast
+	require.True(t, state.InUse)
+	require.Positive(t, state.Limit)
+	require.Contains(t, state.String(), "aim InTime")
+
+	// A request without an eligible target is refused with a summary for the log.
+	id = f.submit(now, func(r *dispatch.Request) { r.Excluded = []string{"t0"} })
+	require.Contains(t, f.refused[id].Capacity.LogValue().String(), "forecast limit")
+}
+
+// The figures of a service that is not prioritized are published too. Guards against a forecast that
+// changes how it is served.
+func TestOtherServicesHaveNoForecast(t *testing.T) {
+	t.Parallel()
+
+	g := busyPasses().without()
+	g.duration, g.perSecond = 8*time.Second, func(time.Duration) float64 { return 330 }
+	want := g.simulate(1)
+
+	g.published = routes.EngineFigures{}
+	g.reportsSkew = false
+	require.Equal(t, want, g.simulate(1))
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -252,6 +252,9 @@
 	FirstAnswer    time.Duration
 	// Late is set while streams of the group are late, Broken while it cannot complete a step.
 	Late, Broken bool
+	// Forecast is what the forecast of the group's passes says; nil unless its service is
+	// prioritized.
+	Forecast *ForecastState `json:",omitempty"`
 }
 
 // Groups returns the states of all groups that have targets, sorted by service and name.
@@ -283,5 +286,9 @@
 		out.InFlight += t.inFlight
 	}
 
+	if s.Prioritized {
+		out.Forecast = g.forecastState(now)
+	}
+
 	return out
 }
