--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -135,6 +136,7 @@
 		dispatcher: &dispatch.Dispatcher{Settings: r.Settings, Rand: r.Rand, Zone: r.Zone},
 		now:        r.Now,
 		waiters:    make(map[uint64]chan dispatch.Action),
+		onForecast: r.logForecast,
 	}
 }
 
@@ -164,7 +166,7 @@
 	}
 
 	r.retainConnections(now, services, targets)
-	r.queue.update(services, targets)
+	r.queue.update(services, targets, directors(f, services, targets))
 	r.levels.retain(func(service string) bool {
 		s := f.Table.Service(service)
 
@@ -186,13 +188,77 @@
 
 	if out.Prioritized {
 		out.EventGap, out.Timeout = table.StreamTimes(s.Name)
+		out.EventTimeout = r.eventTimeout(table, s.Name)
 	}
 
 	return out
 }
 
-// Uses reports whether this entry sends requests to an engine on vm.
-func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) }
+// eventTimeout returns the shortest time without an event after which callers of a service leave a
+// stream, zero if they do not.
+func (r *Relay) eventTimeout(table *routes.Table, service string) time.Duration {
+	shortest := time.Duration(0)
+
+	for i := range table.Routes {
+		route := &table.Routes[i]
+		if !route.Stream || !slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == service }) {
+			continue
+		}
+
+		if t := r.Dialect.EventTimeout(route); t > 0 && (shortest == 0 || t < shortest) {
+			shortest = t
+		}
+	}
+
+	return shortest
+}
+
+// logForecast logs that the forecast of a group has become invalid or valid.
+func (r *Relay) logForecast(p dispatch.ForecastProblem) {
+	if p.Problem == "" {
+		r.Logger.Info("Forecast of passes in use again.", "service", p.Service, "group", p.Group)
+
+		return
+	}
+
+	r.Logger.Warn("Forecast of passes not used; the limit follows observed event gaps.", "service", p.Service, "group", p.Group, "problem", p.Problem)
+}
+
+// Uses reports whether this entry sends requests to an engine on vm, or needs the skew that the
+// agent on vm reports.
+func (r *Relay) Uses(vm netip.Addr) bool { return r.queue.hasEngineOn(vm) || r.queue.hasDirectorOn(vm) }
+
+// directors returns the VMs of the agents that direct the groups of prioritized services to which this
+// entry sends requests: those beside rank 0, which this entry may not use. There are none if the
+// entries are too many for one agent, which would otherwise not report to those that use its engine.
+func directors(f *view.ClusterState, services []dispatch.Service, targets []dispatch.Target) map[netip.Addr]groupName {
+	if f.Entries > loadreport.MaxSubscribers {
+		return nil
+	}
+
+	used := make(map[groupName]bool)
+
+	for i := range targets {
+		used[groupName{service: targets[i].Service, group: targets[i].Group}] = true
+	}
+
+	out := make(map[netip.Addr]groupName)
+
+	for i := range f.Targets {
+		t := &f.Targets[i]
+		name := groupName{service: t.Service, group: t.Group.Name}
+
+		if name.group == "" || t.Group.Rank != 0 || !used[name] {
+			continue
+		}
+
+		if slices.ContainsFunc(services, func(s dispatch.Service) bool { return s.Name == name.service && s.Prioritized }) {
+			out[t.Address.Addr()] = name
+		}
+	}
+
+	return out
+}
 
 func targetOf(t *directory.Target, f *view.ClusterState, share shares.Share) dispatch.Target {
 	return dispatch.Target{
@@ -205,7 +271,7 @@
 // UpdateLoad records a load report of the agent on vm.
 func (r *Relay) UpdateLoad(vm netip.Addr, l loadreport.Load) {
 	r.queue.updateLoad(vm, dispatch.Load{
-		Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown, Stalled: l.Stalled, Broken: l.Broken,
+		Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown, Stalled: l.Stalled, Broken: l.Broken, Skew: l.Skew,
 	})
 }
 
