Trust published figures within a quarter and reserve no more for shifts than they say

The limit fell to 4.2 sequences per rank, passes stayed below 125 ms, and 640 requests were refused or late at normal load.

Change: ratios up to 1.25 count as 1, groups with fewer than 3 sequences per rank are not compared, and figures that are off by more than 1.4 are not used.

--- a/internal/forecast/factor.go
+++ b/internal/forecast/factor.go
@@ -10,6 +10,10 @@
 	minSkewChange = 0.025
 	// maxRatio bounds the usual ratio of observed to computed work factors.
 	maxRatio = 5
+	// maxUsualRatio is the usual ratio above which the figures are not used.
+	maxUsualRatio = 1.4
+	// ratioTolerance is the ratio up to which a computed factor counts as right.
+	ratioTolerance = 1.25
 )
 
 // workFactor holds the factor by which uneven demand for experts multiplies the work of a pass.
@@ -43,8 +47,11 @@
 	w.ratio += (min(max(factor/computed, 1.0/maxRatio), maxRatio) - w.ratio) / float64(w.compared)
 }
 
+// usualRatio returns the usual ratio of observed to computed factors. Small differences count as
+// none: they come from work that does not grow with the skew, such as prompts that are read at the
+// same time, and would be overestimated in a shift.
 func (w *workFactor) usualRatio() float64 {
-	if w.compared == 0 {
+	if w.compared == 0 || w.ratio > 1/ratioTolerance && w.ratio < ratioTolerance {
 		return 1
 	}
 
@@ -77,6 +84,15 @@
 	return 1
 }
 
+// contradicted is the problem of figures that do not explain the passes.
+const contradicted = "the observed passes contradict the published figures"
+
+// isContradicted reports whether the usual passes are so far from the computed ones that the figures
+// cannot be right, although each pass by itself is possible.
+func (w *workFactor) isContradicted() bool {
+	return w.compared >= minPlausible && (w.ratio > maxUsualRatio || w.ratio < 1/maxUsualRatio)
+}
+
 const (
 	// maxFactor and 1/maxFactor bound the work factors that figures can explain. Figures that are
 	// wrong by a factor of 100 are outside, also with some noise.
@@ -116,7 +132,7 @@
 
 func (p *plausibility) problem() string {
 	if p.refuted {
-		return "the observed passes contradict the published figures"
+		return contradicted
 	}
 
 	return ""
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -129,6 +129,10 @@
 		return g.figuresProblem
 	}
 
+	if g.factor.isContradicted() {
+		return contradicted
+	}
+
 	return g.plausibility.problem()
 }
 
@@ -150,6 +154,10 @@
 // fewer, the few prompts that are read in a pass outweigh the rest of its work.
 const minSequences = 1
 
+// minCompared is the number of sequences per rank from which the observed factor is compared with
+// the computed one. A group that fills up reads more prompts than in the steady state.
+const minCompared = 3
+
 // ObservePass records a pass that has ended, of a group with that many sequences per rank.
 func (g *Group) ObservePass(now time.Time, pass time.Duration, sequences float64) {
 	g.countAim(now)
@@ -179,7 +187,7 @@
 	// A rank that is slow by about as much as it reports leaves an error in the factor that looks
 	// like a shift.
 	if !g.isSlow() {
-		g.factor.learn(factor, g.model.computedFactor(g.factor.skewAt(now)), g.factor.hasSkew(now) && !g.shifts.active)
+		g.factor.learn(factor, g.model.computedFactor(g.factor.skewAt(now)), g.factor.hasSkew(now) && !g.shifts.active && sequences >= minCompared)
 
 		if excess := (observed - g.factor.mean) * work; excess >= minShiftExcess*g.parameters.EventGap.Seconds() || g.shifts.active {
 			g.shifts.observe(now, factor, observed >= minShiftRatio*g.factor.mean, false)
