Take the computed factor as it is, and always allow an entry its share

Change: a computed factor is not corrected; figures whose usual passes are off by more than 1.4 are not used until they are within 1.2. An entry may use its share whatever the others have. The test of wrong figures runs at a load with which no pass is long without a forecast either.

--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -146,11 +146,13 @@
 // isFull reports whether the group has no place for another request of this entry if only the given
 // part of its limit may be used.
 func (p *capacityPlan) isFull(part float64, cfg *Settings) bool {
-	if p.load+1 > part*p.limit {
-		return true
+	// Its share is an entry's whatever the others have. Otherwise an entry that knows a lower limit
+	// than the others gets no place at all.
+	if p.own+1 <= part*p.ownShare() {
+		return false
 	}
 
-	return p.own+1 > part*p.ownShare() && !p.mayBorrow(part, cfg)
+	return p.load+1 > part*p.limit || !p.mayBorrow(part, cfg)
 }
 
 // mayBorrow reports whether this entry may exceed its share. Until the load of others is known
--- a/internal/dispatch/forecast_test.go
+++ b/internal/dispatch/forecast_test.go
@@ -451,7 +451,9 @@
 func TestWrongFiguresLeaveTheLimitsByGaps(t *testing.T) {
 	t.Parallel()
 
+	// At this load, no pass is long with the limits by gaps either.
 	g := busyPasses()
+	g.perSecond = func(time.Duration) float64 { return 270 }
 	g.duration = 16 * time.Second
 	without := g.without().simulate(1)
 
--- a/internal/forecast/factor.go
+++ b/internal/forecast/factor.go
@@ -10,10 +10,12 @@
 	minSkewChange = 0.025
 	// maxRatio bounds the usual ratio of observed to computed work factors.
 	maxRatio = 5
-	// maxUsualRatio is the usual ratio above which the figures are not used.
+	// maxUsualRatio is the usual ratio above which the figures are not used, minUsualRatio the one
+	// below which they are used again. Smaller differences come from work that does not grow with
+	// the skew, such as prompts that are read at the same time: corrected by them, a computed factor
+	// would be too large in a shift.
 	maxUsualRatio = 1.4
-	// ratioTolerance is the ratio up to which a computed factor counts as right.
-	ratioTolerance = 1.25
+	minUsualRatio = 1.2
 )
 
 // workFactor holds the factor by which uneven demand for experts multiplies the work of a pass.
@@ -29,6 +31,8 @@
 	// ratio is the usual ratio of observed to computed factors, over the compared last passes.
 	ratio    float64
 	compared int
+	// contradicted is set while the figures cannot be right.
+	contradicted bool
 }
 
 func (w *workFactor) set(now time.Time, factor float64) { w.value, w.at = factor, now }
@@ -45,17 +49,7 @@
 
 	w.compared = min(w.compared+1, meanWindow)
 	w.ratio += (min(max(factor/computed, 1.0/maxRatio), maxRatio) - w.ratio) / float64(w.compared)
-}
-
-// usualRatio returns the usual ratio of observed to computed factors. Small differences count as
-// none: they come from work that does not grow with the skew, such as prompts that are read at the
-// same time, and would be overestimated in a shift.
-func (w *workFactor) usualRatio() float64 {
-	if w.compared == 0 || w.ratio > 1/ratioTolerance && w.ratio < ratioTolerance {
-		return 1
-	}
-
-	return w.ratio
+	w.updateContradicted()
 }
 
 // observeSkew records a reported skew and reports whether it differs from the last one.
@@ -87,10 +81,15 @@
 // contradicted is the problem of figures that do not explain the passes.
 const contradicted = "the observed passes contradict the published figures"
 
-// isContradicted reports whether the usual passes are so far from the computed ones that the figures
-// cannot be right, although each pass by itself is possible.
-func (w *workFactor) isContradicted() bool {
-	return w.compared >= minPlausible && (w.ratio > maxUsualRatio || w.ratio < 1/maxUsualRatio)
+// updateContradicted updates whether the usual passes are so far from the computed ones that the
+// figures cannot be right, although each pass by itself is possible.
+func (w *workFactor) updateContradicted() {
+	threshold := maxUsualRatio
+	if w.contradicted {
+		threshold = minUsualRatio
+	}
+
+	w.contradicted = w.compared >= minPlausible && (w.ratio > threshold || w.ratio < 1/threshold)
 }
 
 const (
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -129,7 +129,7 @@
 		return g.figuresProblem
 	}
 
-	if g.factor.isContradicted() {
+	if g.factor.contradicted {
 		return contradicted
 	}
 
@@ -209,7 +209,7 @@
 		return // Passes observed since then say more.
 	}
 
-	factor := g.model.computedFactor(skew) * g.factor.usualRatio()
+	factor := g.model.computedFactor(skew)
 	g.factor.set(now, factor)
 
 	if g.factor.samples > 0 && !g.isSlow() {
