Order the requests of prioritized services by level, workspace and age

At one entry, requests wait by level, within a level by start-time fair queueing over workspaces, and within a workspace by time. Requests that cannot be answered in time are refused at once. Services that are not prioritized are placed as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -67,6 +68,9 @@
 	Workspace string
 	// Priority orders requests; 0 is the highest priority.
 	Priority uint32
+	// Level and Attempt order the requests of a prioritized service, instead of Priority.
+	Level   priority.Level
+	Attempt priority.Attempt
 	// SoftDeadline is the latency target for the first answer. Deadline is when the caller
 	// disconnects.
 	SoftDeadline time.Time
@@ -89,6 +93,8 @@
 	// Cause is the reason of a refusal, RetryAt the time at which the caller should retry.
 	Cause   verdict.Cause
 	RetryAt time.Time
+	// ExpectedWait is how long a request of a prioritized service would have waited for a place.
+	ExpectedWait time.Duration
 	// Capacity describes the service's targets at the time of the refusal.
 	Capacity CapacitySummary
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -20,6 +21,11 @@
 	groups      map[string]*group
 	waiting     []waiting
 	completions completionRate
+	// order is the order of placement if the service is prioritized. items and unplaced are
+	// reused by each placement.
+	order    priority.Order
+	items    []priority.Item
+	unplaced []waiting
 	// open are the targets that may receive a request, openForLate those for requests that are
 	// late already.
 	open, openForLate openTargets
@@ -146,6 +152,10 @@
 		return nil
 	}
 
+	if s.Prioritized {
+		return d.placeByPriority(now, s)
+	}
+
 	// refuseUnservable leaves the waiting requests sorted in the order of placement.
 	out := d.refuseUnservable(now, s)
 	answerAt := now.Add(s.firstAnswerTime(now))
@@ -159,30 +169,14 @@
 		w := &s.waiting[i]
 		late := isLate(*w)
 
-		open := &s.open
-		if late {
-			open = &s.openForLate
-		}
-
-		t := d.choose(now, open.timely, &w.Request)
-		if t == nil && (late || !awaitTimely) {
-			t = d.choose(now, open.late, &w.Request)
-		}
-
+		t := d.chooseOpen(now, s, &w.Request, late, awaitTimely)
 		if t == nil {
 			remaining = append(remaining, *w)
 
 			continue
 		}
 
-		t.group.place(now)
-		t.place(now, w.Work)
-		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true, PlacedAt: now})
-
-		s.open.removeIf(t, func(t *target) bool { return d.blockReason(now, s, t) != blockNone })
-		s.openForLate.removeIf(t, func(t *target) bool {
-			return d.blockReason(now, s, t) != blockNone || d.isFullForLate(now, s, t)
-		})
+		out = append(out, d.placeAt(now, s, t, &w.Request))
 	}
 
 	s.waiting = remaining
@@ -190,6 +184,35 @@
 	return out
 }
 
+// chooseOpen returns the open target for r, or nil if there is none. late is set if r is late
+// already, awaitTimely if another request should wait for a group that is in time.
+func (d *Dispatcher) chooseOpen(now time.Time, s *service, r *Request, late, awaitTimely bool) *target {
+	open := &s.open
+	if late {
+		open = &s.openForLate
+	}
+
+	t := d.choose(now, open.timely, r)
+	if t == nil && (late || !awaitTimely) {
+		t = d.choose(now, open.late, r)
+	}
+
+	return t
+}
+
+// placeAt places r at t, and updates the open targets.
+func (d *Dispatcher) placeAt(now time.Time, s *service, t *target, r *Request) Action {
+	t.group.place(now)
+	t.place(now, r.Work)
+
+	s.open.removeIf(t, func(t *target) bool { return d.blockReason(now, s, t) != blockNone })
+	s.openForLate.removeIf(t, func(t *target) bool {
+		return d.blockReason(now, s, t) != blockNone || d.isFullForLate(now, s, t)
+	})
+
+	return Action{ID: r.ID, Target: t.Target, Placed: true, PlacedAt: now}
+}
+
 // openTargets are targets that may receive a request now.
 type openTargets struct {
 	// timely are those in groups whose streams are in time, late are the others.
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -75,7 +75,7 @@
 	}
 
 	p.relay.counters.refused.Add(1)
-	p.log(slog.LevelInfo, "Refused.", "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.capacity, "error", err)
+	p.log(slog.LevelInfo, "Refused.", append(p.urgency.logAttrs(), "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.capacity, "error", err)...)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,7 @@
 	latencies   latencies
 	durations   durations
 	failureRate retries.FailureRate
+	ages        ages
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
 	// targetStatements limits the log lines about what targets state in their answers.
@@ -112,6 +113,7 @@
 		r.Budget.StartedAt = r.Now()
 	}
 
+	r.ages.all.MaxRetryAfter = r.Settings.MaxRetryAfter
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
 	r.completions.PerSecond = maxCompletionLines
@@ -160,7 +162,7 @@
 func (r *Relay) serviceOf(table *routes.Table, s *routes.Service) dispatch.Service {
 	out := dispatch.Service{
 		Name: s.Name, ColdPerSecond: s.ColdPerSecond, MaxConnections: s.MaxConnections, Streams: s.Slots > 0, Engine: s.Engine,
-		Prioritized: r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0),
+		Prioritized: r.isPrioritized(table, s),
 	}
 
 	if out.Prioritized {
@@ -344,9 +346,11 @@
 	}
 
 	p.softDeadline = now.Add(p.route.LatencyTarget)
+	p.setUrgency()
 }
 
 // priority returns the workspace's priority, or the route's for a request without a workspace.
+// Prioritized services are served by urgency.level instead.
 func (p *proxiedRequest) priority() uint32 {
 	if p.workspace != nil {
 		return p.workspace.Priority
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -35,6 +35,7 @@
 	deadline      time.Time
 	eventDeadline time.Time
 	softDeadline  time.Time
+	urgency       urgency
 
 	// placed is the current target, since placedAt. eventAt is when its last event arrived,
 	// zero before the first.
@@ -120,6 +121,7 @@
 
 	if err != nil {
 		p.capacity = placed.Capacity
+		p.urgency.expectedWait = placed.ExpectedWait
 
 		return placed, err
 	}
@@ -131,7 +133,7 @@
 
 func (p *proxiedRequest) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
-		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(),
+		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(), Level: p.urgency.level, Attempt: p.urgency.attempt,
 		SoftDeadline: p.softDeadline, Deadline: p.eventDeadline, Work: p.work(), Excluded: p.tried,
 	}
 }
--- /dev/null
+++ b/internal/relay/urgency.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/priority"
+	"github.com/parsleygate/parsleygate/internal/routes"
+)
+
+// isPrioritized reports whether the requests of a service are served by declared priorities.
+func (r *Relay) isPrioritized(table *routes.Table, s *routes.Service) bool {
+	return r.PriorityControl.Selects(table.HasPriorities(s.Name), s.Slots > 0)
+}
+
+// ages estimates the ages of requests. It is safe for concurrent use.
+type ages struct {
+	mu  sync.Mutex
+	all priority.Ages
+}
+
+func (a *ages) ageOf(now time.Time, route *routes.Route, workspace string, left time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.all.AgeOf(now, route.Name, workspace, left, route.Timeout)
+}
+
+// urgency is what a request of a prioritized service is ordered by.
+type urgency struct {
+	// prioritized is set if the service is. Otherwise nothing else is set.
+	prioritized bool
+	level       priority.Level
+	// age is the time since the caller's first attempt.
+	age     time.Duration
+	attempt priority.Attempt
+	// expectedWait is how long the request would have waited if it had not been refused.
+	expectedWait time.Duration
+}
+
+// setUrgency sets the urgency if the service is prioritized, and moves the soft deadline to the one
+// of the caller's first attempt.
+func (p *proxiedRequest) setUrgency() {
+	table := p.state.Table
+
+	s := table.Service(p.service)
+	if s == nil || !p.relay.isPrioritized(table, s) {
+		return
+	}
+
+	workspacePriority := uint32(0)
+	if p.workspace != nil {
+		workspacePriority = p.workspace.Priority
+	}
+
+	p.urgency = urgency{prioritized: true, level: priority.LevelOf(workspacePriority, p.route.Priority)}
+
+	if p.caller.Deadline.IsZero() {
+		return
+	}
+
+	p.urgency.age = p.relay.ages.ageOf(p.arrivedAt, p.route, p.workspaceName(), p.caller.Deadline.Sub(p.arrivedAt))
+	p.urgency.attempt = priority.AttemptOf(p.urgency.age, p.relay.Settings.MinRetryAfter)
+
+	if p.urgency.attempt != priority.FirstAttempt {
+		p.softDeadline = p.softDeadline.Add(-p.urgency.age)
+	}
+}
+
+// logAttrs returns log attributes of a refused request.
+func (u *urgency) logAttrs() []any {
+	if !u.prioritized {
+		return nil
+	}
+
+	return []any{
+		"level", u.level, "attempt", u.attempt.String(), "age", u.age.Round(time.Millisecond), "expectedWait", u.expectedWait.Round(time.Millisecond),
+	}
+}
