--- a/internal/priority/order.go
+++ b/internal/priority/order.go
@@ -18,6 +18,10 @@
 	// precedenceInterval is the number of placements of a workspace of which at most one goes to a
 	// request before newer ones because its caller has returned as told. Callers can claim that.
 	precedenceInterval = 4
+	// idleCredit is the work for which a workspace that has used less than its share goes before the
+	// others. Without it, a workspace that asks for less than its share on average loses the requests
+	// that happen to arrive together.
+	idleCredit = 4
 	// usageTTL is how long a workspace and a level are remembered after their last request.
 	usageTTL = 10 * time.Second
 	// maxFlows is the number of workspaces to design for.
@@ -51,7 +55,7 @@
 
 // levelUsage is what a level has got.
 type levelUsage struct {
-	// virtualTime is the virtual time at which the work placed last began.
+	// virtualTime is the latest virtual time at which work that was placed began.
 	virtualTime float64
 	// passed is the number of placements of other levels since the last one of this level.
 	passed int
@@ -98,16 +102,21 @@
 		work = 1
 	}
 
-	start = max(virtualTime, u.end)
+	start = u.start(virtualTime)
 	u.end = start + work
 
 	return start
 }
 
+// start returns the virtual time at which the next work begins.
+func (u *flowUsage) start(virtualTime float64) float64 {
+	return max(virtualTime-idleCredit, u.end)
+}
+
 // Place records that a request is placed.
 func (o *Order) Place(now time.Time, i *Item) {
 	level := &o.levels[i.Level]
-	level.virtualTime = o.flow(now, i).usage.charge(level.virtualTime, i)
+	level.virtualTime = max(level.virtualTime, o.flow(now, i).usage.charge(level.virtualTime, i))
 	level.requestedAt = now
 
 	for l := range o.levels {
@@ -157,8 +166,8 @@
 	number int
 	// returned are requests in time whose callers have returned as told, others the rest.
 	returned, others entryRange
-	// start is the virtual time at which its next request begins.
-	start float64
+	// startAt is the virtual time at which its next request begins.
+	startAt float64
 }
 
 // entryRange is a part of plan.entries.
@@ -235,7 +244,7 @@
 
 		level := &p.levels[items[p.entries[from].item].Level]
 		f.planned.returned, f.planned.others = entryRange{next: from, end: others}, entryRange{next: others, end: end}
-		f.planned.start = max(level.virtualTime, f.planned.end)
+		f.planned.startAt = f.planned.start(level.virtualTime)
 		level.waiting = append(level.waiting, f)
 		from = end
 	}
@@ -290,8 +299,8 @@
 	level := p.nextLevel()
 	f := level.waiting[0]
 	i := p.take(&f.planned)
-	level.virtualTime = f.planned.charge(level.virtualTime, &p.items[i])
-	f.planned.start = f.planned.end
+	level.virtualTime = max(level.virtualTime, f.planned.charge(level.virtualTime, &p.items[i]))
+	f.planned.startAt = f.planned.end
 
 	if f.planned.returned.isEmpty() && f.planned.others.isEmpty() {
 		heap.Pop(&level.waiting)
@@ -372,7 +381,7 @@
 func (h flowHeap) Less(i, j int) bool {
 	a, b := &h[i].planned, &h[j].planned
 
-	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.end, b.end), cmp.Compare(a.number, b.number)) < 0
+	return cmp.Or(cmp.Compare(a.startAt, b.startAt), cmp.Compare(a.end, b.end), cmp.Compare(a.number, b.number)) < 0
 }
 
 func (h flowHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
--- a/internal/priority/order_test.go
+++ b/internal/priority/order_test.go
@@ -107,15 +107,20 @@
 	require.InDelta(t, 100, byWorkspace["large"], 4)
 }
 
-// A workspace used the idle places for a while. Guards against one that has to wait for what it used
-// while nobody else wanted it.
+// A workspace used the idle places for a while, then another one has requests too. Guards against
+// the first having to wait for what it used while nobody else wanted it, and against the second
+// losing requests that arrive together.
 func TestUseOfIdlePlacesIsNotHeldAgainstAWorkspace(t *testing.T) {
 	t.Parallel()
 
 	b := newBacklog(priority.Item{Workspace: "a"})
 	b.place(1000)
 	b.items = newBacklog(priority.Item{Workspace: "a"}, priority.Item{Workspace: "b"}).items
-	byWorkspace, _ := b.place(100)
+
+	byWorkspace, _ := b.place(10)
+	require.InDelta(t, 7, byWorkspace["b"], 1, "it goes first for four requests")
+
+	byWorkspace, _ = b.place(100)
 	require.InDelta(t, 50, byWorkspace["a"], 1)
 }
 
