--- a/internal/dispatch/prioritized.go
+++ b/internal/dispatch/prioritized.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/priority"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // The load pattern that this file addresses: a group that can serve fewer requests in time than
@@ -116,10 +118,14 @@
 	sends, rateLimited := d.sendTimes(now, s)
 	ahead, latePlaces := 0, -1
 
+	// Both are the same for all requests that are refused now.
+	refusalCause := sync.OnceValue(func() verdict.Cause { return d.refusalCause(now, s) })
+	capacity := sync.OnceValue(func() CapacitySummary { return d.capacity(now, s) })
+
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool {
 		openAt, ok := s.availableAt(now, &w.Request, &d.Settings)
 		if !ok {
-			out = append(out, Action{ID: w.ID, Cause: s.noTargetCause(now, &w.Request, &d.Settings), RetryAt: s.noTargetRetryAt(now, &d.Settings), Capacity: d.capacity(now, s)})
+			out = append(out, Action{ID: w.ID, Cause: s.noTargetCause(now, &w.Request, &d.Settings), RetryAt: s.noTargetRetryAt(now, &d.Settings), Capacity: capacity()})
 
 			return true
 		}
@@ -160,7 +166,7 @@
 		s.refusedWait.record(now, now.Sub(w.since))
 
 		out = append(out, Action{
-			ID: w.ID, Cause: d.refusalCause(now, s), RetryAt: now.Add(d.retryAfter(wait)), ExpectedWait: wait, Capacity: d.capacity(now, s),
+			ID: w.ID, Cause: refusalCause(), RetryAt: now.Add(d.retryAfter(wait)), ExpectedWait: wait, Capacity: capacity(),
 		})
 
 		return true
