--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,7 @@
 	metricsMu   sync.Mutex
 	levelGauges map[string]metrics.Gauge
 	failureRate retries.FailureRate
+	ages        ages
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
 	// targetStatements limits the log lines about what targets state in their answers.
@@ -127,6 +128,7 @@
 		r.Budget.StartedAt = r.Now()
 	}
 
+	r.ages.all.MaxRetryAfter = r.Settings.MaxRetryAfter
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
 	r.levelGauges = make(map[string]metrics.Gauge)
@@ -389,6 +391,7 @@
 	p.service = p.route.Pick(rand.Float64())
 	p.setDeadlines()
 	p.setPrioritized(table)
+	p.setUrgency()
 
 	return 0, ""
 }
@@ -435,6 +438,7 @@
 }
 
 // priority returns the workspace's priority, or the route's for a request without a workspace.
+// Prioritized services are served by their level instead.
 func (p *proxiedRequest) priority() uint32 {
 	if p.workspace != nil {
 		return p.workspace.Priority
