Admit levels of requests by their demand over all entries

Entries that serve a group of a prioritized service each see only their own requests. One with few urgent requests gives its places to others, while one with many refuses urgent ones. Counts of demand, placements and refusals by level are summed over the entries, and every entry admits the same levels.

The counts are not sent yet.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -67,6 +68,8 @@
 	Workspace string
 	// Priority orders requests; 0 is the highest priority.
 	Priority uint32
+	// Level is the position in the order of urgency, in prioritized services.
+	Level priority.Level
 	// SoftDeadline is the latency target for the first answer. Deadline is when the caller
 	// disconnects.
 	SoftDeadline time.Time
@@ -158,6 +161,7 @@
 		}
 
 		svc.Service = s
+		svc.setLevels(d.Rand)
 		d.services[s.Name] = svc
 	}
 
@@ -203,12 +207,18 @@
 		r.Work = 1
 	}
 
+	s.levels.recordDemand(now, r.Level)
+
 	if _, ok := s.availableAt(now, &r, &d.Settings); !ok {
 		return []Action{{
 			ID: r.ID, Cause: s.noTargetCause(now, &r, &d.Settings), RetryAt: s.noTargetRetryAt(now, &d.Settings), Capacity: d.capacity(now, s),
 		}}
 	}
 
+	if s.levels != nil && !s.levels.admission.Admit(now, r.Level) {
+		return d.submitSpare(now, s, r)
+	}
+
 	s.waiting = append(s.waiting, waiting{Request: r, since: now})
 
 	return d.place(now, s)
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -32,6 +32,8 @@
 	reportInterval time.Duration
 	duration       time.Duration
 	settings       dispatch.Settings
+	// levels is set for a prioritized service.
+	levels *levelLoad
 }
 
 // busyFleet is a group of 129 ranks with 39 entries, close to its capacity.
@@ -53,6 +55,7 @@
 	// the first event.
 	stepsLeft, promptStepsLeft int
 	late, started              bool
+	caller                     levelCaller
 }
 
 type fleetEntry struct {
@@ -84,11 +87,13 @@
 	arrived int
 	// queuedLong counts the requests that waited at a target for longer than a step.
 	inTime, late, refused, canceled, queuedLong int
+	levelSim
 }
 
 func (f fleetConfig) simulate(seed uint64) *fleetSim {
 	sim := &fleetSim{fleetConfig: f, r: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*fleetTarget{}}
 	entries, nodes := sim.nodes("e", f.entries), sim.nodes("t", f.targets)
+	subsets := shares.Subsetter{Size: f.subsetSize}.Match(entries, nodes)
 
 	for i, p := range nodes {
 		t := &fleetTarget{Target: dispatch.Target{ID: p.ID, Service: "drafts", Zone: p.Zone, Group: "g", Slots: f.slots}}
@@ -98,7 +103,7 @@
 	for _, p := range entries {
 		e := &fleetEntry{
 			zone: p.Zone, weight: math.Exp(f.callerSigma * sim.r.NormFloat64()), waiting: map[uint64]*fleetRequest{},
-			subset:     shares.Subsetter{Size: f.subsetSize}.Targets(p, entries, nodes),
+			subset:     subsets.Targets(p.ID),
 			Dispatcher: &dispatch.Dispatcher{Settings: f.settings, Zone: p.Zone, Rand: rand.New(rand.NewPCG(seed, sim.r.Uint64()))},
 		}
 
@@ -114,7 +119,7 @@
 		}
 
 		sim.entry = append(sim.entry, e)
-		sim.apply(startTime, e, e.Update(startTime, []dispatch.Service{{Name: "drafts", Streams: true}}, targets))
+		sim.apply(startTime, e, e.Update(startTime, []dispatch.Service{{Name: "drafts", Streams: true, Prioritized: f.levels != nil}}, targets))
 	}
 
 	sim.run()
@@ -150,6 +155,7 @@
 		}
 
 		sim.reportLoads(now, n, int(sim.reportInterval/tick))
+		sim.exchangeLevels(now, n, tick)
 
 		if n%4 == 0 {
 			for _, e := range sim.entry {
@@ -176,8 +182,17 @@
 	return sim.step
 }
 
-// arrive submits a request to an entry chosen in proportion to its callers.
+// arrive submits a new request.
 func (sim *fleetSim) arrive(now time.Time) {
+	sim.arrived++
+	promptStepsLeft := 2 + sim.r.IntN(2)
+	req := &fleetRequest{arrived: now, promptStepsLeft: promptStepsLeft, stepsLeft: promptStepsLeft + 1 + int(min(37, 12*math.Exp(0.7*sim.r.NormFloat64())))}
+	sim.newCaller(req)
+	sim.submit(now, req)
+}
+
+// submit submits a request to an entry chosen in proportion to its callers.
+func (sim *fleetSim) submit(now time.Time, req *fleetRequest) {
 	total := 0.0
 	for _, e := range sim.entry {
 		total += e.weight
@@ -192,10 +207,12 @@
 	e := sim.entry[max(i, 0)]
 
 	sim.id++
-	sim.arrived++
-	promptStepsLeft := 2 + sim.r.IntN(2)
-	e.waiting[sim.id] = &fleetRequest{entry: e, arrived: now, promptStepsLeft: promptStepsLeft, stepsLeft: promptStepsLeft + 1 + int(min(37, 12*math.Exp(0.7*sim.r.NormFloat64())))}
-	sim.apply(now, e, e.Submit(now, dispatch.Request{ID: sim.id, Service: "drafts", SoftDeadline: now.Add(sim.latencyTarget), Deadline: now.Add(sim.timeout)}))
+	req.entry = e
+	e.waiting[sim.id] = req
+	sim.apply(now, e, e.Submit(now, dispatch.Request{
+		ID: sim.id, Service: "drafts", Priority: uint32(req.caller.level), Level: req.caller.level,
+		SoftDeadline: now.Add(sim.latencyTarget), Deadline: req.arrived.Add(sim.timeout),
+	}))
 }
 
 func (sim *fleetSim) apply(now time.Time, e *fleetEntry, actions []dispatch.Action) {
@@ -205,6 +222,7 @@
 
 		if !a.Placed {
 			sim.refused++
+			sim.refuse(now, req, a)
 
 			continue
 		}
@@ -291,6 +309,8 @@
 		sim.inTime++
 	}
 
+	sim.recordAnswer(req)
+
 	sim.apply(now, req.entry, req.entry.Finish(now, req.placed, 1, dispatch.Completed))
 
 	return false
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -40,6 +40,8 @@
 	placed int64
 	// emptySince is when the last target left the group; zero while it has targets.
 	emptySince time.Time
+	// levels is used in prioritized services.
+	levels groupLevels
 }
 
 // emptyGroupTTL is how long the state of a group without targets is kept. Targets that
@@ -243,6 +245,8 @@
 	FirstAnswer    time.Duration
 	// Late is set while streams of the group are late, Broken while it cannot complete a step.
 	Late, Broken bool
+	// Levels is nil unless the service is prioritized.
+	Levels *LevelState
 }
 
 // Groups returns the states of all groups that have targets, sorted by service and name.
@@ -274,5 +278,7 @@
 		out.InFlight += t.inFlight
 	}
 
+	out.Levels = s.levelState(now, g)
+
 	return out
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -23,6 +23,8 @@
 	// open are the targets that may receive a request, openForLate those for requests that are
 	// late already.
 	open, openForLate openTargets
+	// levels is nil unless the service is prioritized.
+	levels *levels
 }
 
 func newService() *service {
@@ -154,6 +156,7 @@
 
 	isLate := func(w waiting) bool { return !answerAt.Before(w.SoftDeadline) }
 	d.findOpenTargets(now, s, slices.ContainsFunc(s.waiting, isLate))
+	s.levels.beginPlacement()
 
 	for i := range s.waiting {
 		w := &s.waiting[i]
@@ -169,6 +172,10 @@
 			t = d.choose(now, open.late, &w.Request)
 		}
 
+		if t == nil && !late && s.levels.mayExceedShare(now, w.Level) {
+			t = d.chooseBeyondShare(now, s, &w.Request, !awaitTimely)
+		}
+
 		if t == nil {
 			remaining = append(remaining, *w)
 
@@ -177,6 +184,7 @@
 
 		t.group.place(now)
 		t.place(now, w.Work)
+		s.levels.recordPlaced(now, t.group, w.Level)
 		out = append(out, Action{ID: w.ID, Target: t.Target, Placed: true, PlacedAt: now})
 
 		s.open.removeIf(t, func(t *target) bool { return d.blockReason(now, s, t) != blockNone })
@@ -186,6 +194,7 @@
 	}
 
 	s.waiting = remaining
+	s.levels.recordWaiting(now, len(remaining))
 
 	return out
 }
@@ -328,6 +337,8 @@
 			return false
 		}
 
+		s.levels.recordRefused(now, w.Level, out[len(out)-1].Cause)
+
 		return true
 	})
 
@@ -434,6 +445,10 @@
 		return true
 	}
 
+	if s.levels.exceedsShare() {
+		return false
+	}
+
 	return s.Streams && t.inFlight >= t.Share.Units(now, math.Ceil(limit)) && !d.mayBorrow(now, t, limit, load)
 }
 
