Exchange counts by level between entries and the agent of rank 0

The admission level needs the sums over all entries. Entries send their counts in the subscription datagram to the agent beside rank 0 of the group, four times a second under pressure, and it returns the sums with its load.

Only services that are prioritized have groups to report, so no datagram is added for others.

--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -8,14 +8,17 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -47,6 +50,8 @@
 	// Stalled is set while the engine has requests and its group begins no step, Broken while
 	// the group cannot run steps.
 	Stalled, Broken bool
+	// Group is the group whose rank 0 the engine is, empty for other ranks.
+	Group string
 }
 
 // Publisher reports the load of the engine on this VM to the subscribed entries. Its
@@ -59,16 +64,23 @@
 
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]time.Time
+	group       groupPublisher
 }
 
 // Run publishes the load until ctx is canceled.
 func (p *Publisher) Run(ctx context.Context) error {
 	p.subscribers = make(map[netip.AddrPort]time.Time)
 
-	go p.acceptSubscriptions()
-
 	defer func() { _ = p.Conn.Close() }()
 
+	// Reports are accepted only of the engine's own group. A restarted agent must know it before the
+	// first one, or the sums come back an interval later.
+	if l, err := p.Load(ctx); err == nil {
+		p.setGroup(l.Group)
+	}
+
+	go p.acceptSubscriptions()
+
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 
@@ -87,26 +99,40 @@
 
 		now := time.Now()
 
-		subscribers := p.activeSubscribers(now)
-		if len(subscribers) == 0 {
+		subscribers, subscribed := p.activeSubscribers(now)
+		if !subscribed {
 			continue
 		}
 
 		l, err := p.Load(ctx)
-		if err != nil || l == last && now.Sub(publishedAt) < maxPublishInterval {
+		if err != nil {
 			continue
 		}
 
-		last, publishedAt = l, now
 		seq++
-		p.publish(subscribers, &wire.LoadWord{
+		word := &wire.LoadWord{
 			Cluster: p.Cluster, Sequence: seq, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Pace: l.Slowdown,
 			Stalled: l.Stalled, Broken: l.Broken,
-		})
+		}
+
+		groupWord, groupSubscribers := p.groupWord(now, l, word)
+		p.publish(slices.Collect(maps.Keys(groupSubscribers)), groupWord)
+
+		if l == last && now.Sub(publishedAt) < maxPublishInterval {
+			continue
+		}
+
+		last, publishedAt = l, now
+		// One report is enough for an entry that has subscribed to both.
+		p.publish(slices.DeleteFunc(subscribers, func(a netip.AddrPort) bool { return !groupSubscribers[a].IsZero() }), word)
 	}
 }
 
 func (p *Publisher) publish(subscribers []netip.AddrPort, w *wire.LoadWord) {
+	if len(subscribers) == 0 {
+		return
+	}
+
 	data, err := proto.Marshal(w)
 	if err != nil {
 		p.Logger.Error("Load report not sent: encoding failed.", "error", err)
@@ -120,12 +146,12 @@
 	}
 }
 
-func (p *Publisher) activeSubscribers(now time.Time) []netip.AddrPort {
+// activeSubscribers returns the subscribers to the load, and whether there are any, including those
+// to the sums of the group.
+func (p *Publisher) activeSubscribers(now time.Time) (active []netip.AddrPort, subscribed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	out := make([]netip.AddrPort, 0, len(p.subscribers))
-
 	for a, until := range p.subscribers {
 		if now.After(until) {
 			delete(p.subscribers, a)
@@ -133,10 +159,10 @@
 			continue
 		}
 
-		out = append(out, a)
+		active = append(active, a)
 	}
 
-	return out
+	return active, len(active)+len(p.group.subscribers) > 0
 }
 
 // acceptSubscriptions records subscriptions until the connection is closed.
@@ -147,6 +173,12 @@
 			return
 		}
 
+		if request.GetGroup() != "" {
+			p.acceptReport(time.Now(), from, &request)
+
+			return
+		}
+
 		p.mu.Lock()
 		defer p.mu.Unlock()
 
@@ -181,6 +213,11 @@
 	Agents func() []netip.AddrPort
 	// OnLoad is called with each valid load report and the address of its agent.
 	OnLoad func(agent netip.AddrPort, l Load)
+	// Groups, if set, returns what is reported about groups, and OnSums is called with the sums
+	// over all entries that the agent beside rank 0 of a group returns. It returns an error if they
+	// are invalid.
+	Groups func() []GroupReport
+	OnSums func(agent netip.AddrPort, group string, c priority.Counts) error
 	// Logger, if set, receives a line for each agent that begins to send invalid reports.
 	Logger *slog.Logger
 
@@ -191,6 +228,11 @@
 	// requestedAt is when the last subscription was sent to each agent. It is used only by
 	// Run.
 	requestedAt map[netip.AddrPort]time.Time
+	// groups holds the group of each agent that was sent a report, and invalidSums the agents whose
+	// last sums were invalid. groupRequestedAt is used only by Run.
+	groups           map[netip.AddrPort]string
+	invalidSums      map[netip.AddrPort]bool
+	groupRequestedAt map[netip.AddrPort]time.Time
 }
 
 // receivedReport identifies the last report of an agent.
@@ -203,6 +245,7 @@
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.last = make(map[netip.AddrPort]receivedReport)
 	s.invalid = make(map[netip.AddrPort]bool)
+	s.invalidSums = make(map[netip.AddrPort]bool)
 	s.requestedAt = make(map[netip.AddrPort]time.Time)
 
 	request, err := proto.Marshal(&wire.LoadAsk{Cluster: s.Cluster})
@@ -219,6 +262,7 @@
 
 	for {
 		s.request(time.Now(), request)
+		s.requestGroups(time.Now())
 
 		select {
 		case <-ctx.Done():
@@ -286,6 +330,8 @@
 	if err == nil {
 		s.OnLoad(from, l)
 	}
+
+	s.handleSums(from, &w)
 }
 
 // recordValidity logs the first invalid report of an agent after valid ones.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -44,6 +44,8 @@
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
 		{"Relay.LeavingTargets", "targets", "Targets that said in an answer that they are leaving.", func(r *Relay) int64 { return int64(r.queue.backpressure().Leaving) }},
+		{"Relay.LevelGroups", "groups", "Groups of prioritized services in which some levels of urgency are admitted only in part.", func(r *Relay) int64 { return r.queue.groupsWithLevel() }},
+		{"Relay.RefusedByLevel", "requests", "Requests refused at once because their level of urgency was not admitted.", func(r *Relay) int64 { return r.queue.refusedByLevel() }},
 		{"Relay.Targets", "targets", "Targets in the directory.", func(r *Relay) int64 { return int64(len(r.State().Targets)) }},
 		{"Relay.Entries", "entries", "Entries that share the targets, including this one.", func(r *Relay) int64 { return int64(r.State().Entries) }},
 		{"Relay.ConfigurationNumber", "number", "Number that the operators gave to the configuration in force.", func(r *Relay) int64 { return int64(r.State().Number) }},
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/priority"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -119,6 +120,45 @@
 	q.dispatcher.ReportFirstAnswer(a, took)
 }
 
+// levelReports returns what this entry reports about the groups of prioritized services.
+func (q *queue) levelReports() []dispatch.LevelReport {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.dispatcher.LevelReports(q.now())
+}
+
+// groupsWithLevel returns the number of groups in which some level is admitted only in part.
+func (q *queue) groupsWithLevel() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	n := int64(0)
+
+	for _, g := range q.dispatcher.Groups(q.now()) {
+		if g.Levels != nil && g.Levels.InForce {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (q *queue) refusedByLevel() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.dispatcher.RefusedByLevel()
+}
+
+// updateLevels records the sums over all entries for a group.
+func (q *queue) updateLevels(group string, c priority.Counts, entries int) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.dispatcher.ReportLevels(q.now(), group, c, entries)
+}
+
 // update replaces the services and targets.
 func (q *queue) update(services []dispatch.Service, targets []dispatch.Target) {
 	q.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,7 @@
 	completions logs.Sampler
 	// targetStatements limits the log lines about what targets state in their answers.
 	targetStatements logs.Sampler
+	levelWarnings    levelWarnings
 }
 
 // Limits bounds the memory that one request may hold.
@@ -355,6 +356,15 @@
 	return p.route.Priority
 }
 
+// level returns the position of the request in the order of urgency.
+func (p *proxiedRequest) level() priority.Level {
+	if p.workspace != nil {
+		return priority.LevelOf(p.workspace.Priority, p.route.Priority)
+	}
+
+	return priority.LevelOf(0, p.route.Priority)
+}
+
 // baselineTokens is the size of a typical generation request, for which Work is 1. A generated
 // token takes one step; a prompt token counts as a tenth of one.
 const baselineTokens = 180
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -131,7 +131,7 @@
 
 func (p *proxiedRequest) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
-		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(),
+		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(), Level: p.level(),
 		SoftDeadline: p.softDeadline, Deadline: p.eventDeadline, Work: p.work(), Excluded: p.tried,
 	}
 }
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -15,6 +15,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
 	"github.com/parsleygate/parsleygate/internal/lockstep"
@@ -151,10 +153,46 @@
 			return out
 		},
 		OnLoad: func(agent netip.AddrPort, l loadreport.Load) { r.relay.UpdateLoad(agent.Addr(), l) },
+		Groups: func() []loadreport.GroupReport { return r.groupReports(r.follower.State(), r.relay.LevelReports()) },
+		OnSums: func(_ netip.AddrPort, group string, c priority.Counts) error { return r.relay.UpdateLevels(group, c) },
 		Logger: r.logger,
 	}
 }
 
+// groupReports addresses the reports about groups to the agents beside their rank 0. Of several
+// incarnations of a rank in the directory, the latest counts.
+func (r *DirectEntry) groupReports(f *view.ClusterState, reports []dispatch.LevelReport) []loadreport.GroupReport {
+	if len(reports) == 0 {
+		return nil
+	}
+
+	first := make(map[string]*directory.Target, len(reports))
+
+	for i := range f.Targets {
+		t := &f.Targets[i]
+		if t.Group.Name == "" || t.Group.Rank != 0 {
+			continue
+		}
+
+		if have := first[t.Group.Name]; have == nil || t.Group.Epoch > have.Group.Epoch || t.Group.Epoch == have.Group.Epoch && t.StartTime > have.StartTime {
+			first[t.Group.Name] = t
+		}
+	}
+
+	out := make([]loadreport.GroupReport, 0, len(reports))
+
+	for i := range reports {
+		l := &reports[i]
+		if t := first[l.Group]; t != nil {
+			out = append(out, loadreport.GroupReport{
+				Agent: netip.AddrPortFrom(t.Address.Addr(), r.AgentPort), Group: l.Group, Counts: l.Counts, Entries: f.Entries, Pressed: l.Pressed,
+			})
+		}
+	}
+
+	return out
+}
+
 func serve(server *http.Server, l net.Listener, name string) error {
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrapf(err, "serve %s", name)
--- a/internal/role/rankload.go
+++ b/internal/role/rankload.go
@@ -17,10 +17,16 @@
 	now := time.Now()
 	a.lastReport.Store(&receivedReport{report: r, at: now})
 
-	return loadreport.Load{
+	l := loadreport.Load{
 		Running: r.Running, Waiting: r.Waiting, Slowdown: r.Pace,
 		Stalled: a.steps.isStalled(now, r), Broken: r.Group != "" && !r.Open,
-	}, nil
+	}
+
+	if r.Rank == 0 {
+		l.Group = r.Group
+	}
+
+	return l, nil
 }
 
 // stepProgress tells whether the group of an engine makes progress.
