Do not apply levels to requests that have been at a target

A request that needs another target may have events already. Refused by its level, its stream was cut. It does not count as demand again either.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -215,7 +215,7 @@
 		}}
 	}
 
-	if s.levels != nil && !s.levels.admission.Admit(now, clampLevel(r.Level), r.Workspace) {
+	if !s.levels.admit(now, &r) {
 		return d.submitSpare(now, s, r)
 	}
 
--- a/internal/dispatch/levels.go
+++ b/internal/dispatch/levels.go
@@ -65,9 +65,18 @@
 
 func clampLevel(l priority.Level) priority.Level { return min(l, priority.NumLevels-1) }
 
+// wasAtTarget reports whether a request has been sent to a target before. It may have events already,
+// so that refusing it would cut its stream, and it was counted and admitted at that time.
+func wasAtTarget(r *Request) bool { return len(r.Excluded) > 0 }
+
+// admit reports whether the admission level admits a request that has just arrived.
+func (l *levels) admit(now time.Time, r *Request) bool {
+	return l == nil || wasAtTarget(r) || l.admission.Admit(now, clampLevel(r.Level), r.Workspace)
+}
+
 // recordDemand records a request. What each workspace requests matters under pressure only.
 func (l *levels) recordDemand(now time.Time, r *Request) {
-	if l == nil {
+	if l == nil || wasAtTarget(r) {
 		return
 	}
 
--- a/internal/dispatch/levels_test.go
+++ b/internal/dispatch/levels_test.go
@@ -523,3 +523,25 @@
 	require.NoError(t, d.ReportLevels(now, "g", priority.Counts{5: {Demand: 50, Placed: 50}}, 2))
 	require.False(t, d.LevelReports(now)[0].SumsMissing)
 }
+
+// Guards against streams that are cut because the level of the request is no longer admitted when it
+// needs another target.
+func TestLevelsDoNotRefuseWhatHasBeenAtATarget(t *testing.T) {
+	t.Parallel()
+
+	d := levelDispatcher(true)
+	now := startTime.Add(2 * time.Second)
+
+	require.NoError(t, d.ReportLevels(now, "g", priority.Counts{0: {Demand: 50, Placed: 50}, 5: {Demand: 50, Refused: 50}, 6: {Demand: 50, Refused: 50}}, 2))
+
+	for i := range 40 {
+		r := levelRequest(now, i, 6)
+		r.Excluded = []string{"a"}
+
+		for _, a := range d.Submit(now, r) {
+			require.True(t, a.Placed, "it waits if it cannot be placed")
+		}
+	}
+
+	require.Zero(t, d.LevelReports(now.Add(time.Second))[0].Counts.Total().Demand)
+}
