--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -177,6 +177,7 @@
 		}
 
 		svc.Service = s
+		svc.setLevels(d.Rand)
 		d.services[s.Name] = svc
 	}
 
@@ -222,12 +223,18 @@
 		r.Work = 1
 	}
 
+	s.levels.recordDemand(now, &r)
+
 	if _, ok := s.availableAt(now, &r, &d.Settings); !ok {
 		return []Action{{
 			ID: r.ID, Cause: s.noTargetCause(now, &r, &d.Settings), RetryAt: s.noTargetRetryAt(now, &d.Settings), Capacity: d.capacity(now, s),
 		}}
 	}
 
+	if !s.levels.admit(now, &r) {
+		return d.submitSpare(now, s, r)
+	}
+
 	s.waiting = append(s.waiting, waiting{Request: r, since: now})
 
 	return d.place(now, s)
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -47,6 +47,8 @@
 	placed int64
 	// emptySince is when the last target left the group; zero while it has targets.
 	emptySince time.Time
+	// levels is used in prioritized services.
+	levels groupLevels
 }
 
 // emptyGroupTTL is how long the state of a group without targets is kept. Targets that
@@ -255,6 +257,8 @@
 	// Forecast is what the forecast of the group's passes says; nil unless its service is
 	// prioritized.
 	Forecast *ForecastState `json:",omitempty"`
+	// Levels is nil unless the service is prioritized.
+	Levels *LevelState
 }
 
 // Groups returns the states of all groups that have targets, sorted by service and name.
@@ -289,6 +293,7 @@
 	if s.Prioritized {
 		out.Forecast = g.forecastState(now)
 	}
+	out.Levels = s.levelState(now, g)
 
 	return out
 }
--- a/internal/dispatch/prioritized.go
+++ b/internal/dispatch/prioritized.go
@@ -21,6 +21,8 @@
 	anyLate := s.describeWaiting(now, answerAt, &d.Settings)
 	d.findOpenTargets(now, s, anyLate)
 
+	s.levels.beginPlacement()
+
 	var out []Action
 
 	unplaced := s.unplaced[:0]
@@ -31,6 +33,10 @@
 		var t *target
 		if answerAt.Before(w.Deadline) {
 			t = d.chooseOpen(now, s, &w.Request, item.Late, awaitTimely)
+
+			if t == nil && !item.Late && s.levels.mayExceedShare(now, w.Level) {
+				t = d.chooseBeyondShare(now, s, &w.Request, !awaitTimely)
+			}
 		}
 
 		if t == nil {
@@ -49,6 +55,8 @@
 		out = append(out, d.refuseHopeless(now, s, answerAt)...)
 	}
 
+	s.levels.recordWaiting(now, len(s.waiting))
+
 	return out
 }
 
@@ -126,6 +134,7 @@
 		openAt, ok := s.availableAt(now, &w.Request, &d.Settings)
 		if !ok {
 			out = append(out, Action{ID: w.ID, Cause: s.noTargetCause(now, &w.Request, &d.Settings), RetryAt: s.noTargetRetryAt(now, &d.Settings), Capacity: capacity()})
+			s.levels.recordRefused(now, w.Level, out[len(out)-1].Cause)
 
 			return true
 		}
@@ -168,6 +177,7 @@
 		out = append(out, Action{
 			ID: w.ID, Cause: refusalCause(), RetryAt: now.Add(d.retryAfter(wait)), ExpectedWait: wait, Capacity: capacity(),
 		})
+		s.levels.recordRefused(now, w.Level, out[len(out)-1].Cause)
 
 		return true
 	})
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -30,6 +30,8 @@
 	// open are the targets that may receive a request, openForLate those for requests that are
 	// late already.
 	open, openForLate openTargets
+	// levels is nil unless the service is prioritized.
+	levels *levels
 }
 
 func newService() *service {
@@ -207,6 +209,7 @@
 func (d *Dispatcher) placeAt(now time.Time, s *service, t *target, r *Request) Action {
 	t.group.place(now)
 	t.place(now, r.Work)
+	s.levels.recordPlaced(now, t.group, r.Level)
 
 	s.open.removeIf(t, func(t *target) bool { return d.blockReason(now, s, t) != blockNone })
 	s.openForLate.removeIf(t, func(t *target) bool {
@@ -264,7 +267,7 @@
 // and would occupy all places for as long as their streams last.
 func (d *Dispatcher) isFullForLate(now time.Time, s *service, t *target) bool {
 	if s.isPlanned(t) {
-		return t.group.plan.isFull(t.group.plan.latePart(&d.Settings), &d.Settings)
+		return t.group.plan.isFull(t.group.plan.latePart(&d.Settings), false, &d.Settings)
 	}
 
 	return s.Streams && d.isFull(now, s, t, d.Settings.LateUtilization*s.limit(now, t, &d.Settings))
@@ -474,7 +477,11 @@
 	}
 
 	if s.isPlanned(t) {
-		return t.group.plan.isFull(1, &d.Settings)
+		return t.group.plan.isFull(1, s.levels.exceedsShare(), &d.Settings)
+	}
+
+	if s.levels.exceedsShare() {
+		return false
 	}
 
 	return s.Streams && t.inFlight >= t.Share.Units(now, math.Ceil(limit)) && !d.mayBorrow(now, t, limit, load)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,6 +82,7 @@
 	completions logs.Sampler
 	// targetStatements limits the log lines about what targets state in their answers.
 	targetStatements logs.Sampler
+	levelWarnings    levelWarnings
 }
 
 // Limits bounds the memory that one request may hold.
