Test the forecast under overload and after a doubled skew

Change: replays of 1.5 times the load that the group serves, with 1 to 289 entries; no pass may be long after two passes of a doubled skew. A group without targets has no forecast, and no line in the log. The slots of a group are the largest of its targets. A changed skew is published at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -262,11 +262,15 @@
 
 // groupOf returns the group in which a request was placed, or nil if it is gone.
 func (d *Dispatcher) groupOf(placed Action) *group {
-	s := d.services[placed.Target.Service]
-	if s == nil {
-		return nil
+	if s := d.services[placed.Target.Service]; s != nil {
+		return s.groupOf(placed)
 	}
 
+	return nil
+}
+
+// groupOf returns the group in which a request was placed, or nil if it is gone.
+func (s *service) groupOf(placed Action) *group {
 	if t := s.targets[placed.Target.ID]; t != nil {
 		return t.group
 	}
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -54,9 +54,16 @@
 }
 
 func (g *group) updatePlan(now time.Time, s *service, cfg *Settings) {
+	p := &g.plan
+
+	if len(g.targets) == 0 {
+		p.Decision = forecast.Decision{}
+
+		return
+	}
+
 	g.configureForecast(now, s)
 
-	p := &g.plan
 	p.usable, p.load, p.own, p.otherEntries = 0, 0, 0, 0
 	// sequences are those of all targets. parts is the sum of this entry's parts of the usable ones,
 	// settling the number of new ones, and settlingLoad their load.
@@ -82,7 +89,7 @@
 		}
 	}
 
-	p.Decision = g.forecast.Decide(now, sequences/float64(max(1, len(g.targets))))
+	p.Decision = g.forecast.Decide(now, sequences/float64(len(g.targets)))
 	if !p.Valid {
 		return
 	}
@@ -103,13 +110,8 @@
 
 // configureForecast passes on what the forecast depends on and does not observe itself.
 func (g *group) configureForecast(now time.Time, s *service) {
-	slots := 0
-	if len(g.targets) > 0 {
-		slots = g.targets[0].Slots
-	}
-
 	g.forecast.Configure(forecast.Parameters{
-		Figures: s.Engine, EventGap: s.EventGap, Timeout: s.Timeout, EventTimeout: s.EventTimeout, Slots: slots,
+		Figures: s.Engine, EventGap: s.EventGap, Timeout: s.Timeout, EventTimeout: s.EventTimeout, Slots: g.slots,
 	})
 
 	if now.After(g.slowdownsUntil) {
@@ -215,7 +217,7 @@
 		return
 	}
 
-	g := d.groupOf(placed)
+	g := s.groupOf(placed)
 	if g == nil || len(g.targets) == 0 {
 		return
 	}
--- a/internal/dispatch/forecast_test.go
+++ b/internal/dispatch/forecast_test.go
@@ -401,6 +401,7 @@
 	const doubledAt = 10 * time.Second
 
 	g := busyPasses()
+	g.duration = 18 * time.Second
 	g.perSecond = func(time.Duration) float64 { return 330 }
 	g.skew = func(at time.Duration) (float64, bool) {
 		if at < doubledAt {
@@ -415,6 +416,10 @@
 	logCounts(t, "limits by gaps", without)
 	t.Logf("long passes with the forecast: %v", with.longPasses)
 
+	for _, at := range with.longPasses {
+		require.Less(t, at, doubledAt+4*g.eventGap, "the passes that run already, of at most twice the accepted gap")
+	}
+
 	require.Less(t, with.longPass, without.longPass)
 	require.Greater(t, with.inTime, without.inTime)
 }
@@ -570,3 +575,44 @@
 	g.reportsSkew = false
 	require.Equal(t, want, g.simulate(1))
 }
+
+// Callers request 1.5 times what the group can serve, and demand shifts. Guards against a group that
+// serves fewer in time the more it is asked for, and against entries that together exceed the limit
+// because each knows only a part of the load.
+func TestForecastHoldsUnderOverload(t *testing.T) {
+	t.Parallel()
+
+	for _, entries := range []int{1, 14, 39, 289} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			t.Parallel()
+
+			g := busyPasses()
+			g.entries, g.duration = entries, 11*time.Second
+			g.perSecond = func(time.Duration) float64 { return 450 }
+
+			with, without := g.simulate(0), g.without().simulate(0)
+			logCounts(t, "forecast", with)
+			logCounts(t, "limits by gaps", without)
+			require.Less(t, with.longPass, without.longPass/2)
+			require.Greater(t, float64(with.inTime), 1.1*float64(without.inTime))
+		})
+	}
+}
+
+// All targets of a group leave. Guards against a line in the log that says the published figures are
+// wrong, because nothing is known of the engines any more.
+func TestGroupWithoutTargetsHasNoProblem(t *testing.T) {
+	t.Parallel()
+
+	g := busyPasses()
+	f := newFixture(t, 1, 10, 1, nil)
+	s := dispatch.Service{Name: "drafts", Streams: true, Prioritized: true, Engine: g.published, EventGap: g.eventGap, Timeout: g.timeout}
+	f.apply(f.Update(startTime, []dispatch.Service{s}, f.targets))
+	f.submit(startTime, nil)
+
+	other := f.targets[0]
+	other.ID, other.Group = "other", "other"
+	f.apply(f.Update(startTime.Add(time.Second), []dispatch.Service{s}, []dispatch.Target{other}))
+	f.submit(startTime.Add(time.Second), nil)
+	require.Empty(t, f.ForecastChanges())
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -15,6 +15,8 @@
 type group struct {
 	name    string
 	targets []*target
+	// slots is the largest number of slots of a target.
+	slots int
 	// otherRequests is the mean number of requests that the other entries have at a target.
 	otherRequests    decayingMean
 	concurrencyLimit concurrencyLimit
@@ -81,13 +83,14 @@
 // a while.
 func (s *service) assignGroups(now time.Time) {
 	for _, g := range s.groups {
-		g.targets = g.targets[:0]
+		g.targets, g.slots = g.targets[:0], 0
 		g.slowdownsUntil = time.Time{} // The set of targets may have changed.
 	}
 
 	for _, t := range s.sorted {
 		t.group = s.group(t.Group)
 		t.group.targets = append(t.group.targets, t)
+		t.group.slots = max(t.group.slots, t.Slots)
 	}
 
 	for name, g := range s.groups {
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -228,3 +228,40 @@
 		require.Contains(t, logged.String(), agent.String())
 	})
 }
+
+// The skew of the expert map changes. Guards against a report that waits for the next regular one:
+// a pass of the group ends in between.
+func TestChangedLoadIsPublishedAtOnce(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		conn := &fakeConn{from: net.UDPAddrFromAddrPort(netip.MustParseAddrPort("10.0.0.2:7341")), reports: make(chan []byte), closed: make(chan struct{})}
+		changed := make(chan struct{})
+		load := loadreport.Load{Running: 3, Skew: 1.3}
+
+		ctx, stop := context.WithCancel(t.Context())
+		p := &loadreport.Publisher{
+			Cluster: "trust", Conn: conn, Changed: changed, Logger: slog.New(slog.DiscardHandler),
+			Load: func(context.Context) (loadreport.Load, error) { return load, nil },
+		}
+
+		go func() { _ = p.Run(ctx) }()
+
+		data, err := proto.Marshal(&wire.LoadAsk{Cluster: "trust"})
+		require.NoError(t, err)
+
+		conn.reports <- data
+
+		time.Sleep(150 * time.Millisecond) // The load is reported after 100 ms, and has not changed since.
+		synctest.Wait()
+
+		load.Skew = 2.7
+		changed <- struct{}{}
+
+		synctest.Wait()
+		require.Equal(t, 1, conn.requestsWithin(time.Now().Add(-time.Millisecond), time.Now()))
+
+		stop()
+		synctest.Wait()
+	})
+}
