Plan for the reported skew of a shift, not for passes observed beside it

Cause: peaks of 2.8 to 3.2 where reported skews of 2.5 to 2.8 mean factors of 2.3 to 2.5: while a group fills up, passes read more prompts.

Change: observed passes are evidence of a peak only while no skew is reported.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -190,13 +190,23 @@
 		g.factor.learn(factor, g.model.computedFactor(g.factor.skewAt(now)), g.factor.hasSkew(now) && !g.shifts.active && sequences >= minCompared)
 
 		if excess := (observed - g.factor.mean) * work; excess >= minShiftExcess*g.parameters.EventGap.Seconds() || g.shifts.active {
-			g.shifts.observe(now, factor, observed >= minShiftRatio*g.factor.mean, false)
+			g.shifts.observe(now, g.unreported(now, factor), observed >= minShiftRatio*g.factor.mean, false)
 		}
 	}
 
 	g.factor.set(now, factor)
 }
 
+// unreported returns an observed factor as evidence of the peak of a shift, or 0 while a skew is
+// reported, which is exact. Passes of a group that fills up look like a shift that is too high.
+func (g *Group) unreported(now time.Time, factor float64) float64 {
+	if g.factor.hasSkew(now) {
+		return 0
+	}
+
+	return factor
+}
+
 // ObserveSkew records the skew of the expert map in use for the demand now: the ratio of the work
 // for experts on the most loaded rank to the mean over all ranks.
 func (g *Group) ObserveSkew(now time.Time, skew float64) {
--- a/internal/forecast/shifts.go
+++ b/internal/forecast/shifts.go
@@ -53,6 +53,10 @@
 		return
 	}
 
+	if factor <= 0 {
+		return // It is no evidence of the peak.
+	}
+
 	if s.count == 0 {
 		s.smallest = factor
 	}
