--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -143,7 +143,8 @@
 // reportSkew reports the skew of the map in use for the latest demand.
 func (d *Director) reportSkew() {
 	if d.OnSkew != nil && d.latestChoices >= float64(minSkewChoices*d.Shape.Ranks*d.Shape.Sets) {
-		d.OnSkew(d.current.SkewWithSlowdowns(d.demandEstimator.latest, d.slowdowns))
+		// Slow ranks are reported apart. Included here, they would look like a shift of demand.
+		d.OnSkew(d.current.Skew(d.demandEstimator.latest))
 	}
 }
 
