--- a/internal/dispatch/prioritized.go
+++ b/internal/dispatch/prioritized.go
@@ -52,7 +52,7 @@
 	s.waiting, s.unplaced = unplaced, s.waiting[:0]
 
 	if len(s.waiting) > 0 {
-		out = append(out, d.refuseHopeless(now, s, answerAt)...)
+		out = append(out, d.refuseLate(now, s, answerAt)...)
 	}
 
 	s.levels.recordWaiting(now, len(s.waiting))
@@ -114,12 +114,12 @@
 	return anyLate
 }
 
-// refuseHopeless refuses the waiting requests that will not be answered by their soft deadline, as
+// refuseLate refuses the waiting requests that will not be answered by their soft deadline, as
 // there are too many ahead of them. If they will be answered by their deadline, such requests may
 // wait while places for late requests are open, one for each such target, and those that have been at
 // a target before may always. The waiting requests must be in the order of placement, and none of
 // them can be placed now.
-func (d *Dispatcher) refuseHopeless(now time.Time, s *service, answerAt time.Time) []Action {
+func (d *Dispatcher) refuseLate(now time.Time, s *service, answerAt time.Time) []Action {
 	var out []Action
 
 	perSecond := s.completions.perSecond(now)
