--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -333,9 +333,8 @@
 	return out
 }
 
-// isSlow reports whether a rank of the group is slow, so that all of its streams are late whatever is
-// decided. Limits by gaps then answer more requests than the forecast: with two fifths of the ranks 12
-// times slower, 1,400 of 1,573 callers were answered with them and 916 with the forecast.
+// isSlow reports whether a rank of the group is slow. The forecast does not know how much of the work
+// slow ranks still have, so limits by gaps then answer more requests.
 func (g *group) isSlow(now time.Time) bool {
 	return !now.After(g.slowdownsUntil) && g.maxSlowdown > 0 && g.maxSlowdown/g.minSlowdown >= minSlowRatio
 }
--- a/internal/priority/age.go
+++ b/internal/priority/age.go
@@ -75,7 +75,7 @@
 	// maxCallerKinds is the number of workspaces to design for.
 	maxCallerKinds = 13_000
 	// firstAttemptSpread is the shortest time that callers of one kind state at first, as a part of
-	// the longest: 6.8 to 8.0 s were measured on one route. Only a shorter one shows a retry.
+	// the longest. Only a shorter one shows a retry.
 	firstAttemptSpread = 0.85
 	// usualFraction is the fraction of the requests from which on a stated time counts as what
 	// callers state at first. A caller that makes fewer requests cannot make those of others look
