Split the state for operators and slow ranks from the plan of a group

Cause: dispatch/forecast.go held the plan, the state for dumps and the rule of slow groups, and plannedLimit could not be reached since a slow group has no plan.

A dump of a service without priorities has no empty Levels.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -261,7 +261,7 @@
 	// prioritized.
 	Forecast *ForecastState `json:",omitempty"`
 	// Levels is nil unless the service is prioritized.
-	Levels *LevelState
+	Levels *LevelState `json:",omitempty"`
 }
 
 // Groups returns the states of all groups that have targets, sorted by service and name.
@@ -296,6 +296,7 @@
 	if s.Prioritized {
 		out.Forecast = g.forecastState(now)
 	}
+
 	out.Levels = s.levelState(now, g)
 
 	return out
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -292,7 +292,7 @@
 	}
 
 	if s.isPlanned(t) {
-		return t.group.plannedLimit(now, t, maximum)
+		return maximum
 	}
 
 	return min(t.group.slowdownLimit(now, t, t.group.concurrencyLimit.limit(t)), maximum)
--- a/internal/dispatch/slowdown.go
+++ b/internal/dispatch/slowdown.go
@@ -81,3 +81,25 @@
 // minLoadDependentFraction limits how much of an event gap is attributed to a slow rank. If
 // gaps exceed twice what callers accept, the streams end late whatever the limit is.
 const minLoadDependentFraction = 0.5
+
+// isSlow reports whether a rank of the group is slow. The forecast does not know how much of the work
+// slow ranks still have, so limits by gaps then answer more requests.
+func (g *group) isSlow(now time.Time) bool {
+	return !now.After(g.slowdownsUntil) && g.maxSlowdown > 0 && g.maxSlowdown/g.minSlowdown >= minSlowRatio
+}
+
+// isSlow reports whether all groups of a prioritized service have a slow rank. Its requests are then
+// served as those of other services: refusing at once whatever will be late would refuse nearly all.
+func (s *service) isSlow(now time.Time) bool {
+	if !s.Prioritized {
+		return false
+	}
+
+	for _, g := range s.groups {
+		if len(g.targets) > 0 && !g.isSlow(now) {
+			return false
+		}
+	}
+
+	return true
+}
