Show operators whether and why a forecast is in use

Cause: the state of a group said that its forecast was in use while a rank is slow, there was no metric, and OPERATIONS did not explain the log line and the fields.

--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -10,6 +10,9 @@
 // It follows the forecast of the group's passes instead of the limits that follow observed event
 // gaps. All ranks wait for each other, so only the sum over the group matters: a limit for each
 // target would refuse requests while other targets have places.
+//
+// Load pattern: a busy group whose demand for experts shifts every few seconds, and entries that
+// receive different numbers of requests.
 type capacityPlan struct {
 	forecast.Decision
 
--- a/internal/dispatch/forecast_state.go
+++ b/internal/dispatch/forecast_state.go
@@ -16,7 +16,9 @@
 	// with the published figures if it cannot.
 	InUse   bool
 	Problem string `json:",omitempty"`
-	Aim     forecast.Aim
+	// Slow is set while a rank is slow, so that the forecast is not used.
+	Slow bool
+	Aim  forecast.Aim
 	// Limit is the number of requests per target that all entries together may have.
 	Limit float64
 	// WorkFactor is by how much uneven demand for experts multiplies the work of a pass now, Peak
@@ -27,9 +29,10 @@
 func (g *group) forecastState(now time.Time) *ForecastState {
 	// The plan is of the last request, which may be long ago.
 	d := g.forecast.Decide(now, g.plan.load/max(1, g.plan.usable))
+	slow := g.isSlow(now)
 
 	return &ForecastState{
-		InUse: d.Valid, Problem: g.forecast.Problem(), Aim: d.Aim, Limit: d.Limit, WorkFactor: d.Factor, Peak: d.Peak,
+		InUse: d.Valid && !slow, Problem: g.forecast.Problem(), Slow: slow, Aim: d.Aim, Limit: d.Limit, WorkFactor: d.Factor, Peak: d.Peak,
 	}
 }
 
@@ -38,6 +41,8 @@
 	switch {
 	case f.Problem != "":
 		return "no forecast: " + f.Problem
+	case f.Slow:
+		return "no forecast: a rank is slow"
 	case !f.InUse:
 		return "no forecast yet"
 	default:
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
 )
@@ -46,7 +47,12 @@
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
 		{"Relay.LeavingTargets", "targets", "Targets that said in an answer that they are leaving.", func(r *Relay) int64 { return int64(r.queue.backpressure().Leaving) }},
-		{"Relay.LevelGroups", "groups", "Groups of prioritized services in which some levels of urgency are admitted only in part.", func(r *Relay) int64 { return r.queue.groupsWithLevel() }},
+		{"Relay.LevelGroups", "groups", "Groups of prioritized services in which some levels of urgency are admitted only in part.", func(r *Relay) int64 {
+			return r.queue.countGroups(func(g *dispatch.GroupState) bool { return g.Levels != nil && g.Levels.InForce })
+		}},
+		{"Relay.ForecastGroups", "groups", "Groups of prioritized services whose number of requests is limited by a forecast of their passes.", func(r *Relay) int64 {
+			return r.queue.countGroups(func(g *dispatch.GroupState) bool { return g.Forecast != nil && g.Forecast.InUse })
+		}},
 		{"Relay.RefusedByLevel", "requests", "Requests refused at once because their level of urgency was not admitted.", func(r *Relay) int64 { return r.queue.refusedByLevel() }},
 		{"Relay.Targets", "targets", "Targets in the directory.", func(r *Relay) int64 { return int64(len(r.State().Targets)) }},
 		{"Relay.Entries", "entries", "Entries that share the targets, including this one.", func(r *Relay) int64 { return int64(r.State().Entries) }},
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -144,15 +144,16 @@
 	return q.dispatcher.LevelReports(q.now())
 }
 
-// groupsWithLevel returns the number of groups in which some level is admitted only in part.
-func (q *queue) groupsWithLevel() int64 {
+// countGroups returns the number of groups whose state matches.
+func (q *queue) countGroups(match func(g *dispatch.GroupState) bool) int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	n := int64(0)
+	groups := q.dispatcher.Groups(q.now())
 
-	for _, g := range q.dispatcher.Groups(q.now()) {
-		if g.Levels != nil && g.Levels.InForce {
+	for i := range groups {
+		if match(&groups[i]) {
 			n++
 		}
 	}
