--- a/internal/dispatch/forecast_test.go
+++ b/internal/dispatch/forecast_test.go
@@ -618,3 +618,50 @@
 	f.submit(startTime.Add(time.Second), nil)
 	require.Empty(t, f.ForecastChanges())
 }
+
+// One of two ranks becomes slow and recovers. Guards against a forecast that limits a group whose
+// passes it cannot know, and against one that is not used again afterwards.
+func TestForecastIsNotUsedWhileARankIsSlow(t *testing.T) {
+	t.Parallel()
+
+	p := busyPasses()
+	f := newFixture(t, 2, 10, 1, nil)
+	f.apply(f.Update(startTime, []dispatch.Service{{
+		Name: "drafts", Streams: true, Prioritized: true, Engine: p.published, EventGap: p.eventGap, Timeout: p.timeout,
+	}}, f.targets))
+
+	now := startTime
+	id := f.submit(now, nil)
+
+	for range 3 {
+		f.submit(now, nil)
+	}
+
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+
+		for range 3 {
+			f.ReportGapDuration(now, f.placed[id], 50*time.Millisecond)
+		}
+	}
+
+	for _, c := range []struct {
+		slowdown float64
+		slow     bool
+	}{{1, false}, {12, true}, {1, false}} {
+		for i, target := range f.targets {
+			slowdown := 1.0
+			if i == 1 {
+				slowdown = c.slowdown
+			}
+
+			f.apply(f.ReportLoad(now, "drafts", target.ID, dispatch.Load{Running: 1, Slowdown: slowdown}))
+		}
+
+		f.submit(now, nil)
+
+		state := f.Groups(now)[0].Forecast
+		require.Equal(t, c.slow, state.Slow, c)
+		require.Equal(t, !c.slow, state.InUse, c)
+	}
+}
