--- a/internal/dispatch/level_state.go
+++ b/internal/dispatch/admission_state.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// LevelState describes the admission level of a group's service, for operators.
-type LevelState struct {
+// AdmissionState describes the admission level of a group's service, for operators.
+type AdmissionState struct {
 	// Admitted is the number of levels that are admitted, the last one in part. It is
 	// priority.NumLevels while all are.
 	Admitted float64
@@ -13,17 +13,17 @@
 	// Demand, Placed and Refused are the sums of the last second by level, over all entries if
 	// SumsValid is set, else of this entry.
 	Demand, Placed, Refused []uint32
-	// RefusedByLevel is the number of requests of the service that this entry has refused because
+	// RefusedByAdmission is the number of requests of the service that this entry has refused because
 	// their level was not admitted.
-	RefusedByLevel int64
+	RefusedByAdmission int64
 }
 
-func (s *service) levelState(now time.Time, g *group) *LevelState {
+func (s *service) admissionState(now time.Time, g *group) *AdmissionState {
 	if s.levels == nil {
 		return nil
 	}
 
-	out := &LevelState{InForce: s.levels.admission.InForce(now), SumsValid: now.Before(g.levels.validUntil), RefusedByLevel: s.levels.refused}
+	out := &AdmissionState{InForce: s.levels.admission.InForce(now), SumsValid: now.Before(g.levels.validUntil), RefusedByAdmission: s.levels.refused}
 	out.Admitted, _ = s.levels.admission.Limit(now)
 
 	counts := g.levels.sums
@@ -40,9 +40,9 @@
 	return out
 }
 
-// RefusedByLevel returns the number of requests that were refused because their level was not
+// RefusedByAdmission returns the number of requests that were refused because their level was not
 // admitted.
-func (d *Dispatcher) RefusedByLevel() int64 {
+func (d *Dispatcher) RefusedByAdmission() int64 {
 	n := int64(0)
 
 	for _, s := range d.services {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -88,6 +89,9 @@
 	Work float64
 	// Excluded lists the IDs of targets that must not receive this request again.
 	Excluded []string
+	// Sent is set if a target may have read the request in an earlier attempt. It may have events
+	// already, so that refusing it would cut its stream.
+	Sent bool
 	// Reuse is set if the request may be sent on an idle connection.
 	Reuse bool
 }
@@ -219,7 +223,7 @@
 		return []Action{{ID: r.ID, Cause: verdict.CauseNoTarget, RetryAt: now.Add(d.Settings.NoTargetRetryAfter)}}
 	}
 
-	if r.Work <= 0 {
+	if !(r.Work > 0) || math.IsInf(r.Work, 1) { // not above 0 if it is no number
 		r.Work = 1
 	}
 
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -260,8 +260,8 @@
 	// Forecast is what the forecast of the group's passes says; nil unless its service is
 	// prioritized.
 	Forecast *ForecastState `json:",omitempty"`
-	// Levels is nil unless the service is prioritized.
-	Levels *LevelState `json:",omitempty"`
+	// Admission is nil unless the service is prioritized.
+	Admission *AdmissionState `json:",omitempty"`
 }
 
 // Groups returns the states of all groups that have targets, sorted by service and name.
@@ -297,7 +297,7 @@
 		out.Forecast = g.forecastState(now)
 	}
 
-	out.Levels = s.levelState(now, g)
+	out.Admission = s.admissionState(now, g)
 
 	return out
 }
--- a/internal/dispatch/levels.go
+++ b/internal/dispatch/levels.go
@@ -65,9 +65,9 @@
 
 func clampLevel(l priority.Level) priority.Level { return min(l, priority.NumLevels-1) }
 
-// wasAtTarget reports whether a request has been sent to a target before. It may have events already,
-// so that refusing it would cut its stream, and it was counted and admitted at that time.
-func wasAtTarget(r *Request) bool { return len(r.Excluded) > 0 }
+// wasAtTarget reports whether a request has been at a target before. It was counted and admitted at
+// that time.
+func wasAtTarget(r *Request) bool { return r.Sent || len(r.Excluded) > 0 }
 
 // admit reports whether the admission level admits a request that has just arrived.
 func (l *levels) admit(now time.Time, r *Request) bool {
@@ -206,7 +206,7 @@
 
 	wait := s.levels.admission.AdmittedAt(now, clampLevel(r.Level)).Sub(now)
 
-	return append(out, Action{ID: r.ID, Cause: verdict.CauseOverload, RetryAt: now.Add(d.retryAfter(wait)), Capacity: d.capacity(now, s)})
+	return append(out, Action{ID: r.ID, Cause: verdict.CauseOverload, RetryAt: now.Add(d.retryAfter(wait)), ExpectedWait: wait, Capacity: d.capacity(now, s)})
 }
 
 // hasSpareCapacity reports whether a group whose streams are in time has less load than
--- a/internal/dispatch/levels_test.go
+++ b/internal/dispatch/levels_test.go
@@ -228,7 +228,7 @@
 		sim.words++
 		sim.send(now, func(now time.Time) { _ = e.ReportLevels(now, "g", sum.Counts, sim.entries) })
 
-		if e.Groups(now)[0].Levels.InForce {
+		if e.Groups(now)[0].Admission.InForce {
 			sim.inForce++
 		}
 	}
@@ -453,7 +453,7 @@
 		withoutLevel.Level = 0
 		require.Equal(t, plain.Submit(now, withoutLevel), d.Submit(now, r))
 		require.Empty(t, d.LevelReports(now))
-		require.Nil(t, d.Groups(now)[0].Levels)
+		require.Nil(t, d.Groups(now)[0].Admission)
 	}
 }
 
@@ -487,7 +487,7 @@
 	// Of 40 requests, two are admitted by the floor.
 	require.Equal(t, 10, placed)
 	require.LessOrEqual(t, d.Waiting(), 2)
-	require.GreaterOrEqual(t, d.Groups(now)[0].Levels.RefusedByLevel, int64(28))
+	require.GreaterOrEqual(t, d.Groups(now)[0].Admission.RefusedByAdmission, int64(28))
 
 	// Urgent requests may use the places that the other entry leaves free, up to the limit.
 	urgent := 0
@@ -513,7 +513,7 @@
 
 	require.Error(t, d.ReportLevels(now, "g", priority.Counts{0: {Demand: 1 << 30}, 5: {Demand: 50, Refused: 50}}, 2))
 	require.NoError(t, d.ReportLevels(now, "other", priority.Counts{0: {Demand: 50, Refused: 50}}, 2))
-	require.False(t, d.Groups(now)[0].Levels.InForce)
+	require.False(t, d.Groups(now)[0].Admission.InForce)
 
 	for i := range 40 {
 		d.Submit(now, levelRequest(now, i, 5))
@@ -545,7 +545,10 @@
 
 	for i := range 40 {
 		r := levelRequest(now, i, 6)
-		r.Excluded = []string{"a"}
+		// A request whose reused connection failed excludes no target.
+		if r.Sent = i%2 == 0; !r.Sent {
+			r.Excluded = []string{"a"}
+		}
 
 		for _, a := range d.Submit(now, r) {
 			require.True(t, a.Placed, "it waits if it cannot be placed")
--- a/internal/dispatch/prioritized.go
+++ b/internal/dispatch/prioritized.go
@@ -158,9 +158,7 @@
 			latePlaces = d.latePlaces(now, s)
 		}
 
-		// A request that has been at a target may have events already: refusing it would cut its
-		// stream.
-		started := len(w.Excluded) > 0
+		started := wasAtTarget(&w.Request)
 
 		if (started || latePlaces > 0) && answerAt.Add(wait).Before(w.Deadline) {
 			ahead++
--- a/internal/dump/dump.go
+++ b/internal/dump/dump.go
@@ -34,11 +34,10 @@
 	Role    string
 	ID      string
 	Metrics metrics.Registry
-	// UpdateMetrics updates Metrics before they are served, if not nil.
-	UpdateMetrics func()
 
-	mu    sync.Mutex
-	parts []partSource
+	mu            sync.Mutex
+	parts         []partSource
+	updateMetrics func()
 }
 
 // partSource is the name of a part and the function that returns its state.
@@ -87,20 +86,33 @@
 	})
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		d.updateMetrics()
+		d.refreshMetrics()
 		metrics.WriteJSONOnce(d.Metrics, w)
 	})
 	r.Get("/metrics.txt", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		d.updateMetrics()
+		d.refreshMetrics()
 		WriteText(w, d.Metrics)
 	})
 
 	return r
 }
 
-func (d *Dump) updateMetrics() {
-	if d.UpdateMetrics != nil {
-		d.UpdateMetrics()
+// BeforeMetrics sets a function that updates Metrics before they are served. A process that serves its
+// dump already may call it.
+func (d *Dump) BeforeMetrics(update func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.updateMetrics = update
+}
+
+func (d *Dump) refreshMetrics() {
+	d.mu.Lock()
+	update := d.updateMetrics
+	d.mu.Unlock()
+
+	if update != nil {
+		update()
 	}
 }
--- a/internal/dump/dump_test.go
+++ b/internal/dump/dump_test.go
@@ -51,7 +51,7 @@
 	t.Parallel()
 
 	d := &dump.Dump{Metrics: metrics.NewRegistry()}
-	d.UpdateMetrics = func() { metrics.GetOrRegisterCounter("Updates", d.Metrics).Inc(1) }
+	d.BeforeMetrics(func() { metrics.GetOrRegisterCounter("Updates", d.Metrics).Inc(1) })
 
 	for path, want := range map[string]string{"/metrics": `"count":`, "/metrics.txt": "Updates "} {
 		before := metrics.GetOrRegisterCounter("Updates", d.Metrics).Count()
--- a/internal/loadreport/levels.go
+++ b/internal/loadreport/levels.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -102,8 +103,9 @@
 	group       string
 	subscribers map[netip.AddrPort]time.Time
 	sums        priority.Sums
-	// faulty holds the entries whose last report was invalid or left out of the sums.
-	faulty map[netip.AddrPort]bool
+	// invalid holds the entries whose last report was invalid, excluded those whose counts are left
+	// out of the sums.
+	invalid, excluded map[netip.AddrPort]bool
 	// publishedAt is when the sums were published last. It is used only by Run.
 	publishedAt time.Time
 }
@@ -127,7 +129,8 @@
 func (g *groupPublisher) accept(now time.Time, from netip.AddrPort, request *wire.LoadAsk) error {
 	if g.subscribers == nil {
 		g.subscribers = make(map[netip.AddrPort]time.Time)
-		g.faulty = make(map[netip.AddrPort]bool)
+		g.invalid = make(map[netip.AddrPort]bool)
+		g.excluded = make(map[netip.AddrPort]bool)
 	}
 
 	if _, subscribed := g.subscribers[from]; !subscribed && len(g.subscribers) >= maxGroupSubscribers {
@@ -148,14 +151,14 @@
 	return err
 }
 
-// isNewFault records whether an entry's report was faulty, and reports whether it became so.
-func (g *groupPublisher) isNewFault(from netip.AddrPort, faulty bool) bool {
-	known := g.faulty[from]
+// isNewFault records in faults whether an entry's report was faulty, and reports whether it became so.
+func (*groupPublisher) isNewFault(faults map[netip.AddrPort]bool, from netip.AddrPort, faulty bool) bool {
+	known := faults[from]
 
 	if faulty {
-		g.faulty[from] = true
+		faults[from] = true
 	} else {
-		delete(g.faulty, from)
+		delete(faults, from)
 	}
 
 	return faulty && !known
@@ -165,7 +168,7 @@
 func (p *Publisher) acceptReport(now time.Time, from netip.AddrPort, request *wire.LoadAsk) {
 	p.mu.Lock()
 	err := p.group.accept(now, from, request)
-	isNew := err != nil && p.group.isNewFault(from, true)
+	isNew := p.group.isNewFault(p.group.invalid, from, err != nil)
 	p.mu.Unlock()
 
 	if isNew {
@@ -187,7 +190,8 @@
 	for a, until := range g.subscribers {
 		if now.After(until) {
 			delete(g.subscribers, a)
-			delete(g.faulty, a)
+			delete(g.invalid, a)
+			delete(g.excluded, a)
 
 			continue
 		}
@@ -209,8 +213,14 @@
 
 	g.publishedAt = now
 
+	for from := range g.excluded {
+		if !slices.Contains(sums.Excluded, from) {
+			delete(g.excluded, from)
+		}
+	}
+
 	for _, from := range sums.Excluded {
-		if g.isNewFault(from, true) {
+		if g.isNewFault(g.excluded, from, true) {
 			p.Logger.Warn("Counts of an entry left out of the sums: they are many times those of the others.", "entry", from, "group", g.group)
 		}
 	}
--- a/internal/priority/engine.go
+++ b/internal/priority/engine.go
@@ -1,12 +1,8 @@
 package priority
 
-const (
-	// enginePriorities is the number of distinct values that a priority of a workspace or a route
-	// has for an engine.
-	enginePriorities = 3
-	// maxEngineValue is the last of the ten priorities that engines know.
-	maxEngineValue = 9
-)
+// enginePriorities is the number of distinct values that a priority of a workspace or a route has for
+// an engine, which knows ten priorities in all.
+const enginePriorities = 3
 
 // EngineValue returns the priority of a request of this level for an engine: 0 is admitted first, and
 // engines take 5 for a request without a value. Engines tell fewer priorities apart than levels do, so
@@ -14,5 +10,5 @@
 func (l Level) EngineValue() int {
 	workspace, route := min(int(l)/priorities, enginePriorities-1), min(int(l)%priorities, enginePriorities-1)
 
-	return min(workspace*enginePriorities+route, maxEngineValue)
+	return workspace*enginePriorities + route
 }
--- a/internal/relay/level_counts.go
+++ b/internal/relay/level_counts.go
@@ -148,9 +148,9 @@
 	}
 }
 
-// retain drops the services that are no longer prioritized and have no waiting request, with their
-// groups.
-func (c *levelCounts) retain(prioritized func(service string) bool) {
+// retain drops the services that are no longer prioritized and have no waiting request, and the groups
+// that no target is in.
+func (c *levelCounts) retain(prioritized func(service string) bool, hasTargets func(id groupID) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -165,7 +165,7 @@
 	}
 
 	for _, id := range c.groups.Keys() {
-		if !prioritized(id.service) {
+		if !prioritized(id.service) || !hasTargets(id) {
 			c.groups.Remove(id)
 		}
 	}
--- a/internal/relay/level_counts_test.go
+++ b/internal/relay/level_counts_test.go
@@ -131,16 +131,30 @@
 	var c levelCounts
 
 	none := func(string) bool { return false }
+	anyGroup := func(groupID) bool { return true }
 
 	c.wait("svc", "w", 2, 1)
-	c.retain(none)
+	c.retain(none, anyGroup)
 	require.Equal(t, []ServiceLevels{{Service: "svc", Levels: []LevelState{{Level: 2, Waiting: 1}}}}, c.state())
 
 	c.wait("svc", "w", 2, -1)
-	c.retain(none)
+	c.retain(none, anyGroup)
 	require.Empty(t, c.state())
 }
 
+// Guards against counts, and so metrics, of a group that no target is in any more.
+func TestGroupsWithoutTargetsAreDropped(t *testing.T) {
+	t.Parallel()
+
+	var c levelCounts
+
+	c.place(groupID{"svc", "gone"}, "w", 0)
+	c.place(groupID{"svc", "stays"}, "w", 0)
+	c.retain(func(string) bool { return true }, func(id groupID) bool { return id.group == "stays" })
+	require.Len(t, c.state()[0].Groups, 1)
+	require.Equal(t, "stays", c.state()[0].Groups[0].Group)
+}
+
 // Guards against a stream that counts as in time although its caller waited long for another target to
 // resume it, and against a stream that counts as late more than once.
 func TestGapsOverARetryMakeAStreamLate(t *testing.T) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -47,13 +47,13 @@
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
 		{"Relay.LeavingTargets", "targets", "Targets that said in an answer that they are leaving.", func(r *Relay) int64 { return int64(r.queue.backpressure().Leaving) }},
-		{"Relay.LevelGroups", "groups", "Groups of prioritized services in which some levels of urgency are admitted only in part.", func(r *Relay) int64 {
-			return r.queue.countGroups(func(g *dispatch.GroupState) bool { return g.Levels != nil && g.Levels.InForce })
+		{"Relay.AdmissionGroups", "groups", "Groups of prioritized services in which some levels of urgency are admitted only in part.", func(r *Relay) int64 {
+			return r.queue.countGroups(func(g *dispatch.GroupState) bool { return g.Admission != nil && g.Admission.InForce })
 		}},
 		{"Relay.ForecastGroups", "groups", "Groups of prioritized services whose number of requests is limited by a forecast of their passes.", func(r *Relay) int64 {
 			return r.queue.countGroups(func(g *dispatch.GroupState) bool { return g.Forecast != nil && g.Forecast.InUse })
 		}},
-		{"Relay.RefusedByLevel", "requests", "Requests refused at once because their level of urgency was not admitted.", func(r *Relay) int64 { return r.queue.refusedByLevel() }},
+		{"Relay.RefusedByAdmission", "requests", "Requests refused at once because their level of urgency was not admitted.", func(r *Relay) int64 { return r.queue.refusedByAdmission() }},
 		{"Relay.Targets", "targets", "Targets in the directory.", func(r *Relay) int64 { return int64(len(r.State().Targets)) }},
 		{"Relay.Entries", "entries", "Entries that share the targets, including this one.", func(r *Relay) int64 { return int64(r.State().Entries) }},
 		{"Relay.ConfigurationNumber", "number", "Number that the operators gave to the configuration in force.", func(r *Relay) int64 { return int64(r.State().Number) }},
@@ -136,7 +136,7 @@
 		{Name: levelRefused + ".SERVICE.LEVEL", Unit: "requests", Help: "Requests refused without being run."},
 		{Name: levelPlaced + ".SERVICE.GROUP.LEVEL", Unit: "placements", Help: "Assignments of a request to a target of the group."},
 		{Name: levelLate + ".SERVICE.GROUP.LEVEL", Unit: "requests", Help: "Requests whose first event was later than the route's latency target, or a gap between two events longer than the route's."},
-		{Name: workspaceWaiting + ".WORKSPACE", Unit: "requests", Help: "The same as by level, for the ten workspaces with most requests in the last minutes. They start at 0 when a workspace becomes one of the busiest."},
+		{Name: workspaceWaiting + ".WORKSPACE", Unit: "requests", Help: "The same as by level, for the ten workspaces with most requests in the last minutes. They count from when the entry began to count the workspace: Since in the dump."},
 		{Name: workspaceRefused + ".WORKSPACE", Unit: "requests", Help: "As above."},
 		{Name: workspacePlaced + ".WORKSPACE", Unit: "placements", Help: "As above."},
 		{Name: workspaceLate + ".WORKSPACE", Unit: "requests", Help: "As above."},
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -30,15 +30,13 @@
 	engines map[netip.Addr][]engine
 	// directors holds the group that the agent on a VM directs. It may be one whose rank 0 this
 	// entry does not use.
-	directors map[netip.Addr]groupName
+	directors map[netip.Addr]groupID
 	// onForecast is called with each group whose forecast has become invalid or valid.
 	onForecast func(p dispatch.ForecastProblem)
 }
 
 type engine struct{ service, target string }
 
-type groupName struct{ service, group string }
-
 // acquireTarget waits until r is assigned to a target or refused, or ctx ends.
 func (q *queue) acquireTarget(ctx context.Context, r dispatch.Request) (dispatch.Action, error) {
 	q.mu.Lock()
@@ -161,11 +159,11 @@
 	return n
 }
 
-func (q *queue) refusedByLevel() int64 {
+func (q *queue) refusedByAdmission() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	return q.dispatcher.RefusedByLevel()
+	return q.dispatcher.RefusedByAdmission()
 }
 
 // updateLevels records the sums over all entries for a group.
@@ -177,7 +175,7 @@
 }
 
 // update replaces the services and targets.
-func (q *queue) update(services []dispatch.Service, targets []dispatch.Target, directors map[netip.Addr]groupName) {
+func (q *queue) update(services []dispatch.Service, targets []dispatch.Target, directors map[netip.Addr]groupID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -170,11 +170,7 @@
 
 	r.retainConnections(now, services, targets)
 	r.queue.update(services, targets, directors(f, services, targets))
-	r.levels.retain(func(service string) bool {
-		s := f.Table.Service(service)
-
-		return s != nil && r.isPrioritized(f.Table, s)
-	})
+	r.retainCounts(f)
 	r.configureOnce.Do(func() { close(r.configured) })
 
 	if wait, due := r.entryShares.subsets.RecomputeDue(now); due {
@@ -182,6 +178,21 @@
 	}
 }
 
+// retainCounts drops the counts by level of services that are no longer prioritized, and of groups
+// that are gone.
+func (r *Relay) retainCounts(f *view.ClusterState) {
+	groups := make(map[groupID]bool)
+	for i := range f.Targets {
+		groups[groupID{f.Targets[i].Service, f.Targets[i].Group.Name}] = true
+	}
+
+	r.levels.retain(func(service string) bool {
+		s := f.Table.Service(service)
+
+		return s != nil && r.isPrioritized(f.Table, s)
+	}, func(id groupID) bool { return groups[id] })
+}
+
 // serviceOf returns what the dispatcher needs to know about a service.
 func (r *Relay) serviceOf(table *routes.Table, s *routes.Service) dispatch.Service {
 	out := dispatch.Service{
@@ -234,22 +245,22 @@
 // directors returns the VMs of the agents that direct the groups of prioritized services to which this
 // entry sends requests: those beside rank 0, which this entry may not use. There are none if the
 // entries are too many for one agent, which would otherwise not report to those that use its engine.
-func directors(f *view.ClusterState, services []dispatch.Service, targets []dispatch.Target) map[netip.Addr]groupName {
+func directors(f *view.ClusterState, services []dispatch.Service, targets []dispatch.Target) map[netip.Addr]groupID {
 	if f.Entries > loadreport.MaxSubscribers {
 		return nil
 	}
 
-	used := make(map[groupName]bool)
+	used := make(map[groupID]bool)
 
 	for i := range targets {
-		used[groupName{service: targets[i].Service, group: targets[i].Group}] = true
+		used[groupID{service: targets[i].Service, group: targets[i].Group}] = true
 	}
 
-	out := make(map[netip.Addr]groupName)
+	out := make(map[netip.Addr]groupID)
 
 	for i := range f.Targets {
 		t := &f.Targets[i]
-		name := groupName{service: t.Service, group: t.Group.Name}
+		name := groupID{service: t.Service, group: t.Group.Name}
 
 		if name.group == "" || t.Group.Rank != 0 || !used[name] {
 			continue
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -160,7 +160,7 @@
 	return dispatch.Request{
 		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(),
 		Level: p.level(), Attempt: p.urgency.attempt, FirstAttemptAt: p.urgency.firstAttemptAt,
-		SoftDeadline: p.softDeadline, Deadline: p.eventDeadline, Work: p.work(), Excluded: p.excluded, Reuse: p.reuse,
+		SoftDeadline: p.softDeadline, Deadline: p.eventDeadline, Work: p.work(), Excluded: p.excluded, Sent: p.sends > 0, Reuse: p.reuse,
 	}
 }
 
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -62,6 +62,10 @@
 		return 1
 	}
 
+	if math.IsNaN(work) {
+		return 1
+	}
+
 	return min(max(work, minWork), maxWork)
 }
 
--- a/internal/relay/work_test.go
+++ b/internal/relay/work_test.go
@@ -106,3 +106,22 @@
 	p.caller.PromptTokens = 0
 	require.InDelta(t, 1, p.work(), 0)
 }
+
+// Guards against work that is no number: the target that got it would be chosen always.
+func TestWorkIsANumberWithExtremeFigures(t *testing.T) {
+	t.Parallel()
+
+	for _, spoil := range []func(f *routes.EngineFigures){
+		func(f *routes.EngineFigures) { f.PromptTokensPerSecond = 1e-300 },
+		func(f *routes.EngineFigures) { f.UsualPromptTokens = 1e308 },
+		func(f *routes.EngineFigures) { f.UsualAnswerTokens = 1e308 },
+	} {
+		f := engineFigures()
+		spoil(&f)
+
+		for _, prompt := range []float64{0, 500} {
+			w := workOf(&f, prompt, 95)
+			require.True(t, w >= minWork && w <= maxWork, "%v for %+v", w, f)
+		}
+	}
+}
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -268,11 +268,11 @@
 		r.Dump.Metrics = metrics.NewRegistry()
 	}
 
-	r.Dump.UpdateMetrics = func() {
+	r.Dump.BeforeMetrics(func() {
 		if err := r.relay.UpdateMetrics(r.Dump.Metrics); err != nil {
 			r.logger.Warn("Metrics of levels cannot be updated.", "error", err)
 		}
-	}
+	})
 
 	return r.relay.Register(r.Dump.Metrics)
 }
