Mend what the reviews of connections, order and levels found

Requests whose caller leaves before the latency target stayed in the queue, and others were refused for them. A lowered timeout made first attempts look old. An invalid skew discarded a load report. Beyond its share an entry filled targets whose load it did not know. The cached load differed from before in the last bit.

The old test of a rejection on a kept connection required a promise that can be false; the new ones require that no such answer is forwarded, and one that nothing is promised.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -227,6 +227,11 @@
 		r.Work = 1
 	}
 
+	// A caller may leave before the latency target of its route.
+	if s.Prioritized && r.SoftDeadline.After(r.Deadline) {
+		r.SoftDeadline = r.Deadline
+	}
+
 	s.levels.recordDemand(now, &r)
 
 	if _, ok := s.availableAt(now, &r, &d.Settings); !ok {
@@ -235,6 +240,8 @@
 		}}
 	}
 
+	s.updatePlans(now, &d.Settings)
+
 	if !s.isSlow(now) && !s.levels.admit(now, &r) {
 		return d.submitSpare(now, s, r)
 	}
--- a/internal/dispatch/forecast.go
+++ b/internal/dispatch/forecast.go
@@ -160,7 +160,11 @@
 		return false
 	}
 
-	return p.load+1 > part*p.limit || !beyondShare && !p.mayBorrow(part, cfg)
+	if beyondShare {
+		return p.load+p.unknownLoad+1 > part*p.limit
+	}
+
+	return p.load+1 > part*p.limit || !p.mayBorrow(part, cfg)
 }
 
 // mayBorrow reports whether this entry may exceed its share. Until the load of others is known
--- a/internal/dispatch/levels.go
+++ b/internal/dispatch/levels.go
@@ -188,8 +188,6 @@
 		utilization = spareUtilizationAboveShare
 	}
 
-	s.updatePlans(now, &d.Settings)
-
 	if d.hasSpareCapacity(now, s, utilization) {
 		s.waiting = append(s.waiting, waiting{Request: r, since: now})
 
--- a/internal/dispatch/prioritized.go
+++ b/internal/dispatch/prioritized.go
@@ -93,7 +93,7 @@
 	for i := range s.waiting {
 		w := &s.waiting[i]
 		item := priority.Item{
-			Level: w.Level, Workspace: w.Workspace, Work: w.Work, Attempt: w.Attempt, Late: !answerAt.Before(w.SoftDeadline),
+			Level: clampLevel(w.Level), Workspace: w.Workspace, Work: w.Work, Attempt: w.Attempt, Late: !answerAt.Before(w.SoftDeadline),
 			Since: w.since, Deadline: w.Deadline,
 		}
 
--- a/internal/dispatch/prioritized_test.go
+++ b/internal/dispatch/prioritized_test.go
@@ -393,6 +393,14 @@
 	require.NotContains(t, f.refused, started)
 	require.Equal(t, 1, f.Waiting())
 
+	// One that is sent again after its reused connection failed excludes no target.
+	started = f.submit(startTime, func(r *dispatch.Request) {
+		late(r)
+		r.Sent = true
+	})
+	require.NotContains(t, f.refused, started)
+	require.Equal(t, 2, f.Waiting())
+
 	for range 2 {
 		require.Contains(t, f.placed, f.submit(startTime, nil))
 	}
@@ -452,3 +460,25 @@
 	require.Contains(t, f.placed, low)
 	require.NotContains(t, f.placed, high)
 }
+
+// The callers of a route without a latency target leave before its timeout. Guards against requests that
+// wait until then without being refused, and because of which others are refused.
+func TestNoRequestWaitsForMoreThanItsCallerDoes(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t, 1, 10, 1, func(s *dispatch.Service) { s.Streams, s.Prioritized = true, true })
+	now := startTime
+
+	for range 30 { // 10 a second complete.
+		now = now.Add(100 * time.Millisecond)
+		f.finish(now, f.submit(now, nil), dispatch.Completed)
+	}
+
+	for range 66 {
+		f.submit(now, func(r *dispatch.Request) { r.SoftDeadline, r.Deadline = now.Add(8*time.Second), now.Add(2*time.Second) })
+	}
+
+	require.GreaterOrEqual(t, len(f.refused), 30, "20 complete in the time that their callers wait")
+	f.apply(f.Tick(now.Add(2100 * time.Millisecond)))
+	require.Zero(t, f.Waiting())
+}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -480,7 +480,7 @@
 		return t.group.plan.isFull(1, s.levels.exceedsShare(), &d.Settings)
 	}
 
-	if s.levels.exceedsShare() {
+	if s.levels.exceedsShare() && !t.isSettling(now) {
 		return false
 	}
 
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -56,17 +56,17 @@
 
 	if !now.Equal(t.others.at) || mean != t.others.mean {
 		age := float64(now.Sub(t.reportedAt)) / float64(cfg.LoadDecay)
-		t.others = expectedOthers{at: now, mean: mean, value: mean + (t.otherRequests-mean)*math.Exp(-age)}
+		t.others = expectedOthers{at: now, mean: mean, excess: (t.otherRequests - mean) * math.Exp(-age)}
 	}
 
-	return float64(t.inFlight) + t.others.value
+	return float64(t.inFlight) + mean + t.others.excess
 }
 
-// expectedOthers is the expected number of other entries' requests at a time, given their mean in
-// the group. It is needed several times for each decision.
+// expectedOthers is by how much the expected number of other entries' requests exceeds their mean in
+// the group at a time. It is needed several times for each decision.
 type expectedOthers struct {
-	at          time.Time
-	mean, value float64
+	at           time.Time
+	mean, excess float64
 }
 
 // unresponsiveCost is high enough that unresponsive targets are chosen last.
--- a/internal/loadreport/check.go
+++ b/internal/loadreport/check.go
@@ -29,9 +29,16 @@
 		return &InvalidLoadError{Field: "Waiting", Value: float64(l.Waiting)}
 	case !(l.Slowdown >= 0 && l.Slowdown <= maxSlowdown): // also if it is not a number
 		return &InvalidLoadError{Field: "Pace", Value: l.Slowdown}
-	case !(l.Skew == 0 || l.Skew >= 1 && l.Skew <= maxSkew):
-		return &InvalidLoadError{Field: "Skew", Value: l.Skew}
 	default:
 		return nil
 	}
 }
+
+// checkSkew checks the skew apart from the load, which counts also without it.
+func (l Load) checkSkew() error {
+	if l.Skew == 0 || l.Skew >= 1 && l.Skew <= maxSkew { // false if it is not a number
+		return nil
+	}
+
+	return &InvalidLoadError{Field: "Skew", Value: l.Skew}
+}
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -6,6 +6,7 @@
 package loadreport
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -332,8 +333,12 @@
 		Skew: w.GetSkew(),
 	}
 
-	err := l.check()
-	s.recordValidity(from, err)
+	err, skewErr := l.check(), l.checkSkew()
+	s.recordValidity(from, cmp.Or(err, skewErr))
+
+	if skewErr != nil {
+		l.Skew = 0
+	}
 
 	if err == nil {
 		s.OnLoad(from, l)
--- a/internal/priority/admission.go
+++ b/internal/priority/admission.go
@@ -189,7 +189,8 @@
 }
 
 // MayExceedShare reports whether the level is in force and admits requests of l, in full or in part.
-// The admitted requests of all entries fit then, but arrive unevenly.
+// The admitted requests of all entries fit then, but arrive unevenly. Only those of the most urgent
+// level, which is admitted whole, may be more than fit.
 func (a *Admission) MayExceedShare(now time.Time, l Level) bool {
 	return a.InForce(now) && float64(l) < a.limit
 }
--- a/internal/priority/age.go
+++ b/internal/priority/age.go
@@ -95,7 +95,8 @@
 	s := a.stated.use(now, callerKind{route: route, workspace: workspace})
 	left = min(max(left, 0), timeout)
 	own := s.record(now, left)
-	longest := s.longestUsual()
+	// The timeout may have been lowered since.
+	longest := min(s.longestUsual(), timeout)
 
 	// Callers return within MaxRetryAfter, so a time that is stated often and far below the
 	// longest one is what another kind of caller states at first.
--- a/internal/priority/age_test.go
+++ b/internal/priority/age_test.go
@@ -139,3 +139,17 @@
 		require.Zero(t, a.AgeOf(now, "r", fmt.Sprint("w", i%(1+i%40)), left, timeout))
 	}
 }
+
+// The timeout of a route is lowered. Guards against first attempts that look old because of deadlines from
+// before the change.
+func TestLowerTimeoutMakesNoFirstAttemptOld(t *testing.T) {
+	t.Parallel()
+
+	a := newAges()
+
+	for i := range 1000 {
+		a.AgeOf(startTime.Add(time.Duration(i)*30*time.Millisecond), "r", "w", timeout, timeout)
+	}
+
+	require.Zero(t, a.AgeOf(startTime.Add(31*time.Second), "r", "w", 5500*time.Millisecond, 5500*time.Millisecond))
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -24,10 +24,10 @@
 }
 
 // checkAttribution returns an error if an answer on a reused connection may be a late one to an
-// earlier request. Connections are kept only after answers with an ID, so a rejection without one
-// is not a repetition of such an answer.
+// earlier request. That includes a rejection without an ID: a target that has lost track of its
+// requests sends one, beside the true answer.
 func (p *proxiedRequest) checkAttribution(answer *targetclient.Answer, info ResponseInfo) error {
-	if !answer.Reused || info.ID == p.caller.ID || info.ID == "" && (info.NotRun || info.Misdirected) {
+	if !answer.Reused || info.ID == p.caller.ID {
 		return nil
 	}
 
--- a/internal/relay/connections.go
+++ b/internal/relay/connections.go
@@ -70,10 +70,10 @@
 	return p.mayRepeat() && p.route.MaxTargets > 1 && len(p.tried) == 0
 }
 
-// keepConnection keeps the connection of a complete answer that passed all checks. Connections to
-// targets that leave are paused by recordStatements.
+// keepConnection keeps the connection of a complete answer that passed all checks, unless the target
+// has said that it leaves.
 func (p *proxiedRequest) keepConnection(answer *targetclient.Answer, info ResponseInfo) {
-	if info.Signed && info.ID == p.caller.ID {
+	if info.Signed && info.ID == p.caller.ID && !info.Leaving {
 		answer.Keep()
 	}
 }
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -155,7 +155,9 @@
 // been read. Errors are of type *verdict.Error. The verdict is NotRun only if no
 // byte of the request was sent.
 func (c *Client) Open(ctx context.Context, target Target, req *Request) (*Answer, error) {
-	for req.Reuse {
+	// A long body is written while the answer is read, so that a VM that was powered off while the
+	// connection was idle could not be told from a target that reads slowly.
+	for req.Reuse && len(req.Body) <= maxInlineBody && ctx.Err() == nil {
 		conn := c.takeIdle(target, req.ID)
 		if conn == nil {
 			break
@@ -182,7 +184,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 
 	if conn.reused {
-		conn.boundSilence(req, c.DialTimeout)
+		conn.boundSilence(c.DialTimeout)
 	}
 
 	resp, err := conn.roundTrip(req, c.MaxHeaderBytes) //nolint:bodyclose // Answer.Close closes the connection
@@ -207,13 +209,22 @@
 
 // endFailed closes a connection without an answer. It returns the error of the request.
 func (c *Client) endFailed(ctx context.Context, conn *connection, err error) error {
-	if !conn.reused || !conn.endedUnanswered(ctx, err, c.MaxHeaderBytes) {
-		c.end(conn, closeFailed)
+	reason := closeFailed
+
+	switch {
+	case !conn.reused || ctx.Err() != nil:
+	case conn.endedUnanswered(err, c.MaxHeaderBytes):
+		reason = closeUnanswered
+	case isMalformed(err):
+		reason = closeBytes
+	}
+
+	c.end(conn, reason)
 
+	if reason == closeFailed {
 		return err
 	}
 
-	c.end(conn, closeUnanswered)
 	c.apply(func() []closing { return c.pool.pause(c.now(), conn.target) })
 
 	return &verdict.Error{Verdict: verdict.Of(err), Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrReusedConnection, err)}
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -432,6 +432,56 @@
 	require.True(t, send(t, c, f, request("r6")))
 }
 
+// Bytes that are no answer arrive on a reused connection, before the true answer: the body of an answer
+// that has none, or the end of a chunked one. Guards against a target that is blamed for them, and against
+// another use of its connections.
+func TestMalformedBytesOnAReusedConnection(t *testing.T) {
+	t.Parallel()
+
+	for _, bytes := range []string{"yes!\r\n\r\n", "0\r\n\r\n"} {
+		f := newFakeTarget(t, respond(whole), respond(bytes+whole), respond(whole), respond(whole))
+		c := newClient(f)
+
+		send(t, c, f, request("r1"))
+
+		_, err := c.Open(t.Context(), f.Target, request("r2"))
+		require.ErrorIs(t, err, targetclient.ErrReusedConnection)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		require.False(t, send(t, c, f, request("r3")))
+		require.False(t, send(t, c, f, request("r4")), "the target must not be reused for a while")
+	}
+}
+
+// Guards against an idle connection that is given up, and a request that counts as one that may have run,
+// because its caller had left before it was sent.
+func TestCancelledRequestUsesNoIdleConnection(t *testing.T) {
+	t.Parallel()
+
+	f := newFakeTarget(t, respond(whole), respond(whole))
+	c := newClient(f)
+	send(t, c, f, request("r1"))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+
+	_, err := c.Open(ctx, f.Target, request("r2"))
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.True(t, send(t, c, f, request("r3")))
+}
+
+// Guards against a long body on a kept connection to a VM that is gone: it would wait for its deadline.
+func TestLongBodyUsesNoIdleConnection(t *testing.T) {
+	t.Parallel()
+
+	f := newFakeTarget(t, respond(whole), respond(whole))
+	c := newClient(f)
+	send(t, c, f, request("r1"))
+
+	r := request("r2")
+	r.Body = make([]byte, 16<<10+1)
+	require.False(t, send(t, c, f, r))
+}
+
 // Guards against a request that waits for its deadline because the target's VM was powered off while the
 // connection was idle. A target whose buffers are full acknowledges as little as that VM.
 func TestSilentTargetOfAReusedConnection(t *testing.T) {
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"os"
 	"strconv"
 	"strings"
@@ -65,18 +65,25 @@
 
 // endedUnanswered reports whether err, of roundTrip, says that the target closed the
 // connection before any byte of the answer.
-func (c *connection) endedUnanswered(ctx context.Context, err error, maxHeaderBytes int) bool {
-	return ctx.Err() == nil && c.limited.N == int64(maxHeaderBytes) && !isTimeout(err)
+func (c *connection) endedUnanswered(err error, maxHeaderBytes int) bool {
+	return c.limited.N == int64(maxHeaderBytes) && !isTimeout(err)
+}
+
+// isMalformed reports whether err, of roundTrip, says that bytes arrived that do not begin an answer.
+// On a reused connection they may be left from an earlier one. A broken header is one of the answer.
+func isMalformed(err error) bool {
+	var (
+		network net.Error
+		header  textproto.ProtocolError
+	)
+
+	return verdict.Of(err) == verdict.MayHaveRun && !errors.As(err, &network) && !errors.As(err, &header) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // boundSilence bounds how long the target's VM may take to acknowledge the current request. A VM that
 // was powered off while the connection was idle never does, where a new connection would fail after
-// the same time. A long body is not bounded: a target that reads it slowly acknowledges it slowly.
-func (c *connection) boundSilence(req *Request, d time.Duration) {
-	if len(req.Body) > maxInlineBody {
-		d = 0
-	}
-
+// the same time.
+func (c *connection) boundSilence(d time.Duration) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return
