Log how the end of an answer is marked, and whether a failure was kept

Whether a stream ended because its target's connection did, and whether the failure of an earlier target was delivered instead, could not be told from the logs. No decision changes.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -22,7 +22,7 @@
 
 	if p.relay.completions.Allow(now) {
 		p.log(slog.LevelInfo, "Served.", append(p.gapAttrs(), "target", p.placed.Target.ID, "zone", p.placed.Target.Zone,
-			"status", p.status, "first", p.firstByte.Round(time.Millisecond))...)
+			"status", p.status, "first", p.firstByte.Round(time.Millisecond), "framing", p.framing, "events", p.events, "keptFailure", p.failure != nil)...)
 	}
 }
 
@@ -47,7 +47,8 @@
 		panic(http.ErrAbortHandler)
 	case p.streaming:
 		p.relay.counters.cut.Add(1)
-		p.log(slog.LevelWarn, "Stream cut.", "cause", p.cause(now, err), "lastEvent", p.lastEvent, "room", p.capacity, "error", err)
+		p.log(slog.LevelWarn, "Stream cut.", "cause", p.cause(now, err), "lastEvent", p.lastEvent, "room", p.capacity, "framing", p.framing, "events", p.events,
+			"keptFailure", p.failure != nil, "error", err)
 		// Closing the connection without the final chunk marks the stream as truncated.
 		panic(http.ErrAbortHandler)
 	case !p.mayHaveRun:
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -84,6 +84,8 @@
 	failure *bufferedAnswer
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
+	// framing is that of the last answer, empty if there was none.
+	framing targetclient.Framing
 	// streaming is set once the head of a stream was sent to the caller. lastEvent is the ID of
 	// the last event that the caller has; lastForwardedID is the last ID sent by this entry.
 	streaming       bool
@@ -200,6 +202,8 @@
 	}
 	defer answer.Close()
 
+	p.framing = answer.Framing
+
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
 	if err := p.checkAttribution(answer, info); err != nil {
 		p.recordRead(readByTarget)
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -43,12 +43,38 @@
 	OnSent func()
 }
 
+// Framing is how the end of an answer's body is marked.
+type Framing string
+
+// The ways in which the end of a body is marked.
+const (
+	// FramedByLength is a stated length, also that of an answer without a body.
+	FramedByLength Framing = "Length"
+	// FramedByChunks is the last chunk.
+	FramedByChunks Framing = "Chunks"
+	// FramedByConnection is the end of the connection.
+	FramedByConnection Framing = "Connection"
+)
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return FramedByLength
+	default:
+		return FramedByConnection
+	}
+}
+
 // Answer is a target's response. It is complete only once Body has been read to
 // io.EOF. The caller must call Close.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Framing is how the end of Body is marked.
+	Framing Framing
 	// Reused is set if the request was sent on a connection that had carried another one. The
 	// answer may then be a late one to the other request.
 	Reused bool
@@ -201,7 +227,7 @@
 	body := &wholeBody{r: resp.Body}
 
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: conn.reused,
+		Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: framingOf(resp), Reused: conn.reused,
 		client: c, conn: conn, request: req.ID, stop: stop, body: body,
 		closes: resp.Close || !resp.ProtoAtLeast(1, 1),
 	}, nil
