Cut a stream although the failure of an earlier target was kept

Callers saw: a stream that was cut ended as complete, with the body of another target's failure behind its events. Cause: a failure that a target answers is kept in case that no other target does better. When the second target had begun a stream and was lost, and the request could not be sent again, the request ended with the kept failure: its body was written into the answer that was under way, and the handler returned as after a complete one. Change: a request whose stream has begun ends with an error, which cuts the connection. Evidence: TestKeptFailureDoesNotEndACutStream failed before with the events 1 and 2, "first" and a regular end of the chunks; it passes now, and so do the tests of kept failures without a stream.

--- a/internal/relay/failure_answer.go
+++ b/internal/relay/failure_answer.go
@@ -16,7 +16,7 @@
 }
 
 // errTargetFailure is the error of an attempt that a target answered with a failure. The
-// answer is kept, and is sent to the caller unless another target does better.
+// answer is kept, and is sent to the caller unless another target does better or begins a stream.
 var errTargetFailure = &verdict.Error{Verdict: verdict.Ran, Cause: verdict.CauseTargetFailure}
 
 // isTargetFailure reports whether a status says that the target failed, where another one
@@ -55,9 +55,9 @@
 }
 
 // end ends a request after its last attempt: with the failure that a target answered, if
-// there is one, or with an error.
+// there is one and the caller has not received a part of a stream, or with an error.
 func (p *proxiedRequest) end(err error) {
-	if p.failure == nil || p.req.Context().Err() != nil {
+	if p.failure == nil || p.streaming || p.req.Context().Err() != nil {
 		p.endWithError(err)
 
 		return
