Count the end of a connection before any new event as a cut stream

Callers saw: a stream that was cut after some events ended as complete. Cause: the end of a target's answer counted as the end of the stream once any event had been forwarded, also if they were an earlier target's. A target that was to resume the stream, answered with neither a length nor chunks and was lost before its first event ended it. Change: an answer that only the end of its connection delimits ends a stream only after an event that the caller lacked; comments don't count. A framed answer without events still says that nothing is left.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -84,6 +84,8 @@
 	failure *bufferedAnswer
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
+	// attemptEvents counts the events of the current attempt that the caller lacked, without comments.
+	attemptEvents int
 	// framing is that of the last answer, empty if there was none.
 	framing targetclient.Framing
 	// streaming is set once the head of a stream was sent to the caller. lastEvent is the ID of
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,13 +18,14 @@
 
 	flusher := http.NewResponseController(p.w)
 	events := targetclient.NewEventReader(answer.Body, p.relay.Limits.MaxEventBytes)
+	p.attemptEvents = 0
 
 	if !p.streaming {
 		// The head is sent with the first event: until then the request can still be
 		// refused, or retried from its beginning at another target.
 		first, err := events.Next()
 		if err != nil {
-			return p.streamResult(err)
+			return p.streamResult(answer, err)
 		}
 
 		p.copyHeaders(answer.Header)
@@ -41,7 +42,7 @@
 	for {
 		ev, err := events.Next()
 		if err != nil {
-			return p.streamResult(err)
+			return p.streamResult(answer, err)
 		}
 
 		if err := p.writeEvent(flusher, events, ev); err != nil {
@@ -55,9 +56,10 @@
 }
 
 // streamResult returns nil if the stream ended after at least one event and without an error,
-// else an error that says the answer is broken.
-func (p *proxiedRequest) streamResult(err error) error {
-	if errors.Is(err, io.EOF) && p.streaming {
+// else an error that says the answer is broken. A target that resumes a stream may have nothing to
+// add, but a connection that ends before it has does not say so.
+func (p *proxiedRequest) streamResult(answer *targetclient.Answer, err error) error {
+	if errors.Is(err, io.EOF) && p.streaming && (p.attemptEvents > 0 || answer.Framing != targetclient.FramedByConnection) {
 		return nil
 	}
 
@@ -80,6 +82,10 @@
 		p.eventDeadline = p.deadline
 	}
 
+	if !ev.Comment {
+		p.attemptEvents++
+	}
+
 	p.recordForwarded()
 	p.boundWrite()
 
--- a/internal/targetclient/event_reader.go
+++ b/internal/targetclient/event_reader.go
@@ -16,7 +16,9 @@
 	// ID is the value of the id field. HasID is false if the event has no numeric id.
 	ID    uint64
 	HasID bool
-	Bytes []byte
+	// Comment is set if all lines of the event are comments.
+	Comment bool
+	Bytes   []byte
 }
 
 // EventReader reads a stream of server-sent events. It never returns an incomplete
@@ -39,7 +41,7 @@
 func (r *EventReader) Next() (Event, error) {
 	r.buf = r.buf[:0]
 
-	var ev Event
+	ev := Event{Comment: true}
 
 	for {
 		line, err := r.r.ReadSlice('\n')
@@ -60,6 +62,10 @@
 
 		line = bytes.TrimRight(line, "\r\n")
 
+		if len(line) > 0 && line[0] != ':' {
+			ev.Comment = false
+		}
+
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64)
 			ev.ID, ev.HasID = n, err == nil
