Read long lines of a stream whole

Callers could see: an event that ended after a line as long as the read buffer, or that was left out. Cause: a line that exceeds the buffer of 4 KiB is read in parts, and the last part was parsed as a line of its own. A part without content counted as the blank line that ends the event, so that a stream that broke off there had ended between two events; a part that begins with "id:" gave the event another ID, by which it could count as one that the caller has. Change: lines are parsed from the event's own buffer. Evidence: TestLongLinesAreReadWhole failed before (the first event ended after its long line); it passes now. TestStreamEndsAtTheEndOfAnEventOnly passed before as well.

--- a/internal/targetclient/event_reader.go
+++ b/internal/targetclient/event_reader.go
@@ -42,14 +42,15 @@
 	r.buf = r.buf[:0]
 
 	ev := Event{Comment: true}
+	lineStart := 0
 
 	for {
-		line, err := r.r.ReadSlice('\n')
-		if len(r.buf)+len(line) > r.maxBytes {
+		part, err := r.r.ReadSlice('\n')
+		if len(r.buf)+len(part) > r.maxBytes {
 			return Event{}, ErrEventTooLong
 		}
 
-		r.buf = append(r.buf, line...)
+		r.buf = append(r.buf, part...)
 
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -60,7 +61,8 @@
 			return Event{}, err //nolint:wrapcheck // io.EOF must stay comparable
 		}
 
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(r.buf[lineStart:], "\r\n")
+		lineStart = len(r.buf)
 
 		if len(line) > 0 && line[0] != ':' {
 			ev.Comment = false
