Deliver no stream that ended inside an event on a plain route

Callers saw: a part of a stream with a length, signed, as a complete answer. Cause: events were looked at on routes of streams only. On others an answer is read to its end and framed with a length, so a stream whose connection ended inside an event became complete. Change: an answer of events is checked whatever its route and framing: it must end between two events, and hold one if only the end of its connection delimits it. Otherwise it is broken, and is sent again or failed as before.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -111,6 +111,10 @@
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 	}
 
+	if isEventStream(answer.Header) && !isCompleteStream(body, answer.Framing) {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: io.ErrUnexpectedEOF}
+	}
+
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if isTargetFailure(answer.Status) && p.mayRepeat() {
 		p.failure = buffered
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -66,6 +68,29 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 }
 
+// isEventStream reports whether an answer is a stream of events, on whatever route.
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+
+	return err == nil && mediaType == "text/event-stream"
+}
+
+// isCompleteStream reports whether a stream that was read to its end stopped between two events. If
+// only the end of its connection delimits it, it must have an event.
+func isCompleteStream(body []byte, framing targetclient.Framing) bool {
+	events := targetclient.NewEventReader(bytes.NewReader(body), len(body))
+	empty := true
+
+	for {
+		ev, err := events.Next()
+		if err != nil {
+			return errors.Is(err, io.EOF) && (!empty || framing != targetclient.FramedByConnection)
+		}
+
+		empty = empty && ev.Comment
+	}
+}
+
 // writeEvent writes one event to the caller. It skips events that the caller already has: a
 // target that resumes a stream may repeat them.
 func (p *proxiedRequest) writeEvent(flusher *http.ResponseController, events *targetclient.EventReader, ev targetclient.Event) error {
