Count a reset that the request's writer is told of as a broken answer

Callers could see: a part of an answer with a length, as if complete, for requests with bodies above 16 KiB. Cause: such a body is written while the answer is read. The operating system reports a reset to one of the two; if it is the writer, the reader sees the regular end of the connection, which delimits an answer that has neither a length nor chunks. Change: such an answer is complete only if the request was written whole. When it ends, the writer is stopped and waited for, so that a request whose last bytes were just written still counts as whole.

--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -90,14 +90,23 @@
 
 // wholeBody records that a body has been read to its end.
 type wholeBody struct {
-	r     io.Reader
-	whole bool
+	r       io.Reader
+	conn    *connection
+	framing Framing
+	whole   bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The operating system reports a reset once, to the reader or to the writer
+// of a connection. If it was the writer, the reader sees a regular end. So the end of a connection
+// delimits an answer only if the request was written whole.
 func (b *wholeBody) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if errors.Is(err, io.EOF) {
+
+	switch {
+	case !errors.Is(err, io.EOF):
+	case b.framing == FramedByConnection && !b.conn.endWrite():
+		err = io.ErrUnexpectedEOF
+	default:
 		b.whole = true
 	}
 
@@ -224,10 +233,10 @@
 		c.apply(func() []closing { return c.pool.closeAll(conn.target) })
 	}
 
-	body := &wholeBody{r: resp.Body}
+	body := &wholeBody{r: resp.Body, conn: conn, framing: framingOf(resp)}
 
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: framingOf(resp), Reused: conn.reused,
+		Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: body.framing, Reused: conn.reused,
 		client: c, conn: conn, request: req.ID, stop: stop, body: body,
 		closes: resp.Close || !resp.ProtoAtLeast(1, 1),
 	}, nil
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -29,8 +29,11 @@
 	reused   bool
 	limited  io.LimitedReader
 	buffered *bufio.Reader
-	// written is set once the current request has been written whole.
-	written atomic.Bool
+	// written is set once the current request has been written whole. writeEnded is closed when a
+	// long body has been written or cannot be; nil for a body that is written before the answer is
+	// read.
+	written    atomic.Bool
+	writeEnded chan struct{}
 }
 
 func newConnection(id connID, target Target, conn net.Conn) *connection {
@@ -162,6 +165,7 @@
 // after the first byte the target may run the request.
 func (c *connection) writeRequest(req *Request) error {
 	c.written.Store(false)
+	c.writeEnded = nil
 
 	var b strings.Builder
 
@@ -199,7 +203,12 @@
 
 	// Written while the caller reads the response. The goroutine ends at the latest when the
 	// connection is closed.
+	ended := make(chan struct{})
+	c.writeEnded = ended
+
 	go func() {
+		defer close(ended)
+
 		if _, err := c.Write(req.Body); err == nil {
 			c.sent(req)
 		}
@@ -208,6 +217,18 @@
 	return nil
 }
 
+// endWrite ends the writing of a request whose answer has ended, and reports whether it was written
+// whole.
+func (c *connection) endWrite() bool {
+	if c.writeEnded != nil {
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+
+		<-c.writeEnded
+	}
+
+	return c.written.Load()
+}
+
 func (c *connection) sent(req *Request) {
 	c.written.Store(true)
 
