Flush complete events before more of a stream is read

Callers saw: a stream that was cut soon after its first events gave neither its head nor an event, where they could have resumed after them; and an event that came with the beginning of the next one was held back until that was complete. Cause: an event was flushed only if no byte was buffered behind it. When the target broke off inside the next event, the handler aborted with the complete ones unsent. Change: events are flushed together before the next read of the stream, which may wait, and when forwarding ends. Evidence: TestEventsBeforeACutReachTheCaller and TestEventsDoNotWaitForTheNextOne failed before (no answer at all; one second late and lost); they pass now.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -86,6 +86,8 @@
 	mayHaveRun bool
 	// attemptEvents counts the events of the current attempt that the caller lacked, without comments.
 	attemptEvents int
+	// unflushed is set while events have been written that may not have been sent to the caller.
+	unflushed bool
 	// framing is that of the last answer, empty if there was none.
 	framing targetclient.Framing
 	// streaming is set once the head of a stream was sent to the caller. lastEvent is the ID of
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,11 +17,14 @@
 // forwardStream forwards a stream event by event, each as soon as it is complete.
 func (p *proxiedRequest) forwardStream(ctx context.Context, answer *targetclient.Answer) error {
 	defer p.unboundWrites()
+	defer func() { _ = p.flushEvents() }()
 
-	flusher := http.NewResponseController(p.w)
-	events := targetclient.NewEventReader(answer.Body, p.relay.Limits.MaxEventBytes)
 	p.attemptEvents = 0
 
+	// Events that arrive together are flushed together, before the next read.
+	events := targetclient.NewEventReader(answer.Body, p.relay.Limits.MaxEventBytes)
+	events.BeforeRead = p.flushEvents
+
 	if !p.streaming {
 		// The head is sent with the first event: until then the request can still be
 		// refused, or retried from its beginning at another target.
@@ -36,7 +39,7 @@
 
 		p.streaming = true
 
-		if err := p.writeEvent(flusher, events, first); err != nil {
+		if err := p.writeEvent(first); err != nil {
 			return err
 		}
 	}
@@ -47,7 +50,7 @@
 			return p.streamResult(answer, err)
 		}
 
-		if err := p.writeEvent(flusher, events, ev); err != nil {
+		if err := p.writeEvent(ev); err != nil {
 			return err
 		}
 
@@ -61,6 +64,10 @@
 // else an error that says the answer is broken. A target that resumes a stream may have nothing to
 // add, but a connection that ends before it has does not say so.
 func (p *proxiedRequest) streamResult(answer *targetclient.Answer, err error) error {
+	if errors.Is(err, errCallerDisconnected) {
+		return err
+	}
+
 	if errors.Is(err, io.EOF) && p.streaming && (p.attemptEvents > 0 || answer.Framing != targetclient.FramedByConnection) {
 		return nil
 	}
@@ -93,7 +100,7 @@
 
 // writeEvent writes one event to the caller. It skips events that the caller already has: a
 // target that resumes a stream may repeat them.
-func (p *proxiedRequest) writeEvent(flusher *http.ResponseController, events *targetclient.EventReader, ev targetclient.Event) error {
+func (p *proxiedRequest) writeEvent(ev targetclient.Event) error {
 	p.recordEventTime()
 
 	if ev.HasID {
@@ -118,11 +125,20 @@
 		return errCallerDisconnected
 	}
 
-	if events.Buffered() {
+	p.unflushed = true
+
+	return nil
+}
+
+// flushEvents sends the events that have been written to the caller.
+func (p *proxiedRequest) flushEvents() error {
+	if !p.unflushed {
 		return nil
 	}
 
-	if err := flusher.Flush(); err != nil {
+	p.unflushed = false
+
+	if err := http.NewResponseController(p.w).Flush(); err != nil {
 		return errCallerDisconnected
 	}
 
--- a/internal/targetclient/event_reader.go
+++ b/internal/targetclient/event_reader.go
@@ -24,6 +24,11 @@
 // EventReader reads a stream of server-sent events. It never returns an incomplete
 // event from the end of an interrupted stream.
 type EventReader struct {
+	// BeforeRead, if set, is called before each read of the stream, which may wait. Its error ends the
+	// stream.
+	BeforeRead func() error
+
+	source   io.Reader
 	r        *bufio.Reader
 	maxBytes int
 	buf      []byte
@@ -32,7 +37,24 @@
 // NewEventReader returns a reader of the events in r. An event longer than maxBytes is
 // an error.
 func NewEventReader(r io.Reader, maxBytes int) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, readBufferSize), maxBytes: maxBytes}
+	e := &EventReader{source: r, maxBytes: maxBytes}
+	e.r = bufio.NewReaderSize(eventSource{e}, readBufferSize)
+
+	return e
+}
+
+// eventSource is the stream behind the buffer of an EventReader.
+type eventSource struct{ *EventReader }
+
+// Read implements io.Reader.
+func (s eventSource) Read(p []byte) (int, error) {
+	if s.BeforeRead != nil {
+		if err := s.BeforeRead(); err != nil {
+			return 0, err
+		}
+	}
+
+	return s.source.Read(p) //nolint:wrapcheck // io.EOF must stay comparable
 }
 
 // Next returns the next event. Its bytes are valid until the next call of Next.
@@ -80,6 +102,3 @@
 		}
 	}
 }
-
-// Buffered reports whether bytes after the last event have already been received.
-func (r *EventReader) Buffered() bool { return r.r.Buffered() > 0 }
