Reset the connection when a stream to an HTTP/1.0 caller is cut

Callers of HTTP/1.0 saw: a cut stream that ended like a complete one. Cause: their streams have no chunks, so the end of the connection is the end of the answer, and an entry that cuts one closed the connection; a killed process had it closed by the kernel. Change: an entry that proxies directly uses callerconn, as the other one does: the connection is reset unless the answer is complete. Evidence: TestCallerOfHTTP10SeesThatAStreamIsCut and TestBrokenAnswersNeverLookComplete, which breaks an answer off at each byte, failed before; they pass now, three times under the race detector. Complete streams of 2,000 events still end regularly.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -44,13 +45,12 @@
 	case p.req.Context().Err() != nil:
 		p.relay.counters.disconnected.Add(1)
 		p.log(slog.LevelInfo, "Caller left.", "ran", p.mayHaveRun, "lastEvent", p.lastEvent, "error", err)
-		panic(http.ErrAbortHandler)
+		p.abort()
 	case p.streaming:
 		p.relay.counters.cut.Add(1)
 		p.log(slog.LevelWarn, "Stream cut.", "cause", p.cause(now, err), "lastEvent", p.lastEvent, "room", p.capacity, "framing", p.framing, "events", p.events,
 			"keptFailure", p.failure != nil, "error", err)
-		// Closing the connection without the final chunk marks the stream as truncated.
-		panic(http.ErrAbortHandler)
+		p.abort()
 	case !p.mayHaveRun:
 		p.refuse(err)
 	default:
@@ -58,6 +58,13 @@
 	}
 }
 
+// abort closes the caller's connection without the final chunk, which marks the answer as truncated.
+// It resets a connection whose end would delimit the answer.
+func (p *proxiedRequest) abort() {
+	callerconn.Reset(p.req)
+	panic(http.ErrAbortHandler)
+}
+
 // cause returns why a request that may have run has no complete answer. The connection to
 // the target is closed at the deadline, so after it err looks like a broken answer.
 func (p *proxiedRequest) cause(now time.Time, err error) verdict.Cause {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
@@ -298,6 +299,13 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	complete := callerconn.ResetUnlessComplete(req)
+	r.answer(w, req)
+	complete()
+}
+
+// answer answers a request, or panics if the answer is cut.
+func (r *Relay) answer(w http.ResponseWriter, req *http.Request) {
 	now := r.Now()
 
 	r.counters.requests.Add(1)
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/dump"
@@ -109,7 +110,8 @@
 
 	callers := &http.Server{
 		Handler: r.relay, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ErrorLog: slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
+		ConnContext: callerconn.ConnContext,
+		ErrorLog:    slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
 	}
 	balancer := &http.Server{Handler: r.ReadinessHandler(r.isReady), ReadHeaderTimeout: callerHeaderTimeout}
 
