Don't report control addresses that an answer held as changed

Cause: a control VM reads its control addresses for each answer, but compared them with the ones that followers were told only at each batch, every 200 ms, and at first with an empty list. So the first batch after a start notified the followers of new control VMs although their first answers already held these: every held poll was answered early, without a change, and had to be sent once more. In TestFollowReturnsOnChange the first batch falls on the instant of the second change. If the held poll ended for the addresses before the change, its answer lacked the zone, the next poll got it at once, and later answers were behind the changes: the last poll got the target or its end. Ends of targets are not told late, and that test is unchanged.

Change: each answer takes the addresses from the tracker, which first updates them. A change is still reported to all held polls, at the next batch or the next answer.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -181,7 +181,7 @@
 
 // answerFollower returns what the entry lacks, and whether it needs that now.
 func (s *Server) answerFollower(ctx context.Context, p *publishedState, r *wire.FollowRequest) (*wire.FollowResponse, bool, error) {
-	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.directoryBoot, Controls: s.controlAddresses(), Zone: s.Zone}
+	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.directoryBoot, Zone: s.Zone}
 	changed := p.stateIndex > r.GetKnownIndex() || r.GetWaitMillis() == 0
 
 	if p.stateIndex >= r.GetKnownIndex() {
@@ -195,6 +195,10 @@
 	}
 
 	err := s.withTargets(ctx, func(targets *targetTracker) {
+		// Addresses that an answer holds must not end the follower's next request as a change.
+		s.updateControls(targets)
+		out.Controls = targets.controls
+
 		now := time.Now()
 		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone()})
 
--- a/internal/control/roster_test.go
+++ b/internal/control/roster_test.go
@@ -81,3 +81,39 @@
 		require.Less(t, time.Since(begin), 1300*time.Millisecond)
 	})
 }
+
+// Guards against a starting control VM that answers every held poll early without a change.
+func TestControlAddressesInFirstAnswerEndNoHeldPoll(t *testing.T) {
+	t.Parallel()
+
+	for name, learned := range map[string]time.Duration{"known at the start": 0, "learned after the start": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				begin := time.Now()
+				s := newDocumentServer()
+				s.ControlAddresses = func() []string {
+					if time.Since(begin) < learned {
+						return nil
+					}
+
+					return []string{"10.0.0.1:1"}
+				}
+				runDocumentServer(t, s)
+				time.Sleep(learned)
+
+				first, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+				require.NoError(t, err)
+				require.Equal(t, []string{"10.0.0.1:1"}, first.GetControls())
+
+				held := time.Now()
+				out, err := s.Follow(t.Context(), &wire.FollowRequest{
+					Cluster: "trust", ID: "e", DirectoryBoot: first.GetDirectoryBoot(), DirectoryRevision: first.GetDirectoryRevision(), WaitMillis: 1500,
+				})
+				require.NoError(t, err)
+				require.Equal(t, first.GetControls(), out.GetControls())
+				require.Equal(t, 1500*time.Millisecond, time.Since(held), "answered early without a change")
+			})
+		})
+	}
+}
