Reset the connection when an answer to an HTTP/1.0 caller is cut

Callers of HTTP/1.0 saw a cut answer, stream or plain body, end like a complete one.

Cause: their answers have no chunks, so the end of the connection is the end of the answer. The entry cut an answer by closing the connection, and a killed entry had it closed by the kernel.

Change: the entry uses callerconn from before the first byte until the answer is complete. All answers to callers of later versions are framed by chunks, a length or HTTP/2 and are unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
+	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -102,6 +103,7 @@
 		MaxHeaderBytes:    e.Limits.MaxHeaderBytes,
 		Protocols:         new(http.Protocols),
 		ErrorLog:          slog.NewLogLogger(e.Logger.Handler(), slog.LevelDebug),
+		ConnContext:       callerconn.ConnContext,
 	}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -41,6 +42,13 @@
 	e.counters.begin()
 	defer e.counters.end()
 
+	complete := callerconn.ResetUnlessComplete(r)
+	e.answer(w, r)
+	complete()
+}
+
+// answer answers r, or panics if the answer is cut off.
+func (e *Entry) answer(w http.ResponseWriter, r *http.Request) {
 	c, refusal := e.readCall(w, r)
 	if refusal == nil && e.stopping.Load() {
 		refusal = e.refuseWhileStopping(w)
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
+	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -16,6 +17,7 @@
 // reply writes one answer to a caller.
 type reply struct {
 	w            http.ResponseWriter
+	r            *http.Request
 	ctrl         *http.ResponseController
 	writeTimeout time.Duration
 
@@ -27,8 +29,8 @@
 	events *eventBuffer
 }
 
-func newReply(w http.ResponseWriter, writeTimeout time.Duration) *reply {
-	return &reply{w: w, ctrl: http.NewResponseController(w), writeTimeout: writeTimeout}
+func newReply(w http.ResponseWriter, r *http.Request, writeTimeout time.Duration) *reply {
+	return &reply{w: w, r: r, ctrl: http.NewResponseController(w), writeTimeout: writeTimeout}
 }
 
 // receiver returns a receiver that relays an answer to the caller as it arrives.
@@ -121,8 +123,10 @@
 }
 
 // abort closes the connection or resets the HTTP/2 stream, so that the caller sees that
-// the answer is incomplete.
+// the answer is incomplete. A connection of HTTP/1.0 is reset, since a regular end could
+// be that of a complete answer.
 func (p *reply) abort() {
+	callerconn.Reset(p.r)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -47,7 +47,7 @@
 	defer cancel()
 
 	x := &exchangeRun{
-		entry: e, call: c, reply: newReply(w, e.Limits.WriteTimeout),
+		entry: e, call: c, reply: newReply(w, r, e.Limits.WriteTimeout),
 		ex:    &exchange.Exchange{Idempotent: c.idempotent, Keyed: c.key != "", Deadline: c.deadline},
 		queue: e.queue(c.service.GetName()), item: e.newItem(c),
 	}
