Forward events whose lines end with CR LF or CR as they arrive

Callers saw nothing of a stream with such line ends before its end, and a cut one began anew at the next target. Non-resumable streams were forwarded as they came.

Cause: the entry holds back the incomplete last event of a stream that may be resumed, and looked only for two LF in a row as the end of an event.

Change: internal/eventstream follows the lines of a stream in pieces of any size, with all three kinds of line ends, and keeps the ID of the last complete event. The entry uses it.

Result: TestEventsAreForwardedWhateverTheirLineEnds failed before for CR LF and CR: the caller's deadline passed before the first event. It passes now. Tests of internal/entry and internal/eventstream pass with the race detector.

--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,6 +10,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
 	"github.com/parsleygate/parsleygate/internal/callerconn"
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -145,7 +146,7 @@
 // the events have IDs or that no event was sent to the caller. Otherwise the caller
 // would receive the beginning twice.
 func (p *reply) resumable() bool {
-	return p.events != nil && (p.bytesSent == 0 || p.events.lastID != "")
+	return p.events != nil && (p.bytesSent == 0 || p.events.lastID() != "")
 }
 
 func isEventStream(headers []*wire.Header) bool {
@@ -162,32 +163,32 @@
 // is never resumed in the middle of an event.
 type eventBuffer struct {
 	pending []byte
-	// lastID is the ID of the last event sent to the caller.
-	lastID string
+	scanner eventstream.Scanner
 }
 
 // add appends b to the buffer, and removes and returns the complete events.
 func (v *eventBuffer) add(b []byte) []byte {
-	v.pending = append(v.pending, b...)
+	end := v.scanner.Scan(b)
+	if end == 0 {
+		v.pending = append(v.pending, b...)
 
-	end := bytes.LastIndex(v.pending, []byte("\n\n"))
-	if end < 0 {
 		return nil
 	}
 
-	out := bytes.Clone(v.pending[:end+2])
-	v.pending = append(v.pending[:0], v.pending[end+2:]...)
-	v.recordLastID(out)
+	out := slices.Concat(v.pending, b[:end])
+	v.pending = append(v.pending[:0], b[end:]...)
 
 	return out
 }
 
-func (v *eventBuffer) recordLastID(events []byte) {
-	for line := range bytes.Lines(events) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			v.lastID = string(bytes.TrimSpace(id))
-		}
-	}
+// lastID returns the ID of the last event sent to the caller, or "" if it had none.
+func (v *eventBuffer) lastID() string { return v.scanner.LastID() }
+
+// interrupt drops the incomplete event of a broken stream. The next target sends it again
+// completely.
+func (v *eventBuffer) interrupt() {
+	v.pending = nil
+	v.scanner.Interrupt()
 }
 
 // collector buffers a complete answer, so that it is recorded before the caller gets
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -69,15 +69,16 @@
 }
 
 // resumeHeaders returns the request headers for a resumption after the last event that
-// the caller received. The incomplete event of the broken attempt is discarded, since
-// the next target sends it again completely.
+// the caller received.
 func (x *exchangeRun) resumeHeaders() []*wire.Header {
-	x.reply.events.pending = nil
-	if x.reply.events.lastID == "" {
+	x.reply.events.interrupt()
+
+	lastID := x.reply.events.lastID()
+	if lastID == "" {
 		return x.call.headers
 	}
 
-	headers := []*wire.Header{{Name: headerLastEventID, Value: x.reply.events.lastID}}
+	headers := []*wire.Header{{Name: headerLastEventID, Value: lastID}}
 
 	for _, h := range x.call.headers {
 		if !strings.EqualFold(h.GetName(), headerLastEventID) {
--- a/internal/entry/stream_fault_test.go
+++ b/internal/entry/stream_fault_test.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -206,3 +210,52 @@
 	require.Equal(t, streamEvents(1, 4), (<-answer).body)
 	require.NoError(t, <-f.done)
 }
+
+// Guards against events that are held back until their stream ends, because their lines
+// end with CR LF or CR.
+func TestEventsAreForwardedWhateverTheirLineEnds(t *testing.T) {
+	t.Parallel()
+
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		t.Run(fmt.Sprintf("%q", lineEnd), func(t *testing.T) {
+			t.Parallel()
+
+			first := strings.ReplaceAll(streamEvents(1, 2), "\n", lineEnd)
+			received := make(chan struct{})
+			a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(first)
+
+				select {
+				case <-received:
+				case <-s.r.Context().Done():
+				}
+
+				s.breakConnection()
+			}, continueStream)
+			f := newFixture(t, streamService, nil, a, a.sibling(t, "agent-2"))
+
+			// The timeout ends the test if the events are held back.
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+
+			q, err := http.NewRequestWithContext(ctx, http.MethodPost, f.base+"/"+streamService+"/v1/drafts", strings.NewReader("{}"))
+			require.NoError(t, err)
+
+			resp, err := http.DefaultClient.Do(q)
+			require.NoError(t, err)
+
+			defer resp.Body.Close()
+
+			got := make([]byte, len(first))
+			_, err = io.ReadFull(resp.Body, got)
+			require.NoError(t, err)
+			require.Equal(t, first, string(got))
+			close(received)
+
+			rest, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, streamEvents(3, 4), string(rest))
+		})
+	}
+}
--- /dev/null
+++ b/internal/eventstream/scanner_test.go
@@ -0,0 +1,88 @@
+package eventstream
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an end of an event that is missed or invented where a piece of the stream
+// ends, for each kind of line end.
+func TestScannerFindsEventsInAnyPieces(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		stream string
+		// complete is the part of the stream that belongs to complete events.
+		complete string
+		lastID   string
+	}{
+		{"", "", ""},
+		{"\n", "\n", ""},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2"},
+		{"id: 1\ndata: a\n\n\n", "id: 1\ndata: a\n\n\n", "1"},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n", "id: 1\ndata: a\n\n", "1"},
+		{"id: 1\ndata: a\n\nid: 2", "id: 1\ndata: a\n\n", "1"},
+		{"id:1\n\ndata: without an ID\n\n", "id:1\n\ndata: without an ID\n\n", "1"},
+		{"id: 1\n\nidentity: 2\n\nxid: 3\n\n: id: 4\n\n", "id: 1\n\nidentity: 2\n\nxid: 3\n\n: id: 4\n\n", "1"},
+		{"id: a b \n\nid\n\n", "id: a b \n\nid\n\n", "a b"},
+		{": comment\n", "", ""},
+	}
+
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		for _, tc := range cases {
+			stream := strings.ReplaceAll(tc.stream, "\n", lineEnd)
+			complete := strings.ReplaceAll(tc.complete, "\n", lineEnd)
+
+			for size := 1; size <= len(stream)+1; size++ {
+				t.Run(fmt.Sprintf("%q in pieces of %d", stream, size), func(t *testing.T) {
+					t.Parallel()
+
+					var (
+						s   Scanner
+						end int
+					)
+
+					for from := 0; from < len(stream); from += size {
+						piece := stream[from:min(from+size, len(stream))]
+						if n := s.Scan([]byte(piece)); n > 0 {
+							end = from + n
+						}
+					}
+
+					require.Equal(t, complete, stream[:end])
+					require.Equal(t, tc.lastID, s.LastID())
+					require.Equal(t, complete != stream, s.InsideEvent())
+				})
+			}
+		}
+	}
+}
+
+// Guards against memory that grows with an endless id line.
+func TestScannerBoundsIDLines(t *testing.T) {
+	t.Parallel()
+
+	var s Scanner
+
+	s.Scan([]byte("id: " + strings.Repeat("1", 3*maxIDLine) + "\n\n"))
+	require.Less(t, len(s.LastID()), maxIDLine)
+	require.LessOrEqual(t, cap(s.idLine), 2*maxIDLine)
+	require.False(t, s.InsideEvent())
+}
+
+// Guards against the ID of an event that was not complete when its stream was broken off.
+func TestScannerInterrupt(t *testing.T) {
+	t.Parallel()
+
+	var s Scanner
+
+	s.Scan([]byte("id: 1\n\nid: 2\nda"))
+	s.Interrupt()
+	require.False(t, s.InsideEvent())
+
+	s.Scan([]byte("data: a\n\n"))
+	require.Equal(t, "1", s.LastID())
+}
