Count a stream that ends inside an event as broken at the agent

Callers saw a stream that its target had broken off inside an event end as complete: the incomplete event was written out, and the answer ended regularly.

Cause: the agent judged the end of an answer by its framing alone. A target may stop inside an event and still send the last chunk, or announce only the length of what it sends.

Change: the agent follows the events of a readable stream and ends one that stops inside an event with a Refusal, as each other broken answer. Media types are compared without regard to case and parameters. Compressed streams are not judged.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -30,9 +32,12 @@
 	// disconnected is set once the entry accepts no more frames.
 	disconnected bool
 	stream       bool
-	gotData      bool
-	digest       xxhash.Digest
-	length       uint64
+	// events follows the response if it is a stream of events that can be read. It is nil
+	// otherwise.
+	events  *eventstream.Scanner
+	gotData bool
+	digest  xxhash.Digest
+	length  uint64
 	// recorded collects the response of a non-idempotent request. It is nil if the response is
 	// not kept.
 	recorded *wire.Answer
@@ -129,15 +134,29 @@
 	}
 
 	if p.end {
-		x.complete()
+		x.end()
 	}
 
 	return p.end
 }
 
+// end ends a request whose response ended without an error.
+func (x *exchange) end() {
+	if x.events != nil && x.events.InsideEvent() {
+		x.fail(&verdict.Error{Cause: verdict.CauseBroken, Err: eris.New("stream ended inside an event")})
+		return
+	}
+
+	x.complete()
+}
+
 func (x *exchange) head(resp *http.Response) {
 	h := &wire.Head{AttemptID: x.call.attemptID, Status: int32(resp.StatusCode), Headers: responseHeaders(resp)}
-	x.stream = strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	x.stream = eventstream.IsStream(resp.Header.Get("Content-Type"))
+
+	if eventstream.IsReadable(resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding")) {
+		x.events = &eventstream.Scanner{}
+	}
 
 	if x.recorded != nil {
 		x.recorded.Status = h.Status
@@ -182,6 +201,10 @@
 		x.agent.admitter.firstToken(x.agent.Now(), x.call.attemptID)
 	}
 
+	if x.events != nil {
+		x.events.Scan(b)
+	}
+
 	_, _ = x.digest.Write(b)
 	x.length += uint64(len(b))
 	x.recordBody(b)
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -86,3 +86,24 @@
 	s.Scan([]byte("data: a\n\n"))
 	require.Equal(t, "1", s.LastID())
 }
+
+// Guards against a stream that is not recognized by its header, and against reading other
+// bytes as events.
+func TestIsReadable(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		contentType, contentEncoding string
+		stream, readable             bool
+	}{
+		{"text/event-stream", "", true, true},
+		{"Text/Event-Stream ; charset=utf-8", "Identity", true, true},
+		{"text/event-stream", "gzip", true, false},
+		{"text/event-streams", "", false, false},
+		{"", "", false, false},
+	}
+	for _, tc := range cases {
+		require.Equal(t, tc.stream, IsStream(tc.contentType), tc)
+		require.Equal(t, tc.readable, IsReadable(tc.contentType, tc.contentEncoding), tc)
+	}
+}
