Count a stream that ends inside an event as broken at the entry

Callers saw a stream that had been broken off inside an event end as complete, and a resend under a key got the same stream from the record.

Cause: when an answer had ended with its length and digest right, the entry wrote out the incomplete event that it held back. An agent of the previous build ends such a stream like a complete one.

Change: the entry follows the events of each readable stream itself. One that stops inside an event is a broken attempt: it is resumed if it may be, cut if not, and never recorded. At the end of a complete stream nothing is held back any more. Compressed streams are forwarded as they arrive.

--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -131,17 +131,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// flushPending writes the remaining bytes of an event stream that ended completely.
-func (p *reply) flushPending() {
-	if p.events == nil {
-		return
-	}
-
-	pending := p.events.pending
-	p.events = nil
-	_ = p.writeData(pending)
-}
-
 // resumable reports whether another target can continue the answer. This requires that
 // the events have IDs or that no event was sent to the caller. Otherwise the caller
 // would receive the beginning twice.
@@ -149,14 +138,21 @@
 	return p.events != nil && (p.bytesSent == 0 || p.events.lastID() != "")
 }
 
-func isEventStream(headers []*wire.Header) bool {
+// headerValue returns the value of the first header with the given name, or "".
+func headerValue(headers []*wire.Header, name string) string {
 	for _, h := range headers {
-		if strings.EqualFold(h.GetName(), "Content-Type") {
-			return strings.HasPrefix(h.GetValue(), "text/event-stream")
+		if strings.EqualFold(h.GetName(), name) {
+			return h.GetValue()
 		}
 	}
 
-	return false
+	return ""
+}
+
+// isEventStream reports whether an answer with these headers is a stream whose events can
+// be read.
+func isEventStream(headers []*wire.Header) bool {
+	return eventstream.IsReadable(headerValue(headers, "Content-Type"), headerValue(headers, "Content-Encoding"))
 }
 
 // eventBuffer holds back the incomplete last event of a stream, so that a broken stream
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -114,7 +114,6 @@
 	switch {
 	case a.Err == nil && !x.reply.callerGone:
 		counters.answered.Add(1)
-		x.reply.flushPending()
 	case x.reply.headSent:
 		counters.broken.Add(1)
 		x.entry.Logger.Warn("Answer to the caller was cut off.", "request", x.call.id, "tries", x.ex.Attempts(), "callerGone", x.reply.callerGone, "error", a.Err)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -6,7 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/parsleygate/parsleygate/internal/agentclient"
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/exchange"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -26,9 +29,14 @@
 	}
 
 	start := time.Now()
-	status := x.observeResponse(start, &receiver)
+	seen := x.observeResponse(start, &receiver)
+
 	res := x.entry.Agents.Send(ctx, x.choice.Address, x.wireRequest(resume), receiver)
-	x.recordOutcome(start, res, *status)
+	if res.Err == nil {
+		res.Err = seen.endError()
+	}
+
+	x.recordOutcome(start, res, seen.status)
 
 	x.ex.Resumable = x.reply.resumable()
 
@@ -89,32 +97,54 @@
 	return headers
 }
 
-// observeResponse makes receiver record the time to the first byte. It returns the
-// status, which is set when the response head arrives.
-func (x *exchangeRun) observeResponse(start time.Time, receiver *agentclient.Receiver) *int32 {
-	var (
-		status  int32
-		started bool
-	)
+// observedResponse is what the entry has seen of the response to one attempt.
+type observedResponse struct {
+	status  int32
+	started bool
+	// events follows the response if it is a stream of events that can be read. It is nil
+	// otherwise.
+	events *eventstream.Scanner
+}
+
+// endError returns the error of a response that is framed as complete but is not, or nil.
+// Agents of earlier builds frame a stream that ends inside an event as complete.
+func (o *observedResponse) endError() *verdict.Error {
+	if o.events == nil || !o.events.InsideEvent() {
+		return nil
+	}
+
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: eris.New("stream ended inside an event")}
+}
+
+// observeResponse makes receiver record the response and the time to its first byte.
+func (x *exchangeRun) observeResponse(start time.Time, receiver *agentclient.Receiver) *observedResponse {
+	seen := &observedResponse{}
 
 	head, data := receiver.Head, receiver.Data
 	receiver.Head = func(h *wire.Head) error {
-		status = h.GetStatus()
+		seen.status = h.GetStatus()
+		if isEventStream(h.GetHeaders()) {
+			seen.events = &eventstream.Scanner{}
+		}
 
 		return head(h)
 	}
 	receiver.Data = func(b []byte) error {
-		if !started {
-			started = true
+		if !seen.started {
+			seen.started = true
 			x.entry.Chooser.RecordFirstByte(routing.FirstByte{
 				AgentID: x.choice.AgentID, Incarnation: x.choice.Incarnation, Wait: time.Since(start),
 			})
 		}
 
+		if seen.events != nil {
+			seen.events.Scan(b)
+		}
+
 		return data(b)
 	}
 
-	return &status
+	return seen
 }
 
 // excludeTarget excludes the chosen target from further attempts of this request,
