Don't deliver recorded streams that end inside an event

A resend under a key got a stream as complete that an entry of an earlier build had recorded although it ended inside an event.

Cause: what is recorded for a key, or kept by an agent, was delivered without a look at its end.

Change: such an answer counts as lost. The caller is told that the request may have run, or ran, and that its answer is lost; nothing is sent again.

Result: TestRecordedIncompleteStreamIsNotDelivered failed before ("data: one, data: tw" as complete), and so did TestIncompleteStreamIsNotRecorded with an agent that keeps such a stream. Both pass now, with the other tests of internal/entry, with the race detector.

--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/exchange"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -239,10 +240,29 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer cancel()
 
-	return x.entry.Claim(ctx, &wire.ClaimRequest{
+	r, err := x.entry.Claim(ctx, &wire.ClaimRequest{
 		Workspace: x.call.workspace, Service: x.call.service.GetName(), Key: x.call.key,
 		BodyDigest: x.call.digest(), Holder: h, Replaces: replaces,
 	})
+	if err == nil && r.GetState() == wire.ClaimState_ClaimRecorded && endsInsideEvent(r.GetAnswer()) {
+		return &wire.ClaimResponse{State: wire.ClaimState_ClaimLost, WindowMillis: r.GetWindowMillis()}, nil
+	}
+
+	return r, err
+}
+
+// endsInsideEvent reports whether a is a stream that was broken off inside an event.
+// Entries of earlier builds recorded such streams as complete.
+func endsInsideEvent(a *wire.Answer) bool {
+	if !isEventStream(a.GetHeaders()) {
+		return false
+	}
+
+	var events eventstream.Scanner
+
+	events.Scan(a.GetBody())
+
+	return events.InsideEvent()
 }
 
 // releaseTarget frees the slot that Choose counted, when no request was sent.
@@ -270,6 +290,10 @@
 		return x.ex.QueryFailed(time.Now())
 	}
 
+	if endsInsideEvent(r.GetAnswer()) {
+		r.Answer = nil
+	}
+
 	return x.ex.AttemptQueried(time.Now(), r)
 }
 
--- a/internal/entry/incomplete_stream_test.go
+++ b/internal/entry/incomplete_stream_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"testing"
 
@@ -54,7 +55,7 @@
 	t.Parallel()
 
 	a := newFakeAgent(t, "agent-1", endInsideEvent)
-	a.askResponses = []*wire.AskResponse{attemptRanAnswerDropped}
+	a.askResponses = []*wire.AskResponse{{State: wire.AskState_AskRan, Answer: incompleteAnswer()}}
 	f := newFixture(t, nonIdempotentService, nil, a)
 
 	for range 2 {
@@ -65,3 +66,24 @@
 
 	require.Len(t, a.received(), 1)
 }
+
+// Guards against an incomplete stream that an entry of an earlier build has recorded.
+func TestRecordedIncompleteStreamIsNotDelivered(t *testing.T) {
+	t.Parallel()
+
+	recorded := func(context.Context, *wire.ClaimRequest) (*wire.ClaimResponse, error) {
+		return &wire.ClaimResponse{State: wire.ClaimState_ClaimRecorded, Answer: incompleteAnswer()}, nil
+	}
+	f := newFixture(t, nonIdempotentService, func(e *Entry) { e.Claim = recorded }, newFakeAgent(t, "agent-1", endInsideEvent))
+
+	got := f.postKeyedRequest("cask-17")
+	require.Equal(t, string(verdict.CauseKeyLost), got.cause, "got %q", got.body)
+	require.Equal(t, "MayHaveRun", got.verdict)
+}
+
+func incompleteAnswer() *wire.Answer {
+	return &wire.Answer{
+		Status: http.StatusOK, Body: []byte("data: one\n\ndata: tw"),
+		Headers: []*wire.Header{{Name: "Content-Type", Value: eventStream}},
+	}
+}
