Don't announce the length of one target's stream to the caller

Callers saw a stream of the announced length, and so a complete one, although its target had broken it off inside an event. A stream that another target was to resume was cut when it passed the length of the first.

Cause: the entry forwarded the Content-Length of a stream. The bytes of the incomplete event reached the caller before the entry knew that the stream ended in it; the cut came after the last announced byte.

Change: streams whose events can be read are forwarded without a length, except to HEAD. Their end is the last chunk, or the regular end of the connection of HTTP/1.0.

Result: TestBrokenStreamWithLengthIsNotComplete failed before, not resumable (no cut seen) and resumed (cut after two of four events), and passes now, with the other tests of internal/entry, with the race detector.

--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +27,7 @@
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // shortReadTimeout is how long the entry waits for an unresponsive agent in tests of
@@ -148,9 +150,26 @@
 }
 
 func (s *answerWriter) head(status int32, contentType string) {
+	s.headWith(status, &wire.Header{Name: "Content-Type", Value: contentType})
+}
+
+func (s *answerWriter) headWith(status int32, headers ...*wire.Header) {
 	s.frame(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{
-		AttemptID: s.request.GetAttemptID(), Status: status,
-		Headers: []*wire.Header{{Name: "Content-Type", Value: contentType}},
+		AttemptID: s.request.GetAttemptID(), Status: status, Headers: headers,
+	}}})
+}
+
+// headWithLength announces an answer of length bytes.
+func (s *answerWriter) headWithLength(contentType string, length int) {
+	s.headWith(http.StatusOK,
+		&wire.Header{Name: "Content-Type", Value: contentType},
+		&wire.Header{Name: "Content-Length", Value: strconv.Itoa(length)})
+}
+
+// refuse ends an answer as broken.
+func (s *answerWriter) refuse() {
+	s.frame(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{
+		AttemptID: s.request.GetAttemptID(), Verdict: wire.Verdict_MayHaveRun, Cause: string(verdict.CauseBroken),
 	}}})
 }
 
--- a/internal/entry/incomplete_stream_test.go
+++ b/internal/entry/incomplete_stream_test.go
@@ -87,3 +87,32 @@
 		Headers: []*wire.Header{{Name: "Content-Type", Value: eventStream}},
 	}
 }
+
+// Guards against a stream whose caller has received the announced length although the stream
+// was broken off inside an event, or goes on at another target.
+func TestBrokenStreamWithLengthIsNotComplete(t *testing.T) {
+	t.Parallel()
+
+	broken := streamEvents(1, 2) + "id: 3\ndata: wo"
+	breakOff := func(_ *fakeAgent, s *answerWriter) {
+		s.headWithLength(eventStream, len(broken))
+		s.data(broken)
+		s.refuse()
+	}
+
+	t.Run("not resumable", func(t *testing.T) {
+		t.Parallel()
+
+		a := newFakeAgent(t, "agent-1", breakOff)
+		f := newFixture(t, nonIdempotentService, nil, a)
+		require.True(t, f.post(nonIdempotentService+"/v1/bookings", "{}").cutOff)
+		require.True(t, f.postHTTP10(nonIdempotentService+"/v1/bookings", "{}").cutOff)
+	})
+	t.Run("resumed", func(t *testing.T) {
+		t.Parallel()
+
+		a := newFakeAgent(t, "agent-1", breakOff, continueStream)
+		f := newFixture(t, streamService, nil, a, a.sibling(t, "agent-2"))
+		require.Equal(t, callerResult{status: 200, verdict: "Ran", body: streamEvents(1, 4)}, f.postStreamRequest())
+	})
+}
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -73,6 +73,13 @@
 
 	p.w.Header().Set(HeaderRequestID, id)
 	p.w.Header().Set(HeaderVerdict, verdict.Ran.String())
+
+	if isEventStream(headers) && p.r.Method != http.MethodHead {
+		// The length is that of one target's stream, which may end inside an event, or be
+		// continued by another target. The caller must not take it for the end.
+		p.w.Header().Del("Content-Length")
+	}
+
 	p.headSent = true
 	p.w.WriteHeader(int(status))
 
