Write the last piece of an answer when its end has been checked

Callers saw an answer with a length as complete that had been altered between agent and entry, or that had failed after its last byte.

Cause: the entry forwarded each piece at once, and compared length and digest at the end. The caller of an answer with a Content-Length has the whole answer by then; closing its connection changes nothing.

Change: the piece that reaches the announced length is held back until the closing frame has been checked. Data beyond the announced length breaks the answer. Answers without a length are cut before the last chunk and are unchanged.

--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,10 +29,14 @@
 	callerGone bool
 	// events is set for an event stream that another target may resume.
 	events *eventBuffer
+	// length is the length that was announced to the caller, or -1. lastPiece is the piece
+	// that reaches it. It is held back until the answer is known to be complete.
+	length    int64
+	lastPiece []byte
 }
 
 func newReply(w http.ResponseWriter, r *http.Request, writeTimeout time.Duration) *reply {
-	return &reply{w: w, r: r, ctrl: http.NewResponseController(w), writeTimeout: writeTimeout}
+	return &reply{w: w, r: r, ctrl: http.NewResponseController(w), writeTimeout: writeTimeout, length: -1}
 }
 
 // receiver returns a receiver that relays an answer to the caller as it arrives.
@@ -80,6 +85,10 @@
 		p.w.Header().Del("Content-Length")
 	}
 
+	if length, err := strconv.ParseInt(p.w.Header().Get("Content-Length"), 10, 64); err == nil {
+		p.length = length
+	}
+
 	p.headSent = true
 	p.w.WriteHeader(int(status))
 
@@ -95,6 +104,28 @@
 		return nil
 	}
 
+	if p.length >= 0 {
+		switch rest := p.length - int64(p.bytesSent) - int64(len(p.lastPiece)) - int64(len(b)); {
+		case rest < 0:
+			return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: eris.New("answer is longer than announced")}
+		case rest == 0:
+			p.lastPiece = b
+
+			return nil
+		}
+	}
+
+	return p.write(b)
+}
+
+// finish writes what was held back of an answer that is complete.
+func (p *reply) finish() {
+	if len(p.lastPiece) > 0 {
+		_ = p.write(p.lastPiece)
+	}
+}
+
+func (p *reply) write(b []byte) error {
 	_ = p.ctrl.SetWriteDeadline(time.Now().Add(p.writeTimeout))
 
 	if _, err := p.w.Write(b); err != nil {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -111,6 +111,10 @@
 func (x *exchangeRun) respond(a exchange.Action) {
 	counters := &x.entry.counters
 
+	if a.Err == nil {
+		x.reply.finish()
+	}
+
 	switch {
 	case a.Err == nil && !x.reply.callerGone:
 		counters.answered.Add(1)
