--- a/internal/agent/stream_fault_test.go
+++ b/internal/agent/stream_fault_test.go
@@ -1,9 +1,14 @@
 package agent
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
+	"net/netip"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -55,6 +60,136 @@
 	}
 }
 
+// reset closes c with a TCP reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// unframedResponse writes a response with neither a length nor chunks and ends its connection.
+func unframedResponse(proto, contentType, body string) func(c net.Conn, id string) {
+	return func(c net.Conn, id string) {
+		fmt.Fprintf(c, "%s 200 OK\r\n%s: %s\r\nContent-Type: %s\r\n\r\n%s", proto, HeaderRequestID, id, contentType, body)
+		c.Close()
+	}
+}
+
+// Guards against refusing responses that regularly end with their connection, and against
+// taking a lost stream for one of them.
+func TestResponsesThatEndWithTheirConnection(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		name, contentType, body string
+		// after is the Last-Event-ID of the request.
+		after    string
+		complete bool
+	}{
+		{"plain body", "text/plain", "whole", "", true},
+		{"empty plain body", "text/plain", "", "", true},
+		{"stream", "text/event-stream", "id: 1\n\n", "", true},
+		{"stream inside an event", "text/event-stream", "id: 1\n\nid: 2\n", "", false},
+		{"stream without an event", "text/event-stream", "", "", false},
+		{"stream with a comment only", "text/event-stream", ": comment\n\n", "", false},
+		{"resumed stream", "text/event-stream", "id: 3\n\n", "2", true},
+		{"resumed stream without an event", "text/event-stream", "", "2", false},
+		{"resumed stream without a new event", "text/event-stream", "id: 2\n\n", "2", false},
+	}
+
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, tc := range cases {
+			t.Run(proto+" "+tc.name, func(t *testing.T) {
+				t.Parallel()
+
+				r := newFixture(t, newRawTarget(t, unframedResponse(proto, tc.contentType, tc.body)).addr(), nil)
+
+				for _, req := range []*wire.Request{r.request("/draft", "x"), r.request("/draft", ""), r.nonIdempotentRequest("/book", "x")} {
+					if tc.after != "" {
+						req.Headers = []*wire.Header{{Name: "Last-Event-Id", Value: tc.after}}
+					}
+
+					a := r.do(req)
+					if tc.complete {
+						a.requireComplete(t, tc.body)
+					} else {
+						a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+						require.Nil(t, r.queryAttempt(req, false).GetAnswer())
+					}
+				}
+			})
+		}
+	}
+
+	t.Run("HEAD", func(t *testing.T) {
+		t.Parallel()
+
+		r := newFixture(t, newRawTarget(t, unframedResponse("HTTP/1.1", "text/event-stream", "")).addr(), nil)
+		req := r.request("/draft", "")
+		req.Method = http.MethodHead
+		a := r.do(req)
+		a.requireComplete(t, "")
+	})
+}
+
+// Guards against a reset that http.Transport masks, because it hits the write of a request that
+// the target has not read to its end.
+func TestResponseBeforeRequestWasWrittenIsBroken(t *testing.T) {
+	t.Parallel()
+
+	ends := map[string]func(c net.Conn){
+		"end":   func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() },
+		"reset": func(c net.Conn) { _ = c.Close() }, // with unread data, this is a reset
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+
+			stop := make(chan struct{})
+
+			var wg sync.WaitGroup
+
+			wg.Go(func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+
+					wg.Go(func() {
+						defer c.Close()
+
+						hr, err := http.ReadRequest(bufio.NewReader(c))
+						if err != nil {
+							return
+						}
+
+						fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nhalf", HeaderRequestID, hr.Header.Get(HeaderRequestID))
+						end(c)
+						<-stop
+					})
+				}
+			})
+			t.Cleanup(func() {
+				close(stop)
+				_ = ln.Close()
+				wg.Wait()
+			})
+
+			// More than the socket buffers hold.
+			body := strings.Repeat("0123456789abcdef", 1<<19)
+			r := newFixture(t, netip.MustParseAddrPort(ln.Addr().String()), nil)
+
+			for range 4 {
+				a := r.do(r.request("/draft", body))
+				a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+			}
+		})
+	}
+}
+
 // Guards against reading a compressed stream as text, and against judging other answers by
 // the rules of event streams.
 func TestOtherBodiesAreNotReadAsEvents(t *testing.T) {
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -2,7 +2,10 @@
 // (text/event-stream), which arrives in pieces of any size.
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // maxIDLine bounds the bytes of an id line that are kept. The rest of a longer line is
 // ignored.
@@ -11,6 +14,9 @@
 // Scanner follows a stream of events. Its zero value is at the start of a stream. Lines
 // end with LF, CR LF or CR.
 type Scanner struct {
+	// After is the ID after which the stream resumes, or "" if it starts at its beginning.
+	After string
+
 	// afterCR is set if the last byte was a CR, so that an LF belongs to the same line end.
 	afterCR bool
 	// lineBegun is set inside a line, and eventBegun after a line of the current event.
@@ -22,6 +28,11 @@
 	// id is the ID of the current event, and lastID that of the last complete one.
 	id     string
 	lastID string
+	// hasField and hasID are set if the current event has a line that is no comment, and an
+	// ID of its own.
+	hasField bool
+	hasID    bool
+	sawNew   bool
 }
 
 // Scan follows b, the next piece of the stream. It returns the length of the part of b
@@ -68,6 +79,11 @@
 func (s *Scanner) endLine() {
 	if id, ok := bytes.CutPrefix(s.idLine, idField); ok && !s.notID {
 		s.id = string(bytes.TrimSpace(id))
+		s.hasID = true
+	}
+
+	if s.idLine[0] != ':' {
+		s.hasField = true
 	}
 
 	s.eventBegun = true
@@ -77,10 +93,30 @@
 }
 
 func (s *Scanner) endEvent() {
-	s.eventBegun = false
+	if s.hasField && (!s.hasID || !s.isRepeated(s.id)) {
+		s.sawNew = true
+	}
+
+	s.eventBegun, s.hasField, s.hasID = false, false, false
 	s.lastID = s.id
 }
 
+// isRepeated reports whether the stream was resumed after the event with this ID, or after a
+// later one.
+func (s *Scanner) isRepeated(id string) bool {
+	if s.After == "" || id == s.After {
+		return s.After != ""
+	}
+
+	n, err := strconv.ParseUint(id, 10, 64)
+	after, afterErr := strconv.ParseUint(s.After, 10, 64)
+
+	return err == nil && afterErr == nil && n <= after
+}
+
+// SawNew reports whether there has been a complete event after After. Comments are no events.
+func (s *Scanner) SawNew() bool { return s.sawNew }
+
 // InsideEvent reports whether the stream so far ends inside an event. A stream that ends
 // there has been broken off, however it is framed.
 func (s *Scanner) InsideEvent() bool { return s.lineBegun || s.eventBegun }
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -107,3 +107,31 @@
 		require.Equal(t, tc.readable, IsReadable(tc.contentType, tc.contentEncoding), tc)
 	}
 }
+
+// Guards against a resumed stream that counts as continued although its caller has all of it.
+func TestScannerSeesNewEvents(t *testing.T) {
+	t.Parallel()
+
+	cases := []struct {
+		after, stream string
+		want          bool
+	}{
+		{"", "", false},
+		{"", ": comment\n\n\n", false},
+		{"", "data: a\n", false},
+		{"", "data: a\n\n", true},
+		{"", "id: 1\ndata: a\n\n", true},
+		{"2", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false},
+		{"2", "id: 2\n\n: id: 3\n\n", false},
+		{"2", "id: 2\n\nid: 3\n\n", true},
+		{"9", "id: 10\n\n", true},
+		{"2", "id: 2\n\ndata: without an ID\n\n", true},
+		{"b", "id: b\n\n", false},
+		{"b", "id: c\n\n", true},
+	}
+	for _, tc := range cases {
+		s := Scanner{After: tc.after}
+		s.Scan([]byte(tc.stream))
+		require.Equal(t, tc.want, s.SawNew(), "%+v", tc)
+	}
+}
