Test that broken answers are cut for each kind of caller

Ten ways in which the answer of an agent breaks (unresponsive, deadline, connection broken or ended, refused, crossed, second head, other digest, malformed frame), each as stream and as plain body, to callers of HTTP/1.1 on a fresh and on a kept connection and of HTTP/1.0. Two cases of resumption are added: a target that ends without a new event, as its agent reports.

--- a/internal/entry/answer_fault_test.go
+++ b/internal/entry/answer_fault_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // Guards against an answer that is altered or fails after its last byte, and whose caller has
@@ -74,3 +75,52 @@
 		require.Equal(t, want, f.postHTTP10(streamService+"/v1/drafts", "{}"))
 	}
 }
+
+// Guards against a broken answer that reaches its caller framed as complete: each way in which
+// an answer breaks, as stream and plain body, to each kind of caller.
+func TestBrokenAnswersAreCut(t *testing.T) {
+	t.Parallel()
+
+	ends := []struct {
+		name   string
+		change func(*Entry)
+		end    behaviour
+	}{
+		{"unresponsive agent", withShortReadTimeout, func(_ *fakeAgent, s *answerWriter) { s.stall() }},
+		{"deadline", nil, func(_ *fakeAgent, s *answerWriter) { s.stall() }},
+		{"broken connection", nil, func(_ *fakeAgent, s *answerWriter) { s.breakConnection() }},
+		{"no end", nil, func(*fakeAgent, *answerWriter) {}},
+		{"refused as may have run", nil, func(_ *fakeAgent, s *answerWriter) { s.refuse() }},
+		{"refused as not run", nil, refuseWith(verdict.NotRun, verdict.CauseOverload)},
+		{"another answer", nil, func(_ *fakeAgent, s *answerWriter) { s.headOfAttempt("other") }},
+		{"second head", nil, func(_ *fakeAgent, s *answerWriter) {
+			s.head(http.StatusOK, "text/plain")
+			s.end()
+		}},
+		{"digest of other data", nil, func(_ *fakeAgent, s *answerWriter) {
+			_, _ = s.digest.WriteString("other")
+			s.end()
+		}},
+		{"malformed frame", nil, func(_ *fakeAgent, s *answerWriter) { _, _ = s.w.Write([]byte("\xff\xff\xff\xff\xff")) }},
+	}
+	for _, tc := range ends {
+		for _, contentType := range []string{eventStream, "application/json"} {
+			t.Run(tc.name+", "+contentType, func(t *testing.T) {
+				t.Parallel()
+
+				a := newFakeAgent(t, "agent-1", func(a *fakeAgent, s *answerWriter) {
+					s.head(http.StatusOK, contentType)
+					s.data("id: 1\ndata: a\n\n")
+					tc.end(a, s)
+				})
+				f := newFixture(t, nonIdempotentService, tc.change, a)
+				path := nonIdempotentService + "/v1/bookings"
+				headers := []string{HeaderTimeout, "1500"}
+
+				require.True(t, f.post(path, "{}", headers...).cutOff)
+				require.True(t, f.postHTTP10(path, "{}", headers...).cutOff)
+				require.True(t, f.postKept(path, "{}", headers...).cutOff)
+			})
+		}
+	}
+}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -159,6 +159,11 @@
 	}}})
 }
 
+// headOfAttempt writes the head of the answer to another attempt.
+func (s *answerWriter) headOfAttempt(id string) {
+	s.frame(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{AttemptID: id, Status: http.StatusOK}}})
+}
+
 // headWithLength announces an answer of length bytes.
 func (s *answerWriter) headWithLength(contentType string, length int) {
 	s.headWith(http.StatusOK,
@@ -287,6 +292,25 @@
 func (f *fixture) post(path, body string, headers ...string) callerResult {
 	f.t.Helper()
 
+	return f.postWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, path, body, headers...)
+}
+
+// postKept sends a request on a connection that has already carried another one.
+func (f *fixture) postKept(path, body string, headers ...string) callerResult {
+	f.t.Helper()
+
+	transport := &http.Transport{MaxConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+
+	client := &http.Client{Transport: transport}
+	require.Equal(f.t, http.StatusNotFound, f.postWith(client, "unknown/v1/drafts", "{}").status)
+
+	return f.postWith(client, path, body, headers...)
+}
+
+func (f *fixture) postWith(client *http.Client, path, body string, headers ...string) callerResult {
+	f.t.Helper()
+
 	q, err := http.NewRequest(http.MethodPost, f.base+"/"+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 
@@ -294,7 +318,7 @@
 		q.Header.Set(headers[i], headers[i+1])
 	}
 
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	resp, err := client.Do(q)
 	require.NoError(f.t, err)
 
 	defer resp.Body.Close()
--- a/internal/entry/stream_fault_test.go
+++ b/internal/entry/stream_fault_test.go
@@ -103,6 +103,29 @@
 				s.end()
 			}},
 		},
+		{
+			name: "next target ends without a new event, as its agent reports", want: complete,
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.refuse()
+			}, continueStream},
+		},
+		{
+			name: "no target continues",
+			want: callerResult{status: 200, verdict: "Ran", body: streamEvents(1, 2), cutOff: true},
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.refuse()
+			}},
+		},
 		{
 			name: "not an event stream, cannot be resumed",
 			want: callerResult{status: 200, verdict: "Ran", body: "half", cutOff: true},
