Drop events that a resuming target repeats

Callers got events twice when the target that resumed a stream began before the event after which it was to go on, or ignored Last-Event-Id.

Cause: the entry forwarded each complete event of the resuming target. internal/relay drops repeated ones.

Change: the entry drops events whose ID is that of the last event the caller has, or a lower number, and resumes a further time after the last event that the caller has, whatever was repeated.

Result: the cases "next target repeats events" of TestStreamUnderConnectionFaults failed before (events 1 and 2 twice), with LF, and with CR LF in pieces of one byte; they pass now, as does "next target repeats an event and breaks". TestBrokenAnswersAreCut also plays callers of HTTP/2, each kind of caller at an entry of its own, as an entry avoids an agent that was unresponsive. Tests of entry, agent and eventstream pass with the race detector.

--- a/internal/entry/answer_fault_test.go
+++ b/internal/entry/answer_fault_test.go
@@ -113,13 +113,15 @@
 					s.data("id: 1\ndata: a\n\n")
 					tc.end(a, s)
 				})
-				f := newFixture(t, nonIdempotentService, tc.change, a)
-				path := nonIdempotentService + "/v1/bookings"
-				headers := []string{HeaderTimeout, "1500"}
 
-				require.True(t, f.post(path, "{}", headers...).cutOff)
-				require.True(t, f.postHTTP10(path, "{}", headers...).cutOff)
-				require.True(t, f.postKept(path, "{}", headers...).cutOff)
+				posts := []func(f *fixture, path, body string, headers ...string) callerResult{
+					(*fixture).post, (*fixture).postKept, (*fixture).postHTTP10, (*fixture).postHTTP2,
+				}
+				for _, post := range posts {
+					f := newFixture(t, nonIdempotentService, tc.change, a)
+					got := post(f, nonIdempotentService+"/v1/bookings", "{}", HeaderTimeout, "1500")
+					require.True(t, got.cutOff, "%+v", got)
+				}
 			})
 		}
 	}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -308,6 +308,18 @@
 	return f.postWith(client, path, body, headers...)
 }
 
+// postHTTP2 sends a request by HTTP/2 without TLS.
+func (f *fixture) postHTTP2(path, body string, headers ...string) callerResult {
+	f.t.Helper()
+
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+
+	defer transport.CloseIdleConnections()
+
+	return f.postWith(&http.Client{Transport: transport}, path, body, headers...)
+}
+
 func (f *fixture) postWith(client *http.Client, path, body string, headers ...string) callerResult {
 	f.t.Helper()
 
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -200,17 +199,26 @@
 	scanner eventstream.Scanner
 }
 
-// add appends b to the buffer, and removes and returns the complete events.
+// add appends b to the buffer, and removes and returns the complete events. It drops those
+// that the caller already has: a target that resumes a stream may repeat them.
 func (v *eventBuffer) add(b []byte) []byte {
-	end := v.scanner.Scan(b)
-	if end == 0 {
-		v.pending = append(v.pending, b...)
+	var out []byte
 
-		return nil
-	}
+	for len(b) > 0 {
+		n, ended := v.scanner.ScanEvent(b)
+		v.pending = append(v.pending, b[:n]...)
+		b = b[n:]
+
+		if !ended {
+			break
+		}
 
-	out := slices.Concat(v.pending, b[:end])
-	v.pending = append(v.pending[:0], b[end:]...)
+		if !v.scanner.Repeated() {
+			out = append(out, v.pending...)
+		}
+
+		v.pending = v.pending[:0]
+	}
 
 	return out
 }
--- a/internal/entry/stream_fault_test.go
+++ b/internal/entry/stream_fault_test.go
@@ -114,6 +114,43 @@
 				s.refuse()
 			}, continueStream},
 		},
+		{
+			name: "next target repeats events", want: complete,
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, answerStream},
+		},
+		{
+			name: "next target repeats events, with other line ends and in pieces",
+			want: callerResult{status: 200, verdict: "Ran", body: streamEvents(1, 2) + strings.ReplaceAll(streamEvents(3, 4), "\n", "\r\n")},
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+
+				for _, b := range strings.ReplaceAll(streamEvents(1, 4), "\n", "\r\n") {
+					s.data(string(b))
+				}
+
+				s.end()
+			}},
+		},
+		{
+			name: "next target repeats an event and breaks", want: complete,
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 1))
+				s.breakConnection()
+			}, continueStream},
+		},
 		{
 			name: "no target continues",
 			want: callerResult{status: 200, verdict: "Ran", body: streamEvents(1, 2), cutOff: true},
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -33,6 +33,8 @@
 	hasField bool
 	hasID    bool
 	sawNew   bool
+	// repeated is set if the last complete event had an ID up to After.
+	repeated bool
 }
 
 // Scan follows b, the next piece of the stream. It returns the length of the part of b
@@ -40,6 +42,22 @@
 func (s *Scanner) Scan(b []byte) int {
 	end := 0
 
+	for from := 0; from < len(b); {
+		n, ended := s.ScanEvent(b[from:])
+		from += n
+
+		if ended {
+			end = from
+		}
+	}
+
+	return end
+}
+
+// ScanEvent follows b up to the end of its first event. It returns how many bytes it has
+// followed, and whether they end an event. The LF of a CR LF that ends an event may come
+// separately, as an end of the same event.
+func (s *Scanner) ScanEvent(b []byte) (n int, ended bool) {
 	for i, c := range b {
 		isRest := c == '\n' && s.afterCR
 		s.afterCR = c == '\r'
@@ -47,7 +65,7 @@
 		switch {
 		case isRest:
 			if !s.InsideEvent() {
-				end = i + 1
+				return i + 1, true
 			}
 		case c != '\n' && c != '\r':
 			s.addToLine(c)
@@ -56,11 +74,11 @@
 		default:
 			s.endEvent()
 
-			end = i + 1
+			return i + 1, true
 		}
 	}
 
-	return end
+	return len(b), false
 }
 
 func (s *Scanner) addToLine(c byte) {
@@ -93,8 +111,13 @@
 }
 
 func (s *Scanner) endEvent() {
-	if s.hasField && (!s.hasID || !s.isRepeated(s.id)) {
-		s.sawNew = true
+	if s.eventBegun {
+		s.repeated = s.hasID && s.isRepeated(s.id)
+		s.sawNew = s.sawNew || s.hasField && !s.repeated
+	}
+
+	if s.repeated {
+		s.id = s.lastID
 	}
 
 	s.eventBegun, s.hasField, s.hasID = false, false, false
@@ -121,8 +144,12 @@
 // there has been broken off, however it is framed.
 func (s *Scanner) InsideEvent() bool { return s.lineBegun || s.eventBegun }
 
-// LastID returns the ID of the last complete event that had one, or "".
+// LastID returns the ID of the last complete event that had one and is not repeated, or "".
 func (s *Scanner) LastID() string { return s.lastID }
 
-// Interrupt drops the incomplete event at the end of a stream that another one continues.
-func (s *Scanner) Interrupt() { *s = Scanner{id: s.lastID, lastID: s.lastID} }
+// Repeated reports whether the last complete event is one up to After.
+func (s *Scanner) Repeated() bool { return s.repeated }
+
+// Interrupt drops the incomplete event at the end of a stream that another one resumes
+// after LastID.
+func (s *Scanner) Interrupt() { *s = Scanner{After: s.lastID, id: s.lastID, lastID: s.lastID} }
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -135,3 +135,26 @@
 		require.Equal(t, tc.want, s.SawNew(), "%+v", tc)
 	}
 }
+
+// Guards against resuming after an earlier event than the caller has, because the last target
+// repeated some.
+func TestScannerKeepsLastIDOfRepeatedEvents(t *testing.T) {
+	t.Parallel()
+
+	var s Scanner
+
+	s.Scan([]byte("id: 7\n\nid: 8\nda"))
+	s.Interrupt()
+
+	s.Scan([]byte("id: 6\n\n"))
+	require.True(t, s.Repeated())
+	require.Equal(t, "7", s.LastID())
+
+	s.Scan([]byte("data: without an ID\n\n"))
+	require.False(t, s.Repeated())
+	require.Equal(t, "7", s.LastID())
+
+	s.Scan([]byte("id: 8\n\n"))
+	require.False(t, s.Repeated())
+	require.Equal(t, "8", s.LastID())
+}
