Keep the credits of stream tests valid on a busy machine

TestResponseBeforeRequestWasWrittenIsBroken failed in two of two runs and in one of six at a load of about 58 on twelve cores: the credit of 2 s expired while the request of 8 MiB was prepared, and the refusal was CreditExpired instead of AnswerBroken. The tests of streams now have credits of a minute; their checks are unchanged. A test of compressed streams at the entry is added.

--- a/internal/agent/stream_fault_test.go
+++ b/internal/agent/stream_fault_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,7 +43,7 @@
 				t.Parallel()
 
 				target := newRawTarget(t, func(c net.Conn, id string) { streamResponse(c, id, framing, stream) })
-				r := newFixture(t, target.addr(), nil)
+				r := newFixture(t, target.addr(), withLongCredits)
 
 				for _, req := range []*wire.Request{r.request("/draft", "x"), r.nonIdempotentRequest("/book", "x")} {
 					a := r.do(req)
@@ -60,6 +61,9 @@
 	}
 }
 
+// withLongCredits keeps a busy machine from letting credits expire before they are used.
+func withLongCredits(a *Agent) { a.Settings.Admission.CreditLifetime = time.Minute }
+
 // reset closes c with a TCP reset.
 func reset(c net.Conn) {
 	_ = c.(*net.TCPConn).SetLinger(0)
@@ -101,7 +105,7 @@
 			t.Run(proto+" "+tc.name, func(t *testing.T) {
 				t.Parallel()
 
-				r := newFixture(t, newRawTarget(t, unframedResponse(proto, tc.contentType, tc.body)).addr(), nil)
+				r := newFixture(t, newRawTarget(t, unframedResponse(proto, tc.contentType, tc.body)).addr(), withLongCredits)
 
 				for _, req := range []*wire.Request{r.request("/draft", "x"), r.request("/draft", ""), r.nonIdempotentRequest("/book", "x")} {
 					if tc.after != "" {
@@ -123,7 +127,7 @@
 	t.Run("HEAD", func(t *testing.T) {
 		t.Parallel()
 
-		r := newFixture(t, newRawTarget(t, unframedResponse("HTTP/1.1", "text/event-stream", "")).addr(), nil)
+		r := newFixture(t, newRawTarget(t, unframedResponse("HTTP/1.1", "text/event-stream", "")).addr(), withLongCredits)
 		req := r.request("/draft", "")
 		req.Method = http.MethodHead
 		a := r.do(req)
@@ -180,7 +184,7 @@
 
 			// More than the socket buffers hold.
 			body := strings.Repeat("0123456789abcdef", 1<<19)
-			r := newFixture(t, netip.MustParseAddrPort(ln.Addr().String()), nil)
+			r := newFixture(t, netip.MustParseAddrPort(ln.Addr().String()), withLongCredits)
 
 			for range 4 {
 				a := r.do(r.request("/draft", body))
@@ -202,7 +206,7 @@
 			target := newRawTarget(t, func(c net.Conn, id string) {
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: 4\r\n\r\nbody", HeaderRequestID, id, header)
 			})
-			a := newFixture(t, target.addr(), nil)
+			a := newFixture(t, target.addr(), withLongCredits)
 			resp := a.do(a.request("/draft", "x"))
 			resp.requireComplete(t, "body")
 		})
--- a/internal/entry/answer_fault_test.go
+++ b/internal/entry/answer_fault_test.go
@@ -126,3 +126,18 @@
 		}
 	}
 }
+
+// Guards against holding back or cutting a compressed stream, in which no events can be found.
+func TestCompressedStreamIsForwarded(t *testing.T) {
+	t.Parallel()
+
+	a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *answerWriter) {
+		s.headWith(http.StatusOK,
+			&wire.Header{Name: "Content-Type", Value: eventStream},
+			&wire.Header{Name: "Content-Encoding", Value: "br"})
+		s.data("bytes without lines")
+		s.end()
+	})
+	f := newFixture(t, streamService, nil, a)
+	require.Equal(t, callerResult{status: 200, verdict: "Ran", body: "bytes without lines"}, f.postStreamRequest())
+}
