Refuse answers of HTTP/1.0 with a transfer encoding

Since answers that end with their connection are accepted, callers could get a truncated chunked body of HTTP/1.0, chunk sizes included, as a complete answer.

Cause: HTTP/1.0 has no transfer encodings, so http.Transport removes the header and reads the body up to the end of the connection. RFC 9112 (6.1) has such a message treated as one whose framing is faulty.

Change: the agent searches the head of each response of HTTP/1.0 for the header and takes the answer as broken. Responses of HTTP/1.1 cost a comparison of their first bytes.

Result: the case "truncated chunked body of HTTP/1.0" of TestFaultyTargetResponses failed before (complete) and passes now, with the other tests of internal/agent, with the race detector.

--- a/internal/agent/request_conn.go
+++ b/internal/agent/request_conn.go
@@ -9,7 +9,8 @@
 // requestConn is a connection to the target that counts the bytes of the current request's
 // body that have been written. http.Transport doesn't tell: when a write fails because the
 // target has reset the connection, the reset is reported to the writer only, and the response
-// seems to end regularly.
+// seems to end regularly. It also reads the head of a response of HTTP/1.0, from which
+// http.Transport removes a Transfer-Encoding.
 type requestConn struct {
 	net.Conn
 
@@ -20,8 +21,18 @@
 	headDone  bool
 	bodyBytes int
 	failed    bool
+
+	// readMu guards the rest. It is separate, because a write may wait until the response has
+	// been read.
+	readMu           sync.Mutex
+	responseHead     []byte
+	responseHeadDone bool
+	statesEncoding   bool
 }
 
+// maxResponseHead bounds the head of a response of HTTP/1.0 that is searched, in bytes.
+const maxResponseHead = 64 << 10
+
 var endOfHead = []byte("\r\n\r\n")
 
 // beginRequest must be called before each request on the connection.
@@ -30,6 +41,53 @@
 	defer c.mu.Unlock()
 
 	c.head, c.headDone, c.bodyBytes, c.failed = nil, false, 0, false
+
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+
+	c.responseHead, c.responseHeadDone, c.statesEncoding = nil, false, false
+}
+
+// Read implements net.Conn.
+func (c *requestConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+
+	if !c.responseHeadDone {
+		c.searchHead(b[:n])
+	}
+
+	return n, err //nolint:wrapcheck // http.Transport checks the errors of its connections
+}
+
+// searchHead searches the head of a response of HTTP/1.0, of which b is the next piece.
+func (c *requestConn) searchHead(b []byte) {
+	const version = "HTTP/1.0"
+
+	c.responseHead = append(c.responseHead, b...)
+	n := min(len(c.responseHead), len(version))
+
+	if string(c.responseHead[:n]) != version[:n] || len(c.responseHead) > maxResponseHead {
+		c.responseHead, c.responseHeadDone = nil, true
+
+		return
+	}
+
+	if end := bytes.Index(c.responseHead, endOfHead); end >= 0 {
+		c.statesEncoding = bytes.Contains(bytes.ToLower(c.responseHead[:end]), []byte("\ntransfer-encoding:"))
+		c.responseHead, c.responseHeadDone = nil, true
+	}
+}
+
+// statesTransferEncoding reports whether the response is one of HTTP/1.0 with a
+// Transfer-Encoding, which that version doesn't have. Its framing is faulty (RFC 9112, 6.1).
+func (c *requestConn) statesTransferEncoding() bool {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+
+	return c.statesEncoding
 }
 
 // Write implements net.Conn.
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -157,6 +157,10 @@
 		return &verdict.Error{Cause: verdict.CauseCrossed, Err: eris.Errorf("answer echoes ID %q", echo)}
 	}
 
+	if conn := c.conn.Load(); conn != nil && conn.statesTransferEncoding() {
+		return &verdict.Error{Cause: verdict.CauseBroken, Err: eris.New("answer of HTTP/1.0 has a transfer encoding")}
+	}
+
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return &verdict.Error{Cause: verdict.CauseBroken, Err: eris.New("target switched protocols")}
 	}
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -52,6 +52,10 @@
 			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\n%s: %s\r\n\r\nhalf", HeaderRequestID, id)
 			reset(c)
 		}, "AnswerBroken"},
+		{"truncated chunked body of HTTP/1.0", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n%s: %s\r\n\r\n4\r\nhalf\r\n", HeaderRequestID, id)
+			c.Close()
+		}, "AnswerBroken"},
 		{"closed without a response", func(c net.Conn, _ string) { c.Close() }, "AnswerBroken"},
 		{"not HTTP", func(c net.Conn, _ string) {
 			fmt.Fprint(c, "garbage\r\n\r\n")
