--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -44,8 +44,16 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", HeaderRequestID, id)
 			c.Close()
 		}, "AnswerBroken"},
-		{"response without a length", func(c net.Conn, id string) {
+		{"response without a length, reset", func(c net.Conn, id string) {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\n\r\nhalf", HeaderRequestID, id)
+			reset(c)
+		}, "AnswerBroken"},
+		{"response of HTTP/1.0 without a length, reset", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\n%s: %s\r\n\r\nhalf", HeaderRequestID, id)
+			reset(c)
+		}, "AnswerBroken"},
+		{"truncated chunked body of HTTP/1.0", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n%s: %s\r\n\r\n4\r\nhalf\r\n", HeaderRequestID, id)
 			c.Close()
 		}, "AnswerBroken"},
 		{"closed without a response", func(c net.Conn, _ string) { c.Close() }, "AnswerBroken"},
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +27,7 @@
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
+	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
 // shortReadTimeout is how long the entry waits for an unresponsive agent in tests of
@@ -148,9 +150,31 @@
 }
 
 func (s *answerWriter) head(status int32, contentType string) {
+	s.headWith(status, &wire.Header{Name: "Content-Type", Value: contentType})
+}
+
+func (s *answerWriter) headWith(status int32, headers ...*wire.Header) {
 	s.frame(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{
-		AttemptID: s.request.GetAttemptID(), Status: status,
-		Headers: []*wire.Header{{Name: "Content-Type", Value: contentType}},
+		AttemptID: s.request.GetAttemptID(), Status: status, Headers: headers,
+	}}})
+}
+
+// headOfAttempt writes the head of the answer to another attempt.
+func (s *answerWriter) headOfAttempt(id string) {
+	s.frame(&wire.Frame{Kind: &wire.Frame_Head{Head: &wire.Head{AttemptID: id, Status: http.StatusOK}}})
+}
+
+// headWithLength announces an answer of length bytes.
+func (s *answerWriter) headWithLength(contentType string, length int) {
+	s.headWith(http.StatusOK,
+		&wire.Header{Name: "Content-Type", Value: contentType},
+		&wire.Header{Name: "Content-Length", Value: strconv.Itoa(length)})
+}
+
+// refuse ends an answer as broken.
+func (s *answerWriter) refuse() {
+	s.frame(&wire.Frame{Kind: &wire.Frame_Refusal{Refusal: &wire.Refusal{
+		AttemptID: s.request.GetAttemptID(), Verdict: wire.Verdict_MayHaveRun, Cause: string(verdict.CauseBroken),
 	}}})
 }
 
@@ -268,6 +292,37 @@
 func (f *fixture) post(path, body string, headers ...string) callerResult {
 	f.t.Helper()
 
+	return f.postWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, path, body, headers...)
+}
+
+// postKept sends a request on a connection that has already carried another one.
+func (f *fixture) postKept(path, body string, headers ...string) callerResult {
+	f.t.Helper()
+
+	transport := &http.Transport{MaxConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+
+	client := &http.Client{Transport: transport}
+	require.Equal(f.t, http.StatusNotFound, f.postWith(client, "unknown/v1/drafts", "{}").status)
+
+	return f.postWith(client, path, body, headers...)
+}
+
+// postHTTP2 sends a request by HTTP/2 without TLS.
+func (f *fixture) postHTTP2(path, body string, headers ...string) callerResult {
+	f.t.Helper()
+
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+
+	defer transport.CloseIdleConnections()
+
+	return f.postWith(&http.Client{Transport: transport}, path, body, headers...)
+}
+
+func (f *fixture) postWith(client *http.Client, path, body string, headers ...string) callerResult {
+	f.t.Helper()
+
 	q, err := http.NewRequest(http.MethodPost, f.base+"/"+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 
@@ -275,7 +330,7 @@
 		q.Header.Set(headers[i], headers[i+1])
 	}
 
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	resp, err := client.Do(q)
 	require.NoError(f.t, err)
 
 	defer resp.Body.Close()
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -1,14 +1,16 @@
 package entry
 
 import (
-	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
+	"github.com/parsleygate/parsleygate/internal/callerconn"
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -16,6 +18,7 @@
 // reply writes one answer to a caller.
 type reply struct {
 	w            http.ResponseWriter
+	r            *http.Request
 	ctrl         *http.ResponseController
 	writeTimeout time.Duration
 
@@ -25,10 +28,14 @@
 	callerGone bool
 	// events is set for an event stream that another target may resume.
 	events *eventBuffer
+	// length is the length that was announced to the caller, or -1. lastPiece is the piece
+	// that reaches it. It is held back until the answer is known to be complete.
+	length    int64
+	lastPiece []byte
 }
 
-func newReply(w http.ResponseWriter, writeTimeout time.Duration) *reply {
-	return &reply{w: w, ctrl: http.NewResponseController(w), writeTimeout: writeTimeout}
+func newReply(w http.ResponseWriter, r *http.Request, writeTimeout time.Duration) *reply {
+	return &reply{w: w, r: r, ctrl: http.NewResponseController(w), writeTimeout: writeTimeout, length: -1}
 }
 
 // receiver returns a receiver that relays an answer to the caller as it arrives.
@@ -70,6 +77,17 @@
 
 	p.w.Header().Set(HeaderRequestID, id)
 	p.w.Header().Set(HeaderVerdict, verdict.Ran.String())
+
+	if isEventStream(headers) && p.r.Method != http.MethodHead {
+		// The length is that of one target's stream, which may end inside an event, or be
+		// continued by another target. The caller must not take it for the end.
+		p.w.Header().Del("Content-Length")
+	}
+
+	if length, err := strconv.ParseInt(p.w.Header().Get("Content-Length"), 10, 64); err == nil {
+		p.length = length
+	}
+
 	p.headSent = true
 	p.w.WriteHeader(int(status))
 
@@ -85,6 +103,28 @@
 		return nil
 	}
 
+	if p.length >= 0 {
+		switch rest := p.length - int64(p.bytesSent) - int64(len(p.lastPiece)) - int64(len(b)); {
+		case rest < 0:
+			return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: eris.New("answer is longer than announced")}
+		case rest == 0:
+			p.lastPiece = b
+
+			return nil
+		}
+	}
+
+	return p.write(b)
+}
+
+// finish writes what was held back of an answer that is complete.
+func (p *reply) finish() {
+	if len(p.lastPiece) > 0 {
+		_ = p.write(p.lastPiece)
+	}
+}
+
+func (p *reply) write(b []byte) error {
 	_ = p.ctrl.SetWriteDeadline(time.Now().Add(p.writeTimeout))
 
 	if _, err := p.w.Write(b); err != nil {
@@ -121,69 +161,76 @@
 }
 
 // abort closes the connection or resets the HTTP/2 stream, so that the caller sees that
-// the answer is incomplete.
+// the answer is incomplete. A connection of HTTP/1.0 is reset, since a regular end could
+// be that of a complete answer.
 func (p *reply) abort() {
+	callerconn.Reset(p.r)
 	panic(http.ErrAbortHandler)
 }
 
-// flushPending writes the remaining bytes of an event stream that ended completely.
-func (p *reply) flushPending() {
-	if p.events == nil {
-		return
-	}
-
-	pending := p.events.pending
-	p.events = nil
-	_ = p.writeData(pending)
-}
-
 // resumable reports whether another target can continue the answer. This requires that
 // the events have IDs or that no event was sent to the caller. Otherwise the caller
 // would receive the beginning twice.
 func (p *reply) resumable() bool {
-	return p.events != nil && (p.bytesSent == 0 || p.events.lastID != "")
+	return p.events != nil && (p.bytesSent == 0 || p.events.lastID() != "")
 }
 
-func isEventStream(headers []*wire.Header) bool {
+// headerValue returns the value of the first header with the given name, or "".
+func headerValue(headers []*wire.Header, name string) string {
 	for _, h := range headers {
-		if strings.EqualFold(h.GetName(), "Content-Type") {
-			return strings.HasPrefix(h.GetValue(), "text/event-stream")
+		if strings.EqualFold(h.GetName(), name) {
+			return h.GetValue()
 		}
 	}
 
-	return false
+	return ""
+}
+
+// isEventStream reports whether an answer with these headers is a stream whose events can
+// be read.
+func isEventStream(headers []*wire.Header) bool {
+	return eventstream.IsReadable(headerValue(headers, "Content-Type"), headerValue(headers, "Content-Encoding"))
 }
 
 // eventBuffer holds back the incomplete last event of a stream, so that a broken stream
 // is never resumed in the middle of an event.
 type eventBuffer struct {
 	pending []byte
-	// lastID is the ID of the last event sent to the caller.
-	lastID string
+	scanner eventstream.Scanner
 }
 
-// add appends b to the buffer, and removes and returns the complete events.
+// add appends b to the buffer, and removes and returns the complete events. It drops those
+// that the caller already has: a target that resumes a stream may repeat them.
 func (v *eventBuffer) add(b []byte) []byte {
-	v.pending = append(v.pending, b...)
+	var out []byte
 
-	end := bytes.LastIndex(v.pending, []byte("\n\n"))
-	if end < 0 {
-		return nil
-	}
+	for len(b) > 0 {
+		n, ended := v.scanner.ScanEvent(b)
+		v.pending = append(v.pending, b[:n]...)
+		b = b[n:]
 
-	out := bytes.Clone(v.pending[:end+2])
-	v.pending = append(v.pending[:0], v.pending[end+2:]...)
-	v.recordLastID(out)
+		if !ended {
+			break
+		}
+
+		if !v.scanner.Repeated() {
+			out = append(out, v.pending...)
+		}
+
+		v.pending = v.pending[:0]
+	}
 
 	return out
 }
 
-func (v *eventBuffer) recordLastID(events []byte) {
-	for line := range bytes.Lines(events) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			v.lastID = string(bytes.TrimSpace(id))
-		}
-	}
+// lastID returns the ID of the last event sent to the caller, or "" if it had none.
+func (v *eventBuffer) lastID() string { return v.scanner.LastID() }
+
+// interrupt drops the incomplete event of a broken stream. The next target sends it again
+// completely.
+func (v *eventBuffer) interrupt() {
+	v.pending = nil
+	v.scanner.Interrupt()
 }
 
 // collector buffers a complete answer, so that it is recorded before the caller gets
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -47,7 +47,7 @@
 	defer cancel()
 
 	x := &exchangeRun{
-		entry: e, call: c, reply: newReply(w, e.Limits.WriteTimeout),
+		entry: e, call: c, reply: newReply(w, r, e.Limits.WriteTimeout),
 		ex:    &exchange.Exchange{Idempotent: c.idempotent, Keyed: c.key != "", Deadline: c.deadline},
 		queue: e.queue(c.service.GetName()), item: e.newItem(c),
 	}
@@ -111,10 +111,13 @@
 func (x *exchangeRun) respond(a exchange.Action) {
 	counters := &x.entry.counters
 
+	if a.Err == nil {
+		x.reply.finish()
+	}
+
 	switch {
 	case a.Err == nil && !x.reply.callerGone:
 		counters.answered.Add(1)
-		x.reply.flushPending()
 	case x.reply.headSent:
 		counters.broken.Add(1)
 		x.entry.Logger.Warn("Answer to the caller was cut off.", "request", x.call.id, "tries", x.ex.Attempts(), "callerGone", x.reply.callerGone, "error", a.Err)
--- a/internal/entry/stream_fault_test.go
+++ b/internal/entry/stream_fault_test.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -99,6 +103,66 @@
 				s.end()
 			}},
 		},
+		{
+			name: "next target ends without a new event, as its agent reports", want: complete,
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.refuse()
+			}, continueStream},
+		},
+		{
+			name: "next target repeats events", want: complete,
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, answerStream},
+		},
+		{
+			name: "next target repeats events, with other line ends and in pieces",
+			want: callerResult{status: 200, verdict: "Ran", body: streamEvents(1, 2) + strings.ReplaceAll(streamEvents(3, 4), "\n", "\r\n")},
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+
+				for _, b := range strings.ReplaceAll(streamEvents(1, 4), "\n", "\r\n") {
+					s.data(string(b))
+				}
+
+				s.end()
+			}},
+		},
+		{
+			name: "next target repeats an event and breaks", want: complete,
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 1))
+				s.breakConnection()
+			}, continueStream},
+		},
+		{
+			name: "no target continues",
+			want: callerResult{status: 200, verdict: "Ran", body: streamEvents(1, 2), cutOff: true},
+			behaviours: []behaviour{func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(streamEvents(1, 2))
+				s.breakConnection()
+			}, func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.refuse()
+			}},
+		},
 		{
 			name: "not an event stream, cannot be resumed",
 			want: callerResult{status: 200, verdict: "Ran", body: "half", cutOff: true},
@@ -206,3 +270,52 @@
 	require.Equal(t, streamEvents(1, 4), (<-answer).body)
 	require.NoError(t, <-f.done)
 }
+
+// Guards against events that are held back until their stream ends, because their lines
+// end with CR LF or CR.
+func TestEventsAreForwardedWhateverTheirLineEnds(t *testing.T) {
+	t.Parallel()
+
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		t.Run(fmt.Sprintf("%q", lineEnd), func(t *testing.T) {
+			t.Parallel()
+
+			first := strings.ReplaceAll(streamEvents(1, 2), "\n", lineEnd)
+			received := make(chan struct{})
+			a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *answerWriter) {
+				s.head(http.StatusOK, eventStream)
+				s.data(first)
+
+				select {
+				case <-received:
+				case <-s.r.Context().Done():
+				}
+
+				s.breakConnection()
+			}, continueStream)
+			f := newFixture(t, streamService, nil, a, a.sibling(t, "agent-2"))
+
+			// The timeout ends the test if the events are held back.
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+
+			q, err := http.NewRequestWithContext(ctx, http.MethodPost, f.base+"/"+streamService+"/v1/drafts", strings.NewReader("{}"))
+			require.NoError(t, err)
+
+			resp, err := http.DefaultClient.Do(q)
+			require.NoError(t, err)
+
+			defer resp.Body.Close()
+
+			got := make([]byte, len(first))
+			_, err = io.ReadFull(resp.Body, got)
+			require.NoError(t, err)
+			require.Equal(t, first, string(got))
+			close(received)
+
+			rest, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, streamEvents(3, 4), string(rest))
+		})
+	}
+}
