Read all line ends of a stream, and every byte of it

Callers could see: a stream with CR line ends that fails as a whole, blank lines that are missing at the end of a stream, and a stream with CR LF line ends that ends as complete though its last byte is missing. Cause: an entry that proxies directly had a parser of its own for events, which knew LF and CR LF, dropped blank lines at the end, and took a CR for the end of a line. Change: it uses the scanner of the path through agents. A stream that has had CR LF line ends and stops behind a CR has been broken off. Blank lines at the end of a stream are forwarded. Evidence: the cases with CR of TestLongLinesAreReadWhole and TestStreamEndsAtTheEndOfAnEventOnly, and TestStreamIsReadWhole, failed before; they pass now.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -17,8 +17,9 @@
 	// After is the ID after which the stream resumes, or "" if it starts at its beginning.
 	After string
 
-	// afterCR is set if the last byte was a CR, so that an LF belongs to the same line end.
-	afterCR bool
+	// afterCR is set if the last byte was a CR, so that an LF belongs to the same line end. usesCRLF is
+	// set once that was so.
+	afterCR, usesCRLF bool
 	// lineBegun is set inside a line, and eventBegun after a line of the current event.
 	lineBegun  bool
 	eventBegun bool
@@ -33,8 +34,11 @@
 	hasField bool
 	hasID    bool
 	sawNew   bool
-	// repeated is set if the last complete event had an ID up to After.
-	repeated bool
+	// repeated is set if the last complete event had an ID up to After. endedID is the ID of that event,
+	// endedHasID and endedHasField are its hasID and hasField.
+	repeated                  bool
+	endedID                   string
+	endedHasID, endedHasField bool
 }
 
 // Scan follows b, the next piece of the stream. It returns the length of the part of b
@@ -61,6 +65,7 @@
 	for i, c := range b {
 		isRest := c == '\n' && s.afterCR
 		s.afterCR = c == '\r'
+		s.usesCRLF = s.usesCRLF || isRest
 
 		switch {
 		case isRest:
@@ -116,6 +121,8 @@
 		s.sawNew = s.sawNew || s.hasField && !s.repeated
 	}
 
+	s.endedID, s.endedHasID, s.endedHasField = s.id, s.hasID, s.hasField
+
 	if s.repeated {
 		s.id = s.lastID
 	}
@@ -140,9 +147,15 @@
 // SawNew reports whether there has been a complete event after After. Comments are no events.
 func (s *Scanner) SawNew() bool { return s.sawNew }
 
-// InsideEvent reports whether the stream so far ends inside an event. A stream that ends
-// there has been broken off, however it is framed.
-func (s *Scanner) InsideEvent() bool { return s.lineBegun || s.eventBegun }
+// InsideEvent reports whether the stream so far ends inside an event, or inside a CR LF. A stream
+// that ends there has been broken off, however it is framed.
+func (s *Scanner) InsideEvent() bool { return s.lineBegun || s.eventBegun || s.afterCR && s.usesCRLF }
+
+// EventID returns the ID of the last complete event. It returns false if the event has none of its own.
+func (s *Scanner) EventID() (string, bool) { return s.endedID, s.endedHasID }
+
+// IsComment reports whether all lines of the last complete event are comments.
+func (s *Scanner) IsComment() bool { return !s.endedHasField }
 
 // LastID returns the ID of the last complete event that had one and is not repeated, or "".
 func (s *Scanner) LastID() string { return s.lastID }
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -111,7 +112,7 @@
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 	}
 
-	if isEventStream(answer.Header) && !isCompleteStream(body, answer.Framing) {
+	if eventstream.IsStream(answer.Header.Get("Content-Type")) && !isCompleteStream(body, answer.Framing) {
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: io.ErrUnexpectedEOF}
 	}
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,6 +28,10 @@
 		// The head is sent with the first event: until then the request can still be
 		// refused, or retried from its beginning at another target.
 		first, err := events.Next()
+		if err == nil && len(bytes.TrimSpace(first.Bytes)) == 0 {
+			err = io.EOF
+		}
+
 		if err != nil {
 			return p.streamResult(answer, err)
 		}
@@ -75,13 +78,6 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 }
 
-// isEventStream reports whether an answer is a stream of events, on whatever route.
-func isEventStream(header http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-
-	return err == nil && mediaType == "text/event-stream"
-}
-
 // isCompleteStream reports whether a stream that was read to its end stopped between two events. If
 // only the end of its connection delimits it, it must have an event.
 func isCompleteStream(body []byte, framing targetclient.Framing) bool {
--- a/internal/targetclient/event_reader.go
+++ b/internal/targetclient/event_reader.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 )
 
 // ErrEventTooLong is returned for an event that exceeds the reader's size limit.
@@ -30,6 +32,7 @@
 
 	source   io.Reader
 	r        *bufio.Reader
+	scanner  eventstream.Scanner
 	maxBytes int
 	buf      []byte
 }
@@ -57,48 +60,64 @@
 	return s.source.Read(p) //nolint:wrapcheck // io.EOF must stay comparable
 }
 
-// Next returns the next event. Its bytes are valid until the next call of Next.
+// Next returns the next event. Its bytes are valid until the next call of Next. Blank lines at the end
+// of the stream are returned as an event of comments.
 // The error is io.EOF if the stream ended after a complete event and
 // io.ErrUnexpectedEOF if it ended within one.
 func (r *EventReader) Next() (Event, error) {
 	r.buf = r.buf[:0]
 
-	ev := Event{Comment: true}
-	lineStart := 0
-
 	for {
-		part, err := r.r.ReadSlice('\n')
-		if len(r.buf)+len(part) > r.maxBytes {
-			return Event{}, ErrEventTooLong
+		if _, err := r.r.Peek(1); err != nil {
+			return r.end(err)
 		}
 
-		r.buf = append(r.buf, part...)
+		part, _ := r.r.Peek(r.r.Buffered())
+		n, ended := r.scanner.ScanEvent(part)
 
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.buf)) > 0:
-			return Event{}, io.ErrUnexpectedEOF
-		case err != nil:
-			return Event{}, err //nolint:wrapcheck // io.EOF must stay comparable
+		if len(r.buf)+n > r.maxBytes {
+			return Event{}, ErrEventTooLong
 		}
 
-		line := bytes.TrimRight(r.buf[lineStart:], "\r\n")
-		lineStart = len(r.buf)
+		r.buf = append(r.buf, part[:n]...)
+		_, _ = r.r.Discard(n)
 
-		if len(line) > 0 && line[0] != ':' {
-			ev.Comment = false
+		if ended && len(bytes.TrimSpace(r.buf)) > 0 {
+			return r.event(), nil
 		}
+	}
+}
 
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			n, err := strconv.ParseUint(string(bytes.TrimSpace(id)), 10, 64)
-			ev.ID, ev.HasID = n, err == nil
+// event returns the event in buf, with the rest of its line end if that has arrived.
+func (r *EventReader) event() Event {
+	if r.r.Buffered() > 0 && r.buf[len(r.buf)-1] == '\r' {
+		if next, _ := r.r.Peek(1); next[0] == '\n' {
+			_, _ = r.scanner.ScanEvent(next)
+			r.buf = append(r.buf, next...)
+			_, _ = r.r.Discard(1)
 		}
+	}
 
-		if len(line) == 0 && len(bytes.TrimSpace(r.buf)) > 0 {
-			ev.Bytes = r.buf
+	ev := Event{Comment: r.scanner.IsComment(), Bytes: r.buf}
 
-			return ev, nil
-		}
+	if id, ok := r.scanner.EventID(); ok {
+		n, err := strconv.ParseUint(id, 10, 64)
+		ev.ID, ev.HasID = n, err == nil
+	}
+
+	return ev
+}
+
+// end returns what follows the last complete event of a stream that ended with err.
+func (r *EventReader) end(err error) (Event, error) {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return Event{}, err
+	case r.scanner.InsideEvent():
+		return Event{}, io.ErrUnexpectedEOF
+	case len(r.buf) > 0:
+		return Event{Comment: true, Bytes: r.buf}, nil
+	default:
+		return Event{}, io.EOF
 	}
 }
--- a/internal/targetclient/event_reader_test.go
+++ b/internal/targetclient/event_reader_test.go
@@ -33,7 +33,7 @@
 
 	const bufferSize = 4 << 10
 
-	for _, newline := range []string{"\n", "\r\n"} {
+	for _, newline := range []string{"\n", "\r\n", "\r"} {
 		for _, rest := range []string{"", "id: 1", ":"} {
 			line := "data: " + strings.Repeat("x", bufferSize-len("data: ")) + rest
 			event := "id: 7" + newline + line + newline + newline
@@ -55,7 +55,7 @@
 func TestStreamEndsAtTheEndOfAnEventOnly(t *testing.T) {
 	t.Parallel()
 
-	for _, newline := range []string{"\n", "\r\n"} {
+	for _, newline := range []string{"\n", "\r\n", "\r"} {
 		stream := "id: 1" + newline + "data: x" + newline + newline
 
 		for n := range len(stream) {
@@ -64,3 +64,24 @@
 		}
 	}
 }
+
+// Guards against bytes that are lost behind the last event of a stream.
+func TestStreamIsReadWhole(t *testing.T) {
+	t.Parallel()
+
+	for _, newline := range []string{"\n", "\r\n", "\r"} {
+		stream := newline + "id: 1" + newline + "data: x" + newline + newline + newline + ": c" + newline + newline + newline
+
+		events, err := readEvents(stream)
+		require.ErrorIs(t, err, io.EOF)
+
+		var got string
+		for _, ev := range events {
+			got += string(ev.Bytes)
+		}
+
+		require.Equal(t, stream, got)
+		require.False(t, events[0].Comment)
+		require.True(t, events[1].Comment)
+	}
+}
