Log the parts of the requests under which a target ended

Logs named the request and the target of a broken answer. They did not tell a target that has ended from a connection that broke, and had no part of the prompt. X-Prompt-Prefix is decoded without its last part, which belongs to the request alone. If an answer breaks off before it has begun properly, the entry connects to the target once more: a refused connection means that the target has ended, and the line "Target ended while it had a request." names the parts. The metric Relay.TargetEnds counts such requests. No decision changes, but a request whose answer broke off waits up to 50 ms for that check before it is sent again.

--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -24,6 +24,9 @@
 	// LengthHint is the caller's estimate of the tokens that will be generated; zero if it gave
 	// none that can be read.
 	LengthHint int
+	// PromptParts are the IDs of the parts of the prompt in their order. The last part, which belongs
+	// to the request alone, is not among them.
+	PromptParts []string
 }
 
 // ForwardInfo holds the values that the relay adds to a forwarded request as headers.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -37,6 +37,7 @@
 		{"Relay.BudgetSpent", "requests", "Requests that were not retried because the retry budget was exhausted.", func(r *Relay) int64 { return r.counters.budgetSpent.Load() }},
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
 		{"Relay.SlowReaders", "requests", "Requests ended because the memory for requests was full and a caller or target did not read what was held for it.", func(r *Relay) int64 { return r.counters.slowReaders.Load() }},
+		{"Relay.TargetEnds", "requests", "Requests with a shared prompt whose answer broke off before it had begun properly, because the target had ended.", func(r *Relay) int64 { return r.counters.targetEnds.Load() }},
 		{"Relay.HeldBytes", "bytes", "Request bodies and buffered answers held now.", func(r *Relay) int64 { return r.memory.heldBytes() }},
 		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 {
 			r.queue.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,7 @@
 	metricsMu   sync.Mutex
 	levelGauges map[string]metrics.Gauge
 	failureRate retries.FailureRate
+	endChecks   endChecks
 	ages        ages
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
@@ -493,5 +494,5 @@
 type counters struct {
 	requests, completions, refused, denied, failed, cut, disconnected atomic.Int64
 
-	retries, freeRetries, misdirected, budgetSpent, slowReaders atomic.Int64
+	retries, freeRetries, misdirected, budgetSpent, slowReaders, targetEnds atomic.Int64
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -84,8 +84,9 @@
 	failure *bufferedAnswer
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
-	// attemptEvents counts the events of the current attempt that the caller lacked, without comments.
-	attemptEvents int
+	// answerEvents counts the events of the current attempt without comments, attemptEvents those of
+	// them that the caller lacked.
+	answerEvents, attemptEvents int
 	// unflushed is set while events have been written that may not have been sent to the caller.
 	unflushed bool
 	// framing is that of the last answer, empty if there was none.
@@ -124,6 +125,8 @@
 			return
 		}
 
+		p.checkTargetEnd(ctx, lastErr)
+
 		// A failure of a reused connection excludes no target, which may be the only one.
 		if !errors.Is(lastErr, targetclient.ErrReusedConnection) {
 			p.excluded = append(slices.Clip(p.excluded), placed.Target.ID)
@@ -187,6 +190,7 @@
 	p.tried = append(slices.Clip(p.tried), placed.Target.ID)
 	p.placed, p.placedAt, p.eventAt = placed, p.relay.Now(), time.Time{}
 	p.readBy = readByNone
+	p.answerEvents, p.attemptEvents = 0, 0
 
 	p.hold.waitFor(p.placedAt, readerTarget)
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,8 +18,6 @@
 	defer p.unboundWrites()
 	defer func() { _ = p.flushEvents() }()
 
-	p.attemptEvents = 0
-
 	// Events that arrive together are flushed together, before the next read.
 	events := targetclient.NewEventReader(answer.Body, p.relay.Limits.MaxEventBytes)
 	events.BeforeRead = p.flushEvents
@@ -99,6 +97,10 @@
 func (p *proxiedRequest) writeEvent(ev targetclient.Event) error {
 	p.recordEventTime()
 
+	if !ev.Comment {
+		p.answerEvents++
+	}
+
 	if ev.HasID {
 		if p.streaming && p.lastForwardedID > 0 && ev.ID <= p.lastForwardedID {
 			return nil
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -265,6 +266,19 @@
 	return &verdict.Error{Verdict: verdict.Of(err), Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrReusedConnection, err)}
 }
 
+// HasEnded reports whether nothing listens at the address of a target any more: its VM refuses the
+// connection. A VM that does not answer says nothing about the target.
+func (c *Client) HasEnded(ctx context.Context, target Target) bool {
+	dialer := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
+
+	conn, err := dialer.DialContext(ctx, "tcp", target.Address.String())
+	if err == nil {
+		_ = conn.Close()
+	}
+
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // dial opens a new connection to a target.
 func (c *Client) dial(ctx context.Context, target Target, deadline time.Time) (*connection, error) {
 	c.apply(func() []closing { return c.pool.dial(target) })
