Exchange ends of targets through control VMs

Cause: an entry alone sees few of the ends of targets that a part of a prompt causes.

Change: FollowRequest carries ends that the control VM may lack, FollowResponse those that changed since the revision that the entry states. A control VM keeps them in memory, outside the log, and answers held polls at once when an end is new or a held part became sound; other news goes with the next answer.

Dropping an end that supports no held part no longer computes the held parts anew.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -29,14 +30,16 @@
 type targetTracker struct {
 	registry  directory.Registry
 	followers map[string]follower
+	// evidence holds the ends of targets that entries have reported.
+	evidence quarantine.Evidence
 	// savedRevision and savedRosterHash identify the directory and the roster that were
 	// saved last.
 	savedRevision   uint64
 	savedRosterHash uint64
-	// notified is the revision of the last change of which waiting followers were notified,
-	// at notifiedAt.
-	notified   uint64
-	notifiedAt time.Time
+	// notified and notifiedEvidence are the revisions of the last changes of the directory and
+	// of the evidence of which waiting followers were notified, at notifiedAt.
+	notified, notifiedEvidence uint64
+	notifiedAt                 time.Time
 	// controls are the addresses of the control VMs of which followers were told last.
 	controls []string
 
@@ -85,14 +88,14 @@
 	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Leave(time.Now(), id) })
 }
 
-// notifySpacing is the time per follower between two notifications about targets. All
+// notifySpacing is the time per follower between two notifications about targets or their ends. All
 // followers poll again after each one, so it bounds the answers per second of this VM.
 const notifySpacing = time.Millisecond
 
-// notifyDue reports whether followers must be notified of changed targets, and how long that
-// has to wait.
+// notifyDue reports whether followers must be notified of changed targets or of ends of targets,
+// and how long that has to wait.
 func (t *targetTracker) notifyDue(now time.Time) (wait time.Duration, due bool) {
-	if t.registry.Changed() <= t.notified {
+	if t.registry.Changed() <= t.notified && t.evidence.UrgentRevision() <= t.notifiedEvidence {
 		return 0, false
 	}
 
@@ -101,8 +104,8 @@
 	return next.Sub(now), true
 }
 
-// notifyFollowers notifies the followers of changed targets, or resets retry to when it must
-// be called again.
+// notifyFollowers notifies the followers of changed targets or of ends of targets, or resets
+// retry to when it must be called again.
 func (s *Server) notifyFollowers(now time.Time, targets *targetTracker, retry *time.Timer) {
 	wait, due := targets.notifyDue(now)
 
@@ -111,7 +114,7 @@
 	case wait > 0:
 		retry.Reset(wait)
 	default:
-		targets.notified, targets.notifiedAt = targets.registry.Changed(), now
+		targets.notified, targets.notifiedEvidence, targets.notifiedAt = targets.registry.Changed(), targets.evidence.UrgentRevision(), now
 		s.targetsChanged.notify()
 	}
 }
@@ -153,6 +156,10 @@
 		return nil, newRPCError(twirp.FailedPrecondition, "this control VM belongs to another cluster")
 	}
 
+	if err := s.mergeEvidence(ctx, r); err != nil {
+		return nil, err
+	}
+
 	timer := time.NewTimer(min(time.Duration(r.GetWaitMillis())*time.Millisecond, s.Settings.MaxPollWait))
 	defer timer.Stop()
 
@@ -179,6 +186,42 @@
 	}
 }
 
+// exchangesEvidence reports whether the sender exchanges ends of targets. Agents do not.
+func exchangesEvidence(r *wire.FollowRequest) bool {
+	return r.GetWithEvidence() && !r.GetServicesOnly()
+}
+
+// mergeEvidence merges the ends of targets that an entry reports. It is called once for each
+// request, since their ages count from its arrival.
+func (s *Server) mergeEvidence(ctx context.Context, r *wire.FollowRequest) error {
+	if len(r.GetEnds()) == 0 || !exchangesEvidence(r) {
+		return nil
+	}
+
+	return s.withTargets(ctx, func(targets *targetTracker) {
+		now := time.Now()
+		targets.evidence.Merge(now, quarantine.EndsFromWire(r.GetEnds(), now))
+	})
+}
+
+// addEvidence adds the ends of targets that the sender of r lacks, and reports whether it needs
+// them now.
+func (t *targetTracker) addEvidence(now time.Time, out *wire.FollowResponse, r *wire.FollowRequest) bool {
+	if !exchangesEvidence(r) {
+		return false
+	}
+
+	known := r.GetEvidenceRevision()
+	if r.GetDirectoryBoot() != out.GetDirectoryBoot() {
+		known = 0
+	}
+
+	ends, revision := t.evidence.ChangedSince(known)
+	out.Ends, out.EvidenceRevision = quarantine.EndsToWire(ends, now), revision
+
+	return t.notifiedEvidence > known
+}
+
 // answerFollower returns what the entry lacks, and whether it needs that now.
 func (s *Server) answerFollower(ctx context.Context, p *publishedState, r *wire.FollowRequest) (*wire.FollowResponse, bool, error) {
 	out := &wire.FollowResponse{Index: p.stateIndex, DirectoryBoot: s.directoryBoot, Controls: s.controlAddresses(), Zone: s.Zone}
@@ -210,7 +253,8 @@
 
 		out.DirectoryRevision = targets.registry.Revision()
 		targets.currentRoster(now).addTo(out, r)
-		changed = changed || out.Full || targets.notified > knownRevision
+		urgent := targets.addEvidence(now, out, r)
+		changed = changed || urgent || out.Full || targets.notified > knownRevision
 	})
 	if err != nil {
 		// The goroutine of runTrackers may still write to out, so out must not be returned.
--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -64,6 +64,7 @@
 			polls.dropOldRecords(time.Now())
 			s.updateControls(targets)
 			targets.registry.Tick(time.Now())
+			targets.evidence.Expire(time.Now())
 			s.notifyFollowers(time.Now(), targets, notify)
 			s.saveIfChanged(targets)
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -18,10 +18,10 @@
 	// revision grows with each change, urgent is the revision of the last change that other
 	// processes need at once.
 	revision, urgent uint64
-	// held is computed from ends unless stale is set. unsound holds the parts that are not sound
-	// in some end.
+	// held is computed from ends unless stale is set. unsound counts the ends in which a part is
+	// not sound, which may have been dropped since.
 	held    map[Part]Hold
-	unsound map[Part]struct{}
+	unsound map[Part]int
 	stale   bool
 	// nextExpiry is when the next end expires, latest the time of the latest end.
 	nextExpiry time.Time
@@ -268,13 +268,13 @@
 
 		delete(e.unsound, p)
 
-		marked = true
 		urgent = urgent || e.newsOfSound(p) == urgentNews
 
 		for _, s := range e.ends {
 			if i, ok := s.find(p); ok && !s.candidates[i].sound {
 				s.candidates[i].sound = true
 				s.revision = e.Revision() + 1
+				marked = true
 			}
 		}
 	}
@@ -352,7 +352,8 @@
 	e.latest = now
 }
 
-// Expire drops ends that no longer count, and those beyond the bound.
+// Expire drops ends that no longer count, and those beyond the bound. An end that is not explained
+// supports no held part, so dropping it changes none.
 func (e *Evidence) Expire(now time.Time) {
 	e.correctClock(now)
 
@@ -364,6 +365,10 @@
 		e.nextExpiry, e.latest = time.Time{}, time.Time{}
 		dropped = e.dropExpired(now) || e.dropOldest()
 	}
+
+	if len(e.ends) == 0 {
+		e.unsound = nil
+	}
 }
 
 func (e *Evidence) dropExpired(now time.Time) bool {
@@ -374,7 +379,8 @@
 		if !expiry.After(now) {
 			delete(e.ends, key)
 
-			e.stale, dropped = true, true
+			dropped = true
+			e.stale = e.stale || s.explained
 
 			continue
 		}
@@ -433,9 +439,9 @@
 
 	for _, s := range ends[:excess] {
 		delete(e.ends, s.key)
-	}
 
-	e.stale = true
+		e.stale = e.stale || s.explained
+	}
 
 	return true
 }
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -35,16 +35,24 @@
 func (e *Evidence) computeHeld() {
 	e.stale = false
 	e.held = nil
-	e.unsound = make(map[Part]struct{})
+	e.unsound = make(map[Part]int)
+	ends := e.sorted()
 
-	occurrences := make(map[Part][]occurrence)
-
-	for _, s := range e.sorted() {
+	for _, s := range ends {
 		s.explained = false
 
 		for _, c := range s.candidates {
 			if !c.sound {
-				e.unsound[c.part] = struct{}{}
+				e.unsound[c.part]++
+			}
+		}
+	}
+
+	occurrences := make(map[Part][]occurrence)
+
+	for _, s := range ends {
+		for _, c := range s.candidates {
+			if !c.sound && e.unsound[c.part] >= minEnds {
 				occurrences[c.part] = append(occurrences[c.part], occurrence{end: s, lead: c.lead, depth: c.depth})
 			}
 		}
@@ -74,12 +82,6 @@
 // they get none when more ends are explained.
 func longestChain(occurrences map[Part][]occurrence) (best chain, ok bool) {
 	for p, of := range occurrences {
-		if len(of) < minEnds {
-			delete(occurrences, p)
-
-			continue
-		}
-
 		c := newChain(p, of)
 
 		switch {
