Exchange ends of targets between entries

Cause: control VMs keep the ends that entries report, and no entry reports any.

Change: view.Follower sends each control VM the ends that it lacks, and hands over those that control VMs report. It remembers for each of them what it has, sends again after a failure or a new boot, and does not return an end to where it came from. News does not wait for held polls: one poll goes to the control VM that answered last, at most one per 100 ms, and to the next one if it is not answered in that time. Control VMs of the release before are sent nothing.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -22,21 +23,30 @@
 // fleet is a deployment in simulated time in which entries follow control VMs and targets
 // announce themselves, without sockets.
 type fleet struct {
-	t        *testing.T
+	t *testing.T
+	// mu guards controls, which tests may replace while polls are sent.
+	mu       sync.RWMutex
 	controls []*control.Server
 	entries  []*fleetEntry
 	targets  int
 	// messages and bytes count the polls of all entries and their answers.
 	messages, bytes atomic.Int64
 	announcements   int
+	// intercept, if set, replaces answer.
+	intercept atomic.Pointer[pollFunc]
 }
 
+type pollFunc func(ctx context.Context, at netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error)
+
 // fleetEntry is an entry that can be stopped and started.
 type fleetEntry struct {
 	id       string
 	follower *view.Follower
 	leaving  atomic.Bool
 	stop     func()
+
+	mu       sync.Mutex
+	evidence quarantine.Evidence
 }
 
 // fleetSize is the number of processes of each kind.
@@ -95,6 +105,7 @@
 	e.follower = &view.Follower{
 		Cluster: "trust", ID: e.id, Zone: "z0", Seeds: func() []netip.AddrPort { return []netip.AddrPort{f.controlAddress(0)} },
 		Poll: f.poll, OnChange: func(*view.ClusterState) {}, Stopping: e.leaving.Load,
+		Evidence: e.changedSince, OnEvidence: e.merge,
 	}
 	e.follower.Init()
 	e.leaving.Store(false)
@@ -112,11 +123,14 @@
 }
 
 func (f *fleet) poll(ctx context.Context, at netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error) {
-	bytes := at.Addr().As4()
-
 	time.Sleep(fleetLatency)
 
-	out, err := f.controls[int(bytes[2])<<8+int(bytes[3])].Follow(ctx, r)
+	answer := f.answer
+	if replaced := f.intercept.Load(); replaced != nil {
+		answer = *replaced
+	}
+
+	out, err := answer(ctx, at, r)
 
 	f.messages.Add(1)
 	f.bytes.Add(int64(proto.Size(r) + proto.Size(out)))
@@ -125,6 +139,17 @@
 	return out, err
 }
 
+// answer has a control VM answer a poll.
+func (f *fleet) answer(ctx context.Context, at netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+	bytes := at.Addr().As4()
+
+	f.mu.RLock()
+	s := f.controls[int(bytes[2])<<8+int(bytes[3])]
+	f.mu.RUnlock()
+
+	return s.Follow(ctx, r)
+}
+
 // run lets time pass while the targets announce themselves at their intervals.
 func (f *fleet) run(d time.Duration) {
 	f.t.Helper()
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/pauses"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -64,8 +65,14 @@
 	ServicesOnly bool
 	// OnChange is called with each new state, never concurrently.
 	OnChange func(*ClusterState)
-	Settings FollowerSettings
-	Logger   *slog.Logger
+	// Evidence returns the ends of targets that this process knows and that changed after a
+	// revision, and the current revision. OnEvidence is called with the ends that a control VM
+	// reports. Both may be called concurrently. Neither may call Follower methods other than
+	// NotifyEvidence and State. Both are nil in processes that exchange no ends.
+	Evidence   func(since uint64) ([]quarantine.End, uint64)
+	OnEvidence func([]quarantine.End)
+	Settings   FollowerSettings
+	Logger     *slog.Logger
 
 	mu              sync.Mutex
 	merged          directory.MergedTargets
@@ -76,6 +83,7 @@
 	answered        map[netip.AddrPort]bool
 	unreachable     map[netip.AddrPort]bool // whose rosters and counts are dropped at the next answer of another
 	tableFetch      tableFetch
+	evidence        evidenceExchange
 	// newMembers receives a value when a control VM reports others than before.
 	newMembers chan struct{}
 	cancels    map[netip.AddrPort]context.CancelFunc
@@ -127,6 +135,8 @@
 	f.tableFetch = tableFetch{localZone: f.Zone, zones: make(map[netip.AddrPort]string)}
 	f.cancels = make(map[netip.AddrPort]context.CancelFunc)
 	f.newMembers = make(chan struct{}, 1)
+	f.evidence.controls = make(map[netip.AddrPort]*controlEvidence)
+	f.evidence.changed = make(chan struct{}, 1)
 	f.current.Store(&ClusterState{Entries: 1})
 }
 
@@ -139,6 +149,8 @@
 	defer tick.Stop()
 	defer f.pollers.Wait()
 
+	f.pollers.Go(func() { f.runEvidence(ctx) })
+
 	for {
 		f.refresh(ctx)
 
@@ -177,6 +189,7 @@
 			delete(f.unreachable, a)
 			delete(f.tableFetch.zones, a)
 			delete(f.membersBySource, a)
+			f.forgetEvidence(a)
 		}
 	}
 
@@ -226,6 +239,8 @@
 
 	for ctx.Err() == nil {
 		if err := f.pollOnce(ctx, control, &c); err != nil {
+			f.failEvidence(control)
+
 			if c.failures == 0 && ctx.Err() == nil {
 				f.Logger.Info("Poll of a control VM failed; retrying.", "control", control, "error", err)
 			}
@@ -247,7 +262,8 @@
 	}
 }
 
-func (f *Follower) pollOnce(ctx context.Context, control netip.AddrPort, c *controlState) error {
+// newRequest returns a poll of a control VM, without the ends that it lacks.
+func (f *Follower) newRequest(c *controlState) *wire.FollowRequest {
 	s := f.State()
 	r := &wire.FollowRequest{
 		Cluster: f.Cluster, ID: f.ID, Zone: f.Zone, KnownIndex: s.Index, KnownNumber: s.Number,
@@ -259,6 +275,11 @@
 		r.Relay = f.Relay.String()
 	}
 
+	return r
+}
+
+func (f *Follower) pollOnce(ctx context.Context, control netip.AddrPort, c *controlState) error {
+	r := f.newRequest(c)
 	fetch, wait := f.startTableFetch(control, c.tableNumber)
 	r.WithoutTable = !fetch
 
@@ -269,6 +290,8 @@
 	ctx, cancel := context.WithTimeout(ctx, max(wait, f.Settings.MinPollWait)+f.Settings.AnswerTimeout)
 	defer cancel()
 
+	sent := f.addEvidence(control, r)
+
 	out, err := f.Poll(ctx, control, r)
 	if err == nil {
 		err = f.mergeAnswer(time.Now(), control, out, c)
@@ -286,6 +309,7 @@
 
 	c.directoryBoot, c.directoryRevision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
 	c.rosterHash, c.tableNumber = out.GetRosterHash(), out.GetNumber()
+	f.mergeEvidence(time.Now(), control, sent, out, c)
 
 	return nil
 }
