Save ends of targets with the directory of a control VM

Cause: a loss of power of all VMs released every held part.

Change: a control VM with a disk saves the ends with the targets, as ages and the time of saving.

--- a/internal/control/evidence_test.go
+++ b/internal/control/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -178,3 +179,75 @@
 		require.Equal(t, "t4", out.GetEnds()[0].GetTarget())
 	})
 }
+
+// Guards against a loss of power of all VMs that releases a held part, also if the clock of a control
+// VM was set in between.
+func TestEndsSurviveRestart(t *testing.T) {
+	t.Parallel()
+
+	const outage = time.Minute
+
+	for name, c := range map[string]struct {
+		// clockStep is added to the time of day during the outage, age is what the ends are older
+		// by than when they were saved.
+		clockStep, age time.Duration
+	}{
+		"clock unchanged":     {age: outage},
+		"clock set back":      {clockStep: -time.Hour},
+		"clock set by a year": {clockStep: 365 * 24 * time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				var data atomic.Pointer[[]byte]
+
+				data.Store(&[]byte{})
+
+				first := newDocumentServer()
+				first.SaveTargets = func(saved []byte) error { data.Store(&saved); return nil }
+				runDocumentServer(t, first)
+				newEvidenceClient(t, first, "a").poll(0, wireEnd("t1", 7, 8), wireEnd("t2", 7))
+				time.Sleep(time.Second)
+
+				saved := &wire.FollowResponse{}
+				require.NoError(t, proto.Unmarshal(*data.Load(), saved))
+				require.Len(t, saved.GetEnds(), 2)
+
+				savedAge := time.Duration(saved.GetEnds()[0].GetAgeMillis()) * time.Millisecond
+				saved.SavedAtMillis = time.Now().Add(-c.clockStep).UnixMilli()
+
+				time.Sleep(outage)
+
+				second := newDocumentServer()
+				second.LoadTargets = func() ([]byte, error) { return proto.Marshal(saved) }
+				runDocumentServer(t, second)
+
+				b := &evidenceClient{t: t, server: second, next: &wire.FollowRequest{Cluster: "trust", ID: "b", WithEvidence: true}}
+				ends := b.poll(0).GetEnds()
+				require.Len(t, ends, 2)
+
+				age := time.Duration(ends[0].GetAgeMillis()) * time.Millisecond
+				require.InDelta(t, savedAge+c.age, age, float64(10*time.Millisecond))
+				require.Len(t, ends[0].GetCandidates(), 2)
+			})
+		})
+	}
+}
+
+// Guards against a file of the release before, or a damaged one, that keeps a control VM from
+// starting.
+func TestSavedDirectoryWithoutEndsIsRestored(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newDocumentServer()
+		s.LoadTargets = func() ([]byte, error) {
+			return proto.Marshal(&wire.FollowResponse{Roster: []*wire.RosterEntry{{ID: "e1"}}, Ends: []*wire.TargetEnd{{Target: "t"}, nil}})
+		}
+		runDocumentServer(t, s)
+
+		c := &evidenceClient{t: t, server: s, next: &wire.FollowRequest{Cluster: "trust", ID: "e2", WithEvidence: true}}
+		out := c.poll(0)
+		require.Empty(t, out.GetEnds())
+		require.Len(t, out.GetRoster(), 2)
+	})
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -32,10 +32,11 @@
 	followers map[string]follower
 	// evidence holds the ends of targets that entries have reported.
 	evidence quarantine.Evidence
-	// savedRevision and savedRosterHash identify the directory and the roster that were
-	// saved last.
+	// savedRevision, savedRosterHash and savedEvidence identify the directory, the roster and
+	// the evidence that were saved last.
 	savedRevision   uint64
 	savedRosterHash uint64
+	savedEvidence   uint64
 	// notified and notifiedEvidence are the revisions of the last changes of the directory and
 	// of the evidence of which waiting followers were notified, at notifiedAt.
 	notified, notifiedEvidence uint64
--- a/internal/control/savedtargets.go
+++ b/internal/control/savedtargets.go
@@ -7,11 +7,16 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/directory"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// saveIfChanged saves the directory of targets and the roster if they changed. Changes lost
-// in a power failure are announced again by the targets within one announcement interval.
+// maxSavedAge is the age up to which the time of day in a saved file is believed. Beyond it, the
+// clock is taken to have been set since.
+const maxSavedAge = 24 * time.Hour
+
+// saveIfChanged saves the directory of targets, their ends and the roster if they changed. Changes
+// of targets lost in a power failure are announced again within one announcement interval.
 func (s *Server) saveIfChanged(targets *targetTracker) {
 	if s.SaveTargets == nil {
 		return
@@ -20,13 +25,15 @@
 	now := time.Now()
 	current := targets.currentRoster(now)
 
-	if targets.registry.Revision() == targets.savedRevision && current.hash == targets.savedRosterHash {
+	if targets.registry.Revision() == targets.savedRevision && current.hash == targets.savedRosterHash &&
+		targets.evidence.Revision() == targets.savedEvidence {
 		return
 	}
 
-	targets.savedRevision, targets.savedRosterHash = targets.registry.Revision(), current.hash
+	ends, evidenceRevision := targets.evidence.ChangedSince(0)
+	targets.savedRevision, targets.savedRosterHash, targets.savedEvidence = targets.registry.Revision(), current.hash, evidenceRevision
 
-	saved := &wire.FollowResponse{Roster: current.entries}
+	saved := &wire.FollowResponse{Roster: current.entries, Ends: quarantine.EndsToWire(ends, now), SavedAtMillis: now.UnixMilli()}
 
 	for _, t := range targets.registry.ChangedSince(0) {
 		saved.Targets = append(saved.Targets, t.ToWire(now))
@@ -62,8 +69,8 @@
 	}
 }
 
-// restoreTargets loads the directory of targets and the roster of entries saved before a
-// restart. If all control VMs and entries are killed at once, entries without it would
+// restoreTargets loads the directory of targets, their ends and the roster of entries saved before
+// a restart. If all control VMs and entries are killed at once, entries without it would
 // reject callers until the targets have announced themselves again, and each entry would
 // count too few entries and use more than its share of a limit. Restored targets that have
 // ended do no harm: they do not answer, another target at the same address rejects requests
@@ -104,5 +111,20 @@
 		targets.recordFollower(e.GetID(), follower{lastRequest: now, zone: e.GetZone()})
 	}
 
-	s.Logger.Info("Restored the directory of targets saved before the restart.", "targets", len(saved.GetTargets()), "entries", len(saved.GetRoster()))
+	restoreEvidence(now, targets, saved)
+
+	s.Logger.Info("Restored the directory of targets saved before the restart.", "targets", len(saved.GetTargets()), "entries", len(saved.GetRoster()),
+		"ends", len(saved.GetEnds()))
+}
+
+// restoreEvidence restores the ends of targets, so that a loss of power of all VMs does not release
+// the held parts. If the clock was set in between, the ends are as old as when they were saved: then
+// parts are held longer, but not longer than their holds last.
+func restoreEvidence(now time.Time, targets *targetTracker, saved *wire.FollowResponse) {
+	age := now.Sub(time.UnixMilli(saved.GetSavedAtMillis()))
+	if age < 0 || age > maxSavedAge {
+		age = 0
+	}
+
+	targets.evidence.Merge(now, quarantine.EndsFromWire(saved.GetEnds(), now.Add(-age)))
 }
