Remember which parts of prompts were sound before an end

Cause: a part that most requests share came in all of three ends while no answer began between them. It was deeper than the cause, so it was held, and most requests were refused until the next end or the end of the hold.

Change: an entry remembers for 30 to 60 s the parts of answers that began properly, 8,192 per 30 s, and marks them as sound in ends that it hears of then. A part that was held and released is not remembered, since it may answer now and then.

--- a/internal/control/evidence_fleet_test.go
+++ b/internal/control/evidence_fleet_test.go
@@ -30,13 +30,17 @@
 	e.evidence.Merge(time.Now(), ends)
 }
 
+// soundParts returns parts of the requests in record that are in most other requests too.
+func soundParts() []quarantine.Part { return []quarantine.Part{0, 1} }
+
 // record records the end of a target with requests of five parts, which began 100 ms ago.
 func (e *fleetEntry) record(target string) {
 	now := time.Now()
 	end := quarantine.End{Target: target, StartTime: now.UnixNano(), Group: "assist-0", At: now}
 
-	for i := range 5 {
-		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: quarantine.PartOf("assist", fmt.Sprint(target, i)), Depth: i, SentAt: now.Add(-100 * time.Millisecond)})
+	parts := append(soundParts(), quarantine.PartOf("assist", "culprit"), quarantine.PartOf("assist", target), quarantine.PartOf("assist", target+"b"))
+	for i, p := range parts {
+		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: p, Depth: i, SentAt: now.Add(-100 * time.Millisecond)})
 	}
 
 	e.mu.Lock()
@@ -48,9 +52,9 @@
 	}
 }
 
-func (e *fleetEntry) markSound(part quarantine.Part) {
+func (e *fleetEntry) markSound(parts ...quarantine.Part) {
 	e.mu.Lock()
-	urgent := e.evidence.MarkSound(part)
+	urgent := e.evidence.MarkSound(parts...)
 	e.mu.Unlock()
 
 	if urgent {
@@ -323,6 +327,16 @@
 		f := newFleet(t, size)
 		f.run(settled)
 
+		// Every second entry remembers sound answers with the parts that requests share.
+		for i, e := range f.entries {
+			if i%2 == 1 {
+				e.mu.Lock()
+				e.evidence.Merge(time.Now(), nil)
+				e.mu.Unlock()
+				e.markSound(soundParts()...)
+			}
+		}
+
 		duration := time.Duration(ends) * spacing
 		quietMessages, quietBytes := f.perEntry(func() { f.run(duration) })
 
--- a/internal/control/evidence_test.go
+++ b/internal/control/evidence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -68,10 +69,13 @@
 
 		time.Sleep(time.Second)
 
-		go func() {
+		var sending sync.WaitGroup
+		defer sending.Wait()
+
+		sending.Go(func() {
 			time.Sleep(100 * time.Millisecond)
 			a.poll(0, wireEnd("t1", 7))
-		}()
+		})
 
 		begin := time.Now()
 		out := b.poll(600 * time.Millisecond)
@@ -144,12 +148,15 @@
 		a, b := newEvidenceClient(t, s, "a"), newEvidenceClient(t, s, "b")
 		answers, ends := 0, 0
 
-		go func() {
+		var sending sync.WaitGroup
+		defer sending.Wait()
+
+		sending.Go(func() {
 			for i := range 100 {
 				time.Sleep(20 * time.Millisecond)
 				a.poll(0, wireEnd(fmt.Sprint("t", i), 7))
 			}
-		}()
+		})
 
 		for begin := time.Now(); time.Since(begin) < 3*time.Second; answers++ {
 			ends += len(b.poll(600 * time.Millisecond).GetEnds())
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -46,7 +46,7 @@
 	stop     func()
 
 	mu       sync.Mutex
-	evidence quarantine.Evidence
+	evidence quarantine.Quarantine
 }
 
 // fleetSize is the number of processes of each kind.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -146,6 +146,86 @@
 	}
 }
 
+// Guards against a part of most requests that is held, and most requests refused, because no answer
+// begins while ends follow each other: it was sound before them. The ends may be heard of all at once.
+func TestPartsThatWereSoundBeforeTheEndsAreNotHeld(t *testing.T) {
+	t.Parallel()
+
+	const popular = companion
+
+	var a, b, late quarantine.Quarantine
+
+	a.Check(at(-50), nil, onlyEntry)
+	b.Check(at(-50), nil, onlyEntry)
+	late.Check(at(-50), nil, onlyEntry)
+	a.MarkSound(workspace)
+	b.MarkSound(workspace, popular)
+	late.MarkSound(workspace, popular)
+
+	now := recordSuccessive(&a, 3, workspace, culprit, popular)
+	requireHeld(t, &a, now, popular)
+	late.Merge(now, allEnds(&a))
+	requireHeld(t, &late, now, culprit)
+
+	b.Merge(now, allEnds(&a))
+	a.Merge(now, allEnds(&b))
+	requireHeld(t, &a, now, culprit)
+}
+
+// Guards against a part that answers now and then, and ends targets for as long as its sound answers
+// are remembered.
+func TestReleasedPartsAreHeldAgain(t *testing.T) {
+	t.Parallel()
+
+	var q quarantine.Quarantine
+
+	now := recordSuccessive(&q, 3, culprit)
+	requireHeld(t, &q, now, culprit)
+	require.True(t, q.MarkSound(culprit))
+	requireHeld(t, &q, now)
+
+	for i := range 3 {
+		now = now.Add(4 * time.Second)
+		q.Record(now, newEnd(fmt.Sprint("again", i), now, culprit))
+	}
+
+	requireHeld(t, &q, now, culprit)
+}
+
+// Guards against callers whose new parts displace the parts that others share.
+func TestNewPartsDoNotDisplaceSharedOnes(t *testing.T) {
+	t.Parallel()
+
+	const popular = companion
+
+	var q quarantine.Quarantine
+
+	q.Check(at(-20), nil, onlyEntry)
+	q.MarkSound(popular)
+
+	for i := range 100_000 {
+		q.MarkSound(quarantine.Part(1000 + i))
+	}
+
+	requireHeld(t, &q, recordSuccessive(&q, 3, workspace, culprit, popular), culprit)
+}
+
+// Guards against sound answers that are remembered too long.
+func TestSoundAnswersAreRememberedForAMinuteAtMost(t *testing.T) {
+	t.Parallel()
+
+	var q quarantine.Quarantine
+
+	q.Check(at(-61), nil, onlyEntry)
+	q.MarkSound(culprit)
+
+	for i := range 61 {
+		q.Check(at(float64(i-61)), nil, onlyEntry)
+	}
+
+	requireHeld(t, &q, recordSuccessive(&q, 3, culprit), culprit)
+}
+
 // Guards against a wrong guess that stays: the companion is deeper and came with each of three ends.
 func TestNextEndCorrectsAWrongGuess(t *testing.T) {
 	t.Parallel()
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -12,6 +12,7 @@
 type Quarantine struct {
 	Evidence
 
+	recent recentParts
 	// trials holds the parts that requests of this entry are trying.
 	trials map[Part]uint64
 	serial uint64
@@ -40,6 +41,8 @@
 // one. share returns this entry's share in the trials of a part. One unit of it, which goes round
 // the entries, lets one entry at a time try the part.
 func (q *Quarantine) Check(now time.Time, parts []Part, share func(Part) shares.Share) Decision {
+	q.recent.rotate(now)
+
 	if len(q.ends) == 0 {
 		return Decision{}
 	}
