Hold back parts of prompts under which targets end

Callers saw: whole services refused or failing for half a minute at a time, while requests with one part of their prompts ended back end after back end. Cause: no entry recorded under which parts targets had ended. Each request with the part was sent on as soon as a target was there, sent again to a second one after it had ended the first, and an entry knew nothing of what others had seen. Change: an entry that proxies directly reads the shared parts of a prompt. When an answer breaks off before its second event, it connects to the target once more; if that is refused, the end is recorded with the parts of the request, and told to the other entries through the control VMs (internal/quarantine). A request with a part that has ended three targets one after the other is refused as not run, with the time from which the part is tried again; requests that wait with it are refused at once. An answer that has begun properly clears its parts. The part with the most ends explains them, so that parts which sound requests share are not held with it. Messages carry the time between sending and the end in microseconds: a request is sent again within a millisecond of the end that it caused. Losses of one group within 1.5 s count once, for a group may open again within 3 s.

--- a/internal/control/evidence_test.go
+++ b/internal/control/evidence_test.go
@@ -18,7 +18,7 @@
 func wireEnd(target string, parts ...uint64) *wire.TargetEnd {
 	end := &wire.TargetEnd{Target: target, StartTime: 1}
 	for i, p := range parts {
-		end.Candidates = append(end.Candidates, &wire.EndCandidate{Part: p, Depth: uint32(i), LeadMillis: 100})
+		end.Candidates = append(end.Candidates, &wire.EndCandidate{Part: p, Depth: uint32(i), LeadMicros: 100_000})
 	}
 
 	return end
@@ -83,7 +83,7 @@
 		require.Equal(t, 100*time.Millisecond, time.Since(begin))
 		require.Len(t, out.GetEnds(), 1)
 		require.Equal(t, uint64(7), out.GetEnds()[0].GetCandidates()[0].GetPart())
-		require.Equal(t, uint64(100), out.GetEnds()[0].GetCandidates()[0].GetLeadMillis())
+		require.Equal(t, uint64(100_000), out.GetEnds()[0].GetCandidates()[0].GetLeadMicros())
 
 		require.Empty(t, b.poll(0).GetEnds(), "sent an end twice")
 		require.Empty(t, b.poll(0, wireEnd("t1", 7)).GetEnds(), "known ends were taken for news")
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -170,8 +170,8 @@
 }
 
 func newCandidateState(at time.Time, c *Candidate) candidateState {
-	// Whole milliseconds, rounded up, are what a message carries.
-	lead := (at.Sub(c.SentAt) + time.Millisecond - 1).Truncate(time.Millisecond)
+	// Whole microseconds are what a message carries.
+	lead := at.Sub(c.SentAt).Truncate(time.Microsecond)
 
 	return candidateState{
 		part: c.Part, depth: min(max(c.Depth, 0), MaxParts-1), lead: min(max(lead, 0), heldRetention), sound: c.Sound,
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -99,7 +99,7 @@
 
 // groupFailureTime is how long after the loss of a rank the other ranks of its group may end. Ends
 // of a group within this time count once.
-const groupFailureTime = 3 * time.Second
+const groupFailureTime = 1500 * time.Millisecond
 
 // atTolerance is the difference in the time of an end that is not worth a message. Times that
 // passed through other processes are late by the time that messages take.
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -27,7 +27,7 @@
 
 		for _, c := range end.Candidates {
 			w.Candidates = append(w.Candidates, &wire.EndCandidate{
-				Part: uint64(c.Part), Depth: uint32(c.Depth), LeadMillis: toMillis(end.At.Sub(c.SentAt)), Sound: c.Sound,
+				Part: uint64(c.Part), Depth: uint32(c.Depth), LeadMicros: toMicros(end.At.Sub(c.SentAt)), Sound: c.Sound,
 			})
 		}
 
@@ -48,7 +48,7 @@
 
 		for _, c := range w.GetCandidates()[:min(len(w.GetCandidates()), maxReceivedCandidates)] {
 			end.Candidates = append(end.Candidates, Candidate{
-				Part: Part(c.GetPart()), Depth: int(min(c.GetDepth(), MaxParts)), SentAt: end.At.Add(-fromMillis(c.GetLeadMillis())), Sound: c.GetSound(),
+				Part: Part(c.GetPart()), Depth: int(min(c.GetDepth(), MaxParts)), SentAt: end.At.Add(-fromMicros(c.GetLeadMicros())), Sound: c.GetSound(),
 			})
 		}
 
@@ -60,6 +60,12 @@
 
 func toMillis(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
 
+func toMicros(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) }
+
+func fromMicros(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(heldRetention.Microseconds()))) * time.Microsecond
+}
+
 func fromMillis(ms uint64) time.Duration {
 	return time.Duration(min(ms, uint64(heldRetention.Milliseconds()))) * time.Millisecond
 }
@@ -73,7 +79,7 @@
 	for _, c := range e.Candidates {
 		data = binary.LittleEndian.AppendUint64(data, uint64(c.Part))
 		data = binary.LittleEndian.AppendUint64(data, uint64(c.Depth))
-		data = binary.LittleEndian.AppendUint64(data, toMillis(e.At.Sub(c.SentAt)))
+		data = binary.LittleEndian.AppendUint64(data, toMicros(e.At.Sub(c.SentAt)))
 		data = append(data, byte(0))
 
 		if c.Sound {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -38,6 +38,9 @@
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
 		{"Relay.SlowReaders", "requests", "Requests ended because the memory for requests was full and a caller or target did not read what was held for it.", func(r *Relay) int64 { return r.counters.slowReaders.Load() }},
 		{"Relay.TargetEnds", "requests", "Requests with a shared prompt whose answer broke off before it had begun properly, because the target had ended.", func(r *Relay) int64 { return r.counters.targetEnds.Load() }},
+		{"Relay.HeldParts", "parts", "Parts of prompts that are held back now, because targets ended while they began to answer requests with them.", func(r *Relay) int64 { return int64(len(r.prompts.state().Held)) }},
+		{"Relay.RefusedParts", "requests", "Requests refused because a part of their prompt is held back.", func(r *Relay) int64 { return r.prompts.state().Refused }},
+		{"Relay.PartTrials", "sends", "Requests with a part that was held back that were sent to see whether targets still end under it.", func(r *Relay) int64 { return r.prompts.state().Trials }},
 		{"Relay.HeldBytes", "bytes", "Request bodies and buffered answers held now.", func(r *Relay) int64 { return r.memory.heldBytes() }},
 		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 {
 			r.queue.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,6 +55,8 @@
 	MaxHeldBytes int64
 	// PriorityControl selects the services whose requests are served by declared priorities.
 	PriorityControl priority.Control
+	// OnTargetEnd, if set, is called when other entries need what EndsSince returns at once.
+	OnTargetEnd func()
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
@@ -79,6 +81,7 @@
 	levelGauges map[string]metrics.Gauge
 	failureRate retries.FailureRate
 	endChecks   endChecks
+	prompts     promptGuard
 	ages        ages
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
@@ -131,6 +134,7 @@
 		r.Budget.StartedAt = r.Now()
 	}
 
+	r.prompts.logger, r.prompts.now, r.prompts.shareOf, r.prompts.onUrgent = r.Logger, r.Now, r.trialShare, r.OnTargetEnd
 	r.ages.all.MaxRetryAfter = r.Settings.MaxRetryAfter
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
@@ -413,6 +417,7 @@
 	p.setDeadlines()
 	p.setPrioritized(table)
 	p.setUrgency()
+	p.setParts()
 
 	return 0, ""
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routes"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
@@ -32,6 +33,11 @@
 	engine       *routes.EngineFigures
 	expectedWork float64
 	body         []byte
+	// parts are the shared parts of the prompt. trial is set while the request tries held ones. sound
+	// is set once an answer has begun properly.
+	parts []quarantine.Part
+	trial quarantine.Trial
+	sound bool
 	// hold is the memory that the body and a buffered answer take.
 	hold *hold
 	// deadline is the earlier of the caller's and the route's. eventDeadline is when the
@@ -108,6 +114,12 @@
 	var lastErr error // of the previous attempt
 
 	for {
+		if err := p.relay.prompts.check(p); err != nil {
+			p.end(err)
+
+			return
+		}
+
 		placed, err := p.acquireTarget(ctx)
 		if err != nil {
 			p.end(err)
@@ -120,12 +132,14 @@
 		}
 
 		if lastErr = p.attempt(ctx, placed); lastErr == nil {
+			p.relay.prompts.end(p)
 			p.complete()
 
 			return
 		}
 
 		p.checkTargetEnd(ctx, lastErr)
+		p.relay.prompts.end(p)
 
 		// A failure of a reused connection excludes no target, which may be the only one.
 		if !errors.Is(lastErr, targetclient.ErrReusedConnection) {
@@ -145,6 +159,9 @@
 	p.beginWaiting()
 	defer p.endWaiting()
 
+	ctx, stopWaiting := p.relay.prompts.await(ctx, p)
+	defer stopWaiting()
+
 	startedAt := p.relay.Now()
 	p.reuse = p.mayReuse()
 	placed, err := p.relay.queue.acquireTarget(ctx, p.dispatchRequest())
@@ -152,6 +169,18 @@
 
 	p.waited += now.Sub(startedAt)
 
+	if held := new(verdict.Error); errors.As(context.Cause(ctx), &held) && err != nil {
+		return placed, held
+	}
+
+	if err == nil {
+		if err = p.relay.prompts.begin(p); err != nil {
+			p.relay.queue.finish(placed, p.work(), dispatch.Canceled)
+
+			return placed, err
+		}
+	}
+
 	if err != nil {
 		p.capacity = placed.Capacity
 		p.urgency.expectedWait = placed.ExpectedWait
@@ -241,6 +270,10 @@
 	p.observeAnswer(answer)
 
 	err = p.deliver(ctx, answer)
+	if err == nil && isSuccess(answer.Status) {
+		p.markSound()
+	}
+
 	if err == nil || errors.Is(err, errTargetFailure) {
 		p.keepConnection(answer, info)
 
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -20,6 +20,17 @@
 	keys map[netip.AddrPort]string
 	// budgets holds the shares of the retry budgets, by service.
 	budgets atomic.Pointer[map[string]shares.Share]
+	// known holds the entries of the last update.
+	known atomic.Pointer[[]shares.Node]
+}
+
+// knownEntries returns the entries of the last update.
+func (e *entryShares) knownEntries() []shares.Node {
+	if known := e.known.Load(); known != nil {
+		return *known
+	}
+
+	return nil
 }
 
 // update recomputes the shares from the current entries and targets. It returns the shares of
@@ -36,6 +47,7 @@
 	}
 
 	e.budgets.Store(&budgets)
+	e.known.Store(&entries)
 
 	targetShares := make(map[string]shares.Share)
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -21,6 +21,8 @@
 	Entries, Waiting                                     int
 	Groups                                               []dispatch.GroupState
 	Connections                                          targetclient.Stats
+	// HeldParts are the parts of prompts that are held back.
+	HeldParts []HeldPart
 }
 
 // Dump returns the current state.
@@ -32,6 +34,7 @@
 		Failed: c.failed.Load(), Cut: c.cut.Load(), Left: c.disconnected.Load(),
 		Again: c.retries.Load(), Unpaid: c.freeRetries.Load(), Misdirected: c.misdirected.Load(), BudgetSpent: c.budgetSpent.Load(),
 		Number: f.Number, Index: f.Index, Entries: f.Entries, Connections: r.TargetClient.Stats(),
+		HeldParts: r.prompts.state().Held,
 	}
 
 	for i := range f.Targets {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -101,6 +101,10 @@
 		p.answerEvents++
 	}
 
+	if p.answerEvents == soundEvents {
+		p.markSound()
+	}
+
 	if ev.HasID {
 		if p.streaming && p.lastForwardedID > 0 && ev.ID <= p.lastForwardedID {
 			return nil
--- a/internal/relay/target_end.go
+++ b/internal/relay/target_end.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -75,29 +76,38 @@
 type brokenAttempt struct {
 	placed         dispatch.Action
 	brokenAt       time.Time
-	parts          []string
+	parts          []quarantine.Part
+	ids            []string
 	request, route string
 }
 
 // recordTargetEnd records that the target of an attempt has ended.
 func (r *Relay) recordTargetEnd(a *brokenAttempt) {
+	t := &a.placed.Target
+	end := quarantine.End{Target: t.ID, StartTime: t.StartTime, Group: t.Group, At: a.brokenAt}
+
+	for i, part := range a.parts {
+		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: part, Depth: i, SentAt: a.placed.PlacedAt})
+	}
+
 	r.counters.targetEnds.Add(1)
+	r.prompts.record(end, a.ids)
 
 	if r.targetStatements.Allow(r.Now()) {
-		r.Logger.Warn("Target ended while it had a request.", "target", a.placed.Target.ID, "zone", a.placed.Target.Zone, "group", a.placed.Target.Group,
-			"service", a.placed.Target.Service, "parts", a.parts, "sentAgo", a.brokenAt.Sub(a.placed.PlacedAt).Round(time.Millisecond), "request", a.request, "route", a.route)
+		r.Logger.Warn("Target ended while it had a request.", "target", t.ID, "zone", t.Zone, "group", t.Group, "service", t.Service,
+			"parts", a.ids, "sentAgo", a.brokenAt.Sub(a.placed.PlacedAt).Round(time.Millisecond), "request", a.request, "route", a.route)
 	}
 }
 
 // checkTargetEnd finds out whether the target of the last attempt has ended, if its answer to a request
 // with a shared prompt broke off before it had begun properly. The request waits for that only briefly.
 func (p *proxiedRequest) checkTargetEnd(ctx context.Context, err error) {
-	if len(p.caller.PromptParts) == 0 || p.answerEvents >= soundEvents || ctx.Err() != nil || !isBrokenOff(err) {
+	if len(p.parts) == 0 || p.sound || ctx.Err() != nil || !isBrokenOff(err) {
 		return
 	}
 
 	target := p.connectionTarget()
-	attempt := brokenAttempt{placed: p.placed, brokenAt: p.relay.Now(), parts: p.caller.PromptParts, request: p.caller.ID, route: p.route.Name}
+	attempt := brokenAttempt{placed: p.placed, brokenAt: p.relay.Now(), parts: p.parts, ids: p.caller.PromptParts, request: p.caller.ID, route: p.route.Name}
 	check := p.relay.endChecks.start(target, func() bool { return p.relay.TargetClient.HasEnded(context.WithoutCancel(ctx), target) })
 	recorded := make(chan struct{})
 
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -23,6 +23,7 @@
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/priority"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/relay"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
@@ -253,12 +254,15 @@
 		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Poll: r.clients.poll,
 		Stopping: r.stopping, Relay: r.RelayAddress, Logger: r.Logs.Logger("view"),
 		OnChange: func(f *view.ClusterState) { r.relay.Apply(f) },
+		Evidence: func(since uint64) ([]quarantine.End, uint64) { return r.relay.EndsSince(since) },
+		// The relay is built after the follower.
+		OnEvidence: func(ends []quarantine.End) { r.relay.MergeEnds(ends) },
 	}
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
 		TargetClient: &targetclient.Client{DialTimeout: targetDialTimeout, MaxHeaderBytes: maxTargetHeaderBytes, MaxIdle: r.MaxIdleConnections},
 		StopsAt:      r.stopTime, MaxHeldBytes: r.MaxHeldBytes, PriorityControl: r.PriorityControl, Logger: r.Logs.Logger("relay"),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), OnTargetEnd: r.follower.NotifyEvidence,
 	}
 
 	r.follower.Init()
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -70,6 +70,7 @@
 	CauseCancelled      Cause = "CallerCancelled"
 	CauseStopping       Cause = "Stopping"
 	CauseTargetFailure  Cause = "TargetFailure"
+	CauseQuarantined    Cause = "Quarantined"
 )
 
 // Error is the error of a request that ended without a complete answer.
