End an event of a stream with CR LF at the LF

Callers saw: a resumed stream in which the LF behind an event is missing. Cause: the CR of the empty line ended the event, which was forwarded; the target broke off before the LF, and the next target went on with the next event. Change: in a stream that has had CR LF line ends, an event ends with the LF, on both paths. Evidence: TestResumedStreamIsTheSameByteForByte, which breaks a stream off at each byte for each kind of line end, failed before with CR LF and passes now.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -20,6 +20,8 @@
 	// afterCR is set if the last byte was a CR, so that an LF belongs to the same line end. usesCRLF is
 	// set once that was so.
 	afterCR, usesCRLF bool
+	// endsAtLF is set after a CR that ends an event of a stream with CR LF, whose LF is still missing.
+	endsAtLF bool
 	// lineBegun is set inside a line, and eventBegun after a line of the current event.
 	lineBegun  bool
 	eventBegun bool
@@ -59,10 +61,20 @@
 }
 
 // ScanEvent follows b up to the end of its first event. It returns how many bytes it has
-// followed, and whether they end an event. The LF of a CR LF that ends an event may come
-// separately, as an end of the same event.
+// followed, and whether they end an event. An event of a stream with CR LF ends with the LF.
 func (s *Scanner) ScanEvent(b []byte) (n int, ended bool) {
 	for i, c := range b {
+		if s.endsAtLF {
+			s.endsAtLF, s.afterCR = false, false
+			s.endEvent()
+
+			if c == '\n' {
+				i++
+			}
+
+			return i, true
+		}
+
 		isRest := c == '\n' && s.afterCR
 		s.afterCR = c == '\r'
 		s.usesCRLF = s.usesCRLF || isRest
@@ -76,6 +88,8 @@
 			s.addToLine(c)
 		case s.lineBegun:
 			s.endLine()
+		case c == '\r' && s.usesCRLF && s.eventBegun:
+			s.endsAtLF = true
 		default:
 			s.endEvent()
 
--- a/internal/targetclient/event_reader.go
+++ b/internal/targetclient/event_reader.go
@@ -88,16 +88,8 @@
 	}
 }
 
-// event returns the event in buf, with the rest of its line end if that has arrived.
+// event returns the event in buf.
 func (r *EventReader) event() Event {
-	if r.r.Buffered() > 0 && r.buf[len(r.buf)-1] == '\r' {
-		if next, _ := r.r.Peek(1); next[0] == '\n' {
-			_, _ = r.scanner.ScanEvent(next)
-			r.buf = append(r.buf, next...)
-			_, _ = r.r.Discard(1)
-		}
-	}
-
 	ev := Event{Comment: r.scanner.IsComment(), Bytes: r.buf}
 
 	if id, ok := r.scanner.EventID(); ok {
