Decline connections at an entry that gets far more than the others

Callers saw requests refused, or served late, while most new connections of a zone or region went to one entry and the targets had room.

Cause: limits over all entries are divided equally, and one entry may use neither the units of the others nor targets outside its subset.

Change: entries report their demand to the control VMs with each poll and get the mean. An entry whose demand, now and 1.4 s ago, exceeds 1.4 times the mean, and at which a request waits or was just refused, closes new connections before anything is read from them; the retry of the caller meets an entry with unused shares. Kept connections are closed with their answers meanwhile. No share changes, so all limits hold whatever the mean says: a mean that is old, lost or wrong costs connections only.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -22,6 +22,7 @@
 	leaving     bool
 	relay       string
 	zone        string
+	demand      *float64
 }
 
 // targetTracker holds the targets that announced themselves to this VM, and the entries
@@ -41,6 +42,7 @@
 	controls []string
 
 	roster        roster
+	demands       demands
 	rosterExpires time.Time
 }
 
@@ -196,7 +198,7 @@
 
 	err := s.withTargets(ctx, func(targets *targetTracker) {
 		now := time.Now()
-		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone()})
+		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand})
 
 		knownRevision := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.directoryBoot {
@@ -210,6 +212,7 @@
 
 		out.DirectoryRevision = targets.registry.Revision()
 		targets.currentRoster(now).addTo(out, r)
+		out.MeanDemand = targets.demands.mean(r.GetZone())
 		changed = changed || out.Full || targets.notified > knownRevision
 	})
 	if err != nil {
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -48,6 +48,7 @@
 	}
 
 	t.rosterExpires = now.Add(rosterTTL)
+	t.demands.reset()
 
 	var (
 		entries []*wire.RosterEntry
@@ -62,6 +63,7 @@
 			delete(t.followers, id)
 		case !f.leaving:
 			entries = append(entries, &wire.RosterEntry{ID: id, Zone: f.zone})
+			t.demands.add(f.zone, f.demand)
 
 			if f.relay != "" {
 				relays = append(relays, f.relay)
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -34,6 +34,8 @@
 	settings       dispatch.Settings
 	// levels is set for a prioritized service.
 	levels *levelLoad
+	// skew is set if callers open their connections unevenly.
+	skew *skewLoad
 }
 
 // busyFleet is a group of 129 ranks with 39 entries, close to its capacity.
@@ -56,6 +58,7 @@
 	stepsLeft, promptStepsLeft int
 	late, started              bool
 	caller                     levelCaller
+	counts                     *skewCounts
 }
 
 type fleetEntry struct {
@@ -88,10 +91,15 @@
 	// queuedLong counts the requests that waited at a target for longer than a step.
 	inTime, late, refused, canceled, queuedLong int
 	levelSim
+	skewed *skewSim
 }
 
 func (f fleetConfig) simulate(seed uint64) *fleetSim {
 	sim := &fleetSim{fleetConfig: f, r: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*fleetTarget{}}
+	if f.skew != nil {
+		sim.skewed = newSkewSim(*f.skew, f.entries)
+	}
+
 	entries, nodes := sim.nodes("e", f.entries), sim.nodes("t", f.targets)
 	subsets := shares.Subsetter{Size: f.subsetSize}.Match(entries, nodes)
 
@@ -144,10 +152,12 @@
 	for n := range int(sim.duration / tick) {
 		now := startTime.Add(time.Duration(n) * tick)
 
-		for range sim.poisson(sim.perSecond * tick.Seconds()) {
+		for range sim.poisson(sim.perSecond * sim.skewed.loadAt(now) * tick.Seconds()) {
 			sim.arrive(now)
 		}
 
+		sim.skewed.tick(now)
+
 		if !now.Before(stepAt) {
 			sim.endStep(now)
 
@@ -165,10 +175,13 @@
 	}
 }
 
-func (sim *fleetSim) poisson(mean float64) int {
-	n, p, threshold := 0, sim.r.Float64(), math.Exp(-mean)
+func (sim *fleetSim) poisson(mean float64) int { return poisson(sim.r, mean) }
+
+// poisson returns a random number of events whose mean number is given.
+func poisson(r *rand.Rand, mean float64) int {
+	n, p, threshold := 0, r.Float64(), math.Exp(-mean)
 	for ; p > threshold; n++ {
-		p *= sim.r.Float64()
+		p *= r.Float64()
 	}
 
 	return n
@@ -186,7 +199,8 @@
 func (sim *fleetSim) arrive(now time.Time) {
 	sim.arrived++
 	promptStepsLeft := 2 + sim.r.IntN(2)
-	req := &fleetRequest{arrived: now, promptStepsLeft: promptStepsLeft, stepsLeft: promptStepsLeft + 1 + int(min(37, 12*math.Exp(0.7*sim.r.NormFloat64())))}
+	req := &fleetRequest{arrived: now, counts: sim.skewed.counts(now, sim.timeout), promptStepsLeft: promptStepsLeft, stepsLeft: promptStepsLeft + 1 + int(min(37, 12*math.Exp(0.7*sim.r.NormFloat64())))}
+	req.counts.arrived++
 	sim.newCaller(req)
 	sim.submit(now, req)
 }
@@ -204,7 +218,20 @@
 
 		return at <= 0
 	})
-	e := sim.entry[max(i, 0)]
+
+	sim.connect(now, sim.skewed.choose(now, sim.r, max(i, 0)), 0, req)
+}
+
+// connect submits a request to entry i on a new connection. attempt counts those that were declined.
+func (sim *fleetSim) connect(now time.Time, i, attempt int, req *fleetRequest) {
+	e := sim.entry[i]
+
+	redial := func(now time.Time) {
+		sim.connect(now, (i+1+sim.r.IntN(len(sim.entry)-1))%len(sim.entry), attempt+1, req)
+	}
+	if !sim.skewed.accept(now, i, e.Waiting(), attempt, req.counts, redial) {
+		return
+	}
 
 	sim.id++
 	req.entry = e
@@ -222,6 +249,8 @@
 
 		if !a.Placed {
 			sim.refused++
+			sim.skewed.refuse(now, slices.Index(sim.entry, e), req.counts)
+			req.counts = &skewCounts{} // A retry is not the first attempt.
 			sim.refuse(now, req, a)
 
 			continue
@@ -268,6 +297,7 @@
 	}
 
 	sim.canceled++
+	sim.skewed.refuse(now, slices.Index(sim.entry, req.entry), req.counts)
 	sim.apply(now, req.entry, req.entry.Finish(now, req.placed, 1, dispatch.Canceled))
 
 	return true
@@ -309,6 +339,7 @@
 		sim.inTime++
 	}
 
+	req.counts.finish(req.late)
 	sim.recordAnswer(req)
 
 	sim.apply(now, req.entry, req.entry.Finish(now, req.placed, 1, dispatch.Completed))
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -38,12 +38,10 @@
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
 		{"Relay.SlowReaders", "requests", "Requests ended because the memory for requests was full and a caller or target did not read what was held for it.", func(r *Relay) int64 { return r.counters.slowReaders.Load() }},
 		{"Relay.HeldBytes", "bytes", "Request bodies and buffered answers held now.", func(r *Relay) int64 { return r.memory.heldBytes() }},
-		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 {
-			r.queue.mu.Lock()
-			defer r.queue.mu.Unlock()
-
-			return int64(r.queue.dispatcher.Waiting())
-		}},
+		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 { return int64(r.queue.waiting()) }},
+		{"Relay.Demand", "requests/s", "Requests that callers bring to this entry, with the connections that it declined.", func(r *Relay) int64 { return int64(r.Decliner.Demand.PerSecond(r.Now())) }},
+		{"Relay.MeanDemand", "requests/s", "Mean of Relay.Demand over all entries, or over those in this zone if that is higher.", func(r *Relay) int64 { return int64(r.Decliner.Demand.Mean()) }},
+		{"Relay.ConnectionsDeclined", "connections", "New connections of callers closed unread, because this entry got far more requests than the others and some of them waited.", func(r *Relay) int64 { return r.Decliner.Declined() }},
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
 		{"Relay.LeavingTargets", "targets", "Targets that said in an answer that they are leaving.", func(r *Relay) int64 { return int64(r.queue.backpressure().Leaving) }},
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -33,6 +33,8 @@
 	directors map[netip.Addr]groupID
 	// onForecast is called with each group whose forecast has become invalid or valid.
 	onForecast func(p dispatch.ForecastProblem)
+	// onOverload is called when a request is refused because no target has room for it.
+	onOverload func(now time.Time)
 }
 
 type engine struct{ service, target string }
@@ -159,6 +161,14 @@
 	return n
 }
 
+// waiting returns the number of requests that wait for a target.
+func (q *queue) waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.dispatcher.Waiting()
+}
+
 func (q *queue) refusedByAdmission() int64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -213,6 +223,10 @@
 // notify sends actions to the requests that wait for them. The caller holds mu.
 func (q *queue) notify(actions []dispatch.Action) {
 	for _, a := range actions {
+		if !a.Placed && a.Cause == verdict.CauseOverload {
+			q.onOverload(q.now())
+		}
+
 		if c := q.waiters[a.ID]; c != nil {
 			c <- a
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
@@ -42,8 +43,8 @@
 	State        func() *view.ClusterState
 	TargetClient *targetclient.Client
 	Budget       *retries.SharedBudget
-	// StopsAt returns whether this entry is stopping, and when it ends. While it stops, each
-	// answer closes its connection.
+	// StopsAt returns whether this entry is stopping, and when it ends. While it stops or declines
+	// connections, each answer closes its connection.
 	StopsAt  func() (at time.Time, stopping bool)
 	Limits   Limits
 	Logger   *slog.Logger
@@ -54,6 +55,8 @@
 	MaxHeldBytes int64
 	// PriorityControl selects the services whose requests are served by declared priorities.
 	PriorityControl priority.Control
+	// Decliner decides which connections are declined. Init sets it if it is nil.
+	Decliner *callers.Decliner
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
@@ -122,6 +125,10 @@
 		r.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	if r.Decliner == nil {
+		r.Decliner = &callers.Decliner{Logger: r.Logger}
+	}
+
 	r.configured = make(chan struct{})
 	r.entryShares.self = shares.Node{ID: r.ID, Zone: r.Zone}
 	r.entryShares.subsets.SubsetSize = shares.SubsetSize
@@ -140,6 +147,7 @@
 		now:        r.Now,
 		waiters:    make(map[uint64]chan dispatch.Action),
 		onForecast: r.logForecast,
+		onOverload: r.Decliner.RecordRefused,
 	}
 }
 
@@ -289,6 +297,10 @@
 	})
 }
 
+// Decline reports whether a new connection should be closed unread, because another entry can serve
+// its request sooner.
+func (r *Relay) Decline() bool { return r.Decliner.Decline(r.Now(), r.queue.waiting) }
+
 // Ready reports whether this entry has a configuration and targets.
 func (r *Relay) Ready() bool {
 	f := r.State()
@@ -301,9 +313,10 @@
 	now := r.Now()
 
 	r.counters.requests.Add(1)
+	r.Decliner.Demand.Add(now)
 
 	stopsAt, stopping := r.StopsAt()
-	if stopping {
+	if stopping || r.Decliner.IsDeclining(now) {
 		w.Header().Set("Connection", "close")
 	}
 
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/dump"
@@ -107,7 +108,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	callers := &http.Server{
+	server := &http.Server{
 		Handler: r.relay, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ErrorLog: slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
 	}
@@ -116,14 +117,16 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.follower.Run(work) })
 	g.Go(func() error { return r.loadSubscriber().Run(work) })
-	g.Go(func() error { return serve(callers, r.Listener, "callers") })
+	g.Go(func() error {
+		return serve(server, &callers.Listener{Listener: r.Listener, Decline: r.relay.Decline}, "callers")
+	})
 	g.Go(func() error { return serve(balancer, r.ReadyListener, "balancer") })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			r.drain(callers)
+			r.drain(server)
 		case <-work.Done():
-			_ = callers.Close()
+			_ = server.Close()
 		}
 
 		defer stop()
@@ -205,7 +208,7 @@
 
 // drain accepts requests while the load balancer still sends them, then completes those
 // in flight. While the entry is stopping, each answer closes its connection.
-func (r *DirectEntry) drain(callers *http.Server) {
+func (r *DirectEntry) drain(server *http.Server) {
 	deadline := time.Now().Add(r.StopTimeout - stopReserve)
 
 	r.stopsAt.Store(&deadline)
@@ -216,10 +219,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := server.Shutdown(ctx); err != nil {
 		r.logger.Warn("Requests were still in flight at the deadline of the stop; closing their connections.", "error", err)
 
-		_ = callers.Close()
+		_ = server.Close()
 	}
 }
 
@@ -250,7 +253,9 @@
 	r.follower = &view.Follower{
 		Cluster: r.Cluster, ID: r.ID, Zone: r.Zone, Seeds: r.Seeds, Poll: r.clients.poll,
 		Stopping: r.stopping, Relay: r.RelayAddress, Logger: r.Logs.Logger("view"),
-		OnChange: func(f *view.ClusterState) { r.relay.Apply(f) },
+		OnChange:     func(f *view.ClusterState) { r.relay.Apply(f) },
+		Demand:       func() float64 { return r.relay.Decliner.Demand.PerSecond(time.Now()) },
+		OnMeanDemand: func(perSecond float64) { r.relay.Decliner.Demand.SetMean(time.Now(), perSecond) },
 	}
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/routes"
@@ -62,6 +64,11 @@
 	Relay netip.AddrPort
 	// ServicesOnly omits routes and workspaces, for processes that accept no callers.
 	ServicesOnly bool
+	// Demand, if set, returns the requests per second that callers bring to this process, and
+	// OnMeanDemand is called with the mean of all entries that a control VM reports. Both may be
+	// called concurrently.
+	Demand       func() float64
+	OnMeanDemand func(perSecond float64)
 	// OnChange is called with each new state, never concurrently.
 	OnChange func(*ClusterState)
 	Settings FollowerSettings
@@ -259,6 +266,10 @@
 		r.Relay = f.Relay.String()
 	}
 
+	if f.Demand != nil {
+		r.Demand = proto.Float64(f.Demand())
+	}
+
 	fetch, wait := f.startTableFetch(control, c.tableNumber)
 	r.WithoutTable = !fetch
 
@@ -272,6 +283,10 @@
 	out, err := f.Poll(ctx, control, r)
 	if err == nil {
 		err = f.mergeAnswer(time.Now(), control, out, c)
+
+		if f.OnMeanDemand != nil && out.MeanDemand != nil {
+			f.OnMeanDemand(out.GetMeanDemand())
+		}
 	}
 
 	// Ending the fetch before the table is merged would let another control VM be
