Bound the connections of callers at an entry that proxies directly

Callers of an entry with many connections that just stay open, or that gets most new ones, got no answer at all: new connections waited to be accepted, and requests found no descriptor for a target.

Cause: nothing bounded the connections of callers. They took all descriptors of the process, 4,100 on an entry VM, and each request needs one more for its target.

Change: the listener closes unread what exceeds CallerConnections, and from 15 in 16 of it on closes the connection that has been idle longest for each new one.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
@@ -41,6 +42,9 @@
 		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 { return int64(r.queue.waiting()) }},
 		{"Relay.Demand", "requests/s", "Requests that callers bring to this entry, with the connections that it declined.", func(r *Relay) int64 { return int64(r.Decliner.Demand.PerSecond(r.Now())) }},
 		{"Relay.MeanDemand", "requests/s", "Mean of Relay.Demand over all entries, or over those in this zone if that is higher.", func(r *Relay) int64 { return int64(r.Decliner.Demand.Mean()) }},
+		{"Relay.CallerConnections", "connections", "Connections of callers now.", func(r *Relay) int64 { return int64(r.callerStats().Open) }},
+		{"Relay.CallerConnectionsRefused", "connections", "New connections of callers closed unread, because too many were open.", func(r *Relay) int64 { return r.callerStats().Refused }},
+		{"Relay.CallerConnectionsClosedIdle", "connections", "Idle connections of callers closed to make room for new ones.", func(r *Relay) int64 { return r.callerStats().ClosedIdle }},
 		{"Relay.ConnectionsDeclined", "connections", "New connections of callers closed unread, because this entry got far more requests than the others and some of them waited.", func(r *Relay) int64 { return r.Decliner.Declined() }},
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
@@ -63,6 +67,15 @@
 	}, closedMetrics()...)
 }
 
+// callerStats returns the counts of callers' connections.
+func (r *Relay) callerStats() callers.Stats {
+	if l := r.CallerConnections.Load(); l != nil {
+		return l.Stats()
+	}
+
+	return callers.Stats{}
+}
+
 // closedMetrics returns the counters of closed connections by reason.
 func closedMetrics() []Metric {
 	reasons := targetclient.CloseReasons()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,8 @@
 	PriorityControl priority.Control
 	// Decliner decides which connections are declined. Init sets it if it is nil.
 	Decliner *callers.Decliner
+	// CallerConnections is the listener whose connections the metrics describe, if it is set.
+	CallerConnections atomic.Pointer[callers.Listener]
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -85,6 +85,8 @@
 	PriorityControl priority.Control
 	// MaxIdleConnections bounds the idle connections to targets; zero means that none are kept.
 	MaxIdleConnections int
+	// MaxCallerConnections bounds the connections of callers; zero means no limit.
+	MaxCallerConnections int
 	// MaxHeldBytes bounds the request bodies and buffered answers that this entry holds; zero
 	// means no limit.
 	MaxHeldBytes int64
@@ -108,8 +110,9 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
+	listener := r.callerListener()
 	server := &http.Server{
-		Handler: r.relay, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+		Handler: r.relay, ConnState: listener.TrackState, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ErrorLog: slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
 	}
 	balancer := &http.Server{Handler: r.ReadinessHandler(r.isReady), ReadHeaderTimeout: callerHeaderTimeout}
@@ -118,7 +121,7 @@
 	g.Go(func() error { return r.follower.Run(work) })
 	g.Go(func() error { return r.loadSubscriber().Run(work) })
 	g.Go(func() error {
-		return serve(server, &callers.Listener{Listener: r.Listener, Decline: r.relay.Decline}, "callers")
+		return serve(server, listener, "callers")
 	})
 	g.Go(func() error { return serve(balancer, r.ReadyListener, "balancer") })
 	g.Go(func() error {
@@ -142,6 +145,14 @@
 	return err
 }
 
+// callerListener returns the listener for callers.
+func (r *DirectEntry) callerListener() *callers.Listener {
+	l := &callers.Listener{Listener: r.Listener, Decline: r.relay.Decline, MaxConnections: r.MaxCallerConnections, Logger: r.Logs.Logger("callers")}
+	r.relay.CallerConnections.Store(l)
+
+	return l
+}
+
 // loadSubscriber returns the subscriber to the loads of engines that have an agent.
 func (r *DirectEntry) loadSubscriber() *loadreport.Subscriber {
 	return &loadreport.Subscriber{
--- a/internal/settings/seeds.go
+++ b/internal/settings/seeds.go
@@ -45,6 +45,8 @@
 	PriorityControl priority.Control
 	// IdleConnections bounds the idle connections to targets.
 	IdleConnections int
+	// CallerConnections bounds the connections of callers.
+	CallerConnections int
 }
 
 // Rank are the settings of an agent that runs beside a rank of a lock-step group.
@@ -79,6 +81,7 @@
 	maxSeeds             = 16
 	maxToleratedFailures = 3
 	maxIdleConnections   = 1 << 16
+	maxCallerConnections = 1 << 16
 )
 
 func networkField() Field {
@@ -125,6 +128,16 @@
 				return ok
 			},
 		},
+		{
+			Section: sectionRouting, Key: "CallerConnections", Allowed: "0 to 65536", Default: "0",
+			Help: "The maximum number of connections of callers. Near it, those that have been idle longest are closed; beyond it, new ones are closed before a request is read. 0 derives it from the file descriptors and the memory of the process, which are its limit in any case: half of the descriptors beyond those for idle connections to targets, control VMs and files, and a quarter of the memory.",
+			parse: func(s *Settings, v string) bool {
+				n, err := strconv.Atoi(v)
+				s.Routing.CallerConnections = n
+
+				return err == nil && n >= 0 && n <= maxCallerConnections
+			},
+		},
 		{
 			Section: sectionRouting, Key: "IdleConnections", Allowed: "0 to 65536", Default: "256",
 			Help: "The maximum number of idle connections to targets, over all targets. Only services that PriorityControl selects keep connections; 0 means that none do. A quarter of the process's file descriptors is the limit in any case.",
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -45,6 +45,7 @@
 		{name: "plaintext beyond loopback", text: strings.ReplaceAll(validSettings, "127.0.0.1", "10.11.1.5"), want: `[TLS] is missing, and 10.11.1.5:8600 is not a loopback address`},
 		{name: "key without certificate", text: validSettings + "[TLS]\nKeyFile = x\n", want: `[TLS] CertFile: is missing`},
 		{name: "control VM not in the list", text: strings.Replace(validSettings, "Role = entry", "Role = control", 1) + "[Control]\nDataFolder = /d\n", want: `[Controls] entry-1: this control VM is not in the list`},
+		{name: "negative number of connections of callers", text: validSettings + "[Routing]\nCallerConnections = -1\n", want: `x.ini:10: [Routing] CallerConnections: bad value "-1"; allowed: 0 to 65536`},
 		{name: "negative number of connections", text: validSettings + "[Routing]\nIdleConnections = -1\n", want: `x.ini:10: [Routing] IdleConnections: bad value "-1"; allowed: 0 to 65536`},
 		{name: "no section", text: "Role = entry\n", want: `x.ini:1: Role: stands before the first section`},
 	}
