Decline no connections for a few requests of excess

Callers of entries with few requests had connections closed unread, though nothing sent most of them to one entry.

Cause: an excess of one request a second above the mean counted, which chance brings about.

Change: the least excess is four requests a second. The tests of skewed connections pass as before.

--- a/internal/callers/demand.go
+++ b/internal/callers/demand.go
@@ -18,7 +18,7 @@
 	excessFactor = 1.4
 	// minExcess is the excess, in requests per second, up to which demand is never excessive: a few
 	// requests are no evidence.
-	minExcess = 1
+	minExcess = 4
 	// meanTTL is how long a mean is used without a newer one. Demand may have changed since.
 	meanTTL = 10 * time.Second
 )
--- a/internal/callers/demand_test.go
+++ b/internal/callers/demand_test.go
@@ -1,6 +1,7 @@
 package callers_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -124,3 +125,35 @@
 	d.Add(startTime.Add(time.Hour))
 	require.InDelta(t, 0.5, d.PerSecond(startTime.Add(time.Hour)), 0.01)
 }
+
+// Guards against entries that decline connections since few requests arrive, and more of them at one entry
+// by chance.
+func TestFewRequestsAreNoExcess(t *testing.T) {
+	t.Parallel()
+
+	const entries, perSecond = 7, 3
+
+	r := rand.New(rand.NewPCG(1, 1))
+	demands := make([]callers.Demand, entries)
+	excessive, all := 0, 0
+
+	for since := time.Duration(0); since < 10*time.Minute; since += tick {
+		now := startTime.Add(since)
+		demands[0].SetMean(now, perSecond)
+
+		for i := range demands {
+			if r.Float64() < perSecond*tick.Seconds() {
+				demands[i].Add(now)
+			}
+		}
+
+		all++
+
+		if demands[0].IsExcessive(now) {
+			excessive++
+		}
+	}
+
+	t.Logf("excessive for %.4f of the time", float64(excessive)/float64(all))
+	require.LessOrEqual(t, float64(excessive)/float64(all), 0.01)
+}
