--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -23,6 +23,7 @@
 	leaving     bool
 	relay       string
 	zone        string
+	demand      *float64
 }
 
 // targetTracker holds the targets that announced themselves to this VM, and the entries
@@ -45,6 +46,7 @@
 	controls []string
 
 	roster        roster
+	demands       demands
 	rosterExpires time.Time
 }
 
@@ -244,7 +246,7 @@
 		out.Controls = targets.controls
 
 		now := time.Now()
-		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone()})
+		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand})
 
 		knownRevision := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.directoryBoot {
@@ -258,6 +260,7 @@
 
 		out.DirectoryRevision = targets.registry.Revision()
 		targets.currentRoster(now).addTo(out, r)
+		out.MeanDemand = targets.demands.mean(r.GetZone())
 		urgent := targets.addEvidence(now, out, r)
 		changed = changed || urgent || out.Full || targets.notified > knownRevision
 	})
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
@@ -42,12 +43,13 @@
 		{"Relay.RefusedParts", "requests", "Requests refused because a part of their prompt is held back.", func(r *Relay) int64 { return r.prompts.state().Refused }},
 		{"Relay.PartTrials", "sends", "Requests with a part that was held back that were sent to see whether targets still end under it.", func(r *Relay) int64 { return r.prompts.state().Trials }},
 		{"Relay.HeldBytes", "bytes", "Request bodies and buffered answers held now.", func(r *Relay) int64 { return r.memory.heldBytes() }},
-		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 {
-			r.queue.mu.Lock()
-			defer r.queue.mu.Unlock()
-
-			return int64(r.queue.dispatcher.Waiting())
-		}},
+		{"Relay.Waiting", "requests", "Requests currently waiting for a target.", func(r *Relay) int64 { return int64(r.queue.waiting()) }},
+		{"Relay.Demand", "requests/s", "Requests that callers bring to this entry, with the connections that it declined.", func(r *Relay) int64 { return int64(r.Decliner.Demand.PerSecond(r.Now())) }},
+		{"Relay.MeanDemand", "requests/s", "Mean of Relay.Demand over all entries, or over those in this zone if that is higher.", func(r *Relay) int64 { return int64(r.Decliner.Demand.Mean()) }},
+		{"Relay.CallerConnections", "connections", "Connections of callers now.", func(r *Relay) int64 { return int64(r.callerStats().Open) }},
+		{"Relay.CallerConnectionsRefused", "connections", "New connections of callers closed unread, because too many were open.", func(r *Relay) int64 { return r.callerStats().Refused }},
+		{"Relay.CallerConnectionsClosedIdle", "connections", "Idle connections of callers closed to make room for new ones.", func(r *Relay) int64 { return r.callerStats().ClosedIdle }},
+		{"Relay.ConnectionsDeclined", "connections", "New connections of callers closed unread, because this entry got far more requests than the others and some of them waited.", func(r *Relay) int64 { return r.Decliner.Declined() }},
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
 		{"Relay.LeavingTargets", "targets", "Targets that said in an answer that they are leaving.", func(r *Relay) int64 { return int64(r.queue.backpressure().Leaving) }},
@@ -69,6 +71,15 @@
 	}, closedMetrics()...)
 }
 
+// callerStats returns the counts of callers' connections.
+func (r *Relay) callerStats() callers.Stats {
+	if l := r.CallerConnections.Load(); l != nil {
+		return l.Stats()
+	}
+
+	return callers.Stats{}
+}
+
 // closedMetrics returns the counters of closed connections by reason.
 func closedMetrics() []Metric {
 	reasons := targetclient.CloseReasons()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/parsleygate/parsleygate/internal/callerconn"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
@@ -43,8 +44,8 @@
 	State        func() *view.ClusterState
 	TargetClient *targetclient.Client
 	Budget       *retries.SharedBudget
-	// StopsAt returns whether this entry is stopping, and when it ends. While it stops, each
-	// answer closes its connection.
+	// StopsAt returns whether this entry is stopping, and when it ends. While it stops or declines
+	// connections, each answer closes its connection.
 	StopsAt  func() (at time.Time, stopping bool)
 	Limits   Limits
 	Logger   *slog.Logger
@@ -57,6 +58,10 @@
 	PriorityControl priority.Control
 	// OnTargetEnd, if set, is called when other entries need what EndsSince returns at once.
 	OnTargetEnd func()
+	// Decliner decides which connections are declined. Init sets it if it is nil.
+	Decliner *callers.Decliner
+	// CallerConnections is the listener whose connections the metrics describe, if it is set.
+	CallerConnections atomic.Pointer[callers.Listener]
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
@@ -127,6 +132,10 @@
 		r.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	if r.Decliner == nil {
+		r.Decliner = &callers.Decliner{Logger: r.Logger}
+	}
+
 	r.configured = make(chan struct{})
 	r.entryShares.self = shares.Node{ID: r.ID, Zone: r.Zone}
 	r.entryShares.subsets.SubsetSize = shares.SubsetSize
@@ -146,6 +155,7 @@
 		now:        r.Now,
 		waiters:    make(map[uint64]chan dispatch.Action),
 		onForecast: r.logForecast,
+		onOverload: r.Decliner.RecordRefused,
 	}
 }
 
@@ -295,6 +305,10 @@
 	})
 }
 
+// Decline reports whether a new connection should be closed unread, because another entry can serve
+// its request sooner.
+func (r *Relay) Decline() bool { return r.Decliner.Decline(r.Now(), r.queue.waiting) }
+
 // Ready reports whether this entry has a configuration and targets.
 func (r *Relay) Ready() bool {
 	f := r.State()
@@ -314,9 +328,10 @@
 	now := r.Now()
 
 	r.counters.requests.Add(1)
+	r.Decliner.Demand.Add(now)
 
 	stopsAt, stopping := r.StopsAt()
-	if stopping {
+	if stopping || r.Decliner.IsDeclining(now) {
 		w.Header().Set("Connection", "close")
 	}
 
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleygate/parsleygate/internal/callerconn"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/dump"
@@ -86,6 +87,8 @@
 	PriorityControl priority.Control
 	// MaxIdleConnections bounds the idle connections to targets; zero means that none are kept.
 	MaxIdleConnections int
+	// MaxCallerConnections bounds the connections of callers; zero means no limit.
+	MaxCallerConnections int
 	// MaxHeldBytes bounds the request bodies and buffered answers that this entry holds; zero
 	// means no limit.
 	MaxHeldBytes int64
@@ -109,8 +112,9 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	callers := &http.Server{
-		Handler: r.relay, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+	listener := r.callerListener()
+	server := &http.Server{
+		Handler: r.relay, ConnState: listener.TrackState, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnContext: callerconn.ConnContext,
 		ErrorLog:    slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
 	}
@@ -119,14 +123,16 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.follower.Run(work) })
 	g.Go(func() error { return r.loadSubscriber().Run(work) })
-	g.Go(func() error { return serve(callers, r.Listener, "callers") })
+	g.Go(func() error {
+		return serve(server, listener, "callers")
+	})
 	g.Go(func() error { return serve(balancer, r.ReadyListener, "balancer") })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			r.drain(callers)
+			r.drain(server)
 		case <-work.Done():
-			_ = callers.Close()
+			_ = server.Close()
 		}
 
 		defer stop()
@@ -142,6 +148,14 @@
 	return err
 }
 
+// callerListener returns the listener for callers.
+func (r *DirectEntry) callerListener() *callers.Listener {
+	l := &callers.Listener{Listener: r.Listener, Decline: r.relay.Decline, MaxConnections: r.MaxCallerConnections, Logger: r.Logs.Logger("callers")}
+	r.relay.CallerConnections.Store(l)
+
+	return l
+}
+
 // loadSubscriber returns the subscriber to the loads of engines that have an agent.
 func (r *DirectEntry) loadSubscriber() *loadreport.Subscriber {
 	return &loadreport.Subscriber{
@@ -208,7 +222,7 @@
 
 // drain accepts requests while the load balancer still sends them, then completes those
 // in flight. While the entry is stopping, each answer closes its connection.
-func (r *DirectEntry) drain(callers *http.Server) {
+func (r *DirectEntry) drain(server *http.Server) {
 	deadline := time.Now().Add(r.StopTimeout - stopReserve)
 
 	r.stopsAt.Store(&deadline)
@@ -219,10 +233,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := server.Shutdown(ctx); err != nil {
 		r.logger.Warn("Requests were still in flight at the deadline of the stop; closing their connections.", "error", err)
 
-		_ = callers.Close()
+		_ = server.Close()
 	}
 }
 
@@ -256,7 +270,9 @@
 		OnChange: func(f *view.ClusterState) { r.relay.Apply(f) },
 		Evidence: func(since uint64) ([]quarantine.End, uint64) { return r.relay.EndsSince(since) },
 		// The relay is built after the follower.
-		OnEvidence: func(ends []quarantine.End) { r.relay.MergeEnds(ends) },
+		OnEvidence:   func(ends []quarantine.End) { r.relay.MergeEnds(ends) },
+		Demand:       func() float64 { return r.relay.Decliner.Demand.PerSecond(time.Now()) },
+		OnMeanDemand: func(perSecond float64) { r.relay.Decliner.Demand.SetMean(time.Now(), perSecond) },
 	}
 	r.relay = &relay.Relay{
 		Dialect: r.Dialect, ID: r.ID, Zone: r.Zone, State: r.follower.State, Budget: r.Budget,
