Read the log of simulated control VMs under its lock

TestMassRestartIsBatched read the length of the log while a control VM proposed: one data race in five runs of the package under the race detector, with others beside them. The bound of the test is unchanged.

--- a/internal/control/controlvms_test.go
+++ b/internal/control/controlvms_test.go
@@ -165,6 +165,14 @@
 	return result
 }
 
+// commands returns the number of commands in the log.
+func (v *controlVMs) commands() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	return len(v.log)
+}
+
 func (v *controlVMs) propose(i int, command []byte) (index uint64, result []byte, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -29,7 +29,7 @@
 
 		time.Sleep(2 * time.Second)
 
-		commands := len(vms.log)
+		commands := vms.commands()
 
 		for i := range processes {
 			readers.stop(fmt.Sprint(i))
@@ -37,7 +37,7 @@
 		}
 
 		time.Sleep(2 * time.Second)
-		require.Less(t, len(vms.log)-commands, 30)
+		require.Less(t, vms.commands()-commands, 30)
 
 		for id, r := range readers.byID {
 			require.True(t, r.Snapshot().Valid(time.Now()))
