Cut a stream whose last events cannot be written

Callers of HTTP/1.0 could see: a part of a stream that ended as a complete one, after their connection had taken only a part of its last events. Cause: when the end of a target's answer arrives together with its last bytes (a last chunk or a stated length), the last events are flushed after forwarding has ended, and the error of that flush was ignored. The request counted as complete, and its connection, which delimits the answer, was closed regularly. Callers of HTTP/1.1 were not affected: the last chunk is missing. Change: a stream is complete only if its last events could be flushed. Evidence: TestAnswerThatIsWrittenInPartDoesNotLookComplete breaks the writing of an answer off at each byte. Before, it failed for streams with chunks and with a length to callers of HTTP/1.0 (nothing but the head arrived, and the answer ended regularly); it passes now, also under the race detector.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,16 +61,16 @@
 	}
 }
 
-// streamResult returns nil if the stream ended after at least one event and without an error,
-// else an error that says the answer is broken. A target that resumes a stream may have nothing to
-// add, but a connection that ends before it has does not say so.
+// streamResult returns nil if the stream ended after at least one event and without an error, and all
+// events could be sent, else an error. A target that resumes a stream may have nothing to add, but a
+// connection that ends before it has does not say so.
 func (p *proxiedRequest) streamResult(answer *targetclient.Answer, err error) error {
 	if errors.Is(err, errCallerDisconnected) {
 		return err
 	}
 
 	if errors.Is(err, io.EOF) && p.streaming && (p.attemptEvents > 0 || answer.Framing != targetclient.FramedByConnection) {
-		return nil
+		return p.flushEvents()
 	}
 
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
