Don't resume a stream with an answer that is no stream

Callers could see: an answer of another kind, such as a page or an empty body, behind the events of a stream that was cut, and the regular end of the whole. Cause: on a route of streams, any answer with a success status counted as the rest of a stream that an earlier target had begun. An empty one with a length, and a 204, ended the stream as complete although no target had said so as a stream; the text of another one became part of it if it ended with a blank line. Change: only an answer with the same status, and events if the first one had events, resumes a stream. Another one is broken, so that the stream is resumed elsewhere or cut. An empty stream of events still ends one of which the caller has all events.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -93,12 +93,12 @@
 
 // deliver forwards a target's answer to the caller.
 func (p *proxiedRequest) deliver(ctx context.Context, answer *targetclient.Answer) error {
-	if p.route.Stream && isSuccess(answer.Status) {
-		return p.forwardStream(ctx, answer)
+	if p.streaming && !p.continuesStream(answer) {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken}
 	}
 
-	if p.streaming {
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken}
+	if p.route.Stream && isSuccess(answer.Status) {
+		return p.forwardStream(ctx, answer)
 	}
 
 	// The answer is buffered until it is complete: a truncated answer must not look
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -61,6 +62,13 @@
 	}
 }
 
+// continuesStream reports whether an answer has the status and the kind of content of the stream whose
+// beginning the caller has. The caller would take any other for the rest of the stream.
+func (p *proxiedRequest) continuesStream(answer *targetclient.Answer) bool {
+	return answer.Status == p.status &&
+		eventstream.IsStream(answer.Header.Get("Content-Type")) == eventstream.IsStream(p.w.Header().Get("Content-Type"))
+}
+
 // streamResult returns nil if the stream ended after at least one event and without an error, and all
 // events could be sent, else an error. A target that resumes a stream may have nothing to add, but a
 // connection that ends before it has does not say so.
