Deliver framed failures whose type is that of streams

Callers could see: 502 instead of a target's own failure, if that has the type text/event-stream and a text as its body, as a server may answer that sets the type before it fails. Cause: since answers of events are checked on each route and framing, the check also judged failures, whose body need not consist of events. A last chunk or a length shows that they are whole. Change: a failure must consist of events only if nothing but the end of its connection delimits it. Evidence: TestFailureWithTheTypeOfAStreamIsDelivered failed before with 502 for 500; it passes now, and a failure without its last chunk still gives 502.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -112,7 +112,7 @@
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 	}
 
-	if eventstream.IsStream(answer.Header.Get("Content-Type")) && !isCompleteStream(body, answer.Framing) {
+	if mustHoldEvents(answer) && !isCompleteStream(body, answer.Framing) {
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: io.ErrUnexpectedEOF}
 	}
 
@@ -128,6 +128,12 @@
 	return nil
 }
 
+// mustHoldEvents reports whether an answer that was read whole is broken unless it consists of events. A
+// framed failure may have a text instead, whatever its type says.
+func mustHoldEvents(answer *targetclient.Answer) bool {
+	return eventstream.IsStream(answer.Header.Get("Content-Type")) && (isSuccess(answer.Status) || answer.Framing == targetclient.FramedByConnection)
+}
+
 // writeHead sends the status and headers of a target's answer to the caller.
 func (p *proxiedRequest) writeHead(status int) {
 	p.status = status
