Relay framed failures whose type is that of streams through agents

Callers could see: a target's own failure that was cut before its body, if it has the type text/event-stream and a text as its body. A last chunk or a length shows that such a failure is whole. Change: agents read the events of a failure only if nothing but the end of its connection delimits it, and entries read those of successes only. Evidence: TestFailureWithTheTypeOfAStreamIsComplete and TestFailureWithTheTypeOfAStreamIsForwarded failed before (refused as AnswerBroken; cut without its body); they pass now, also under the race detector.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -176,12 +176,14 @@
 	h := &wire.Head{AttemptID: x.call.attemptID, Status: int32(resp.StatusCode), Headers: responseHeaders(resp)}
 	x.stream = eventstream.IsStream(resp.Header.Get("Content-Type"))
 
-	if eventstream.IsReadable(resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding")) {
+	x.endsWithConnection = endsWithConnection(x.req, resp)
+
+	// A framed failure may have a text instead of events, whatever its type says.
+	mayHaveText := !isSuccess(resp.StatusCode) && !x.endsWithConnection
+	if !mayHaveText && eventstream.IsReadable(resp.Header.Get("Content-Type"), resp.Header.Get("Content-Encoding")) {
 		x.events = &eventstream.Scanner{After: lastEventID(x.req)}
 	}
 
-	x.endsWithConnection = endsWithConnection(x.req, resp)
-
 	if x.recorded != nil {
 		x.recorded.Status = h.Status
 		x.recorded.Headers = h.Headers
@@ -191,6 +193,8 @@
 	x.sendFrame(&wire.Frame{Kind: &wire.Frame_Head{Head: h}}, resp.ContentLength >= 0)
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // lastEventID returns the ID after which req resumes a stream, or "".
 func lastEventID(req *wire.Request) string {
 	for _, h := range req.GetHeaders() {
--- a/internal/agent/stream_fault_test.go
+++ b/internal/agent/stream_fault_test.go
@@ -212,3 +212,17 @@
 		})
 	}
 }
+
+// Guards against refusing a whole failure because its type is that of streams of events, while its body
+// is a text.
+func TestFailureWithTheTypeOfAStreamIsComplete(t *testing.T) {
+	t.Parallel()
+
+	target := newRawTarget(t, func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\n%s: %s\r\nContent-Type: text/event-stream\r\nContent-Length: 6\r\n\r\nfailed", HeaderRequestID, id)
+	})
+	a := newFixture(t, target.addr(), withLongCredits)
+
+	resp := a.do(a.request("/draft", "x"))
+	resp.requireComplete(t, "failed")
+}
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -254,7 +254,7 @@
 // endsInsideEvent reports whether a is a stream that was broken off inside an event.
 // Entries of earlier builds recorded such streams as complete.
 func endsInsideEvent(a *wire.Answer) bool {
-	if !isEventStream(a.GetHeaders()) {
+	if !beginsEventStream(&wire.Head{Status: a.GetStatus(), Headers: a.GetHeaders()}) {
 		return false
 	}
 
--- a/internal/entry/answer_fault_test.go
+++ b/internal/entry/answer_fault_test.go
@@ -141,3 +141,20 @@
 	f := newFixture(t, streamService, nil, a)
 	require.Equal(t, callerResult{status: 200, verdict: "Ran", body: "bytes without lines"}, f.postStreamRequest())
 }
+
+// Guards against cutting or holding back a whole failure because its type is that of streams of events,
+// while its body is a text.
+func TestFailureWithTheTypeOfAStreamIsForwarded(t *testing.T) {
+	t.Parallel()
+
+	a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *answerWriter) {
+		s.head(http.StatusInternalServerError, eventStream)
+		s.data("failed")
+		s.end()
+	})
+
+	f := newFixture(t, streamService, nil, a)
+	want := callerResult{status: 500, verdict: "Ran", body: "failed"}
+	require.Equal(t, want, f.postStreamRequest())
+	require.Equal(t, want, f.postKept(streamService+"/v1/bookings", "{}"))
+}
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -47,7 +47,7 @@
 				return p.checkResumedHead(h)
 			}
 
-			if resumable && isEventStream(h.GetHeaders()) {
+			if resumable && beginsEventStream(h) {
 				p.events = &eventBuffer{}
 			}
 
@@ -186,6 +186,12 @@
 	return ""
 }
 
+// beginsEventStream reports whether an answer with this head is a stream of events. A failure may have a
+// text instead, whatever its type says.
+func beginsEventStream(h *wire.Head) bool {
+	return h.GetStatus() >= 200 && h.GetStatus() < 300 && isEventStream(h.GetHeaders())
+}
+
 // isEventStream reports whether an answer with these headers is a stream whose events can
 // be read.
 func isEventStream(headers []*wire.Header) bool {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -123,7 +123,7 @@
 	head, data := receiver.Head, receiver.Data
 	receiver.Head = func(h *wire.Head) error {
 		seen.status = h.GetStatus()
-		if isEventStream(h.GetHeaders()) {
+		if beginsEventStream(h) {
 			seen.events = &eventstream.Scanner{}
 		}
 
