Test that a scanner waits for the rest of a line end

Where an event of a stream with CR LF ends was tested through the whole entry only. This test holds the scanner to it: no ID and no event count before the LF.

--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -158,3 +158,25 @@
 	require.False(t, s.Repeated())
 	require.Equal(t, "8", s.LastID())
 }
+
+// Guards against an event that counts as complete before the LF of its last CR LF: a caller would lack
+// that byte if the stream was broken off there and resumed.
+func TestScannerWaitsForTheRestOfALineEnd(t *testing.T) {
+	t.Parallel()
+
+	var s Scanner
+
+	require.Equal(t, 0, s.Scan([]byte("id: 1\r\ndata: a\r\n\r")))
+	require.True(t, s.InsideEvent())
+	require.Empty(t, s.LastID())
+	require.False(t, s.SawNew())
+
+	require.Equal(t, 1, s.Scan([]byte("\n")))
+	require.False(t, s.InsideEvent())
+	require.Equal(t, "1", s.LastID())
+
+	// The line ends may differ.
+	require.Equal(t, 0, s.Scan([]byte("id: 2\r\n\r")))
+	require.Equal(t, len("id: 3\r\r"), s.Scan([]byte("id: 3\r\rx")))
+	require.Equal(t, "3", s.LastID())
+}
