--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -93,12 +93,12 @@
 
 // deliver forwards a target's answer to the caller.
 func (p *proxiedRequest) deliver(ctx context.Context, answer *targetclient.Answer) error {
-	if p.route.Stream && isSuccess(answer.Status) {
-		return p.forwardStream(ctx, answer)
+	if p.streaming && !p.continuesStream(answer) {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken}
 	}
 
-	if p.streaming {
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken}
+	if p.route.Stream && isSuccess(answer.Status) {
+		return p.forwardStream(ctx, answer)
 	}
 
 	// The answer is buffered until it is complete: a truncated answer must not look
@@ -112,7 +112,7 @@
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
 	}
 
-	if eventstream.IsStream(answer.Header.Get("Content-Type")) && !isCompleteStream(body, answer.Framing) {
+	if mustHoldEvents(answer) && !isCompleteStream(body, answer.Framing) {
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: io.ErrUnexpectedEOF}
 	}
 
@@ -128,6 +128,12 @@
 	return nil
 }
 
+// mustHoldEvents reports whether an answer that was read whole is broken unless it consists of events. A
+// framed failure may have a text instead, whatever its type says.
+func mustHoldEvents(answer *targetclient.Answer) bool {
+	return eventstream.IsStream(answer.Header.Get("Content-Type")) && (isSuccess(answer.Status) || answer.Framing == targetclient.FramedByConnection)
+}
+
 // writeHead sends the status and headers of a target's answer to the caller.
 func (p *proxiedRequest) writeHead(status int) {
 	p.status = status
