Log no target with the start of a trial

The line named the target of an earlier attempt: the current one is recorded only when the request is sent. Request and part are enough to find it.

--- a/internal/relay/prompt_guard.go
+++ b/internal/relay/prompt_guard.go
@@ -115,7 +115,7 @@
 	if d.Trial {
 		g.trials++
 		p.trial = g.quarantine.BeginTrial(now, p.parts)
-		g.logger.Info("Request tries a part of prompts that was held back.", "part", g.idOf(d.Part), "request", p.caller.ID, "target", p.placed.Target.ID)
+		g.logger.Info("Request tries a part of prompts that was held back.", "part", g.idOf(d.Part), "request", p.caller.ID)
 	}
 
 	return g.errorOf(p, d)
