Log how an entry comes to its part of the retry budget

A line that a request was sent again said how many entries share the budget, but not what the entry itself had counted, so a budget that is exceeded because shares are too large could not be told from one that is exceeded because what was earned or spent is counted twice. The line now has the requests and retries of the entry's window. A decrease of the number of entries is logged with the control VM whose answer caused it.

No decision changes. The tests of retries, view and relay pass.

--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -74,6 +74,8 @@
 		p.relay.counters.freeRetries.Add(1)
 	}
 
+	usage := p.relay.Budget.Usage(p.relay.Now(), p.service)
+
 	p.log(slog.LevelInfo, "Sent again.", "target", placed.Target.ID, "cause", verdict.CauseOf(lastErr), "verdict", verdict.Of(lastErr).String(),
-		"paid", charged, "entries", p.relay.State().Entries, "error", lastErr)
+		"paid", charged, "entries", p.relay.State().Entries, "windowRequests", usage.Requests, "windowRetries", usage.Retries, "error", lastErr)
 }
--- a/internal/retries/shared_budget.go
+++ b/internal/retries/shared_budget.go
@@ -71,14 +71,38 @@
 	a.requests = append(a.requests, bucket{from: now, count: 1})
 }
 
-// earned returns the number of retries that the requests of the last window allow.
-func (a *account) earned(ratio float64) int {
+// requestCount returns the number of requests of the last window.
+func (a *account) requestCount() int {
 	n := 0
 	for _, b := range a.requests {
 		n += b.count
 	}
 
-	return int(ratio*float64(n) + a.initial)
+	return n
+}
+
+// earned returns the number of retries that the requests of the last window allow.
+func (a *account) earned(ratio float64) int { return int(ratio*float64(a.requestCount()) + a.initial) }
+
+// Usage is what was counted for a service in the last window.
+type Usage struct {
+	// Requests are new requests, Retries those that were charged to the budget.
+	Requests, Retries int
+}
+
+// Usage returns what this entry counted for a service in the last window.
+func (s *SharedBudget) Usage(now time.Time, service string) Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	a := s.accounts[service]
+	if a == nil {
+		return Usage{}
+	}
+
+	a.expire(now.Add(-s.Window))
+
+	return Usage{Requests: a.requestCount(), Retries: len(a.earnedAt) + len(a.slackAt)}
 }
 
 // RecordRequest records a new request for a service. share is this entry's share of the
@@ -141,15 +165,19 @@
 		s.accounts[service] = a
 	}
 
-	from := now.Add(-s.Window)
+	a.expire(now.Add(-s.Window))
+
+	return a
+}
+
+// expire removes what was counted until from.
+func (a *account) expire(from time.Time) {
 	a.earnedAt = after(a.earnedAt, from)
 	a.slackAt = after(a.slackAt, from)
 
 	for len(a.requests) > 0 && !a.requests[0].from.After(from) {
 		a.requests = a.requests[1:]
 	}
-
-	return a
 }
 
 // initialFraction returns the fraction of a retry that counts as earned at the start. The
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -370,6 +370,8 @@
 	}
 
 	if n := max(f.maxEntryCount(), len(next.Roster)); n != next.Entries {
+		f.logEntryCount(next.Entries, n, control, out)
+
 		next.Entries = n
 		changed = true
 	}
@@ -487,6 +489,18 @@
 	return true
 }
 
+// logEntryCount logs a change of the number of entries after the answer of a control VM. Only a
+// decrease enlarges this entry's shares.
+func (f *Follower) logEntryCount(before, after int, control netip.AddrPort, out *wire.FollowResponse) {
+	level := slog.LevelDebug
+	if after < before {
+		level = slog.LevelInfo
+	}
+
+	f.Logger.Log(context.Background(), level, "Number of entries changed.", "before", before, "after", after, "control", control,
+		"reported", out.GetEntries(), "controlsHeard", len(f.entryCounts))
+}
+
 // maxEntryCount returns the number of entries that share the targets. Each control VM
 // counts the entries that poll it; the largest count misses the fewest.
 func (f *Follower) maxEntryCount() int {
