--- a/internal/retries/shared_budget_test.go
+++ b/internal/retries/shared_budget_test.go
@@ -350,3 +350,58 @@
 		}
 	}
 }
+
+// Guards against what requests have earned and is spent twice within a window: first at the entries
+// that received them, then at those to which the load has moved, or that have started again.
+func TestBudgetHoldsWhenRequestsMoveToOtherEntries(t *testing.T) {
+	t.Parallel()
+
+	const (
+		entries, perWindow = 20, 1025
+		slack              = 132.0
+	)
+
+	for _, c := range []struct {
+		name    string
+		restart bool
+	}{{"running", false}, {"restarted", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+
+			start := time.Unix(1000, 0)
+			all := make([]*retries.SharedBudget, entries)
+			restart := func(i int, at time.Time) {
+				all[i] = newSharedBudget()
+				all[i].Slack, all[i].StartedAt = slack, at
+			}
+
+			for i := range all {
+				restart(i, start.Add(-time.Minute))
+			}
+
+			share := func(i int) shares.Share { return shares.Share{Index: i, Entries: entries} }
+			spent := 0
+
+			for window := range 2 {
+				from := start.Add(time.Duration(window) * shareWindow)
+
+				for n := range perWindow {
+					i := window*entries/2 + n%(entries/2)
+					all[i].RecordRequest(from.Add(time.Duration(n)*shareWindow/perWindow), "drafts", share(i))
+				}
+
+				for i := range all {
+					for all[i].Allow(from.Add(shareWindow-time.Duration(window+1)*time.Millisecond), "drafts", share(i)) {
+						spent++
+					}
+
+					if c.restart && window == 0 {
+						restart(i, from.Add(shareWindow))
+					}
+				}
+			}
+
+			require.LessOrEqual(t, float64(spent), shareRatio*perWindow+slack)
+		})
+	}
+}
