Keep counting the entries that have not left

Callers saw targets that received more retries than the budget allows. An entry divides the slack of the retry budget, and the limits of targets, by the entries that control VMs report. It forgot entries in three ways:

- After 40 failed polls, the rosters of all control VMs were dropped at the first answer of any.
A control VM that comes back with an empty disk knows only those that have polled it, so all entries fell to a few of 20 at the same moment, and each took a part that is several times too large.
- A control VM that answered again replaced what it had reported before, however short its new roster was.

A control VM now replaces what an entry knows only once it has answered each poll for 5 s in one incarnation; before, its reports only add. Control VMs also report the entries that are leaving, and those that they do not hear of anymore and that have not left, for two hours (at most 1,024), and save them with the roster. The retry budget is divided by these too. Limits of targets are divided by the entries that are heard of, as before, because the places of lost entries would otherwise stay empty.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -17,10 +17,18 @@
 // before the next one.
 const followerTimeout = 4 * time.Second
 
-// follower is an entry that follows this VM. Only the goroutine of runTrackers uses it.
+// absentRetention is how long an entry that is not heard of anymore is taken to run: it may be cut
+// off from this VM. It exceeds the time for which regions lose each other.
+const absentRetention = 2 * time.Hour
+
+// maxAbsent bounds the entries that are not heard of anymore.
+const maxAbsent = 1024
+
+// follower is an entry that follows this VM, or an agent. Only the goroutine of runTrackers uses it.
 type follower struct {
 	lastRequest time.Time
 	leaving     bool
+	isAgent     bool
 	relay       string
 	zone        string
 	demand      *float64
@@ -31,6 +39,10 @@
 type targetTracker struct {
 	registry  directory.Registry
 	followers map[string]follower
+	// absent holds the entries that are not heard of anymore and have not left.
+	absent map[string]absentEntry
+	// rosterCompleteAt is when every entry that runs and can reach this VM has polled it.
+	rosterCompleteAt time.Time
 	// evidence holds the ends of targets that entries have reported.
 	evidence quarantine.Evidence
 	// savedRevision, savedRosterHash and savedEvidence identify the directory, the roster and
@@ -59,11 +71,18 @@
 	return &targetTracker{
 		registry:  directory.Registry{AnnounceTimeout: maxMissedAnnouncements * interval},
 		followers: make(map[string]follower),
+		absent:    make(map[string]absentEntry),
 	}
 }
 
 // recordFollower records a request of a follower.
 func (t *targetTracker) recordFollower(id string, f follower) {
+	if _, ok := t.absent[id]; ok {
+		delete(t.absent, id)
+
+		t.rosterExpires = time.Time{}
+	}
+
 	if known, ok := t.followers[id]; !ok || known.leaving != f.leaving || known.zone != f.zone || known.relay != f.relay {
 		t.rosterExpires = time.Time{}
 	}
@@ -246,7 +265,7 @@
 		out.Controls = targets.controls
 
 		now := time.Now()
-		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand})
+		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), isAgent: r.GetServicesOnly(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand})
 
 		knownRevision := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.directoryBoot {
@@ -260,6 +279,7 @@
 
 		out.DirectoryRevision = targets.registry.Revision()
 		targets.currentRoster(now).addTo(out, r)
+		out.RosterIncomplete = now.Before(targets.rosterCompleteAt)
 		out.MeanDemand = targets.demands.mean(r.GetZone())
 		urgent := targets.addEvidence(now, out, r)
 		changed = changed || urgent || out.Full || targets.notified > knownRevision
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,13 +25,21 @@
 // roster holds the entries that share the targets, and a hash of them.
 type roster struct {
 	entries []*wire.RosterEntry
-	hash    uint64
+	// absent are other entries that may still use their parts of limits.
+	absent []*wire.RosterEntry
+	hash   uint64
 	// relays are addresses at which some of the entries relay orders to engines.
 	relays []string
 	// changes are the latest changes, oldest first.
 	changes []rosterChange
 }
 
+// absentEntry is an entry that was not heard of anymore at since.
+type absentEntry struct {
+	zone  string
+	since time.Time
+}
+
 // rosterChange is the difference between a roster and the next one.
 type rosterChange struct {
 	// fromHash is the hash of the roster before the change.
@@ -55,12 +65,20 @@
 		relays  []string
 	)
 
+	var absent []*wire.RosterEntry
+
 	for _, id := range slices.Sorted(maps.Keys(t.followers)) {
 		f := t.followers[id]
 
 		switch {
 		case now.Sub(f.lastRequest) > followerTimeout:
 			delete(t.followers, id)
+
+			if !f.leaving && !f.isAgent {
+				t.absent[id] = absentEntry{zone: f.zone, since: now}
+			}
+		case f.leaving && !f.isAgent:
+			absent = append(absent, &wire.RosterEntry{ID: id, Zone: f.zone})
 		case !f.leaving:
 			entries = append(entries, &wire.RosterEntry{ID: id, Zone: f.zone})
 			t.demands.add(f.zone, f.demand)
@@ -73,22 +91,48 @@
 
 	slices.Sort(relays)
 	t.roster.relays = relays[:min(len(relays), maxRelays)]
-	t.roster.update(entries)
+	t.roster.update(entries, append(absent, t.absentEntries(now)...))
 
 	return &t.roster
 }
 
+// absentEntries returns the entries that are not heard of anymore, the last ones first, and forgets
+// those that are too old or too many.
+func (t *targetTracker) absentEntries(now time.Time) []*wire.RosterEntry {
+	ids := slices.SortedFunc(maps.Keys(t.absent), func(a, b string) int {
+		return cmp.Or(t.absent[b].since.Compare(t.absent[a].since), strings.Compare(a, b))
+	})
+
+	out := make([]*wire.RosterEntry, 0, len(ids))
+
+	for i, id := range ids {
+		if a := t.absent[id]; i < maxAbsent && now.Sub(a.since) < absentRetention {
+			out = append(out, &wire.RosterEntry{ID: id, Zone: a.zone})
+		} else {
+			delete(t.absent, id)
+		}
+	}
+
+	return out
+}
+
 // update replaces the entries and records the change.
-func (r *roster) update(entries []*wire.RosterEntry) {
+func (r *roster) update(entries, absent []*wire.RosterEntry) {
 	hash := xxhash.New()
 	for _, e := range entries {
 		_, _ = hash.WriteString(e.GetID() + "\x00" + e.GetZone() + "\x00")
 	}
 
+	for _, e := range absent {
+		_, _ = hash.WriteString("\x00" + e.GetID() + "\x00")
+	}
+
 	if hash.Sum64() == r.hash {
 		return
 	}
 
+	r.absent = absent
+
 	change := rosterChange{fromHash: r.hash}
 	previous := make(map[string]string, len(r.entries))
 
@@ -121,6 +165,8 @@
 		return
 	}
 
+	out.Absent = r.absent
+
 	first := len(r.changes) - 1
 	for first >= 0 && r.changes[first].fromHash != q.GetRosterHash() {
 		first--
--- a/internal/control/savedtargets.go
+++ b/internal/control/savedtargets.go
@@ -33,7 +33,7 @@
 	ends, evidenceRevision := targets.evidence.ChangedSince(0)
 	targets.savedRevision, targets.savedRosterHash, targets.savedEvidence = targets.registry.Revision(), current.hash, evidenceRevision
 
-	saved := &wire.FollowResponse{Roster: current.entries, Ends: quarantine.EndsToWire(ends, now), SavedAtMillis: now.UnixMilli()}
+	saved := &wire.FollowResponse{Roster: current.entries, Absent: current.absent, Ends: quarantine.EndsToWire(ends, now), SavedAtMillis: now.UnixMilli()}
 
 	for _, t := range targets.registry.ChangedSince(0) {
 		saved.Targets = append(saved.Targets, t.ToWire(now))
@@ -77,6 +77,9 @@
 // meant for them, and they soon count as unresponsive. Restored entries that send no
 // requests time out too.
 func (s *Server) restoreTargets(targets *targetTracker) {
+	now := time.Now()
+	targets.rosterCompleteAt = now.Add(followerTimeout)
+
 	if s.LoadTargets == nil {
 		return
 	}
@@ -94,8 +97,6 @@
 		return
 	}
 
-	now := time.Now()
-
 	for _, w := range saved.GetTargets() {
 		t, err := directory.FromWire(w, now)
 		if err != nil {
@@ -107,10 +108,16 @@
 		targets.registry.Restore(now, t)
 	}
 
+	for _, e := range saved.GetAbsent() {
+		targets.absent[e.GetID()] = absentEntry{zone: e.GetZone(), since: now}
+	}
+
 	for _, e := range saved.GetRoster() {
 		targets.recordFollower(e.GetID(), follower{lastRequest: now, zone: e.GetZone()})
 	}
 
+	targets.rosterCompleteAt = now
+
 	restoreEvidence(now, targets, saved)
 
 	s.Logger.Info("Restored the directory of targets saved before the restart.", "targets", len(saved.GetTargets()), "entries", len(saved.GetRoster()),
--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -36,13 +36,13 @@
 // update recomputes the shares from the current entries and targets. It returns the shares of
 // the targets that this entry uses, by target ID. It must not be called concurrently.
 func (e *entryShares) update(now time.Time, f *view.ClusterState) map[string]shares.Share {
-	entries := e.entries(f)
+	entries, sharers := e.entries(f, f.Roster), e.entries(f, f.Sharers)
 	budgets := make(map[string]shares.Share, len(f.Table.Services))
 	serviceShares := make(map[string]map[string]shares.Share, len(f.Table.Services))
 	assignable := e.assignableTargets(f)
 
 	for _, s := range f.Table.Services {
-		budgets[s.Name] = shares.ForLimit(e.self, entries, s.Name)
+		budgets[s.Name] = shares.ForLimit(e.self, sharers, s.Name)
 		serviceShares[s.Name] = e.subsets.Targets(now, s.Name, e.self, entries, assignable[s.Name])
 	}
 
@@ -61,10 +61,10 @@
 	return targetShares
 }
 
-// entries lists the entries that share the limits, with placeholders for entries that are
-// counted but not known by ID.
-func (e *entryShares) entries(f *view.ClusterState) []shares.Node {
-	out := append([]shares.Node{}, f.Roster...)
+// entries returns known with this entry, and with placeholders for entries that are counted but
+// not known by ID.
+func (e *entryShares) entries(f *view.ClusterState, known []shares.Node) []shares.Node {
+	out := append([]shares.Node{}, known...)
 	if !slices.ContainsFunc(out, func(node shares.Node) bool { return node.ID == e.self.ID }) {
 		out = append(out, e.self)
 	}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -32,6 +32,12 @@
 	// Roster holds those whose IDs are known.
 	Entries int
 	Roster  []shares.Node
+	// Sharers are the entries that may use their parts of limits: those of Roster, and others
+	// that are leaving or are not heard of and have not left.
+	Sharers []shares.Node
+	// RosterIncomplete is set until a control VM has answered that does not state the same of its
+	// roster.
+	RosterIncomplete bool
 	// Relays are the addresses of processes that relay orders to engines, as reported
 	// by the control VM that answered last.
 	Relays []netip.AddrPort
@@ -87,6 +93,7 @@
 	membersBySource map[netip.AddrPort][]netip.AddrPort // by the control VM that reported them
 	entryCounts     map[netip.AddrPort]uint32
 	rosters         mergedRoster
+	absences        mergedRoster
 	answered        map[netip.AddrPort]bool
 	unreachable     map[netip.AddrPort]bool // whose rosters and counts are dropped at the next answer of another
 	tableFetch      tableFetch
@@ -144,7 +151,7 @@
 	f.newMembers = make(chan struct{}, 1)
 	f.evidence.controls = make(map[netip.AddrPort]*controlEvidence)
 	f.evidence.changed = make(chan struct{}, 1)
-	f.current.Store(&ClusterState{Entries: 1})
+	f.current.Store(&ClusterState{Entries: 1, RosterIncomplete: true})
 }
 
 // State returns the current state. It is never nil after Init.
@@ -193,6 +200,7 @@
 			delete(f.cancels, a)
 			delete(f.entryCounts, a)
 			f.rosters.drop(a)
+			f.absences.drop(a)
 			delete(f.unreachable, a)
 			delete(f.tableFetch.zones, a)
 			delete(f.membersBySource, a)
@@ -239,6 +247,33 @@
 	rosterHash                       uint64
 	tableNumber                      uint64
 	failures                         int
+	// answersSince is when the control VM began to answer each poll, in the same incarnation.
+	answersSince time.Time
+	// settled is set if it had done so for rosterSettleTime when the current poll was sent.
+	settled bool
+	// keepsEarlier is set while what it reported before answersSince is kept.
+	keepsEarlier bool
+}
+
+// rosterSettleTime is how long a control VM must answer each poll until its roster replaces what
+// was known. It exceeds the time after which all entries that can reach the VM have polled it.
+const rosterSettleTime = 5 * time.Second
+
+// beginPoll notes whether all entries that can reach the control VM are in its roster.
+func (c *controlState) beginPoll(now time.Time) {
+	c.settled = !c.answersSince.IsZero() && now.Sub(c.answersSince) >= rosterSettleTime
+
+	// The roster that replaces what was known must come whole.
+	if c.settled && c.keepsEarlier {
+		c.rosterHash = 0
+	}
+}
+
+// recordAnswer records an answer of an incarnation.
+func (c *controlState) recordAnswer(now time.Time, boot uint64) {
+	if c.answersSince.IsZero() || boot != c.directoryBoot {
+		c.answersSince, c.settled, c.keepsEarlier = now, false, true
+	}
 }
 
 func (f *Follower) pollLoop(ctx context.Context, control netip.AddrPort) {
@@ -248,6 +283,8 @@
 		if err := f.pollOnce(ctx, control, &c); err != nil {
 			f.failEvidence(control)
 
+			c.answersSince = time.Time{}
+
 			if c.failures == 0 && ctx.Err() == nil {
 				f.Logger.Info("Poll of a control VM failed; retrying.", "control", control, "error", err)
 			}
@@ -290,6 +327,8 @@
 }
 
 func (f *Follower) pollOnce(ctx context.Context, control netip.AddrPort, c *controlState) error {
+	c.beginPoll(time.Now())
+
 	r := f.newRequest(c)
 	fetch, wait := f.startTableFetch(control, c.tableNumber)
 	r.WithoutTable = !fetch
@@ -324,6 +363,7 @@
 
 	c.directoryBoot, c.directoryRevision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
 	c.rosterHash, c.tableNumber = out.GetRosterHash(), out.GetNumber()
+
 	f.mergeEvidence(time.Now(), control, sent, out, c)
 
 	return nil
@@ -359,13 +399,18 @@
 		return err
 	}
 
-	f.entryCounts[control] = out.GetEntries()
 	f.tableFetch.zones[control] = out.GetZone()
 
-	f.setRoster(control, out, c)
+	f.setRoster(now, control, out, c)
 
-	if f.rosters.changed {
+	if f.rosters.changed || f.absences.changed {
 		next.Roster = f.rosters.nodes()
+		next.Sharers = sharers(next.Roster, f.absences.nodes())
+		changed = true
+	}
+
+	if next.RosterIncomplete && !out.GetRosterIncomplete() {
+		next.RosterIncomplete = false
 		changed = true
 	}
 
@@ -512,29 +557,69 @@
 	return int(n)
 }
 
-// setRoster stores the entries that a control VM reported. Those of unreachable control VMs
-// are dropped.
-func (f *Follower) setRoster(control netip.AddrPort, out *wire.FollowResponse, c *controlState) {
+// setRoster stores the entries that a control VM reported. Until the VM has settled, its reports only
+// add to what is known. Then they also replace those of unreachable control VMs.
+func (f *Follower) setRoster(now time.Time, control netip.AddrPort, out *wire.FollowResponse, c *controlState) {
 	delete(f.unreachable, control)
+	c.recordAnswer(now, out.GetDirectoryBoot())
+
+	present, absent := nodesOf(out.GetRoster()), nodesOf(out.GetAbsent())
+
+	if !c.settled {
+		f.entryCounts[control] = max(f.entryCounts[control], out.GetEntries())
+		f.rosters.change(control, present, nil)
+		f.absences.change(control, absent, nil)
+
+		return
+	}
 
 	for other := range f.unreachable {
 		f.rosters.drop(other)
+		f.absences.drop(other)
 		delete(f.entryCounts, other)
 		delete(f.unreachable, other)
 	}
 
+	f.entryCounts[control] = out.GetEntries()
+
 	if out.GetRosterHash() == c.rosterHash {
 		return
 	}
 
-	nodes := make([]shares.Node, 0, len(out.GetRoster()))
-	for _, e := range out.GetRoster() {
-		nodes = append(nodes, shares.Node{ID: e.GetID(), Zone: e.GetZone()})
-	}
+	c.keepsEarlier = false
+	f.absences.replace(control, absent)
 
 	if out.GetRosterPartial() {
-		f.rosters.change(control, nodes, out.GetRosterGone())
+		f.rosters.change(control, present, out.GetRosterGone())
 	} else {
-		f.rosters.replace(control, nodes)
+		f.rosters.replace(control, present)
 	}
 }
+
+func nodesOf(entries []*wire.RosterEntry) []shares.Node {
+	out := make([]shares.Node, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, shares.Node{ID: e.GetID(), Zone: e.GetZone()})
+	}
+
+	return out
+}
+
+// sharers returns the entries of a roster and the absent ones. One that a control VM does not hear of
+// may be in the roster of another.
+func sharers(present, absent []shares.Node) []shares.Node {
+	known := make(map[string]bool, len(present))
+	for _, n := range present {
+		known[n.ID] = true
+	}
+
+	out := slices.Clone(present)
+
+	for _, n := range absent {
+		if !known[n.ID] {
+			out = append(out, n)
+		}
+	}
+
+	return out
+}
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -332,3 +332,44 @@
 		require.Equal(t, "b c", ids())
 	})
 }
+
+// Guards against entries that are counted forever after the control VM that reported them was lost and
+// came back without them.
+func TestSettledControlVMReplacesWhatItReportedBefore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		answer := func(boot, hash uint64, ids ...string) *wire.FollowResponse {
+			out := &wire.FollowResponse{DirectoryBoot: boot, RosterHash: hash, Entries: uint32(len(ids))}
+			for _, id := range ids {
+				out.Roster = append(out.Roster, &wire.RosterEntry{ID: id})
+			}
+
+			return out
+		}
+
+		p := &fakeControls{answers: map[netip.AddrPort]*wire.FollowResponse{}, unresponsive: map[netip.AddrPort]bool{}}
+		p.set(controlOne, answer(1, 10, "a", "b", "c"))
+
+		f, stop := startFollower(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 3, f.State().Entries)
+
+		// It has the same roster at first, which must not count as unchanged.
+		p.set(controlOne, answer(2, 10, "a"))
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 3, f.State().Entries)
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, f.State().Entries)
+
+		// A poll that fails once puts off what the next answers take away.
+		p.set(controlOne, nil)
+		time.Sleep(200 * time.Millisecond)
+		p.set(controlOne, answer(2, 11))
+		time.Sleep(4 * time.Second)
+		require.Len(t, f.State().Roster, 1)
+		time.Sleep(4 * time.Second)
+		require.Empty(t, f.State().Roster)
+	})
+}
