Take nothing of a budget that is shared by an unknown number of entries

An entry that had not computed its shares yet, and one that was asked for a service that is not in its table anymore, had the whole slack of the retry budget. So had an entry that started and was answered first by a control VM that had started without its saved roster and knew nobody else.

Such an entry now has no part of the slack, and retries what its own requests pay for.

--- a/internal/relay/shares.go
+++ b/internal/relay/shares.go
@@ -18,12 +18,19 @@
 	subsets shares.SubsetCache
 	// keys holds the results of addressKey for the targets of the last update.
 	keys map[netip.AddrPort]string
-	// budgets holds the shares of the retry budgets, by service.
-	budgets atomic.Pointer[map[string]shares.Share]
+	// budgets is nil while this entry does not know with how many others it shares them.
+	budgets atomic.Pointer[budgetShares]
 	// known holds the entries of the last update.
 	known atomic.Pointer[[]shares.Node]
 }
 
+// budgetShares holds this entry's shares of the retry budgets.
+type budgetShares struct {
+	sharers []shares.Node
+	// byService holds the shares for the services of the table.
+	byService map[string]shares.Share
+}
+
 // knownEntries returns the entries of the last update.
 func (e *entryShares) knownEntries() []shares.Node {
 	if known := e.known.Load(); known != nil {
@@ -36,19 +43,20 @@
 // update recomputes the shares from the current entries and targets. It returns the shares of
 // the targets that this entry uses, by target ID. It must not be called concurrently.
 func (e *entryShares) update(now time.Time, f *view.ClusterState) map[string]shares.Share {
-	entries, sharers := e.entries(f, f.Roster), e.entries(f, f.Sharers)
-	budgets := make(map[string]shares.Share, len(f.Table.Services))
+	entries := e.entries(f, f.Roster)
 	serviceShares := make(map[string]map[string]shares.Share, len(f.Table.Services))
 	assignable := e.assignableTargets(f)
 
 	for _, s := range f.Table.Services {
-		budgets[s.Name] = shares.ForLimit(e.self, sharers, s.Name)
 		serviceShares[s.Name] = e.subsets.Targets(now, s.Name, e.self, entries, assignable[s.Name])
 	}
 
-	e.budgets.Store(&budgets)
 	e.known.Store(&entries)
 
+	if !f.RosterIncomplete {
+		e.updateBudgets(f)
+	}
+
 	targetShares := make(map[string]shares.Share)
 
 	for i := range f.Targets {
@@ -78,11 +86,25 @@
 
 // budgetShare returns this entry's share of the retry budget of a service.
 func (e *entryShares) budgetShare(service string) shares.Share {
-	if known := e.budgets.Load(); known != nil {
-		return (*known)[service]
+	b := e.budgets.Load()
+	if b == nil {
+		return shares.None()
+	}
+
+	if share, ok := b.byService[service]; ok {
+		return share
+	}
+
+	return shares.ForLimit(e.self, b.sharers, service)
+}
+
+func (e *entryShares) updateBudgets(f *view.ClusterState) {
+	b := &budgetShares{sharers: e.entries(f, f.Sharers), byService: make(map[string]shares.Share, len(f.Table.Services))}
+	for _, s := range f.Table.Services {
+		b.byService[s.Name] = shares.ForLimit(e.self, b.sharers, s.Name)
 	}
 
-	return shares.Share{}
+	e.budgets.Store(b)
 }
 
 // assignableTargets lists the targets that accept new requests, by service.
--- a/internal/shares/share.go
+++ b/internal/shares/share.go
@@ -17,6 +17,10 @@
 	Entries int
 }
 
+// None is the share of an entry that has no part of a limit, because it does not know how many
+// others share it.
+func None() Share { return Share{Entries: -1} }
+
 // turnDuration is the minimum time for which an entry has a unit if there are fewer units
 // than entries.
 const turnDuration = 10 * time.Second
@@ -29,6 +33,8 @@
 	units := int(total)
 
 	switch {
+	case s.Entries < 0:
+		return 0
 	case s.Entries <= 1:
 		return units
 	case units <= 0:
@@ -75,10 +81,10 @@
 }
 
 // NextUnit returns when this entry has a unit of total next: at now if it has one already. It
-// returns now also if the limit has no units.
+// returns now also if the limit has no units, or this entry no part of them.
 func (s Share) NextUnit(now time.Time, total float64) time.Time {
 	units := int(total)
-	if units <= 0 || s.Units(now, total) > 0 {
+	if units <= 0 || s.Entries < 0 || s.Units(now, total) > 0 {
 		return now
 	}
 
--- a/internal/shares/share_test.go
+++ b/internal/shares/share_test.go
@@ -37,3 +37,12 @@
 		}
 	}
 }
+
+// Guards against a share that is not known and counts as the whole limit.
+func TestNoneHasNoUnits(t *testing.T) {
+	t.Parallel()
+
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	require.Zero(t, shares.None().Units(now, 1000))
+	require.Equal(t, now, shares.None().NextUnit(now, 1000))
+}
