Use limits of targets in part while the roster is incomplete

An entry that has started uses a quarter of its part of cold targets and of stated rates for a second, since it may know only few of the others. A control VM that started without a saved roster may know few of them for longer, and entries that started with it took the whole. The quarter now holds until a control VM has a complete roster.

TestColdLimitIsUsedInPartWhileTheRosterIsIncomplete holds it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,6 +155,8 @@
 	Rand     *rand.Rand
 	// Zone is the zone of this entry. If empty, all targets count as local.
 	Zone string
+	// RosterIncomplete is set while other entries may be missing in the shares of Update.
+	RosterIncomplete bool
 
 	services map[string]*service
 	// backpressure is what targets have said about their load, by target ID.
@@ -164,6 +166,11 @@
 	settlingUntil time.Time
 }
 
+// isNew reports whether this entry may know only a few of the other entries.
+func (d *Dispatcher) isNew(now time.Time) bool {
+	return d.RosterIncomplete || now.Before(d.settlingUntil)
+}
+
 // Update replaces the sets of services and targets. It refuses the requests that wait for a
 // removed service.
 func (d *Dispatcher) Update(now time.Time, services []Service, targets []Target) []Action {
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -467,3 +467,34 @@
 		}
 	}
 }
+
+// Guards against cold targets that get several times their limit from entries that have started and
+// are told of few others by a control VM with an empty disk.
+func TestColdLimitIsUsedInPartWhileTheRosterIsIncomplete(t *testing.T) {
+	t.Parallel()
+
+	placed := func(incomplete bool) int {
+		d := &dispatch.Dispatcher{Settings: dispatch.DefaultSettings(), Rand: rand.New(rand.NewPCG(1, 2)), RosterIncomplete: incomplete}
+		now := startTime
+		target := dispatch.Target{ID: "t", Service: "desk", Slots: 200, ColdUntil: now.Add(time.Minute)}
+		d.Update(now, []dispatch.Service{{Name: "desk", ColdPerSecond: 40}}, []dispatch.Target{target})
+
+		now = now.Add(5 * time.Second) // longer than any entry counts as new
+		n := 0
+
+		for id := range uint64(100) {
+			for _, a := range d.Submit(now, dispatch.Request{ID: id + 1, Service: "desk", Work: 1, Deadline: now.Add(time.Second), SoftDeadline: now.Add(time.Second)}) {
+				if a.Placed {
+					n++
+				}
+			}
+		}
+
+		return n
+	}
+
+	whole := placed(false)
+	require.Greater(t, whole, 20)
+	require.LessOrEqual(t, placed(true), (whole+3)/4)
+	require.Positive(t, placed(true))
+}
--- a/internal/dispatch/rate_limit.go
+++ b/internal/dispatch/rate_limit.go
@@ -33,7 +33,7 @@
 	total, window := t.rateQuota(&d.Settings)
 
 	units = t.Share.Units(now, total)
-	if now.Before(d.settlingUntil) {
+	if d.isNew(now) {
 		units = (units + settlingDivisor - 1) / settlingDivisor
 	}
 
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -519,7 +519,7 @@
 	}
 
 	units := t.Share.Units(now, bound)
-	if now.Before(d.settlingUntil) {
+	if d.isNew(now) {
 		return (units + settlingDivisor - 1) / settlingDivisor
 	}
 
--- a/internal/relay/levels_test.go
+++ b/internal/relay/levels_test.go
@@ -32,7 +32,7 @@
 		Now: func() time.Time { return now }, Logger: slog.New(slog.NewTextHandler(&logged, nil)),
 	}
 	r.Init()
-	r.queue.update([]dispatch.Service{{Name: "drafts", Streams: true, Prioritized: true}}, []dispatch.Target{{ID: "a", Service: "drafts", Group: "g", Slots: 1}}, nil)
+	r.queue.update([]dispatch.Service{{Name: "drafts", Streams: true, Prioritized: true}}, []dispatch.Target{{ID: "a", Service: "drafts", Group: "g", Slots: 1}}, nil, false)
 
 	submit := func() {
 		now = now.Add(100 * time.Millisecond)
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -185,10 +185,11 @@
 }
 
 // update replaces the services and targets.
-func (q *queue) update(services []dispatch.Service, targets []dispatch.Target, directors map[netip.Addr]groupID) {
+func (q *queue) update(services []dispatch.Service, targets []dispatch.Target, directors map[netip.Addr]groupID, rosterIncomplete bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	q.dispatcher.RosterIncomplete = rosterIncomplete
 	q.engines = make(map[netip.Addr][]engine)
 
 	for i := range targets {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -185,7 +185,7 @@
 	}
 
 	r.retainConnections(now, services, targets)
-	r.queue.update(services, targets, directors(f, services, targets))
+	r.queue.update(services, targets, directors(f, services, targets), f.RosterIncomplete)
 	r.retainCounts(f)
 	r.configureOnce.Do(func() { close(r.configured) })
 
