Know what was spent soon after control VMs have started again

After all control VMs had started again, no entry had a report of the others for a window, and retried only what two windows of its own requests allowed. But entries that run for longer than the window tell all of it with their first polls. A report now counts as complete once all entries that follow the control VM have told what they spent in the last window, or an earlier incarnation of them has; otherwise after a window, as before.

TestReportsAreCompleteOnceAllEntriesHaveReported.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -33,9 +33,12 @@
 	lastRequest time.Time
 	leaving     bool
 	isAgent     bool
-	relay       string
-	zone        string
-	demand      *float64
+	// isRecorded is set if what an entry has spent of its retry budgets is known, also before it
+	// started.
+	isRecorded bool
+	relay      string
+	zone       string
+	demand     *float64
 }
 
 // targetTracker holds the targets that announced themselves to this VM, and the entries
@@ -47,6 +50,10 @@
 	absent map[string]absentEntry
 	// retryUsage sums what entries have counted for their retry budgets.
 	retryUsage retries.UsageTable
+	// retryRecordedSince is since when all of it is known.
+	retryRecordedSince time.Time
+	// hasRestoredRoster is set if this VM has started with its saved roster.
+	hasRestoredRoster bool
 	// rosterCompleteAt is when every entry that runs and can reach this VM has polled it.
 	rosterCompleteAt time.Time
 	// evidence holds the ends of targets that entries have reported.
@@ -225,7 +232,26 @@
 
 	t.retryUsage.Record(now, source, window, retries.UsageFromWire(r.GetRetryUsage()))
 	out.RetryUsage = retries.UsageToWire(t.retryUsage.Others(now, source))
-	out.RetryUsageMillis = uint64(now.Sub(t.retryUsage.StartedAt).Milliseconds())
+	out.RetryUsageMillis = uint64(now.Sub(t.retryRecordedSince).Milliseconds())
+}
+
+// isRecorded reports whether a poll tells what the sender has spent of its retry budgets in the last
+// window, or an earlier one has.
+func (t *targetTracker) isRecorded(r *wire.FollowRequest) bool {
+	if r.GetRunningMillis() >= r.GetRetryWindowMillis() {
+		return true
+	}
+
+	// An earlier incarnation may have retried too. There was none if the saved roster lacks the entry.
+	if known, ok := t.followers[r.GetID()]; ok {
+		return known.isRecorded
+	}
+
+	if known, ok := t.absent[r.GetID()]; ok {
+		return known.isRecorded
+	}
+
+	return t.hasRestoredRoster
 }
 
 // exchangesEvidence reports whether the sender exchanges ends of targets. Agents do not.
@@ -285,7 +311,7 @@
 		out.Controls = targets.controls
 
 		now := time.Now()
-		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), isAgent: r.GetServicesOnly(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand})
+		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), isAgent: r.GetServicesOnly(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand, isRecorded: targets.isRecorded(r)})
 
 		knownRevision := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.directoryBoot {
--- a/internal/control/retry_usage_fleet_test.go
+++ b/internal/control/retry_usage_fleet_test.go
@@ -89,6 +89,78 @@
 	})
 }
 
+// recordedFor returns for how long a control VM knows the retries of the others, at most.
+func (e *fleetEntry) recordedFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	longest := time.Duration(0)
+	for _, r := range e.reports {
+		longest = max(longest, time.Since(r.RecordedSince))
+	}
+
+	return longest
+}
+
+// Guards against entries that retry next to nothing for a window after all control VMs have started
+// again, though the entries know what they have spent; and against reports that count as complete while
+// an entry has started again and nobody knows what it had spent before.
+func TestReportsAreCompleteOnceAllEntriesHaveReported(t *testing.T) {
+	t.Parallel()
+
+	for _, restarted := range []int{0, 1} {
+		t.Run(fmt.Sprint("restarted entries: ", restarted), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, fleetSize{controls: 3, entries: 4, targets: 5})
+				f.run(2 * settled)
+
+				for i := range f.controls {
+					f.replaceControl(i)
+				}
+
+				for _, e := range f.entries[:restarted] {
+					e.stop()
+					f.start(e)
+				}
+
+				for _, e := range f.entries {
+					e.mu.Lock()
+					e.reports = nil
+					e.mu.Unlock()
+				}
+
+				time.Sleep(2 * time.Second)
+
+				for _, e := range f.entries {
+					require.Less(t, e.recordedFor(), fleetRetryWindow, e.id)
+				}
+
+				time.Sleep(5 * time.Second)
+
+				for _, e := range f.entries {
+					require.Equal(t, restarted == 0, e.recordedFor() >= fleetRetryWindow, e.id)
+				}
+
+				time.Sleep(fleetRetryWindow)
+
+				for _, e := range f.entries {
+					require.GreaterOrEqual(t, e.recordedFor(), fleetRetryWindow, e.id)
+				}
+
+				// What an entry has spent before it starts again has been recorded now.
+				f.entries[3].stop()
+				f.start(f.entries[3])
+				time.Sleep(2 * time.Second)
+
+				for _, e := range f.entries {
+					require.GreaterOrEqual(t, e.recordedFor(), fleetRetryWindow, e.id)
+				}
+			})
+		})
+	}
+}
+
 // Guards against retries that are known only when polls end by themselves: an entry that ends before
 // has spent them in secret.
 func TestManyRetriesAreReportedSoon(t *testing.T) {
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -36,8 +36,9 @@
 
 // absentEntry is an entry that was not heard of anymore at since.
 type absentEntry struct {
-	zone  string
-	since time.Time
+	zone       string
+	since      time.Time
+	isRecorded bool
 }
 
 // rosterChange is the difference between a roster and the next one.
@@ -60,13 +61,16 @@
 	t.rosterExpires = now.Add(rosterTTL)
 	t.demands.reset()
 
+	t.retryRecordedSince = now.Add(-maxRetryWindow)
+	if now.Before(t.rosterCompleteAt) {
+		t.retryRecordedSince = t.retryUsage.StartedAt
+	}
+
 	var (
-		entries []*wire.RosterEntry
-		relays  []string
+		entries, absent []*wire.RosterEntry
+		relays          []string
 	)
 
-	var absent []*wire.RosterEntry
-
 	for _, id := range slices.Sorted(maps.Keys(t.followers)) {
 		f := t.followers[id]
 
@@ -75,11 +79,15 @@
 			delete(t.followers, id)
 
 			if !f.leaving && !f.isAgent {
-				t.absent[id] = absentEntry{zone: f.zone, since: now}
+				t.absent[id] = absentEntry{zone: f.zone, since: now, isRecorded: f.isRecorded}
 			}
 		case f.leaving && !f.isAgent:
 			absent = append(absent, &wire.RosterEntry{ID: id, Zone: f.zone})
 		case !f.leaving:
+			if !f.isRecorded {
+				t.retryRecordedSince = t.retryUsage.StartedAt
+			}
+
 			entries = append(entries, &wire.RosterEntry{ID: id, Zone: f.zone})
 			t.demands.add(f.zone, f.demand)
 
@@ -108,6 +116,10 @@
 	for i, id := range ids {
 		if a := t.absent[id]; i < maxAbsent && now.Sub(a.since) < absentRetention {
 			out = append(out, &wire.RosterEntry{ID: id, Zone: a.zone})
+
+			if !a.isRecorded {
+				t.retryRecordedSince = t.retryUsage.StartedAt
+			}
 		} else {
 			delete(t.absent, id)
 		}
--- a/internal/control/savedtargets.go
+++ b/internal/control/savedtargets.go
@@ -117,7 +117,7 @@
 		targets.recordFollower(e.GetID(), follower{lastRequest: now, zone: e.GetZone()})
 	}
 
-	targets.rosterCompleteAt = now
+	targets.rosterCompleteAt, targets.hasRestoredRoster = now, true
 
 	restoreEvidence(now, targets, saved)
 
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -96,6 +96,7 @@
 	Logger     *slog.Logger
 
 	incarnation     uint64
+	startedAt       time.Time
 	mu              sync.Mutex
 	merged          directory.MergedTargets
 	current         atomic.Pointer[ClusterState]
@@ -151,7 +152,7 @@
 		f.Logger = slog.New(slog.DiscardHandler)
 	}
 
-	f.incarnation = rand.Uint64()
+	f.incarnation, f.startedAt = rand.Uint64(), time.Now()
 	f.membersBySource = make(map[netip.AddrPort][]netip.AddrPort)
 	f.entryCounts = make(map[netip.AddrPort]uint32)
 	f.answered = make(map[netip.AddrPort]bool)
@@ -323,6 +324,7 @@
 		Cluster: f.Cluster, ID: f.ID, Zone: f.Zone, KnownIndex: s.Index, KnownNumber: s.Number,
 		DirectoryBoot: c.directoryBoot, DirectoryRevision: c.directoryRevision, Leaving: f.Stopping != nil && f.Stopping(),
 		ServicesOnly: f.ServicesOnly, RosterHash: c.rosterHash, RosterChanges: true, Incarnation: f.incarnation,
+		RunningMillis: uint64(time.Since(f.startedAt).Milliseconds()),
 	}
 
 	if f.Relay.IsValid() {
