Tell by how many entries the retry budget is shared

The line Sent again. had the number of entries that are heard of. The budget is also divided by those that are not heard of and have not left, so the line has that number now, and the metric Relay.Sharers is new.

--- a/internal/control/retry_usage_fleet_test.go
+++ b/internal/control/retry_usage_fleet_test.go
@@ -204,22 +204,33 @@
 func TestRetryReportsCostAnEntryTheSameAtTwiceTheSize(t *testing.T) {
 	t.Parallel()
 
-	report := func(f *fleet, _ int) {
+	_, quiet := measureFleet(t, smallFleet, nil)
+	messages, bytes := measureFleet(t, smallFleet, reportRetries(10))
+	messagesAtTwice, bytesAtTwice := measureFleet(t, smallFleet.twice(), reportRetries(10))
+
+	require.Greater(t, bytes, quiet)
+	require.LessOrEqual(t, messagesAtTwice, 1.1*messages)
+	require.LessOrEqual(t, bytesAtTwice, 1.2*bytes)
+}
+
+// reportRetries lets all entries report retries of requests for a number of services.
+func reportRetries(services int) func(*fleet, int) {
+	return func(f *fleet, _ int) {
 		for _, e := range f.entries {
 			usage := make(map[string]retries.Usage)
-			for i := range 10 {
+			for i := range services {
 				usage[fmt.Sprint("service-", i)] = retries.Usage{Requests: 300, Retries: 40}
 			}
 
 			e.setRetryUsage(usage)
 		}
 	}
+}
 
-	_, quiet := measureFleet(t, smallFleet, nil)
-	messages, bytes := measureFleet(t, smallFleet, report)
-	messagesAtTwice, bytesAtTwice := measureFleet(t, smallFleet.twice(), report)
+// Guards against reports of retries that cost an entry more than it has for control in a large fleet.
+func TestCostOfRetryReportsAt289Entries(t *testing.T) {
+	t.Parallel()
 
-	require.Greater(t, bytes, quiet)
-	require.LessOrEqual(t, messagesAtTwice, 1.1*messages)
-	require.LessOrEqual(t, bytesAtTwice, 1.2*bytes)
+	_, bytes := measureFleet(t, fleetSize{controls: 7, entries: 289, targets: 20}, reportRetries(2))
+	require.LessOrEqual(t, bytes, 7_000.0, "an entry's bytes a second for control")
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -62,6 +62,9 @@
 		{"Relay.RefusedByAdmission", "requests", "Requests refused at once because their level of urgency was not admitted.", func(r *Relay) int64 { return r.queue.refusedByAdmission() }},
 		{"Relay.Targets", "targets", "Targets in the directory.", func(r *Relay) int64 { return int64(len(r.State().Targets)) }},
 		{"Relay.Entries", "entries", "Entries that share the targets, including this one.", func(r *Relay) int64 { return int64(r.State().Entries) }},
+		{"Relay.Sharers", "entries", "Entries that share the retry budgets: those of Relay.Entries, and others that are leaving or that no control VM hears of and that have not left.", func(r *Relay) int64 {
+			return int64(max(len(r.State().Sharers), r.State().Entries))
+		}},
 		{"Relay.ConfigurationNumber", "number", "Number that the operators gave to the configuration in force.", func(r *Relay) int64 { return int64(r.State().Number) }},
 		{"Relay.StateIndex", "log index", "Log index of the state in force.", func(r *Relay) int64 { return int64(r.State().Index) }},
 		{"Relay.ServedLinesLeftOut", "lines", "Log lines of completed requests dropped by sampling.", func(r *Relay) int64 { return r.completions.Suppressed() }},
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -77,5 +77,5 @@
 	usage := p.relay.Budget.Usage(p.relay.Now(), p.service)
 
 	p.log(slog.LevelInfo, "Sent again.", "target", placed.Target.ID, "cause", verdict.CauseOf(lastErr), "verdict", verdict.Of(lastErr).String(),
-		"paid", charged, "entries", p.relay.State().Entries, "windowRequests", usage.Requests, "windowRetries", usage.Retries, "error", lastErr)
+		"paid", charged, "entries", p.relay.entryShares.budgetShare(p.service).Entries, "windowRequests", usage.Requests, "windowRetries", usage.Retries, "error", lastErr)
 }
--- a/internal/retries/bench_test.go
+++ b/internal/retries/bench_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/retries"
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -83,3 +85,43 @@
 		budget.Decide(epoch, f)
 	}
 }
+
+// BenchmarkSharedBudgetWithReports measures a decision of an entry with full windows and the reports of
+// seven control VMs.
+func BenchmarkSharedBudgetWithReports(b *testing.B) {
+	start := time.Unix(1000, 0)
+	s := &retries.SharedBudget{Ratio: 0.2, Slack: 132, Window: 10 * time.Second, StartedAt: start}
+	now := start
+	share := shares.Share{Entries: 20}
+
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(10 * time.Millisecond)
+		s.RecordRequest(now, "drafts", share)
+		s.Allow(now, "drafts", share)
+
+		if n%10 == 0 {
+			control := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1+n/10%7))
+			s.SetReport(now, control, retries.Report{Usage: map[string]retries.Usage{"drafts": {Requests: 2500, Retries: 120}}, RecordedSince: start.Add(-time.Minute)})
+		}
+	}
+}
+
+// BenchmarkUsageTable measures what a poll of one of 289 entries costs a control VM, with ten services.
+func BenchmarkUsageTable(b *testing.B) {
+	const entries, services = 289, 10
+
+	t := &retries.UsageTable{}
+	now := time.Unix(1000, 0)
+	usage := make(map[string]retries.Usage)
+
+	for i := range services {
+		usage[fmt.Sprint("service-", i)] = retries.Usage{Requests: 300, Retries: 40}
+	}
+
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(2 * time.Millisecond)
+		source := retries.Source{ID: fmt.Sprint("entry-", n%entries)}
+		t.Record(now, source, 10*time.Second, usage)
+		t.Others(now, source)
+	}
+}
