Let a control VM replace its roster despite polls that fail now and then

A single failed poll put off for 5 s that the control VM's roster replaces what was known. One that fails now and then would never have been believed when it reports that an entry has gone, so targets would keep places for lost entries. Only a gap of 4 s counts now, after which the VM may have been cut off from the entries and have dropped them; or another incarnation.

--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -258,17 +258,23 @@
 	rosterHash                       uint64
 	tableNumber                      uint64
 	failures                         int
-	// answersSince is when the control VM began to answer each poll, in the same incarnation.
-	answersSince time.Time
-	// settled is set if it had done so for rosterSettleTime when the current poll was sent.
+	// answeredAt is when the control VM answered last. answersSince is when it began to answer in the
+	// same incarnation and without a gap of maxAnswerGap.
+	answeredAt, answersSince time.Time
+	// settled is set if that was rosterSettleTime before the current poll was sent.
 	settled bool
 	// keepsEarlier is set while what it reported before answersSince is kept.
 	keepsEarlier bool
 }
 
-// rosterSettleTime is how long a control VM must answer each poll until its roster replaces what
-// was known. It exceeds the time after which all entries that can reach the VM have polled it.
-const rosterSettleTime = 5 * time.Second
+const (
+	// rosterSettleTime is how long a control VM must answer until its roster replaces what was known. It
+	// exceeds the time after which all entries that can reach the VM have polled it.
+	rosterSettleTime = 5 * time.Second
+	// maxAnswerGap is the time after which a control VM that has not answered may have been cut off, and
+	// may have dropped the entries that it did not hear of.
+	maxAnswerGap = 4 * time.Second
+)
 
 // beginPoll notes whether all entries that can reach the control VM are in its roster.
 func (c *controlState) beginPoll(now time.Time) {
@@ -282,9 +288,11 @@
 
 // recordAnswer records an answer of an incarnation.
 func (c *controlState) recordAnswer(now time.Time, boot uint64) {
-	if c.answersSince.IsZero() || boot != c.directoryBoot {
+	if boot != c.directoryBoot || now.Sub(c.answeredAt) > maxAnswerGap {
 		c.answersSince, c.settled, c.keepsEarlier = now, false, true
 	}
+
+	c.answeredAt = now
 }
 
 func (f *Follower) pollLoop(ctx context.Context, control netip.AddrPort) {
@@ -294,8 +302,6 @@
 		if err := f.pollOnce(ctx, control, &c); err != nil {
 			f.failEvidence(control)
 
-			c.answersSince = time.Time{}
-
 			if c.failures == 0 && ctx.Err() == nil {
 				f.Logger.Info("Poll of a control VM failed; retrying.", "control", control, "error", err)
 			}
@@ -379,9 +385,7 @@
 
 	c.directoryBoot, c.directoryRevision = out.GetDirectoryBoot(), out.GetDirectoryRevision()
 	c.rosterHash, c.tableNumber = out.GetRosterHash(), out.GetNumber()
-
 	f.mergeEvidence(time.Now(), control, sent, out, c)
-
 	f.mergeRetryUsage(time.Now(), control, out)
 
 	return nil
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -363,13 +363,27 @@
 		time.Sleep(4 * time.Second)
 		require.Equal(t, 1, f.State().Entries)
 
-		// A poll that fails once puts off what the next answers take away.
+		// It may have been cut off from all entries.
 		p.set(controlOne, nil)
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(5 * time.Second)
 		p.set(controlOne, answer(2, 11))
 		time.Sleep(4 * time.Second)
 		require.Len(t, f.State().Roster, 1)
 		time.Sleep(4 * time.Second)
 		require.Empty(t, f.State().Roster)
+
+		// Polls that fail now and then do not put off what the answers take away.
+		p.set(controlOne, answer(2, 12, "a", "b"))
+		time.Sleep(time.Second)
+		require.Len(t, f.State().Roster, 2)
+
+		for range 10 {
+			p.set(controlOne, nil)
+			time.Sleep(200 * time.Millisecond)
+			p.set(controlOne, answer(2, 13, "a"))
+			time.Sleep(time.Second)
+		}
+
+		require.Len(t, f.State().Roster, 1)
 	})
 }
