--- a/internal/retries/reported_budget_test.go
+++ b/internal/retries/reported_budget_test.go
@@ -28,12 +28,6 @@
 const (
 	reportTick     = 100 * time.Millisecond
 	reportInterval = 6 // ticks between two polls of a control VM by an entry
-
-	// lossInterval is the time between two losses of processes or connections. firstLoss and
-	// lastLoss are the events that are such.
-	lossInterval = 2 * shareWindow
-	firstLoss    = 11
-	lastLoss     = 15
 )
 
 func newReportedFleet(now time.Time, entries, controls int, slack float64) *reportedFleet {
@@ -90,6 +84,29 @@
 // off, and control VMs are lost with what they knew.
 func TestBudgetHoldsWhileRequestsMoveAndProcessesRestart(t *testing.T) {
 	t.Parallel()
+	checkMovingRequests(t, cuts{areEven: true})
+}
+
+// Guards against retries that nobody else hears of, because the entry ended while it was cut off.
+func TestBudgetHoldsWhileEntriesEndCutOff(t *testing.T) {
+	t.Parallel()
+	checkMovingRequests(t, cuts{areEven: true, endEntries: true})
+}
+
+// Guards against retries that nobody else hears of, of an entry that was cut off with most of the requests.
+func TestBudgetHoldsWhileBusyEntriesAreCutOff(t *testing.T) {
+	t.Parallel()
+	checkMovingRequests(t, cuts{})
+}
+
+// cuts says what happens to entries that are cut off from all control VMs.
+type cuts struct {
+	// areEven is set if they have an even part of the requests, endEntries if they may end.
+	areEven, endEntries bool
+}
+
+func checkMovingRequests(t *testing.T, c cuts) {
+	t.Helper()
 
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 20).Draw(t, "entries")
@@ -99,29 +116,22 @@
 		requests, retried := make([]int, 600), make([]int, 600)
 		failing, first := false, 0
 		width := n
-		nextLoss := start
 
 		for tick := range requests {
 			now := start.Add(time.Duration(tick) * reportTick)
 
-			event := rapid.IntRange(0, 240).Draw(t, "event")
-			if event >= firstLoss && event <= lastLoss {
-				if now.Before(nextLoss) {
-					event = 0
-				} else {
-					nextLoss = now.Add(lossInterval)
-				}
-			}
-
-			switch event {
+			switch rapid.IntRange(0, 240).Draw(t, "event") {
 			case 0, 1, 2, 3, 4, 5, 6, 7:
 				failing = !failing
 			case 8, 9, 10: // the requests move to some of the entries
 				first, width = rapid.IntRange(0, n-1).Draw(t, "first"), rapid.IntRange(1, n).Draw(t, "width")
-				clear(f.isCutOff)
+
+				if c.areEven {
+					clear(f.isCutOff)
+				}
 			case 11: // loss of power of all VMs
-				for c := range f.controls {
-					f.startControl(now, c)
+				for k := range f.controls {
+					f.startControl(now, k)
 				}
 
 				for i := range f.entries {
@@ -129,19 +139,21 @@
 				}
 			case 12, 13:
 				for range rapid.IntRange(1, n).Draw(t, "restarted") {
-					// Nobody can know what an entry has spent that ends while it is cut off.
-					if i := rapid.IntRange(0, n-1).Draw(t, "restart"); !f.isCutOff[i] {
+					if i := rapid.IntRange(0, n-1).Draw(t, "restart"); c.endEntries || !f.isCutOff[i] {
 						f.startEntry(now, i)
 					}
 				}
 			case 14:
-				for c := range f.controls {
-					f.startControl(now, c)
+				for k := range f.controls {
+					f.startControl(now, k)
 				}
-			case 15: // an entry that is cut off has its even part of the requests
+			case 15:
 				i := rapid.IntRange(0, n-1).Draw(t, "cut")
 				f.isCutOff[i] = !f.isCutOff[i]
-				first, width = 0, n
+
+				if c.areEven {
+					first, width = 0, n
+				}
 			}
 
 			const perTick = 10
