--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,327 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// sleepUntil sleeps until a time since the start of the case.
+func (b *bed) sleepUntil(at time.Duration) { time.Sleep(time.Until(b.started.Add(at))) }
+
+// leaveAfterRestart: a server crashes, starts again under its ID and announces itself to another
+// control VM than before. Later it leaves with a DELETE to the control VM that it had first. DRAIN: no
+// request reaches it later than DrainMs after that was acknowledged.
+func leaveAfterRestart(b *bed) bool {
+	b.startSystem(2)
+	b.configure(7)
+
+	first, second := b.controls[0], b.controls[1]
+	leaving := b.newServer(0, "a", first)
+	leaving.start(first)
+
+	for n, zone := range []string{"b", "c"} {
+		s := b.newServer(n+1, zone, b.controls[n+1])
+		s.start(b.controls[n+1])
+	}
+
+	b.awaitServed()
+	b.sleepUntil(8 * time.Second)
+
+	c := b.startClients(30)
+	defer c.end()
+
+	b.sleepUntil(14 * time.Second)
+
+	if b.trouble {
+		leaving.end()
+		time.Sleep(500 * time.Millisecond)
+		leaving.start(second)
+	} else {
+		leaving.mu.Lock()
+		leaving.node = second
+		leaving.mu.Unlock()
+	}
+
+	// All machines have run undisturbed for much longer than StabilityWindowMs, and the server has
+	// been back for longer than CatchUpS.
+	b.sleepUntil(22 * time.Second)
+	leaving.leave(first)
+
+	// It serves on for DrainMs and a little longer, then it exits.
+	time.Sleep(drainTime + time.Second)
+	leaving.end()
+	time.Sleep(2 * time.Second)
+
+	b.note("requests that reached %s later than DrainMs after its removal was acknowledged: %d; cut off at its exit: %d", leaving.id, leaving.late.Load(), leaving.cut.Load())
+
+	return leaving.late.Load() > 0
+}
+
+// restartOfAllServers: the servers of a service restart one after the other under their IDs. Then all
+// processes of the system are killed and are back within a second. RECOVER: later than RecoveryS after
+// that a quarter of the requests is served.
+func restartOfAllServers(b *bed) bool {
+	b.startSystem(2)
+	b.configure(7)
+
+	first := b.controls[0]
+
+	var servers []*server
+
+	for n, zone := range []string{"a", "b", "c"} {
+		s := b.newServer(n, zone, nil)
+		s.start(b.controls[1+n%2])
+		servers = append(servers, s)
+	}
+
+	b.awaitServed()
+	b.sleepUntil(8 * time.Second)
+
+	c := b.startClients(20)
+
+	for n, s := range servers {
+		b.sleepUntil(time.Duration(10+6*n) * time.Second)
+		s.leave(first)
+		time.Sleep(drainTime + time.Second)
+		s.end()
+		time.Sleep(500 * time.Millisecond)
+		s.start(b.controls[1+n%2])
+	}
+
+	b.sleepUntil(34 * time.Second)
+
+	fault := time.Now()
+	served, sent := c.share(fault.Add(-4*time.Second), fault)
+	b.note("before the final fault %d of %d requests are served", served, sent)
+
+	if 4*served < sent || sent == 0 {
+		panic(cannotRun{"less than a quarter is served before the fault"})
+	}
+
+	if b.trouble {
+		b.killAll()
+	}
+
+	back := time.Now()
+	time.Sleep(recoveryTime)
+
+	from := time.Now()
+	time.Sleep(10 * time.Second)
+	c.end()
+
+	served, sent = c.share(from, from.Add(10*time.Second))
+	b.note("from %v after all are back, %d of %d requests are served", from.Sub(back).Round(time.Millisecond), served, sent)
+
+	return 4*served < sent
+}
+
+// killAll kills all processes at once. They are back within a second, the control VM of zone a last.
+func (b *bed) killAll() {
+	all := append(append([]*process(nil), b.controls...), b.entries...)
+	for _, p := range all {
+		p.signal(syscall.SIGKILL)
+	}
+
+	for _, p := range all {
+		p.wait()
+	}
+
+	time.Sleep(300 * time.Millisecond)
+
+	for _, p := range all[1:] {
+		p.start()
+	}
+
+	time.Sleep(600 * time.Millisecond)
+	all[0].start()
+}
+
+// freezeTime is how long a machine of the core is frozen: longer than a voter may be silent until a
+// learner replaces it, and less than the longest freeze of the site files.
+const freezeTime = 7 * time.Second
+
+// removedControl: while a machine of the core is replaced as planned, another one is frozen for some
+// seconds. Later a third one loses its disk, right after it has acknowledged a configuration. CONFIG: the
+// configuration can be read back at the end. FREEZE=0 leaves out the freeze only.
+func removedControl(b *bed) bool {
+	b.startSystem(1)
+	b.configure(7)
+	b.sleepUntil(6 * time.Second)
+
+	// The one that is frozen does not lead; the one whose disk is lost does not matter.
+	frozen, lost, replaced := b.controls[0], b.controls[1], b.controls[2]
+	if b.leads(frozen) {
+		frozen, lost = lost, frozen
+	}
+
+	b.note("replaced as planned: %s; frozen: %s; loses its disk: %s", replaced.name, frozen.name, lost.name)
+
+	// The new machine comes first. It has CatchUpS to catch up.
+	next := b.newProcess("control", "control-d", replaced.zone, controlIP(3))
+	next.start()
+	time.Sleep(catchUpTime + 2*time.Second)
+	b.noteMembers(next)
+
+	if b.trouble && os.Getenv("FREEZE") != "0" {
+		frozen.signal(syscall.SIGSTOP)
+		time.Sleep(freezeTime)
+		frozen.signal(syscall.SIGCONT)
+	}
+
+	// The old machine leaves long after the frozen one is back.
+	b.sleepUntil(30 * time.Second)
+	b.noteMembers(next)
+	replaced.signal(syscall.SIGTERM)
+	replaced.wait()
+
+	b.controls = []*process{lost, next, frozen}
+	b.seeds = b.controls
+
+	// The system has 20 seconds to replace the voter that left.
+	b.sleepUntil(50 * time.Second)
+	b.noteMembers(next)
+	b.configure(9)
+
+	if b.trouble {
+		// The machine is back a second after its disk was lost.
+		lost.kill()
+		b.loseDisk(lost)
+		time.Sleep(time.Second)
+		lost.start()
+	}
+
+	time.Sleep(2 * recoveryTime)
+	b.noteMembers(next)
+
+	read := 0
+
+	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
+		for _, p := range b.controls {
+			if status, answer := b.call("operator", http.MethodGet, p, "/-/config", nil); status == http.StatusOK && bytes.Equal(answer, configuration(9)) {
+				read++
+			}
+		}
+	}
+
+	for _, p := range b.controls {
+		b.logTail(p, "change of the control set", 12)
+		b.logTail(p, "Removed from", 12)
+		b.logTail(p, "Requested to join", 3)
+	}
+
+	b.note("configuration 9 was read back %d times", read)
+
+	return read == 0
+}
+
+// leaveAfterKill: the control VM that gets a server's heartbeats is killed. The server then leaves with a
+// DELETE, which it sends to the next control VM. DRAIN: no request reaches it later than DrainMs after
+// that was acknowledged.
+func leaveAfterKill(b *bed) bool {
+	b.startSystem(2)
+
+	// A second control VM of zone a, without a disk: not one of the core.
+	own := b.newProcess("control", "control-a2", "a", controlIP(3))
+	own.diskless = true
+	own.bootstrap = true
+	own.start()
+	own.bootstrap = false
+
+	b.configure(7)
+
+	leaving := b.newServer(0, "a", own)
+
+	for n, zone := range []string{"b", "c"} {
+		b.newServer(n+1, zone, nil).start(b.controls[n+1])
+	}
+
+	b.awaitServed()
+	b.awaitMember(own)
+	leaving.start(own)
+	b.sleepUntil(15 * time.Second)
+
+	c := b.startClients(30)
+	defer c.end()
+
+	// No machine of the core was disturbed for much longer than StabilityWindowMs.
+	b.sleepUntil(22 * time.Second)
+
+	// The control VM is killed between two heartbeats, half a second before the server leaves.
+	leaving.sleepAfterHeartbeat(300 * time.Millisecond)
+
+	if b.trouble {
+		own.kill()
+	}
+
+	time.Sleep(500 * time.Millisecond)
+	leaving.leave(own, b.controls[0])
+
+	// The machine that was killed is back after a while.
+	if b.trouble {
+		time.Sleep(time.Second)
+		own.start()
+	}
+
+	// The server serves on for DrainMs and a little longer, then it exits.
+	leaving.sleepAfterLeaving(drainTime + time.Second)
+	leaving.end()
+	time.Sleep(3 * time.Second)
+
+	for _, p := range b.entries {
+		b.logTail(p, "Invalid target", 2)
+	}
+
+	b.note("requests that reached %s later than DrainMs after its removal was acknowledged: %d; cut off at its exit: %d", leaving.id, leaving.late.Load(), leaving.cut.Load())
+
+	return leaving.late.Load() > 0
+}
+
+// awaitMember waits until a control VM answers reads of the configuration, so that it holds the state.
+func (b *bed) awaitMember(p *process) {
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		if status, _ := b.call("operator", http.MethodGet, p, "/-/config", nil); status == http.StatusOK {
+			return
+		}
+	}
+
+	panic(cannotRun{p.name + " does not join"})
+}
+
+// listMembers returns what "parsleygate member list" prints about the control set, as seen by p.
+func (b *bed) listMembers(p *process) string {
+	out, err := exec.Command("target/parsleygate", "member", "list", "--try", "2s", "--control", p.address(portPeers)).CombinedOutput()
+	if err != nil {
+		return string(out) + err.Error()
+	}
+
+	return string(out)
+}
+
+// leads reports whether p leads the control set.
+func (b *bed) leads(p *process) bool {
+	return strings.Contains(b.listMembers(p), "leader "+p.ip+"\n")
+}
+
+// noteMembers adds the members of the control set to the record, as the first machine that answers sees
+// them.
+func (b *bed) noteMembers(more ...*process) {
+	for _, p := range append(append([]*process(nil), b.controls...), more...) {
+		out := b.listMembers(p)
+		if !strings.Contains(out, "answered by") {
+			continue
+		}
+
+		for line := range strings.Lines(out) {
+			b.note("member list: %s", strings.TrimRight(line, "\n"))
+		}
+
+		return
+	}
+
+	b.note("member list: no control VM answers it")
+}
--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	requestBytes = 600
+	deadline     = time.Second
+)
+
+// result is the outcome of one request.
+type result struct {
+	sent   time.Time
+	status int // zero if there was no complete answer
+	served bool
+}
+
+// clients send requests at a steady rate to the entries in turn.
+type clients struct {
+	bed  *bed
+	stop chan struct{}
+	done sync.WaitGroup
+
+	mu      sync.Mutex
+	results []result
+}
+
+// startClients sends perSecond requests a second until end is called.
+func (b *bed) startClients(perSecond int) *clients {
+	c := &clients{bed: b, stop: make(chan struct{})}
+
+	c.done.Go(func() {
+		tick := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer tick.Stop()
+
+		for n := 0; ; n++ {
+			select {
+			case <-c.stop:
+				return
+			case <-tick.C:
+				c.done.Go(func() { c.send(b.entries[n%len(b.entries)]) })
+			}
+		}
+	})
+
+	return c
+}
+
+// end stops the clients and waits for the last answers.
+func (c *clients) end() {
+	close(c.stop)
+	c.done.Wait()
+}
+
+func (c *clients) send(entry *process) {
+	r := result{sent: time.Now()}
+	id := fmt.Sprintf("%016x", rand.Uint64())
+
+	status, served, problem := request(entry, id)
+	r.status, r.served = status, served
+
+	c.bed.note("client: %s to %s: %d %s", id, entry.name, status, problem)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.results = append(c.results, r)
+}
+
+// request sends one request on a new connection.
+func request(entry *process, id string) (status int, served bool, problem string) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(portFront)+prefix+"2f", strings.NewReader(strings.Repeat("b", requestBytes)))
+	if err != nil {
+		panic(cannotRun{err.Error()})
+	}
+
+	req.Host = host
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Api-Key", key)
+
+	tr := newTransport()
+	defer tr.CloseIdleConnections()
+
+	resp, err := (&http.Client{Transport: tr}).Do(req)
+	if err != nil {
+		return 0, false, err.Error()
+	}
+	defer resp.Body.Close()
+
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, false, err.Error()
+	}
+
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, false, strings.TrimSpace(string(body))
+	}
+
+	return resp.StatusCode, resp.Header.Get("X-Response-Signature") != "" && len(body) == bodySize, ""
+}
+
+// share returns how many requests were sent between two times, and how many of them were served.
+func (c *clients) share(from, to time.Time) (served, sent int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	for _, r := range c.results {
+		if r.sent.Before(from) || !r.sent.Before(to) {
+			continue
+		}
+
+		sent++
+
+		if r.served {
+			served++
+		}
+	}
+
+	return served, sent
+}
+
+// awaitServed waits until requests are served.
+func (b *bed) awaitServed() {
+	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if _, served, _ := request(b.entries[len(b.entries)-1], fmt.Sprintf("%016x", rand.Uint64())); served {
+			return
+		}
+	}
+
+	panic(cannotRun{"no request is served"})
+}
