--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -64,10 +64,12 @@
 	r := result{sent: time.Now()}
 	id := fmt.Sprintf("%016x", rand.Uint64())
 
+	c.bed.note("client: sends %s to %s", id, entry.name)
+
 	status, served, problem := request(entry, id)
 	r.status, r.served = status, served
 
-	c.bed.note("client: %s to %s: %d %s", id, entry.name, status, problem)
+	c.bed.note("client: gets %d for %s from %s %s", status, id, entry.name, problem)
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -44,11 +44,32 @@
 		return 0, nil
 	}
 
-	b.note("%s: %s %s at %s: %d", caller, method, path, p.name, resp.StatusCode)
+	b.note("%s: %s %s%s at %s: %d%s", caller, method, path, summary(body), p.name, resp.StatusCode, summary(answer))
 
 	return resp.StatusCode, answer
 }
 
+// summary names what a body of JSON says, for the record.
+func summary(body []byte) string {
+	var m struct {
+		Version json.RawMessage
+		State   string
+		Seq     uint64
+		Born    int64 `json:"born"`
+	}
+
+	switch {
+	case json.Unmarshal(body, &m) != nil:
+		return ""
+	case m.State != "":
+		return fmt.Sprintf(" (%s, Seq %d, born %d)", m.State, m.Seq, m.Born)
+	case len(m.Version) > 0:
+		return fmt.Sprintf(" (Version %s)", m.Version)
+	default:
+		return ""
+	}
+}
+
 // order sends a call of the operator to one control VM after the other until one acknowledges it. It
 // returns false if none has by the deadline.
 func (b *bed) order(method, path string, body []byte, nodes []*process, deadline time.Time) bool {
