Review case 1: a lost disk soon after a planned replacement ends the quorum

A control VM that stops as planned keeps its vote until it has been silent for over five seconds, though its successor has caught up.

--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -57,7 +57,7 @@
 
 	b.dir = dir
 	b.pickPorts()
-	b.note("disruption: %v", trouble)
+	b.note("%s: disruption: %v", b.started.UTC().Format("15:04:05.000"), trouble)
 
 	return b
 }
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -13,54 +13,87 @@
 // sleepUntil sleeps until a time since the start of the case.
 func (b *bed) sleepUntil(at time.Duration) { time.Sleep(time.Until(b.started.Add(at))) }
 
-// leaveAfterRestart: a server crashes, starts again under its ID and announces itself to another
-// control VM than before. Later it leaves with a DELETE to the control VM that it had first. DRAIN: no
-// request reaches it later than DrainMs after that was acknowledged.
-func leaveAfterRestart(b *bed) bool {
-	b.startSystem(2)
+// lostAfterReplacement: a machine of the core is replaced as planned. Soon after it has left, one of the
+// other two loses its disk, right after it has acknowledged a configuration. CONFIG: the configuration can
+// be read back at the end. AFTER is how long after the old machine's end the disk is lost.
+func lostAfterReplacement(b *bed) bool {
+	// By then the new machine has had CatchUpS twice: since its start, and since the end of the old one.
+	after := catchUpTime + 200*time.Millisecond
+
+	if text := os.Getenv("AFTER"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			panic(cannotRun{err.Error()})
+		}
+
+		after = d
+	}
+
+	b.startSystem(1)
 	b.configure(7)
+	b.sleepUntil(6 * time.Second)
 
-	first, second := b.controls[0], b.controls[1]
-	leaving := b.newServer(0, "a", first)
-	leaving.start(first)
+	kept, lost, replaced := b.controls[0], b.controls[1], b.controls[2]
+	b.note("replaced as planned: %s; loses its disk: %s", replaced.name, lost.name)
 
-	// One of six servers crashes.
-	for n, zone := range []string{"b", "c", "a", "b", "c"} {
-		node := b.controls[1+n%2]
-		b.newServer(n+1, zone, node).start(node)
-	}
+	// The new machine comes first. It has CatchUpS, and as much again, to catch up.
+	next := b.newProcess("control", "control-d", replaced.zone, controlIP(3))
+	next.start()
+	time.Sleep(2 * catchUpTime)
+	b.configure(8)
+	b.noteMembers(next)
 
-	b.awaitServed()
-	b.sleepUntil(8 * time.Second)
+	// The old one ends by itself, with the leadership handed on.
+	replaced.signal(syscall.SIGTERM)
+	replaced.wait()
 
-	c := b.startClients(30)
-	defer c.end()
+	ended := time.Now()
+	b.controls = []*process{kept, lost, next}
+	b.seeds = b.controls
 
-	b.sleepUntil(14 * time.Second)
+	time.Sleep(time.Until(ended.Add(after)))
+
+	if !b.order(http.MethodPut, "/-/config", configuration(9), []*process{lost}, time.Now().Add(recoveryTime)) {
+		panic(cannotRun{"configuration 9 was never acknowledged"})
+	}
 
 	if b.trouble {
-		leaving.end()
-		time.Sleep(500 * time.Millisecond)
-		leaving.start(second)
-	} else {
-		leaving.mu.Lock()
-		leaving.node = second
-		leaving.mu.Unlock()
+		// The machine is back a second after its disk was lost.
+		lost.kill()
+		b.loseDisk(lost)
+		b.note("the disk was lost %.1f s after the end of the old machine", time.Since(ended).Seconds())
+		time.Sleep(time.Second)
+		lost.start()
 	}
 
-	// All machines have run undisturbed for much longer than StabilityWindowMs, and the server has
-	// been back for longer than CatchUpS.
-	b.sleepUntil(22 * time.Second)
-	leaving.leave(first)
+	return !b.readsBack(9, next)
+}
 
-	// It serves on for DrainMs and a little longer, then it exits.
-	time.Sleep(drainTime + time.Second)
-	leaving.end()
-	time.Sleep(2 * time.Second)
+// readsBack reads the configuration at all machines of the core, for some seconds after they have had twice
+// RecoveryS, and reports whether any returned that version.
+func (b *bed) readsBack(version int, more ...*process) bool {
+	time.Sleep(2 * recoveryTime)
+	b.noteMembers(more...)
 
-	b.note("requests that reached %s later than DrainMs after its removal was acknowledged: %d; cut off at its exit: %d", leaving.id, leaving.late.Load(), leaving.cut.Load())
+	read := 0
 
-	return leaving.late.Load() > 0
+	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
+		for _, p := range b.controls {
+			if status, answer := b.call("operator", http.MethodGet, p, "/-/config", nil); status == http.StatusOK && bytes.Equal(answer, configuration(version)) {
+				read++
+			}
+		}
+	}
+
+	for _, p := range b.controls {
+		b.logTail(p, "change of the control set", 12)
+		b.logTail(p, "Removed from", 12)
+		b.logTail(p, "Requested to join", 3)
+	}
+
+	b.note("configuration %d was read back %d times", version, read)
+
+	return read > 0
 }
 
 // freezeTime is how long a machine of the core is frozen: longer than a voter may be silent until a
@@ -117,28 +150,7 @@
 		lost.start()
 	}
 
-	time.Sleep(2 * recoveryTime)
-	b.noteMembers(next)
-
-	read := 0
-
-	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
-		for _, p := range b.controls {
-			if status, answer := b.call("operator", http.MethodGet, p, "/-/config", nil); status == http.StatusOK && bytes.Equal(answer, configuration(9)) {
-				read++
-			}
-		}
-	}
-
-	for _, p := range b.controls {
-		b.logTail(p, "change of the control set", 12)
-		b.logTail(p, "Removed from", 12)
-		b.logTail(p, "Requested to join", 3)
-	}
-
-	b.note("configuration 9 was read back %d times", read)
-
-	return read == 0
+	return !b.readsBack(9, next)
 }
 
 // leaveAfterKill: the control VM that gets a server's heartbeats is killed. The server then leaves with a
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -16,21 +16,11 @@
 	deadline     = time.Second
 )
 
-// result is the outcome of one request.
-type result struct {
-	sent   time.Time
-	status int // zero if there was no complete answer
-	served bool
-}
-
 // clients send requests at a steady rate to the entries in turn.
 type clients struct {
 	bed  *bed
 	stop chan struct{}
 	done sync.WaitGroup
-
-	mu      sync.Mutex
-	results []result
 }
 
 // startClients sends perSecond requests a second until end is called.
@@ -61,20 +51,13 @@
 }
 
 func (c *clients) send(entry *process) {
-	r := result{sent: time.Now()}
 	id := fmt.Sprintf("%016x", rand.Uint64())
 
 	c.bed.note("client: sends %s to %s", id, entry.name)
 
-	status, served, problem := request(entry, id)
-	r.status, r.served = status, served
+	status, _, problem := request(entry, id)
 
 	c.bed.note("client: gets %d for %s from %s %s", status, id, entry.name, problem)
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	c.results = append(c.results, r)
 }
 
 // request sends one request on a new connection.
@@ -113,26 +96,6 @@
 	return resp.StatusCode, resp.Header.Get("X-Response-Signature") != "" && len(body) == bodySize, ""
 }
 
-// share returns how many requests were sent between two times, and how many of them were served.
-func (c *clients) share(from, to time.Time) (served, sent int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	for _, r := range c.results {
-		if r.sent.Before(from) || !r.sent.Before(to) {
-			continue
-		}
-
-		sent++
-
-		if r.served {
-			served++
-		}
-	}
-
-	return served, sent
-}
-
 // awaitServed waits until requests are served.
 func (b *bed) awaitServed() {
 	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,9 +27,9 @@
 
 func main() {
 	cases := map[string]func(*bed) bool{
-		"leave-after-kill":    leaveAfterKill,
-		"leave-after-restart": leaveAfterRestart,
-		"removed-control":     removedControl,
+		"leave-after-kill":       leaveAfterKill,
+		"lost-after-replacement": lostAfterReplacement,
+		"removed-control":        removedControl,
 	}
 
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
