--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -20,6 +20,7 @@
 	catchUpTime       = 4 * time.Second         // CatchUpS
 	heartbeatInterval = 1200 * time.Millisecond // HeartbeatMs
 	callTimeout       = time.Second             // callers of control move on after a second
+	settingsTime      = 3 * time.Second         // SeedLagS
 )
 
 // bed holds the processes and the stand-ins of a case.
@@ -29,6 +30,8 @@
 	dir     string
 	ports   [5]int
 
+	// machines are those with a disk, which serve control. controls are their processes.
+	machines []*machine
 	controls []*process
 	entries  []*process
 	seeds    []*process
@@ -62,9 +65,8 @@
 	return b
 }
 
-// controlIP, entryIP and serverIP return loopback addresses.
-func controlIP(n int) string { return fmt.Sprintf("127.0.41.%d", n+1) }
-func entryIP(n int) string   { return fmt.Sprintf("127.0.41.%d", n+11) }
+// machineIP and serverIP return loopback addresses.
+func machineIP(n int) string { return fmt.Sprintf("127.0.41.%d", n+1) }
 func serverIP(n int) string  { return fmt.Sprintf("127.0.41.%d", n+21) }
 
 // pickPorts finds ports that are free on all addresses of the case. They are below the ports that the
@@ -118,7 +120,60 @@
 	_ = os.RemoveAll(b.dir)
 }
 
-// process is one process of the system, with a machine of its own.
+// machine is a front machine. As the deploy file says, each runs an entry, and some run control beside it.
+type machine struct {
+	name    string
+	entry   *process
+	control *process // nil if it does not serve control
+}
+
+// newMachine returns a machine that does not run yet.
+func (b *bed) newMachine(n int, zone string, control, diskless bool) *machine {
+	name := fmt.Sprintf("front-%s-%d", zone, n+1)
+	m := &machine{name: name, entry: b.newProcess("entry", name, zone, machineIP(n))}
+
+	if control {
+		m.control = b.newProcess("control", name, zone, machineIP(n))
+		m.control.diskless = diskless
+	}
+
+	return m
+}
+
+func (m *machine) processes() []*process {
+	if m.control == nil {
+		return []*process{m.entry}
+	}
+
+	return []*process{m.control, m.entry}
+}
+
+func (m *machine) start() {
+	for _, p := range m.processes() {
+		p.start()
+	}
+}
+
+// signal sends a signal to all processes of the machine.
+func (m *machine) signal(s syscall.Signal) {
+	for _, p := range m.processes() {
+		p.signal(s)
+	}
+}
+
+// wait waits until all processes of the machine have ended.
+func (m *machine) wait() {
+	for _, p := range m.processes() {
+		p.wait()
+	}
+}
+
+func (m *machine) kill() {
+	m.signal(syscall.SIGKILL)
+	m.wait()
+}
+
+// process is one process of the system.
 type process struct {
 	bed        *bed
 	role, name string
@@ -145,7 +200,7 @@
 
 func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.ip, p.bed.ports[port]) }
 
-func (p *process) dataDir() string { return filepath.Join(p.bed.dir, p.name, "data") }
+func (p *process) dataDir() string { return filepath.Join(p.dir(), "data") }
 
 // settings returns what the platform makes of deploy/control.ini and deploy/entry.ini.
 func (p *process) settings() string {
@@ -171,24 +226,39 @@
 		fmt.Sprintf("\n[Routing]\nReadyAddress = %s\nRetryRatio = 0.2\nRetrySlack = 96\nRetryWindow = 10s\nStop = 8s\n", p.address(portReady))
 }
 
-// start writes the settings and starts the process with the command of the deploy file.
-func (p *process) start() {
-	dir := filepath.Join(p.bed.dir, p.name)
-	if err := os.MkdirAll(dir, 0o750); err != nil {
-		panic(cannotRun{err.Error()})
+func (p *process) dir() string { return filepath.Join(p.bed.dir, p.name, p.role) }
+
+func (p *process) settingsFile() string { return filepath.Join(p.dir(), "local.toml") }
+
+// writeSettings replaces the settings file, as the platform does at each start and whenever the settings
+// change.
+func (p *process) writeSettings() {
+	next := p.settingsFile() + ".next"
+
+	err := os.MkdirAll(p.dir(), 0o750)
+	if err == nil {
+		err = os.WriteFile(next, []byte(p.settings()), 0o600)
+	}
+
+	if err == nil {
+		err = os.Rename(next, p.settingsFile())
 	}
 
-	file := filepath.Join(dir, "local.toml")
-	if err := os.WriteFile(file, []byte(p.settings()), 0o600); err != nil {
+	if err != nil {
 		panic(cannotRun{err.Error()})
 	}
+}
+
+// start writes the settings and starts the process with the command of the deploy file.
+func (p *process) start() {
+	p.writeSettings()
 
-	out, err := os.OpenFile(filepath.Join(dir, "log.txt"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(filepath.Join(p.dir(), "log.txt"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(cannotRun{err.Error()})
 	}
 
-	cmd := exec.Command("target/parsleygate", p.role, file)
+	cmd := exec.Command("target/parsleygate", p.role, p.settingsFile())
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 
@@ -243,37 +313,75 @@
 	}
 }
 
-// startSystem starts three control VMs with disks, one a zone, and some entries, for the first time.
-func (b *bed) startSystem(entries int) {
+// startSystem starts three machines with disks, one a zone, and more machines without, all for the first
+// time. Of those, one a zone serves control too.
+func (b *bed) startSystem(diskless int) (more []*machine) {
 	zones := []string{"a", "b", "c"}
 
 	for n, zone := range zones {
-		p := b.newProcess("control", "control-"+zone, zone, controlIP(n))
-		p.bootstrap = true
-		b.controls = append(b.controls, p)
+		b.machines = append(b.machines, b.newMachine(n, zone, true, false))
 	}
 
-	b.seeds = b.controls
+	for n := range diskless {
+		more = append(more, b.newMachine(len(zones)+n, zones[n%len(zones)], n < len(zones), true))
+	}
 
-	for _, p := range b.controls {
-		p.start()
+	b.setCore(b.machines)
+
+	all := append(append([]*machine(nil), b.machines...), more...)
+	for _, m := range all {
+		b.entries = append(b.entries, m.entry)
+
+		if m.control != nil {
+			m.control.bootstrap = true
+		}
+
+		m.start()
 	}
 
-	for n := range entries {
-		p := b.newProcess("entry", "entry-"+zones[n], zones[n], entryIP(n))
-		b.entries = append(b.entries, p)
-		p.start()
+	// The settings say so only at the first start, and all processes have read them by now.
+	time.Sleep(settingsTime)
+
+	for _, m := range all {
+		if m.control != nil {
+			m.control.bootstrap = false
+		}
 	}
 
-	// The settings say so only at the first start.
-	for _, p := range b.controls {
-		p.bootstrap = false
+	b.rewriteSettings()
+
+	return more
+}
+
+// setCore sets the machines with disks, which are the seeds too.
+func (b *bed) setCore(core []*machine) {
+	b.machines, b.controls = core, nil
+
+	for _, m := range core {
+		b.controls = append(b.controls, m.control)
 	}
+
+	b.seeds = b.controls
+}
+
+// rewriteSettings replaces the settings files of all processes that have been started.
+func (b *bed) rewriteSettings() {
+	b.mu.Lock()
+	all := b.all
+	b.mu.Unlock()
+
+	for _, p := range all {
+		if _, err := os.Stat(p.settingsFile()); err == nil {
+			p.writeSettings()
+		}
+	}
+
+	b.note("platform: settings files replaced")
 }
 
 // logTail adds the last lines of a process's log that contain a word to the record.
 func (b *bed) logTail(p *process, word string, most int) {
-	data, err := os.ReadFile(filepath.Join(b.dir, p.name, "log.txt"))
+	data, err := os.ReadFile(filepath.Join(p.dir(), "log.txt"))
 	if err != nil {
 		return
 	}
@@ -287,7 +395,7 @@
 	}
 
 	for _, line := range lines[max(0, len(lines)-most):] {
-		b.note("log of %s: %s", p.name, line)
+		b.note("log of %s %s: %s", p.role, p.name, line)
 	}
 }
 
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,9 +15,10 @@
 
 // lostAfterReplacement: a machine of the core is replaced as planned. Soon after it has left, one of the
 // other two loses its disk, right after it has acknowledged a configuration. CONFIG: the configuration can
-// be read back at the end. AFTER is how long after the old machine's end the disk is lost.
+// be read back at the end. AFTER is how long after the end of the old machine's control process the disk is
+// lost.
 func lostAfterReplacement(b *bed) bool {
-	// By then the new machine has had CatchUpS twice: since its start, and since the end of the old one.
+	// By then the new machine has had CatchUpS three times.
 	after := catchUpTime + 200*time.Millisecond
 
 	if text := os.Getenv("AFTER"); text != "" {
@@ -29,58 +30,66 @@
 		after = d
 	}
 
-	b.startSystem(1)
+	b.startSystem(0)
 	b.configure(7)
 	b.sleepUntil(6 * time.Second)
 
-	kept, lost, replaced := b.controls[0], b.controls[1], b.controls[2]
+	kept, lost, replaced := b.machines[0], b.machines[1], b.machines[2]
 	b.note("replaced as planned: %s; loses its disk: %s", replaced.name, lost.name)
 
 	// The new machine comes first. It has CatchUpS, and as much again, to catch up.
-	next := b.newProcess("control", "control-d", replaced.zone, controlIP(3))
+	next := b.newMachine(3, "c", true, false)
 	next.start()
 	time.Sleep(2 * catchUpTime)
 	b.configure(8)
-	b.noteMembers(next)
+	b.noteMembers()
 
-	// The old one ends by itself, with the leadership handed on.
+	// The old one ends by itself, with the leadership handed on. Its entry takes longer to stop than its
+	// control process.
 	replaced.signal(syscall.SIGTERM)
-	replaced.wait()
+	replaced.control.wait()
 
 	ended := time.Now()
-	b.controls = []*process{kept, lost, next}
-	b.seeds = b.controls
+
+	replaced.wait()
+	b.note("the old machine is gone")
+	b.setCore([]*machine{kept, lost, next})
+	b.rewriteSettings()
 
 	time.Sleep(time.Until(ended.Add(after)))
 
-	if !b.order(http.MethodPut, "/-/config", configuration(9), []*process{lost}, time.Now().Add(recoveryTime)) {
+	if !b.order(http.MethodPut, "/-/config", configuration(9), []*process{lost.control}, time.Now().Add(recoveryTime)) {
 		panic(cannotRun{"configuration 9 was never acknowledged"})
 	}
 
 	if b.trouble {
 		// The machine is back a second after its disk was lost.
 		lost.kill()
-		b.loseDisk(lost)
-		b.note("the disk was lost %.1f s after the end of the old machine", time.Since(ended).Seconds())
+		b.loseDisk(lost.control)
+		b.note("the disk was lost %.1f s after the end of the old control process", time.Since(ended).Seconds())
 		time.Sleep(time.Second)
 		lost.start()
 	}
 
-	return !b.readsBack(9, next)
+	return !b.readsBack(9)
 }
 
 // readsBack reads the configuration at all machines of the core, for some seconds after they have had twice
-// RecoveryS, and reports whether any returned that version.
-func (b *bed) readsBack(version int, more ...*process) bool {
+// RecoveryS. It reports whether that version came, and never an older one or other content.
+func (b *bed) readsBack(version int) bool {
 	time.Sleep(2 * recoveryTime)
-	b.noteMembers(more...)
+	b.noteMembers()
 
-	read := 0
+	read, wrong := 0, 0
 
 	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
 		for _, p := range b.controls {
-			if status, answer := b.call("operator", http.MethodGet, p, "/-/config", nil); status == http.StatusOK && bytes.Equal(answer, configuration(version)) {
+			switch status, answer := b.call("operator", http.MethodGet, p, "/-/config", nil); {
+			case status != http.StatusOK:
+			case bytes.Equal(answer, configuration(version)):
 				read++
+			default:
+				wrong++
 			}
 		}
 	}
@@ -91,9 +100,9 @@
 		b.logTail(p, "Requested to join", 3)
 	}
 
-	b.note("configuration %d was read back %d times", version, read)
+	b.note("configuration %d was read back %d times, another %d times", version, read, wrong)
 
-	return read > 0
+	return read > 0 && wrong == 0
 }
 
 // freezeTime is how long a machine of the core is frozen: longer than a voter may be silent until a
@@ -104,23 +113,23 @@
 // seconds. Later a third one loses its disk, right after it has acknowledged a configuration. CONFIG: the
 // configuration can be read back at the end. FREEZE=0 leaves out the freeze only.
 func removedControl(b *bed) bool {
-	b.startSystem(1)
+	b.startSystem(0)
 	b.configure(7)
 	b.sleepUntil(6 * time.Second)
 
 	// The one that is frozen does not lead; the one whose disk is lost does not matter.
-	frozen, lost, replaced := b.controls[0], b.controls[1], b.controls[2]
-	if b.leads(frozen) {
+	frozen, lost, replaced := b.machines[0], b.machines[1], b.machines[2]
+	if b.leads(frozen.control) {
 		frozen, lost = lost, frozen
 	}
 
 	b.note("replaced as planned: %s; frozen: %s; loses its disk: %s", replaced.name, frozen.name, lost.name)
 
 	// The new machine comes first. It has CatchUpS to catch up.
-	next := b.newProcess("control", "control-d", replaced.zone, controlIP(3))
+	next := b.newMachine(3, "c", true, false)
 	next.start()
 	time.Sleep(catchUpTime + 2*time.Second)
-	b.noteMembers(next)
+	b.noteMembers()
 
 	if b.trouble && os.Getenv("FREEZE") != "0" {
 		frozen.signal(syscall.SIGSTOP)
@@ -130,59 +139,61 @@
 
 	// The old machine leaves long after the frozen one is back.
 	b.sleepUntil(30 * time.Second)
-	b.noteMembers(next)
+	b.noteMembers()
 	replaced.signal(syscall.SIGTERM)
 	replaced.wait()
+	b.setCore([]*machine{lost, next, frozen})
+	b.rewriteSettings()
 
-	b.controls = []*process{lost, next, frozen}
-	b.seeds = b.controls
-
-	// The system has 20 seconds to replace the voter that left.
+	// The system has 17 seconds to replace the voter that left.
 	b.sleepUntil(50 * time.Second)
-	b.noteMembers(next)
+	b.noteMembers()
 	b.configure(9)
 
 	if b.trouble {
 		// The machine is back a second after its disk was lost.
 		lost.kill()
-		b.loseDisk(lost)
+		b.loseDisk(lost.control)
 		time.Sleep(time.Second)
 		lost.start()
 	}
 
-	return !b.readsBack(9, next)
+	return !b.readsBack(9)
 }
 
 // leaveAfterKill: the control VM that gets a server's heartbeats is killed. The server then leaves with a
 // DELETE, which it sends to the next control VM. DRAIN: no request reaches it later than DrainMs after
 // that was acknowledged.
 func leaveAfterKill(b *bed) bool {
-	b.startSystem(3) // with the control VMs seven machines, of which one is killed
+	// As in act-barrel: three machines with disks and four without. One is killed that has no disk and
+	// serves control. Its callers are not looked at.
+	own := b.startSystem(4)[0]
 
-	// A second control VM of zone a, without a disk: not one of the core.
-	own := b.newProcess("control", "control-a2", "a", controlIP(3))
-	own.diskless = true
-	own.bootstrap = true
-	own.start()
-	own.bootstrap = false
+	for n, p := range b.entries {
+		if p == own.entry {
+			b.entries = append(b.entries[:n:n], b.entries[n+1:]...)
+
+			break
+		}
+	}
 
 	b.configure(7)
 
-	leaving := b.newServer(0, "a", own)
+	leaving := b.newServer(0, "a", own.control)
 
 	for n, zone := range []string{"b", "c"} {
 		b.newServer(n+1, zone, nil).start(b.controls[n+1])
 	}
 
 	b.awaitServed()
-	b.awaitMember(own)
-	leaving.start(own)
+	b.awaitMember(own.control)
+	leaving.start(own.control)
 	b.sleepUntil(15 * time.Second)
 
 	c := b.startClients(30)
 	defer c.end()
 
-	// No machine of the core was disturbed for much longer than StabilityWindowMs.
+	// No machine was disturbed for much longer than StabilityWindowMs.
 	b.sleepUntil(22 * time.Second)
 
 	// The control VM is killed between two heartbeats, half a second before the server leaves.
@@ -193,7 +204,7 @@
 	}
 
 	time.Sleep(500 * time.Millisecond)
-	leaving.leave(own, b.controls[0])
+	leaving.leave(own.control, b.controls[0])
 
 	// The machine that was killed is back after a while.
 	if b.trouble {
@@ -243,8 +254,8 @@
 
 // noteMembers adds the members of the control set to the record, as the first machine that answers sees
 // them.
-func (b *bed) noteMembers(more ...*process) {
-	for _, p := range append(append([]*process(nil), b.controls...), more...) {
+func (b *bed) noteMembers() {
+	for _, p := range b.controls {
 		out := b.listMembers(p)
 		if !strings.Contains(out, "answered by") {
 			continue
