Log and count each broken answer with what identifies its request

Ends of targets were looked for only under requests with a shared prompt part whose answer had not begun, so logs could not tell whether one request, brought back under new IDs, ended them. Each broken answer is checked now, and its line has the content of the request (a hash of what is the same in each try), its own part and how many events had come; those whose target goes on have a line and a metric too. Decisions are unchanged: other requests than before neither count as evidence nor wait for the check. TestLogNamesTheRequestUnderWhichATargetEnded; without the change there is no line for these requests.

--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -24,9 +24,12 @@
 	// LengthHint is the caller's estimate of the tokens that will be generated; zero if it gave
 	// none that can be read.
 	LengthHint int
-	// PromptParts are the IDs of the parts of the prompt in their order. The last part, which belongs
-	// to the request alone, is not among them.
+	// PromptParts are the IDs of the parts of the prompt in their order, except for the last one. OwnPart
+	// is the last one, which belongs to the request alone or to its session; empty if there is none.
 	PromptParts []string
+	OwnPart     string
+	// ContentHeaders are the values of the headers that, together with the body, determine the answer.
+	ContentHeaders []string
 }
 
 // ForwardInfo holds the values that the relay adds to a forwarded request as headers.
--- a/internal/relay/prompt_guard.go
+++ b/internal/relay/prompt_guard.go
@@ -279,8 +279,13 @@
 	return shares.ForLimit(r.entryShares.self, r.entryShares.knownEntries(), "part "+strconv.FormatUint(uint64(part), 16))
 }
 
-// setParts computes the shared parts of the prompt.
+// setParts computes the shared parts of the prompt, and the content of the request.
 func (p *proxiedRequest) setParts() {
+	content := quarantine.Content{
+		Method: p.req.Method, Host: p.req.Host, URI: p.req.RequestURI, Headers: p.caller.ContentHeaders, Body: p.body,
+	}
+	p.content = content.Part(p.service)
+
 	ids := p.caller.PromptParts
 	if len(ids) == 0 {
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -514,5 +514,5 @@
 type counters struct {
 	requests, completions, refused, denied, failed, cut, disconnected atomic.Int64
 
-	retries, freeRetries, misdirected, budgetSpent, slowReaders, targetEnds atomic.Int64
+	retries, freeRetries, misdirected, budgetSpent, slowReaders, targetEnds, brokenAnswers atomic.Int64
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,6 +38,8 @@
 	parts []quarantine.Part
 	trial quarantine.Trial
 	sound bool
+	// content stands for the whole request, whatever its ID.
+	content quarantine.Part
 	// hold is the memory that the body and a buffered answer take.
 	hold *hold
 	// deadline is the earlier of the caller's and the route's. eventDeadline is when the
--- a/internal/relay/target_end.go
+++ b/internal/relay/target_end.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -72,17 +74,29 @@
 	return c
 }
 
-// brokenAttempt is an attempt whose answer broke off before it had begun properly.
+// brokenAttempt is an attempt whose answer broke off.
 type brokenAttempt struct {
-	placed         dispatch.Action
-	brokenAt       time.Time
-	parts          []quarantine.Part
-	ids            []string
+	placed   dispatch.Action
+	brokenAt time.Time
+	// parts are those of which the end of the target is evidence, ids their IDs.
+	parts []quarantine.Part
+	ids   []string
+	// events is how many events of the answer had arrived.
+	events         int
+	content        quarantine.Part
+	own            string
 	request, route string
 }
 
 // recordTargetEnd records that the target of an attempt has ended.
 func (r *Relay) recordTargetEnd(a *brokenAttempt) {
+	r.counters.targetEnds.Add(1)
+	r.logBroken("Target ended while it had a request.", slog.LevelWarn, a)
+
+	if len(a.parts) == 0 {
+		return
+	}
+
 	t := &a.placed.Target
 	end := quarantine.End{Target: t.ID, StartTime: t.StartTime, Group: t.Group, At: a.brokenAt}
 
@@ -90,24 +104,44 @@
 		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: part, Depth: i, SentAt: a.placed.PlacedAt})
 	}
 
-	r.counters.targetEnds.Add(1)
 	r.prompts.record(end, a.ids)
+}
 
-	if r.targetStatements.Allow(r.Now()) {
-		r.Logger.Warn("Target ended while it had a request.", "target", t.ID, "zone", t.Zone, "group", t.Group, "service", t.Service,
-			"parts", a.ids, "sentAgo", a.brokenAt.Sub(a.placed.PlacedAt).Round(time.Millisecond), "request", a.request, "route", a.route)
+// recordTargetUp records that the target of a broken attempt still accepts connections.
+func (r *Relay) recordTargetUp(a *brokenAttempt) {
+	r.counters.brokenAnswers.Add(1)
+	r.logBroken("Answer broke off, and its target still accepts connections.", slog.LevelInfo, a)
+}
+
+// logBroken logs what is known about a broken attempt. The same content under several IDs is a request
+// that its caller has sent again.
+func (r *Relay) logBroken(text string, level slog.Level, a *brokenAttempt) {
+	if !r.targetStatements.Allow(r.Now()) {
+		return
 	}
+
+	t := &a.placed.Target
+	r.Logger.Log(context.Background(), level, text, "target", t.ID, "zone", t.Zone, "group", t.Group, "service", t.Service,
+		"parts", a.ids, "own", a.own, "content", fmt.Sprintf("#%016x", uint64(a.content)), "events", a.events,
+		"sentAgo", a.brokenAt.Sub(a.placed.PlacedAt).Round(time.Millisecond), "request", a.request, "route", a.route)
 }
 
-// checkTargetEnd finds out whether the target of the last attempt has ended, if its answer to a request
-// with a shared prompt broke off before it had begun properly. The request waits for that only briefly.
+// checkTargetEnd finds out whether the target of the last attempt has ended, if its answer broke off. A
+// request with a shared prompt whose answer had not begun properly waits for that briefly.
 func (p *proxiedRequest) checkTargetEnd(ctx context.Context, err error) {
-	if len(p.parts) == 0 || p.sound || ctx.Err() != nil || !isBrokenOff(err) {
+	if ctx.Err() != nil || !isBrokenOff(err) {
 		return
 	}
 
 	target := p.connectionTarget()
-	attempt := brokenAttempt{placed: p.placed, brokenAt: p.relay.Now(), parts: p.parts, ids: p.caller.PromptParts, request: p.caller.ID, route: p.route.Name}
+	attempt := brokenAttempt{
+		placed: p.placed, brokenAt: p.relay.Now(), events: p.answerEvents, content: p.content, own: p.caller.OwnPart, request: p.caller.ID, route: p.route.Name,
+	}
+
+	if !p.sound {
+		attempt.parts, attempt.ids = p.parts, p.caller.PromptParts
+	}
+
 	check := p.relay.endChecks.start(target, func() bool { return p.relay.TargetClient.HasEnded(context.WithoutCancel(ctx), target) })
 	recorded := make(chan struct{})
 
@@ -116,9 +150,15 @@
 
 		if <-check.done; check.ended {
 			p.relay.recordTargetEnd(&attempt)
+		} else {
+			p.relay.recordTargetUp(&attempt)
 		}
 	}()
 
+	if len(attempt.parts) == 0 {
+		return
+	}
+
 	timer := time.NewTimer(endCheckWait)
 	defer timer.Stop()
 
