Hold back a request under which three targets ended, whatever its ID

Callers saw one request of theirs, brought back under new IDs, end server after server, and everyone the outage of each. Cause: ends were recorded with the shared parts of prompts only, and forgotten once an answer had two events. Nothing identified a request beyond one attempt. Now the content of a request (a hash of all that is the same in each try) and the own part of its prompt are candidates of an end as the shared parts are: the same evidence, exchange, holds and trials. Only a whole answer makes them sound. Of candidates with as many ends the most specific one is held, so a session goes on beside a request of it, and sound requests with the same shared part are served.

--- a/internal/control/evidence_fleet_test.go
+++ b/internal/control/evidence_fleet_test.go
@@ -33,7 +33,10 @@
 // soundParts returns parts of the requests in record that are in most other requests too.
 func soundParts() []quarantine.Part { return []quarantine.Part{0, 1} }
 
-// record records the end of a target with requests of five parts, which began 100 ms ago.
+// requestsAtTarget is how many requests a target has when it ends.
+const requestsAtTarget = 12
+
+// record records the end of a target with requests of five shared parts in all, which began 100 ms ago.
 func (e *fleetEntry) record(target string) {
 	now := time.Now()
 	end := quarantine.End{Target: target, StartTime: now.UnixNano(), Group: "assist-0", At: now}
@@ -43,6 +46,13 @@
 		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: p, Depth: i, SentAt: now.Add(-100 * time.Millisecond)})
 	}
 
+	for i := range requestsAtTarget {
+		for _, depth := range []int{quarantine.OwnPartDepth, quarantine.ContentDepth} {
+			part := quarantine.PartOf("assist", fmt.Sprint(target, i, depth))
+			end.Candidates = append(end.Candidates, quarantine.Candidate{Part: part, Depth: depth, SentAt: now.Add(-100 * time.Millisecond)})
+		}
+	}
+
 	e.mu.Lock()
 	changed := e.evidence.Record(now, end)
 	e.mu.Unlock()
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -7,7 +7,8 @@
 	"github.com/parsleygate/parsleygate/internal/quarantine"
 )
 
-// fullQuarantine returns one with n ends of 32 candidates each, and a held part if there are ends.
+// fullQuarantine returns one with n ends of 32 shared parts and 24 parts of requests each, and a held
+// part if there are ends.
 func fullQuarantine(n int) *quarantine.Quarantine {
 	q := &quarantine.Quarantine{}
 
@@ -17,7 +18,12 @@
 			parts = append(parts, quarantine.Part(1000+30*i+c))
 		}
 
-		q.Record(at(4*float64(i)), newEnd(fmt.Sprint("t", i), at(4*float64(i)), parts...))
+		end := newEnd(fmt.Sprint("t", i), at(4*float64(i)), parts...)
+		for c := range 12 {
+			end.Candidates = append(end.Candidates, newRequestEnd("", end.At, quarantine.Part(100_000+24*i+2*c), quarantine.Part(100_001+24*i+2*c), true).Candidates...)
+		}
+
+		q.Record(end.At, end)
 	}
 
 	return q
@@ -63,3 +69,17 @@
 		q.Held(now)
 	}
 }
+
+func BenchmarkContent(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 64 << 10} {
+		b.Run(fmt.Sprint("body=", size), func(b *testing.B) {
+			c := quarantine.Content{Method: "POST", Host: "desk.example", URI: "/draft/x", Headers: []string{"m", "800,90", "5c1e07a2:800,e4:2"}, Body: make([]byte, size)}
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				c.Part("svc")
+			}
+		})
+	}
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -170,11 +170,18 @@
 }
 
 func newCandidateState(at time.Time, c *Candidate) candidateState {
-	// Whole microseconds are what a message carries.
-	lead := at.Sub(c.SentAt).Truncate(time.Microsecond)
+	depth := min(max(c.Depth, 0), ContentDepth)
+
+	// What a message carries.
+	unit := time.Microsecond
+	if isOfRequest(depth) {
+		unit = time.Millisecond
+	}
+
+	lead := at.Sub(c.SentAt).Truncate(unit)
 
 	return candidateState{
-		part: c.Part, depth: min(max(c.Depth, 0), MaxParts-1), lead: min(max(lead, 0), heldRetention), sound: c.Sound,
+		part: c.Part, depth: depth, lead: min(max(lead, 0), heldRetention), sound: c.Sound,
 	}
 }
 
@@ -182,7 +189,7 @@
 func (e *Evidence) applyCandidate(s *endState, in candidateState) news {
 	i, ok := s.find(in.part)
 	if !ok {
-		if s.excludes(in.part) {
+		if s.excludes(&in) {
 			return nothingNew
 		}
 
@@ -193,8 +200,13 @@
 
 	c, found := &s.candidates[i], nothingNew
 
-	if in.depth < c.depth || in.lead < c.lead {
-		c.depth, c.lead = min(c.depth, in.depth), min(c.lead, in.lead)
+	if replacesDepth(in.depth, c.depth) {
+		c.depth = in.depth
+		found = urgentNews
+	}
+
+	if in.lead < c.lead {
+		c.lead = in.lead
 		found = urgentNews
 	}
 
@@ -218,27 +230,48 @@
 	return slices.BinarySearchFunc(s.candidates, p, func(c candidateState, p Part) int { return cmp.Compare(c.part, p) })
 }
 
+func isOfRequest(depth int) bool { return depth >= MaxParts }
+
+// replacesDepth reports whether the depth a of a part is kept instead of b. A part of a request stays one.
+func replacesDepth(a, b int) bool {
+	if isOfRequest(a) != isOfRequest(b) {
+		return isOfRequest(a)
+	}
+
+	return a < b
+}
+
 // priority orders the candidates of an end if there are too many. It never changes, so that all
 // processes keep the same ones, and it differs between ends, so that no part is dropped from all.
 func (s *endState) priority(p Part) uint64 {
 	return shares.MixHashes(xxhash.Sum64String(s.key.target)+uint64(s.key.startTime), uint64(p))
 }
 
-// excludes reports whether the bound on candidates leaves no place for a part.
-func (s *endState) excludes(p Part) bool {
-	if len(s.candidates) < maxCandidates {
+// maxCandidatesLike returns how many candidates of the kind of c an end may have.
+func maxCandidatesLike(c *candidateState) int {
+	if isOfRequest(c.depth) {
+		return maxRequestCandidates
+	}
+
+	return maxCandidates
+}
+
+// excludes reports whether the bound on candidates leaves no place for in.
+func (s *endState) excludes(in *candidateState) bool {
+	bound := maxCandidatesLike(in)
+	if len(s.candidates) < bound {
 		return false
 	}
 
-	priority, lower := s.priority(p), 0
+	priority, lower := s.priority(in.part), 0
 
 	for i := range s.candidates {
-		if s.priority(s.candidates[i].part) < priority {
+		if isOfRequest(s.candidates[i].depth) == isOfRequest(in.depth) && s.priority(s.candidates[i].part) < priority {
 			lower++
 		}
 	}
 
-	return lower >= maxCandidates
+	return lower >= bound
 }
 
 func (s *endState) dropExcessCandidates() {
@@ -247,12 +280,18 @@
 	}
 
 	slices.SortFunc(s.candidates, func(a, b candidateState) int { return cmp.Compare(s.priority(a.part), s.priority(b.part)) })
-	s.candidates = slices.Clip(s.candidates[:maxCandidates])
+
+	kept := make(map[bool]int)
+	s.candidates = slices.Clip(slices.DeleteFunc(s.candidates, func(c candidateState) bool {
+		kept[isOfRequest(c.depth)]++
+
+		return kept[isOfRequest(c.depth)] > maxCandidatesLike(&c)
+	}))
+
 	slices.SortFunc(s.candidates, func(a, b candidateState) int { return cmp.Compare(a.part, b.part) })
 }
 
-// MarkSound records that the answer to a request with these parts began properly. The parts are
-// sound in all ends known so far. It reports whether other processes need that at once, because
+// MarkSound records that these parts are sound in all ends known so far. It reports whether other processes need that at once, because
 // one of the parts is held.
 func (e *Evidence) MarkSound(parts ...Part) bool {
 	if len(e.unsound) == 0 {
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -98,7 +98,7 @@
 // newChain counts the ends of a part, which are sorted by time. Taking the earliest end that fits
 // gives the longest chain.
 func newChain(p Part, of []occurrence) chain {
-	c := chain{part: p, depth: MaxParts}
+	c := chain{part: p, depth: maxRequestParts}
 
 	var lastAt time.Time
 
@@ -145,13 +145,17 @@
 
 func (c *chain) hold() Hold {
 	n := len(c.ends)
+
 	duration := firstHold
+	if isOfRequest(c.depth) {
+		duration = firstRequestHold
+	}
 
 	for i := minEnds; i < n && duration < maxHold; i++ {
 		duration *= holdGrowth
 	}
 
-	return Hold{Ends: n, Until: c.ends[n-1].at.Add(min(duration, maxHold)), companions: c.companions()}
+	return Hold{Ends: n, Until: c.ends[n-1].at.Add(min(duration, maxHold)), Depth: c.depth, companions: c.companions()}
 }
 
 // companions returns the other parts that are unsound candidates in each end of the chain.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -601,11 +601,16 @@
 			Target: fmt.Sprint("t", rapid.IntRange(0, 9).Draw(t, "target")), StartTime: int64(rapid.IntRange(0, 2).Draw(t, "start")),
 			Group: rapid.SampledFrom([]string{"", "g", "h"}).Draw(t, "group"), At: when,
 			Candidates: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) quarantine.Candidate {
+				part, depth := rapid.IntRange(0, 200).Draw(t, "part"), rapid.IntRange(0, 15).Draw(t, "depth")
+				if part > 60 {
+					depth = quarantine.OwnPartDepth + part%2
+				}
+
 				return quarantine.Candidate{
-					Part: quarantine.Part(rapid.IntRange(0, 60).Draw(t, "part")), Depth: rapid.IntRange(0, 15).Draw(t, "depth"),
+					Part: quarantine.Part(part), Depth: depth,
 					SentAt: when.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "lead")) * time.Millisecond), Sound: rapid.Bool().Draw(t, "sound"),
 				}
-			}), 1, 40).Draw(t, "candidates"),
+			}), 1, 180).Draw(t, "candidates"),
 		}
 	}), 0, 6).Draw(t, label)
 }
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -5,14 +5,14 @@
 const (
 	// recentPeriod is the time after which the older half of the recent sound parts is dropped.
 	recentPeriod = 30 * time.Second
-	// maxRecentParts bounds the parts of one period. Parts that many requests share are among the
-	// first of each period.
+	// maxRecentParts bounds the parts of one period. Parts that many requests share, and requests that
+	// many callers send, are among the first of each period.
 	maxRecentParts = 8192
 	// maxReleasedParts bounds the parts that were held and released.
 	maxReleasedParts = 256
 )
 
-// recentParts holds the parts of requests whose answers began properly in the last period or two.
+// recentParts holds the parts that became sound in the last period or two.
 type recentParts struct {
 	current, previous map[Part]struct{}
 	rotateAt          time.Time
@@ -75,26 +75,39 @@
 // sound in all ends known so far, and in those that are heard of within the next 30 s at least. It
 // reports whether other processes need that at once, because one of the parts is held.
 func (q *Quarantine) MarkSound(parts ...Part) bool {
-	parts = parts[:min(len(parts), MaxParts)]
+	return q.markSound(&q.recent, parts[:min(len(parts), MaxParts)])
+}
+
+// MarkAnswered records that the answer to a request with these parts, which belong to it alone, was
+// whole. Otherwise it does what MarkSound does.
+func (q *Quarantine) MarkAnswered(parts ...Part) bool {
+	return q.markSound(&q.answered, parts[:min(len(parts), maxRequestParts)])
+}
 
+func (q *Quarantine) markSound(recent *recentParts, parts []Part) bool {
 	for _, p := range parts {
 		if _, ok := q.held[p]; ok {
-			q.recent.release(p)
+			recent.release(p)
 		}
 
-		q.recent.add(p)
+		recent.add(p)
 	}
 
 	return q.Evidence.MarkSound(parts...)
 }
 
+func (q *Quarantine) rotateRecent(now time.Time) {
+	q.recent.rotate(now)
+	q.answered.rotate(now)
+}
+
 // Record adds an end that this entry has noticed. It reports whether that changed anything.
 func (q *Quarantine) Record(now time.Time, end End) bool { return q.Merge(now, []End{end}) }
 
 // Merge adds ends that control VMs reported, and marks the parts in them that were sound recently. It
 // reports whether that changed anything that other processes may lack.
 func (q *Quarantine) Merge(now time.Time, ends []End) bool {
-	q.recent.rotate(now)
+	q.rotateRecent(now)
 
 	before := q.held
 
@@ -105,7 +118,7 @@
 	var sound []Part
 
 	for p := range q.unsound {
-		if _, ok := before[p]; !ok && q.recent.contains(p) {
+		if _, ok := before[p]; !ok && (q.recent.contains(p) || q.answered.contains(p)) {
 			sound = append(sound, p)
 		}
 	}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -12,7 +12,8 @@
 type Quarantine struct {
 	Evidence
 
-	recent recentParts
+	// recent holds sound shared parts, answered those of single requests.
+	recent, answered recentParts
 	// trials holds the parts that requests of this entry are trying.
 	trials map[Part]uint64
 	serial uint64
@@ -37,11 +38,10 @@
 // maxEndsOfEarlyTrial is the number of ends from which a part is tried only after its hold.
 const maxEndsOfEarlyTrial = 5
 
-// Check decides about a request with the given parts, of which the last part of the prompt is not
-// one. share returns this entry's share in the trials of a part. One unit of it, which goes round
+// Check decides about a request with the given parts. share returns this entry's share in the trials of a part. One unit of it, which goes round
 // the entries, lets one entry at a time try the part.
 func (q *Quarantine) Check(now time.Time, parts []Part, share func(Part) shares.Share) Decision {
-	q.recent.rotate(now)
+	q.rotateRecent(now)
 
 	if len(q.ends) == 0 {
 		return Decision{}
@@ -52,7 +52,7 @@
 		return Decision{}
 	}
 
-	parts = parts[:min(len(parts), MaxParts)]
+	parts = parts[:min(len(parts), maxRequestParts)]
 
 	var out Decision
 
@@ -101,9 +101,10 @@
 
 // distinguishes reports whether a request lacks a part that was in all ends of the held part. Its
 // result shows which of the two ended the targets, so it is tried without waiting: otherwise a
-// caller that puts another caller's part beside the cause could have that part held.
+// caller that puts another caller's part beside the cause could have that part held. All requests with
+// a part of one request have the same other parts, or nearly.
 func (h *Hold) distinguishes(parts []Part) bool {
-	return h.Ends < maxEndsOfEarlyTrial && slices.ContainsFunc(h.companions, func(p Part) bool { return !slices.Contains(parts, p) })
+	return !isOfRequest(h.Depth) && h.Ends < maxEndsOfEarlyTrial && slices.ContainsFunc(h.companions, func(p Part) bool { return !slices.Contains(parts, p) })
 }
 
 // BeginTrial records that a request with the given parts is sent as a trial. EndTrial must be
@@ -113,7 +114,7 @@
 	t := Trial{serial: q.serial}
 	held := q.Held(now)
 
-	for _, p := range parts[:min(len(parts), MaxParts)] {
+	for _, p := range parts[:min(len(parts), maxRequestParts)] {
 		if _, ok := held[p]; !ok {
 			continue
 		}
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,17 +27,66 @@
 		}
 
 		for _, c := range end.Candidates {
-			w.Candidates = append(w.Candidates, &wire.EndCandidate{
-				Part: uint64(c.Part), Depth: uint32(c.Depth), LeadMicros: toMicros(end.At.Sub(c.SentAt)), Sound: c.Sound,
-			})
+			if !isOfRequest(c.Depth) {
+				w.Candidates = append(w.Candidates, &wire.EndCandidate{
+					Part: uint64(c.Part), Depth: uint32(c.Depth), LeadMicros: toMicros(end.At.Sub(c.SentAt)), Sound: c.Sound,
+				})
+			}
 		}
 
+		w.OwnParts = end.addRequestParts(w, OwnPartDepth)
+		w.Contents = end.addRequestParts(w, ContentDepth)
 		out = append(out, w)
 	}
 
 	return out
 }
 
+// addRequestParts returns the parts of a depth in their wire form, and adds what else is known of them to w.
+func (e *End) addRequestParts(w *wire.TargetEnd, depth int) []uint64 {
+	var out []uint64
+
+	for _, c := range e.Candidates {
+		if c.Depth != depth {
+			continue
+		}
+
+		if c.Sound {
+			w.Sound = append(w.Sound, uint32(len(w.GetLeadMillis())))
+		}
+
+		out = append(out, uint64(c.Part))
+		w.LeadMillis = append(w.LeadMillis, toMillis(e.At.Sub(c.SentAt)))
+	}
+
+	return out
+}
+
+// requestPartsFromWire decodes the parts of single requests in w, for an end at a time. Parts of which
+// the lead is missing are left out.
+func requestPartsFromWire(w *wire.TargetEnd, at time.Time) []Candidate {
+	parts, leads := slices.Concat(w.GetOwnParts(), w.GetContents()), w.GetLeadMillis()
+	parts = parts[:min(len(parts), len(leads), maxReceivedCandidates)]
+	out := make([]Candidate, len(parts))
+
+	for i, p := range parts {
+		depth := ContentDepth
+		if i < len(w.GetOwnParts()) {
+			depth = OwnPartDepth
+		}
+
+		out[i] = Candidate{Part: Part(p), Depth: depth, SentAt: at.Add(-fromMillis(leads[i]))}
+	}
+
+	for _, i := range w.GetSound() {
+		if uint64(i) < uint64(len(out)) {
+			out[i].Sound = true
+		}
+	}
+
+	return out
+}
+
 // EndsFromWire decodes ends whose ages count from now. Ages beyond the retention time are cut to
 // it, so that Merge ignores these ends.
 func EndsFromWire(ws []*wire.TargetEnd, now time.Time) []End {
@@ -48,10 +98,11 @@
 
 		for _, c := range w.GetCandidates()[:min(len(w.GetCandidates()), maxReceivedCandidates)] {
 			end.Candidates = append(end.Candidates, Candidate{
-				Part: Part(c.GetPart()), Depth: int(min(c.GetDepth(), MaxParts)), SentAt: end.At.Add(-fromMicros(c.GetLeadMicros())), Sound: c.GetSound(),
+				Part: Part(c.GetPart()), Depth: int(min(c.GetDepth(), MaxParts-1)), SentAt: end.At.Add(-fromMicros(c.GetLeadMicros())), Sound: c.GetSound(),
 			})
 		}
 
+		end.Candidates = append(end.Candidates, requestPartsFromWire(w, end.At)...)
 		out = append(out, end)
 	}
 
--- a/internal/quarantine/wire_test.go
+++ b/internal/quarantine/wire_test.go
@@ -39,6 +39,19 @@
 	return out
 }
 
+// requireBounded checks the bounds on the shared parts of an end and on the parts of single requests.
+func requireBounded(t *testing.T, end *quarantine.End) {
+	t.Helper()
+
+	counts := make(map[bool]int)
+	for _, c := range end.Candidates {
+		counts[c.Depth >= quarantine.OwnPartDepth]++
+	}
+
+	require.LessOrEqual(t, counts[false], 32)
+	require.LessOrEqual(t, counts[true], 128)
+}
+
 // FuzzMerge guards against messages that crash an entry, hold a sound part on their own, or exceed
 // the bounds.
 func FuzzMerge(f *testing.F) {
@@ -59,7 +72,7 @@
 
 		for _, end := range allEnds(&q) {
 			require.False(t, end.At.After(now))
-			require.LessOrEqual(t, len(end.Candidates), 32)
+			requireBounded(t, &end)
 		}
 
 		for _, h := range q.Held(now) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,7 +86,7 @@
 	levelGauges map[string]metrics.Gauge
 	failureRate retries.FailureRate
 	endChecks   endChecks
-	prompts     promptGuard
+	guard       requestGuard
 	ages        ages
 	// completions limits the log lines for completed requests.
 	completions logs.Sampler
@@ -143,7 +143,7 @@
 		r.Budget.StartedAt = r.Now()
 	}
 
-	r.prompts.logger, r.prompts.now, r.prompts.shareOf, r.prompts.onUrgent = r.Logger, r.Now, r.trialShare, r.OnTargetEnd
+	r.guard.logger, r.guard.now, r.guard.shareOf, r.guard.onUrgent = r.Logger, r.Now, r.trialShare, r.OnTargetEnd
 	r.ages.all.MaxRetryAfter = r.Settings.MaxRetryAfter
 	r.memory.limit = r.MaxHeldBytes
 	r.latencies = newLatencies()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -33,13 +33,10 @@
 	engine       *routes.EngineFigures
 	expectedWork float64
 	body         []byte
-	// parts are the shared parts of the prompt. trial is set while the request tries held ones. sound
-	// is set once an answer has begun properly.
-	parts []quarantine.Part
+	// trial is set while the request tries held parts. sound is set once an answer has begun properly.
+	parts requestParts
 	trial quarantine.Trial
 	sound bool
-	// content stands for the whole request, whatever its ID.
-	content quarantine.Part
 	// hold is the memory that the body and a buffered answer take.
 	hold *hold
 	// deadline is the earlier of the caller's and the route's. eventDeadline is when the
@@ -116,7 +113,7 @@
 	var lastErr error // of the previous attempt
 
 	for {
-		if err := p.relay.prompts.check(p); err != nil {
+		if err := p.relay.guard.check(p); err != nil {
 			p.end(err)
 
 			return
@@ -134,14 +131,14 @@
 		}
 
 		if lastErr = p.attempt(ctx, placed); lastErr == nil {
-			p.relay.prompts.end(p)
+			p.relay.guard.end(p)
 			p.complete()
 
 			return
 		}
 
 		p.checkTargetEnd(ctx, lastErr)
-		p.relay.prompts.end(p)
+		p.relay.guard.end(p)
 
 		// A failure of a reused connection excludes no target, which may be the only one.
 		if !errors.Is(lastErr, targetclient.ErrReusedConnection) {
@@ -161,7 +158,7 @@
 	p.beginWaiting()
 	defer p.endWaiting()
 
-	ctx, stopWaiting := p.relay.prompts.await(ctx, p)
+	ctx, stopWaiting := p.relay.guard.await(ctx, p)
 	defer stopWaiting()
 
 	startedAt := p.relay.Now()
@@ -176,7 +173,7 @@
 	}
 
 	if err == nil {
-		if err = p.relay.prompts.begin(p); err != nil {
+		if err = p.relay.guard.begin(p); err != nil {
 			p.relay.queue.finish(placed, p.work(), dispatch.Canceled)
 
 			return placed, err
@@ -272,8 +269,8 @@
 	p.observeAnswer(answer)
 
 	err = p.deliver(ctx, answer)
-	if err == nil && isSuccess(answer.Status) {
-		p.markSound()
+	if err == nil {
+		p.markAnswered(answer.Status)
 	}
 
 	if err == nil || errors.Is(err, errTargetFailure) {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -21,8 +21,8 @@
 	Entries, Waiting                                     int
 	Groups                                               []dispatch.GroupState
 	Connections                                          targetclient.Stats
-	// HeldParts are the parts of prompts that are held back.
-	HeldParts []HeldPart
+	// HeldParts are the requests that are held back, by what they have in common.
+	HeldParts []HeldPartState
 }
 
 // Dump returns the current state.
@@ -34,7 +34,7 @@
 		Failed: c.failed.Load(), Cut: c.cut.Load(), Left: c.disconnected.Load(),
 		Again: c.retries.Load(), Unpaid: c.freeRetries.Load(), Misdirected: c.misdirected.Load(), BudgetSpent: c.budgetSpent.Load(),
 		Number: f.Number, Index: f.Index, Entries: f.Entries, Connections: r.TargetClient.Stats(),
-		HeldParts: r.prompts.state().Held,
+		HeldParts: r.guard.state().Held,
 	}
 
 	for i := range f.Targets {
--- a/internal/relay/target_end.go
+++ b/internal/relay/target_end.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,13 +78,10 @@
 type brokenAttempt struct {
 	placed   dispatch.Action
 	brokenAt time.Time
-	// parts are those of which the end of the target is evidence, ids their IDs.
-	parts []quarantine.Part
-	ids   []string
-	// events is how many events of the answer had arrived.
+	parts    requestParts
+	// sound is set if the answer had begun properly. events is how many events of it had arrived.
+	sound          bool
 	events         int
-	content        quarantine.Part
-	own            string
 	request, route string
 }
 
@@ -93,18 +90,19 @@
 	r.counters.targetEnds.Add(1)
 	r.logBroken("Target ended while it had a request.", slog.LevelWarn, a)
 
-	if len(a.parts) == 0 {
-		return
-	}
-
 	t := &a.placed.Target
 	end := quarantine.End{Target: t.ID, StartTime: t.StartTime, Group: t.Group, At: a.brokenAt}
 
-	for i, part := range a.parts {
-		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: part, Depth: i, SentAt: a.placed.PlacedAt})
+	first := 0
+	if a.sound {
+		first = a.parts.shared
+	}
+
+	for i := first; i < len(a.parts.all); i++ {
+		end.Candidates = append(end.Candidates, quarantine.Candidate{Part: a.parts.all[i], Depth: a.parts.depths[i], SentAt: a.placed.PlacedAt})
 	}
 
-	r.prompts.record(end, a.ids)
+	r.guard.record(end, a.parts.ids[first:])
 }
 
 // recordTargetUp records that the target of a broken attempt still accepts connections.
@@ -122,12 +120,12 @@
 
 	t := &a.placed.Target
 	r.Logger.Log(context.Background(), level, text, "target", t.ID, "zone", t.Zone, "group", t.Group, "service", t.Service,
-		"parts", a.ids, "own", a.own, "content", fmt.Sprintf("#%016x", uint64(a.content)), "events", a.events,
+		"parts", a.parts.ids[:a.parts.shared], "own", strings.Join(a.parts.ids[a.parts.shared:len(a.parts.ids)-1], ""), "content", hashOf(a.parts.content()), "events", a.events,
 		"sentAgo", a.brokenAt.Sub(a.placed.PlacedAt).Round(time.Millisecond), "request", a.request, "route", a.route)
 }
 
-// checkTargetEnd finds out whether the target of the last attempt has ended, if its answer broke off. A
-// request with a shared prompt whose answer had not begun properly waits for that briefly.
+// checkTargetEnd finds out whether the target of the last attempt has ended, if its answer broke off. The
+// request waits for that only briefly.
 func (p *proxiedRequest) checkTargetEnd(ctx context.Context, err error) {
 	if ctx.Err() != nil || !isBrokenOff(err) {
 		return
@@ -135,11 +133,7 @@
 
 	target := p.connectionTarget()
 	attempt := brokenAttempt{
-		placed: p.placed, brokenAt: p.relay.Now(), events: p.answerEvents, content: p.content, own: p.caller.OwnPart, request: p.caller.ID, route: p.route.Name,
-	}
-
-	if !p.sound {
-		attempt.parts, attempt.ids = p.parts, p.caller.PromptParts
+		placed: p.placed, brokenAt: p.relay.Now(), parts: p.parts, sound: p.sound, events: p.answerEvents, request: p.caller.ID, route: p.route.Name,
 	}
 
 	check := p.relay.endChecks.start(target, func() bool { return p.relay.TargetClient.HasEnded(context.WithoutCancel(ctx), target) })
@@ -155,10 +149,6 @@
 		}
 	}()
 
-	if len(attempt.parts) == 0 {
-		return
-	}
-
 	timer := time.NewTimer(endCheckWait)
 	defer timer.Stop()
 
