Set a lock-step group aside when one of its targets has ended

All ends of a group within 1.5 s count as one, so that a request could end two targets for each that counts, six in all. Nothing could complete there meanwhile; other groups are used at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -358,6 +358,14 @@
 	}
 }
 
+// ReportTargetEnd records that the target of a placed request has ended. The others of its group give up
+// as well until then, and a request that ended the target must not end another one meanwhile.
+func (d *Dispatcher) ReportTargetEnd(placed Action, until time.Time) {
+	if g := d.groupOf(placed); g != nil && g.name != "" {
+		g.eject(until)
+	}
+}
+
 // Tick places the waiting requests that can be placed at now, and refuses those that can no
 // longer be answered in time.
 func (d *Dispatcher) Tick(now time.Time) []Action {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -487,6 +487,45 @@
 	}
 }
 
+// Guards against requests that reach a group while it fails because of a lost target, and against other
+// groups, or targets without one, that get none because of it.
+func TestEndOfATargetEjectsItsGroupOnly(t *testing.T) {
+	t.Parallel()
+
+	until := startTime.Add(1500 * time.Millisecond)
+
+	for _, group := range []string{"g", ""} {
+		d := &dispatch.Dispatcher{Settings: dispatch.DefaultSettings(), Rand: rand.New(rand.NewPCG(1, 2))}
+		d.Update(startTime, []dispatch.Service{{Name: "drafts"}}, []dispatch.Target{
+			{ID: "a", Service: "drafts", Group: group, Slots: 9, Share: shares.Share{Entries: 1}},
+			{ID: "b", Service: "drafts", Group: group, Slots: 9, Share: shares.Share{Entries: 1}},
+			{ID: "c", Service: "drafts", Group: "other", Slots: 9, Share: shares.Share{Entries: 1}},
+		})
+		d.ReportTargetEnd(dispatch.Action{Target: dispatch.Target{ID: "a", Service: "drafts", Group: group}}, until)
+
+		counts := make(map[string]int)
+
+		for i, at := range []time.Time{startTime, until.Add(-time.Millisecond), until} {
+			for n := range 6 {
+				for _, a := range d.Submit(at, dispatch.Request{ID: uint64(10*i + n + 1), Service: "drafts", Deadline: at.Add(time.Minute), SoftDeadline: at.Add(time.Minute), Work: 1}) {
+					require.True(t, a.Placed)
+
+					counts[a.Target.Group]++
+					d.Finish(at, a, 1, dispatch.Completed)
+				}
+			}
+
+			if group == "g" && i < 2 {
+				require.Zero(t, counts["g"])
+				require.Equal(t, 6*(i+1), counts["other"])
+			}
+		}
+
+		require.NotZero(t, counts[group])
+		require.NotZero(t, counts["other"])
+	}
+}
+
 func BenchmarkSubmit(b *testing.B) {
 	d := &dispatch.Dispatcher{Settings: dispatch.DefaultSettings(), Rand: rand.New(rand.NewPCG(1, 2))}
 
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -114,7 +114,7 @@
 			continue
 		}
 
-		if failedAt, ok := groups[o.end.group]; ok && !sentAt.After(failedAt.Add(groupFailureTime)) {
+		if failedAt, ok := groups[o.end.group]; ok && !sentAt.After(failedAt.Add(GroupFailureTime)) {
 			continue
 		}
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -115,9 +115,9 @@
 	maxIDLength = 128
 )
 
-// groupFailureTime is how long after the loss of a rank the other ranks of its group may end. Ends
+// GroupFailureTime is how long after the loss of a rank the other ranks of its group may end. Ends
 // of a group within this time count once.
-const groupFailureTime = 1500 * time.Millisecond
+const GroupFailureTime = 1500 * time.Millisecond
 
 // atTolerance is the difference in the time of an end that is not worth a message. Times that
 // passed through other processes are late by the time that messages take.
--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -8,6 +8,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/priority"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -105,6 +106,14 @@
 	}
 }
 
+// recordTargetEnd records that the target of a request has ended.
+func (q *queue) recordTargetEnd(a dispatch.Action) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.dispatcher.ReportTargetEnd(a, q.now().Add(quarantine.GroupFailureTime))
+}
+
 // updateLoad records a reported load for the engines on a VM.
 func (q *queue) updateLoad(vm netip.Addr, l dispatch.Load) {
 	q.mu.Lock()
