Bound what answers without an end cost an entry

Bytes that are no answer may come without end until the caller closes. A buffered stream is checked without a second copy of its events.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -97,6 +97,8 @@
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken}
 	}
 
+	p.hold.waitFor(p.relay.Now(), senderTarget)
+
 	if p.route.Stream && isSuccess(answer.Status) {
 		return p.forwardStream(ctx, answer)
 	}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -15,15 +15,18 @@
 	readerNone   reader = ""
 	readerCaller reader = "caller"
 	readerTarget reader = "target"
+	// senderTarget means that the target is sending its answer.
+	senderTarget reader = "sender"
 )
 
-// slowReadTime is how long a side may take to read what is held for it before the request may
-// be ended for its memory.
+// slowReadTime is how long a side may take to read what is held for it, or to send an answer, before
+// the request may be ended for its memory.
 const slowReadTime = time.Second
 
 // memory bounds the bytes of request bodies and buffered answers that all requests of this
 // process hold together. If it is full, it ends the requests that a slow reader has held
-// longest. It decides only; the requests themselves close their connections.
+// longest, and then, for a smaller request, the one with the largest answer of those that have been
+// arriving for long. It decides only; the requests themselves close their connections.
 type memory struct {
 	// limit is the maximum number of bytes; zero means no limit.
 	limit int64
@@ -73,6 +76,10 @@
 
 	for m.limit > 0 && m.used+n > m.limit {
 		slowest := m.slowest(now)
+		if slowest == nil {
+			slowest = m.largestAnswer(now, h.bytes)
+		}
+
 		if slowest == nil {
 			break
 		}
@@ -108,7 +115,7 @@
 	var slowest *hold
 
 	for h := range m.holds {
-		if h.reader != readerNone && h.bytes > 0 && now.Sub(h.since) >= slowReadTime && (slowest == nil || h.since.Before(slowest.since)) {
+		if h.reader != readerNone && h.reader != senderTarget && h.mayEnd(now) && (slowest == nil || h.since.Before(slowest.since)) {
 			slowest = h
 		}
 	}
@@ -116,7 +123,24 @@
 	return slowest
 }
 
-// waitFor records that the bytes wait for a side to read them.
+// largestAnswer returns the largest hold above a size whose answer has been arriving for slowReadTime, or
+// nil if there is none. The caller holds mu.
+func (m *memory) largestAnswer(now time.Time, size int64) *hold {
+	var largest *hold
+
+	for h := range m.holds {
+		if h.reader == senderTarget && h.mayEnd(now) && h.bytes > size {
+			largest, size = h, h.bytes
+		}
+	}
+
+	return largest
+}
+
+// mayEnd reports whether h has waited long enough to be ended. The caller holds mu.
+func (h *hold) mayEnd(now time.Time) bool { return h.bytes > 0 && now.Sub(h.since) >= slowReadTime }
+
+// waitFor records that the bytes wait for a side to read them, or to send the rest.
 func (h *hold) waitFor(now time.Time, r reader) {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
@@ -171,6 +195,17 @@
 // minBodySize is the number of bytes that are held at first for a body.
 const minBodySize = 1 << 10
 
+// growBy returns a function that adds n bytes to the hold, or returns errMemoryFull.
+func (h *hold) growBy(now func() time.Time) func(n int) error {
+	return func(n int) error {
+		if !h.grow(now(), int64(n)) {
+			return errMemoryFull
+		}
+
+		return nil
+	}
+}
+
 // readAll reads r to its end while there is room for it. The result is not nil unless it
 // returns an error.
 func (h *hold) readAll(now func() time.Time, r io.Reader) ([]byte, error) {
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -8,6 +8,36 @@
 	"pgregory.net/rapid"
 )
 
+// Guards against answers that end each other although they have just begun to arrive, or the smaller one
+// could give way.
+func TestLargestAnswerGivesWay(t *testing.T) {
+	t.Parallel()
+
+	now := time.Unix(1000, 0)
+	m := &memory{limit: 100}
+
+	var ended []int
+
+	answers := make([]*hold, 4)
+	for i, size := range []int64{30, 50, 10, 1} {
+		answers[i] = m.newHold(func(r reader, _ int64, _ time.Duration) {
+			require.Equal(t, senderTarget, r)
+
+			ended = append(ended, i)
+		})
+		answers[i].waitFor(now, senderTarget)
+		require.True(t, answers[i].grow(now, size))
+	}
+
+	require.False(t, answers[2].grow(now, 10), "all have just begun")
+
+	now = now.Add(slowReadTime)
+	require.True(t, answers[2].grow(now, 10))
+	require.Equal(t, []int{1}, ended)
+	require.False(t, answers[0].grow(now, 70), "the others are smaller")
+	require.Equal(t, []int{1}, ended)
+}
+
 // Guards against a bound that is passed, against requests that are ended although both sides
 // read, and against bytes that stay counted after a request.
 func TestMemoryIsBoundedWhateverReadersDo(t *testing.T) {
@@ -42,12 +72,8 @@
 				open[rapid.IntRange(0, len(open)-1).Draw(t, "grow")].hold.grow(now, int64(rapid.IntRange(1, 60).Draw(t, "bytes")))
 			case kind == 2:
 				r := open[rapid.IntRange(0, len(open)-1).Draw(t, "wait")]
-				r.slow, r.since = rapid.Bool().Draw(t, "slow"), now
-
-				side := readerNone
-				if r.slow {
-					side = readerCaller
-				}
+				side := rapid.SampledFrom([]reader{readerNone, readerCaller, senderTarget}).Draw(t, "side")
+				r.slow, r.since = side != readerNone, now
 
 				r.hold.waitFor(now, side)
 			default:
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -37,7 +37,7 @@
 		{"Relay.Misdirected", "sends", "Attempts rejected because a target other than the intended one answers at the address.", func(r *Relay) int64 { return r.counters.misdirected.Load() }},
 		{"Relay.BudgetSpent", "requests", "Requests that were not retried because the retry budget was exhausted.", func(r *Relay) int64 { return r.counters.budgetSpent.Load() }},
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
-		{"Relay.SlowReaders", "requests", "Requests ended because the memory for requests was full and a caller or target did not read what was held for it.", func(r *Relay) int64 { return r.counters.slowReaders.Load() }},
+		{"Relay.SlowReaders", "requests", "Requests ended because the memory for requests was full and a caller or target did not read what was held for it, or a target had been sending a large answer for long.", func(r *Relay) int64 { return r.counters.slowReaders.Load() }},
 		{"Relay.TargetEnds", "requests", "Requests whose answer broke off, because the target had ended.", func(r *Relay) int64 { return r.counters.targetEnds.Load() }},
 		{"Relay.BrokenAnswers", "requests", "Requests whose answer broke off while the target still accepted connections.", func(r *Relay) int64 { return r.counters.brokenAnswers.Load() }},
 		{"Relay.HeldParts", "parts", "Parts of prompts, and contents of requests, that are held back now, because targets ended under requests with them.", func(r *Relay) int64 { return int64(len(r.guard.state().Held)) }},
--- a/internal/relay/slow_reader.go
+++ b/internal/relay/slow_reader.go
@@ -23,10 +23,10 @@
 }
 
 // endSlowReader ends the request because its memory is needed, while one side does not read
-// what is held for it. It is called from another request's goroutine.
+// what is held for it, or is still sending its answer. It is called from another request's goroutine.
 func (p *proxiedRequest) endSlowReader(slow reader, bytes int64, waited time.Duration, cancel context.CancelFunc) {
 	p.relay.counters.slowReaders.Add(1)
-	p.relay.Logger.Log(p.req.Context(), slog.LevelWarn, "Request ended: the memory for requests is full, and this one waits for a slow reader.",
+	p.relay.Logger.Log(p.req.Context(), slog.LevelWarn, "Request ended: the memory for requests is full, and this one waits for a slow reader or sender.",
 		"reader", slow, "held", bytes, "waited", waited.Round(time.Millisecond), "limit", p.relay.memory.limit, "request", p.caller.ID)
 	cancel()
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -22,6 +22,7 @@
 	// Events that arrive together are flushed together, before the next read.
 	events := targetclient.NewEventReader(answer.Body, p.relay.Limits.MaxEventBytes)
 	events.BeforeRead = p.flushEvents
+	events.Grow = p.hold.growBy(p.relay.Now)
 
 	if !p.streaming {
 		// The head is sent with the first event: until then the request can still be
@@ -81,23 +82,22 @@
 		return p.flushEvents()
 	}
 
-	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseBroken, Err: err}
+	cause := verdict.CauseBroken
+	if errors.Is(err, errMemoryFull) {
+		cause = verdict.CauseOverload
+	}
+
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: cause, Err: err}
 }
 
 // isCompleteStream reports whether a stream that was read to its end stopped between two events. If
 // only the end of its connection delimits it, it must have an event.
 func isCompleteStream(body []byte, framing targetclient.Framing) bool {
-	events := targetclient.NewEventReader(bytes.NewReader(body), len(body))
-	empty := true
+	var events eventstream.Scanner
 
-	for {
-		ev, err := events.Next()
-		if err != nil {
-			return errors.Is(err, io.EOF) && (!empty || framing != targetclient.FramedByConnection)
-		}
+	events.Scan(body)
 
-		empty = empty && ev.Comment
-	}
+	return !events.InsideEvent() && (events.SawNew() || framing != targetclient.FramedByConnection)
 }
 
 // writeEvent writes one event to the caller. It skips events that the caller already has: a
--- a/internal/targetclient/event_reader.go
+++ b/internal/targetclient/event_reader.go
@@ -29,12 +29,17 @@
 	// BeforeRead, if set, is called before each read of the stream, which may wait. Its error ends the
 	// stream.
 	BeforeRead func() error
+	// Grow, if set, is called before the reader holds n more bytes of an event that does not fit into its
+	// first readBufferSize bytes. Its error ends the stream.
+	Grow func(n int) error
 
 	source   io.Reader
 	r        *bufio.Reader
 	scanner  eventstream.Scanner
 	maxBytes int
 	buf      []byte
+	// blank is set while buf holds nothing but line ends.
+	blank bool
 }
 
 // NewEventReader returns a reader of the events in r. An event longer than maxBytes is
@@ -65,7 +70,7 @@
 // The error is io.EOF if the stream ended after a complete event and
 // io.ErrUnexpectedEOF if it ended within one.
 func (r *EventReader) Next() (Event, error) {
-	r.buf = r.buf[:0]
+	r.buf, r.blank = r.buf[:0], true
 
 	for {
 		if _, err := r.r.Peek(1); err != nil {
@@ -79,15 +84,40 @@
 			return Event{}, ErrEventTooLong
 		}
 
-		r.buf = append(r.buf, part[:n]...)
+		if err := r.add(part[:n]); err != nil {
+			return Event{}, err
+		}
+
 		_, _ = r.r.Discard(n)
 
-		if ended && len(bytes.TrimSpace(r.buf)) > 0 {
+		if ended && !r.blank {
 			return r.event(), nil
 		}
 	}
 }
 
+// add appends a part of the current event to buf.
+func (r *EventReader) add(part []byte) error {
+	r.blank = r.blank && len(bytes.TrimSpace(part)) == 0
+
+	if need := len(r.buf) + len(part); need > cap(r.buf) {
+		size := max(2*cap(r.buf), need, readBufferSize)
+		if r.Grow != nil && size > readBufferSize {
+			if err := r.Grow(size - cap(r.buf)); err != nil {
+				return err
+			}
+		}
+
+		grown := make([]byte, len(r.buf), size)
+		copy(grown, r.buf)
+		r.buf = grown
+	}
+
+	r.buf = append(r.buf, part...)
+
+	return nil
+}
+
 // event returns the event in buf.
 func (r *EventReader) event() Event {
 	ev := Event{Comment: r.scanner.IsComment(), Bytes: r.buf}
