Bound the heads of engines' answers, and the time that an announcement takes

An engine that sends bytes without end in the head of an answer had 10 MB of it read for each report, count or order (10,507,264 bytes in the test, 16 KiB are allowed now), on VMs with 152 MB. Requests and orders by way of agents were bounded already; TestEndlessTargetAnswersEnd keeps that.

--- a/internal/agent/routes.go
+++ b/internal/agent/routes.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -78,12 +79,17 @@
 
 	var ann Announcement
 
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(time.Now().Add(a.Settings.ReadTimeout))
+
 	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
 	if err := json.NewDecoder(body).Decode(&ann); err != nil {
 		http.Error(w, "announcement is no JSON: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 
+	_ = connection.SetReadDeadline(time.Time{})
+
 	if ann.BootID == "" || ann.Service == "" || !ann.Address.IsValid() || ann.Address.Port() == 0 {
 		http.Error(w, "BootID, Service and Address (IP:port) are needed", http.StatusBadRequest)
 		return
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -27,6 +27,8 @@
 	eventBuffer        = 256
 	maxOrderMaps       = 4
 	maxIdleEngineConns = 1
+	// maxEngineHeaderBytes bounds the head of an answer of the engine.
+	maxEngineHeaderBytes = 16 << 10
 	// engineRestartBits is the number of low bits of an incarnation that count the
 	// engine's restarts.
 	engineRestartBits = 20
@@ -104,7 +106,9 @@
 // it has received.
 func (r *Rank) Run(ctx context.Context) error {
 	if r.CallEngine == nil {
-		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleEngineConns, IdleConnTimeout: time.Minute}}
+		client := &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleEngineConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxEngineHeaderBytes,
+		}}
 		defer client.CloseIdleConnections()
 
 		r.CallEngine = client.Do
