Count the end of a target that listens again at once

An end counted only if the address refused a connection, at once or 0.1 s later. A target that its supervisor starts again sooner, or whose VM is back with it after a loss of power, ended any number of times under a request. The directory is a second witness, at no message: if it names a later incarnation at the address within 10 s of a broken answer, the target ended then, unless it was leaving.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,6 +86,7 @@
 	levelGauges map[string]metrics.Gauge
 	failureRate retries.FailureRate
 	endChecks   endChecks
+	unconfirmed unconfirmedEnds
 	guard       requestGuard
 	ages        ages
 	// completions limits the log lines for completed requests.
@@ -187,6 +188,7 @@
 	r.retainConnections(now, services, targets)
 	r.queue.update(services, targets, directors(f, services, targets), f.RosterIncomplete)
 	r.retainCounts(f)
+	r.confirmEnds(f)
 	r.configureOnce.Do(func() { close(r.configured) })
 
 	if wait, due := r.entryShares.subsets.RecomputeDue(now); due {
--- a/internal/relay/target_end.go
+++ b/internal/relay/target_end.go
@@ -110,6 +110,7 @@
 func (r *Relay) recordTargetUp(a *brokenAttempt) {
 	r.counters.brokenAnswers.Add(1)
 	r.logBroken("Answer broke off, and its target still accepts connections.", slog.LevelInfo, a)
+	r.rememberBroken(a)
 }
 
 // logBroken logs what is known about a broken attempt. The same content under several IDs is a request
