Hold back requests that end targets by way of agents too

The same cause acted at the own door: agents report a broken answer, entries send the request on or its caller brings it back, and nobody counts. An agent confirms the end of its target and tells the entry; entries exchange ends with all control VMs by a call of its own, as an entry with agents polls one control VM only. TestAllEntriesHoldBackARequestThatEndedTargets runs it through three control VMs, entries and agents over TCP. Tests changed: rawTarget counts connections that carried a request, as the check of a target is a connection too.

--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -26,6 +26,8 @@
 	req   *wire.Request
 	out   *frameWriter
 	call  call
+	// announced is the boot of the target to which the request is sent.
+	announced *Announcement
 	// deadline is when the request ends, whatever its state.
 	deadline time.Time
 
@@ -46,7 +48,7 @@
 }
 
 func newExchange(a *Agent, req *wire.Request, out *frameWriter, now time.Time) *exchange {
-	x := &exchange{agent: a, req: req, out: out, deadline: now.Add(a.Settings.MaxRequestDuration)}
+	x := &exchange{agent: a, req: req, out: out, announced: a.target.load(), deadline: now.Add(a.Settings.MaxRequestDuration)}
 	x.call.attemptID = req.GetAttemptID()
 	x.digest.Reset()
 
@@ -293,6 +295,7 @@
 func (x *exchange) fail(e *verdict.Error) {
 	a := x.agent
 	now := a.Now()
+	boot := x.endedBoot(e)
 	load := x.finish(now, admission.Outcome{Verdict: e.Verdict, Abandoned: e.Verdict != verdict.NotRun})
 	a.counters.broken.Inc(1)
 
@@ -307,7 +310,7 @@
 	}
 
 	a.Logger.Warn("Request failed: no complete response from the target.", "attempt", x.call.attemptID, "cause", e.Cause, "verdict", e.Verdict, "err", e.Err)
-	x.send(refusalFrame(x.call.attemptID, refusal{verdict: e.Verdict, cause: e.Cause, retryAt: e.RetryAt}, now, load))
+	x.send(refusalFrame(x.call.attemptID, refusal{verdict: e.Verdict, cause: e.Cause, retryAt: e.RetryAt, endedBoot: boot}, now, load))
 }
 
 func (x *exchange) finish(now time.Time, o admission.Outcome) *wire.Load {
--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -271,7 +271,8 @@
 // rawTarget is a target whose responses are written byte by byte by script, which gets the
 // connection and the request ID.
 type rawTarget struct {
-	ln    net.Listener
+	ln net.Listener
+	// conns counts the connections that carried a request.
 	conns atomic.Int64
 	wg    sync.WaitGroup
 }
@@ -291,17 +292,20 @@
 				return
 			}
 
-			rt.conns.Add(1)
 			rt.wg.Go(func() {
 				defer c.Close()
 
 				in := bufio.NewReader(c)
-				for {
+				for nth := 0; ; nth++ {
 					hr, err := http.ReadRequest(in)
 					if err != nil {
 						return
 					}
 
+					if nth == 0 {
+						rt.conns.Add(1)
+					}
+
 					_, _ = io.Copy(io.Discard, hr.Body)
 					script(c, hr.Header.Get(HeaderRequestID))
 				}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -21,6 +21,8 @@
 	verdict verdict.Verdict
 	cause   verdict.Cause
 	retryAt time.Time
+	// endedBoot identifies the boot of the target that has ended, if it has.
+	endedBoot uint64
 }
 
 // serveRequest handles one request of an entry and responds with frames.
@@ -90,6 +92,7 @@
 		Cause:            string(reason.cause),
 		RetryAfterMillis: millisUntil(reason.retryAt, now),
 		Load:             load,
+		EndedBoot:        reason.endedBoot,
 	}}}
 }
 
--- a/internal/agent/response_reader.go
+++ b/internal/agent/response_reader.go
@@ -56,7 +56,7 @@
 	})
 	defer idleTimer.Stop()
 
-	announced := r.exchange.agent.target.load()
+	announced := r.exchange.announced
 	if announced == nil {
 		r.parts <- responsePart{err: verdict.Refuse(verdict.CauseTargetDown, time.Time{})}
 		return
--- a/internal/agentclient/client.go
+++ b/internal/agentclient/client.go
@@ -69,6 +69,9 @@
 type Result struct {
 	Err  *verdict.Error
 	Load *wire.Load
+	// EndedBoot identifies the boot of the target that ended while it had the request; zero if none is known
+	// to have ended.
+	EndedBoot uint64
 }
 
 func (c *Client) init() {
@@ -320,7 +323,7 @@
 		rejection.RetryAt = time.Now().Add(time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond)
 	}
 
-	return Result{Err: rejection, Load: refusal.GetLoad()}, nil
+	return Result{Err: rejection, Load: refusal.GetLoad(), EndedBoot: refusal.GetEndedBoot()}, nil
 }
 
 // Close closes all idle connections.
--- a/internal/e2e/deployment_test.go
+++ b/internal/e2e/deployment_test.go
@@ -27,6 +27,8 @@
 	cluster     = "proof"
 	service     = "desk"
 	waitTimeout = 20 * time.Second
+	// endingPath is the path of a request under which booking services end.
+	endingPath = "/v1/bookings/ending"
 )
 
 var zones = []string{"a", "b", "c"}
@@ -143,9 +145,20 @@
 
 func (d *deployment) startBookingService(i int) {
 	d.bookings[i] = &testserver.BookingService{}
-	server := &http.Server{Handler: d.bookings[i].Handler(), ReadHeaderTimeout: time.Second}
 	listener := listenBlackhole(d.t, "127.0.0.1:0")
 
+	var server *http.Server
+
+	server = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == endingPath {
+			_ = server.Close()
+
+			panic(http.ErrAbortHandler)
+		}
+
+		d.bookings[i].Handler().ServeHTTP(w, r)
+	})}
+
 	go func() { _ = server.Serve(listener) }()
 
 	d.t.Cleanup(func() { _ = server.Close() })
--- /dev/null
+++ b/internal/e2e/target_end_test.go
@@ -0,0 +1,33 @@
+package e2e_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/entry"
+)
+
+// Guards against entries that do not hear, by way of the control VMs, of targets that have ended under a request
+// at other entries.
+func TestAllEntriesHoldBackARequestThatEndedTargets(t *testing.T) {
+	t.Parallel()
+
+	d := newDeployment(t)
+	causeAt := func(i int) string {
+		resp, err := http.Get("http://" + d.getProcess(&d.entries[i]).listener.Addr().String() + "/" + service + endingPath)
+		require.NoError(t, err)
+
+		_ = resp.Body.Close()
+
+		return resp.Header.Get(entry.HeaderCause)
+	}
+
+	require.Eventually(t, func() bool { return causeAt(0) == "Quarantined" }, waitTimeout, 50*time.Millisecond)
+
+	for i := range zones {
+		require.Eventually(t, func() bool { return causeAt(i) == "Quarantined" }, 2*time.Second, 50*time.Millisecond, "entry %d", i)
+	}
+}
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -34,6 +34,10 @@
 
 	x.entry.Chooser.RecordDemand(time.Now(), x.call.service.GetName())
 
+	if held := x.checkHeld(time.Now()); held != nil {
+		return x.ex.NoTarget(held)
+	}
+
 	if unavailable := x.entry.Chooser.Unavailable(time.Now(), x.call.service.GetName()); unavailable != nil {
 		return x.ex.NoTarget(unavailable.Refusal())
 	}
@@ -49,6 +53,13 @@
 	for {
 		refusal := x.acquireTarget(ctx)
 		if refusal == nil {
+			// It may have become held while it waited.
+			if held := x.checkHeld(time.Now()); held != nil {
+				x.releaseTarget(verdict.CauseQuarantined)
+
+				return x.ex.NoTarget(held)
+			}
+
 			return x.ex.Chosen(x.attempt)
 		}
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,8 +18,10 @@
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
 	"github.com/parsleygate/parsleygate/internal/callerconn"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
+	"github.com/parsleygate/parsleygate/internal/shares"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -72,9 +74,13 @@
 	Chooser  *routing.Chooser
 	Budget   *retries.Budget
 	View     func() View
-	Claim    func(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimResponse, error)
-	Settle   func(ctx context.Context, r *wire.SettleRequest) (*wire.SettleResponse, error)
-	Limits   Limits
+	// TrialShare returns this entry's share in the trials of requests that are held back; all of them if
+	// nil. OnTargetEnd, if set, is called when other entries need what EndsSince returns at once.
+	TrialShare  func(quarantine.Part) shares.Share
+	OnTargetEnd func()
+	Claim       func(ctx context.Context, r *wire.ClaimRequest) (*wire.ClaimResponse, error)
+	Settle      func(ctx context.Context, r *wire.SettleRequest) (*wire.SettleResponse, error)
+	Limits      Limits
 	// ShutdownDelay is the time from /ready reporting 503 until the listener closes, so
 	// that the platform's balancer can notice. During this time new requests
 	// are refused as Stopping.
@@ -88,6 +94,7 @@
 	stopping      atomic.Bool
 	inFlight      sync.WaitGroup
 	counters      counters
+	guard         requestGuard
 }
 
 // tickInterval is the interval at which queues are updated and credits renewed.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,6 +9,7 @@
 	"github.com/parsleygate/parsleygate/internal/exchange"
 	"github.com/parsleygate/parsleygate/internal/fairness"
 	"github.com/parsleygate/parsleygate/internal/pauses"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -32,6 +33,11 @@
 	staleTargets []string
 	choice       routing.Choice
 	attempt      *wire.ClaimHolder
+	// parts are those by which the request is known when targets end under it. trial is set if isTrial is:
+	// the request tries whether they still do.
+	parts   []quarantine.Part
+	trial   quarantine.Trial
+	isTrial bool
 }
 
 // execute runs the exchange of a call and responds to the caller.
@@ -49,10 +55,12 @@
 	x := &exchangeRun{
 		entry: e, call: c, reply: newReply(w, r, e.Limits.WriteTimeout),
 		ex:    &exchange.Exchange{Idempotent: c.idempotent, Keyed: c.key != "", Deadline: c.deadline},
-		queue: e.queue(c.service.GetName()), item: e.newItem(c),
+		queue: e.queue(c.service.GetName()), item: e.newItem(c), parts: c.parts(),
 	}
 	x.ex.Retry = x.retry
 
+	defer x.endTrial()
+
 	final := x.runActions(ctx)
 	if x.hasTurn {
 		x.queue.release(x.item.ID, final.Err == nil)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -38,6 +38,13 @@
 
 	x.recordOutcome(start, res, seen.status)
 
+	switch {
+	case res.EndedBoot != 0:
+		x.recordTargetEnd(start, res.EndedBoot)
+	case res.Err == nil:
+		x.recordAnswer(seen.status)
+	}
+
 	x.ex.Resumable = x.reply.resumable()
 
 	outcome := exchange.Outcome{Complete: res.Err == nil, Err: res.Err, Relayed: x.reply.headSent, CallerDisconnected: x.reply.callerGone || callerDisconnected(ctx)}
--- a/internal/role/controlclient.go
+++ b/internal/role/controlclient.go
@@ -102,6 +102,13 @@
 	return resp, eris.Wrap(err, "poll control VM")
 }
 
+// Ends exchanges ends of targets with one control VM.
+func (c *ControlClient) Ends(ctx context.Context, address netip.AddrPort, r *wire.EndsRequest) (*wire.EndsResponse, error) {
+	resp, err := c.rpcClient(address).Ends(ctx, r)
+
+	return resp, eris.Wrap(err, "exchange ends of targets")
+}
+
 // Claim claims a key at any control VM. If an answer is lost, the claim is repeated at
 // the next control VM, which grants the same attempt again.
 func (c *ControlClient) Claim(ctx context.Context, r *wire.ClaimRequest) (resp *wire.ClaimResponse, err error) {
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/prefix"
+	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
 	"github.com/parsleygate/parsleygate/internal/shares"
@@ -63,6 +65,7 @@
 	reader *view.Reader
 	entry  *entry.Entry
 	bus    *events.Bus
+	ends   *view.EndExchange
 	stop   context.CancelFunc
 
 	// mu serializes updates of the chooser's targets, which come from configuration
@@ -89,6 +92,7 @@
 	g.Go(func() error { return r.bus.Run(follow) })
 	<-r.bus.Running()
 	g.Go(func() error { return r.reader.Run(follow) })
+	g.Go(func() error { return r.ends.Run(follow) })
 
 	err := r.entry.Run(ctx)
 
@@ -127,6 +131,11 @@
 		View:    r.entryView,
 		Claim:   r.Controls.Claim, Settle: r.Controls.Settle,
 		Limits: r.Limits, ShutdownDelay: r.ShutdownDelay, Logger: r.Logs.Logger("entry"), Seed: r.Incarnation,
+		TrialShare: r.trialShare, OnTargetEnd: func() { r.ends.Notify() },
+	}
+	r.ends = &view.EndExchange{
+		Cluster: r.Cluster, ID: r.ID, Controls: r.Controls.allAddresses, Call: r.Controls.Ends,
+		Evidence: r.entry.EndsSince, OnEvidence: r.entry.MergeEnds, Logger: r.Logs.Logger("view"),
 	}
 
 	return r.registerDiagnostics()
@@ -240,6 +249,20 @@
 	}
 }
 
+// trialShare returns this entry's share in the trials of a request that is held back.
+func (r *Entry) trialShare(part quarantine.Part) shares.Share {
+	self := shares.Node{ID: r.ID, Zone: r.Zone}
+	entries := []shares.Node{self}
+
+	for _, n := range r.reader.Snapshot().Nodes() {
+		if n.GetKind() == wire.NodeKind_NodeEntry && n.GetID() != r.ID {
+			entries = append(entries, shares.Node{ID: n.GetID(), Zone: n.GetZone()})
+		}
+	}
+
+	return shares.ForLimit(self, entries, "request "+strconv.FormatUint(uint64(part), 16))
+}
+
 func (r *Entry) announceLeave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
