--- a/internal/relay/queue.go
+++ b/internal/relay/queue.go
@@ -106,12 +106,12 @@
 	}
 }
 
-// recordTargetEnd records that the target of a request has ended.
-func (q *queue) recordTargetEnd(a dispatch.Action) {
+// recordTargetEnd records that the target of a request ended at a time.
+func (q *queue) recordTargetEnd(a dispatch.Action, at time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	q.dispatcher.ReportTargetEnd(a, q.now().Add(quarantine.GroupFailureTime))
+	q.dispatcher.ReportTargetEnd(a, at.Add(quarantine.GroupFailureTime))
 }
 
 // updateLoad records a reported load for the engines on a VM.
--- a/internal/relay/target_end.go
+++ b/internal/relay/target_end.go
@@ -88,7 +88,7 @@
 // recordTargetEnd records that the target of an attempt has ended.
 func (r *Relay) recordTargetEnd(a *brokenAttempt) {
 	r.counters.targetEnds.Add(1)
-	r.queue.recordTargetEnd(a.placed)
+	r.queue.recordTargetEnd(a.placed, a.brokenAt)
 	r.logBroken("Target ended while it had a request.", slog.LevelWarn, a)
 
 	t := &a.placed.Target
