Let tests of entries send over transports of their own

The announcement, two other requests of this package and that of the new end-to-end test have transports of their own now; no check has changed.

--- a/internal/e2e/target_end_test.go
+++ b/internal/e2e/target_end_test.go
@@ -17,7 +17,9 @@
 
 	d := newDeployment(t)
 	causeAt := func(i int) string {
-		resp, err := http.Get("http://" + d.getProcess(&d.entries[i]).listener.Addr().String() + "/" + service + endingPath)
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+		resp, err := client.Get("http://" + d.getProcess(&d.entries[i]).listener.Addr().String() + "/" + service + endingPath)
 		require.NoError(t, err)
 
 		_ = resp.Body.Close()
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -289,10 +289,16 @@
 	cutOff bool
 }
 
+// ownClient returns a client whose connections no other test closes. An httptest.Server that is closed ends
+// the idle connections of http.DefaultTransport.
+func ownClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 func (f *fixture) post(path, body string, headers ...string) callerResult {
 	f.t.Helper()
 
-	return f.postWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, path, body, headers...)
+	return f.postWith(ownClient(), path, body, headers...)
 }
 
 // postKept sends a request on a connection that has already carried another one.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -122,7 +122,7 @@
 
 	// The agent ignores InFlight in the first announcement.
 	for range 2 {
-		resp, err := http.Post("http://"+address.String()+agent.AnnouncePath, "application/json", strings.NewReader(announcement))
+		resp, err := ownClient().Post("http://"+address.String()+agent.AnnouncePath, "application/json", strings.NewReader(announcement))
 		require.NoError(t, err)
 		require.NoError(t, resp.Body.Close())
 		require.Equal(t, http.StatusNoContent, resp.StatusCode)
--- a/internal/entry/stream_fault_test.go
+++ b/internal/entry/stream_fault_test.go
@@ -228,7 +228,7 @@
 	})
 	f := newFixture(t, streamService, nil, a)
 
-	resp, err := http.Post(f.base+"/"+streamService+"/v1/drafts", "application/json", strings.NewReader("{}"))
+	resp, err := ownClient().Post(f.base+"/"+streamService+"/v1/drafts", "application/json", strings.NewReader("{}"))
 	require.NoError(t, err)
 
 	_, err = resp.Body.Read(make([]byte, 1))
@@ -302,7 +302,7 @@
 			q, err := http.NewRequestWithContext(ctx, http.MethodPost, f.base+"/"+streamService+"/v1/drafts", strings.NewReader("{}"))
 			require.NoError(t, err)
 
-			resp, err := http.DefaultClient.Do(q)
+			resp, err := ownClient().Do(q)
 			require.NoError(t, err)
 
 			defer resp.Body.Close()
