--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -353,3 +353,33 @@
 
 	requireHeld(t, &q, at(90))
 }
+
+// Guards against forged or stale ends that hold a request which has just been answered, here or at another
+// entry.
+func TestForgedAndStaleEndsHoldNoAnsweredRequest(t *testing.T) {
+	t.Parallel()
+
+	var answered, other quarantine.Quarantine
+
+	answered.Check(at(0), nil, onlyEntry)
+	answered.MarkAnswered(ownPart, content)
+
+	var forged, stale []quarantine.End
+
+	for i := range 3 {
+		when := at(1 + float64(i))
+		forged = append(forged, newRequestEnd(fmt.Sprint("none", i), when, ownPart, content, true))
+		stale = append(stale, newRequestEnd(fmt.Sprint("old", i), when.Add(-time.Hour), ownPart, content, true))
+	}
+
+	other.Merge(at(4), stale)
+	requireHeld(t, &other, at(4))
+
+	other.Merge(at(4), forged)
+	requireHeld(t, &other, at(4), content)
+
+	answered.Merge(at(5), allEnds(&other))
+	requireHeld(t, &answered, at(5))
+	other.Merge(at(5), allEnds(&answered))
+	requireHeld(t, &other, at(5))
+}
