--- a/internal/view/end_exchange.go
+++ b/internal/view/end_exchange.go
@@ -129,9 +129,6 @@
 func (l *endLoop) exchangeOnce(ctx context.Context) error {
 	x := l.exchange
 
-	ctx, cancel := context.WithTimeout(ctx, endWait+endAnswerTimeout)
-	defer cancel()
-
 	// Taken before the evidence is read, so that none is missed.
 	select {
 	case <-l.changed:
@@ -152,6 +149,9 @@
 		r.WaitMillis = 0
 	}
 
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond+endAnswerTimeout)
+	defer cancel()
+
 	done := make(chan struct{})
 	defer close(done)
 
