Hold a request whose tries follow its ends at once at all entries

Cause: an end is as late at another process as its message, by up to the time of the slowest one, and ages are whole milliseconds. A try that followed an end at once then seemed to have been sent before it, so the chain of three ends broke. Ruled out: lost exchanges (all ends had arrived), answers that cleared the content (none was whole).

Change: times of ends are exact to 100 ms, as the exchange has it already; the content and the own part of a request may have been sent that much before the previous end. Shared parts may not, since many requests with them are under way at any time.

TestRequestTriedAgainAtOnceIsHeldWhereItsEndsAreHeardOf is red without the change.

--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -110,7 +110,14 @@
 		}
 
 		sentAt := o.end.at.Add(-o.lead)
-		if len(c.ends) > 0 && !sentAt.After(lastAt) {
+
+		after := sentAt
+		if isOfRequest(o.depth) {
+			// A request may be sent again as soon as its target has ended.
+			after = after.Add(atTolerance)
+		}
+
+		if len(c.ends) > 0 && !after.After(lastAt) {
 			continue
 		}
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -119,6 +119,6 @@
 // of a group within this time count once.
 const GroupFailureTime = 1500 * time.Millisecond
 
-// atTolerance is the difference in the time of an end that is not worth a message. Times that
-// passed through other processes are late by the time that messages take.
+// atTolerance is how exact the time of an end is. A smaller difference is not worth a message. Times
+// that passed through other processes are late by the time that messages take.
 const atTolerance = 100 * time.Millisecond
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/parsleygate/parsleygate/internal/quarantine"
 )
@@ -383,3 +384,46 @@
 	other.Merge(at(5), allEnds(&answered))
 	requireHeld(t, &other, at(5))
 }
+
+// Guards against a request that is held only where its ends were noticed: elsewhere they are as late as their messages, which
+// hides that each try came after the end before it.
+func TestRequestTriedAgainAtOnceIsHeldWhereItsEndsAreHeardOf(t *testing.T) {
+	t.Parallel()
+
+	rapid.Check(t, func(t *rapid.T) {
+		var q quarantine.Quarantine
+
+		latency := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(90*time.Millisecond)).Draw(t, "nanoseconds"))
+		})
+		sentAt, heardAt := at(0), at(0)
+
+		for i := range 3 {
+			endedAt := sentAt.Add(latency.Draw(t, "time to the end"))
+			end := quarantine.End{Target: fmt.Sprint("t", i), At: endedAt, Candidates: []quarantine.Candidate{{Part: content, Depth: quarantine.ContentDepth, SentAt: sentAt}}}
+			if at := endedAt.Add(latency.Draw(t, "latency")); at.After(heardAt) {
+				heardAt = at
+			}
+
+			q.Merge(heardAt, quarantine.EndsFromWire(quarantine.EndsToWire([]quarantine.End{end}, endedAt), heardAt))
+
+			sentAt = endedAt.Add(time.Microsecond)
+		}
+
+		require.True(t, q.Check(heardAt, []quarantine.Part{content}, onlyEntry).Held)
+	})
+}
+
+// Guards against a request that is held because a loss of power ended three targets at once that had it.
+func TestRequestAtManyTargetsIsNotHeldAfterALossOfPower(t *testing.T) {
+	t.Parallel()
+
+	var q quarantine.Quarantine
+
+	for i := range 3 {
+		now := at(10 + 0.001*float64(i))
+		q.Record(now, quarantine.End{Target: fmt.Sprint("t", i), At: now, Candidates: []quarantine.Candidate{{Part: content, Depth: quarantine.ContentDepth, SentAt: at(9.8)}}})
+	}
+
+	require.False(t, q.Check(at(11), []quarantine.Part{content}, onlyEntry).Held)
+}
