--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -139,14 +139,18 @@
 	t.workers.Wait()
 }
 
-// newClient returns a client with its own connection pool and base's transport settings.
+// newClient returns a client with its own connection pool and base's transport settings. A transport of
+// another type than http.Transport is used as it is.
 func newClient(base *http.Client) *http.Client {
 	tr := &http.Transport{}
 
-	if base != nil {
-		if baseTransport, ok := base.Transport.(*http.Transport); ok {
-			tr = baseTransport.Clone()
+	if base != nil && base.Transport != nil {
+		baseTransport, ok := base.Transport.(*http.Transport)
+		if !ok {
+			return &http.Client{Transport: base.Transport}
 		}
+
+		tr = baseTransport.Clone()
 	}
 
 	// A network device may have dropped the state of a connection that was idle for long.
