Stop a replica whose fault leaves nothing else to do

Cause: the error of the core was looked at after a batch of actions only. A fault that leaves none, as an answer that says that the replica was removed, or a message to an earlier replica of its ID, neither stopped the replica nor moved its next deadline: it ran ticks without a pause, and a removed control VM never joined again. Found by the model of the control set, as a run that went on without end.

Change: an empty batch returns the error too.

--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -315,3 +315,29 @@
 		require.NoError(t, g.stopNode(n))
 	})
 }
+
+// Guards against a replica that neither stops nor waits after a fault that gives it nothing to send or store.
+func TestFaultWithoutActionsStopsReplica(t *testing.T) {
+	t.Parallel()
+
+	g := newGroup(t, 1)
+	n := g.start(0, "a", g.founders)
+	_, _, err := n.Propose(timeoutContext(10*time.Second), []byte("first"))
+	require.NoError(t, err)
+
+	earlier := quorum.Message{From: "vm1", FromCreationID: 1, To: "vm0", ToCreationID: 1, Body: quorum.Hello{}}
+	_, err = n.Deliver(t.Context(), &wire.PeerEnvelope{Cluster: "test", Messages: []*wire.QuorumMessage{earlier.ToWire()}})
+	require.NoError(t, err)
+
+	var lost *quorum.LostDiskError
+
+	select {
+	case err := <-n.runErr:
+		require.ErrorAs(t, err, &lost)
+	case <-time.After(waitForFault):
+		t.Fatal("the replica goes on")
+	}
+}
+
+// waitForFault bounds how long a replica may take to stop.
+const waitForFault = 10 * time.Second
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -122,6 +122,10 @@
 	for {
 		b := r.core.Take()
 		if b.Empty() {
+			if err := r.core.Err(); err != nil {
+				return err
+			}
+
 			if !r.snapshotIfDue() {
 				r.publishStatus()
 
