Let a removed or lost founder join, never found again

Cause: whether a control VM founds was decided by Bootstrap as the process had read it at its start. The same decision was made again for a folder that was lost under a running process, and for a process that an operator starts with the settings of its first start; a process that ended halfway through the clearing left files of the old member to the new one.

Change: MemberFolder founds with the first member of a process only. A removal renames the member file, which needs no space on a full disk; while that file is there, the folder is cleared before a member that joins is stored, at whichever start. A founder that hears of a group, from it or by messages to an earlier member at its address, joins under a new ID in place of waiting for an operator.

Measured: TestFolderFoundsOnce and TestInterruptedClearIsCompleted.

--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -132,20 +131,24 @@
 		return eris.Wrap(err, "close listener")
 	}
 
+	s := p.settings
+	folder := &role.MemberFolder{
+		Dir: filepath.Clean(s.Control.DataFolder), Self: s.Process.Address, Seeds: p.seedSource(),
+		Options: role.MemberOptions{Bootstrap: s.Operating.Bootstrap, Volatile: s.Control.Volatile},
+	}
 	supervisor := &role.Supervisor{
-		RunOnce:      func(ctx context.Context) error { return runControlOnce(ctx, p) },
-		ClearDataDir: func() error { return os.RemoveAll(p.settings.Control.DataFolder) },
+		RunOnce:      func(ctx context.Context) error { return runControlOnce(ctx, p, folder) },
+		ClearDataDir: folder.Clear,
 		Logger:       p.logs.Logger("control"),
 	}
 
 	return supervisor.Run(ctx)
 }
 
-func runControlOnce(ctx context.Context, p *process) error {
+func runControlOnce(ctx context.Context, p *process, folder *role.MemberFolder) error {
 	s := p.settings
 
-	self, err := role.OpenMember(filepath.Clean(s.Control.DataFolder), s.Process.Address, s.Seeds.ControlAddresses(),
-		role.MemberOptions{Bootstrap: s.Operating.Bootstrap, Volatile: s.Control.Volatile})
+	self, err := folder.Open()
 	if err != nil {
 		return err
 	}
@@ -164,7 +167,7 @@
 		VM: self.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Incarnation: role.IncarnationAt(time.Now()),
 		Listener: listener, Identity: p.identity, Dir: filepath.Join(filepath.Clean(s.Control.DataFolder), "log"),
 		Logs: p.logs, Dump: p.dump, Founders: self.Founders(),
-		AutoMembership: &role.AutoMembership{Settings: membership.DefaultSettings(s.Operating.ToleratedFailures), Seeds: p.seedSource()},
+		AutoMembership: &role.AutoMembership{Settings: membership.DefaultSettings(s.Operating.ToleratedFailures), Seeds: folder.Seeds},
 		TrustedNetwork: s.Process.TrustedNetwork, OperatorListener: operators, Zones: s.Zones, AnnounceInterval: s.Operating.AnnounceInterval,
 		ReadDocument: func(sent []byte) (*wire.RouteTable, error) {
 			d, err := platform.ReadDocument(sent)
--- a/internal/quorum/errors.go
+++ b/internal/quorum/errors.go
@@ -24,9 +24,9 @@
 	return fmt.Sprintf("entry %d contradicts a committed one", e.Index)
 }
 
-// LostDiskError reports that this replica bootstrapped a group of one although it was a
-// member of another group before its disk was lost. An operator must clear its data
-// folder, remove the replica from the group and add it again.
+// LostDiskError reports that this replica is a founder, or bootstrapped a group of one, although it was a
+// member of the group before its disk was lost. Its data folder must be cleared, and the replica
+// removed from the group and added again.
 type LostDiskError struct {
 	ID string
 }
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -27,6 +27,10 @@
 	Last     uint64
 	Snapshot uint64
 	Members  []MemberStatus
+	// Founding is set while this replica waits for the other founders, DiskLost if it was a member before
+	// and lost its disk.
+	Founding bool
+	DiskLost bool
 	// SafeToStop is set if any one more voter may be stopped. Otherwise Reason gives the
 	// cause.
 	SafeToStop bool
@@ -38,6 +42,7 @@
 	s := Status{
 		ID: c.cfg.ID, Birth: c.cfg.CreationID, State: c.state.String(), Term: c.hardState.Term, Leader: c.leaderID,
 		Commit: c.commit, Last: c.log.last(), Snapshot: c.snap.Index,
+		Founding: c.bootstrap != nil, DiskLost: c.bootstrap != nil && c.bootstrap.diskLost,
 	}
 
 	for _, m := range c.currentMembers() {
--- a/internal/role/automembership.go
+++ b/internal/role/automembership.go
@@ -31,10 +31,11 @@
 }
 
 // manageMembership asks to join the control set while this VM is not a member, and
-// changes the membership while this VM leads.
-func (r *Control) manageMembership(ctx context.Context) {
+// changes the membership while this VM leads. It fails if this VM lost its disk, and has to join
+// as a new member.
+func (r *Control) manageMembership(ctx context.Context) error {
 	if r.AutoMembership == nil {
-		return
+		return nil
 	}
 
 	manager := &membership.Manager{Settings: r.AutoMembership.Settings}
@@ -45,11 +46,13 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-tick.C:
 		}
 
 		switch {
+		case r.hasLostDisk():
+			return &quorum.LostDiskError{ID: r.VM}
 		case r.isLeader():
 			r.changeMembership(ctx, manager)
 		case len(r.Founders) == 0 && !r.isMember():
@@ -60,6 +63,14 @@
 	}
 }
 
+// hasLostDisk reports whether this VM waits as a founder although a group exists: the group told it, or sends
+// messages to an earlier member at its address.
+func (r *Control) hasLostDisk() bool {
+	s := r.replica.Status()
+
+	return s.DiskLost || s.Founding && len(r.replica.FormerPeers()) > 0
+}
+
 func (r *Control) isMember() bool {
 	return slices.ContainsFunc(r.replica.Status().Members, func(m quorum.MemberStatus) bool { return m.Member.ID == r.VM })
 }
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -177,11 +177,7 @@
 	g.Go(func() error { return r.server.Run(work) })
 	g.Go(func() error { return r.director.Run(work) })
 	g.Go(func() error { return r.serveOperators(work) })
-	g.Go(func() error {
-		r.manageMembership(work)
-
-		return nil
-	})
+	g.Go(func() error { return r.manageMembership(work) })
 	g.Go(func() error {
 		if err := server.Serve(identity.MaybePeerListener(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
--- a/internal/role/control_set_model_test.go
+++ b/internal/role/control_set_model_test.go
@@ -45,7 +45,6 @@
 type modelSet struct {
 	dir       string
 	tolerated int
-	seeds     []netip.AddrPort
 	// machines are those that have not been removed.
 	machines []*modelMachine
 	started  int
@@ -59,6 +58,8 @@
 
 	mu        sync.Mutex
 	addresses map[string]*modelMachine
+	// seeds are those in the settings, which follow the machines.
+	seeds []netip.AddrPort
 }
 
 type modelMachine struct {
@@ -140,6 +141,28 @@
 	return w.Result(), nil
 }
 
+func (s *modelSet) currentSeeds() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.seeds
+}
+
+func (s *modelSet) updateSeeds() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.seeds = nil
+	for _, m := range s.machines[:min(3, len(s.machines))] {
+		s.seeds = append(s.seeds, m.address)
+	}
+}
+
+func (s *modelSet) remove(old *modelMachine) {
+	s.machines = slices.DeleteFunc(s.machines, func(m *modelMachine) bool { return m == old })
+	s.updateSeeds()
+}
+
 func (s *modelSet) newMachine() *modelMachine {
 	s.started++
 	m := &modelMachine{
@@ -162,19 +185,22 @@
 	p := &modelProcess{machine: m, dir: m.dir, stop: stop, done: make(chan error, 1)}
 	m.process.Store(p)
 
+	folder := &MemberFolder{
+		Dir: m.dir, Self: m.address, Seeds: m.set.currentSeeds, Options: MemberOptions{Bootstrap: bootstrap},
+	}
 	supervisor := &Supervisor{
-		RunOnce:      func(ctx context.Context) error { return p.runOnce(ctx, bootstrap) },
-		ClearDataDir: func() error { return os.RemoveAll(p.dir) },
+		RunOnce:      func(ctx context.Context) error { return p.runOnce(ctx, folder) },
+		ClearDataDir: folder.Clear,
 		Logger:       slog.New(slog.DiscardHandler),
 	}
 
 	m.set.running.Go(func() { p.done <- supervisor.Run(ctx) })
 }
 
-func (p *modelProcess) runOnce(ctx context.Context, bootstrap bool) error {
+func (p *modelProcess) runOnce(ctx context.Context, folder *MemberFolder) error {
 	s := p.machine.set
 
-	self, err := OpenMember(p.dir, p.machine.address, s.seeds, MemberOptions{Bootstrap: bootstrap})
+	self, err := folder.Open()
 	if err != nil {
 		return err
 	}
@@ -184,7 +210,7 @@
 		Listener: &modelListener{fakeListener: fakeListener{p.machine.address}, closed: make(chan struct{})}, Dir: filepath.Join(p.dir, "log"),
 		Founders: self.Founders(), TrustedNetwork: true, Logs: logs.Output{Writer: io.Discard}, Dump: &dump.Dump{},
 		AutoMembership: &AutoMembership{
-			Settings: membership.DefaultSettings(s.tolerated), Seeds: func() []netip.AddrPort { return s.seeds },
+			Settings: membership.DefaultSettings(s.tolerated), Seeds: folder.Seeds,
 		},
 	}
 	c.Build()
@@ -259,9 +285,6 @@
 
 // claim makes a change. Whether it is acknowledged depends on what is lost.
 func (s *modelSet) claim(timeout time.Duration, key, attempt string) (wire.ClaimState, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-
 	err := errModelRefused
 
 	for _, m := range s.machines {
@@ -272,9 +295,13 @@
 
 		var out *wire.ClaimResponse
 
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		out, err = p.control.Load().Server().Claim(ctx, &wire.ClaimRequest{
 			Workspace: "w", Service: "desk", Key: key, BodyDigest: []byte("d"), Holder: &wire.ClaimHolder{AttemptID: attempt},
 		})
+
+		cancel()
+
 		if err == nil {
 			return out.GetState(), nil
 		}
@@ -392,8 +419,9 @@
 
 	s.sleep(500*time.Millisecond, 3*time.Second)
 
+	// An operator may start the process of a founder again with the settings of its first start.
 	for _, m := range lost {
-		m.restart()
+		m.start(s.random.IntN(4) == 0)
 	}
 
 	time.Sleep(catchUpTime)
@@ -454,7 +482,8 @@
 	time.Sleep(catchUpTime)
 	s.change()
 
-	s.machines = slices.DeleteFunc(s.machines, func(m *modelMachine) bool { return m == old })
+	s.remove(old)
+
 	delay := s.drawDuration(0, 3*time.Second)
 
 	s.running.Go(func() {
@@ -472,8 +501,7 @@
 	s.record("kill and replace", old)
 	old.kill()
 
-	s.machines = slices.DeleteFunc(s.machines, func(m *modelMachine) bool { return m == old })
-
+	s.remove(old)
 	s.sleep(0, time.Second)
 	s.newMachine().start(false)
 	time.Sleep(catchUpTime)
@@ -511,11 +539,7 @@
 		s.newMachine()
 	}
 
-	for i, m := range s.machines {
-		if i < 3 {
-			s.seeds = append(s.seeds, m.address)
-		}
-	}
+	s.updateSeeds()
 
 	for _, m := range s.machines {
 		m.start(true)
--- a/internal/role/member.go
+++ b/internal/role/member.go
@@ -26,8 +26,13 @@
 	Found []netip.AddrPort
 }
 
-// memberFile is the file in the data folder that stores the member.
-const memberFile = "member.json"
+const (
+	// memberFile is the file in the data folder that stores the member.
+	memberFile = "member.json"
+	// removedFile is the member file of a member that was removed from the set. Until it is gone, the
+	// folder may still hold files of that member.
+	removedFile = "removed.json"
+)
 
 const (
 	memberDirMode  fs.FileMode = 0o750
@@ -45,8 +50,79 @@
 	Volatile bool
 }
 
+// MemberFolder is the data folder of a control VM. Its exported fields must be set before Open.
+type MemberFolder struct {
+	Dir  string
+	Self netip.AddrPort
+	// Seeds returns the internal addresses of some control VMs.
+	Seeds   func() []netip.AddrPort
+	Options MemberOptions
+
+	opened bool
+}
+
+// Open reads the member, or creates one. Only the first member that a process creates may be a founder:
+// whether the deployment starts for the first time is known of the start of the process, not of a data
+// folder that was lost or cleared later.
+func (f *MemberFolder) Open() (*Member, error) {
+	o := f.Options
+	o.Bootstrap = o.Bootstrap && !f.opened
+
+	m, err := OpenMember(f.Dir, f.Self, f.Seeds(), o)
+	f.opened = f.opened || err == nil
+
+	return m, err
+}
+
+// Clear removes the member and its files, so that Open creates another one, which joins. If it fails or the
+// process ends halfway, Open completes it.
+func (f *MemberFolder) Clear() error {
+	f.opened = true
+
+	if f.Options.Volatile {
+		return nil
+	}
+
+	// A rename needs no space on a full disk.
+	err := os.Rename(filepath.Join(f.Dir, memberFile), filepath.Join(f.Dir, removedFile))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return eris.Wrap(err, "clear data folder")
+	}
+
+	if _, err := os.Stat(f.Dir); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+
+	return clearRemoved(f.Dir)
+}
+
+// clearRemoved deletes the files of a member that was removed, except for removedFile.
+func clearRemoved(dir string) error {
+	if err := syncDir(dir); err != nil {
+		return err
+	}
+
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return eris.Wrap(err, "clear data folder")
+	}
+
+	for _, f := range files {
+		if f.Name() == removedFile {
+			continue
+		}
+
+		if err := os.RemoveAll(filepath.Join(dir, f.Name())); err != nil {
+			return eris.Wrap(err, "clear data folder")
+		}
+	}
+
+	return syncDir(dir)
+}
+
 // OpenMember reads the member from the data folder, or creates one. The new member is a
-// founder if the deployment starts for the first time and self is a seed.
+// founder if the deployment starts for the first time, self is a seed, and the folder has
+// held no member.
 func OpenMember(dir string, self netip.AddrPort, seeds []netip.AddrPort, o MemberOptions) (*Member, error) {
 	if o.Volatile {
 		return newMember(self, membership.VolatileIDMarker), nil
@@ -59,20 +135,54 @@
 	data, err := os.ReadFile(filepath.Join(dir, memberFile)) //nolint:gosec // the settings name the folder
 	if err == nil {
 		m := &Member{}
+		if err := json.Unmarshal(data, m); err != nil {
+			return nil, eris.Wrap(err, "read "+memberFile)
+		}
 
-		return m, eris.Wrap(json.Unmarshal(data, m), "read "+memberFile)
+		return m, deleteRemovedFile(dir)
 	}
 
 	if !errors.Is(err, fs.ErrNotExist) {
 		return nil, eris.Wrap(err, "read "+memberFile)
 	}
 
+	_, err = os.Stat(filepath.Join(dir, removedFile))
+	wasRemoved := err == nil
+
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, eris.Wrap(err, "read "+removedFile)
+	}
+
+	if wasRemoved {
+		if err := clearRemoved(dir); err != nil {
+			return nil, err
+		}
+	}
+
 	m := newMember(self, "-")
-	if o.Bootstrap && slices.Contains(seeds, self) {
+	if o.Bootstrap && !wasRemoved && slices.Contains(seeds, self) {
 		m = &Member{ID: self.Addr().String(), Found: seeds}
 	}
 
-	return m, m.write(dir)
+	if err := m.write(dir); err != nil {
+		return nil, err
+	}
+
+	return m, deleteRemovedFile(dir)
+}
+
+// deleteRemovedFile ends the removal of an earlier member. The files in the folder belong to its successor.
+func deleteRemovedFile(dir string) error {
+	err := os.Remove(filepath.Join(dir, removedFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+
+	if err != nil {
+		return eris.Wrap(err, "delete "+removedFile)
+	}
+
+	return syncDir(dir)
 }
 
 // newMember returns a member that joins an existing set, under an ID that was never
--- a/internal/role/member_test.go
+++ b/internal/role/member_test.go
@@ -1,8 +1,10 @@
 package role_test
 
 import (
+	"errors"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -78,3 +80,96 @@
 	_, err := role.OpenMember(dir, seedOne, []netip.AddrPort{seedOne}, bootstrap)
 	require.Error(t, err)
 }
+
+func newMemberFolder(dir string) *role.MemberFolder {
+	return &role.MemberFolder{Dir: dir, Self: seedOne, Seeds: func() []netip.AddrPort { return []netip.AddrPort{seedOne, seedTwo} }, Options: bootstrap}
+}
+
+// Guards against a removed or lost founder that founds again, because its process still has Bootstrap set.
+func TestFolderFoundsOnce(t *testing.T) {
+	t.Parallel()
+
+	for name, lose := range map[string]func(*role.MemberFolder) error{
+		"removed": (*role.MemberFolder).Clear,
+		"lost":    func(f *role.MemberFolder) error { return os.RemoveAll(f.Dir) },
+		"removed from a lost folder": func(f *role.MemberFolder) error {
+			return errors.Join(os.RemoveAll(f.Dir), f.Clear())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newMemberFolder(filepath.Join(t.TempDir(), "data"))
+			founder, err := f.Open()
+			require.NoError(t, err)
+			require.Len(t, founder.Founders(), 2)
+
+			again, err := f.Open()
+			require.NoError(t, err)
+			require.Equal(t, founder, again)
+
+			require.NoError(t, lose(f))
+
+			joining, err := f.Open()
+			require.NoError(t, err)
+			require.NotEqual(t, founder.ID, joining.ID)
+			require.Empty(t, joining.Founders())
+
+			again, err = newMemberFolder(f.Dir).Open()
+			require.NoError(t, err)
+			require.Equal(t, joining, again, "after a restart of the process")
+		})
+	}
+}
+
+// Guards against files of a removed member, or a second founding, if the process ends while its folder is being cleared.
+func TestInterruptedClearIsCompleted(t *testing.T) {
+	t.Parallel()
+
+	const removed = "removed.json"
+
+	for name, interrupt := range map[string]func(dir string) error{
+		"before the files are deleted": func(dir string) error {
+			return os.Rename(filepath.Join(dir, "member.json"), filepath.Join(dir, removed))
+		},
+		"after some files are deleted": func(dir string) error {
+			return errors.Join(os.Rename(filepath.Join(dir, "member.json"), filepath.Join(dir, removed)), os.Remove(filepath.Join(dir, "log", "segment")))
+		},
+		"before the new member is stored": func(dir string) error { return newMemberFolder(dir).Clear() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			dir := t.TempDir()
+			founder, err := newMemberFolder(dir).Open()
+			require.NoError(t, err)
+			require.NoError(t, os.MkdirAll(filepath.Join(dir, "log"), 0o700))
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "log", "segment"), nil, 0o600))
+			require.NoError(t, interrupt(dir))
+
+			joining, err := newMemberFolder(dir).Open()
+			require.NoError(t, err)
+			require.NotEqual(t, founder.ID, joining.ID)
+			require.Empty(t, joining.Founders())
+			require.NoDirExists(t, filepath.Join(dir, "log"))
+			require.NoFileExists(t, filepath.Join(dir, removed))
+		})
+	}
+}
+
+// Guards against files of the new member that are taken for those of the removed one.
+func TestMarkerOfARemovalIsDeleted(t *testing.T) {
+	t.Parallel()
+
+	dir := t.TempDir()
+	m, err := newMemberFolder(dir).Open()
+	require.NoError(t, err)
+	require.NoError(t, os.Mkdir(filepath.Join(dir, "log"), 0o700))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "removed.json"), nil, 0o600))
+
+	again, err := newMemberFolder(dir).Open()
+	require.NoError(t, err)
+	require.Equal(t, m, again)
+	require.DirExists(t, filepath.Join(dir, "log"))
+	require.NoFileExists(t, filepath.Join(dir, "removed.json"))
+}
--- a/internal/role/supervisor.go
+++ b/internal/role/supervisor.go
@@ -20,8 +20,8 @@
 // process.
 const storageRetryDelay = 500 * time.Millisecond
 
-// Supervisor restarts a control VM within its process after it was removed from the set
-// or its storage became unavailable. Its fields must be set before Run.
+// Supervisor restarts a control VM within its process after it was removed from the set,
+// or its storage was lost or became unavailable. Its fields must be set before Run.
 type Supervisor struct {
 	// RunOnce runs the control VM until it fails or ctx ends.
 	RunOnce func(ctx context.Context) error
@@ -36,19 +36,16 @@
 	for {
 		err := s.RunOnce(ctx)
 
-		var removed *quorum.RemovedError
-
 		switch {
-		case errors.As(err, &removed):
-			s.Logger.Warn("Removed from the control set; joining again as a new member.", "id", removed.ID)
+		case isNoLongerMember(err):
+			s.Logger.Warn("Not a member of the control set any more; joining again as a new one.", "error", err)
 
 			if err := s.ClearDataDir(); err != nil {
 				if !IsStorageUnavailable(err) {
 					return eris.Wrap(err, "clear data folder")
 				}
 
-				// The next run fails with a RemovedError again, and the folder is
-				// cleared then.
+				// Either the next run completes this, or it fails with the same error again.
 				s.Logger.Warn("The data folder cannot be cleared; retrying.", "error", err)
 			}
 		case IsStorageUnavailable(err):
@@ -67,6 +64,17 @@
 	}
 }
 
+// isNoLongerMember reports whether err means that the control set does not count on what this VM has
+// stored: the VM was removed, or its disk was lost and it does not hold what it had acknowledged.
+func isNoLongerMember(err error) bool {
+	var (
+		removed *quorum.RemovedError
+		lost    *quorum.LostDiskError
+	)
+
+	return errors.As(err, &removed) || errors.As(err, &lost)
+}
+
 // IsStorageUnavailable reports whether err means that files cannot be read or written
 // now, because the disk is full, read-only or missing. It returns false for corrupt
 // files, which do not recover without intervention.
