Replace a voter before it stops as planned

Cause: a control VM that stopped only handed on its leadership. After a kill the same window outlasted the time after which the lost machine no longer counts, longest if it had led, as the new leader began to measure its silence anew.

Change: a control VM that stops announces that to the leader and waits, for 4 s at most, until it has been removed or no learner can take its place. The leader lets the learner vote first and removes the leaving voter then, both in steps that are committed by majorities that hold the whole log; a lost voter goes first, and who leaves takes no vote.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -9,6 +9,7 @@
 package membership
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -27,8 +28,8 @@
 	// Voters is the desired number of voters: twice the number of tolerated failures,
 	// plus one.
 	Voters int
-	// VoterTimeout is how long a voter must be inactive before another VM replaces it.
-	// It must be longer than a planned restart takes.
+	// VoterTimeout is how long a voter must not have answered before another VM replaces
+	// it. It must be longer than a restart after a crash takes.
 	VoterTimeout time.Duration
 	// LearnerTimeout is how long a learner must be inactive before it is removed.
 	LearnerTimeout time.Duration
@@ -37,7 +38,7 @@
 // DefaultSettings returns the settings for a set that tolerates the given number of failed
 // voters.
 func DefaultSettings(toleratedFailures int) Settings {
-	return Settings{Voters: 2*toleratedFailures + 1, VoterTimeout: 4 * time.Second, LearnerTimeout: 30 * time.Second}
+	return Settings{Voters: 2*toleratedFailures + 1, VoterTimeout: 3 * time.Second, LearnerTimeout: 30 * time.Second}
 }
 
 // ChangeKind is the kind of a membership change.
@@ -62,6 +63,8 @@
 // last active.
 type Manager struct {
 	Settings Settings
+	// IsLeaving reports whether a member has announced that it stops. It may be nil.
+	IsLeaving func(id string) bool
 
 	lastActive map[string]time.Time
 }
@@ -107,24 +110,39 @@
 	}
 
 	for _, m := range members {
-		if _, known := r.lastActive[m.Member.ID]; m.Active || !known {
+		_, known := r.lastActive[m.Member.ID]
+
+		switch {
+		case !m.AnsweredAt.IsZero():
+			r.lastActive[m.Member.ID] = m.AnsweredAt
+		case m.Active || !known:
 			r.lastActive[m.Member.ID] = now
 		}
 	}
 }
 
+func (r *Manager) isLeaving(id string) bool { return r.IsLeaving != nil && r.IsLeaving(id) }
+
 func (r *Manager) inactiveFor(now time.Time, id string) time.Duration {
 	return now.Sub(r.lastActive[id])
 }
 
 // voterToRemove returns the voter to remove, or "". An inactive voter whose address is
 // used by another active member comes first, because its disk is certainly lost;
-// otherwise it is a voter that has been inactive for VoterTimeout.
+// then a voter that has been inactive for VoterTimeout; then one that is leaving.
 func (r *Manager) voterToRemove(now time.Time, self string, members []quorum.MemberStatus) string {
-	inactive := ""
+	inactive, leaving := "", ""
 
 	for _, m := range members {
-		if m.Member.Role != quorum.Voter || m.Member.ID == self || m.Active {
+		if m.Member.Role != quorum.Voter || m.Member.ID == self {
+			continue
+		}
+
+		if leaving == "" && r.isLeaving(m.Member.ID) {
+			leaving = m.Member.ID
+		}
+
+		if m.Active {
 			continue
 		}
 
@@ -137,7 +155,7 @@
 		}
 	}
 
-	return inactive
+	return cmp.Or(inactive, leaving)
 }
 
 func hasReplacement(id string, addr netip.AddrPort, members []quorum.MemberStatus) bool {
@@ -152,11 +170,19 @@
 	next := ""
 
 	for _, m := range members {
-		if m.Member.Role == quorum.Learner && m.Active && m.UpToDate && !strings.Contains(m.Member.ID, VolatileIDMarker) &&
-			(next == "" || strings.Compare(m.Member.ID, next) < 0) {
+		if r.maySucceed(&m) && m.UpToDate && (next == "" || strings.Compare(m.Member.ID, next) < 0) {
 			next = m.Member.ID
 		}
 	}
 
 	return next
 }
+
+// HasSuccessor reports whether a learner may take the place of a voter, now or once it is up to date.
+func (r *Manager) HasSuccessor(members []quorum.MemberStatus) bool {
+	return slices.ContainsFunc(members, func(m quorum.MemberStatus) bool { return r.maySucceed(&m) })
+}
+
+func (r *Manager) maySucceed(m *quorum.MemberStatus) bool {
+	return m.Member.Role == quorum.Learner && m.Active && !strings.Contains(m.Member.ID, VolatileIDMarker) && !r.isLeaving(m.Member.ID)
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,3 +123,74 @@
 	r.Reset()
 	require.Equal(t, membership.Change{}, r.Decide(startTime.Add(32*time.Second), "c2", members), "a new leader measures inactivity from the start")
 }
+
+func leaving(ids ...string) func(string) bool {
+	return func(id string) bool { return slices.Contains(ids, id) }
+}
+
+// Guards against a vote that a voter leaves behind when it stops as planned, until it has been silent for long.
+func TestLeavingVoterIsReplacedBeforeItStops(t *testing.T) {
+	t.Parallel()
+
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c3")}
+	members := []quorum.MemberStatus{
+		voter("c1", true), voter("c2", true), voter("c3", true), member("c4-x", "10.0.0.4:1", quorum.Learner, true, false),
+	}
+
+	require.True(t, r.HasSuccessor(members))
+	require.Equal(t, membership.Change{}, r.Decide(startTime, "c1", members), "the learner does not hold the log yet")
+
+	members[3].UpToDate = true
+	require.Equal(t, membership.Change{Kind: membership.Promote, ID: "c4-x"}, r.Decide(startTime, "c1", members))
+
+	members[3].Member.Role = quorum.Voter
+	require.Equal(t, membership.Change{Kind: membership.Remove, ID: "c3"}, r.Decide(startTime, "c1", members))
+}
+
+// Guards against a set that loses a voter for one that leaves without a successor, and against a successor that
+// leaves too.
+func TestLeavingVoterWithoutSuccessorKeepsItsVote(t *testing.T) {
+	t.Parallel()
+
+	for name, learner := range map[string]quorum.MemberStatus{
+		"leaving": member("c4-x", "10.0.0.4:1", quorum.Learner, true, true),
+		"silent":  member("c5-x", "10.0.0.5:1", quorum.Learner, false, false),
+		"no disk": member("c6"+membership.VolatileIDMarker+"x", "10.0.0.6:1", quorum.Learner, true, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c3", "c4-x")}
+			members := []quorum.MemberStatus{voter("c1", true), voter("c2", true), voter("c3", true), learner}
+
+			require.False(t, r.HasSuccessor(members))
+			require.Equal(t, membership.Change{}, r.Decide(startTime, "c1", members))
+		})
+	}
+}
+
+// Guards against a lost voter that stays while the one that leaves gives its place to the only learner.
+func TestLostVoterIsRemovedBeforeLeavingOne(t *testing.T) {
+	t.Parallel()
+
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c2")}
+	members := []quorum.MemberStatus{
+		voter("c1", true), voter("c2", true), voter("c3", false), member("c3-new", "10.0.0.3:1", quorum.Voter, true, true),
+	}
+
+	require.Equal(t, membership.Change{Kind: membership.Remove, ID: "c3"}, r.Decide(startTime, "c1", members))
+}
+
+// Guards against a new leader that waits anew for the one whose silence made it a candidate.
+func TestSilenceBeforeTheElectionCounts(t *testing.T) {
+	t.Parallel()
+
+	r := &membership.Manager{Settings: membership.DefaultSettings(1)}
+	members := []quorum.MemberStatus{
+		voter("c1", true), voter("c2", true), voter("c3", false), member("c4-x", "10.0.0.4:1", quorum.Learner, true, true),
+	}
+	members[2].AnsweredAt = startTime.Add(-2 * time.Second)
+
+	require.Equal(t, membership.Change{}, r.Decide(startTime, "c1", members))
+	require.Equal(t, membership.Change{Kind: membership.Promote, ID: "c4-x"}, r.Decide(startTime.Add(1001*time.Millisecond), "c1", members))
+}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -39,6 +39,7 @@
 	state            state
 	leaderID         string
 	leaderLeaseUntil time.Time // until then, votes for other candidates are refused
+	silentLeaderID   string    // the leader that this replica last heard of, if an election timeout has passed since
 	electionDeadline time.Time
 	votes            map[string]bool
 
@@ -236,6 +237,10 @@
 	case !c.now.Before(c.electionDeadline):
 		c.resetElectionDeadline()
 
+		if c.leaderID != "" {
+			c.silentLeaderID = c.leaderID
+		}
+
 		if c.currentMembers().isVoter(c.cfg.ID, c.cfg.CreationID) {
 			c.campaign(true, false)
 		} else if !c.now.Before(c.leaderLeaseUntil) {
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -36,6 +36,10 @@
 	activeUntil      time.Time
 	upToDateUntil    time.Time
 	outgoingSnapshot *outgoingSnapshot
+	// answeredAt is the start of the last round that the member answered, silent whether the member led before this
+	// replica and has answered none. Both are for Status only.
+	answeredAt time.Time
+	silent     bool
 }
 
 // proposal is an entry whose outcome a caller on this replica waits for.
@@ -71,6 +75,12 @@
 		p := old[m.ID]
 		if p == nil {
 			p = &progress{next: c.log.last() + 1, probing: true, activeUntil: c.now.Add(c.cfg.ElectionTimeout)}
+			p.answeredAt = c.now
+
+			if m.ID == c.silentLeaderID {
+				p.silent = true
+				p.answeredAt = c.leaderLeaseUntil.Add(-c.cfg.ElectionTimeout)
+			}
 		}
 
 		p.member = m
--- a/internal/quorum/receive.go
+++ b/internal/quorum/receive.go
@@ -132,6 +132,7 @@
 
 	c.bootstrap = nil
 	c.leaderID = m.From
+	c.silentLeaderID = ""
 	c.leaderLeaseUntil = c.now.Add(c.cfg.ElectionTimeout)
 	c.resetElectionDeadline()
 }
--- a/internal/quorum/round.go
+++ b/internal/quorum/round.go
@@ -46,6 +46,11 @@
 	}
 
 	until := r.sent.Add(c.cfg.ElectionTimeout)
+	p.silent = false
+
+	if r.sent.After(p.answeredAt) {
+		p.answeredAt = r.sent
+	}
 
 	if until.After(p.activeUntil) {
 		p.activeUntil = until
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -1,6 +1,9 @@
 package quorum
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // MemberStatus is the state of a member as known to the leader. On a follower only Member
 // is set.
@@ -14,6 +17,9 @@
 	// committed entries at that time.
 	Active   bool
 	UpToDate bool
+	// AnsweredAt is the start of the last round that the member answered. If it has answered none, it is when
+	// this replica became leader, or when it last heard of the member as the leader before it.
+	AnsweredAt time.Time
 }
 
 // Status is the state of a core for status dumps.
@@ -27,6 +33,8 @@
 	Last     uint64
 	Snapshot uint64
 	Members  []MemberStatus
+	// MembersCommitted is set if Members are committed.
+	MembersCommitted bool
 	// Founding is set while this replica waits for the other founders, DiskLost if it was a member before
 	// and lost its disk.
 	Founding bool
@@ -41,8 +49,8 @@
 func (c *Core) Status() Status {
 	s := Status{
 		ID: c.cfg.ID, Birth: c.cfg.CreationID, State: c.state.String(), Term: c.hardState.Term, Leader: c.leaderID,
-		Commit: c.commit, Last: c.log.last(), Snapshot: c.snap.Index,
-		Founding: c.bootstrap != nil, DiskLost: c.bootstrap != nil && c.bootstrap.diskLost,
+		Commit: c.commit, Last: c.log.last(), Snapshot: c.snap.Index, Founding: c.bootstrap != nil, DiskLost: c.bootstrap != nil && c.bootstrap.diskLost,
+		MembersCommitted: c.members[len(c.members)-1].Index <= c.commit,
 	}
 
 	for _, m := range c.currentMembers() {
@@ -63,7 +71,8 @@
 		s.Match, s.Active, s.UpToDate = c.stable, true, true
 	case c.leaderState != nil:
 		p := c.leaderState.peers[m.ID]
-		s.Match, s.Active, s.UpToDate = p.match, c.now.Before(p.activeUntil), c.isUpToDate(p)
+		s.Match, s.Active, s.UpToDate = p.match, c.now.Before(p.activeUntil) && !p.silent, c.isUpToDate(p)
+		s.AnsweredAt = p.answeredAt
 	}
 
 	if s.Match < c.commit {
--- a/internal/role/automembership.go
+++ b/internal/role/automembership.go
@@ -15,11 +15,13 @@
 const (
 	// membershipInterval is the interval at which the leader checks the control set,
 	// and at which a VM that is not a member asks to join.
-	membershipInterval = 400 * time.Millisecond
+	membershipInterval = 200 * time.Millisecond
 	// membershipChangeTimeout bounds one change of the set.
 	membershipChangeTimeout = 2 * time.Second
 	// joinTimeout bounds one request to join.
 	joinTimeout = 900 * time.Millisecond
+	// replaceInterval is the interval at which the leader checks the control set while a VM is leaving.
+	replaceInterval = 50 * time.Millisecond
 )
 
 // AutoMembership holds the settings by which control VMs join and replace each other
@@ -38,7 +40,7 @@
 		return nil
 	}
 
-	manager := &membership.Manager{Settings: r.AutoMembership.Settings}
+	manager := &membership.Manager{Settings: r.AutoMembership.Settings, IsLeaving: r.leaving.contains}
 	tick := time.NewTicker(membershipInterval)
 
 	defer tick.Stop()
@@ -48,6 +50,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-r.membersCheck:
 		}
 
 		switch {
@@ -96,6 +99,19 @@
 	}
 
 	r.Logs.Logger("roster").Info("Requested a change of the control set.", "change", name, "member", change.ID, "error", err)
+
+	// A promotion may be the first half of a replacement.
+	if err == nil {
+		r.checkMembersNow()
+	}
+}
+
+// checkMembersNow makes the leader check the control set without waiting for its next tick.
+func (r *Control) checkMembersNow() {
+	select {
+	case r.membersCheck <- struct{}{}:
+	default:
+	}
 }
 
 // join asks members, one after the other, to add this VM as a learner: those that still send
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -86,6 +86,9 @@
 	client      *http.Client
 	groupCache  groupCache
 	peerTracker peerTracker
+	leaving     leavingMembers
+	// membersCheck receives a value when the leader must check the control set at once.
+	membersCheck chan struct{}
 }
 
 // Server returns the server. It must be called after Build.
@@ -107,6 +110,8 @@
 		Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
 	r.peerTracker.started = time.Now()
+	r.leaving.init()
+	r.membersCheck = make(chan struct{}, 1)
 	r.server = &control.Server{
 		Cluster: r.Cluster, Zone: r.Zone, VM: r.VM, Propose: r.replica.Propose, ReadIndex: r.readIndex,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
@@ -186,17 +191,19 @@
 		return nil
 	})
 	g.Go(func() error {
+		defer stop()
+
+		var err error
+
 		select {
 		case <-ctx.Done():
-			r.transferLeadership()
+			err = r.prepareStop()
 		case <-r.plannedStop(work):
-			r.transferLeadership()
+			err = r.prepareStop()
 		case <-work.Done():
 		}
 
-		defer stop()
-
-		return shutdownServer(server)
+		return errors.Join(err, shutdownServer(server))
 	})
 
 	return eris.Wrap(g.Wait(), "run control VM")
@@ -242,19 +249,35 @@
 	return nil
 }
 
-// transferLeadership transfers leadership to another control VM, so that a planned stop
-// requires no election.
-func (r *Control) transferLeadership() {
-	if !r.isLeader() || len(r.replica.Status().Members) < 2 {
-		return
+// prepareStop hands over what this VM does in the control set. It returns an error if this VM is no longer a
+// member.
+func (r *Control) prepareStop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), replacementTimeout)
+	defer cancel()
+
+	if len(r.replica.Status().Members) < 2 {
+		return nil
+	}
+
+	if r.isLeader() && !r.transferLeadership(ctx) {
+		return nil
 	}
 
-	ctx, cancel := context.WithTimeout(context.Background(), leadershipTransferTimeout)
+	return r.leaveControlSet(ctx)
+}
+
+// transferLeadership transfers leadership to another control VM, so that a planned stop
+// requires no election. It reports whether that succeeded.
+func (r *Control) transferLeadership(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
 	defer cancel()
 
-	if err := r.replica.TransferLeadership(ctx, ""); err != nil {
+	err := r.replica.TransferLeadership(ctx, "")
+	if err != nil {
 		r.Logs.Logger("control").Warn("Leadership transfer failed; the stop may cause an election.", "error", err)
 	}
+
+	return err == nil
 }
 
 func (r *Control) handler() http.Handler {
--- a/internal/role/membersservice.go
+++ b/internal/role/membersservice.go
@@ -42,6 +42,10 @@
 
 // Change implements wire.Members.
 func (s *membersService) Change(ctx context.Context, c *wire.MemberChange) (*wire.MemberChanged, error) {
+	if c.GetKind() == wire.MemberChangeKind_MemberLeave {
+		return s.leave(ctx, c.GetID())
+	}
+
 	if err := s.change(ctx, c); err != nil {
 		return nil, memberChangeError(err)
 	}
@@ -51,6 +55,20 @@
 	return &wire.MemberChanged{}, nil
 }
 
+// leave serves the announcement of a control VM that stops.
+func (s *membersService) leave(ctx context.Context, id string) (*wire.MemberChanged, error) {
+	if s.role.AutoMembership == nil {
+		return &wire.MemberChanged{}, nil
+	}
+
+	replaced, err := s.role.awaitReplacement(ctx, id)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+
+	return &wire.MemberChanged{Replaced: replaced}, nil
+}
+
 func (s *membersService) change(ctx context.Context, c *wire.MemberChange) error {
 	switch c.GetKind() {
 	case wire.MemberChangeKind_MemberAdd:
