Let a removal end each incarnation that had registered before it

Cause: a removal named no incarnation but the one that its control VM knew. With the address mended alone, a removal without a start time would have ended later incarnations too, for as long as it was published.

Change: an absent address is absent. A target carries when its incarnation announced itself first, a removal has a key and a time, and control VMs publish both; an entry takes the earliest report of each and drops what had registered before a removal, in whatever order and from whomever it hears. Both are ages on the wire, so no clock of another VM counts. A control VM that restarts counts the time in which it was down.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -120,7 +121,7 @@
 
 // Leave records that a target has ended.
 func (s *Server) Leave(ctx context.Context, id string) error {
-	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Leave(time.Now(), id) })
+	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Leave(time.Now(), id, rand.Uint64()) })
 }
 
 // notifySpacing is the time per follower between two notifications about targets or their ends. All
--- a/internal/control/savedtargets.go
+++ b/internal/control/savedtargets.go
@@ -98,6 +98,8 @@
 		return
 	}
 
+	age := savedAge(now, saved)
+
 	for _, w := range saved.GetTargets() {
 		t, err := directory.FromWire(w, now)
 		if err != nil {
@@ -106,6 +108,14 @@
 			continue
 		}
 
+		if !t.RegisteredAt.IsZero() {
+			t.RegisteredAt = t.RegisteredAt.Add(-age)
+		}
+
+		for i := range t.Removals {
+			t.Removals[i].At = t.Removals[i].At.Add(-age)
+		}
+
 		targets.registry.Restore(now, t)
 	}
 
@@ -119,20 +129,20 @@
 
 	targets.rosterCompleteAt, targets.hasRestoredRoster = now, true
 
-	restoreEvidence(now, targets, saved)
+	// The ends outlive a loss of power of all VMs, so that it does not release the held parts.
+	targets.evidence.Merge(now, quarantine.EndsFromWire(saved.GetEnds(), now.Add(-age)))
 
 	s.Logger.Info("Restored the directory of targets saved before the restart.", "targets", len(saved.GetTargets()), "entries", len(saved.GetRoster()),
 		"ends", len(saved.GetEnds()))
 }
 
-// restoreEvidence restores the ends of targets, so that a loss of power of all VMs does not release
-// the held parts. If the clock was set in between, the ends are as old as when they were saved: then
-// parts are held longer, but not longer than their holds last.
-func restoreEvidence(now time.Time, targets *targetTracker, saved *wire.FollowResponse) {
+// savedAge returns how long ago the directory was saved. If the clock was set in between, everything is as old
+// as when it was saved: then parts are held longer, but not longer than their holds last.
+func savedAge(now time.Time, saved *wire.FollowResponse) time.Duration {
 	age := now.Sub(time.UnixMilli(saved.GetSavedAtMillis()))
 	if age < 0 || age > maxSavedAge {
-		age = 0
+		return 0
 	}
 
-	targets.evidence.Merge(now, quarantine.EndsFromWire(saved.GetEnds(), now.Add(-age)))
+	return age
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,7 +6,9 @@
 package directory
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +57,45 @@
 	// for a warm target.
 	ColdUntil time.Time
 	Group     Group
+	// RegisteredAt is when this incarnation announced itself first, zero if unknown, and Removals are those
+	// of its ID. The times are on this VM's monotonic clock, later than the event by the time of messages.
+	// The slice is never modified in place.
+	RegisteredAt time.Time
+	Removals     []Removal
+}
+
+// Removal is a removal of an ID. It removes the incarnations that had registered before.
+type Removal struct {
+	// Key identifies the removal.
+	Key uint64
+	At  time.Time
+}
+
+// maxRemovals bounds the removals of an ID that are known. The latest are kept.
+const maxRemovals = 8
+
+// isRemoved reports whether the target has left or was removed.
+func (t *Target) isRemoved() bool {
+	return t.State == Removed || !t.RegisteredAt.IsZero() &&
+		slices.ContainsFunc(t.Removals, func(r Removal) bool { return !t.RegisteredAt.After(r.At) })
+}
+
+// addRemoval adds a removal, or an earlier report of one, whose time is closer.
+func (t *Target) addRemoval(r Removal) {
+	removals := slices.Clone(t.Removals)
+	i := slices.IndexFunc(removals, func(known Removal) bool { return known.Key == r.Key })
+
+	switch {
+	case i < 0:
+		removals = append(removals, r)
+	case r.At.Before(removals[i].At):
+		removals[i].At = r.At
+	default:
+		return
+	}
+
+	slices.SortFunc(removals, func(a, b Removal) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Key, b.Key)) })
+	t.Removals = removals[max(0, len(removals)-maxRemovals):]
 }
 
 // supersedes reports whether announcement a is newer than b, for the same ID.
@@ -80,12 +121,24 @@
 // ToWire returns the wire form of t at the time now.
 func (t *Target) ToWire(now time.Time) *wire.TargetEntry {
 	out := &wire.TargetEntry{
-		ID: t.ID, Born: t.StartTime, Sequence: t.Sequence, Service: t.Service, Address: t.Address.String(),
+		ID: t.ID, Born: t.StartTime, Sequence: t.Sequence, Service: t.Service,
 		Zone: t.Zone, State: wire.TargetState(t.State), Slots: uint32(t.Slots),
 		Group: t.Group.Name, GroupEpoch: t.Group.Epoch, Rank: uint32(t.Group.Rank),
 		GroupSize: uint32(t.Group.Size), GroupBroken: t.Group.Broken,
 	}
 
+	if t.Address.IsValid() {
+		out.Address = t.Address.String()
+	}
+
+	if !t.RegisteredAt.IsZero() {
+		out.RegisteredAgoMicros = toMicros(now.Sub(t.RegisteredAt)) + 1
+	}
+
+	for _, r := range t.Removals {
+		out.Removals = append(out.Removals, &wire.TargetRemoval{Key: r.Key, AgoMicros: toMicros(now.Sub(r.At))})
+	}
+
 	if remaining := t.ColdUntil.Sub(now); remaining > 0 {
 		out.ColdMillis = uint64(remaining.Milliseconds()) + 1
 	}
@@ -93,8 +146,17 @@
 	return out
 }
 
+func toMicros(d time.Duration) uint64 { return uint64(max(d, 0).Microseconds()) }
+
+// maxAge bounds the ages in messages.
+const maxAge = 365 * 24 * time.Hour
+
+func ago(now time.Time, micros uint64) time.Time {
+	return now.Add(-time.Duration(min(micros, uint64(maxAge.Microseconds()))) * time.Microsecond)
+}
+
 // FromWire decodes a target that this VM received at now or earlier. The remaining cold
-// time counts from now.
+// time and the ages count from now.
 func FromWire(w *wire.TargetEntry, now time.Time) (Target, error) {
 	t := Target{
 		ID: w.GetID(), StartTime: w.GetBorn(), Sequence: w.GetSequence(), Service: w.GetService(), Zone: w.GetZone(),
@@ -105,6 +167,14 @@
 		},
 	}
 
+	if w.GetRegisteredAgoMicros() > 0 {
+		t.RegisteredAt = ago(now, w.GetRegisteredAgoMicros()-1)
+	}
+
+	for _, r := range w.GetRemovals()[:min(len(w.GetRemovals()), maxRemovals)] {
+		t.Removals = append(t.Removals, Removal{Key: r.GetKey(), At: ago(now, r.GetAgoMicros())})
+	}
+
 	if w.GetColdMillis() > 0 {
 		t.ColdUntil = now.Add(time.Duration(w.GetColdMillis()) * time.Millisecond)
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -70,7 +70,7 @@
 	require.False(t, w.registry.Announce(begin, newTarget("i1", 5, 2, nil)))
 	require.Equal(t, map[string]directory.State{"i1": directory.Draining}, w.states())
 
-	w.registry.Leave(begin, "i1")
+	w.registry.Leave(begin, "i1", 1)
 	require.False(t, w.registry.Announce(begin, newTarget("i1", 5, 9, nil)), "sent before the target ended, but received later")
 	require.Empty(t, w.states())
 
@@ -105,7 +105,7 @@
 
 	first, second := newFixture(), newFixture()
 	first.registry.Announce(begin, newTarget("i1", 5, 4, nil))
-	second.registry.Leave(begin, "i1")
+	second.registry.Leave(begin, "i1", 2)
 
 	var m directory.MergedTargets
 
--- a/internal/directory/mergedtargets.go
+++ b/internal/directory/mergedtargets.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 )
 
 // MergedTargets holds the targets that an entry received from all control VMs. It is not
@@ -30,15 +31,46 @@
 
 func (m *MergedTargets) mergeTarget(t Target) bool {
 	known := m.targets[t.ID]
-
-	switch {
-	case known == nil:
+	if known == nil {
 		m.targets[t.ID] = &t
 
-		return t.State != Removed
-	case t.State == Removed && t.StartTime == 0, t.State == Removed && t.StartTime == known.StartTime:
-		// A control VM that did not know the target published its removal without a start
-		// time. That removes the target whatever its start time here.
+		return !t.isRemoved()
+	}
+
+	wasRemoved := known.isRemoved()
+
+	for _, r := range t.Removals {
+		known.addRemoval(r)
+	}
+
+	if t.StartTime == known.StartTime {
+		known.RegisteredAt = earlierKnown(known.RegisteredAt, t.RegisteredAt)
+	}
+
+	changed := m.mergeAnnouncement(known, t)
+	if isRemoved := m.targets[t.ID].isRemoved(); isRemoved || wasRemoved {
+		return isRemoved != wasRemoved
+	}
+
+	return changed
+}
+
+// earlierKnown returns the earlier one of two times that may be unknown.
+func earlierKnown(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+
+	return a
+}
+
+// mergeAnnouncement merges what a target has announced, and reports whether that changed anything.
+func (m *MergedTargets) mergeAnnouncement(known *Target, t Target) bool {
+	switch {
+	case t.State == Removed && t.StartTime == 0:
+		// A control VM that did not know the target published its removal.
+		return false
+	case t.State == Removed && t.StartTime == known.StartTime:
 		changed := known.State != Removed
 		known.State = Removed
 
@@ -56,6 +88,11 @@
 		return false
 	}
 
+	t.Removals = known.Removals
+	if t.StartTime == known.StartTime {
+		t.RegisteredAt = known.RegisteredAt
+	}
+
 	m.targets[t.ID] = &t
 
 	return true
@@ -75,7 +112,7 @@
 	out := make([]Target, 0, len(holders))
 
 	for _, t := range holders {
-		if t.State != Removed {
+		if !t.isRemoved() {
 			out = append(out, *t)
 		}
 	}
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -73,6 +73,7 @@
 		return false
 	}
 
+	t.inherit(now, known)
 	r.removePreviousHolders(now, &t)
 
 	unchanged := known != nil && known.State != Unresponsive && equivalent(&known.Target, &t, coldTolerance) &&
@@ -107,6 +108,30 @@
 	return !unchanged
 }
 
+// inherit takes over what an announcement t does not say from what is known of its ID.
+func (t *Target) inherit(now time.Time, known *registeredTarget) {
+	t.RegisteredAt = now
+
+	if known == nil {
+		return
+	}
+
+	t.Removals = known.Removals
+
+	if known.StartTime == t.StartTime {
+		t.RegisteredAt = known.RegisteredAt
+
+		return
+	}
+
+	for _, r := range t.Removals {
+		if !t.RegisteredAt.After(r.At) {
+			// It arrived after the removal; messages carry microseconds.
+			t.RegisteredAt = r.At.Add(time.Microsecond)
+		}
+	}
+}
+
 // missedAnnouncements reports whether t has sent announcements since the known one that did not
 // arrive here. Another control VM may have received them.
 func (r *Registry) missedAnnouncements(now time.Time, known *registeredTarget, t *Target) bool {
@@ -151,18 +176,33 @@
 	}
 }
 
-// Leave records that a target has ended. An unknown target is recorded too: its
-// announcements may be delayed, or may have gone to another control VM.
-func (r *Registry) Leave(now time.Time, id string) {
+// Leave records that a target has ended, with a removal of the given key. An unknown target is recorded
+// too: its announcements may be delayed, or may have gone to another control VM.
+func (r *Registry) Leave(now time.Time, id string, removal uint64) {
+	known := r.record(now, id)
+	known.addRemoval(Removal{Key: removal, At: now})
+	r.setState(now, known, Removed)
+}
+
+// RecordRemoval records a removal that another control VM has acknowledged. That may have been before
+// incarnations that this VM knows, which entries can tell by the earliest report of the removal.
+func (r *Registry) RecordRemoval(now time.Time, id string, removal uint64) {
+	known := r.record(now, id)
+	known.addRemoval(Removal{Key: removal, At: now})
+	r.setState(known.lastAnnounced, known, known.State)
+}
+
+// record returns what is known of an ID. An unknown one is recorded as removed.
+func (r *Registry) record(now time.Time, id string) *registeredTarget {
 	r.init()
 
 	known := r.targets[id]
 	if known == nil {
-		known = &registeredTarget{Target: Target{ID: id}, lastAnnounced: now}
+		known = &registeredTarget{Target: Target{ID: id, State: Removed}, lastAnnounced: now}
 		r.targets[id] = known
 	}
 
-	r.setState(now, known, Removed)
+	return known
 }
 
 // Tick marks targets with missing announcements: ready ones as unresponsive, draining ones
@@ -174,6 +214,10 @@
 	changed := false
 
 	for id, t := range r.targets {
+		if len(t.Removals) > 0 && now.Sub(t.Removals[0].At) > retention {
+			t.Removals = t.Removals[1:]
+		}
+
 		switch age := now.Sub(t.lastAnnounced); {
 		case age > retention:
 			delete(r.targets, id)
