Acknowledge a removal once a majority of the voters has it on disk

Cause: a control VM acknowledged a removal at once, and saved its directory up to 0.2 s later, in the background and for itself.

Change: the removal is recorded by all voters at the same time, each saves its directory with it, and the acknowledgement comes when more than half of the voters have it on disk: it outlives as many lost disks as the set tolerates, and a loss of power of all. What arrives while a disk is busy shares the next sync. Announcements do not wait and are not synced. The log was weighed: a control VM that replays or hears late can't tell from it how old a removal is.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -64,6 +63,8 @@
 	savedRevision   uint64
 	savedRosterHash uint64
 	savedEvidence   uint64
+	// unsaved are told when the directory has been saved next.
+	unsaved []chan<- error
 	// notified and notifiedEvidence are the revisions of the last changes of the directory and
 	// of the evidence of which waiting followers were notified, at notifiedAt.
 	notified, notifiedEvidence uint64
@@ -119,11 +120,6 @@
 	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Announce(time.Now(), t) })
 }
 
-// Leave records that a target has ended.
-func (s *Server) Leave(ctx context.Context, id string) error {
-	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Leave(time.Now(), id, rand.Uint64()) })
-}
-
 // notifySpacing is the time per follower between two notifications about targets or their ends. All
 // followers poll again after each one, so it bounds the answers per second of this VM.
 const notifySpacing = time.Millisecond
--- a/internal/control/savedtargets.go
+++ b/internal/control/savedtargets.go
@@ -15,6 +15,12 @@
 // clock is taken to have been set since.
 const maxSavedAge = 24 * time.Hour
 
+// savedTargets is a directory of targets to save, and who waits until it is on the disk.
+type savedTargets struct {
+	data    []byte
+	waiting []chan<- error
+}
+
 // saveIfChanged saves the directory of targets, their ends and the roster if they changed. Changes
 // of targets lost in a power failure are announced again within one announcement interval.
 func (s *Server) saveIfChanged(targets *targetTracker) {
@@ -25,7 +31,7 @@
 	now := time.Now()
 	current := targets.currentRoster(now)
 
-	if targets.registry.Revision() == targets.savedRevision && current.hash == targets.savedRosterHash &&
+	if len(targets.unsaved) == 0 && targets.registry.Revision() == targets.savedRevision && current.hash == targets.savedRosterHash &&
 		targets.evidence.Revision() == targets.savedEvidence {
 		return
 	}
@@ -47,7 +53,8 @@
 	}
 
 	select {
-	case s.saveQueue <- data:
+	case s.saveQueue <- savedTargets{data: data, waiting: targets.unsaved}:
+		targets.unsaved = nil
 	default:
 		// The previous save is still in progress on a slow disk. Retry at the next call.
 		targets.savedRevision = 0
@@ -61,10 +68,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case data := <-s.saveQueue:
-			if err := s.SaveTargets(data); err != nil {
+		case saved := <-s.saveQueue:
+			err := s.SaveTargets(saved.data)
+			if err != nil {
 				s.Logger.Warn("Writing the directory of targets failed; it is not saved.", "error", err)
 			}
+
+			for _, w := range saved.waiting {
+				w <- err
+			}
 		}
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -67,6 +67,9 @@
 	// before a restart. Either may be nil. The stored directory may be old or missing.
 	SaveTargets func(data []byte) error
 	LoadTargets func() ([]byte, error)
+	// FindVoters returns the other control VMs that have a vote, and whether this one has. If it is nil, this
+	// VM is alone.
+	FindVoters func() (self bool, others []Voter)
 	// Zones maps the names of the declared zones to their regions, for SetZoneOut.
 	Zones map[string]string
 	// ControlAddresses returns the addresses of all control VMs, for followers. It may be
@@ -90,7 +93,7 @@
 	targetsChanged notifier
 	// controlsChanged reports that this VM knows other control VMs than before.
 	controlsChanged notifier
-	saveQueue       chan []byte
+	saveQueue       chan savedTargets
 	// directoryBoot identifies the directory of targets of this start of the server.
 	directoryBoot uint64
 }
@@ -102,6 +105,13 @@
 	RecentPolls func(ctx context.Context) (*wire.HeardResponse, error)
 }
 
+// Voter is another control VM that has a vote.
+type Voter struct {
+	Name string
+	// RecordRemoval returns once the removal of a target is on its disk.
+	RecordRemoval func(ctx context.Context, r *wire.RemovalRequest) error
+}
+
 // Settings holds the intervals of a control VM.
 type Settings struct {
 	// Lease is how long a process may act on a view after the view was confirmed as
@@ -173,7 +183,7 @@
 	s.events = make(chan event, eventBuffer)
 	s.targetsChanged.init()
 	s.controlsChanged.init()
-	s.saveQueue = make(chan []byte)
+	s.saveQueue = make(chan savedTargets)
 	s.directoryBoot = rand.Uint64()
 
 	if s.AnnounceInterval == 0 {
--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -51,6 +51,10 @@
 				e.targetQuery(targets)
 				s.notifyFollowers(time.Now(), targets, notify)
 
+				if len(targets.unsaved) > 0 {
+					s.saveIfChanged(targets)
+				}
+
 				continue
 			}
 
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -115,7 +115,7 @@
 	r.server = &control.Server{
 		Cluster: r.Cluster, Zone: r.Zone, VM: r.VM, Propose: r.replica.Propose, ReadIndex: r.readIndex,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
-		IsLeader:    r.isLeader, StopBlocker: r.stopBlocker, FindPeers: r.findPeers, Self: r.self,
+		IsLeader:    r.isLeader, StopBlocker: r.stopBlocker, FindPeers: r.findPeers, FindVoters: r.findVoters, Self: r.self,
 		ReadDocument: r.ReadDocument, Zones: r.Zones, AnnounceInterval: r.AnnounceInterval, ControlAddresses: r.controlAddresses,
 		Logger: r.Logs.Logger("control"),
 	}
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -65,6 +67,26 @@
 	return out
 }
 
+// findVoters returns the other control VMs that have a vote, and whether this one has.
+func (r *Control) findVoters() (self bool, out []control.Voter) {
+	for _, m := range r.replica.Status().Members {
+		switch {
+		case m.Member.Role != quorum.Voter:
+		case m.Member.ID == r.VM:
+			self = true
+		default:
+			client := wire.NewControlPeerProtobufClient("http://"+m.Member.Addr.String(), r.client)
+			out = append(out, control.Voter{Name: m.Member.ID, RecordRemoval: func(ctx context.Context, removal *wire.RemovalRequest) error {
+				_, err := client.RecordRemoval(ctx, removal)
+
+				return eris.Wrap(err, "record a removal")
+			}})
+		}
+	}
+
+	return self, out
+}
+
 // findPeers returns the other control VMs that must be asked now.
 func (r *Control) findPeers() []control.Peer {
 	var members []quorum.Member
