Accept only configurations that entries can apply

Cause: control checked a configuration as declared, entries what is left of it on the wire, in whole milliseconds: a timeout of 0.5 ms was acknowledged, and refused by each entry as none; entries that restarted served nothing.

Measured: TestTimeoutOfHalfAMillisecond and TestAcknowledgedConfigurationMakesATable are red without the change. An entry that meets a configuration which it can't apply still has none after a restart, and no status shows it: open.

--- a/internal/routes/check.go
+++ b/internal/routes/check.go
@@ -15,6 +15,17 @@
 // Error implements error.
 func (e *InvalidError) Error() string { return e.Subject + ": " + e.Problem }
 
+// CheckForEntries returns an *InvalidError if entries can't make a table of what d is on the wire.
+func (d *Declaration) CheckForEntries() error {
+	if err := d.Check(); err != nil {
+		return err
+	}
+
+	_, err := NewTable(FromWire(d.ToWire()))
+
+	return err
+}
+
 // Check returns an *InvalidError if the declaration is invalid.
 func (d *Declaration) Check() error {
 	services := make(map[string]bool, len(d.Services))
--- a/internal/routes/wire.go
+++ b/internal/routes/wire.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"math"
 	"time"
 
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -121,6 +122,9 @@
 	return out
 }
 
-func millis(d time.Duration) uint64 { return uint64(d.Milliseconds()) }
+// millis rounds up, since zero means that there is none.
+func millis(d time.Duration) uint64 {
+	return uint64((max(d, 0) + min(time.Millisecond-1, math.MaxInt64-max(d, 0))) / time.Millisecond)
+}
 
 func duration(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
