Carry negative counts as zero

Cause: a negative number of attempts, connections or slots became one of about four thousand millions on the wire to entries, while control took it for none.

Change: the wire form has zero for it.

Measured: TestAcknowledgedConfigurationMakesATable compares the counts, and is red without the change.

--- a/internal/routes/wire.go
+++ b/internal/routes/wire.go
@@ -10,7 +10,7 @@
 // ToWire converts d to its wire form.
 func (d *Declaration) ToWire() *wire.RouteTable {
 	out := &wire.RouteTable{Number: d.Number, Limits: &wire.CallerLimits{
-		HeaderBytes: uint64(d.Limits.MaxHeaderBytes), BodyBytes: uint64(d.Limits.MaxBodyBytes),
+		HeaderBytes: uint64(max(0, d.Limits.MaxHeaderBytes)), BodyBytes: uint64(max(0, d.Limits.MaxBodyBytes)),
 		HeaderMillis: millis(d.Limits.HeaderTimeout), IdleMillis: millis(d.Limits.IdleTimeout),
 	}}
 
@@ -23,11 +23,11 @@
 	for i := range d.Services {
 		s := &d.Services[i]
 		out.Services = append(out.Services, &wire.RoutedService{
-			Name: s.Name, MostConnections: uint32(s.MaxConnections), ColdMillis: millis(s.ColdDuration),
-			ColdPerSecond: s.ColdPerSecond, HealthPath: s.HealthPath, Slots: uint32(s.Slots),
+			Name: s.Name, MostConnections: count(s.MaxConnections), ColdMillis: millis(s.ColdDuration),
+			ColdPerSecond: s.ColdPerSecond, HealthPath: s.HealthPath, Slots: count(s.Slots),
 			Experts: &wire.ExpertShape{
-				Sets: uint32(s.Experts.Sets), Experts: uint32(s.Experts.Experts),
-				Places: uint32(s.Experts.Slots), Spare: uint32(s.Experts.SpareSlots),
+				Sets: count(s.Experts.Sets), Experts: count(s.Experts.Experts),
+				Places: count(s.Experts.Slots), Spare: count(s.Experts.SpareSlots),
 				CopyMicros: uint64(s.Experts.CopyTime.Microseconds()),
 			},
 			Engine: s.Engine.toWire(), PrioritizedGapMillis: millis(summaries[s.Name].prioritizedGap()),
@@ -45,7 +45,7 @@
 	out := &wire.Route{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeat: wire.Repeat(r.Retry), Stream: r.Stream,
 		TimeoutMillis: millis(r.Timeout), AimMillis: millis(r.LatencyTarget), GapMillis: millis(r.EventGapTarget),
-		Priority: r.Priority, MostTargets: uint32(r.MaxTargets), Anonymous: r.Anonymous,
+		Priority: r.Priority, MostTargets: count(r.MaxTargets), Anonymous: r.Anonymous,
 	}
 
 	for _, s := range r.Shares {
@@ -93,8 +93,8 @@
 	}
 
 	return &wire.EngineFigures{
-		Stride: uint32(e.Stride), StepNanos: int64(e.StepTime), SequenceNanos: int64(e.SequenceTime), ContextNanos: int64(e.ContextTime),
-		PromptTokensPerSecond: e.PromptTokensPerSecond, ChunkTokens: uint32(e.ChunkTokens), PairNanos: int64(e.PairTime),
+		Stride: count(e.Stride), StepNanos: int64(e.StepTime), SequenceNanos: int64(e.SequenceTime), ContextNanos: int64(e.ContextTime),
+		PromptTokensPerSecond: e.PromptTokensPerSecond, ChunkTokens: count(e.ChunkTokens), PairNanos: int64(e.PairTime),
 		ExpertShare: e.ExpertShare, UsualPromptTokens: e.UsualPromptTokens, UsualAnswerTokens: e.UsualAnswerTokens,
 	}
 }
@@ -127,4 +127,7 @@
 	return uint64((max(d, 0) + min(time.Millisecond-1, math.MaxInt64-max(d, 0))) / time.Millisecond)
 }
 
+// count is zero for a number that is none.
+func count(n int) uint32 { return uint32(min(max(n, 0), math.MaxUint32)) }
+
 func duration(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
