Take zones and targets from an answer whose configuration can't be applied

Cause: an entry that refused a configuration dropped the whole answer with it, from each control VM and for as long as that configuration stood: zones were not taken out, and new targets not known.

Change: the rest of the answer is merged; the answer still counts as failed, so that the configuration is asked for again after a delay.

Measured: TestInvalidTableHoldsBackNothingElse is red without the change.

--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -416,11 +416,11 @@
 		next.FirstAnswerAt = now
 	}
 
-	if out.GetIndex() > next.Index || out.GetTable() != nil && out.GetNumber() > next.Number {
-		if err := f.mergeState(&next, out); err != nil {
-			return err
-		}
+	var invalid error
 
+	if out.GetIndex() > next.Index || out.GetTable() != nil && out.GetNumber() > next.Number {
+		// The answer is asked for again because of an invalid table; zones and targets must not wait for that.
+		invalid = f.mergeState(&next, out)
 		changed = true
 	}
 
@@ -469,29 +469,31 @@
 		f.OnChange(&next)
 	}
 
-	return nil
+	return invalid
 }
 
 // mergeState merges a newer state. If it comes without its table, because this entry
-// has received a higher number meanwhile, the current table stays.
+// has received a higher number meanwhile, or with an invalid one, the current table stays.
 func (f *Follower) mergeState(next *ClusterState, out *wire.FollowResponse) error {
+	var invalid error
+
 	if out.GetTable() != nil && out.GetNumber() > next.Number {
 		table, err := routes.NewTable(routes.FromWire(out.GetTable()))
 		if err != nil {
 			f.Logger.Error("Invalid route table received; keeping the current one.", "number", out.GetNumber(), "error", err)
 
-			return err
-		}
-
-		next.Table, next.Number = table, out.GetNumber()
-		f.tableFetch.announcedAt = time.Time{}
+			invalid = err
+		} else {
+			next.Table, next.Number = table, out.GetNumber()
+			f.tableFetch.announcedAt = time.Time{}
 
-		f.Logger.Info("Configuration in force.", "number", next.Number, "index", out.GetIndex(), "routes", len(table.Routes))
+			f.Logger.Info("Configuration in force.", "number", next.Number, "index", out.GetIndex(), "routes", len(table.Routes))
+		}
 	}
 
 	// A requested table arrives after the state that announced it.
 	if out.GetIndex() <= next.Index {
-		return nil
+		return invalid
 	}
 
 	if !slices.Equal(next.ZonesOut, out.GetZonesOut()) {
@@ -500,7 +502,7 @@
 
 	next.Index, next.ZonesOut = out.GetIndex(), out.GetZonesOut()
 
-	return nil
+	return invalid
 }
 
 func (f *Follower) setMembers(control netip.AddrPort, controls []string) error {
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -212,6 +212,31 @@
 	})
 }
 
+// Guards against zones that are not taken out, and targets that are not known, at an entry that can't apply the
+// configuration of the same answer.
+func TestInvalidTableHoldsBackNothingElse(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeControls{answers: map[netip.AddrPort]*wire.FollowResponse{}, unresponsive: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{Index: 2, Number: 1, Table: newTable(1, "s"), DirectoryBoot: 1})
+
+		f, stop := startFollower(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(time.Second)
+
+		bad := newTable(2, "t")
+		bad.Routes = []*wire.Route{{Name: "r", Prefix: "/x/", TimeoutMillis: 1, Shares: []*wire.Share{{Service: "gone", Weight: 1}}}}
+		p.set(controlOne, &wire.FollowResponse{Index: 3, Number: 2, Table: bad, DirectoryBoot: 1, ZonesOut: []string{"a"}, Targets: []*wire.TargetEntry{
+			{ID: "i1", Address: "10.0.0.9:80", Service: "s", Born: 1, Sequence: 1},
+		}})
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(1), f.State().Number)
+		require.Equal(t, []string{"a"}, f.State().ZonesOut)
+		require.Len(t, f.State().Targets, 1)
+	})
+}
+
 // A large configuration is published in a deployment with many control VMs. If each of
 // them sent it to each entry, links would be saturated until polls time out. An entry
 // fetches it once, from its own zone, or from another zone if its own does not answer.
