--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -128,3 +131,52 @@
 		require.LessOrEqual(t, saves.Load(), int64(4))
 	})
 }
+
+// Guards against removals that cost links or disks more than the size to design for allows: 289 entries and 645 targets.
+func TestCostOfARemoval(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			entries = 289
+			targets = 645
+		)
+
+		var saved atomic.Int64
+
+		s := newDocumentServer()
+		s.SaveTargets = func(data []byte) error {
+			saved.Store(int64(len(data)))
+
+			return nil
+		}
+		runDocumentServer(t, s)
+
+		for i := range targets {
+			target := newTarget(fmt.Sprintf("i-%08x", i), "desk", "a")
+			target.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8080)
+			require.NoError(t, s.Announce(t.Context(), target))
+		}
+
+		time.Sleep(2 * time.Second)
+
+		known, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+		require.NoError(t, err)
+		require.NoError(t, s.Leave(t.Context(), "i-00000007"))
+
+		next, err := s.Follow(t.Context(), &wire.FollowRequest{
+			Cluster: "trust", ID: "e", KnownIndex: known.GetIndex(), DirectoryBoot: known.GetDirectoryBoot(), DirectoryRevision: known.GetDirectoryRevision(),
+		})
+		require.NoError(t, err)
+
+		published := 0
+		for _, target := range next.GetTargets() {
+			published += proto.Size(target)
+		}
+
+		request := proto.Size(&wire.RemovalRequest{Cluster: "system", ID: "i-00000007", Removal: 1})
+		t.Logf("a removal: %d B to each other voter, %d B to each entry by each control VM, %d B to all %d, %d B written by each voter", request, published, published*entries, entries, saved.Load())
+		require.LessOrEqual(t, request, 64)
+		require.LessOrEqual(t, published, 128)
+		require.LessOrEqual(t, saved.Load(), int64(128<<10))
+	})
+}
