Refuse IDs of targets that no message can carry

Cause: the ID of a target is taken from a path, and may be any bytes there. One that is not valid UTF-8 went into the directory, and no answer to an entry, no answer to a follower and no saved directory that holds it can be encoded: entries heard nothing more for as long as the target announced itself, and five minutes longer. Found while the fields of the directory were looked at.

Measured: TestInvalidIDsAreRefused; with the check taken out the answer to an entry can't be encoded (string field contains invalid UTF-8).

--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"fmt"
 	"io"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
@@ -104,6 +106,32 @@
 	return err
 }
 
+// InvalidIDError reports that a request names a target by what is no ID.
+type InvalidIDError struct {
+	Problem string
+}
+
+// Error implements error.
+func (e *InvalidIDError) Error() string { return "the ID of the target " + e.Problem }
+
+// maxTargetIDLength bounds the IDs of targets, in bytes.
+const maxTargetIDLength = 256
+
+// checkTargetID returns an *InvalidIDError if no message can carry the ID, or if it is too long. A message to entries
+// with one such target would not be sent at all.
+func checkTargetID(id string) error {
+	switch {
+	case id == "":
+		return &InvalidIDError{Problem: "is empty"}
+	case len(id) > maxTargetIDLength:
+		return &InvalidIDError{Problem: fmt.Sprintf("is longer than %d bytes", maxTargetIDLength)}
+	case !utf8.ValidString(id):
+		return &InvalidIDError{Problem: "is not valid UTF-8"}
+	default:
+		return nil
+	}
+}
+
 // UndeclaredError reports that a request names a zone or service that is not declared.
 type UndeclaredError struct {
 	Kind string
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -105,10 +105,14 @@
 	t.followers[id] = f
 }
 
-// Announce records a target's announcement. If its zone or service is not declared, it
-// returns an *UndeclaredError: the announcement comes from a foreign sender, and if it were
+// Announce records a target's announcement. If its ID is invalid, it returns an *InvalidIDError. If its zone
+// or service is not declared, it returns an *UndeclaredError: the announcement comes from a foreign sender, and if it were
 // recorded it could take over the address of an existing target.
 func (s *Server) Announce(ctx context.Context, t directory.Target) error {
+	if err := checkTargetID(t.ID); err != nil {
+		return err
+	}
+
 	if _, ok := s.Zones[t.Zone]; !ok {
 		return &UndeclaredError{Kind: "zone", Name: t.Zone}
 	}
--- a/internal/control/removals.go
+++ b/internal/control/removals.go
@@ -20,8 +20,13 @@
 )
 
 // Leave records that a target has ended. It returns nil once the removal is on the disks of a majority of the voters,
-// so that it outlives what their set tolerates and a loss of power of all. Entries hear of it at once.
+// so that it outlives what their set tolerates and a loss of power of all. Entries hear of it at once. If the ID is
+// invalid, it returns an *InvalidIDError.
 func (s *Server) Leave(ctx context.Context, id string) error {
+	if err := checkTargetID(id); err != nil {
+		return err
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, removalTimeout)
 	defer cancel()
 
--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -132,6 +133,31 @@
 	})
 }
 
+// Guards against an ID that no message can carry: entries would get no answer while the directory holds it.
+func TestInvalidIDsAreRefused(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newDocumentServer()
+		runDocumentServer(t, s)
+
+		for _, id := range []string{"", "\xff", "i\xc3", strings.Repeat("i", 257)} {
+			var invalid *control.InvalidIDError
+
+			require.ErrorAs(t, s.Leave(t.Context(), id), &invalid)
+			require.ErrorAs(t, s.Announce(t.Context(), newTarget(id, "desk", "a")), &invalid)
+		}
+
+		require.NoError(t, s.Leave(t.Context(), strings.Repeat("ü", 128)))
+
+		out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+		require.NoError(t, err)
+
+		_, err = proto.Marshal(out)
+		require.NoError(t, err)
+		require.Len(t, out.GetTargets(), 1)
+	})
+}
+
 // Guards against removals that cost links or disks more than the size to design for allows: 289 entries and 645 targets.
 func TestCostOfARemoval(t *testing.T) {
 	t.Parallel()
