Give entries the configuration before one that they can't apply

Cause: an entry kept the configuration before a refused one only in its memory: after a restart it had none and served nothing. A control VM that could not read the document in force, as builds may differ, answered followers with an error, so that they heard nothing.

Change: the state of the log keeps the document before the one in force. An entry says which number it refused, and gets the one before if it has none; so it is if the control VM can't read the one in force. Control logs once which entry is behind. A refused table is not sent again.

--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -44,6 +44,19 @@
 	return &document{number: stored.GetNumber(), stored: stored}
 }
 
+// newPreviousDocument is newDocument for the document that was in force before. Its table is parsed again if it is
+// needed, which is rare, so that no second table is kept in memory.
+func newPreviousDocument(stored *wire.Document, prev *publishedState) *document {
+	switch {
+	case stored == nil:
+		return nil
+	case prev != nil && prev.previousDocument != nil && prev.previousDocument.stored == stored:
+		return prev.previousDocument
+	default:
+		return &document{number: stored.GetNumber(), stored: stored}
+	}
+}
+
 // routeTable returns the route table of the document, and parses it at the first call.
 func (d *document) routeTable(parse func([]byte) (*wire.RouteTable, error)) (*wire.RouteTable, error) {
 	d.once.Do(func() {
--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -423,3 +423,53 @@
 		require.Len(t, follow(second, "e2", 0).GetRoster(), 1, "counted entries that stopped sending requests")
 	})
 }
+
+// Guards against entries that get nothing else, while they or this VM can't apply the document in force.
+func TestRefusedDocumentIsReplacedByTheOneBefore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newDocumentServer()
+		runDocumentServer(t, s)
+		require.NoError(t, s.Adopt(t.Context(), 1, []byte("desk first")))
+		require.NoError(t, s.Adopt(t.Context(), 2, []byte("desk second")))
+		require.NoError(t, s.SetZoneOut(t.Context(), "a", true))
+
+		follow := func(r *wire.FollowRequest) *wire.FollowResponse {
+			r.Cluster, r.ID = "trust", "e"
+
+			out, err := s.Follow(t.Context(), r)
+			require.NoError(t, err)
+
+			return out
+		}
+		numberOf := func(r *wire.FollowRequest) uint64 {
+			out := follow(r)
+			if out.GetTable() == nil {
+				return 0
+			}
+
+			return out.GetNumber()
+		}
+
+		require.Equal(t, uint64(2), numberOf(&wire.FollowRequest{}))
+		require.Equal(t, uint64(1), numberOf(&wire.FollowRequest{RefusedNumber: 2}))
+		require.Zero(t, numberOf(&wire.FollowRequest{RefusedNumber: 2, KnownNumber: 1}), "it has that one")
+		require.Equal(t, uint64(2), numberOf(&wire.FollowRequest{RefusedNumber: 1, KnownNumber: 1}), "it refused an earlier one")
+
+		restored := newDocumentServer()
+		readable := restored.ReadDocument
+		restored.ReadDocument = func(sent []byte) (*wire.RouteTable, error) {
+			if string(sent) == "desk second" {
+				return nil, errDisk
+			}
+
+			return readable(sent)
+		}
+		runDocumentServer(t, restored)
+		require.NoError(t, restored.Restore(s.Snapshot()))
+
+		s = restored
+		require.Equal(t, uint64(1), numberOf(&wire.FollowRequest{}), "this VM can't read the one in force")
+		require.Equal(t, []string{"a"}, follow(&wire.FollowRequest{KnownNumber: 1}).GetZonesOut())
+	})
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -39,6 +39,8 @@
 	relay      string
 	zone       string
 	demand     *float64
+	// refused is the number of a configuration that it can't apply, zero if there is none.
+	refused uint64
 }
 
 // targetTracker holds the targets that announced themselves to this VM, and the entries
@@ -299,9 +301,7 @@
 	if p.stateIndex >= r.GetKnownIndex() {
 		out.ZonesOut = zonesOut(p)
 
-		if err := s.addTable(p, r, out); err != nil {
-			return nil, false, err
-		}
+		s.addTable(p, r, out)
 
 		changed = changed || out.GetTable() != nil
 	}
@@ -312,7 +312,8 @@
 		out.Controls = targets.controls
 
 		now := time.Now()
-		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), isAgent: r.GetServicesOnly(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand, isRecorded: targets.isRecorded(r)})
+		s.logRefusal(targets, r)
+		targets.recordFollower(r.GetID(), follower{lastRequest: now, leaving: r.GetLeaving(), isAgent: r.GetServicesOnly(), relay: r.GetRelay(), zone: r.GetZone(), demand: r.Demand, isRecorded: targets.isRecorded(r), refused: r.GetRefusedNumber()})
 
 		knownRevision := r.GetDirectoryRevision()
 		if r.GetDirectoryBoot() != s.directoryBoot {
@@ -340,31 +341,46 @@
 	return out, changed, nil
 }
 
-func (s *Server) addTable(p *publishedState, r *wire.FollowRequest, out *wire.FollowResponse) error {
+// addTable adds the route table that the sender of r lacks: that of the document in force, or of the one before if the
+// sender can't apply that, or this VM can't read it.
+func (s *Server) addTable(p *publishedState, r *wire.FollowRequest, out *wire.FollowResponse) {
 	if p.document == nil {
-		return nil
+		return
 	}
 
 	out.Number = p.document.number
 
 	if p.document.number <= r.GetKnownNumber() || r.GetWithoutTable() {
-		return nil
+		return
 	}
 
-	table, err := p.document.routeTable(s.ReadDocument)
-	if err != nil {
-		s.Logger.Error("Reading the document in force failed; the follower gets an error.", "number", p.document.number, "error", err)
+	for _, d := range []*document{p.document, p.previousDocument} {
+		if d == nil || d.number <= r.GetKnownNumber() || d.number <= r.GetRefusedNumber() && d == p.document {
+			continue
+		}
 
-		return newRPCError(twirp.Internal, "the document in force cannot be read")
-	}
+		table, err := d.routeTable(s.ReadDocument)
+		if err != nil {
+			s.Logger.Error("Reading a document failed; the follower does not get it.", "number", d.number, "error", err)
 
-	if r.GetServicesOnly() {
-		table = &wire.RouteTable{Number: table.GetNumber(), Services: table.GetServices()}
-	}
+			continue
+		}
 
-	out.Table = table
+		if r.GetServicesOnly() {
+			table = &wire.RouteTable{Number: table.GetNumber(), Services: table.GetServices()}
+		}
 
-	return nil
+		out.Number, out.Table = d.number, table
+
+		return
+	}
+}
+
+// logRefusal logs once that a follower can't apply a configuration.
+func (s *Server) logRefusal(targets *targetTracker, r *wire.FollowRequest) {
+	if n := r.GetRefusedNumber(); n > 0 && targets.followers[r.GetID()].refused != n {
+		s.Logger.Error("An entry can't apply a configuration; it keeps an earlier one.", "entry", r.GetID(), "number", n, "inForceThere", r.GetKnownNumber())
+	}
 }
 
 // hasService reports whether the document in force declares the service. Without a document
--- a/internal/control/publishedstate.go
+++ b/internal/control/publishedstate.go
@@ -20,6 +20,8 @@
 	changes       uint64
 	versionTimes  []versionTime
 	document      *document
+	// previousDocument is for entries that can't apply document.
+	previousDocument *document
 	// stateIndex orders the states of documents and zones that entries receive.
 	stateIndex uint64
 	// superseded is closed once a later state is published.
@@ -66,6 +68,7 @@
 	prev := s.published.Load()
 	stored, index := s.state.Document()
 	next.document, next.stateIndex = newDocument(stored, prev), index
+	next.previousDocument = newPreviousDocument(s.state.PreviousDocument(), prev)
 
 	if prev != nil && prev.tickIndex == next.tickIndex {
 		next.tickAppliedAt = prev.tickAppliedAt
--- a/internal/ledger/documents.go
+++ b/internal/ledger/documents.go
@@ -10,6 +10,8 @@
 // a whole. It keeps the document as it was sent, under the caller's own number.
 type documentTable struct {
 	current *wire.Document
+	// previous is the document that current replaced.
+	previous *wire.Document
 	// index is the log index of the last document or zone change that had an effect.
 	// Entries use it to order the states that they receive from several control VMs.
 	index uint64
@@ -23,7 +25,7 @@
 		return
 	}
 
-	l.documents = documentTable{current: d, index: index}
+	l.documents = documentTable{current: d, previous: l.documents.current, index: index}
 }
 
 // setZoneOut takes a zone out or back in, without a plan.
@@ -47,3 +49,6 @@
 // document or zone change that had an effect. A document is never changed, only
 // replaced.
 func (l *Ledger) Document() (*wire.Document, uint64) { return l.documents.current, l.documents.index }
+
+// PreviousDocument returns the document that was in force before, or nil.
+func (l *Ledger) PreviousDocument() *wire.Document { return l.documents.previous }
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -26,6 +26,8 @@
 		Groups:       l.groups.sorted(),
 		Document:     l.documents.current,
 		StateIndex:   l.documents.index,
+
+		PreviousDocument: l.documents.previous,
 	}
 
 	l.records.compact()
@@ -61,7 +63,7 @@
 	l.claims.restore(s)
 	l.decisions.restore(s)
 	l.restoreGroups(s)
-	l.documents = documentTable{current: s.GetDocument(), index: s.GetStateIndex()}
+	l.documents = documentTable{current: s.GetDocument(), previous: s.GetPreviousDocument(), index: s.GetStateIndex()}
 
 	return nil
 }
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -107,7 +107,9 @@
 	answered        map[netip.AddrPort]bool
 	unreachable     map[netip.AddrPort]bool // whose rosters and counts are dropped at the next answer of another
 	tableFetch      tableFetch
-	evidence        evidenceExchange
+	// refusedNumber is the highest number of a route table that could not be applied.
+	refusedNumber uint64
+	evidence      evidenceExchange
 	// newMembers receives a value when a control VM reports others than before.
 	newMembers chan struct{}
 	cancels    map[netip.AddrPort]context.CancelFunc
@@ -323,6 +325,13 @@
 	}
 }
 
+func (f *Follower) refused() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.refusedNumber
+}
+
 // newRequest returns a poll of a control VM, without the ends that it lacks.
 func (f *Follower) newRequest(c *controlState) *wire.FollowRequest {
 	s := f.State()
@@ -333,6 +342,10 @@
 		RunningMillis: uint64(time.Since(f.startedAt).Milliseconds()),
 	}
 
+	if n := f.refused(); n > s.Number {
+		r.RefusedNumber = n
+	}
+
 	if f.Relay.IsValid() {
 		r.Relay = f.Relay.String()
 	}
@@ -482,7 +495,7 @@
 		if err != nil {
 			f.Logger.Error("Invalid route table received; keeping the current one.", "number", out.GetNumber(), "error", err)
 
-			invalid = err
+			invalid, f.refusedNumber = err, max(f.refusedNumber, out.GetNumber())
 		} else {
 			next.Table, next.Number = table, out.GetNumber()
 			f.tableFetch.announcedAt = time.Time{}
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -237,6 +237,43 @@
 	})
 }
 
+// Guards against an entry that serves nothing after a restart, because it can't apply the configuration in force.
+func TestEntryAsksForTheConfigurationBeforeAnInvalidOne(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		bad := newTable(2, "t")
+		bad.Routes = []*wire.Route{{Name: "r", Prefix: "/x/", TimeoutMillis: 1, Shares: []*wire.Share{{Service: "gone", Weight: 1}}}}
+
+		f := &view.Follower{
+			Cluster: "trust", ID: "e", Seeds: func() []netip.AddrPort { return []netip.AddrPort{controlOne} },
+			OnChange: func(*view.ClusterState) {},
+			Poll: func(_ context.Context, _ netip.AddrPort, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+				time.Sleep(100 * time.Millisecond)
+
+				switch out := (&wire.FollowResponse{Index: 3, Number: 2, DirectoryBoot: 1}); {
+				case r.GetKnownNumber() > 0 || r.GetWithoutTable():
+					return out, nil
+				case r.GetRefusedNumber() == 2:
+					out.Number, out.Table = 1, newTable(1, "s")
+
+					return out, nil
+				default:
+					out.Table = bad
+
+					return out, nil
+				}
+			},
+		}
+
+		stop := start(t, f)
+		defer stop()
+
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(1), f.State().Number)
+		require.NotNil(t, f.State().Table.Service("s"))
+	})
+}
+
 // A large configuration is published in a deployment with many control VMs. If each of
 // them sent it to each entry, links would be saturated until polls time out. An entry
 // fetches it once, from its own zone, or from another zone if its own does not answer.
