Repeat the transfer of leadership of a leader that stops

Cause: a leader that stops hands its leadership to the most up-to-date voter, which may have been lost a moment before; it then exited without having been replaced. A request for a transfer is also forwarded to the next leader, which may hand its leadership back.

Change: Replica.StepDown transfers only if this replica leads; a VM that stops repeats it while it leads, and waits for its replacement as others do.

--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -112,6 +112,20 @@
 	return err
 }
 
+// StepDown transfers leadership to the most up-to-date voter if this replica leads. Unlike TransferLeadership, it
+// never asks another leader, which might hand its leadership to this replica.
+func (r *Replica) StepDown(ctx context.Context) error {
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+
+	out := r.submitLocal(ctx, &wire.PeerOrder{Kind: wire.PeerOrderKind_PeerOrderTransfer, Member: &wire.QuorumMember{}})
+	if out.succeeded || out.reason == quorum.ReasonNotLeader {
+		return nil
+	}
+
+	return outcomeError(out)
+}
+
 // CheckStop returns nil if the group keeps a quorum without the member. The leader
 // confirms this with a new round to the other members, whereas Status returns the last
 // known state.
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -259,25 +259,26 @@
 		return nil
 	}
 
-	if r.isLeader() && !r.transferLeadership(ctx) {
-		return nil
+	if r.AutoMembership != nil {
+		return r.leaveControlSet(ctx)
+	}
+
+	if r.isLeader() {
+		r.transferLeadership(ctx)
 	}
 
-	return r.leaveControlSet(ctx)
+	return nil
 }
 
 // transferLeadership transfers leadership to another control VM, so that a planned stop
-// requires no election. It reports whether that succeeded.
-func (r *Control) transferLeadership(ctx context.Context) bool {
+// requires no election.
+func (r *Control) transferLeadership(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leadershipTransferTimeout)
 	defer cancel()
 
-	err := r.replica.TransferLeadership(ctx, "")
-	if err != nil {
+	if err := r.replica.TransferLeadership(ctx, ""); err != nil {
 		r.Logs.Logger("control").Warn("Leadership transfer failed; the stop may cause an election.", "error", err)
 	}
-
-	return err == nil
 }
 
 func (r *Control) handler() http.Handler {
--- a/internal/role/leavingmembers.go
+++ b/internal/role/leavingmembers.go
@@ -88,13 +88,12 @@
 // set then tolerates as many further failures as before. It returns an error if this VM is no longer a member, as
 // its process may start again.
 func (r *Control) leaveControlSet(ctx context.Context) error {
-	if r.AutoMembership == nil {
-		return nil
-	}
-
 	for ctx.Err() == nil {
-		if r.isLeader() && !r.transferLeadership(ctx) {
-			return nil
+		// The successor may be a voter that was lost just now. Another one is chosen then.
+		if r.isLeader() {
+			if err := r.replica.StepDown(ctx); err != nil {
+				r.Logs.Logger("roster").Info("Leadership transfer failed; repeating it.", "error", err)
+			}
 		}
 
 		if s := r.replica.Status(); s.Leader != "" && s.Leader != r.VM && s.LeaderAddr.IsValid() {
