Let no reads put off a leader's checks

Cause: the deadline of a leader's tick was that of its next heartbeat, and each round for reads put that off. With reads more often than heartbeats (two control VMs that read every 300 ms are enough) the tick never came: a transfer of leadership to a voter that was lost a moment before stayed pending for the whole 4 s in which a leader that stops waits, changes of members did not time out, and a leader without a majority did not step down. Found by tracing TestLeaderThatStopsRightAfterALossIsReplaced.

Change: the checks have a time of their own; a tick begins a round only if a heartbeat is due.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -217,6 +217,9 @@
 		at = c.bootstrap.helloAt
 	case c.state == leader:
 		at = c.leaderState.heartbeatAt
+		if c.leaderState.checkAt.Before(at) {
+			at = c.leaderState.checkAt
+		}
 	}
 
 	if !c.localReads.retryAt.IsZero() && c.localReads.retryAt.Before(at) {
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -9,8 +9,10 @@
 
 // leaderState is the state of a leader. It is discarded at the end of the leader's term.
 type leaderState struct {
-	firstIndex       uint64 // index of the entry that started the term
-	heartbeatAt      time.Time
+	firstIndex  uint64 // index of the entry that started the term
+	heartbeatAt time.Time
+	// checkAt is when timeouts and the quorum are checked next. Rounds for reads put heartbeatAt off, not this.
+	checkAt          time.Time
 	peers            map[string]*progress
 	rounds           []round // consecutive numbers; the last one is the current round
 	pendingProposals []proposal
@@ -56,7 +58,7 @@
 }
 
 func newLeaderState(c *Core) *leaderState {
-	l := &leaderState{firstIndex: c.log.last() + 1, heartbeatAt: c.now, peers: map[string]*progress{}}
+	l := &leaderState{firstIndex: c.log.last() + 1, heartbeatAt: c.now, checkAt: c.now, peers: map[string]*progress{}}
 	l.rounds = []round{{number: 1, sent: c.now, commit: c.commit}}
 
 	return l
@@ -110,10 +112,13 @@
 
 	c.checkPendingChange()
 
-	if c.now.Before(c.leaderState.heartbeatAt) {
+	l := c.leaderState
+	if c.now.Before(l.heartbeatAt) && c.now.Before(l.checkAt) {
 		return
 	}
 
+	l.checkAt = c.now.Add(c.cfg.HeartbeatInterval)
+
 	// A leader that receives no answers from a majority steps down because it can't commit
 	// anything. If it remained leader, its heartbeats would keep reachable followers from
 	// starting an election. This also holds for a link that only works in the direction
@@ -124,7 +129,10 @@
 		return
 	}
 
-	c.beginRound()
+	if !c.now.Before(l.heartbeatAt) {
+		c.beginRound()
+	}
+
 	c.sendTimeoutNow()
 }
 
