Log registrations of targets and announcements that are ignored

Cause: a control VM logs nothing about an announcement that it accepts. After a removal that has no effect, the logs don't tell whether a control VM took a delayed announcement for a new incarnation, or entries dropped the removal.

Change: the first announcement of an incarnation at a control VM, and an announcement that is ignored as its incarnation has ended, are logged with start time and sequence number.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -123,7 +123,20 @@
 		return &UndeclaredError{Kind: "service", Name: t.Service}
 	}
 
-	return s.withTargets(ctx, func(targets *targetTracker) { targets.registry.Announce(time.Now(), t) })
+	return s.withTargets(ctx, func(targets *targetTracker) {
+		s.logAnnouncement(&targets.registry, &t)
+		targets.registry.Announce(time.Now(), t)
+	})
+}
+
+// logAnnouncement logs the first announcement of an incarnation, and those that are ignored as it has ended.
+func (s *Server) logAnnouncement(r *directory.Registry, t *directory.Target) {
+	switch {
+	case r.HasEnded(t):
+		s.Logger.Info("Announcement of a target that has ended; ignoring it.", "target", t.ID, "startTime", t.StartTime, "sequence", t.Sequence)
+	case !r.HasRegistered(t):
+		s.Logger.Info("Target registered.", "target", t.ID, "startTime", t.StartTime, "sequence", t.Sequence, "service", t.Service, "address", t.Address)
+	}
 }
 
 // notifySpacing is the time per follower between two notifications about targets or their ends. All
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -61,10 +61,10 @@
 	known := r.targets[t.ID]
 
 	switch {
-	case known == nil:
-	case known.State == Removed && t.StartTime <= known.StartTime:
+	case r.HasEnded(&t):
 		// A delayed announcement that was sent before the target ended.
 		return false
+	case known == nil:
 	case !supersedes(&t, &known.Target):
 		if t.StartTime == known.StartTime && t.Sequence == known.Sequence {
 			known.lastAnnounced = now
@@ -108,6 +108,20 @@
 	return !unchanged
 }
 
+// HasEnded reports whether the incarnation that sent an announcement is known to have ended.
+func (r *Registry) HasEnded(t *Target) bool {
+	known := r.targets[t.ID]
+
+	return known != nil && known.State == Removed && t.StartTime <= known.StartTime
+}
+
+// HasRegistered reports whether the incarnation that sent an announcement is the one that is recorded.
+func (r *Registry) HasRegistered(t *Target) bool {
+	known := r.targets[t.ID]
+
+	return known != nil && known.StartTime == t.StartTime
+}
+
 // inherit takes over what an announcement t does not say from what is known of its ID.
 func (t *Target) inherit(now time.Time, known *registeredTarget) {
 	t.RegisteredAt = now
