Let each control VM know which incarnations of targets have registered

Callers: after a target's removal was acknowledged, an entry that had just started sent requests to it for up to 6.2 s, if heartbeats that the target had sent before its DELETE arrived after it at a control VM that had never heard of the target, or had started anew with an empty directory. Entries that ran throughout were not misled.

Cause: a control VM knows only the targets that announce themselves to it. One that acknowledges the removal of another VM's target records start time zero, so that any announcement that follows counts as a later incarnation, registered after the removal; the VM that knew the target has lost its memory. What a removal ends was known to running entries alone.

Change: control VMs tell each other the latest incarnation of each target (ID, start time, whether it has ended), when one registers or ends, each minute, and whole to one that starts. A removal names the latest incarnation that it ends, also to the voters, and is on their disks with it. A control VM ignores announcements of an incarnation that has ended or was followed at another one. One that has not heard from a majority of the voters yet refuses removals at once with 503.

Why this and not the others: entries could name the incarnation, but all may be killed with the VMs; start times can't be compared with the clock of a control VM, as targets' clocks are not bounded; to believe nobody until all were asked would delay real restarts.

--- a/internal/control/removals.go
+++ b/internal/control/removals.go
@@ -37,19 +37,29 @@
 		self, voters = s.FindVoters()
 	}
 
-	results := make(chan error, len(voters)+1)
 	total := len(voters)
-
 	if self {
 		total++
 	}
 
-	go func() {
-		err := s.saveRemoval(ctx, func(t *targetTracker) { t.registry.Leave(time.Now(), id, r.GetRemoval()) })
-		if self {
-			results <- err
+	saved, err := s.recordRemoval(ctx, func(t *targetTracker) error {
+		if !t.knowsIncarnations(self, voters) {
+			return errIncarnationsUnknown
 		}
-	}()
+
+		r.Born = t.registry.Leave(time.Now(), id, r.GetRemoval())
+
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+
+	results := make(chan error, total)
+
+	if self {
+		go func() { results <- awaitSave(ctx, saved) }()
+	}
 
 	for _, v := range voters {
 		go func() { results <- eris.Wrap(v.RecordRemoval(ctx, r), v.Name) }()
@@ -88,7 +98,15 @@
 		return nil, newRPCError(twirp.FailedPrecondition, "this control VM belongs to another cluster")
 	}
 
-	err := s.saveRemoval(ctx, func(t *targetTracker) { t.registry.RecordRemoval(time.Now(), r.GetID(), r.GetRemoval()) })
+	saved, err := s.recordRemoval(ctx, func(t *targetTracker) error {
+		t.registry.RecordRemoval(time.Now(), r.GetID(), r.GetRemoval(), r.GetBorn())
+
+		return nil
+	})
+	if err == nil {
+		err = awaitSave(ctx, saved)
+	}
+
 	if err != nil {
 		return nil, newRPCError(twirp.Unavailable, err.Error())
 	}
@@ -96,32 +114,35 @@
 	return &wire.RemovalResponse{}, nil
 }
 
-// saveRemoval records a removal, and returns once it is on the disk of this VM. Removals that arrive while the disk
-// is busy share the next sync.
-func (s *Server) saveRemoval(ctx context.Context, record func(*targetTracker)) error {
+// recordRemoval records a removal. The channel receives the result of storing it on the disk of this VM. Removals that
+// arrive while the disk is busy share the next sync.
+func (s *Server) recordRemoval(ctx context.Context, record func(*targetTracker) error) (<-chan error, error) {
+	var refused error
+
 	saved := make(chan error, 1)
 
 	err := s.withTargets(ctx, func(targets *targetTracker) {
-		record(targets)
+		if refused = record(targets); refused != nil {
+			return
+		}
 
 		switch {
 		case s.SaveTargets != nil:
+			targets.unsaved = append(targets.unsaved, saved)
 		case s.FindVoters == nil:
 			saved <- nil
-
-			return
 		default:
 			saved <- errNoDisk
-
-			return
 		}
-
-		targets.unsaved = append(targets.unsaved, saved)
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 
+	return saved, refused
+}
+
+func awaitSave(ctx context.Context, saved <-chan error) error {
 	select {
 	case err := <-saved:
 		return err
--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -24,6 +24,7 @@
 func voterSet(n int, saves ...int) []control.Voter {
 	out := make([]control.Voter, n)
 	for i := range out {
+		out[i].Name = fmt.Sprint("voter-", i)
 		out[i].RecordRemoval = func(context.Context, *wire.RemovalRequest) error { return errDisk }
 	}
 
@@ -34,6 +35,19 @@
 	return out
 }
 
+// answeringPeers is the same control VMs, which know no incarnations.
+func answeringPeers(voters []control.Voter) []control.Peer {
+	var out []control.Peer
+
+	for _, v := range voters {
+		out = append(out, control.Peer{Name: v.Name, ExchangeIncarnations: func(context.Context, *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
+			return &wire.IncarnationsResponse{}, nil
+		}})
+	}
+
+	return out
+}
+
 // Guards against an acknowledged removal that a loss of power of all, or of as many disks as are tolerated, undoes.
 func TestRemovalIsOnTheDisksOfAMajority(t *testing.T) {
 	t.Parallel()
@@ -65,7 +79,9 @@
 				s := newDocumentServer()
 				s.SaveTargets = func([]byte) error { return tc.disk }
 				s.FindVoters = func() (bool, []control.Voter) { return tc.self, tc.others }
+				s.FindPeers = func() []control.Peer { return answeringPeers(tc.others) }
 				runDocumentServer(t, s)
+				time.Sleep(time.Second)
 
 				began := time.Now()
 				err := s.Leave(t.Context(), "i1")
--- a/internal/control/savedtargets.go
+++ b/internal/control/savedtargets.go
@@ -32,14 +32,18 @@
 	current := targets.currentRoster(now)
 
 	if len(targets.unsaved) == 0 && targets.registry.Revision() == targets.savedRevision && current.hash == targets.savedRosterHash &&
-		targets.evidence.Revision() == targets.savedEvidence {
+		targets.evidence.Revision() == targets.savedEvidence && targets.registry.IncarnationsRevision() == targets.savedIncarnations {
 		return
 	}
 
 	ends, evidenceRevision := targets.evidence.ChangedSince(0)
 	targets.savedRevision, targets.savedRosterHash, targets.savedEvidence = targets.registry.Revision(), current.hash, evidenceRevision
+	targets.savedIncarnations = targets.registry.IncarnationsRevision()
 
-	saved := &wire.FollowResponse{Roster: current.entries, Absent: current.absent, Ends: quarantine.EndsToWire(ends, now), SavedAtMillis: now.UnixMilli()}
+	saved := &wire.FollowResponse{
+		Roster: current.entries, Absent: current.absent, Ends: quarantine.EndsToWire(ends, now), SavedAtMillis: now.UnixMilli(),
+		Incarnations: incarnationsToWire(targets.registry.PeerIncarnations()),
+	}
 
 	for _, t := range targets.registry.ChangedSince(0) {
 		saved.Targets = append(saved.Targets, t.ToWire(now))
@@ -131,6 +135,8 @@
 		targets.registry.Restore(now, t)
 	}
 
+	targets.registry.MergeIncarnations(now, incarnationsFromWire(saved.GetIncarnations()))
+
 	for _, e := range saved.GetAbsent() {
 		targets.absent[e.GetID()] = absentEntry{zone: e.GetZone(), since: now}
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -93,7 +93,9 @@
 	targetsChanged notifier
 	// controlsChanged reports that this VM knows other control VMs than before.
 	controlsChanged notifier
-	saveQueue       chan savedTargets
+	// incarnationsChanged reports that other control VMs lack incarnations of targets.
+	incarnationsChanged notifier
+	saveQueue           chan savedTargets
 	// directoryBoot identifies the directory of targets of this start of the server.
 	directoryBoot uint64
 }
@@ -103,6 +105,9 @@
 	Name string
 	// RecentPolls returns the processes that polled it.
 	RecentPolls func(ctx context.Context) (*wire.HeardResponse, error)
+	// ExchangeIncarnations tells it which incarnations of targets this VM knows, and asks for those that it knows.
+	// It may be nil.
+	ExchangeIncarnations func(ctx context.Context, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error)
 }
 
 // Voter is another control VM that has a vote.
@@ -183,6 +188,7 @@
 	s.events = make(chan event, eventBuffer)
 	s.targetsChanged.init()
 	s.controlsChanged.init()
+	s.incarnationsChanged.init()
 	s.saveQueue = make(chan savedTargets)
 	s.directoryBoot = rand.Uint64()
 
@@ -209,6 +215,10 @@
 		s.runTrackers(ctx)
 		return nil
 	})
+	g.Go(func() error {
+		s.runIncarnationExchange(ctx)
+		return nil
+	})
 	g.Go(func() error {
 		s.runLeaderTasks(ctx)
 		return nil
--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -50,6 +50,7 @@
 			if e.targetQuery != nil {
 				e.targetQuery(targets)
 				s.notifyFollowers(time.Now(), targets, notify)
+				s.notifyPeers(targets)
 
 				if len(targets.unsaved) > 0 {
 					s.saveIfChanged(targets)
@@ -70,6 +71,7 @@
 			targets.registry.Tick(time.Now())
 			targets.evidence.Expire(time.Now())
 			s.notifyFollowers(time.Now(), targets, notify)
+			s.notifyPeers(targets)
 			s.saveIfChanged(targets)
 
 			s.startCommit(ctx, polls, commitSlot)
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -37,6 +37,9 @@
 	revision uint64
 	// changed is the revision of the last change that entries need at once.
 	changed uint64
+	// peerIncarnations are the latest incarnations that other control VMs know, by ID.
+	peerIncarnations     map[string]peerIncarnation
+	incarnationsRevision uint64
 }
 
 type registeredTarget struct {
@@ -47,6 +50,8 @@
 	lastAnnounced time.Time
 	published     time.Time
 	revision      uint64
+	// incarnationRevision is the revision at which other control VMs needed to hear of the incarnation or its end.
+	incarnationRevision uint64
 	// sequenceStep is the smallest difference between the sequence numbers of two announcements
 	// so far, 0 before the second one.
 	sequenceStep uint64
@@ -96,7 +101,11 @@
 
 	next := &registeredTarget{Target: t, lastAnnounced: now, published: now, revision: r.revision}
 	if known != nil {
-		next.sequenceStep = known.sequenceStep
+		next.sequenceStep, next.incarnationRevision = known.sequenceStep, known.incarnationRevision
+	}
+
+	if known == nil || known.StartTime != t.StartTime {
+		r.updateIncarnation(next)
 	}
 
 	r.targets[t.ID] = next
@@ -108,13 +117,6 @@
 	return !unchanged
 }
 
-// HasEnded reports whether the incarnation that sent an announcement is known to have ended.
-func (r *Registry) HasEnded(t *Target) bool {
-	known := r.targets[t.ID]
-
-	return known != nil && known.State == Removed && t.StartTime <= known.StartTime
-}
-
 // HasRegistered reports whether the incarnation that sent an announcement is the one that is recorded.
 func (r *Registry) HasRegistered(t *Target) bool {
 	known := r.targets[t.ID]
@@ -177,7 +179,10 @@
 
 	r.revision++
 	r.changed = r.revision
-	r.targets[t.ID] = &registeredTarget{Target: t, lastAnnounced: now, published: now, revision: r.revision}
+
+	restored := &registeredTarget{Target: t, lastAnnounced: now, published: now, revision: r.revision}
+	r.targets[t.ID] = restored
+	r.updateIncarnation(restored)
 }
 
 // removePreviousHolders marks earlier targets with t's address as removed. Addresses of
@@ -190,20 +195,28 @@
 	}
 }
 
-// Leave records that a target has ended, with a removal of the given key. An unknown target is recorded
-// too: its announcements may be delayed, or may have gone to another control VM.
-func (r *Registry) Leave(now time.Time, id string, removal uint64) {
-	known := r.record(now, id)
-	known.addRemoval(Removal{Key: removal, At: now})
-	r.setState(now, known, Removed)
+// Leave records that a target has ended, with a removal of the given key, and returns the start time of the
+// latest incarnation that it ends, zero if none is known. An unknown target is recorded too: its announcements
+// may be delayed, or may have gone to another control VM.
+func (r *Registry) Leave(now time.Time, id string, removal uint64) (startTime int64) {
+	startTime = max(r.record(now, id).StartTime, r.peerIncarnations[id].StartTime)
+	r.RecordRemoval(now, id, removal, startTime)
+
+	return startTime
 }
 
-// RecordRemoval records a removal that another control VM has acknowledged. That may have been before
-// incarnations that this VM knows, which entries can tell by the earliest report of the removal.
-func (r *Registry) RecordRemoval(now time.Time, id string, removal uint64) {
+// RecordRemoval records a removal that another control VM has acknowledged, and that ends the incarnations up
+// to startTime. It may also end later ones that had registered before it, which entries can tell by the earliest
+// report of the removal.
+func (r *Registry) RecordRemoval(now time.Time, id string, removal uint64, startTime int64) {
 	known := r.record(now, id)
 	known.addRemoval(Removal{Key: removal, At: now})
-	r.setState(known.lastAnnounced, known, known.State)
+
+	if startTime >= known.StartTime {
+		r.endThrough(now, known, startTime)
+	} else {
+		r.setState(known.lastAnnounced, known, known.State)
+	}
 }
 
 // record returns what is known of an ID. An unknown one is recorded as removed.
@@ -247,6 +260,8 @@
 		}
 	}
 
+	r.expireIncarnations(now)
+
 	return changed
 }
 
@@ -256,6 +271,10 @@
 	t.State = s
 	t.revision = r.revision
 	t.lastAnnounced = lastAnnounced
+
+	if s == Removed {
+		r.updateIncarnation(t)
+	}
 }
 
 // Revision returns the current revision. It increases with each target that is published.
@@ -292,5 +311,6 @@
 func (r *Registry) init() {
 	if r.targets == nil {
 		r.targets = make(map[string]*registeredTarget)
+		r.peerIncarnations = make(map[string]peerIncarnation)
 	}
 }
--- a/internal/directory/removal_test.go
+++ b/internal/directory/removal_test.go
@@ -158,11 +158,11 @@
 
 				sequence++
 
-				first.Leave(now, id, uint64(n+1))
+				born := first.Leave(now, id, uint64(n+1))
 
 				for i := range registries {
 					if r := &registries[i]; r != first && rapid.Bool().Draw(t, "hears of it") {
-						late = append(late, func() { r.RecordRemoval(now, id, uint64(n+1)) })
+						late = append(late, func() { r.RecordRemoval(now, id, uint64(n+1), born) })
 					}
 				}
 
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -98,9 +98,13 @@
 
 	for _, m := range r.peerTracker.update(time.Now(), r.VM, members, r.Peers) {
 		client := wire.NewControlPeerProtobufClient("http://"+m.Addr.String(), r.client)
-		out = append(out, control.Peer{Name: m.ID, RecentPolls: func(ctx context.Context) (*wire.HeardResponse, error) {
-			return client.Heard(ctx, &wire.HeardRequest{Cluster: r.Cluster})
-		}})
+		out = append(out, control.Peer{
+			Name: m.ID,
+			RecentPolls: func(ctx context.Context) (*wire.HeardResponse, error) {
+				return client.Heard(ctx, &wire.HeardRequest{Cluster: r.Cluster})
+			},
+			ExchangeIncarnations: client.ExchangeIncarnations,
+		})
 	}
 
 	return out
