Let a voter that stops wait while another one is being replaced

Operators: no configuration could be read or changed any more, for good, when a control VM that led stopped as planned 3 s after another one had lost its disk. One disk was lost.

Cause: a lost voter is replaced by two changes, the promotion of a learner and the removal of the lost one. Between them there are four voters, and three must answer. The leader that stops hands on its leadership between the two, and announces its stop to the next leader; that one sees no learner left and lets it stop at once. Two of four voters run.

Change: a voter that stops waits also while there are more voters than desired. The next leader then removes the lost voter, after which two of three are enough.

TestLeavingVoterWaitsForAnotherReplacement fails without it.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -78,13 +78,7 @@
 func (r *Manager) Decide(now time.Time, self string, members []quorum.MemberStatus) Change {
 	r.observe(now, members)
 
-	voters := 0
-	for _, m := range members {
-		if m.Member.Role == quorum.Voter {
-			voters++
-		}
-	}
-
+	voters := countVoters(members)
 	lost := r.voterToRemove(now, self, members)
 	next := r.learnerToPromote(members)
 
@@ -178,9 +172,24 @@
 	return next
 }
 
-// HasSuccessor reports whether a learner may take the place of a voter, now or once it is up to date.
-func (r *Manager) HasSuccessor(members []quorum.MemberStatus) bool {
-	return slices.ContainsFunc(members, func(m quorum.MemberStatus) bool { return r.maySucceed(&m) })
+// CanReplace reports whether a voter that leaves can be removed without a loss of tolerance: a learner may take its
+// place, now or once it is up to date, or there are more voters than desired. In the latter case the replacement of
+// another voter may be half done, and the majority that it needs until its end may include the one that leaves.
+func (r *Manager) CanReplace(members []quorum.MemberStatus) bool {
+	return countVoters(members) > r.Settings.Voters ||
+		slices.ContainsFunc(members, func(m quorum.MemberStatus) bool { return r.maySucceed(&m) })
+}
+
+func countVoters(members []quorum.MemberStatus) int {
+	n := 0
+
+	for _, m := range members {
+		if m.Member.Role == quorum.Voter {
+			n++
+		}
+	}
+
+	return n
 }
 
 func (r *Manager) maySucceed(m *quorum.MemberStatus) bool {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -137,7 +137,7 @@
 		voter("c1", true), voter("c2", true), voter("c3", true), member("c4-x", "10.0.0.4:1", quorum.Learner, true, false),
 	}
 
-	require.True(t, r.HasSuccessor(members))
+	require.True(t, r.CanReplace(members))
 	require.Equal(t, membership.Change{}, r.Decide(startTime, "c1", members), "the learner does not hold the log yet")
 
 	members[3].UpToDate = true
@@ -163,12 +163,23 @@
 			r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c3", "c4-x")}
 			members := []quorum.MemberStatus{voter("c1", true), voter("c2", true), voter("c3", true), learner}
 
-			require.False(t, r.HasSuccessor(members))
+			require.False(t, r.CanReplace(members))
 			require.Equal(t, membership.Change{}, r.Decide(startTime, "c1", members))
 		})
 	}
 }
 
+// Guards against a voter that stops while the replacement of a lost one is half done: two of four voters are left.
+func TestLeavingVoterWaitsForAnotherReplacement(t *testing.T) {
+	t.Parallel()
+
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c2")}
+	members := []quorum.MemberStatus{voter("c1", false), voter("c2", true), voter("c3", true), voter("c4", true)}
+
+	require.True(t, r.CanReplace(members))
+	require.False(t, r.CanReplace(members[1:]), "the lost one is removed")
+}
+
 // Guards against a lost voter that stays while the one that leaves gives its place to the only learner.
 func TestLostVoterIsRemovedBeforeLeavingOne(t *testing.T) {
 	t.Parallel()
--- a/internal/role/leavingmembers.go
+++ b/internal/role/leavingmembers.go
@@ -57,7 +57,7 @@
 // awaitReplacement waits, on the leader, until a member that leaves may stop: it has been replaced, or no
 // learner can replace it.
 func (r *Control) awaitReplacement(ctx context.Context, id string) (replaced bool, err error) {
-	manager := &membership.Manager{IsLeaving: r.leaving.contains}
+	manager := &membership.Manager{Settings: r.AutoMembership.Settings, IsLeaving: r.leaving.contains}
 
 	for r.isLeader() {
 		r.leaving.add(time.Now(), id)
@@ -68,7 +68,7 @@
 		switch {
 		case i < 0 && s.MembersCommitted:
 			return true, nil
-		case i >= 0 && (s.Members[i].Member.Role == quorum.Learner || !manager.HasSuccessor(s.Members)):
+		case i >= 0 && (s.Members[i].Member.Role == quorum.Learner || !manager.CanReplace(s.Members)):
 			return false, nil
 		}
 
