Record a removal only while its caller waits for it

Callers: a target that had restarted under its ID got no request any more, for good, once a control VM woke up that had been suspended for 7 s.

Cause: the DELETE of the earlier incarnation waited in the connection of the suspended control VM. Its sender gave up after a second, was answered by another VM, ended and started again. The VM that wakes up takes the DELETE for a new removal, and ends the incarnation that has registered meanwhile. Targets name no incarnation in a DELETE.

Change: before it records a removal, a control VM asks the voters which incarnation of the target they know, and goes on once a majority has answered, or 300 ms later. By then the end of the caller's connection, which was there when the VM woke up, is known, and the removal is dropped.

TestRemovalWhoseCallerHasLeftHasNoEffect fails without the check. A removal costs one more message and answer to each voter.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -66,9 +66,8 @@
 	savedRosterHash uint64
 	savedEvidence   uint64
 	// savedIncarnations and notifiedIncarnations are the revisions of the incarnations that were saved last, and of
-	// those of which other control VMs were told. heardPeers are the control VMs that have told theirs.
+	// those of which other control VMs were told.
 	savedIncarnations, notifiedIncarnations uint64
-	heardPeers                              map[string]bool
 	// unsaved are told when the directory has been saved next.
 	unsaved []chan<- error
 	// notified and notifiedEvidence are the revisions of the last changes of the directory and
@@ -93,8 +92,6 @@
 		registry:  directory.Registry{AnnounceTimeout: maxMissedAnnouncements * interval},
 		followers: make(map[string]follower),
 		absent:    make(map[string]absentEntry),
-
-		heardPeers: make(map[string]bool),
 	}
 }
 
--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -32,8 +32,6 @@
 	peerCheckInterval = 500 * time.Millisecond
 )
 
-var errIncarnationsUnknown = eris.New("this control VM has not heard of the targets from a majority of the voters yet")
-
 // ExchangeIncarnations merges the incarnations that another control VM knows, and returns those that it asks for.
 func (s *Server) ExchangeIncarnations(ctx context.Context, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
 	if r.GetCluster() != s.Cluster {
@@ -47,6 +45,8 @@
 
 		if r.GetAll() {
 			known = targets.registry.AllIncarnations()
+		} else if latest, ok := targets.registry.Incarnation(r.GetTarget()); ok {
+			known = []directory.Incarnation{latest}
 		}
 	})
 	if err != nil {
@@ -168,11 +168,7 @@
 		return eris.Wrap(err, p.Name)
 	}
 
-	err = s.withTargets(ctx, func(targets *targetTracker) {
-		targets.registry.MergeIncarnations(time.Now(), incarnationsFromWire(out.GetIncarnations()))
-		targets.heardPeers[p.Name] = true
-	})
-	if err != nil {
+	if err := s.mergeIncarnations(ctx, out.GetIncarnations()); err != nil {
 		return err
 	}
 
@@ -181,6 +177,12 @@
 	return nil
 }
 
+func (s *Server) mergeIncarnations(ctx context.Context, incarnations []*wire.Incarnation) error {
+	return s.withTargets(ctx, func(targets *targetTracker) {
+		targets.registry.MergeIncarnations(time.Now(), incarnationsFromWire(incarnations))
+	})
+}
+
 func isBadRoute(err error) bool {
 	var problem twirp.Error
 
@@ -195,25 +197,6 @@
 	}
 }
 
-// knowsIncarnations reports whether a majority of the voters, of which this VM may be one, has told this VM which
-// incarnations they know.
-func (t *targetTracker) knowsIncarnations(self bool, voters []Voter) bool {
-	total, heard := len(voters), 0
-
-	if self {
-		total++
-		heard++
-	}
-
-	for _, v := range voters {
-		if t.heardPeers[v.Name] {
-			heard++
-		}
-	}
-
-	return heard > total/2
-}
-
 func incarnationsToWire(incarnations []directory.Incarnation) []*wire.Incarnation {
 	out := make([]*wire.Incarnation, 0, len(incarnations))
 	for _, in := range incarnations {
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -105,14 +105,20 @@
 
 		for j := range c.running {
 			if j != i {
-				out = append(out, control.Voter{Name: controlName(j), RecordRemoval: func(ctx context.Context, r *wire.RemovalRequest) error {
-					voter, err := c.server(j)
-					if err == nil {
-						_, err = voter.RecordRemoval(ctx, r)
-					}
+				out = append(out, control.Voter{
+					Name: controlName(j),
+					RecordRemoval: func(ctx context.Context, r *wire.RemovalRequest) error {
+						voter, err := c.server(j)
+						if err == nil {
+							_, err = voter.RecordRemoval(ctx, r)
+						}
 
-					return err
-				}})
+						return err
+					},
+					ExchangeIncarnations: func(ctx context.Context, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
+						return c.exchange(ctx, j, r)
+					},
+				})
 			}
 		}
 
@@ -234,27 +240,25 @@
 }
 
 // Guards against a removal by a control VM that has just started and does not know which incarnation it ends.
-func TestRemovalWaitsUntilIncarnationsAreKnown(t *testing.T) {
+func TestRemovalByAVMThatHasJustStarted(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := newControlSet(t, 3)
 		require.NoError(t, c.running[0].Announce(t.Context(), incarnation(5, 1)))
 		time.Sleep(time.Second)
 
-		for i := range 3 {
-			c.kill(i, true)
-		}
-
+		c.kill(0, false)
+		c.kill(2, false)
 		c.start(2)
-		time.Sleep(time.Second)
+		require.NoError(t, c.running[2].Leave(t.Context(), "i1"))
+		require.NoError(t, c.running[2].Announce(t.Context(), incarnation(5, 2)))
+		require.Empty(t, c.published())
+
+		c.kill(1, true)
 
 		began := time.Now()
 		require.Error(t, c.running[2].Leave(t.Context(), "i1"))
 		require.Less(t, time.Since(began), 100*time.Millisecond, "what can't be acknowledged is refused at once")
-
-		c.start(1)
-		time.Sleep(3 * time.Second)
-		require.NoError(t, c.running[2].Leave(t.Context(), "i1"))
 	})
 }
 
--- a/internal/control/removals.go
+++ b/internal/control/removals.go
@@ -14,9 +14,12 @@
 // removalTimeout bounds how long a removal waits for disks. Targets wait for a second, then they ask the next VM.
 const removalTimeout = 800 * time.Millisecond
 
+// learnTimeout bounds the part of it in which voters tell what they know of the target.
+const learnTimeout = 300 * time.Millisecond
+
 var (
-	errNoDisk         = eris.New("this control VM has no disk")
-	errRemovalUnsaved = eris.New("too few control VMs have the removal on their disks")
+	errNoDisk       = eris.New("this control VM has no disk")
+	errTooFewVoters = eris.New("too few of the control VMs that have a vote have answered, or have the removal on their disks")
 )
 
 // Leave records that a target has ended. It returns nil once the removal is on the disks of a majority of the voters,
@@ -37,55 +40,85 @@
 		self, voters = s.FindVoters()
 	}
 
-	total := len(voters)
-	if self {
-		total++
+	if err := s.learnIncarnation(ctx, id, self, voters); err != nil {
+		s.Logger.Info("The voters did not tell which incarnation a removal ends.", "target", id, "error", err)
 	}
 
-	saved, err := s.recordRemoval(ctx, func(t *targetTracker) error {
-		if !t.knowsIncarnations(self, voters) {
-			return errIncarnationsUnknown
-		}
-
-		r.Born = t.registry.Leave(time.Now(), id, r.GetRemoval())
+	// A caller that gave up while this VM was suspended may have been answered by another VM, and may have started
+	// again. Its connection is known to be closed by the time at which voters have answered.
+	if err := ctx.Err(); err != nil {
+		return eris.Wrap(err, "the caller has left")
+	}
 
-		return nil
+	saved, err := s.recordRemoval(ctx, func(t *targetTracker) {
+		latest, _ := t.registry.Incarnation(id)
+		r.Born = latest.StartTime
+		t.registry.RecordRemoval(time.Now(), id, r.GetRemoval(), r.GetBorn())
 	})
 	if err != nil {
 		return err
 	}
 
+	return awaitMajority(ctx, self, voters, func() error { return awaitSave(ctx, saved) }, func(v Voter) error {
+		return eris.Wrap(v.RecordRemoval(ctx, r), v.Name)
+	})
+}
+
+// learnIncarnation asks the voters for the latest incarnation of a target, until a majority has answered.
+func (s *Server) learnIncarnation(ctx context.Context, id string, self bool, voters []Voter) error {
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+
+	r := &wire.IncarnationsRequest{Cluster: s.Cluster, Target: id}
+
+	return awaitMajority(ctx, self, voters, func() error { return nil }, func(v Voter) error {
+		out, err := v.ExchangeIncarnations(ctx, r)
+		if isBadRoute(err) {
+			return nil // The voter runs an earlier build.
+		}
+
+		if err != nil {
+			return eris.Wrap(err, v.Name)
+		}
+
+		return s.mergeIncarnations(ctx, out.GetIncarnations())
+	})
+}
+
+// awaitMajority calls own, if this VM has a vote, and other for each other voter. It returns nil once more than half of
+// the results are nil, and an error once they can't be.
+func awaitMajority(ctx context.Context, self bool, voters []Voter, own func() error, other func(Voter) error) error {
+	total := len(voters)
+	if self {
+		total++
+	}
+
 	results := make(chan error, total)
 
 	if self {
-		go func() { results <- awaitSave(ctx, saved) }()
+		go func() { results <- own() }()
 	}
 
 	for _, v := range voters {
-		go func() { results <- eris.Wrap(v.RecordRemoval(ctx, r), v.Name) }()
+		go func() { results <- other(v) }()
 	}
 
-	return awaitMajority(ctx, results, total)
-}
-
-// awaitMajority returns nil once more than half of the results are nil, and an error once they can't be.
-func awaitMajority(ctx context.Context, results <-chan error, total int) error {
-	saved, failed := 0, 0
+	succeeded, failed := 0, 0
 
-	for saved <= total/2 {
+	for succeeded <= total/2 {
 		if failed >= total-total/2 {
-			return errRemovalUnsaved
+			return errTooFewVoters
 		}
 
 		select {
 		case err := <-results:
 			if err == nil {
-				saved++
+				succeeded++
 			} else {
 				failed++
 			}
 		case <-ctx.Done():
-			return errRemovalUnsaved
+			return errTooFewVoters
 		}
 	}
 
@@ -98,10 +131,8 @@
 		return nil, newRPCError(twirp.FailedPrecondition, "this control VM belongs to another cluster")
 	}
 
-	saved, err := s.recordRemoval(ctx, func(t *targetTracker) error {
+	saved, err := s.recordRemoval(ctx, func(t *targetTracker) {
 		t.registry.RecordRemoval(time.Now(), r.GetID(), r.GetRemoval(), r.GetBorn())
-
-		return nil
 	})
 	if err == nil {
 		err = awaitSave(ctx, saved)
@@ -116,15 +147,11 @@
 
 // recordRemoval records a removal. The channel receives the result of storing it on the disk of this VM. Removals that
 // arrive while the disk is busy share the next sync.
-func (s *Server) recordRemoval(ctx context.Context, record func(*targetTracker) error) (<-chan error, error) {
-	var refused error
-
+func (s *Server) recordRemoval(ctx context.Context, record func(*targetTracker)) (<-chan error, error) {
 	saved := make(chan error, 1)
 
 	err := s.withTargets(ctx, func(targets *targetTracker) {
-		if refused = record(targets); refused != nil {
-			return
-		}
+		record(targets)
 
 		switch {
 		case s.SaveTargets != nil:
@@ -139,7 +166,7 @@
 		return nil, err
 	}
 
-	return saved, refused
+	return saved, nil
 }
 
 func awaitSave(ctx context.Context, saved <-chan error) error {
--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -26,6 +26,9 @@
 	for i := range out {
 		out[i].Name = fmt.Sprint("voter-", i)
 		out[i].RecordRemoval = func(context.Context, *wire.RemovalRequest) error { return errDisk }
+		out[i].ExchangeIncarnations = func(context.Context, *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
+			return &wire.IncarnationsResponse{}, nil
+		}
 	}
 
 	for _, i := range saves {
@@ -35,19 +38,6 @@
 	return out
 }
 
-// answeringPeers is the same control VMs, which know no incarnations.
-func answeringPeers(voters []control.Voter) []control.Peer {
-	var out []control.Peer
-
-	for _, v := range voters {
-		out = append(out, control.Peer{Name: v.Name, ExchangeIncarnations: func(context.Context, *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
-			return &wire.IncarnationsResponse{}, nil
-		}})
-	}
-
-	return out
-}
-
 // Guards against an acknowledged removal that a loss of power of all, or of as many disks as are tolerated, undoes.
 func TestRemovalIsOnTheDisksOfAMajority(t *testing.T) {
 	t.Parallel()
@@ -79,9 +69,7 @@
 				s := newDocumentServer()
 				s.SaveTargets = func([]byte) error { return tc.disk }
 				s.FindVoters = func() (bool, []control.Voter) { return tc.self, tc.others }
-				s.FindPeers = func() []control.Peer { return answeringPeers(tc.others) }
 				runDocumentServer(t, s)
-				time.Sleep(time.Second)
 
 				began := time.Now()
 				err := s.Leave(t.Context(), "i1")
@@ -92,6 +80,34 @@
 	}
 }
 
+// Guards against a DELETE that waited in the connection of a suspended control VM until its caller had been answered by
+// another one, and ends the incarnation that the caller has started since.
+func TestRemovalWhoseCallerHasLeftHasNoEffect(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, leave := context.WithCancel(t.Context())
+		voters := voterSet(2, 0, 1)
+		voters[0].ExchangeIncarnations = func(context.Context, *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
+			leave()
+
+			return &wire.IncarnationsResponse{}, nil
+		}
+
+		s := newDocumentServer()
+		s.SaveTargets = func([]byte) error { return nil }
+		s.FindVoters = func() (bool, []control.Voter) { return true, voters }
+		runDocumentServer(t, s)
+		require.NoError(t, s.Announce(t.Context(), newTarget("i1", "desk", "a")))
+		require.Error(t, s.Leave(ctx, "i1"))
+		time.Sleep(time.Second)
+
+		out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+		require.NoError(t, err)
+		require.Len(t, out.GetTargets(), 1)
+		require.Equal(t, wire.TargetState_TargetReady, out.GetTargets()[0].GetState())
+	})
+}
+
 // Guards against a removal that is acknowledged while its VM still writes the directory of before.
 func TestRemovalWaitsForItsOwnSave(t *testing.T) {
 	t.Parallel()
@@ -215,7 +231,7 @@
 			published += proto.Size(target)
 		}
 
-		request := proto.Size(&wire.RemovalRequest{Cluster: "system", ID: "i-00000007", Removal: 1})
+		request := proto.Size(&wire.RemovalRequest{Cluster: "system", ID: "i-00000007", Removal: 1, Born: 1796388832588})
 		t.Logf("a removal: %d B to each other voter, %d B to each entry by each control VM, %d B to all %d, %d B written by each voter", request, published, published*entries, entries, saved.Load())
 		require.LessOrEqual(t, request, 64)
 		require.LessOrEqual(t, published, 128)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -115,6 +115,8 @@
 	Name string
 	// RecordRemoval returns once the removal of a target is on its disk.
 	RecordRemoval func(ctx context.Context, r *wire.RemovalRequest) error
+	// ExchangeIncarnations is as in Peer.
+	ExchangeIncarnations func(ctx context.Context, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error)
 }
 
 // Settings holds the intervals of a control VM.
--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -86,9 +86,7 @@
 	out := r.PeerIncarnations()
 
 	for i := range out {
-		if t := r.targets[out[i].ID]; t != nil && t.incarnation().supersedes(&out[i]) {
-			out[i] = *t.incarnation()
-		}
+		out[i], _ = r.Incarnation(out[i].ID)
 	}
 
 	for id, t := range r.targets {
@@ -100,6 +98,16 @@
 	return out
 }
 
+// Incarnation returns the latest incarnation of a target that this control VM knows.
+func (r *Registry) Incarnation(id string) (latest Incarnation, ok bool) {
+	peer, ok := r.peerIncarnations[id]
+	if t := r.targets[id]; t != nil && (!ok || t.incarnation().supersedes(&peer.Incarnation)) {
+		return *t.incarnation(), true
+	}
+
+	return peer.Incarnation, ok
+}
+
 // PeerIncarnations returns the incarnations that are known from other control VMs.
 func (r *Registry) PeerIncarnations() []Incarnation {
 	out := make([]Incarnation, 0, len(r.peerIncarnations))
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -195,19 +195,15 @@
 	}
 }
 
-// Leave records that a target has ended, with a removal of the given key, and returns the start time of the
-// latest incarnation that it ends, zero if none is known. An unknown target is recorded too: its announcements
-// may be delayed, or may have gone to another control VM.
-func (r *Registry) Leave(now time.Time, id string, removal uint64) (startTime int64) {
-	startTime = max(r.record(now, id).StartTime, r.peerIncarnations[id].StartTime)
-	r.RecordRemoval(now, id, removal, startTime)
-
-	return startTime
+// Leave records that a target has ended, with a removal of the given key.
+func (r *Registry) Leave(now time.Time, id string, removal uint64) {
+	latest, _ := r.Incarnation(id)
+	r.RecordRemoval(now, id, removal, latest.StartTime)
 }
 
-// RecordRemoval records a removal that another control VM has acknowledged, and that ends the incarnations up
-// to startTime. It may also end later ones that had registered before it, which entries can tell by the earliest
-// report of the removal.
+// RecordRemoval records a removal that ends the incarnations up to startTime, which is zero if none is known. It may
+// also end later ones that had registered before it, which entries can tell by the earliest report of the removal. An
+// unknown target is recorded too: its announcements may be delayed, or may have gone to another control VM.
 func (r *Registry) RecordRemoval(now time.Time, id string, removal uint64, startTime int64) {
 	known := r.record(now, id)
 	known.addRemoval(Removal{Key: removal, At: now})
--- a/internal/directory/removal_test.go
+++ b/internal/directory/removal_test.go
@@ -158,11 +158,13 @@
 
 				sequence++
 
-				born := first.Leave(now, id, uint64(n+1))
+				latest, _ := first.Incarnation(id)
+
+				first.Leave(now, id, uint64(n+1))
 
 				for i := range registries {
 					if r := &registries[i]; r != first && rapid.Bool().Draw(t, "hears of it") {
-						late = append(late, func() { r.RecordRemoval(now, id, uint64(n+1), born) })
+						late = append(late, func() { r.RecordRemoval(now, id, uint64(n+1), latest.StartTime) })
 					}
 				}
 
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -76,11 +76,15 @@
 			self = true
 		default:
 			client := wire.NewControlPeerProtobufClient("http://"+m.Member.Addr.String(), r.client)
-			out = append(out, control.Voter{Name: m.Member.ID, RecordRemoval: func(ctx context.Context, removal *wire.RemovalRequest) error {
-				_, err := client.RecordRemoval(ctx, removal)
-
-				return eris.Wrap(err, "record a removal")
-			}})
+			out = append(out, control.Voter{
+				Name: m.Member.ID,
+				RecordRemoval: func(ctx context.Context, removal *wire.RemovalRequest) error {
+					_, err := client.RecordRemoval(ctx, removal)
+
+					return eris.Wrap(err, "record a removal")
+				},
+				ExchangeIncarnations: client.ExchangeIncarnations,
+			})
 		}
 	}
 
