Let both voters see the caller leave in the test of a stale DELETE

Cause: one voter of three ended the caller's connection as it was asked; with the answer of the other one a majority was there, and the removal was recorded before the first was asked.

Change: each voter that is asked ends it first, so that no majority can be there before.

--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -87,10 +87,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, leave := context.WithCancel(t.Context())
 		voters := voterSet(2, 0, 1)
-		voters[0].ExchangeIncarnations = func(context.Context, *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
-			leave()
 
-			return &wire.IncarnationsResponse{}, nil
+		for i := range voters {
+			voters[i].ExchangeIncarnations = func(context.Context, *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
+				leave()
+
+				return &wire.IncarnationsResponse{}, nil
+			}
 		}
 
 		s := newDocumentServer()
