--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -86,6 +86,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+
 		voters := voterSet(2, 0, 1)
 
 		for i := range voters {
