Record a removal by one method of the registry

Cause: Server.Leave looked up the latest incarnation and recorded the removal by itself, as Registry.Leave did, which only tests called any more.

Change: Registry.Leave returns the start time of the latest incarnation that it ends, and Server.Leave calls it. Incarnations are passed as values. The reason for the exchange stands at its function.

Result: no change of behaviour; the tests of internal/directory and internal/control pass.

--- a/internal/control/incarnations.go
+++ b/internal/control/incarnations.go
@@ -15,9 +15,6 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// A target announces itself to one control VM, and any control VM may acknowledge its removal. Control VMs tell
-// each other which incarnations have registered, so that each one knows which incarnations a removal ends, and
-// ignores their delayed announcements.
 const (
 	// exchangeSpacing is the shortest interval between two exchanges with a peer. Changes meanwhile share one.
 	exchangeSpacing = 100 * time.Millisecond
@@ -56,7 +53,9 @@
 	return &wire.IncarnationsResponse{Incarnations: incarnationsToWire(known)}, nil
 }
 
-// runIncarnationExchange exchanges incarnations with each other control VM until ctx ends.
+// runIncarnationExchange exchanges incarnations with each other control VM until ctx ends. A target announces itself
+// to one control VM, and any of them may acknowledge its removal: each has to know which incarnations a removal ends,
+// and to ignore their delayed announcements.
 func (s *Server) runIncarnationExchange(ctx context.Context) {
 	running := make(map[string]context.CancelFunc)
 
--- a/internal/control/removals.go
+++ b/internal/control/removals.go
@@ -51,9 +51,7 @@
 	}
 
 	saved, err := s.recordRemoval(ctx, func(t *targetTracker) {
-		latest, _ := t.registry.Incarnation(id)
-		r.Born = latest.StartTime
-		t.registry.RecordRemoval(time.Now(), id, r.GetRemoval(), r.GetBorn())
+		r.Born = t.registry.Leave(time.Now(), id, r.GetRemoval())
 	})
 	if err != nil {
 		return err
--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -21,7 +21,7 @@
 }
 
 // supersedes reports whether a says more than b about the same ID.
-func (a *Incarnation) supersedes(b *Incarnation) bool {
+func (a Incarnation) supersedes(b Incarnation) bool {
 	return a.StartTime > b.StartTime || a.StartTime == b.StartTime && a.Removed && !b.Removed
 }
 
@@ -48,7 +48,7 @@
 		switch {
 		case !ok && len(r.peerIncarnations) >= maxPeerIncarnations:
 			continue
-		case !ok || in.supersedes(&peer.Incarnation):
+		case !ok || in.supersedes(peer.Incarnation):
 			peer.Incarnation = in
 			r.incarnationsRevision++
 		}
@@ -74,7 +74,7 @@
 
 	for _, t := range r.targets {
 		if t.incarnationRevision > since {
-			out = append(out, *t.incarnation())
+			out = append(out, t.incarnation())
 		}
 	}
 
@@ -91,7 +91,7 @@
 
 	for id, t := range r.targets {
 		if _, ok := r.peerIncarnations[id]; !ok {
-			out = append(out, *t.incarnation())
+			out = append(out, t.incarnation())
 		}
 	}
 
@@ -101,8 +101,8 @@
 // Incarnation returns the latest incarnation of a target that this control VM knows.
 func (r *Registry) Incarnation(id string) (latest Incarnation, ok bool) {
 	peer, ok := r.peerIncarnations[id]
-	if t := r.targets[id]; t != nil && (!ok || t.incarnation().supersedes(&peer.Incarnation)) {
-		return *t.incarnation(), true
+	if t := r.targets[id]; t != nil && (!ok || t.incarnation().supersedes(peer.Incarnation)) {
+		return t.incarnation(), true
 	}
 
 	return peer.Incarnation, ok
@@ -118,8 +118,8 @@
 	return out
 }
 
-func (t *registeredTarget) incarnation() *Incarnation {
-	return &Incarnation{ID: t.ID, StartTime: t.StartTime, Removed: t.State == Removed}
+func (t *registeredTarget) incarnation() Incarnation {
+	return Incarnation{ID: t.ID, StartTime: t.StartTime, Removed: t.State == Removed}
 }
 
 // endThrough records that the incarnations up to startTime have ended.
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -195,10 +195,13 @@
 	}
 }
 
-// Leave records that a target has ended, with a removal of the given key.
-func (r *Registry) Leave(now time.Time, id string, removal uint64) {
+// Leave records that a target has ended, with a removal of the given key. It returns the start time of the latest
+// incarnation that it ends, zero if none is known.
+func (r *Registry) Leave(now time.Time, id string, removal uint64) (startTime int64) {
 	latest, _ := r.Incarnation(id)
 	r.RecordRemoval(now, id, removal, latest.StartTime)
+
+	return latest.StartTime
 }
 
 // RecordRemoval records a removal that ends the incarnations up to startTime, which is zero if none is known. It may
--- a/internal/directory/removal_test.go
+++ b/internal/directory/removal_test.go
@@ -158,13 +158,11 @@
 
 				sequence++
 
-				latest, _ := first.Incarnation(id)
-
-				first.Leave(now, id, uint64(n+1))
+				ended := first.Leave(now, id, uint64(n+1))
 
 				for i := range registries {
 					if r := &registries[i]; r != first && rapid.Bool().Draw(t, "hears of it") {
-						late = append(late, func() { r.RecordRemoval(now, id, uint64(n+1), latest.StartTime) })
+						late = append(late, func() { r.RecordRemoval(now, id, uint64(n+1), ended) })
 					}
 				}
 
