Log a removal that is dropped because its caller has left

Cause: the VM answered 503 to a caller that was gone, and left no line. Nothing told a dropped removal from one that never came.

Change: a log line with the target's ID.

--- a/internal/control/removals.go
+++ b/internal/control/removals.go
@@ -47,6 +47,8 @@
 	// A caller that gave up while this VM was suspended may have been answered by another VM, and may have started
 	// again. Its connection is known to be closed by the time at which voters have answered.
 	if err := ctx.Err(); err != nil {
+		s.Logger.Info("The caller of a removal has left; dropping it.", "target", id)
+
 		return eris.Wrap(err, "the caller has left")
 	}
 
