Leave out a removal that names an earlier incarnation than is known

Callers: a target that was removed, and started again under its ID at once, got no requests from entries that heard of it from one control VM only.

Cause: a voter that heard of the removal when the later incarnation had registered with it recorded the removal at the time of hearing. Entries judge by the earliest report of a removal; if they hear this one only, since the VM that acknowledged it is gone, the removal seems to come after the registration and ends the later incarnation. That the removal names the incarnation that it ends was not looked at.

Change: a control VM that knows a later incarnation than the one that a removal names leaves the removal out. One that names none is recorded as before. If the later incarnation had registered before and was known nowhere else, the report of the VM that acknowledged the removal ends it at entries.

Registering waits for no message: no time passes in the test, at each control VM, also while the others are down.

--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -239,6 +239,45 @@
 	}
 }
 
+// Guards against a target that waits, after it was removed and has started again under its ID, for what control VMs tell
+// each other, also while the others don't answer.
+func TestTargetThatReturnsAfterItsRemovalIsUsedAtOnce(t *testing.T) {
+	t.Parallel()
+
+	for _, alone := range []bool{false, true} {
+		for _, at := range []int{0, 1, 2} {
+			t.Run(fmt.Sprintf("at control VM %d, alone %v", at, alone), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					c := newControlSet(t, 3)
+					require.NoError(t, c.running[0].Announce(t.Context(), incarnation(5, 1)))
+					time.Sleep(time.Second)
+					require.NoError(t, c.running[1].Leave(t.Context(), "i1"))
+
+					if alone {
+						for i := range 3 {
+							if i != at {
+								c.kill(i, true)
+							}
+						}
+					}
+
+					before := time.Now()
+					require.NoError(t, c.running[at].Announce(t.Context(), incarnation(6, 1)))
+					require.Zero(t, time.Since(before), "no other control VM is asked")
+					time.Sleep(time.Millisecond) // the message to the entry
+					require.Len(t, c.published(), 1)
+
+					// What the others hear late does not end it.
+					time.Sleep(2 * time.Second)
+					require.NoError(t, c.running[at].Announce(t.Context(), incarnation(6, 2)))
+					require.Len(t, c.published(), 1)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a removal by a control VM that has just started and does not know which incarnation it ends.
 func TestRemovalByAVMThatHasJustStarted(t *testing.T) {
 	t.Parallel()
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -204,17 +204,22 @@
 	return latest.StartTime
 }
 
-// RecordRemoval records a removal that ends the incarnations up to startTime, which is zero if none is known. It may
-// also end later ones that had registered before it, which entries can tell by the earliest report of the removal. An
+// RecordRemoval records a removal that ends the incarnations up to startTime, which is zero if none is known. An
 // unknown target is recorded too: its announcements may be delayed, or may have gone to another control VM.
 func (r *Registry) RecordRemoval(now time.Time, id string, removal uint64, startTime int64) {
 	known := r.record(now, id)
-	known.addRemoval(Removal{Key: removal, At: now})
 
-	if startTime >= known.StartTime {
+	switch {
+	case startTime >= known.StartTime:
+		known.addRemoval(Removal{Key: removal, At: now})
 		r.endThrough(now, known, startTime)
-	} else {
+	case startTime == 0:
+		// The removal ends this incarnation if it had registered before, which entries can tell by the earliest report.
+		known.addRemoval(Removal{Key: removal, At: now})
 		r.setState(known.lastAnnounced, known, known.State)
+	default:
+		// This incarnation has started since, and the report of the removal is late. If it had registered before, but
+		// was known nowhere else, entries tell by the report of the VM that acknowledged the removal.
 	}
 }
 
--- a/internal/directory/removal_test.go
+++ b/internal/directory/removal_test.go
@@ -210,3 +210,25 @@
 	merge(&entry, &after, now, 0)
 	require.Len(t, entry.Targets(), 1)
 }
+
+// Guards against a removal that its VM reports late, and that ends an incarnation that has started since, where an entry
+// hears of it from this control VM only.
+func TestLateReportOfARemovalSparesALaterIncarnation(t *testing.T) {
+	t.Parallel()
+
+	var (
+		r     directory.Registry
+		entry directory.MergedTargets
+	)
+
+	r.AnnounceTimeout = time.Minute
+	r.Announce(begin, newTarget("i1", 5, 1, nil))
+	r.Announce(begin.Add(time.Second), newTarget("i1", 6, 1, nil))
+	r.RecordRemoval(begin.Add(2*time.Second), "i1", 7, 5)
+	merge(&entry, &r, begin.Add(3*time.Second), 0)
+	require.Len(t, entry.Targets(), 1)
+
+	r.RecordRemoval(begin.Add(4*time.Second), "i1", 8, 6)
+	merge(&entry, &r, begin.Add(5*time.Second), 0)
+	require.Empty(t, entry.Targets())
+}
