Log when retries were decided, and count attempts without an answer

`Sent again.` says that the retry budget paid for a send, not when, and nothing tells that an attempt ended before its target had answered, so that retries which arrive late look like retries that were forgotten. The line has decidedAgo now, lines of requests have unanswered, and there are Relay.RetryDelayMillis and Relay.Unanswered. No decision changes.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -131,6 +131,10 @@
 		args = append(args, "priorityLevel", p.level(), "work", math.Round(100*p.expectedWork)/100, "late", p.late)
 	}
 
+	if p.unanswered > 0 {
+		args = append(args, "unanswered", p.unanswered)
+	}
+
 	if p.noRetry != retries.ReasonNone {
 		args = append(args, "notAgain", p.noRetry)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -34,6 +34,7 @@
 		{"Relay.Cut", "streams", "Streams that broke off after their first event.", func(r *Relay) int64 { return r.counters.cut.Load() }},
 		{"Relay.SentAgain", "sends", "Retries at another target.", func(r *Relay) int64 { return r.counters.retries.Load() }},
 		{"Relay.SentAgainUnpaid", "sends", "Retries at another target that were not charged to the retry budget, because no target had read the request.", func(r *Relay) int64 { return r.counters.freeRetries.Load() }},
+		{"Relay.Unanswered", "sends", "Attempts that were sent and ended without an answer. Their targets may read them later.", func(r *Relay) int64 { return r.counters.unanswered.Load() }},
 		{"Relay.Misdirected", "sends", "Attempts rejected because a target other than the intended one answers at the address.", func(r *Relay) int64 { return r.counters.misdirected.Load() }},
 		{"Relay.BudgetSpent", "requests", "Requests that were not retried because the retry budget was exhausted.", func(r *Relay) int64 { return r.counters.budgetSpent.Load() }},
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
@@ -101,7 +102,7 @@
 
 // latencies holds the histograms of an entry (ms).
 type latencies struct {
-	wait, firstByte, total metrics.Histogram
+	wait, firstByte, total, retryDelay metrics.Histogram
 }
 
 // Histograms describes the histograms, in the order in which Register adds them.
@@ -110,6 +111,7 @@
 		{Name: "Relay.WaitMillis", Unit: "ms", Help: "Time from a request's arrival until it is assigned to a target."},
 		{Name: "Relay.FirstAnswerMillis", Unit: "ms", Help: "Time from a request's arrival until the first byte of its answer is sent."},
 		{Name: "Relay.WholeMillis", Unit: "ms", Help: "Time from a request's arrival until its answer is complete."},
+		{Name: "Relay.RetryDelayMillis", Unit: "ms", Help: "Time from the decision to retry a request until it is assigned to a target."},
 	}
 }
 
@@ -128,7 +130,7 @@
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 
-	return latencies{wait: h(), firstByte: h(), total: h()}
+	return latencies{wait: h(), firstByte: h(), total: h(), retryDelay: h()}
 }
 
 // Register adds the relay's metrics to registry.
@@ -139,7 +141,7 @@
 		}
 	}
 
-	for i, h := range []metrics.Histogram{r.latencies.wait, r.latencies.firstByte, r.latencies.total} {
+	for i, h := range []metrics.Histogram{r.latencies.wait, r.latencies.firstByte, r.latencies.total, r.latencies.retryDelay} {
 		if err := registry.Register(Histograms()[i].Name, h); err != nil {
 			return eris.Wrap(err, "register metric")
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -516,5 +516,5 @@
 type counters struct {
 	requests, completions, refused, denied, failed, cut, disconnected atomic.Int64
 
-	retries, freeRetries, misdirected, budgetSpent, slowReaders, targetEnds, brokenAnswers atomic.Int64
+	retries, freeRetries, unanswered, misdirected, budgetSpent, slowReaders, targetEnds, brokenAnswers atomic.Int64
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -83,6 +83,10 @@
 	// them that were not the intended ones.
 	sends       int
 	misdirected int
+	// unanswered counts the sends without an answer, which their targets may still read.
+	unanswered int
+	// retryDecidedAt is when the last retry was decided.
+	retryDecidedAt time.Time
 	// noRetry is why the request was not retried after the last attempt.
 	noRetry retries.Reason
 	// failure is the last failure that a target answered, nil if there is none.
@@ -150,6 +154,8 @@
 
 			return
 		}
+
+		p.retryDecidedAt = p.relay.Now()
 	}
 }
 
@@ -232,6 +238,11 @@
 			p.mayHaveRun = true
 		}
 
+		if errors.Is(err, targetclient.ErrNoAnswer) {
+			p.unanswered++
+			p.relay.counters.unanswered.Add(1)
+		}
+
 		outcome = p.failureOutcome(ctx, err)
 
 		return err
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"time"
 
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/retries"
@@ -74,8 +75,11 @@
 		p.relay.counters.freeRetries.Add(1)
 	}
 
-	usage := p.relay.Budget.Usage(p.relay.Now(), p.service)
+	now := p.relay.Now()
+	usage := p.relay.Budget.Usage(now, p.service)
+	p.relay.latencies.retryDelay.Update(millis(p.retryDecidedAt, now))
 
 	p.log(slog.LevelInfo, "Sent again.", "target", placed.Target.ID, "cause", verdict.CauseOf(lastErr), "verdict", verdict.Of(lastErr).String(),
-		"paid", charged, "entries", p.relay.entryShares.budgetShare(p.service).Entries, "windowRequests", usage.Requests, "windowRetries", usage.Retries, "error", lastErr)
+		"paid", charged, "entries", p.relay.entryShares.budgetShare(p.service).Entries, "windowRequests", usage.Requests, "windowRetries", usage.Retries,
+		"decidedAgo", now.Sub(p.retryDecidedAt).Round(time.Millisecond), "error", lastErr)
 }
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -187,6 +187,11 @@
 // nothing about the state of the target, and a new connection may do better.
 var ErrReusedConnection = errors.New("targetclient: reused connection gave no answer")
 
+// ErrNoAnswer means that a request was sent, in whole or in part, and no byte of an answer arrived. The target may not have
+// read the request yet: its kernel accepts requests also while its process stands still, and keeps them when the
+// connection is closed.
+var ErrNoAnswer = errors.New("targetclient: no answer")
+
 // Open sends req to the target and returns once the response headers have
 // been read. Errors are of type *verdict.Error. The verdict is NotRun only if no
 // byte of the request was sent.
@@ -246,10 +251,11 @@
 // endFailed closes a connection without an answer. It returns the error of the request.
 func (c *Client) endFailed(ctx context.Context, conn *connection, err error) error {
 	reason := closeFailed
+	unanswered := !conn.hasReceived(c.MaxHeaderBytes)
 
 	switch {
 	case !conn.reused || ctx.Err() != nil:
-	case conn.endedUnanswered(err, c.MaxHeaderBytes):
+	case unanswered && !isTimeout(err):
 		reason = closeUnanswered
 	case isMalformed(err):
 		reason = closeBytes
@@ -257,6 +263,10 @@
 
 	c.end(conn, reason)
 
+	if unanswered && verdict.Of(err) == verdict.MayHaveRun {
+		err = &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseOf(err), Err: fmt.Errorf("%w: %w", ErrNoAnswer, err)}
+	}
+
 	if reason == closeFailed {
 		return err
 	}
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -73,10 +73,9 @@
 	return resp, nil
 }
 
-// endedUnanswered reports whether err, of roundTrip, says that the target closed the
-// connection before any byte of the answer.
-func (c *connection) endedUnanswered(err error, maxHeaderBytes int) bool {
-	return c.limited.N == int64(maxHeaderBytes) && !isTimeout(err)
+// hasReceived reports whether roundTrip has received a byte of the answer.
+func (c *connection) hasReceived(maxHeaderBytes int) bool {
+	return c.limited.N != int64(maxHeaderBytes)
 }
 
 // isMalformed reports whether err, of roundTrip, says that bytes arrived that do not begin an answer.
