Count a retry until a window after its target has read it

Cause: a retry was charged at the moment of its decision and left the window 10 s later, but the budget limits what targets receive. A retry waits for a target for as long as its caller does, and a target whose process stands still reads later what its kernel has accepted, also from connections that were closed or reset meanwhile. What was charged to two windows then arrives within one.

Change: a retry counts from its decision until a window after its target is known to have read it: it has answered it, or another request that was sent there later, or it has ended; a minute at most for targets that show nothing. Any attempt of a retried request may be the one that is read late.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -35,6 +35,7 @@
 		{"Relay.SentAgain", "sends", "Retries at another target.", func(r *Relay) int64 { return r.counters.retries.Load() }},
 		{"Relay.SentAgainUnpaid", "sends", "Retries at another target that were not charged to the retry budget, because no target had read the request.", func(r *Relay) int64 { return r.counters.freeRetries.Load() }},
 		{"Relay.Unanswered", "sends", "Attempts that were sent and ended without an answer. Their targets may read them later.", func(r *Relay) int64 { return r.counters.unanswered.Load() }},
+		{"Relay.RetriesUnderWay", "sends", "Attempts without an answer of requests that were retried, which their targets may still read. Their retries count against the retry budget until a window after that, or for a minute.", func(r *Relay) int64 { return int64(r.Budget.UnansweredAttempts()) }},
 		{"Relay.Misdirected", "sends", "Attempts rejected because a target other than the intended one answers at the address.", func(r *Relay) int64 { return r.counters.misdirected.Load() }},
 		{"Relay.BudgetSpent", "requests", "Requests that were not retried because the retry budget was exhausted.", func(r *Relay) int64 { return r.counters.budgetSpent.Load() }},
 		{"Relay.CallersLeft", "requests", "Requests whose caller disconnected before the answer.", func(r *Relay) int64 { return r.counters.disconnected.Load() }},
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -85,8 +85,9 @@
 	misdirected int
 	// unanswered counts the sends without an answer, which their targets may still read.
 	unanswered int
-	// retryDecidedAt is when the last retry was decided.
+	// retryDecidedAt is when the last retry was decided. delivery outlives the request if a target may read it later.
 	retryDecidedAt time.Time
+	delivery       *retries.Delivery
 	// noRetry is why the request was not retried after the last attempt.
 	noRetry retries.Reason
 	// failure is the last failure that a target answered, nil if there is none.
@@ -114,6 +115,9 @@
 
 	p.relay.Budget.RecordRequest(p.arrivedAt, p.service, p.relay.entryShares.budgetShare(p.service))
 
+	p.delivery = &retries.Delivery{}
+	defer p.relay.Budget.End(p.delivery)
+
 	var lastErr error // of the previous attempt
 
 	for {
@@ -236,11 +240,7 @@
 		if verdict.Of(err) != verdict.NotRun {
 			p.recordRead(readByTarget)
 			p.mayHaveRun = true
-		}
-
-		if errors.Is(err, targetclient.ErrNoAnswer) {
-			p.unanswered++
-			p.relay.counters.unanswered.Add(1)
+			p.recordDelivery(!errors.Is(err, targetclient.ErrNoAnswer))
 		}
 
 		outcome = p.failureOutcome(ctx, err)
@@ -250,6 +250,7 @@
 	defer answer.Close()
 
 	p.framing = answer.Framing
+	p.recordDelivery(true)
 
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
 	if err := p.checkAttribution(answer, info); err != nil {
@@ -308,6 +309,21 @@
 	}
 }
 
+// recordDelivery records whether the target has answered an attempt, if only in part.
+func (p *proxiedRequest) recordDelivery(isAnswered bool) {
+	now, address := p.relay.Now(), p.placed.Target.Address
+
+	if isAnswered {
+		p.relay.Budget.Answered(now, p.delivery, address, p.placedAt)
+
+		return
+	}
+
+	p.unanswered++
+	p.relay.counters.unanswered.Add(1)
+	p.relay.Budget.Unanswered(now, p.delivery, address)
+}
+
 // failureOutcome returns Canceled for errors that say nothing about the target, because the caller,
 // the deadline or a reused connection caused them, and Failed for those that count against it.
 func (p *proxiedRequest) failureOutcome(ctx context.Context, err error) dispatch.Outcome {
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -56,7 +56,7 @@
 	// may have known only a few of the others and overestimated its share.
 	share := p.relay.entryShares.budgetShare(p.service)
 
-	if p.readBy != readByNone && !p.relay.Budget.Allow(now, p.service, share) {
+	if p.readBy != readByNone && !p.relay.Budget.Allow(now, p.service, share, p.delivery) {
 		p.relay.counters.budgetSpent.Add(1)
 
 		return retries.ReasonBudgetExhausted
--- a/internal/relay/target_end.go
+++ b/internal/relay/target_end.go
@@ -88,6 +88,7 @@
 // recordTargetEnd records that the target of an attempt has ended.
 func (r *Relay) recordTargetEnd(a *brokenAttempt) {
 	r.counters.targetEnds.Add(1)
+	r.Budget.Ended(r.Now(), a.placed.Target.Address)
 	r.queue.recordTargetEnd(a.placed, a.brokenAt)
 	r.logBroken("Target ended while it had a request.", slog.LevelWarn, a)
 
--- a/internal/retries/bench_test.go
+++ b/internal/retries/bench_test.go
@@ -97,7 +97,7 @@
 	for n := 0; b.Loop(); n++ {
 		now = now.Add(10 * time.Millisecond)
 		s.RecordRequest(now, "drafts", share)
-		s.Allow(now, "drafts", share)
+		retryAtOnce(s, now, "drafts", share)
 
 		if n%10 == 0 {
 			control := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1+n/10%7))
--- a/internal/retries/report.go
+++ b/internal/retries/report.go
@@ -112,7 +112,7 @@
 	own := a.usage(now.Add(-s.Window))
 	total := usableFraction * (s.Ratio*float64(own.Requests+others.Requests) + s.Slack)
 	unreported := others.at.Add(-reportLag)
-	recent := len(after(a.earnedAt, unreported)) + len(after(a.slackAt, unreported))
+	recent := len(after(a.decidedAt, unreported))
 	left := total - float64(others.Retries+own.Retries-recent)
 
 	part := 0.0
--- a/internal/retries/reported_budget_test.go
+++ b/internal/retries/reported_budget_test.go
@@ -167,7 +167,7 @@
 
 			if failing {
 				for i, e := range f.entries {
-					for e.Allow(now, "drafts", f.share(i)) {
+					for retryAtOnce(e, now, "drafts", f.share(i)) {
 						retried[tick]++
 					}
 				}
@@ -211,13 +211,13 @@
 				}
 
 				// A retry now and then makes the entries report.
-				if tick%50 == 0 && f.entries[0].Allow(now, "drafts", f.share(0)) {
+				if tick%50 == 0 && retryAtOnce(f.entries[0], now, "drafts", f.share(0)) {
 					retried = 0
 				}
 
 				if tick >= failing {
 					for i, e := range f.entries[:width] {
-						for e.Allow(now, "drafts", f.share(i)) {
+						for retryAtOnce(e, now, "drafts", f.share(i)) {
 							retried++
 						}
 					}
@@ -263,7 +263,7 @@
 
 				if tick == 3*windowTicks-1 || tick == 4*windowTicks-2 {
 					for i, e := range f.entries {
-						for e.Allow(now, "drafts", f.share(i)) {
+						for retryAtOnce(e, now, "drafts", f.share(i)) {
 							retried[tick]++
 						}
 					}
--- a/internal/retries/shared_budget.go
+++ b/internal/retries/shared_budget.go
@@ -21,6 +21,9 @@
 // them has retried, an entry also keeps to its part of what is left of the whole. An entry without such
 // a report retries only as many requests as the fraction of the last window or of the one before it
 // allows, whichever had fewer.
+//
+// The budget limits what targets receive, so a retry counts until a window after its target has received it. See
+// Delivery.
 type SharedBudget struct {
 	// Ratio is the number of retries that each request earns. Slack is the number of
 	// additional retries per Window, for all entries together. The fields must be set before
@@ -39,6 +42,9 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	reports  map[netip.AddrPort]receivedReport
+	// unanswered holds attempts of retried requests that their targets may not have read yet, by the address of the
+	// target and in the order in which they ended.
+	unanswered map[netip.AddrPort][]unansweredAttempt
 }
 
 const (
@@ -62,14 +68,30 @@
 	requests []bucket
 	// initial is the fraction of a retry that counts as earned from the start.
 	initial float64
-	// earnedAt and slackAt hold the times of the retries within the last window that were
-	// charged to the requests, and to the slack.
-	earnedAt []time.Time
-	slackAt  []time.Time
+	// earned and slack hold the retries that were charged to the requests, and to the slack.
+	earned, slack charges
+	// decidedAt holds when the retries of the last window were decided.
+	decidedAt []time.Time
 	// unreported counts the retries since the last report.
 	unreported int
 }
 
+// charges are the retries that count against one part of the budget.
+type charges struct {
+	// open is the number of retries that targets may still receive. endedAt holds when those of the last window were
+	// received.
+	open    int
+	endedAt []time.Time
+}
+
+func (c *charges) count() int { return c.open + len(c.endedAt) }
+
+// end records that a target has received a retry.
+func (c *charges) end(now time.Time) {
+	c.open--
+	c.endedAt = append(c.endedAt, now)
+}
+
 // bucket is the number of requests that arrived from a time on.
 type bucket struct {
 	from  time.Time
@@ -104,12 +126,12 @@
 func (a *account) usage(from time.Time) Usage {
 	n, _ := a.requestsSince(from)
 
-	return Usage{Requests: n, Retries: len(a.earnedAt) + len(a.slackAt)}
+	return Usage{Requests: n, Retries: a.earned.count() + a.slack.count()}
 }
 
-// earned returns the number of retries that the requests of the last window allow, which began at
+// earnedBy returns the number of retries that the requests of the last window allow, which began at
 // from. isCurrent says whether the entry knows what the others have spent.
-func (a *account) earned(from time.Time, ratio float64, isCurrent bool) int {
+func (a *account) earnedBy(from time.Time, ratio float64, isCurrent bool) int {
 	n, before := a.requestsSince(from)
 
 	switch {
@@ -154,11 +176,13 @@
 }
 
 // Allow reports whether a request may be retried now. If so, it takes one retry from the
-// budget.
-func (s *SharedBudget) Allow(now time.Time, service string, share shares.Share) bool {
+// budget, for the request of d.
+func (s *SharedBudget) Allow(now time.Time, service string, share shares.Share, d *Delivery) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.expireUnanswered(now)
+
 	a := s.account(now, service, share)
 	from := now.Add(-s.Window)
 	others := s.othersUsage(now, service)
@@ -167,18 +191,23 @@
 		return false
 	}
 
-	earned := a.earned(from, s.Ratio*usableFraction, others.isCurrent)
+	earned := a.earnedBy(from, s.Ratio*usableFraction, others.isCurrent)
 	slack := share.Units(now, s.availableSlack(now.Sub(s.StartedAt), others.isCurrent))
 
+	var charged *charges
+
 	switch {
-	case len(a.earnedAt) < earned:
-		a.earnedAt = append(a.earnedAt, now)
-	case len(a.slackAt) < slack:
-		a.slackAt = append(a.slackAt, now)
+	case a.earned.count() < earned:
+		charged = &a.earned
+	case a.slack.count() < slack:
+		charged = &a.slack
 	default:
 		return false
 	}
 
+	a.decidedAt = append(a.decidedAt, now)
+	s.charge(d, charged)
+
 	if a.unreported++; a.unreported*reportsPerWindow >= earned+slack && s.OnRetries != nil {
 		s.OnRetries()
 	}
@@ -224,10 +253,11 @@
 	return a
 }
 
-// expire removes the retries before the last window, and the requests before the window before it.
+// expire removes the retries that were received before the last window, and the requests before the window before it.
 func (a *account) expire(now time.Time, window time.Duration) {
-	a.earnedAt = after(a.earnedAt, now.Add(-window))
-	a.slackAt = after(a.slackAt, now.Add(-window))
+	a.earned.endedAt = after(a.earned.endedAt, now.Add(-window))
+	a.slack.endedAt = after(a.slack.endedAt, now.Add(-window))
+	a.decidedAt = after(a.decidedAt, now.Add(-window))
 
 	for from := now.Add(-2 * window); len(a.requests) > 0 && !a.requests[0].from.After(from); {
 		a.requests = a.requests[1:]
--- a/internal/retries/shared_budget_test.go
+++ b/internal/retries/shared_budget_test.go
@@ -144,7 +144,7 @@
 
 				failed++
 
-				if entries[entry].Allow(now, "desk", share) {
+				if retryAtOnce(entries[entry], now, "desk", share) {
 					retried++
 				}
 			}
@@ -211,7 +211,7 @@
 		entry.RecordRequest(now, "drafts", share)
 	}
 
-	for entry.Allow(now, "drafts", share) {
+	for retryAtOnce(entry, now, "drafts", share) {
 		retried++
 	}
 
@@ -253,11 +253,11 @@
 			s.RecordRequest(now.Add(time.Duration(i)*125*time.Millisecond), "drafts", share)
 		}
 
-		for s.Allow(now.Add(shareWindow), "drafts", share) {
+		for retryAtOnce(s, now.Add(shareWindow), "drafts", share) {
 			taken++
 		}
 
-		require.False(t, s.Allow(now.Add(shareWindow), "drafts", share), fmt.Sprint(e))
+		require.False(t, retryAtOnce(s, now.Add(shareWindow), "drafts", share), fmt.Sprint(e))
 	}
 
 	require.Greater(t, taken, 55)
@@ -286,7 +286,7 @@
 	taken := 0
 
 	for i, s := range all {
-		for s.Allow(now, "drafts", shares.Share{Index: i, Entries: entries}) {
+		for retryAtOnce(s, now, "drafts", shares.Share{Index: i, Entries: entries}) {
 			taken++
 		}
 	}
@@ -305,11 +305,11 @@
 	s.RecordRequest(now, "desk", shares.Share{})
 
 	now = now.Add(shareWindow)
-	for s.Allow(now, "drafts", shares.Share{}) {
+	for retryAtOnce(s, now, "drafts", shares.Share{}) {
 		continue
 	}
 
-	require.True(t, s.Allow(now, "desk", shares.Share{}))
+	require.True(t, retryAtOnce(s, now, "desk", shares.Share{}))
 }
 
 // Guards against a budget whose shares are too small to be used: with 77 or more entries,
@@ -334,7 +334,7 @@
 			entry := entries[share.Index]
 			entry.RecordRequest(now, "drafts", share)
 
-			if entry.Allow(now, "drafts", share) {
+			if retryAtOnce(entry, now, "drafts", share) {
 				retried[i/perWindow]++
 			}
 		}
@@ -391,7 +391,7 @@
 				}
 
 				for i := range all {
-					for all[i].Allow(from.Add(shareWindow-time.Duration(window+1)*time.Millisecond), "drafts", share(i)) {
+					for retryAtOnce(all[i], from.Add(shareWindow-time.Duration(window+1)*time.Millisecond), "drafts", share(i)) {
 						spent++
 					}
 
