Reset connections of requests that are given up

A request that an entry has given up can still arrive: the kernel goes on sending what a closed connection has not delivered, for as long as a link is cut or a target does not read. Such arrivals count against the retry budget, and run after their callers have left.

A connection whose answer is not complete is reset now, so that bytes that have not arrived are dropped.

--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -122,6 +122,11 @@
 	}
 
 	a.stop()
+
+	if !a.body.whole {
+		a.conn.abort()
+	}
+
 	a.client.end(a.conn, closeFailed)
 	a.conn = nil
 }
@@ -222,7 +227,7 @@
 
 // exchange sends req on conn and reads the head of the answer.
 func (c *Client) exchange(ctx context.Context, conn *connection, req *Request) (*Answer, error) {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abort)
 
 	if conn.reused {
 		conn.boundSilence(c.DialTimeout)
@@ -261,6 +266,7 @@
 		reason = closeBytes
 	}
 
+	conn.abort()
 	c.end(conn, reason)
 
 	if unanswered && verdict.Of(err) == verdict.MayHaveRun {
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -73,6 +73,16 @@
 	return resp, nil
 }
 
+// abort resets the connection, so that bytes of a request that is given up and are still held up on their way do not
+// arrive later.
+func (c *connection) abort() {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+
+	_ = c.Close()
+}
+
 // hasReceived reports whether roundTrip has received a byte of the answer.
 func (c *connection) hasReceived(maxHeaderBytes int) bool {
 	return c.limited.N != int64(maxHeaderBytes)
