Refuse odd targets in announcements, messages and saved directories

An operator of a system like this one reports that one odd entry of another writer among those of the servers ended the processes that read the list, or stopped them from following it. Here no process ends, but many odd announcements were taken with 200 and named targets: an address without a port, that cannot be dialled, or empty; slots, cold times, start times and sequences at the ends of their types; a rank that is 0 after its conversion to 32 bits, so that an entry may take the target for the one that directs the group.

A target is checked in one place, where it is announced, where a message of a control VM is read and where a saved directory is restored: one that is odd is left out and logged, and the others hold.

--- a/internal/control/documents_test.go
+++ b/internal/control/documents_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/directory"
@@ -361,6 +363,29 @@
 	})
 }
 
+// Guards against an odd target in the directory that was saved before a restart, which is used again, or holds back the others.
+func TestOddTargetInASavedDirectoryIsLeftOut(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		data, err := proto.Marshal(&wire.FollowResponse{SavedAtMillis: time.Now().UnixMilli(), Targets: []*wire.TargetEntry{
+			{ID: "i1", Address: "10.0.0.1:0", Service: "desk", Zone: "a", Born: 1, Sequence: 1},
+			{ID: "i2", Address: "10.0.0.1:80", Service: "desk", Zone: "a", Born: math.MaxInt64, Sequence: 1},
+			{ID: "i3", Address: "10.0.0.1:80", Service: "desk", Zone: "a", Born: 1, Sequence: 1, Rank: math.MaxUint32, GroupSize: math.MaxUint32, Group: "g"},
+			{ID: "sound", Address: "10.0.0.2:80", Service: "desk", Zone: "a", Born: 1, Sequence: 1},
+		}})
+		require.NoError(t, err)
+
+		s := newDocumentServer()
+		s.LoadTargets = func() ([]byte, error) { return data, nil }
+		runDocumentServer(t, s)
+
+		out, err := s.Follow(t.Context(), &wire.FollowRequest{Cluster: "trust", ID: "e"})
+		require.NoError(t, err)
+		require.Len(t, out.GetTargets(), 1)
+		require.Equal(t, "sound", out.GetTargets()[0].GetID())
+	})
+}
+
 // Entries divide shared limits by their number. Entries that are leaving or have stopped
 // sending requests must not count.
 func TestOnlyActiveFollowersAreCounted(t *testing.T) {
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -110,7 +110,24 @@
 	t.followers[id] = f
 }
 
-// Announce records a target's announcement. If its ID is invalid, it returns an *InvalidIDError. If its zone
+// maxClockAhead bounds how far the clock of a target is ahead of that of this VM.
+const maxClockAhead = 24 * time.Hour
+
+// clockSetAfter is a time of day before which the clock of a VM has not been set.
+var clockSetAfter = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC) //nolint:gochecknoglobals // constant
+
+// checkTarget returns a *directory.InvalidTargetError if no target says that of itself at now. A start time in the future would
+// hold back the announcements of the ID's owner.
+func checkTarget(now time.Time, t *directory.Target) error {
+	if now.After(clockSetAfter) && time.UnixMilli(t.StartTime).Sub(now) > maxClockAhead {
+		return &directory.InvalidTargetError{ID: t.ID, Field: "StartTime", Value: t.StartTime}
+	}
+
+	return t.Check(now) //nolint:wrapcheck // names the target itself
+}
+
+// Announce records a target's announcement. If its ID is invalid, it returns an *InvalidIDError, if another field is, a
+// *directory.InvalidTargetError. If its zone
 // or service is not declared, it returns an *UndeclaredError: the announcement comes from a foreign sender, and if it were
 // recorded it could take over the address of an existing target.
 func (s *Server) Announce(ctx context.Context, t directory.Target) error {
@@ -118,6 +135,10 @@
 		return err
 	}
 
+	if err := checkTarget(time.Now(), &t); err != nil {
+		return err
+	}
+
 	if _, ok := s.Zones[t.Zone]; !ok {
 		return &UndeclaredError{Kind: "zone", Name: t.Zone}
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -156,7 +156,7 @@
 }
 
 // FromWire decodes a target that this VM received at now or earlier. The remaining cold
-// time and the ages count from now.
+// time and the ages count from now. It returns an *InvalidTargetError for a value that no target has.
 func FromWire(w *wire.TargetEntry, now time.Time) (Target, error) {
 	t := Target{
 		ID: w.GetID(), StartTime: w.GetBorn(), Sequence: w.GetSequence(), Service: w.GetService(), Zone: w.GetZone(),
@@ -176,16 +176,16 @@
 	}
 
 	if w.GetColdMillis() > 0 {
-		t.ColdUntil = now.Add(time.Duration(w.GetColdMillis()) * time.Millisecond)
+		t.ColdUntil = now.Add(time.Duration(min(w.GetColdMillis(), uint64(2*maxColdTime.Milliseconds()))) * time.Millisecond)
 	}
 
-	if w.GetAddress() == "" && t.State == Removed {
-		return t, nil
-	}
-
-	var err error
+	if w.GetAddress() != "" || t.State != Removed {
+		var err error
 
-	t.Address, err = netip.ParseAddrPort(w.GetAddress())
+		if t.Address, err = netip.ParseAddrPort(w.GetAddress()); err != nil {
+			return t, eris.Wrap(err, "parse the address of a target")
+		}
+	}
 
-	return t, eris.Wrap(err, "parse the address of a target")
+	return t, t.Check(now)
 }
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 	"sync"
@@ -212,6 +213,32 @@
 	})
 }
 
+// Guards against an odd target of a control VM that is used, or that holds back the others of the same answer.
+func TestOddTargetOfAControlVMIsLeftOut(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeControls{answers: map[netip.AddrPort]*wire.FollowResponse{}, unresponsive: map[netip.AddrPort]bool{}}
+		p.set(controlOne, &wire.FollowResponse{Index: 2, Number: 1, Table: newTable(1, "s"), DirectoryBoot: 1, Targets: []*wire.TargetEntry{
+			{ID: "i1", Address: "0.0.0.0:80", Service: "s", Born: 1, Sequence: 1},
+			{ID: "i2", Address: "10.0.0.8:80", Service: "s", Born: 1, Sequence: 1, Slots: math.MaxUint32},
+			{ID: "i3", Address: "10.0.0.8:80", Service: "s", Born: math.MaxInt64, Sequence: 1},
+			{ID: "i4", Address: "10.0.0.8:80", Service: "s", Born: 1, Sequence: math.MaxUint64},
+			{ID: "i5", Address: "10.0.0.8:80", Service: "s", Born: 1, Sequence: 1, ColdMillis: math.MaxUint64},
+			{ID: "i6", Address: "10.0.0.8:80", Service: "s", Born: 1, Sequence: 1, Group: "g", GroupSize: 4, Rank: 4},
+			{ID: "i7", Address: "10.0.0.8:80", Service: "s", Born: 1, Sequence: 1, State: 9},
+			{ID: "sound", Address: "10.0.0.9:80", Service: "s", Born: 1, Sequence: 1, Group: "g", GroupSize: 4, Rank: 3, ColdMillis: 1000},
+		}})
+
+		f, stop := startFollower(t, p, controlOne)
+		defer stop()
+
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(1), f.State().Number)
+		require.Len(t, f.State().Targets, 1)
+		require.Equal(t, "sound", f.State().Targets[0].ID)
+	})
+}
+
 // Guards against zones that are not taken out, and targets that are not known, at an entry that can't apply the
 // configuration of the same answer.
 func TestInvalidTableHoldsBackNothingElse(t *testing.T) {
