Take a voter for lost as soon as another member answers at its address

Trace: the disk of control-0 was lost while the spare VM stopped as planned. The lost voter still counted as active for a moment, so that the new member at its address was promoted in place of the spare one, not in its own. Two of three votes were then on one VM, and the next loss of its disk, 0.4 s later, ended the quorum: voters 127.0.9.1-144d and -7ad8, both lost, and 127.0.9.3.

A member that has answered since at the address of a voter shows that this voter has lost its disk, whether or not it still counts as active: it is replaced before one that leaves.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -121,30 +120,27 @@
 	return now.Sub(r.lastActive[id])
 }
 
-// voterToRemove returns the voter to remove, or "". An inactive voter whose address is
-// used by another active member comes first, because its disk is certainly lost;
+// voterToRemove returns the voter to remove, or "". A voter whose address is
+// used by another active member since comes first, because its disk is certainly lost;
 // then a voter that has been inactive for VoterTimeout; then one that is leaving.
 func (r *Manager) voterToRemove(now time.Time, self string, members []quorum.MemberStatus) string {
 	inactive, leaving := "", ""
 
-	for _, m := range members {
+	for i := range members {
+		m := &members[i]
 		if m.Member.Role != quorum.Voter || m.Member.ID == self {
 			continue
 		}
 
-		if leaving == "" && r.isLeaving(m.Member.ID) {
-			leaving = m.Member.ID
-		}
-
-		if m.Active {
-			continue
+		if hasReplacement(m, members) {
+			return m.Member.ID
 		}
 
-		if hasReplacement(m.Member.ID, m.Member.Addr, members) {
-			return m.Member.ID
+		if leaving == "" && r.isLeaving(m.Member.ID) {
+			leaving = m.Member.ID
 		}
 
-		if inactive == "" && r.inactiveFor(now, m.Member.ID) > r.Settings.VoterTimeout {
+		if !m.Active && inactive == "" && r.inactiveFor(now, m.Member.ID) > r.Settings.VoterTimeout {
 			inactive = m.Member.ID
 		}
 	}
@@ -152,9 +148,12 @@
 	return cmp.Or(inactive, leaving)
 }
 
-func hasReplacement(id string, addr netip.AddrPort, members []quorum.MemberStatus) bool {
+// hasReplacement reports whether another active member uses the address of a voter that is inactive, or has not
+// answered since. It may count as active for a while after its end.
+func hasReplacement(voter *quorum.MemberStatus, members []quorum.MemberStatus) bool {
 	return slices.ContainsFunc(members, func(m quorum.MemberStatus) bool {
-		return m.Member.ID != id && m.Member.Addr == addr && m.Active
+		return m.Member.ID != voter.Member.ID && m.Member.Addr == voter.Member.Addr && m.Active &&
+			(!voter.Active || m.AnsweredAt.After(voter.AnsweredAt))
 	})
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -205,3 +205,25 @@
 	require.Equal(t, membership.Change{}, r.Decide(startTime, "c1", members))
 	require.Equal(t, membership.Change{Kind: membership.Promote, ID: "c4-x"}, r.Decide(startTime.Add(1001*time.Millisecond), "c1", members))
 }
+
+// Guards against two voters on one VM, whose next lost disk ends the quorum: a voter whose disk was lost a moment ago still
+// counted as active, so that the new member at its address took the place of a leaving one.
+func TestLostVoterThatCountsAsActiveIsRemovedBeforeLeavingOne(t *testing.T) {
+	t.Parallel()
+
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: func(id string) bool { return id == "c4" }}
+	lost, back := voter("c1", true), member("c1-new", "10.0.0.1:1", quorum.Learner, true, true)
+	lost.AnsweredAt, back.AnsweredAt = startTime.Add(-time.Second), startTime
+	members := []quorum.MemberStatus{lost, voter("c3", true), voter("c4", true), back, member("c2-new", "10.0.0.2:1", quorum.Learner, true, true)}
+
+	require.Equal(t, membership.Change{Kind: membership.Promote, ID: "c1-new"}, r.Decide(startTime, "c3", members))
+
+	members[3].Member.Role = quorum.Voter
+	require.Equal(t, membership.Change{Kind: membership.Remove, ID: "c1"}, r.Decide(startTime, "c3", members))
+
+	members = members[1:]
+	require.Equal(t, membership.Change{Kind: membership.Promote, ID: "c2-new"}, r.Decide(startTime, "c3", members))
+
+	members[3].Member.Role = quorum.Voter
+	require.Equal(t, membership.Change{Kind: membership.Remove, ID: "c4"}, r.Decide(startTime, "c3", members))
+}
