Let retries of lost targets expire in reports too

Found while the change was read again: the retries whose targets never show that they have read them expired only when this entry decided on another retry. Until then it went on to report them, so that the other entries had less of the budget for as long as nothing was retried here. They expire before each report now (TestRetriesOfALostTargetAreNotReportedForGood, red before).

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -250,17 +250,19 @@
 	defer answer.Close()
 
 	p.framing = answer.Framing
-	p.recordDelivery(true)
 
 	info := p.relay.Dialect.ReadResponse(answer.Status, answer.Header)
 	if err := p.checkAttribution(answer, info); err != nil {
 		p.recordRead(readByTarget)
+		p.recordDelivery(false)
 
 		outcome = p.failureOutcome(ctx, err)
 
 		return err
 	}
 
+	p.recordDelivery(true)
+
 	if info.Misdirected {
 		p.relay.TargetClient.Pause(p.connectionTarget())
 		p.recordRead(readByOther)
--- a/internal/retries/delivery_test.go
+++ b/internal/retries/delivery_test.go
@@ -233,5 +233,27 @@
 	require.Positive(t, first)
 	require.Zero(t, used(start.Add(30*time.Second)))
 	require.Zero(t, used(start.Add(time.Minute)))
+
+	// Others are told as well, also if nothing is retried any more.
+	require.Equal(t, first, s.Reported(start.Add(time.Minute + shareWindow - 1))["drafts"].Retries)
+	require.Empty(t, s.Reported(start.Add(time.Minute+shareWindow)))
 	require.Equal(t, first, used(start.Add(time.Minute+shareWindow)))
 }
+
+// Guards against an entry that goes on to report the retries of a lost target, so that the others have less of the budget for good.
+func TestRetriesOfALostTargetAreNotReportedForGood(t *testing.T) {
+	t.Parallel()
+
+	start := time.Unix(1000, 0)
+	s := &retries.SharedBudget{Slack: 10, Window: shareWindow, StartedAt: time.Unix(1, 0)}
+	d := &retries.Delivery{}
+
+	s.Answered(start, d, targetAddress(0), start)
+	require.True(t, s.Allow(start, "drafts", shares.Share{Entries: 1}, d))
+	s.Unanswered(start, d, targetAddress(1))
+	s.End(d)
+
+	require.Equal(t, 1, s.Reported(start.Add(time.Minute))["drafts"].Retries)
+	require.Empty(t, s.Reported(start.Add(time.Minute+shareWindow)))
+	require.Zero(t, s.UnansweredAttempts())
+}
--- a/internal/retries/report.go
+++ b/internal/retries/report.go
@@ -42,6 +42,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.expireUnanswered(now)
+
 	out := make(map[string]Usage)
 
 	for service, a := range s.accounts {
--- a/internal/retries/shared_budget.go
+++ b/internal/retries/shared_budget.go
@@ -156,6 +156,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.expireUnanswered(now)
+
 	a := s.accounts[service]
 	if a == nil {
 		return Usage{}
