--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -37,7 +37,8 @@
 	return ok && (t.StartTime < peer.StartTime || t.StartTime == peer.StartTime && peer.Removed)
 }
 
-// MergeIncarnations records incarnations that another control VM knows. They are not published to entries, as
+// MergeIncarnations records incarnations that another control VM knows, except those with a start time that no target
+// has, which would hold back their owners. They are not published to entries, as
 // only the VM that receives their announcements knows whether they are responsive.
 func (r *Registry) MergeIncarnations(now time.Time, incarnations []Incarnation) {
 	r.init()
@@ -46,6 +47,8 @@
 		peer, ok := r.peerIncarnations[in.ID]
 
 		switch {
+		case in.StartTime < 0 || in.StartTime > maxCounter:
+			continue
 		case !ok && len(r.peerIncarnations) >= maxPeerIncarnations:
 			continue
 		case !ok || in.supersedes(peer.Incarnation):
--- a/internal/directory/incarnations_test.go
+++ b/internal/directory/incarnations_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -152,3 +153,17 @@
 		})
 	}
 }
+
+// Guards against an odd start time that another control VM or a saved directory holds, and that holds back the owner of the
+// ID.
+func TestOddIncarnationsAreIgnored(t *testing.T) {
+	t.Parallel()
+
+	for _, startTime := range []int64{math.MaxInt64, math.MinInt64, -1, 1 << 53} {
+		r := directory.Registry{AnnounceTimeout: time.Minute}
+		r.MergeIncarnations(begin, []directory.Incarnation{{ID: "i1", StartTime: startTime}, {ID: "i2", StartTime: 5}})
+
+		require.False(t, r.HasEnded(&directory.Target{ID: "i1", StartTime: 1}), startTime)
+		require.True(t, r.HasEnded(&directory.Target{ID: "i2", StartTime: 1}), startTime)
+	}
+}
