Count the unread retries of entries that have ended

The report of an entry that has ended counted for one window, as if its targets had received the retries by then.

Entries report how many of their retries are unread, and control VMs count these for as long as an entry that lives would, a minute and a window.

--- a/internal/retries/reported_budget_test.go
+++ b/internal/retries/reported_budget_test.go
@@ -282,3 +282,57 @@
 		})
 	}
 }
+
+// Guards against retries that are forgotten with the entries that sent them, while targets that stand still have yet to read them.
+func TestBudgetHoldsWhileEntriesEndBeforeTheirRetriesAreRead(t *testing.T) {
+	t.Parallel()
+
+	const (
+		entries, perTick = 7, 6
+		slack            = 94.0
+	)
+
+	start := time.Unix(1000, 0)
+	f := newReportedFleet(start, entries, 3, slack)
+	unread := 0
+
+	// Retries are sent at two times, between which all entries start again. The targets read nothing until both are over.
+	const first, killed, second, end = 250, 255, 380, 390
+
+	for tick := range end {
+		now := start.Add(time.Duration(tick) * reportTick)
+
+		for r := range perTick {
+			i := (tick + r) % entries
+			f.entries[i].RecordRequest(now, "drafts", f.share(i))
+		}
+
+		if tick == killed {
+			for i := range f.entries {
+				f.startEntry(now, i)
+			}
+		}
+
+		if tick == first || tick == second {
+			for i, e := range f.entries {
+				for {
+					d := &retries.Delivery{}
+					e.Answered(now, d, targetAddress(0), now)
+
+					if !e.Allow(now, "drafts", f.share(i), d) {
+						break
+					}
+
+					unread++
+
+					e.Unanswered(now, d, targetAddress(1))
+					e.End(d)
+				}
+			}
+		}
+
+		f.exchange(now, tick)
+	}
+
+	require.LessOrEqual(t, float64(unread), shareRatio*100*perTick+slack, "repeats that targets read at once")
+}
--- a/internal/retries/shared_budget.go
+++ b/internal/retries/shared_budget.go
@@ -126,7 +126,7 @@
 func (a *account) usage(from time.Time) Usage {
 	n, _ := a.requestsSince(from)
 
-	return Usage{Requests: n, Retries: a.earned.count() + a.slack.count()}
+	return Usage{Requests: n, Retries: a.earned.count() + a.slack.count(), Unread: a.earned.open + a.slack.open}
 }
 
 // earnedBy returns the number of retries that the requests of the last window allow, which began at
@@ -147,8 +147,9 @@
 
 // Usage is what was counted for a service in the last window.
 type Usage struct {
-	// Requests are new requests, Retries those that were charged to the budget.
-	Requests, Retries int
+	// Requests are new requests, Retries those that were charged to the budget. Unread are those of Retries that targets
+	// may still read.
+	Requests, Retries, Unread int
 }
 
 // Usage returns what this entry counted for a service in the last window.
--- a/internal/retries/usage_table.go
+++ b/internal/retries/usage_table.go
@@ -22,7 +22,7 @@
 }
 
 // sourceUsage is the last report of a source. It counts for a window after at, also if the source has
-// ended: the targets have received the retries.
+// ended: the targets have received the retries, or may still read them.
 type sourceUsage struct {
 	usage  map[string]Usage
 	at     time.Time
@@ -76,19 +76,14 @@
 	t.totals, t.counted, t.totalsAt = make(map[string]Usage), make(map[Source]map[string]Usage, len(t.reports)), now
 
 	for source, r := range t.reports {
-		left := r.remaining(now)
-		if left <= 0 {
+		counted := r.counted(now)
+		if len(counted) == 0 {
 			delete(t.reports, source)
 
 			continue
 		}
 
-		counted := make(map[string]Usage, len(r.usage))
-
-		for service, u := range r.usage {
-			u.Requests = int(left * float64(u.Requests))
-			counted[service] = u
-
+		for service, u := range counted {
 			total := t.totals[service]
 			t.totals[service] = Usage{Requests: total.Requests + u.Requests, Retries: total.Retries + u.Retries}
 		}
@@ -97,6 +92,24 @@
 	}
 }
 
+// counted returns what of a report counts now, by service. Retries that were unread at the report may be read for as
+// long as entries wait for that, and then count for a window.
+func (r *sourceUsage) counted(now time.Time) map[string]Usage {
+	out := make(map[string]Usage, len(r.usage))
+	left := r.remaining(now)
+
+	for service, u := range r.usage {
+		switch {
+		case left > 0:
+			out[service] = Usage{Requests: int(left * float64(u.Requests)), Retries: u.Retries}
+		case u.Unread > 0 && now.Sub(r.at) < maxUnanswered+r.window:
+			out[service] = Usage{Retries: min(u.Unread, u.Retries)}
+		}
+	}
+
+	return out
+}
+
 // remaining returns the fraction of the window of a report that is still within a window that ends now. The
 // requests outside it pay for no retries anymore, and those after it may be reported by the entries
 // to which they have moved.
--- a/internal/retries/wire.go
+++ b/internal/retries/wire.go
@@ -14,7 +14,7 @@
 
 	for _, service := range slices.Sorted(maps.Keys(usage)) {
 		u := usage[service]
-		out = append(out, &wire.RetryUsage{Service: service, Requests: toUint32(u.Requests), Retries: toUint32(u.Retries)})
+		out = append(out, &wire.RetryUsage{Service: service, Requests: toUint32(u.Requests), Retries: toUint32(u.Retries), UnreadRetries: toUint32(u.Unread)})
 	}
 
 	return out
@@ -24,7 +24,7 @@
 func UsageFromWire(usage []*wire.RetryUsage) map[string]Usage {
 	out := make(map[string]Usage, len(usage))
 	for _, u := range usage {
-		out[u.GetService()] = Usage{Requests: int(u.GetRequests()), Retries: int(u.GetRetries())}
+		out[u.GetService()] = Usage{Requests: int(u.GetRequests()), Retries: int(u.GetRetries()), Unread: int(u.GetUnreadRetries())}
 	}
 
 	return out
