--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -116,8 +116,8 @@
 // clockSetAfter is a time of day before which the clock of a VM has not been set.
 var clockSetAfter = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC) //nolint:gochecknoglobals // constant
 
-// checkTarget returns a *directory.InvalidTargetError if no target says that of itself at now. A start time in the future would
-// hold back the announcements of the ID's owner.
+// checkTarget returns a *directory.InvalidTargetError if an announcement that arrives at now is invalid. A start time in the
+// future would hold back the announcements of the ID's owner.
 func checkTarget(now time.Time, t *directory.Target) error {
 	if now.After(clockSetAfter) && time.UnixMilli(t.StartTime).Sub(now) > maxClockAhead {
 		return &directory.InvalidTargetError{ID: t.ID, Field: "StartTime", Value: t.StartTime}
