Bound heads of requests before they are parsed

Callers with heads of 16 KB and 3,000 lines, within the declared limit, made an entry take 350 KB for each; heads of 60 KB, over it, were read.

Cause: net/http parses a head before a handler sees it, and what it builds, some 20 times the bytes, was charged to nothing. The declared MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs were not in force.

The listener of callers now counts the bytes and lines of a head as they arrive. A head over the limit in force gets 431, one that takes too long 408. What a head takes beyond 8 KB, which each connection includes, is charged to a memory that the ports of a process share, until the request is answered; without room it gets 503 before it is parsed. The largest that have arrived for a second go first. When the connections run out, idle ones go, then requests that arrive slowly, then callers that do not read. The ready and the admin port of an entry have the same listener, with limits in [Clients].

A connection with an unread rest of a request is closed only after 500 ms, so that a refusal is not discarded by a reset.

The tests in internal/callers that need their own server now take that of the listener, as its connections must know when a handler begins.

--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/journal"
@@ -20,10 +19,6 @@
 	"github.com/parsleygate/parsleygate/platform"
 )
 
-// heldMemoryDivisor is the part of a process's memory that request bodies and answers may take:
-// the rest is for connections, the state, and garbage that is not collected yet.
-const heldMemoryDivisor = 4
-
 // runDirectEntry runs an entry that forwards requests to targets directly, without agents.
 func runDirectEntry(ctx context.Context, p *process) error {
 	s := p.settings
@@ -46,63 +41,13 @@
 		Budget:          &retries.SharedBudget{Ratio: s.Routing.RetryRatio, Slack: s.Routing.MinRetries, Window: s.Routing.RetryWindow},
 		PriorityControl: s.Routing.PriorityControl, MaxIdleConnections: idleConnections(s.Routing.IdleConnections),
 		MaxCallerConnections: callerConnections(s.Routing.CallerConnections, idleConnections(s.Routing.IdleConnections), s.Process.MemoryMB),
-		StopTimeout:          s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor, Logs: p.logs, Dump: p.dump,
+		StopTimeout:          s.Routing.StopTimeout, MaxHeldBytes: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor,
+		MaxHeaderBytes: s.Entry.MaxHeaderBytes, Bounds: p.bounds, Logs: p.logs, Dump: p.dump,
 	}
 
 	return e.Run(ctx)
 }
 
-// idleDescriptorDivisor is the part of a process's file descriptors that idle connections may take:
-// each request in flight needs two, one for its caller and one for its target.
-const idleDescriptorDivisor = 4
-
-// idleConnections returns the maximum number of idle connections: the setting, or fewer if the
-// process may open few files.
-func idleConnections(setting int) int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return setting
-	}
-
-	return int(min(uint64(setting), limit.Cur/idleDescriptorDivisor))
-}
-
-const (
-	// reservedDescriptors is the number of file descriptors for listeners, control VMs, agents, the
-	// balancer, operators and the log.
-	reservedDescriptors = 160
-	// connectionMemoryDivisor is the part of a process's memory that connections of callers may take,
-	// and connectionBytes what one takes: its buffers, its goroutine and a request in flight.
-	connectionMemoryDivisor = 4
-	connectionBytes         = 32 << 10
-	// minCallerConnections is used where so few descriptors or so little memory are left that the
-	// process can hardly work.
-	minCallerConnections = 16
-)
-
-// callerConnections returns the maximum number of connections of callers: the setting, or fewer if
-// the process may open few files or has little memory. Each connection of a caller may need another
-// one to a target, beside idle ones to targets.
-func callerConnections(setting, idle, memoryMB int) int {
-	limit := memoryMB << 20 / connectionMemoryDivisor / connectionBytes
-
-	var files unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err == nil {
-		limit = min(limit, callerDescriptors(files.Cur, idle))
-	}
-
-	if setting > 0 {
-		limit = min(limit, setting)
-	}
-
-	return max(limit, minCallerConnections)
-}
-
-// callerDescriptors returns the number of file descriptors for callers, of all that the process may open.
-func callerDescriptors(descriptors uint64, idle int) int {
-	return (int(min(descriptors, 1<<20)) - reservedDescriptors - idle) / 2
-}
-
 // runRankAgent runs the agent of a rank of a lock-step group.
 func runRankAgent(ctx context.Context, p *process) error {
 	s := p.settings
--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -17,6 +17,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/admission"
 	"github.com/parsleygate/parsleygate/internal/agent"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/entry"
 	"github.com/parsleygate/parsleygate/internal/identity"
@@ -38,6 +39,8 @@
 	// adminMux is served on the admin address: the dump, the metrics, and handlers that the
 	// role adds.
 	adminMux *http.ServeMux
+	// bounds are those of the clients of all ports that are not for callers.
+	bounds callers.Bounds
 }
 
 // processCommands returns the commands that run the roles, and the check command.
@@ -113,6 +116,7 @@
 		adminMux: http.NewServeMux(),
 	}
 	p.adminMux.Handle("/", p.dump.Handler())
+	p.bounds = clientBounds(p)
 
 	if err := p.dump.Metrics.Register(logs.DroppedMetric, metrics.NewFunctionalGauge(logQueue.Dropped)); err != nil {
 		return eris.Wrap(err, "register metric")
@@ -148,10 +152,14 @@
 		return nil, err
 	}
 
-	server := &http.Server{Handler: p.adminMux, ReadHeaderTimeout: time.Second}
+	bounds := p.bounds
+	bounds.MaxConnections = adminConnections
+
+	bounded := bounds.Listen("Admin", listener)
+	server := bounded.Server(p.adminMux)
 
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			p.logs.Logger("admin").Error("HTTP server failed.", "error", err)
 		}
 	}()
--- a/internal/callers/bench_test.go
+++ b/internal/callers/bench_test.go
@@ -34,7 +34,7 @@
 			}
 
 			l := &callers.Listener{Listener: inner, Decline: func() bool { return decline }}
-			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: l.TrackState}
+			server := l.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 
 			go func() { _ = server.Serve(l) }()
 
--- a/internal/callers/bound_test.go
+++ b/internal/callers/bound_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -29,7 +28,7 @@
 	require.NoError(t, err)
 
 	l := &callers.Listener{Listener: inner, Decline: func() bool { return false }, MaxConnections: maxConnections}
-	server := &http.Server{Handler: h, ConnState: l.TrackState, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
+	server := l.Server(h)
 
 	go func() { _ = server.Serve(l) }()
 
@@ -180,7 +179,7 @@
 	l := &callers.Listener{
 		Listener: &failingListener{Listener: inner, errs: []error{syscall.EMFILE, syscall.ENFILE, syscall.EMFILE}}, Decline: func() bool { return false },
 	}
-	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: l.TrackState, ErrorLog: log.New(io.Discard, "", 0)}
+	server := l.Server(http.NotFoundHandler())
 
 	go func() { _ = server.Serve(l) }()
 
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -17,39 +17,59 @@
 	// minIdleTime is how long a connection must have been idle before it is closed to make room. A
 	// caller sends the request of a new connection within that time.
 	minIdleTime = 500 * time.Millisecond
-	// spareDivisor is the part of MaxConnections from which on idle connections are closed.
+	// minBlockedTime is how long a write must have been blocked before its connection is closed to make room.
+	minBlockedTime = time.Second
+	// spareDivisor is the part of MaxConnections from which on connections are closed to make room.
 	spareDivisor = 16
 	// maxLinesPerSecond bounds the log lines about refused and closed connections.
 	maxLinesPerSecond = 1
+	// lingerTime is how long a connection stays open for reading after an answer to a request that was not
+	// read whole. A close would reset it, and could discard the answer on its way.
+	lingerTime = 500 * time.Millisecond
 )
 
-// Listener accepts the connections of callers. It closes those that are declined, and those beyond
-// MaxConnections, before anything is read from them. When it is nearly full, it closes the connection
-// that has been idle longest, unless a request arrives on it first. Its exported fields must be set before
-// the first call, and TrackState must be the ConnState hook of the server.
+// Listener accepts the connections of HTTP clients, and bounds what they make the process hold. It closes
+// those that are declined, and those beyond MaxConnections, before anything is read from them. When it is
+// nearly full, it makes room: it closes the connection that has been idle longest, unless a request arrives
+// on it first, or else refuses the request that has been arriving longest, or else closes the connection whose
+// client has not read for longest. Requests beyond Limits, or for whose head Memory has no room, are
+// refused before they are parsed. Its exported fields must be set before the first call, and its connections
+// must be served by Server.
 type Listener struct {
 	net.Listener
 
-	// Decline reports whether a new connection is declined.
+	// Decline reports whether a new connection is declined; none is if it is nil.
 	Decline func() bool
 	// MaxConnections bounds the open connections; zero means no limit.
 	MaxConnections int
-	Logger         *slog.Logger
-
-	mu   sync.Mutex
-	open int
-	// idle lists the connections on which no request is read or answered, longest idle first.
-	idle                list.List
-	refused, closedIdle int64
-	lines               logs.Sampler
+	// Limits returns the limits in force for the next request; none if it is nil.
+	Limits func() Limits
+	// Memory bounds the heads of all connections together, if it is set, and the bodies too if ChargeBodies is.
+	Memory       *Memory
+	ChargeBodies bool
+	// Encrypted is set if the server decrypts what the connections carry. Heads cannot be told from bodies then,
+	// and no refusal is written.
+	Encrypted bool
+	Logger    *slog.Logger
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// idle lists the connections on which no request is read or answered, longest idle first, and
+	// arriving those on which one is read, longest first.
+	idle, arriving list.List
+	stats          Stats
+	lines          logs.Sampler
 }
 
 // Stats are totals since the start, and the open connections now.
 type Stats struct {
 	Open int
 	// Refused counts connections that were closed unread because there were too many, ClosedIdle
-	// idle ones that were closed to make room.
-	Refused, ClosedIdle int64
+	// idle ones that were closed to make room, ClosedSlow others that were.
+	Refused, ClosedIdle, ClosedSlow int64
+	// TooLong counts heads that were refused as too long, TooSlow requests that took too long to arrive, and
+	// NoMemory requests that were refused as there was no memory for them.
+	TooLong, TooSlow, NoMemory int64
 }
 
 // Stats returns the current counts.
@@ -57,7 +77,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return Stats{Open: l.open, Refused: l.refused, ClosedIdle: l.closedIdle}
+	s := l.stats
+	s.Open = len(l.conns)
+
+	return s
 }
 
 // Accept waits for a connection that is not declined and for which there is room.
@@ -70,7 +93,7 @@
 			return nil, err //nolint:wrapcheck // http.Server checks its type, and accepts again later
 		}
 
-		if !l.Decline() {
+		if l.Decline == nil || !l.Decline() {
 			if c := l.add(time.Now(), inner); c != nil {
 				return c, nil
 			}
@@ -92,7 +115,7 @@
 	l.log(now, "Connections of callers cannot be accepted.", "error", err)
 
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		l.closeLongestIdle(now)
+		l.makeRoom(now)
 	}
 }
 
@@ -101,169 +124,114 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.MaxConnections > 0 && l.open >= l.MaxConnections-l.MaxConnections/spareDivisor {
-		l.closeLongestIdle(now)
+	if l.MaxConnections > 0 && len(l.conns) >= l.MaxConnections-l.MaxConnections/spareDivisor {
+		l.makeRoom(now)
 	}
 
-	if l.MaxConnections > 0 && l.open >= l.MaxConnections {
-		l.refused++
+	if l.MaxConnections > 0 && len(l.conns) >= l.MaxConnections {
+		l.stats.Refused++
 		l.log(now, "Connection of a caller refused: too many are open.")
 
 		return nil
 	}
 
-	l.open++
-	c := &conn{Conn: inner, listener: l}
+	c := newConn(l, inner)
+
+	if l.conns == nil {
+		l.conns = make(map[*conn]struct{})
+	}
+
+	l.conns[c] = struct{}{}
 	c.setIdle(now)
 
 	return c
 }
 
-// closeLongestIdle makes the server close a connection. The caller holds mu.
-func (l *Listener) closeLongestIdle(now time.Time) {
-	e := l.idle.Front()
-	if e == nil {
-		return
+// makeRoom makes the server close a connection. The caller holds mu.
+func (l *Listener) makeRoom(now time.Time) {
+	switch {
+	case l.closeLongestIdle(now):
+	case l.refuseLongestArriving(now):
+	default:
+		l.closeLongestBlocked(now)
 	}
+}
 
-	c, ok := e.Value.(*conn)
-	if !ok || now.Sub(c.idleSince) < minIdleTime {
-		return
+func (l *Listener) closeLongestIdle(now time.Time) bool {
+	c := first(&l.idle)
+	if c == nil || now.Sub(c.since) < minIdleTime {
+		return false
 	}
 
-	c.clearIdle()
+	c.leaveList()
 	c.closing = true
 	_ = c.Conn.SetReadDeadline(now)
-	l.closedIdle++
+	l.stats.ClosedIdle++
 	l.log(now, "Idle connection of a caller closed: too many are open.")
-}
-
-func (l *Listener) log(now time.Time, message string, args ...any) {
-	l.lines.PerSecond = maxLinesPerSecond
 
-	if l.Logger != nil && l.lines.Allow(now) {
-		l.Logger.Warn(message, append(args, "open", l.open, "limit", l.MaxConnections, "idle", l.idle.Len(), "refused", l.refused, "closedIdle", l.closedIdle)...)
-	}
+	return true
 }
 
-// TrackState is the ConnState hook of the server.
-func (l *Listener) TrackState(c net.Conn, state http.ConnState) {
-	if c, ok := c.(*conn); ok && state == http.StateIdle {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-
-		c.answered = true
+func (l *Listener) refuseLongestArriving(now time.Time) bool {
+	c := first(&l.arriving)
+	if c == nil || now.Sub(c.since) < minArrivalTime {
+		return false
 	}
-}
-
-// conn is a connection of a caller. The mutex of its listener guards its fields.
-type conn struct {
-	net.Conn
-
-	listener *Listener
-	// element is the place in the list of idle connections, since idleSince; nil while a request is read
-	// or answered.
-	element   *list.Element
-	idleSince time.Time
-	// answered is set from the end of an answer until the server reads the next request or finds it
-	// already read. deadlines counts the read deadlines set meanwhile.
-	answered  bool
-	deadlines int
-	// closing is set once the next read must fail unless a request has arrived. readDeadline is the
-	// deadline that the server has set.
-	closing      bool
-	readDeadline time.Time
-	closed       bool
-}
 
-// setIdle adds the connection to the idle ones.
-func (c *conn) setIdle(now time.Time) {
-	c.idleSince = now
-	c.element = c.listener.idle.PushBack(c)
-}
+	c.leaveList()
+	c.failReads(now)
+	l.stats.ClosedSlow++
+	l.log(now, "Request that arrives slowly refused: too many connections are open.")
 
-// clearIdle removes the connection from the idle ones.
-func (c *conn) clearIdle() {
-	if c.element != nil {
-		c.listener.idle.Remove(c.element)
-		c.element = nil
-	}
+	return true
 }
 
-// NetConn returns the connection that c wraps.
-func (c *conn) NetConn() net.Conn { return c.Conn }
+func (l *Listener) closeLongestBlocked(now time.Time) {
+	var (
+		longest *conn
+		since   = now.Add(-minBlockedTime)
+	)
 
-// Read reads from the connection. A connection counts as idle while its server waits here for the
-// first byte of a request.
-func (c *conn) Read(b []byte) (int, error) {
-	l := c.listener
-
-	l.mu.Lock()
-	if c.answered {
-		c.answered, c.deadlines = false, 0
-		c.setIdle(time.Now())
+	for c := range l.conns {
+		if at := c.writes.blockedSince(); !at.IsZero() && at.Before(since) {
+			longest, since = c, at
+		}
 	}
-	l.mu.Unlock()
 
-	n, err := c.Conn.Read(b)
-
-	if n > 0 {
-		l.mu.Lock()
-		c.use()
-		l.mu.Unlock()
+	if longest == nil {
+		return
 	}
 
-	return n, err //nolint:wrapcheck // http.Server checks its type
+	_ = longest.Conn.SetWriteDeadline(now)
+	l.stats.ClosedSlow++
+	l.log(now, "Connection of a caller that does not read closed: too many are open.")
 }
 
-// use marks the connection as one with a request, which is served even if the connection was to be closed.
-func (c *conn) use() {
-	c.clearIdle()
+// first returns the first connection of a list, or nil if it is empty.
+func first(of *list.List) *conn {
+	if e := of.Front(); e != nil {
+		c, _ := e.Value.(*conn)
 
-	if c.closing {
-		c.closing = false
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		return c
 	}
-}
-
-// SetReadDeadline sets the deadline of reads, unless the connection is being closed.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	l := c.listener
-
-	l.mu.Lock()
-	defer l.mu.Unlock()
 
-	c.readDeadline = t
+	return nil
+}
 
-	// The server sets one deadline before it waits for a request, and the next one after that. If it
-	// has not read in between, it had read the request before.
-	if c.answered {
-		if c.deadlines++; c.deadlines > 1 {
-			c.answered, c.deadlines = false, 0
-		}
-	}
+func (l *Listener) log(now time.Time, message string, args ...any) {
+	l.lines.PerSecond = maxLinesPerSecond
 
-	if c.closing {
-		return nil
+	if l.Logger != nil && l.lines.Allow(now) {
+		s := l.stats
+		l.Logger.Warn(message, append(args, "open", len(l.conns), "limit", l.MaxConnections, "idle", l.idle.Len(), "arriving", l.arriving.Len(),
+			"refused", s.Refused, "closedIdle", s.ClosedIdle, "closedSlow", s.ClosedSlow, "tooLong", s.TooLong, "tooSlow", s.TooSlow, "noMemory", s.NoMemory,
+			"held", l.Memory.Used())...)
 	}
-
-	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // http.Server ignores it
 }
 
-// Close closes the connection.
-func (c *conn) Close() error {
-	l := c.listener
-
-	l.mu.Lock()
-
-	if !c.closed {
-		c.closed = true
-		l.open--
-
-		c.clearIdle()
+// TrackState is the ConnState hook of the server.
+func (l *Listener) TrackState(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*conn); ok && state == http.StateIdle {
+		c.endRequest()
 	}
-
-	l.mu.Unlock()
-
-	return c.Conn.Close() //nolint:wrapcheck // a net.Conn returns errors of net
 }
--- a/internal/callers/listener_test.go
+++ b/internal/callers/listener_test.go
@@ -24,7 +24,7 @@
 	var requests, connections atomic.Int64
 
 	l := &callers.Listener{Listener: inner, Decline: func() bool { return connections.Add(1) == 1 }}
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })}
+	server := l.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) }))
 
 	go func() { _ = server.Serve(l) }()
 
@@ -55,14 +55,14 @@
 	require.NoError(t, err)
 
 	l := &callers.Listener{Listener: inner, Decline: func() bool { return false }, MaxConnections: 10}
-	server := &http.Server{ConnContext: callerconn.ConnContext, ConnState: l.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := l.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		callerconn.ResetUnlessComplete(r)
 
 		_, _ = io.WriteString(w, "half")
 		_ = http.NewResponseController(w).Flush()
 
 		panic(http.ErrAbortHandler)
-	})}
+	}))
 
 	go func() { _ = server.Serve(l) }()
 
--- /dev/null
+++ b/internal/callers/server.go
@@ -0,0 +1,145 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/parsleygate/parsleygate/internal/callerconn"
+)
+
+type connKey struct{}
+
+// Server returns a server of the listener's connections. Its fields may be changed before it serves, but for
+// its hooks and its timeouts.
+func (l *Listener) Server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: &handler{listener: l, next: h}, ConnState: l.TrackState, ConnContext: withConn,
+		// The listener refuses heads that are too long by the limits in force. They may exceed the default of
+		// the server, which cannot be changed while it runs.
+		MaxHeaderBytes: maxServerHeaderBytes,
+		ErrorLog:       log.New(io.Discard, "", 0),
+	}
+}
+
+// maxServerHeaderBytes exceeds all limits of heads.
+const maxServerHeaderBytes = 1 << 30
+
+// withConn stores a connection in the context of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	for inner := c; inner != nil; {
+		if found, ok := inner.(*conn); ok {
+			ctx = context.WithValue(ctx, connKey{}, found)
+
+			break
+		}
+
+		wrapper, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+
+		inner = wrapper.NetConn()
+	}
+
+	return callerconn.ConnContext(ctx, c)
+}
+
+// handler tells the connection of a request how far it has arrived.
+type handler struct {
+	listener *Listener
+	next     http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+
+	switch {
+	case !ok: // A server in a test, without a Listener.
+	case r.ProtoMajor >= 2:
+		c.noteHTTP2()
+
+		s := &hold{memory: h.listener.Memory, end: func() {}}
+		defer s.release()
+
+		if !s.grow(time.Now(), HeadMemory(headSize(r.Header))) {
+			h.listener.countNoMemory()
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, refusalNoMemory.problem, refusalNoMemory.status)
+
+			return
+		}
+
+		if h.listener.ChargeBodies {
+			r.Body = &body{ReadCloser: r.Body, hold: s, listener: h.listener}
+		}
+	default:
+		hasBody := r.ContentLength != 0
+		c.endHead(hasBody, !r.ProtoAtLeast(1, 1))
+
+		if hasBody {
+			b := &body{ReadCloser: r.Body, conn: c, listener: h.listener}
+			if h.listener.ChargeBodies {
+				b.hold = &c.hold
+			}
+
+			r.Body = b
+		}
+	}
+
+	h.next.ServeHTTP(w, r)
+}
+
+// headSize returns the bytes and the lines of a head.
+func headSize(h http.Header) (size, lines int) {
+	for name, values := range h {
+		for _, v := range values {
+			size += len(name) + len(v)
+			lines++
+		}
+	}
+
+	return size, lines
+}
+
+// errNoMemory means that there is no memory for a body.
+var errNoMemory = errors.New("callers: the memory for requests is full")
+
+// body is the body of a request. It notices its end, and is charged if hold is set.
+type body struct {
+	io.ReadCloser
+
+	conn     *conn // nil for HTTP/2
+	listener *Listener
+	hold     *hold
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && b.conn != nil {
+		b.conn.endBody()
+	}
+
+	if b.hold != nil && !b.hold.grow(time.Now(), bodyCopies*int64(n)) {
+		b.listener.countNoMemory()
+
+		return 0, errNoMemory
+	}
+
+	return n, err //nolint:wrapcheck // handlers compare it
+}
+
+// countNoMemory counts a request whose body was refused.
+func (l *Listener) countNoMemory() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.stats.NoMemory++
+	l.log(time.Now(), "Body of a request refused: the memory for requests is full.")
+}
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -15,7 +15,6 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/parsleygate/parsleygate/internal/callerconn"
 	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/directory"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
@@ -38,14 +37,16 @@
 	targetDialTimeout = 300 * time.Millisecond
 	// maxTargetHeaderBytes bounds the response headers of a target.
 	maxTargetHeaderBytes = 64 << 10
-	// callerHeaderTimeout bounds how long a caller may take to send the request
-	// headers, and callerIdleTimeout how long its connection may be idle. Both exceed
-	// the limits that operators declare for callers, so that the caller closes the
-	// connection first and no request arrives on a connection that is being closed.
+	// callerHeaderTimeout bounds how long a caller may take to send the request headers, and
+	// callerIdleTimeout how long its connection may be idle, while no configuration declares
+	// other limits.
 	callerHeaderTimeout = 10 * time.Second
 	callerIdleTimeout   = 90 * time.Second
-	// maxCallerHeaderBytes bounds the headers of a request.
-	maxCallerHeaderBytes = 64 << 10
+	// callerDelay is added to the times that operators declare: the network and a busy VM may delay
+	// what a caller has sent in time.
+	callerDelay = time.Second
+	// callerWriteTimeout bounds one write to a caller that reads nothing.
+	callerWriteTimeout = 10 * time.Second
 	// secondControlWait is how long a started entry waits for an answer of a second
 	// control VM. The first one may be partitioned and return an old configuration.
 	secondControlWait = 1500 * time.Millisecond
@@ -89,6 +90,10 @@
 	MaxIdleConnections int
 	// MaxCallerConnections bounds the connections of callers; zero means no limit.
 	MaxCallerConnections int
+	// MaxHeaderBytes bounds the header of a request while no configuration declares another limit.
+	MaxHeaderBytes int
+	// Bounds are those of the other ports. Its memory is also for the headers of callers' requests.
+	Bounds callers.Bounds
 	// MaxHeldBytes bounds the request bodies and buffered answers that this entry holds; zero
 	// means no limit.
 	MaxHeldBytes int64
@@ -113,12 +118,9 @@
 	defer stop()
 
 	listener := r.callerListener()
-	server := &http.Server{
-		Handler: r.relay, ConnState: listener.TrackState, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnContext: callerconn.ConnContext,
-		ErrorLog:    slog.NewLogLogger(logs.Discard().Handler(), slog.LevelDebug),
-	}
-	balancer := &http.Server{Handler: r.ReadinessHandler(r.isReady), ReadHeaderTimeout: callerHeaderTimeout}
+	server := listener.Server(r.relay)
+	ready := r.Bounds.Listen("Ready", r.ReadyListener)
+	balancer := ready.Server(r.ReadinessHandler(r.isReady))
 
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.follower.Run(work) })
@@ -126,7 +128,7 @@
 	g.Go(func() error {
 		return serve(server, listener, "callers")
 	})
-	g.Go(func() error { return serve(balancer, r.ReadyListener, "balancer") })
+	g.Go(func() error { return serve(balancer, ready, "balancer") })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -150,12 +152,39 @@
 
 // callerListener returns the listener for callers.
 func (r *DirectEntry) callerListener() *callers.Listener {
-	l := &callers.Listener{Listener: r.Listener, Decline: r.relay.Decline, MaxConnections: r.MaxCallerConnections, Logger: r.Logs.Logger("callers")}
+	l := &callers.Listener{
+		Listener: r.Listener, Decline: r.relay.Decline, MaxConnections: r.MaxCallerConnections, Limits: r.callerLimits, Memory: r.Bounds.Memory, Logger: r.Logs.Logger("callers"),
+	}
 	r.relay.CallerConnections.Store(l)
 
 	return l
 }
 
+// callerLimits returns the limits that the configuration in force declares for callers. Bodies have the
+// deadline of their request.
+func (r *DirectEntry) callerLimits() callers.Limits {
+	out := callers.Limits{MaxHeaderBytes: r.MaxHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, WriteTimeout: callerWriteTimeout}
+
+	table := r.follower.State().Table
+	if table == nil {
+		return out
+	}
+
+	if n := table.Limits.MaxHeaderBytes; n > 0 {
+		out.MaxHeaderBytes = n
+	}
+
+	if d := table.Limits.HeaderTimeout; d > 0 {
+		out.HeaderTimeout = d + callerDelay
+	}
+
+	if d := table.Limits.IdleTimeout; d > 0 {
+		out.IdleTimeout = d + callerDelay
+	}
+
+	return out
+}
+
 // loadSubscriber returns the subscriber to the loads of engines that have an agent.
 func (r *DirectEntry) loadSubscriber() *loadreport.Subscriber {
 	return &loadreport.Subscriber{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -27,7 +27,7 @@
 	if len(fields) == 0 {
 		return &inifile.Error{
 			Line: section.Line, Section: section.Name, Problem: "unknown section",
-			Allowed: strings.Join([]string{sectionProcess, sectionControls, sectionEntry, sectionAgent, sectionControl, sectionTLS, sectionSeeds, sectionRouting, sectionOperating, sectionRank, sectionZones}, ", "),
+			Allowed: strings.Join([]string{sectionProcess, sectionClients, sectionControls, sectionEntry, sectionAgent, sectionControl, sectionTLS, sectionSeeds, sectionRouting, sectionOperating, sectionRank, sectionZones}, ", "),
 		}
 	}
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -27,6 +27,7 @@
 // Names of the sections.
 const (
 	sectionProcess  = "Process"
+	sectionClients  = "Clients"
 	sectionControls = "Controls"
 	sectionEntry    = "Entry"
 	sectionAgent    = "Agent"
@@ -77,7 +78,7 @@
 		},
 		{
 			Section: sectionProcess, Key: "MemoryMB", Allowed: "megabytes, from 16 to 1048576", Default: "256",
-			Help: "The memory that the process may use. An entry that proxies directly holds at most a quarter of it for request bodies and answers; beyond that it ends requests whose caller or target reads slowly, and refuses new ones.",
+			Help: "The memory that the process may use. An entry that proxies directly holds at most a quarter of it for request bodies and answers, and an eighth for large headers of requests; beyond that it ends requests whose caller or target reads or sends slowly, and refuses new ones. Other processes hold at most a quarter of it for the requests of their clients. Connections of clients take at most a quarter. From three quarters on the runtime collects garbage more often, unless GOMEMLIMIT is set. [How a process's memory is divided](design/memory.md).",
 			parse: func(s *Settings, v string) bool {
 				n, err := strconv.Atoi(v)
 				s.Process.MemoryMB = n
@@ -86,7 +87,11 @@
 			},
 		},
 		networkField(),
-		sizeField(sectionEntry, "MaxHeaderBytes", "65536", "The maximum size of a request's header. Larger ones get status 431.", func(s *Settings) *int { return &s.Entry.MaxHeaderBytes }),
+		sizeField(sectionClients, "MaxHeaderBytes", "16384", "The maximum size of a request's header at ports that are not for callers: those for other processes, operators, targets, load balancers, dumps and metrics. Larger ones get status 431.", func(s *Settings) *int { return &s.Clients.MaxHeaderBytes }),
+		durationField(sectionClients, "HeaderTimeout", "10s", "How long a client of such a port may take to send the header of a request. After it the request gets status 408.", func(s *Settings) *time.Duration { return &s.Clients.HeaderTimeout }),
+		durationField(sectionClients, "BodyTimeout", "30s", "How long a client of such a port may take to send the body of a request. After it the body ends with an error.", func(s *Settings) *time.Duration { return &s.Clients.BodyTimeout }),
+		durationField(sectionClients, "IdleTimeout", "90s", "How long a connection to such a port may have no request. After it the connection is closed.", func(s *Settings) *time.Duration { return &s.Clients.IdleTimeout }),
+		sizeField(sectionEntry, "MaxHeaderBytes", "65536", "The maximum size of a request's header. Larger ones get status 431. At an entry that proxies directly it holds until a configuration declares another limit.", func(s *Settings) *int { return &s.Entry.MaxHeaderBytes }),
 		sizeField(sectionEntry, "MaxBodyBytes", "4194304", "The maximum size of a request's body. Larger ones get status 413 with the verdict NotRun.", func(s *Settings) *int { return &s.Entry.MaxBodyBytes }),
 		sizeField(sectionEntry, "MaxRecordedBytes", "65536", "The maximum size of a response that is stored for retries with the same idempotency key.", func(s *Settings) *int { return &s.Entry.MaxRecordedBytes }),
 		durationField(sectionEntry, "DefaultTimeout", "1m", "The timeout of requests without a deadline.", func(s *Settings) *time.Duration { return &s.Entry.DefaultTimeout }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,12 @@
 	TrustedNetwork bool
 }
 
+// Clients are the limits of the clients of all ports that are not for callers.
+type Clients struct {
+	MaxHeaderBytes                          int
+	HeaderTimeout, BodyTimeout, IdleTimeout time.Duration
+}
+
 // Entry are the settings of an entry.
 type Entry struct {
 	MaxHeaderBytes   int
@@ -96,6 +102,7 @@
 // Settings are the settings of one process.
 type Settings struct {
 	Process  Process
+	Clients  Clients
 	Controls []ControlVM
 	Entry    Entry
 	Agent    Agent
@@ -154,6 +161,7 @@
 func defaults() *Settings {
 	return &Settings{
 		Process: Process{MemoryMB: 256},
+		Clients: Clients{MaxHeaderBytes: 16 << 10, HeaderTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: 90 * time.Second},
 		Entry: Entry{
 			MaxHeaderBytes: 64 << 10, MaxBodyBytes: 4 << 20, MaxRecordedBytes: 64 << 10,
 			DefaultTimeout: time.Minute, MaxTimeout: 10 * time.Minute,
