Bound the clients of all ports, not only those of callers

Heads of 60 KB took the process past its memory at the ports of control VMs for operators and for processes, of agents, of agents of ranks, and of entries before agents; idle connections took all its descriptors; a body that does not end was waited for without end.

Cause: each of these ports had its own http.Server with the defaults of the library: 1 MB for a head, no bound of connections, no time for a body. HTTP/2 of entries before agents is bounded to 100 requests and 128 KB of unread bodies a connection, and to frames of 16 KB, for which the library takes the memory before they arrive. The time of a connection to an agent without acknowledgements was not set behind TLS; it is now.

--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -61,7 +61,7 @@
 		LoadConn: datagrams,
 		ID:       s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Listener: p.listener, Seeds: p.seedSource(),
 		Engine: platform.Engine(s.Rank.EngineAddress), EngineAt: platform.Engine,
-		Logs: p.logs, Dump: p.dump,
+		Bounds: p.bounds, Logs: p.logs, Dump: p.dump,
 	}
 
 	return a.Run(ctx)
@@ -111,7 +111,7 @@
 	c := &role.Control{
 		VM: self.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Incarnation: role.IncarnationAt(time.Now()),
 		Listener: listener, Identity: p.identity, Dir: filepath.Join(filepath.Clean(s.Control.DataFolder), "log"),
-		Logs: p.logs, Dump: p.dump, Founders: self.Founders(),
+		Bounds: p.bounds, Logs: p.logs, Dump: p.dump, Founders: self.Founders(),
 		AutoMembership: &role.AutoMembership{Settings: membership.DefaultSettings(s.Operating.ToleratedFailures), Seeds: folder.Seeds},
 		TrustedNetwork: s.Process.TrustedNetwork, OperatorListener: operators, Zones: s.Zones, AnnounceInterval: s.Operating.AnnounceInterval,
 		ReadDocument: func(sent []byte) (*wire.RouteTable, error) {
--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -13,10 +13,14 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/local"
 	"github.com/parsleygate/parsleygate/internal/logs"
 )
 
+// localMemoryMB is the memory of the local deployment.
+const localMemoryMB = 256
+
 // localPort is the default port of the first control VM of the local deployment. The
 // entries use the ports after it.
 const localPort = 8600
@@ -82,6 +86,9 @@
 	l := &local.Instance{
 		Deployment: deployment, Logs: logs.Output{Writer: c.ErrOrStderr(), Debug: logs.ParseDebug(f.logOutput)},
 		Dir: dir, EntryPort: f.port + 1, OperatorPort: f.port,
+		Bounds: callers.Bounds{
+			MaxConnections: callerConnections(0, 0, localMemoryMB) / 2, Memory: &callers.Memory{Limit: localMemoryMB << 20 / heldMemoryDivisor},
+		},
 	}
 
 	stopDumps := dumpOnSignal(l.WriteDumps, c.ErrOrStderr())
--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -193,7 +193,7 @@
 		ID: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone, Region: s.Process.Region,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
 		Controls: role.NewControlClient(s.ControlAddresses(), p.identity), Limits: limits, ShutdownDelay: s.Entry.ShutdownDelay,
-		Logs: p.logs, Dump: p.dump,
+		MaxCallerConnections: callerConnections(0, 0, s.Process.MemoryMB), Bounds: p.bounds, Logs: p.logs, Dump: p.dump,
 	}
 
 	return e.Run(ctx)
@@ -213,7 +213,7 @@
 			Admission:      admission.Settings{CreditLifetime: s.Agent.CreditLifetime, AnnounceTimeout: s.Agent.AnnounceTimeout},
 			MaxAnswerBytes: s.Agent.MaxAnswerBytes, TargetIdleTimeout: s.Agent.TargetIdleTimeout,
 		},
-		Logs: p.logs, Dump: p.dump,
+		Bounds: p.bounds, Logs: p.logs, Dump: p.dump,
 	}
 
 	if s.Agent.AnnounceAddress.IsValid() {
@@ -237,7 +237,7 @@
 	c := &role.Control{
 		VM: s.Process.ID, Cluster: s.Process.Cluster, Zone: s.Process.Zone,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: p.listener, Identity: p.identity,
-		Dir: filepath.Clean(s.Control.DataFolder), Logs: p.logs, Dump: p.dump,
+		Dir: filepath.Clean(s.Control.DataFolder), Bounds: p.bounds, Logs: p.logs, Dump: p.dump,
 	}
 
 	for _, vm := range s.Controls {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,8 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/callers"
+	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/orders"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -34,6 +36,10 @@
 	// Address is the listen address if Listener is nil.
 	Address  netip.AddrPort
 	Listener net.Listener
+	// Identity is that of this process, nil for plaintext.
+	Identity *identity.Identity
+	// Bounds are those of the clients of both listeners.
+	Bounds callers.Bounds
 	// AnnounceListener accepts announcements only, in addition to Listener. It may be nil.
 	AnnounceListener net.Listener
 	// Mount adds further services to the routes of Listener. It may be nil.
@@ -123,14 +129,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	a.server = &http.Server{
-		Handler:           a.handler(),
-		ReadHeaderTimeout: a.Settings.ReadTimeout,
-		IdleTimeout:       a.Settings.IdleTimeout,
-		MaxHeaderBytes:    a.Settings.MaxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(a.Logger.Handler(), slog.LevelDebug),
-		ConnContext:       setUserTimeout(a.Settings.AckTimeout),
-		BaseContext:       func(net.Listener) context.Context { return ctx },
+	bounded := a.Bounds.Listen("Entries", ln)
+	bounded.Encrypted = a.Identity != nil
+	a.server = bounded.Server(a.handler())
+	a.server.BaseContext = func(net.Listener) context.Context { return ctx }
+	withConn := a.server.ConnContext
+	a.server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return setUserTimeout(a.Settings.AckTimeout)(withConn(ctx, c), c)
 	}
 	close(a.listening)
 	a.Logger.Info("Listening for connections.", "address", a.listenAddress, "incarnation", a.Incarnation)
@@ -139,7 +144,7 @@
 	defer stopAnnounce()
 
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- a.server.Serve(ln) }()
+	go func() { serveErr <- a.server.Serve(identity.MaybePeerListener(a.Identity, bounded)) }()
 
 	tickerDone := make(chan struct{})
 
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -32,9 +32,10 @@
 	r := chi.NewRouter()
 	r.Post(AnnouncePath, a.serveAnnounce)
 
-	server := &http.Server{Handler: r, ReadHeaderTimeout: a.Settings.ReadTimeout}
+	listener := a.Bounds.Listen("Announcements", a.AnnounceListener)
+	server := listener.Server(r)
 
-	go func() { _ = server.Serve(a.AnnounceListener) }()
+	go func() { _ = server.Serve(listener) }()
 
 	return func() { _ = server.Close() }
 }
--- a/internal/agent/conn_linux.go
+++ b/internal/agent/conn_linux.go
@@ -19,8 +19,8 @@
 // that there is data to acknowledge each second.
 func setUserTimeout(timeout time.Duration) func(context.Context, net.Conn) context.Context {
 	return func(ctx context.Context, c net.Conn) context.Context {
-		tc, ok := c.(*net.TCPConn)
-		if !ok {
+		tc := tcpConn(c)
+		if tc == nil {
 			return ctx
 		}
 
@@ -37,3 +37,21 @@
 		return ctx
 	}
 }
+
+// tcpConn returns the TCP connection under c, or nil if there is none.
+func tcpConn(c net.Conn) *net.TCPConn {
+	for c != nil {
+		if tc, ok := c.(*net.TCPConn); ok {
+			return tc
+		}
+
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+
+		c = wrapper.NetConn()
+	}
+
+	return nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
-	"github.com/parsleygate/parsleygate/internal/callerconn"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/quarantine"
 	"github.com/parsleygate/parsleygate/internal/retries"
 	"github.com/parsleygate/parsleygate/internal/routing"
@@ -70,10 +70,13 @@
 	Region string
 	// Listener accepts the connections of callers.
 	Listener net.Listener
-	Agents   *agentclient.Client
-	Chooser  *routing.Chooser
-	Budget   *retries.Budget
-	View     func() View
+	// MaxConnections bounds these connections; zero means no limit. Bounds has the memory for their requests.
+	MaxConnections int
+	Bounds         callers.Bounds
+	Agents         *agentclient.Client
+	Chooser        *routing.Chooser
+	Budget         *retries.Budget
+	View           func() View
 	// TrialShare returns this entry's share in the trials of requests that are held back; all of them if
 	// nil. OnTargetEnd, if set, is called when other entries need what EndsSince returns at once.
 	TrialShare  func(quarantine.Part) shares.Share
@@ -97,27 +100,39 @@
 	guard         requestGuard
 }
 
+const (
+	// headerTimeout bounds how long a caller may take to send the header of a request, and idleTimeout
+	// how long its connection may have none.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxStreams bounds the requests at once on a connection of HTTP/2, maxFrameBytes its frames, and
+	// maxUnreadBytes the bodies that have arrived and are not read.
+	maxStreams     = 100
+	maxFrameBytes  = 16 << 10
+	maxUnreadBytes = 128 << 10
+)
+
 // tickInterval is the interval at which queues are updated and credits renewed.
 const tickInterval = 50 * time.Millisecond
 
 // Run serves callers until ctx ends. Then it reports not ready, refuses new requests as
 // NotRun and returns when the last request in flight has ended.
 func (e *Entry) Run(ctx context.Context) error {
-	server := &http.Server{
-		Handler:           e.handler(),
-		ReadHeaderTimeout: 10 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    e.Limits.MaxHeaderBytes,
-		Protocols:         new(http.Protocols),
-		ErrorLog:          slog.NewLogLogger(e.Logger.Handler(), slog.LevelDebug),
-		ConnContext:       callerconn.ConnContext,
+	listener := e.listen()
+	server := listener.Server(e.handler())
+	server.IdleTimeout = idleTimeout // for HTTP/2
+	server.MaxHeaderBytes = e.Limits.MaxHeaderBytes
+	server.Protocols = new(http.Protocols)
+	server.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrameBytes,
+		MaxReceiveBufferPerConnection: maxUnreadBytes, MaxReceiveBufferPerStream: maxUnreadBytes,
 	}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
 
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(e.Listener) }()
+	go func() { serveErr <- server.Serve(listener) }()
 
 	tickCtx, stopTicker := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTicker()
@@ -135,6 +150,20 @@
 	return e.drain(server)
 }
 
+// listen bounds the connections of callers.
+func (e *Entry) listen() *callers.Listener {
+	l := e.Bounds.Listen("Callers", e.Listener)
+	l.MaxConnections = e.MaxConnections
+	l.Limits = func() callers.Limits {
+		return callers.Limits{
+			MaxHeaderBytes: e.Limits.MaxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: e.Limits.MaxTimeout,
+			IdleTimeout: idleTimeout, WriteTimeout: e.Limits.WriteTimeout,
+		}
+	}
+
+	return l
+}
+
 // Stopping reports whether the entry is stopping and refuses new requests.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
--- a/internal/local/control.go
+++ b/internal/local/control.go
@@ -51,7 +51,7 @@
 			VM: m.ID, Cluster: inst.Deployment.Cluster, Zone: inst.Deployment.Zones[i],
 			Incarnation: role.IncarnationAt(time.Now()), Listener: listeners[i],
 			Dir: filepath.Join(inst.Dir, m.ID), Founders: members,
-			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: inst.Logs, ExpertSettings: expertSettings(),
+			Peers: slices.Delete(slices.Clone(members), i, i+1), Logs: inst.Logs, Bounds: inst.Bounds, ExpertSettings: expertSettings(),
 			Dump: inst.newDump("control", m.ID),
 		}
 		c.Build()
--- a/internal/local/entries.go
+++ b/internal/local/entries.go
@@ -30,7 +30,7 @@
 		ID: id, Cluster: inst.Deployment.Cluster, Zone: zone, Region: inst.Deployment.Region,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: listener,
 		Controls: role.NewControlClient(inst.controlAddresses, nil), Limits: entry.DefaultLimits(),
-		Logs: inst.Logs, Dump: inst.newDump("entry", id),
+		MaxCallerConnections: inst.Bounds.MaxConnections, Bounds: inst.Bounds, Logs: inst.Logs, Dump: inst.newDump("entry", id),
 	}
 	g.Go(func() error { return e.Run(ctx) })
 
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/role"
@@ -34,6 +35,8 @@
 	// OperatorPort is the port of the first control VM; those of the others follow
 	// controlPortStep apart. 0 means free ports.
 	OperatorPort uint16
+	// Bounds are those of the clients of all processes together.
+	Bounds callers.Bounds
 
 	controls         []*role.Control
 	controlAddresses []netip.AddrPort
--- a/internal/local/targets.go
+++ b/internal/local/targets.go
@@ -61,7 +61,7 @@
 		ID: t.AgentID, Cluster: inst.Deployment.Cluster, Zone: zone,
 		Incarnation: role.IncarnationAt(time.Now()), Listener: agentListener,
 		Controls: role.NewControlClient(inst.controlAddresses, nil),
-		Logs:     inst.Logs, Dump: inst.newDump("agent", t.AgentID),
+		Bounds:   inst.Bounds, Logs: inst.Logs, Dump: inst.newDump("agent", t.AgentID),
 	}
 	agents.Go(func() error { return a.Run(ctx) })
 
--- a/internal/role/agent.go
+++ b/internal/role/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/parsleygate/parsleygate/internal/admission"
 	"github.com/parsleygate/parsleygate/internal/agent"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/logs"
@@ -39,6 +40,8 @@
 	Settings agent.Settings
 	Logs     logs.Output
 	Dump     *dump.Dump
+	// Bounds are those of the clients of both ports.
+	Bounds callers.Bounds
 
 	reader *view.Reader
 	agent  *agent.Agent
@@ -89,7 +92,7 @@
 
 	r.agent = &agent.Agent{
 		ID: r.ID, Zone: r.Zone, Incarnation: r.Incarnation,
-		Listener: identity.MaybePeerListener(r.Identity, r.Listener), AnnounceListener: r.AnnounceListener, Authorize: authorizeAgent,
+		Listener: r.Listener, Identity: r.Identity, Bounds: r.Bounds, AnnounceListener: r.AnnounceListener, Authorize: authorizeAgent,
 		Mount: func(routes chi.Router) { routes.Mount(wire.RankPathPrefix, wire.NewRankServer(&rankService{role: r})) },
 		View:  r.view, Logger: r.Logs.Logger("agent"), Metrics: r.Dump.Metrics, Settings: r.Settings,
 	}
--- a/internal/role/automembership.go
+++ b/internal/role/automembership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"slices"
 	"time"
@@ -163,7 +162,8 @@
 		return nil
 	}
 
-	server := &http.Server{Handler: r.OperatorHandler(r.server), ReadHeaderTimeout: controlRequestTimeout}
+	listener := r.Bounds.Listen("Operators", r.OperatorListener)
+	server := listener.Server(r.OperatorHandler(r.server))
 
 	go func() {
 		<-ctx.Done()
@@ -171,5 +171,5 @@
 		_ = shutdownServer(server)
 	}()
 
-	return serve(server, r.OperatorListener, "operators")
+	return serve(server, listener, "operators")
 }
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/control"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/expertgroup"
@@ -58,6 +59,8 @@
 	Peers []quorum.Member
 	Logs  logs.Output
 	Dump  *dump.Dump
+	// Bounds are those of the clients of both ports.
+	Bounds callers.Bounds
 
 	// TrustedNetwork accepts plaintext from beyond loopback too, without authorization.
 	TrustedNetwork bool
@@ -175,7 +178,9 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: controlRequestTimeout}
+	listener := r.Bounds.Listen("Peers", r.Listener)
+	listener.Encrypted = r.Identity != nil
+	server := listener.Server(r.handler())
 
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return r.replica.Run(work) })
@@ -184,7 +189,7 @@
 	g.Go(func() error { return r.serveOperators(work) })
 	g.Go(func() error { return r.manageMembership(work) })
 	g.Go(func() error {
-		if err := server.Serve(identity.MaybePeerListener(r.Identity, r.Listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(identity.MaybePeerListener(r.Identity, listener)); !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve control")
 		}
 
--- a/internal/role/entry.go
+++ b/internal/role/entry.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleygate/parsleygate/internal/agentclient"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/entry"
 	"github.com/parsleygate/parsleygate/internal/events"
@@ -61,6 +62,10 @@
 	ShutdownDelay time.Duration
 	Logs          logs.Output
 	Dump          *dump.Dump
+	// MaxCallerConnections bounds the connections of callers; zero means no limit. Bounds has the memory for
+	// their requests.
+	MaxCallerConnections int
+	Bounds               callers.Bounds
 
 	reader *view.Reader
 	entry  *entry.Entry
@@ -121,7 +126,7 @@
 	chooser := &routing.Chooser{Rand: rand.New(rand.NewPCG(r.Incarnation, 0)), Prefixes: &prefix.Index{}}
 	r.reader = r.newReader(chooser)
 	r.entry = &entry.Entry{
-		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.callerListener(),
+		ID: r.ID, Zone: r.Zone, Region: r.Region, Listener: r.callerListener(), MaxConnections: r.MaxCallerConnections, Bounds: r.Bounds,
 		Agents: &agentclient.Client{
 			ReadTimeout: agentReadTimeout, IdleConnTimeout: agentIdleTimeout,
 			Dial: (&identity.Dialer{Identity: r.Identity, Timeout: agentDialTimeout}).Dial,
--- a/internal/role/rankagent.go
+++ b/internal/role/rankagent.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dump"
 	"github.com/parsleygate/parsleygate/internal/loadreport"
 	"github.com/parsleygate/parsleygate/internal/lockstep"
@@ -57,6 +58,8 @@
 	EngineAt func(netip.AddrPort) lockstep.Engine
 	Logs     logs.Output
 	Dump     *dump.Dump
+	// Bounds are those of the clients of Listener.
+	Bounds callers.Bounds
 
 	logger   *slog.Logger
 	follower *view.Follower
@@ -108,10 +111,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.RankPeerPathPrefix, wire.NewRankPeerServer(a))
 
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: controlRequestTimeout}
+	listener := a.Bounds.Listen("Ranks", a.Listener)
+	server := listener.Server(mux)
 
 	g, work := errgroup.WithContext(ctx)
-	g.Go(func() error { return serve(server, a.Listener, "ranks") })
+	g.Go(func() error { return serve(server, listener, "ranks") })
 	g.Go(func() error {
 		t := &loadreport.Publisher{Cluster: a.Cluster, Conn: a.LoadConn, Load: a.load, Changed: a.skew.changed, Logger: a.logger}
 
