Collect garbage before the process reaches its memory

The heap may grow to twice what is in use before garbage is collected, which alone exceeds the memory of a process whose clients use what they may. From three quarters of MemoryMB on the runtime now collects more often, unless GOMEMLIMIT is set. It does not bound what is in use, which is bounded by what clients are charged; ordinary processes stay far below.

--- a/cmd/parsleygate/cmds/bounds.go
+++ b/cmd/parsleygate/cmds/bounds.go
@@ -1,6 +1,9 @@
 package cmds
 
 import (
+	"os"
+	"runtime/debug"
+
 	"golang.org/x/sys/unix"
 
 	"github.com/parsleygate/parsleygate/internal/callers"
@@ -15,6 +18,10 @@
 	// headerMemoryDivisor is the part of the memory of an entry that proxies directly which headers
 	// may take.
 	headerMemoryDivisor = 8
+	// heapDivisor and heapParts are the part of a process's memory beyond which the runtime collects
+	// garbage more often: the rest is for its code and for what the runtime does not count.
+	heapDivisor, heapParts = 4, 3
+
 	// connectionMemoryDivisor is the part of a process's memory that connections of clients may take,
 	// and connectionBytes what one takes: its buffers, its goroutine and a request in flight.
 	connectionMemoryDivisor = 4
@@ -54,6 +61,13 @@
 	return b
 }
 
+// limitHeap makes the runtime collect garbage before the process reaches its memory.
+func limitHeap(memoryMB int) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryMB) << 20 / heapDivisor * heapParts)
+	}
+}
+
 // idleConnections returns the maximum number of idle connections: the setting, or fewer if the
 // process may open few files.
 func idleConnections(setting int) int {
--- a/cmd/parsleygate/cmds/local.go
+++ b/cmd/parsleygate/cmds/local.go
@@ -91,6 +91,8 @@
 		},
 	}
 
+	limitHeap(localMemoryMB)
+
 	stopDumps := dumpOnSignal(l.WriteDumps, c.ErrOrStderr())
 	defer stopDumps()
 
--- a/cmd/parsleygate/cmds/process.go
+++ b/cmd/parsleygate/cmds/process.go
@@ -117,6 +117,7 @@
 	}
 	p.adminMux.Handle("/", p.dump.Handler())
 	p.bounds = clientBounds(p)
+	limitHeap(s.Process.MemoryMB)
 
 	if err := p.dump.Metrics.Register(logs.DroppedMetric, metrics.NewFunctionalGauge(logQueue.Dropped)); err != nil {
 		return eris.Wrap(err, "register metric")
