Charge the heads of answers to the memory for requests

Targets whose answers have heads of 60 KB and 10,000 lines took an entry past its memory: 507 MB with 400 requests, of 96 MB allowed.

Cause: as for requests, the head is parsed before it is charged to anything. The connection to the target now counts bytes and lines as they arrive, and what they take beyond that of an ordinary head is charged to the memory for bodies and answers. Without room the request ends as one whose answer finds no room: it may have run.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/dispatch"
 	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/targetclient"
@@ -84,7 +85,32 @@
 	return &targetclient.Request{
 		ID: p.caller.ID, Reuse: p.reuse,
 		Method: p.req.Method, URI: p.req.RequestURI, Host: p.req.Host, Header: h, Body: p.body, Deadline: p.deadline,
-		OnSent: func() { p.hold.hasRead(readerTarget) },
+		OnSent: func() { p.hold.hasRead(readerTarget) }, OnHead: p.chargeHead(),
+	}
+}
+
+// chargeHead returns the function that charges the head of an answer as it arrives.
+func (p *proxiedRequest) chargeHead() func(size, lines int) error {
+	var charged int64
+
+	return func(size, lines int) error {
+		more := callers.HeadMemory(size, lines) - charged
+		if more <= 0 {
+			return nil
+		}
+
+		now := p.relay.Now()
+		if charged == 0 {
+			p.hold.waitFor(now, senderTarget)
+		}
+
+		if !p.hold.grow(now, more) {
+			return &verdict.Error{Verdict: verdict.MayHaveRun, Cause: verdict.CauseOverload, Err: errMemoryFull}
+		}
+
+		charged += more
+
+		return nil
 	}
 }
 
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -42,6 +42,9 @@
 	// OnSent, if set, is called once the whole request has been written. It may be called from
 	// another goroutine, also after Open has returned.
 	OnSent func()
+	// OnHead, if set, is called with the size of the answer's head until now, before that part of it is
+	// parsed. An error ends the request.
+	OnHead func(size, lines int) error
 }
 
 // Framing is how the end of an answer's body is marked.
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -26,6 +26,7 @@
 
 	id     connID
 	target Target
+	head   headReader
 	// reused is set if the connection has carried a request before the current one.
 	reused   bool
 	limited  io.LimitedReader
@@ -40,7 +41,8 @@
 func newConnection(id connID, target Target, conn net.Conn) *connection {
 	c := &connection{Conn: conn, id: id, target: target}
 	c.limited.R = conn
-	c.buffered = bufio.NewReaderSize(&c.limited, readBufferSize)
+	c.head.r = &c.limited
+	c.buffered = bufio.NewReaderSize(&c.head, readBufferSize)
 
 	return c
 }
@@ -52,6 +54,7 @@
 	}
 
 	c.limited.N = int64(maxHeaderBytes)
+	c.head.begin(req.OnHead)
 
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
@@ -69,6 +72,7 @@
 	}
 
 	c.limited.N = 1<<63 - 1
+	c.head.begin(nil)
 
 	return resp, nil
 }
@@ -284,8 +288,13 @@
 }
 
 // brokenError wraps an error that occurred after the request was sent, when the
-// target may have run it. A timeout is reported as an exceeded deadline.
+// target may have run it. A timeout is reported as an exceeded deadline. An error of OnHead stays as it is.
 func brokenError(err error) error {
+	var refused *verdict.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
+
 	cause := verdict.CauseBroken
 	if isTimeout(err) {
 		cause = verdict.CauseDeadline
