Bound the time and the memory of bodies that do not end

Bodies of 1 MB whose last byte was withheld filled the memory for bodies, and ordinary requests got 503 for as long as their callers stayed.

Cause: an entry waited for a body without a deadline, and did not end a request whose body was still arriving when its memory was needed; a denial waited for the rest of the body.

A body now has the deadline of its request, and 408 after it. When the memory is full, the largest bodies that have been arriving for a second get 503, beside the largest answers. A denial or a refusal waits for a second at most. None of these requests has been sent to a target.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -17,7 +17,7 @@
 // Server returns a server of the listener's connections. Its fields may be changed before it serves, but for
 // its hooks and its timeouts.
 func (l *Listener) Server(h http.Handler) *http.Server {
-	return &http.Server{
+	return &http.Server{ //nolint:gosec // the listener bounds the time of a header, as configurations change it
 		Handler: &handler{listener: l, next: h}, ConnState: l.TrackState, ConnContext: withConn,
 		// The listener refuses heads that are too long by the limits in force. They may exceed the default of
 		// the server, which cannot be changed while it runs.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -156,7 +156,7 @@
 	l.MaxConnections = e.MaxConnections
 	l.Limits = func() callers.Limits {
 		return callers.Limits{
-			MaxHeaderBytes: e.Limits.MaxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: e.Limits.MaxTimeout,
+			MaxHeaderBytes: e.Limits.MaxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: e.Limits.DefaultTimeout,
 			IdleTimeout: idleTimeout, WriteTimeout: e.Limits.WriteTimeout,
 		}
 	}
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -89,6 +89,7 @@
 	p.relay.counters.refused.Add(1)
 	p.log(slog.LevelInfo, "Refused.", append(p.urgencyAttrs(), "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.capacity, "error", err)...)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
+	p.boundRestOfBody()
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
 }
 
@@ -108,6 +109,7 @@
 func (p *proxiedRequest) deny(status int, problem string) {
 	p.relay.counters.denied.Add(1)
 	p.log(slog.LevelInfo, "Denied.", "status", status, "problem", problem)
+	p.boundRestOfBody()
 	http.Error(p.w, problem, status)
 }
 
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -15,18 +15,19 @@
 	readerNone   reader = ""
 	readerCaller reader = "caller"
 	readerTarget reader = "target"
-	// senderTarget means that the target is sending its answer.
+	// senderTarget means that the target is sending its answer, senderCaller that the caller is sending its body.
 	senderTarget reader = "sender"
+	senderCaller reader = "callerSends"
 )
 
-// slowReadTime is how long a side may take to read what is held for it, or to send an answer, before
-// the request may be ended for its memory.
+// slowReadTime is how long a side may take to read what is held for it, or to send an answer or a body,
+// before the request may be ended for its memory.
 const slowReadTime = time.Second
 
 // memory bounds the bytes of request bodies and buffered answers that all requests of this
 // process hold together. If it is full, it ends the requests that a slow reader has held
-// longest, and then, for a smaller request, the one with the largest answer of those that have been
-// arriving for long. It decides only; the requests themselves close their connections.
+// longest, and then, for a smaller request, the one with the largest answer or body of those that have
+// been arriving for long. It decides only; the requests themselves close their connections.
 type memory struct {
 	// limit is the maximum number of bytes; zero means no limit.
 	limit int64
@@ -77,7 +78,7 @@
 	for m.limit > 0 && m.used+n > m.limit {
 		slowest := m.slowest(now)
 		if slowest == nil {
-			slowest = m.largestAnswer(now, h.bytes)
+			slowest = m.largestArriving(now, h.bytes)
 		}
 
 		if slowest == nil {
@@ -115,7 +116,7 @@
 	var slowest *hold
 
 	for h := range m.holds {
-		if h.reader != readerNone && h.reader != senderTarget && h.mayEnd(now) && (slowest == nil || h.since.Before(slowest.since)) {
+		if (h.reader == readerCaller || h.reader == readerTarget) && h.mayEnd(now) && (slowest == nil || h.since.Before(slowest.since)) {
 			slowest = h
 		}
 	}
@@ -123,13 +124,13 @@
 	return slowest
 }
 
-// largestAnswer returns the largest hold above a size whose answer has been arriving for slowReadTime, or
-// nil if there is none. The caller holds mu.
-func (m *memory) largestAnswer(now time.Time, size int64) *hold {
+// largestArriving returns the largest hold above a size whose answer or body has been arriving for
+// slowReadTime, or nil if there is none. The caller holds mu.
+func (m *memory) largestArriving(now time.Time, size int64) *hold {
 	var largest *hold
 
 	for h := range m.holds {
-		if h.reader == senderTarget && h.mayEnd(now) && h.bytes > size {
+		if (h.reader == senderTarget || h.reader == senderCaller) && h.mayEnd(now) && h.bytes > size {
 			largest, size = h, h.bytes
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -424,6 +425,8 @@
 		maxBody = p.relay.Limits.MaxBodyBytes
 	}
 
+	p.setDeadlines()
+
 	if p.req.ContentLength == 0 {
 		p.body = []byte{}
 	} else if status, problem := p.readBody(maxBody); status != 0 {
@@ -431,7 +434,6 @@
 	}
 
 	p.service = p.route.Pick(rand.Float64())
-	p.setDeadlines()
 	p.setPrioritized(table)
 	p.setUrgency()
 	p.setParts()
@@ -439,17 +441,26 @@
 	return 0, ""
 }
 
-// readBody reads the body. It returns status 0 unless the request must be denied. The body stays
-// nil if there is no memory for it.
+// readBody reads the body until the deadline of the request. It returns status 0 unless the request
+// must be denied. The body stays nil if there is no memory for it, or the place of its connection was needed.
 func (p *proxiedRequest) readBody(maxBody int64) (status int, problem string) {
 	var err error
 
+	connection := http.NewResponseController(p.w)
+	_ = connection.SetReadDeadline(time.Now().Add(p.deadline.Sub(p.relay.Now())))
+
+	p.hold.waitFor(p.relay.Now(), senderCaller)
 	p.body, err = p.hold.readAll(p.relay.Now, http.MaxBytesReader(p.w, p.req.Body, maxBody))
+	p.hold.hasRead(senderCaller)
 
 	var tooLong *http.MaxBytesError
 
 	switch {
-	case errors.Is(err, errMemoryFull):
+	case err == nil:
+		_ = connection.SetReadDeadline(time.Time{})
+	case errors.Is(err, os.ErrDeadlineExceeded) && !p.relay.Now().Before(p.deadline):
+		return http.StatusRequestTimeout, "the body did not arrive in time"
+	case errors.Is(err, errMemoryFull), errors.Is(err, os.ErrDeadlineExceeded):
 		p.body = nil
 	case errors.As(err, &tooLong):
 		return http.StatusRequestEntityTooLarge, "the body is too long"
