Bound blocks of fields and streams of HTTP/2 before agents

Callers of HTTP/2 that never end a block of fields took an entry before agents past its memory, 122 MB of 96, those with 100 requests each whose body is withheld 167 MB, and 1,300 idle connections 1,311 descriptors.

Cause: the library keeps the fields of a block until it ends; a byte may stand for one that is known from earlier. The listener saw nothing of connections of HTTP/2 beyond their first bytes.

It now follows the headers of frames. A block that has not ended is charged for what its bytes may become, has the time of a header, and counts as a request that arrives; a connection without requests counts as idle. Heads that have arrived are charged until they are answered.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -1,7 +1,6 @@
 package callers
 
 import (
-	"bytes"
 	"container/list"
 	"errors"
 	"net"
@@ -20,8 +19,7 @@
 	phaseHead
 	// phaseBody means that the handler runs and the body has not arrived whole.
 	phaseBody
-	// phaseRead means that the request has arrived whole. A connection of HTTP/2 is in this phase
-	// while a request is on it.
+	// phaseRead means that the request has arrived whole. A connection of HTTP/2 is always in this phase.
 	phaseRead
 )
 
@@ -48,9 +46,15 @@
 	limits               Limits
 	headBytes, headLines int
 	headCharged          int64
-	// http2 is set for a connection of HTTP/2, whose requests are not told apart here. unframed is set if the end
+	// http2 is set for a connection of HTTP/2, which has so many streams with a request. Only the goroutine that
+	// reads uses frames. preface is the number of bytes of the preface that have arrived, -1 if the connection does
+	// not begin with it.
+	http2            bool
+	frames           frameReader
+	streams, preface int
+	// unframed is set if the end
 	// of the connection delimits the answer.
-	http2, unframed bool
+	unframed bool
 	// refused is set once a request was refused before it was parsed, lingered once the client was told that no
 	// more answers follow.
 	refused, lingered, closed bool
@@ -163,14 +167,24 @@
 
 	l.mu.Lock()
 
+	rest := b[:n]
+
 	if n > 0 && c.phase == phaseIdle {
-		c.beginRequest(now, b[:n])
+		c.beginRequest(now)
+	}
+
+	if n > 0 && c.phase == phaseHead {
+		rest = c.readPreface(rest)
 	}
 
-	inHead, failing := c.phase == phaseHead, c.failing
+	inHead, failing, http2 := c.phase == phaseHead, c.failing, c.http2
 	l.mu.Unlock()
 
 	switch {
+	case http2 && n > 0:
+		if !c.readFrames(now, rest) {
+			return 0, os.ErrDeadlineExceeded
+		}
 	case !inHead:
 	case n > 0:
 		if r := c.readHead(now, b[:n]); r != nil {
@@ -187,15 +201,9 @@
 
 // beginRequest records that the first bytes of a request have arrived, which is served even if the
 // connection was to be closed. The caller holds the listener's mutex.
-func (c *conn) beginRequest(now time.Time, b []byte) {
+func (c *conn) beginRequest(now time.Time) {
 	c.closing = false
 
-	if bytes.HasPrefix(b, http2Preface) {
-		c.beginHTTP2(now)
-
-		return
-	}
-
 	c.phase = phaseHead
 	c.headBytes, c.headLines, c.headCharged = 0, 0, 0
 	c.enterList(&c.listener.arriving, now)
@@ -203,21 +211,11 @@
 	c.hold.begin(now)
 }
 
-// beginHTTP2 records that the connection is one of HTTP/2. The caller holds the listener's mutex.
-func (c *conn) beginHTTP2(now time.Time) {
-	c.http2, c.phase = true, phaseRead
-	c.leaveList()
-	c.setLimitDeadline(now, 0)
-}
-
-// noteHTTP2 records that the connection has a request of HTTP/2.
-func (c *conn) noteHTTP2() {
+func (c *conn) isHTTP2() bool {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 
-	if !c.http2 {
-		c.beginHTTP2(time.Now())
-	}
+	return c.http2
 }
 
 // readHead counts bytes of a head, and returns a refusal if they are too many.
@@ -310,7 +308,7 @@
 	if c.answered {
 		if c.deadlines++; c.deadlines > 1 {
 			c.answered, c.deadlines = false, 0
-			c.beginRequest(time.Now(), nil)
+			c.beginRequest(time.Now())
 		}
 	}
 
--- a/internal/callers/limits.go
+++ b/internal/callers/limits.go
@@ -48,9 +48,6 @@
 	return max(0, int64(2*size+headLineBytes*lines)-includedHeadBytes)
 }
 
-// http2Preface begins a connection of HTTP/2.
-var http2Preface = []byte("PRI * HTTP/2.0") //nolint:gochecknoglobals // constant
-
 func countLines(b []byte) int { return bytes.Count(b, []byte{'\n'}) }
 
 // readAhead returns what may be read of a connection beyond the bytes of a head.
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -50,7 +50,9 @@
 	// Encrypted is set if the server decrypts what the connections carry. Heads cannot be told from bodies then,
 	// and no refusal is written.
 	Encrypted bool
-	Logger    *slog.Logger
+	// HTTP2 is set if the server serves HTTP/2 too, by prior knowledge.
+	HTTP2  bool
+	Logger *slog.Logger
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -61,23 +61,10 @@
 
 	switch {
 	case !ok: // A server in a test, without a Listener.
-	case r.ProtoMajor >= 2:
-		c.noteHTTP2()
+	case c.isHTTP2():
+		h.serveHTTP2(c, w, r)
 
-		s := &hold{memory: h.listener.Memory, end: func() {}}
-		defer s.release()
-
-		if !s.grow(time.Now(), HeadMemory(headSize(r.Header))) {
-			h.listener.countNoMemory()
-			w.Header().Set("Retry-After", "1")
-			http.Error(w, refusalNoMemory.problem, refusalNoMemory.status)
-
-			return
-		}
-
-		if h.listener.ChargeBodies {
-			r.Body = &body{ReadCloser: r.Body, hold: s, listener: h.listener}
-		}
+		return
 	default:
 		hasBody := r.ContentLength != 0
 		c.endHead(hasBody, !r.ProtoAtLeast(1, 1))
@@ -95,18 +82,6 @@
 	h.next.ServeHTTP(w, r)
 }
 
-// headSize returns the bytes and the lines of a head.
-func headSize(h http.Header) (size, lines int) {
-	for name, values := range h {
-		for _, v := range values {
-			size += len(name) + len(v)
-			lines++
-		}
-	}
-
-	return size, lines
-}
-
 // errNoMemory means that there is no memory for a body.
 var errNoMemory = errors.New("callers: the memory for requests is full")
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,6 +154,7 @@
 func (e *Entry) listen() *callers.Listener {
 	l := e.Bounds.Listen("Callers", e.Listener)
 	l.MaxConnections = e.MaxConnections
+	l.HTTP2 = true
 	l.Limits = func() callers.Limits {
 		return callers.Limits{
 			MaxHeaderBytes: e.Limits.MaxHeaderBytes, HeaderTimeout: headerTimeout, BodyTimeout: e.Limits.DefaultTimeout,
