Bound the faults that are remembered of senders of datagrams

An agent remembers which entries sent invalid counts, to log each once. The senders of datagrams may claim any address, so the map grew with each of them, by up to 512 in the time of a subscription. It is emptied at 512 now; a fault may be logged again then.

--- a/internal/loadreport/levels.go
+++ b/internal/loadreport/levels.go
@@ -155,6 +155,11 @@
 func (*groupPublisher) isNewFault(faults map[netip.AddrPort]bool, from netip.AddrPort, faulty bool) bool {
 	known := faults[from]
 
+	// Senders of datagrams may claim any address.
+	if len(faults) >= maxGroupSubscribers {
+		clear(faults)
+	}
+
 	if faulty {
 		faults[from] = true
 	} else {
