Count what is refused at the ports of a process in metrics

Relay.CallerHeaders* and Clients.PORT.* count refused heads and closed connections, and Clients.HeldBytes what clients are charged.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -52,6 +52,10 @@
 		{"Relay.CallerConnections", "connections", "Connections of callers now.", func(r *Relay) int64 { return int64(r.callerStats().Open) }},
 		{"Relay.CallerConnectionsRefused", "connections", "New connections of callers closed unread, because too many were open.", func(r *Relay) int64 { return r.callerStats().Refused }},
 		{"Relay.CallerConnectionsClosedIdle", "connections", "Idle connections of callers closed to make room for new ones.", func(r *Relay) int64 { return r.callerStats().ClosedIdle }},
+		{"Relay.CallerConnectionsClosedSlow", "connections", "Connections of callers closed to make room for new ones, because their request arrived slowly or their answer was not read.", func(r *Relay) int64 { return r.callerStats().ClosedSlow }},
+		{"Relay.CallerHeadersTooLong", "requests", "Requests refused with status 431, because their header exceeded the limit in force.", func(r *Relay) int64 { return r.callerStats().TooLong }},
+		{"Relay.CallerHeadersTooSlow", "requests", "Requests refused with status 408, because their header did not arrive in time.", func(r *Relay) int64 { return r.callerStats().TooSlow }},
+		{"Relay.CallerHeadersNoMemory", "requests", "Requests refused with status 503 before they were read, because the memory for large headers was full.", func(r *Relay) int64 { return r.callerStats().NoMemory }},
 		{"Relay.ConnectionsDeclined", "connections", "New connections of callers closed unread, because this entry got far more requests than the others and some of them waited.", func(r *Relay) int64 { return r.Decliner.Declined() }},
 		{"Relay.RateLimitedTargets", "targets", "Targets that state in their answers how many requests per second they accept.", func(r *Relay) int64 { return int64(r.queue.backpressure().RateLimited) }},
 		{"Relay.RestingTargets", "targets", "Targets that turned a request away and asked for no more requests of this entry for a while.", func(r *Relay) int64 { return int64(r.queue.backpressure().Resting) }},
@@ -274,6 +278,14 @@
 
 	b.WriteString("\n## Every process\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
 	fmt.Fprintf(&b, "| %s | lines | Log lines dropped because their reader was stalled. |\n", logs.DroppedMetric)
+	fmt.Fprintf(&b, "| %s | bytes | What the requests of the clients of all ports hold now, of what is charged to their memory. |\n", callers.HeldMetric)
+
+	b.WriteString("\nEach port has these as well. PORT is Ready, Admin, Callers (of an entry before agents), Peers and Operators (of a control VM), Entries\n")
+	b.WriteString("and Announcements (of an agent), or Ranks (of the agent of a rank).\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
+
+	for _, m := range callers.Metrics() {
+		fmt.Fprintf(&b, "| Clients.PORT.%s | %s | %s |\n", m.Name, m.Unit, m.Help)
+	}
 
 	return b.String()
 }
