Let each port of a control VM have half of the descriptors

At 410 entries and 600 agents 1,010 connections follow a control VM, and its claims need more. With 256 MB the bound of a port was 1,024: a bound that processes in good order nearly met. It is 2,048 now, or half of the descriptors, as that of callers.

--- a/cmd/parsleygate/cmds/bounds.go
+++ b/cmd/parsleygate/cmds/bounds.go
@@ -39,12 +39,12 @@
 	idleDescriptorDivisor = 4
 )
 
-// clientBounds returns the bounds of the clients of a process that are not callers. Two ports of an agent or a
-// control VM share what it has for connections.
+// clientBounds returns the bounds of the clients of a process that are not callers. Each of the two ports of an
+// agent or a control VM may have half of the descriptors.
 func clientBounds(p *process) callers.Bounds {
 	s := p.settings
 	b := callers.Bounds{
-		Limits: callers.DefaultLimits(), MaxConnections: callerConnections(0, 0, s.Process.MemoryMB) / 2,
+		Limits: callers.DefaultLimits(), MaxConnections: callerConnections(0, 0, s.Process.MemoryMB),
 		Memory: &callers.Memory{Limit: int64(s.Process.MemoryMB) << 20 / heldMemoryDivisor}, Logs: p.logs, Metrics: p.dump.Metrics,
 	}
 	b.Limits.MaxHeaderBytes, b.Limits.HeaderTimeout = s.Clients.MaxHeaderBytes, s.Clients.HeaderTimeout
--- a/internal/callers/bench_test.go
+++ b/internal/callers/bench_test.go
@@ -1,6 +1,7 @@
 package callers_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -65,3 +66,60 @@
 
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkRequest measures the processor time of a request on a kept connection, with that of its caller, at a
+// server without bounds and at one that bounds its heads.
+func BenchmarkRequest(b *testing.B) {
+	const ordinary = "POST /v1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: 9c41d07be2a35f68\r\nX-Model: m\r\nX-Token-Counts: 1460,80\r\n" +
+		"X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nX-Deadline-Ms: 8000\r\nApi-Key: n2ctnfzs989anu6wsjnb\r\nContent-Length: 4\r\n\r\nbody"
+
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	})
+
+	for _, bounded := range []bool{false, true} {
+		b.Run(map[bool]string{false: "Plain", true: "Bounded"}[bounded], func(b *testing.B) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+
+			l := &callers.Listener{Listener: inner, Limits: callers.DefaultLimits, Memory: &callers.Memory{Limit: 1 << 20}, MaxConnections: 100}
+			server := l.Server(answer)
+
+			if !bounded {
+				server = &http.Server{Handler: answer, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 90 * time.Second}
+			}
+
+			go func() {
+				if bounded {
+					_ = server.Serve(l)
+				} else {
+					_ = server.Serve(inner)
+				}
+			}()
+
+			defer server.Close()
+
+			c, err := net.Dial("tcp", inner.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+
+			defer c.Close()
+
+			answers := bufio.NewReader(c)
+			before := processorTime()
+
+			for b.Loop() {
+				_, _ = io.WriteString(c, ordinary)
+
+				if readStatus(answers) != http.StatusOK {
+					b.Fatal("no answer")
+				}
+			}
+
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-µs/op")
+		})
+	}
+}
