Serve requests that arrive whole as they are to be refused

A request whose last byte arrived as it was to be refused, for its memory or its connection, had reads that failed from then on, and the server cancels a request when the read beside it fails: it would have been cut after it had been sent to a target. It is served now. Found by reading. A hold that ends as its request has just arrived no longer fails the reads of the next one. Panics of handlers at the ports for processes are logged again; the library had logged them with what clients do.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -144,6 +144,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	if c.phase != phaseHead && c.phase != phaseBody {
+		return // It has arrived meanwhile.
+	}
+
 	c.leaveList()
 	c.failReads(now)
 	l.stats.NoMemory++
@@ -273,9 +277,10 @@
 	}
 }
 
-// endArrival records that the request has arrived whole. The caller holds the listener's mutex.
+// endArrival records that the request has arrived whole. It is served even if it was to be refused. The caller
+// holds the listener's mutex.
 func (c *conn) endArrival(now time.Time) {
-	c.phase = phaseRead
+	c.phase, c.failing = phaseRead, false
 	c.leaveList()
 	c.hold.arrived()
 	c.setLimitDeadline(now, 0)
--- a/internal/callers/heads_test.go
+++ b/internal/callers/heads_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -204,3 +206,37 @@
 	require.Empty(t, rest)
 	require.EqualValues(t, 1, l.Stats().TooSlow)
 }
+
+// Guards against handlers whose panics leave no trace.
+func TestPanicsOfHandlersAreLogged(t *testing.T) {
+	t.Parallel()
+
+	var lines lockedBuffer
+
+	address, _ := startBounded(t, func(http.ResponseWriter, *http.Request) { panic("odd") }, func(l *callers.Listener, _ *callers.Limits) {
+		l.Logger = slog.New(slog.NewTextHandler(&lines, nil))
+	})
+
+	require.Zero(t, exchange(dial(t, address)))
+	require.Eventually(t, func() bool { return strings.Contains(lines.String(), "odd") }, 10*time.Second, 10*time.Millisecond)
+}
+
+// lockedBuffer is a buffer for several goroutines.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.b.String()
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -22,10 +23,22 @@
 		// The listener refuses heads that are too long by the limits in force. They may exceed the default of
 		// the server, which cannot be changed while it runs.
 		MaxHeaderBytes: maxServerHeaderBytes,
-		ErrorLog:       log.New(io.Discard, "", 0),
+		ErrorLog:       log.New(errorWriter{listener: l}, "", 0),
 	}
 }
 
+// errorWriter logs the panics of handlers. What else the server reports is what clients do, and as frequent.
+type errorWriter struct{ listener *Listener }
+
+// Write implements io.Writer.
+func (w errorWriter) Write(line []byte) (int, error) {
+	if logger := w.listener.Logger; logger != nil && bytes.HasPrefix(line, []byte("http: panic")) {
+		logger.Error("A handler of requests panicked.", "trace", string(line))
+	}
+
+	return len(line), nil
+}
+
 // maxServerHeaderBytes exceeds all limits of heads.
 const maxServerHeaderBytes = 1 << 30
 
@@ -97,7 +110,7 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && b.conn != nil {
+	if errors.Is(err, io.EOF) && b.conn != nil {
 		b.conn.endBody()
 	}
 
