--- /dev/null
+++ b/internal/callers/tls_test.go
@@ -0,0 +1,60 @@
+package callers_test
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/callers"
+)
+
+// Guards against callers over TLS whose protocol is not found behind the listener.
+func TestCallersOverTLS(t *testing.T) {
+	t.Parallel()
+
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	t.Cleanup(certificate.Close)
+
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	l := &callers.Listener{
+		Listener: tls.NewListener(inner, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: certificate.TLS.Certificates, NextProtos: []string{"h2", "http/1.1"}}),
+		Limits:   callers.DefaultLimits, Memory: &callers.Memory{Limit: 1 << 20}, ChargeBodies: true, HTTP2: true,
+	}
+	server := l.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.Proto+" "+string(body))
+	}))
+	server.Protocols = new(http.Protocols)
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetHTTP2(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+
+	go func() { _ = server.Serve(l) }()
+
+	t.Cleanup(func() { _ = server.Close() })
+
+	for _, http2 := range []bool{false, true} {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: http2}} //nolint:gosec // a test server
+
+		for range 3 {
+			resp, err := client.Post("https://"+inner.Addr().String(), "text/plain", strings.NewReader("body"))
+			require.NoError(t, err)
+
+			got, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, map[bool]string{false: "HTTP/1.1 body", true: "HTTP/2.0 body"}[http2], string(got))
+		}
+
+		client.CloseIdleConnections()
+	}
+}
