--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -46,14 +46,12 @@
 	limits               Limits
 	headBytes, headLines int
 	headCharged          int64
-	// http2 is set for a connection of HTTP/2, which has so many streams with a request. Only the goroutine that
-	// reads uses frames. preface is the number of bytes of the preface that have arrived, -1 if the connection does
-	// not begin with it.
+	// http2 is set for a connection of HTTP/2; streams is the number of its requests. preface is the number of
+	// bytes of the preface that have arrived, -1 if the connection does not begin with it.
 	http2            bool
 	frames           frameReader
 	streams, preface int
-	// unframed is set if the end
-	// of the connection delimits the answer.
+	// unframed is set if the end of the connection delimits the answer.
 	unframed bool
 	// refused is set once a request was refused before it was parsed, lingered once the client was told that no
 	// more answers follow.
--- a/internal/callers/demand.go
+++ b/internal/callers/demand.go
@@ -1,4 +1,5 @@
-// Package callers distributes the connections of callers among entries, and bounds those of one entry.
+// Package callers distributes the connections of callers among entries, and bounds what the HTTP clients of a
+// process make it hold: their connections, and the memory and the time of their requests.
 package callers
 
 import (
