Read no more of a head that was refused

Cause: net/http looks ahead at the next line of a head, and ignores that this read has failed. If a chunk of a head began there and was refused for lack of memory, the server read on once there was memory again, and took the rest for the head, without its middle: after a 503, a request could have run.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -158,12 +158,19 @@
 	l := c.listener
 
 	l.mu.Lock()
+	refused := c.refused
+
 	if c.answered {
 		c.answered, c.deadlines = false, 0
 		c.setIdle(time.Now())
 	}
 	l.mu.Unlock()
 
+	// The server may look ahead and ignore that a read has failed.
+	if refused {
+		return 0, os.ErrDeadlineExceeded
+	}
+
 	n, err := c.Conn.Read(b)
 	now := time.Now()
 
--- a/internal/callers/heads_test.go
+++ b/internal/callers/heads_test.go
@@ -240,3 +240,48 @@
 
 	return l.b.String()
 }
+
+// Guards against the rest of a head that arrives after a refusal, and is taken for a request without its middle: the
+// library may look ahead at the next line, and does not tell that this failed.
+func TestRefusedConnectionReadsNoMore(t *testing.T) {
+	t.Parallel()
+
+	const (
+		chunk    = 4096 // what the server reads at once
+		lineSize = 8
+	)
+
+	head := "POST / HTTP/1.1\r\nHost: x\r\nX: aa\r\n"
+	head += "X: " + strings.Repeat("a", lineSize-(len(head)+5)%lineSize) + "\r\n"
+
+	for n := 0; len(head) < 2*chunk; n++ {
+		head += fmt.Sprintf("%05x:\r\n", n)
+	}
+
+	held := callers.HeadMemory(len(head), strings.Count(head, "\n"))
+	memory := &callers.Memory{Limit: held + held*3/4}
+	release, handled := make(chan struct{}), make(chan string, 10)
+	address, _ := startBounded(t, func(_ http.ResponseWriter, r *http.Request) {
+		handled <- r.Header.Get("First")
+
+		if r.Header.Get("First") != "" {
+			<-release
+		}
+	}, func(l *callers.Listener, _ *callers.Limits) { l.Memory = memory })
+
+	first := dial(t, address)
+	_, _ = io.WriteString(first, head+"First: 1\r\nContent-Length: 0\r\n\r\n")
+	require.Equal(t, "1", <-handled)
+
+	refused := dial(t, address)
+	_, _ = io.WriteString(refused, head)
+	answers := bufio.NewReader(refused)
+	require.Equal(t, http.StatusServiceUnavailable, readStatus(answers))
+
+	close(release)
+	require.Equal(t, http.StatusOK, readStatus(bufio.NewReader(first)))
+	_, _ = io.WriteString(refused, "Content-Length: 0\r\n\r\n")
+	_, _ = io.ReadAll(answers)
+	require.Eventually(t, func() bool { return memory.Used() == 0 }, 10*time.Second, 10*time.Millisecond)
+	require.Empty(t, handled)
+}
--- a/internal/callers/http2.go
+++ b/internal/callers/http2.go
@@ -144,6 +144,7 @@
 
 	if !c.hold.grow(now, more) {
 		l.countNoMemory()
+		c.stopReads()
 
 		return false
 	}
@@ -153,6 +154,14 @@
 	return true
 }
 
+// stopReads makes all further reads fail.
+func (c *conn) stopReads() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+
+	c.refused = true
+}
+
 // listBetweenStreams lists the connection as an idle one unless it has a request. The caller holds the listener's
 // mutex.
 func (c *conn) listBetweenStreams(now time.Time) {
