Release the memory of requests behind TLS when they are answered

Behind mutual TLS the server's hook for the state of a connection gets that of TLS, not the listener's below it, and the end of a request was not noticed: the charge of each body stayed until its connection ended. Kept connections between processes would have filled the memory, and all further requests would have been refused. The hook now looks below TLS, as the one for contexts does.

TestMemoryIsReleasedBehindTLS fails without the change, and passed five runs with it.

--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -233,7 +233,11 @@
 
 // TrackState is the ConnState hook of the server.
 func (l *Listener) TrackState(c net.Conn, state http.ConnState) {
-	if c, ok := c.(*conn); ok && state == http.StateIdle {
-		c.endRequest()
+	if state != http.StateIdle {
+		return
+	}
+
+	if found := findConn(c); found != nil {
+		found.endRequest()
 	}
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -44,22 +44,29 @@
 
 // withConn stores a connection in the context of its requests.
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	for inner := c; inner != nil; {
-		if found, ok := inner.(*conn); ok {
-			ctx = context.WithValue(ctx, connKey{}, found)
+	if found := findConn(c); found != nil {
+		ctx = context.WithValue(ctx, connKey{}, found)
+	}
 
-			break
+	return callerconn.ConnContext(ctx, c)
+}
+
+// findConn returns the connection of a listener under c, which may be one of TLS, or nil if there is none.
+func findConn(c net.Conn) *conn {
+	for c != nil {
+		if found, ok := c.(*conn); ok {
+			return found
 		}
 
-		wrapper, ok := inner.(interface{ NetConn() net.Conn })
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return nil
 		}
 
-		inner = wrapper.NetConn()
+		c = wrapper.NetConn()
 	}
 
-	return callerconn.ConnContext(ctx, c)
+	return nil
 }
 
 // handler tells the connection of a request how far it has arrived.
--- a/internal/callers/tls_test.go
+++ b/internal/callers/tls_test.go
@@ -58,3 +58,38 @@
 		client.CloseIdleConnections()
 	}
 }
+
+// Guards against requests over TLS whose memory stays charged until their connection ends.
+func TestMemoryIsReleasedBehindTLS(t *testing.T) {
+	t.Parallel()
+
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	t.Cleanup(certificate.Close)
+
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	l := &callers.Listener{Listener: inner, Limits: callers.DefaultLimits, Memory: &callers.Memory{Limit: 64 << 10}, ChargeBodies: true, Encrypted: true}
+	server := l.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+
+	go func() {
+		_ = server.Serve(tls.NewListener(l, &tls.Config{MinVersion: tls.VersionTLS13, Certificates: certificate.TLS.Certificates}))
+	}()
+
+	t.Cleanup(func() { _ = server.Close() })
+
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}} //nolint:gosec // a test server
+	defer client.CloseIdleConnections()
+
+	for range 20 {
+		resp, err := client.Post("https://"+inner.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("b", 10<<10)))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+}
