End blocks of HTTP/2 whose memory is needed

Since a connection was only ended for its memory while a head or a body of HTTP/1 arrived, so one of HTTP/2 stayed with a block of fields that was no longer charged, until the time of a header had passed.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -142,7 +142,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if c.phase != phaseHead && c.phase != phaseBody {
+	if c.phase != phaseHead && c.phase != phaseBody && !c.frames.inBlock {
 		return // It has arrived meanwhile.
 	}
 
