Let answers have the memory of bodies that are still arriving

The request came in while the last of four bodies without end filled the memory, so its target answered when no byte was free. An answer without room ends as one that may have run, and bodies made room only once they had been arriving for a second. The test has one answer, and all further requests met a target that breaks off.

A request whose body has been read may have run and can't be refused any more, those whose bodies are arriving can. They now make room for it at once, the largest above its own size first, with 503. A body whose last byte arrives as its request is ended gets 503 too; its connection would have been closed without an answer.

--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -27,7 +27,8 @@
 // memory bounds the bytes of request bodies and buffered answers that all requests of this
 // process hold together. If it is full, it ends the requests that a slow reader has held
 // longest, and then, for a smaller request, the one with the largest answer or body of those that have
-// been arriving for long. It decides only; the requests themselves close their connections.
+// been arriving for long. A request whose body has been read may have run, so bodies that are still arriving
+// make room for it at once. It decides only; the requests themselves close their connections.
 type memory struct {
 	// limit is the maximum number of bytes; zero means no limit.
 	limit int64
@@ -81,6 +82,10 @@
 			slowest = m.largestArriving(now, h.bytes)
 		}
 
+		if slowest == nil && h.reader != senderCaller {
+			slowest = m.largestBody(h.bytes)
+		}
+
 		if slowest == nil {
 			break
 		}
@@ -138,6 +143,20 @@
 	return largest
 }
 
+// largestBody returns the largest hold above a size whose body is arriving, or nil if there is none. The caller
+// holds mu.
+func (m *memory) largestBody(size int64) *hold {
+	var largest *hold
+
+	for h := range m.holds {
+		if h.reader == senderCaller && h.bytes > size {
+			largest, size = h, h.bytes
+		}
+	}
+
+	return largest
+}
+
 // mayEnd reports whether h has waited long enough to be ended. The caller holds mu.
 func (h *hold) mayEnd(now time.Time) bool { return h.bytes > 0 && now.Sub(h.since) >= slowReadTime }
 
@@ -159,22 +178,31 @@
 	}
 }
 
-// release ends the hold. It reports whether the request was ended for its memory, after end
-// has returned.
-func (h *hold) release() (ended bool) {
+// hasEnded reports whether the request was ended for its memory, after end has returned.
+func (h *hold) hasEnded() bool {
 	h.memory.mu.Lock()
-	h.memory.drop(h)
+	ended := h.ended
 	h.memory.mu.Unlock()
 
-	if h.ended == nil {
+	if ended == nil {
 		return false
 	}
 
-	<-h.ended
+	<-ended
 
 	return true
 }
 
+// release ends the hold. It reports whether the request was ended for its memory, after end
+// has returned.
+func (h *hold) release() (ended bool) {
+	h.memory.mu.Lock()
+	h.memory.drop(h)
+	h.memory.mu.Unlock()
+
+	return h.hasEnded()
+}
+
 // drop removes a hold. The caller holds mu.
 func (m *memory) drop(h *hold) {
 	m.used -= h.bytes
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -456,6 +456,8 @@
 	var tooLong *http.MaxBytesError
 
 	switch {
+	case err == nil && p.hold.hasEnded(): // as the last byte arrived
+		p.body = nil
 	case err == nil:
 		_ = connection.SetReadDeadline(time.Time{})
 	case errors.Is(err, os.ErrDeadlineExceeded) && !p.relay.Now().Before(p.deadline):
