Charge the heads of answers of an agent's target

The heads of answers to agents were bounded by their bytes only: 64 KB may be 10,000 lines, which take over a megabyte, and an agent has as many answers as its target has slots.

What a head takes beyond that of an ordinary one is charged to the memory for requests until the answer has been passed on. Without room the request ends as one that may have run, with the cause Overload, and AgentNoMemory counts it; answers whose head has been arriving for a second make room for smaller ones.

TestHeadsOfAnswersAreCharged fails without the change: an answer with 10,000 lines is passed on where 1 MB may be held.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -101,7 +101,7 @@
 
 		a.Settings.applyDefaults()
 		a.counters = newCounters(a.Metrics)
-		a.client = newTargetClient(a.Settings)
+		a.client = newTargetClient(a.Settings, a.Bounds.Memory)
 		a.pendingBytes = semaphore.NewWeighted(int64(a.Settings.MaxPendingBytes))
 		a.listening = make(chan struct{})
 		a.drained = make(chan struct{})
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -13,6 +13,7 @@
 	granted        metrics.Counter
 	boots          metrics.Counter
 	orders         metrics.Counter
+	noMemory       metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -30,5 +31,6 @@
 		granted:        count("AgentGranted"),
 		boots:          count("AgentTargetBoots"),
 		orders:         count("AgentOrders"),
+		noMemory:       count("AgentNoMemory"),
 	}
 }
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -80,6 +81,7 @@
 
 	r := newResponseReader(ctx, abort, x)
 	defer r.release()
+	defer x.call.release()
 
 	go r.read()
 
@@ -305,6 +307,10 @@
 		a.admitter.targetDown(now)
 	}
 
+	if errors.Is(e.Err, callers.ErrAnswerTooLarge) {
+		a.counters.noMemory.Inc(1)
+	}
+
 	if e.Cause == verdict.CauseCrossed {
 		a.counters.crossed.Inc(1)
 	}
--- /dev/null
+++ b/internal/agent/memory_test.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/parsleygate/parsleygate/internal/callers"
+	"github.com/parsleygate/parsleygate/internal/wire"
+)
+
+// Guards against heads of answers that end an agent by what they make it hold, although they are within their limit
+// in bytes, and against a charge that stays after the request.
+func TestHeadsOfAnswersAreCharged(t *testing.T) {
+	t.Parallel()
+
+	lines := "a:\r\n"
+	target := newRawTarget(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+strings.Repeat(lines, 10_000)+HeaderRequestID+": "+id+"\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+	})
+
+	for limit, ran := range map[int64]int64{1 << 20: 0, 4 << 20: 1} {
+		memory := &callers.Memory{Limit: limit}
+		r := newFixture(t, target.addr(), func(a *Agent) { a.Bounds.Memory = memory })
+
+		a := r.do(r.request("/draft", "x"))
+		if ran == 0 {
+			a.requireRefused(t, wire.Verdict_MayHaveRun, "Overload")
+		}
+
+		require.Equal(t, ran, r.agent.counters.ran.Count())
+		require.Equal(t, 1-ran, r.agent.counters.noMemory.Count())
+		require.Eventually(t, func() bool { return memory.Used() == 0 }, 10*time.Second, time.Millisecond)
+	}
+}
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -189,6 +189,7 @@
 		Body:      body,
 	}
 	c := &call{attemptID: req.GetAttemptID()}
+	defer c.release()
 
 	resp, err := a.client.do(ctx, to, req, c)
 	if err != nil {
--- a/internal/agent/request_conn.go
+++ b/internal/agent/request_conn.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net"
 	"sync"
+
+	"github.com/parsleygate/parsleygate/internal/callers"
 )
 
 // requestConn is a connection to the target that counts the bytes of the current request's
@@ -25,6 +27,7 @@
 	// readMu guards the rest. It is separate, because a write may wait until the response has
 	// been read.
 	readMu           sync.Mutex
+	counter          callers.HeadCounter
 	responseHead     []byte
 	responseHeadDone bool
 	statesEncoding   bool
@@ -35,8 +38,9 @@
 
 var endOfHead = []byte("\r\n\r\n")
 
-// beginRequest must be called before each request on the connection.
-func (c *requestConn) beginRequest() {
+// beginRequest must be called before each request on the connection. onHead is called with the size of the response's
+// head until now, before that part of it is parsed. An error ends the response.
+func (c *requestConn) beginRequest(onHead func(size, lines int) error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -46,15 +50,40 @@
 	defer c.readMu.Unlock()
 
 	c.responseHead, c.responseHeadDone, c.statesEncoding = nil, false, false
+	c.counter.Begin(onHead)
+}
+
+// endHead records that the head of the response has arrived whole.
+func (c *requestConn) endHead() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+
+	c.counter.Begin(nil)
+}
+
+// refused returns the error that has ended the response before it was parsed, if one has.
+func (c *requestConn) refused() error {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+
+	return c.counter.Refused() //nolint:wrapcheck // the caller compares it
 }
 
 // Read implements net.Conn.
 func (c *requestConn) Read(b []byte) (int, error) {
+	if err := c.refused(); err != nil {
+		return 0, err
+	}
+
 	n, err := c.Conn.Read(b)
 
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 
+	if refused := c.counter.Count(b[:n]); refused != nil {
+		return 0, refused //nolint:wrapcheck // the caller compares it
+	}
+
 	if !c.responseHeadDone {
 		c.searchHead(b[:n])
 	}
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -37,9 +38,11 @@
 type targetClient struct {
 	pooled    *http.Transport
 	singleUse *http.Transport
+	// memory bounds the heads of responses, together with what the clients of this process hold.
+	memory *callers.Memory
 }
 
-func newTargetClient(s Settings) targetClient {
+func newTargetClient(s Settings, memory *callers.Memory) targetClient {
 	dialer := &net.Dialer{Timeout: s.DialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -60,7 +63,7 @@
 	singleUse := pooled.Clone()
 	singleUse.DisableKeepAlives = true
 
-	return targetClient{pooled: pooled, singleUse: singleUse}
+	return targetClient{pooled: pooled, singleUse: singleUse, memory: memory}
 }
 
 func (tc targetClient) closeIdle() { tc.pooled.CloseIdleConnections() }
@@ -73,19 +76,30 @@
 	gotConn atomic.Bool
 	// conn is the connection on which the request was sent.
 	conn atomic.Pointer[requestConn]
+	// head is charged for the head of the response; nil before the request is sent.
+	head *callers.AnswerHead
+}
+
+// release ends the charge for the head of the response.
+func (c *call) release() {
+	if c.head != nil {
+		c.head.Release()
+	}
 }
 
 // do sends req and returns the target's response once its headers have arrived. Its errors are
-// of type *verdict.Error.
+// of type *verdict.Error. The call must be released when the response is no longer needed.
 func (tc targetClient) do(ctx context.Context, to netip.AddrPort, req *wire.Request, c *call) (*http.Response, error) {
 	hr, err := tc.newRequest(ctx, to, req)
 	if err != nil {
 		return nil, &verdict.Error{Verdict: verdict.NotRun, Cause: verdict.CauseMalformed, Err: err}
 	}
 
+	c.head = tc.memory.NewAnswerHead(c.closeConn)
+
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn := info.Conn.(*requestConn)
-		conn.beginRequest()
+		conn.beginRequest(c.head.Grow)
 		c.conn.Store(conn)
 		c.gotConn.Store(true)
 	}}
@@ -101,6 +115,8 @@
 		return nil, c.roundTripError(ctx, err)
 	}
 
+	c.endHead()
+
 	if mismatch := c.checkResponse(resp); mismatch != nil {
 		_ = resp.Body.Close()
 		c.closeConn()
@@ -127,6 +143,10 @@
 		e.Cause = cause
 	}
 
+	if c.head.Refused() {
+		e.Cause, e.Err = verdict.CauseOverload, callers.ErrAnswerTooLarge
+	}
+
 	return e
 }
 
@@ -168,6 +188,15 @@
 	return nil
 }
 
+// endHead records that the head of the response has arrived whole.
+func (c *call) endHead() {
+	c.head.Arrived()
+
+	if conn := c.conn.Load(); conn != nil {
+		conn.endHead()
+	}
+}
+
 // closeConn closes the connection of the call, so that it is not reused.
 func (c *call) closeConn() {
 	if conn := c.conn.Load(); conn != nil {
--- a/internal/callers/memory.go
+++ b/internal/callers/memory.go
@@ -131,6 +131,19 @@
 	h.arriving, h.ended = time.Time{}, false
 }
 
+// finish ends the hold for good.
+func (h *hold) finish() {
+	if h.memory == nil {
+		return
+	}
+
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+
+	h.memory.drop(h)
+	h.ended = true
+}
+
 // drop removes a hold. The caller holds mu.
 func (m *Memory) drop(h *hold) {
 	m.used -= h.bytes
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -276,6 +276,8 @@
 		fmt.Fprintf(&b, "| %s | %s | %s |\n", m.Name, m.Unit, m.Help)
 	}
 
+	b.WriteString("\n## Agents\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
+	b.WriteString("| AgentNoMemory | requests | Requests whose answer was ended because the memory for requests had no room for its header. They may have run. |\n")
 	b.WriteString("\n## Every process\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
 	fmt.Fprintf(&b, "| %s | lines | Log lines dropped because their reader was stalled. |\n", logs.DroppedMetric)
 	fmt.Fprintf(&b, "| %s | bytes | What the requests of the clients of all ports hold now, of what is charged to their memory. |\n", callers.HeldMetric)
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -262,7 +262,7 @@
 	unanswered := !conn.hasReceived(c.MaxHeaderBytes)
 
 	switch {
-	case !conn.reused || ctx.Err() != nil || conn.head.refused != nil:
+	case !conn.reused || ctx.Err() != nil || conn.head.Refused() != nil:
 	case unanswered && !isTimeout(err):
 		reason = closeUnanswered
 	case isMalformed(err):
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -54,7 +54,7 @@
 	}
 
 	c.limited.N = int64(maxHeaderBytes)
-	c.head.begin(req.OnHead)
+	c.head.Begin(req.OnHead)
 
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
@@ -72,7 +72,7 @@
 	}
 
 	c.limited.N = 1<<63 - 1
-	c.head.begin(nil)
+	c.head.Begin(nil)
 
 	return resp, nil
 }
--- a/internal/targetclient/head_reader_test.go
+++ b/internal/targetclient/head_reader_test.go
@@ -25,7 +25,7 @@
 	errRefused := errors.New("refused")
 	calls := 0
 	h := &headReader{r: strings.NewReader(head + strings.Repeat("A: aa\r\n", 512) + "\r\n")}
-	h.begin(func(int, int) error {
+	h.Begin(func(int, int) error {
 		if calls++; calls == 2 {
 			return errRefused
 		}
