Take memory for a request to an agent as its bytes arrive

A client that announced a body of 16 MB to an agent, and sent none of it, took that much memory at once and as much of MaxPendingBytes, for 10 s. Four of them kept all requests of entries out, with NotRun and Overload.

Cause: the buffer and the charge followed Content-Length. Found by reading for buffers of announced sizes; the other handlers read as bytes arrive.

TestAnnouncedBodiesTakeNoRoom fails without the change.

--- a/internal/agent/memory_test.go
+++ b/internal/agent/memory_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -13,6 +15,29 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
+// Guards against clients that take the room of other requests by bodies that they announce and do not send.
+func TestAnnouncedBodiesTakeNoRoom(t *testing.T) {
+	t.Parallel()
+
+	target := newRawTarget(t, func(c net.Conn, id string) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRequestID, id)
+	})
+	r := newFixture(t, target.addr(), func(a *Agent) { a.Settings.MaxPendingBytes = 1 << 20 })
+
+	c, err := net.Dial("tcp", r.agent.address().String())
+	require.NoError(t, err)
+
+	defer c.Close()
+
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1000000\r\n\r\n", RequestPath)
+	line, err := bufio.NewReader(c).ReadString('\n') // The agent reads the body now.
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+
+	r.do(r.request("/draft", strings.Repeat("x", 200_000)))
+	require.EqualValues(t, 1, r.agent.counters.ran.Count())
+}
+
 // Guards against heads of answers that end an agent by what they make it hold, although they are within their limit
 // in bytes, and against a charge that stays after the request.
 func TestHeadsOfAnswersAreCharged(t *testing.T) {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
@@ -29,20 +30,10 @@
 func (a *Agent) serveRequest(w http.ResponseWriter, r *http.Request) {
 	out := newFrameWriter(w, a.Settings.WriteTimeout)
 
-	size := a.maxMessageBytes()
-	if r.ContentLength >= 0 {
-		size = min(size, r.ContentLength)
-	}
-
-	// Many large requests at once would take memory that the target on this VM needs.
-	if !a.pendingBytes.TryAcquire(size) {
-		a.refuse(out, &wire.Request{}, refusal{verdict: verdict.NotRun, cause: verdict.CauseOverload})
-		return
-	}
-
-	defer a.pendingBytes.Release(size)
+	pending := &pendingBytes{total: a.pendingBytes}
+	defer pending.release()
 
-	req, refused := a.readRequest(w, r)
+	req, refused := a.readRequest(w, r, pending)
 	if req == nil {
 		a.refuse(out, &wire.Request{}, *refused)
 		return
@@ -67,6 +58,26 @@
 	newExchange(a, req, out, now).run(r.Context())
 }
 
+// pendingBytes is what one request takes of MaxPendingBytes: many large requests at once would take memory that the
+// target on this VM needs.
+type pendingBytes struct {
+	total *semaphore.Weighted
+	taken int64
+}
+
+// grow reports whether there is room for n bytes more.
+func (p *pendingBytes) grow(n int64) bool {
+	if !p.total.TryAcquire(n) {
+		return false
+	}
+
+	p.taken += n
+
+	return true
+}
+
+func (p *pendingBytes) release() { p.total.Release(p.taken) }
+
 // refuse ends a request without a response. The entry gets a new credit with it, so that an
 // entry whose credit has expired need not request one.
 func (a *Agent) refuse(out *frameWriter, req *wire.Request, reason refusal) {
@@ -104,17 +115,21 @@
 // readRequest reads a request within its limits. It returns no request if the message has no
 // readable attempt ID, and both a request and a refusal if the request was decoded but is
 // invalid.
-func (a *Agent) readRequest(w http.ResponseWriter, r *http.Request) (*wire.Request, *refusal) {
+func (a *Agent) readRequest(w http.ResponseWriter, r *http.Request, pending *pendingBytes) (*wire.Request, *refusal) {
 	s := a.Settings
 	limit := a.maxMessageBytes()
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.ReadTimeout))
 
-	raw, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	raw, err := readBody(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit), pending)
 
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, &refusal{verdict: verdict.NotRun, cause: verdict.CauseTooLarge}
+	case errors.Is(err, errPendingFull):
+		return nil, &refusal{verdict: verdict.NotRun, cause: verdict.CauseOverload}
 	}
 
 	req := new(wire.Request)
@@ -131,16 +146,41 @@
 	return req, nil
 }
 
-// readBody reads all of r. The announced size is -1 if it is unknown.
-func readBody(r io.Reader, size, limit int64) ([]byte, error) {
-	if size < 0 || size > limit {
-		return io.ReadAll(r) //nolint:wrapcheck // the caller checks only the type
-	}
+// errPendingFull means that there is no room for a request.
+var errPendingFull = errors.New("agent: too many bytes of requests are pending")
+
+// firstReadBytes is the size of the buffer into which a body is read at first.
+const firstReadBytes = 16 << 10
+
+// readBody reads all of r into memory that it takes as the bytes arrive. The announced size is -1 if it is
+// unknown, and may not be what arrives.
+func readBody(r io.Reader, size int64, pending *pendingBytes) ([]byte, error) {
+	var out []byte
 
-	raw := make([]byte, size)
-	_, err := io.ReadFull(r, raw)
+	for {
+		if len(out) == cap(out) {
+			grown := int64(max(2*cap(out), firstReadBytes))
+			if size >= 0 && int64(len(out)) <= size {
+				grown = min(grown, size+1) // The last read finds the end.
+			}
 
-	return raw, err //nolint:wrapcheck // the caller checks only the type
+			if !pending.grow(grown - int64(cap(out))) {
+				return nil, errPendingFull
+			}
+
+			out = append(make([]byte, 0, grown), out...)
+		}
+
+		n, err := r.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+
+		switch {
+		case errors.Is(err, io.EOF):
+			return out, nil
+		case err != nil:
+			return out, err //nolint:wrapcheck // the caller checks only the type
+		}
+	}
 }
 
 // checkRequest returns the cause for which a request can't be sent to a target, or "".
