Bound the targets that a control VM knows

A control VM remembered each target that announced itself, or was removed, for five minutes, and every entry each that a control VM told it. Whoever reaches the port for operators and targets could grow both without bound.

Unknown IDs are now refused with 503 while MaxTargets are known, by default 4,096, over six times the targets of the largest deployment. Known ones may go on to announce themselves, and be removed. Control.TargetsRefused counts the refusals, and a line a second at most is logged.

An entry never forgets a target that it was told of: that stays open.

--- a/cmd/parsleygate/cmds/direct.go
+++ b/cmd/parsleygate/cmds/direct.go
@@ -113,7 +113,7 @@
 		Listener: listener, Identity: p.identity, Dir: filepath.Join(filepath.Clean(s.Control.DataFolder), "log"),
 		Bounds: p.bounds, Logs: p.logs, Dump: p.dump, Founders: self.Founders(),
 		AutoMembership: &role.AutoMembership{Settings: membership.DefaultSettings(s.Operating.ToleratedFailures), Seeds: folder.Seeds},
-		TrustedNetwork: s.Process.TrustedNetwork, OperatorListener: operators, Zones: s.Zones, AnnounceInterval: s.Operating.AnnounceInterval,
+		TrustedNetwork: s.Process.TrustedNetwork, OperatorListener: operators, Zones: s.Zones, AnnounceInterval: s.Operating.AnnounceInterval, MaxTargets: s.Control.MaxTargets,
 		ReadDocument: func(sent []byte) (*wire.RouteTable, error) {
 			d, err := platform.ReadDocument(sent)
 			if err != nil {
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -129,7 +130,8 @@
 // Announce records a target's announcement. If its ID is invalid, it returns an *InvalidIDError, if another field is, a
 // *directory.InvalidTargetError. If its zone
 // or service is not declared, it returns an *UndeclaredError: the announcement comes from a foreign sender, and if it were
-// recorded it could take over the address of an existing target.
+// recorded it could take over the address of an existing target. If too many targets are known, it returns a
+// *TooManyTargetsError.
 func (s *Server) Announce(ctx context.Context, t directory.Target) error {
 	if err := checkTargetID(t.ID); err != nil {
 		return err
@@ -147,12 +149,45 @@
 		return &UndeclaredError{Kind: "service", Name: t.Service}
 	}
 
-	return s.withTargets(ctx, func(targets *targetTracker) {
+	return s.tryWithTargets(ctx, func(targets *targetTracker) error {
+		if err := s.checkRoom(&targets.registry, t.ID); err != nil {
+			return err
+		}
+
 		s.logAnnouncement(&targets.registry, &t)
 		targets.registry.Announce(time.Now(), t)
+
+		return nil
 	})
 }
 
+// TooManyTargetsError reports that there is no room for another target.
+type TooManyTargetsError struct{ Limit int }
+
+func (e *TooManyTargetsError) Error() string {
+	return fmt.Sprintf("%d targets are known already, the limit of this control VM", e.Limit)
+}
+
+// checkRoom returns a *TooManyTargetsError if a target is unknown and there is no room for it. The goroutine of the
+// registry calls it.
+func (s *Server) checkRoom(r *directory.Registry, id string) error {
+	if r.HasRoom(id) {
+		return nil
+	}
+
+	s.targetsRefused.Add(1)
+	s.refusedLines.PerSecond = 1
+
+	if s.refusedLines.Allow(time.Now()) {
+		s.Logger.Warn("Announcement or removal of a target refused: too many targets are known.", "target", id, "limit", r.MaxTargets, "refused", s.targetsRefused.Load())
+	}
+
+	return &TooManyTargetsError{Limit: r.MaxTargets}
+}
+
+// TargetsRefused returns the number of announcements and removals that were refused because too many targets are known.
+func (s *Server) TargetsRefused() int64 { return s.targetsRefused.Load() }
+
 // logAnnouncement logs the first announcement of an incarnation, and those that are ignored as it has ended.
 func (s *Server) logAnnouncement(r *directory.Registry, t *directory.Target) {
 	switch {
@@ -224,6 +259,17 @@
 	}
 }
 
+// tryWithTargets is withTargets for functions that may fail.
+func (s *Server) tryWithTargets(ctx context.Context, do func(*targetTracker) error) error {
+	var failed error
+
+	if err := s.withTargets(ctx, func(targets *targetTracker) { failed = do(targets) }); err != nil {
+		return err
+	}
+
+	return failed
+}
+
 // Follow answers an entry that proxies directly to its targets. It answers immediately if the
 // entry lacks a change, otherwise at the next change or at the end of the requested wait.
 func (s *Server) Follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowResponse, error) {
--- a/internal/control/removals.go
+++ b/internal/control/removals.go
@@ -24,7 +24,7 @@
 
 // Leave records that a target has ended. It returns nil once the removal is on the disks of a majority of the voters,
 // so that it outlives what their set tolerates and a loss of power of all. Entries hear of it at once. If the ID is
-// invalid, it returns an *InvalidIDError.
+// invalid, it returns an *InvalidIDError, and if it is unknown and too many targets are known, a *TooManyTargetsError.
 func (s *Server) Leave(ctx context.Context, id string) error {
 	if err := checkTargetID(id); err != nil {
 		return err
@@ -33,6 +33,10 @@
 	ctx, cancel := context.WithTimeout(ctx, removalTimeout)
 	defer cancel()
 
+	if err := s.checkRoomFor(ctx, id); err != nil {
+		return err
+	}
+
 	r := &wire.RemovalRequest{Cluster: s.Cluster, ID: id, Removal: max(rand.Uint64(), 1)}
 	self, voters := true, []Voter(nil)
 
@@ -64,6 +68,11 @@
 	})
 }
 
+// checkRoomFor is checkRoom for other goroutines.
+func (s *Server) checkRoomFor(ctx context.Context, id string) error {
+	return s.tryWithTargets(ctx, func(targets *targetTracker) error { return s.checkRoom(&targets.registry, id) })
+}
+
 // learnIncarnation asks the voters for the latest incarnation of a target, until a majority has answered.
 func (s *Server) learnIncarnation(ctx context.Context, id string, self bool, voters []Voter) error {
 	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleygate/parsleygate/internal/ledger"
+	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -63,6 +64,8 @@
 	// their targets. AnnounceInterval is the interval at which targets announce themselves.
 	ReadDocument     func(sent []byte) (*wire.RouteTable, error)
 	AnnounceInterval time.Duration
+	// MaxTargets bounds the targets that this VM knows by their announcements and removals; 0 means no limit.
+	MaxTargets int
 	// SaveTargets stores the directory of targets, and LoadTargets returns what was stored
 	// before a restart. Either may be nil. The stored directory may be old or missing.
 	SaveTargets func(data []byte) error
@@ -86,6 +89,8 @@
 	published      atomic.Pointer[publishedState]
 	applied        atomic.Uint64
 	claimCount     atomic.Int64
+	targetsRefused atomic.Int64
+	refusedLines   logs.Sampler
 	confirmed      atomic.Pointer[confirmation]
 	base           atomic.Pointer[encodedBase]
 	baseMu         sync.Mutex
--- a/internal/control/trackers.go
+++ b/internal/control/trackers.go
@@ -33,6 +33,7 @@
 func (s *Server) runTrackers(ctx context.Context) {
 	polls := newPollTracker()
 	targets := newTargetTracker(s.AnnounceInterval)
+	targets.registry.MaxTargets = s.MaxTargets
 	s.restoreTargets(targets)
 
 	commitSlot := make(chan struct{}, 1)
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -32,6 +32,9 @@
 	AnnounceTimeout time.Duration
 	// Registries is the number of control VMs among which the targets are divided; 0 means 1.
 	Registries int
+	// MaxTargets bounds the IDs of which HasRoom accepts new ones; 0 means no limit. Removed and unresponsive targets
+	// count until they are dropped.
+	MaxTargets int
 
 	targets  map[string]*registeredTarget
 	revision uint64
@@ -117,6 +120,11 @@
 	return !unchanged
 }
 
+// HasRoom reports whether an ID is known or there is room for it.
+func (r *Registry) HasRoom(id string) bool {
+	return r.MaxTargets <= 0 || len(r.targets) < r.MaxTargets || r.targets[id] != nil
+}
+
 // HasRegistered reports whether the incarnation that sent an announcement is the one that is recorded.
 func (r *Registry) HasRegistered(t *Target) bool {
 	known := r.targets[t.ID]
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -278,6 +278,8 @@
 
 	b.WriteString("\n## Agents\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
 	b.WriteString("| AgentNoMemory | requests | Requests whose answer was ended because the memory for requests had no room for its header. They may have run. |\n")
+	b.WriteString("\n## Control VMs\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
+	b.WriteString("| Control.TargetsRefused | requests | Announcements and removals of unknown targets that were refused, as MaxTargets were known. |\n")
 	b.WriteString("\n## Every process\n\n| metric | unit | meaning |\n| --- | --- | --- |\n")
 	fmt.Fprintf(&b, "| %s | lines | Log lines dropped because their reader was stalled. |\n", logs.DroppedMetric)
 	fmt.Fprintf(&b, "| %s | bytes | What the requests of the clients of all ports hold now, of what is charged to their memory. |\n", callers.HeldMetric)
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -71,10 +71,11 @@
 	// announcements of targets. OperatorHandler creates its handler. Both may be nil.
 	OperatorListener net.Listener
 	OperatorHandler  func(*control.Server) http.Handler
-	// ReadDocument, Zones and AnnounceInterval are as in control.Server.
+	// ReadDocument, Zones, AnnounceInterval and MaxTargets are as in control.Server.
 	ReadDocument     func(sent []byte) (*wire.RouteTable, error)
 	Zones            map[string]string
 	AnnounceInterval time.Duration
+	MaxTargets       int
 	// TargetsFile is the file that keeps the directory of targets across restarts. If
 	// it is empty, the directory is not kept.
 	TargetsFile string
@@ -119,7 +120,7 @@
 		Cluster: r.Cluster, Zone: r.Zone, VM: r.VM, Propose: r.replica.Propose, ReadIndex: r.readIndex,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
 		IsLeader:    r.isLeader, StopBlocker: r.stopBlocker, FindPeers: r.findPeers, FindVoters: r.findVoters, Self: r.self,
-		ReadDocument: r.ReadDocument, Zones: r.Zones, AnnounceInterval: r.AnnounceInterval, ControlAddresses: r.controlAddresses,
+		ReadDocument: r.ReadDocument, Zones: r.Zones, AnnounceInterval: r.AnnounceInterval, MaxTargets: r.MaxTargets, ControlAddresses: r.controlAddresses,
 		Logger: r.Logs.Logger("control"),
 	}
 
@@ -131,6 +132,7 @@
 	r.director = r.newDirector()
 	r.server.OnGroupEntry = r.director.OnApplied
 	r.server.Init()
+	_ = r.Dump.Metrics.Register("Control.TargetsRefused", metrics.NewFunctionalGauge(r.server.TargetsRefused)) // It fails for a duplicate only.
 	r.replica.Apply = r.server.Apply
 	r.replica.Snapshot = r.server.Snapshot
 	r.replica.Restore = r.server.Restore
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -50,7 +50,10 @@
 	allowedPath     = "a path"
 )
 
-const maxSizeBytes = 1 << 30
+const (
+	maxSizeBytes = 1 << 30
+	maxTargets   = 1 << 20
+)
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
@@ -127,6 +130,16 @@
 			Help:  "Whether the VM has no disk. With [Seeds] it then keeps its log in memory, writes nothing to the data folder, and follows the other control VMs as a non-voting member.",
 			parse: func(s *Settings, v string) bool { s.Control.Volatile = v == "true"; return v == "true" || v == "false" },
 		},
+		{
+			Section: sectionControl, Key: "MaxTargets", Allowed: "a number from 1 to 1048576", Default: "4096",
+			Help: "The maximum number of targets that this VM knows by their announcements and removals. Those that have ended or fallen silent count for 5m. Announcements and removals of further ones get status 503.",
+			parse: func(s *Settings, v string) bool {
+				n, err := strconv.Atoi(v)
+				s.Control.MaxTargets = n
+
+				return err == nil && n >= 1 && n <= maxTargets
+			},
+		},
 		pathField("CertFile", "The certificate of this process, in PEM.", func(s *Settings) *string { return &s.TLS.CertFile }),
 		pathField("KeyFile", "The private key of this process, in PEM.", func(s *Settings) *string { return &s.TLS.KeyFile }),
 		pathField("AuthorityFile", "The certificates of the authorities that sign the certificates of processes and operators, in PEM.", func(s *Settings) *string { return &s.TLS.AuthorityFile }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,8 @@
 	// Join means that this VM joins a running deployment as a learner. Otherwise it is a
 	// founder, an initial member of a new deployment.
 	Join bool
+	// MaxTargets bounds the targets that the VM knows by their announcements and removals.
+	MaxTargets int
 }
 
 // TLS are the paths of the process's certificate and key, and of the certificates of the
@@ -171,6 +173,7 @@
 			CreditLifetime: 2 * time.Second, AnnounceTimeout: 3 * time.Second,
 			TargetIdleTimeout: time.Minute, MaxAnswerBytes: 256 << 10,
 		},
+		Control:   Control{MaxTargets: 4096},
 		Routing:   Routing{RetryRatio: 0.2, MinRetries: 50, RetryWindow: 10 * time.Second, StopTimeout: 8 * time.Second, IdleConnections: 256},
 		Operating: Operating{ToleratedFailures: 1, AnnounceInterval: time.Second},
 		Zones:     map[string]string{},
