Test handshakes of TLS that do not end

Those of processes are closed by the times for a header and without a request. The library closed them too before the listener had its bounds, so this test passes on the code before; it guards the listener, which has taken the library's time of a header away.

--- a/internal/callers/tls_test.go
+++ b/internal/callers/tls_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -93,3 +94,35 @@
 		require.Equal(t, http.StatusOK, resp.StatusCode)
 	}
 }
+
+// Guards against handshakes of TLS that do not end, and keep their connections.
+func TestHandshakesThatDoNotEndAreClosed(t *testing.T) {
+	t.Parallel()
+
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	t.Cleanup(certificate.Close)
+
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	l := &callers.Listener{Listener: inner, Encrypted: true, Limits: func() callers.Limits {
+		return callers.Limits{MaxHeaderBytes: maxHead, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
+	}}
+	server := l.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+
+	go func() {
+		_ = server.Serve(tls.NewListener(l, &tls.Config{MinVersion: tls.VersionTLS13, Certificates: certificate.TLS.Certificates}))
+	}()
+
+	t.Cleanup(func() { _ = server.Close() })
+
+	// Nothing, and the beginning of a record of a handshake.
+	for _, sent := range []string{"", "\x16\x03\x01\x02\x00\x01\x00"} {
+		c := dial(t, inner.Addr().String())
+		_, _ = io.WriteString(c, sent)
+		_, _ = io.Copy(io.Discard, c) // until the connection is closed
+	}
+
+	require.Eventually(t, func() bool { return l.Stats().Open == 0 }, 10*time.Second, 10*time.Millisecond)
+}
