--- a/internal/callers/bench_test.go
+++ b/internal/callers/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -123,3 +125,52 @@
 		})
 	}
 }
+
+// BenchmarkRequestHTTP2 measures the processor time of a request over HTTP/2, with that of its caller, at a server
+// without bounds and behind a listener that follows the frames.
+func BenchmarkRequestHTTP2(b *testing.B) {
+	answer := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+
+	for _, size := range []int{100, 100_000} {
+		for _, bounded := range []bool{false, true} {
+			b.Run(fmt.Sprintf("bytes=%d/bounded=%t", size, bounded), func(b *testing.B) {
+				inner, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					b.Fatal(err)
+				}
+
+				l := &callers.Listener{Listener: inner, Limits: callers.DefaultLimits, Memory: &callers.Memory{Limit: 1 << 20}, MaxConnections: 100, HTTP2: true}
+
+				server, listener := l.Server(answer), net.Listener(l)
+				if !bounded {
+					server, listener = &http.Server{Handler: answer, ReadHeaderTimeout: 10 * time.Second}, inner
+				}
+
+				protocols := new(http.Protocols)
+				protocols.SetUnencryptedHTTP2(true)
+				server.Protocols = protocols
+
+				go func() { _ = server.Serve(listener) }()
+
+				defer server.Close()
+
+				client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+				defer client.CloseIdleConnections()
+
+				body := make([]byte, size)
+				before := processorTime()
+
+				for b.Loop() {
+					resp, err := client.Post("http://"+inner.Addr().String(), "text/plain", bytes.NewReader(body))
+					if err != nil {
+						b.Fatal(err)
+					}
+
+					_ = resp.Body.Close()
+				}
+
+				b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-µs/op")
+			})
+		}
+	}
+}
