Keep the bounds of the next response on a reused connection

Found on reading again: the library returns the connection of a response without a body to its pool before it tells the caller. The next request may have begun on it by then, and the end of the first one's head took the bounds of the next: its head was not charged, and one that had been refused could have been read on without its middle. The end of a head now ends only its own charge.

A head counts as arriving from when something of it is charged, no longer from when its request is sent: a target that takes a second to answer would have lost its answer at once to a smaller one.

TestEndOfAHeadLeavesTheNextOneCharged fails without the change.

--- a/internal/agent/memory_test.go
+++ b/internal/agent/memory_test.go
@@ -63,3 +63,31 @@
 		require.Eventually(t, func() bool { return memory.Used() == 0 }, 10*time.Second, time.Millisecond)
 	}
 }
+
+// Guards against a request whose end takes the bounds of the response from the next one on its connection.
+func TestEndOfAHeadLeavesTheNextOneCharged(t *testing.T) {
+	t.Parallel()
+
+	inner, target := net.Pipe()
+
+	defer inner.Close()
+	defer target.Close()
+
+	memory := &callers.Memory{Limit: 1 << 20}
+	first, second := memory.NewAnswerHead(func() {}), memory.NewAnswerHead(func() {})
+	c := &requestConn{Conn: inner}
+
+	c.beginRequest(first)
+	c.beginRequest(second) // The transport reuses the connection before the first caller knows of its response.
+	c.endHead(first)
+
+	go func() { _, _ = io.WriteString(target, strings.Repeat("a:\r\n", 1000)) }()
+
+	_, err := c.Read(make([]byte, 4000))
+	require.NoError(t, err)
+	require.Positive(t, memory.Used())
+
+	c.endHead(second)
+	second.Release()
+	require.Zero(t, memory.Used())
+}
--- a/internal/agent/request_conn.go
+++ b/internal/agent/request_conn.go
@@ -28,6 +28,7 @@
 	// been read.
 	readMu           sync.Mutex
 	counter          callers.HeadCounter
+	charged          *callers.AnswerHead
 	responseHead     []byte
 	responseHeadDone bool
 	statesEncoding   bool
@@ -38,9 +39,9 @@
 
 var endOfHead = []byte("\r\n\r\n")
 
-// beginRequest must be called before each request on the connection. onHead is called with the size of the response's
-// head until now, before that part of it is parsed. An error ends the response.
-func (c *requestConn) beginRequest(onHead func(size, lines int) error) {
+// beginRequest must be called before each request on the connection. The head of its response is charged to head
+// before it is parsed.
+func (c *requestConn) beginRequest(head *callers.AnswerHead) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -50,15 +51,19 @@
 	defer c.readMu.Unlock()
 
 	c.responseHead, c.responseHeadDone, c.statesEncoding = nil, false, false
-	c.counter.Begin(onHead)
+	c.charged = head
+	c.counter.Begin(head.Grow)
 }
 
-// endHead records that the head of the response has arrived whole.
-func (c *requestConn) endHead() {
+// endHead records that the response whose head is charged to head has arrived. The connection may carry another
+// request already.
+func (c *requestConn) endHead(head *callers.AnswerHead) {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 
-	c.counter.Begin(nil)
+	if c.charged == head {
+		c.counter.Begin(nil)
+	}
 }
 
 // refused returns the error that has ended the response before it was parsed, if one has.
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -99,7 +99,7 @@
 
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn := info.Conn.(*requestConn)
-		conn.beginRequest(c.head.Grow)
+		conn.beginRequest(c.head)
 		c.conn.Store(conn)
 		c.gotConn.Store(true)
 	}}
@@ -193,7 +193,7 @@
 	c.head.Arrived()
 
 	if conn := c.conn.Load(); conn != nil {
-		conn.endHead()
+		conn.endHead(c.head)
 	}
 }
 
--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -46,7 +46,7 @@
 	refused atomic.Bool
 }
 
-// NewAnswerHead returns the charge for an answer that begins to arrive. Once it has been arriving for long, end may
+// NewAnswerHead returns the charge for the head of an answer. Once what is charged has been arriving for long, end may
 // be called to make room for others; it must not block.
 func (m *Memory) NewAnswerHead(end func()) *AnswerHead {
 	a := &AnswerHead{hold: hold{memory: m}}
@@ -54,7 +54,6 @@
 		a.refused.Store(true)
 		end()
 	}
-	a.hold.begin(time.Now())
 
 	return a
 }
@@ -66,7 +65,12 @@
 		return nil
 	}
 
-	if !a.hold.grow(time.Now(), more) {
+	now := time.Now()
+	if a.charged == 0 {
+		a.hold.begin(now)
+	}
+
+	if !a.hold.grow(now, more) {
 		a.refused.Store(true)
 
 		return ErrAnswerTooLarge
