Take an answer with a status that is none for a broken one

Callers got 200 with a body that a target had not sent as an answer. A target answered with status 000 and a whole response as its body; callers of an entry that proxies directly got the inner response, on routes that may be repeated and on those that may not. Agents passed status 0 on, which the server of the entry cannot write, so that the caller's connection ended without an answer. Statuses above 599 reached callers as they were.

The HTTP library takes any three characters that strconv.Atoi reads as a status, and any version. readFinalHead skipped each status under 200 as an informational one and read the body of that answer as the next answer. With text of a caller in it, that text chooses the answer. On the agents' path nothing looked at the status.

Check in the new package answers holds what the library hands over against the grammar (RFC 9112, 4; RFC 9110, 15): a version of HTTP/1, a status from 100 to 599, a reason without control characters. 101 is broken, as no request asks for another protocol. So is an informational answer that states a length: it has no body, and the bytes would be the next answer. Entries that proxy directly, the two transports of agents, engines and the engines of ranks use it, also for informational answers; those of an http.Transport stay bounded together, which the library drops as soon as they are looked at. What an agent of an earlier build frames and what was recorded of it has to have a final status. Such an answer may have run, and its connection is not used again.

--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/callers"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -103,7 +104,8 @@
 		c.conn.Store(conn)
 		c.gotConn.Store(true)
 	}}
-	hr = hr.WithContext(httptrace.WithClientTrace(ctx, trace))
+	ctx = answers.CheckInformational(httptrace.WithClientTrace(ctx, trace), tc.pooled.MaxResponseHeaderBytes)
+	hr = hr.WithContext(ctx)
 
 	rt := tc.singleUse
 	if req.GetIdempotent() {
@@ -168,11 +170,15 @@
 	}
 }
 
-// checkResponse rejects a response that does not belong to this call.
+// checkResponse rejects a response that is broken or does not belong to this call.
 //
 // A response to another request is detected by its echoed ID. Otherwise a target that responds
 // late or confuses two requests could send one caller the response of another.
 func (c *call) checkResponse(resp *http.Response) *verdict.Error {
+	if err := answers.Check(resp); err != nil {
+		return &verdict.Error{Cause: verdict.CauseBroken, Err: err}
+	}
+
 	if echo := resp.Header.Get(HeaderRequestID); echo != c.attemptID {
 		return &verdict.Error{Cause: verdict.CauseCrossed, Err: eris.Errorf("answer echoes ID %q", echo)}
 	}
@@ -181,10 +187,6 @@
 		return &verdict.Error{Cause: verdict.CauseBroken, Err: eris.New("answer of HTTP/1.0 has a transfer encoding")}
 	}
 
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return &verdict.Error{Cause: verdict.CauseBroken, Err: eris.New("target switched protocols")}
-	}
-
 	return nil
 }
 
--- a/internal/agentclient/client.go
+++ b/internal/agentclient/client.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -277,6 +278,11 @@
 		return eris.New("second head in one answer")
 	}
 
+	// An agent of an earlier build passes on what the HTTP library accepted.
+	if err := answers.CheckFinalStatus(int(head.GetStatus())); err != nil {
+		return err //nolint:wrapcheck // classify wraps it
+	}
+
 	r.headSeen = true
 
 	return r.receiver.Head(head)
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/exchange"
 	"github.com/parsleygate/parsleygate/internal/routing"
@@ -255,16 +256,20 @@
 		Workspace: x.call.workspace, Service: x.call.service.GetName(), Key: x.call.key,
 		BodyDigest: x.call.digest(), Holder: h, Replaces: replaces,
 	})
-	if err == nil && r.GetState() == wire.ClaimState_ClaimRecorded && endsInsideEvent(r.GetAnswer()) {
+	if err == nil && r.GetState() == wire.ClaimState_ClaimRecorded && isBroken(r.GetAnswer()) {
 		return &wire.ClaimResponse{State: wire.ClaimState_ClaimLost, WindowMillis: r.GetWindowMillis()}, nil
 	}
 
 	return r, err
 }
 
-// endsInsideEvent reports whether a is a stream that was broken off inside an event.
-// Entries of earlier builds recorded such streams as complete.
-func endsInsideEvent(a *wire.Answer) bool {
+// isBroken reports whether a has no valid head, or is a stream that was broken off inside an event.
+// Earlier builds recorded such answers as complete.
+func isBroken(a *wire.Answer) bool {
+	if answers.CheckFinalStatus(int(a.GetStatus())) != nil {
+		return true
+	}
+
 	if !beginsEventStream(&wire.Head{Status: a.GetStatus(), Headers: a.GetHeaders()}) {
 		return false
 	}
@@ -301,7 +306,7 @@
 		return x.ex.QueryFailed(time.Now())
 	}
 
-	if endsInsideEvent(r.GetAnswer()) {
+	if isBroken(r.GetAnswer()) {
 		r.Answer = nil
 	}
 
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/expertmap"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -106,9 +107,9 @@
 // it has received.
 func (r *Rank) Run(ctx context.Context) error {
 	if r.CallEngine == nil {
-		client := &http.Client{Transport: &http.Transport{
+		client := &http.Client{Transport: &answers.Transport{Base: &http.Transport{
 			MaxIdleConnsPerHost: maxIdleEngineConns, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxEngineHeaderBytes,
-		}}
+		}}}
 		defer client.CloseIdleConnections()
 
 		r.CallEngine = client.Do
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -205,7 +206,11 @@
 			return nil, err //nolint:wrapcheck // brokenError wraps it
 		}
 
-		if resp.StatusCode >= http.StatusOK {
+		if err := answers.Check(resp); err != nil {
+			return nil, err //nolint:wrapcheck // brokenError wraps it
+		}
+
+		if !answers.IsInformational(resp.StatusCode) {
 			return resp, nil
 		}
 	}
