Take a field whose name is no token for a broken answer

Callers got 200 with more bytes than the answer had, or with the marks of chunks in its body, where a target had written a blank before the colon of Content-Length or Transfer-Encoding; with a blank within any name they got the answer without that line. Agents passed such lines on.

The HTTP library accepts blanks in names on purpose (net/textproto) and keeps the line under a name that nothing looks up, so that the framing is another one than the target meant. The server drops such a line as it writes the head to the caller.

answers.Check holds all names against the grammar of a token (RFC 9110, 5.1), at the same readers as the status line, informational answers included. answers.Body does so for trailers. Heads that agents of earlier builds frame, or that were recorded of them, are checked too, there with the values, as the library that wrote a frame did not parse them. Blanks are not stripped: the framing would have to be read again. Such an answer may have run, and its connection is not used again. The grammar of names and values, which agents hold requests against, moves to package fields.

Control bytes in names, bytes over 127, empty names and lines without a colon were refused before, and stay as tests.

--- a/internal/agent/broken_head_test.go
+++ b/internal/agent/broken_head_test.go
@@ -96,3 +96,79 @@
 		require.Equal(t, status, a.head.GetStatus(), "%q", line)
 	}
 }
+
+// Guards against an answer with a field whose name holds a blank or a control byte, and that an agent passes on with that line, or with
+// another body than the target sent.
+func TestBrokenFieldNameIsNoAnswer(t *testing.T) {
+	t.Parallel()
+
+	const id = HeaderRequestID + ": %s\r\n"
+
+	for _, field := range []string{
+		"Content-Length : 6", "Transfer-Encoding : chunked", HeaderRequestID + " : %s", "X A: b", ": b", "X\tA: b", "X\x00A: b", "X\x7f: b", "X\x80: b", "(X): b", "no colon",
+	} {
+		for kind, answer := range map[string]string{
+			"alone": "HTTP/1.1 200 OK\r\n" + id + field + "\r\n\r\n6\r\n" + forged + "\r\n0\r\n\r\n", "no body": "HTTP/1.1 200 OK\r\n" + id + field + "\r\nContent-Length: 0\r\n\r\n",
+			"chunks":        "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n" + field + "\r\n\r\n6\r\n" + forged + "\r\n0\r\n\r\n",
+			"HTTP/1.0":      "HTTP/1.0 200 OK\r\n" + id + field + "\r\nContent-Length: 6\r\n\r\n" + forged,
+			"informational": "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\n" + id + "Content-Length: 6\r\n\r\n" + forged,
+		} {
+			t.Run(fmt.Sprintf("%q %s", field, kind), func(t *testing.T) {
+				t.Parallel()
+				requireBroken(t, answer)
+			})
+		}
+	}
+}
+
+// Guards against an answer whose trailer is broken, and that an agent passes on as whole or whose connection it uses again.
+func TestBrokenTrailerIsNotPassedOnAsWhole(t *testing.T) {
+	t.Parallel()
+
+	for _, field := range []string{"X A: b", "X : b", "X\x00: b"} {
+		target := newRawTarget(t, func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n%s\r\n0\r\n%s\r\n\r\n", HeaderRequestID, id, forged, field)
+		})
+		r := newFixture(t, target.addr(), withLongCredits)
+
+		for n := range 3 {
+			a := r.do(r.request("/draft", "x"))
+			a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+			require.EqualValues(t, n+1, target.conns.Load(), "%q", field)
+		}
+
+		req := r.nonIdempotentRequest("/book", "x")
+		a := r.do(req)
+		a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+		require.Nil(t, r.queryAttempt(req, false).GetAnswer())
+	}
+}
+
+// Guards against sound answers that an agent refuses for their fields.
+func TestSoundFieldsArePassedOn(t *testing.T) {
+	t.Parallel()
+
+	const fields = "!#$%&'*+-.^_`|~09azAZ: v\r\nX-Empty:\r\nX-Tab: a\tb\r\nX-Bytes: \xc3\xa9\r\n"
+
+	target := newRawTarget(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n"+fields+"\r\nHTTP/1.1 200 OK\r\n"+HeaderRequestID+": "+id+"\r\n"+fields+
+			"Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nyes!\r\n0\r\nX-Sum: \xc3\xa9\r\n\r\n")
+	})
+	r := newFixture(t, target.addr(), nil)
+
+	for range 2 {
+		a := r.do(r.request("/draft", "x"))
+		a.requireComplete(t, "yes!")
+
+		got := make(map[string]string)
+		for _, h := range a.head.GetHeaders() {
+			got[h.GetName()] = h.GetValue()
+		}
+
+		require.Equal(t, map[string]string{
+			"!#$%&'*+-.^_`|~09azaz": "v", "X-Empty": "", "X-Tab": "a\tb", "X-Bytes": "\xc3\xa9",
+		}, got)
+	}
+
+	require.EqualValues(t, 1, target.conns.Load())
+}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/admission"
+	"github.com/parsleygate/parsleygate/internal/fields"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
@@ -193,7 +194,7 @@
 	for _, h := range req.GetHeaders() {
 		size += len(h.GetName()) + len(h.GetValue())
 
-		if !isToken(h.GetName()) || !isFieldValue(h.GetValue()) {
+		if !fields.IsToken(h.GetName()) || !fields.IsValue(h.GetValue()) {
 			return verdict.CauseMalformed
 		}
 	}
@@ -215,7 +216,7 @@
 
 // validRequestLine reports whether method and path can be written on a request line.
 func validRequestLine(req *wire.Request) bool {
-	if !isToken(req.GetMethod()) || req.GetMethod() == http.MethodConnect {
+	if !fields.IsToken(req.GetMethod()) || req.GetMethod() == http.MethodConnect {
 		return false
 	}
 
@@ -228,7 +229,7 @@
 const maxIDBytes = 128
 
 func validAttemptID(id string) bool {
-	return len(id) <= maxIDBytes && isFieldValue(id)
+	return len(id) <= maxIDBytes && fields.IsValue(id)
 }
 
 func admissionRequest(req *wire.Request) admission.Request {
--- a/internal/agent/response_reader.go
+++ b/internal/agent/response_reader.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -81,15 +82,16 @@
 	r.exchange.agent.reportRest(resp)
 
 	r.parts <- responsePart{head: resp}
-	r.parts <- r.readBody(resp.Body, idleTimer)
+	r.parts <- r.readBody(resp, idleTimer)
 }
 
 // readBody sends the body of the response and returns the last part. It reads into one half of
 // the buffer while the other half is being written to the entry.
-func (r *responseReader) readBody(body io.ReadCloser, idleTimer *time.Timer) responsePart {
+func (r *responseReader) readBody(resp *http.Response, idleTimer *time.Timer) responsePart {
 	// A body that is closed before its end closes the connection, which is then not reused.
-	defer func() { _ = body.Close() }()
+	defer func() { _ = resp.Body.Close() }()
 
+	body := answers.NewBody(resp)
 	buf := r.buf
 	half := 0
 
@@ -119,8 +121,11 @@
 	}
 }
 
-// truncated returns the error for a response that broke off.
+// truncated returns the error for a response that broke off, or whose trailer is broken. In the second case, its body has
+// been read to its end, and the transport would use the connection again.
 func (r *responseReader) truncated(err error) *verdict.Error {
+	r.exchange.call.closeConn()
+
 	e := &verdict.Error{Cause: verdict.CauseBroken, Err: err}
 	if cause := contextCause(r.ctx); cause != "" {
 		e.Cause = cause
--- a/internal/agentclient/broken_head_test.go
+++ b/internal/agentclient/broken_head_test.go
@@ -46,3 +46,14 @@
 		requireBrokenHead(t, &wire.Head{Status: status})
 	}
 }
+
+// Guards against a field in the frame of an agent of an earlier build that a server drops or changes as it writes the head.
+func TestBrokenFieldOfAnAgentIsNoAnswer(t *testing.T) {
+	t.Parallel()
+
+	for _, h := range []*wire.Header{
+		{Name: "X A", Value: "b"}, {Name: "Content-Length ", Value: "6"}, {Name: "", Value: "b"}, {Name: "X\x00", Value: "b"}, {Name: "X", Value: "a\r\nY: b"}, {Name: "X", Value: "a\x00b"},
+	} {
+		requireBrokenHead(t, &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "X-Sound", Value: "a\tb \xc3\xa9"}, h}})
+	}
+}
--- a/internal/agentclient/client.go
+++ b/internal/agentclient/client.go
@@ -279,8 +279,8 @@
 	}
 
 	// An agent of an earlier build passes on what the HTTP library accepted.
-	if err := answers.CheckFinalStatus(int(head.GetStatus())); err != nil {
-		return err //nolint:wrapcheck // classify wraps it
+	if err := CheckHead(head.GetStatus(), head.GetHeaders()); err != nil {
+		return err
 	}
 
 	r.headSeen = true
@@ -288,6 +288,21 @@
 	return r.receiver.Head(head)
 }
 
+// CheckHead returns an error of type *answers.HeadError unless a final answer may have this status and these headers.
+func CheckHead(status int32, headers []*wire.Header) error {
+	if err := answers.CheckFinalStatus(int(status)); err != nil {
+		return err //nolint:wrapcheck // callers compare it
+	}
+
+	for _, h := range headers {
+		if err := answers.CheckField(h.GetName(), h.GetValue()); err != nil {
+			return err //nolint:wrapcheck // callers compare it
+		}
+	}
+
+	return nil
+}
+
 func (r *reader) handleData(b []byte) error {
 	if !r.headSeen {
 		return eris.New("data before head")
--- /dev/null
+++ b/internal/answers/body.go
@@ -0,0 +1,28 @@
+package answers
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Body is the body of an answer. It ends with an error of type *HeadError if its trailer is broken.
+type Body struct {
+	resp *http.Response
+}
+
+// NewBody returns the body of resp.
+func NewBody(resp *http.Response) Body { return Body{resp: resp} }
+
+// Read implements io.Reader.
+func (b Body) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+
+	if errors.Is(err, io.EOF) {
+		if broken := checkFields(b.resp.Trailer); broken != nil {
+			return n, broken
+		}
+	}
+
+	return n, err //nolint:wrapcheck // readers compare it
+}
--- a/internal/answers/head.go
+++ b/internal/answers/head.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"github.com/parsleygate/parsleygate/internal/fields"
 )
 
 // Part is a part of the head of an answer.
@@ -16,6 +18,8 @@
 	PartStatus        Part = "status"
 	PartReason        Part = "reason"
 	PartContentLength Part = "length of an informational answer"
+	PartFieldName     Part = "name of a field"
+	PartFieldValue    Part = "value of a field"
 )
 
 // HeadError means that a part of a head does not conform to the grammar, or must not be in an answer. The target may
@@ -44,12 +48,41 @@
 		return &HeadError{Part: PartStatus, Value: resp.Status}
 	}
 
-	if !isText(resp.Status) {
+	if !fields.IsValue(resp.Status) {
 		return &HeadError{Part: PartReason, Value: resp.Status}
 	}
 
 	if IsInformational(resp.StatusCode) {
-		return checkBodyless(resp.Header)
+		if err := checkBodyless(resp.Header); err != nil {
+			return err
+		}
+	}
+
+	return checkFields(resp.Header)
+}
+
+// checkFields checks the fields of a head or of a trailer. A name that the library did not understand may be that of the
+// length, or hide it.
+func checkFields(h http.Header) error {
+	for name, values := range h {
+		for _, v := range values {
+			if err := CheckField(name, v); err != nil {
+				return err
+			}
+		}
+	}
+
+	return nil
+}
+
+// CheckField returns an error of type *HeadError unless a name is a token and its value has no control characters but tabs.
+func CheckField(name, value string) error {
+	if !fields.IsToken(name) {
+		return &HeadError{Part: PartFieldName, Value: name}
+	}
+
+	if !fields.IsValue(value) {
+		return &HeadError{Part: PartFieldValue, Value: value}
 	}
 
 	return nil
@@ -80,14 +113,3 @@
 
 	return nil
 }
-
-// isText reports whether s is valid as a reason or as the value of a field: it has no control characters but tabs.
-func isText(s string) bool {
-	for i := range len(s) {
-		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-
-	return true
-}
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/parsleygate/parsleygate/internal/answers"
+	"github.com/parsleygate/parsleygate/internal/agentclient"
 	"github.com/parsleygate/parsleygate/internal/eventstream"
 	"github.com/parsleygate/parsleygate/internal/exchange"
 	"github.com/parsleygate/parsleygate/internal/routing"
@@ -266,7 +266,7 @@
 // isBroken reports whether a has no valid head, or is a stream that was broken off inside an event.
 // Earlier builds recorded such answers as complete.
 func isBroken(a *wire.Answer) bool {
-	if answers.CheckFinalStatus(int(a.GetStatus())) != nil {
+	if agentclient.CheckHead(a.GetStatus(), a.GetHeaders()) != nil {
 		return true
 	}
 
--- a/internal/entry/broken_head_test.go
+++ b/internal/entry/broken_head_test.go
@@ -50,3 +50,12 @@
 		requireBrokenHead(t, &wire.Head{Status: status})
 	}
 }
+
+// Guards against a field whose name or value is none: the server drops or changes it, and the caller gets another head than the target sent.
+func TestBrokenFieldOfAnAgentReachesNoCaller(t *testing.T) {
+	t.Parallel()
+
+	for _, h := range []*wire.Header{{Name: "Content-Length ", Value: "6"}, {Name: "X A", Value: "b"}, {Name: "", Value: "b"}, {Name: "X", Value: "a\nY: b"}} {
+		requireBrokenHead(t, &wire.Head{Status: 200, Headers: []*wire.Header{h}})
+	}
+}
--- a/internal/targetclient/broken_head_test.go
+++ b/internal/targetclient/broken_head_test.go
@@ -1,6 +1,7 @@
 package targetclient_test
 
 import (
+	"io"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -54,3 +55,43 @@
 		requireBroken(t, line+"\r\n"+keepAlive+"\r\n"+whole)
 	}
 }
+
+// Guards against an answer with a field whose name is none, whose framing may be another than the library read.
+func TestBrokenFieldNameIsNoAnswer(t *testing.T) {
+	t.Parallel()
+
+	for _, field := range []string{"Content-Length : 6", "Transfer-Encoding : chunked", "Keep-Alive : timeout=10", "X A: b", "A B : c"} {
+		for _, answer := range []string{
+			"HTTP/1.1 200 OK\r\n" + keepAlive + field + "\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n" + keepAlive + field + "\r\n\r\n",
+			"HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + whole,
+		} {
+			requireBroken(t, answer)
+		}
+	}
+}
+
+// Guards against an answer whose trailer is broken, and that counts as whole or whose connection is used again.
+func TestBrokenTrailerIsNotWhole(t *testing.T) {
+	t.Parallel()
+
+	for _, field := range []string{"X A: b", "X : b"} {
+		f := newFakeTarget(t, respond(chunked+"0\r\n"+field+"\r\n\r\n"))
+		c := newClient(f)
+
+		answer, err := c.Open(t.Context(), f.Target, request("r1"))
+		require.NoError(t, err)
+
+		_, err = io.ReadAll(answer.Body)
+
+		var broken *answers.HeadError
+
+		require.ErrorAs(t, err, &broken, "%q", field)
+		answer.Keep()
+		require.Zero(t, c.Stats().Idle, "%q", field)
+	}
+
+	f := newFakeTarget(t, respond(chunked+"0\r\nX-Sum: \xc3\xa9\r\nX-Empty:\r\n\r\n"))
+	c := newClient(f)
+	send(t, c, f, request("r1"))
+	require.Equal(t, 1, c.Stats().Idle)
+}
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
 )
 
@@ -247,7 +248,7 @@
 		c.apply(func() []closing { return c.pool.closeAll(conn.target) })
 	}
 
-	body := &wholeBody{r: resp.Body, conn: conn, framing: framingOf(resp), whole: resp.Body == http.NoBody}
+	body := &wholeBody{r: answers.NewBody(resp), conn: conn, framing: framingOf(resp), whole: resp.Body == http.NoBody}
 
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Body: body, Framing: body.framing, Reused: conn.reused,
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -99,8 +99,13 @@
 	var (
 		network net.Error
 		header  textproto.ProtocolError
+		broken  *answers.HeadError
 	)
 
+	if errors.As(err, &broken) && broken.Part == answers.PartFieldName {
+		return false
+	}
+
 	return verdict.Of(err) == verdict.MayHaveRun && !errors.As(err, &network) && !errors.As(err, &header) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 }
 
