Find a transfer encoding of HTTP/1.0 behind informational answers too

Callers got 200 with the marks of chunks in the body, where a target sent an informational answer and then one of HTTP/1.0 with Transfer-Encoding: chunked, which that version does not have (RFC 9112, 6.1), or one whose head was longer than the read buffer. Agents passed the first on as whole.

The HTTP library removes the field. The check looked at the beginning of the first head only, as far as it fitted into the buffer, and for the end of a head with CR LF.

Entries that proxy directly and agents share it.

--- a/internal/agent/broken_head_test.go
+++ b/internal/agent/broken_head_test.go
@@ -172,3 +172,27 @@
 
 	require.EqualValues(t, 1, target.conns.Load())
 }
+
+// Guards against an answer of HTTP/1.0 with chunks, which that version does not have, behind an informational answer or in a long head.
+func TestEncodingOfHTTP10IsNoAnswer(t *testing.T) {
+	t.Parallel()
+
+	const id = HeaderRequestID + ": %s\r\n"
+
+	for _, answer := range []string{
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.0 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n6\r\n" + forged + "\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n" + id + "X-Long: " + strings.Repeat("x", 40<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n" + forged + "\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\n" + HeaderRequestID + ": %s\nTransfer-Encoding: chunked\n\n6\r\n" + forged + "\r\n0\r\n\r\n",
+	} {
+		target := newRawTarget(t, func(c net.Conn, id string) {
+			_, _ = io.WriteString(c, strings.ReplaceAll(answer, "%s", id))
+			_ = c.Close()
+		})
+		r := newFixture(t, target.addr(), withLongCredits)
+
+		for _, req := range []*wire.Request{r.request("/draft", "x"), r.nonIdempotentRequest("/book", "x")} {
+			a := r.do(req)
+			a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
+		}
+	}
+}
--- a/internal/agent/request_conn.go
+++ b/internal/agent/request_conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/callers"
 )
 
@@ -26,17 +27,12 @@
 
 	// readMu guards the rest. It is separate, because a write may wait until the response has
 	// been read.
-	readMu           sync.Mutex
-	counter          callers.HeadCounter
-	charged          *callers.AnswerHead
-	responseHead     []byte
-	responseHeadDone bool
-	statesEncoding   bool
+	readMu   sync.Mutex
+	counter  callers.HeadCounter
+	charged  *callers.AnswerHead
+	encoding answers.EncodingScanner
 }
 
-// maxResponseHead bounds the head of a response of HTTP/1.0 that is searched, in bytes.
-const maxResponseHead = 64 << 10
-
 var endOfHead = []byte("\r\n\r\n")
 
 // beginRequest must be called before each request on the connection. The head of its response is charged to head
@@ -50,7 +46,7 @@
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 
-	c.responseHead, c.responseHeadDone, c.statesEncoding = nil, false, false
+	c.encoding = answers.EncodingScanner{}
 	c.charged = head
 	c.counter.Begin(head.Grow)
 }
@@ -89,39 +85,17 @@
 		return 0, refused //nolint:wrapcheck // the caller compares it
 	}
 
-	if !c.responseHeadDone {
-		c.searchHead(b[:n])
-	}
+	c.encoding.Scan(b[:n])
 
 	return n, err //nolint:wrapcheck // http.Transport checks the errors of its connections
 }
 
-// searchHead searches the head of a response of HTTP/1.0, of which b is the next piece.
-func (c *requestConn) searchHead(b []byte) {
-	const version = "HTTP/1.0"
-
-	c.responseHead = append(c.responseHead, b...)
-	n := min(len(c.responseHead), len(version))
-
-	if string(c.responseHead[:n]) != version[:n] || len(c.responseHead) > maxResponseHead {
-		c.responseHead, c.responseHeadDone = nil, true
-
-		return
-	}
-
-	if end := bytes.Index(c.responseHead, endOfHead); end >= 0 {
-		c.statesEncoding = bytes.Contains(bytes.ToLower(c.responseHead[:end]), []byte("\ntransfer-encoding:"))
-		c.responseHead, c.responseHeadDone = nil, true
-	}
-}
-
-// statesTransferEncoding reports whether the response is one of HTTP/1.0 with a
-// Transfer-Encoding, which that version doesn't have. Its framing is faulty (RFC 9112, 6.1).
+// statesTransferEncoding reports whether the response is one of HTTP/1.0 with a Transfer-Encoding.
 func (c *requestConn) statesTransferEncoding() bool {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
 
-	return c.statesEncoding
+	return c.encoding.Found()
 }
 
 // Write implements net.Conn.
--- a/internal/targetclient/connection.go
+++ b/internal/targetclient/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -55,25 +54,23 @@
 	}
 
 	c.limited.N = int64(maxHeaderBytes)
-	c.head.Begin(req.OnHead)
+	c.head.begin(req.OnHead)
 
 	if err := c.writeRequest(req); err != nil {
 		return nil, err
 	}
 
-	encoded := statesEncoding10(c.buffered)
-
 	resp, err := readFinalHead(c.buffered, req.Method) //nolint:bodyclose // closing the connection closes it
 	if err != nil {
 		return nil, brokenError(err)
 	}
 
-	if encoded {
+	if c.head.encoding.Found() {
 		return nil, brokenError(errEncoding10)
 	}
 
 	c.limited.N = 1<<63 - 1
-	c.head.Begin(nil)
+	c.head.end()
 
 	return resp, nil
 }
@@ -170,36 +167,9 @@
 	}
 }
 
-// errEncoding10 means that an answer of HTTP/1.0 has a Transfer-Encoding, which that version does not
-// have. The framing of such an answer is faulty (RFC 9112, 6.1).
+// errEncoding10 means that an answer of HTTP/1.0 has a Transfer-Encoding.
 var errEncoding10 = errors.New("targetclient: answer of HTTP/1.0 has a transfer encoding")
 
-// statesEncoding10 reports whether the answer in r is one of HTTP/1.0 with a Transfer-Encoding. The HTTP
-// library removes that header. It looks at as much of the head as fits into the buffer.
-func statesEncoding10(r *bufio.Reader) bool {
-	const version = "HTTP/1.0"
-
-	head, err := r.Peek(len(version))
-	if err != nil || string(head) != version {
-		return false
-	}
-
-	for {
-		head, _ = r.Peek(r.Buffered())
-		if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
-			return bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding:"))
-		}
-
-		if len(head) == r.Size() {
-			return false
-		}
-
-		if _, err := r.Peek(len(head) + 1); err != nil {
-			return false
-		}
-	}
-}
-
 // readFinalHead reads the headers of the final response and skips informational
 // (1xx) responses.
 func readFinalHead(r *bufio.Reader, method string) (*http.Response, error) {
--- a/internal/targetclient/head_reader.go
+++ b/internal/targetclient/head_reader.go
@@ -3,16 +3,27 @@
 import (
 	"io"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/callers"
 )
 
-// headReader counts the head of an answer before it is parsed.
+// headReader counts and scans the head of an answer before it is parsed.
 type headReader struct {
 	callers.HeadCounter
 
-	r io.Reader
+	r        io.Reader
+	encoding answers.EncodingScanner
 }
 
+// begin begins the head of the next answer.
+func (h *headReader) begin(onHead func(size, lines int) error) {
+	h.Begin(onHead)
+	h.encoding = answers.EncodingScanner{}
+}
+
+// end ends the head.
+func (h *headReader) end() { h.Begin(nil) }
+
 // Read implements io.Reader.
 func (h *headReader) Read(b []byte) (int, error) {
 	if err := h.Refused(); err != nil {
@@ -24,5 +35,7 @@
 		return 0, refused //nolint:wrapcheck // the client compares it
 	}
 
+	h.encoding.Scan(b[:n])
+
 	return n, err //nolint:wrapcheck // the HTTP library compares it
 }
