Remove the connection of a broken trailer from the pool as well

By reading: the transport has returned the connection of a response that was read to its end to its pool before the trailer is looked at, so that the next request could take the closed connection and fail for it. The connection is discarded as that of a response without a body is: closed, and the idle ones with it.

--- a/internal/agent/response_reader.go
+++ b/internal/agent/response_reader.go
@@ -121,10 +121,11 @@
 	}
 }
 
-// truncated returns the error for a response that broke off, or whose trailer is broken. In the second case, its body has
-// been read to its end, and the transport would use the connection again.
+// truncated returns the error for a response that broke off, or whose trailer is broken.
 func (r *responseReader) truncated(err error) *verdict.Error {
-	r.exchange.call.closeConn()
+	if broken := new(answers.HeadError); errors.As(err, &broken) {
+		r.exchange.agent.client.discard(&r.exchange.call)
+	}
 
 	e := &verdict.Error{Cause: verdict.CauseBroken, Err: err}
 	if cause := contextCause(r.ctx); cause != "" {
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -69,6 +69,13 @@
 
 func (tc targetClient) closeIdle() { tc.pooled.CloseIdleConnections() }
 
+// discard closes the connection of a call, also if the transport has already returned it to its pool: as soon as a response
+// has no body, or has been read to its end.
+func (tc targetClient) discard(c *call) {
+	c.closeConn()
+	tc.closeIdle()
+}
+
 // call is one request to the target.
 type call struct {
 	attemptID string
@@ -121,10 +128,7 @@
 
 	if mismatch := c.checkResponse(resp); mismatch != nil {
 		_ = resp.Body.Close()
-		c.closeConn()
-		// The transport has already returned the connection of a response without a body to
-		// its pool.
-		tc.closeIdle()
+		tc.discard(c)
 
 		return nil, mismatch
 	}
