Bound the answers to calls between processes

A service at the address of a process could end its caller by an answer without an end: the generated clients call io.ReadAll on any answer, also on that of a failure, and keep it. Addresses are those of VMs that the process was told of, and after a move another service may listen there. Heads had the transport's default of 10 MB each.

answers.NewClient makes the clients of all calls: those of entries and agents to control VMs, of control VMs to each other, of the directors of groups and of ranks, of replicas, and of entries to agents. It bounds heads to 64 KB, failures to 64 KB, and the bodies that one client reads at the same time to 24 MB where they hold state, as a document has 16 MB at most, a full directory 1.8 MB and the evidence 0.8 MB, and to 16 MB elsewhere, as what replicas accept of each other. The first 64 KB of a body do not count, so that small answers arrive while others fill the bound. What exceeds it fails, and its connection is closed. Heads are checked too.

--- a/internal/agentclient/client.go
+++ b/internal/agentclient/client.go
@@ -34,6 +34,9 @@
 	maxFrame = 1 << 20
 	// readBufferSize is the size of the read buffer of each answer, in bytes.
 	readBufferSize = 4 << 10
+	// maxCallBytes bounds the answers to all other calls that are read at the same time, in bytes. They may hold recorded
+	// answers.
+	maxCallBytes = 16 << 20
 	// maxIdlePerAgent bounds the idle connections to one agent.
 	maxIdlePerAgent = 64
 )
@@ -53,7 +56,9 @@
 
 	once      sync.Once
 	transport *http.Transport
-	unpooled  *http.Transport
+	// frames carries requests, whose answers are bounded frame by frame, and pooled other calls on the same connections.
+	frames           *answers.Transport
+	pooled, unpooled *http.Client
 }
 
 // errReadTimeout is the cause with which an attempt is canceled after ReadTimeout.
@@ -87,7 +92,9 @@
 			IdleConnTimeout:     c.IdleConnTimeout,
 			DisableCompression:  true,
 		}
-		c.unpooled = &http.Transport{DialContext: c.Dial, DisableKeepAlives: true, DisableCompression: true}
+		c.frames = &answers.Transport{Base: c.transport}
+		c.pooled = answers.NewClient(c.transport, maxCallBytes)
+		c.unpooled = answers.NewClient(&http.Transport{DialContext: c.Dial, DisableKeepAlives: true, DisableCompression: true}, maxCallBytes)
 	})
 }
 
@@ -121,7 +128,7 @@
 	// byte was written. The agent rejects every other duplicate by its attempt ID.
 	r.Header.Set("Content-Type", "application/x-protobuf")
 
-	resp, err := c.transport.RoundTrip(r)
+	resp, err := c.frames.RoundTrip(r)
 	if err != nil {
 		return Result{Err: c.classify(ctx, err)}
 	}
--- a/internal/agentclient/rpc.go
+++ b/internal/agentclient/rpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 
 	"github.com/rotisserie/eris"
@@ -19,7 +18,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.ReadTimeout)
 	defer cancel()
 
-	client := wire.NewAgentProtobufClient("http://"+address.String(), &http.Client{Transport: c.unpooled})
+	client := wire.NewAgentProtobufClient("http://"+address.String(), c.unpooled)
 
 	resp, err := client.Ask(ctx, req)
 
@@ -33,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.ReadTimeout)
 	defer cancel()
 
-	client := wire.NewAgentProtobufClient("http://"+address.String(), &http.Client{Transport: c.transport})
+	client := wire.NewAgentProtobufClient("http://"+address.String(), c.pooled)
 
 	resp, err := client.Grant(ctx, req)
 
--- a/internal/answers/transport_test.go
+++ b/internal/answers/transport_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -80,7 +82,7 @@
 
 	for _, answer := range []string{
 		"HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 600 \r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 101 \r\n\r\n",
-		"HTTP/1.1 103 \r\nContent-Length: 2\r\n\r\n", "HTTP/3.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 103 \r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX A: b\r\n\r\n", "HTTP/3.0 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		s, tr := newRawServer(t, answer), newTransport()
 
@@ -112,3 +114,129 @@
 
 	require.EqualValues(t, 1, s.conns.Load())
 }
+
+// newEndlessServer returns a server that begins each answer with head and writes more until the client closes the connection. It sends
+// the number of bytes of each answer to the channel.
+func newEndlessServer(t *testing.T, head, more string) (*rawServer, <-chan int) {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+
+	sent := make(chan int, 100)
+
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+
+			go func() {
+				defer func() { _ = c.Close() }()
+
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+
+				size, err := io.WriteString(c, head)
+				for ; err == nil; size += len(more) {
+					_, err = io.WriteString(c, more)
+				}
+
+				sent <- size
+			}()
+		}
+	}()
+
+	return &rawServer{url: "http://" + l.Addr().String()}, sent
+}
+
+// kernelBytes is what the kernel takes of a connection that nobody reads, at most.
+const kernelBytes = 8 << 20
+
+// Guards against an answer without an end that is kept whole: in its head, its body, or its trailer.
+func TestAnswerWithoutAnEndIsBounded(t *testing.T) {
+	t.Parallel()
+
+	const ok, maxBody = "HTTP/1.1 200 OK\r\n", 1 << 20
+
+	more := strings.Repeat("x", 32<<10)
+
+	for name, answer := range map[string][2]string{
+		"no answer": {"", more}, "status line": {"HTTP/1.1 200 ", more}, "field": {ok + "A: ", more}, "fields": {ok, "A: " + more + "\r\n"},
+		"informational": {"", strings.Repeat("HTTP/1.1 102 \r\n\r\n", 1<<10)}, "body": {ok + "\r\n", more}, "failure": {"HTTP/1.1 500 \r\n\r\n", more},
+		"length": {ok + "Content-Length: 9000000000000\r\n\r\n", more}, "chunks": {ok + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + more + "\r\n"},
+		"small chunks": {ok + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1<<10)},
+		"trailer":      {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + more + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s, sent := newEndlessServer(t, answer[0], answer[1])
+			client := answers.NewClient(&http.Transport{}, maxBody)
+
+			resp, err := client.Get(s.url) //nolint:noctx // the test ends it
+			if err == nil {
+				var body []byte
+
+				body, err = io.ReadAll(resp.Body)
+				require.LessOrEqual(t, len(body), maxBody+(1<<20))
+				require.NoError(t, resp.Body.Close())
+			}
+
+			require.Error(t, err)
+			require.Less(t, <-sent, maxBody+8*kernelBytes)
+		})
+	}
+}
+
+// Guards against many answers that are read at the same time and together exceed the bound of each, and against small ones that these
+// keep from arriving.
+func TestAnswersAreBoundedTogether(t *testing.T) {
+	t.Parallel()
+
+	const maxBody = 1 << 20
+
+	body := strings.Repeat("x", 512<<10)
+	large := newRawServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	small := newRawServer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 64<<10, body[:64<<10]))
+	client := answers.NewClient(&http.Transport{}, maxBody)
+
+	defer client.CloseIdleConnections()
+
+	read := func(s *rawServer) (*http.Response, error) {
+		resp, err := client.Get(s.url) //nolint:noctx // the test ends it
+		require.NoError(t, err)
+
+		_, err = io.ReadAll(resp.Body)
+
+		return resp, err
+	}
+
+	var open []io.Closer
+
+	for range 2 {
+		resp, err := read(large) //nolint:bodyclose // closed below
+		require.NoError(t, err)
+
+		open = append(open, resp.Body)
+	}
+
+	resp, err := read(large)
+	require.ErrorIs(t, err, answers.ErrTooLong)
+	require.NoError(t, resp.Body.Close())
+
+	resp, err = read(small)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+
+	for _, body := range open {
+		require.NoError(t, body.Close())
+	}
+
+	for range 4 {
+		resp, err := read(large)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -23,7 +24,7 @@
 	maxQueuedEnvelopes = 64
 	idleConnTimeout    = 2 * time.Second
 	// maxMergedBytes is the size from which no more queued envelopes are merged into one
-	// call. maxBodyBytes bounds a request body that the handler reads.
+	// call. maxBodyBytes bounds a request body that the handler reads, and the answers that a client reads at the same time.
 	maxMergedBytes      = 2 << 20
 	maxBodyBytes        = 16 << 20
 	maxIdleConnsPerPeer = 16
@@ -139,25 +140,27 @@
 	t.workers.Wait()
 }
 
-// newClient returns a client with its own connection pool and base's transport settings. A transport of
-// another type than http.Transport is used as it is.
+// newClient returns a client with its own connection pool and base's transport settings, which bounds the answers that it
+// reads. A transport of another type than http.Transport and answers.Transport is used as it is.
 func newClient(base *http.Client) *http.Client {
 	tr := &http.Transport{}
 
 	if base != nil && base.Transport != nil {
-		baseTransport, ok := base.Transport.(*http.Transport)
-		if !ok {
-			return &http.Client{Transport: base.Transport}
+		switch t := base.Transport.(type) {
+		case *http.Transport:
+			tr = t.Clone()
+		case *answers.Transport:
+			tr = t.Base.Clone()
+		default:
+			return &http.Client{Transport: t}
 		}
-
-		tr = baseTransport.Clone()
 	}
 
 	// A network device may have dropped the state of a connection that was idle for long.
 	tr.IdleConnTimeout = idleConnTimeout
 	tr.MaxIdleConnsPerHost = maxIdleConnsPerPeer
 
-	return &http.Client{Transport: tr}
+	return answers.NewClient(tr, maxBodyBytes)
 }
 
 // forwardTo sends a request to the leader at an address. It returns ErrNotSent if the
--- a/internal/role/controlclient.go
+++ b/internal/role/controlclient.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/view"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -25,6 +26,11 @@
 	controlRequestTimeout = 1200 * time.Millisecond
 	// controlIdleTimeout bounds how long an idle connection to a control VM is kept.
 	controlIdleTimeout = 15 * time.Second
+	// maxStateBytes bounds the answers that one client reads at the same time, in bytes, where they may hold
+	// the whole state or configuration.
+	maxStateBytes = 24 << 20
+	// maxCallBytes bounds them where they hold the state of a rank, or what a control VM tells another one.
+	maxCallBytes = 16 << 20
 )
 
 // ControlClient is the client of an entry or agent for the control VMs.
@@ -76,10 +82,10 @@
 
 	return &ControlClient{
 		Addresses: addresses,
-		client: &http.Client{Transport: &http.Transport{
+		client: answers.NewClient(&http.Transport{
 			DialContext: dialer.Dial, IdleConnTimeout: controlIdleTimeout,
 			MaxIdleConnsPerHost: 4, DisableCompression: true,
-		}},
+		}, maxStateBytes),
 	}
 }
 
--- a/internal/role/director.go
+++ b/internal/role/director.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/expertgroup"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/wire"
@@ -19,7 +20,7 @@
 	}
 
 	dialer := &identity.Dialer{Identity: r.Identity, Timeout: agentDialTimeout}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.Dial, IdleConnTimeout: agentIdleTimeout}}
+	client := answers.NewClient(&http.Transport{DialContext: dialer.Dial, IdleConnTimeout: agentIdleTimeout}, maxCallBytes)
 	d := &expertgroup.Director{
 		IsLeader: r.isLeader,
 		Barrier: func(ctx context.Context) error {
--- a/internal/role/followclients.go
+++ b/internal/role/followclients.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
@@ -38,7 +39,7 @@
 func newFollowClient() *http.Client {
 	dialer := &identity.Dialer{Timeout: controlDialTimeout}
 
-	return &http.Client{Transport: &http.Transport{
+	return answers.NewClient(&http.Transport{
 		DialContext: dialer.Dial, IdleConnTimeout: controlIdleTimeout, MaxIdleConnsPerHost: 1, DisableCompression: true,
-	}}
+	}, maxStateBytes)
 }
--- a/internal/role/rank.go
+++ b/internal/role/rank.go
@@ -8,6 +8,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/parsleygate/parsleygate/internal/answers"
 	"github.com/parsleygate/parsleygate/internal/expertgroup"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/placement"
@@ -42,7 +43,7 @@
 
 func (r *Agent) newRank(n *wire.Node) *rank.Rank {
 	dialer := &identity.Dialer{Identity: r.Identity, Timeout: agentDialTimeout}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.Dial, DisableKeepAlives: true}}
+	client := answers.NewClient(&http.Transport{DialContext: dialer.Dial, DisableKeepAlives: true}, maxCallBytes)
 
 	return &rank.Rank{
 		Group: n.GetGroup(), Number: int(n.GetRank()), AgentStartSeconds: r.Incarnation / uint64(time.Second),
