Judge in a stop whether a request can end when it is sent

In a planned stop of an entry that proxies directly, requests that became whole late in the grace were passed on although they could not end, and their connections were cut without an answer; among them were requests that may run once.

Relay.answer took the time and the state of the stop before the body was read, and judged by them after it: what became whole 4 s later was judged as of its head, and what had begun before the signal not at all. A request that got a target after it had waited, and one that was sent again, were not judged when they were sent.

The request is judged when it has been read, when it begins to wait, when it has a target, and before it is sent again. BeginStop tells those that wait for a body or a target: they get 503 as soon as they could not end in time, instead of when their body or their turn comes. What has run keeps its 502 or the failure of its target. The estimate counts from when a request has been read, so that slow bodies do not make a service look slow. Each answer in a stop closes its connection, also a refusal and a failure to a request that arrived before. A service that was not observed yet is still expected to end at once, as TestStoppingEntryRefusesWhatItCannotFinish has it.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -177,10 +177,7 @@
 
 func (p *proxiedRequest) copyHeaders(header http.Header) {
 	copyHeader(p.w.Header(), header)
-
-	if _, stopping := p.relay.StopsAt(); stopping {
-		p.w.Header().Set("Connection", "close")
-	}
+	p.closeWhileStopping()
 }
 
 func bodyAllowed(status int) bool {
--- a/internal/relay/durations.go
+++ b/internal/relay/durations.go
@@ -6,7 +6,7 @@
 	"github.com/parsleygate/parsleygate/internal/latency"
 )
 
-// durations estimates how long requests of each service take, from arrival to the last byte.
+// durations estimates how long requests of each service take, from when they have been read to the last byte.
 // A stopping entry refuses requests that would not finish before it ends.
 type durations struct{ services latency.Estimators[string] }
 
@@ -23,7 +23,7 @@
 	d.services.Observe(service, took, durationWindow)
 }
 
-// expectedEnd returns when nearly all requests of a service that arrive at now will have
+// expectedEnd returns when nearly all requests of a service that are sent at now will have
 // ended. For a service without observations it returns now.
 func (d *durations) expectedEnd(now time.Time, service string) time.Time {
 	upperBound, _ := d.services.UpperBound(service, durationMargin)
--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -18,7 +18,7 @@
 
 	p.relay.counters.completions.Add(1)
 	p.relay.latencies.total.Update(millis(p.arrivedAt, now))
-	p.relay.durations.observe(p.service, now.Sub(p.arrivedAt))
+	p.relay.durations.observe(p.service, now.Sub(p.readAt))
 	p.observeAnswerLength()
 
 	if p.relay.completions.Allow(now) {
@@ -90,6 +90,7 @@
 	p.log(slog.LevelInfo, "Refused.", append(p.urgencyAttrs(), "cause", verdict.CauseOf(err), "retryAfter", wait, "room", p.capacity, "error", err)...)
 	p.w.Header().Set("Retry-After", p.relay.Dialect.RetryAfter(wait))
 	p.boundRestOfBody()
+	p.closeWhileStopping()
 	http.Error(p.w, "not run: "+string(verdict.CauseOf(err)), http.StatusServiceUnavailable)
 }
 
@@ -102,6 +103,7 @@
 
 	p.relay.counters.failed.Add(1)
 	p.log(slog.LevelWarn, "Failed.", "status", status, "cause", cause, "error", err)
+	p.closeWhileStopping()
 	http.Error(p.w, "may have run: "+string(cause), status)
 }
 
@@ -110,6 +112,7 @@
 	p.relay.counters.denied.Add(1)
 	p.log(slog.LevelInfo, "Denied.", "status", status, "problem", problem)
 	p.boundRestOfBody()
+	p.closeWhileStopping()
 	http.Error(p.w, problem, status)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,8 @@
 	TargetClient *targetclient.Client
 	Budget       *retries.SharedBudget
 	// StopsAt returns whether this entry is stopping, and when it ends. While it stops or declines
-	// connections, each answer closes its connection.
+	// connections, each answer closes its connection. A request that is not expected to end in time is not
+	// sent to a target.
 	StopsAt  func() (at time.Time, stopping bool)
 	Limits   Limits
 	Logger   *slog.Logger
@@ -66,6 +67,9 @@
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
+	// stopBegun ends with BeginStop.
+	stopBegun context.Context
+	beginStop context.CancelFunc
 	// configured is closed when the first configuration is applied.
 	configured    chan struct{}
 	configureOnce sync.Once
@@ -138,6 +142,7 @@
 		r.Decliner = &callers.Decliner{Logger: r.Logger}
 	}
 
+	r.stopBegun, r.beginStop = context.WithCancel(context.Background())
 	r.configured = make(chan struct{})
 	r.entryShares.self = shares.Node{ID: r.ID, Zone: r.Zone}
 	r.entryShares.subsets.SubsetSize = shares.SubsetSize
@@ -333,8 +338,7 @@
 	r.counters.requests.Add(1)
 	r.Decliner.Demand.Add(now)
 
-	stopsAt, stopping := r.StopsAt()
-	if stopping || r.Decliner.IsDeclining(now) {
+	if _, stopping := r.StopsAt(); stopping || r.Decliner.IsDeclining(now) {
 		w.Header().Set("Connection", "close")
 	}
 
@@ -376,18 +380,19 @@
 		return
 	}
 
-	if p.body == nil {
-		p.refuse(verdict.Refuse(verdict.CauseOverload, r.Now().Add(r.Settings.NoTargetRetryAfter)))
+	if err := p.checkStop(); err != nil {
+		p.refuse(err)
 
 		return
 	}
 
-	if stopping && r.durations.expectedEnd(now, p.service).After(stopsAt) {
-		p.refuse(verdict.Refuse(verdict.CauseStopping, now.Add(r.Settings.MinRetryAfter)))
+	if p.body == nil {
+		p.refuse(verdict.Refuse(verdict.CauseOverload, r.Now().Add(r.Settings.NoTargetRetryAfter)))
 
 		return
 	}
 
+	p.readAt = r.Now()
 	p.run(ctx)
 }
 
@@ -426,6 +431,7 @@
 	}
 
 	p.setDeadlines()
+	p.service = p.route.Pick(rand.Float64())
 
 	if p.req.ContentLength == 0 {
 		p.body = []byte{}
@@ -433,7 +439,6 @@
 		return status, problem
 	}
 
-	p.service = p.route.Pick(rand.Float64())
 	p.setPrioritized(table)
 	p.setUrgency()
 	p.setParts()
@@ -450,7 +455,10 @@
 	_ = connection.SetReadDeadline(time.Now().Add(p.deadline.Sub(p.relay.Now())))
 
 	p.hold.waitFor(p.relay.Now(), senderCaller)
+
+	stopWaiting := p.whenTooLate(func() { _ = connection.SetReadDeadline(time.Now()) })
 	p.body, err = p.hold.readAll(p.relay.Now, http.MaxBytesReader(p.w, p.req.Body, maxBody))
+	stopWaiting()
 	p.hold.hasRead(senderCaller)
 
 	var tooLong *http.MaxBytesError
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -23,6 +23,8 @@
 	req       *http.Request
 	state     *view.ClusterState
 	arrivedAt time.Time
+	// readAt is when the request had been read whole.
+	readAt time.Time
 
 	caller    RequestInfo
 	route     *routes.Route
@@ -163,14 +165,24 @@
 	}
 }
 
-// acquireTarget waits until the dispatcher assigns a target or refuses the request.
+// acquireTarget waits until the dispatcher assigns a target or refuses the request, or until the request could not end
+// before this entry does.
 func (p *proxiedRequest) acquireTarget(ctx context.Context) (dispatch.Action, error) {
+	if err := p.checkStop(); err != nil {
+		return dispatch.Action{}, err
+	}
+
 	p.beginWaiting()
 	defer p.endWaiting()
 
 	ctx, stopWaiting := p.relay.guard.await(ctx, p)
 	defer stopWaiting()
 
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	defer p.whenTooLate(func() { cancel(p.stopRefusal()) })()
+
 	startedAt := p.relay.Now()
 	p.reuse = p.mayReuse()
 	placed, err := p.relay.queue.acquireTarget(ctx, p.dispatchRequest())
@@ -183,7 +195,7 @@
 	}
 
 	if err == nil {
-		if err = p.relay.guard.begin(p); err != nil {
+		if err = p.mayBegin(); err != nil {
 			p.relay.queue.finish(placed, p.work(), dispatch.Canceled)
 
 			return placed, err
@@ -203,6 +215,15 @@
 	return placed, nil
 }
 
+// mayBegin returns an error unless the request may be sent to the target that it got.
+func (p *proxiedRequest) mayBegin() error {
+	if err := p.checkStop(); err != nil {
+		return err
+	}
+
+	return p.relay.guard.begin(p)
+}
+
 func (p *proxiedRequest) dispatchRequest() dispatch.Request {
 	return dispatch.Request{
 		Service: p.service, Workspace: p.workspaceName(), Priority: p.priority(),
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -255,6 +255,7 @@
 	deadline := time.Now().Add(r.StopTimeout - stopReserve)
 
 	r.stopsAt.Store(&deadline)
+	r.relay.BeginStop()
 	r.relay.TargetClient.CloseIdle()
 	r.logger.Info("Stopping: completing requests in flight and closing connections.", "until", time.Until(deadline))
 	time.Sleep(min(drainDelay, r.StopTimeout/2))
