Answer the requests in flight at the end of a stop

At the end of a planned stop an entry that proxies directly closed the connections of all requests that were still at their targets. Their callers got no answer, those of requests that may run once included.

DirectEntry.drain called server.Close when the time of Shutdown was over.

At that moment, no sooner, EndRequests ends the attempts: callers get a whole 502 with "may have run: Stopping", or 503 with Retry-After if the request was not sent, within the half of the reserve before the end; the rest of it is for closing. A failure that a target gave before is passed on. A stream that has begun is cut, as before, and does not look complete. Log lines of such requests have the cause Stopping, and the reason against a retry too.

--- a/internal/relay/finish.go
+++ b/internal/relay/finish.go
@@ -66,13 +66,16 @@
 }
 
 // cause returns why a request that may have run has no complete answer. The connection to
-// the target is closed at the deadline, so after it err looks like a broken answer.
+// the target is closed at the deadline and at the end of a stop, so that err looks like a broken answer.
 func (p *proxiedRequest) cause(now time.Time, err error) verdict.Cause {
-	if now.Before(p.deadline) {
+	switch {
+	case !now.Before(p.deadline):
+		return verdict.CauseDeadline
+	case p.relay.stopEnded.Err() != nil:
+		return verdict.CauseStopping
+	default:
 		return verdict.CauseOf(err)
 	}
-
-	return verdict.CauseDeadline
 }
 
 // refuse answers a request that did not run and never will: 503 with Retry-After.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -67,9 +67,9 @@
 	// Now is the clock of all decisions; time.Now if nil.
 	Now func() time.Time
 
-	// stopBegun ends with BeginStop.
-	stopBegun context.Context
-	beginStop context.CancelFunc
+	// stopBegun ends with BeginStop, and stopEnded with EndRequests.
+	stopBegun, stopEnded   context.Context
+	beginStop, endRequests context.CancelFunc
 	// configured is closed when the first configuration is applied.
 	configured    chan struct{}
 	configureOnce sync.Once
@@ -143,6 +143,7 @@
 	}
 
 	r.stopBegun, r.beginStop = context.WithCancel(context.Background())
+	r.stopEnded, r.endRequests = context.WithCancel(context.Background())
 	r.configured = make(chan struct{})
 	r.entryShares.self = shares.Node{ID: r.ID, Zone: r.Zone}
 	r.entryShares.subsets.SubsetSize = shares.SubsetSize
@@ -362,11 +363,14 @@
 		return
 	}
 
-	ctx, cancel := context.WithCancel(req.Context())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+
+	unwatch := context.AfterFunc(r.stopEnded, func() { cancel(p.stopRefusal()) })
+	defer unwatch()
 
 	p.hold = r.memory.newHold(func(slow reader, bytes int64, waited time.Duration) {
-		p.endSlowReader(slow, bytes, waited, cancel)
+		p.endSlowReader(slow, bytes, waited, func() { cancel(nil) })
 	})
 	defer func() {
 		if p.hold.release() {
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -38,6 +38,8 @@
 	switch {
 	case p.req.Context().Err() != nil:
 		return retries.ReasonCallerCanceled
+	case p.relay.stopEnded.Err() != nil:
+		return retries.ReasonStopping
 	case ctx.Err() != nil || !now.Before(p.deadline):
 		return retries.ReasonDeadline
 	case len(p.tried)-delivered >= maxUndelivered:
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -35,6 +35,10 @@
 // BeginStop must be called once StopsAt reports that this entry is stopping.
 func (r *Relay) BeginStop() { r.beginStop() }
 
+// EndRequests ends the requests in flight, as this entry is about to end. Their callers get 502 if they may have run, and 503 otherwise.
+// Streams that have begun are cut.
+func (r *Relay) EndRequests() { r.endRequests() }
+
 // stopTimer calls a function when a request that waits can no longer be sent in time.
 type stopTimer struct {
 	mu    sync.Mutex
--- a/internal/retries/budget.go
+++ b/internal/retries/budget.go
@@ -83,6 +83,7 @@
 	ReasonNoOtherTarget   Reason = "NoOtherTarget"
 	ReasonCallerCanceled  Reason = "CallerLeft"
 	ReasonMostFail        Reason = "MostTargetsFail"
+	ReasonStopping        Reason = "Stopping"
 )
 
 // Decision says whether and when to retry.
--- a/internal/role/directentry.go
+++ b/internal/role/directentry.go
@@ -54,7 +54,7 @@
 	// balancer in front of it can notice: two health checks of one second each, plus
 	// the network delay.
 	drainDelay = 2600 * time.Millisecond
-	// stopReserve is the part of StopTimeout that is reserved for closing at the end.
+	// stopReserve is the part of StopTimeout that is reserved for answering what is still in flight, and closing.
 	stopReserve = 400 * time.Millisecond
 )
 
@@ -250,7 +250,8 @@
 }
 
 // drain accepts requests while the load balancer still sends them, then completes those
-// in flight. While the entry is stopping, each answer closes its connection.
+// in flight, and answers those that are not complete at the deadline. While the entry is stopping, each answer closes
+// its connection.
 func (r *DirectEntry) drain(server *http.Server) {
 	deadline := time.Now().Add(r.StopTimeout - stopReserve)
 
@@ -264,8 +265,18 @@
 	defer cancel()
 
 	if err := server.Shutdown(ctx); err != nil {
-		r.logger.Warn("Requests were still in flight at the deadline of the stop; closing their connections.", "error", err)
+		r.logger.Warn("Requests were still in flight at the deadline of the stop; answering them as ones that may have run.", "error", err)
+		r.relay.EndRequests()
+		closeBy(server, deadline.Add(stopReserve/2))
+	}
+}
+
+// closeBy closes the connections of a server, once the requests in flight are answered or a time has come.
+func closeBy(server *http.Server, at time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), at)
+	defer cancel()
 
+	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
 	}
 }
