--- a/internal/agent/broken_head_test.go
+++ b/internal/agent/broken_head_test.go
@@ -196,3 +196,17 @@
 		}
 	}
 }
+
+// Guards against a sound answer that an agent does not pass on, as the value of a field is not UTF-8.
+func TestFieldValueThatIsNotUTF8IsPassedOn(t *testing.T) {
+	t.Parallel()
+
+	target := newRawTarget(t, func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Bytes: caf\xe9 \xff\r\nContent-Length: 4\r\n\r\nyes!", HeaderRequestID, id)
+	})
+	r := newFixture(t, target.addr(), nil)
+
+	a := r.do(r.request("/draft", "x"))
+	a.requireComplete(t, "yes!")
+	require.Equal(t, "caf\xe9 \xff", a.head.GetHeaders()[1].GetValue())
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -148,7 +148,7 @@
 	"DeadlinePassed":     "the target did not answer before the caller's deadline",
 	"EarlierIncarnation": "the target's address is now used by another target",
 	"CallerCancelled":    "the caller disconnected",
-	"Stopping":           "this entry was shutting down, and requests of this service typically take longer than the time left",
+	"Stopping":           "this entry was shutting down, and the request could not end in the time left, as far as those of its service before tell, or did not",
 	"Quarantined":        "targets ended under this request, or while they began to answer requests with a part of its prompt; such requests are held back",
 	"TargetFailure":      "the target answered with a failure of its own",
 	"UnknownService":     "the operators removed the service while the request was queued",
