--- a/internal/agentclient/endless_answer_test.go
+++ b/internal/agentclient/endless_answer_test.go
@@ -1,16 +1,12 @@
 package agentclient_test
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -31,45 +27,25 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			s := &loopback.Endless{Head: answer[0], More: answer[1], MaxSent: maxSent, Sent: make(chan int, 10)}
+			to, err := s.Run()
 			require.NoError(t, err)
 
-			defer func() { _ = l.Close() }()
+			defer s.Close()
 
-			sent := make(chan int, 10)
-
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-
-					_, _ = http.ReadRequest(bufio.NewReader(c))
-
-					size, err := io.WriteString(c, answer[0])
-					for ; err == nil && size < maxSent; size += len(answer[1]) {
-						_, err = io.WriteString(c, answer[1])
-					}
-
-					_ = c.Close()
-					sent <- size
-				}
-			}()
-
-			to, c := netip.MustParseAddrPort(l.Addr().String()), newClient(t)
+			c := newClient(t)
 
 			_, err = c.QueryAttempt(t.Context(), to, &wire.AskRequest{})
 			require.Error(t, err)
-			require.Less(t, <-sent, 64<<20)
+			require.Less(t, <-s.Sent, 64<<20)
 
 			_, err = c.Grant(t.Context(), to, &wire.GrantRequest{})
 			require.Error(t, err)
-			require.Less(t, <-sent, 64<<20)
+			require.Less(t, <-s.Sent, 64<<20)
 
 			rec := &recorder{}
 			require.NotNil(t, c.Send(t.Context(), to, &wire.Request{AttemptID: ownAttempt}, rec.receiver()).Err)
-			require.Less(t, <-sent, 64<<20)
+			require.Less(t, <-s.Sent, 64<<20)
 			require.Empty(t, rec.got)
 		})
 	}
--- a/internal/answers/transport_test.go
+++ b/internal/answers/transport_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/parsleygate/parsleygate/internal/answers"
+	"github.com/parsleygate/parsleygate/internal/loopback"
 )
 
 // rawServer writes the same bytes in answer to each request, and keeps its connections open.
@@ -115,42 +116,6 @@
 	require.EqualValues(t, 1, s.conns.Load())
 }
 
-// newEndlessServer returns a server that begins each answer with head and writes more until the client closes the connection. It sends
-// the number of bytes of each answer to the channel.
-func newEndlessServer(t *testing.T, head, more string) (*rawServer, <-chan int) {
-	t.Helper()
-
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-
-	sent := make(chan int, 100)
-
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-
-			go func() {
-				defer func() { _ = c.Close() }()
-
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-
-				size, err := io.WriteString(c, head)
-				for ; err == nil; size += len(more) {
-					_, err = io.WriteString(c, more)
-				}
-
-				sent <- size
-			}()
-		}
-	}()
-
-	return &rawServer{url: "http://" + l.Addr().String()}, sent
-}
-
 // kernelBytes is what the kernel takes of a connection that nobody reads, at most.
 const kernelBytes = 8 << 20
 
@@ -172,10 +137,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			s, sent := newEndlessServer(t, answer[0], answer[1])
-			client := answers.NewClient(&http.Transport{}, maxBody)
+			s := &loopback.Endless{Head: answer[0], More: answer[1], Sent: make(chan int, 10)}
+			address, err := s.Run()
+			require.NoError(t, err)
+
+			defer s.Close()
 
-			resp, err := client.Get(s.url) //nolint:noctx // the test ends it
+			resp, err := answers.NewClient(&http.Transport{}, maxBody).Get("http://" + address.String()) //nolint:noctx // the test ends it
 			if err == nil {
 				var body []byte
 
@@ -185,7 +153,7 @@
 			}
 
 			require.Error(t, err)
-			require.Less(t, <-sent, maxBody+8*kernelBytes)
+			require.Less(t, <-s.Sent, maxBody+8*kernelBytes)
 		})
 	}
 }
--- a/internal/replica/endless_answer_test.go
+++ b/internal/replica/endless_answer_test.go
@@ -1,16 +1,13 @@
 package replica
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
@@ -26,42 +23,22 @@
 		"no answer": {"", more}, "field": {ok + "A: ", more}, "fields": {ok, "A: " + more[:1<<10] + "\r\n"}, "body": {ok + "\r\n", more}, "failure": {"HTTP/1.1 500 Oops\r\n\r\n", more},
 	} {
 		for _, base := range []*http.Client{nil, {Transport: &http.Transport{}}} {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			s := &loopback.Endless{Head: answer[0], More: answer[1], MaxSent: maxSent, Sent: make(chan int, 10)}
+			to, err := s.Run()
 			require.NoError(t, err)
 
-			sent := make(chan int, 10)
-
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-
-					_, _ = http.ReadRequest(bufio.NewReader(c))
-
-					size, err := io.WriteString(c, answer[0])
-					for ; err == nil && size < maxSent; size += len(answer[1]) {
-						_, err = io.WriteString(c, answer[1])
-					}
-
-					_ = c.Close()
-					sent <- size
-				}
-			}()
-
 			r := &Replica{ID: "vm0", Cluster: "test", Client: base}
 			r.init()
 
-			_, err = r.forwardTo(t.Context(), netip.MustParseAddrPort(l.Addr().String()), &wire.PeerOrder{})
+			_, err = r.forwardTo(t.Context(), to, &wire.PeerOrder{})
 			require.Error(t, err, name)
-			require.Less(t, <-sent, 64<<20, name)
+			require.Less(t, <-s.Sent, 64<<20, name)
 
-			peer := wire.NewPeerProtobufClient("http://"+l.Addr().String(), newClient(base))
+			peer := wire.NewPeerProtobufClient("http://"+to.String(), newClient(base))
 			_, err = peer.Deliver(t.Context(), &wire.PeerEnvelope{})
 			require.Error(t, err, name)
-			require.Less(t, <-sent, 64<<20, name)
-			require.NoError(t, l.Close())
+			require.Less(t, <-s.Sent, 64<<20, name)
+			s.Close()
 		}
 	}
 }
--- a/internal/role/endless_answer_test.go
+++ b/internal/role/endless_answer_test.go
@@ -1,11 +1,8 @@
 package role
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
-	"net/http"
 	"net/netip"
 	"runtime"
 	"runtime/debug"
@@ -17,45 +14,10 @@
 
 	"github.com/parsleygate/parsleygate/internal/agent"
 	"github.com/parsleygate/parsleygate/internal/logs"
+	"github.com/parsleygate/parsleygate/internal/loopback"
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// newEndlessServer returns the address of a server that begins each answer with head and writes more until the client closes the
-// connection. It sends the number of bytes of each answer to the channel. It gives up after maxSent bytes.
-func newEndlessServer(t *testing.T, head, more string, maxSent int) (netip.AddrPort, <-chan int) {
-	t.Helper()
-
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-
-	sent := make(chan int, 100)
-
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-
-			go func() {
-				defer func() { _ = c.Close() }()
-
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-
-				size, err := io.WriteString(c, head)
-				for ; err == nil && size < maxSent; size += len(more) {
-					_, err = io.WriteString(c, more)
-				}
-
-				sent <- size
-			}()
-		}
-	}()
-
-	return netip.MustParseAddrPort(l.Addr().String()), sent
-}
-
 // calls are the calls that the processes send each other, by name.
 func calls() map[string]func(context.Context, netip.AddrPort) error {
 	control := NewControlClient(nil, nil)
@@ -140,13 +102,16 @@
 			"field":  {"HTTP/1.1 200 OK\r\nA: ", more}, "fields": {"HTTP/1.1 200 OK\r\n", "A: " + more[:1<<10] + "\r\n"}, "no answer": {"", more},
 			"informational": {"", strings.Repeat("HTTP/1.1 102 \r\n\r\n", 1<<10)},
 		} {
-			to, sent := newEndlessServer(t, answer[0], answer[1], maxSent)
+			s := &loopback.Endless{Head: answer[0], More: answer[1], MaxSent: maxSent, Sent: make(chan int, 10)}
+			to, err := s.Run()
+			require.NoError(t, err)
 
 			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 			heap := highestHeap(func() { require.Error(t, call(ctx, to), "%s, %s", name, kind) })
 
 			cancel()
-			require.Less(t, <-sent, 64<<20, "%s, %s", name, kind)
+			s.Close()
+			require.Less(t, <-s.Sent, 64<<20, "%s, %s", name, kind)
 			require.Less(t, heap, uint64(maxHeap), "%s, %s", name, kind)
 		}
 	}
