Carry values that are not UTF-8 between entries and agents

By way of an agent a sound answer with bytes over 127 in the value of a field, such as Latin-1, did not reach its caller: the agent's connection to the entry ended without a refusal. A request with such a value got 400.

Header.Value was a string, and protobuf writes no string that is not UTF-8. It is bytes now, with the same number and the same encoding on the wire.

The tests were red before: "error EOF" at an agent, 400 at an entry. Found by the tests that hold sound answers beside the checks of heads.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -34,7 +34,7 @@
 
 	got := map[string]string{}
 	for _, h := range a.head.GetHeaders() {
-		got[h.GetName()] = h.GetValue()
+		got[h.GetName()] = string(h.GetValue())
 	}
 
 	require.Equal(t, "/draft?x=1", got["X-Path"])
--- a/internal/agent/broken_head_test.go
+++ b/internal/agent/broken_head_test.go
@@ -162,7 +162,7 @@
 
 		got := make(map[string]string)
 		for _, h := range a.head.GetHeaders() {
-			got[h.GetName()] = h.GetValue()
+			got[h.GetName()] = string(h.GetValue())
 		}
 
 		require.Equal(t, map[string]string{
@@ -208,5 +208,5 @@
 
 	a := r.do(r.request("/draft", "x"))
 	a.requireComplete(t, "yes!")
-	require.Equal(t, "caf\xe9 \xff", a.head.GetHeaders()[1].GetValue())
+	require.Equal(t, "caf\xe9 \xff", string(a.head.GetHeaders()[1].GetValue()))
 }
--- a/internal/agent/entry_fault_test.go
+++ b/internal/agent/entry_fault_test.go
@@ -47,14 +47,14 @@
 			req.Body = bytes.Repeat([]byte("x"), 100*maxBytes)
 		}, wire.Verdict_NotRun, "TooLarge"},
 		{"headers too large", func(_ *fixture, req *wire.Request) {
-			req.Headers = []*wire.Header{{Name: "X", Value: strings.Repeat("x", maxBytes)}}
+			req.Headers = []*wire.Header{{Name: "X", Value: []byte(strings.Repeat("x", maxBytes))}}
 		}, wire.Verdict_NotRun, "TooLarge"},
 		{"body corrupted in transit", func(_ *fixture, req *wire.Request) { req.Body[0]++ }, wire.Verdict_NotRun, "Malformed"},
 		{"header value with a line break", func(_ *fixture, req *wire.Request) {
-			req.Headers = []*wire.Header{{Name: "X", Value: "a\r\nY: b"}}
+			req.Headers = []*wire.Header{{Name: "X", Value: []byte("a\r\nY: b")}}
 		}, wire.Verdict_NotRun, "Malformed"},
 		{"header name with a space", func(_ *fixture, req *wire.Request) {
-			req.Headers = []*wire.Header{{Name: "X Y", Value: "a"}}
+			req.Headers = []*wire.Header{{Name: "X Y", Value: []byte("a")}}
 		}, wire.Verdict_NotRun, "Malformed"},
 		{"method with a line break", func(_ *fixture, req *wire.Request) { req.Method = "GET / HTTP/1.1\r\n" }, wire.Verdict_NotRun, "Malformed"},
 		{"path with a host", func(_ *fixture, req *wire.Request) { req.Path = "http://elsewhere/" }, wire.Verdict_NotRun, "Malformed"},
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -203,7 +203,7 @@
 func lastEventID(req *wire.Request) string {
 	for _, h := range req.GetHeaders() {
 		if strings.EqualFold(h.GetName(), "Last-Event-ID") {
-			return h.GetValue()
+			return string(h.GetValue())
 		}
 	}
 
@@ -224,7 +224,7 @@
 
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &wire.Header{Name: name, Value: v})
+			out = append(out, &wire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -185,7 +185,7 @@
 		AttemptID: fmt.Sprintf("order-%d-%d", o.Incarnation, o.FencingNumber),
 		Method:    http.MethodPost,
 		Path:      OrderPath,
-		Headers:   []*wire.Header{{Name: "Content-Type", Value: "application/json"}},
+		Headers:   []*wire.Header{{Name: "Content-Type", Value: []byte("application/json")}},
 		Body:      body,
 	}
 	c := &call{attemptID: req.GetAttemptID()}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -194,7 +194,7 @@
 	for _, h := range req.GetHeaders() {
 		size += len(h.GetName()) + len(h.GetValue())
 
-		if !fields.IsToken(h.GetName()) || !fields.IsValue(h.GetValue()) {
+		if !fields.IsToken(h.GetName()) || !fields.IsValue(string(h.GetValue())) {
 			return verdict.CauseMalformed
 		}
 	}
--- a/internal/agent/stream_fault_test.go
+++ b/internal/agent/stream_fault_test.go
@@ -109,7 +109,7 @@
 
 				for _, req := range []*wire.Request{r.request("/draft", "x"), r.request("/draft", ""), r.nonIdempotentRequest("/book", "x")} {
 					if tc.after != "" {
-						req.Headers = []*wire.Header{{Name: "Last-Event-Id", Value: tc.after}}
+						req.Headers = []*wire.Header{{Name: "Last-Event-Id", Value: []byte(tc.after)}}
 					}
 
 					a := r.do(req)
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -292,7 +292,7 @@
 func forwardedHeaders(hs []*wire.Header) http.Header {
 	out := make(http.Header, len(hs)+2)
 	for _, h := range hs {
-		out.Add(h.GetName(), h.GetValue())
+		out.Add(h.GetName(), string(h.GetValue()))
 	}
 
 	removeHopByHop(out)
--- a/internal/agent/target_fault_test.go
+++ b/internal/agent/target_fault_test.go
@@ -219,7 +219,7 @@
 			req := r.nonIdempotentRequest("/book", tc.body)
 			req.Method = tc.method
 			req.Idempotent = tc.idempotent
-			req.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}
+			req.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: []byte("k")}}
 			a = r.do(req)
 			a.requireRefused(t, wire.Verdict_MayHaveRun, "AnswerBroken")
 			require.EqualValues(t, 2, reads.Load(), "the target read the request more than once")
@@ -270,14 +270,14 @@
 	r := newFixture(t, target, nil)
 	req := r.request("/draft", "body")
 	req.Headers = []*wire.Header{
-		{Name: "Connection", Value: "x-secret, close"},
-		{Name: "X-Secret", Value: "a"},
-		{Name: "Transfer-Encoding", Value: "chunked"},
-		{Name: "Content-Length", Value: "999"},
-		{Name: "Upgrade", Value: "h2c"},
-		{Name: HeaderRequestID, Value: "forged"},
-		{Name: "X-Kept", Value: "b"},
-		{Name: "X-Kept", Value: "c"},
+		{Name: "Connection", Value: []byte("x-secret, close")},
+		{Name: "X-Secret", Value: []byte("a")},
+		{Name: "Transfer-Encoding", Value: []byte("chunked")},
+		{Name: "Content-Length", Value: []byte("999")},
+		{Name: "Upgrade", Value: []byte("h2c")},
+		{Name: HeaderRequestID, Value: []byte("forged")},
+		{Name: "X-Kept", Value: []byte("b")},
+		{Name: "X-Kept", Value: []byte("c")},
 	}
 	a := r.do(req)
 	a.requireComplete(t, "body")
--- a/internal/agentclient/broken_head_test.go
+++ b/internal/agentclient/broken_head_test.go
@@ -52,8 +52,8 @@
 	t.Parallel()
 
 	for _, h := range []*wire.Header{
-		{Name: "X A", Value: "b"}, {Name: "Content-Length ", Value: "6"}, {Name: "", Value: "b"}, {Name: "X\x00", Value: "b"}, {Name: "X", Value: "a\r\nY: b"}, {Name: "X", Value: "a\x00b"},
+		{Name: "X A", Value: []byte("b")}, {Name: "Content-Length ", Value: []byte("6")}, {Name: "", Value: []byte("b")}, {Name: "X\x00", Value: []byte("b")}, {Name: "X", Value: []byte("a\r\nY: b")}, {Name: "X", Value: []byte("a\x00b")},
 	} {
-		requireBrokenHead(t, &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "X-Sound", Value: "a\tb \xc3\xa9"}, h}})
+		requireBrokenHead(t, &wire.Head{Status: 200, Headers: []*wire.Header{{Name: "X-Sound", Value: []byte("a\tb \xc3\xa9")}, h}})
 	}
 }
--- a/internal/agentclient/client.go
+++ b/internal/agentclient/client.go
@@ -302,7 +302,7 @@
 	}
 
 	for _, h := range headers {
-		if err := answers.CheckField(h.GetName(), h.GetValue()); err != nil {
+		if err := answers.CheckField(h.GetName(), string(h.GetValue())); err != nil {
 			return err //nolint:wrapcheck // callers compare it
 		}
 	}
--- a/internal/entry/answer_fault_test.go
+++ b/internal/entry/answer_fault_test.go
@@ -133,8 +133,8 @@
 
 	a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *answerWriter) {
 		s.headWith(http.StatusOK,
-			&wire.Header{Name: "Content-Type", Value: eventStream},
-			&wire.Header{Name: "Content-Encoding", Value: "br"})
+			&wire.Header{Name: "Content-Type", Value: []byte(eventStream)},
+			&wire.Header{Name: "Content-Encoding", Value: []byte("br")})
 		s.data("bytes without lines")
 		s.end()
 	})
--- a/internal/entry/broken_head_test.go
+++ b/internal/entry/broken_head_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -55,7 +57,37 @@
 func TestBrokenFieldOfAnAgentReachesNoCaller(t *testing.T) {
 	t.Parallel()
 
-	for _, h := range []*wire.Header{{Name: "Content-Length ", Value: "6"}, {Name: "X A", Value: "b"}, {Name: "", Value: "b"}, {Name: "X", Value: "a\nY: b"}} {
+	for _, h := range []*wire.Header{{Name: "Content-Length ", Value: []byte("6")}, {Name: "X A", Value: []byte("b")}, {Name: "", Value: []byte("b")}, {Name: "X", Value: []byte("a\nY: b")}} {
 		requireBrokenHead(t, &wire.Head{Status: 200, Headers: []*wire.Header{h}})
 	}
 }
+
+// Guards against a request or an answer that an entry does not pass on, as the value of a field is not UTF-8.
+func TestFieldValueThatIsNotUTF8IsForwarded(t *testing.T) {
+	t.Parallel()
+
+	const value = "caf\xe9 \xff"
+
+	a := newFakeAgent(t, "agent-1", func(_ *fakeAgent, s *answerWriter) {
+		s.headWith(http.StatusOK, &wire.Header{Name: "X-Note", Value: []byte(value)})
+		s.data("yes!")
+		s.end()
+	})
+	f := newFixture(t, streamService, nil, a)
+
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.base+"/"+streamService+"/v1/drafts", strings.NewReader("{}"))
+	require.NoError(t, err)
+	q.Header.Set("X-Note", value)
+
+	resp, err := ownClient().Do(q)
+	require.NoError(t, err)
+
+	defer func() { _ = resp.Body.Close() }()
+
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "yes!", string(body))
+	require.Equal(t, value, resp.Header.Get("X-Note"))
+	require.Equal(t, value, headerValue(a.received()[0].GetHeaders(), "X-Note"))
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -203,7 +203,7 @@
 		}
 
 		for _, v := range values {
-			out = append(out, &wire.Header{Name: name, Value: v})
+			out = append(out, &wire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -150,7 +150,7 @@
 }
 
 func (s *answerWriter) head(status int32, contentType string) {
-	s.headWith(status, &wire.Header{Name: "Content-Type", Value: contentType})
+	s.headWith(status, &wire.Header{Name: "Content-Type", Value: []byte(contentType)})
 }
 
 func (s *answerWriter) headWith(status int32, headers ...*wire.Header) {
@@ -167,8 +167,8 @@
 // headWithLength announces an answer of length bytes.
 func (s *answerWriter) headWithLength(contentType string, length int) {
 	s.headWith(http.StatusOK,
-		&wire.Header{Name: "Content-Type", Value: contentType},
-		&wire.Header{Name: "Content-Length", Value: strconv.Itoa(length)})
+		&wire.Header{Name: "Content-Type", Value: []byte(contentType)},
+		&wire.Header{Name: "Content-Length", Value: []byte(strconv.Itoa(length))})
 }
 
 // refuse ends an answer as broken.
--- a/internal/entry/incomplete_stream_test.go
+++ b/internal/entry/incomplete_stream_test.go
@@ -84,7 +84,7 @@
 func incompleteAnswer() *wire.Answer {
 	return &wire.Answer{
 		Status: http.StatusOK, Body: []byte("data: one\n\ndata: tw"),
-		Headers: []*wire.Header{{Name: "Content-Type", Value: eventStream}},
+		Headers: []*wire.Header{{Name: "Content-Type", Value: []byte(eventStream)}},
 	}
 }
 
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -71,7 +71,7 @@
 	id := p.w.Header().Get(HeaderRequestID)
 	for _, h := range headers {
 		if !strings.HasPrefix(h.GetName(), headerPrefix) {
-			p.w.Header().Add(h.GetName(), h.GetValue())
+			p.w.Header().Add(h.GetName(), string(h.GetValue()))
 		}
 	}
 
@@ -179,7 +179,7 @@
 func headerValue(headers []*wire.Header, name string) string {
 	for _, h := range headers {
 		if strings.EqualFold(h.GetName(), name) {
-			return h.GetValue()
+			return string(h.GetValue())
 		}
 	}
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -93,7 +93,7 @@
 		return x.call.headers
 	}
 
-	headers := []*wire.Header{{Name: headerLastEventID, Value: lastID}}
+	headers := []*wire.Header{{Name: headerLastEventID, Value: []byte(lastID)}}
 
 	for _, h := range x.call.headers {
 		if !strings.EqualFold(h.GetName(), headerLastEventID) {
