--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 	"evacuation": lateWithdrawal,
 	"drain":      lostDrain,
 	"map":        reusedVersion,
+	"foreign":    foreignWriter,
 }
 
 func main() {
