--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 	"drain":      lostDrain,
 	"map":        reusedVersion,
 	"foreign":    foreignWriter,
+	"service":    otherService,
 }
 
 func main() {
