--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-2-standin ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2-standin service "$here/record.txt"
+exec target/review-2-standin map "$here/record.txt"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 	"map":        reusedVersion,
 	"foreign":    foreignWriter,
 	"service":    otherService,
+	"member":     outdatedMember,
 }
 
 func main() {
