--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -317,6 +317,8 @@
 
 // order sends an order of the operator, to the given machines in turn, until it is acknowledged. It returns when it was.
 func (b *bed) order(method, path, body string, machines ...int) time.Time {
+	begun := time.Now()
+
 	for i := 0; ; i++ {
 		n := machines[i%len(machines)]
 		status, text, err := call(b.addr(n, portControl), method, path, body, callTime)
@@ -331,7 +333,7 @@
 			return at
 		}
 
-		if i > 60 {
+		if time.Since(begun) > 30*time.Second {
 			fail("%s %s is not acknowledged", method, path)
 		}
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // cases are the cases by name. Each reports whether its rule was broken.
@@ -15,8 +16,12 @@
 	"foreign":    foreignWriter,
 	"service":    otherService,
 	"member":     outdatedMember,
+	"leaver":     withoutSuccessor, // no case of its own
 }
 
+// longestRun is less than the 120 seconds that a case may take.
+const longestRun = 110 * time.Second
+
 func main() {
 	os.Exit(play())
 }
@@ -60,7 +65,12 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(longestRun):
+			b.note("the case cannot run: it takes too long")
+		}
+
 		b.close()
 		os.Exit(2)
 	}()
--- a/review/standin-2/replacement.go
+++ b/review/standin-2/replacement.go
@@ -12,11 +12,20 @@
 	"time"
 )
 
-// The times after the freeze begins. A leader sends no entries to a member that has been silent for 1.5 s, and gives the
-// place of one that has been silent for 3 s to another.
+// changeTimes are the times after the freeze begins.
+type changeTimes struct {
+	startedAt time.Duration // the new machine
+	stoppedAt time.Duration // SIGTERM to the old one
+}
+
+// A leader sends no entries to a member that has been silent for 1.5 s, and gives the place of one that has been silent
+// for 3 s to another. So the frozen member keeps its place at the first times, and loses it at the second ones.
+var (
+	beforeTimeout = changeTimes{startedAt: 1600 * time.Millisecond, stoppedAt: 2600 * time.Millisecond}
+	afterTimeout  = changeTimes{startedAt: time.Second, stoppedAt: 4 * time.Second}
+)
+
 const (
-	startedAt = 1600 * time.Millisecond // the new machine
-	stoppedAt = 2600 * time.Millisecond // SIGTERM to the old one
 	orderedAt = 6200 * time.Millisecond // more than CatchUpS after the new one started
 	awakeAt   = 7 * time.Second         // node_freeze lasts that long in the site's days
 	backAt    = 8 * time.Second         // the machine that lost its disk
@@ -37,7 +46,12 @@
 
 // outdatedMember: a machine of the core is replaced as planned while another one is down, which so does not hear of the
 // new one. Then the third one loses its disk right after it has acknowledged a configuration.
-func outdatedMember(b *bed, trouble bool) bool {
+func outdatedMember(b *bed, trouble bool) bool { return replaceMember(b, trouble, beforeTimeout) }
+
+// withoutSuccessor is the same with other times.
+func withoutSuccessor(b *bed, trouble bool) bool { return replaceMember(b, trouble, afterTimeout) }
+
+func replaceMember(b *bed, trouble bool, times changeTimes) bool {
 	controls := make(map[int]*proc)
 	for n := 1; n <= 3; n++ {
 		controls[n] = b.control(n, zones[n-1], true)
@@ -82,7 +96,7 @@
 		b.note("control-%d is frozen, for %s", second, awakeAt)
 	}
 
-	after(startedAt)
+	after(times.startedAt)
 	b.note("control-%d starts at another address, with an empty disk, to replace control-%d", fresh, old)
 
 	// The settings name the same seeds as those of the others, the frozen one last.
@@ -90,13 +104,23 @@
 	settings := strings.Replace(b.controlSettings(fresh, zones[old-1], true, false), b.seeds(), seeds, 1)
 	b.run("control", "control-5", b.ip(fresh), settings)
 
-	after(stoppedAt)
+	after(times.stoppedAt)
 	b.note("control-%d gets SIGTERM, and is removed", old)
 	controls[old].signal(syscall.SIGTERM)
-	time.AfterFunc(8*time.Second, func() { controls[old].signal(syscall.SIGKILL) })
+
+	select {
+	case <-controls[old].done:
+		b.note("control-%d has ended", old)
+	case <-time.After(time.Until(frozen.Add(orderedAt))):
+		fail("the old process has not ended in time")
+	}
 
 	after(orderedAt)
-	b.order(http.MethodPut, "/-/config", version(9), third, fresh)
+	acknowledged := b.order(http.MethodPut, "/-/config", version(9), third, fresh)
+
+	if acknowledged.After(frozen.Add(awakeAt)) {
+		fail("the configuration was acknowledged too late")
+	}
 
 	p := controls[third]
 
@@ -143,5 +167,10 @@
 
 	b.note("configuration 9 was acknowledged, and does not come")
 
+	for _, n := range []int{third, second, fresh} {
+		status, text, err := call(b.addr(n, portControl), http.MethodPut, "/-/config", version(11), callTime)
+		b.note("operator: PUT /-/config version 11 at control-%d: %d %.80s %v", n, status, text, err)
+	}
+
 	return true
 }
