--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -161,7 +161,7 @@
 
 		for s := range setCount {
 			for x := range expertCount {
-				e.counts[s*expertCount+x] += uint64(40 / (1 + (x*7+s+g.demand)%expertCount))
+				e.counts[s*expertCount+x] += uint64(40 / (1 + (g.rankOf(x)*7+s)%expertCount))
 			}
 		}
 	}
@@ -175,6 +175,19 @@
 	g.passes.Broadcast()
 }
 
+// rankOf returns the place of an expert in the order of demand. A change of demand moves two thirds of the experts.
+func (g *group) rankOf(x int) int {
+	if x%3 == 0 {
+		return x
+	}
+
+	const moved = expertCount / 3 * 2
+
+	i := (x/3*2 + x%3 - 1 + g.demand) % moved
+
+	return i/2*3 + i%2 + 1
+}
+
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/-/report":
