Give each expert map a version of its own, and claim a group first

Cause: a successor chose its version from what ranks report, and an order in flight is in no report. Both directors gave different maps the same version. A rank that carried out the late order refused the new one with 409; a 409 after an unanswered order counted as its acceptance, and the report of the version as its confirmation. The fencing number did not help: the rank had seen no higher one yet.

Change: the low 20 bits of a version are random, so that a version names one map and a report of it confirms that map. A director first gives all ranks its fencing number, by an order without effect, and reads the map and the versions after their answers; it does so again after a number of its own was refused. The version after a release of holds is unique as well.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -109,10 +109,9 @@
 		return
 	}
 
-	highest := highestVersion(reportsOf(polls))
-	d.HighestAttempted = max(d.HighestAttempted, highest)
+	d.HighestAttempted = max(d.HighestAttempted, highestVersion(reportsOf(polls)))
 
-	if d.current == nil && !d.loadCurrentMap(polls, highest) {
+	if d.current == nil && !d.takeUp(ctx, polls) {
 		return
 	}
 
@@ -170,8 +169,26 @@
 	}
 }
 
-// loadCurrentMap builds the current map from the experts that the ranks report.
-func (d *Director) loadCurrentMap(polls []PollResult, highest uint64) bool {
+// takeUp claims the group and builds the current map from the experts that the ranks report. If
+// the group has to be claimed, polls are from before that, and the map is built at the next poll.
+func (d *Director) takeUp(ctx context.Context, polls []PollResult) bool {
+	if !d.switcher.claimed {
+		if err := d.switcher.claim(ctx, d.HighestAttempted); err != nil {
+			d.Logger.Warn("Not all ranks have accepted the fencing number of this agent; retrying at the next poll.", "error", err)
+
+			return false
+		}
+
+		var err error
+		if polls, err = d.poll(ctx); err != nil {
+			d.Logger.Debug("Poll of the ranks failed; skipping this interval.", "error", err)
+
+			return false
+		}
+
+		d.HighestAttempted = max(d.HighestAttempted, highestVersion(reportsOf(polls)))
+	}
+
 	m, err := mapFromPolls(polls)
 	if err != nil || len(m) != d.Shape.Sets {
 		d.Logger.Info("Current map not known yet; polling all ranks again.", "error", err)
@@ -180,7 +197,6 @@
 	}
 
 	d.current, d.version = m, polls[0].MapVersion
-	d.switcher.RaiseFence(highest)
 
 	return true
 }
@@ -206,8 +222,8 @@
 	// The steps were observed with the usual skew, which is about that of the next map.
 	d.switcher.longLead = d.stepLength.staysBelow(d.Shape.EventGap, before/after)
 	planned := time.Now()
-	version := d.nextVersion()
-	err := d.switcher.Switch(ctx, version, next)
+	version, err := d.switcher.Switch(ctx, max(d.HighestAttempted, d.version), next)
+	d.HighestAttempted = max(d.HighestAttempted, version)
 
 	// d.current is still the map from before the switch. A skew of the latest poll far above
 	// that of the expected demand indicates a shift that was not detected.
@@ -222,7 +238,7 @@
 	case errors.Is(err, errPrepare):
 		// Some rank has seen a higher version in an epoch that this agent did not observe.
 		d.refusedSwitches++
-		d.HighestAttempted += 1 << min(d.refusedSwitches, maxVersionJumpBits)
+		d.HighestAttempted += 1 << (versionShift + min(d.refusedSwitches, maxVersionJumpBits))
 	}
 }
 
@@ -241,7 +257,7 @@
 	return !now.Before(s.validUntil) || (before-s.minSkew)/before >= minGain
 }
 
-// maxVersionJumpBits bounds the increase of the version after a refusal, as a power of two.
+// maxVersionJumpBits bounds the increase of the generation after a refusal, as a power of two.
 const maxVersionJumpBits = 16
 
 // bestMap compares maps that need few copies, and are in use soon, with better ones that need
@@ -269,10 +285,3 @@
 
 	return bestMap, bestAfter, minSkew
 }
-
-// nextVersion returns a version that no rank has seen.
-func (d *Director) nextVersion() uint64 {
-	d.HighestAttempted = max(d.HighestAttempted, d.version) + 1
-
-	return d.HighestAttempted
-}
--- a/internal/lockstep/fake_group_test.go
+++ b/internal/lockstep/fake_group_test.go
@@ -38,6 +38,10 @@
 	// fault returns the fault that affects the n-th order.
 	fault  func(n int) fault
 	orders int
+	// prepares is the number of prepare orders.
+	prepares int
+	// onOrder, if set, replaces fault. It is called with mu held before each order is carried out.
+	onOrder func(k *fakeRank, rank int, o *wire.EngineOrder) fault
 	// pollTime is how long a poll takes.
 	pollTime time.Duration
 	// pollLost reports whether the answer to a poll of the rank is lost.
@@ -209,6 +213,14 @@
 	return !a.dead
 }
 
+// kill kills the agent. An order that it has just sent still arrives.
+func (a *agent) kill() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.dead = true
+}
+
 func (a *agent) groupClient() lockstep.GroupClient {
 	a.group.mu.Lock()
 	defer a.group.mu.Unlock()
@@ -347,11 +359,22 @@
 	time.Sleep(time.Duration(rank) * g.orderDelayPerRank)
 	g.mu.Lock()
 	g.orders++
-	f := g.fault(g.orders)
+
+	if o.GetKind() == wire.EngineOrderKind_EngineOrderPrepare {
+		g.prepares++
+	}
+
 	k := g.ranks[rank]
 
 	defer g.mu.Unlock()
 
+	f := faultNone
+	if g.onOrder != nil {
+		f = g.onOrder(k, rank, o)
+	} else {
+		f = g.fault(g.orders)
+	}
+
 	switch f {
 	case faultLost:
 		return wire.EngineResult_EngineUnknown
--- a/internal/lockstep/lockstep_test.go
+++ b/internal/lockstep/lockstep_test.go
@@ -21,7 +21,11 @@
 
 // runDirector runs a directing agent until it is killed or d has passed.
 func runDirector(g *fakeGroup, killAt int, d time.Duration) {
-	a := &agent{group: g, killAt: killAt}
+	runAgent(&agent{group: g, killAt: killAt}, d)
+}
+
+func runAgent(a *agent, d time.Duration) {
+	g := a.group
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 
@@ -149,7 +153,7 @@
 func TestDirectorKilledBeforeEachOrder(t *testing.T) {
 	t.Parallel()
 
-	for killAt := 1; killAt <= 30; killAt++ {
+	for killAt := 1; killAt <= 34; killAt++ {
 		t.Run(fmt.Sprint(killAt), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
@@ -178,7 +182,7 @@
 	t.Parallel()
 
 	for _, f := range []fault{faultLost, faultAnswerLost, faultLate, faultLateAccepted} {
-		for n := 1; n <= 28; n++ {
+		for n := 1; n <= 32; n++ {
 			for _, killAfter := range []int{0, 1, 5} {
 				t.Run(fmt.Sprintf("%d at %d, killed after %d", f, n, killAfter), func(t *testing.T) {
 					t.Parallel()
@@ -220,7 +224,7 @@
 func TestLateGoWhileSuccessorDisarms(t *testing.T) {
 	t.Parallel()
 
-	const goOrder = 2*4 + 2 // the order after preparing, holding and arming four ranks
+	const goOrder = 3*4 + 2 // the order after claiming, preparing, holding and arming four ranks
 
 	for delayMillis := 440; delayMillis <= 560; delayMillis++ {
 		synctest.Test(t, func(t *testing.T) {
@@ -281,7 +285,7 @@
 func TestNewEpochDuringSwitch(t *testing.T) {
 	t.Parallel()
 
-	for after := 1; after <= 20; after++ {
+	for after := 1; after <= 24; after++ {
 		synctest.Test(t, func(t *testing.T) {
 			g := newGroup(smallShape, skewed(smallShape, 4))
 
@@ -297,7 +301,12 @@
 			}
 
 			runDirector(g, 0, 2*time.Second)
-			runDirector(g, 0, 3*time.Second)
+
+			// The epoch may also begin while a later director claims the group.
+			for range 4 {
+				runDirector(g, 0, 3*time.Second)
+			}
+
 			g.requireConsistent(t, fmt.Sprintf("new epoch after order %d", after))
 			require.NotZero(t, g.ranks[0].version)
 			stop()
--- a/internal/lockstep/release.go
+++ b/internal/lockstep/release.go
@@ -157,7 +157,7 @@
 		return err
 	}
 
-	version := highestVersion(reports) + supersedeVersionGap
+	version := newVersion(highestVersion(reports), supersedeGenerations)
 	m, err := mapFromPolls(polls)
 	if err != nil {
 		return err
@@ -170,6 +170,6 @@
 	return nil
 }
 
-// supersedeVersionGap is the increase of the version. It skips versions that were prepared at
+// supersedeGenerations is the increase of the version. It skips versions that were prepared at
 // only some of the ranks.
-const supersedeVersionGap = 16
+const supersedeGenerations = 16
--- a/internal/lockstep/reopen_test.go
+++ b/internal/lockstep/reopen_test.go
@@ -12,12 +12,12 @@
 	"github.com/parsleygate/parsleygate/internal/lockstep"
 )
 
-// orderCount returns how many orders the ranks have received.
-func (g *fakeGroup) orderCount() int {
+// prepareCount returns how many prepare orders the ranks have received.
+func (g *fakeGroup) prepareCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return g.orders
+	return g.prepares
 }
 
 // directUntilBalanced directs a group that has just opened until its map fits the demand, and
@@ -37,8 +37,8 @@
 		d.Run(ctx)
 	}()
 
-	began, before := time.Now(), g.orderCount()
-	for g.orderCount() == before {
+	began, before := time.Now(), g.prepareCount()
+	for g.prepareCount() == before {
 		time.Sleep(time.Millisecond)
 	}
 
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -48,6 +48,8 @@
 	longLead bool
 	// fenced is set once an engine has refused a fencing number as too low.
 	fenced atomic.Bool
+	// claimed is set once all ranks have a fencing number of this agent.
+	claimed bool
 }
 
 // Errors of a switch that did not take place. Nothing has changed then.
@@ -60,20 +62,32 @@
 	errNotReleased    = errors.New("lockstep: hold not lifted yet")
 )
 
-// Switch distributes m, as version, to all ranks and switches them to it in the same step.
-func (s *Switcher) Switch(ctx context.Context, version uint64, m Map) error {
-	fence := s.nextFence()
+// Switch distributes m to all ranks, as a version higher than the given one, and switches them to
+// it in the same step. It returns that version.
+func (s *Switcher) Switch(ctx context.Context, above uint64, m Map) (uint64, error) {
+	if err := s.claim(ctx, above); err != nil {
+		return above, err
+	}
 
 	reports, err := s.pollReports(ctx)
 	if err != nil {
-		return err
+		return above, err
 	}
 
-	if err := checkReady(reports); err != nil {
-		return err
+	if err = checkReady(reports); err != nil {
+		return above, err
 	}
 
-	err = s.prepare(ctx, fence, version, m)
+	version := newVersion(max(above, highestVersion(reports)), 1)
+
+	return version, s.switchTo(ctx, version, m)
+}
+
+// switchTo switches all ranks to m, as version.
+func (s *Switcher) switchTo(ctx context.Context, version uint64, m Map) error {
+	fence := s.nextFence()
+
+	err := s.prepare(ctx, fence, version, m)
 	if err != nil && s.fenced.Load() {
 		fence = s.nextFence()
 		err = s.prepare(ctx, fence, version, m)
