Answer vote requests by terms and logs alone

Cause: a voter that was frozen while a new voter joined took that one for a removed member. It answered the request for its vote with its own, older members and no vote. Its own log was older, so that it could not lead either.

Change: the vote depends on terms and logs, as in Raft. An unknown candidate is told the members besides; it stops only if they are newer than its own. A removed member lacks the entry that removed it, so the logs refuse it.

--- a/internal/quorum/bootstrap.go
+++ b/internal/quorum/bootstrap.go
@@ -121,18 +121,17 @@
 	}
 }
 
-// notifyRemoved informs a candidate that it was removed from the group while it was
-// disconnected. Otherwise it would request votes indefinitely and operators could not see
-// the cause.
-func (c *Core) notifyRemoved(m Message) bool {
+// notifyRemoved sends a candidate that is not a member the members that this replica knows. If the
+// candidate was removed from the group while it was disconnected, it would otherwise request votes
+// indefinitely and operators could not see the cause. It ignores members that are older than its
+// own.
+func (c *Core) notifyRemoved(m Message) {
 	last := c.members[len(c.members)-1]
 	if _, ok := last.Members.Find(m.From); ok || len(last.Members) == 0 || last.Index > c.commit {
-		return false
+		return
 	}
 
 	c.reply(m, 0, HelloAnswer{Members: last.Members, MembersIndex: last.Index})
-
-	return true
 }
 
 // stopIfRemoved stops this replica if a membership newer than its own does not include it.
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -38,14 +38,14 @@
 	}
 }
 
-// handleVote answers the vote request of a candidate.
+// handleVote answers the vote request of a candidate. The answer depends only on the terms and the
+// logs: a candidate that this replica does not know may be a member that was added after the last
+// entry that this replica has.
 func (c *Core) handleVote(m Message, body Vote) {
 	granted := c.isCandidateUpToDate(body) && (body.Transfer || !c.hasLeaderLease())
 
 	if body.Pre {
-		if c.notifyRemoved(m) {
-			return
-		}
+		c.notifyRemoved(m)
 
 		granted = granted && m.Term > c.hardState.Term
 		term := c.hardState.Term
