Refuse orders about a zone that follow newer ones

Cause: such an order has no number and no age. A control VM that was frozen read it late and passed it on before it knew that the connection was closed, and the leader appended it.

Change: the VM confirms the log index after it has read the order and looks at its caller again. The order names that index, and the leader refuses it if its log holds another order about the zone after it.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -67,12 +67,17 @@
 // propose commits a command. Its errors carry the outcome: with OutcomeUnknown the command
 // may have been committed, so the caller must not treat the error as a rejection.
 func (s *Server) propose(ctx context.Context, command *wire.Command) (*wire.Result, error) {
+	return s.proposeBy(ctx, s.Propose, command)
+}
+
+// proposeBy commits a command by one of the functions of the log.
+func (s *Server) proposeBy(ctx context.Context, propose func(context.Context, []byte) (uint64, []byte, error), command *wire.Command) (*wire.Result, error) {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return nil, newRPCError(twirp.InvalidArgument, err.Error())
 	}
 
-	_, raw, err := s.Propose(ctx, data)
+	_, raw, err := propose(ctx, data)
 	if err != nil {
 		return nil, s.proposeError(err)
 	}
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -154,16 +154,21 @@
 func (e *UndeclaredError) Error() string { return e.Kind + " " + e.Name + " is not declared" }
 
 // SetZoneOut takes a declared zone out of use, or back into use, with a single command.
-// Retrying is safe after any error except an *UndeclaredError.
+// Retrying is safe after any error except an *UndeclaredError. The order has no number, so
+// it is dropped if ctx ends before it is known to be newer than all orders about the zone that are
+// committed: its caller may have given up, been answered by another VM, and ordered the opposite.
 func (s *Server) SetZoneOut(ctx context.Context, zone string, out bool) error {
 	region, ok := s.Zones[zone]
 	if !ok {
 		return &UndeclaredError{Kind: "zone", Name: zone}
 	}
 
-	_, err := s.propose(ctx, &wire.Command{Kind: &wire.Command_ZoneOrder{
+	_, err := s.proposeBy(ctx, s.ProposeCurrent, &wire.Command{Kind: &wire.Command_ZoneOrder{
 		ZoneOrder: &wire.ZoneOrder{Zone: zone, Region: region, Out: out},
 	}})
+	if err != nil && ctx.Err() != nil {
+		s.Logger.Info("The caller of a zone order has left; its outcome is left open.", "zone", zone, "out", out, "error", err)
+	}
 
 	return err
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -36,6 +36,10 @@
 	// Propose commits a command and returns its index and result. After an error the
 	// command may have been committed, unless NotProposed returns true for the error.
 	Propose func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
+	// ProposeCurrent is Propose for a command that may arrive late, after its caller has been
+	// answered elsewhere and has sent newer ones. It is not committed after a conflicting command
+	// that its caller sent later. If nil, Propose is used.
+	ProposeCurrent func(ctx context.Context, command []byte) (index uint64, result []byte, err error)
 	// NotProposed reports whether err shows that the command was not and will not be
 	// committed. If nil, that holds for errors whose verdict is NotRun.
 	NotProposed func(err error) bool
@@ -185,6 +189,10 @@
 		s.Logger = slog.New(slog.DiscardHandler)
 	}
 
+	if s.ProposeCurrent == nil {
+		s.ProposeCurrent = s.Propose
+	}
+
 	if s.NotProposed == nil {
 		s.NotProposed = func(err error) bool { return verdict.Of(err) == verdict.NotRun }
 	}
--- a/internal/ledger/documents.go
+++ b/internal/ledger/documents.go
@@ -45,6 +45,24 @@
 	l.documents.index = index
 }
 
+// Conflicts reports whether two encoded commands are orders about the same zone. An order that was
+// delayed must not follow a newer one. Other commands are numbered or may be repeated in any order.
+func Conflicts(earlier, command []byte) bool {
+	a, b := zoneOrder(earlier), zoneOrder(command)
+
+	return a != nil && b != nil && a.GetZone() == b.GetZone()
+}
+
+// zoneOrder returns the order that a command contains, or nil.
+func zoneOrder(command []byte) *wire.ZoneOrder {
+	c := &wire.Command{}
+	if proto.Unmarshal(command, c) != nil {
+		return nil
+	}
+
+	return c.GetZoneOrder()
+}
+
 // Document returns the document in force, or nil, and the log index of the last
 // document or zone change that had an effect. A document is never changed, only
 // replaced.
--- a/internal/quorum/batch.go
+++ b/internal/quorum/batch.go
@@ -99,6 +99,9 @@
 	ReasonBadAddress              Reason = "BadAddress"
 	ReasonTimeout                 Reason = "Timeout"
 	ReasonFaulty                  Reason = "Faulty"
+	// ReasonSuperseded: a conflicting command was proposed after the index that the proposer had
+	// read.
+	ReasonSuperseded Reason = "Superseded"
 )
 
 // ReadDone answers a ReadRequested. The state applied up to Index, which the same batch
--- a/internal/quorum/config.go
+++ b/internal/quorum/config.go
@@ -25,6 +25,9 @@
 	CatchUpEntries uint64 // limited to 8 MiB of commands
 	// Rand returns a random number in [0, n).
 	Rand func(n int64) int64
+	// Conflicts reports whether the outcome depends on the order of two commands that are proposed
+	// with Proposed.AsOf. It must not block.
+	Conflicts func(earlier, command []byte) bool
 }
 
 func setDefaults(cfg *Config) {
--- a/internal/quorum/event.go
+++ b/internal/quorum/event.go
@@ -15,6 +15,10 @@
 type Proposed struct {
 	ID      uint64
 	Command []byte
+	// AsOf, unless it is 0, is the log index that the proposer had read when it knew that the command
+	// was still wanted. The leader refuses the command if its log holds a conflicting one after
+	// that index, see Config.Conflicts.
+	AsOf uint64
 }
 
 // ChangeKind is the kind of a membership change.
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -178,12 +179,30 @@
 		c.answerNotRun(ev.ID, ReasonTooManyInFlight)
 	case len(ev.Command) > MaxCommandBytes:
 		c.answerNotRun(ev.ID, ReasonTooLarge)
+	case ev.AsOf != 0 && c.isSuperseded(ev):
+		c.answerNotRun(ev.ID, ReasonSuperseded)
 	default:
 		c.addEntry(Entry{Kind: EntryCommand, Command: ev.Command})
 		c.leaderState.pendingProposals = append(c.leaderState.pendingProposals, proposal{index: c.log.last(), id: ev.ID})
 	}
 }
 
+// isSuperseded reports whether the log may hold a command after ev.AsOf that conflicts with the
+// proposed one. Entries that are not committed yet count as well: a later leader may commit them.
+func (c *Core) isSuperseded(ev Proposed) bool {
+	if ev.AsOf < c.log.base || ev.AsOf > c.log.last() {
+		return true
+	}
+
+	for _, e := range c.log.entriesFrom(ev.AsOf+1, int(c.log.last()-ev.AsOf), math.MaxInt) {
+		if e.Kind == EntryCommand && c.cfg.Conflicts(e.Command, ev.Command) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // addEntry appends e to the leader's log. The next Take sends it.
 func (c *Core) addEntry(e Entry) {
 	e.Index = c.log.last() + 1
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -53,6 +53,8 @@
 	Apply    func(index uint64, command []byte) []byte
 	Snapshot func() []byte
 	Restore  func(data []byte) error
+	// Conflicts is as in quorum.Config. It is required for ProposeCurrent.
+	Conflicts func(earlier, command []byte) bool
 	// Send sends messages to the replica at an address. It must not block and may lose
 	// messages. The default uses HTTP.
 	Send func(to netip.AddrPort, env *wire.PeerEnvelope)
@@ -186,6 +188,7 @@
 	r.core, err = quorum.New(quorum.Config{
 		ID: r.ID, CreationID: r.journal.CreationID(), Founders: r.Founders,
 		HeartbeatInterval: r.HeartbeatInterval, ElectionTimeout: r.ElectionTimeout, CatchUpEntries: r.CatchUpEntries, Rand: r.Rand,
+		Conflicts: r.Conflicts,
 	}, stored, time.Now())
 	if err != nil {
 		return errors.Join(eris.Wrap(err, "start consensus core"), r.journal.Close())
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/parsleygate/parsleygate/internal/pauses"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/wire"
 	"github.com/parsleygate/parsleygate/pkg/verdict"
@@ -54,6 +55,32 @@
 	return out.index, out.result, err
 }
 
+// ProposeCurrent is Propose for a command that must not be committed after ctx has ended for its
+// caller, wherever it was delayed. It confirms the log index first, and proposes the command only if
+// ctx has not ended by then. The leader refuses the command if a conflicting one follows that index,
+// which may come from a caller that gave up here and was answered elsewhere. It is proposed
+// again then, as long as ctx lasts.
+func (r *Replica) ProposeCurrent(ctx context.Context, command []byte) (uint64, []byte, error) {
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+
+	for {
+		_, index, err := r.ReadIndex(ctx)
+		if err == nil && ctx.Err() != nil {
+			err = outcomeError(outcome{verdict: verdict.NotRun, reason: quorum.ReasonTimeout})
+		}
+
+		if err != nil {
+			return 0, nil, err
+		}
+
+		out, err := r.submit(ctx, &wire.PeerOrder{Kind: wire.PeerOrderKind_PeerOrderPropose, Command: command, AsOf: index})
+		if out.reason != quorum.ReasonSuperseded || !pauses.Sleep(ctx, r.HeartbeatInterval/4) {
+			return out.index, out.result, err
+		}
+	}
+}
+
 // ReadIndex performs a linearizable read. When it returns, this replica has applied the
 // log up to index, and its state includes everything that was committed at asOf. AsOf is
 // the local time of the call.
@@ -197,7 +224,7 @@
 		case wire.PeerOrderKind_PeerOrderTransfer:
 			return quorum.TransferRequested{ID: id, To: m.ID}
 		default:
-			return quorum.Proposed{ID: id, Command: o.GetCommand()}
+			return quorum.Proposed{ID: id, Command: o.GetCommand(), AsOf: o.GetAsOf()}
 		}
 	})
 	out.succeeded = out.succeeded || out.verdict == verdict.Ran
--- a/internal/role/control.go
+++ b/internal/role/control.go
@@ -21,6 +21,7 @@
 	"github.com/parsleygate/parsleygate/internal/expertgroup"
 	"github.com/parsleygate/parsleygate/internal/identity"
 	"github.com/parsleygate/parsleygate/internal/journal"
+	"github.com/parsleygate/parsleygate/internal/ledger"
 	"github.com/parsleygate/parsleygate/internal/logs"
 	"github.com/parsleygate/parsleygate/internal/quorum"
 	"github.com/parsleygate/parsleygate/internal/replica"
@@ -111,13 +112,13 @@
 	r.client = NewControlClient(nil, r.Identity).client
 	r.replica = &replica.Replica{
 		ID: r.VM, Cluster: r.Cluster, Dir: r.Dir, Files: r.Files, Addr: address, Founders: r.Founders,
-		Client: r.client, Logger: r.Logs.Logger("replica"),
+		Conflicts: ledger.Conflicts, Client: r.client, Logger: r.Logs.Logger("replica"),
 	}
 	r.peerTracker.started = time.Now()
 	r.leaving.init()
 	r.membersCheck = make(chan struct{}, 1)
 	r.server = &control.Server{
-		Cluster: r.Cluster, Zone: r.Zone, VM: r.VM, Propose: r.replica.Propose, ReadIndex: r.readIndex,
+		Cluster: r.Cluster, Zone: r.Zone, VM: r.VM, Propose: r.replica.Propose, ProposeCurrent: r.replica.ProposeCurrent, ReadIndex: r.readIndex,
 		NotProposed: func(err error) bool { return verdict.Of(err) == verdict.NotRun },
 		IsLeader:    r.isLeader, StopBlocker: r.stopBlocker, FindPeers: r.findPeers, FindVoters: r.findVoters, Self: r.self,
 		ReadDocument: r.ReadDocument, Zones: r.Zones, AnnounceInterval: r.AnnounceInterval, MaxTargets: r.MaxTargets, ControlAddresses: r.controlAddresses,
