Acknowledge a draining target once the voters know of it

Cause: the VM answered as soon as the notice was in its own memory. Followers are told later, a millisecond apart for each of them.

Change: the first announcement of an incarnation as draining is answered once a majority of the voters, besides this VM if they answer within 150 ms, knows of it and tells its followers. Without a majority it gets 503, and the target asks another VM. Repeats are answered at once. Voters keep it as draining for two minutes without an announcement.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -131,7 +131,8 @@
 // *directory.InvalidTargetError. If its zone
 // or service is not declared, it returns an *UndeclaredError: the announcement comes from a foreign sender, and if it were
 // recorded it could take over the address of an existing target. If too many targets are known, it returns a
-// *TooManyTargetsError.
+// *TooManyTargetsError. The first announcement of a draining target that reaches this VM returns once the voters know of
+// it too, or with an error, after which the followers of this VM hear of it all the same.
 func (s *Server) Announce(ctx context.Context, t directory.Target) error {
 	if err := checkTargetID(t.ID); err != nil {
 		return err
@@ -149,16 +150,24 @@
 		return &UndeclaredError{Kind: "service", Name: t.Service}
 	}
 
-	return s.tryWithTargets(ctx, func(targets *targetTracker) error {
+	var draining *directory.Target
+
+	err := s.tryWithTargets(ctx, func(targets *targetTracker) error {
 		if err := s.checkRoom(&targets.registry, t.ID); err != nil {
 			return err
 		}
 
 		s.logAnnouncement(&targets.registry, &t)
 		targets.registry.Announce(time.Now(), t)
+		draining = targets.registry.UnsharedDraining(t.ID)
 
 		return nil
 	})
+	if err != nil || draining == nil || t.State != directory.Draining {
+		return err
+	}
+
+	return s.shareDraining(ctx, draining)
 }
 
 // TooManyTargetsError reports that there is no room for another target.
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -18,10 +18,14 @@
 	"github.com/parsleygate/parsleygate/internal/wire"
 )
 
-// controlSet is control VMs that exchange incarnations, all of which have a vote.
+// controlSet is control VMs that exchange incarnations.
 type controlSet struct {
-	t  *testing.T
-	mu sync.Mutex
+	t *testing.T
+	// voters is the number of them that have a vote, the first ones.
+	voters int
+	mu     sync.Mutex
+	// frozen are those that do not answer.
+	frozen map[int]bool
 	// running are nil while they are killed.
 	running []*control.Server
 	stops   []context.CancelFunc
@@ -33,7 +37,13 @@
 func newControlSet(t *testing.T, n int) *controlSet {
 	t.Helper()
 
-	c := &controlSet{t: t, running: make([]*control.Server, n), stops: make([]context.CancelFunc, n), disks: make([][]byte, n)}
+	return newControlSetWithVoters(t, n, n)
+}
+
+func newControlSetWithVoters(t *testing.T, n, voters int) *controlSet {
+	t.Helper()
+
+	c := &controlSet{t: t, voters: voters, frozen: make(map[int]bool), running: make([]*control.Server, n), stops: make([]context.CancelFunc, n), disks: make([][]byte, n)}
 	for i := range n {
 		c.start(i)
 	}
@@ -66,6 +76,29 @@
 	return c.running[i], nil
 }
 
+func (c *controlSet) recordDraining(ctx context.Context, to int, r *wire.DrainingRequest) error {
+	s, err := c.server(to)
+	if err != nil {
+		return err
+	}
+
+	c.mu.Lock()
+	frozen := c.frozen[to]
+	c.messages++
+	c.bytes += proto.Size(r)
+	c.mu.Unlock()
+
+	if frozen {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
+	_, err = s.RecordDraining(ctx, r)
+
+	return err
+}
+
 func (c *controlSet) exchange(ctx context.Context, to int, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
 	s, err := c.server(to)
 	if err != nil {
@@ -103,10 +136,13 @@
 	s.FindVoters = func() (bool, []control.Voter) {
 		var out []control.Voter
 
-		for j := range c.running {
+		for j := range c.voters {
 			if j != i {
 				out = append(out, control.Voter{
 					Name: controlName(j),
+					RecordDraining: func(ctx context.Context, r *wire.DrainingRequest) error {
+						return c.recordDraining(ctx, j, r)
+					},
 					RecordRemoval: func(ctx context.Context, r *wire.RemovalRequest) error {
 						voter, err := c.server(j)
 						if err == nil {
@@ -122,7 +158,7 @@
 			}
 		}
 
-		return true, out
+		return i < c.voters, out
 	}
 	s.FindPeers = func() []control.Peer {
 		var out []control.Peer
--- a/internal/control/removals_test.go
+++ b/internal/control/removals_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/parsleygate/parsleygate/internal/control"
@@ -20,6 +21,9 @@
 
 var errDisk = errors.New("input/output error")
 
+// errBadRoute is the answer to a call that an earlier build does not have.
+var errBadRoute = twirp.NewError(twirp.BadRoute, "no handler")
+
 // voterSet is the other voters of a control VM; those at the indexes in saves record removals.
 func voterSet(n int, saves ...int) []control.Voter {
 	out := make([]control.Voter, n)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -124,6 +124,8 @@
 	Name string
 	// RecordRemoval returns once the removal of a target is on its disk.
 	RecordRemoval func(ctx context.Context, r *wire.RemovalRequest) error
+	// RecordDraining returns once it tells its followers that a target is draining.
+	RecordDraining func(ctx context.Context, r *wire.DrainingRequest) error
 	// ExchangeIncarnations is as in Peer.
 	ExchangeIncarnations func(ctx context.Context, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error)
 }
--- a/internal/directory/registry.go
+++ b/internal/directory/registry.go
@@ -58,6 +58,9 @@
 	// sequenceStep is the smallest difference between the sequence numbers of two announcements
 	// so far, 0 before the second one.
 	sequenceStep uint64
+	// drainingShared is set once enough control VMs know that the incarnation is draining, drainingReported if
+	// this one has heard it last from another control VM.
+	drainingShared, drainingReported bool
 }
 
 // Announce records an announcement and reports whether entries need it now. An announcement
@@ -96,6 +99,7 @@
 		known.Target = t
 		known.ColdUntil = cold
 		known.lastAnnounced = now
+		known.drainingReported = false
 
 		return false
 	}
@@ -109,6 +113,8 @@
 
 	if known == nil || known.StartTime != t.StartTime {
 		r.updateIncarnation(next)
+	} else {
+		next.drainingShared = known.drainingShared && t.State == Draining
 	}
 
 	r.targets[t.ID] = next
@@ -260,6 +266,8 @@
 		switch age := now.Sub(t.lastAnnounced); {
 		case age > retention:
 			delete(r.targets, id)
+		case t.drainingReported && age <= reportedDrainingRetention:
+			// The target announces itself to another control VM.
 		case age > r.AnnounceTimeout && (t.State == Ready || t.State == Draining):
 			state := Unresponsive
 			if t.State == Draining {
--- a/internal/role/peers.go
+++ b/internal/role/peers.go
@@ -83,6 +83,11 @@
 
 					return eris.Wrap(err, "record a removal")
 				},
+				RecordDraining: func(ctx context.Context, draining *wire.DrainingRequest) error {
+					_, err := client.RecordDraining(ctx, draining)
+
+					return eris.Wrap(err, "record a draining target")
+				},
 				ExchangeIncarnations: client.ExchangeIncarnations,
 			})
 		}
