--- a/internal/directory/draining_test.go
+++ b/internal/directory/draining_test.go
@@ -19,7 +19,7 @@
 		do   func(r *directory.Registry)
 		want map[string]directory.State
 	}{
-		{"reported", func(r *directory.Registry) {}, map[string]directory.State{"i1": directory.Draining}},
+		{"reported", func(*directory.Registry) {}, map[string]directory.State{"i1": directory.Draining}},
 		{"for a minute", func(r *directory.Registry) { r.Tick(begin.Add(time.Minute)) }, map[string]directory.State{"i1": directory.Draining}},
 		{"for longer than targets drain", func(r *directory.Registry) { r.Tick(begin.Add(3 * time.Minute)) }, map[string]directory.State{}},
 		{"an earlier announcement is late", func(r *directory.Registry) { r.Announce(begin, newTarget("i1", 5, 2, nil)) }, map[string]directory.State{"i1": directory.Draining}},
--- a/internal/lockstep/predecessor_test.go
+++ b/internal/lockstep/predecessor_test.go
@@ -28,7 +28,7 @@
 
 // predecessorCase describes which prepare orders of killed directors are late, and how.
 type predecessorCase struct {
-	late latePrepare
+	when latePrepare
 	// ranks is a bit mask of the ranks at which the orders are late.
 	ranks uint
 	// kills is the number of directors that are killed in series.
@@ -40,101 +40,106 @@
 
 func (c *predecessorCase) isLate(rank int) bool { return c.ranks>>rank&1 == 1 }
 
+// predecessorRun runs the directors of one case.
+type predecessorRun struct {
+	predecessorCase
+
+	group *fakeGroup
+	// directing is the agent that directs the group.
+	directing *agent
+	// late holds the prepare orders that a rank has not carried out yet, prepares counts those of the
+	// directing agent, both by rank.
+	late     map[int][]*wire.EngineOrder
+	prepares map[int]int
+}
+
 // runPredecessors runs the directors of c on g: each but the last is killed once it has sent its
 // prepare orders, and has its own idea of the demand.
 func runPredecessors(g *fakeGroup, c predecessorCase) {
-	prepares := make(map[int][]*wire.EngineOrder)
-	seen := make(map[int]int)
-	successor := false
-
-	release := func(k *fakeRank, rank int) {
-		for _, o := range prepares[rank] {
-			if c.fencedOnArrival {
-				o.Fence = max(o.GetFence(), k.fence)
-			}
-
-			g.carryOut(k, rank, o)
-		}
+	r := &predecessorRun{predecessorCase: c, group: g, late: make(map[int][]*wire.EngineOrder), prepares: make(map[int]int)}
 
-		prepares[rank] = nil
+	for i := range c.kills {
+		r.run(r.onPredecessorsOrder, skewed(g.shape, uint64(10+i)), 2*time.Second)
+		time.Sleep(200 * time.Millisecond)
+		clear(r.prepares)
 	}
 
-	var a *agent
-
-	g.onOrder = func(k *fakeRank, rank int, o *wire.EngineOrder) fault {
-		isPrepare := o.GetKind() == wire.EngineOrderKind_EngineOrderPrepare
+	r.run(r.onSuccessorsOrder, skewed(g.shape, 99), 8*time.Second)
+}
 
-		if !successor {
-			if isPrepare && seen[rank] == 0 {
-				seen[rank]++
+func (r *predecessorRun) run(onOrder func(*fakeRank, int, *wire.EngineOrder) fault, weight [][]float64, d time.Duration) {
+	r.group.mu.Lock()
+	r.directing = &agent{group: r.group}
+	r.group.weight, r.group.onOrder = weight, onOrder
+	r.group.mu.Unlock()
 
-				if c.isLate(rank) {
-					prepares[rank] = append(prepares[rank], proto.CloneOf(o))
-				}
-			}
+	runAgent(r.directing, d)
+}
 
-			if len(seen) == g.shape.Ranks {
-				a.kill()
-			}
+func (r *predecessorRun) onPredecessorsOrder(_ *fakeRank, rank int, o *wire.EngineOrder) fault {
+	if o.GetKind() != wire.EngineOrderKind_EngineOrderPrepare {
+		return faultNone
+	}
 
-			if isPrepare {
-				return faultLost
-			}
+	if r.prepares[rank]++; r.prepares[rank] == 1 && r.isLate(rank) {
+		r.late[rank] = append(r.late[rank], proto.CloneOf(o))
+	}
 
-			return faultNone
-		}
+	if len(r.prepares) == r.group.shape.Ranks {
+		r.directing.kill()
+	}
 
-		if !c.isLate(rank) {
-			return faultNone
-		}
+	return faultLost
+}
 
-		if c.late == lateBeforeFirstOrder {
-			release(k, rank)
-		}
+func (r *predecessorRun) onSuccessorsOrder(k *fakeRank, rank int, o *wire.EngineOrder) fault {
+	if !r.isLate(rank) {
+		return faultNone
+	}
 
-		if !isPrepare {
-			return faultNone
-		}
+	if r.when == lateBeforeFirstOrder {
+		r.carryOutLate(k, rank)
+	}
 
-		seen[rank]++
+	if o.GetKind() != wire.EngineOrderKind_EngineOrderPrepare {
+		return faultNone
+	}
 
-		switch {
-		case c.late == lateBeforePrepare:
-			release(k, rank)
-		case c.late == lateBeforeResend && seen[rank] == 1:
-			release(k, rank)
+	r.prepares[rank]++
+	first := r.prepares[rank] == 1
+
+	switch {
+	case r.when == lateBeforePrepare:
+		r.carryOutLate(k, rank)
+	case r.when == lateBeforeResend && first:
+		r.carryOutLate(k, rank)
+
+		return faultAnswerLost
+	case r.when == lateBetweenSends && first:
+		return faultLost
+	case r.when == lateBetweenSends:
+		r.carryOutLate(k, rank)
+	case r.when == lateAfterPrepare && first:
+		r.group.carryOut(k, rank, o)
+		r.carryOutLate(k, rank)
+
+		return faultLost
+	}
 
-			return faultAnswerLost
-		case c.late == lateBetweenSends && seen[rank] == 1:
-			return faultLost
-		case c.late == lateBetweenSends:
-			release(k, rank)
-		case c.late == lateAfterPrepare && seen[rank] == 1:
-			g.carryOut(k, rank, o)
-			release(k, rank)
+	return faultNone
+}
 
-			return faultLost
+// carryOutLate carries out the late orders of a rank.
+func (r *predecessorRun) carryOutLate(k *fakeRank, rank int) {
+	for _, o := range r.late[rank] {
+		if r.fencedOnArrival {
+			o.Fence = max(o.GetFence(), k.fence)
 		}
 
-		return faultNone
+		r.group.carryOut(k, rank, o)
 	}
 
-	for i := range c.kills {
-		g.mu.Lock()
-		g.weight = skewed(g.shape, uint64(10+i))
-		a = &agent{group: g}
-		g.mu.Unlock()
-
-		runAgent(a, 2*time.Second)
-		time.Sleep(200 * time.Millisecond)
-		clear(seen)
-	}
-
-	g.mu.Lock()
-	g.weight, successor = skewed(g.shape, 99), true
-	g.mu.Unlock()
-
-	runAgent(&agent{group: g}, 8*time.Second)
+	r.late[rank] = nil
 }
 
 // The directing agent is killed while its prepare orders are in flight, and some of them are
@@ -147,7 +152,7 @@
 		for ranks := uint(1); ranks < 1<<smallShape.Ranks; ranks++ {
 			for _, kills := range []int{1, 2} {
 				for _, onArrival := range []bool{false, true} {
-					c := predecessorCase{late: late, ranks: ranks, kills: kills, fencedOnArrival: onArrival}
+					c := predecessorCase{when: late, ranks: ranks, kills: kills, fencedOnArrival: onArrival}
 					t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
 						t.Parallel()
 						synctest.Test(t, func(t *testing.T) { testPredecessor(t, c) })
