Claim a group only once it is open

It waits until the group is open, as it did with maps. TestGroupThatIsBeingFormedGetsNoOrders fails without it.

--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -111,8 +111,8 @@
 
 	d.HighestAttempted = max(d.HighestAttempted, highestVersion(reportsOf(polls)))
 
-	if d.current == nil && !d.takeUp(ctx, polls) {
-		return
+	if d.current == nil && (!first.Open || !d.takeUp(ctx, polls)) {
+		return // A group that is being formed refuses orders.
 	}
 
 	d.latestChoices = d.demandEstimator.observe(time.Now(), polls)
--- a/internal/lockstep/fake_group_test.go
+++ b/internal/lockstep/fake_group_test.go
@@ -22,11 +22,13 @@
 type fakeGroup struct {
 	shape lockstep.Shape
 
-	mu        sync.Mutex
-	ranks     []*fakeRank
-	epoch     uint64
-	step      uint64
-	idle      bool
+	mu    sync.Mutex
+	ranks []*fakeRank
+	epoch uint64
+	step  uint64
+	idle  bool
+	// forming is set while the group is not open.
+	forming   bool
 	violation string // first violated invariant, or empty
 	// stepTime is the duration of a step, heldTime the total time by which holds delayed
 	// steps, and holdTimes the delay of each delayed step.
@@ -312,7 +314,7 @@
 
 	k := g.ranks[rank]
 	result := lockstep.PollResult{Report: lockstep.Report{
-		Group: "g", Epoch: g.epoch, Rank: rank, Size: len(g.ranks), Open: true, Step: g.step,
+		Group: "g", Epoch: g.epoch, Rank: rank, Size: len(g.ranks), Open: !g.forming, Step: g.step,
 		Map: k.version, Armed: k.armed, Held: k.heldStep, Holds: k.holds, Pace: k.slowdown,
 	}, Slowdowns: map[int]float64{}}
 
--- a/internal/lockstep/reopen_test.go
+++ b/internal/lockstep/reopen_test.go
@@ -131,3 +131,16 @@
 		require.Less(t, polls, usual*3/2)
 	})
 }
+
+// Guards against orders to a group that is being formed, which its ranks refuse, at each poll.
+func TestGroupThatIsBeingFormedGetsNoOrders(t *testing.T) {
+	t.Parallel()
+
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(smallShape, skewed(smallShape, 1))
+		g.forming = true
+
+		runDirector(g, 0, 5*time.Second)
+		require.Zero(t, g.orders)
+	})
+}
