--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -32,6 +32,8 @@
 	disks   [][]byte
 	// messages and bytes count the exchanges.
 	messages, bytes int
+	// drainingMessages and drainingBytes count the notices of draining targets.
+	drainingMessages, drainingBytes int
 }
 
 func newControlSet(t *testing.T, n int) *controlSet {
@@ -84,8 +86,8 @@
 
 	c.mu.Lock()
 	frozen := c.frozen[to]
-	c.messages++
-	c.bytes += proto.Size(r)
+	c.drainingMessages++
+	c.drainingBytes += proto.Size(r)
 	c.mu.Unlock()
 
 	if frozen {
