--- a/internal/lockstep/director.go
+++ b/internal/lockstep/director.go
@@ -169,8 +169,9 @@
 	}
 }
 
-// takeUp claims the group and builds the current map from the experts that the ranks report. If
-// the group has to be claimed, polls are from before that, and the map is built at the next poll.
+// takeUp claims the group and builds the current map from the experts that the ranks report. An
+// order of a predecessor may have been carried out since polls, so all ranks are polled again after
+// a claim.
 func (d *Director) takeUp(ctx context.Context, polls []PollResult) bool {
 	if !d.switcher.claimed {
 		if err := d.switcher.claim(ctx, d.HighestAttempted); err != nil {
