Fill the buffers of slow readers with fewer answers in their test

On a busy machine that took longer than the 10 s that the test waits: in a trial with GOMAXPROCS=1 and 24 processes beside each other, 23 of 24 failed, and the server was still answering (30,822 answers after 10 s, no connection blocked, none closed).

The answers have 64 kB now.

--- a/internal/callers/heads_test.go
+++ b/internal/callers/heads_test.go
@@ -169,7 +169,7 @@
 			address, l := startBounded(t, func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				if r.URL.Path == "/long" {
-					w.Header().Set("X", strings.Repeat("x", 1000))
+					w.Header().Set("X", strings.Repeat("x", 64<<10)) // Few answers fill the buffers of a connection.
 				}
 			}, func(l *callers.Listener, _ *callers.Limits) { l.MaxConnections = 16 })
 
