Tell a removed voter of its removal at once, also from a VM with a new ID

A voter that was removed while it was cut off or stood still asks for pre-votes until somebody tells it of its removal; only then does it clear its data and join again as a learner. Two paths did not tell it:

- A pre-vote of an earlier term was answered with the current term alone, so that the removed voter learned of its removal one or two election timeouts later (1.5 to 3 s each).
- Messages to the earlier ID of a VM that lost its disk were dropped by the replica.
If the other voter that the removed one knew had been replaced too, it stayed a candidate for good, and its VM did not vote any more.

Both now answer with the committed members. The receiver stops only if these are newer than its own, as before.

TestRemovedCandidateIsNotified is red in both cases before.

--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -256,6 +257,33 @@
 	require.Empty(t, w.violations)
 }
 
+// Guards against a removed replica that stays a candidate, because the replicas that it knows have a later term, or have
+// lost their disks and joined again under other IDs.
+func TestRemovedCandidateIsNotified(t *testing.T) {
+	t.Parallel()
+
+	for name, m := range map[string]quorum.Message{
+		"earlier term":    {To: "a", ToCreationID: 1, Term: 2},
+		"earlier replica": {To: "lost", ToCreationID: 4, Term: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s := newCoreHarness(t, quorum.StoredState{State: quorum.HardState{Term: 5}}, minRand)
+			m.From, m.FromCreationID, m.Body = "removed", 3, quorum.Vote{Pre: true}
+			s.step(quorum.Received{Message: m})
+
+			require.Condition(t, func() bool {
+				return slices.ContainsFunc(s.sent, func(sent quorum.Message) bool {
+					answer, ok := sent.Body.(quorum.HelloAnswer)
+
+					return ok && sent.To == "removed" && len(answer.Members) == 3
+				})
+			}, "%+v", s.sent)
+		})
+	}
+}
+
 // Guards against a transfer that leaves the group without a leader: a change of members was carried out meanwhile, and the
 // successor lacked its entry.
 func TestChangeIsNotCarriedOutDuringTransfer(t *testing.T) {
--- a/internal/quorum/receive.go
+++ b/internal/quorum/receive.go
@@ -28,6 +28,16 @@
 // and leaders are not compared: a member that lags behind may only know the ID of such a
 // replica, whose own log made it a voter with its current creation ID.
 func (c *Core) accepts(m Message) bool {
+	// A member that was removed while it was disconnected may know no other address of the group than that of a
+	// replica that has lost its disk and joined again.
+	if m.To != c.cfg.ID {
+		if body, ok := m.Body.(Vote); ok && body.Pre {
+			c.notifyRemoved(m)
+		}
+
+		return false
+	}
+
 	if m.ToCreationID != 0 && m.ToCreationID != c.cfg.CreationID {
 		c.handleMisaddressed()
 
@@ -118,6 +128,10 @@
 func (c *Core) replyToStaleMessage(m Message) {
 	switch body := m.Body.(type) {
 	case Vote:
+		if body.Pre {
+			c.notifyRemoved(m)
+		}
+
 		c.reply(m, c.hardState.Term, VoteAnswer{Pre: body.Pre})
 	case Append, Chunk:
 		c.reply(m, c.hardState.Term, AppendAnswer{Rejected: true, Index: c.commit})
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -17,6 +17,8 @@
 	// committed entries at that time.
 	Active   bool
 	UpToDate bool
+	// Answered is set once the member has answered this leader. Until then it counts as active for a while.
+	Answered bool
 	// AnsweredAt is the start of the last round that the member answered. If it has answered none, it is when
 	// this replica became leader, or when it last heard of the member as the leader before it.
 	AnsweredAt time.Time
@@ -68,11 +70,11 @@
 
 	switch {
 	case m.ID == c.cfg.ID:
-		s.Match, s.Active, s.UpToDate = c.stable, true, true
+		s.Match, s.Active, s.UpToDate, s.Answered = c.stable, true, true, true
 	case c.leaderState != nil:
 		p := c.leaderState.peers[m.ID]
 		s.Match, s.Active, s.UpToDate = p.match, c.now.Before(p.activeUntil) && !p.silent, c.isUpToDate(p)
-		s.AnsweredAt = p.answeredAt
+		s.Answered, s.AnsweredAt = p.round > 0, p.answeredAt
 	}
 
 	if s.Match < c.commit {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -72,18 +72,14 @@
 
 		addr, addrErr := netip.ParseAddrPort(env.GetAddress())
 
-		// A VM that lost its disk rejoins with a new ID at its old address. Messages for
-		// the old ID still arrive there.
-		if m.To != r.ID {
-			if addrErr == nil {
-				r.addFormerPeer(addr)
-			}
-
-			continue
-		}
-
 		if addrErr == nil {
 			r.learnedAddrs[m.From] = addr
+
+			// A VM that lost its disk rejoins with a new ID at its old address. Messages for
+			// the old ID still arrive there.
+			if m.To != r.ID {
+				r.addFormerPeer(addr)
+			}
 		}
 
 		r.core.Step(time.Now(), quorum.Received{Message: m})
