Let a voter that stops wait until a silent one is back

An acknowledged configuration could not be read again (CONFIG): three voters, B frozen; X joins to replace C; after 3 s of silence B's place goes to X, and C, which gets SIGTERM then, finds no learner that could replace it and ends at once, though B is back within C's GraceS. With the disk of A lost too, one of three voters is left.

- A learner replaces the voter that needed it first: one that announced its stop, or one that was silent for VoterTimeout.
Silence always came first before, so that a successor on its way to C went to B.
- A voter that stops keeps waiting, for 7 s at most (4 s before; GraceS is 8 s), while a silent voter was removed less than 8 s ago, as that one joins again once it is back, or while the others are no majority until a silent one returns.
It doesn't wait for those that stop as planned too.

Evicting the leaving voter in favour of the silent one was ruled out: a VM that only restarts would be replaced by a dead one.

TestReplacementBesideSilentMemberKeepsMajority runs three control VMs under synctest: times of the new VM, of the stop and of the successor's catch-up, 75 cases.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -9,7 +9,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -62,8 +61,8 @@
 // last active.
 type Manager struct {
 	Settings Settings
-	// IsLeaving reports whether a member has announced that it stops. It may be nil.
-	IsLeaving func(id string) bool
+	// LeavingSince returns when a member announced that it stops, the zero time if it did not. It may be nil.
+	LeavingSince func(id string) time.Time
 
 	lastActive map[string]time.Time
 }
@@ -114,7 +113,15 @@
 	}
 }
 
-func (r *Manager) isLeaving(id string) bool { return r.IsLeaving != nil && r.IsLeaving(id) }
+func (r *Manager) leavingSince(id string) time.Time {
+	if r.LeavingSince == nil {
+		return time.Time{}
+	}
+
+	return r.LeavingSince(id)
+}
+
+func (r *Manager) isLeaving(id string) bool { return !r.leavingSince(id).IsZero() }
 
 func (r *Manager) inactiveFor(now time.Time, id string) time.Duration {
 	return now.Sub(r.lastActive[id])
@@ -122,9 +129,13 @@
 
 // voterToRemove returns the voter to remove, or "". A voter whose address is
 // used by another active member since comes first, because its disk is certainly lost;
-// then a voter that has been inactive for VoterTimeout; then one that is leaving.
+// then the one that first announced that it stops, or was first inactive for VoterTimeout. A
+// learner that a voter awaits before it stops thus does not replace one that falls silent meanwhile.
 func (r *Manager) voterToRemove(now time.Time, self string, members []quorum.MemberStatus) string {
-	inactive, leaving := "", ""
+	var (
+		next  string
+		since time.Time
+	)
 
 	for i := range members {
 		m := &members[i]
@@ -136,16 +147,25 @@
 			return m.Member.ID
 		}
 
-		if leaving == "" && r.isLeaving(m.Member.ID) {
-			leaving = m.Member.ID
+		if at := r.replaceableSince(now, m); !at.IsZero() && (next == "" || at.Before(since)) {
+			next, since = m.Member.ID, at
 		}
+	}
+
+	return next
+}
+
+// replaceableSince returns since when a voter may be replaced by any learner, the zero time if it may not be.
+func (r *Manager) replaceableSince(now time.Time, voter *quorum.MemberStatus) time.Time {
+	since := r.leavingSince(voter.Member.ID)
 
-		if !m.Active && inactive == "" && r.inactiveFor(now, m.Member.ID) > r.Settings.VoterTimeout {
-			inactive = m.Member.ID
+	if !voter.Active && r.inactiveFor(now, voter.Member.ID) > r.Settings.VoterTimeout {
+		if at := r.lastActive[voter.Member.ID].Add(r.Settings.VoterTimeout); since.IsZero() || at.Before(since) {
+			since = at
 		}
 	}
 
-	return cmp.Or(inactive, leaving)
+	return since
 }
 
 // hasReplacement reports whether another active member uses the address of a voter that is inactive, or has not
@@ -179,6 +199,24 @@
 		slices.ContainsFunc(members, func(m quorum.MemberStatus) bool { return r.maySucceed(&m) })
 }
 
+// MajorityNeeds reports whether the voters that have answered recently are a majority only with the given member. It is
+// false if all others have answered or have announced that they stop.
+func (r *Manager) MajorityNeeds(id string, members []quorum.MemberStatus) bool {
+	answering, silent := 0, false
+
+	for _, m := range members {
+		switch {
+		case m.Member.Role != quorum.Voter || m.Member.ID == id:
+		case m.Active && m.Answered:
+			answering++
+		case !r.isLeaving(m.Member.ID):
+			silent = true
+		}
+	}
+
+	return silent && answering <= countVoters(members)/2
+}
+
 func countVoters(members []quorum.MemberStatus) int {
 	n := 0
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -124,15 +124,21 @@
 	require.Equal(t, membership.Change{}, r.Decide(startTime.Add(32*time.Second), "c2", members), "a new leader measures inactivity from the start")
 }
 
-func leaving(ids ...string) func(string) bool {
-	return func(id string) bool { return slices.Contains(ids, id) }
+func leaving(ids ...string) func(string) time.Time {
+	return func(id string) time.Time {
+		if slices.Contains(ids, id) {
+			return startTime
+		}
+
+		return time.Time{}
+	}
 }
 
 // Guards against a vote that a voter leaves behind when it stops as planned, until it has been silent for long.
 func TestLeavingVoterIsReplacedBeforeItStops(t *testing.T) {
 	t.Parallel()
 
-	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c3")}
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), LeavingSince: leaving("c3")}
 	members := []quorum.MemberStatus{
 		voter("c1", true), voter("c2", true), voter("c3", true), member("c4-x", "10.0.0.4:1", quorum.Learner, true, false),
 	}
@@ -160,7 +166,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c3", "c4-x")}
+			r := &membership.Manager{Settings: membership.DefaultSettings(1), LeavingSince: leaving("c3", "c4-x")}
 			members := []quorum.MemberStatus{voter("c1", true), voter("c2", true), voter("c3", true), learner}
 
 			require.False(t, r.CanReplace(members))
@@ -173,7 +179,7 @@
 func TestLeavingVoterWaitsForAnotherReplacement(t *testing.T) {
 	t.Parallel()
 
-	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c2")}
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), LeavingSince: leaving("c2")}
 	members := []quorum.MemberStatus{voter("c1", false), voter("c2", true), voter("c3", true), voter("c4", true)}
 
 	require.True(t, r.CanReplace(members))
@@ -184,7 +190,7 @@
 func TestLostVoterIsRemovedBeforeLeavingOne(t *testing.T) {
 	t.Parallel()
 
-	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: leaving("c2")}
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), LeavingSince: leaving("c2")}
 	members := []quorum.MemberStatus{
 		voter("c1", true), voter("c2", true), voter("c3", false), member("c3-new", "10.0.0.3:1", quorum.Voter, true, true),
 	}
@@ -192,6 +198,62 @@
 	require.Equal(t, membership.Change{Kind: membership.Remove, ID: "c3"}, r.Decide(startTime, "c1", members))
 }
 
+// Guards against a learner that a leaving voter awaits, and that replaces one which falls silent meanwhile: neither of
+// the two may be there afterwards.
+func TestLearnerReplacesWhatNeededItFirst(t *testing.T) {
+	t.Parallel()
+
+	for name, c := range map[string]struct {
+		leavingAt time.Duration // after the other voter has fallen silent
+		want      string
+	}{
+		"leaving first": {leavingAt: 2 * time.Second, want: "c3"},
+		"silent first":  {leavingAt: 4 * time.Second, want: "c2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			r := &membership.Manager{Settings: membership.DefaultSettings(1), LeavingSince: func(id string) time.Time {
+				if id == "c3" {
+					return startTime.Add(c.leavingAt)
+				}
+
+				return time.Time{}
+			}}
+			members := []quorum.MemberStatus{
+				voter("c1", true), voter("c2", false), voter("c3", true), member("c4-x", "10.0.0.4:1", quorum.Voter, true, true),
+			}
+			members[1].AnsweredAt = startTime
+
+			require.Equal(t, membership.Change{Kind: membership.Remove, ID: c.want}, r.Decide(startTime.Add(5*time.Second), "c1", members))
+		})
+	}
+}
+
+// Guards against a voter that stops while the others are no majority, and against stops that wait where none is silent.
+func TestMajorityNeedsVoter(t *testing.T) {
+	t.Parallel()
+
+	answered := func(m quorum.MemberStatus) quorum.MemberStatus {
+		m.Answered = true
+
+		return m
+	}
+	silent, unheard := voter("c2", false), voter("c2", true)
+	c1, c2, c3 := answered(voter("c1", true)), answered(voter("c2", true)), answered(voter("c3", true))
+	c4, c5 := answered(voter("c4", true)), answered(voter("c5", true))
+
+	r := &membership.Manager{Settings: membership.DefaultSettings(1)}
+	require.True(t, r.MajorityNeeds("c3", []quorum.MemberStatus{c1, answered(silent), c3}))
+	require.True(t, r.MajorityNeeds("c3", []quorum.MemberStatus{c1, unheard, c3}), "a new leader has not heard of it")
+	require.False(t, r.MajorityNeeds("c3", []quorum.MemberStatus{c1, c2, c3}))
+	require.False(t, r.MajorityNeeds("c3", []quorum.MemberStatus{c1, c3}))
+	require.False(t, r.MajorityNeeds("c3", []quorum.MemberStatus{c1, silent, c3, c4, c5}))
+
+	r.LeavingSince = leaving("c2")
+	require.False(t, r.MajorityNeeds("c3", []quorum.MemberStatus{c1, silent, c3}), "all of them stop")
+}
+
 // Guards against a new leader that waits anew for the one whose silence made it a candidate.
 func TestSilenceBeforeTheElectionCounts(t *testing.T) {
 	t.Parallel()
@@ -211,7 +273,7 @@
 func TestLostVoterThatCountsAsActiveIsRemovedBeforeLeavingOne(t *testing.T) {
 	t.Parallel()
 
-	r := &membership.Manager{Settings: membership.DefaultSettings(1), IsLeaving: func(id string) bool { return id == "c4" }}
+	r := &membership.Manager{Settings: membership.DefaultSettings(1), LeavingSince: leaving("c4")}
 	lost, back := voter("c1", true), member("c1-new", "10.0.0.1:1", quorum.Learner, true, true)
 	lost.AnsweredAt, back.AnsweredAt = startTime.Add(-time.Second), startTime
 	members := []quorum.MemberStatus{lost, voter("c3", true), voter("c4", true), back, member("c2-new", "10.0.0.2:1", quorum.Learner, true, true)}
--- a/internal/role/automembership.go
+++ b/internal/role/automembership.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 
-	manager := &membership.Manager{Settings: r.AutoMembership.Settings, IsLeaving: r.leaving.contains}
+	manager := &membership.Manager{Settings: r.AutoMembership.Settings, LeavingSince: r.leaving.since}
 	tick := time.NewTicker(membershipInterval)
 
 	defer tick.Stop()
@@ -78,7 +78,9 @@
 }
 
 func (r *Control) changeMembership(ctx context.Context, manager *membership.Manager) {
-	change := manager.Decide(time.Now(), r.VM, r.replica.Status().Members)
+	members := r.replica.Status().Members
+
+	change := manager.Decide(time.Now(), r.VM, members)
 	if change.Kind == membership.NoChange {
 		return
 	}
@@ -99,10 +101,22 @@
 
 	r.Logs.Logger("roster").Info("Requested a change of the control set.", "change", name, "member", change.ID, "error", err)
 
-	// A promotion may be the first half of a replacement.
-	if err == nil {
-		r.checkMembersNow()
+	if err != nil {
+		return
+	}
+
+	if change.Kind == membership.Remove && isSilentVoter(members, change.ID) {
+		r.leaving.recordSilentRemoval(time.Now())
 	}
+
+	// A promotion may be the first half of a replacement.
+	r.checkMembersNow()
+}
+
+func isSilentVoter(members []quorum.MemberStatus, id string) bool {
+	return slices.ContainsFunc(members, func(m quorum.MemberStatus) bool {
+		return m.Member.ID == id && m.Member.Role == quorum.Voter && !m.Active
+	})
 }
 
 // checkMembersNow makes the leader check the control set without waiting for its next tick.
--- a/internal/role/control_set_model_test.go
+++ b/internal/role/control_set_model_test.go
@@ -668,3 +668,82 @@
 		})
 	}
 }
+
+// replaceBesideSilentMember replaces a machine as planned while another one is silent. Then the third one, which leads,
+// loses its disk. The times count from when the other one falls silent. The new machine is cut off for a while once it
+// is a member.
+func (s *modelSet) replaceBesideSilentMember(startAt, stopAt, successorCut time.Duration) {
+	const returnAt = 7 * time.Second
+
+	third := s.leader()
+	others := slices.DeleteFunc(slices.Clone(s.machines), func(m *modelMachine) bool { return m == third })
+	silent, old := others[0], others[1]
+	begun := time.Now()
+	sleepUntil := func(d time.Duration) { time.Sleep(time.Until(begun.Add(d))) }
+
+	silent.cut.Store(true)
+	s.record("cut off", silent)
+	sleepUntil(startAt)
+
+	successor := s.newMachine()
+	successor.start(false)
+	s.record("start a successor of", old)
+	s.remove(old)
+
+	if successorCut > 0 {
+		time.Sleep(300 * time.Millisecond)
+		successor.cut.Store(true)
+		s.running.Go(func() {
+			time.Sleep(successorCut)
+			successor.cut.Store(false)
+		})
+	}
+
+	sleepUntil(stopAt)
+	s.record("stop", old)
+	s.running.Go(func() {
+		s.wait(old.terminate())
+		s.record("stopped", old)
+		old.process.Store(nil)
+	})
+
+	sleepUntil(startAt + catchUpTime + 100*time.Millisecond)
+	s.change()
+	s.record("lose disk of", third)
+	third.loseDisk()
+	time.Sleep(600 * time.Millisecond)
+	s.record("start again", third)
+	third.restart()
+	sleepUntil(returnAt)
+	s.record("reconnect", silent)
+	silent.cut.Store(false)
+	time.Sleep(catchUpTime)
+}
+
+// Guards against a planned stop that leaves the set without a majority: a voter that has just returned is not one any
+// more, because a new machine took its place instead of that of the one that stops.
+func TestReplacementBesideSilentMemberKeepsMajority(t *testing.T) {
+	t.Parallel()
+
+	for startAt := time.Second; startAt <= 2200*time.Millisecond; startAt += 300 * time.Millisecond {
+		for delay := time.Second; delay <= 3*time.Second; delay += 500 * time.Millisecond {
+			for successorCut := time.Duration(0); successorCut <= 1200*time.Millisecond; successorCut += 600 * time.Millisecond {
+				t.Run(fmt.Sprint(startAt, delay, successorCut), func(t *testing.T) {
+					t.Parallel()
+
+					s := &modelSet{dir: t.TempDir(), tolerated: 1, random: rand.New(rand.NewPCG(1, 0)), addresses: make(map[string]*modelMachine)}
+
+					synctest.Test(t, func(*testing.T) {
+						s.start(3)
+						s.replaceBesideSilentMember(startAt, startAt+delay, successorCut)
+						s.end()
+					})
+
+					if s.failure != nil {
+						t.Fatal(s.failure, strings.Join(append([]string{""}, s.log...), "\n"))
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/role/leavingmembers.go
+++ b/internal/role/leavingmembers.go
@@ -16,51 +16,85 @@
 
 const (
 	// replacementTimeout bounds how long a control VM that stops waits for its replacement.
-	replacementTimeout = 4 * time.Second
+	replacementTimeout = 7 * time.Second
 	// leaveAttemptTimeout bounds one announcement to the leader, which may change.
 	leaveAttemptTimeout = time.Second
 	// leavingRetention is how long the leader remembers an announcement. It is repeated
 	// until the VM stops.
 	leavingRetention = 2 * time.Second
+	// rejoinTimeout is how long the leader expects a voter that was removed as it was silent to join again. One that was
+	// cut off or stood still learns of its removal once it is back.
+	rejoinTimeout = 8 * time.Second
 )
 
-// leavingMembers holds the members that have announced to the leader that they stop. It must be initialized.
+// leavingMembers holds, on the leader, the members that have announced that they stop, and until when a removed voter
+// may join again and replace one of them. It must be initialized.
 type leavingMembers struct {
-	mu    sync.Mutex
-	until map[string]time.Time
+	mu          sync.Mutex
+	members     map[string]leavingMember
+	rejoinUntil time.Time
 }
 
+type leavingMember struct{ since, until time.Time }
+
 func (l *leavingMembers) init() {
-	l.until = make(map[string]time.Time)
+	l.members = make(map[string]leavingMember)
 }
 
 func (l *leavingMembers) add(now time.Time, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	for id, until := range l.until {
-		if !now.Before(until) {
-			delete(l.until, id)
+	for id, m := range l.members {
+		if !now.Before(m.until) {
+			delete(l.members, id)
 		}
 	}
 
-	l.until[id] = now.Add(leavingRetention)
+	m, known := l.members[id]
+	if !known {
+		m.since = now
+	}
+
+	m.until = now.Add(leavingRetention)
+	l.members[id] = m
+}
+
+// since returns when a member announced that it stops, the zero time if it did not.
+func (l *leavingMembers) since(id string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if m := l.members[id]; time.Now().Before(m.until) {
+		return m.since
+	}
+
+	return time.Time{}
+}
+
+func (l *leavingMembers) recordSilentRemoval(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.rejoinUntil = now.Add(rejoinTimeout)
 }
 
-func (l *leavingMembers) contains(id string) bool {
+func (l *leavingMembers) mayRejoin(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return time.Now().Before(l.until[id])
+	return now.Before(l.rejoinUntil)
 }
 
 // awaitReplacement waits, on the leader, until a member that leaves may stop: it has been replaced, or no
-// learner can replace it.
+// learner can replace it and none is expected. One is if a silent voter was removed recently, or if the others are no
+// majority until a silent one returns.
 func (r *Control) awaitReplacement(ctx context.Context, id string) (replaced bool, err error) {
-	manager := &membership.Manager{Settings: r.AutoMembership.Settings, IsLeaving: r.leaving.contains}
+	manager := &membership.Manager{Settings: r.AutoMembership.Settings, LeavingSince: r.leaving.since}
 
 	for r.isLeader() {
-		r.leaving.add(time.Now(), id)
+		now := time.Now()
+		r.leaving.add(now, id)
 
 		s := r.replica.Status()
 		i := slices.IndexFunc(s.Members, func(m quorum.MemberStatus) bool { return m.Member.ID == id })
@@ -68,7 +102,9 @@
 		switch {
 		case i < 0 && s.MembersCommitted:
 			return true, nil
-		case i >= 0 && (s.Members[i].Member.Role == quorum.Learner || !manager.CanReplace(s.Members)):
+		case i >= 0 && s.Members[i].Member.Role == quorum.Learner:
+			return false, nil
+		case i >= 0 && !manager.CanReplace(s.Members) && !r.leaving.mayRejoin(now) && !manager.MajorityNeeds(id, s.Members):
 			return false, nil
 		}
 
