Read the handler of a model's process once

The model reads it once now; a process that stops meanwhile serves the message, as a server does that is shutting down, and the sender sees the end of a killed one as before.

--- a/internal/role/control_set_model_test.go
+++ b/internal/role/control_set_model_test.go
@@ -123,17 +123,25 @@
 		return nil, errModelLost
 	}
 
-	var target *modelProcess
+	var (
+		target  *modelProcess
+		handler *http.Handler
+	)
+
 	if to != nil {
 		target = to.process.Load()
 	}
 
-	if p.killed.Load() || target == nil || target.handler.Load() == nil {
+	if target != nil {
+		handler = target.handler.Load()
+	}
+
+	if p.killed.Load() || handler == nil {
 		return nil, errModelRefused
 	}
 
 	w := httptest.NewRecorder()
-	(*target.handler.Load()).ServeHTTP(w, r)
+	(*handler).ServeHTTP(w, r)
 
 	if p.killed.Load() || target.killed.Load() || isCut() {
 		return nil, errModelLost
