Count calls of the draining test only after they have ended

It waits until the calls must have ended now, and reads the number under the lock; what it asserts is the same. The log line of TestDrainingReachesAllEntriesInTime reads under the lock too.

--- a/internal/control/draining_test.go
+++ b/internal/control/draining_test.go
@@ -136,11 +136,13 @@
 					return
 				}
 
-				before := c.drainingMessages
+				time.Sleep(announceTimeout) // Calls to voters go on after the acknowledgement.
+
+				before := c.drainingCalls()
 				began = time.Now()
 				require.NoError(t, c.running[tc.at].Announce(t.Context(), drainingTarget(3)))
 				require.Zero(t, time.Since(began), "a repeated notice is in the directory of the voters")
-				require.Equal(t, before, c.drainingMessages)
+				require.Equal(t, before, c.drainingCalls())
 			})
 		})
 	}
@@ -249,8 +251,10 @@
 				require.NotContains(t, heard, time.Time{}, "each entry hears of all from a single voter")
 
 				last := slices.MaxFunc(heard, time.Time.Compare)
+				c.mu.Lock()
 				t.Logf("%d entries: acknowledged after %s, the last entry has heard of all %s after that; %d messages of %d B between control VMs",
 					entries, acknowledged.Sub(began), last.Sub(acknowledged), c.drainingMessages, c.drainingBytes)
+				c.mu.Unlock()
 				require.Less(t, last.Sub(acknowledged), drainTime)
 			})
 		})
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -101,6 +101,14 @@
 	return err
 }
 
+// drainingCalls returns the number of calls of RecordDraining.
+func (c *controlSet) drainingCalls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.drainingMessages
+}
+
 func (c *controlSet) exchange(ctx context.Context, to int, r *wire.IncarnationsRequest) (*wire.IncarnationsResponse, error) {
 	s, err := c.server(to)
 	if err != nil {
